--- /dev/null
+++ b/packages/base/buf.c
@@ -0,0 +1,96 @@
+#include "base.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Makes room for more bytes and a final NUL. */
+static void
+reserve(struct buf *b, size_t more)
+{
+    size_t want = b->len + more + 1;
+    size_t cap = b->cap ? b->cap : 64;
+
+    if (want <= b->cap) {
+        return;
+    }
+    while (cap < want) {
+        cap *= 2;
+    }
+    b->data = Mem_Grow(b->data, cap);
+    b->cap = cap;
+}
+
+/* Adds bytes at the end. */
+void
+Buf_Append(struct buf *b, const void *data, size_t len)
+{
+    reserve(b, len);
+    if (len > 0) {
+        memcpy(b->data + b->len, data, len);
+    }
+    b->len += len;
+    b->data[b->len] = '\0';
+}
+
+/* Adds a string at the end. */
+void
+Buf_AppendStr(struct buf *b, const char *s)
+{
+    Buf_Append(b, s, strlen(s));
+}
+
+/* Adds formatted text at the end. */
+void
+Buf_Printf(struct buf *b, const char *fmt, ...)
+{
+    va_list ap;
+    int n;
+
+    va_start(ap, fmt);
+    n = vsnprintf(NULL, 0, fmt, ap);
+    va_end(ap);
+    if (n < 0) {
+        Fatal("a format that can't be printed: %s", fmt);
+    }
+    reserve(b, (size_t)n);
+    va_start(ap, fmt);
+    vsnprintf(b->data + b->len, (size_t)n + 1, fmt, ap);
+    va_end(ap);
+    b->len += (size_t)n;
+}
+
+/* Replaces the content. */
+void
+Buf_Set(struct buf *b, const void *data, size_t len)
+{
+    Buf_Clear(b);
+    Buf_Append(b, data, len);
+}
+
+/* Hands the content of src over to dst. */
+void
+Buf_Move(struct buf *dst, struct buf *src)
+{
+    Buf_Free(dst);
+    *dst = *src;
+    memset(src, 0, sizeof(*src));
+}
+
+/* Empties a buffer and keeps its memory for the next use. */
+void
+Buf_Clear(struct buf *b)
+{
+    b->len = 0;
+    if (b->data != NULL) {
+        b->data[0] = '\0';
+    }
+}
+
+/* Frees the memory; the buffer can be used again. */
+void
+Buf_Free(struct buf *b)
+{
+    free(b->data);
+    memset(b, 0, sizeof(*b));
+}
--- /dev/null
+++ b/packages/base/log.c
@@ -0,0 +1,135 @@
+#include "base.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define HOLD_SLOTS 64
+#define HOLD_AFTER 20 /* lines of one event within a second */
+
+/* How often an event was written in its present second. */
+struct hold {
+    uint64_t hash;
+    int64_t since;
+    int written;
+    int64_t held;
+};
+
+static const char *const words[] = {"debug", "info", "warn", "error"};
+static enum log_level lowest = LOG_INFO;
+static char process[NAME_SIZE] = "-";
+static struct hold holds[HOLD_SLOTS];
+
+/* Sets the lowest level that is written. */
+void
+Log_SetLevel(enum log_level level)
+{
+    lowest = level;
+}
+
+/* Reads a level's word. */
+int
+Log_ParseLevel(const char *word, enum log_level *out)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(words); i++) {
+        if (strcmp(word, words[i]) == 0) {
+            *out = (enum log_level)i;
+            return ERR_OK;
+        }
+    }
+    return ERR_INVALID;
+}
+
+/* Sets the name that stands on every line. */
+void
+Log_SetProcess(const char *name)
+{
+    Str_Copy(process, sizeof(process), name);
+}
+
+/* Writes a value, in quotes where a reader would need them. */
+static void
+append_value(struct buf *b, const char *s)
+{
+    if (*s != '\0' && strpbrk(s, " \t\r\n\"=\\") == NULL) {
+        Buf_AppendStr(b, s);
+        return;
+    }
+    Buf_AppendStr(b, "\"");
+    for (; *s != '\0'; s++) {
+        if (*s == '"' || *s == '\\') {
+            Buf_Printf(b, "\\%c", *s);
+        }
+        else if ((unsigned char)*s < 0x20) {
+            Buf_Printf(b, "\\x%02x", (unsigned)(unsigned char)*s);
+        }
+        else {
+            Buf_Append(b, s, 1);
+        }
+    }
+    Buf_AppendStr(b, "\"");
+}
+
+/* Decides whether a line is held back; returns the count to report, or -1.
+ * Without it a failing link writes thousands of equal lines a second, and
+ * the line that tells why is lost among them. */
+static int64_t
+hold_back(enum log_level level, const char *event)
+{
+    uint64_t hash = Hash_Str(event, (uint64_t)level);
+    struct hold *h = &holds[hash % HOLD_SLOTS];
+    int64_t now = Clock_NowMs();
+    int64_t held = 0;
+
+    if (level == LOG_ERROR) {
+        return 0;
+    }
+    if (h->hash != hash || now - h->since >= 1000) {
+        held = h->hash == hash ? h->held : 0;
+        *h = (struct hold){hash, now, 0, 0};
+    }
+    if (h->written >= HOLD_AFTER) {
+        h->held++;
+        return -1;
+    }
+    h->written++;
+    return held;
+}
+
+/* Writes one event as one line. */
+void
+Log_Event(enum log_level level, const char *event, const struct log_kv *kv,
+          size_t n)
+{
+    struct buf line CLEANUP(Buf_Free) = {0};
+    int64_t wall = Clock_WallMs();
+    time_t secs = wall / 1000;
+    int64_t held;
+    struct tm tm;
+    char when[32];
+    size_t i;
+
+    if (level < lowest || (held = hold_back(level, event)) < 0) {
+        return;
+    }
+    gmtime_r(&secs, &tm);
+    strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+    Buf_Printf(&line, "time=%s.%03dZ level=%s proc=%s event=%s", when,
+               (int)(wall % 1000), words[level], process, event);
+    for (i = 0; i < n; i++) {
+        Buf_Printf(&line, " %s=", kv[i].key);
+        if (kv[i].text != NULL) {
+            append_value(&line, kv[i].text);
+        }
+        else {
+            Buf_Printf(&line, "%lld", (long long)kv[i].number);
+        }
+    }
+    if (held > 0) {
+        Buf_Printf(&line, " repeated=%lld", (long long)held);
+    }
+    Buf_AppendStr(&line, "\n");
+    fwrite(line.data, 1, line.len, stderr);
+}
--- /dev/null
+++ b/packages/packages.cmake
@@ -0,0 +1,1 @@
+pf_package(base LIBS sodium yaml xxhash bsd)
--- /dev/null
+++ b/tests/base-test.cc
@@ -0,0 +1,90 @@
+#include "base.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+TEST(Err, EveryNumberHasItsName)
+{
+    EXPECT_STREQ(Err_Name(ERR_OK), "ok");
+    EXPECT_STREQ(Err_Name(ERR_UNREACHABLE), "unreachable");
+    EXPECT_STREQ(Err_Name(ERR_UNKNOWN), "unknown");
+    EXPECT_STREQ(Err_Name(-16), "unnamed");
+    EXPECT_STREQ(Err_Name(1), "unnamed");
+}
+
+TEST(Str, Names)
+{
+    static const struct {
+        const char *text;
+        bool name;
+    } cases[] = {
+        {"a", true},   {"team-7", true}, {"A.b_c", true}, {"", false},
+        {"-a", false}, {"a b", false},   {"a/b", false},  {"\xc3\xa9", false},
+    };
+    for (const auto &c : cases) {
+        EXPECT_EQ(Str_IsName(c.text), c.name) << c.text;
+    }
+    EXPECT_TRUE(Str_IsName(std::string(63, 'x').c_str()));
+    EXPECT_FALSE(Str_IsName(std::string(64, 'x').c_str()));
+}
+
+TEST(Id, HexRoundTrip)
+{
+    struct id a = Id_Random(), b;
+    char hex[ID_HEX_SIZE];
+
+    ASSERT_EQ(Id_Parse(Id_Hex(&a, hex), &b), ERR_OK);
+    EXPECT_EQ(Id_Compare(&a, &b), 0);
+    EXPECT_EQ(Id_Parse("12", &b), ERR_INVALID);
+    EXPECT_EQ(Id_Parse("zz345678901234567890123456789012", &b), ERR_INVALID);
+}
+
+TEST(Buf, GrowsAndMoves)
+{
+    struct buf a = {}, b = {};
+
+    for (int i = 0; i < 1000; i++) {
+        Buf_Printf(&a, "%d,", i);
+    }
+    EXPECT_EQ(std::string(a.data, 6), "0,1,2,");
+    Buf_Move(&b, &a);
+    EXPECT_EQ(a.len, 0u);
+    EXPECT_EQ(b.data[b.len], '\0');
+    Buf_Free(&b);
+}
+
+TEST(Counter, RendersPrometheusText)
+{
+    static struct counter total = {"t_total", "Things.", "kind=\"a\"",
+                                   COUNTER_TOTAL};
+    static struct counter wait = {"t_wait_ms", "Waits.", nullptr,
+                                  COUNTER_LATENCY};
+    struct buf out = {};
+
+    Counter_Add(&total, 2);
+    Counter_Observe(&wait, 3);
+    Counter_Observe(&wait, 100000);
+    Counter_Render(&out);
+    std::string text(out.data, out.len);
+    EXPECT_NE(text.find("t_total{kind=\"a\"} 2\n"), std::string::npos);
+    EXPECT_NE(text.find("t_wait_ms_bucket{le=\"2\"} 0\n"), std::string::npos);
+    EXPECT_NE(text.find("t_wait_ms_bucket{le=\"4\"} 1\n"), std::string::npos);
+    EXPECT_NE(text.find("t_wait_ms_bucket{le=\"+Inf\"} 2\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("t_wait_ms_count 2\n"), std::string::npos);
+    Buf_Free(&out);
+}
+
+TEST(Log, QuotesWhatNeedsIt)
+{
+    testing::internal::CaptureStderr();
+    const struct log_kv kv[] = {
+        {"a", "plain", 0}, {"b", "two words\n\"x\"", 0}, {"n", nullptr, -3}};
+    Log_Event(LOG_ERROR, "tested", kv, 3);
+    std::string line = testing::internal::GetCapturedStderr();
+    EXPECT_NE(line.find("event=tested a=plain b=\"two words\\x0a\\\"x\\\"\" "
+                        "n=-3\n"),
+              std::string::npos)
+        << line;
+}
