kernel, http, wire and the platform's header

The kernel runs tasks on one libev loop; plug-ins register themselves. Wire is msgpack by tables of fields over ZeroMQ links.

--- /dev/null
+++ b/packages/http/http-server.c
@@ -0,0 +1,376 @@
+#include "http.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+struct http_server {
+    struct ev_loop *loop;
+    struct MHD_Daemon *daemon;
+    struct http_limits limits;
+    http_handler handler;
+    void *arg;
+    int port;
+    MHD_socket quiesced; /* listening socket after a quiesce, or -1 */
+    size_t open;
+    TAILQ_HEAD(, http_exchange) exchanges;
+    ev_io io;
+    ev_timer timer;
+    ev_prepare prepare;
+};
+
+struct http_exchange {
+    struct http_server *server;
+    struct MHD_Connection *connection;
+    struct MHD_Response *response; /* once replied */
+    int status;
+    char method[16];
+    char *path;
+    struct buf body;
+    struct buf headers; /* name NUL value NUL, ... */
+    bool begun;         /* the handler was called */
+    bool suspended;
+    bool too_big;
+    bool replied;
+    TAILQ_ENTRY(http_exchange) entry;
+};
+
+/* Lets libmicrohttpd do what is due. */
+static void
+run(struct http_server *server)
+{
+    MHD_run(server->daemon);
+}
+
+static void
+on_ready(struct ev_loop *loop UNUSED, ev_io *w, int events UNUSED)
+{
+    run(w->data);
+}
+
+static void
+on_timeout(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    run(w->data);
+}
+
+/* Before the loop sleeps: wakes it when libmicrohttpd has a time-out. */
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *w, int events UNUSED)
+{
+    struct http_server *server = w->data;
+    MHD_UNSIGNED_LONG_LONG ms;
+
+    ev_timer_stop(loop, &server->timer);
+    if (MHD_get_timeout(server->daemon, &ms) == MHD_YES) {
+        ev_timer_set(&server->timer, (double)ms / 1000.0, 0.);
+        ev_timer_start(loop, &server->timer);
+    }
+}
+
+/* Frees an exchange when its connection is done with it. */
+static void
+on_completed(void *arg, struct MHD_Connection *connection UNUSED,
+             void **context, enum MHD_RequestTerminationCode code UNUSED)
+{
+    struct http_server *server = arg;
+    struct http_exchange *ex = *context;
+
+    if (ex == NULL) {
+        return;
+    }
+    if (ex->response != NULL) {
+        MHD_destroy_response(ex->response);
+    }
+    if (ex->begun) {
+        server->open--;
+    }
+    TAILQ_REMOVE(&server->exchanges, ex, entry);
+    free(ex->path);
+    Buf_Free(&ex->body);
+    Buf_Free(&ex->headers);
+    free(ex);
+    *context = NULL;
+}
+
+/* Makes the exchange of a new request. */
+static struct http_exchange *
+new_exchange(struct http_server *server, struct MHD_Connection *connection,
+             const char *method, const char *path)
+{
+    struct http_exchange *ex = Mem_Zero(1, sizeof(*ex));
+
+    ex->server = server;
+    ex->connection = connection;
+    Str_Copy(ex->method, sizeof(ex->method), method);
+    ex->path = Mem_Dup(path);
+    TAILQ_INSERT_TAIL(&server->exchanges, ex, entry);
+    return ex;
+}
+
+/* True when the announced length is over the limit already. */
+static bool
+announces_too_much(const struct http_exchange *ex)
+{
+    const char *length = Http_Header(ex, "Content-Length");
+
+    return length != NULL &&
+           strtoull(length, NULL, 10) > ex->server->limits.body_bytes;
+}
+
+/* Answers a request that is over the limit. */
+static void
+reply_too_big(struct http_exchange *ex)
+{
+    static const char text[] =
+        "{\"outcome\":\"not_run\",\"reason\":\"body_too_big\"}\n";
+
+    Http_ReplyHeader(ex, "Connection", "close");
+    Http_Reply(ex, MHD_HTTP_CONTENT_TOO_LARGE, "application/json", text,
+               sizeof(text) - 1);
+}
+
+/* Queues the reply that the handler has given. */
+static enum MHD_Result
+queue_reply(struct http_exchange *ex)
+{
+    return MHD_queue_response(ex->connection, (unsigned)ex->status,
+                              ex->response);
+}
+
+/* Takes a part of the body, or notes that it is too long. */
+static void
+take_body(struct http_exchange *ex, const char *data, size_t len)
+{
+    if (ex->too_big || ex->body.len + len > ex->server->limits.body_bytes) {
+        ex->too_big = true;
+        Buf_Free(&ex->body);
+        return;
+    }
+    Buf_Append(&ex->body, data, len);
+}
+
+/* libmicrohttpd's access handler: first call, parts of the body, the end of
+ * the body, and once more after a resume. */
+static enum MHD_Result
+on_access(void *arg, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version UNUSED, const char *data,
+          size_t *len, void **context)
+{
+    struct http_server *server = arg;
+    struct http_exchange *ex = *context;
+
+    if (ex == NULL) {
+        ex = new_exchange(server, connection, method, url);
+        *context = ex;
+        if (announces_too_much(ex)) {
+            reply_too_big(ex);
+            return queue_reply(ex);
+        }
+        return MHD_YES;
+    }
+    if (*len > 0) {
+        take_body(ex, data, *len);
+        *len = 0;
+        return MHD_YES;
+    }
+    if (ex->replied) {
+        return queue_reply(ex);
+    }
+    if (ex->too_big) {
+        reply_too_big(ex);
+        return queue_reply(ex);
+    }
+    ex->begun = true;
+    server->open++;
+    server->handler(server->arg, ex);
+    if (ex->replied) {
+        return queue_reply(ex);
+    }
+    ex->suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+}
+
+/* Makes a server on a loop. */
+struct http_server *
+Http_ServerNew(struct ev_loop *loop, const char *address, int port,
+               const struct http_limits *limits, http_handler handler,
+               void *arg)
+{
+    struct http_server *server = Mem_Zero(1, sizeof(*server));
+    struct sockaddr_in sa = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port)};
+    const union MHD_DaemonInfo *info;
+    unsigned idle_s = (unsigned)((limits->idle_ms + 999) / 1000);
+
+    server->loop = loop;
+    server->limits = *limits;
+    server->handler = handler;
+    server->arg = arg;
+    server->quiesced = MHD_INVALID_SOCKET;
+    TAILQ_INIT(&server->exchanges);
+    if (inet_pton(AF_INET, address, &sa.sin_addr) == 1) {
+        server->daemon = MHD_start_daemon(
+            MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL,
+            NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
+            (struct sockaddr *)&sa, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+            server, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
+            MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits->per_address,
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits->header_bytes,
+            MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
+            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+    }
+    if (server->daemon == NULL) {
+        free(server);
+        return NULL;
+    }
+    info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    server->port = info->port;
+    info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    ev_io_init(&server->io, on_ready, info->epoll_fd, EV_READ);
+    server->io.data = server;
+    ev_io_start(loop, &server->io);
+    ev_init(&server->timer, on_timeout);
+    server->timer.data = server;
+    ev_prepare_init(&server->prepare, on_prepare);
+    server->prepare.data = server;
+    ev_prepare_start(loop, &server->prepare);
+    return server;
+}
+
+/* Port that the server listens on. */
+int
+Http_ServerPort(const struct http_server *server)
+{
+    return server->port;
+}
+
+/* Stops listening; open connections go on. */
+void
+Http_ServerQuiesce(struct http_server *server)
+{
+    if (server->quiesced == MHD_INVALID_SOCKET) {
+        server->quiesced = MHD_quiesce_daemon(server->daemon);
+        if (server->quiesced != MHD_INVALID_SOCKET) {
+            close(server->quiesced);
+        }
+    }
+}
+
+/* Exchanges begun and not yet completed, sending included. */
+size_t
+Http_ServerOpen(const struct http_server *server)
+{
+    return server->open;
+}
+
+/* Stops the server. What is still suspended is resumed with a 503, as
+ * libmicrohttpd can't stop before. */
+void
+Http_ServerFree(struct http_server *server)
+{
+    struct http_exchange *ex;
+
+    if (server == NULL) {
+        return;
+    }
+    TAILQ_FOREACH (ex, &server->exchanges, entry) {
+        if (ex->suspended) {
+            Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+        }
+    }
+    run(server);
+    ev_io_stop(server->loop, &server->io);
+    ev_timer_stop(server->loop, &server->timer);
+    ev_prepare_stop(server->loop, &server->prepare);
+    MHD_stop_daemon(server->daemon);
+    free(server);
+}
+
+/* Method of the request, as "POST". */
+const char *
+Http_Method(const struct http_exchange *ex)
+{
+    return ex->method;
+}
+
+/* Path of the request, without the query. */
+const char *
+Http_Path(const struct http_exchange *ex)
+{
+    return ex->path;
+}
+
+/* Value of a request header. */
+const char *
+Http_Header(const struct http_exchange *ex, const char *name)
+{
+    return MHD_lookup_connection_value(ex->connection, MHD_HEADER_KIND, name);
+}
+
+/* Value of a query argument. */
+const char *
+Http_Query(const struct http_exchange *ex, const char *name)
+{
+    return MHD_lookup_connection_value(ex->connection, MHD_GET_ARGUMENT_KIND,
+                                       name);
+}
+
+/* Body of the request; the handler may take it by Buf_Move. */
+struct buf *
+Http_Body(struct http_exchange *ex)
+{
+    return &ex->body;
+}
+
+/* Keeps a header for the reply. */
+void
+Http_ReplyHeader(struct http_exchange *ex, const char *name, const char *value)
+{
+    Buf_Append(&ex->headers, name, strlen(name) + 1);
+    Buf_Append(&ex->headers, value, strlen(value) + 1);
+}
+
+/* Moves the kept headers into the response. */
+static void
+add_headers(struct http_exchange *ex)
+{
+    const char *at = ex->headers.data;
+    const char *end = at + ex->headers.len;
+
+    while (at < end) {
+        const char *value = at + strlen(at) + 1;
+
+        MHD_add_response_header(ex->response, at, value);
+        at = value + strlen(value) + 1;
+    }
+}
+
+/* Gives the reply; a suspended connection is resumed to send it. */
+void
+Http_Reply(struct http_exchange *ex, int status, const char *content_type,
+           const void *body, size_t len)
+{
+    if (ex->replied) {
+        Fatal("second reply to one request: %s %s", ex->method, ex->path);
+    }
+    ex->response = MHD_create_response_from_buffer(
+        len, len > 0 ? (void *)(uintptr_t)body : (void *)(uintptr_t) "",
+        MHD_RESPMEM_MUST_COPY);
+    if (ex->response == NULL) {
+        Fatal("no memory for a reply");
+    }
+    if (content_type != NULL && *content_type != '\0') {
+        MHD_add_response_header(ex->response, "Content-Type", content_type);
+    }
+    add_headers(ex);
+    ex->status = status;
+    ex->replied = true;
+    if (ex->suspended) {
+        ex->suspended = false;
+        MHD_resume_connection(ex->connection);
+    }
+}
--- /dev/null
+++ b/packages/kernel/kernel-plugin.c
@@ -0,0 +1,41 @@
+#include "kernel.h"
+
+static SLIST_HEAD(, plugin) plugins = SLIST_HEAD_INITIALIZER(plugins);
+
+/* Enters a plug-in, in order of rank and then of name. Called before main. */
+void
+Kernel_Register(struct plugin *plugin)
+{
+    struct plugin *at, *before = NULL;
+
+    SLIST_FOREACH (at, &plugins, entry) {
+        if (at->rank > plugin->rank) {
+            break;
+        }
+        before = at;
+    }
+    if (before == NULL) {
+        SLIST_INSERT_HEAD(&plugins, plugin, entry);
+    }
+    else {
+        SLIST_INSERT_AFTER(before, plugin, entry);
+    }
+}
+
+/* Starts the plug-ins; the first that fails is named in the log. */
+int
+Kernel_Start(struct kernel *k)
+{
+    struct plugin *p;
+    int err;
+
+    SLIST_FOREACH (p, &plugins, entry) {
+        err = p->start(k);
+        if (err != ERR_OK) {
+            LOG_E("plugin_failed", KV("plugin", p->name),
+                  KV("error", Err_Name(err)));
+            return err;
+        }
+    }
+    return ERR_OK;
+}
--- /dev/null
+++ b/packages/kernel/kernel.c
@@ -0,0 +1,233 @@
+#include "kernel.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define PUMP_AT_ONCE 512 /* messages delivered before sockets get a turn */
+
+/* Frees a message by its kind. */
+static void
+free_message(struct message *m)
+{
+    if (m->kind->free != NULL) {
+        m->kind->free(m);
+        return;
+    }
+    free(m);
+}
+
+/* Delivers messages; what the receivers post waits for its turn. */
+static void
+on_pump(struct ev_loop *loop, ev_idle *w, int events UNUSED)
+{
+    struct kernel *k = w->data;
+    int left = PUMP_AT_ONCE;
+    struct message *m;
+
+    while (left-- > 0 && (m = TAILQ_FIRST(&k->mailbox)) != NULL) {
+        TAILQ_REMOVE(&k->mailbox, m, entry);
+        m->to->ops->receive(m->to, m);
+        free_message(m);
+    }
+    if (TAILQ_EMPTY(&k->mailbox)) {
+        ev_idle_stop(loop, w);
+    }
+}
+
+/* True when no task has anything left to finish. */
+static bool
+all_drained(const struct kernel *k)
+{
+    const struct task *t;
+
+    if (!TAILQ_EMPTY(&k->mailbox)) {
+        return false;
+    }
+    TAILQ_FOREACH (t, &k->tasks, entry) {
+        if (t->ops->drained != NULL && !t->ops->drained(t)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Ends the loop as soon as a drain is complete. */
+static void
+on_drain_check(struct ev_loop *loop, ev_prepare *w, int events UNUSED)
+{
+    if (all_drained(w->data)) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/* Looks again at a drain, and ends it when its time is over. */
+static void
+on_drain_timer(struct ev_loop *loop, ev_timer *w, int events UNUSED)
+{
+    struct kernel *k = w->data;
+
+    LOG_W("drain_timeout", KV_INT("drain_ms", k->drain_ms));
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* SIGTERM and SIGINT. */
+static void
+on_stop_signal(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
+{
+    Kernel_Drain(w->data);
+}
+
+/* SIGUSR1: writes the state to standard output. */
+static void
+on_dump_signal(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
+{
+    json_t *state = Kernel_State(w->data);
+
+    json_dumpf(state, stdout, JSON_INDENT(1));
+    fputc('\n', stdout);
+    fflush(stdout);
+    json_decref(state);
+}
+
+/* Starts watching a signal without keeping the loop alive for it. */
+static void
+watch_signal(struct kernel *k, ev_signal *w,
+             void (*cb)(struct ev_loop *, ev_signal *, int), int signum)
+{
+    ev_signal_init(w, cb, signum);
+    w->data = k;
+    ev_signal_start(k->loop, w);
+}
+
+/* Prepares the loop, the mailbox and the signals. */
+void
+Kernel_Init(struct kernel *k, const char *name, const void *settings,
+            int64_t drain_ms)
+{
+    memset(k, 0, sizeof(*k));
+    k->loop = ev_loop_new(EVFLAG_AUTO);
+    if (k->loop == NULL) {
+        Fatal("no event loop");
+    }
+    k->name = name;
+    k->settings = settings;
+    k->drain_ms = drain_ms;
+    TAILQ_INIT(&k->tasks);
+    TAILQ_INIT(&k->mailbox);
+    ev_idle_init(&k->pump, on_pump);
+    ev_set_priority(&k->pump, EV_MAXPRI);
+    k->pump.data = k;
+    ev_prepare_init(&k->drain_check, on_drain_check);
+    k->drain_check.data = k;
+    ev_timer_init(&k->drain_timer, on_drain_timer, 0., 0.);
+    k->drain_timer.data = k;
+    signal(SIGPIPE, SIG_IGN);
+    watch_signal(k, &k->on_term, on_stop_signal, SIGTERM);
+    watch_signal(k, &k->on_int, on_stop_signal, SIGINT);
+    watch_signal(k, &k->on_usr1, on_dump_signal, SIGUSR1);
+}
+
+/* Runs the loop until a drain ends it. */
+int
+Kernel_Run(struct kernel *k)
+{
+    ev_run(k->loop, 0);
+    return all_drained(k) ? ERR_OK : ERR_TIMEOUT;
+}
+
+/* Asks every task to finish. */
+void
+Kernel_Drain(struct kernel *k)
+{
+    struct task *t;
+
+    if (k->draining) {
+        return;
+    }
+    k->draining = true;
+    LOG_I("drain", KV_INT("drain_ms", k->drain_ms));
+    TAILQ_FOREACH (t, &k->tasks, entry) {
+        if (t->ops->drain != NULL) {
+            t->ops->drain(t);
+        }
+    }
+    Timer_Set(k->loop, &k->drain_timer, k->drain_ms);
+    ev_prepare_start(k->loop, &k->drain_check);
+}
+
+/* Frees everything, last task first, as later ones use earlier ones. */
+void
+Kernel_Free(struct kernel *k)
+{
+    struct message *m;
+    struct task *t;
+
+    while ((m = TAILQ_FIRST(&k->mailbox)) != NULL) {
+        TAILQ_REMOVE(&k->mailbox, m, entry);
+        free_message(m);
+    }
+    while ((t = TAILQ_LAST(&k->tasks, task_list)) != NULL) {
+        TAILQ_REMOVE(&k->tasks, t, entry);
+        if (t->ops->free != NULL) {
+            t->ops->free(t);
+        }
+    }
+    ev_loop_destroy(k->loop);
+}
+
+/* Adds a task to the process. */
+void
+Kernel_AddTask(struct kernel *k, struct task *t, const struct task_ops *ops)
+{
+    t->ops = ops;
+    t->kernel = k;
+    TAILQ_INSERT_TAIL(&k->tasks, t, entry);
+}
+
+/* Finds a task by its name. */
+struct task *
+Kernel_FindTask(struct kernel *k, const char *name)
+{
+    struct task *t;
+
+    TAILQ_FOREACH (t, &k->tasks, entry) {
+        if (strcmp(t->ops->name, name) == 0) {
+            return t;
+        }
+    }
+    return NULL;
+}
+
+/* Queues a message for its task. */
+void
+Kernel_Post(struct task *to, struct message *m,
+            const struct message_kind *kind)
+{
+    struct kernel *k = to->kernel;
+
+    m->kind = kind;
+    m->to = to;
+    TAILQ_INSERT_TAIL(&k->mailbox, m, entry);
+    ev_idle_start(k->loop, &k->pump);
+}
+
+/* Collects the states of all tasks. */
+json_t *
+Kernel_State(const struct kernel *k)
+{
+    json_t *all = json_object();
+    const struct task *t;
+
+    json_object_set_new(all, "process", json_string(k->name));
+    json_object_set_new(all, "pid", json_integer(getpid()));
+    json_object_set_new(all, "draining", json_boolean(k->draining));
+    TAILQ_FOREACH (t, &k->tasks, entry) {
+        if (t->ops->state != NULL) {
+            json_object_set_new(all, t->ops->name, t->ops->state(t));
+        }
+    }
+    return all;
+}
--- /dev/null
+++ b/packages/wire/wire-codec.c
@@ -0,0 +1,355 @@
+#include "wire-fields.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_MAX 65536 /* items of a list that a reader accepts */
+
+/* Address of a field in a struct. */
+static void *
+field_at(void *base, const struct wire_field *f)
+{
+    return (char *)base + f->offset;
+}
+
+/* Name of a type without its prefix. */
+const char *
+Wire_TypeName(enum wire_type type)
+{
+    const struct wire_fields *t = Wire_Fields(type);
+
+    return t == NULL ? "none" : t->name + strlen("wire_");
+}
+
+/* Makes a zeroed message. */
+void *
+Wire_New(enum wire_type type)
+{
+    const struct wire_fields *t = Wire_Fields(type);
+    struct wire_msg *m;
+
+    if (t == NULL) {
+        Fatal("no message of type %d", (int)type);
+    }
+    m = Mem_Zero(1, t->size);
+    m->type = type;
+    return m;
+}
+
+/* Frees what the fields of a struct hold. */
+static void
+clear(const struct wire_fields *t, void *base)
+{
+    size_t i, j;
+
+    for (i = 0; i < t->count; i++) {
+        const struct wire_field *f = &t->fields[i];
+        struct wire_list *list = field_at(base, f);
+
+        if (f->kind == FIELD_BUF) {
+            Buf_Free(field_at(base, f));
+        }
+        if (f->kind != FIELD_LIST) {
+            continue;
+        }
+        for (j = 0; j < list->count; j++) {
+            clear(f->sub, (char *)list->items + j * f->sub->size);
+        }
+        free(list->items);
+        memset(list, 0, sizeof(*list));
+    }
+}
+
+/* Frees what a message holds, and not the message. */
+void
+Wire_Clear(struct wire_msg *m)
+{
+    clear(Wire_Fields(m->type), m);
+}
+
+/* Frees a message. */
+void
+Wire_Free(struct wire_msg *m)
+{
+    if (m != NULL) {
+        Wire_Clear(m);
+        free(m);
+    }
+}
+
+/* Frees the message of a local pointer when its scope ends. */
+void
+Wire_FreeP(void *pointer_to_pointer)
+{
+    Wire_Free(*(struct wire_msg **)pointer_to_pointer);
+}
+
+/* Adds an item to a list. */
+void *
+Wire_ListAdd(struct wire_list *list, size_t item_size)
+{
+    char *at;
+
+    list->items = Mem_Grow(list->items, (list->count + 1) * item_size);
+    at = (char *)list->items + list->count * item_size;
+    memset(at, 0, item_size);
+    list->count++;
+    return at;
+}
+
+/* msgpack's writer. */
+static int
+write_bytes(void *arg, const char *data, size_t len)
+{
+    Buf_Append(arg, data, len);
+    return 0;
+}
+
+/* Writes a string. */
+static void
+pack_text(msgpack_packer *pk, const char *s)
+{
+    size_t len = strlen(s);
+
+    msgpack_pack_str(pk, len);
+    msgpack_pack_str_body(pk, s, len);
+}
+
+static void pack_struct(msgpack_packer *pk, const struct wire_fields *t,
+                        const void *base);
+
+/* Writes a list as an array of arrays. */
+static void
+pack_list(msgpack_packer *pk, const struct wire_fields *sub,
+          const struct wire_list *list)
+{
+    size_t i;
+
+    msgpack_pack_array(pk, list->count);
+    for (i = 0; i < list->count; i++) {
+        msgpack_pack_array(pk, sub->count);
+        pack_struct(pk, sub, (const char *)list->items + i * sub->size);
+    }
+}
+
+/* Writes the fields of a struct. */
+static void
+pack_struct(msgpack_packer *pk, const struct wire_fields *t, const void *base)
+{
+    size_t i;
+
+    for (i = 0; i < t->count; i++) {
+        const struct wire_field *f = &t->fields[i];
+        const void *at = (const char *)base + f->offset;
+        const struct buf *b = at;
+
+        switch (f->kind) {
+        case FIELD_UINT:
+            msgpack_pack_uint64(pk, *(const uint64_t *)at);
+            break;
+        case FIELD_INT:
+            msgpack_pack_int64(pk, *(const int64_t *)at);
+            break;
+        case FIELD_ID:
+            msgpack_pack_bin(pk, ID_BYTES);
+            msgpack_pack_bin_body(pk, at, ID_BYTES);
+            break;
+        case FIELD_NAME:
+        case FIELD_TEXT:
+            pack_text(pk, at);
+            break;
+        case FIELD_BUF:
+            msgpack_pack_bin(pk, b->len);
+            msgpack_pack_bin_body(pk, b->data ? b->data : "", b->len);
+            break;
+        case FIELD_LIST:
+            pack_list(pk, f->sub, at);
+            break;
+        }
+    }
+}
+
+/* Writes a message as an array: version, type, fields. */
+void
+Wire_Encode(const struct wire_msg *m, struct buf *out)
+{
+    const struct wire_fields *t = Wire_Fields(m->type);
+    msgpack_packer pk;
+
+    msgpack_packer_init(&pk, out, write_bytes);
+    msgpack_pack_array(&pk, t->count + 2);
+    msgpack_pack_uint64(&pk, WIRE_VERSION);
+    msgpack_pack_uint64(&pk, m->type);
+    pack_struct(&pk, t, m);
+}
+
+/* Reads a string into an array of that size; no NUL inside. */
+static int
+take_text(const msgpack_object *o, char *at, size_t size)
+{
+    if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size ||
+        memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+        return ERR_INVALID;
+    }
+    memcpy(at, o->via.str.ptr, o->via.str.size);
+    at[o->via.str.size] = '\0';
+    return ERR_OK;
+}
+
+static int
+take_uint(const msgpack_object *o, void *at, const struct wire_field *f UNUSED)
+{
+    if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return ERR_INVALID;
+    }
+    *(uint64_t *)at = o->via.u64;
+    return ERR_OK;
+}
+
+static int
+take_int(const msgpack_object *o, void *at, const struct wire_field *f UNUSED)
+{
+    if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+        o->via.u64 <= INT64_MAX) {
+        *(int64_t *)at = (int64_t)o->via.u64;
+        return ERR_OK;
+    }
+    if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        *(int64_t *)at = o->via.i64;
+        return ERR_OK;
+    }
+    return ERR_INVALID;
+}
+
+static int
+take_id(const msgpack_object *o, void *at, const struct wire_field *f UNUSED)
+{
+    if (o->type != MSGPACK_OBJECT_BIN || o->via.bin.size != ID_BYTES) {
+        return ERR_INVALID;
+    }
+    memcpy(at, o->via.bin.ptr, ID_BYTES);
+    return ERR_OK;
+}
+
+static int
+take_name(const msgpack_object *o, void *at, const struct wire_field *f UNUSED)
+{
+    return take_text(o, at, NAME_SIZE);
+}
+
+static int
+take_long_text(const msgpack_object *o, void *at,
+               const struct wire_field *f UNUSED)
+{
+    return take_text(o, at, WIRE_TEXT_SIZE);
+}
+
+static int
+take_buf(const msgpack_object *o, void *at, const struct wire_field *f UNUSED)
+{
+    if (o->type != MSGPACK_OBJECT_BIN) {
+        return ERR_INVALID;
+    }
+    Buf_Append(at, o->via.bin.ptr, o->via.bin.size);
+    return ERR_OK;
+}
+
+static int take_struct(const msgpack_object *items, size_t count,
+                       const struct wire_fields *t, void *base);
+
+static int
+take_list(const msgpack_object *o, void *at, const struct wire_field *f)
+{
+    struct wire_list *list = at;
+    size_t i, n;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > LIST_MAX) {
+        return ERR_INVALID;
+    }
+    n = o->via.array.size;
+    list->items = Mem_Zero(n, f->sub->size);
+    list->count = n;
+    for (i = 0; i < n; i++) {
+        const msgpack_object *item = &o->via.array.ptr[i];
+
+        if (item->type != MSGPACK_OBJECT_ARRAY ||
+            take_struct(item->via.array.ptr, item->via.array.size, f->sub,
+                        (char *)list->items + i * f->sub->size) != ERR_OK) {
+            return ERR_INVALID;
+        }
+    }
+    return ERR_OK;
+}
+
+static int (*const takers[])(const msgpack_object *, void *,
+                             const struct wire_field *) = {
+    [FIELD_UINT] = take_uint,      [FIELD_INT] = take_int,
+    [FIELD_ID] = take_id,          [FIELD_NAME] = take_name,
+    [FIELD_TEXT] = take_long_text, [FIELD_BUF] = take_buf,
+    [FIELD_LIST] = take_list};
+
+/* Reads the fields of a struct; fields beyond the known ones are ignored. */
+static int
+take_struct(const msgpack_object *items, size_t count,
+            const struct wire_fields *t, void *base)
+{
+    size_t i;
+
+    if (count < t->count) {
+        return ERR_INVALID;
+    }
+    for (i = 0; i < t->count; i++) {
+        const struct wire_field *f = &t->fields[i];
+
+        if (takers[f->kind](&items[i], field_at(base, f), f) != ERR_OK) {
+            return ERR_INVALID;
+        }
+    }
+    return ERR_OK;
+}
+
+/* Makes a message from an unpacked object. */
+static int
+from_object(const msgpack_object *o, struct wire_msg **out)
+{
+    const msgpack_object *items = o->via.array.ptr;
+    const struct wire_fields *t;
+    struct wire_msg *m;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 2 ||
+        items[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[0].via.u64 != WIRE_VERSION ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return ERR_INVALID;
+    }
+    t = Wire_Fields(items[1].via.u64);
+    if (t == NULL) {
+        return ERR_INVALID;
+    }
+    m = Wire_New((enum wire_type)items[1].via.u64);
+    if (take_struct(items + 2, o->via.array.size - 2, t, m) != ERR_OK) {
+        Wire_Free(m);
+        return ERR_INVALID;
+    }
+    *out = m;
+    return ERR_OK;
+}
+
+/* Makes a message from bytes that may be anything. */
+int
+Wire_Decode(const void *data, size_t len, struct wire_msg **out)
+{
+    msgpack_unpacked un;
+    size_t off = 0;
+    int err = ERR_INVALID;
+
+    *out = NULL;
+    msgpack_unpacked_init(&un);
+    if (msgpack_unpack_next(&un, data, len, &off) == MSGPACK_UNPACK_SUCCESS &&
+        off == len) {
+        err = from_object(&un.data, out);
+    }
+    msgpack_unpacked_destroy(&un);
+    return err;
+}
--- /dev/null
+++ b/packages/wire/wire-fields.c
@@ -0,0 +1,183 @@
+#include "wire-fields.h"
+
+#define U(s, f)                                                               \
+    {                                                                         \
+        FIELD_UINT, offsetof(struct s, f), NULL                               \
+    }
+#define I(s, f)                                                               \
+    {                                                                         \
+        FIELD_INT, offsetof(struct s, f), NULL                                \
+    }
+#define ID(s, f)                                                              \
+    {                                                                         \
+        FIELD_ID, offsetof(struct s, f), NULL                                 \
+    }
+#define NAME(s, f)                                                            \
+    {                                                                         \
+        FIELD_NAME, offsetof(struct s, f), NULL                               \
+    }
+#define TEXT(s, f)                                                            \
+    {                                                                         \
+        FIELD_TEXT, offsetof(struct s, f), NULL                               \
+    }
+#define BUF(s, f)                                                             \
+    {                                                                         \
+        FIELD_BUF, offsetof(struct s, f), NULL                                \
+    }
+#define LIST(s, f, t)                                                         \
+    {                                                                         \
+        FIELD_LIST, offsetof(struct s, f), &(t)                               \
+    }
+#define FIELDS(s, a)                                                          \
+    {                                                                         \
+#s, sizeof(struct s), (a), COUNT_OF(a)                                \
+    }
+
+static const struct wire_field service_fields[] = {
+    NAME(wire_service, name), U(wire_service, slots),
+    U(wire_service, connections), U(wire_service, busy),
+    U(wire_service, healthy)};
+static const struct wire_fields service_table =
+    FIELDS(wire_service, service_fields);
+
+static const struct wire_field part_fields[] = {
+    ID(wire_part, job), U(wire_part, attempt), U(wire_part, state),
+    U(wire_part, accelerators)};
+static const struct wire_fields part_table = FIELDS(wire_part, part_fields);
+
+static const struct wire_field entry_fields[] = {NAME(wire_entry, name),
+                                                 NAME(wire_entry, address),
+                                                 NAME(wire_entry, region)};
+static const struct wire_fields entry_table = FIELDS(wire_entry, entry_fields);
+
+static const struct wire_field count_fields[] = {{FIELD_UINT, 0, NULL}};
+static const struct wire_fields count_table = {"count", sizeof(uint64_t),
+                                               count_fields, 1};
+
+static const struct wire_field hello[] = {
+    NAME(wire_hello, agent),
+    U(wire_hello, incarnation),
+    NAME(wire_hello, region),
+    NAME(wire_hello, domain),
+    NAME(wire_hello, rack),
+    U(wire_hello, accelerators),
+    I(wire_hello, agent_clock),
+    U(wire_hello, leaving),
+    LIST(wire_hello, services, service_table),
+    LIST(wire_hello, parts, part_table)};
+
+static const struct wire_field beat[] = {
+    U(wire_beat, incarnation), U(wire_beat, seq), I(wire_beat, agent_clock),
+    U(wire_beat, leaving), LIST(wire_beat, busy, count_table)};
+
+static const struct wire_field welcome[] = {
+    NAME(wire_welcome, entry),
+    U(wire_welcome, incarnation),
+    U(wire_welcome, seq),
+    I(wire_welcome, beat_ms),
+    U(wire_welcome, draining),
+    U(wire_welcome, known),
+    LIST(wire_welcome, entries, entry_table)};
+
+static const struct wire_field leave[] = {U(wire_leave, incarnation)};
+
+static const struct wire_field dispatch[] = {
+    ID(wire_dispatch, request),    U(wire_dispatch, attempt),
+    U(wire_dispatch, incarnation), I(wire_dispatch, not_after),
+    I(wire_dispatch, timeout_ms),  U(wire_dispatch, repeatable),
+    NAME(wire_dispatch, service),  TEXT(wire_dispatch, content_type),
+    BUF(wire_dispatch, body)};
+
+static const struct wire_field taken[] = {
+    ID(wire_taken, request), U(wire_taken, attempt), U(wire_taken, taken),
+    I(wire_taken, retry_after_ms), NAME(wire_taken, reason)};
+
+static const struct wire_field answer[] = {ID(wire_answer, request),
+                                           U(wire_answer, attempt),
+                                           U(wire_answer, kind),
+                                           U(wire_answer, status),
+                                           I(wire_answer, service_ms),
+                                           NAME(wire_answer, reason),
+                                           TEXT(wire_answer, content_type),
+                                           BUF(wire_answer, body)};
+
+static const struct wire_field settled[] = {ID(wire_settled, request),
+                                            U(wire_settled, attempt)};
+
+static const struct wire_field withdraw[] = {
+    ID(wire_withdraw, request), U(wire_withdraw, attempt),
+    U(wire_withdraw, incarnation), I(wire_withdraw, not_after)};
+
+static const struct wire_field withdrawn[] = {ID(wire_withdrawn, request),
+                                              U(wire_withdrawn, attempt),
+                                              U(wire_withdrawn, verdict)};
+
+static const struct wire_field prepare[] = {
+    ID(wire_prepare, job),        U(wire_prepare, attempt),
+    U(wire_prepare, incarnation), NAME(wire_prepare, domain),
+    U(wire_prepare, term),        U(wire_prepare, accelerators),
+    U(wire_prepare, tasks),       I(wire_prepare, lease_ms),
+    U(wire_prepare, guaranteed),  NAME(wire_prepare, organisation),
+    I(wire_prepare, grace_ms),    BUF(wire_prepare, spec)};
+
+static const struct wire_field prepared[] = {
+    ID(wire_prepared, job),        U(wire_prepared, attempt),
+    U(wire_prepared, incarnation), U(wire_prepared, granted),
+    U(wire_prepared, busy),        NAME(wire_prepared, reason)};
+
+static const struct wire_field release[] = {
+    ID(wire_release, job), U(wire_release, attempt), U(wire_release, term),
+    I(wire_release, lease_ms)};
+
+static const struct wire_field renew[] = {
+    ID(wire_renew, job), U(wire_renew, attempt), U(wire_renew, term),
+    I(wire_renew, lease_ms)};
+
+static const struct wire_field stop[] = {
+    ID(wire_stop, job), U(wire_stop, attempt),  U(wire_stop, term),
+    U(wire_stop, how),  I(wire_stop, grace_ms), NAME(wire_stop, reason)};
+
+static const struct wire_field task[] = {
+    ID(wire_task, job),          U(wire_task, attempt),
+    U(wire_task, incarnation),   U(wire_task, state),
+    I(wire_task, checkpoint_ms), U(wire_task, lease_left_ms),
+    NAME(wire_task, reason)};
+
+static const struct wire_field fence[] = {
+    ID(wire_fence, job), U(wire_fence, attempt), U(wire_fence, incarnation),
+    U(wire_fence, term)};
+
+static const struct wire_field fenced[] = {
+    ID(wire_fenced, job), U(wire_fenced, attempt), U(wire_fenced, incarnation),
+    U(wire_fenced, running), U(wire_fenced, ran)};
+
+static const struct wire_fields tables[WIRE_TYPE_LAST] = {
+    [WIRE_HELLO] = FIELDS(wire_hello, hello),
+    [WIRE_BEAT] = FIELDS(wire_beat, beat),
+    [WIRE_WELCOME] = FIELDS(wire_welcome, welcome),
+    [WIRE_LEAVE] = FIELDS(wire_leave, leave),
+    [WIRE_DISPATCH] = FIELDS(wire_dispatch, dispatch),
+    [WIRE_TAKEN] = FIELDS(wire_taken, taken),
+    [WIRE_ANSWER] = FIELDS(wire_answer, answer),
+    [WIRE_SETTLED] = FIELDS(wire_settled, settled),
+    [WIRE_WITHDRAW] = FIELDS(wire_withdraw, withdraw),
+    [WIRE_WITHDRAWN] = FIELDS(wire_withdrawn, withdrawn),
+    [WIRE_PREPARE] = FIELDS(wire_prepare, prepare),
+    [WIRE_PREPARED] = FIELDS(wire_prepared, prepared),
+    [WIRE_RELEASE] = FIELDS(wire_release, release),
+    [WIRE_RENEW] = FIELDS(wire_renew, renew),
+    [WIRE_STOP] = FIELDS(wire_stop, stop),
+    [WIRE_TASK] = FIELDS(wire_task, task),
+    [WIRE_FENCE] = FIELDS(wire_fence, fence),
+    [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
+};
+
+/* The table of a type. */
+const struct wire_fields *
+Wire_Fields(uint64_t type)
+{
+    if (type == 0 || type >= WIRE_TYPE_LAST) {
+        return NULL;
+    }
+    return &tables[type];
+}
--- /dev/null
+++ b/packages/wire/wire-fields.h
@@ -0,0 +1,35 @@
+/* Tables of the fields of each message, private to the codec. */
+#ifndef WIRE_FIELDS_H
+#define WIRE_FIELDS_H
+
+#include "wire.h"
+
+enum field_kind {
+    FIELD_UINT, /* uint64_t */
+    FIELD_INT,  /* int64_t */
+    FIELD_ID,   /* struct id */
+    FIELD_NAME, /* char[NAME_SIZE] */
+    FIELD_TEXT, /* char[WIRE_TEXT_SIZE] */
+    FIELD_BUF,  /* struct buf */
+    FIELD_LIST  /* struct wire_list of structs by sub */
+};
+
+struct wire_fields;
+
+struct wire_field {
+    enum field_kind kind;
+    size_t offset;
+    const struct wire_fields *sub;
+};
+
+struct wire_fields {
+    const char *name;
+    size_t size;
+    const struct wire_field *fields;
+    size_t count;
+};
+
+/* The table of a type, or NULL. */
+const struct wire_fields *Wire_Fields(uint64_t type);
+
+#endif
--- /dev/null
+++ b/packages/wire/wire.h
@@ -0,0 +1,353 @@
+/*
+ * wire: the messages between the system's own processes, their codec
+ * (msgpack) and the links that carry them (ZeroMQ over TCP).
+ *
+ * Agents connect, entries listen. A message is a plain struct that starts
+ * with struct wire_msg; a table of fields per type drives the codec, so that
+ * one loop meets whatever bytes come in. Fields may be added at the end of a
+ * message: a reader ignores what it doesn't know, and refuses a message that
+ * lacks what it needs.
+ *
+ * Times in messages are either durations in milliseconds, or readings of the
+ * clock of the agent named in the message ("agent clock"); no message holds a
+ * reading of the sender's clock for another process to compare with its own.
+ */
+#ifndef WIRE_H
+#define WIRE_H
+
+#include "base.h"
+
+#include <ev.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define WIRE_VERSION 1
+#define WIRE_TEXT_SIZE 256
+/* Largest message a link takes, in bytes; larger ones cost their sender the
+ * connection. */
+#define WIRE_MAX_BYTES ((size_t)20 << 20)
+
+enum wire_type {
+    WIRE_HELLO = 1, /* agent: who I am, what I run */
+    WIRE_BEAT,      /* agent: still here, my load */
+    WIRE_WELCOME,   /* entry: who I am, how often to beat, the entries */
+    WIRE_LEAVE,     /* agent: give me nothing new */
+    WIRE_DISPATCH,  /* entry: run this request */
+    WIRE_TAKEN,     /* agent: will run it, or won't (nothing has run) */
+    WIRE_ANSWER,    /* agent: how it ended */
+    WIRE_SETTLED,   /* entry: got the answer, forget it */
+    WIRE_WITHDRAW,  /* entry: don't start this any more */
+    WIRE_WITHDRAWN, /* agent: whether it had started */
+    WIRE_PREPARE,   /* entry: reserve for a gang */
+    WIRE_PREPARED,  /* agent: reserved, or not */
+    WIRE_RELEASE,   /* entry: start, with all members released or renewing */
+    WIRE_RENEW,     /* entry: the gang is whole, go on */
+    WIRE_STOP,      /* entry: stop, throttle or checkpoint */
+    WIRE_TASK,      /* agent: state of a gang's part */
+    WIRE_FENCE,     /* entry: nothing up to this attempt may run any more */
+    WIRE_FENCED,    /* agent: nothing does */
+    WIRE_TYPE_LAST
+};
+
+/* First member of every message. */
+struct wire_msg {
+    enum wire_type type;
+};
+
+struct wire_list {
+    void *items;
+    size_t count;
+};
+
+/* An upstream of the agent. */
+struct wire_service {
+    char name[NAME_SIZE];
+    uint64_t slots;
+    uint64_t connections;
+    uint64_t busy;    /* slots in use */
+    uint64_t healthy; /* 0: the agent found it ill */
+};
+
+/* A part of a gang that an agent holds. */
+struct wire_part {
+    struct id job;
+    uint64_t attempt;
+    uint64_t state; /* enum part_state */
+    uint64_t accelerators;
+};
+
+struct wire_hello {
+    struct wire_msg msg;
+    char agent[NAME_SIZE];
+    uint64_t incarnation;
+    char region[NAME_SIZE];
+    char domain[NAME_SIZE];
+    char rack[NAME_SIZE];
+    uint64_t accelerators;
+    int64_t agent_clock;
+    uint64_t leaving;
+    struct wire_list services; /* struct wire_service */
+    struct wire_list parts;    /* struct wire_part */
+};
+
+struct wire_beat {
+    struct wire_msg msg;
+    uint64_t incarnation;
+    uint64_t seq;
+    int64_t agent_clock;
+    uint64_t leaving;
+    struct wire_list busy; /* uint64: busy slots, in the hello's order */
+};
+
+/* One entry that agents may connect to. */
+struct wire_entry {
+    char name[NAME_SIZE];
+    char address[NAME_SIZE]; /* "ip:port" of its links */
+    char region[NAME_SIZE];
+};
+
+struct wire_welcome {
+    struct wire_msg msg;
+    char entry[NAME_SIZE];
+    uint64_t incarnation; /* of the entry */
+    uint64_t seq;         /* of the beat answered; 0 for a hello */
+    int64_t beat_ms;      /* how often to beat while nothing is in progress */
+    uint64_t draining;
+    uint64_t known;           /* 0: I don't know you, say hello again */
+    struct wire_list entries; /* struct wire_entry */
+};
+
+struct wire_leave {
+    struct wire_msg msg;
+    uint64_t incarnation;
+};
+
+/* Ids of work: the request, the attempt, and the incarnation it was meant
+ * for. not_after is on the agent's clock: from then on the attempt may not
+ * start, however late its copies come, so fences need not be kept longer. */
+struct wire_dispatch {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+    uint64_t incarnation;
+    int64_t not_after;
+    int64_t timeout_ms; /* for the upstream */
+    uint64_t repeatable;
+    char service[NAME_SIZE];
+    char content_type[WIRE_TEXT_SIZE];
+    struct buf body;
+};
+
+struct wire_taken {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+    uint64_t taken;         /* 0: refused, has not run, will not run */
+    int64_t retry_after_ms; /* when refused */
+    char reason[NAME_SIZE];
+};
+
+enum answer_kind {
+    ANSWER_WHOLE,   /* the upstream's answer, complete */
+    ANSWER_NOT_RUN, /* it never left the agent */
+    ANSWER_UNKNOWN  /* it was sent, and the answer is lost or broken */
+};
+
+struct wire_answer {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+    uint64_t kind; /* enum answer_kind */
+    uint64_t status;
+    int64_t service_ms; /* time the upstream took */
+    char reason[NAME_SIZE];
+    char content_type[WIRE_TEXT_SIZE];
+    struct buf body;
+};
+
+struct wire_settled {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+};
+
+struct wire_withdraw {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+    uint64_t incarnation;
+    int64_t not_after;
+};
+
+enum withdraw_verdict {
+    WITHDRAW_NOT_STARTED, /* and will not be */
+    WITHDRAW_STARTED,     /* runs, or has run: its answer follows */
+    WITHDRAW_STRANGER     /* meant for another incarnation: may have run */
+};
+
+struct wire_withdrawn {
+    struct wire_msg msg;
+    struct id request;
+    uint64_t attempt;
+    uint64_t verdict; /* enum withdraw_verdict */
+};
+
+enum part_state {
+    PART_RESERVED, /* holds accelerators, does no work */
+    PART_RUNNING,
+    PART_STOPPING,
+    PART_STOPPED,
+    PART_FAILED, /* the task ended with an error */
+    PART_DONE    /* the task ended well */
+};
+
+struct wire_prepare {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t incarnation;
+    char domain[NAME_SIZE]; /* whose owner asks */
+    uint64_t term;
+    uint64_t accelerators; /* bits */
+    uint64_t tasks;        /* of the gang on this worker */
+    int64_t lease_ms;      /* of the reservation, on the agent's clock */
+    uint64_t guaranteed;
+    char organisation[NAME_SIZE];
+    int64_t grace_ms;
+    struct buf spec; /* for the task runner */
+};
+
+struct wire_prepared {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t incarnation;
+    uint64_t granted;
+    uint64_t busy; /* accelerators that were taken, when refused for that */
+    char reason[NAME_SIZE];
+};
+
+struct wire_release {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    int64_t lease_ms; /* of the running gang, until the next renewal */
+};
+
+struct wire_renew {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    int64_t lease_ms;
+};
+
+enum stop_how { STOP_THROTTLE, STOP_CHECKPOINT, STOP_NOW };
+
+struct wire_stop {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    uint64_t how; /* enum stop_how; checkpoint stops when it is written */
+    int64_t grace_ms;
+    char reason[NAME_SIZE];
+};
+
+struct wire_task {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t incarnation;
+    uint64_t state;         /* enum part_state */
+    int64_t checkpoint_ms;  /* age of the last checkpoint; -1: none */
+    uint64_t lease_left_ms; /* when running */
+    char reason[NAME_SIZE];
+};
+
+struct wire_fence {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt; /* this one and all before */
+    uint64_t incarnation;
+    uint64_t term;
+};
+
+struct wire_fenced {
+    struct wire_msg msg;
+    struct id job;
+    uint64_t attempt;
+    uint64_t incarnation;
+    uint64_t running; /* 1: the part still stops; ask again */
+    uint64_t ran;     /* 1: an attempt up to this one had been released */
+};
+
+/* ---- codec ------------------------------------------------------------- */
+
+const char *Wire_TypeName(enum wire_type type);
+/* A zeroed message of that type; free it with Wire_Free. */
+void *Wire_New(enum wire_type type);
+void Wire_Free(struct wire_msg *m);
+/* For CLEANUP(Wire_FreeP) on a local struct wire_msg pointer. */
+void Wire_FreeP(void *pointer_to_pointer);
+/* Frees what a message on the stack holds. */
+void Wire_Clear(struct wire_msg *m);
+void Wire_Encode(const struct wire_msg *m, struct buf *out);
+/* Makes a message from bytes. ERR_OK, or ERR_INVALID for bytes that are not a
+ * whole message of a known type and version; *out is NULL then. */
+int Wire_Decode(const void *data, size_t len, struct wire_msg **out);
+/* Appends a zeroed item of that size to a list and returns it. */
+void *Wire_ListAdd(struct wire_list *list, size_t item_size);
+
+/* ---- links ------------------------------------------------------------- */
+
+/* CURVE keys, Z85 text; server_public is for clients. All empty: none. */
+struct link_keys {
+    char public_key[41];
+    char secret_key[41];
+    char server_public[41];
+};
+
+/* Return address of a peer of a listening link. */
+struct link_peer {
+    uint8_t id[32];
+    size_t len;
+};
+
+struct link;
+
+/* Takes a message; the callee may keep it by setting *m to NULL. */
+typedef void (*link_receive)(void *arg, const struct link_peer *peer,
+                             struct wire_msg **m);
+
+struct link_context;
+struct link_context *Link_ContextNew(void);
+void Link_ContextFree(struct link_context *context);
+
+/* Listens on "ip:port"; port 0 takes any free one. NULL when it can't. */
+struct link *Link_Listen(struct link_context *context, struct ev_loop *loop,
+                         const char *address, const struct link_keys *keys,
+                         link_receive receive, void *arg);
+/* Connects to "ip:port"; ZeroMQ connects again by itself when TCP breaks, and
+ * the owner replaces the link when it is silent. */
+struct link *Link_Connect(struct link_context *context, struct ev_loop *loop,
+                          const char *address, const struct link_keys *keys,
+                          link_receive receive, void *arg);
+void Link_Free(struct link *link);
+/* The address that a listening link got, as "ip:port". */
+const char *Link_Address(const struct link *link);
+/* Sends to a peer (NULL on a connecting link). ERR_OK: handed over, which
+ * does not say that it arrives. ERR_UNREACHABLE: no such peer. ERR_BUSY: the
+ * link's queue is full, nothing was sent. */
+int Link_Send(struct link *link, const struct link_peer *peer,
+              const struct wire_msg *m);
+bool Link_SamePeer(const struct link_peer *a, const struct link_peer *b);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
