base: read YAML settings by tables of keys

Conf_* over libyaml's document API. A first pass over the parser's events refuses anchors, aliases, tags, second documents, more than 32 levels and more than 200,000 values before a tree is built; the walk over the tree then reports every mistake with line, full path, fault and what is allowed.

base.h, section Conf: the comments now say what a fallback of a map is ("{}"), that words end with NULL, the limits, and the length of list texts. No declaration changed.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -216,7 +216,7 @@
     CONF_WORD,   /* int64_t: index into words */
     CONF_MAP,    /* struct in place, by sub */
     CONF_LIST,   /* struct conf_list of structs of sub->size, by sub */
-    CONF_STRINGS /* struct conf_list of char * */
+    CONF_STRINGS /* struct conf_list of char *, each of 1..1024 bytes */
 };
 
 struct conf_list {
@@ -234,8 +234,11 @@
     bool required;
     int64_t min; /* of a number, a length or a count; both 0: no bound */
     int64_t max;
-    const char *fallback; /* value as text when the key is missing */
-    const char *const *words;
+    /* Value when the key is missing, as it would stand in the document. A
+     * map whose own keys have fallbacks takes "{}" here; without it a
+     * missing map, like any missing value, is left zeroed. */
+    const char *fallback;
+    const char *const *words; /* ends with NULL */
     const struct conf_table *sub;
 };
 
@@ -249,9 +252,11 @@
     size_t line_at;
 };
 
-/* Fills out (zeroed first) from YAML. Every mistake goes to errors: syntax,
- * unknown and doubled keys, missing ones, types, ranges. Returns ERR_OK or
- * ERR_INVALID; out is to be freed in both cases. */
+/* Fills out (zeroed first) from YAML, of which JSON is a part. Every mistake
+ * goes to errors: syntax, unknown and doubled keys, missing ones, types,
+ * ranges. Anchors, aliases, tags and second documents are refused; at most
+ * 4 MiB, 32 levels and 200,000 values. Returns ERR_OK or ERR_INVALID; out is
+ * to be freed in both cases. */
 int Conf_Parse(const char *text, size_t len, const struct conf_table *table,
                void *out, struct conf_errors *errors);
 /* As Conf_Parse, of a file of at most 4 MiB. */
--- /dev/null
+++ b/packages/base/conf-nearest.c
@@ -0,0 +1,65 @@
+#include "conf-internal.h"
+
+#include <string.h>
+
+#define WORD_MAX 48 /* longer words are not compared */
+
+/* Smallest of three. */
+static int
+min3(int a, int b, int c)
+{
+    int low = a < b ? a : b;
+
+    return low < c ? low : c;
+}
+
+/* Edits (insert, delete, replace) that make one word of the other. */
+static int
+edit_distance(const char *a, const char *b)
+{
+    int row[WORD_MAX + 1];
+    size_t na = strlen(a), nb = strlen(b);
+    int diagonal, above, cost;
+
+    for (size_t j = 0; j <= nb; j++) {
+        row[j] = (int)j;
+    }
+    for (size_t i = 1; i <= na; i++) {
+        diagonal = row[0];
+        row[0] = (int)i;
+        for (size_t j = 1; j <= nb; j++) {
+            above = row[j];
+            cost = a[i - 1] == b[j - 1] ? 0 : 1;
+            row[j] = min3(above + 1, row[j - 1] + 1, diagonal + cost);
+            diagonal = above;
+        }
+    }
+    return row[nb];
+}
+
+/* Looks for a key that is at most a third of its letters away. */
+const char *
+conf_nearest(const struct conf_table *table, const char *name)
+{
+    const char *best = NULL;
+    int best_distance = WORD_MAX;
+    int distance, allowed;
+
+    if (strlen(name) > WORD_MAX) {
+        return NULL;
+    }
+    for (size_t i = 0; i < table->count; i++) {
+        const char *known = table->keys[i].name;
+
+        if (strlen(known) > WORD_MAX) {
+            continue;
+        }
+        distance = edit_distance(name, known);
+        allowed = (int)(strlen(known) + 2) / 3;
+        if (distance <= allowed && distance < best_distance) {
+            best = known;
+            best_distance = distance;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/base/conf-read.c
@@ -0,0 +1,354 @@
+#include "conf-internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static void read_node(struct conf_walk *w, const struct conf_key *key,
+                      const yaml_node_t *node, void *at);
+
+/* Line of a node, counted from 1. */
+static int
+line_of(const yaml_node_t *node)
+{
+    return node == NULL ? 1 : (int)node->start_mark.line + 1;
+}
+
+/* What a node is, for messages. */
+static const char *
+kind_of(const yaml_node_t *node)
+{
+    switch (node->type) {
+    case YAML_MAPPING_NODE:
+        return "is a map";
+    case YAML_SEQUENCE_NODE:
+        return "is a list";
+    case YAML_SCALAR_NODE:
+        return node->data.scalar.length == 0 ? "has no value" : "is text";
+    default:
+        return "has no value";
+    }
+}
+
+/* Adds a mistake about the kind of a node. */
+static void
+wrong_kind(struct conf_walk *w, const struct conf_key *key,
+           const yaml_node_t *node)
+{
+    char allowed[192];
+
+    conf_describe(key, allowed);
+    Conf_Add(w->errors, line_of(node), w->path.data, allowed, "%s",
+             kind_of(node));
+}
+
+/* Goes down to a key; returns the length of the path before it. */
+static size_t
+path_push_key(struct conf_walk *w, const char *name)
+{
+    size_t before = w->path.len;
+
+    Buf_Printf(&w->path, "%s%s", before > 0 ? "." : "", name);
+    return before;
+}
+
+/* Goes down to an item; returns the length of the path before it. */
+static size_t
+path_push_index(struct conf_walk *w, size_t index)
+{
+    size_t before = w->path.len;
+
+    Buf_Printf(&w->path, "[%zu]", index);
+    return before;
+}
+
+/* Goes back up. */
+static void
+path_pop(struct conf_walk *w, size_t before)
+{
+    w->path.len = before;
+    w->path.data[before] = '\0';
+}
+
+/* Reads a scalar node. */
+static void
+read_scalar(struct conf_walk *w, const struct conf_key *key,
+            const yaml_node_t *node, void *at)
+{
+    struct conf_text text;
+
+    if (node->type != YAML_SCALAR_NODE) {
+        wrong_kind(w, key, node);
+        return;
+    }
+    text.data = (const char *)node->data.scalar.value;
+    text.len = node->data.scalar.length;
+    text.plain = node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
+    text.line = line_of(node);
+    conf_read_text(w, key, &text, at);
+}
+
+/* Checks that a node is a list of an allowed length. */
+static bool
+check_list(struct conf_walk *w, const struct conf_key *key,
+           const yaml_node_t *node, size_t *count)
+{
+    char allowed[192];
+
+    if (node->type != YAML_SEQUENCE_NODE) {
+        wrong_kind(w, key, node);
+        return false;
+    }
+    *count = (size_t)(node->data.sequence.items.top -
+                      node->data.sequence.items.start);
+    if ((key->min != 0 || key->max != 0) &&
+        ((int64_t)*count < key->min || (int64_t)*count > key->max)) {
+        conf_describe(key, allowed);
+        Conf_Add(w->errors, line_of(node), w->path.data, allowed,
+                 "has %zu items", *count);
+        return false;
+    }
+    return true;
+}
+
+/* Reads the items of a list, each as item says, into structs of a size. */
+static void
+read_items(struct conf_walk *w, const struct conf_key *key,
+           const struct conf_key *item, size_t size, const yaml_node_t *node,
+           struct conf_list *list)
+{
+    size_t count, before;
+
+    if (!check_list(w, key, node, &count)) {
+        return;
+    }
+    list->items = Mem_Zero(count, size);
+    list->count = count;
+    for (size_t i = 0; i < count; i++) {
+        before = path_push_index(w, i);
+        read_node(
+            w, item,
+            yaml_document_get_node(w->doc, node->data.sequence.items.start[i]),
+            (char *)list->items + i * size);
+        path_pop(w, before);
+    }
+}
+
+/* Reads a list of maps. */
+static void
+read_list(struct conf_walk *w, const struct conf_key *key,
+          const yaml_node_t *node, void *at)
+{
+    struct conf_key item = {.type = CONF_MAP, .sub = key->sub};
+
+    read_items(w, key, &item, key->sub->size, node, at);
+}
+
+/* Reads a list of texts. A list that failed to read holds NULLs. */
+static void
+read_strings(struct conf_walk *w, const struct conf_key *key,
+             const yaml_node_t *node, void *at)
+{
+    struct conf_key item = {.type = CONF_STRING, .min = 1, .max = 1024};
+
+    read_items(w, key, &item, sizeof(char *), node, at);
+}
+
+/* Reads a map in place. */
+static void
+read_submap(struct conf_walk *w, const struct conf_key *key,
+            const yaml_node_t *node, void *at)
+{
+    if (node->type != YAML_MAPPING_NODE) {
+        wrong_kind(w, key, node);
+        return;
+    }
+    conf_read_map(w, key->sub, node, at);
+}
+
+/* Reads a node by the type of its key. */
+static void
+read_node(struct conf_walk *w, const struct conf_key *key,
+          const yaml_node_t *node, void *at)
+{
+    switch (key->type) {
+    case CONF_MAP:
+        read_submap(w, key, node, at);
+        return;
+    case CONF_LIST:
+        read_list(w, key, node, at);
+        return;
+    case CONF_STRINGS:
+        read_strings(w, key, node, at);
+        return;
+    default:
+        read_scalar(w, key, node, at);
+    }
+}
+
+/* Reads the fallback of a map or a list, which is YAML itself. */
+static void
+read_fallback_tree(struct conf_walk *w, const struct conf_key *key, void *at)
+{
+    struct conf_walk sub = {.errors = w->errors};
+    yaml_parser_t parser CLEANUP(yaml_parser_delete);
+    yaml_document_t doc CLEANUP(yaml_document_delete);
+
+    if (!yaml_parser_initialize(&parser)) {
+        Fatal("out of memory");
+    }
+    yaml_parser_set_input_string(&parser, (const unsigned char *)key->fallback,
+                                 strlen(key->fallback));
+    if (!yaml_parser_load(&parser, &doc) ||
+        yaml_document_get_root_node(&doc) == NULL) {
+        Fatal("the fallback of %s is not YAML", key->name);
+    }
+    sub.doc = &doc;
+    Buf_AppendStr(&sub.path, w->path.data);
+    read_node(&sub, key, yaml_document_get_root_node(&doc), at);
+    Buf_Free(&sub.path);
+}
+
+/* Gives a key that is missing its fallback, which must itself be right. */
+static void
+read_fallback(struct conf_walk *w, const struct conf_key *key, void *at)
+{
+    struct conf_text text = {key->fallback, strlen(key->fallback), true, 0};
+    int before = w->errors->count + w->errors->more;
+
+    if (key->type == CONF_MAP || key->type == CONF_LIST ||
+        key->type == CONF_STRINGS) {
+        read_fallback_tree(w, key, at);
+    }
+    else {
+        conf_read_text(w, key, &text, at);
+    }
+    if (w->errors->count + w->errors->more != before) {
+        Fatal("the fallback of %s is not allowed by its own table", key->name);
+    }
+}
+
+/* Deals with a key that the document does not have. */
+static void
+read_missing(struct conf_walk *w, const struct conf_key *key, int line,
+             void *at)
+{
+    size_t before = path_push_key(w, key->name);
+    char allowed[192];
+
+    if (key->required) {
+        conf_describe(key, allowed);
+        Conf_Add(w->errors, line, w->path.data, allowed, "is missing");
+    }
+    else if (key->fallback != NULL) {
+        read_fallback(w, key, at);
+    }
+    path_pop(w, before);
+}
+
+/* Writes the names of a table's keys with commas between. */
+static void
+list_keys(const struct conf_table *table, struct buf *out)
+{
+    Buf_AppendStr(out, "one of ");
+    for (size_t i = 0; i < table->count; i++) {
+        Buf_Printf(out, "%s%s", i > 0 ? ", " : "", table->keys[i].name);
+    }
+}
+
+/* Adds a mistake about a key that the table does not have. */
+static void
+unknown_key(struct conf_walk *w, const struct conf_table *table,
+            const char *name, int line)
+{
+    struct buf allowed CLEANUP(Buf_Free) = {0};
+    const char *nearest;
+    size_t before;
+
+    if (w->errors->count == CONF_ERRORS_MAX) {
+        w->errors->more++;
+        return;
+    }
+    nearest = conf_nearest(table, name);
+    if (nearest != NULL) {
+        Buf_Printf(&allowed, "did you mean %s? ", nearest);
+    }
+    list_keys(table, &allowed);
+    before = path_push_key(w, name);
+    Conf_Add(w->errors, line, w->path.data, allowed.data, "unknown key");
+    path_pop(w, before);
+}
+
+/* Finds a key of a table by its name; -1 when there is none. */
+static int
+find_key(const struct conf_table *table, const char *name)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        if (strcmp(table->keys[i].name, name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Reads one pair of a map; first holds the line where each key first stood,
+ * so that a doubled one is told with both lines. */
+static void
+read_pair(struct conf_walk *w, const struct conf_table *table,
+          const yaml_node_pair_t *pair, int *first, void *out)
+{
+    const yaml_node_t *name = yaml_document_get_node(w->doc, pair->key);
+    const struct conf_key *key;
+    size_t before;
+    int index;
+
+    if (name->type != YAML_SCALAR_NODE) {
+        Conf_Add(w->errors, line_of(name), w->path.data, "a word as key",
+                 "a key that %s", kind_of(name));
+        return;
+    }
+    index = find_key(table, (const char *)name->data.scalar.value);
+    if (index < 0) {
+        unknown_key(w, table, (const char *)name->data.scalar.value,
+                    line_of(name));
+        return;
+    }
+    key = &table->keys[index];
+    before = path_push_key(w, key->name);
+    if (first[index] != 0) {
+        Conf_Add(w->errors, line_of(name), w->path.data, "one of them",
+                 "stands twice, first in line %d", first[index]);
+    }
+    else {
+        first[index] = line_of(name);
+        read_node(w, key, yaml_document_get_node(w->doc, pair->value),
+                  (char *)out + key->offset);
+    }
+    path_pop(w, before);
+}
+
+/* Reads the pairs of a map, then deals with what was not among them. */
+void
+conf_read_map(struct conf_walk *w, const struct conf_table *table,
+              const yaml_node_t *node, void *out)
+{
+    int *first CLEANUP(Mem_FreeP) = Mem_Zero(table->count, sizeof(*first));
+    const yaml_node_pair_t *pair;
+
+    if (table->line_at != 0) {
+        int *line = (int *)(void *)((char *)out + table->line_at);
+
+        *line = line_of(node);
+    }
+    if (node != NULL) {
+        for (pair = node->data.mapping.pairs.start;
+             pair < node->data.mapping.pairs.top; pair++) {
+            read_pair(w, table, pair, first, out);
+        }
+    }
+    for (size_t i = 0; i < table->count; i++) {
+        if (first[i] == 0) {
+            read_missing(w, &table->keys[i], line_of(node),
+                         (char *)out + table->keys[i].offset);
+        }
+    }
+}
--- /dev/null
+++ b/packages/base/conf-scan.c
@@ -0,0 +1,144 @@
+#include "conf-internal.h"
+
+/* Counts of one pass over a document's events. */
+struct scan {
+    struct conf_errors *errors;
+    int depth;
+    int nodes;
+    int documents;
+};
+
+/* Adds a mistake at the line of an event. */
+static int
+refuse(struct scan *s, const yaml_event_t *event, const char *allowed,
+       const char *what)
+{
+    Conf_Add(s->errors, (int)event->start_mark.line + 1, "", allowed, "%s",
+             what);
+    return ERR_INVALID;
+}
+
+/* Refuses anchors and tags, which no document here needs. */
+static int
+check_marks(struct scan *s, const yaml_event_t *event,
+            const yaml_char_t *anchor, const yaml_char_t *tag)
+{
+    if (anchor != NULL) {
+        return refuse(s, event, "values written out", "an anchor (&)");
+    }
+    if (tag != NULL) {
+        return refuse(s, event, "plain values", "a tag (!)");
+    }
+    return ERR_OK;
+}
+
+/* Counts one more value against the limits of depth and number. */
+static int
+check_size(struct scan *s, const yaml_event_t *event, int deeper)
+{
+    s->depth += deeper;
+    s->nodes++;
+    if (s->depth > CONF_DEPTH_MAX) {
+        return refuse(s, event, "32 levels", "nested too deeply");
+    }
+    if (s->nodes > CONF_NODES_MAX) {
+        return refuse(s, event, "200000 values", "too many values");
+    }
+    return ERR_OK;
+}
+
+/* Checks a map or a list where it starts. */
+static int
+check_start(struct scan *s, const yaml_event_t *event,
+            const yaml_char_t *anchor, const yaml_char_t *tag)
+{
+    int rc = check_marks(s, event, anchor, tag);
+
+    return rc != ERR_OK ? rc : check_size(s, event, 1);
+}
+
+/* Checks a value that is text. */
+static int
+check_scalar(struct scan *s, const yaml_event_t *event)
+{
+    int rc = check_marks(s, event, event->data.scalar.anchor,
+                         event->data.scalar.tag);
+
+    return rc != ERR_OK ? rc : check_size(s, event, 0);
+}
+
+/* Checks one event. An alias is refused as such: a few lines of nested ones
+ * would grow to any size, or never end when one names itself. */
+static int
+check_event(struct scan *s, const yaml_event_t *event)
+{
+    switch (event->type) {
+    case YAML_DOCUMENT_START_EVENT:
+        if (++s->documents > 1) {
+            return refuse(s, event, "one document", "a second document (---)");
+        }
+        return ERR_OK;
+    case YAML_ALIAS_EVENT:
+        return refuse(s, event, "values written out", "an alias (*)");
+    case YAML_SCALAR_EVENT:
+        return check_scalar(s, event);
+    case YAML_SEQUENCE_START_EVENT:
+        return check_start(s, event, event->data.sequence_start.anchor,
+                           event->data.sequence_start.tag);
+    case YAML_MAPPING_START_EVENT:
+        return check_start(s, event, event->data.mapping_start.anchor,
+                           event->data.mapping_start.tag);
+    case YAML_SEQUENCE_END_EVENT:
+    case YAML_MAPPING_END_EVENT:
+        s->depth--;
+        return ERR_OK;
+    default:
+        return ERR_OK;
+    }
+}
+
+/* Adds the parser's own complaint about the syntax. */
+static int
+syntax_error(struct scan *s, const yaml_parser_t *parser)
+{
+    size_t line = parser->problem_mark.line;
+
+    Conf_Add(s->errors, (int)line + 1, "", "YAML", "syntax: %s%s%s",
+             parser->problem ? parser->problem : "not readable",
+             parser->context ? ", " : "",
+             parser->context ? parser->context : "");
+    return ERR_INVALID;
+}
+
+/* Reads events until the end or the first mistake. */
+static int
+scan_events(struct scan *s, yaml_parser_t *parser)
+{
+    yaml_event_t event;
+    bool end = false;
+    int rc = ERR_OK;
+
+    while (rc == ERR_OK && !end) {
+        if (!yaml_parser_parse(parser, &event)) {
+            return syntax_error(s, parser);
+        }
+        end = event.type == YAML_STREAM_END_EVENT;
+        rc = check_event(s, &event);
+        yaml_event_delete(&event);
+    }
+    return rc;
+}
+
+/* Goes once over the document without building anything of it. */
+int
+conf_scan(const char *text, size_t len, struct conf_errors *errors)
+{
+    struct scan s = {.errors = errors};
+    yaml_parser_t parser CLEANUP(yaml_parser_delete);
+
+    if (!yaml_parser_initialize(&parser)) {
+        Fatal("out of memory");
+    }
+    yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
+    return scan_events(&s, &parser);
+}
--- /dev/null
+++ b/packages/base/conf-value.c
@@ -0,0 +1,204 @@
+#include "conf-internal.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ALLOWED_SIZE 192
+
+/* True when a key sets bounds. */
+static bool
+has_bounds(const struct conf_key *key)
+{
+    return key->min != 0 || key->max != 0;
+}
+
+/* True when a number, a length or a count is within a key's bounds. */
+static bool
+in_bounds(const struct conf_key *key, int64_t n)
+{
+    return !has_bounds(key) || (n >= key->min && n <= key->max);
+}
+
+/* Adds a mistake about the value at the walk's present path. */
+static void
+mistake(struct conf_walk *w, const struct conf_key *key, int line,
+        const char *what)
+{
+    char allowed[ALLOWED_SIZE];
+
+    conf_describe(key, allowed);
+    Conf_Add(w->errors, line, w->path.data, allowed, "%s", what);
+}
+
+/* Adds a mistake that quotes the start of the value. */
+static void
+mistake_quoting(struct conf_walk *w, const struct conf_key *key,
+                const struct conf_text *text, const char *what)
+{
+    char said[ALLOWED_SIZE];
+
+    if (text->len == 0) {
+        mistake(w, key, text->line, "has no value");
+        return;
+    }
+    snprintf(said, sizeof(said), "'%.40s' %s", text->data, what);
+    mistake(w, key, text->line, said);
+}
+
+/* Reads a decimal number: no sign but '-', no leading zero (which YAML 1.1
+ * reads as octal), nothing after it, no overflow. */
+static int
+parse_int(const char *s, int64_t *out)
+{
+    const char *digits = s + (*s == '-');
+    char *end;
+
+    if (*digits < '0' || *digits > '9') {
+        return ERR_INVALID;
+    }
+    if (*digits == '0' && digits[1] != '\0') {
+        return ERR_INVALID;
+    }
+    errno = 0;
+    *out = strtoll(s, &end, 10);
+    return *end != '\0' || errno != 0 ? ERR_INVALID : ERR_OK;
+}
+
+/* A number within its bounds. */
+static void
+read_int(struct conf_walk *w, const struct conf_key *key,
+         const struct conf_text *text, void *at)
+{
+    int64_t n = 0;
+
+    if (!text->plain || parse_int(text->data, &n) != ERR_OK) {
+        mistake_quoting(w, key, text, "is not a whole number");
+        return;
+    }
+    if (!in_bounds(key, n)) {
+        mistake_quoting(w, key, text, "is out of range");
+        return;
+    }
+    *(int64_t *)at = n;
+}
+
+/* true or false, and none of YAML's other words for them. */
+static void
+read_bool(struct conf_walk *w, const struct conf_key *key,
+          const struct conf_text *text, void *at)
+{
+    bool yes = strcmp(text->data, "true") == 0;
+
+    if (!text->plain || (!yes && strcmp(text->data, "false") != 0)) {
+        mistake_quoting(w, key, text, "is neither true nor false");
+        return;
+    }
+    *(bool *)at = yes;
+}
+
+/* One word of a list; the value is its index. */
+static void
+read_word(struct conf_walk *w, const struct conf_key *key,
+          const struct conf_text *text, void *at)
+{
+    for (int64_t i = 0; key->words[i] != NULL; i++) {
+        if (strcmp(key->words[i], text->data) == 0) {
+            *(int64_t *)at = i;
+            return;
+        }
+    }
+    mistake_quoting(w, key, text, "is none of the words");
+}
+
+/* A name of at most NAME_SIZE - 1 characters. */
+static void
+read_name(struct conf_walk *w, const struct conf_key *key,
+          const struct conf_text *text, void *at)
+{
+    if (!Str_IsName(text->data)) {
+        mistake_quoting(w, key, text, "is not a name");
+        return;
+    }
+    Str_Copy(at, NAME_SIZE, text->data);
+}
+
+/* Any text whose length is within the bounds. */
+static void
+read_string(struct conf_walk *w, const struct conf_key *key,
+            const struct conf_text *text, void *at)
+{
+    if (!in_bounds(key, (int64_t)text->len)) {
+        mistake(w, key, text->line,
+                text->len == 0 ? "is empty" : "has a wrong length");
+        return;
+    }
+    *(char **)at = Mem_Dup(text->data);
+}
+
+typedef void (*read_fn)(struct conf_walk *w, const struct conf_key *key,
+                        const struct conf_text *text, void *at);
+
+static const read_fn readers[] = {
+    [CONF_NAME] = read_name, [CONF_STRING] = read_string,
+    [CONF_INT] = read_int,   [CONF_BOOL] = read_bool,
+    [CONF_WORD] = read_word,
+};
+
+/* Fills a value by its type. A NUL would cut the text short unseen. */
+void
+conf_read_text(struct conf_walk *w, const struct conf_key *key,
+               const struct conf_text *text, void *at)
+{
+    if (strlen(text->data) != text->len) {
+        mistake(w, key, text->line, "holds a NUL character");
+        return;
+    }
+    readers[key->type](w, key, text, at);
+}
+
+/* Writes the words of a key with commas between. */
+static void
+describe_words(const struct conf_key *key, char out[ALLOWED_SIZE])
+{
+    struct buf b CLEANUP(Buf_Free) = {0};
+
+    Buf_AppendStr(&b, "one of ");
+    for (int i = 0; key->words[i] != NULL; i++) {
+        Buf_Printf(&b, "%s%s", i > 0 ? ", " : "", key->words[i]);
+    }
+    Str_Copy(out, ALLOWED_SIZE, b.data);
+}
+
+/* Says what a key takes, from its type and its bounds. */
+void
+conf_describe(const struct conf_key *key, char out[ALLOWED_SIZE])
+{
+    static const struct {
+        const char *what;
+        const char *bounds; /* what min and max count */
+    } text[] = {
+        [CONF_NAME] = {"a name of 1..63 of A-Z a-z 0-9 . _ - that starts "
+                       "with a letter or digit",
+                       NULL},
+        [CONF_STRING] = {"text", "bytes"},
+        [CONF_INT] = {"a whole number", ""},
+        [CONF_BOOL] = {"true or false", NULL},
+        [CONF_MAP] = {"a map of keys", NULL},
+        [CONF_LIST] = {"a list of maps", "items"},
+        [CONF_STRINGS] = {"a list of texts", "items"},
+    };
+
+    if (key->type == CONF_WORD) {
+        describe_words(key, out);
+        return;
+    }
+    if (text[key->type].bounds == NULL || !has_bounds(key)) {
+        Str_Copy(out, ALLOWED_SIZE, text[key->type].what);
+        return;
+    }
+    snprintf(out, ALLOWED_SIZE, "%s, %lld..%lld%s%s", text[key->type].what,
+             (long long)key->min, (long long)key->max,
+             *text[key->type].bounds ? " " : "", text[key->type].bounds);
+}
--- /dev/null
+++ b/packages/base/conf.c
@@ -0,0 +1,202 @@
+#include "conf-internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Cuts text that was too long for its array before the character that does
+ * not fit: half a UTF-8 sequence could not be sent on as JSON. */
+static void
+trim_utf8(char *s, size_t size)
+{
+    size_t at = strlen(s);
+    size_t start = at;
+    unsigned char lead;
+    size_t need;
+
+    if (at + 1 < size) {
+        return;
+    }
+    while (start > 0 && ((unsigned char)s[start - 1] & 0xc0) == 0x80) {
+        start--;
+    }
+    if (start == 0) {
+        return;
+    }
+    lead = (unsigned char)s[--start];
+    need = lead >= 0xf0 ? 4 : lead >= 0xe0 ? 3 : lead >= 0xc0 ? 2 : 1;
+    if (at - start < need) {
+        s[start] = '\0';
+    }
+}
+
+/* Makes text of a document fit to be shown on one line. */
+static void
+clean_text(char *s, size_t size)
+{
+    trim_utf8(s, size);
+    for (; *s != '\0'; s++) {
+        if ((unsigned char)*s < 0x20 || *s == 0x7f) {
+            *s = '?';
+        }
+    }
+}
+
+/* Adds a mistake; beyond the table's end it is only counted. */
+void
+Conf_Add(struct conf_errors *errors, int line, const char *key,
+         const char *allowed, const char *what, ...)
+{
+    struct conf_error *e;
+    va_list ap;
+
+    if (errors->count == CONF_ERRORS_MAX) {
+        errors->more++;
+        return;
+    }
+    e = &errors->at[errors->count++];
+    e->line = line;
+    Str_Copy(e->key, sizeof(e->key), key);
+    Str_Copy(e->allowed, sizeof(e->allowed), allowed);
+    va_start(ap, what);
+    vsnprintf(e->what, sizeof(e->what), what, ap);
+    va_end(ap);
+    clean_text(e->key, sizeof(e->key));
+    clean_text(e->allowed, sizeof(e->allowed));
+    clean_text(e->what, sizeof(e->what));
+}
+
+/* Writes the mistakes for people, each on a line with its place. */
+void
+Conf_Render(const struct conf_errors *errors, const char *file,
+            struct buf *out)
+{
+    for (int i = 0; i < errors->count; i++) {
+        const struct conf_error *e = &errors->at[i];
+
+        Buf_Printf(out, "%s:%d: %s%s%s", file, e->line, e->key,
+                   *e->key ? ": " : "", e->what);
+        if (*e->allowed) {
+            Buf_Printf(out, " (allowed: %s)", e->allowed);
+        }
+        Buf_AppendStr(out, "\n");
+    }
+    if (errors->more > 0) {
+        Buf_Printf(out, "%s: and %d more\n", file, errors->more);
+    }
+}
+
+/* Walks the tree of a document that passed the scan. */
+static void
+read_document(yaml_document_t *doc, const struct conf_table *table, void *out,
+              struct conf_errors *errors)
+{
+    struct conf_walk w = {.doc = doc, .errors = errors};
+    yaml_node_t *root = yaml_document_get_root_node(doc);
+
+    Buf_AppendStr(&w.path, "");
+    if (root != NULL && root->type != YAML_MAPPING_NODE) {
+        Conf_Add(errors, (int)root->start_mark.line + 1, "", "a map of keys",
+                 "the document is not a map");
+    }
+    else {
+        conf_read_map(&w, table, root, out);
+    }
+    Buf_Free(&w.path);
+}
+
+/* Checks a document's syntax and limits first, then its content. */
+int
+Conf_Parse(const char *text, size_t len, const struct conf_table *table,
+           void *out, struct conf_errors *errors)
+{
+    yaml_parser_t parser CLEANUP(yaml_parser_delete) = {0};
+    yaml_document_t doc CLEANUP(yaml_document_delete) = {0};
+    int before = errors->count + errors->more;
+
+    memset(out, 0, table->size);
+    if (len > CONF_BYTES_MAX) {
+        Conf_Add(errors, 0, "", "at most 4 MiB", "the document is too big");
+        return ERR_INVALID;
+    }
+    if (conf_scan(text, len, errors) != ERR_OK) {
+        return ERR_INVALID;
+    }
+    if (!yaml_parser_initialize(&parser)) {
+        Fatal("out of memory");
+    }
+    yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
+    if (!yaml_parser_load(&parser, &doc)) {
+        Conf_Add(errors, (int)parser.problem_mark.line + 1, "", "YAML",
+                 "syntax: %s", parser.problem ? parser.problem : "");
+        return ERR_INVALID;
+    }
+    read_document(&doc, table, out, errors);
+    return errors->count + errors->more == before ? ERR_OK : ERR_INVALID;
+}
+
+/* Reads a file and parses it. */
+int
+Conf_Load(const char *path, const struct conf_table *table, void *out,
+          struct conf_errors *errors)
+{
+    struct buf text CLEANUP(Buf_Free) = {0};
+    int rc = File_Read(path, CONF_BYTES_MAX, &text);
+
+    if (rc != ERR_OK) {
+        memset(out, 0, table->size);
+        Conf_Add(errors, 0, "", "a readable file of at most 4 MiB",
+                 "the file can't be read: %s", Err_Name(rc));
+        return ERR_INVALID;
+    }
+    return Conf_Parse(text.data ? text.data : "", text.len, table, out,
+                      errors);
+}
+
+/* Frees the items of a list and what they own; sub is NULL for texts. */
+static void
+free_list(struct conf_list *list, const struct conf_table *sub)
+{
+    for (size_t i = 0; i < list->count; i++) {
+        if (sub == NULL) {
+            free(((char **)list->items)[i]);
+        }
+        else {
+            Conf_Free(sub, (char *)list->items + i * sub->size);
+        }
+    }
+    free(list->items);
+    memset(list, 0, sizeof(*list));
+}
+
+/* Frees what one key's value owns. */
+static void
+free_value(const struct conf_key *key, void *at)
+{
+    switch (key->type) {
+    case CONF_STRING:
+        Mem_FreeP(at);
+        *(char **)at = NULL;
+        return;
+    case CONF_MAP:
+        Conf_Free(key->sub, at);
+        return;
+    case CONF_LIST:
+        free_list(at, key->sub);
+        return;
+    case CONF_STRINGS:
+        free_list(at, NULL);
+        return;
+    default:
+        return;
+    }
+}
+
+/* Frees what a filled struct owns, not the struct itself. */
+void
+Conf_Free(const struct conf_table *table, void *out)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        free_value(&table->keys[i], (char *)out + table->keys[i].offset);
+    }
+}
--- /dev/null
+++ b/tests/config.cmake
@@ -0,0 +1,1 @@
+pf_test(conf-test conf-test.cc PACKAGES base)
