--- /dev/null
+++ b/packages/agent/agent-attempts.c
@@ -0,0 +1,182 @@
+#include "agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Order of the tree: request, then attempt. */
+static int
+compare(const struct attempt *a, const struct attempt *b)
+{
+    int c = Id_Compare(&a->request, &b->request);
+
+    if (c != 0) {
+        return c;
+    }
+    return (a->number > b->number) - (a->number < b->number);
+}
+
+RB_GENERATE_STATIC(attempt_tree, attempt, entry, compare)
+
+/* Starts with no attempt known. */
+void
+Attempts_Init(struct attempts *a)
+{
+    memset(a, 0, sizeof(*a));
+    RB_INIT(&a->tree);
+}
+
+/* Forgets everything. */
+void
+Attempts_Free(struct attempts *a)
+{
+    struct attempt *at, *next;
+
+    RB_FOREACH_SAFE (at, attempt_tree, &a->tree, next) {
+        Attempts_Remove(a, at);
+    }
+}
+
+/* Finds the record of an attempt. */
+struct attempt *
+Attempts_Find(struct attempts *a, const struct id *request, uint64_t number)
+{
+    struct attempt key = {.request = *request, .number = number};
+
+    return RB_FIND(attempt_tree, &a->tree, &key);
+}
+
+/* Forgets an attempt and ends what it holds. */
+void
+Attempts_Remove(struct attempts *a, struct attempt *at)
+{
+    RB_REMOVE(attempt_tree, &a->tree, at);
+    a->count--;
+    if (at->call != NULL) {
+        Http_Cancel(at->call);
+    }
+    if (at->answer != NULL) {
+        Wire_Free(&at->answer->msg);
+    }
+    free(at);
+}
+
+/* Adds a record. */
+static struct attempt *
+add(struct attempts *a, const struct id *request, uint64_t number,
+    enum attempt_state state, int64_t not_after)
+{
+    struct attempt *at = Mem_Zero(1, sizeof(*at));
+
+    at->request = *request;
+    at->number = number;
+    at->state = state;
+    at->not_after = not_after;
+    at->forget_at = not_after;
+    RB_INSERT(attempt_tree, &a->tree, at);
+    a->count++;
+    return at;
+}
+
+/* Verdict on a copy of a dispatch that is known already. */
+static enum take_verdict
+known_verdict(const struct attempt *at)
+{
+    static const enum take_verdict verdicts[] = {
+        [ATTEMPT_FENCED] = TAKE_FENCED,
+        [ATTEMPT_RUNNING] = TAKE_AGAIN,
+        [ATTEMPT_DONE] = TAKE_ANSWERED};
+
+    return verdicts[at->state];
+}
+
+/* A dispatch that was sent to an earlier incarnation is refused: that
+ * incarnation may have taken it and its upstream may still work, while this
+ * one remembers nothing, so that taking it would run it twice. One that comes
+ * after its not_after is refused: its fence may have been dropped by then. */
+enum take_verdict
+Attempts_Take(struct attempts *a, const struct wire_dispatch *m,
+              uint64_t incarnation, int64_t now, struct attempt **out)
+{
+    struct attempt *at = Attempts_Find(a, &m->request, m->attempt);
+
+    *out = NULL;
+    if (m->incarnation != incarnation) {
+        return TAKE_STALE;
+    }
+    if (at != NULL) {
+        *out = at;
+        return known_verdict(at);
+    }
+    if (now >= m->not_after) {
+        return TAKE_EXPIRED;
+    }
+    if (a->count >= ATTEMPTS_MAX) {
+        return TAKE_FULL;
+    }
+    at = add(a, &m->request, m->attempt, ATTEMPT_RUNNING, m->not_after);
+    at->started_at = now;
+    Str_Copy(at->service, sizeof(at->service), m->service);
+    *out = at;
+    return TAKE_NEW;
+}
+
+/* Withdrawing from another incarnation can't be answered: what that one
+ * started is not known here. The fence of an unknown attempt stays until
+ * not_after, after which no copy of the dispatch is taken anyway. */
+enum withdraw_verdict
+Attempts_Withdraw(struct attempts *a, const struct wire_withdraw *m,
+                  uint64_t incarnation, int64_t now, struct attempt **out)
+{
+    struct attempt *at = Attempts_Find(a, &m->request, m->attempt);
+
+    *out = NULL;
+    if (m->incarnation != incarnation) {
+        return WITHDRAW_STRANGER;
+    }
+    if (at == NULL) {
+        if (now < m->not_after) {
+            add(a, &m->request, m->attempt, ATTEMPT_FENCED, m->not_after);
+        }
+        return WITHDRAW_NOT_STARTED;
+    }
+    if (at->state == ATTEMPT_FENCED) {
+        return WITHDRAW_NOT_STARTED;
+    }
+    *out = at;
+    return WITHDRAW_STARTED;
+}
+
+/* Marks a recorded attempt as never started. */
+void
+Attempts_Fence(struct attempt *at)
+{
+    at->state = ATTEMPT_FENCED;
+    at->forget_at = at->not_after;
+}
+
+/* Drops what can't matter any more. */
+size_t
+Attempts_Sweep(struct attempts *a, int64_t now)
+{
+    struct attempt *at, *next;
+    size_t dropped = 0;
+
+    RB_FOREACH_SAFE (at, attempt_tree, &a->tree, next) {
+        if (at->state != ATTEMPT_RUNNING && now >= at->forget_at) {
+            Attempts_Remove(a, at);
+            dropped++;
+        }
+    }
+    return dropped;
+}
+
+/* Word of a verdict, as entries hear it. */
+const char *
+Attempts_VerdictName(enum take_verdict verdict)
+{
+    static const char *const names[] = {
+        "taken",   "taken",   "answered", "withdrawn",
+        "stale_incarnation", "expired", "attempts_full"};
+
+    return names[verdict];
+}
--- /dev/null
+++ b/packages/agent/agent-messages.c
@@ -0,0 +1,85 @@
+#include "agent.h"
+
+#include <stdlib.h>
+
+/* Frees an inbound message with what it carries. */
+static void
+free_inbound(struct message *m)
+{
+    struct inbound *in = (struct inbound *)m;
+
+    Wire_Free(in->m);
+    free(in);
+}
+
+/* Frees an outbound message with what it carries. */
+static void
+free_outbound(struct message *m)
+{
+    struct outbound *out = (struct outbound *)m;
+
+    Wire_Free(out->m);
+    free(out);
+}
+
+/* Frees a note of the services. */
+static void
+free_services(struct message *m)
+{
+    struct services_note *note = (struct services_note *)m;
+
+    free(note->services.items);
+    free(note);
+}
+
+/* Frees a note of the parts. */
+static void
+free_parts(struct message *m)
+{
+    struct parts_note *note = (struct parts_note *)m;
+
+    free(note->parts.items);
+    free(note);
+}
+
+const struct message_kind Agent_Inbound = {"inbound", free_inbound};
+const struct message_kind Agent_Outbound = {"outbound", free_outbound};
+const struct message_kind Agent_Services = {"services", free_services};
+const struct message_kind Agent_Busy = {"busy", NULL};
+const struct message_kind Agent_Parts = {"parts", free_parts};
+const struct message_kind Agent_Contact = {"contact", NULL};
+const struct message_kind Agent_Upstream = {"upstream", NULL};
+
+/* Hands a message for an entry to the links task. */
+void
+Agent_Say(struct kernel *k, const char *origin, struct wire_msg *m)
+{
+    struct outbound *out = Mem_Zero(1, sizeof(*out));
+
+    Str_Copy(out->origin, sizeof(out->origin), origin);
+    out->m = m;
+    Kernel_Post(Kernel_FindTask(k, "links"), &out->base, &Agent_Outbound);
+}
+
+/* Tells the links task how much an entry has in progress here. */
+void
+Agent_SayBusy(struct kernel *k, const char *origin, int count)
+{
+    struct busy_note *note = Mem_Zero(1, sizeof(*note));
+
+    Str_Copy(note->origin, sizeof(note->origin), origin);
+    note->count = count;
+    Kernel_Post(Kernel_FindTask(k, "links"), &note->base, &Agent_Busy);
+}
+
+/* Drawn once for the life of the process. */
+uint64_t
+Agent_Incarnation(void)
+{
+    static uint64_t incarnation;
+
+    if (incarnation == 0) {
+        incarnation = Id_Random64();
+    }
+    return incarnation;
+}
