--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -226,6 +226,12 @@
 
 struct conf_table;
 
+/* What a text must look like beyond its length. */
+struct conf_format {
+    const char *allowed; /* for messages, as "an IP address" */
+    bool (*fits)(const char *text);
+};
+
 /* One key of a map, and where its value goes. */
 struct conf_key {
     const char *name;
@@ -240,6 +246,7 @@
     const char *fallback;
     const char *const *words; /* ends with NULL */
     const struct conf_table *sub;
+    const struct conf_format *format; /* of CONF_STRING and CONF_STRINGS */
 };
 
 /* A map: its keys and the size of the struct that it fills. When line_at is
--- a/packages/base/conf-internal.h
+++ b/packages/base/conf-internal.h
@@ -43,6 +43,20 @@
 /* Says what a key takes, as "a whole number, 1..64". */
 void conf_describe(const struct conf_key *key, char out[192]);
 
+/* Length of the start of s, at most max bytes, that ends with a whole UTF-8
+ * character. */
+size_t conf_cut(const char *s, size_t max);
+
+/* Gives a key that the map does not have its fallback, or reports it. */
+void conf_read_missing(struct conf_walk *w, const struct conf_key *key,
+                       int line, void *at);
+/* Reads a node by the type of its key. */
+void conf_read_node(struct conf_walk *w, const struct conf_key *key,
+                    const yaml_node_t *node, void *at);
+/* Goes down to a key, and back up to what it returned. */
+size_t conf_path_push(struct conf_walk *w, const char *name);
+void conf_path_pop(struct conf_walk *w, size_t before);
+
 /* The name of the table nearest to a mistyped one, or NULL. */
 const char *conf_nearest(const struct conf_table *table, const char *name);
 
--- /dev/null
+++ b/packages/base/conf-missing.c
@@ -0,0 +1,63 @@
+#include "conf-internal.h"
+
+#include <string.h>
+
+/* Reads the fallback of a map or a list, which is YAML itself. */
+static void
+read_fallback_tree(struct conf_walk *w, const struct conf_key *key, void *at)
+{
+    struct conf_walk sub = {.errors = w->errors};
+    yaml_parser_t parser CLEANUP(yaml_parser_delete);
+    yaml_document_t doc CLEANUP(yaml_document_delete);
+
+    if (!yaml_parser_initialize(&parser)) {
+        Fatal("out of memory");
+    }
+    yaml_parser_set_input_string(&parser, (const unsigned char *)key->fallback,
+                                 strlen(key->fallback));
+    if (!yaml_parser_load(&parser, &doc) ||
+        yaml_document_get_root_node(&doc) == NULL) {
+        Fatal("the fallback of %s is not YAML", key->name);
+    }
+    sub.doc = &doc;
+    Buf_AppendStr(&sub.path, w->path.data);
+    conf_read_node(&sub, key, yaml_document_get_root_node(&doc), at);
+    Buf_Free(&sub.path);
+}
+
+/* Gives a key that is missing its fallback, which must itself be right. */
+static void
+read_fallback(struct conf_walk *w, const struct conf_key *key, void *at)
+{
+    struct conf_text text = {key->fallback, strlen(key->fallback), true, 0};
+    int before = w->errors->count + w->errors->more;
+
+    if (key->type == CONF_MAP || key->type == CONF_LIST ||
+        key->type == CONF_STRINGS) {
+        read_fallback_tree(w, key, at);
+    }
+    else {
+        conf_read_text(w, key, &text, at);
+    }
+    if (w->errors->count + w->errors->more != before) {
+        Fatal("the fallback of %s is not allowed by its own table", key->name);
+    }
+}
+
+/* Deals with a key that the document does not have. */
+void
+conf_read_missing(struct conf_walk *w, const struct conf_key *key, int line,
+                  void *at)
+{
+    size_t before = conf_path_push(w, key->name);
+    char allowed[192];
+
+    if (key->required) {
+        conf_describe(key, allowed);
+        Conf_Add(w->errors, line, w->path.data, allowed, "is missing");
+    }
+    else if (key->fallback != NULL) {
+        read_fallback(w, key, at);
+    }
+    conf_path_pop(w, before);
+}
--- a/packages/base/conf-read.c
+++ b/packages/base/conf-read.c
@@ -3,9 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-static void read_node(struct conf_walk *w, const struct conf_key *key,
-                      const yaml_node_t *node, void *at);
-
 /* Line of a node, counted from 1. */
 static int
 line_of(const yaml_node_t *node)
@@ -42,8 +39,8 @@
 }
 
 /* Goes down to a key; returns the length of the path before it. */
-static size_t
-path_push_key(struct conf_walk *w, const char *name)
+size_t
+conf_path_push(struct conf_walk *w, const char *name)
 {
     size_t before = w->path.len;
 
@@ -62,8 +59,8 @@
 }
 
 /* Goes back up. */
-static void
-path_pop(struct conf_walk *w, size_t before)
+void
+conf_path_pop(struct conf_walk *w, size_t before)
 {
     w->path.len = before;
     w->path.data[before] = '\0';
@@ -125,11 +122,11 @@
     list->count = count;
     for (size_t i = 0; i < count; i++) {
         before = path_push_index(w, i);
-        read_node(
+        conf_read_node(
             w, item,
             yaml_document_get_node(w->doc, node->data.sequence.items.start[i]),
             (char *)list->items + i * size);
-        path_pop(w, before);
+        conf_path_pop(w, before);
     }
 }
 
@@ -148,7 +145,8 @@
 read_strings(struct conf_walk *w, const struct conf_key *key,
              const yaml_node_t *node, void *at)
 {
-    struct conf_key item = {.type = CONF_STRING, .min = 1, .max = 1024};
+    struct conf_key item = {
+        .type = CONF_STRING, .min = 1, .max = 1024, .format = key->format};
 
     read_items(w, key, &item, sizeof(char *), node, at);
 }
@@ -166,9 +164,9 @@
 }
 
 /* Reads a node by the type of its key. */
-static void
-read_node(struct conf_walk *w, const struct conf_key *key,
-          const yaml_node_t *node, void *at)
+void
+conf_read_node(struct conf_walk *w, const struct conf_key *key,
+               const yaml_node_t *node, void *at)
 {
     switch (key->type) {
     case CONF_MAP:
@@ -185,66 +183,6 @@
     }
 }
 
-/* Reads the fallback of a map or a list, which is YAML itself. */
-static void
-read_fallback_tree(struct conf_walk *w, const struct conf_key *key, void *at)
-{
-    struct conf_walk sub = {.errors = w->errors};
-    yaml_parser_t parser CLEANUP(yaml_parser_delete);
-    yaml_document_t doc CLEANUP(yaml_document_delete);
-
-    if (!yaml_parser_initialize(&parser)) {
-        Fatal("out of memory");
-    }
-    yaml_parser_set_input_string(&parser, (const unsigned char *)key->fallback,
-                                 strlen(key->fallback));
-    if (!yaml_parser_load(&parser, &doc) ||
-        yaml_document_get_root_node(&doc) == NULL) {
-        Fatal("the fallback of %s is not YAML", key->name);
-    }
-    sub.doc = &doc;
-    Buf_AppendStr(&sub.path, w->path.data);
-    read_node(&sub, key, yaml_document_get_root_node(&doc), at);
-    Buf_Free(&sub.path);
-}
-
-/* Gives a key that is missing its fallback, which must itself be right. */
-static void
-read_fallback(struct conf_walk *w, const struct conf_key *key, void *at)
-{
-    struct conf_text text = {key->fallback, strlen(key->fallback), true, 0};
-    int before = w->errors->count + w->errors->more;
-
-    if (key->type == CONF_MAP || key->type == CONF_LIST ||
-        key->type == CONF_STRINGS) {
-        read_fallback_tree(w, key, at);
-    }
-    else {
-        conf_read_text(w, key, &text, at);
-    }
-    if (w->errors->count + w->errors->more != before) {
-        Fatal("the fallback of %s is not allowed by its own table", key->name);
-    }
-}
-
-/* Deals with a key that the document does not have. */
-static void
-read_missing(struct conf_walk *w, const struct conf_key *key, int line,
-             void *at)
-{
-    size_t before = path_push_key(w, key->name);
-    char allowed[192];
-
-    if (key->required) {
-        conf_describe(key, allowed);
-        Conf_Add(w->errors, line, w->path.data, allowed, "is missing");
-    }
-    else if (key->fallback != NULL) {
-        read_fallback(w, key, at);
-    }
-    path_pop(w, before);
-}
-
 /* Writes the names of a table's keys with commas between. */
 static void
 list_keys(const struct conf_table *table, struct buf *out)
@@ -273,9 +211,9 @@
         Buf_Printf(&allowed, "did you mean %s? ", nearest);
     }
     list_keys(table, &allowed);
-    before = path_push_key(w, name);
+    before = conf_path_push(w, name);
     Conf_Add(w->errors, line, w->path.data, allowed.data, "unknown key");
-    path_pop(w, before);
+    conf_path_pop(w, before);
 }
 
 /* Finds a key of a table by its name; -1 when there is none. */
@@ -313,17 +251,17 @@
         return;
     }
     key = &table->keys[index];
-    before = path_push_key(w, key->name);
+    before = conf_path_push(w, key->name);
     if (first[index] != 0) {
         Conf_Add(w->errors, line_of(name), w->path.data, "one of them",
                  "stands twice, first in line %d", first[index]);
     }
     else {
         first[index] = line_of(name);
-        read_node(w, key, yaml_document_get_node(w->doc, pair->value),
-                  (char *)out + key->offset);
+        conf_read_node(w, key, yaml_document_get_node(w->doc, pair->value),
+                       (char *)out + key->offset);
     }
-    path_pop(w, before);
+    conf_path_pop(w, before);
 }
 
 /* Reads the pairs of a map, then deals with what was not among them. */
@@ -347,8 +285,8 @@
     }
     for (size_t i = 0; i < table->count; i++) {
         if (first[i] == 0) {
-            read_missing(w, &table->keys[i], line_of(node),
-                         (char *)out + table->keys[i].offset);
+            conf_read_missing(w, &table->keys[i], line_of(node),
+                              (char *)out + table->keys[i].offset);
         }
     }
 }
--- a/packages/base/conf-value.c
+++ b/packages/base/conf-value.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define ALLOWED_SIZE 192
+#define QUOTED_MAX 40 /* bytes of a wrong value that are shown */
 
 /* True when a key sets bounds. */
 static bool
@@ -43,7 +44,8 @@
         mistake(w, key, text->line, "has no value");
         return;
     }
-    snprintf(said, sizeof(said), "'%.40s' %s", text->data, what);
+    snprintf(said, sizeof(said), "'%.*s' %s",
+             (int)conf_cut(text->data, QUOTED_MAX), text->data, what);
     mistake(w, key, text->line, said);
 }
 
@@ -124,7 +126,8 @@
     Str_Copy(at, NAME_SIZE, text->data);
 }
 
-/* Any text whose length is within the bounds. */
+/* Text whose length is within the bounds, of the key's format. It is not
+ * quoted: what stands in a wrong place may be a secret. */
 static void
 read_string(struct conf_walk *w, const struct conf_key *key,
             const struct conf_text *text, void *at)
@@ -134,6 +137,10 @@
                 text->len == 0 ? "is empty" : "has a wrong length");
         return;
     }
+    if (key->format != NULL && !key->format->fits(text->data)) {
+        mistake(w, key, text->line, "has a wrong form");
+        return;
+    }
     *(char **)at = Mem_Dup(text->data);
 }
 
@@ -194,6 +201,12 @@
         describe_words(key, out);
         return;
     }
+    if (key->format != NULL) {
+        snprintf(out, ALLOWED_SIZE, "%s%s",
+                 key->type == CONF_STRINGS ? "a list, each " : "",
+                 key->format->allowed);
+        return;
+    }
     if (text[key->type].bounds == NULL || !has_bounds(key)) {
         Str_Copy(out, ALLOWED_SIZE, text[key->type].what);
         return;
--- a/packages/base/conf.c
+++ b/packages/base/conf.c
@@ -4,42 +4,33 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Cuts text that was too long for its array before the character that does
- * not fit: half a UTF-8 sequence could not be sent on as JSON. */
-static void
-trim_utf8(char *s, size_t size)
+/* Length of the longest start of at most max bytes that does not end within
+ * a character: half a UTF-8 sequence could not be sent on as JSON. */
+size_t
+conf_cut(const char *s, size_t max)
 {
-    size_t at = strlen(s);
-    size_t start = at;
-    unsigned char lead;
-    size_t need;
+    size_t n = strlen(s);
 
-    if (at + 1 < size) {
-        return;
-    }
-    while (start > 0 && ((unsigned char)s[start - 1] & 0xc0) == 0x80) {
-        start--;
+    if (n <= max) {
+        return n;
     }
-    if (start == 0) {
-        return;
-    }
-    lead = (unsigned char)s[--start];
-    need = lead >= 0xf0 ? 4 : lead >= 0xe0 ? 3 : lead >= 0xc0 ? 2 : 1;
-    if (at - start < need) {
-        s[start] = '\0';
+    n = max;
+    while (n > 0 && ((unsigned char)s[n] & 0xc0) == 0x80) {
+        n--;
     }
+    return n;
 }
 
-/* Makes text of a document fit to be shown on one line. */
+/* Copies text of a document into an array, fit to be shown on one line. */
 static void
-clean_text(char *s, size_t size)
+copy_clean(char *dst, size_t size, const char *src)
 {
-    trim_utf8(s, size);
-    for (; *s != '\0'; s++) {
-        if ((unsigned char)*s < 0x20 || *s == 0x7f) {
-            *s = '?';
-        }
+    size_t len = conf_cut(src, size - 1);
+
+    for (size_t i = 0; i < len; i++) {
+        dst[i] = (unsigned char)src[i] < 0x20 || src[i] == 0x7f ? '?' : src[i];
     }
+    dst[len] = '\0';
 }
 
 /* Adds a mistake; beyond the table's end it is only counted. */
@@ -47,6 +38,7 @@
 Conf_Add(struct conf_errors *errors, int line, const char *key,
          const char *allowed, const char *what, ...)
 {
+    char said[2 * sizeof(errors->at[0].what)];
     struct conf_error *e;
     va_list ap;
 
@@ -54,16 +46,14 @@
         errors->more++;
         return;
     }
-    e = &errors->at[errors->count++];
-    e->line = line;
-    Str_Copy(e->key, sizeof(e->key), key);
-    Str_Copy(e->allowed, sizeof(e->allowed), allowed);
     va_start(ap, what);
-    vsnprintf(e->what, sizeof(e->what), what, ap);
+    vsnprintf(said, sizeof(said), what, ap);
     va_end(ap);
-    clean_text(e->key, sizeof(e->key));
-    clean_text(e->allowed, sizeof(e->allowed));
-    clean_text(e->what, sizeof(e->what));
+    e = &errors->at[errors->count++];
+    e->line = line;
+    copy_clean(e->key, sizeof(e->key), key);
+    copy_clean(e->what, sizeof(e->what), said);
+    copy_clean(e->allowed, sizeof(e->allowed), allowed);
 }
 
 /* Writes the mistakes for people, each on a line with its place. */
--- /dev/null
+++ b/packages/config/config-agent.c
@@ -0,0 +1,193 @@
+#include "config-internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define AT(field) offsetof(struct agent_settings, field)
+
+static const struct conf_key upstream_keys[] = {
+    {.name = "name",
+     .type = CONF_NAME,
+     .offset = offsetof(struct upstream_settings, name),
+     .required = true},
+    {.name = "url",
+     .type = CONF_STRING,
+     .offset = offsetof(struct upstream_settings, url),
+     .required = true,
+     .format = &config_url_format},
+    {.name = "slots",
+     .type = CONF_INT,
+     .offset = offsetof(struct upstream_settings, slots),
+     .required = true,
+     .min = 1,
+     .max = 4096},
+    {.name = "connections",
+     .type = CONF_INT,
+     .offset = offsetof(struct upstream_settings, connections),
+     .required = true,
+     .min = 1,
+     .max = 4096},
+    {.name = "timeout_ms",
+     .type = CONF_INT,
+     .offset = offsetof(struct upstream_settings, timeout_ms),
+     .min = 1,
+     .max = 3600000,
+     .fallback = "60000"},
+};
+
+static const struct conf_table upstream_table = {
+    .name = "upstream",
+    .size = sizeof(struct upstream_settings),
+    .keys = upstream_keys,
+    .count = COUNT_OF(upstream_keys),
+    .line_at = offsetof(struct upstream_settings, line),
+};
+
+static const struct conf_key agent_keys[] = {
+    {.name = "name", .type = CONF_NAME, .offset = AT(name), .required = true},
+    {.name = "region",
+     .type = CONF_NAME,
+     .offset = AT(region),
+     .required = true},
+    {.name = "failure_domain",
+     .type = CONF_NAME,
+     .offset = AT(failure_domain),
+     .required = true},
+    {.name = "rack", .type = CONF_NAME, .offset = AT(rack), .required = true},
+    {.name = "accelerators",
+     .type = CONF_INT,
+     .offset = AT(accelerators),
+     .required = true,
+     .max = 64},
+    {.name = "seeds",
+     .type = CONF_STRINGS,
+     .offset = AT(seeds),
+     .required = true,
+     .min = 1,
+     .max = 64,
+     .format = &config_address_format},
+    {.name = "services",
+     .type = CONF_LIST,
+     .offset = AT(services),
+     .max = 64,
+     .fallback = "[]",
+     .sub = &upstream_table},
+    {.name = "runner_url",
+     .type = CONF_STRING,
+     .offset = AT(runner_url),
+     .format = &config_url_format},
+    {.name = "platform",
+     .type = CONF_MAP,
+     .offset = AT(platform),
+     .sub = &config_platform_table},
+    {.name = "lease_ms",
+     .type = CONF_INT,
+     .offset = AT(lease_ms),
+     .min = 100,
+     .max = 60000,
+     .fallback = "3000"},
+    {.name = "drain_ms",
+     .type = CONF_INT,
+     .offset = AT(drain_ms),
+     .max = 3600000,
+     .fallback = "120000"},
+    {.name = "log_level",
+     .type = CONF_WORD,
+     .offset = AT(log_level),
+     .fallback = "info",
+     .words = config_level_words},
+    {.name = "link_keys",
+     .type = CONF_MAP,
+     .offset = AT(link_keys),
+     .sub = &config_link_keys_table},
+};
+
+static const struct conf_table agent_table = {
+    .name = "agent",
+    .size = sizeof(struct agent_settings),
+    .keys = agent_keys,
+    .count = COUNT_OF(agent_keys),
+};
+
+/* Fewer connections than slots would leave slots idle for ever. */
+static void
+check_connections(const struct upstream_settings *u, size_t i,
+                  struct conf_errors *errors)
+{
+    char key[64];
+
+    if (u->connections < u->slots) {
+        snprintf(key, sizeof(key), "services[%zu].connections", i);
+        Conf_Add(errors, u->line, key, "at least slots",
+                 "%lld connections can't fill %lld slots",
+                 (long long)u->connections, (long long)u->slots);
+    }
+}
+
+/* Two services of one name could not be told apart by a request. */
+static void
+check_doubled(const struct agent_settings *s, size_t i,
+              struct conf_errors *errors)
+{
+    const struct upstream_settings *u =
+        CONFIG_AT(s->services, struct upstream_settings, i);
+    const struct upstream_settings *other;
+    char key[64];
+
+    for (size_t j = 0; j < i; j++) {
+        other = CONFIG_AT(s->services, struct upstream_settings, j);
+        if (strcmp(other->name, u->name) == 0) {
+            snprintf(key, sizeof(key), "services[%zu].name", i);
+            Conf_Add(errors, u->line, key, "a name that is not used yet",
+                     "'%s' stands twice, first in line %d", u->name,
+                     other->line);
+            return;
+        }
+    }
+}
+
+/* Checks what no table of keys can say. */
+static int
+check_agent(const struct agent_settings *s, int rc, struct conf_errors *errors)
+{
+    int before = errors->count;
+
+    if (rc != ERR_OK) {
+        return rc;
+    }
+    for (size_t i = 0; i < s->services.count; i++) {
+        check_connections(CONFIG_AT(s->services, struct upstream_settings, i),
+                          i, errors);
+        check_doubled(s, i, errors);
+    }
+    if (s->services.count == 0 && s->runner_url == NULL) {
+        Conf_Add(errors, 1, "services", "services, runner_url or both",
+                 "the worker takes neither requests nor jobs");
+    }
+    return errors->count == before ? ERR_OK : ERR_INVALID;
+}
+
+/* Reads the settings of an agent from text. */
+int
+Settings_ParseAgent(const char *text, size_t len, struct agent_settings *out,
+                    struct conf_errors *errors)
+{
+    return check_agent(out, Conf_Parse(text, len, &agent_table, out, errors),
+                       errors);
+}
+
+/* Reads the settings of an agent from a file. */
+int
+Settings_LoadAgent(const char *path, struct agent_settings *out,
+                   struct conf_errors *errors)
+{
+    return check_agent(out, Conf_Load(path, &agent_table, out, errors),
+                       errors);
+}
+
+/* Frees what the settings own. */
+void
+Settings_FreeAgent(struct agent_settings *s)
+{
+    Conf_Free(&agent_table, s);
+}
--- /dev/null
+++ b/packages/config/config-format.c
@@ -0,0 +1,109 @@
+#include "config-internal.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PORT_MAX 65535
+
+/* Reads a port other than 0; -1 when it is none. */
+static int
+parse_port(const char *text)
+{
+    char *end;
+    long port;
+
+    if (*text < '1' || *text > '9') {
+        return -1;
+    }
+    port = strtol(text, &end, 10);
+    return *end != '\0' || port > PORT_MAX ? -1 : (int)port;
+}
+
+/* True for the number of one host, of either family. */
+static bool
+is_ip(const char *text)
+{
+    struct in6_addr v6;
+    struct in_addr v4;
+
+    return inet_pton(AF_INET, text, &v4) == 1 ||
+           inet_pton(AF_INET6, text, &v6) == 1;
+}
+
+/* True for a number that others can connect to. The wildcard is none: it
+ * would be handed on to agents, each of which would connect to itself. */
+static bool
+is_reachable_ip(const char *text)
+{
+    return is_ip(text) && strcmp(text, "0.0.0.0") != 0 &&
+           strcmp(text, "::") != 0;
+}
+
+/* Takes "ip:port" apart; a number with colons stands in brackets. */
+int
+Settings_SplitAddress(const char *text, char ip[NAME_SIZE], int *port)
+{
+    const char *colon = strrchr(text, ':');
+    size_t len;
+
+    if (colon == NULL) {
+        return ERR_INVALID;
+    }
+    len = (size_t)(colon - text);
+    if (len > 2 && text[0] == '[' && colon[-1] == ']') {
+        text++;
+        len -= 2;
+    }
+    else if (memchr(text, ':', len) != NULL) {
+        return ERR_INVALID;
+    }
+    if (len >= NAME_SIZE) {
+        return ERR_INVALID;
+    }
+    memcpy(ip, text, len);
+    ip[len] = '\0';
+    *port = parse_port(colon + 1);
+    return *port > 0 && is_reachable_ip(ip) ? ERR_OK : ERR_INVALID;
+}
+
+/* True for "ip:port". */
+static bool
+is_address(const char *text)
+{
+    char ip[NAME_SIZE];
+    int port;
+
+    return Settings_SplitAddress(text, ip, &port) == ERR_OK;
+}
+
+/* True for an HTTP URL with a host, without spaces, query or last slash. */
+static bool
+is_url(const char *text)
+{
+    const char *host = strstr(text, "://");
+    size_t scheme = host == NULL ? 0 : (size_t)(host - text);
+
+    if (!(scheme == 4 && strncmp(text, "http", 4) == 0) &&
+        !(scheme == 5 && strncmp(text, "https", 5) == 0)) {
+        return false;
+    }
+    host += 3;
+    if (*host == '\0' || *host == '/' || host[strlen(host) - 1] == '/') {
+        return false;
+    }
+    for (; *host != '\0'; host++) {
+        if (*host <= ' ' || *host == 0x7f || strchr("?#", *host) != NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const struct conf_format config_ip_format = {
+    "an IP number that others reach, not 0.0.0.0", is_reachable_ip};
+const struct conf_format config_address_format = {
+    "ip:port, or [ip]:port, with a port of 1..65535", is_address};
+const struct conf_format config_url_format = {
+    "http://host[:port][/path] or https://, without a slash at the end",
+    is_url};
--- a/tests/conf-test.cc
+++ b/tests/conf-test.cc
@@ -237,6 +237,11 @@
     Parsed p("name: a\n" + name + ": 1\n");
     ASSERT_EQ(p.errors.count, 1);
     EXPECT_EQ(strlen(p.errors.at[0].key), 126u);
+
+    Parsed q("name: x" + name + "\n");
+    ASSERT_EQ(q.errors.count, 1);
+    EXPECT_EQ(std::string(q.errors.at[0].what).substr(38),
+              "\xc3\xa9' is not a name");
 }
 
 TEST(Conf, LoadSaysWhenThereIsNoFile)
