--- a/packages/agent/agent-attempts.c
+++ b/packages/agent/agent-attempts.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 /* Order of the tree: request, then attempt. */
-static int
-compare(const struct attempt *a, const struct attempt *b)
+int
+Attempts_Compare(const struct attempt *a, const struct attempt *b)
 {
     int c = Id_Compare(&a->request, &b->request);
 
@@ -15,7 +15,7 @@
     return (a->number > b->number) - (a->number < b->number);
 }
 
-RB_GENERATE_STATIC(attempt_tree, attempt, entry, compare)
+RB_GENERATE(attempt_tree, attempt, entry, Attempts_Compare)
 
 /* Starts with no attempt known. */
 void
@@ -57,6 +57,7 @@
     if (at->answer != NULL) {
         Wire_Free(&at->answer->msg);
     }
+    free(at->context);
     free(at);
 }
 
@@ -174,9 +175,13 @@
 const char *
 Attempts_VerdictName(enum take_verdict verdict)
 {
-    static const char *const names[] = {
-        "taken",   "taken",   "answered", "withdrawn",
-        "stale_incarnation", "expired", "attempts_full"};
+    static const char *const names[] = {"taken",
+                                        "taken",
+                                        "answered",
+                                        "withdrawn",
+                                        "stale_incarnation",
+                                        "expired",
+                                        "attempts_full"};
 
     return names[verdict];
 }
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -538,7 +538,6 @@
     return ERR_OK;
 }
 
-static struct plugin links_plugin = {.name = "links",
-                                     .rank = 10,
-                                     .start = start};
+static struct plugin links_plugin = {
+    .name = "links", .rank = 10, .start = start};
 KERNEL_PLUGIN(links_plugin)
--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -49,9 +49,9 @@
 
 static struct counter taken_total = {"parsleyfall_agent_taken_total",
                                      "Requests taken.", NULL, COUNTER_TOTAL};
-static struct counter refused_total = {
-    "parsleyfall_agent_refused_total", "Requests refused before a start.",
-    NULL, COUNTER_TOTAL};
+static struct counter refused_total = {"parsleyfall_agent_refused_total",
+                                       "Requests refused before a start.",
+                                       NULL, COUNTER_TOTAL};
 static struct counter fenced_total = {
     "parsleyfall_agent_fenced_total",
     "Attempts withdrawn before they started.", NULL, COUNTER_TOTAL};
@@ -204,6 +204,7 @@
           KV_INT("status", r->status), KV_INT("ms", now - at->started_at));
     say_answer(w, at);
     tell_services(w);
+    at->context = NULL;
     free(c);
 }
 
@@ -237,6 +238,7 @@
     c->attempt = at;
     c->upstream = u;
     u->busy++;
+    at->context = c;
     at->call = Http_Call(u->client, &request, on_done, c);
 }
 
@@ -351,8 +353,7 @@
              const struct wire_msg *msg)
 {
     const struct wire_settled *m = (const struct wire_settled *)msg;
-    struct attempt *at =
-        Attempts_Find(&w->attempts, &m->request, m->attempt);
+    struct attempt *at = Attempts_Find(&w->attempts, &m->request, m->attempt);
 
     if (at == NULL || at->state != ATTEMPT_DONE) {
         return;
@@ -485,11 +486,11 @@
 
     TAILQ_FOREACH (u, &w->upstreams, entry) {
         json_array_append_new(
-            list, json_pack("{s:s, s:s, s:I, s:I, s:I, s:b}", "service",
-                            u->service, "url", u->url, "slots",
-                            (json_int_t)u->slots, "connections",
-                            (json_int_t)u->connections, "busy",
-                            (json_int_t)u->busy, "leaving", u->leaving));
+            list,
+            json_pack("{s:s, s:s, s:I, s:I, s:I, s:b}", "service", u->service,
+                      "url", u->url, "slots", (json_int_t)u->slots,
+                      "connections", (json_int_t)u->connections, "busy",
+                      (json_int_t)u->busy, "leaving", u->leaving));
     }
     return json_pack("{s:o, s:I, s:I, s:b}", "upstreams", list, "open",
                      (json_int_t)w->open, "attempts",
@@ -557,7 +558,6 @@
     return ERR_OK;
 }
 
-static struct plugin work_plugin = {.name = "work",
-                                    .rank = 20,
-                                    .start = start};
+static struct plugin work_plugin = {
+    .name = "work", .rank = 20, .start = start};
 KERNEL_PLUGIN(work_plugin)
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -124,11 +124,14 @@
     char service[NAME_SIZE];
     int64_t started_at;
     struct http_call *call;
+    void *context; /* of the call's callback; freed with the record */
     struct wire_answer *answer;
     RB_ENTRY(attempt) entry;
 };
 
 RB_HEAD(attempt_tree, attempt);
+int Attempts_Compare(const struct attempt *a, const struct attempt *b);
+RB_PROTOTYPE(attempt_tree, attempt, entry, Attempts_Compare)
 
 /* Attempts that an agent remembers at most; beyond that it takes none. */
 #define ATTEMPTS_MAX 65536
@@ -139,13 +142,13 @@
 };
 
 enum take_verdict {
-    TAKE_NEW,          /* recorded as running: start it */
-    TAKE_AGAIN,        /* a copy: runs already */
-    TAKE_ANSWERED,     /* a copy: ended already, say the answer again */
-    TAKE_FENCED,       /* withdrawn before it came */
-    TAKE_STALE,        /* meant for another incarnation */
-    TAKE_EXPIRED,      /* came after its not_after */
-    TAKE_FULL          /* no place to remember it */
+    TAKE_NEW,      /* recorded as running: start it */
+    TAKE_AGAIN,    /* a copy: runs already */
+    TAKE_ANSWERED, /* a copy: ended already, say the answer again */
+    TAKE_FENCED,   /* withdrawn before it came */
+    TAKE_STALE,    /* meant for another incarnation */
+    TAKE_EXPIRED,  /* came after its not_after */
+    TAKE_FULL      /* no place to remember it */
 };
 
 void Attempts_Init(struct attempts *a);
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -1,4 +1,10 @@
 pf_package(base LIBS sodium yaml xxhash bsd)
+pf_package(config USES base)
 pf_package(kernel USES base LIBS ev jansson)
 pf_package(http USES base LIBS ev curl microhttpd)
 pf_package(wire USES base LIBS ev msgpackc zmq)
+pf_package(agent USES base config kernel http wire)
+
+add_executable(parsleyfall-agent packages/agent/main.c)
+pf_link(parsleyfall-agent agent)
+target_link_libraries(parsleyfall-agent PRIVATE argtable2)
