--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -22,6 +22,7 @@
     bool draining;
     bool replace; /* at the next tick, outside of the link's own callback */
     int busy;     /* in progress here for that entry */
+    struct wire_list own; /* of its requests, running by service */
     int64_t pace_ms;
     int64_t opened_at;
     int64_t said_at;
@@ -115,6 +116,7 @@
 
         *busy = s[i].busy;
     }
+    copy_list(&beat.own, &e->own, sizeof(uint64_t));
     say(e, &beat.msg);
     Wire_Clear(&beat.msg);
     Counter_Add(&beats_total, 1);
@@ -189,6 +191,7 @@
 {
     TAILQ_REMOVE(&l->entries, e, entry);
     Link_Free(e->link);
+    free(e->own.items);
     free(e);
 }
 
@@ -414,6 +417,7 @@
 
     if (e != NULL) {
         e->busy = note->count;
+        copy_list(&e->own, &note->own, sizeof(uint64_t));
     }
 }
 
--- a/packages/agent/agent-messages.c
+++ b/packages/agent/agent-messages.c
@@ -42,10 +42,20 @@
     free(note);
 }
 
+/* Frees a note of what an entry has in progress. */
+static void
+free_busy(struct message *m)
+{
+    struct busy_note *note = (struct busy_note *)m;
+
+    free(note->own.items);
+    free(note);
+}
+
 const struct message_kind Agent_Inbound = {"inbound", free_inbound};
 const struct message_kind Agent_Outbound = {"outbound", free_outbound};
 const struct message_kind Agent_Services = {"services", free_services};
-const struct message_kind Agent_Busy = {"busy", NULL};
+const struct message_kind Agent_Busy = {"busy", free_busy};
 const struct message_kind Agent_Parts = {"parts", free_parts};
 const struct message_kind Agent_Contact = {"contact", NULL};
 const struct message_kind Agent_Upstream = {"upstream", NULL};
@@ -61,17 +71,6 @@
     Kernel_Post(Kernel_FindTask(k, "links"), &out->base, &Agent_Outbound);
 }
 
-/* Tells the links task how much an entry has in progress here. */
-void
-Agent_SayBusy(struct kernel *k, const char *origin, int count)
-{
-    struct busy_note *note = Mem_Zero(1, sizeof(*note));
-
-    Str_Copy(note->origin, sizeof(note->origin), origin);
-    note->count = count;
-    Kernel_Post(Kernel_FindTask(k, "links"), &note->base, &Agent_Busy);
-}
-
 /* Drawn once for the life of the process. */
 uint64_t
 Agent_Incarnation(void)
--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -25,7 +25,7 @@
 /* How much an entry has in progress here. */
 struct origin {
     char address[NAME_SIZE];
-    int count;
+    int count; /* running, or answered and not settled */
     TAILQ_ENTRY(origin) entry;
 };
 
@@ -95,24 +95,64 @@
                 &Agent_Services);
 }
 
-/* Counts work in progress for an entry and tells the links task. */
+/* Requests of an entry that run at an upstream now. */
+static uint64_t
+running_for(struct work *w, const char *address, const char *service)
+{
+    struct attempt *at;
+    uint64_t n = 0;
+
+    RB_FOREACH (at, attempt_tree, &w->attempts.tree) {
+        n += at->state == ATTEMPT_RUNNING &&
+             strcmp(at->origin, address) == 0 &&
+             strcmp(at->service, service) == 0;
+    }
+    return n;
+}
+
+/* Tells the links task what an entry has in progress here. */
 static void
-count_origin(struct work *w, const char *address, int change)
+tell_busy(struct work *w, const struct origin *o)
+{
+    struct busy_note *note = Mem_Zero(1, sizeof(*note));
+    struct upstream *u;
+
+    Str_Copy(note->origin, sizeof(note->origin), o->address);
+    note->count = o->count;
+    TAILQ_FOREACH (u, &w->upstreams, entry) {
+        uint64_t *n = Wire_ListAdd(&note->own, sizeof(*n));
+
+        *n = running_for(w, o->address, u->service);
+    }
+    Kernel_Post(Kernel_FindTask(w->task.kernel, "links"), &note->base,
+                &Agent_Busy);
+}
+
+/* Finds or adds the account of an entry. */
+static struct origin *
+find_origin(struct work *w, const char *address)
 {
     struct origin *o;
 
     TAILQ_FOREACH (o, &w->origins, entry) {
         if (strcmp(o->address, address) == 0) {
-            break;
+            return o;
         }
     }
-    if (o == NULL) {
-        o = Mem_Zero(1, sizeof(*o));
-        Str_Copy(o->address, sizeof(o->address), address);
-        TAILQ_INSERT_TAIL(&w->origins, o, entry);
-    }
+    o = Mem_Zero(1, sizeof(*o));
+    Str_Copy(o->address, sizeof(o->address), address);
+    TAILQ_INSERT_TAIL(&w->origins, o, entry);
+    return o;
+}
+
+/* Counts work in progress for an entry and tells the links task. */
+static void
+count_origin(struct work *w, const char *address, int change)
+{
+    struct origin *o = find_origin(w, address);
+
     o->count += change;
-    Agent_SayBusy(w->task.kernel, address, o->count);
+    tell_busy(w, o);
     if (o->count == 0) {
         TAILQ_REMOVE(&w->origins, o, entry);
         free(o);
@@ -204,6 +244,7 @@
           KV_INT("status", r->status), KV_INT("ms", now - at->started_at));
     say_answer(w, at);
     tell_services(w);
+    count_origin(w, at->origin, 0);
     at->context = NULL;
     free(c);
 }
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -62,6 +62,7 @@
     struct message base;
     char origin[NAME_SIZE];
     int count;
+    struct wire_list own; /* uint64: running, in the order of the services */
 };
 
 /* parts -> links: the parts that this worker holds, whole list. */
@@ -96,8 +97,6 @@
 
 /* Posts m to the links task, for the entry at that origin; takes m. */
 void Agent_Say(struct kernel *k, const char *origin, struct wire_msg *m);
-/* Posts how much an entry has in progress. */
-void Agent_SayBusy(struct kernel *k, const char *origin, int count);
 
 /* The incarnation of this process; agents are told apart by it. */
 uint64_t Agent_Incarnation(void);
--- /dev/null
+++ b/packages/entry/entry-dispatch.c
@@ -0,0 +1,595 @@
+#include "entry-dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* dispatch -> itself: a slot of this service may be free. */
+struct pump_note {
+    struct message base;
+    struct service *service;
+};
+
+static const struct message_kind pump_kind = {"pump", NULL};
+
+static struct counter open_gauge = {"parsleyfall_requests_open",
+                                    "Requests accepted and not ended.", NULL,
+                                    COUNTER_GAUGE};
+
+static int
+compare_services(const struct service *a, const struct service *b)
+{
+    return strcmp(a->name, b->name);
+}
+
+static int
+compare_servers(const struct server *a, const struct server *b)
+{
+    return strcmp(a->facts.name, b->facts.name);
+}
+
+static int
+compare_requests(const struct request *a, const struct request *b)
+{
+    return Id_Compare(&a->id, &b->id);
+}
+
+RB_GENERATE_STATIC(service_tree, service, entry, compare_services)
+RB_GENERATE_STATIC(server_tree, server, entry, compare_servers)
+RB_GENERATE_STATIC(request_tree, request, entry, compare_requests)
+
+/* Finds an agent. */
+struct server *
+Dispatch_FindServer(struct dispatch *d, const char *agent)
+{
+    struct server key;
+
+    Str_Copy(key.facts.name, sizeof(key.facts.name), agent);
+    return RB_FIND(server_tree, &d->servers, &key);
+}
+
+/* Finds a request. */
+static struct request *
+find_request(struct dispatch *d, const struct id *id)
+{
+    struct request key = {.id = *id};
+
+    return RB_FIND(request_tree, &d->requests, &key);
+}
+
+/* Finds a service, or adds it. */
+static struct service *
+get_service(struct dispatch *d, const char *name)
+{
+    struct service key, *s;
+
+    Str_Copy(key.name, sizeof(key.name), name);
+    s = RB_FIND(service_tree, &d->services, &key);
+    if (s != NULL) {
+        return s;
+    }
+    s = Mem_Zero(1, sizeof(*s));
+    Str_Copy(s->name, sizeof(s->name), name);
+    s->admission = Admission_New(NULL);
+    s->route = Route_New(NULL);
+    s->retry = Retry_New(NULL);
+    RB_INSERT(service_tree, &d->services, s);
+    return s;
+}
+
+/* Asks for a look at what waits. */
+void
+Dispatch_PumpSoon(struct dispatch *d, struct service *s)
+{
+    struct pump_note *note;
+
+    if (s->pump_posted) {
+        return;
+    }
+    s->pump_posted = true;
+    note = Mem_Zero(1, sizeof(*note));
+    note->service = s;
+    Kernel_Post(&d->task, &note->base, &pump_kind);
+}
+
+/* Sets the timer for the first request that will miss its deadline. */
+static void
+set_expire(struct dispatch *d)
+{
+    int64_t now = Clock_NowMs();
+    int64_t first = -1;
+    struct service *s;
+
+    RB_FOREACH (s, service_tree, &d->services) {
+        int64_t at = Admission_ExpiresAt(s->admission);
+
+        if (at >= 0 && (first < 0 || at < first)) {
+            first = at;
+        }
+    }
+    ev_timer_stop(d->task.kernel->loop, &d->expire);
+    if (first >= 0) {
+        Timer_Set(d->task.kernel->loop, &d->expire,
+                  first > now ? first - now + 1 : 1);
+    }
+}
+
+/* Refuses the queued requests that can't make their deadlines any more. */
+static void
+expire(struct dispatch *d, struct service *s)
+{
+    struct admission_decision why;
+    struct id id;
+
+    while (Admission_Expire(s->admission, Clock_NowMs(), Id_Random64(), &id,
+                            &why) == ERR_OK) {
+        Request_Expire(find_request(d, &id), &why);
+    }
+}
+
+/* Sends what waits, while slots are free. */
+static void
+pump(struct dispatch *d, struct service *s)
+{
+    struct admission_next next;
+
+    expire(d, s);
+    while (Admission_Next(s->admission, Clock_NowMs(), &next) == ERR_OK) {
+        struct request *r = find_request(d, &next.id);
+
+        r->cost_ms = next.cost_ms;
+        if (Request_Send(r) == ERR_BUSY) {
+            Admission_Return(s->admission, &next.id, Clock_NowMs());
+            break;
+        }
+    }
+    set_expire(d);
+}
+
+/* A message of this task to itself. */
+static void
+take_pump(struct task *t, struct message *m)
+{
+    struct service *s = ((struct pump_note *)m)->service;
+
+    s->pump_posted = false;
+    pump((struct dispatch *)t, s);
+}
+
+/* Takes a request off the account and frees it. */
+void
+Dispatch_Drop(struct dispatch *d, struct request *r)
+{
+    struct service *s = r->service;
+
+    if (Admission_Cancel(s->admission, &r->id) != ERR_OK) {
+        Admission_Finished(s->admission, &r->id, 0, false, Clock_NowMs());
+    }
+    RB_REMOVE(request_tree, &d->requests, r);
+    ev_timer_stop(d->task.kernel->loop, &r->timer);
+    Buf_Free(&r->body);
+    free(r);
+    d->open--;
+    Counter_Set(&open_gauge, (int64_t)d->open);
+    Dispatch_PumpSoon(d, s);
+}
+
+static void
+on_request_timer(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    Request_Timer(w->data);
+}
+
+/* Makes a request of an offer. */
+static struct request *
+new_request(struct dispatch *d, struct service *s, struct offer *o,
+            int64_t now)
+{
+    struct request *r = Mem_Zero(1, sizeof(*r));
+
+    r->dispatch = d;
+    r->id = o->id;
+    r->ex = o->ex;
+    r->service = s;
+    Str_Copy(r->organisation, sizeof(r->organisation), o->organisation);
+    Str_Copy(r->class_name, sizeof(r->class_name), o->class_name);
+    Str_Copy(r->content_type, sizeof(r->content_type), o->content_type);
+    r->repeatable = o->repeatable;
+    Buf_Move(&r->body, &o->body);
+    r->accepted_at = now;
+    r->deadline_at = now + o->timeout_ms;
+    ev_init(&r->timer, on_request_timer);
+    r->timer.data = r;
+    RB_INSERT(request_tree, &d->requests, r);
+    d->open++;
+    Counter_Set(&open_gauge, (int64_t)d->open);
+    return r;
+}
+
+/* What admission is to judge. */
+static struct admission_facts
+facts_of(const struct offer *o, int64_t now)
+{
+    return (struct admission_facts){
+        .id = o->id,
+        .organisation = o->organisation,
+        .caller = o->caller[0] != '\0' ? o->caller : NULL,
+        .class_name = o->class_name,
+        .priority = o->priority,
+        .cost_hint_ms = o->cost_hint_ms,
+        .deadline_at = now + o->timeout_ms,
+        .repeatable = o->repeatable,
+    };
+}
+
+/* A refusal by admission: too many of the organisation's own are 429, a
+ * service that is full or short of upstreams is 503. */
+static void
+refuse(const struct offer *o, const struct admission_decision *d)
+{
+    static const bool callers_own[ADMISSION_REASON_COUNT] = {
+        [REFUSE_SHARE_USED] = true,
+        [REFUSE_CALLER_SHARE] = true,
+        [REFUSE_ORG_QUEUE] = true,
+        [REFUSE_CALLER_QUEUE] = true,
+    };
+    char hex[ID_HEX_SIZE];
+
+    LOG_I("request_end", KV("request", Id_Hex(&o->id, hex)),
+          KV("service", o->service), KV("organisation", o->organisation),
+          KV("outcome", "not_run"),
+          KV("reason", Admission_ReasonName(d->reason)),
+          KV_INT("wait_ms", d->wait_ms),
+          KV_INT("retry_after_ms", d->retry_after_ms));
+    Http_ReplyHeader(o->ex, "X-Outcome", "not_run");
+    Front_Refuse(o->ex, callers_own[d->reason] ? 429 : 503, "not_run",
+                 Admission_ReasonName(d->reason), "", d->retry_after_ms,
+                 &o->id);
+}
+
+/* A request comes: admission judges it, and what is admitted waits for its
+ * turn, which may be now. */
+static void
+take_offer(struct task *t, struct message *m)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct offer *o = (struct offer *)m;
+    struct service *s = get_service(d, o->service);
+    int64_t now = Clock_NowMs();
+    struct admission_facts facts = facts_of(o, now);
+    struct admission_decision decision;
+
+    if (t->kernel->draining) {
+        Front_Refuse(o->ex, 503, "not_run", "draining", "", 0, &o->id);
+        return;
+    }
+    Admission_SetWeight(s->admission, o->organisation, o->weight);
+    decision = Admission_Offer(s->admission, &facts, now, Id_Random64());
+    if (decision.verdict == ADMISSION_REFUSE) {
+        refuse(o, &decision);
+        return;
+    }
+    new_request(d, s, o, now);
+    Dispatch_PumpSoon(d, s);
+}
+
+/* The request that an agent's message is about; NULL when it has ended. */
+static struct request *
+concerned(struct dispatch *d, const struct wire_msg *m)
+{
+    static const size_t offsets[WIRE_TYPE_LAST] = {
+        [WIRE_TAKEN] = offsetof(struct wire_taken, request),
+        [WIRE_ANSWER] = offsetof(struct wire_answer, request),
+        [WIRE_WITHDRAWN] = offsetof(struct wire_withdrawn, request),
+        [WIRE_DISPATCH] = offsetof(struct wire_dispatch, request),
+    };
+
+    return find_request(
+        d, (const struct id *)((const char *)m + offsets[m->type]));
+}
+
+/* Tells an agent that it may forget an answer, wanted or not. */
+static void
+say_settled(struct dispatch *d, const struct link_peer *peer,
+            const struct wire_answer *a)
+{
+    struct wire_settled *m = Wire_New(WIRE_SETTLED);
+
+    m->request = a->request;
+    m->attempt = a->attempt;
+    Entry_Say(&d->task, peer, &m->msg, false);
+}
+
+/* What an agent said of a request. */
+static void
+take_inbound(struct task *t, struct message *m)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct inbound *in = (struct inbound *)m;
+    struct request *r = concerned(d, in->m);
+
+    if (in->m->type == WIRE_ANSWER) {
+        say_settled(d, &in->peer, (struct wire_answer *)in->m);
+    }
+    if (r == NULL) {
+        return;
+    }
+    if (in->m->type == WIRE_TAKEN) {
+        Request_Taken(r, (struct wire_taken *)in->m);
+    }
+    else if (in->m->type == WIRE_ANSWER) {
+        Request_Answer(r, (struct wire_answer *)in->m);
+    }
+    else {
+        Request_Withdrawn(r, (struct wire_withdrawn *)in->m);
+    }
+}
+
+/* A dispatch came back from the links task. */
+static void
+take_undelivered(struct task *t, struct message *m)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct undelivered *back = (struct undelivered *)m;
+    struct request *r = concerned(d, back->m);
+
+    if (r != NULL) {
+        Request_Undelivered(r, back->m->type,
+                            ((struct wire_dispatch *)back->m)->attempt);
+    }
+}
+
+/* Enters an agent's services into their routes, or takes them out. */
+static void
+set_routes(struct dispatch *d, const struct member_facts *f, bool in_use)
+{
+    const struct wire_service *list = f->services.items;
+    size_t i;
+
+    for (i = 0; i < f->services.count; i++) {
+        struct service *s = get_service(d, list[i].name);
+        struct route_facts facts = {f->name, f->domain, (int)list[i].slots,
+                                    (int)list[i].connections};
+        int handle = Route_Find(s->route, f->name);
+
+        if (in_use && list[i].healthy) {
+            Route_Upsert(s->route, &facts);
+        }
+        else if (handle != ROUTE_NONE) {
+            f->leaving ? Route_Leaving(s->route, handle)
+                       : Route_Remove(s->route, handle);
+        }
+        Admission_SetCapacity(s->admission, Route_Slots(s->route));
+        Dispatch_PumpSoon(d, s);
+    }
+}
+
+/* Notes what is known of an agent. */
+static struct server *
+set_server(struct dispatch *d, const struct member_facts *f)
+{
+    struct server *s = Dispatch_FindServer(d, f->name);
+
+    if (s == NULL) {
+        s = Mem_Zero(1, sizeof(*s));
+        Str_Copy(s->facts.name, sizeof(s->facts.name), f->name);
+        RB_INSERT(server_tree, &d->servers, s);
+    }
+    s->facts = *f;
+    s->facts.services = (struct wire_list){0};
+    s->facts.parts = (struct wire_list){0};
+    return s;
+}
+
+/* Tells each open request of a change of an agent. */
+static void
+tell_requests(struct dispatch *d, const struct member_note *n)
+{
+    struct request *r, *next;
+
+    RB_FOREACH_SAFE (r, request_tree, &d->requests, next) {
+        if (r->try_count == 0) {
+            continue;
+        }
+        if (n->change == MEMBER_RETURNED) {
+            Request_Resync(r, n->facts.name);
+        }
+        else if (n->change == MEMBER_JOINED) {
+            Request_AgentLost(r, n->facts.name, n->facts.incarnation);
+        }
+        else if (n->change == MEMBER_SILENT) {
+            Request_AgentSilent(r, n->facts.name);
+        }
+    }
+}
+
+/* An agent came, changed, or went. */
+static void
+take_member(struct task *t, struct message *m)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct member_note *n = (struct member_note *)m;
+    struct server *s = set_server(d, &n->facts);
+
+    s->silent = n->change == MEMBER_SILENT || n->change == MEMBER_GONE;
+    set_routes(d, &n->facts, !s->silent && !n->facts.leaving);
+    tell_requests(d, n);
+}
+
+/* The load of an agent's services. */
+static void
+take_load(struct task *t, struct message *m)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct load_note *n = (struct load_note *)m;
+    const struct wire_service *list = n->services.items;
+    const uint64_t *own = n->own.items;
+    size_t i;
+
+    for (i = 0; i < n->services.count; i++) {
+        struct service *s = get_service(d, list[i].name);
+        int handle = Route_Find(s->route, n->name);
+        struct route_report report = {
+            .busy = (int)list[i].busy,
+            .own = i < n->own.count ? (int)own[i] : 0,
+            .connections = (int)list[i].busy,
+        };
+
+        if (handle == ROUTE_NONE) {
+            continue;
+        }
+        Route_Report(s->route, handle, &report, Clock_NowMs());
+        Dispatch_PumpSoon(d, s);
+    }
+}
+
+static const struct {
+    const struct message_kind *kind;
+    void (*take)(struct task *, struct message *);
+} takers[] = {
+    {&pump_kind, take_pump},         {&Entry_Offer, take_offer},
+    {&Entry_Inbound, take_inbound},  {&Entry_Undelivered, take_undelivered},
+    {&Entry_Member, take_member},    {&Entry_Load, take_load},
+};
+
+/* Takes a message by its kind. */
+static void
+dispatch_receive(struct task *t, struct message *m)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(takers); i++) {
+        if (takers[i].kind == m->kind) {
+            takers[i].take(t, m);
+            return;
+        }
+    }
+    Fatal("dispatch got a message of kind %s", m->kind->name);
+}
+
+static void
+on_expire(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct dispatch *d = w->data;
+    struct service *s;
+
+    RB_FOREACH (s, service_tree, &d->services) {
+        expire(d, s);
+    }
+    set_expire(d);
+}
+
+/* True when every request has ended. */
+static bool
+dispatch_drained(const struct task *t)
+{
+    return ((const struct dispatch *)t)->open == 0;
+}
+
+/* The upstreams of a service, for operators. */
+static json_t *
+upstreams_state(const struct route *route)
+{
+    json_t *list = json_array();
+    int64_t now = Clock_NowMs();
+    int i;
+
+    for (i = 0; i < Route_Count(route); i++) {
+        struct route_view v;
+
+        Route_View(route, i, now, &v);
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:s, s:i, s:i, s:I, s:I, s:b, s:b, s:i}", "agent",
+                      v.name, "domain", v.domain, "slots", v.slots,
+                      "outstanding", v.outstanding, "load_milli",
+                      (json_int_t)v.load_milli, "slowness_milli",
+                      (json_int_t)v.slowness_milli, "known", v.known,
+                      "leaving", v.leaving, "health", (int)v.health));
+    }
+    return list;
+}
+
+/* Services and their queues, for operators. */
+static json_t *
+dispatch_state(const struct task *t)
+{
+    struct dispatch *d = (struct dispatch *)(uintptr_t)t;
+    json_t *list = json_array();
+    struct service *s;
+
+    RB_FOREACH (s, service_tree, &d->services) {
+        struct admission_stats a;
+
+        Admission_Stats(s->admission, &a);
+        json_array_append_new(
+            list, json_pack("{s:s, s:i, s:i, s:i, s:I, s:I, s:o}", "service",
+                            s->name, "queued", a.queued, "running", a.running,
+                            "capacity", a.capacity, "queued_ms",
+                            (json_int_t)a.queued_ms, "drain_milli",
+                            (json_int_t)a.drain_milli, "upstreams",
+                            upstreams_state(s->route)));
+    }
+    return json_pack("{s:I, s:o}", "open", (json_int_t)d->open, "services",
+                     list);
+}
+
+/* Frees everything; requests that are open at the end of the drain time get
+ * their answer from the server that closes. */
+static void
+dispatch_free(struct task *t)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct request *r, *rn;
+    struct service *s, *sn;
+    struct server *v, *vn;
+
+    RB_FOREACH_SAFE (r, request_tree, &d->requests, rn) {
+        RB_REMOVE(request_tree, &d->requests, r);
+        ev_timer_stop(t->kernel->loop, &r->timer);
+        Buf_Free(&r->body);
+        free(r);
+    }
+    RB_FOREACH_SAFE (s, service_tree, &d->services, sn) {
+        RB_REMOVE(service_tree, &d->services, s);
+        Admission_Free(s->admission);
+        Route_Free(s->route);
+        Retry_Free(s->retry);
+        free(s);
+    }
+    RB_FOREACH_SAFE (v, server_tree, &d->servers, vn) {
+        RB_REMOVE(server_tree, &d->servers, v);
+        free(v);
+    }
+    ev_timer_stop(t->kernel->loop, &d->expire);
+    free(d);
+}
+
+static const struct task_ops dispatch_ops = {
+    .name = "dispatch",
+    .receive = dispatch_receive,
+    .drained = dispatch_drained,
+    .state = dispatch_state,
+    .free = dispatch_free,
+};
+
+/* Starts with no service known; agents and callers bring them. */
+static int
+start(struct kernel *k)
+{
+    struct dispatch *d = Mem_Zero(1, sizeof(*d));
+
+    d->settings = k->settings;
+    RB_INIT(&d->services);
+    RB_INIT(&d->servers);
+    RB_INIT(&d->requests);
+    Kernel_AddTask(k, &d->task, &dispatch_ops);
+    ev_init(&d->expire, on_expire);
+    d->expire.data = d;
+    Members_Subscribe(k, "dispatch");
+    return ERR_OK;
+}
+
+static struct plugin dispatch_plugin = {.name = "dispatch",
+                                        .rank = 40,
+                                        .start = start};
+KERNEL_PLUGIN(dispatch_plugin)
--- /dev/null
+++ b/packages/entry/entry-front.c
@@ -0,0 +1,272 @@
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static SLIST_HEAD(, front_route) routes = SLIST_HEAD_INITIALIZER(routes);
+
+struct front {
+    struct task task;
+    struct http_server *server;
+    bool draining;
+};
+
+static struct counter requests_total = {"parsleyfall_http_requests_total",
+                                        "HTTP requests.", NULL, COUNTER_TOTAL};
+
+/* Adds a route; called before main. */
+void
+Front_Register(struct front_route *route)
+{
+    SLIST_INSERT_HEAD(&routes, route, entry);
+}
+
+/* True when a path is as the pattern; copies what "*" stands for. */
+static bool
+matches(const char *pattern, const char *path, char *segment, size_t size)
+{
+    const char *star = strchr(pattern, '*');
+    size_t head, len;
+
+    segment[0] = '\0';
+    if (star == NULL) {
+        return strcmp(pattern, path) == 0;
+    }
+    head = (size_t)(star - pattern);
+    if (strncmp(pattern, path, head) != 0) {
+        return false;
+    }
+    len = strcspn(path + head, "/");
+    if (len == 0 || len >= size) {
+        return false;
+    }
+    memcpy(segment, path + head, len);
+    segment[len] = '\0';
+    return strcmp(star + 1, path + head + len) == 0;
+}
+
+/* Replies with JSON and drops the value. */
+void
+Front_ReplyJson(struct http_exchange *ex, int status, json_t *value)
+{
+    char *text = json_dumps(value, JSON_INDENT(1));
+    struct buf b CLEANUP(Buf_Free) = {0};
+
+    Buf_AppendStr(&b, text);
+    Buf_AppendStr(&b, "\n");
+    Http_Reply(ex, status, "application/json", b.data, b.len);
+    free(text);
+    json_decref(value);
+}
+
+/* Replies with a refusal that every path gives in the same shape. */
+void
+Front_Refuse(struct http_exchange *ex, int status, const char *outcome,
+             const char *reason, const char *detail, int64_t retry_after_ms,
+             const struct id *request)
+{
+    json_t *o = json_pack("{s:s, s:s, s:s}", "outcome", outcome, "reason",
+                          reason, "detail", detail);
+    char hex[ID_HEX_SIZE];
+
+    if (retry_after_ms >= 0) {
+        struct buf seconds CLEANUP(Buf_Free) = {0};
+
+        json_object_set_new(o, "retry_after_ms",
+                            json_integer(retry_after_ms));
+        Buf_Printf(&seconds, "%lld",
+                   (long long)(retry_after_ms + 999) / 1000);
+        Http_ReplyHeader(ex, "Retry-After", seconds.data);
+    }
+    if (request != NULL) {
+        Id_Hex(request, hex);
+        json_object_set_new(o, "request_id", json_string(hex));
+        Http_ReplyHeader(ex, "X-Request-Id", hex);
+    }
+    Front_ReplyJson(ex, status, o);
+}
+
+/* Hands a request to the task of its route. */
+static void
+hand_on(struct front *f, const struct front_route *r, struct http_exchange *ex,
+        const char *segment)
+{
+    struct http_note *note = Mem_Zero(1, sizeof(*note));
+    struct task *t = Kernel_FindTask(f->task.kernel, r->task);
+
+    if (t == NULL) {
+        Fatal("route %s belongs to no task", r->path);
+    }
+    note->route = r;
+    note->ex = ex;
+    Str_Copy(note->segment, sizeof(note->segment), segment);
+    Kernel_Post(t, &note->base, &Entry_Http);
+}
+
+/* Calls the handler of a route, in the task that it belongs to. */
+bool
+Front_Handle(struct task *t, struct message *m)
+{
+    struct http_note *note = (struct http_note *)m;
+
+    if (m->kind != &Entry_Http) {
+        return false;
+    }
+    note->route->handle(t, note->ex, note->segment);
+    return true;
+}
+
+/* Finds the route of a request. */
+static void
+on_request(void *arg, struct http_exchange *ex)
+{
+    struct front *f = arg;
+    struct front_route *r;
+    bool path_known = false;
+    char segment[WIRE_TEXT_SIZE];
+
+    Counter_Add(&requests_total, 1);
+    SLIST_FOREACH (r, &routes, entry) {
+        if (!matches(r->path, Http_Path(ex), segment, sizeof(segment))) {
+            continue;
+        }
+        path_known = true;
+        if (strcmp(r->method, Http_Method(ex)) == 0) {
+            hand_on(f, r, ex, segment);
+            return;
+        }
+    }
+    Front_Refuse(ex, path_known ? 405 : 404, "not_run",
+                 path_known ? "method_not_allowed" : "no_such_path",
+                 Http_Path(ex), -1, NULL);
+}
+
+/* Takes no new connections. */
+static void
+front_drain(struct task *t)
+{
+    struct front *f = (struct front *)t;
+
+    f->draining = true;
+    Http_ServerQuiesce(f->server);
+}
+
+/* True when every reply has been sent. */
+static bool
+front_drained(const struct task *t)
+{
+    return Http_ServerOpen(((const struct front *)t)->server) == 0;
+}
+
+/* Closes the server. */
+static void
+front_free(struct task *t)
+{
+    struct front *f = (struct front *)t;
+
+    Http_ServerFree(f->server);
+    free(f);
+}
+
+/* Its own routes are all that it is told of. */
+static void
+front_receive(struct task *t, struct message *m)
+{
+    Front_Handle(t, m);
+}
+
+static const struct task_ops front_ops = {
+    .name = "front",
+    .receive = front_receive,
+    .drain = front_drain,
+    .drained = front_drained,
+    .free = front_free,
+};
+
+/* The port that callers connect to. */
+int
+Front_Port(struct kernel *k)
+{
+    return Http_ServerPort(
+        ((struct front *)Kernel_FindTask(k, "front"))->server);
+}
+
+/* GET /healthz: the process answers. */
+static void
+healthz(struct task *t UNUSED, struct http_exchange *ex,
+        const char *segment UNUSED)
+{
+    Http_Reply(ex, 200, "text/plain", "ok\n", 3);
+}
+
+/* GET /readyz: the balancer may send callers here. */
+static void
+readyz(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
+{
+    if (t->kernel->draining) {
+        Front_Refuse(ex, 503, "not_run", "draining", "", -1, NULL);
+        return;
+    }
+    Http_Reply(ex, 200, "text/plain", "ready\n", 6);
+}
+
+/* GET /metrics */
+static void
+metrics(struct task *t UNUSED, struct http_exchange *ex,
+        const char *segment UNUSED)
+{
+    struct buf b CLEANUP(Buf_Free) = {0};
+
+    Counter_Render(&b);
+    Http_Reply(ex, 200, "text/plain; version=0.0.4", b.data, b.len);
+}
+
+static struct front_route healthz_route = {"GET", "/healthz", "front", healthz, {0}};
+static struct front_route readyz_route = {"GET", "/readyz", "front", readyz, {0}};
+/* GET /v1/state: everything that this process knows. */
+static void
+state(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
+{
+    Front_ReplyJson(ex, 200, Kernel_State(t->kernel));
+}
+
+static struct front_route state_route = {"GET", "/v1/state", "front", state,
+                                         {0}};
+FRONT_ROUTE(state_route)
+static struct front_route metrics_route = {"GET", "/metrics", "front", metrics, {0}};
+FRONT_ROUTE(healthz_route)
+FRONT_ROUTE(readyz_route)
+FRONT_ROUTE(metrics_route)
+
+/* Listens for callers, last of all, when everything behind it is there. */
+static int
+start(struct kernel *k)
+{
+    const struct entry_settings *s = k->settings;
+    struct http_limits limits = {
+        .body_bytes = (size_t)s->limits.body_bytes,
+        .header_bytes = (size_t)s->limits.header_bytes,
+        .connections = (unsigned)s->limits.connections,
+        .idle_ms = s->limits.idle_ms,
+    };
+    struct front *f = Mem_Zero(1, sizeof(*f));
+
+    f->server = Http_ServerNew(k->loop, s->listen.address,
+                               (int)s->listen.http_port, &limits, on_request,
+                               f);
+    if (f->server == NULL) {
+        LOG_E("listen_failed", KV("address", s->listen.address),
+              KV_INT("http", s->listen.http_port));
+        free(f);
+        return ERR_IO;
+    }
+    Kernel_AddTask(k, &f->task, &front_ops);
+    LOG_I("listening", KV("address", s->listen.address),
+          KV_INT("http", Front_Port(k)), KV("links", Links_Address(k)));
+    return ERR_OK;
+}
+
+static struct plugin front_plugin = {.name = "front",
+                                     .rank = 90,
+                                     .start = start};
+KERNEL_PLUGIN(front_plugin)
--- /dev/null
+++ b/packages/entry/entry-members.c
@@ -0,0 +1,521 @@
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 200
+#define SILENT_BEATS 3
+#define SILENT_EXTRA_MS 500
+#define FORGET_MS 600000 /* an agent silent for so long is dropped */
+#define SUBSCRIBERS_MAX 8
+
+/* Pace of beats. An agent beats to every entry, and 780 of them a second
+ * apart would cost an entry about 200 KB/s, over twenty times its budget of
+ * 9 KB/s for control. So each entry sets the pace itself: one half of its
+ * beats is for the agents whose home it is, the other half for all others. What can't wait for a beat (leaving, answers)
+ * is told at once. Figures: docs/CAPACITY.md. */
+#define BEATS_PER_S 20
+#define HOME_BEAT_MS 1000
+#define PACE_MAX_MS 60000
+
+/* An agent. */
+struct member {
+    struct member_facts facts;
+    int64_t heard_at;
+    int64_t pace_ms;
+    uint64_t beats;
+    bool silent;
+    RB_ENTRY(member) entry;
+};
+
+RB_HEAD(member_tree, member);
+
+struct members {
+    struct task task;
+    const struct entry_settings *settings;
+    struct member_tree tree;
+    int count; /* not silent */
+    const char *subscribers[SUBSCRIBERS_MAX];
+    int subscriber_count;
+    struct peer_entry *entries;
+    size_t entry_count;
+    bool draining;
+    ev_timer tick;
+};
+
+static struct counter known_gauge = {"parsleyfall_entry_agents",
+                                     "Agents that are heard.", NULL,
+                                     COUNTER_GAUGE};
+static struct counter silent_total = {"parsleyfall_entry_agents_silent_total",
+                                      "Agents that fell silent.", NULL,
+                                      COUNTER_TOTAL};
+
+/* Order of the tree: by name. */
+static int
+compare(const struct member *a, const struct member *b)
+{
+    return strcmp(a->facts.name, b->facts.name);
+}
+
+RB_GENERATE_STATIC(member_tree, member, entry, compare)
+
+/* Finds an agent by its name. */
+static struct member *
+find(struct members *s, const char *name)
+{
+    struct member key;
+
+    Str_Copy(key.facts.name, sizeof(key.facts.name), name);
+    return RB_FIND(member_tree, &s->tree, &key);
+}
+
+/* Finds an agent by its connection and incarnation. */
+static struct member *
+find_peer(struct members *s, const struct link_peer *peer,
+          uint64_t incarnation)
+{
+    struct member *m;
+
+    RB_FOREACH (m, member_tree, &s->tree) {
+        if (m->facts.incarnation == incarnation &&
+            Link_SamePeer(&m->facts.peer, peer)) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+/* Copies a list of plain items. */
+static struct wire_list
+copy_list(const struct wire_list *src, size_t size)
+{
+    struct wire_list dst = {Mem_Alloc(src->count * size), src->count};
+
+    if (src->count > 0) {
+        memcpy(dst.items, src->items, src->count * size);
+    }
+    return dst;
+}
+
+/* Tells the subscribers of a change. */
+static void
+tell(struct members *s, const struct member *m, enum member_change change)
+{
+    int i;
+
+    LOG_I("member", KV("agent", m->facts.name),
+          KV("change", Entry_ChangeName(change)),
+          KV_INT("incarnation", m->facts.incarnation),
+          KV("domain", m->facts.domain));
+    Counter_Set(&known_gauge, s->count);
+    for (i = 0; i < s->subscriber_count; i++) {
+        struct task *t = Kernel_FindTask(s->task.kernel, s->subscribers[i]);
+        struct member_note *note;
+
+        if (t == NULL) {
+            continue;
+        }
+        note = Mem_Zero(1, sizeof(*note));
+        note->change = change;
+        note->facts = m->facts;
+        note->facts.services =
+            copy_list(&m->facts.services, sizeof(struct wire_service));
+        note->facts.parts =
+            copy_list(&m->facts.parts, sizeof(struct wire_part));
+        Kernel_Post(t, &note->base, &Entry_Member);
+    }
+}
+
+/* The entry of the agent's region that ranks first for it; all agents and
+ * entries that know the same list come to the same one. */
+static bool
+is_home(const struct members *s, const struct member *m)
+{
+    const struct entry_settings *own = s->settings;
+    uint64_t seed = Hash_Str(m->facts.name, 0);
+    uint64_t mine = Hash_Str(own->name, seed);
+    size_t i;
+
+    if (strcmp(own->region, m->facts.region) != 0) {
+        return false;
+    }
+    for (i = 0; i < s->entry_count; i++) {
+        if (strcmp(s->entries[i].region, m->facts.region) == 0 &&
+            Hash_Str(s->entries[i].name, seed) > mine) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* How often an agent is asked to beat: within the budget, and never so
+ * seldom that its silence goes unseen for minutes. */
+static int64_t
+pace(const struct members *s, const struct member *m)
+{
+    int64_t even = (int64_t)s->count * 2000 / BEATS_PER_S;
+
+    if (is_home(s, m) && s->entry_count > 0) {
+        even /= (int64_t)s->entry_count;
+    }
+    if (even < HOME_BEAT_MS) {
+        return HOME_BEAT_MS;
+    }
+    return even < PACE_MAX_MS ? even : PACE_MAX_MS;
+}
+
+/* Answers a hello or a beat. The list of entries goes with hellos only. */
+static void
+welcome(struct members *s, const struct link_peer *peer, struct member *m,
+        uint64_t seq)
+{
+    struct wire_welcome *w = Wire_New(WIRE_WELCOME);
+    size_t i;
+
+    Str_Copy(w->entry, sizeof(w->entry), s->settings->name);
+    w->incarnation = Entry_Incarnation();
+    w->seq = seq;
+    w->draining = s->draining;
+    w->known = m != NULL;
+    if (m != NULL) {
+        m->pace_ms = pace(s, m);
+        w->beat_ms = m->pace_ms;
+    }
+    for (i = 0; i < s->entry_count && seq == 0; i++) {
+        struct wire_entry *e =
+            Wire_ListAdd(&w->entries, sizeof(struct wire_entry));
+
+        Str_Copy(e->name, sizeof(e->name), s->entries[i].name);
+        Str_Copy(e->address, sizeof(e->address), s->entries[i].links);
+        Str_Copy(e->region, sizeof(e->region), s->entries[i].region);
+    }
+    Entry_Say(&s->task, peer, &w->msg, false);
+}
+
+/* Takes the facts of a hello. */
+static void
+set_facts(struct member *m, const struct wire_hello *h,
+          const struct link_peer *peer, int64_t now)
+{
+    struct member_facts *f = &m->facts;
+    int64_t offset = h->agent_clock - now;
+
+    if (f->incarnation != h->incarnation || offset > f->clock_offset) {
+        f->clock_offset = offset;
+    }
+    f->incarnation = h->incarnation;
+    f->peer = *peer;
+    Str_Copy(f->region, sizeof(f->region), h->region);
+    Str_Copy(f->domain, sizeof(f->domain), h->domain);
+    Str_Copy(f->rack, sizeof(f->rack), h->rack);
+    f->accelerators = h->accelerators <= 64 ? (int)h->accelerators : 64;
+    f->leaving = h->leaving != 0;
+    free(f->services.items);
+    free(f->parts.items);
+    f->services = copy_list(&h->services, sizeof(struct wire_service));
+    f->parts = copy_list(&h->parts, sizeof(struct wire_part));
+}
+
+/* What a hello changes about an agent. */
+static enum member_change
+hello_change(const struct member *m, const struct wire_hello *h,
+             const struct link_peer *peer)
+{
+    if (m->facts.incarnation != h->incarnation) {
+        return MEMBER_JOINED;
+    }
+    if (m->silent || !Link_SamePeer(&m->facts.peer, peer)) {
+        return MEMBER_RETURNED;
+    }
+    return MEMBER_CHANGED;
+}
+
+/* Adds an agent that was not known. */
+static struct member *
+add(struct members *s, const char *name)
+{
+    struct member *m = Mem_Zero(1, sizeof(*m));
+
+    Str_Copy(m->facts.name, sizeof(m->facts.name), name);
+    m->silent = true;
+    RB_INSERT(member_tree, &s->tree, m);
+    return m;
+}
+
+/* A word from an agent. */
+static void
+mark_heard(struct members *s, struct member *m, int64_t now)
+{
+    m->heard_at = now;
+    if (m->silent) {
+        m->silent = false;
+        s->count++;
+    }
+}
+
+/* An agent says who it is. */
+static void
+take_hello(struct members *s, const struct link_peer *peer,
+           const struct wire_msg *msg)
+{
+    const struct wire_hello *h = (const struct wire_hello *)msg;
+    struct member *m = find(s, h->agent);
+    int64_t now = Clock_NowMs();
+    enum member_change change = MEMBER_JOINED;
+
+    if (!Str_IsName(h->agent) || h->incarnation == 0) {
+        LOG_W("bad_hello", KV("agent", h->agent));
+        return;
+    }
+    if (m == NULL) {
+        m = add(s, h->agent);
+    }
+    else {
+        change = hello_change(m, h, peer);
+    }
+    set_facts(m, h, peer, now);
+    mark_heard(s, m, now);
+    tell(s, m, change);
+    if (m->facts.leaving) {
+        tell(s, m, MEMBER_LEAVING);
+    }
+    welcome(s, peer, m, 0);
+}
+
+/* Enters the busy slots of a beat, which come in the order of the hello. */
+static void
+set_busy(struct wire_list *services, const struct wire_list *busy)
+{
+    struct wire_service *list = services->items;
+    const uint64_t *n = busy->items;
+    size_t i;
+
+    for (i = 0; i < services->count && i < busy->count; i++) {
+        list[i].busy = n[i];
+    }
+}
+
+/* Tells dispatch of the load. */
+static void
+tell_load(struct members *s, const struct member *m, const struct wire_beat *b)
+{
+    struct task *t = Kernel_FindTask(s->task.kernel, "dispatch");
+    struct load_note *note;
+
+    if (t == NULL) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    Str_Copy(note->name, sizeof(note->name), m->facts.name);
+    note->incarnation = m->facts.incarnation;
+    note->services =
+        copy_list(&m->facts.services, sizeof(struct wire_service));
+    note->own = copy_list(&b->own, sizeof(uint64_t));
+    set_busy(&note->services, &b->busy);
+    Kernel_Post(t, &note->base, &Entry_Load);
+}
+
+/* An agent is still there. One that isn't known on this connection (this
+ * entry restarted, or forgot it) is asked for a hello. */
+static void
+take_beat(struct members *s, const struct link_peer *peer,
+          const struct wire_msg *msg)
+{
+    const struct wire_beat *b = (const struct wire_beat *)msg;
+    struct member *m = find_peer(s, peer, b->incarnation);
+    int64_t now = Clock_NowMs();
+    bool was_silent;
+
+    if (m == NULL) {
+        welcome(s, peer, NULL, b->seq);
+        return;
+    }
+    was_silent = m->silent;
+    mark_heard(s, m, now);
+    m->beats++;
+    if (b->agent_clock - now > m->facts.clock_offset) {
+        m->facts.clock_offset = b->agent_clock - now;
+    }
+    if (was_silent) {
+        tell(s, m, MEMBER_RETURNED);
+    }
+    if (b->leaving && !m->facts.leaving) {
+        m->facts.leaving = true;
+        tell(s, m, MEMBER_LEAVING);
+    }
+    tell_load(s, m, b);
+    welcome(s, peer, m, b->seq);
+}
+
+/* An agent wants nothing new. */
+static void
+take_leave(struct members *s, const struct link_peer *peer,
+           const struct wire_msg *msg)
+{
+    const struct wire_leave *l = (const struct wire_leave *)msg;
+    struct member *m = find_peer(s, peer, l->incarnation);
+
+    if (m != NULL && !m->facts.leaving) {
+        m->facts.leaving = true;
+        tell(s, m, MEMBER_LEAVING);
+    }
+}
+
+static const struct {
+    enum wire_type type;
+    void (*take)(struct members *, const struct link_peer *,
+                 const struct wire_msg *);
+} speakers[] = {
+    {WIRE_HELLO, take_hello}, {WIRE_BEAT, take_beat}, {WIRE_LEAVE, take_leave}};
+
+/* Notes the list of entries, for welcomes. */
+static void
+take_peers(struct members *s, struct peers_note *note)
+{
+    free(s->entries);
+    s->entries = note->entries;
+    s->entry_count = note->count;
+    note->entries = NULL;
+}
+
+/* Takes what agents said, and the list of entries. */
+static void
+members_receive(struct task *t, struct message *m)
+{
+    struct members *s = (struct members *)t;
+    struct inbound *in = (struct inbound *)m;
+    size_t i;
+
+    if (m->kind == &Entry_Peers) {
+        take_peers(s, (struct peers_note *)m);
+        return;
+    }
+    for (i = 0; i < COUNT_OF(speakers); i++) {
+        if (speakers[i].type == in->m->type) {
+            speakers[i].take(s, &in->peer, in->m);
+            return;
+        }
+    }
+}
+
+/* Frees an agent's record. */
+static void
+drop(struct members *s, struct member *m)
+{
+    RB_REMOVE(member_tree, &s->tree, m);
+    free(m->facts.services.items);
+    free(m->facts.parts.items);
+    free(m);
+}
+
+/* Finds the agents that have fallen silent. */
+static void
+on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct members *s = w->data;
+    int64_t now = Clock_NowMs();
+    struct member *m, *next;
+
+    RB_FOREACH_SAFE (m, member_tree, &s->tree, next) {
+        int64_t quiet = now - m->heard_at;
+
+        if (!m->silent &&
+            quiet > SILENT_BEATS * m->pace_ms + SILENT_EXTRA_MS) {
+            m->silent = true;
+            s->count--;
+            Counter_Add(&silent_total, 1);
+            tell(s, m, MEMBER_SILENT);
+        }
+        if (m->silent && quiet > FORGET_MS) {
+            tell(s, m, MEMBER_GONE);
+            drop(s, m);
+        }
+    }
+}
+
+/* Welcomes say from now on that this entry drains. */
+static void
+members_drain(struct task *t)
+{
+    ((struct members *)t)->draining = true;
+}
+
+/* The agents, for operators. */
+static json_t *
+members_state(const struct task *t)
+{
+    struct members *s = (struct members *)(uintptr_t)t;
+    json_t *list = json_array();
+    int64_t now = Clock_NowMs();
+    struct member *m;
+
+    RB_FOREACH (m, member_tree, &s->tree) {
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:I, s:I, s:I}", "name",
+                      m->facts.name, "region", m->facts.region, "domain",
+                      m->facts.domain, "rack", m->facts.rack, "accelerators",
+                      m->facts.accelerators, "state",
+                      m->silent          ? "silent"
+                      : m->facts.leaving ? "leaving"
+                                         : "up",
+                      "heard_ms", (json_int_t)(now - m->heard_at), "pace_ms",
+                      (json_int_t)m->pace_ms, "beats", (json_int_t)m->beats));
+    }
+    return json_pack("{s:i, s:o}", "heard", s->count, "agents", list);
+}
+
+/* Frees all records. */
+static void
+members_free(struct task *t)
+{
+    struct members *s = (struct members *)t;
+    struct member *m, *next;
+
+    RB_FOREACH_SAFE (m, member_tree, &s->tree, next) {
+        drop(s, m);
+    }
+    ev_timer_stop(t->kernel->loop, &s->tick);
+    free(s->entries);
+    free(s);
+}
+
+static const struct task_ops members_ops = {
+    .name = "members",
+    .receive = members_receive,
+    .drain = members_drain,
+    .state = members_state,
+    .free = members_free,
+};
+
+/* Notes that a task wants to hear of changes. */
+void
+Members_Subscribe(struct kernel *k, const char *task)
+{
+    struct members *s = (struct members *)Kernel_FindTask(k, "members");
+
+    if (s->subscriber_count == SUBSCRIBERS_MAX) {
+        Fatal("too many subscribers to members");
+    }
+    s->subscribers[s->subscriber_count++] = task;
+}
+
+/* Starts with no agent known. */
+static int
+start(struct kernel *k)
+{
+    struct members *s = Mem_Zero(1, sizeof(*s));
+
+    s->settings = k->settings;
+    RB_INIT(&s->tree);
+    Kernel_AddTask(k, &s->task, &members_ops);
+    ev_init(&s->tick, on_tick);
+    s->tick.data = s;
+    Timer_Every(k->loop, &s->tick, TICK_MS);
+    return ERR_OK;
+}
+
+static struct plugin members_plugin = {.name = "members",
+                                       .rank = 20,
+                                       .start = start};
+KERNEL_PLUGIN(members_plugin)
--- /dev/null
+++ b/packages/entry/entry-reply.c
@@ -0,0 +1,74 @@
+#include "entry-dispatch.h"
+
+#include <stdio.h>
+
+static struct counter answered_total = {
+    "parsleyfall_requests_total", "Requests by outcome.",
+    "outcome=\"answered\"", COUNTER_TOTAL};
+static struct counter not_run_total = {"parsleyfall_requests_total",
+                                       "Requests by outcome.",
+                                       "outcome=\"not_run\"", COUNTER_TOTAL};
+static struct counter unknown_total = {"parsleyfall_requests_total",
+                                       "Requests by outcome.",
+                                       "outcome=\"unknown\"", COUNTER_TOTAL};
+static struct counter answer_ms = {
+    "parsleyfall_request_ms", "Time from acceptance to the whole answer.",
+    NULL, COUNTER_LATENCY};
+
+/* One line for the end of a request. */
+static void
+log_end(const struct request *r, const char *outcome, const char *reason)
+{
+    char hex[ID_HEX_SIZE];
+
+    LOG_I("request_end", KV("request", Id_Hex(&r->id, hex)),
+          KV("service", r->service->name), KV("organisation", r->organisation),
+          KV("outcome", outcome), KV("reason", reason),
+          KV_INT("attempts", r->try_count),
+          KV_INT("ms", Clock_NowMs() - r->accepted_at));
+}
+
+/* The upstream's answer, whole, as it came. */
+void
+Request_ReplyAnswer(struct request *r, const struct wire_answer *m)
+{
+    char hex[ID_HEX_SIZE], attempt[24];
+
+    Counter_Add(&answered_total, 1);
+    Counter_Observe(&answer_ms, Clock_NowMs() - r->accepted_at);
+    log_end(r, "answered", "answered");
+    snprintf(attempt, sizeof(attempt), "%llu",
+             (unsigned long long)m->attempt);
+    Http_ReplyHeader(r->ex, "X-Request-Id", Id_Hex(&r->id, hex));
+    Http_ReplyHeader(r->ex, "X-Attempt", attempt);
+    Http_ReplyHeader(r->ex, "X-Outcome", "answered");
+    Http_Reply(r->ex, (int)m->status, m->content_type, m->body.data,
+               m->body.len);
+    Dispatch_Drop(r->dispatch, r);
+}
+
+/* It has not run and will not; said at once, with a time to come back. */
+void
+Request_ReplyNotRun(struct request *r, int status, const char *reason,
+                    const char *detail, int64_t retry_after_ms)
+{
+    Counter_Add(&not_run_total, 1);
+    log_end(r, "not_run", reason);
+    Http_ReplyHeader(r->ex, "X-Outcome", "not_run");
+    Front_Refuse(r->ex, status, "not_run", reason, detail, retry_after_ms,
+                 &r->id);
+    Dispatch_Drop(r->dispatch, r);
+}
+
+/* Nobody can say whether it ran. Not to be asked again blindly, so there is
+ * no time to come back. */
+void
+Request_ReplyUnknown(struct request *r, const char *reason)
+{
+    Counter_Add(&unknown_total, 1);
+    log_end(r, "unknown", reason);
+    Http_ReplyHeader(r->ex, "X-Outcome", "unknown");
+    Front_Refuse(r->ex, 504, "unknown", reason,
+                 "the request may have run; its answer is lost", -1, &r->id);
+    Dispatch_Drop(r->dispatch, r);
+}
--- /dev/null
+++ b/packages/entry/entry-request.c
@@ -0,0 +1,522 @@
+#include "entry-dispatch.h"
+
+#include <string.h>
+
+#define ACCEPT_MS 1000   /* an agent says taken or refused within this */
+#define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
+#define LATE_MS 250      /* an answer may be this late after the deadline */
+#define REFUSED_RETRY_MS 250
+
+/* How an attempt that ended counts for its upstream. */
+static void
+settle(struct request *r, struct try *t, enum route_outcome outcome)
+{
+    int64_t now = Clock_NowMs();
+
+    if (t->state == TRY_OVER) {
+        return;
+    }
+    t->state = TRY_OVER;
+    Route_Settled(r->service->route, t->handle, outcome, now - t->sent_at,
+                  r->cost_ms, now);
+}
+
+/* The attempt of that number, or NULL. */
+static struct try *
+find_try(struct request *r, uint64_t number)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        if (r->tries[i].number == number) {
+            return &r->tries[i];
+        }
+    }
+    return NULL;
+}
+
+/* True when an attempt is still out. */
+static bool
+any_out(const struct request *r)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        if (r->tries[i].state != TRY_OVER) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* True when an attempt that is over may have run. */
+static bool
+any_may_have_run(const struct request *r)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        if (r->tries[i].may_run) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sets the timer of the request to what is due next. */
+static void
+set_timer(struct request *r)
+{
+    int64_t now = Clock_NowMs();
+    int64_t due = r->deadline_at + LATE_MS;
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        const struct try *t = &r->tries[i];
+        int64_t at = t->sent_at + ACCEPT_MS;
+
+        if (t->state == TRY_ASKING) {
+            at = now + ASK_AGAIN_MS;
+        }
+        if ((t->state == TRY_SENT || t->state == TRY_ASKING) && at < due) {
+            due = at;
+        }
+    }
+    Timer_Set(r->dispatch->task.kernel->loop, &r->timer,
+              due > now ? due - now : 0);
+}
+
+/* Asks the agent of an attempt not to start it any more. */
+static void
+withdraw(struct request *r, struct try *t)
+{
+    struct server *s = Dispatch_FindServer(r->dispatch, t->agent);
+    struct wire_withdraw *m;
+
+    if (t->state == TRY_SENT) {
+        t->state = TRY_ASKING;
+    }
+    if (s == NULL) {
+        return;
+    }
+    m = Wire_New(WIRE_WITHDRAW);
+    m->request = r->id;
+    m->attempt = t->number;
+    m->incarnation = t->incarnation;
+    m->not_after = t->not_after;
+    Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, false);
+}
+
+/* Withdraws whatever is still out, as the caller has its final answer. */
+static void
+withdraw_all(struct request *r)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        if (r->tries[i].state != TRY_OVER) {
+            withdraw(r, &r->tries[i]);
+            settle(r, &r->tries[i], ROUTE_WITHDRAWN);
+        }
+    }
+}
+
+/* The handles that were tried, for routing to avoid. */
+static int
+tried(const struct request *r, int *handles)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        handles[i] = r->tries[i].handle;
+    }
+    return r->try_count;
+}
+
+/* Records a new attempt at an agent. */
+static struct try *
+new_try(struct request *r, int handle, const struct server *s, int64_t now)
+{
+    struct try *t = &r->tries[r->try_count];
+
+    *t = (struct try){.number = (uint64_t)++r->try_count,
+                      .handle = handle,
+                      .incarnation = s->facts.incarnation,
+                      .not_after = r->deadline_at + s->facts.clock_offset,
+                      .sent_at = now,
+                      .state = TRY_SENT,
+                      .may_run = true};
+    Str_Copy(t->agent, sizeof(t->agent), s->facts.name);
+    return t;
+}
+
+/* Sends an attempt to its agent. */
+static void
+send_try(struct request *r, const struct try *t, const struct server *s)
+{
+    struct wire_dispatch *m = Wire_New(WIRE_DISPATCH);
+    char hex[ID_HEX_SIZE];
+
+    m->request = r->id;
+    m->attempt = t->number;
+    m->incarnation = t->incarnation;
+    m->not_after = t->not_after;
+    m->timeout_ms = r->deadline_at - t->sent_at;
+    m->repeatable = r->repeatable;
+    Str_Copy(m->service, sizeof(m->service), r->service->name);
+    Str_Copy(m->content_type, sizeof(m->content_type), r->content_type);
+    Buf_Append(&m->body, r->body.data, r->body.len);
+    LOG_I("dispatch", KV("request", Id_Hex(&r->id, hex)),
+          KV_INT("attempt", t->number), KV("agent", t->agent));
+    Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, true);
+}
+
+/* Picks an upstream and sends the request there. */
+int
+Request_Send(struct request *r)
+{
+    struct route *route = r->service->route;
+    int avoid[TRIES_MAX];
+    struct route_request want = {
+        .domain = r->dispatch->settings->failure_domain,
+        .expected_ms = r->cost_ms,
+        .repeatable = r->repeatable,
+        .avoid = avoid,
+        .avoid_count = tried(r, avoid),
+    };
+    int64_t now = Clock_NowMs();
+    struct route_decision d = Route_Pick(route, &want, now, Id_Random64());
+    struct server *s;
+    struct try *t;
+
+    if (d.handle == ROUTE_NONE) {
+        if (d.reason == ROUTE_NONE_FREE) {
+            return ERR_BUSY;
+        }
+        Request_ReplyNotRun(r, 503, Route_ReasonName(d.reason), "",
+                            REFUSED_RETRY_MS);
+        return ERR_OK;
+    }
+    s = Dispatch_FindServer(r->dispatch, Route_Name(route, d.handle));
+    if (s == NULL) {
+        Fatal("route names an agent that is not known: %s",
+              Route_Name(route, d.handle));
+    }
+    t = new_try(r, d.handle, s, now);
+    r->state = REQUEST_OUT;
+    Route_Sent(route, d.handle, now);
+    send_try(r, t, s);
+    set_timer(r);
+    return ERR_OK;
+}
+
+/* The facts of a retry decision for this request as it stands. */
+static struct retry_facts
+retry_facts(const struct request *r, enum retry_cause cause, bool started)
+{
+    return (struct retry_facts){
+        .cause = cause,
+        .repeatable = r->repeatable,
+        .started = started,
+        .attempts = r->try_count,
+        .sent_at = r->tries[r->try_count - 1].sent_at,
+        .deadline_at = r->deadline_at,
+        .expected_ms = r->cost_ms,
+    };
+}
+
+/* True when the request may be sent once more. */
+static bool
+may_retry(struct request *r, enum retry_cause cause, bool started)
+{
+    struct retry_facts facts = retry_facts(r, cause, started);
+    struct retry_decision d =
+        Retry_Ask(r->service->retry, &facts, Clock_NowMs());
+    char hex[ID_HEX_SIZE];
+
+    LOG_I("retry", KV("request", Id_Hex(&r->id, hex)),
+          KV("reason", Retry_ReasonName(d.reason)),
+          KV_INT("allowed", d.allowed));
+    return d.allowed && r->try_count < TRIES_MAX;
+}
+
+/* Puts a request back to the head of its queue, to be sent elsewhere. */
+static void
+requeue(struct request *r)
+{
+    struct service *s = r->service;
+
+    ev_timer_stop(r->dispatch->task.kernel->loop, &r->timer);
+    r->state = REQUEST_QUEUED;
+    if (Admission_Return(s->admission, &r->id, Clock_NowMs()) != ERR_OK) {
+        Fatal("a request that was out is not on the account of admission");
+    }
+    Dispatch_PumpSoon(r->dispatch, s);
+}
+
+/* An attempt is over and did not run. Unless another one is out, the request
+ * goes elsewhere or ends as not run; but where an earlier attempt may have
+ * run, the outcome is unknown. */
+static void
+after_not_run(struct request *r, enum retry_cause cause, const char *reason,
+              int64_t retry_after_ms)
+{
+    bool may_have_run = any_may_have_run(r);
+
+    if (any_out(r)) {
+        set_timer(r);
+        return;
+    }
+    if (may_retry(r, cause, may_have_run)) {
+        requeue(r);
+        return;
+    }
+    if (may_have_run) {
+        Request_ReplyUnknown(r, reason);
+        return;
+    }
+    Request_ReplyNotRun(r, 503, reason, "no upstream took it",
+                        retry_after_ms);
+}
+
+/* An attempt is over and may have run. Only a request that may be repeated
+ * is sent again; another gets its final answer at once. */
+static void
+after_unknown(struct request *r, const char *reason)
+{
+    if (any_out(r)) {
+        set_timer(r);
+        return;
+    }
+    if (may_retry(r, RETRY_FAILED, true)) {
+        requeue(r);
+        return;
+    }
+    Request_ReplyUnknown(r, reason);
+}
+
+/* An agent has taken the request or refused it before anything started. */
+void
+Request_Taken(struct request *r, const struct wire_taken *m)
+{
+    struct try *t = find_try(r, m->attempt);
+
+    if (t == NULL || t->state == TRY_OVER) {
+        return;
+    }
+    if (m->taken) {
+        t->state = TRY_TAKEN;
+        set_timer(r);
+        return;
+    }
+    t->may_run = false;
+    settle(r, t, ROUTE_REFUSED);
+    after_not_run(r, RETRY_REFUSED, m->reason, m->retry_after_ms);
+}
+
+/* True when an answer says by its status that the upstream failed. */
+static bool
+is_failure(const struct wire_answer *m)
+{
+    return m->status >= 500;
+}
+
+/* The upstream's whole answer. A failure of a repeatable request may be
+ * tried elsewhere; all else goes to the caller as it is. */
+static void
+take_whole(struct request *r, struct try *t, struct wire_answer *m)
+{
+    int64_t now = Clock_NowMs();
+    bool failed = is_failure(m);
+
+    settle(r, t, failed ? ROUTE_FAILED : ROUTE_OK);
+    if (failed && r->repeatable) {
+        if (any_out(r) || r->state == REQUEST_QUEUED) {
+            return;
+        }
+        if (may_retry(r, RETRY_FAILED, true)) {
+            requeue(r);
+            return;
+        }
+    }
+    if (!failed) {
+        Retry_Success(r->service->retry, now - t->sent_at, now);
+    }
+    withdraw_all(r);
+    Admission_Finished(r->service->admission, &r->id, m->service_ms, !failed,
+                       now);
+    Request_ReplyAnswer(r, m);
+}
+
+/* An attempt has ended. Answers are matched by request and attempt; a late
+ * answer of an earlier attempt is an answer to the same request. */
+void
+Request_Answer(struct request *r, struct wire_answer *m)
+{
+    struct try *t = find_try(r, m->attempt);
+
+    if (t == NULL) {
+        return;
+    }
+    if (m->kind == ANSWER_WHOLE) {
+        take_whole(r, t, m);
+        return;
+    }
+    if (t->state == TRY_OVER) {
+        return;
+    }
+    settle(r, t, ROUTE_FAILED);
+    if (m->kind == ANSWER_NOT_RUN) {
+        t->may_run = false;
+        after_not_run(r, RETRY_FAILED, m->reason, REFUSED_RETRY_MS);
+        return;
+    }
+    after_unknown(r, m->reason);
+}
+
+/* The agent says whether a withdrawn attempt had started. */
+void
+Request_Withdrawn(struct request *r, const struct wire_withdrawn *m)
+{
+    struct try *t = find_try(r, m->attempt);
+
+    if (t == NULL || t->state == TRY_OVER) {
+        return;
+    }
+    if (m->verdict == WITHDRAW_STARTED) {
+        t->state = TRY_TAKEN;
+        set_timer(r);
+        return;
+    }
+    settle(r, t, ROUTE_FAILED);
+    if (m->verdict == WITHDRAW_NOT_STARTED) {
+        t->may_run = false;
+        after_not_run(r, RETRY_REFUSED, "withdrawn", REFUSED_RETRY_MS);
+        return;
+    }
+    after_unknown(r, "agent_restarted");
+}
+
+/* A dispatch that no link took has not been sent. */
+void
+Request_Undelivered(struct request *r, enum wire_type type, uint64_t attempt)
+{
+    struct try *t = find_try(r, attempt);
+
+    if (type != WIRE_DISPATCH || t == NULL || t->state == TRY_OVER) {
+        return;
+    }
+    t->may_run = false;
+    settle(r, t, ROUTE_FAILED);
+    after_not_run(r, RETRY_REFUSED, "unreachable", REFUSED_RETRY_MS);
+}
+
+/* Messages on the old connection may be lost, a taken, an answer or our own
+ * dispatch among them: asks the agent how each attempt stands. */
+void
+Request_Resync(struct request *r, const char *agent)
+{
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        struct try *t = &r->tries[i];
+
+        if (t->state != TRY_OVER && strcmp(t->agent, agent) == 0) {
+            withdraw(r, t);
+        }
+    }
+    if (r->state == REQUEST_OUT) {
+        set_timer(r);
+    }
+}
+
+/* The process that had the attempt is no more, and its record with it. The
+ * upstream may have run it, or may still run it. */
+void
+Request_AgentLost(struct request *r, const char *agent, uint64_t incarnation)
+{
+    bool lost = false;
+    int i;
+
+    for (i = 0; i < r->try_count; i++) {
+        struct try *t = &r->tries[i];
+
+        if (t->state != TRY_OVER && t->incarnation != incarnation &&
+            strcmp(t->agent, agent) == 0) {
+            settle(r, t, ROUTE_FAILED);
+            lost = true;
+        }
+    }
+    if (lost) {
+        after_unknown(r, "agent_restarted");
+    }
+}
+
+/* A repeatable request need not wait for a silent agent. The attempt there
+ * stays out, so that its answer still counts if it comes first. */
+void
+Request_AgentSilent(struct request *r, const char *agent)
+{
+    struct try *last = &r->tries[r->try_count - 1];
+
+    if (r->state != REQUEST_OUT || !r->repeatable ||
+        last->state == TRY_OVER || strcmp(last->agent, agent) != 0) {
+        return;
+    }
+    if (may_retry(r, RETRY_FAILED, true)) {
+        settle(r, last, ROUTE_FAILED);
+        requeue(r);
+    }
+}
+
+/* Final answer at the deadline: with no word from an agent nobody can say
+ * that the request has not run. What may still be unstarted is withdrawn. */
+static void
+give_up(struct request *r)
+{
+    bool may_have_run = any_may_have_run(r);
+
+    withdraw_all(r);
+    if (may_have_run) {
+        Request_ReplyUnknown(r, "deadline");
+        return;
+    }
+    Request_ReplyNotRun(r, 503, "deadline", "", REFUSED_RETRY_MS);
+}
+
+/* The request's timer: no word on a dispatch, no word on a withdraw, or the
+ * deadline. */
+void
+Request_Timer(struct request *r)
+{
+    int64_t now = Clock_NowMs();
+    int i;
+
+    if (now >= r->deadline_at + LATE_MS) {
+        give_up(r);
+        return;
+    }
+    for (i = 0; i < r->try_count; i++) {
+        struct try *t = &r->tries[i];
+
+        if (t->state == TRY_ASKING ||
+            (t->state == TRY_SENT && now >= t->sent_at + ACCEPT_MS)) {
+            withdraw(r, t);
+        }
+    }
+    set_timer(r);
+}
+
+/* A queued request that can't be answered in time any more is refused at
+ * once, unless an earlier attempt may have run. */
+void
+Request_Expire(struct request *r, const struct admission_decision *why)
+{
+    if (any_may_have_run(r)) {
+        Request_ReplyUnknown(r, Admission_ReasonName(why->reason));
+        return;
+    }
+    Request_ReplyNotRun(r, 503, Admission_ReasonName(why->reason),
+                        "the deadline can't be met any more",
+                        why->retry_after_ms);
+}
--- /dev/null
+++ b/packages/entry/entry-requests.c
@@ -0,0 +1,197 @@
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* requests: who asks, for what, and by which class. What passes is offered to
+ * dispatch. */
+struct requests {
+    struct task task;
+    const struct entry_settings *settings;
+    struct in_force *in_force; /* NULL: no configuration yet */
+};
+
+/* The token of an Authorization header, or NULL. */
+const char *
+Requests_Token(const struct http_exchange *ex)
+{
+    static const char scheme[] = "Bearer ";
+    const char *value = Http_Header(ex, "Authorization");
+
+    if (value == NULL || strncmp(value, scheme, sizeof(scheme) - 1) != 0) {
+        return NULL;
+    }
+    return value + sizeof(scheme) - 1;
+}
+
+/* A number of a header within 1..max; 0 without the header, -1 when it is
+ * not such a number. */
+static int64_t
+header_number(const struct http_exchange *ex, const char *name, int64_t max)
+{
+    const char *text = Http_Header(ex, name);
+    char *end;
+    long long n;
+
+    if (text == NULL) {
+        return 0;
+    }
+    n = strtoll(text, &end, 10);
+    return *text != '\0' && *end == '\0' && n >= 1 && n <= max ? n : -1;
+}
+
+/* What is wrong with a request, before it costs anything. */
+struct objection {
+    int status;
+    const char *reason;
+    const char *detail;
+};
+
+/* Fills an offer from the request, the service and its class. */
+static struct objection
+fill(const struct requests *q, const struct http_exchange *ex,
+     const struct config_service *service, struct offer *o)
+{
+    const struct config_class *class =
+        Config_ClassOf(&q->in_force->doc, service, Http_Header(ex, "X-Class"));
+    const char *caller = Http_Header(ex, "X-Caller");
+    const char *type = Http_Header(ex, "Content-Type");
+    int64_t max = q->settings->limits.deadline_ms_max;
+
+    if (class == NULL) {
+        return (struct objection){400, "no_such_class",
+                                  "X-Class names a class of this service"};
+    }
+    o->timeout_ms = header_number(ex, "X-Deadline-Ms", max);
+    o->cost_hint_ms = header_number(ex, "X-Cost-Ms", max);
+    if (o->timeout_ms < 0 || o->cost_hint_ms < 0) {
+        return (struct objection){
+            400, "bad_header",
+            "X-Deadline-Ms and X-Cost-Ms are whole milliseconds up to the "
+            "longest deadline"};
+    }
+    if (caller != NULL && !Str_IsName(caller)) {
+        return (struct objection){400, "bad_header",
+                                  "X-Caller is a name of up to 63 characters"};
+    }
+    if (o->timeout_ms == 0) {
+        o->timeout_ms = class->deadline_ms < max ? class->deadline_ms : max;
+    }
+    Str_Copy(o->caller, sizeof(o->caller), caller ? caller : "");
+    Str_Copy(o->content_type, sizeof(o->content_type), type ? type : "");
+    Str_Copy(o->class_name, sizeof(o->class_name), class->name);
+    o->priority = (enum priority)class->priority;
+    o->repeatable = class->repeatable;
+    o->queue_max = (int)service->queue_limit;
+    return (struct objection){0};
+}
+
+/* Who asks, and whether it may. */
+static struct objection
+identify(const struct requests *q, const struct http_exchange *ex,
+         const char *name, const struct config_service **service,
+         struct offer *o)
+{
+    const struct config_organisation *org;
+    const char *token = Requests_Token(ex);
+
+    if (q->in_force == NULL) {
+        return (struct objection){503, "no_configuration",
+                                  "this entry has no configuration yet"};
+    }
+    org = token ? Config_OrganisationOfToken(&q->in_force->doc, token) : NULL;
+    if (org == NULL) {
+        return (struct objection){401, "no_token",
+                                  "Authorization: Bearer TOKEN of an "
+                                  "organisation"};
+    }
+    *service = Config_FindService(&q->in_force->doc, name);
+    if (*service == NULL || !Config_Allows(*service, org->name)) {
+        return (struct objection){404, "no_such_service",
+                                  "no service of that name for this "
+                                  "organisation"};
+    }
+    Str_Copy(o->service, sizeof(o->service), (*service)->name);
+    Str_Copy(o->organisation, sizeof(o->organisation), org->name);
+    o->weight = (int)org->weight;
+    return (struct objection){0};
+}
+
+/* POST /v1/services/{service}/requests */
+static void
+post_request(struct task *t, struct http_exchange *ex, const char *name)
+{
+    struct requests *q = (struct requests *)t;
+    struct offer *o = Mem_Zero(1, sizeof(*o));
+    const struct config_service *service = NULL;
+    struct objection no = identify(q, ex, name, &service, o);
+
+    o->id = Id_Random();
+    o->ex = ex;
+    if (no.status == 0) {
+        no = fill(q, ex, service, o);
+    }
+    if (no.status == 0 &&
+        Http_Body(ex)->len > (size_t)service->request_bytes) {
+        no = (struct objection){413, "body_too_big",
+                                "the service's request_bytes is less"};
+    }
+    if (no.status != 0) {
+        Front_Refuse(ex, no.status, "not_run", no.reason, no.detail,
+                     no.status == 503 ? 1000 : -1, &o->id);
+        free(o);
+        return;
+    }
+    Buf_Move(&o->body, Http_Body(ex));
+    Kernel_Post(Kernel_FindTask(t->kernel, "dispatch"), &o->base,
+                &Entry_Offer);
+}
+
+static struct front_route post_route = {"POST", "/v1/services/*/requests",
+                                        "requests", post_request,
+                                        {0}};
+FRONT_ROUTE(post_route)
+
+/* Takes requests, and the configuration. */
+static void
+requests_receive(struct task *t, struct message *m)
+{
+    struct requests *q = (struct requests *)t;
+
+    if (Front_Handle(t, m)) {
+        return;
+    }
+    InForce_Unref(q->in_force);
+    q->in_force = InForce_Ref(((struct config_note *)m)->in_force);
+}
+
+/* Lets go of the configuration. */
+static void
+requests_free(struct task *t)
+{
+    InForce_Unref(((struct requests *)t)->in_force);
+    free(t);
+}
+
+static const struct task_ops requests_ops = {
+    .name = "requests",
+    .receive = requests_receive,
+    .free = requests_free,
+};
+
+/* Waits for the configuration. */
+static int
+start(struct kernel *k)
+{
+    struct requests *q = Mem_Zero(1, sizeof(*q));
+
+    q->settings = k->settings;
+    Kernel_AddTask(k, &q->task, &requests_ops);
+    Configs_Subscribe(k, "requests");
+    return ERR_OK;
+}
+
+static struct plugin requests_plugin = {.name = "requests",
+                                        .rank = 50,
+                                        .start = start};
+KERNEL_PLUGIN(requests_plugin)
--- /dev/null
+++ b/packages/entry/entry.h
@@ -0,0 +1,236 @@
+/*
+ * entry: the process that callers and operators speak to. Entries are equal
+ * and keep nothing durable: intent lives in the table service, the facts of a
+ * worker with its agent, and an entry is a cache of both.
+ *
+ * Tasks, and what they tell each other:
+ *
+ *   links    owns the socket that agents connect to. Hands what agents say to
+ *            the task that it concerns (struct inbound) and sends what the
+ *            tasks answer (struct outbound).
+ *   members  which agents there are, by hello, beat, leave and silence. Tells
+ *            the others of changes (struct member_note) and loads
+ *            (struct load_note), and sets the agents' pace of beating.
+ *   config   the configuration in force (struct config_note).
+ *   front    the HTTP server; routes register themselves (Front_Register).
+ *   dispatch requests: admission, routing, outcomes (entry-dispatch.c).
+ *   why      the bounded record of decisions, by request or job.
+ *
+ * The rule for requests is told in agent.h: only an agent's word that an
+ * attempt has not started permits another one, or a not_run, for a request
+ * that may not be repeated.
+ */
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "base.h"
+#include "config.h"
+#include "http.h"
+#include "kernel.h"
+#include "policy.h"
+#include "wire.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- messages between the tasks ---------------------------------------- */
+
+/* links -> others: what an agent said. */
+struct inbound {
+    struct message base;
+    struct link_peer peer;
+    struct wire_msg *m;
+};
+
+/* others -> links: what to say. When it can't be handed over and reply_to is
+ * set, that task gets it back as struct undelivered: it was not sent. */
+struct outbound {
+    struct message base;
+    struct link_peer peer;
+    struct task *reply_to;
+    struct wire_msg *m;
+};
+
+struct undelivered {
+    struct message base;
+    int err; /* ERR_UNREACHABLE or ERR_BUSY */
+    struct wire_msg *m;
+};
+
+enum member_change {
+    MEMBER_JOINED,   /* new, or a new incarnation of a known one */
+    MEMBER_CHANGED,  /* its services or facts are other ones */
+    MEMBER_RETURNED, /* the same incarnation on a new connection */
+    MEMBER_LEAVING,
+    MEMBER_SILENT, /* nothing heard for too long */
+    MEMBER_GONE    /* forgotten */
+};
+
+/* An agent as it is known. */
+struct member_facts {
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+    struct link_peer peer;
+    char region[NAME_SIZE];
+    char domain[NAME_SIZE];
+    char rack[NAME_SIZE];
+    int accelerators;
+    bool leaving;
+    /* Agent clock minus our clock, at most: what the agent's clock reads now
+     * is not less than our clock plus this. */
+    int64_t clock_offset;
+    struct wire_list services; /* struct wire_service */
+    struct wire_list parts;    /* struct wire_part; as of the last hello */
+};
+
+/* members -> others. */
+struct member_note {
+    struct message base;
+    enum member_change change;
+    struct member_facts facts;
+};
+
+/* members -> dispatch: load of a member's services. */
+struct load_note {
+    struct message base;
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+    struct wire_list services; /* struct wire_service, busy as of now */
+    struct wire_list own;      /* uint64: of those, for this entry */
+};
+
+extern const struct message_kind Entry_Inbound;
+extern const struct message_kind Entry_Outbound;
+extern const struct message_kind Entry_Undelivered;
+extern const struct message_kind Entry_Member;
+extern const struct message_kind Entry_Load;
+
+/* Posts m to the links task for that agent; takes m. */
+void Entry_Say(struct task *from, const struct link_peer *peer,
+               struct wire_msg *m, bool want_back);
+const char *Entry_ChangeName(enum member_change change);
+
+/* Tasks that want member notes say so before the loop runs. */
+void Members_Subscribe(struct kernel *k, const char *task);
+
+/* The incarnation of this process. */
+uint64_t Entry_Incarnation(void);
+
+/* ---- configuration ----------------------------------------------------- */
+
+/* The document in force, shared by the tasks and never changed. */
+struct in_force {
+    uint64_t epoch;
+    char hash[DIGEST_HEX_SIZE];
+    struct config doc;
+    struct buf text;
+    int refs;
+};
+
+struct in_force *InForce_Ref(struct in_force *f);
+void InForce_Unref(struct in_force *f); /* NULL is fine */
+
+/* config -> others: another document is in force. */
+struct config_note {
+    struct message base;
+    struct in_force *in_force;
+};
+
+extern const struct message_kind Entry_Config;
+
+/* Tasks that want config notes say so before the loop runs. */
+void Configs_Subscribe(struct kernel *k, const char *task);
+
+/* ---- requests ---------------------------------------------------------- */
+
+/* requests -> dispatch: a request that its organisation may make. */
+struct offer {
+    struct message base;
+    struct http_exchange *ex;
+    struct id id;
+    char service[NAME_SIZE];
+    char organisation[NAME_SIZE];
+    char caller[NAME_SIZE]; /* "" : the organisation is one caller */
+    char class_name[NAME_SIZE];
+    int weight; /* of the organisation; 100 is usual */
+    enum priority priority;
+    bool repeatable;
+    int queue_max; /* of the service; 0: default */
+    int64_t cost_hint_ms;
+    int64_t timeout_ms; /* from now to the deadline */
+    char content_type[WIRE_TEXT_SIZE];
+    struct buf body;
+};
+
+extern const struct message_kind Entry_Offer;
+
+/* ---- other entries ----------------------------------------------------- */
+
+/* Entries as the table service and the settings list them. */
+struct peer_entry {
+    char name[NAME_SIZE];
+    char region[NAME_SIZE];
+    char links[NAME_SIZE]; /* "ip:port" */
+    char http[NAME_SIZE];  /* "ip:port" */
+};
+
+/* peers -> members, why, jobs: the whole list, this entry included. */
+struct peers_note {
+    struct message base;
+    struct peer_entry *entries;
+    size_t count;
+};
+
+extern const struct message_kind Entry_Peers;
+
+/* ---- front ------------------------------------------------------------- */
+
+/* A path that the front serves. A "*" stands for one segment of the path.
+ * Requests are handed to the named task as a struct http_note, so that the
+ * handler runs where the state is. */
+struct front_route {
+    const char *method;
+    const char *path;
+    const char *task;
+    /* Leads to one Http_Reply. segment is what "*" stands for, or "". */
+    void (*handle)(struct task *t, struct http_exchange *ex,
+                   const char *segment);
+    SLIST_ENTRY(front_route) entry;
+};
+
+/* front -> the task of a route, whose receive passes it to Front_Handle. */
+struct http_note {
+    struct message base;
+    const struct front_route *route;
+    struct http_exchange *ex;
+    char segment[WIRE_TEXT_SIZE];
+};
+
+extern const struct message_kind Entry_Http;
+
+/* Calls the route's handler when m is an http_note. False when it isn't. */
+bool Front_Handle(struct task *t, struct message *m);
+void Front_Register(struct front_route *route);
+#define FRONT_ROUTE(var)                                                      \
+    __attribute__((constructor)) static void register_##var(void)             \
+    {                                                                         \
+        Front_Register(&(var));                                               \
+    }
+
+/* Replies with JSON and drops the value. */
+void Front_ReplyJson(struct http_exchange *ex, int status, json_t *value);
+/* The refusal that every path gives: {outcome, reason, detail,
+ * retry_after_ms, request_id}, with Retry-After when there is a time. */
+void Front_Refuse(struct http_exchange *ex, int status, const char *outcome,
+                  const char *reason, const char *detail,
+                  int64_t retry_after_ms, const struct id *request);
+/* Ports that were got. */
+int Front_Port(struct kernel *k);
+const char *Links_Address(struct kernel *k);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -99,6 +99,7 @@
     int64_t agent_clock;
     uint64_t leaving;
     struct wire_list busy; /* uint64: busy slots, in the hello's order */
+    struct wire_list own;  /* uint64: of those, for the entry that hears it */
 };
 
 /* One entry that agents may connect to. */
