config: the document, its checks, canonical text, difference and sections

One typed document with topology, operators, organisations and guarantees, classes, services and weights. All mistakes of keys, types and ranges are told at once; when there are none, those of names, references, tokens, class rules and guarantees by counts.

Two points that go beyond the list of keys: operators with their own tokens (who may change the document must be named somewhere), and a service takes several classes, since one matching service has previews and screenings.

The check by counts refuses only what no placement could satisfy; the exact check is plugged in by Config_SetCheck.

--- /dev/null
+++ b/packages/config/config-document.c
@@ -0,0 +1,168 @@
+#include "config-internal.h"
+
+static const struct conf_key weights_keys[] = {
+    {.name = "completion",
+     .type = CONF_INT,
+     .offset = offsetof(struct config_weights, completion),
+     .required = true,
+     .min = 0,
+     .max = 100},
+    {.name = "fragmentation",
+     .type = CONF_INT,
+     .offset = offsetof(struct config_weights, fragmentation),
+     .required = true,
+     .min = 0,
+     .max = 100},
+};
+
+static const struct conf_table weights_table = {
+    .name = "weights",
+    .size = sizeof(struct config_weights),
+    .keys = weights_keys,
+    .count = COUNT_OF(weights_keys),
+};
+
+/* The keys of a document, required or not. */
+#define DOCUMENT_KEYS(must)                                                   \
+    [DOC_VERSION] = {.name = "version",                                       \
+                     .type = CONF_INT,                                        \
+                     .offset = offsetof(struct config, version),              \
+                     .required = must,                                        \
+                     .min = CONFIG_VERSION,                                   \
+                     .max = CONFIG_VERSION},                                  \
+    [DOC_WEIGHTS] = {.name = "weights",                                       \
+                     .type = CONF_MAP,                                        \
+                     .offset = offsetof(struct config, weights),              \
+                     .required = must,                                        \
+                     .sub = &weights_table},                                  \
+    [DOC_TOPOLOGY] = {.name = "topology",                                     \
+                      .type = CONF_MAP,                                       \
+                      .offset = offsetof(struct config, topology),            \
+                      .required = must,                                       \
+                      .sub = &config_topology_table},                         \
+    [DOC_OPERATORS] = {.name = "operators",                                   \
+                       .type = CONF_LIST,                                     \
+                       .offset = offsetof(struct config, operators),          \
+                       .required = false,                                     \
+                       .max = 256,                                            \
+                       .sub = &config_operator_table},                        \
+    [DOC_ORGANISATIONS] = {.name = "organisations",                           \
+                           .type = CONF_LIST,                                 \
+                           .offset = offsetof(struct config, organisations),  \
+                           .required = must,                                  \
+                           .max = 1024,                                       \
+                           .sub = &config_organisation_table},                \
+    [DOC_CLASSES] = {.name = "classes",                                       \
+                     .type = CONF_LIST,                                       \
+                     .offset = offsetof(struct config, classes),              \
+                     .required = must,                                        \
+                     .max = 256,                                              \
+                     .sub = &config_class_table},                             \
+    [DOC_SERVICES] = {.name = "services",                                     \
+                      .type = CONF_LIST,                                      \
+                      .offset = offsetof(struct config, services),            \
+                      .required = must,                                       \
+                      .max = 1024,                                            \
+                      .sub = &config_service_table},
+
+static const struct conf_key document_keys[] = {DOCUMENT_KEYS(true)};
+
+const struct conf_table config_document_table = {
+    .name = "configuration",
+    .size = sizeof(struct config),
+    .keys = document_keys,
+    .count = COUNT_OF(document_keys),
+};
+
+static const struct conf_key part_keys[] = {DOCUMENT_KEYS(false)};
+
+const struct conf_table config_part_table = {
+    .name = "configuration",
+    .size = sizeof(struct config),
+    .keys = part_keys,
+    .count = COUNT_OF(part_keys),
+};
+
+static config_check_fn further_check;
+
+/* Sets the check that another package plugs in. */
+void
+Config_SetCheck(config_check_fn check)
+{
+    further_check = check;
+}
+
+/* Reads the words of each guarantee's shape, which the table has checked. */
+static void
+read_shapes(struct config *c)
+{
+    struct config_organisation *o;
+    struct config_guarantee *g;
+
+    for (size_t i = 0; i < c->organisations.count; i++) {
+        o = CONFIG_AT(c->organisations, struct config_organisation, i);
+        for (size_t j = 0; j < o->guarantees.count; j++) {
+            g = CONFIG_AT(o->guarantees, struct config_guarantee, j);
+            if (Config_ParseShape(g->shape_text, &g->shape) != ERR_OK) {
+                Fatal("the shape %s passed its table", g->shape_text);
+            }
+        }
+    }
+}
+
+/* Checks what goes beyond single keys, each check on sound ground only. */
+static int
+check_whole(struct config *c, struct conf_errors *errors)
+{
+    int before = errors->count;
+
+    read_shapes(c);
+    config_check_names(c, errors);
+    config_check_classes(c, errors);
+    if (errors->count == before) {
+        config_check_capacity(c, errors);
+    }
+    if (errors->count == before && further_check != NULL) {
+        further_check(c, errors);
+    }
+    return errors->count == before ? ERR_OK : ERR_INVALID;
+}
+
+/* Reads a document and checks it as a whole. */
+int
+Config_Parse(const char *text, size_t len, struct config *out,
+             struct conf_errors *errors)
+{
+    int rc = Conf_Parse(text, len, &config_document_table, out, errors);
+
+    return rc == ERR_OK ? check_whole(out, errors) : rc;
+}
+
+/* Reads a document from a file. */
+int
+Config_Load(const char *path, struct config *out, struct conf_errors *errors)
+{
+    int rc = Conf_Load(path, &config_document_table, out, errors);
+
+    return rc == ERR_OK ? check_whole(out, errors) : rc;
+}
+
+/* Reads a part of a document that was checked as a whole before. */
+int
+Config_ParseSection(const char *text, size_t len, struct config *out,
+                    struct conf_errors *errors)
+{
+    int rc = Conf_Parse(text, len, &config_part_table, out, errors);
+
+    if (rc == ERR_OK) {
+        read_shapes(out);
+    }
+    return rc;
+}
+
+/* Frees what a document owns. */
+void
+Config_Free(struct config *c)
+{
+    Conf_Free(&config_document_table, c);
+}
--- a/packages/config/config-format.c
+++ b/packages/config/config-format.c
@@ -100,6 +100,23 @@
     return true;
 }
 
+/* True for what Digest_Hex writes. */
+static bool
+is_hash(const char *text)
+{
+    return strlen(text) == DIGEST_HEX_SIZE - 1 &&
+           strspn(text, "0123456789abcdef") == DIGEST_HEX_SIZE - 1;
+}
+
+/* True for the words of a shape. */
+static bool
+is_shape(const char *text)
+{
+    struct shape shape;
+
+    return Config_ParseShape(text, &shape) == ERR_OK;
+}
+
 const struct conf_format config_ip_format = {
     "an IP number that others reach, not 0.0.0.0", is_reachable_ip};
 const struct conf_format config_address_format = {
@@ -107,3 +124,11 @@
 const struct conf_format config_url_format = {
     "http://host[:port][/path] or https://, without a slash at the end",
     is_url};
+const struct conf_format config_hash_format = {
+    "the hash of a token, 64 of 0-9 a-f", is_hash};
+const struct conf_format config_name_format = {
+    "a name of 1..63 of A-Z a-z 0-9 . _ -", Str_IsName};
+const struct conf_format config_shape_format = {
+    "\"accelerators: 1..64\", worker, \"workers: 1..1024\", rack or "
+    "\"racks: 1..1024\"",
+    is_shape};
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -4,6 +4,12 @@
  * Settings are the YAML file of one process: where it is, where it listens
  * and what it may use. They hold until the process is replaced.
  *
+ * The document is the one configuration of a whole deployment: topology,
+ * organisations and their guarantees, classes of work, services, weights. It
+ * is edited as a whole, checked as a whole, and in force everywhere at once.
+ * Its canonical text is cut into sections, each named by its hash, so that a
+ * process fetches only what changed and concerns it.
+ *
  * Both are read by tables (base's Conf): every mistake is reported at once,
  * with its line, its key, what is wrong and what is allowed.
  */
@@ -19,6 +25,242 @@
 /* Item i of a struct conf_list of the given type. */
 #define CONFIG_AT(list, type, i) (&((type *)(list).items)[i])
 
+/* ---- the document: topology --------------------------------------------- */
+
+struct config_worker {
+    char name[NAME_SIZE]; /* unique in the document */
+    int64_t accelerators;
+    int line;
+};
+
+struct config_rack {
+    char name[NAME_SIZE];     /* unique in its failure domain */
+    struct conf_list workers; /* struct config_worker */
+    int line;
+};
+
+struct config_domain {
+    char name[NAME_SIZE];   /* unique in the document */
+    struct conf_list racks; /* struct config_rack */
+    int line;
+};
+
+struct config_region {
+    char name[NAME_SIZE];             /* unique in the document */
+    struct conf_list failure_domains; /* struct config_domain */
+    int line;
+};
+
+struct config_topology {
+    struct conf_list regions; /* struct config_region */
+};
+
+/* ---- the document: organisations and operators -------------------------- */
+
+enum shape_kind { SHAPE_ACCELERATORS, SHAPE_WORKERS, SHAPE_RACKS };
+
+/* What a guarantee is for, written as "accelerators: 4", "worker",
+ * "workers: 3", "rack" or "racks: 2". Accelerators lie in one worker, workers
+ * and racks in one failure domain. */
+struct shape {
+    enum shape_kind kind;
+    int64_t size; /* how many of the kind */
+};
+
+/* count shapes, each of which its organisation may reclaim at any time. */
+struct config_guarantee {
+    char *shape_text;
+    int64_t count;
+    char failure_domain[NAME_SIZE]; /* "": any, each shape within one */
+    struct shape shape;             /* read from shape_text */
+    int line;
+};
+
+struct config_organisation {
+    char name[NAME_SIZE];
+    struct conf_list token_hashes; /* char *: Digest_Hex of a bearer token */
+    int64_t weight;                /* share of what nobody has reserved */
+    struct conf_list guarantees;   /* struct config_guarantee */
+    int line;
+};
+
+/* Who may read and change the document; named in answers to a lost race. */
+struct config_operator {
+    char name[NAME_SIZE];
+    struct conf_list token_hashes; /* char * */
+    int line;
+};
+
+/* ---- the document: work --------------------------------------------------
+ */
+
+enum class_kind { CLASS_REQUEST, CLASS_JOB };
+enum class_priority { PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH };
+
+/* What a keyed request is answered while the table service is down. Refusing
+ * it at once is safe. Serving it takes a risk: its key can't be claimed, so a
+ * repetition of the same key at another entry may run a second time. */
+enum class_keyed { KEYED_REFUSE, KEYED_SERVE };
+
+struct config_class {
+    char name[NAME_SIZE];
+    int64_t kind;        /* enum class_kind */
+    int64_t priority;    /* enum class_priority */
+    bool repeatable;     /* may be started again when an outcome is unknown */
+    int64_t deadline_ms; /* of a request 1..3600000; of a job 0: none */
+    int64_t grace_ms;    /* on reclaim, before the work is stopped */
+    bool checkpoint;     /* a job that can be stopped and go on later */
+    int64_t keyed_when_table_down; /* enum class_keyed */
+    int line;
+};
+
+struct config_service {
+    char name[NAME_SIZE];
+    struct conf_list organisations; /* char *: who may call it */
+    struct conf_list classes; /* char *: of kind request; the first is for
+                               * requests that name none */
+    int64_t request_bytes;    /* limit of a request's body */
+    int64_t answer_bytes;     /* limit of an answer's body */
+    int64_t queue_limit;      /* requests that wait at one entry */
+    int line;
+};
+
+/* ---- the document as a whole ---------------------------------------------
+ */
+
+/* How much completion time and fragmentation weigh, each 0..100. */
+struct config_weights {
+    int64_t completion;
+    int64_t fragmentation;
+};
+
+#define CONFIG_VERSION 1 /* of the document's form */
+
+struct config {
+    int64_t version;
+    struct config_weights weights;
+    struct config_topology topology;
+    struct conf_list operators;     /* struct config_operator */
+    struct conf_list organisations; /* struct config_organisation */
+    struct conf_list classes;       /* struct config_class */
+    struct conf_list services;      /* struct config_service */
+};
+
+/* Reads and checks a document (YAML or JSON): keys, types and ranges first;
+ * when these are right, names, references, and guarantees against the
+ * topology. ERR_OK or ERR_INVALID with every mistake in errors; out is to be
+ * freed in both cases. */
+int Config_Parse(const char *text, size_t len, struct config *out,
+                 struct conf_errors *errors);
+/* As above, of a file. */
+int Config_Load(const char *path, struct config *out,
+                struct conf_errors *errors);
+/* Reads a section's text: what it does not hold is left empty, and nothing
+ * across sections is checked. */
+int Config_ParseSection(const char *text, size_t len, struct config *out,
+                        struct conf_errors *errors);
+/* Fit for CLEANUP. */
+void Config_Free(struct config *c);
+
+/* A further check of a document that is right otherwise, such as the exact
+ * feasibility of its guarantees. It reports through Conf_Add. */
+typedef void (*config_check_fn)(const struct config *c,
+                                struct conf_errors *errors);
+/* Sets the further check of Config_Parse; NULL: none. */
+void Config_SetCheck(config_check_fn check);
+
+/* Reads a shape's words. ERR_OK or ERR_INVALID. */
+int Config_ParseShape(const char *text, struct shape *out);
+
+/* Adds the canonical text: every key, defaults too, in a fixed order. Parsed
+ * again it gives an equal document. */
+void Config_Render(const struct config *c, struct buf *out);
+/* As Config_Render, as JSON with the same keys. */
+void Config_RenderJson(const struct config *c, struct buf *out);
+/* Adds {"errors":[{"line","key","what","allowed"}],"more":n}. */
+void Config_RenderErrors(const struct conf_errors *errors, struct buf *out);
+
+/* Adds a line for each difference, by path: "organisations[a].weight: 1 ->
+ * 2", "services[x]: added". Items are matched by their names, where they have
+ * one. Returns the number of lines; 0 means equal. */
+size_t Config_Diff(const struct config *a, const struct config *b,
+                   struct buf *out);
+
+/* ---- sections ------------------------------------------------------------
+ */
+
+/* One part of the canonical text: "general" (version, weights), "topology",
+ * "operators", "organisation/<name>" for each, "classes", "services". */
+struct config_section {
+    char *name;
+    struct buf text;
+    char hash[DIGEST_HEX_SIZE];
+};
+
+struct config_sections {
+    struct config_section *at;
+    size_t count;
+};
+
+/* Cuts a document into its sections; out is overwritten. */
+void Config_Sections(const struct config *c, struct config_sections *out);
+void Config_FreeSections(struct config_sections *s);
+
+/* The list of a document's sections, small enough to go to every process. */
+struct config_index_entry {
+    char *name;
+    char *hash;
+    int64_t bytes;
+    int line;
+};
+
+struct config_index {
+    struct conf_list sections; /* struct config_index_entry */
+};
+
+void Config_RenderIndex(const struct config_sections *s, struct buf *out);
+int Config_ParseIndex(const char *text, size_t len, struct config_index *out,
+                      struct conf_errors *errors);
+void Config_FreeIndex(struct config_index *index);
+
+/* ---- looking up ------------------------------------------------------------
+ */
+
+/* Where a worker is. */
+struct config_place {
+    const struct config_region *region;
+    const struct config_domain *domain;
+    const struct config_rack *rack;
+    const struct config_worker *worker;
+};
+
+/* NULL when there is none. */
+const struct config_organisation *
+Config_FindOrganisation(const struct config *c, const char *name);
+const struct config_class *Config_FindClass(const struct config *c,
+                                            const char *name);
+const struct config_service *Config_FindService(const struct config *c,
+                                                const char *name);
+const struct config_domain *Config_FindDomain(const struct config *c,
+                                              const char *name);
+/* ERR_OK or ERR_NOTFOUND. */
+int Config_FindWorker(const struct config *c, const char *name,
+                      struct config_place *out);
+/* True when the organisation may call the service. */
+bool Config_Allows(const struct config_service *service,
+                   const char *organisation);
+/* The class of a request to the service: the named one, or the first when
+ * name is NULL. NULL when the service does not take that class. */
+const struct config_class *Config_ClassOf(const struct config *c,
+                                          const struct config_service *service,
+                                          const char *name);
+/* The holder of a bearer token, NULL when it is nobody's. The token is hashed
+ * and compared with every hash in constant time. */
+const struct config_organisation *
+Config_OrganisationOfToken(const struct config *c, const char *token);
+const struct config_operator *Config_OperatorOfToken(const struct config *c,
+                                                     const char *token);
+
 /* ---- settings of a process --------------------------------------------- */
 
 /* Base URLs of the platform's services, without a slash at the end. */
