--- /dev/null
+++ b/packages/policy/admit-flow.c
@@ -0,0 +1,341 @@
+#include "admit-private.h"
+
+#include <stdlib.h>
+
+/* Callers and keys that are remembered after their last request, for the
+ * work that they are ahead by. */
+#define IDLE_MAX 1024
+/* Idle flows looked at for each new one: keeps pace without a sweep. */
+#define IDLE_SWEEP 4
+
+/* Order of the index: by parent, then by name. */
+static int
+compare_index(const struct admit_flow *a, const struct admit_flow *b)
+{
+    if (a->parent != b->parent) {
+        return (a->parent > b->parent) - (a->parent < b->parent);
+    }
+    return (a->hash > b->hash) - (a->hash < b->hash);
+}
+
+/* Order of service: least work served first, then the older flow. */
+static int
+compare_vtime(const struct admit_lane *x, const struct admit_lane *y)
+{
+    const struct admit_flow *a = x->flow;
+    const struct admit_flow *b = y->flow;
+
+    if (a->vtime != b->vtime) {
+        return a->vtime < b->vtime ? -1 : 1;
+    }
+    return (a->serial > b->serial) - (a->serial < b->serial);
+}
+
+TREE_STATIC(admit_flow_index, admit_flow, index, compare_index);
+TREE_STATIC(admit_lanes, admit_lane, entry, compare_vtime);
+
+/* Sets the fields that a new flow doesn't have at zero. */
+static void
+flow_init(struct admit_flow *flow)
+{
+    int i;
+
+    flow->weight = ADMISSION_WEIGHT;
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        flow->lane[i].flow = flow;
+        RB_INIT(&flow->lane[i].children);
+        TAILQ_INIT(&flow->lane[i].fifo);
+    }
+}
+
+/* Makes an empty tree of flows. */
+void
+admit_flows_init(struct admit_flows *flows)
+{
+    RB_INIT(&flows->index);
+    TAILQ_INIT(&flows->idle);
+    flow_init(&flows->root);
+}
+
+/* Frees all flows; no request may be left. */
+void
+admit_flows_clear(struct admit_flows *flows)
+{
+    struct admit_flow *f, *next;
+
+    RB_FOREACH_SAFE (f, admit_flow_index, &flows->index, next) {
+        RB_REMOVE(admit_flow_index, &flows->index, f);
+        free(f);
+    }
+}
+
+/* Refers to a flow: it stays. */
+void
+admit_flow_ref(struct admit_flows *flows, struct admit_flow *flow)
+{
+    if (flow->refs++ == 0 && flow->parent != NULL) {
+        TAILQ_REMOVE(&flows->idle, flow, idle);
+        flows->idle_count--;
+    }
+}
+
+/* Lets go of a flow: once idle it is kept until its place is needed. */
+void
+admit_flow_unref(struct admit_flows *flows, struct admit_flow *flow)
+{
+    if (--flow->refs == 0 && flow->parent != NULL) {
+        TAILQ_INSERT_TAIL(&flows->idle, flow, idle);
+        flows->idle_count++;
+    }
+}
+
+/* Frees an idle flow. */
+static void
+forget(struct admit_flows *flows, struct admit_flow *flow)
+{
+    struct admit_flow *parent = flow->parent;
+
+    TAILQ_REMOVE(&flows->idle, flow, idle);
+    flows->idle_count--;
+    RB_REMOVE(admit_flow_index, &flows->index, flow);
+    flows->count--;
+    free(flow);
+    admit_flow_unref(flows, parent);
+}
+
+/* Forgets idle flows that owe nothing, and the longest idle ones beyond
+ * IDLE_MAX. One that is still ahead is kept: a caller whose queue runs empty
+ * after each request would otherwise never pay for its work. */
+static void
+sweep(struct admit_flows *flows)
+{
+    struct admit_flow *f, *next;
+    int looked = 0;
+
+    TAILQ_FOREACH_SAFE (f, &flows->idle, idle, next) {
+        if (looked++ == IDLE_SWEEP) {
+            return;
+        }
+        if (f->vtime <= f->parent->clock || flows->idle_count > IDLE_MAX) {
+            forget(flows, f);
+        }
+    }
+}
+
+/* Looks a flow up; NULL when it isn't known. */
+struct admit_flow *
+admit_flow_find(struct admit_flows *flows, struct admit_flow *parent,
+                const char *name)
+{
+    struct admit_flow key = {.parent = parent, .hash = Hash_Str(name, 0)};
+
+    return parent ? RB_FIND(admit_flow_index, &flows->index, &key) : NULL;
+}
+
+/* Finds or makes the flow of this name under a parent. It is not referred to
+ * yet: refer to it before the next call. */
+struct admit_flow *
+admit_flow_get(struct admit_flows *flows, struct admit_flow *parent,
+               const char *name)
+{
+    struct admit_flow *f = admit_flow_find(flows, parent, name);
+
+    if (f != NULL) {
+        return f;
+    }
+    admit_flow_ref(flows, parent);
+    sweep(flows);
+    f = Mem_Zero(1, sizeof(*f));
+    flow_init(f);
+    f->parent = parent;
+    f->hash = Hash_Str(name, 0);
+    f->serial = ++flows->serial;
+    f->vtime = parent->clock;
+    RB_INSERT(admit_flow_index, &flows->index, f);
+    flows->count++;
+    TAILQ_INSERT_TAIL(&flows->idle, f, idle);
+    flows->idle_count++;
+    return f;
+}
+
+/* Changes a weight, also while the flow has work. */
+void
+admit_flow_set_weight(struct admit_flow *flow, int weight)
+{
+    if (flow->queued > 0) {
+        flow->parent->weight_sum += weight - flow->weight;
+    }
+    flow->weight = weight;
+}
+
+/* Moves a flow in time, and so in the order of its parent's children. */
+static void
+set_vtime(struct admit_flow *flow, int64_t vtime)
+{
+    int i;
+
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        if (flow->lane[i].queued > 0) {
+            RB_REMOVE(admit_lanes, &flow->parent->lane[i].children,
+                      &flow->lane[i]);
+        }
+    }
+    flow->vtime = vtime;
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        if (flow->lane[i].queued > 0) {
+            RB_INSERT(admit_lanes, &flow->parent->lane[i].children,
+                      &flow->lane[i]);
+        }
+    }
+}
+
+/* Counts a request in at one flow. One that had no work starts at its
+ * parent's clock: time without work is not saved up. */
+static void
+count_in(struct admit_flow *flow, enum priority level, int64_t cost_ms)
+{
+    struct admit_flow *parent = flow->parent;
+
+    if (flow->queued++ == 0 && parent != NULL) {
+        parent->weight_sum += flow->weight;
+        if (flow->vtime < parent->clock) {
+            flow->vtime = parent->clock;
+        }
+    }
+    flow->lane[level].queued_ms += cost_ms;
+    if (flow->lane[level].queued++ == 0 && parent != NULL) {
+        RB_INSERT(admit_lanes, &parent->lane[level].children,
+                  &flow->lane[level]);
+    }
+}
+
+/* Counts a request out at one flow. */
+static void
+count_out(struct admit_flow *flow, enum priority level, int64_t cost_ms)
+{
+    struct admit_flow *parent = flow->parent;
+
+    flow->lane[level].queued_ms -= cost_ms;
+    if (--flow->lane[level].queued == 0 && parent != NULL) {
+        RB_REMOVE(admit_lanes, &parent->lane[level].children,
+                  &flow->lane[level]);
+    }
+    if (--flow->queued == 0 && parent != NULL) {
+        parent->weight_sum -= flow->weight;
+    }
+}
+
+/* Counts a request in or out, from its key up to the root. */
+void
+admit_flow_count(struct admit_flow *key, enum priority level, int sign,
+                 int64_t cost_ms)
+{
+    struct admit_flow *f;
+
+    for (f = key; f != NULL; f = f->parent) {
+        if (sign > 0) {
+            count_in(f, level, cost_ms);
+        }
+        else {
+            count_out(f, level, cost_ms);
+        }
+    }
+}
+
+/* Charges work to a key, its caller and its organisation. */
+void
+admit_flow_charge(struct admit_flow *key, int64_t work_ms)
+{
+    struct admit_flow *f;
+
+    for (f = key; f->parent != NULL; f = f->parent) {
+        set_vtime(f, f->vtime + work_ms * 1000 * ADMISSION_WEIGHT / f->weight);
+    }
+}
+
+/* The least served child with work at a priority. */
+static struct admit_flow *
+first_child(struct admit_flow *parent, int level)
+{
+    struct admit_lane *lane =
+        RB_MIN(admit_lanes, &parent->lane[level].children);
+
+    return lane != NULL ? lane->flow : NULL;
+}
+
+/* Moves a parent's clock on to its least served child with work. */
+static void
+advance_clock(struct admit_flow *parent)
+{
+    struct admit_flow *f, *least = NULL;
+    int i;
+
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        f = first_child(parent, i);
+        if (f != NULL && (least == NULL || f->vtime < least->vtime)) {
+            least = f;
+        }
+    }
+    if (least != NULL && least->vtime > parent->clock) {
+        parent->clock = least->vtime;
+    }
+}
+
+/* The child whose turn it is: by priority, as long as the least served one
+ * there is no more than lead ahead of the parent's clock. The child at the
+ * clock always qualifies, so one is found whenever there is work. */
+static struct admit_flow *
+choose_child(struct admit_flow *parent, int64_t lead, bool *passed_over)
+{
+    struct admit_flow *f;
+    int i;
+
+    advance_clock(parent);
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        f = first_child(parent, i);
+        if (f == NULL) {
+            continue;
+        }
+        if (f->vtime - parent->clock <= lead) {
+            return f;
+        }
+        *passed_over = true;
+    }
+    return NULL;
+}
+
+/* Goes down from the root by whose turn it is. */
+struct admit_flow *
+admit_flow_choose(struct admit_flow *root, int64_t lead, enum priority *level,
+                  enum admission_turn *turn)
+{
+    struct admit_flow *f = root, *child;
+    bool passed_over = false;
+    int i = 0;
+
+    while ((child = choose_child(f, lead, &passed_over)) != NULL) {
+        f = child;
+    }
+    if (f == root) {
+        return NULL;
+    }
+    while (f->lane[i].queued == 0) {
+        i++;
+    }
+    *level = (enum priority)i;
+    *turn = passed_over ? TURN_SHARE : TURN_PRIORITY;
+    return f;
+}
+
+/* Goes down from the root by share alone, within one priority. */
+struct admit_flow *
+admit_flow_choose_at(struct admit_flow *root, enum priority level)
+{
+    struct admit_flow *f = root, *child;
+
+    while ((child = first_child(f, level)) != NULL) {
+        advance_clock(f);
+        f = child;
+    }
+    return f == root ? NULL : f;
+}
--- /dev/null
+++ b/packages/policy/admit-judge.c
@@ -0,0 +1,200 @@
+#include "admit-private.h"
+
+/* Refused callers are spread over this part of their time to come back. */
+#define JITTER_PART 4
+/* Time to come back when nothing says how long it will take. */
+#define RETRY_UNKNOWN_MS 1000
+/* A longer prediction is no better than this one. */
+#define WAIT_MAX_MS 86400000
+
+static const char *const reason_names[ADMISSION_REASON_COUNT] = {
+    [ADMIT_SLOT_FREE] = "slot_free",
+    [ADMIT_WAIT_FITS] = "wait_fits",
+    [REFUSE_WAIT_TOO_LONG] = "wait_too_long",
+    [REFUSE_SHARE_USED] = "organisation_share_used",
+    [REFUSE_CALLER_SHARE] = "caller_share_used",
+    [REFUSE_QUEUE_FULL] = "queue_full",
+    [REFUSE_ORG_QUEUE] = "organisation_queue_full",
+    [REFUSE_CALLER_QUEUE] = "caller_queue_full",
+    [REFUSE_DEADLINE_SHORT] = "deadline_too_short",
+    [REFUSE_EXPIRED] = "expired_in_queue",
+    [REFUSE_NO_CAPACITY] = "no_capacity",
+    [REFUSE_DUPLICATE] = "duplicate_id",
+};
+
+/* The text of a reason. */
+const char *
+Admission_ReasonName(enum admission_reason reason)
+{
+    if ((unsigned)reason >= ADMISSION_REASON_COUNT) {
+        return "unnamed";
+    }
+    return reason_names[reason];
+}
+
+/* The text of a turn. */
+const char *
+Admission_TurnName(enum admission_turn turn)
+{
+    static const char *const names[] = {"priority", "share", "aged"};
+
+    return (unsigned)turn < COUNT_OF(names) ? names[turn] : "unnamed";
+}
+
+/* What is predicted, and which backlog it is that makes the request wait. */
+struct prediction {
+    int64_t wait_ms;
+    enum admission_reason reason;
+};
+
+/* Time in which the service does this much work. */
+static int64_t
+drain_time(const struct admission_inputs *in, int64_t work_ms)
+{
+    int64_t drain = in->drain_milli > 0 ? in->drain_milli : 1;
+    int64_t ms = work_ms / drain * 1000 + work_ms % drain * 1000 / drain;
+
+    return ms > WAIT_MAX_MS ? WAIT_MAX_MS : ms;
+}
+
+/* Predicts the wait for a slot: the least of what the backlog of all, of the
+ * organisation and of the caller would make it, as fair queueing lets nobody
+ * wait for more than the backlog at his own share. */
+static struct prediction
+predict(const struct admission_inputs *in)
+{
+    struct prediction p = {0, REFUSE_WAIT_TOO_LONG};
+    int64_t residual = in->running > 0 ? in->running_ms / in->running : 0;
+    int64_t org, caller, share;
+
+    p.wait_ms = drain_time(in, in->ahead_ms + residual);
+    share = in->org_share_milli > 0 ? in->org_share_milli : 1;
+    org = drain_time(in, (in->org_ahead_ms * 1000 / share) + residual);
+    if (org < p.wait_ms) {
+        p.wait_ms = org;
+        p.reason = REFUSE_SHARE_USED;
+    }
+    if (in->org_ahead_ms == 0) {
+        return p;
+    }
+    share = in->caller_share_milli > 0 ? in->caller_share_milli : 1;
+    caller = p.wait_ms * in->caller_ahead_ms / in->org_ahead_ms * 1000 / share;
+    if (caller < p.wait_ms) {
+        p.wait_ms = caller;
+        p.reason = REFUSE_CALLER_SHARE;
+    }
+    return p;
+}
+
+/* Fills in a refusal. Callers come back when the excess will have drained and
+ * those refused before them have been served, each a little later than said,
+ * so that they don't return as one wave. */
+static struct admission_decision
+refuse(const struct admission_inputs *in, enum admission_reason reason,
+       int64_t wait_ms, int64_t excess_ms)
+{
+    struct admission_decision d = {.inputs = *in};
+    int64_t after = excess_ms;
+
+    if (after < in->comeback_ms) {
+        after = in->comeback_ms;
+    }
+    if (after < in->retry_min_ms) {
+        after = in->retry_min_ms;
+    }
+    if (after > in->retry_max_ms) {
+        after = in->retry_max_ms;
+    }
+    d.verdict = ADMISSION_REFUSE;
+    d.reason = reason;
+    d.wait_ms = wait_ms;
+    d.excess_ms = excess_ms;
+    d.retry_after_ms =
+        after + (int64_t)(in->rnd % (uint64_t)(after / JITTER_PART + 1));
+    return d;
+}
+
+/* Fills in an admission. */
+static struct admission_decision
+take(const struct admission_inputs *in, enum admission_reason reason,
+     int64_t wait_ms)
+{
+    struct admission_decision d = {.inputs = *in};
+
+    d.verdict = ADMISSION_QUEUE;
+    d.reason = reason;
+    d.wait_ms = wait_ms;
+    return d;
+}
+
+/* Finds which bound on the number of requests is reached, if any. An
+ * organisation may hold as many places as are still free, a caller as many
+ * as are left of these: however many a hot one sends, others find places. */
+static bool
+no_place(const struct admission_inputs *in, enum admission_reason *reason)
+{
+    int64_t free_places = in->queue_max - in->queued;
+
+    if (free_places <= 0) {
+        *reason = REFUSE_QUEUE_FULL;
+        return true;
+    }
+    if (in->org_queued >= free_places) {
+        *reason = REFUSE_ORG_QUEUE;
+        return true;
+    }
+    if (in->caller_queued >= free_places - in->org_queued) {
+        *reason = REFUSE_CALLER_QUEUE;
+        return true;
+    }
+    return false;
+}
+
+/* Judges a request that has to wait, by its deadline. */
+static struct admission_decision
+judge_wait(const struct admission_inputs *in, struct prediction p)
+{
+    int64_t left = in->deadline_at - in->now;
+
+    if (in->deadline_at == 0) {
+        return take(in, ADMIT_WAIT_FITS, p.wait_ms);
+    }
+    if (left < in->cost_ms) {
+        return refuse(in, REFUSE_DEADLINE_SHORT, p.wait_ms, p.wait_ms);
+    }
+    if (p.wait_ms + in->cost_high_ms > left) {
+        return refuse(in, p.reason, p.wait_ms,
+                      p.wait_ms + in->cost_high_ms - left);
+    }
+    return take(in, ADMIT_WAIT_FITS, p.wait_ms);
+}
+
+/* Judges one request. A free slot is given to whoever comes, also when the
+ * class is thought too slow for the deadline: an estimate that is wrong would
+ * never be corrected otherwise, and nobody waits for it. */
+struct admission_decision
+Admission_Judge(const struct admission_inputs *in)
+{
+    struct prediction p = predict(in);
+    enum admission_reason reason;
+
+    if (in->duplicate) {
+        return refuse(in, REFUSE_DUPLICATE, 0, 0);
+    }
+    if (in->expired) {
+        return refuse(in, REFUSE_EXPIRED, p.wait_ms, p.wait_ms);
+    }
+    if (in->capacity <= 0) {
+        return refuse(in, REFUSE_NO_CAPACITY, 0, RETRY_UNKNOWN_MS);
+    }
+    if (in->deadline_at > 0 && in->deadline_at <= in->now) {
+        return refuse(in, REFUSE_DEADLINE_SHORT, 0, 0);
+    }
+    if (no_place(in, &reason)) {
+        return refuse(in, reason, p.wait_ms, p.wait_ms);
+    }
+    if (in->running < in->capacity && in->queued == 0) {
+        return take(in, ADMIT_SLOT_FREE, 0);
+    }
+    return judge_wait(in, p);
+}
--- /dev/null
+++ b/packages/policy/admit-observe.c
@@ -0,0 +1,141 @@
+#include "admit-private.h"
+
+#include <math.h>
+
+/* The measured drain forgets what is this old: longer than most service
+ * times, shorter than an operator's patience. */
+#define DRAIN_FADE_MS 5000.0
+/* A backlog is thought to get at least this part of the slots: below it the
+ * queue is emptied by its deadlines sooner than by a better guess. */
+#define DRAIN_LEAST_PART 20
+
+/* Adds the time since the last call. Slots in use are counted rather than
+ * results, as the first results of long work come late. */
+void
+admit_measure(struct admission *a, int64_t now)
+{
+    double dt = (double)(now - a->measured_at);
+    double fade;
+
+    if (dt <= 0) {
+        return;
+    }
+    a->measured_at = now;
+    fade = exp(-dt / DRAIN_FADE_MS);
+    a->busy *= fade;
+    a->backlogged *= fade;
+    if (a->flows.root.queued > 0) {
+        a->busy += a->running * dt;
+        a->backlogged += dt;
+    }
+}
+
+/* Slots that a backlog gets, in thousandths: all of them until measured, as
+ * other entries may use some. */
+int64_t
+admit_drain_milli(const struct admission *a)
+{
+    double guess = (double)a->limits.drain_guess_ms;
+    double slots =
+        (a->busy + a->limits.capacity * guess) / (a->backlogged + guess);
+    int64_t least = (int64_t)a->limits.capacity * 1000 / DRAIN_LEAST_PART;
+    int64_t milli = llround(slots * 1000);
+
+    return milli < least ? least : milli;
+}
+
+/* Work that goes before a request of this priority at a flow. */
+static int64_t
+ahead(const struct admit_flow *flow, enum priority priority)
+{
+    int64_t ms = 0;
+    int i;
+
+    for (i = 0; i <= (int)priority; i++) {
+        ms += flow->lane[i].queued_ms;
+    }
+    return ms;
+}
+
+/* The part of its parent's service that a flow has with one request more;
+ * NULL stands for one that isn't known yet. */
+static int64_t
+share_milli(const struct admit_flow *parent, const struct admit_flow *flow)
+{
+    int64_t weight = flow != NULL ? flow->weight : ADMISSION_WEIGHT;
+    int64_t others = parent != NULL ? parent->weight_sum : 0;
+
+    if (flow != NULL && flow->queued > 0) {
+        others -= weight;
+    }
+    return weight * 1000 / (weight + (others > 0 ? others : 0));
+}
+
+/* Gathers what is known of the service, the organisation and the caller. */
+struct admission_inputs
+admit_flow_inputs(const struct admission *a, const struct admit_flow *org,
+                  const struct admit_flow *caller, enum priority priority,
+                  int64_t now)
+{
+    const struct admit_flow *root = &a->flows.root;
+    struct admission_inputs in = {.now = now};
+
+    in.ahead_ms = ahead(root, priority);
+    in.org_ahead_ms = org ? ahead(org, priority) : 0;
+    in.caller_ahead_ms = caller ? ahead(caller, priority) : 0;
+    in.running_ms = a->running_ms;
+    in.drain_milli = admit_drain_milli(a);
+    in.org_share_milli = share_milli(root, org);
+    in.caller_share_milli = share_milli(org, caller);
+    if (org != NULL && org->comeback_at > now) {
+        in.comeback_ms = org->comeback_at - now;
+    }
+    in.retry_min_ms = a->limits.retry_min_ms;
+    in.retry_max_ms = a->limits.retry_max_ms;
+    in.running = a->running;
+    in.capacity = a->limits.capacity;
+    in.queued = root->queued;
+    in.queue_max = a->limits.queue_max;
+    in.org_queued = org ? org->queued : 0;
+    in.caller_queued = caller ? caller->queued : 0;
+    return in;
+}
+
+/* Gathers what Admission_Judge looks at for a request that is offered. */
+struct admission_inputs
+admit_inputs(struct admission *a, const struct admission_facts *facts,
+             const struct admit_cost *cost, int64_t now, uint64_t rnd)
+{
+    struct admit_flow *org, *caller;
+    struct admission_inputs in;
+
+    org = admit_flow_find(&a->flows, &a->flows.root, facts->organisation);
+    caller =
+        admit_flow_find(&a->flows, org, facts->caller ? facts->caller : "");
+    in = admit_flow_inputs(a, org, caller, facts->priority, now);
+    in.rnd = rnd;
+    in.deadline_at = facts->deadline_at;
+    in.cost_ms = cost->mean_ms;
+    in.cost_high_ms = cost->high_ms;
+    in.duplicate = admit_find(a, &facts->id) != NULL;
+    return in;
+}
+
+/* Moves the time to come back of an organisation's next refused request on by
+ * the time that its share needs for this one, so that refused requests return
+ * at the rate at which they can be served. */
+void
+admit_book(struct admission *a, struct admit_flow *org,
+           const struct admission_decision *d)
+{
+    const struct admission_inputs *in = &d->inputs;
+    int64_t rate = in->drain_milli * in->org_share_milli / 1000;
+    int64_t at = in->now + d->excess_ms;
+    int64_t last = in->now + a->limits.retry_max_ms;
+
+    if (at < org->comeback_at) {
+        at = org->comeback_at;
+    }
+    at += in->cost_ms * 1000 / (rate > 0 ? rate : 1);
+    org->comeback_at = at > last ? last : at;
+}
--- /dev/null
+++ b/packages/policy/admit-private.h
@@ -0,0 +1,176 @@
+/*
+ * Inside of admission: requests, the flows that share the service, and what
+ * is known of classes.
+ */
+#ifndef ADMIT_PRIVATE_H
+#define ADMIT_PRIVATE_H
+
+#include "policy.h"
+#include "policy-tree.h"
+
+struct admit_flow;
+RB_HEAD(admit_lanes, admit_lane);
+RB_HEAD(admit_flow_index, admit_flow);
+RB_HEAD(admit_id_index, admit_entry);
+RB_HEAD(admit_expiry, admit_entry);
+RB_HEAD(admit_class_index, admit_class);
+TAILQ_HEAD(admit_fifo, admit_entry);
+TAILQ_HEAD(admit_idle, admit_flow);
+
+/* Service time of one class, learned. */
+struct admit_class {
+    uint64_t hash;
+    int samples;
+    double mean_ms;
+    double dev_ms; /* mean deviation */
+    RB_ENTRY(admit_class) entry;
+};
+
+struct admit_classes {
+    struct admit_class_index index;
+    int count;
+};
+
+/* What a flow has waiting at one priority. */
+struct admit_lane {
+    struct admit_flow *flow;
+    struct admit_lanes children; /* lanes of those with work, by vtime */
+    struct admit_fifo fifo;      /* of a key: its requests */
+    int queued;
+    int64_t queued_ms;
+    RB_ENTRY(admit_lane) entry; /* in the parent's children */
+};
+
+/* A sharer: the root, an organisation, a caller or a key. */
+struct admit_flow {
+    struct admit_flow *parent;
+    uint64_t hash; /* of the name, within the parent */
+    uint64_t serial;
+    int weight;
+    bool pinned;        /* has a weight of its own */
+    int refs;           /* children, queued and running requests, pins */
+    int queued;         /* at all priorities */
+    int64_t vtime;      /* weighted work served, in us */
+    int64_t clock;      /* least vtime of its children with work */
+    int64_t weight_sum; /* of its children with work */
+    int64_t comeback_at;
+    struct admit_lane lane[PRIORITY_COUNT];
+    RB_ENTRY(admit_flow) index;
+    TAILQ_ENTRY(admit_flow) idle;
+};
+
+struct admit_flows {
+    struct admit_flow root;
+    struct admit_flow_index index;
+    struct admit_idle idle; /* not referred to; longest first */
+    int idle_count;
+    int count;
+    uint64_t serial;
+};
+
+enum admit_state {
+    ADMIT_QUEUED,
+    ADMIT_EXPIRED, /* out of the queue, to be taken by Admission_Expire */
+    ADMIT_RUNNING
+};
+
+struct admit_entry {
+    struct id id;
+    struct admit_flow *key;
+    uint64_t class_hash;
+    enum priority priority;
+    enum admit_state state;
+    int64_t cost_ms;
+    int64_t latest_start; /* INT64_MAX without a deadline */
+    int64_t deadline_at;
+    int64_t cost_high_ms;
+    int64_t offered_at;
+    RB_ENTRY(admit_entry) by_id;
+    RB_ENTRY(admit_entry) by_expiry;
+    TAILQ_ENTRY(admit_entry) in_key; /* or in expired */
+    TAILQ_ENTRY(admit_entry) in_level;
+};
+
+struct admission {
+    struct admission_limits limits;
+    struct admit_flows flows;
+    struct admit_classes classes;
+    struct admit_id_index ids;
+    struct admit_expiry expiry;
+    struct admit_fifo level[PRIORITY_COUNT]; /* queued, oldest first */
+    struct admit_fifo expired;
+    int running;
+    int64_t running_ms; /* expected cost of what runs */
+    int since_aged;     /* dispatches since the last aged turn */
+    double busy;        /* slots in use times ms, while backlogged, fading */
+    double backlogged;  /* ms, fading in the same way */
+    int64_t measured_at;
+};
+
+/* Expected cost of one more request of a class. */
+struct admit_cost {
+    int64_t mean_ms;
+    int64_t high_ms;
+};
+
+struct admit_cost admit_class_cost(struct admit_classes *classes,
+                                   uint64_t hash, int64_t hint_ms,
+                                   int64_t fallback_ms);
+void admit_class_learn(struct admit_classes *classes, uint64_t hash,
+                       int64_t service_ms);
+void admit_class_clear(struct admit_classes *classes);
+
+void admit_flows_init(struct admit_flows *flows);
+void admit_flows_clear(struct admit_flows *flows);
+struct admit_flow *admit_flow_get(struct admit_flows *flows,
+                                  struct admit_flow *parent, const char *name);
+/* NULL when it isn't known, or parent is NULL. */
+struct admit_flow *admit_flow_find(struct admit_flows *flows,
+                                   struct admit_flow *parent,
+                                   const char *name);
+void admit_flow_ref(struct admit_flows *flows, struct admit_flow *flow);
+void admit_flow_unref(struct admit_flows *flows, struct admit_flow *flow);
+void admit_flow_set_weight(struct admit_flow *flow, int weight);
+/* One request more or less (sign 1 or -1) waits on a key. */
+void admit_flow_count(struct admit_flow *key, enum priority level, int sign,
+                      int64_t cost_ms);
+/* Work was served to a key, or given back. */
+void admit_flow_charge(struct admit_flow *key, int64_t work_ms);
+/* The key whose turn it is, and the priority to serve there; NULL without
+ * work. lead is in vtime. */
+struct admit_flow *admit_flow_choose(struct admit_flow *root, int64_t lead,
+                                     enum priority *level,
+                                     enum admission_turn *turn);
+/* As admit_flow_choose, at this priority alone. */
+struct admit_flow *admit_flow_choose_at(struct admit_flow *root,
+                                        enum priority level);
+
+void admit_enqueue(struct admission *a, struct admit_entry *e, bool first);
+void admit_dequeue(struct admission *a, struct admit_entry *e);
+struct admit_entry *admit_find(struct admission *a, const struct id *id);
+void admit_sort_out(struct admission *a, int64_t now);
+struct admit_entry *admit_new(struct admission *a,
+                              const struct admission_facts *facts,
+                              const struct admit_cost *cost, int64_t now);
+void admit_drop(struct admission *a, struct admit_entry *e);
+void admit_clear(struct admission *a);
+
+/* How many slots a backlog of this entry really gets, learned. */
+void admit_measure(struct admission *a, int64_t now);
+int64_t admit_drain_milli(const struct admission *a);
+/* What Admission_Judge looks at, for a request of this organisation and
+ * caller (NULL when not known yet); what is the request's own stays zero. */
+struct admission_inputs admit_flow_inputs(const struct admission *a,
+                                          const struct admit_flow *org,
+                                          const struct admit_flow *caller,
+                                          enum priority priority, int64_t now);
+/* The same with all that is the request's own. */
+struct admission_inputs admit_inputs(struct admission *a,
+                                     const struct admission_facts *facts,
+                                     const struct admit_cost *cost,
+                                     int64_t now, uint64_t rnd);
+/* Books the time at which a refused request is to come back. */
+void admit_book(struct admission *a, struct admit_flow *org,
+                const struct admission_decision *d);
+
+#endif
--- /dev/null
+++ b/packages/policy/admit.c
@@ -0,0 +1,298 @@
+#include "admit-private.h"
+
+#include <stdlib.h>
+
+/* Every so many dispatches one goes to a low priority that has waited: an
+ * eighth of the service is its floor, and the most that urgent work loses. */
+#define AGED_TURN 8
+
+/* Takes the given value, or the default for one that isn't set. */
+static int64_t
+or_default(int64_t value, int64_t fallback)
+{
+    return value > 0 ? value : fallback;
+}
+
+/* Fills in the defaults. */
+static struct admission_limits
+complete(const struct admission_limits *given)
+{
+    struct admission_limits l = {0};
+
+    if (given != NULL) {
+        l = *given;
+    }
+    l.queue_max = (int)or_default(l.queue_max, 4096);
+    l.capacity = (int)or_default(l.capacity, 1);
+    l.lead_ms = or_default(l.lead_ms, 2000);
+    l.age_ms = or_default(l.age_ms, 2000);
+    l.cost_ms = or_default(l.cost_ms, 200);
+    l.retry_min_ms = or_default(l.retry_min_ms, 50);
+    l.retry_max_ms = or_default(l.retry_max_ms, 30000);
+    l.drain_guess_ms = or_default(l.drain_guess_ms, 1000);
+    return l;
+}
+
+/* Makes an empty queue. */
+struct admission *
+Admission_New(const struct admission_limits *limits)
+{
+    struct admission *a = Mem_Zero(1, sizeof(*a));
+    int i;
+
+    a->limits = complete(limits);
+    admit_flows_init(&a->flows);
+    RB_INIT(&a->classes.index);
+    RB_INIT(&a->ids);
+    RB_INIT(&a->expiry);
+    TAILQ_INIT(&a->expired);
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        TAILQ_INIT(&a->level[i]);
+    }
+    return a;
+}
+
+/* Frees the queue with all that is in it. */
+void
+Admission_Free(struct admission *a)
+{
+    if (a == NULL) {
+        return;
+    }
+    admit_clear(a);
+    admit_flows_clear(&a->flows);
+    admit_class_clear(&a->classes);
+    free(a);
+}
+
+/* Frees what a local pointer points at. */
+void
+Admission_FreeP(struct admission **a)
+{
+    Admission_Free(*a);
+}
+
+/* Sets the slots; what waits is judged by them from now on. */
+void
+Admission_SetCapacity(struct admission *a, int slots)
+{
+    a->limits.capacity = slots > 0 ? slots : 0;
+}
+
+/* Sets a weight; the organisation is remembered for good. */
+void
+Admission_SetWeight(struct admission *a, const char *organisation, int weight)
+{
+    struct admit_flows *flows = &a->flows;
+    struct admit_flow *org = admit_flow_get(flows, &flows->root, organisation);
+
+    if (!org->pinned) {
+        org->pinned = true;
+        admit_flow_ref(flows, org);
+    }
+    admit_flow_set_weight(org, weight > 0 ? weight : 1);
+}
+
+/* Judges a request, and queues it or books its coming back. */
+struct admission_decision
+Admission_Offer(struct admission *a, const struct admission_facts *facts,
+                int64_t now, uint64_t rnd)
+{
+    struct admission_decision d;
+    struct admission_inputs in;
+    struct admit_cost cost;
+    uint64_t class_hash = Hash_Str(facts->class_name, 0);
+
+    admit_measure(a, now);
+    admit_sort_out(a, now);
+    cost = admit_class_cost(&a->classes, class_hash, facts->cost_hint_ms,
+                            a->limits.cost_ms);
+    in = admit_inputs(a, facts, &cost, now, rnd);
+    d = Admission_Judge(&in);
+    if (d.verdict == ADMISSION_QUEUE) {
+        admit_enqueue(a, admit_new(a, facts, &cost, now), false);
+    }
+    else if (d.reason != REFUSE_DUPLICATE) {
+        admit_book(
+            a, admit_flow_get(&a->flows, &a->flows.root, facts->organisation),
+            &d);
+    }
+    return d;
+}
+
+/* The low priority whose oldest request has waited longest, if that is for
+ * longer than age_ms and its turn has come. */
+static bool
+aged_level(const struct admission *a, int64_t now, enum priority *level)
+{
+    const struct admit_entry *e, *oldest = NULL;
+    int i;
+
+    if (a->since_aged < AGED_TURN - 1) {
+        return false;
+    }
+    for (i = PRIORITY_URGENT + 1; i < PRIORITY_COUNT; i++) {
+        e = TAILQ_FIRST(&a->level[i]);
+        if (e != NULL &&
+            (oldest == NULL || e->offered_at < oldest->offered_at)) {
+            oldest = e;
+        }
+    }
+    if (oldest == NULL || now - oldest->offered_at < a->limits.age_ms) {
+        return false;
+    }
+    *level = oldest->priority;
+    return true;
+}
+
+/* Chooses the request whose turn it is; NULL when none waits. */
+static struct admit_entry *
+choose(struct admission *a, int64_t now, enum admission_turn *turn)
+{
+    struct admit_flow *root = &a->flows.root;
+    struct admit_flow *key;
+    enum priority level;
+    int64_t lead;
+
+    if (aged_level(a, now, &level)) {
+        a->since_aged = 0;
+        *turn = TURN_AGED;
+        key = admit_flow_choose_at(root, level);
+    }
+    else {
+        a->since_aged++;
+        lead = a->limits.lead_ms * 1000 * a->limits.capacity;
+        key = admit_flow_choose(root, lead, &level, turn);
+    }
+    return key != NULL ? TAILQ_FIRST(&key->lane[level].fifo) : NULL;
+}
+
+/* Takes the next request and charges its expected work. */
+int
+Admission_Next(struct admission *a, int64_t now, struct admission_next *out)
+{
+    struct admit_entry *e;
+
+    admit_measure(a, now);
+    admit_sort_out(a, now);
+    e = choose(a, now, &out->turn);
+    if (e == NULL) {
+        return ERR_NOTFOUND;
+    }
+    admit_dequeue(a, e);
+    admit_flow_charge(e->key, e->cost_ms);
+    e->state = ADMIT_RUNNING;
+    a->running++;
+    a->running_ms += e->cost_ms;
+    out->id = e->id;
+    out->waited_ms = now - e->offered_at;
+    out->cost_ms = e->cost_ms;
+    return ERR_OK;
+}
+
+/* Takes a running request out of the account of slots. */
+static void
+stop_running(struct admission *a, struct admit_entry *e)
+{
+    a->running--;
+    a->running_ms -= e->cost_ms;
+}
+
+/* Undoes Admission_Next. */
+int
+Admission_Return(struct admission *a, const struct id *id, int64_t now)
+{
+    struct admit_entry *e = admit_find(a, id);
+
+    if (e == NULL || e->state != ADMIT_RUNNING) {
+        return ERR_NOTFOUND;
+    }
+    admit_measure(a, now);
+    stop_running(a, e);
+    admit_flow_charge(e->key, -e->cost_ms);
+    admit_enqueue(a, e, true);
+    return ERR_OK;
+}
+
+/* Hands over one request that was sorted out. Its refusal is judged by what
+ * one in its place would wait now. */
+int
+Admission_Expire(struct admission *a, int64_t now, uint64_t rnd, struct id *id,
+                 struct admission_decision *out)
+{
+    struct admission_inputs in;
+    struct admit_flow *org, *caller;
+    struct admit_entry *e;
+
+    admit_measure(a, now);
+    admit_sort_out(a, now);
+    e = TAILQ_FIRST(&a->expired);
+    if (e == NULL) {
+        return ERR_NOTFOUND;
+    }
+    caller = e->key->parent;
+    org = caller->parent;
+    in = admit_flow_inputs(a, org, caller, e->priority, now);
+    in.rnd = rnd;
+    in.deadline_at = e->deadline_at;
+    in.cost_ms = e->cost_ms;
+    in.cost_high_ms = e->cost_high_ms;
+    in.expired = true;
+    *out = Admission_Judge(&in);
+    admit_book(a, org, out);
+    *id = e->id;
+    admit_drop(a, e);
+    return ERR_OK;
+}
+
+/* Drops a request that does not run yet. */
+int
+Admission_Cancel(struct admission *a, const struct id *id)
+{
+    struct admit_entry *e = admit_find(a, id);
+
+    if (e == NULL || e->state == ADMIT_RUNNING) {
+        return ERR_NOTFOUND;
+    }
+    admit_drop(a, e);
+    return ERR_OK;
+}
+
+/* Learns from a request that ran, and charges what it took beyond what was
+ * expected. */
+int
+Admission_Finished(struct admission *a, const struct id *id,
+                   int64_t service_ms, bool ok, int64_t now)
+{
+    struct admit_entry *e = admit_find(a, id);
+
+    if (e == NULL || e->state != ADMIT_RUNNING) {
+        return ERR_NOTFOUND;
+    }
+    admit_measure(a, now);
+    stop_running(a, e);
+    admit_flow_charge(e->key, service_ms - e->cost_ms);
+    if (ok) {
+        admit_class_learn(&a->classes, e->class_hash, service_ms);
+    }
+    admit_drop(a, e);
+    return ERR_OK;
+}
+
+/* Tells what is there, for the dump and the metrics. */
+void
+Admission_Stats(const struct admission *a, struct admission_stats *out)
+{
+    const struct admit_flow *root = &a->flows.root;
+    int i;
+
+    *out = (struct admission_stats){0};
+    out->queued = root->queued;
+    out->running = a->running;
+    out->capacity = a->limits.capacity;
+    out->flows = a->flows.count;
+    out->drain_milli = admit_drain_milli(a);
+    for (i = 0; i < PRIORITY_COUNT; i++) {
+        out->queued_ms += root->lane[i].queued_ms;
+    }
+}
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -49,9 +49,9 @@
  * start-time fair queueing over organisations (weighted), their callers and
  * the callers' keys, charged by work (expected service ms at dispatch,
  * corrected when finished). Urgent goes before normal before batch, but an
- * organisation has that precedence only while it is at most lead_ms of work
- * ahead of the others; and a request of a lower priority that has waited
- * for age_ms gets every AGED_TURN-th dispatch.
+ * organisation has that precedence only while it is at most lead_ms times
+ * capacity of work ahead of the others; and a request of a lower priority
+ * that has waited for age_ms gets every eighth dispatch.
  *
  * Grounds: learning gains 1/8 and 1/4 are those of RFC 6298; the rest is
  * measured in docs/results/load.md.
@@ -63,13 +63,13 @@
 
 /* What bounds a queue; 0 in any field takes the default of the comment. */
 struct admission_limits {
-    int queue_max;          /* requests waiting in all; 4096 */
-    int capacity;           /* slots of the service; 1 until told */
-    int64_t lead_ms;        /* work ahead of others with precedence; 2000 */
-    int64_t age_ms;         /* wait of a low priority before its turn; 2000 */
-    int64_t cost_ms;        /* cost of a class never seen, no hint; 200 */
-    int64_t retry_min_ms;   /* least time to come back; 50 */
-    int64_t retry_max_ms;   /* most; 30000 */
+    int queue_max;        /* requests waiting in all; 4096 */
+    int capacity;         /* slots of the service; 1 until told */
+    int64_t lead_ms;      /* precedence, in time of the whole service; 2000 */
+    int64_t age_ms;       /* wait of a low priority before its turn; 2000 */
+    int64_t cost_ms;      /* cost of a class never seen, no hint; 200 */
+    int64_t retry_min_ms; /* least time to come back; 50 */
+    int64_t retry_max_ms; /* most; 30000 */
     int64_t drain_guess_ms; /* backlog time that outweighs a guess; 1000 */
 };
 
@@ -118,8 +118,8 @@
     int64_t ahead_ms;        /* work queued before it, whoever's */
     int64_t org_ahead_ms;    /* of that, its organisation's */
     int64_t caller_ahead_ms; /* of that, its caller's */
-    int64_t left_ms;         /* work left in the slots that are busy */
-    int64_t drain_milli;     /* work ms done per second while backlogged */
+    int64_t running_ms;      /* expected work of the requests in slots */
+    int64_t drain_milli;     /* slots that a backlog gets, in thousandths */
     int64_t org_share_milli; /* organisation's part of the drain */
     int64_t caller_share_milli; /* caller's part of its organisation's */
     int64_t comeback_ms;        /* how far refused ones are booked already */
@@ -132,12 +132,15 @@
     int queue_max;
     int org_queued;
     int caller_queued;
+    bool duplicate; /* its id is queued or running */
+    bool expired;   /* it was queued and can't meet its deadline any more */
 };
 
 struct admission_decision {
     enum admission_verdict verdict;
     enum admission_reason reason;
     int64_t wait_ms;        /* predicted wait for a slot */
+    int64_t excess_ms;      /* until the backlog will have drained enough */
     int64_t retry_after_ms; /* when refused; 0 otherwise */
     struct admission_inputs inputs;
 };
@@ -207,10 +210,9 @@
     int queued;
     int running;
     int capacity;
-    int organisations; /* with queued or running work */
-    int flows;         /* callers and keys that are remembered */
-    int64_t queued_ms; /* work waiting */
-    int64_t drain_milli;
+    int flows;           /* callers and keys that are remembered */
+    int64_t queued_ms;   /* work waiting */
+    int64_t drain_milli; /* slots that a backlog gets, in thousandths */
 };
 
 void Admission_Stats(const struct admission *a, struct admission_stats *out);
