--- /dev/null
+++ b/packages/policy/order-estimate.c
@@ -0,0 +1,156 @@
+#include "order-private.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* Results before a class's record is used: one odd job is no record. */
+#define SAMPLES_MIN 3
+/* Names come from callers: this bounds what they can make us keep. */
+#define CLASSES_MAX 256
+/* Gain of the averages: the last ten jobs or so count. */
+#define GAIN (1.0 / 8)
+
+/* Order of the index. */
+static int
+compare(const struct order_class *a, const struct order_class *b)
+{
+    return (a->hash > b->hash) - (a->hash < b->hash);
+}
+
+TREE_STATIC(order_classes, order_class, entry, compare);
+
+/* The text of a predictor. */
+const char *
+Order_PredictorName(enum order_predictor predictor)
+{
+    static const char *const names[ORDER_PREDICTOR_COUNT] = {
+        "declared", "scaled", "typical", "guess"};
+
+    if ((unsigned)predictor >= ORDER_PREDICTOR_COUNT) {
+        return "unnamed";
+    }
+    return names[predictor];
+}
+
+/* Looks a class up. */
+static struct order_class *
+find(struct order *o, const char *name)
+{
+    struct order_class key = {.hash = Hash_Str(name, 0)};
+
+    return RB_FIND(order_classes, &o->classes, &key);
+}
+
+/* Finds or adds a class; NULL when there are too many. */
+static struct order_class *
+get(struct order *o, const char *name)
+{
+    struct order_class *c = find(o, name);
+
+    if (c != NULL || o->class_count >= CLASSES_MAX) {
+        return c;
+    }
+    c = Mem_Zero(1, sizeof(*c));
+    c->hash = Hash_Str(name, 0);
+    RB_INSERT(order_classes, &o->classes, c);
+    o->class_count++;
+    return c;
+}
+
+/* What each predictor says, in logarithms. Returns a set of those that can
+ * say something, as bits. */
+static unsigned
+predict(const struct order_class *c, int64_t declared_ms,
+        double out[ORDER_PREDICTOR_COUNT])
+{
+    unsigned set = 0;
+
+    if (declared_ms > 0) {
+        out[ORDER_DECLARED] = log((double)declared_ms);
+        set |= 1u << ORDER_DECLARED;
+    }
+    if (c == NULL) {
+        return set;
+    }
+    if (declared_ms > 0 && c->scaled >= SAMPLES_MIN) {
+        out[ORDER_SCALED] = log((double)declared_ms) + c->scale;
+        set |= 1u << ORDER_SCALED;
+    }
+    if (c->samples >= SAMPLES_MIN) {
+        out[ORDER_TYPICAL] = c->typical;
+        set |= 1u << ORDER_TYPICAL;
+    }
+    return set;
+}
+
+/* Expects the run time by the predictor that has erred least. */
+int64_t
+order_expect(struct order *o, const char *class_name, int64_t declared_ms,
+             enum order_predictor *predictor)
+{
+    const struct order_class *c = find(o, class_name);
+    double said[ORDER_PREDICTOR_COUNT] = {0};
+    unsigned set = predict(c, declared_ms, said);
+    int i, best = ORDER_GUESS;
+
+    for (i = 0; i < ORDER_GUESS; i++) {
+        if ((set & (1u << i)) == 0) {
+            continue;
+        }
+        if (best == ORDER_GUESS || c->error[i] < c->error[best]) {
+            best = i;
+        }
+    }
+    *predictor = (enum order_predictor)best;
+    if (best == ORDER_GUESS) {
+        return o->limits.expected_ms;
+    }
+    return llround(fmax(1, exp(said[best])));
+}
+
+/* Moves an average towards a sample; the first ones count in full. */
+static void
+average(double *mean, double sample, int samples)
+{
+    double gain = fmax(GAIN, 1.0 / (samples + 1));
+
+    *mean += (sample - *mean) * gain;
+}
+
+/* Enters a run time: first each predictor's error, then the averages. */
+void
+order_learn(struct order *o, const char *class_name, int64_t declared_ms,
+            int64_t ran_ms)
+{
+    struct order_class *c = get(o, class_name);
+    double ran = log((double)(ran_ms > 0 ? ran_ms : 1));
+    double said[ORDER_PREDICTOR_COUNT] = {0};
+    unsigned set;
+    int i;
+
+    if (c == NULL) {
+        return;
+    }
+    set = predict(c, declared_ms, said);
+    for (i = 0; i < ORDER_GUESS; i++) {
+        if ((set & (1u << i)) != 0) {
+            average(&c->error[i], fabs(said[i] - ran), c->samples);
+        }
+    }
+    average(&c->typical, ran, c->samples++);
+    if (declared_ms > 0) {
+        average(&c->scale, ran - log((double)declared_ms), c->scaled++);
+    }
+}
+
+/* Frees all classes. */
+void
+order_classes_clear(struct order *o)
+{
+    struct order_class *c, *next;
+
+    RB_FOREACH_SAFE (c, order_classes, &o->classes, next) {
+        RB_REMOVE(order_classes, &o->classes, c);
+        free(c);
+    }
+}
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -461,7 +461,8 @@
  * later than 95% of answers were.
  *
  * Grounds: 10% bounds the load that retries add to a tenth; 95% makes
- * hedging cost at most a twentieth.
+ * hedging cost at most a twentieth. One object for requests of one class:
+ * lateness is relative to answers of the same kind.
  */
 
 struct retry;
@@ -543,8 +544,9 @@
  * little is always first, and a job that can't run takes accelerators again
  * and again.
  *
- * Answer: by priority, then by expected remaining ms minus aging_percent of
- * the time waited, which is a fixed key while a job waits: no re-sorting.
+ * Answer: urgent jobs first; then by expected remaining ms minus
+ * aging_percent of the time waited, a batch job's counting as batch_after_ms
+ * more. That is a fixed key while a job waits: no re-sorting.
  * The expectation is, per class, whichever predictor has erred least so far:
  * the declared time, the declared time scaled by what was seen against it,
  * or the class's typical time. A failed job waits twice as long each time;
@@ -588,7 +590,7 @@
     enum priority priority;
     enum order_predictor predictor;
     int64_t remaining_ms; /* expected */
-    int64_t key;          /* least first, within its priority */
+    int64_t key;          /* least first; urgent jobs before all others */
     int64_t not_before;   /* back-off; 0: none */
 };
 
--- /dev/null
+++ b/packages/policy/retry.c
@@ -0,0 +1,215 @@
+#include "policy.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#define TOKEN 1000 /* tokens are counted in thousandths */
+/* Answers before the 95th percentile is believed. */
+#define P95_SAMPLES_MIN 20
+/* Step of the percentile's search, as a part of its present value. */
+#define P95_STEP 0.05
+#define P95 0.95
+
+struct retry {
+    struct retry_limits limits;
+    int64_t tokens_milli;
+    int64_t filled_at;
+    double p95_ms;
+    int samples;
+};
+
+/* The text of a reason. */
+const char *
+Retry_ReasonName(enum retry_reason reason)
+{
+    static const char *const names[RETRY_REASON_COUNT] = {
+        [RETRY_ALLOWED] = "allowed",
+        [RETRY_REROUTED] = "rerouted",
+        [RETRY_NOT_REPEATED] = "not_repeatable",
+        [RETRY_ATTEMPTS] = "too_many_attempts",
+        [RETRY_BUDGET] = "no_budget",
+        [RETRY_DEADLINE] = "deadline",
+        [RETRY_TOO_EARLY] = "too_early",
+        [RETRY_OFF] = "off",
+    };
+
+    return (unsigned)reason < RETRY_REASON_COUNT ? names[reason] : "unnamed";
+}
+
+/* Finds what forbids a hedge, RETRY_ALLOWED if nothing does. */
+static enum retry_reason
+judge_hedge(const struct retry_inputs *in)
+{
+    if (!in->facts.repeatable) {
+        return RETRY_NOT_REPEATED;
+    }
+    if (in->no_hedge || in->p95_ms < 0) {
+        return RETRY_OFF;
+    }
+    if (in->now - in->facts.sent_at < in->p95_ms) {
+        return RETRY_TOO_EARLY;
+    }
+    return RETRY_ALLOWED;
+}
+
+/* Finds what forbids another attempt, RETRY_ALLOWED if nothing does. */
+static enum retry_reason
+judge(const struct retry_inputs *in)
+{
+    const struct retry_facts *f = &in->facts;
+    enum retry_reason reason = RETRY_ALLOWED;
+
+    if (!f->repeatable && f->started) {
+        return RETRY_NOT_REPEATED;
+    }
+    if (f->attempts >= in->attempts_max) {
+        return RETRY_ATTEMPTS;
+    }
+    if (f->deadline_at > 0 && in->now + f->expected_ms > f->deadline_at) {
+        return RETRY_DEADLINE;
+    }
+    if (f->cause == RETRY_HEDGE) {
+        reason = judge_hedge(in);
+    }
+    if (reason != RETRY_ALLOWED) {
+        return reason;
+    }
+    if (f->cause == RETRY_REFUSED) {
+        return RETRY_REROUTED;
+    }
+    return in->tokens_milli >= TOKEN ? RETRY_ALLOWED : RETRY_BUDGET;
+}
+
+/* Judges one more attempt. */
+struct retry_decision
+Retry_Judge(const struct retry_inputs *in)
+{
+    struct retry_decision d = {.inputs = *in};
+
+    d.reason = judge(in);
+    d.token = d.reason == RETRY_ALLOWED;
+    d.allowed = d.token || d.reason == RETRY_REROUTED;
+    return d;
+}
+
+/* Takes the given value, or the default for one that isn't set. */
+static int
+or_default(int value, int fallback)
+{
+    return value > 0 ? value : fallback;
+}
+
+/* Makes a budget, full at first. */
+struct retry *
+Retry_New(const struct retry_limits *limits)
+{
+    struct retry *r = Mem_Zero(1, sizeof(*r));
+
+    if (limits != NULL) {
+        r->limits = *limits;
+    }
+    r->limits.share_percent = or_default(r->limits.share_percent, 10);
+    r->limits.floor_per_s = or_default(r->limits.floor_per_s, 1);
+    r->limits.burst = or_default(r->limits.burst, 20);
+    r->limits.attempts_max = or_default(r->limits.attempts_max, 3);
+    r->tokens_milli = (int64_t)r->limits.burst * TOKEN;
+    return r;
+}
+
+/* Frees a budget. */
+void
+Retry_Free(struct retry *r)
+{
+    free(r);
+}
+
+/* Frees what a local pointer points at. */
+void
+Retry_FreeP(struct retry **r)
+{
+    Retry_Free(*r);
+}
+
+/* Adds tokens up to the burst. */
+static void
+earn(struct retry *r, int64_t milli)
+{
+    int64_t most = (int64_t)r->limits.burst * TOKEN;
+
+    r->tokens_milli += milli;
+    if (r->tokens_milli > most) {
+        r->tokens_milli = most;
+    }
+}
+
+/* Adds what the floor has brought since the last call. */
+static void
+fill(struct retry *r, int64_t now)
+{
+    int64_t most_ms = (int64_t)r->limits.burst * 1000;
+    int64_t dt = now - r->filled_at;
+
+    if (dt <= 0) {
+        return;
+    }
+    r->filled_at = now;
+    earn(r, (dt > most_ms ? most_ms : dt) * r->limits.floor_per_s);
+}
+
+/* Moves the estimate of the 95th percentile a step towards the answer: up by
+ * 19 parts or down by one, so that it rests where 5% of answers are later. */
+static void
+learn_p95(struct retry *r, int64_t latency_ms)
+{
+    double step = fmax(1, r->p95_ms * P95_STEP);
+
+    if (r->samples < P95_SAMPLES_MIN) {
+        r->samples++;
+        r->p95_ms = fmax(r->p95_ms, (double)latency_ms);
+        return;
+    }
+    if ((double)latency_ms > r->p95_ms) {
+        r->p95_ms += step * P95;
+    }
+    else {
+        r->p95_ms -= step * (1 - P95);
+    }
+}
+
+/* Earns a part of a token, and learns how late answers come. */
+void
+Retry_Success(struct retry *r, int64_t latency_ms, int64_t now)
+{
+    fill(r, now);
+    earn(r, (int64_t)r->limits.share_percent * TOKEN / 100);
+    learn_p95(r, latency_ms);
+}
+
+/* Decides on one more attempt and takes its token. */
+struct retry_decision
+Retry_Ask(struct retry *r, const struct retry_facts *facts, int64_t now)
+{
+    struct retry_inputs in = {.facts = *facts, .now = now};
+    struct retry_decision d;
+
+    fill(r, now);
+    in.tokens_milli = r->tokens_milli;
+    in.p95_ms = Retry_HedgeAfterMs(r);
+    in.attempts_max = r->limits.attempts_max;
+    in.no_hedge = r->limits.no_hedge;
+    d = Retry_Judge(&in);
+    if (d.token) {
+        r->tokens_milli -= TOKEN;
+    }
+    return d;
+}
+
+/* Tells when a hedge is worth asking for. */
+int64_t
+Retry_HedgeAfterMs(const struct retry *r)
+{
+    if (r->limits.no_hedge || r->samples < P95_SAMPLES_MIN) {
+        return -1;
+    }
+    return llround(r->p95_ms);
+}
--- /dev/null
+++ b/packages/policy/route-settle.c
@@ -0,0 +1,167 @@
+#include "route-private.h"
+
+#include <stdlib.h>
+
+/* Gain of the average of slowness: some ten results change the picture. */
+#define SLOWNESS_GAIN (1.0 / 8)
+/* A failure counts as an answer this much later than expected, however fast
+ * it came: a worker that fails at once would look like the fastest. */
+#define FAILURE_SLOWNESS 8.0
+/* One result says no more than this: one stuck request is no slow worker. */
+#define SAMPLE_MAX 16.0
+/* Results after which the median of all is worth computing again. */
+#define MEDIAN_EVERY 64
+
+/* Looks a handle up; NULL when there is no such. */
+static struct route_upstream *
+upstream(const struct route *r, int handle)
+{
+    return handle >= 0 && handle < r->count ? &r->up[handle] : NULL;
+}
+
+/* Counts a request as outstanding. The first one to an ejected upstream is
+ * its probe. */
+void
+Route_Sent(struct route *r, int handle, int64_t now)
+{
+    struct route_upstream *u = upstream(r, handle);
+
+    if (u == NULL) {
+        return;
+    }
+    u->own++;
+    if (Health_MayProbe(&u->health, now)) {
+        u->health.state = HEALTH_PROBING;
+    }
+}
+
+/* Order of qsort. */
+static int
+compare_double(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Computes the median of slowness anew. */
+static void
+find_median(struct route *r)
+{
+    double *all CLEANUP(Mem_FreeP) =
+        Mem_Zero((size_t)r->all.count, sizeof(double));
+    int i;
+
+    for (i = 0; i < r->all.count; i++) {
+        all[i] = r->up[r->all.at[i]].slowness;
+    }
+    qsort(all, (size_t)r->all.count, sizeof(double), compare_double);
+    r->median = all[r->all.count / 2];
+    r->median_age = 0;
+}
+
+/* Enters a result into the average of slowness. */
+static void
+learn_slowness(struct route *r, struct route_upstream *u, bool ok,
+               int64_t latency_ms, int64_t expected_ms, int64_t now)
+{
+    double sample = (double)(latency_ms + 1) / (double)(expected_ms + 1);
+
+    if (!ok && sample < FAILURE_SLOWNESS) {
+        sample = FAILURE_SLOWNESS;
+    }
+    if (sample > SAMPLE_MAX) {
+        sample = SAMPLE_MAX;
+    }
+    u->slowness = r->median * route_slowness(r, u, now);
+    u->slowness += (sample - u->slowness) * SLOWNESS_GAIN;
+    u->slowness_at = now;
+    if (++r->median_age >= MEDIAN_EVERY && r->all.count > 0) {
+        find_median(r);
+    }
+}
+
+/* Finds the earliest time at which a probe is due. */
+static void
+find_probe_time(struct route *r)
+{
+    int i;
+
+    r->probe_at = INT64_MAX;
+    for (i = 0; i < r->all.count; i++) {
+        const struct health *h = &r->up[r->all.at[i]].health;
+
+        if (h->state == HEALTH_EJECTED &&
+            h->ejected_at + h->ejected_for < r->probe_at) {
+            r->probe_at = h->ejected_at + h->ejected_for;
+        }
+    }
+}
+
+/* Enters a result into the upstream's health. */
+static enum health_reason
+learn_health(struct route *r, struct route_upstream *u, bool ok, int64_t now)
+{
+    struct health_inputs in = {u->health, r->limits.health, ok};
+    bool was_out = u->health.state != HEALTH_GOOD;
+    struct health_decision d;
+
+    in.out = r->out - (was_out ? 1 : 0);
+    in.total = r->all.count;
+    in.now = now;
+    d = Health_Judge(&in);
+    u->health = d.after;
+    r->out = in.out + (u->health.state != HEALTH_GOOD ? 1 : 0);
+    if (r->out > 0 && d.reason != HEALTH_STAYS) {
+        find_probe_time(r);
+    }
+    return d.reason;
+}
+
+/* Ends a probe that says nothing: the next request may be one. */
+static void
+give_probe_back(struct route *r, struct route_upstream *u)
+{
+    if (u->health.state == HEALTH_PROBING) {
+        u->health.state = HEALTH_EJECTED;
+        find_probe_time(r);
+    }
+}
+
+/* Takes a refusal for what it says: there is no slot free just now. */
+static void
+mark_full(struct route *r, struct route_upstream *u, int64_t now)
+{
+    struct route_report full = {.own = u->own};
+
+    full.busy = u->slots > u->own ? u->slots : u->own;
+    full.connections = u->other_connections + u->own;
+    Route_Report(r, (int)(u - r->up), &full, now);
+}
+
+/* Books the end of a request. */
+enum health_reason
+Route_Settled(struct route *r, int handle, enum route_outcome outcome,
+              int64_t latency_ms, int64_t expected_ms, int64_t now)
+{
+    struct route_upstream *u = upstream(r, handle);
+    bool ok = outcome == ROUTE_OK;
+
+    if (u == NULL || u->own == 0) {
+        return HEALTH_STAYS;
+    }
+    u->own--;
+    if (!u->known) {
+        return HEALTH_STAYS;
+    }
+    if (outcome == ROUTE_WITHDRAWN || outcome == ROUTE_REFUSED) {
+        give_probe_back(r, u);
+        if (outcome == ROUTE_REFUSED) {
+            mark_full(r, u, now);
+        }
+        return HEALTH_STAYS;
+    }
+    learn_slowness(r, u, ok, latency_ms, expected_ms, now);
+    return learn_health(r, u, ok, now);
+}
