--- /dev/null
+++ b/packages/cells/cells-claim.c
@@ -0,0 +1,127 @@
+#include "cells-impl.h"
+
+#include <string.h>
+
+#define REASON(r, name) [r] = (name)
+
+static const char *const reasons[] = {
+    REASON(CELLS_CLAIM_RIGHTFUL, "rightful"),
+    REASON(CELLS_CLAIM_OLD, "claim_is_old"),
+    REASON(CELLS_CLAIM_BEHIND, "agent_is_behind"),
+    REASON(CELLS_CLAIM_NOT_BOUND, "not_bound"),
+    REASON(CELLS_CLAIM_HELD, "held"),
+    REASON(CELLS_CLAIM_EMPTY, "empty"),
+};
+
+/* The word for logs and answers. */
+const char *
+Cells_ClaimName(enum cells_claim_reason reason)
+{
+    return (size_t)reason < COUNT_OF(reasons) ? reasons[reason] : "unnamed";
+}
+
+/* Accelerators of this worker that are bound to an organisation. */
+static uint64_t
+bound_to(const struct cells_local *local, const char *organisation)
+{
+    uint64_t mask = 0;
+
+    for (int i = 0; i < local->bindings; i++) {
+        if (strcmp(local->binding[i].organisation, organisation) == 0) {
+            mask |= local->binding[i].mask;
+        }
+    }
+    return mask;
+}
+
+/* The verdict of one agent, from what it holds itself. Versions must be the
+ * same: on older bindings two organisations could be right about the same
+ * accelerators, and each would displace the other's guaranteed work. */
+struct cells_claim
+Cells_Claim(const struct cells_local *local, const char *organisation,
+            uint64_t mask, uint64_t version)
+{
+    struct cells_claim v = {.reason = CELLS_CLAIM_RIGHTFUL,
+                            .version = local->version};
+
+    v.bound = bound_to(local, organisation);
+    if (mask == 0) {
+        v.reason = CELLS_CLAIM_EMPTY;
+    }
+    else if (version != local->version) {
+        v.reason =
+            version < local->version ? CELLS_CLAIM_OLD : CELLS_CLAIM_BEHIND;
+    }
+    else if ((mask & v.bound) != mask) {
+        v.reason = CELLS_CLAIM_NOT_BOUND;
+    }
+    for (int i = 0; i < local->jobs && v.reason == CELLS_CLAIM_RIGHTFUL; i++) {
+        const struct cells_local_job *job = &local->job[i];
+
+        if ((job->mask & mask) == 0) {
+            continue;
+        }
+        if (job->guaranteed || v.displaced == CELLS_ACCELERATORS_MAX) {
+            v.reason = CELLS_CLAIM_HELD;
+            v.holder = job->job;
+            v.displaced = 0;
+            break;
+        }
+        v.displace[v.displaced++] = job->job;
+    }
+    return v;
+}
+
+/* The entry of an organisation among those written so far. */
+static struct cells_local_binding *
+entry_of(struct cells_local_binding *out, int n, const char *organisation)
+{
+    for (int i = 0; i < n; i++) {
+        if (strcmp(out[i].organisation, organisation) == 0) {
+            return &out[i];
+        }
+    }
+    return NULL;
+}
+
+/* What a worker's agent has to hold. */
+int
+Cells_LocalBindings(const struct cells *c, int worker,
+                    struct cells_local_binding *out, int max)
+{
+    const struct worker *w = Topo_Worker(c, worker);
+    struct cells_local_binding all[CELLS_ACCELERATORS_MAX] = {0};
+    int n = 0;
+
+    if (w == NULL) {
+        return 0;
+    }
+    for (int i = 0; i < w->info.accelerators; i++) {
+        const struct cell *cell = w->slot[i].cell;
+        struct cells_local_binding *b;
+
+        if (cell == NULL) {
+            continue;
+        }
+        b = entry_of(all, n, cell->org->name);
+        if (b == NULL) {
+            b = &all[n++];
+            Str_Copy(b->organisation, sizeof(b->organisation),
+                     cell->org->name);
+        }
+        b->mask |= UINT64_C(1) << i;
+    }
+    for (int i = 0; i < n && i < max; i++) {
+        out[i] = all[i];
+    }
+    return n;
+}
+
+/* The version that the worker's agent has to hold; 0 for a hole. */
+uint64_t
+Cells_WorkerVersion(const struct cells *c, int worker)
+{
+    const struct worker *w = Topo_Worker(c, worker);
+
+    return w ? w->version : 0;
+}
--- /dev/null
+++ b/packages/cells/cells-job.c
@@ -0,0 +1,415 @@
+#include "cells-impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* By id. */
+static int
+job_compare(struct job *a, struct job *b)
+{
+    if (a->request.job == b->request.job) {
+        return 0;
+    }
+    return a->request.job < b->request.job ? -1 : 1;
+}
+
+/* NOLINTBEGIN(bugprone-*,clang-analyzer-*) */
+RB_GENERATE(job_tree, job, entry, job_compare)
+/* NOLINTEND(bugprone-*,clang-analyzer-*) */
+
+/* The job of an id, or NULL. */
+struct job *
+Jobs_Find(const struct cells *c, uint64_t id)
+{
+    struct job key = {.request = {.job = id}};
+
+    return RB_FIND(job_tree, (struct job_tree *)&c->jobs, &key);
+}
+
+/* Adds n to the use of the cell under each guaranteed accelerator. */
+static void
+count_held(struct worker *w, uint64_t mask, int n)
+{
+    for (uint64_t m = mask; m != 0; m &= m - 1) {
+        struct cell *cell = w->slot[__builtin_ctzll(m)].cell;
+
+        if (cell != NULL) {
+            cell->held += n;
+        }
+    }
+}
+
+/* Points the slots of a job's accelerators at it, or at none. */
+static void
+set_slots(struct worker *w, uint64_t mask, struct job *job)
+{
+    for (uint64_t m = mask; m != 0; m &= m - 1) {
+        w->slot[__builtin_ctzll(m)].job = job;
+    }
+}
+
+/* Puts a job on its accelerators. */
+void
+Jobs_Put(struct cells *c, struct job *job)
+{
+    for (int i = 0; i < job->parts; i++) {
+        struct worker *w = c->worker[job->part[i].worker];
+        uint64_t mask = job->part[i].mask;
+
+        if ((w->busy & mask) != 0) {
+            Fatal("cells: two jobs on worker %s", w->info.name);
+        }
+        w->busy |= mask;
+        set_slots(w, mask, job);
+        if (job->guaranteed) {
+            w->held |= mask;
+            count_held(w, mask, 1);
+        }
+    }
+    RB_INSERT(job_tree, &c->jobs, job);
+    c->job_count++;
+    c->state++;
+}
+
+/* Gives up the guaranteed standing of a job that stays where it is. */
+void
+Jobs_Lend(struct cells *c, struct job *job)
+{
+    if (!job->guaranteed) {
+        return;
+    }
+    job->guaranteed = false;
+    c->state++;
+    for (int i = 0; i < job->parts; i++) {
+        struct worker *w = c->worker[job->part[i].worker];
+
+        w->held &= ~job->part[i].mask;
+        count_held(w, job->part[i].mask, -1);
+    }
+}
+
+/* Takes a job off its accelerators. */
+void
+Jobs_Take(struct cells *c, struct job *job)
+{
+    Jobs_Lend(c, job);
+    for (int i = 0; i < job->parts; i++) {
+        struct worker *w = c->worker[job->part[i].worker];
+
+        w->busy &= ~job->part[i].mask;
+        set_slots(w, job->part[i].mask, NULL);
+    }
+    RB_REMOVE(job_tree, &c->jobs, job);
+    c->job_count--;
+    c->state++;
+}
+
+/* Takes a job off and frees it. */
+void
+Jobs_Drop(struct cells *c, struct job *job)
+{
+    Jobs_Take(c, job);
+    free(job->part);
+    free(job);
+}
+
+/* A job that is not on the account yet. */
+static struct job *
+new_job(struct cells *c, const struct cells_request *request,
+        const struct cells_part *part, int parts, int64_t started_at)
+{
+    struct job *job = Mem_Zero(1, sizeof(*job));
+    size_t size = sizeof(*part) * (size_t)parts;
+
+    job->request = *request;
+    job->org = Org_Get(c, request->organisation);
+    job->started_at = started_at;
+    job->checkpoint_at = started_at;
+    job->part = Mem_Alloc(size);
+    memcpy(job->part, part, size);
+    job->parts = parts;
+    return job;
+}
+
+/* Whether all accelerators of the parts lie in the organisation's cells. */
+static bool
+in_own_cells(const struct cells *c, const struct org *org,
+             const struct cells_part *part, int parts)
+{
+    for (int i = 0; i < parts; i++) {
+        const struct worker *w = c->worker[part[i].worker];
+
+        for (uint64_t m = part[i].mask; m != 0; m &= m - 1) {
+            const struct cell *cell = w->slot[__builtin_ctzll(m)].cell;
+
+            if (cell == NULL || cell->org != org) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Whether the parts name accelerators that exist, each once; those of jobs
+ * count as free when `leaves` says that the job goes. */
+static bool
+parts_free(const struct cells *c, const struct cells_part *part, int parts,
+           bool (*leaves)(const struct job *, const void *), const void *arg)
+{
+    for (int i = 0; i < parts; i++) {
+        const struct worker *w = Topo_Worker(c, part[i].worker);
+
+        if (w == NULL || part[i].mask == 0 ||
+            (part[i].mask & w->all) != part[i].mask) {
+            return false;
+        }
+        for (int k = 0; k < i; k++) {
+            if (part[k].worker == part[i].worker &&
+                (part[k].mask & part[i].mask) != 0) {
+                return false;
+            }
+        }
+        for (uint64_t m = part[i].mask & w->busy; m != 0; m &= m - 1) {
+            if (!leaves(w->slot[__builtin_ctzll(m)].job, arg)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* No job leaves for one that is adopted. */
+static bool
+nobody_leaves(const struct job *job UNUSED, const void *arg UNUSED)
+{
+    return false;
+}
+
+/* Whether a job is among the victims of a plan. */
+static bool
+is_victim(const struct job *job, const void *arg)
+{
+    const struct cells_plan *plan = arg;
+
+    for (int i = 0; i < plan->victims; i++) {
+        if (plan->victim[i].job == job->request.job) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes in a job that runs already. */
+int
+Cells_Adopt(struct cells *c, const struct cells_request *request,
+            const struct cells_part *part, int parts, int64_t started_at)
+{
+    struct job *job;
+
+    if (Jobs_Find(c, request->job) != NULL) {
+        return ERR_EXISTS;
+    }
+    if (!parts_free(c, part, parts, nobody_leaves, NULL)) {
+        return ERR_CONFLICT;
+    }
+    job = new_job(c, request, part, parts, started_at);
+    job->guaranteed =
+        request->guaranteed && in_own_cells(c, job->org, part, parts);
+    Jobs_Put(c, job);
+    return ERR_OK;
+}
+
+/* Turns a move of a plan into a place. */
+static struct place
+move_place(const struct cells *c, const struct cells_move *move)
+{
+    struct place p = {.workers = move->workers};
+
+    memcpy(p.worker, move->worker, sizeof(p.worker));
+    if (c->cell[move->cell]->shape.workers == 0) {
+        p.mask = move->mask[0];
+    }
+    return p;
+}
+
+/* Moves one cell; the one that was there takes its place. */
+static void
+apply_move(struct cells *c, const struct cells_move *move)
+{
+    struct cell *cell = c->cell[move->cell];
+    struct place from = cell->place, to = move_place(c, move);
+
+    if (cell->held > 0) {
+        Fatal("cells: a cell in use would move");
+    }
+    Bind_Clear(c, cell);
+    if (move->partner != CELLS_NONE) {
+        struct cell *partner = c->cell[move->partner];
+
+        if (partner->held > 0) {
+            Fatal("cells: a cell in use would move away");
+        }
+        Bind_Clear(c, partner);
+        Bind_Set(c, partner, &from);
+    }
+    Bind_Set(c, cell, &to);
+}
+
+/* Takes a plan into the account. */
+int
+Cells_Commit(struct cells *c, const struct cells_plan *plan)
+{
+    struct job *job;
+
+    if (!Cells_IsPlaced(plan->reason)) {
+        return ERR_INVALID;
+    }
+    if (plan->state != c->state || Jobs_Find(c, plan->request.job) ||
+        !parts_free(c, plan->part, plan->parts, is_victim, plan)) {
+        return ERR_STALE;
+    }
+    for (int i = 0; i < plan->victims; i++) {
+        struct job *victim = Jobs_Find(c, plan->victim[i].job);
+
+        if (victim != NULL) {
+            Jobs_Drop(c, victim);
+        }
+    }
+    for (int i = 0; i < plan->moves; i++) {
+        apply_move(c, &plan->move[i]);
+    }
+    job = new_job(c, &plan->request, plan->part, plan->parts, plan->at);
+    job->guaranteed = plan->request.guaranteed;
+    if (job->guaranteed &&
+        !in_own_cells(c, job->org, plan->part, plan->parts)) {
+        Fatal("cells: guaranteed work outside its organisation's cells");
+    }
+    Jobs_Put(c, job);
+    return ERR_OK;
+}
+
+/* Takes a job off; idle cells may then leave failed workers. */
+int
+Cells_Release(struct cells *c, uint64_t job)
+{
+    struct job *found = Jobs_Find(c, job);
+    bool guaranteed;
+
+    if (found == NULL) {
+        return ERR_NOTFOUND;
+    }
+    guaranteed = found->guaranteed;
+    Jobs_Drop(c, found);
+    if (guaranteed) {
+        Bind_Mend(c, true);
+    }
+    return ERR_OK;
+}
+
+/* Notes a checkpoint; an older one than the last is left out. Plans stay
+ * good: it makes no victim impossible, only cheaper. */
+int
+Cells_Progress(struct cells *c, uint64_t job, int64_t checkpoint_at)
+{
+    struct job *found = Jobs_Find(c, job);
+
+    if (found == NULL) {
+        return ERR_NOTFOUND;
+    }
+    if (checkpoint_at > found->checkpoint_at) {
+        found->checkpoint_at = checkpoint_at;
+    }
+    return ERR_OK;
+}
+
+/* Describes a job. */
+void
+Jobs_Info(const struct job *job, struct cells_job_info *out)
+{
+    out->request = job->request;
+    out->guaranteed = job->guaranteed;
+    out->started_at = job->started_at;
+    out->checkpoint_at = job->checkpoint_at;
+    out->part = job->part;
+    out->parts = job->parts;
+}
+
+/* How many jobs run. */
+int
+Cells_JobCount(const struct cells *c)
+{
+    return c->job_count;
+}
+
+/* Describes the job of an id. */
+bool
+Cells_Job(const struct cells *c, uint64_t job, struct cells_job_info *out)
+{
+    const struct job *found = Jobs_Find(c, job);
+
+    if (found == NULL) {
+        return false;
+    }
+    Jobs_Info(found, out);
+    return true;
+}
+
+/* Ascending. */
+static int
+by_id(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+/* Jobs with a part on one worker. */
+int
+Cells_WhoIsOn(const struct cells *c, int worker, uint64_t *job, int max)
+{
+    const struct worker *w = Topo_Worker(c, worker);
+    uint64_t all[CELLS_ACCELERATORS_MAX];
+    int n = 0, found = 0;
+
+    if (w == NULL) {
+        return 0;
+    }
+    for (uint64_t m = w->busy; m != 0; m &= m - 1) {
+        all[n++] = w->slot[__builtin_ctzll(m)].job->request.job;
+    }
+    qsort(all, (size_t)n, sizeof(*all), by_id);
+    for (int i = 0; i < n; i++) {
+        if (i > 0 && all[i] == all[i - 1]) {
+            continue;
+        }
+        if (found < max) {
+            job[found] = all[i];
+        }
+        found++;
+    }
+    return found;
+}
+
+/* A checkpoint that fits into the grace costs its own duration; otherwise
+ * everything since the last one is lost. Urgent work shortens the grace: a
+ * slow checkpoint must not hold up a start that is due within seconds. */
+struct cells_victim
+Cells_LostWork(const struct cells_job_info *job, int64_t now,
+               int64_t start_within_ms)
+{
+    const struct cells_request *q = &job->request;
+    int64_t accelerators = (int64_t)q->tasks * q->accelerators;
+    int64_t since = now > job->checkpoint_at ? now - job->checkpoint_at : 0;
+    struct cells_victim v = {.job = q->job, .grace_ms = q->grace_ms};
+
+    if (start_within_ms > 0 && start_within_ms < v.grace_ms) {
+        v.grace_ms = start_within_ms;
+    }
+    v.action = CELLS_STOP;
+    if (q->checkpoint_ms >= 0 && q->checkpoint_ms <= v.grace_ms) {
+        v.action = CELLS_CHECKPOINT;
+        since = since < q->checkpoint_ms ? since : q->checkpoint_ms;
+    }
+    v.lost_work = since * accelerators;
+    return v;
+}
--- a/packages/cells/cells.h
+++ b/packages/cells/cells.h
@@ -52,7 +52,7 @@
 
 #define CELLS_ACCELERATORS_MAX 64 /* of one worker: bits of a mask */
 #define CELLS_TASKS_MAX 1024      /* tasks of one job */
-#define CELLS_RACK_MAX 32         /* workers of one rack-shaped cell */
+#define CELLS_RACK_MAX 16         /* workers of one rack-shaped cell */
 #define CELLS_NONE (-1)
 
 struct cells;
@@ -185,10 +185,12 @@
 struct cells_request {
     uint64_t job; /* not 0 */
     char organisation[NAME_SIZE];
-    int tasks;               /* 1..CELLS_TASKS_MAX; all or none start */
-    int accelerators;        /* of one task, all on one worker */
-    bool guaranteed;         /* within its organisation's cells */
-    bool preempt;            /* lent: may displace lower priorities */
+    int tasks;        /* 1..CELLS_TASKS_MAX; all or none start */
+    int accelerators; /* of one task, all on one worker */
+    bool guaranteed;  /* within its organisation's cells */
+    /* Lent: may displace lent work of lower priority. Guaranteed: also
+     * work of lower priority in its own organisation's cells. */
+    bool preempt;
     enum cells_level within; /* must lie in one such node; ALL: no wish */
     int priority;            /* higher goes first */
     int64_t estimate_ms;     /* learned run time, 0: unknown */
@@ -197,18 +199,25 @@
     int64_t start_within_ms; /* urgent: bound on victims' grace; 0: none */
 };
 
+/* Ways that were measured and dropped; the bench still runs them. */
+enum cells_baseline {
+    CELLS_BASELINE_FIXED = 1 << 0,     /* bindings never move for a job */
+    CELLS_BASELINE_FIRST_FIT = 1 << 1, /* lowest worker first */
+    CELLS_BASELINE_ANY_VICTIM = 1 << 2 /* victims in no order of their work */
+};
+
 /* The setting of the operator: how completion and fragmentation weigh. */
 struct cells_weights {
-    int completion;      /* 0..100 */
-    int fragmentation;   /* 0..100 */
-    bool fixed_bindings; /* never move a binding for a job (baseline) */
+    int completion;    /* 0..100 */
+    int fragmentation; /* 0..100 */
+    unsigned baseline; /* of enum cells_baseline; 0 in the product */
 };
 
 enum cells_reason {
     CELLS_PLACED_FREE,     /* on free accelerators */
     CELLS_PLACED_MOVED,    /* free, after bindings of cells moved */
     CELLS_PLACED_RECLAIM,  /* guaranteed: displaces lent work */
-    CELLS_PLACED_PREEMPT,  /* lent: displaces lower priorities */
+    CELLS_PLACED_PREEMPT,  /* displaces lower priorities */
     CELLS_WAIT_FULL,       /* fewer accelerators free than wanted */
     CELLS_WAIT_FRAGMENTED, /* enough free, but not in one piece */
     CELLS_WAIT_GUARANTEE,  /* organisation's cells are in use */
@@ -322,13 +331,15 @@
     int guaranteed;   /* in use by guaranteed jobs */
     int lent;         /* in use by others */
     int bound;        /* of cells, in use or not */
-    int largest_rack; /* most free accelerators in one rack */
-    int largest;      /* largest free adjacent block: whole free workers of
-                       * one failure domain, or the most on one worker */
+    int largest; /* largest free adjacent block: all wholly free workers of
+                  * one failure domain, or the most on one worker */
+    int largest_rack; /* the same within one rack */
+    int widest;       /* healthy accelerators of the largest domain */
 };
 
 void Cells_Counts(const struct cells *c, struct cells_counts *out);
-/* 0 (all that is free is one block) .. 1000; 0 when nothing is free. */
+/* Per mille of the free accelerators that lie outside the largest block, of
+ * those that one failure domain could hold; 0 when nothing is free. */
 int Cells_Fragmentation(const struct cells *c);
 
 /* ---- an agent's own check ---------------------------------------------- */
@@ -393,8 +404,8 @@
 
 struct place_options {
     struct cells_weights weights;
-    bool no_reservation; /* baselines of the bench */
-    bool no_backfill;
+    bool no_reservation; /* baseline: anything that fits starts */
+    bool no_backfill;    /* baseline: first come, first served */
 };
 
 enum place_reason {
--- /dev/null
+++ b/packages/cells/place-defrag.c
@@ -0,0 +1,143 @@
+#include "cells-impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Restarting elsewhere costs a victim this much beside its lost work. */
+#define RESTART_MS INT64_C(120000)
+/* The gain rests on estimates that are often far off, the cost does not:
+ * so it has to be this many times the cost. */
+#define GAIN_OVER_COST 2
+
+#define REASON(r, name) [r] = (name)
+
+static const char *const reasons[] = {
+    REASON(PLACE_DEFRAG_PAYS, "pays"),
+    REASON(PLACE_DEFRAG_FITS, "fits_without"),
+    REASON(PLACE_DEFRAG_NO_ROOM, "no_room"),
+    REASON(PLACE_DEFRAG_COSTS_MORE, "costs_more"),
+    REASON(PLACE_DEFRAG_UNKNOWN, "wait_unknown"),
+};
+
+/* The word for logs and answers. */
+const char *
+Place_DefragName(enum place_defrag_reason reason)
+{
+    return (size_t)reason < COUNT_OF(reasons) ? reasons[reason] : "unnamed";
+}
+
+/* Plans the gang as if every lent job were of lower priority. */
+static bool
+plan_over_lent(const struct cells *c, const struct cells_request *q,
+               const struct cells_weights *weights, int64_t now,
+               struct cells_plan *plan)
+{
+    struct cells_request over = *q;
+
+    over.preempt = true;
+    over.priority = INT32_MAX;
+    Cells_Plan(c, &over, weights, now, plan);
+    plan->request = *q;
+    return Cells_IsPlaced(plan->reason);
+}
+
+/* Plans each victim again beside the gang. False when one finds no place. */
+static bool
+plan_resumes(struct cells *after, const struct cells *before,
+             const struct cells_weights *weights, int64_t now,
+             struct place_defrag *out)
+{
+    out->resume = Mem_Zero((size_t)out->plan.victims, sizeof(*out->resume));
+    for (int i = 0; i < out->plan.victims; i++) {
+        const struct job *job = Jobs_Find(before, out->plan.victim[i].job);
+        struct cells_request again = job->request;
+
+        again.preempt = false;
+        again.guaranteed = false;
+        Cells_Plan(after, &again, weights, now, &out->resume[i]);
+        out->resumes++;
+        if (Cells_Commit(after, &out->resume[i]) != ERR_OK) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* What the victims lose together, their restart included. */
+static int64_t
+moving_cost(const struct cells *c, const struct cells_plan *plan)
+{
+    int64_t sum = 0;
+
+    for (int i = 0; i < plan->victims; i++) {
+        const struct job *job = Jobs_Find(c, plan->victim[i].job);
+
+        sum += plan->victim[i].lost_work +
+               RESTART_MS * job->request.tasks * job->request.accelerators;
+    }
+    return sum;
+}
+
+/* Weighs what the gang would wait against what moving costs. */
+static enum place_defrag_reason
+weigh(const struct cells *c, const struct cells_request *q,
+      const struct cells_weights *weights, int64_t now,
+      struct place_defrag *out)
+{
+    int64_t at = Place_Forecast(c, q, weights, now);
+    struct cells *after CLEANUP(Cells_FreeP) = NULL;
+
+    if (at == INT64_MAX) {
+        return PLACE_DEFRAG_UNKNOWN;
+    }
+    if (!plan_over_lent(c, q, weights, now, &out->plan)) {
+        return PLACE_DEFRAG_NO_ROOM;
+    }
+    out->gain = (at - now) * q->tasks * q->accelerators;
+    out->cost = moving_cost(c, &out->plan);
+    if (out->gain < GAIN_OVER_COST * out->cost) {
+        return PLACE_DEFRAG_COSTS_MORE;
+    }
+    after = Cells_Clone(c);
+    if (Cells_Commit(after, &out->plan) != ERR_OK ||
+        !plan_resumes(after, c, weights, now, out)) {
+        return PLACE_DEFRAG_NO_ROOM;
+    }
+    return PLACE_DEFRAG_PAYS;
+}
+
+/* Whether moving lent jobs by checkpoint pays for a lent gang. */
+enum place_defrag_reason
+Place_Defrag(const struct cells *c, const struct cells_request *request,
+             const struct cells_weights *weights, int64_t now,
+             struct place_defrag *out)
+{
+    struct cells_plan plan CLEANUP(Cells_PlanClear);
+    enum cells_reason reason;
+
+    memset(out, 0, sizeof(*out));
+    reason = Cells_Plan(c, request, weights, now, &plan);
+    if (Cells_IsPlaced(reason)) {
+        out->reason = PLACE_DEFRAG_FITS;
+    }
+    else if (reason != CELLS_WAIT_FRAGMENTED) {
+        out->reason = PLACE_DEFRAG_NO_ROOM;
+    }
+    else {
+        out->reason = weigh(c, request, weights, now, out);
+    }
+    return out->reason;
+}
+
+/* Frees the plans. */
+void
+Place_DefragClear(struct place_defrag *defrag)
+{
+    Cells_PlanClear(&defrag->plan);
+    for (int i = 0; i < defrag->resumes; i++) {
+        Cells_PlanClear(&defrag->resume[i]);
+    }
+    free(defrag->resume);
+    defrag->resume = NULL;
+    defrag->resumes = 0;
+}
--- /dev/null
+++ b/packages/cells/place-queue.c
@@ -0,0 +1,316 @@
+#include "cells-impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Run time of a job without an estimate: "most running for hours". */
+#define UNKNOWN_RUN_MS INT64_C(14400000)
+/* A job that has outrun its estimate is taken to need half of its run again,
+ * and this much at least: otherwise the head's start would always be said to
+ * be now, and every backfill would be refused. */
+#define OVERRUN_LEAST_MS INT64_C(60000)
+
+#define REASON(r, name) [r] = (name)
+
+static const char *const reasons[] = {
+    REASON(PLACE_START_HEAD, "start_head"),
+    REASON(PLACE_START_BACKFILL_ENDS, "backfill_ends_before"),
+    REASON(PLACE_START_BACKFILL_ROOM, "backfill_leaves_room"),
+    REASON(PLACE_START_UNRESERVED, "start_unreserved"),
+    REASON(PLACE_NEVER, "never"),
+    REASON(PLACE_WAIT, "wait"),
+    REASON(PLACE_EMPTY, "empty"),
+};
+
+/* The word for logs and answers. */
+const char *
+Place_ReasonName(enum place_reason reason)
+{
+    return (size_t)reason < COUNT_OF(reasons) ? reasons[reason] : "unnamed";
+}
+
+/* A running job and when it is expected to end. */
+struct ending {
+    uint64_t job;
+    int64_t at;
+};
+
+/* Earlier first, then by id. */
+static int
+ending_order(const void *a, const void *b)
+{
+    const struct ending *x = a, *y = b;
+
+    if (x->at != y->at) {
+        return x->at < y->at ? -1 : 1;
+    }
+    return x->job < y->job ? -1 : x->job > y->job;
+}
+
+/* How long a job is expected to run. */
+static int64_t
+run_time(const struct cells_request *q)
+{
+    return q->estimate_ms > 0 ? q->estimate_ms : UNKNOWN_RUN_MS;
+}
+
+/* When a running job is expected to end. */
+static int64_t
+expected_end(const struct job *job, int64_t now)
+{
+    int64_t end = job->started_at + run_time(&job->request);
+    int64_t half = (now - job->started_at) / 2;
+
+    if (end > now) {
+        return end;
+    }
+    return now + (half > OVERRUN_LEAST_MS ? half : OVERRUN_LEAST_MS);
+}
+
+/* All running jobs by their expected ends; the caller frees the list. */
+static struct ending *
+endings(const struct cells *c, int64_t now, int *n)
+{
+    struct ending *list =
+        Mem_Alloc(sizeof(*list) * (size_t)(c->job_count + 1));
+    struct job *job;
+
+    *n = 0;
+    RB_FOREACH (job, job_tree, (struct job_tree *)&c->jobs) {
+        list[*n].job = job->request.job;
+        list[(*n)++].at = expected_end(job, now);
+    }
+    qsort(list, (size_t)*n, sizeof(*list), ending_order);
+    return list;
+}
+
+/* A copy in which the first n endings have come. */
+static struct cells *
+after_endings(const struct cells *c, const struct ending *list, int n)
+{
+    struct cells *copy = Cells_Clone(c);
+
+    for (int i = 0; i < n; i++) {
+        struct job *job = Jobs_Find(copy, list[i].job);
+
+        if (job != NULL) {
+            Jobs_Drop(copy, job);
+        }
+    }
+    return copy;
+}
+
+/* Whether a request could be placed. */
+static bool
+fits(const struct cells *c, const struct cells_request *q,
+     const struct cells_weights *weights, int64_t now)
+{
+    struct cells_plan plan CLEANUP(Cells_PlanClear);
+
+    return Cells_IsPlaced(Cells_Plan(c, q, weights, now, &plan));
+}
+
+/* The time at which a request will fit: the fewest endings are found by
+ * halving, for more free accelerators never make it fit less. *then gets the
+ * account as it will be, to be freed, or NULL. */
+static int64_t
+forecast(const struct cells *c, const struct cells_request *q,
+         const struct cells_weights *weights, int64_t now, struct cells **then)
+{
+    int n, low = 0, high;
+    struct ending *list CLEANUP(Mem_FreeP) = endings(c, now, &n);
+
+    *then = after_endings(c, list, n);
+    if (!fits(*then, q, weights, now)) {
+        Cells_FreeP(then);
+        return INT64_MAX;
+    }
+    high = n;
+    while (low < high) {
+        int middle = low + (high - low) / 2;
+        struct cells *copy = after_endings(c, list, middle);
+
+        if (fits(copy, q, weights, now)) {
+            Cells_Free(*then);
+            *then = copy;
+            high = middle;
+        }
+        else {
+            Cells_Free(copy);
+            low = middle + 1;
+        }
+    }
+    return high == 0 ? now : list[high - 1].at;
+}
+
+/* Earliest time at which a job fits. */
+int64_t
+Place_Forecast(const struct cells *c, const struct cells_request *request,
+               const struct cells_weights *weights, int64_t now)
+{
+    struct cells *then CLEANUP(Cells_FreeP) = NULL;
+
+    return forecast(c, request, weights, now, &then);
+}
+
+/* What a job that can't start yet holds back from those behind it. */
+struct reservation {
+    const struct cells_request *q;
+    int64_t at;
+    struct cells *then; /* the account at that time; NULL: never */
+};
+
+/* A pass over the queue. */
+struct pass {
+    const struct cells *c;
+    const struct place_options *options;
+    int64_t now;
+    struct reservation held[PLACE_LOOKAHEAD + 1];
+    int count;
+};
+
+/* Whether two requests draw on the same accelerators: lent work on all that
+ * is free, guaranteed work on its own organisation's cells. */
+static bool
+same_pool(const struct cells_request *a, const struct cells_request *b)
+{
+    if (a->guaranteed != b->guaranteed) {
+        return false;
+    }
+    return !a->guaranteed || strcmp(a->organisation, b->organisation) == 0;
+}
+
+/* The reservation that a request must respect, or NULL. */
+static const struct reservation *
+reservation_for(const struct pass *p, const struct cells_request *q)
+{
+    for (int i = 0; i < p->count; i++) {
+        if (same_pool(p->held[i].q, q)) {
+            return &p->held[i];
+        }
+    }
+    return NULL;
+}
+
+/* Holds room for a request that can't start, unless an earlier one of its
+ * pool does already. */
+static void
+reserve(struct pass *p, const struct cells_request *q)
+{
+    struct reservation *r;
+
+    if (p->options->no_reservation || reservation_for(p, q) != NULL) {
+        return;
+    }
+    r = &p->held[p->count++];
+    r->q = q;
+    r->then = NULL;
+    r->at = forecast(p->c, q, &p->options->weights, p->now, &r->then);
+}
+
+/* Whether the reservation still fits at its time beside a plan that would
+ * run on beyond it. */
+static bool
+leaves_room(const struct pass *p, const struct reservation *r,
+            const struct cells_plan *plan)
+{
+    struct cells *then CLEANUP(Cells_FreeP) = Cells_Clone(r->then);
+
+    /* Bindings are there as they are now, so the plan's moves hold. */
+    then->state = plan->state;
+    if (Cells_Commit(then, plan) != ERR_OK) {
+        return false;
+    }
+    return fits(then, r->q, &p->options->weights, p->now);
+}
+
+/* Whether a placed request may start past the reservation of its pool, and
+ * as what. */
+static enum place_reason
+may_start(const struct pass *p, int index, const struct cells_plan *plan)
+{
+    const struct reservation *r = reservation_for(p, &plan->request);
+
+    if (r == NULL) {
+        return index == 0 ? PLACE_START_HEAD : PLACE_START_UNRESERVED;
+    }
+    if (p->options->no_backfill) {
+        return PLACE_WAIT;
+    }
+    if (r->at == INT64_MAX) {
+        return PLACE_START_UNRESERVED;
+    }
+    if (p->now + run_time(&plan->request) <= r->at) {
+        return PLACE_START_BACKFILL_ENDS;
+    }
+    return leaves_room(p, r, plan) ? PLACE_START_BACKFILL_ROOM : PLACE_WAIT;
+}
+
+/* Looks at one request: starts it, says that it never can, or lets it wait
+ * with a reservation. */
+static enum place_reason
+look_at(struct pass *p, const struct cells_request *queue, int i,
+        struct cells_plan *plan)
+{
+    Cells_Plan(p->c, &queue[i], &p->options->weights, p->now, plan);
+    if (Cells_IsNever(plan->reason)) {
+        return PLACE_NEVER;
+    }
+    if (Cells_IsPlaced(plan->reason)) {
+        return may_start(p, i, plan);
+    }
+    reserve(p, &queue[i]);
+    return PLACE_WAIT;
+}
+
+/* Frees the accounts of the reservations. */
+static void
+pass_clear(struct pass *p)
+{
+    for (int i = 0; i < p->count; i++) {
+        Cells_Free(p->held[i].then);
+    }
+}
+
+/* The next job to start. */
+enum place_reason
+Place_Next(const struct cells *c, const struct cells_request *queue, int n,
+           const struct place_options *options, int64_t now,
+           struct place_decision *d)
+{
+    struct pass p CLEANUP(pass_clear) = {c, options, now, .count = 0};
+
+    memset(d, 0, sizeof(*d));
+    d->index = CELLS_NONE;
+    d->reason = n > 0 ? PLACE_WAIT : PLACE_EMPTY;
+    for (int i = 0; i < n && i <= PLACE_LOOKAHEAD; i++) {
+        struct cells_plan plan;
+        enum place_reason reason = look_at(&p, queue, i, &plan);
+
+        d->tried++;
+        if (reason != PLACE_WAIT || i == 0) {
+            Cells_PlanClear(&d->plan);
+            d->plan = plan;
+        }
+        else {
+            Cells_PlanClear(&plan);
+        }
+        if (reason != PLACE_WAIT) {
+            d->reason = reason;
+            d->index = i;
+            break;
+        }
+    }
+    if (p.count > 0) {
+        d->reserved_for = p.held[0].q->job;
+        d->reserved_at = p.held[0].at;
+    }
+    return d->reason;
+}
+
+/* Frees a decision's plan. */
+void
+Place_Clear(struct place_decision *decision)
+{
+    Cells_PlanClear(&decision->plan);
+}
--- /dev/null
+++ b/packages/cells/topo.c
@@ -0,0 +1,335 @@
+#include "cells-impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The lowest free index of the nodes. */
+static int
+free_node(struct cells *c)
+{
+    for (int i = 0; i < c->nodes; i++) {
+        if (c->node[i] == NULL) {
+            return i;
+        }
+    }
+    c->node = Mem_Grow(c->node, sizeof(*c->node) * (size_t)(c->nodes + 1));
+    c->node[c->nodes] = NULL;
+    return c->nodes++;
+}
+
+/* The lowest free index of the workers. */
+static int
+free_worker(struct cells *c)
+{
+    for (int i = 0; i < c->workers; i++) {
+        if (c->worker[i] == NULL) {
+            return i;
+        }
+    }
+    c->worker =
+        Mem_Grow(c->worker, sizeof(*c->worker) * (size_t)(c->workers + 1));
+    c->worker[c->workers] = NULL;
+    return c->workers++;
+}
+
+/* Puts a node among its parent's children, in the order of their indices, so
+ * that a copy of the tree is walked in the same order. */
+static void
+link_node(struct node *n)
+{
+    struct node *other;
+
+    TAILQ_FOREACH (other, &n->parent->children, sibling) {
+        if (other->index > n->index) {
+            TAILQ_INSERT_BEFORE(other, n, sibling);
+            return;
+        }
+    }
+    TAILQ_INSERT_TAIL(&n->parent->children, n, sibling);
+}
+
+/* Makes a node at a known index. */
+static struct node *
+new_node(struct cells *c, int index, enum cells_level level, const char *name,
+         struct node *parent)
+{
+    struct node *n = Mem_Zero(1, sizeof(*n));
+
+    n->level = level;
+    n->index = index;
+    n->parent = parent;
+    Str_Copy(n->name, sizeof(n->name), name);
+    TAILQ_INIT(&n->children);
+    c->node[index] = n;
+    if (parent != NULL) {
+        link_node(n);
+    }
+    return n;
+}
+
+/* Makes the root; returns its index. */
+int
+Topo_AddRoot(struct cells *c)
+{
+    int i = free_node(c);
+
+    c->root = new_node(c, i, CELLS_LEVEL_ALL, "", NULL);
+    return i;
+}
+
+/* The child of that name, made when there is none. */
+static struct node *
+child_named(struct cells *c, struct node *parent, const char *name)
+{
+    struct node *n;
+
+    TAILQ_FOREACH (n, &parent->children, sibling) {
+        if (strcmp(n->name, name) == 0) {
+            return n;
+        }
+    }
+    return new_node(c, free_node(c), (enum cells_level)(parent->level - 1),
+                    name, parent);
+}
+
+/* Takes a leaf out, and the inner nodes that it leaves empty. */
+void
+Topo_FreeNode(struct cells *c, struct node *n)
+{
+    while (n->parent != NULL && TAILQ_EMPTY(&n->children)) {
+        struct node *parent = n->parent;
+
+        TAILQ_REMOVE(&parent->children, n, sibling);
+        c->node[n->index] = NULL;
+        free(n);
+        n = parent;
+    }
+}
+
+/* The worker of an index, or NULL. */
+struct worker *
+Topo_Worker(const struct cells *c, int worker)
+{
+    if (worker < 0 || worker >= c->workers) {
+        return NULL;
+    }
+    return c->worker[worker];
+}
+
+/* The node itself or the one above it that has the level. */
+struct node *
+Topo_Above(struct node *n, enum cells_level level)
+{
+    while (n->level < level) {
+        n = n->parent;
+    }
+    return n;
+}
+
+/* Hangs a worker under its rack. */
+static struct worker *
+new_worker(struct cells *c, int index, int node, struct node *rack,
+           const struct cells_worker_info *info)
+{
+    struct worker *w = Mem_Zero(1, sizeof(*w));
+
+    w->info = *info;
+    w->index = index;
+    w->all = Block_Mask(0, info->accelerators);
+    w->slot = Mem_Zero((size_t)info->accelerators, sizeof(*w->slot));
+    w->node = new_node(c, node, CELLS_LEVEL_WORKER, info->name, rack);
+    w->node->worker = w;
+    rack->unbound++;
+    c->worker[index] = w;
+    return w;
+}
+
+/* Whether all names and the number of accelerators are in range. */
+static bool
+info_valid(const struct cells_worker_info *info)
+{
+    return Str_IsName(info->name) && Str_IsName(info->region) &&
+           Str_IsName(info->domain) && Str_IsName(info->rack) &&
+           info->accelerators >= 1 &&
+           info->accelerators <= CELLS_ACCELERATORS_MAX;
+}
+
+/* Adds a worker and lets pending and short cells use it. */
+int
+Cells_AddWorker(struct cells *c, const struct cells_worker_info *info)
+{
+    struct node *n = c->root;
+    int index;
+
+    if (!info_valid(info)) {
+        return ERR_INVALID;
+    }
+    if (Cells_FindWorker(c, info->name) != CELLS_NONE) {
+        return ERR_EXISTS;
+    }
+    n = child_named(c, n, info->region);
+    n = child_named(c, n, info->domain);
+    n = child_named(c, n, info->rack);
+    index = free_worker(c);
+    new_worker(c, index, free_node(c), n, info);
+    c->state++;
+    Bind_Mend(c, true);
+    return index;
+}
+
+/* Copies nodes and workers, without jobs and bindings. */
+void
+Topo_CloneInto(struct cells *to, const struct cells *from)
+{
+    to->nodes = from->nodes;
+    to->node = Mem_Zero((size_t)from->nodes, sizeof(struct node *));
+    to->workers = from->workers;
+    to->worker = Mem_Zero((size_t)from->workers, sizeof(struct worker *));
+    for (int level = CELLS_LEVEL_ALL; level > CELLS_LEVEL_WORKER; level--) {
+        for (int i = 0; i < from->nodes; i++) {
+            const struct node *n = from->node[i];
+
+            if (n != NULL && (int)n->level == level) {
+                new_node(to, i, n->level, n->name,
+                         n->parent ? to->node[n->parent->index] : NULL);
+            }
+        }
+    }
+    to->root = to->node[from->root->index];
+    for (int i = 0; i < from->workers; i++) {
+        const struct worker *w = from->worker[i];
+
+        if (w != NULL) {
+            new_worker(to, i, w->node->index, to->node[w->node->parent->index],
+                       &w->info);
+            to->worker[i]->state = w->state;
+            to->worker[i]->version = w->version;
+        }
+    }
+}
+
+/* Takes a worker out when nothing runs on it and its cells can move: it is
+ * made failed first, so that the usual mending moves them. */
+int
+Cells_RemoveWorker(struct cells *c, int worker)
+{
+    struct worker *w = Topo_Worker(c, worker);
+    enum cells_worker_state before;
+
+    if (w == NULL) {
+        return ERR_NOTFOUND;
+    }
+    if (w->busy != 0) {
+        return ERR_BUSY;
+    }
+    before = w->state;
+    Cells_SetWorkerState(c, worker, CELLS_WORKER_FAILED);
+    if (w->bound != 0) {
+        Cells_SetWorkerState(c, worker, before);
+        return ERR_CONFLICT;
+    }
+    w->node->parent->unbound--;
+    Topo_FreeNode(c, w->node);
+    c->worker[worker] = NULL;
+    free(w->slot);
+    free(w);
+    c->state++;
+    return ERR_OK;
+}
+
+/* Counts a worker's change between up and not up in the cells on it. */
+static void
+count_down(struct worker *w, int change)
+{
+    struct cell *last = NULL;
+
+    for (int i = 0; i < w->info.accelerators; i++) {
+        struct cell *cell = w->slot[i].cell;
+
+        if (cell != NULL && cell != last) {
+            cell->down += change;
+        }
+        last = cell;
+    }
+}
+
+/* Changes the state and moves idle cells off the worker, or back to it. */
+int
+Cells_SetWorkerState(struct cells *c, int worker,
+                     enum cells_worker_state state)
+{
+    struct worker *w = Topo_Worker(c, worker);
+    bool was_up;
+
+    if (w == NULL) {
+        return ERR_NOTFOUND;
+    }
+    if (w->state == state) {
+        return ERR_OK;
+    }
+    was_up = w->state == CELLS_WORKER_UP;
+    w->state = state;
+    c->state++;
+    if (was_up || state == CELLS_WORKER_UP) {
+        count_down(w, was_up ? 1 : -1);
+        Bind_Mend(c, true);
+    }
+    return ERR_OK;
+}
+
+/* The index of a worker's name. */
+int
+Cells_FindWorker(const struct cells *c, const char *name)
+{
+    for (int i = 0; i < c->workers; i++) {
+        if (c->worker[i] && strcmp(c->worker[i]->info.name, name) == 0) {
+            return i;
+        }
+    }
+    return CELLS_NONE;
+}
+
+/* One more than the highest index. */
+int
+Cells_WorkerCount(const struct cells *c)
+{
+    return c->workers;
+}
+
+/* What is known of a worker. */
+const struct cells_worker_info *
+Cells_Worker(const struct cells *c, int worker)
+{
+    const struct worker *w = Topo_Worker(c, worker);
+
+    return w ? &w->info : NULL;
+}
+
+/* Its state; a hole counts as failed. */
+enum cells_worker_state
+Cells_WorkerState(const struct cells *c, int worker)
+{
+    const struct worker *w = Topo_Worker(c, worker);
+
+    return w ? w->state : CELLS_WORKER_FAILED;
+}
+
+/* The level of the lowest node above both. */
+enum cells_level
+Cells_Near(const struct cells *c, int a, int b)
+{
+    const struct worker *wa = Topo_Worker(c, a);
+    const struct worker *wb = Topo_Worker(c, b);
+    const struct node *na, *nb;
+
+    if (wa == NULL || wb == NULL) {
+        return CELLS_LEVEL_ALL;
+    }
+    na = wa->node;
+    nb = wb->node;
+    while (na != nb) {
+        na = na->parent;
+        nb = nb->parent;
+    }
+    return na->level;
+}
