Thin path: entry and agent build together

Priority stands once, in base, for config and policy. One TREE_STATIC macro in base replaces RB_GENERATE_STATIC, which asks for a macro that glibc lacks.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -32,6 +32,13 @@
 #define UNUSED __attribute__((unused))
 #define COUNT_OF(a) (sizeof(a) / sizeof((a)[0]))
 
+/* Static functions of a red-black tree, to be followed by a semicolon. The
+ * library's own RB_GENERATE_STATIC asks for a macro that glibc lacks. */
+#define TREE_STATIC(name, type, field, compare)                               \
+    RB_PROTOTYPE_INTERNAL(name, type, field, compare, UNUSED static)          \
+    RB_GENERATE_INTERNAL(name, type, field, compare, UNUSED static)           \
+    struct name
+
 /* ---- errors ------------------------------------------------------------ */
 
 enum err {
@@ -75,6 +82,16 @@
 bool Str_IsName(const char *s);
 #define NAME_SIZE 64 /* bytes of a name, the final NUL included */
 
+/* ---- work -------------------------------------------------------------- */
+
+/* Whom to serve first, requests and jobs alike. */
+enum priority {
+    PRIORITY_URGENT, /* previews and urgent work: somebody watches */
+    PRIORITY_NORMAL,
+    PRIORITY_BATCH, /* may wait for hours */
+    PRIORITY_COUNT
+};
+
 /* ---- time -------------------------------------------------------------- */
 
 /* Milliseconds of a clock that never goes back (not the time of day). */
@@ -141,11 +158,19 @@
     int64_t number;
 };
 
-#define KV(k, s) ((struct log_kv){(k), (s) ? (s) : "", 0})
+/* A pair with a text; NULL is an empty one. */
+static inline struct log_kv
+KV(const char *key, const char *text) {
+    struct log_kv kv = {key, text != NULL ? text : "", 0};
+
+    return kv;
+}
+
 #define KV_INT(k, n) ((struct log_kv){(k), NULL, (int64_t)(n)})
 
 /* Lowest level that is written; the default is LOG_INFO. */
-void Log_SetLevel(enum log_level level);
+void
+Log_SetLevel(enum log_level level);
 int Log_ParseLevel(const char *word, enum log_level *out);
 /* Name put on every line as proc=. */
 void Log_SetProcess(const char *name);
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -95,7 +95,6 @@
  */
 
 enum class_kind { CLASS_REQUEST, CLASS_JOB };
-enum class_priority { PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH };
 
 /* What a keyed request is answered while the table service is down. Refusing
  * it at once is safe. Serving it takes a risk: its key can't be claimed, so a
@@ -105,7 +104,7 @@
 struct config_class {
     char name[NAME_SIZE];
     int64_t kind;        /* enum class_kind */
-    int64_t priority;    /* enum class_priority */
+    int64_t priority;    /* enum priority */
     bool repeatable;     /* may be started again when an outcome is unknown */
     int64_t deadline_ms; /* of a request 1..3600000; of a job 0: none */
     int64_t grace_ms;    /* on reclaim, before the work is stopped */
--- a/packages/entry/entry-config.c
+++ b/packages/entry/entry-config.c
@@ -138,11 +138,9 @@
     return load_first((struct configs *)Kernel_FindTask(k, "config"));
 }
 
-static struct plugin config_plugin = {.name = "config",
-                                      .rank = 30,
-                                      .start = start};
+static struct plugin config_plugin = {
+    .name = "config", .rank = 30, .start = start};
 KERNEL_PLUGIN(config_plugin)
-static struct plugin adopt_plugin = {.name = "config-adopt",
-                                     .rank = 80,
-                                     .start = start_adopt};
+static struct plugin adopt_plugin = {
+    .name = "config-adopt", .rank = 80, .start = start_adopt};
 KERNEL_PLUGIN(adopt_plugin)
--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -33,9 +33,9 @@
     return Id_Compare(&a->id, &b->id);
 }
 
-RB_GENERATE_STATIC(service_tree, service, entry, compare_services)
-RB_GENERATE_STATIC(server_tree, server, entry, compare_servers)
-RB_GENERATE_STATIC(request_tree, request, entry, compare_requests)
+TREE_STATIC(service_tree, service, entry, compare_services);
+TREE_STATIC(server_tree, server, entry, compare_servers);
+TREE_STATIC(request_tree, request, entry, compare_requests);
 
 /* Finds an agent. */
 struct server *
@@ -446,9 +446,9 @@
     const struct message_kind *kind;
     void (*take)(struct task *, struct message *);
 } takers[] = {
-    {&pump_kind, take_pump},         {&Entry_Offer, take_offer},
-    {&Entry_Inbound, take_inbound},  {&Entry_Undelivered, take_undelivered},
-    {&Entry_Member, take_member},    {&Entry_Load, take_load},
+    {&pump_kind, take_pump},        {&Entry_Offer, take_offer},
+    {&Entry_Inbound, take_inbound}, {&Entry_Undelivered, take_undelivered},
+    {&Entry_Member, take_member},   {&Entry_Load, take_load},
 };
 
 /* Takes a message by its kind. */
@@ -589,7 +589,6 @@
     return ERR_OK;
 }
 
-static struct plugin dispatch_plugin = {.name = "dispatch",
-                                        .rank = 40,
-                                        .start = start};
+static struct plugin dispatch_plugin = {
+    .name = "dispatch", .rank = 40, .start = start};
 KERNEL_PLUGIN(dispatch_plugin)
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -37,7 +37,8 @@
 };
 
 /* One attempt of a request. */
-struct try {
+struct
+try {
     uint64_t number;
     int handle; /* of the upstream, in the service's route */
     char agent[NAME_SIZE];
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -72,10 +72,8 @@
     if (retry_after_ms >= 0) {
         struct buf seconds CLEANUP(Buf_Free) = {0};
 
-        json_object_set_new(o, "retry_after_ms",
-                            json_integer(retry_after_ms));
-        Buf_Printf(&seconds, "%lld",
-                   (long long)(retry_after_ms + 999) / 1000);
+        json_object_set_new(o, "retry_after_ms", json_integer(retry_after_ms));
+        Buf_Printf(&seconds, "%lld", (long long)(retry_after_ms + 999) / 1000);
         Http_ReplyHeader(ex, "Retry-After", seconds.data);
     }
     if (request != NULL) {
@@ -221,8 +219,10 @@
     Http_Reply(ex, 200, "text/plain; version=0.0.4", b.data, b.len);
 }
 
-static struct front_route healthz_route = {"GET", "/healthz", "front", healthz, {0}};
-static struct front_route readyz_route = {"GET", "/readyz", "front", readyz, {0}};
+static struct front_route healthz_route = {
+    "GET", "/healthz", "front", healthz, {0}};
+static struct front_route readyz_route = {
+    "GET", "/readyz", "front", readyz, {0}};
 /* GET /v1/state: everything that this process knows. */
 static void
 state(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
@@ -230,10 +230,11 @@
     Front_ReplyJson(ex, 200, Kernel_State(t->kernel));
 }
 
-static struct front_route state_route = {"GET", "/v1/state", "front", state,
-                                         {0}};
+static struct front_route state_route = {
+    "GET", "/v1/state", "front", state, {0}};
 FRONT_ROUTE(state_route)
-static struct front_route metrics_route = {"GET", "/metrics", "front", metrics, {0}};
+static struct front_route metrics_route = {
+    "GET", "/metrics", "front", metrics, {0}};
 FRONT_ROUTE(healthz_route)
 FRONT_ROUTE(readyz_route)
 FRONT_ROUTE(metrics_route)
@@ -251,9 +252,9 @@
     };
     struct front *f = Mem_Zero(1, sizeof(*f));
 
-    f->server = Http_ServerNew(k->loop, s->listen.address,
-                               (int)s->listen.http_port, &limits, on_request,
-                               f);
+    f->server =
+        Http_ServerNew(k->loop, s->listen.address, (int)s->listen.http_port,
+                       &limits, on_request, f);
     if (f->server == NULL) {
         LOG_E("listen_failed", KV("address", s->listen.address),
               KV_INT("http", s->listen.http_port));
@@ -266,7 +267,6 @@
     return ERR_OK;
 }
 
-static struct plugin front_plugin = {.name = "front",
-                                     .rank = 90,
-                                     .start = start};
+static struct plugin front_plugin = {
+    .name = "front", .rank = 90, .start = start};
 KERNEL_PLUGIN(front_plugin)
--- a/packages/entry/entry-links.c
+++ b/packages/entry/entry-links.c
@@ -25,10 +25,10 @@
     enum wire_type type;
     const char *task;
 } hearers[] = {
-    {WIRE_HELLO, "members"},    {WIRE_BEAT, "members"},
-    {WIRE_LEAVE, "members"},    {WIRE_TAKEN, "dispatch"},
-    {WIRE_ANSWER, "dispatch"},  {WIRE_WITHDRAWN, "dispatch"},
-    {WIRE_PREPARED, "gangs"},   {WIRE_TASK, "gangs"},
+    {WIRE_HELLO, "members"},   {WIRE_BEAT, "members"},
+    {WIRE_LEAVE, "members"},   {WIRE_TAKEN, "dispatch"},
+    {WIRE_ANSWER, "dispatch"}, {WIRE_WITHDRAWN, "dispatch"},
+    {WIRE_PREPARED, "gangs"},  {WIRE_TASK, "gangs"},
     {WIRE_FENCED, "gangs"},
 };
 
@@ -122,8 +122,8 @@
     snprintf(address, sizeof(address), "%s:%d", s->listen.address,
              (int)s->listen.link_port);
     l->context = Link_ContextNew();
-    l->link = Link_Listen(l->context, k->loop, address, &l->keys, on_receive,
-                          l);
+    l->link =
+        Link_Listen(l->context, k->loop, address, &l->keys, on_receive, l);
     if (l->link == NULL) {
         LOG_E("listen_failed", KV("links", address));
         Link_ContextFree(l->context);
@@ -134,7 +134,6 @@
     return ERR_OK;
 }
 
-static struct plugin links_plugin = {.name = "links",
-                                     .rank = 10,
-                                     .start = start};
+static struct plugin links_plugin = {
+    .name = "links", .rank = 10, .start = start};
 KERNEL_PLUGIN(links_plugin)
--- a/packages/entry/entry-members.c
+++ b/packages/entry/entry-members.c
@@ -12,8 +12,9 @@
 /* Pace of beats. An agent beats to every entry, and 780 of them a second
  * apart would cost an entry about 200 KB/s, over twenty times its budget of
  * 9 KB/s for control. So each entry sets the pace itself: one half of its
- * beats is for the agents whose home it is, the other half for all others. What can't wait for a beat (leaving, answers)
- * is told at once. Figures: docs/CAPACITY.md. */
+ * beats is for the agents whose home it is, the other half for all others.
+ * What can't wait for a beat (leaving, answers) is told at once. Figures:
+ * docs/CAPACITY.md. */
 #define BEATS_PER_S 20
 #define HOME_BEAT_MS 1000
 #define PACE_MAX_MS 60000
@@ -43,9 +44,8 @@
     ev_timer tick;
 };
 
-static struct counter known_gauge = {"parsleyfall_entry_agents",
-                                     "Agents that are heard.", NULL,
-                                     COUNTER_GAUGE};
+static struct counter known_gauge = {
+    "parsleyfall_entry_agents", "Agents that are heard.", NULL, COUNTER_GAUGE};
 static struct counter silent_total = {"parsleyfall_entry_agents_silent_total",
                                       "Agents that fell silent.", NULL,
                                       COUNTER_TOTAL};
@@ -57,7 +57,7 @@
     return strcmp(a->facts.name, b->facts.name);
 }
 
-RB_GENERATE_STATIC(member_tree, member, entry, compare)
+TREE_STATIC(member_tree, member, entry, compare);
 
 /* Finds an agent by its name. */
 static struct member *
@@ -365,8 +365,9 @@
     enum wire_type type;
     void (*take)(struct members *, const struct link_peer *,
                  const struct wire_msg *);
-} speakers[] = {
-    {WIRE_HELLO, take_hello}, {WIRE_BEAT, take_beat}, {WIRE_LEAVE, take_leave}};
+} speakers[] = {{WIRE_HELLO, take_hello},
+                {WIRE_BEAT, take_beat},
+                {WIRE_LEAVE, take_leave}};
 
 /* Notes the list of entries, for welcomes. */
 static void
@@ -515,7 +516,6 @@
     return ERR_OK;
 }
 
-static struct plugin members_plugin = {.name = "members",
-                                       .rank = 20,
-                                       .start = start};
+static struct plugin members_plugin = {
+    .name = "members", .rank = 20, .start = start};
 KERNEL_PLUGIN(members_plugin)
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -2,18 +2,18 @@
 
 #include <stdio.h>
 
-static struct counter answered_total = {
-    "parsleyfall_requests_total", "Requests by outcome.",
-    "outcome=\"answered\"", COUNTER_TOTAL};
+static struct counter answered_total = {"parsleyfall_requests_total",
+                                        "Requests by outcome.",
+                                        "outcome=\"answered\"", COUNTER_TOTAL};
 static struct counter not_run_total = {"parsleyfall_requests_total",
                                        "Requests by outcome.",
                                        "outcome=\"not_run\"", COUNTER_TOTAL};
 static struct counter unknown_total = {"parsleyfall_requests_total",
                                        "Requests by outcome.",
                                        "outcome=\"unknown\"", COUNTER_TOTAL};
-static struct counter answer_ms = {
-    "parsleyfall_request_ms", "Time from acceptance to the whole answer.",
-    NULL, COUNTER_LATENCY};
+static struct counter answer_ms = {"parsleyfall_request_ms",
+                                   "Time from acceptance to the whole answer.",
+                                   NULL, COUNTER_LATENCY};
 
 /* One line for the end of a request. */
 static void
@@ -37,8 +37,7 @@
     Counter_Add(&answered_total, 1);
     Counter_Observe(&answer_ms, Clock_NowMs() - r->accepted_at);
     log_end(r, "answered", "answered");
-    snprintf(attempt, sizeof(attempt), "%llu",
-             (unsigned long long)m->attempt);
+    snprintf(attempt, sizeof(attempt), "%llu", (unsigned long long)m->attempt);
     Http_ReplyHeader(r->ex, "X-Request-Id", Id_Hex(&r->id, hex));
     Http_ReplyHeader(r->ex, "X-Attempt", attempt);
     Http_ReplyHeader(r->ex, "X-Outcome", "answered");
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -275,8 +275,7 @@
         Request_ReplyUnknown(r, reason);
         return;
     }
-    Request_ReplyNotRun(r, 503, reason, "no upstream took it",
-                        retry_after_ms);
+    Request_ReplyNotRun(r, 503, reason, "no upstream took it", retry_after_ms);
 }
 
 /* An attempt is over and may have run. Only a request that may be repeated
@@ -459,8 +458,8 @@
 {
     struct try *last = &r->tries[r->try_count - 1];
 
-    if (r->state != REQUEST_OUT || !r->repeatable ||
-        last->state == TRY_OVER || strcmp(last->agent, agent) != 0) {
+    if (r->state != REQUEST_OUT || !r->repeatable || last->state == TRY_OVER ||
+        strcmp(last->agent, agent) != 0) {
         return;
     }
     if (may_retry(r, RETRY_FAILED, true)) {
--- a/packages/entry/entry-requests.c
+++ b/packages/entry/entry-requests.c
@@ -80,7 +80,7 @@
     Str_Copy(o->caller, sizeof(o->caller), caller ? caller : "");
     Str_Copy(o->content_type, sizeof(o->content_type), type ? type : "");
     Str_Copy(o->class_name, sizeof(o->class_name), class->name);
-    o->priority = (enum priority)class->priority;
+    o->priority = (enum priority) class->priority;
     o->repeatable = class->repeatable;
     o->queue_max = (int)service->queue_limit;
     return (struct objection){0};
@@ -147,9 +147,8 @@
                 &Entry_Offer);
 }
 
-static struct front_route post_route = {"POST", "/v1/services/*/requests",
-                                        "requests", post_request,
-                                        {0}};
+static struct front_route post_route = {
+    "POST", "/v1/services/*/requests", "requests", post_request, {0}};
 FRONT_ROUTE(post_route)
 
 /* Takes requests, and the configuration. */
@@ -191,7 +190,6 @@
     return ERR_OK;
 }
 
-static struct plugin requests_plugin = {.name = "requests",
-                                        .rank = 50,
-                                        .start = start};
+static struct plugin requests_plugin = {
+    .name = "requests", .rank = 50, .start = start};
 KERNEL_PLUGIN(requests_plugin)
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -211,6 +211,8 @@
 
 /* Calls the route's handler when m is an http_note. False when it isn't. */
 bool Front_Handle(struct task *t, struct message *m);
+/* The bearer token of a request, or NULL. */
+const char *Requests_Token(const struct http_exchange *ex);
 void Front_Register(struct front_route *route);
 #define FRONT_ROUTE(var)                                                      \
     __attribute__((constructor)) static void register_##var(void)             \
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -1,10 +1,17 @@
 pf_package(base LIBS sodium yaml xxhash bsd)
-pf_package(config USES base)
+pf_package(config USES base LIBS jansson yaml)
+pf_package(policy USES base LIBS m)
+pf_package(cells USES base)
 pf_package(kernel USES base LIBS ev jansson)
 pf_package(http USES base LIBS ev curl microhttpd)
 pf_package(wire USES base LIBS ev msgpackc zmq)
 pf_package(agent USES base config kernel http wire)
+pf_package(entry USES base config policy cells kernel http wire)
 
 add_executable(parsleyfall-agent packages/agent/main.c)
 pf_link(parsleyfall-agent agent)
 target_link_libraries(parsleyfall-agent PRIVATE argtable2)
+
+add_executable(parsleyfall packages/entry/main.c)
+pf_link(parsleyfall entry)
+target_link_libraries(parsleyfall PRIVATE argtable2)
--- a/packages/policy/admit-private.h
+++ b/packages/policy/admit-private.h
@@ -6,7 +6,6 @@
 #define ADMIT_PRIVATE_H
 
 #include "policy.h"
-#include "policy-tree.h"
 
 struct admit_flow;
 RB_HEAD(admit_lanes, admit_lane);
--- a/packages/policy/order-private.h
+++ b/packages/policy/order-private.h
@@ -5,7 +5,6 @@
 #define ORDER_PRIVATE_H
 
 #include "policy.h"
-#include "policy-tree.h"
 
 #define ORDER_WORKERS_MAX 8 /* different ones remembered for a job */
 
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -26,13 +26,6 @@
 extern "C" {
 #endif
 
-enum priority {
-    PRIORITY_URGENT, /* previews and urgent work: somebody watches */
-    PRIORITY_NORMAL,
-    PRIORITY_BATCH, /* may wait for hours */
-    PRIORITY_COUNT
-};
-
 const char *Priority_Name(enum priority priority);
 
 /* ---- admission ---------------------------------------------------------
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -67,9 +67,9 @@
     LIST(wire_hello, parts, part_table)};
 
 static const struct wire_field beat[] = {
-    U(wire_beat, incarnation), U(wire_beat, seq), I(wire_beat, agent_clock),
-    U(wire_beat, leaving), LIST(wire_beat, busy, count_table),
-    LIST(wire_beat, own, count_table)};
+    U(wire_beat, incarnation),          U(wire_beat, seq),
+    I(wire_beat, agent_clock),          U(wire_beat, leaving),
+    LIST(wire_beat, busy, count_table), LIST(wire_beat, own, count_table)};
 
 static const struct wire_field welcome[] = {
     NAME(wire_welcome, entry),
