agent: say hello again after 200 ms until welcomed

Seen: the first hello is refused by ZeroMQ while the connection is still being made, and the next came a second later; an agent joined after 1.0 s.

--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -5,6 +5,7 @@
 
 #define TICK_MS 200
 #define FIRST_BEAT_MS 1000 /* until an entry sets the pace */
+#define HELLO_MS 200       /* between hellos until the first welcome */
 #define BUSY_BEAT_MS 1000  /* while an entry has something in progress here */
 #define MIN_BEAT_MS 200
 #define MAX_BEAT_MS 60000
@@ -195,11 +196,11 @@
     free(e);
 }
 
-/* Time between two words to an entry. */
+/* Time between two beats to an entry. */
 static int64_t
 interval(const struct entry_link *e)
 {
-    if (!e->welcomed || (e->busy > 0 && e->pace_ms > BUSY_BEAT_MS)) {
+    if (e->busy > 0 && e->pace_ms > BUSY_BEAT_MS) {
         return BUSY_BEAT_MS;
     }
     return e->pace_ms;
@@ -332,8 +333,11 @@
         e->replaced++;
         open_link(l, e);
     }
-    else if (now - e->said_at >= interval(e)) {
-        e->welcomed ? say_beat(l, e) : say_hello(l, e);
+    else if (!e->welcomed && now - e->said_at >= HELLO_MS) {
+        say_hello(l, e);
+    }
+    else if (e->welcomed && now - e->said_at >= interval(e)) {
+        say_beat(l, e);
     }
     return true;
 }
