console: one page of forms whose output is the one document

The source is console.html with its parts in page/; scripts/embed-console writes console-page.c, which is committed, and a test requires the two to agree. The forms are built from one schema; each field carries its path, which is the key that the server names in its errors, so that each error stands beside its field. After a lost race (412) the draft is put on top of the other's document; values that both changed are named before anything is sent.

Tests: the page is alone (no outside asset, no storage, no innerHTML), every id that is named is there, every key of the document has its field, and, where there is node, difference and merge (16 cases).

Seen failing (trial edits): console.html changed without the script: "console-page.c is old"; a key taken out of the schema: EveryKeyHasItsField names queue_limit; an id renamed: EveryIdThatIsNamedIsThere names conflict; no record of clashes: console-script-test, "same value", [] for ["weights.completion"].

It has not been looked at in a browser: there is none here.

--- /dev/null
+++ b/packages/console/page/document.js
@@ -0,0 +1,130 @@
+// Documents as values: copying, comparing, and putting one operator's changes
+// on top of another's.
+
+function copy(value) {
+  return value === undefined ? undefined : JSON.parse(JSON.stringify(value));
+}
+
+function isMap(value) {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+// Order of keys does not count; order of items does.
+function same(a, b) {
+  if (Array.isArray(a) && Array.isArray(b)) {
+    return a.length === b.length && a.every((item, i) => same(item, b[i]));
+  }
+  if (isMap(a) && isMap(b)) {
+    const keys = new Set([...Object.keys(a), ...Object.keys(b)]);
+    return [...keys].every((key) => same(a[key], b[key]));
+  }
+  return a === b;
+}
+
+// How items of a list are matched: by name or, for texts, by themselves.
+// Null when they have neither, or when two have the same.
+function identities(list) {
+  const ids = list.map((item) => (isMap(item) ? item.name : item));
+  const usable = ids.every((id) => typeof id === 'string' && id !== '');
+  return usable && new Set(ids).size === ids.length ? ids : null;
+}
+
+function show(value) {
+  return value === undefined ? 'none' : String(value);
+}
+
+// Lines of what changed from a to b, by path, as the server writes them.
+function difference(a, b, path = '') {
+  if (Array.isArray(a) && Array.isArray(b)) {
+    return listDifference(a, b, path);
+  }
+  if (isMap(a) && isMap(b)) {
+    const keys = new Set([...Object.keys(a), ...Object.keys(b)]);
+    return [...keys].flatMap((key) =>
+      difference(a[key], b[key], path ? `${path}.${key}` : key));
+  }
+  if (same(a, b)) {
+    return [];
+  }
+  if (typeof a === 'object' || typeof b === 'object') {
+    return [`${path}: ${b === undefined ? 'removed' : 'added'}`];
+  }
+  return [`${path}: ${show(a)} -> ${show(b)}`];
+}
+
+function listDifference(a, b, path) {
+  const before = identities(a);
+  const after = identities(b);
+  if (!before || !after) {
+    return placeDifference(a, b, path);
+  }
+  const kept = before.filter((id) => after.includes(id));
+  const reordered =
+    !same(kept, after.filter((id) => before.includes(id)));
+  return [
+    ...before.filter((id) => !after.includes(id))
+      .map((id) => `${path}[${id}]: removed`),
+    ...after.filter((id) => !before.includes(id))
+      .map((id) => `${path}[${id}]: added`),
+    ...kept.flatMap((id) => difference(
+      a[before.indexOf(id)], b[after.indexOf(id)], `${path}[${id}]`)),
+    ...(reordered ? [`${path}: order changed`] : []),
+  ];
+}
+
+function placeDifference(a, b, path) {
+  const length = Math.max(a.length, b.length);
+  return Array.from({length}, (_, i) => {
+    if (i >= a.length || i >= b.length) {
+      return [`${path}[${i}]: ${i < b.length ? 'added' : 'removed'}`];
+    }
+    return difference(a[i], b[i], `${path}[${i}]`);
+  }).flat();
+}
+
+// Puts the changes from base to mine on top of theirs. Where both changed the
+// same value mine stays, and its path goes to clashes, so that the operator
+// sees what would be overwritten before sending it.
+function merge(base, mine, theirs, clashes, path = '') {
+  if (same(mine, base) || same(mine, theirs)) {
+    return copy(theirs);
+  }
+  if (same(theirs, base)) {
+    return copy(mine);
+  }
+  if ([base, mine, theirs].every(isMap)) {
+    return mergeMaps(base, mine, theirs, clashes, path);
+  }
+  if ([base, mine, theirs].every((v) => Array.isArray(v) && identities(v))) {
+    return mergeLists(base, mine, theirs, clashes, path);
+  }
+  clashes.push(path);
+  return copy(mine);
+}
+
+function mergeMaps(base, mine, theirs, clashes, path) {
+  const out = {};
+  const keys = [...Object.keys(theirs), ...Object.keys(mine)];
+  for (const key of new Set(keys)) {
+    const value = merge(base[key], mine[key], theirs[key], clashes,
+      path ? `${path}.${key}` : key);
+    if (value !== undefined) {
+      out[key] = value;
+    }
+  }
+  return out;
+}
+
+function mergeLists(base, mine, theirs, clashes, path) {
+  const find = (list, id) => list[identities(list).indexOf(id)];
+  const ids = new Set([...identities(theirs), ...identities(mine)]);
+  return [...ids]
+    .map((id) => merge(find(base, id), find(mine, id), find(theirs, id),
+      clashes, `${path}[${id}]`))
+    .filter((item) => item !== undefined);
+}
+
+// The path one step up: of a[0].b that is a[0], then a, then ''.
+function parentPath(path) {
+  return path.replace(/(\.[^.[\]]+|\[[^\]]*\]|^[^.[\]]+)$/, '');
+}
--- /dev/null
+++ b/packages/console/page/form.js
@@ -0,0 +1,261 @@
+// Forms built from the schema. Each input has its path in the document as
+// data-path, which is also the key that the server names in its errors.
+
+function element(tag, attributes = {}, ...children) {
+  const node = document.createElement(tag);
+  for (const [name, value] of Object.entries(attributes)) {
+    if (name.startsWith('on')) {
+      node.addEventListener(name.slice(2), value);
+    } else if (value === true) {
+      node.setAttribute(name, '');
+    } else if (value !== false && value !== undefined) {
+      node.setAttribute(name, value);
+    }
+  }
+  node.append(...children);
+  return node;
+}
+
+// A form's state: the document it edits, and what to do after a change.
+// changed(focusPath) is called with a path when the form must be built anew.
+let editor = {doc: {}, changed: () => {}};
+
+function label(name) {
+  const text = name.replace(/_ms$/, ' (ms)').replace(/_/g, ' ');
+  return text.charAt(0).toUpperCase() + text.slice(1);
+}
+
+function singular(name) {
+  return name.replace(/_/g, ' ').replace(/(ss|h)es$/, '$1').replace(/s$/,
+    (end, at, all) => (all.endsWith('ss') ? end : ''));
+}
+
+function errorSlot(path) {
+  return element('span', {class: 'error', id: `error:${path}`,
+    'data-error-of': path});
+}
+
+// A label, an input, a hint and room for an error, tied for screen readers.
+function field(path, name, spec, input) {
+  input.id = `field:${path}`;
+  input.setAttribute('data-path', path);
+  const described = [`error:${path}`];
+  const parts = [element('label', {for: input.id}, label(name)), input];
+  if (spec.hint) {
+    described.push(`hint:${path}`);
+    parts.push(element('span', {class: 'hint', id: `hint:${path}`},
+      spec.hint));
+  }
+  input.setAttribute('aria-describedby', described.join(' '));
+  return element('div', {class: 'field'}, ...parts, errorSlot(path));
+}
+
+// Stores a value; an empty one takes the key out of the document.
+function store(owner, key, value) {
+  if (value === '' || value === undefined) {
+    delete owner[key];
+  } else {
+    owner[key] = value;
+  }
+  editor.changed();
+}
+
+function textInput(owner, key, spec, path) {
+  const input = element('input', {type: 'text', size: 40,
+    autocomplete: 'off', spellcheck: 'false',
+    oninput: () => store(owner, key, input.value)});
+  input.value = owner[key] === undefined ? '' : owner[key];
+  if (!spec.suggest) {
+    return field(path, key, spec, input);
+  }
+  const list = element('datalist', {id: `list:${path}`},
+    ...spec.suggest.map((value) => element('option', {value})));
+  input.setAttribute('list', list.id);
+  const row = field(path, key, spec, input);
+  row.append(list);
+  return row;
+}
+
+function numberInput(owner, key, spec, path) {
+  const read = () => (input.value === '' ? '' : Number(input.value));
+  const input = element('input', {type: 'number', step: 1, min: spec.min,
+    max: spec.max, oninput: () => store(owner, key, read())});
+  input.value = owner[key] === undefined ? '' : owner[key];
+  return field(path, key, spec, input);
+}
+
+function flagInput(owner, key, spec, path) {
+  const input = element('input', {type: 'checkbox',
+    onchange: () => store(owner, key, input.checked)});
+  input.checked = owner[key] === true;
+  return field(path, key, spec, input);
+}
+
+function select(words, value, onchange) {
+  const known = words.includes(value) ? words : [value, ...words];
+  const input = element('select', {onchange: () => onchange(input.value)},
+    ...known.map((word) => element('option', {value: word}, word || 'any')));
+  input.value = value;
+  return input;
+}
+
+function wordInput(owner, key, spec, path) {
+  const input = select(spec.words, owner[key] || spec.words[0],
+    (value) => store(owner, key, value));
+  return field(path, key, spec, input);
+}
+
+function referenceInput(owner, key, spec, path) {
+  const input = select(['', ...spec.to(editor.doc)], owner[key] || '',
+    (value) => store(owner, key, value));
+  return field(path, key, spec, input);
+}
+
+// Buttons that move an item up or take it out of its list.
+function itemButtons(list, index, path, what) {
+  const rebuild = (next) => editor.changed(`${path}[${next}]`);
+  const up = () => {
+    list.splice(index - 1, 0, ...list.splice(index, 1));
+    rebuild(index - 1);
+  };
+  const remove = () => {
+    list.splice(index, 1);
+    rebuild(Math.max(0, index - 1));
+  };
+  return [
+    element('button', {type: 'button', onclick: up, disabled: index === 0,
+      'aria-label': `Move ${what} up`}, 'Up'),
+    element('button', {type: 'button', onclick: remove,
+      'aria-label': `Remove ${what}`}, 'Remove'),
+  ];
+}
+
+function addButton(list, path, what, fresh) {
+  const add = () => {
+    list.push(fresh());
+    editor.changed(`${path}[${list.length - 1}]`);
+  };
+  return element('button', {type: 'button', onclick: add,
+    'data-path': path}, `Add ${what}`);
+}
+
+function listOf(owner, key) {
+  owner[key] = owner[key] || [];
+  return owner[key];
+}
+
+// A list of texts, or of names that stand elsewhere in the document.
+function textsInput(owner, key, spec, path) {
+  const list = listOf(owner, key);
+  const choices = spec.to ? spec.to(editor.doc) : null;
+  const rows = list.map((value, i) => {
+    const name = `${singular(key)} ${i + 1}`;
+    const put = (next) => {
+      list[i] = next;
+      editor.changed();
+    };
+    const input = choices ?
+      select(choices, value, (next) => put(next)) :
+      element('input', {type: 'text', size: 66, autocomplete: 'off',
+        spellcheck: 'false',
+        oninput: () => put(input.value)});
+    input.value = value;
+    const row = field(`${path}[${i}]`, name, {}, input);
+    row.append(...itemButtons(list, i, path, name));
+    return row;
+  });
+  const fresh = () =>
+    (choices ? choices.find((c) => !list.includes(c)) || '' : '');
+  return element('fieldset', {}, element('legend', {}, label(key)),
+    ...(spec.hint ? [element('p', {class: 'hint'}, spec.hint)] : []),
+    errorSlot(path), ...rows,
+    addButton(list, path, singular(key), fresh));
+}
+
+// A list of maps, each of which can be opened and closed.
+function mapsInput(owner, key, spec, path) {
+  const list = listOf(owner, key);
+  const title = spec.of.title || ((item) => item.name || '(no name)');
+  const rows = list.map((item, i) => {
+    const at = `${path}[${i}]`;
+    const summary = element('summary', {}, title(item));
+    const retitle = () => summary.replaceChildren(title(item));
+    return element('details', {'data-item': at, oninput: retitle},
+      summary, errorSlot(at),
+      ...mapInputs(item, spec.of, at),
+      element('div', {class: 'buttons'},
+        ...itemButtons(list, i, path, `${spec.of.item} ${title(item)}`)));
+  });
+  return element('fieldset', {},
+    element('legend', {}, `${label(key)} (${list.length})`),
+    errorSlot(path), ...rows,
+    addButton(list, path, spec.of.item, spec.of.fresh));
+}
+
+function mapInput(owner, key, spec, path) {
+  owner[key] = owner[key] || {};
+  return element('fieldset', {}, element('legend', {}, label(key)),
+    errorSlot(path), ...mapInputs(owner[key], spec.of, path));
+}
+
+const INPUTS = {
+  text: textInput, number: numberInput, flag: flagInput, word: wordInput,
+  reference: referenceInput, texts: textsInput, references: textsInput,
+  map: mapInput, maps: mapsInput,
+};
+
+function mapInputs(owner, schema, path) {
+  return Object.entries(schema.keys).map(([key, spec]) =>
+    INPUTS[spec.type](owner, key, spec, path ? `${path}.${key}` : key));
+}
+
+// Finds the input, or else the nearest list or item that holds it.
+function findPath(form, path) {
+  for (let at = path; at !== ''; at = parentPath(at)) {
+    const quoted = CSS.escape(at);
+    const found = form.querySelector(`[data-path="${quoted}"]`) ||
+      form.querySelector(`[data-item="${quoted}"] > summary`);
+    if (found) {
+      return found;
+    }
+  }
+  return null;
+}
+
+// Opens all that a node is in, and moves the focus to it.
+function reveal(node) {
+  for (let up = node; up; up = up.parentElement) {
+    if (up.tagName === 'DETAILS') {
+      up.open = true;
+    }
+  }
+  node.focus();
+}
+
+// Shows errors beside their fields; returns those that found no place.
+function showErrors(form, errors) {
+  return errors.filter((error) => {
+    for (let at = error.key; at !== ''; at = parentPath(at)) {
+      const slot = form.querySelector(`[data-error-of="${CSS.escape(at)}"]`);
+      if (!slot) {
+        continue;
+      }
+      const rest = error.key.slice(at.length);
+      slot.append(`${rest ? `${rest} ` : ''}${error.what}` +
+        `${error.allowed ? ` (allowed: ${error.allowed})` : ''} `);
+      const input = form.querySelector(`[data-path="${CSS.escape(at)}"]`);
+      if (input && input.tagName !== 'BUTTON') {
+        input.setAttribute('aria-invalid', 'true');
+      }
+      return false;
+    }
+    return true;
+  });
+}
+
+function clearErrors(form) {
+  form.querySelectorAll('[data-error-of]')
+    .forEach((slot) => slot.replaceChildren());
+  form.querySelectorAll('[aria-invalid]')
+    .forEach((input) => input.removeAttribute('aria-invalid'));
+}
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -1,2 +1,3 @@
 pf_package(base LIBS sodium yaml xxhash bsd)
 pf_package(config USES base LIBS jansson yaml)
+pf_package(console USES base config)
--- a/tests/config.cmake
+++ b/tests/config.cmake
@@ -7,3 +7,15 @@
 pf_test(config-examples-test config-examples-test.cc PACKAGES config)
 target_compile_definitions(config-examples-test PRIVATE
                            EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
+pf_test(console-test console-test.cc PACKAGES console)
+add_test(NAME console-embedded
+         COMMAND ${CMAKE_SOURCE_DIR}/scripts/embed-console --check)
+# The page's own logic, where a JavaScript engine is at hand.
+find_program(NODE NAMES node nodejs)
+if(NODE)
+  add_test(NAME console-script-test
+           COMMAND ${NODE} ${CMAKE_CURRENT_SOURCE_DIR}/console-script-test.js
+                   ${CMAKE_SOURCE_DIR}/packages/console/page/document.js)
+else()
+  message(STATUS "console-script-test is not run: there is no node")
+endif()
