--- /dev/null
+++ b/tests/console-test.cc
@@ -0,0 +1,138 @@
+#include "console.h"
+#include "config.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+namespace {
+
+std::string
+page()
+{
+    struct buf out = {};
+    Console_Page(&out);
+    std::string text(out.data, out.len);
+    Buf_Free(&out);
+    return text;
+}
+
+// The words that stand between two marks.
+std::set<std::string>
+words_between(const std::string &text, const std::string &before,
+              const std::string &after)
+{
+    std::set<std::string> found;
+    for (size_t at = text.find(before); at != std::string::npos;
+         at = text.find(before, at)) {
+        at += before.size();
+        size_t end =
+            text.find_first_not_of("abcdefghijklmnopqrstuvwxyz_-", at);
+        if (end > at && text.compare(end, after.size(), after) == 0) {
+            found.insert(text.substr(at, end - at));
+        }
+    }
+    return found;
+}
+
+// Text with each run of blanks and line ends as one blank.
+std::string
+one_line(const std::string &text)
+{
+    std::string out;
+    for (char c : text) {
+        bool blank = c == ' ' || c == '\n';
+        if (!blank || out.empty() || out.back() != ' ') {
+            out += blank ? ' ' : c;
+        }
+    }
+    return out;
+}
+
+// True when the schema has an entry for a key.
+bool
+has_field(const std::string &html, const std::string &key)
+{
+    for (const char *entry :
+         {": {type: ", ": { type: ", ": NAME", ": HASHES", ": WEIGHT"}) {
+        if (html.find(" " + key + entry) != std::string::npos ||
+            html.find("{" + key + entry) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST(Console, PageIsWholeAndAlone)
+{
+    std::string text = page();
+
+    EXPECT_EQ(text.find("<!DOCTYPE html>\n"), 0u);
+    EXPECT_NE(text.find("</html>\n"), std::string::npos);
+    for (const char *outside :
+         {"http://", "https://", "src=", "<link", "@import", "url(",
+          "<!-- include", "innerHTML", "localStorage", "sessionStorage",
+          "document.cookie"}) {
+        EXPECT_EQ(text.find(outside), std::string::npos) << outside;
+    }
+}
+
+// A label or a script that names what is not there fails without a word.
+TEST(Console, EveryIdThatIsNamedIsThere)
+{
+    std::string text = page();
+    static const struct {
+        const char *before;
+        const char *after;
+    } references[] = {
+        {"$('", "')"},
+        {" for=\"", "\""},
+        {"aria-labelledby=\"", "\""},
+        {"aria-describedby=\"", "\""},
+        {"href=\"#", "\""},
+    };
+    std::set<std::string> ids = words_between(text, " id=\"", "\"");
+
+    for (const auto &r : references) {
+        std::set<std::string> named = words_between(text, r.before, r.after);
+        EXPECT_FALSE(named.empty()) << r.before;
+        for (const auto &id : named) {
+            EXPECT_TRUE(ids.count(id)) << r.before << id;
+        }
+    }
+}
+
+// Every key of the document has its field: one that the form did not know
+// would go back unseen, and could not be changed.
+TEST(Console, EveryKeyHasItsField)
+{
+    static const char text[] =
+        "version: 1\nweights: {completion: 1, fragmentation: 1}\n"
+        "topology: {regions: [{name: r, failure_domains: [{name: d, racks: "
+        "[{name: k, workers: [{name: w, accelerators: 8}]}]}]}]}\n"
+        "operators: [{name: o, token_hashes: "
+        "['0000000000000000000000000000000000000000000000000000000000000000"
+        "']}]\n"
+        "organisations: [{name: a, guarantees: [{shape: worker, count: 1, "
+        "failure_domain: d}]}]\n"
+        "classes: [{name: q, kind: request, repeatable: true, deadline_ms: "
+        "1}]\n"
+        "services: [{name: s, organisations: [a], classes: [q]}]\n";
+    struct config c CLEANUP(Config_Free);
+    conf_errors errors = {};
+    struct buf json CLEANUP(Buf_Free) = {};
+    std::string html = one_line(page());
+
+    ASSERT_EQ(Config_Parse(text, sizeof(text) - 1, &c, &errors), ERR_OK);
+    Config_RenderJson(&c, &json);
+    std::set<std::string> keys =
+        words_between(std::string(json.data, json.len), "\"", "\": ");
+    EXPECT_GT(keys.size(), 25u);
+    keys.erase("version"); // fixed, sent back as it came
+    for (const auto &key : keys) {
+        EXPECT_TRUE(has_field(html, key)) << key;
+    }
+}
