http: a reply after suspension leaves at once

Cause: MHD_resume_connection only notes the resume when polling is external; nothing on libmicrohttpd's descriptor tells of it, so the reply waited for the next client or for ever. Seen with the stand-in upstream: curl -m 3 of a request that runs for 50 ms ended with 28 (time-out); strace shows the run's timer and no turn of the server after it. Now a turn is queued with the resume: the same curl gets its answer. Ruled out: the interrupt pipe, which this version does not write on a resume.

Http_Socket is new, for stand-ins that must break a connection.

--- a/packages/http/http-server.c
+++ b/packages/http/http-server.c
@@ -319,6 +319,16 @@
                                        name);
 }
 
+/* Socket of the client's connection. */
+int
+Http_Socket(const struct http_exchange *ex)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        ex->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    return info == NULL ? -1 : info->connect_fd;
+}
+
 /* Body of the request; the handler may take it by Buf_Move. */
 struct buf *
 Http_Body(struct http_exchange *ex)
@@ -349,6 +359,18 @@
     }
 }
 
+/* Lets a suspended connection go on. In external polling libmicrohttpd only
+ * notes the resume; nothing on its descriptor tells of it, so without a turn
+ * of its own the reply would wait for the next client. The turn is queued and
+ * not taken here, as the caller may be inside a handler. */
+static void
+resume(struct http_exchange *ex)
+{
+    ex->suspended = false;
+    MHD_resume_connection(ex->connection);
+    ev_feed_event(ex->server->loop, &ex->server->io, EV_READ);
+}
+
 /* Gives the reply; a suspended connection is resumed to send it. */
 void
 Http_Reply(struct http_exchange *ex, int status, const char *content_type,
@@ -370,7 +392,6 @@
     ex->status = status;
     ex->replied = true;
     if (ex->suspended) {
-        ex->suspended = false;
-        MHD_resume_connection(ex->connection);
+        resume(ex);
     }
 }
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -105,6 +105,9 @@
 const char *Http_Header(const struct http_exchange *ex, const char *name);
 const char *Http_Query(const struct http_exchange *ex, const char *name);
 struct buf *Http_Body(struct http_exchange *ex);
+/* Socket of the connection, to see whether the client is still there, and for
+ * stand-ins that must break it; -1 when there is none. */
+int Http_Socket(const struct http_exchange *ex);
 /* Adds a header to the coming reply. */
 void Http_ReplyHeader(struct http_exchange *ex, const char *name,
                       const char *value);
