Stand-in for a worker: an upstream with slots and a task runner

It counts exactly what it started and finished by request id and attempt, and answers wrongly on request: never, truncated, without a length, not at all, with an error, slowly, late.

--- /dev/null
+++ b/tests/fakes/upstream-mode.c
@@ -0,0 +1,112 @@
+#include "upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define TRUNCATED_MORE 1000 /* bytes announced and never sent */
+
+/* One word of a mode: either a flag or a number. */
+struct word {
+    const char *name;
+    size_t flag;
+    size_t number;
+};
+
+#define FLAG(n, f)                                                            \
+    {                                                                         \
+        (n), offsetof(struct upstream_mode, f), 0                             \
+    }
+#define NUMBER(n, f)                                                          \
+    {                                                                         \
+        (n), 0, offsetof(struct upstream_mode, f)                             \
+    }
+
+static const struct word words_known[] = {
+    FLAG("hang", hang),           FLAG("truncate", truncate),
+    FLAG("no-length", no_length), FLAG("close", close),
+    FLAG("error", error),         NUMBER("slow=", slow_ms),
+    NUMBER("late=", late_ms),
+};
+
+/* Enters one word. */
+static int
+take_word(const char *text, struct upstream_mode *mode)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(words_known); i++) {
+        const struct word *w = &words_known[i];
+        size_t n = strlen(w->name);
+
+        if (w->number != 0 && strncmp(text, w->name, n) == 0) {
+            *(int64_t *)((char *)mode + w->number) =
+                strtoll(text + n, NULL, 10);
+            return ERR_OK;
+        }
+        if (w->number == 0 && strcmp(text, w->name) == 0) {
+            *(bool *)((char *)mode + w->flag) = true;
+            return ERR_OK;
+        }
+    }
+    return ERR_INVALID;
+}
+
+/* Enters all words of a list. */
+int
+Upstream_ParseMode(const char *words, struct upstream_mode *mode)
+{
+    char *copy CLEANUP(Mem_FreeP) = Mem_Dup(words);
+    char *rest = copy, *word;
+
+    while ((word = strsep(&rest, ", \r\n")) != NULL) {
+        if (*word != '\0' && take_word(word, mode) != ERR_OK) {
+            return ERR_INVALID;
+        }
+    }
+    return ERR_OK;
+}
+
+/* Sends bytes past libmicrohttpd, which can't answer wrongly, and closes. The
+ * reply that ends the exchange goes to the closed socket. */
+static void
+answer_raw(struct http_exchange *ex, const struct buf *raw)
+{
+    int fd = Http_Socket(ex);
+
+    if (raw->len > 0 &&
+        send(fd, raw->data, raw->len, MSG_NOSIGNAL) != (ssize_t)raw->len) {
+        LOG_W("short_answer", KV("path", Http_Path(ex)));
+    }
+    shutdown(fd, SHUT_RDWR);
+    Http_ReplyHeader(ex, "Connection", "close");
+    Http_Reply(ex, 500, NULL, NULL, 0);
+}
+
+/* Answers rightly or wrongly. */
+void
+Upstream_Answer(struct http_exchange *ex, const struct upstream_mode *mode,
+                const struct buf *body)
+{
+    struct buf raw CLEANUP(Buf_Free) = {0};
+
+    if (mode->error) {
+        Http_Reply(ex, 500, "text/plain", "failed\n", 7);
+        return;
+    }
+    if (!mode->truncate && !mode->no_length && !mode->close) {
+        Http_Reply(ex, 200, "application/octet-stream", body->data, body->len);
+        return;
+    }
+    if (mode->truncate) {
+        Buf_Printf(&raw, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+                   body->len + TRUNCATED_MORE);
+    }
+    else if (mode->no_length) {
+        Buf_AppendStr(&raw, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    }
+    if (!mode->close) {
+        Buf_Append(&raw, body->data, body->len);
+    }
+    answer_raw(ex, &raw);
+}
--- /dev/null
+++ b/tests/fakes/upstream.c
@@ -0,0 +1,253 @@
+/* Stand-in for a worker: an upstream with slots that counts exactly what it
+ * started and finished and misbehaves on request, and a task runner. */
+#include "upstream.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Work of one request that runs or waits to be answered. */
+struct run {
+    struct upstream *upstream;
+    struct http_exchange *ex;
+    struct upstream_mode mode;
+    bool finished;
+    ev_timer timer;
+    LIST_ENTRY(run) entry;
+};
+
+struct upstream {
+    struct task task;
+    struct http_server *server;
+    struct fake_runner *runner;
+    struct upstream_mode mode; /* of all requests */
+    int64_t slots;
+    int64_t service_ms;
+    int64_t jitter_ms;
+    int64_t busy;
+    int64_t max_at_once;
+    int64_t started;
+    int64_t finished;
+    int64_t refused;
+    json_t *by_id;
+    LIST_HEAD(, run) runs;
+};
+
+/* Counts a start under its request's id and attempt. */
+static void
+count_start(struct upstream *up, const struct http_exchange *ex)
+{
+    const char *id = Http_Header(ex, "X-Request-Id");
+    json_t *one;
+
+    up->started++;
+    up->busy++;
+    if (up->busy > up->max_at_once) {
+        up->max_at_once = up->busy;
+    }
+    id = id == NULL ? "" : id;
+    one = json_object_get(up->by_id, id);
+    if (one == NULL) {
+        one = json_pack("{s:[],s:i}", "attempts", "starts", 0);
+        json_object_set_new(up->by_id, id, one);
+    }
+    json_array_append_new(json_object_get(one, "attempts"),
+                          json_integer(Fake_HeaderInt(ex, "X-Attempt", 0)));
+    json_object_set_new(one, "starts",
+                        json_integer(Fake_Int(one, "starts", 0) + 1));
+}
+
+/* Sends the answer of a run and forgets it. */
+static void
+answer(struct run *run)
+{
+    struct buf body CLEANUP(Buf_Free) = {0};
+    const struct buf *asked = Http_Body(run->ex);
+    const char *id = Http_Header(run->ex, "X-Request-Id");
+
+    Buf_AppendStr(&body, "done:");
+    Buf_Append(&body, asked->data, asked->len);
+    if (id != NULL) {
+        Http_ReplyHeader(run->ex, "X-Request-Id", id);
+    }
+    LIST_REMOVE(run, entry);
+    Upstream_Answer(run->ex, &run->mode, &body);
+    free(run);
+}
+
+/* The run is over, or its late answer is due. */
+static void
+on_run_timer(struct ev_loop *loop, ev_timer *w, int events UNUSED)
+{
+    struct run *run = w->data;
+
+    if (!run->finished && !run->mode.hang) {
+        run->finished = true;
+        run->upstream->finished++;
+        run->upstream->busy--;
+        if (run->mode.late_ms > 0) {
+            Timer_Set(loop, &run->timer, run->mode.late_ms);
+            return;
+        }
+    }
+    if (!run->mode.hang) {
+        answer(run);
+    }
+}
+
+/* How long a request runs, in milliseconds. */
+static int64_t
+run_time(const struct upstream *up, const struct run *run)
+{
+    int64_t ms = Fake_HeaderInt(run->ex, "X-Run-Ms", up->service_ms);
+
+    if (up->jitter_ms > 0) {
+        ms += (int64_t)(Id_Random64() % (uint64_t)(up->jitter_ms + 1));
+    }
+    return ms + run->mode.slow_ms;
+}
+
+/* Starts a request in a slot, or refuses it when all are taken. */
+static void
+serve_post(struct upstream *up, struct http_exchange *ex)
+{
+    const char *words = Http_Header(ex, "X-Fake");
+    struct run *run;
+
+    if (up->busy >= up->slots) {
+        up->refused++;
+        Http_ReplyHeader(ex, "Retry-After", "1");
+        Fake_Reply(ex, 503, json_pack("{s:s}", "reason", "slots"));
+        return;
+    }
+    run = Mem_Zero(1, sizeof(*run));
+    run->upstream = up;
+    run->ex = ex;
+    run->mode = up->mode;
+    if (words != NULL) {
+        Upstream_ParseMode(words, &run->mode);
+    }
+    count_start(up, ex);
+    LIST_INSERT_HEAD(&up->runs, run, entry);
+    ev_init(&run->timer, on_run_timer);
+    run->timer.data = run;
+    Timer_Set(up->task.kernel->loop, &run->timer, run_time(up, run));
+}
+
+/* Tells what was started and finished. */
+static json_t *
+counts(const struct task *t)
+{
+    const struct upstream *up = (const struct upstream *)t;
+
+    return json_pack("{s:I,s:I,s:I,s:I,s:I,s:O}", "started", up->started,
+                     "finished", up->finished, "refused", up->refused, "busy",
+                     up->busy, "max_at_once", up->max_at_once, "by_id",
+                     up->by_id);
+}
+
+/* Takes the mode of all requests. */
+static void
+serve_mode(struct upstream *up, struct http_exchange *ex)
+{
+    const struct buf *body = Http_Body(ex);
+    struct upstream_mode mode = {0};
+
+    if (body->len > 0 && Upstream_ParseMode(body->data, &mode) != ERR_OK) {
+        Fake_Reply(ex, 400, json_pack("{s:s}", "reason", "mode"));
+        return;
+    }
+    up->mode = mode;
+    Fake_Reply(ex, 200, json_object());
+}
+
+/* Sends each request where it belongs. */
+static void
+on_request(void *arg, struct http_exchange *ex)
+{
+    struct upstream *up = arg;
+    const char *path = Http_Path(ex);
+
+    if (strncmp(path, "/runner/", 8) == 0) {
+        FakeRunner_Serve(up->runner, ex);
+    }
+    else if (strcmp(path, "/counts") == 0) {
+        Fake_Reply(ex, 200, counts(&up->task));
+    }
+    else if (strcmp(path, "/mode") == 0) {
+        serve_mode(up, ex);
+    }
+    else if (strcmp(Http_Method(ex), "POST") == 0) {
+        serve_post(up, ex);
+    }
+    else {
+        Fake_Reply(ex, 200, json_object());
+    }
+}
+
+/* Stops the runs, whose exchanges the server then ends. */
+static void
+free_upstream(struct task *t)
+{
+    struct upstream *up = (struct upstream *)t;
+    struct run *run;
+
+    while ((run = LIST_FIRST(&up->runs)) != NULL) {
+        LIST_REMOVE(run, entry);
+        ev_timer_stop(t->kernel->loop, &run->timer);
+        free(run);
+    }
+    FakeRunner_Free(up->runner);
+    Http_ServerFree(up->server);
+    json_decref(up->by_id);
+}
+
+static const struct task_ops upstream_ops = {
+    .name = "upstream", .state = counts, .free = free_upstream};
+
+/* Runs the stand-in until a signal ends it. */
+static void
+run_upstream(struct upstream *up, int port, const char *port_file)
+{
+    struct kernel k;
+
+    Kernel_Init(&k, "fake-upstream", NULL, 0);
+    Kernel_AddTask(&k, &up->task, &upstream_ops);
+    LIST_INIT(&up->runs);
+    up->by_id = json_object();
+    up->runner = FakeRunner_New(k.loop);
+    up->server = Fake_Listen(k.loop, port, port_file, on_request, up);
+    Kernel_Run(&k);
+    Kernel_Free(&k);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_int *port = arg_int0(NULL, "port", "N", "0: any free one");
+    struct arg_int *slots = arg_int0(NULL, "slots", "N", "requests at once");
+    struct arg_int *ms = arg_int0(NULL, "service-ms", "MS", "time of one");
+    struct arg_int *jitter =
+        arg_int0(NULL, "jitter-ms", "MS", "added at most");
+    struct arg_str *file = arg_str0(NULL, "port-file", "F", "gets the port");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {port, slots, ms, jitter, file, end};
+    struct upstream up = {.slots = 8, .service_ms = 0};
+
+    port->ival[0] = 0;
+    slots->ival[0] = 8;
+    ms->ival[0] = 0;
+    jitter->ival[0] = 0;
+    file->sval[0] = NULL;
+    if (arg_parse(argc, argv, table) != 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        return 2;
+    }
+    up.slots = slots->ival[0];
+    up.service_ms = ms->ival[0];
+    up.jitter_ms = jitter->ival[0];
+    run_upstream(&up, port->ival[0], file->sval[0]);
+    arg_freetable(table, COUNT_OF(table));
+    return 0;
+}
--- /dev/null
+++ b/tests/platform.cmake
@@ -0,0 +1,12 @@
+# The stand-ins for what surrounds the product. They are built for the tests,
+# the demo and the measurements, and are not shipped.
+function(pf_fake name)
+  cmake_parse_arguments(F "" "" "PACKAGES" ${ARGN})
+  add_executable(${name} ${F_UNPARSED_ARGUMENTS})
+  pf_link(${name} ${F_PACKAGES})
+  target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/fakes)
+  target_link_libraries(${name} PRIVATE argtable2)
+endfunction()
+
+pf_fake(fake-upstream fakes/fake.c fakes/upstream.c fakes/upstream-mode.c
+        fakes/upstream-runner.c PACKAGES http kernel base)
