--- a/tests/fakes/fake.c
+++ b/tests/fakes/fake.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define BODY_BYTES ((size_t)32 << 20)
 #define HEADER_BYTES ((size_t)32 << 10)
@@ -60,6 +61,22 @@
     json_decref(body);
 }
 
+/* Sends past libmicrohttpd, which can't answer wrongly, and closes. The reply
+ * that ends the exchange goes to the closed socket. */
+void
+Fake_Close(struct http_exchange *ex, const struct buf *raw)
+{
+    int fd = Http_Socket(ex);
+
+    if (raw->len > 0 &&
+        send(fd, raw->data, raw->len, MSG_NOSIGNAL) != (ssize_t)raw->len) {
+        LOG_W("short_answer", KV("path", Http_Path(ex)));
+    }
+    shutdown(fd, SHUT_RDWR);
+    Http_ReplyHeader(ex, "Connection", "close");
+    Http_Reply(ex, 500, NULL, NULL, 0);
+}
+
 /* Reads the body, which must be a JSON object. */
 json_t *
 Fake_Body(struct http_exchange *ex)
@@ -108,3 +125,15 @@
     Buf_Set(out, raw, len);
     return ERR_OK;
 }
+
+/* Writes base64 by libsodium. */
+json_t *
+Fake_Bytes(const void *data, size_t len)
+{
+    size_t size =
+        sodium_base64_ENCODED_LEN(len, sodium_base64_VARIANT_ORIGINAL);
+    char *text CLEANUP(Mem_FreeP) = Mem_Alloc(size);
+
+    sodium_bin2base64(text, size, data, len, sodium_base64_VARIANT_ORIGINAL);
+    return json_string(text);
+}
--- /dev/null
+++ b/tests/fakes/platform-rows.c
@@ -0,0 +1,227 @@
+#include "platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A row, or what is left of a deleted one: its last version. */
+struct row {
+    char *table;
+    char *key;
+    char *value; /* base64; NULL: deleted */
+    char writer[ID_HEX_SIZE];
+    int64_t version;
+    RB_ENTRY(row) entry;
+};
+
+/* Orders by table, then by key. */
+static int
+compare(const struct row *a, const struct row *b)
+{
+    int order = strcmp(a->table, b->table);
+
+    return order != 0 ? order : strcmp(a->key, b->key);
+}
+
+RB_HEAD(row_tree, row);
+RB_GENERATE_INTERNAL(row_tree, row, entry, compare, UNUSED static)
+
+struct rows {
+    struct row_tree tree;
+};
+
+/* Makes an empty store. */
+struct rows *
+Rows_New(void)
+{
+    struct rows *rows = Mem_Zero(1, sizeof(*rows));
+
+    RB_INIT(&rows->tree);
+    return rows;
+}
+
+/* Frees a store. */
+void
+Rows_Free(struct rows *rows)
+{
+    struct row *row, *next;
+
+    RB_FOREACH_SAFE (row, row_tree, &rows->tree, next) {
+        RB_REMOVE(row_tree, &rows->tree, row);
+        free(row->table);
+        free(row->key);
+        free(row->value);
+        free(row);
+    }
+    free(rows);
+}
+
+/* Finds a row, deleted ones too. */
+static struct row *
+find(struct rows *rows, const char *table, const char *key)
+{
+    struct row like = {.table = (char *)(uintptr_t)table,
+                       .key = (char *)(uintptr_t)key};
+
+    return RB_FIND(row_tree, &rows->tree, &like);
+}
+
+/* Version of a row for conditions: 0 when it is not there. */
+static int64_t
+version_of(const struct row *row)
+{
+    return row == NULL || row->value == NULL ? 0 : row->version;
+}
+
+/* A row as the format has it. */
+static json_t *
+describe(const struct row *row)
+{
+    return json_pack("{s:s,s:I,s:s,s:s}", "key", row->key, "version",
+                     (json_int_t)row->version, "writer", row->writer, "value",
+                     row->value);
+}
+
+/* One row. */
+json_t *
+Rows_Get(struct rows *rows, const char *table, const char *key)
+{
+    const struct row *row = find(rows, table, key);
+
+    if (version_of(row) == 0) {
+        return json_pack("{s:n}", "row");
+    }
+    return json_pack("{s:o}", "row", describe(row));
+}
+
+/* Rows of a prefix. */
+json_t *
+Rows_List(struct rows *rows, const char *table, const char *prefix,
+          const char *after, size_t limit)
+{
+    struct row like = {.table = (char *)(uintptr_t)table,
+                       .key = (char *)(uintptr_t)after};
+    json_t *found = json_array();
+    const struct row *row;
+    bool more = false;
+
+    for (row = RB_NFIND(row_tree, &rows->tree, &like);
+         row != NULL && strcmp(row->table, table) == 0;
+         row = RB_NEXT(row_tree, &rows->tree, (struct row *)(uintptr_t)row)) {
+        if (row->value == NULL || strcmp(row->key, after) == 0 ||
+            strncmp(row->key, prefix, strlen(prefix)) != 0) {
+            continue;
+        }
+        more = json_array_size(found) == limit;
+        if (more) {
+            break;
+        }
+        json_array_append_new(found, describe(row));
+    }
+    return json_pack("{s:o,s:b}", "rows", found, "more", more);
+}
+
+/* A text member of an op. */
+static const char *
+text(const json_t *op, const char *key)
+{
+    const char *s = json_string_value(json_object_get(op, key));
+
+    return s == NULL ? "" : s;
+}
+
+/* The row that an op names. */
+static struct row *
+row_of(struct rows *rows, const json_t *op)
+{
+    return find(rows, text(op, "table"), text(op, "key"));
+}
+
+/* True when the condition of an op holds. */
+static bool
+holds(struct rows *rows, const json_t *op)
+{
+    int64_t want = Fake_Int(op, "if_version", -1);
+
+    return want < 0 || want == version_of(row_of(rows, op));
+}
+
+/* What is there now for each op, for a conflict's answer. */
+static json_t *
+present(struct rows *rows, const json_t *ops)
+{
+    json_t *all = json_array();
+    const json_t *op;
+    size_t i;
+
+    json_array_foreach(ops, i, op)
+    {
+        const struct row *row = row_of(rows, op);
+        int64_t version = version_of(row);
+
+        json_array_append_new(all, json_pack("{s:I,s:s}", "version",
+                                             (json_int_t)version, "writer",
+                                             version == 0 ? "" : row->writer));
+    }
+    return all;
+}
+
+/* Writes one op and returns the version it made or found. */
+static int64_t
+apply(struct rows *rows, const json_t *op, const char *token, int64_t *written)
+{
+    struct row *row = row_of(rows, op);
+
+    if (strcmp(text(op, "verb"), "check") == 0) {
+        return version_of(row);
+    }
+    if (row == NULL) {
+        row = Mem_Zero(1, sizeof(*row));
+        row->table = Mem_Dup(text(op, "table"));
+        row->key = Mem_Dup(text(op, "key"));
+        RB_INSERT(row_tree, &rows->tree, row);
+    }
+    (*written)++;
+    row->version++;
+    Str_Copy(row->writer, sizeof(row->writer), token);
+    free(row->value);
+    row->value = NULL;
+    if (strcmp(text(op, "verb"), "put") == 0) {
+        row->value = Mem_Dup(text(op, "value"));
+    }
+    return row->version;
+}
+
+/* Looks at every condition, then writes. */
+json_t *
+Rows_Commit(struct rows *rows, const json_t *body, int *status,
+            int64_t *written)
+{
+    const json_t *ops = json_object_get(body, "ops");
+    const char *token = text(body, "token");
+    json_t *versions;
+    const json_t *op;
+    struct id id;
+    size_t i;
+
+    *written = 0;
+    *status = 400;
+    if (Id_Parse(token, &id) != ERR_OK || !json_is_array(ops)) {
+        return json_pack("{s:s}", "reason", "commit");
+    }
+    json_array_foreach(ops, i, op)
+    {
+        if (!holds(rows, op)) {
+            *status = 409;
+            return json_pack("{s:I,s:o}", "at", (json_int_t)i, "rows",
+                             present(rows, ops));
+        }
+    }
+    versions = json_array();
+    json_array_foreach(ops, i, op)
+    {
+        json_array_append_new(versions,
+                              json_integer(apply(rows, op, token, written)));
+    }
+    *status = 200;
+    return json_pack("{s:o}", "versions", versions);
+}
--- /dev/null
+++ b/tests/fakes/relay.c
@@ -0,0 +1,324 @@
+/* A TCP relay that goes silent without closing, as something between two ends
+ * does that has lost track of their connections. SIGUSR1: every present
+ * connection is silent for good, new ones work. SIGUSR2: new ones are silent
+ * too. SIGHUP: new ones work again. */
+#include "fake.h"
+
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CHUNK_BYTES 65536
+#define BACKLOG 512
+
+struct pair;
+
+/* Bytes on their way from one socket to the other. */
+struct flow {
+    struct pair *pair;
+    int from, to;
+    struct buf waiting;
+    bool ended; /* the sender has closed its side */
+    ev_io in, out;
+    ev_timer delay;
+};
+
+/* One connection of a client and its counterpart. */
+struct pair {
+    struct relay *relay;
+    struct flow up, down;
+    bool silent;
+    LIST_ENTRY(pair) entry;
+};
+
+struct relay {
+    struct ev_loop *loop;
+    struct sockaddr_in target;
+    int64_t delay_ms;
+    bool cut; /* new connections are silent */
+    ev_io listening;
+    LIST_HEAD(, pair) pairs;
+};
+
+/* Stops watching one direction. */
+static void
+stop_flow(struct flow *f)
+{
+    struct ev_loop *loop = f->pair->relay->loop;
+
+    ev_io_stop(loop, &f->in);
+    ev_io_stop(loop, &f->out);
+    ev_timer_stop(loop, &f->delay);
+}
+
+/* Closes both sides of a connection. */
+static void
+free_pair(struct pair *pair)
+{
+    stop_flow(&pair->up);
+    stop_flow(&pair->down);
+    Buf_Free(&pair->up.waiting);
+    Buf_Free(&pair->down.waiting);
+    close(pair->up.from);
+    close(pair->up.to);
+    LIST_REMOVE(pair, entry);
+    free(pair);
+}
+
+/* Silence: nothing is read, nothing is sent, nothing is closed. */
+static void
+silence(struct pair *pair)
+{
+    pair->silent = true;
+    stop_flow(&pair->up);
+    stop_flow(&pair->down);
+}
+
+/* Passes on that one side has closed; frees the pair when both have. */
+static void
+pass_end(struct flow *f)
+{
+    struct pair *pair = f->pair;
+
+    shutdown(f->to, SHUT_WR);
+    if (pair->up.ended && pair->down.ended && pair->up.waiting.len == 0 &&
+        pair->down.waiting.len == 0) {
+        free_pair(pair);
+    }
+}
+
+/* Sends what waits. */
+static void
+on_writable(struct ev_loop *loop, ev_io *w, int events UNUSED)
+{
+    struct flow *f = w->data;
+    struct buf *b = &f->waiting;
+    ssize_t n = send(f->to, b->data, b->len, MSG_NOSIGNAL);
+
+    if (n < 0 && errno != EAGAIN) {
+        free_pair(f->pair);
+        return;
+    }
+    if (n > 0) {
+        memmove(b->data, b->data + n, b->len - (size_t)n);
+        b->len -= (size_t)n;
+    }
+    if (b->len > 0) {
+        return;
+    }
+    ev_io_stop(loop, &f->out);
+    if (f->ended) {
+        pass_end(f);
+        return;
+    }
+    ev_io_start(loop, &f->in);
+}
+
+/* The delay of what was read is over. */
+static void
+on_delayed(struct ev_loop *loop, ev_timer *w, int events UNUSED)
+{
+    struct flow *f = w->data;
+
+    ev_io_start(loop, &f->out);
+}
+
+/* Reads once; the next read waits until this one is passed on. */
+static void
+on_readable(struct ev_loop *loop, ev_io *w, int events UNUSED)
+{
+    struct flow *f = w->data;
+    char chunk[CHUNK_BYTES];
+    ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
+
+    if (n < 0 && errno == EAGAIN) {
+        return;
+    }
+    if (n < 0) {
+        free_pair(f->pair);
+        return;
+    }
+    ev_io_stop(loop, &f->in);
+    if (n == 0) {
+        f->ended = true;
+        pass_end(f);
+        return;
+    }
+    Buf_Append(&f->waiting, chunk, (size_t)n);
+    if (f->pair->relay->delay_ms > 0) {
+        Timer_Set(loop, &f->delay, f->pair->relay->delay_ms);
+        return;
+    }
+    ev_io_start(loop, &f->out);
+}
+
+/* Prepares one direction. */
+static void
+init_flow(struct flow *f, struct pair *pair, int from, int to)
+{
+    f->pair = pair;
+    f->from = from;
+    f->to = to;
+    ev_io_init(&f->in, on_readable, from, EV_READ);
+    ev_io_init(&f->out, on_writable, to, EV_WRITE);
+    ev_init(&f->delay, on_delayed);
+    f->in.data = f;
+    f->out.data = f;
+    f->delay.data = f;
+    ev_io_start(pair->relay->loop, &f->in);
+}
+
+/* A client connects: connects on, or stays silent in a cut. */
+static void
+on_accept(struct ev_loop *loop UNUSED, ev_io *w, int events UNUSED)
+{
+    struct relay *relay = w->data;
+    int client = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int target;
+    struct pair *pair;
+
+    if (client < 0) {
+        return;
+    }
+    target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (!relay->cut && connect(target, (struct sockaddr *)&relay->target,
+                               sizeof(relay->target)) != 0) {
+        close(client);
+        close(target);
+        return;
+    }
+    fcntl(target, F_SETFL, O_NONBLOCK);
+    pair = Mem_Zero(1, sizeof(*pair));
+    pair->relay = relay;
+    LIST_INSERT_HEAD(&relay->pairs, pair, entry);
+    init_flow(&pair->up, pair, client, target);
+    init_flow(&pair->down, pair, target, client);
+    if (relay->cut) {
+        silence(pair);
+    }
+}
+
+/* SIGUSR1 and SIGUSR2. */
+static void
+on_silence(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
+{
+    struct relay *relay = w->data;
+    struct pair *pair;
+
+    relay->cut = relay->cut || w->signum == SIGUSR2;
+    LIST_FOREACH (pair, &relay->pairs, entry) {
+        silence(pair);
+    }
+}
+
+/* SIGHUP. */
+static void
+on_heal(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
+{
+    struct relay *relay = w->data;
+
+    relay->cut = false;
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w UNUSED, int events UNUSED)
+{
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Listens on any free port and returns it. */
+static int
+start_listening(struct relay *relay)
+{
+    struct sockaddr_in sa = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(sa);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
+        listen(fd, BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)&sa, &size) != 0) {
+        Fatal("can't listen: %s", strerror(errno));
+    }
+    ev_io_init(&relay->listening, on_accept, fd, EV_READ);
+    relay->listening.data = relay;
+    ev_io_start(relay->loop, &relay->listening);
+    return ntohs(sa.sin_port);
+}
+
+/* Runs until SIGTERM. */
+static void
+run_relay(struct relay *relay, const char *port_file)
+{
+    static const struct {
+        int signum;
+        void (*act)(struct ev_loop *, ev_signal *, int);
+    } signals[] = {{SIGUSR1, on_silence},
+                   {SIGUSR2, on_silence},
+                   {SIGHUP, on_heal},
+                   {SIGTERM, on_term}};
+    ev_signal watchers[COUNT_OF(signals)];
+    struct pair *pair;
+    size_t i;
+
+    relay->loop = ev_default_loop(0);
+    LIST_INIT(&relay->pairs);
+    for (i = 0; i < COUNT_OF(signals); i++) {
+        ev_signal_init(&watchers[i], signals[i].act, signals[i].signum);
+        watchers[i].data = relay;
+        ev_signal_start(relay->loop, &watchers[i]);
+    }
+    Fake_WritePort(port_file, start_listening(relay));
+    ev_run(relay->loop, 0);
+    while ((pair = LIST_FIRST(&relay->pairs)) != NULL) {
+        free_pair(pair);
+    }
+    close(relay->listening.fd);
+}
+
+/* Reads "ip:port". */
+static bool
+parse_target(const char *text, struct sockaddr_in *out)
+{
+    char ip[NAME_SIZE];
+    const char *colon = strchr(text, ':');
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(ip)) {
+        return false;
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = '\0';
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+    return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *file =
+        arg_str1(NULL, "listen-port-file", "F", "gets the port");
+    struct arg_str *to = arg_str1(NULL, "to", "IP:PORT", "where to connect");
+    struct arg_int *delay = arg_int0(NULL, "delay-ms", "MS", "one way");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {file, to, delay, end};
+    struct relay relay = {0};
+
+    delay->ival[0] = 0;
+    if (arg_parse(argc, argv, table) != 0 ||
+        !parse_target(to->sval[0], &relay.target)) {
+        arg_print_errors(stderr, end, argv[0]);
+        return 2;
+    }
+    relay.delay_ms = delay->ival[0];
+    run_relay(&relay, file->sval[0]);
+    arg_freetable(table, COUNT_OF(table));
+    return 0;
+}
--- a/tests/fakes/upstream-mode.c
+++ b/tests/fakes/upstream-mode.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define TRUNCATED_MORE 1000 /* bytes announced and never sent */
 
@@ -67,22 +66,6 @@
     return ERR_OK;
 }
 
-/* Sends bytes past libmicrohttpd, which can't answer wrongly, and closes. The
- * reply that ends the exchange goes to the closed socket. */
-static void
-answer_raw(struct http_exchange *ex, const struct buf *raw)
-{
-    int fd = Http_Socket(ex);
-
-    if (raw->len > 0 &&
-        send(fd, raw->data, raw->len, MSG_NOSIGNAL) != (ssize_t)raw->len) {
-        LOG_W("short_answer", KV("path", Http_Path(ex)));
-    }
-    shutdown(fd, SHUT_RDWR);
-    Http_ReplyHeader(ex, "Connection", "close");
-    Http_Reply(ex, 500, NULL, NULL, 0);
-}
-
 /* Answers rightly or wrongly. */
 void
 Upstream_Answer(struct http_exchange *ex, const struct upstream_mode *mode,
@@ -108,5 +91,5 @@
     if (!mode->close) {
         Buf_Append(&raw, body->data, body->len);
     }
-    answer_raw(ex, &raw);
+    Fake_Close(ex, &raw);
 }
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -10,3 +10,6 @@
 
 pf_fake(fake-upstream fakes/fake.c fakes/upstream.c fakes/upstream-mode.c
         fakes/upstream-runner.c PACKAGES http kernel base)
+pf_fake(fake-platform fakes/fake.c fakes/platform.c fakes/platform-rows.c
+        PACKAGES http kernel base)
+pf_fake(fake-relay fakes/fake.c fakes/relay.c PACKAGES http kernel base)
