platform: table service, object store and task runner over HTTP

A commit is sent again under its token when its answer was lost. A conflict is then read with the rows that the service has: a row with the token proves the write; a conflict is reported only when a row shows that nothing was written and the failed condition can't hold again; all else is unknown.

platform.h: versions rise by one, which is what proves that a commit was not written; versions of 0 after a recognised commit; TABLE_ANY may overwrite; what ends a start, a control, a put; 0 as no bound of a budget.

--- /dev/null
+++ b/packages/platform/platform-commit.c
@@ -0,0 +1,270 @@
+#include "platform-table.h"
+
+#include <stdlib.h>
+
+/* What of an op is needed to read a conflict. */
+struct op_kept {
+    enum table_verb verb;
+    uint64_t if_version;
+};
+
+struct commit_call {
+    struct call call;
+    struct id token;
+    struct op_kept *ops;
+    size_t count;
+    table_committed done;
+    void *arg;
+};
+
+/* What the service has for an op at present. */
+struct present {
+    uint64_t version; /* 0: no such row */
+    struct id writer;
+};
+
+static const char *const verb_names[] = {
+    [TABLE_CHECK] = "check", [TABLE_PUT] = "put", [TABLE_DELETE] = "delete"};
+
+/* Reads the versions of an answer. */
+static bool
+read_versions(const struct commit_call *c, const json_t *o, uint64_t *versions)
+{
+    const json_t *list = json_object_get(o, "versions");
+    int64_t version;
+    size_t i;
+
+    if (json_array_size(list) != c->count || !json_is_array(list)) {
+        return false;
+    }
+    for (i = 0; i < c->count; i++) {
+        if (Json_ToInt(json_array_get(list, i), &version) != ERR_OK) {
+            return false;
+        }
+        versions[i] = (uint64_t)version;
+    }
+    return true;
+}
+
+/* Reads a conflict: where it failed, and what there is for each op. */
+static bool
+read_conflict(const struct commit_call *c, const json_t *o, size_t *at,
+              struct present *present)
+{
+    const json_t *rows = json_object_get(o, "rows");
+    int64_t index, version;
+    size_t i;
+
+    if (Json_ToInt(json_object_get(o, "at"), &index) != ERR_OK || index < 0 ||
+        (size_t)index >= c->count || json_array_size(rows) != c->count) {
+        return false;
+    }
+    *at = (size_t)index;
+    for (i = 0; i < c->count; i++) {
+        const json_t *row = json_array_get(rows, i);
+
+        if (Json_ToInt(json_object_get(row, "version"), &version) != ERR_OK) {
+            return false;
+        }
+        present[i].version = (uint64_t)version;
+        if (version != 0 && Json_ToId(json_object_get(row, "writer"),
+                                      &present[i].writer) != ERR_OK) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* True when an op names a version that a row must have. */
+static bool
+names_version(const struct op_kept *op)
+{
+    return op->if_version != 0 && op->if_version != TABLE_ANY;
+}
+
+/* True when the row of an op bears this commit's token. */
+static bool
+bears_token(const struct commit_call *c, const struct present *row)
+{
+    return row->version != 0 && Id_Compare(&row->writer, &c->token) == 0;
+}
+
+/* True when the row of an op shows that the commit has not been written: it
+ * still has the version that the op wants, or its next version, which only a
+ * write on top of the wanted one can make, is another writer's. */
+static bool
+shows_unwritten(const struct commit_call *c, const struct op_kept *op,
+                const struct present *row)
+{
+    if (op->verb == TABLE_CHECK || !names_version(op)) {
+        return false;
+    }
+    return row->version == op->if_version ||
+           (row->version == op->if_version + 1 && !bears_token(c, row));
+}
+
+/* Decides what a conflict means.
+ *
+ * Failure: the first sending was written and its answer lost; sent again, the
+ * commit meets its own rows and is told of a conflict. Symptom: a caller that
+ * has won is told that it lost (two owners, or a job accepted and refused);
+ * or, once another writer has gone over the rows, that nothing was written.
+ *
+ * When nothing was sent before, a conflict is one. Otherwise: a row with this
+ * token proves that all was written, as commits are all or nothing and a token
+ * is used once. That none has it proves nothing, as another writer may have
+ * overwritten or deleted the row since. A conflict is certain only when a row
+ * shows that it was never written, and when it also can't be any more by a
+ * sending that is still on its way: the condition that failed names a version,
+ * and versions don't come back ("no such row" may). Everything else is
+ * unknown, and the caller reads the rows. */
+static int
+judge(const struct commit_call *c, size_t at, const struct present *present)
+{
+    bool unwritten = false;
+    size_t i;
+
+    if (!c->call.maybe_done) {
+        return ERR_CONFLICT;
+    }
+    for (i = 0; i < c->count; i++) {
+        if (c->ops[i].verb == TABLE_PUT && bears_token(c, &present[i])) {
+            return ERR_OK;
+        }
+        unwritten = unwritten || shows_unwritten(c, &c->ops[i], &present[i]);
+    }
+    return unwritten && names_version(&c->ops[at]) ? ERR_CONFLICT
+                                                   : ERR_UNKNOWN;
+}
+
+/* Versions of a commit that was recognised by its token. */
+static void
+recognised_versions(const struct commit_call *c, const struct present *present,
+                    uint64_t *versions)
+{
+    size_t i;
+
+    for (i = 0; i < c->count; i++) {
+        const struct op_kept *op = &c->ops[i];
+
+        if (bears_token(c, &present[i])) {
+            versions[i] = present[i].version;
+        }
+        else if (names_version(op)) {
+            versions[i] = op->if_version + (op->verb != TABLE_CHECK);
+        }
+    }
+}
+
+/* Ends a commit that met a conflict. */
+static bool
+end_conflict(struct commit_call *c, const json_t *o, uint64_t *versions)
+{
+    struct present *present CLEANUP(Mem_FreeP) =
+        Mem_Zero(c->count + 1, sizeof(*present));
+    size_t at;
+    int err;
+
+    if (!read_conflict(c, o, &at, present)) {
+        return false;
+    }
+    err = judge(c, at, present);
+    if (err == ERR_OK) {
+        recognised_versions(c, present, versions);
+    }
+    c->done(c->arg, err, at, versions);
+    return true;
+}
+
+/* Hands on the outcome of a commit. */
+static bool
+commit_answered(struct call *call, struct http_result *result)
+{
+    struct commit_call *c = (struct commit_call *)call;
+    uint64_t *versions CLEANUP(Mem_FreeP) =
+        Mem_Zero(c->count + 1, sizeof(*versions));
+    json_t *o = Json_FromResult(result);
+    bool ok = false;
+
+    if (result->status == 200) {
+        ok = read_versions(c, o, versions);
+        if (ok) {
+            c->done(c->arg, ERR_OK, 0, versions);
+        }
+    }
+    else if (result->status == 409) {
+        ok = end_conflict(c, o, versions);
+    }
+    else {
+        ok = true;
+        c->done(c->arg, call->maybe_done ? ERR_UNKNOWN : ERR_INVALID, 0,
+                versions);
+    }
+    json_decref(o);
+    return ok;
+}
+
+static void
+commit_failed(struct call *call, int err)
+{
+    struct commit_call *c = (struct commit_call *)call;
+
+    c->done(c->arg, err, 0, NULL);
+}
+
+static void
+commit_free(struct call *call)
+{
+    free(((struct commit_call *)call)->ops);
+}
+
+static const struct call_ops commit_ops = {
+    .answered = commit_answered, .failed = commit_failed, .free = commit_free};
+
+/* Writes an op as JSON. */
+static json_t *
+op_json(const struct table_op *op)
+{
+    json_t *o = json_pack("{s:s,s:s,s:s}", "verb", verb_names[op->verb],
+                          "table", op->table, "key", op->key);
+
+    if (op->if_version != TABLE_ANY) {
+        json_object_set_new(o, "if_version",
+                            json_integer((json_int_t)op->if_version));
+    }
+    if (op->verb == TABLE_PUT) {
+        json_object_set_new(o, "value", Json_Bytes(op->value, op->len));
+    }
+    return o;
+}
+
+/* Commits; the cost is the rows that it may write, one at least. */
+void
+Table_HttpCommit(struct table *table, const struct table_op *ops, size_t count,
+                 table_committed done, void *arg)
+{
+    struct http_table *t = (struct http_table *)table;
+    struct commit_call *c =
+        Call_New(&t->http, sizeof(*c), &commit_ops, "POST", "/table/commit");
+    json_t *list = json_array();
+    char hex[ID_HEX_SIZE];
+    size_t i;
+
+    c->token = Id_Random();
+    c->ops = Mem_Zero(count + 1, sizeof(*c->ops));
+    c->count = count;
+    c->done = done;
+    c->arg = arg;
+    c->call.write = true;
+    c->call.cost = 0;
+    for (i = 0; i < count; i++) {
+        c->ops[i].verb = ops[i].verb;
+        c->ops[i].if_version = ops[i].if_version;
+        c->call.cost += ops[i].verb != TABLE_CHECK;
+        json_array_append_new(list, op_json(&ops[i]));
+    }
+    c->call.cost += c->call.cost == 0;
+    Call_SetJson(&c->call, json_pack("{s:s,s:o}", "token",
+                                     Id_Hex(&c->token, hex), "ops", list));
+    Call_Start(&c->call);
+}
--- /dev/null
+++ b/packages/platform/platform-runner.c
@@ -0,0 +1,266 @@
+#include "platform-call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ACCELERATOR_BITS 64
+
+struct http_runner {
+    struct runner runner;
+    struct platform_http http;
+};
+
+struct act_call {
+    struct call call;
+    runner_done done;
+    void *arg;
+};
+
+struct list_call {
+    struct call call;
+    runner_listed done;
+    void *arg;
+};
+
+static const char *const verb_names[] = {[RUNNER_STOP] = "stop",
+                                         [RUNNER_CHECKPOINT_AND_STOP] =
+                                             "checkpoint-and-stop",
+                                         [RUNNER_CHECKPOINT] = "checkpoint",
+                                         [RUNNER_THROTTLE] = "throttle",
+                                         [RUNNER_RESUME] = "resume"};
+
+static const char *const state_names[] = {[RUNNER_RUNNING] = "running",
+                                          [RUNNER_THROTTLED] = "throttled",
+                                          [RUNNER_CHECKPOINTING] =
+                                              "checkpointing",
+                                          [RUNNER_ENDED_WELL] = "ended",
+                                          [RUNNER_FAILED] = "failed",
+                                          [RUNNER_STOPPED] = "stopped"};
+
+static const struct {
+    int status;
+    int err;
+} act_errors[] = {
+    {200, ERR_OK}, {404, ERR_NOTFOUND}, {409, ERR_STALE}, {400, ERR_INVALID}};
+
+/* Hands on the outcome of a start or a control. */
+static bool
+act_answered(struct call *call, struct http_result *result)
+{
+    struct act_call *act = (struct act_call *)call;
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(act_errors); i++) {
+        if (act_errors[i].status == result->status) {
+            act->done(act->arg, act_errors[i].err);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+act_failed(struct call *call, int err)
+{
+    struct act_call *act = (struct act_call *)call;
+
+    act->done(act->arg, err);
+}
+
+static const struct call_ops act_ops = {.answered = act_answered,
+                                        .failed = act_failed};
+
+/* Starts a start or a control. Both name the attempt, so repeating them after
+ * a lost answer does nothing twice. */
+static void
+act(struct runner *runner, const char *path, json_t *body, runner_done done,
+    void *arg)
+{
+    struct http_runner *r = (struct http_runner *)runner;
+    struct act_call *call =
+        Call_New(&r->http, sizeof(*call), &act_ops, "POST", path);
+
+    call->done = done;
+    call->arg = arg;
+    call->call.write = true;
+    Call_SetJson(&call->call, body);
+    Call_Start(&call->call);
+}
+
+/* Writes bits as a list of their numbers. */
+static json_t *
+bits_json(uint64_t bits)
+{
+    json_t *list = json_array();
+    int i;
+
+    for (i = 0; i < ACCELERATOR_BITS; i++) {
+        if ((bits >> i) & 1) {
+            json_array_append_new(list, json_integer(i));
+        }
+    }
+    return list;
+}
+
+/* Starts a task. */
+static void
+runner_start(struct runner *runner, const struct id *job, uint64_t attempt,
+             uint64_t accelerators, const void *spec, size_t len,
+             runner_done done, void *arg)
+{
+    char hex[ID_HEX_SIZE];
+
+    act(runner, "/runner/start",
+        json_pack("{s:s,s:I,s:o,s:o}", "job", Id_Hex(job, hex), "attempt",
+                  (json_int_t)attempt, "accelerators", bits_json(accelerators),
+                  "spec", Json_Bytes(spec, len)),
+        done, arg);
+}
+
+/* Controls a task. */
+static void
+runner_control(struct runner *runner, const struct id *job, uint64_t attempt,
+               enum runner_verb verb, runner_done done, void *arg)
+{
+    char hex[ID_HEX_SIZE];
+
+    act(runner, "/runner/control",
+        json_pack("{s:s,s:I,s:s}", "job", Id_Hex(job, hex), "attempt",
+                  (json_int_t)attempt, "verb", verb_names[verb]),
+        done, arg);
+}
+
+/* Reads a list of numbers as bits. */
+static int
+read_bits(const json_t *list, uint64_t *bits)
+{
+    const json_t *item;
+    int64_t n;
+    size_t i;
+
+    if (!json_is_array(list)) {
+        return ERR_INVALID;
+    }
+    json_array_foreach(list, i, item)
+    {
+        if (Json_ToInt(item, &n) != ERR_OK || n < 0 || n >= ACCELERATOR_BITS) {
+            return ERR_INVALID;
+        }
+        *bits |= (uint64_t)1 << n;
+    }
+    return ERR_OK;
+}
+
+/* Reads a state's name. */
+static int
+read_state(const json_t *name, enum runner_state *state)
+{
+    const char *s = json_string_value(name);
+    size_t i;
+
+    for (i = 0; s != NULL && i < COUNT_OF(state_names); i++) {
+        if (strcmp(state_names[i], s) == 0) {
+            *state = (enum runner_state)i;
+            return ERR_OK;
+        }
+    }
+    return ERR_INVALID;
+}
+
+/* Reads a task. */
+static int
+read_task(const json_t *o, struct runner_task *task)
+{
+    int64_t attempt;
+
+    if (Json_ToId(json_object_get(o, "job"), &task->job) != ERR_OK ||
+        Json_ToInt(json_object_get(o, "attempt"), &attempt) != ERR_OK ||
+        read_state(json_object_get(o, "state"), &task->state) != ERR_OK ||
+        read_bits(json_object_get(o, "accelerators"), &task->accelerators) !=
+            ERR_OK ||
+        Json_ToInt(json_object_get(o, "checkpoint_ms"),
+                   &task->checkpoint_ms) != ERR_OK ||
+        Json_ToInt(json_object_get(o, "usage_permille"),
+                   &task->usage_permille) != ERR_OK) {
+        return ERR_INVALID;
+    }
+    task->attempt = (uint64_t)attempt;
+    return ERR_OK;
+}
+
+/* Hands on the tasks of an answer. */
+static bool
+list_answered(struct call *call, struct http_result *result)
+{
+    struct list_call *list = (struct list_call *)call;
+    json_t *o = Json_FromResult(result);
+    const json_t *tasks = json_object_get(o, "tasks"), *task;
+    size_t i, n = json_array_size(tasks);
+    struct runner_task *found = Mem_Zero(n + 1, sizeof(*found));
+    bool ok = result->status == 200 && json_is_array(tasks);
+
+    json_array_foreach(tasks, i, task)
+    {
+        ok = ok && read_task(task, &found[i]) == ERR_OK;
+    }
+    if (ok) {
+        list->done(list->arg, ERR_OK, found, n);
+    }
+    free(found);
+    json_decref(o);
+    return ok;
+}
+
+static void
+list_failed(struct call *call, int err)
+{
+    struct list_call *list = (struct list_call *)call;
+
+    list->done(list->arg, err, NULL, 0);
+}
+
+static const struct call_ops list_ops = {.answered = list_answered,
+                                         .failed = list_failed};
+
+/* Lists the tasks. */
+static void
+runner_list(struct runner *runner, runner_listed done, void *arg)
+{
+    struct http_runner *r = (struct http_runner *)runner;
+    struct list_call *list =
+        Call_New(&r->http, sizeof(*list), &list_ops, "GET", "/runner/tasks");
+
+    list->done = done;
+    list->arg = arg;
+    Call_Start(&list->call);
+}
+
+static void
+runner_free(struct runner *runner)
+{
+    struct http_runner *r = (struct http_runner *)runner;
+
+    Platform_HttpClear(&r->http);
+    free(r);
+}
+
+static const struct runner_ops runner_ops = {.name = "http",
+                                             .start = runner_start,
+                                             .control = runner_control,
+                                             .list = runner_list,
+                                             .free = runner_free};
+
+/* Makes a task runner that is spoken to over HTTP. */
+struct runner *
+Platform_HttpRunner(struct ev_loop *loop, const char *url,
+                    const struct platform_limits *limits)
+{
+    struct http_runner *r = Mem_Zero(1, sizeof(*r));
+
+    r->runner.ops = &runner_ops;
+    if (Platform_HttpInit(&r->http, loop, url, limits) != ERR_OK) {
+        free(r);
+        return NULL;
+    }
+    return &r->runner;
+}
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -28,9 +28,10 @@
 
 struct table;
 
-/* A row. Versions count from 1 and rise with every write of the row; a row
- * that is deleted and inserted again starts above its last version. writer is
- * the token of the write that made this version. */
+/* A row. Versions count from 1 and rise by one with every write of the row,
+ * its deletion included, so a row that is deleted and inserted again starts
+ * above its last version. writer is the token of the write that made this
+ * version. */
 struct table_row {
     char *key;
     uint64_t version; /* 0: there is no such row */
@@ -58,9 +59,11 @@
 /* rows in order of key; more: there are further ones. */
 typedef void (*table_listed)(void *arg, int err, struct table_row *rows,
                              size_t count, bool more);
-/* err: ERR_OK (versions: one for each op), ERR_CONFLICT (nothing written; at
- * is the op whose condition failed), ERR_UNKNOWN, ERR_UNREACHABLE, ERR_BUSY.
- */
+/* err: ERR_OK (versions: one for each op, the one that it made or found; 0
+ * where that isn't known, after a lost answer), ERR_CONFLICT (nothing written,
+ * now or later; at is the op whose condition failed), ERR_UNKNOWN (read the
+ * rows to know), ERR_UNREACHABLE, ERR_BUSY, ERR_INVALID (refused as wrong,
+ * nothing written). */
 typedef void (*table_committed)(void *arg, int err, size_t at,
                                 const uint64_t *versions);
 
@@ -74,7 +77,9 @@
                  void *arg);
     /* All or nothing. A write whose answer was lost is sent again under the
      * same token until its outcome is known or the time is over, and a
-     * conflict with a row that bears this token counts as written. */
+     * conflict with a row that bears this token counts as written. An op with
+     * TABLE_ANY that is sent again may overwrite what others wrote between:
+     * use a version wherever that matters. */
     void (*commit)(struct table *, const struct table_op *ops, size_t count,
                    table_committed done, void *arg);
     /* Drops open calls without their callbacks. */
@@ -89,7 +94,9 @@
 
 struct objects;
 
-/* Objects are named by their content, so a put may be repeated. */
+/* Objects are named by their content, so a put is repeated like a commit. Its
+ * err: ERR_OK, ERR_UNKNOWN, ERR_UNREACHABLE, ERR_BUSY, ERR_INVALID; of a get:
+ * ERR_OK, ERR_NOTFOUND and as of a row's. */
 typedef void (*object_put_done)(void *arg, int err);
 typedef void (*object_got)(void *arg, int err, struct buf *content);
 
@@ -138,8 +145,10 @@
 };
 
 /* err as of the table: ERR_UNKNOWN means that it may have started. Starting
- * an attempt that runs already is ERR_OK; one that has been stopped is
- * ERR_STALE. */
+ * an attempt that runs already is ERR_OK; one that has ended is ERR_STALE.
+ * Control of an attempt that was never here is ERR_NOTFOUND, of one that has
+ * ended ERR_OK. Both are repeated until their outcome is known or the time is
+ * over. A list holds a task for a minute after its end. */
 typedef void (*runner_done)(void *arg, int err);
 typedef void (*runner_listed)(void *arg, int err,
                               const struct runner_task *tasks, size_t count);
@@ -162,13 +171,16 @@
 /* ---- the plug-in that ships: HTTP with JSON ----------------------------- */
 
 struct platform_limits {
-    int64_t timeout_ms;   /* of one try */
-    int64_t give_up_ms;   /* of all tries of one commit */
-    int64_t reads_per_s;  /* this process's share */
-    int64_t writes_per_s; /* this process's share */
+    int64_t timeout_ms; /* of one try */
+    int64_t give_up_ms; /* of all tries of one write; reads are not retried */
+    int64_t
+        reads_per_s; /* gets and lists, this process's share; 0: no bound */
+    int64_t writes_per_s; /* rows put or deleted; likewise */
 };
 
-/* url as "http://10.0.0.1:8080"; NULL or empty is ERR_INVALID as NULL. */
+/* url as "http://10.0.0.1:8080". They return NULL when it is NULL or empty.
+ * docs/platform-http.md has the format. A callback may start further calls,
+ * but may not free what called it. */
 struct table *Platform_HttpTable(struct ev_loop *loop, const char *url,
                                  const struct platform_limits *limits);
 struct objects *Platform_HttpObjects(struct ev_loop *loop, const char *url,
