--- a/packages/cells/cells-impl.h
+++ b/packages/cells/cells-impl.h
@@ -26,6 +26,7 @@
     char name[NAME_SIZE];
     struct node *parent;
     struct worker *worker;
+    int below;   /* workers below it, itself included */
     int unbound; /* workers of a rack without any binding */
     TAILQ_HEAD(node_list, node) children; /* by index */
     TAILQ_ENTRY(node) sibling;
@@ -140,6 +141,10 @@
 
 /* ---- place-way.c, place-tree.c, place-reclaim.c ------------------------ */
 
+/* Each victim counts as so many seconds of the whole request's run beside
+ * its lost work: it queues and starts anew. */
+#define VICTIM_COST 300
+
 enum way_victims {
     WAY_NO_VICTIMS,
     WAY_LENT, /* guaranteed: any lent job; lent: lower priorities of them */
@@ -184,6 +189,7 @@
 bool Way_MayDisplace(const struct way *w, const struct job *job);
 bool Way_IsVictim(const struct way *w, const struct job *job);
 void Way_AddVictims(struct way *w, struct worker *worker, uint64_t mask);
+/* What it costs that a job goes: its lost work, and its start anew. */
 int64_t Way_Loss(const struct way *w, const struct job *job);
 
 /* The lowest level with a node that holds all tasks, by cap; above ALL when
--- a/packages/cells/place-queue.c
+++ b/packages/cells/place-queue.c
@@ -153,11 +153,15 @@
     return forecast(c, request, weights, now, &then);
 }
 
+/* Stands on the accelerators that a reservation will use. */
+#define PLACEHOLDER UINT64_MAX
+
 /* What a job that can't start yet holds back from those behind it. */
 struct reservation {
     const struct cells_request *q;
     int64_t at;
-    struct cells *then; /* the account at that time; NULL: never */
+    /* The account of now with the placeholder; NULL: never. */
+    struct cells *held;
 };
 
 /* A pass over the queue. */
@@ -192,11 +196,39 @@
     return NULL;
 }
 
+/* A copy of the account in which those accelerators that the request will
+ * have, and that are free now, are taken by the placeholder. */
+static struct cells *
+hold_room(const struct pass *p, const struct cells *then,
+          const struct cells_request *q)
+{
+    struct cells *held = Cells_Clone(p->c);
+    struct cells_plan plan CLEANUP(Cells_PlanClear);
+    struct cells_request holder = *q;
+    int n = 0;
+
+    Cells_Plan(then, q, &p->options->weights, p->now, &plan);
+    for (int i = 0; i < plan.parts; i++) {
+        const struct worker *w = held->worker[plan.part[i].worker];
+        uint64_t mask = plan.part[i].mask & ~w->busy;
+
+        if (mask != 0) {
+            plan.part[n++] = (struct cells_part){w->index, mask, 1};
+        }
+    }
+    holder.job = PLACEHOLDER;
+    holder.guaranteed = false;
+    holder.priority = INT32_MAX;
+    Cells_Adopt(held, &holder, plan.part, n, p->now);
+    return held;
+}
+
 /* Holds room for a request that can't start, unless an earlier one of its
  * pool does already. */
 static void
 reserve(struct pass *p, const struct cells_request *q)
 {
+    struct cells *then CLEANUP(Cells_FreeP) = NULL;
     struct reservation *r;
 
     if (p->options->no_reservation || reservation_for(p, q) != NULL) {
@@ -204,30 +236,36 @@
     }
     r = &p->held[p->count++];
     r->q = q;
-    r->then = NULL;
-    r->at = forecast(p->c, q, &p->options->weights, p->now, &r->then);
+    r->held = NULL;
+    r->at = forecast(p->c, q, &p->options->weights, p->now, &then);
+    if (then != NULL) {
+        r->held = hold_room(p, then, q);
+    }
 }
 
-/* Whether the reservation still fits at its time beside a plan that would
- * run on beyond it. */
+/* Plans a request beside the reservation; the plan is good for the account
+ * itself, which differs from the copy by the placeholder only. */
 static bool
-leaves_room(const struct pass *p, const struct reservation *r,
-            const struct cells_plan *plan)
+plan_beside(const struct pass *p, const struct reservation *r,
+            struct cells_plan *plan)
 {
-    struct cells *then CLEANUP(Cells_FreeP) = Cells_Clone(r->then);
-
-    /* Bindings are there as they are now, so the plan's moves hold. */
-    then->state = plan->state;
-    if (Cells_Commit(then, plan) != ERR_OK) {
-        return false;
+    struct cells_request q = plan->request;
+
+    Cells_PlanClear(plan);
+    Cells_Plan(r->held, &q, &p->options->weights, p->now, plan);
+    plan->state = p->c->state;
+    for (int i = 0; i < plan->victims; i++) {
+        if (plan->victim[i].job == PLACEHOLDER) {
+            return false;
+        }
     }
-    return fits(then, r->q, &p->options->weights, p->now);
+    return Cells_IsPlaced(plan->reason);
 }
 
 /* Whether a placed request may start past the reservation of its pool, and
- * as what. */
+ * as what. One that would run on beyond it is planned anew beside it. */
 static enum place_reason
-may_start(const struct pass *p, int index, const struct cells_plan *plan)
+may_start(const struct pass *p, int index, struct cells_plan *plan)
 {
     const struct reservation *r = reservation_for(p, &plan->request);
 
@@ -243,7 +281,7 @@
     if (p->now + run_time(&plan->request) <= r->at) {
         return PLACE_START_BACKFILL_ENDS;
     }
-    return leaves_room(p, r, plan) ? PLACE_START_BACKFILL_ROOM : PLACE_WAIT;
+    return plan_beside(p, r, plan) ? PLACE_START_BACKFILL_ROOM : PLACE_WAIT;
 }
 
 /* Looks at one request: starts it, says that it never can, or lets it wait
@@ -268,7 +306,7 @@
 pass_clear(struct pass *p)
 {
     for (int i = 0; i < p->count; i++) {
-        Cells_Free(p->held[i].then);
+        Cells_Free(p->held[i].held);
     }
 }
 
--- a/packages/cells/place-reclaim.c
+++ b/packages/cells/place-reclaim.c
@@ -9,58 +9,124 @@
     int cap;      /* tasks that would fit */
 };
 
-/* The job on some accelerators whose going loses the least; its bits there
- * go to *bits. */
-static struct job *
-cheapest(const struct way *w, const struct worker *at, uint64_t among,
-         uint64_t *bits, int64_t *loss)
+/* Jobs on one worker that may go. Up to EXACT_MAX of them every choice is
+ * looked at; beyond, only runs of the cheapest: 2^n grows too fast. */
+#define EXACT_MAX 6
+
+struct candidates {
+    int n;
+    uint64_t bits[CELLS_ACCELERATORS_MAX];
+    int64_t loss[CELLS_ACCELERATORS_MAX];
+};
+
+/* Puts a job in its place by loss, the cheapest first. */
+static void
+add_candidate(struct candidates *cand, uint64_t bits, int64_t loss)
 {
-    struct job *best = NULL;
+    int i = cand->n++;
+
+    while (i > 0 && cand->loss[i - 1] > loss) {
+        cand->bits[i] = cand->bits[i - 1];
+        cand->loss[i] = cand->loss[i - 1];
+        i--;
+    }
+    cand->bits[i] = bits;
+    cand->loss[i] = loss;
+}
 
-    *loss = 0;
+/* Lists the jobs on some accelerators of a worker. */
+static void
+find_candidates(const struct way *w, const struct worker *at, uint64_t among,
+                struct candidates *cand)
+{
+    cand->n = 0;
     while (among != 0) {
         struct job *job = at->slot[__builtin_ctzll(among)].job;
         uint64_t mask = 0;
-        int64_t lost = Way_Loss(w, job);
 
         for (uint64_t m = among; m != 0; m &= m - 1) {
             mask |= at->slot[__builtin_ctzll(m)].job == job ? m & -m : 0;
         }
         among &= ~mask;
-        if (best == NULL || lost < *loss) {
-            best = job;
-            *bits = mask;
-            *loss = lost;
+        add_candidate(cand, mask, Way_Loss(w, job));
+    }
+}
+
+/* The choice of candidates with the least loss that gives n accelerators
+ * beside those that are free; -1 when even all of them don't. */
+static int64_t
+choose_exact(const struct candidates *cand, uint64_t open, int n,
+             uint64_t *from)
+{
+    int64_t best = -1;
+
+    for (unsigned set = 0; set < 1u << cand->n; set++) {
+        uint64_t mask = open;
+        int64_t loss = 0;
+
+        for (int i = 0; i < cand->n; i++) {
+            if (set >> i & 1) {
+                mask |= cand->bits[i];
+                loss += cand->loss[i];
+            }
+        }
+        if (__builtin_popcountll(mask) >= n && (best < 0 || loss < best)) {
+            best = loss;
+            *from = mask;
         }
     }
     return best;
 }
 
-/* The accelerators that one more task could have here for the least work
- * lost: free ones, then those of one job after the other. Returns the loss,
- * or -1 when there are too few. */
+/* As choose_exact, by taking the cheapest until there are enough and then
+ * leaving out, the dearest first, what is not needed. */
 static int64_t
-offer_task(const struct way *w, const struct worker *at, uint64_t *from)
+choose_greedy(const struct candidates *cand, uint64_t open, int n,
+              uint64_t *from)
 {
-    uint64_t usable = w->usable[at->index];
-    uint64_t left = usable & at->busy;
     int64_t loss = 0;
+    int used = 0;
 
-    *from = usable & ~at->busy;
-    while (__builtin_popcountll(*from) < w->q->accelerators) {
-        uint64_t bits = 0;
-        int64_t lost;
-
-        if (cheapest(w, at, left, &bits, &lost) == NULL) {
-            return -1;
+    *from = open;
+    while (used < cand->n && __builtin_popcountll(*from) < n) {
+        *from |= cand->bits[used];
+        loss += cand->loss[used++];
+    }
+    if (__builtin_popcountll(*from) < n) {
+        return -1;
+    }
+    for (int i = used - 1; i >= 0; i--) {
+        if (__builtin_popcountll(*from & ~cand->bits[i]) >= n) {
+            *from &= ~cand->bits[i];
+            loss -= cand->loss[i];
         }
-        *from |= bits;
-        left &= ~bits;
-        loss += lost;
     }
     return loss;
 }
 
+/* The accelerators that one more task could have here for the least loss;
+ * returns the loss, or -1 when there are too few. */
+static int64_t
+offer_task(const struct way *w, const struct worker *at, uint64_t *from)
+{
+    uint64_t usable = w->usable[at->index];
+    uint64_t open = usable & ~at->busy;
+    struct candidates cand;
+
+    *from = open;
+    if (__builtin_popcountll(open) >= w->q->accelerators) {
+        return 0;
+    }
+    if (__builtin_popcountll(usable) < w->q->accelerators) {
+        return -1;
+    }
+    find_candidates(w, at, usable & at->busy, &cand);
+    if (cand.n <= EXACT_MAX) {
+        return choose_exact(&cand, open, w->q->accelerators, from);
+    }
+    return choose_greedy(&cand, open, w->q->accelerators, from);
+}
+
 /* Cheapest first; of equal ones the tighter, then by index. */
 static int
 offer_order(const void *a, const void *b)
--- a/packages/cells/place-score.c
+++ b/packages/cells/place-score.c
@@ -2,12 +2,11 @@
 
 #include <string.h>
 
-/* What one level of distance, one block broken into, one victim and one
- * binding that moves weigh, as seconds of the request's own run time. Only
+/* What one level of distance, one block taken from and one binding that
+ * moves weigh, as seconds of the request's own run time. Only
  * their ratios matter: docs/design/cells.md has the trials. */
 #define NEAR_COST 1800
 #define BROKEN_COST 600
-#define VICTIM_COST 300
 #define MOVE_COST 1
 
 /* The lowest level whose node holds all tasks. */
@@ -32,18 +31,17 @@
     return near;
 }
 
-/* Whether a rack was wholly free and is now partly taken. */
+/* Whether a rack was wholly free and is now taken from. */
 static bool
-breaks_rack(const struct way *w, const int *whole, const struct node *rack)
+takes_from_rack(const struct way *w, const int *whole, const struct node *rack)
 {
     const struct node *n;
-    int workers = 0, used = 0;
+    bool used = false;
 
     TAILQ_FOREACH (n, &rack->children, sibling) {
-        workers++;
-        used += w->taken[n->worker->index] != 0;
+        used = used || w->taken[n->worker->index] != 0;
     }
-    return whole[rack->index] == workers && used > 0 && used < workers;
+    return used && whole[rack->index] == rack->below;
 }
 
 /* Whether an own cell was idle and is now partly taken. */
@@ -63,7 +61,9 @@
     return cell->held == 0 && left;
 }
 
-/* Free workers, free racks and idle own cells that are broken into. */
+/* Wholly free workers and racks that are taken from, and idle own cells that
+ * are broken into. Of two places for a job, the one that takes from fewer
+ * leaves more whole for the next gang. */
 static int
 broken(const struct way *w, const int *whole)
 {
@@ -73,13 +73,13 @@
     for (int i = 0; i < w->c->workers; i++) {
         const struct worker *at = w->c->worker[i];
 
-        n += w->taken[i] != 0 && at->busy == 0 && w->taken[i] != at->all;
+        n += w->taken[i] != 0 && at->busy == 0;
     }
     for (int i = 0; i < w->c->nodes; i++) {
         const struct node *at = w->c->node[i];
 
         n += at != NULL && at->level == CELLS_LEVEL_RACK &&
-             breaks_rack(w, whole, at);
+             takes_from_rack(w, whole, at);
     }
     if (w->org == NULL) {
         return n;
--- a/packages/cells/place-tree.c
+++ b/packages/cells/place-tree.c
@@ -2,13 +2,14 @@
 
 /* Whether a node is a better choice than another for n tasks: one that holds
  * them all before one that doesn't; the tighter of two that do, the roomier
- * of two that don't; then the one in a part with fewer whole workers. */
+ * of two that don't; then one that is broken into already; then the one in a
+ * part with fewer whole workers. */
 static bool
 better(const struct way *w, const int *whole, const struct node *a,
        const struct node *b, int n)
 {
     int ca = w->cap[a->index], cb = w->cap[b->index];
-    bool fa = ca >= n, fb = cb >= n;
+    bool fa = ca >= n, fb = cb >= n, wa, wb;
 
     if (fa != fb) {
         return fa;
@@ -16,6 +17,11 @@
     if (ca != cb) {
         return fa ? ca < cb : ca > cb;
     }
+    wa = whole[a->index] == a->below;
+    wb = whole[b->index] == b->below;
+    if (wa != wb) {
+        return wb;
+    }
     if (whole[a->index] != whole[b->index]) {
         return whole[a->index] < whole[b->index];
     }
--- a/packages/cells/place-way.c
+++ b/packages/cells/place-way.c
@@ -314,10 +314,12 @@
     }
 }
 
-/* Work lost when a job goes; nothing more when it goes already. */
+/* What it costs that a job goes; nothing more when it goes already. */
 int64_t
 Way_Loss(const struct way *w, const struct job *job)
 {
+    int64_t anew =
+        INT64_C(1000) * VICTIM_COST * w->q->tasks * w->q->accelerators;
     struct cells_job_info info;
 
     if (Way_IsVictim(w, job)) {
@@ -329,7 +331,8 @@
                          32);
     }
     Jobs_Info(job, &info);
-    return Cells_LostWork(&info, w->now, w->q->start_within_ms).lost_work;
+    return anew +
+           Cells_LostWork(&info, w->now, w->q->start_within_ms).lost_work;
 }
 
 /* Out of the blocks of p in from, the one that breaks the smallest block. */
--- a/packages/cells/topo.c
+++ b/packages/cells/topo.c
@@ -140,6 +140,9 @@
     w->node = new_node(c, node, CELLS_LEVEL_WORKER, info->name, rack);
     w->node->worker = w;
     rack->unbound++;
+    for (struct node *n = w->node; n != NULL; n = n->parent) {
+        n->below++;
+    }
     c->worker[index] = w;
     return w;
 }
@@ -229,6 +232,9 @@
         return ERR_CONFLICT;
     }
     w->node->parent->unbound--;
+    for (struct node *n = w->node; n != NULL; n = n->parent) {
+        n->below--;
+    }
     Topo_FreeNode(c, w->node);
     c->worker[worker] = NULL;
     free(w->slot);
--- /dev/null
+++ b/tests/place-test.cc
@@ -0,0 +1,496 @@
+#include "cells-support.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace {
+
+const struct cells_shape FOUR = {0, 4}, WORKER = {1, 0}, RACK2 = {2, 0};
+const int64_t HOUR = 3600000;
+
+/* Puts a job where the case wants it. */
+void
+put(struct cells *c, uint64_t job, const char *org, int worker, uint64_t mask,
+    int64_t started = 0, int64_t estimate = HOUR)
+{
+    struct cells_part part = {worker, mask, 1};
+    struct cells_request q =
+        request(job, org, 1, __builtin_popcountll(mask), false);
+
+    q.estimate_ms = estimate;
+    ASSERT_EQ(Cells_Adopt(c, &q, &part, 1, started), ERR_OK);
+}
+
+std::vector<int>
+workers(const struct cells_plan &plan)
+{
+    std::vector<int> out;
+
+    for (int i = 0; i < plan.parts; i++) {
+        out.push_back(plan.part[i].worker);
+    }
+    return out;
+}
+
+std::vector<uint64_t>
+victims(const struct cells_plan &plan)
+{
+    std::vector<uint64_t> out;
+
+    for (int i = 0; i < plan.victims; i++) {
+        out.push_back(plan.victim[i].job);
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+} // namespace
+
+/* Racks: 0 = {0,1,2}, 1 = {3,4} (one domain), 2 = {5,6}. */
+TEST(Placement, AdjacentFirstThenTheTightestFit)
+{
+    static const struct {
+        const char *name;
+        std::vector<std::pair<int, uint64_t>> busy;
+        int tasks, accelerators;
+        enum cells_reason reason;
+        enum cells_level near;
+        std::vector<int> on;
+    } cases[] = {
+        {"one worker holds both tasks",
+         {},
+         2,
+         4,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_WORKER,
+         {3}},
+        {"the worker with the hole that fits",
+         {{1, 0x0f}, {4, 0x3f}},
+         1,
+         2,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_WORKER,
+         {4}},
+        {"one rack rather than two",
+         {{0, 0xff}},
+         2,
+         8,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_RACK,
+         {1, 2}},
+        {"the rack that fits, in the smaller failure domain",
+         {},
+         2,
+         8,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_RACK,
+         {5, 6}},
+        {"the whole large rack",
+         {},
+         3,
+         8,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_RACK,
+         {0, 1, 2}},
+        {"one failure domain",
+         {},
+         5,
+         8,
+         CELLS_PLACED_FREE,
+         CELLS_LEVEL_DOMAIN,
+         {0, 1, 2, 3, 4}},
+        {"enough free, in pieces",
+         {{0, 1}, {1, 1}, {2, 1}, {3, 1}, {4, 1}, {5, 1}, {6, 1}},
+         1,
+         8,
+         CELLS_WAIT_FRAGMENTED,
+         CELLS_LEVEL_WORKER,
+         {}},
+        {"not enough",
+         {{0, 0xff}},
+         7,
+         8,
+         CELLS_WAIT_FULL,
+         CELLS_LEVEL_WORKER,
+         {}},
+    };
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request q =
+            request(100, "a", t.tasks, t.accelerators, false);
+        uint64_t id = 1;
+        Plan plan;
+
+        add_racks(c.get(), {3, 2, 2}, 8);
+        for (const auto &b : t.busy) {
+            put(c.get(), id++, "x", b.first, b.second);
+        }
+        Cells_Plan(c.get(), &q, &EVEN, 0, &plan);
+        EXPECT_STREQ(Cells_ReasonName(plan.reason), Cells_ReasonName(t.reason))
+            << t.name;
+        EXPECT_EQ(plan.score.near, t.near) << t.name;
+        EXPECT_EQ(workers(plan), t.on) << t.name;
+    }
+}
+
+/* Two tasks of 4, two half-free workers in a rack and a free one: the
+ * Authority wants them on one worker, Bahay Kasama wants it kept whole. */
+TEST(Placement, WeightsDecideBetweenNearAndWhole)
+{
+    static const struct {
+        struct cells_weights weights;
+        std::vector<int> on;
+    } cases[] = {{{100, 0, 0}, {2}}, {{10, 90, 0}, {0, 1}}};
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request q = request(9, "a", 2, 4, false);
+        Plan plan;
+
+        add_racks(c.get(), {3}, 8);
+        put(c.get(), 1, "x", 0, 0x0f);
+        put(c.get(), 2, "x", 1, 0x0f);
+        Cells_Plan(c.get(), &q, &t.weights, 0, &plan);
+        EXPECT_EQ(workers(plan), t.on);
+    }
+}
+
+TEST(Placement, WhatCanNeverRunIsSaidAtOnce)
+{
+    static const struct {
+        int tasks, accelerators;
+        bool guaranteed;
+        enum cells_level within;
+        enum cells_reason reason;
+    } cases[] = {
+        {1, 9, false, CELLS_LEVEL_ALL, CELLS_NEVER_TASK},
+        {8, 8, false, CELLS_LEVEL_ALL, CELLS_NEVER_GANG},
+        {4, 8, false, CELLS_LEVEL_RACK, CELLS_NEVER_WITHIN},
+        {3, 3, false, CELLS_LEVEL_WORKER, CELLS_NEVER_WITHIN},
+        {2, 8, true, CELLS_LEVEL_ALL, CELLS_NEVER_GUARANTEE},
+        {0, 8, false, CELLS_LEVEL_ALL, CELLS_NEVER_INVALID},
+        {1, 0, false, CELLS_LEVEL_ALL, CELLS_NEVER_INVALID},
+        {7, 8, false, CELLS_LEVEL_ALL, CELLS_PLACED_FREE},
+    };
+    Account c = own(Cells_New());
+
+    add_racks(c.get(), {3, 2, 2}, 8);
+    Cells_SetGuarantee(c.get(), "a", WORKER, 1);
+    for (const auto &t : cases) {
+        struct cells_request q =
+            request(1, "a", t.tasks, t.accelerators, t.guaranteed);
+        Plan plan;
+
+        q.within = t.within;
+        EXPECT_STREQ(
+            Cells_ReasonName(Cells_Plan(c.get(), &q, &EVEN, 0, &plan)),
+            Cells_ReasonName(t.reason));
+    }
+}
+
+/* Two entries plan on the same account; the second commit must not put its
+ * job on what the first one's bindings made another organisation's. */
+TEST(Placement, APlanIsStaleOnceTheAccountHasChanged)
+{
+    Account c = own(Cells_New());
+    struct cells_request q = request(1, "a", 1, 8, false);
+    Plan plan;
+
+    add_racks(c.get(), {2}, 8);
+    Cells_Plan(c.get(), &q, &EVEN, 0, &plan);
+    Cells_SetWorkerState(c.get(), plan.part[0].worker, CELLS_WORKER_FAILED);
+    EXPECT_EQ(Cells_Commit(c.get(), &plan), ERR_STALE);
+    EXPECT_EQ(Cells_JobCount(c.get()), 0);
+}
+
+/* Lent work fills both workers of an organisation's cells. It calls one in:
+ * the job that loses least goes, as a whole gang. */
+TEST(Reclaim, LeastWorkLost)
+{
+    struct lent {
+        uint64_t mask0, mask1; /* on workers 0 and 1 */
+        int64_t checkpoint_at;
+    };
+    static const struct {
+        const char *name;
+        std::vector<lent> jobs;
+        int accelerators;
+        std::vector<uint64_t> victims;
+    } cases[] = {
+        {"the last checkpoint", {{0xff, 0, 10}, {0, 0xff, 90}}, 8, {2}},
+        {"the smaller of two", {{0x3f, 0, 0}, {0, 0xff, 0}}, 8, {1}},
+        {"a free part costs nothing", {{0x0f, 0, 0}, {0, 0xff, 99}}, 4, {}},
+        {"a gang counts whole", {{0x0f, 0xff, 90}, {0xf0, 0, 90}}, 4, {2}},
+        {"one job rather than two",
+         {{0x03, 0, 20}, {0x0c, 0, 20}, {0xf0, 0, 18}, {0, 0xff, 0}},
+         4,
+         {3}},
+        {"a small one not needed stays",
+         {{0x01, 0, 99}, {0xfe, 0, 50}, {0, 0xff, 0}},
+         4,
+         {2}},
+    };
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request q = request(100, "a", 1, t.accelerators, true);
+        uint64_t id = 0;
+        Plan plan;
+
+        add_racks(c.get(), {2}, 8);
+        Cells_SetGuarantee(c.get(), "a", WORKER, 2);
+        for (const auto &j : t.jobs) {
+            struct cells_part part[] = {{0, j.mask0, 1}, {1, j.mask1, 1}};
+            int first = j.mask0 == 0, n = (j.mask0 != 0) + (j.mask1 != 0);
+            struct cells_request lent = request(
+                ++id, "x", 1,
+                __builtin_popcountll(j.mask0) + __builtin_popcountll(j.mask1),
+                false);
+
+            ASSERT_EQ(Cells_Adopt(c.get(), &lent, part + first, n, 0), ERR_OK);
+            Cells_Progress(c.get(), id, j.checkpoint_at * 60000);
+        }
+        Cells_Plan(c.get(), &q, &EVEN, 100 * 60000, &plan);
+        EXPECT_TRUE(Cells_IsPlaced(plan.reason)) << t.name;
+        EXPECT_EQ(victims(plan), t.victims) << t.name;
+        EXPECT_EQ(Cells_Commit(c.get(), &plan), ERR_OK) << t.name;
+        EXPECT_EQ(Cells_JobCount(c.get()),
+                  (int)(t.jobs.size() - t.victims.size()) + 1);
+    }
+}
+
+/* The organisation's cell is lent out, an equal one of another is idle and
+ * free: they change places, and nobody is displaced. */
+TEST(Reclaim, ABindingMovesWhereThatSavesAVictim)
+{
+    static const struct {
+        unsigned baseline;
+        enum cells_reason reason;
+        int victims;
+    } cases[] = {{0, CELLS_PLACED_MOVED, 0},
+                 {CELLS_BASELINE_FIXED, CELLS_PLACED_RECLAIM, 1}};
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_weights weights = {50, 50, t.baseline};
+        struct cells_request q = request(2, "a", 1, 8, true);
+        struct cells_binding b;
+        Plan plan;
+
+        add_racks(c.get(), {2}, 8);
+        Cells_SetGuarantee(c.get(), "a", WORKER, 1);
+        Cells_SetGuarantee(c.get(), "b", WORKER, 1);
+        Cells_Binding(c.get(), 0, &b);
+        put(c.get(), 1, "x", b.worker[0], 0xff);
+        uint64_t version = Cells_Version(c.get());
+        Cells_Plan(c.get(), &q, &weights, 0, &plan);
+        EXPECT_EQ(plan.reason, t.reason);
+        EXPECT_EQ(plan.victims, t.victims);
+        EXPECT_EQ(Cells_Commit(c.get(), &plan), ERR_OK);
+        EXPECT_EQ(Cells_Version(c.get()) != version, t.victims == 0);
+        EXPECT_EQ(start(c.get(), request(3, "b", 1, 8, true), 0, weights),
+                  t.victims ? CELLS_PLACED_FREE : CELLS_PLACED_RECLAIM);
+    }
+}
+
+/* A rack-shaped guarantee is whole after small guaranteed work of others has
+ * come and gone, and its own small work leaves it whole while it can. */
+TEST(Reclaim, ALargeCellStaysWhole)
+{
+    Account c = own(Cells_New());
+    struct cells_request q = request(50, "a", 2, 8, true);
+
+    add_racks(c.get(), {2, 2}, 8);
+    Cells_SetGuarantee(c.get(), "a", RACK2, 1);
+    Cells_SetGuarantee(c.get(), "a", FOUR, 1);
+    Cells_SetGuarantee(c.get(), "b", FOUR, 3);
+    for (uint64_t id = 1; id <= 3; id++) {
+        EXPECT_TRUE(
+            Cells_IsPlaced(start(c.get(), request(id, "b", 1, 4, true))));
+    }
+    EXPECT_TRUE(Cells_IsPlaced(start(c.get(), request(4, "a", 1, 4, true))));
+    q.within = CELLS_LEVEL_RACK;
+    EXPECT_TRUE(Cells_IsPlaced(start(c.get(), q)));
+}
+
+TEST(Reclaim, PrioritiesCountOnlyWhereAsked)
+{
+    static const struct {
+        bool guaranteed, preempt;
+        int priority;
+        enum cells_reason reason;
+    } cases[] = {
+        {false, false, 9, CELLS_WAIT_FULL},
+        {false, true, 5, CELLS_WAIT_FULL},
+        {false, true, 9, CELLS_WAIT_FULL}, /* guaranteed work is there */
+        {true, false, 9, CELLS_WAIT_GUARANTEE},
+        {true, true, 5, CELLS_WAIT_GUARANTEE},
+        {true, true, 9, CELLS_PLACED_PREEMPT},
+    };
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request q = request(1, "a", 1, 8, true);
+        struct cells_request urgent = request(2, "a", 1, 8, t.guaranteed);
+
+        add_racks(c.get(), {1}, 8);
+        Cells_SetGuarantee(c.get(), "a", WORKER, 1);
+        q.priority = 5;
+        start(c.get(), q);
+        urgent.priority = t.priority;
+        urgent.preempt = t.preempt;
+        EXPECT_EQ(start(c.get(), urgent), t.reason);
+    }
+}
+
+/* One worker of 8, half of it busy until 10:00; a gang of 8 is at the head,
+ * and small jobs come behind it. The caller of the gang sees it start at
+ * 10:00, not after the last of the small ones. */
+TEST(Queue, BackfillNeverDelaysTheReservation)
+{
+    static const struct {
+        const char *name;
+        int accelerators;
+        int64_t estimate;
+        struct place_options options;
+        enum place_reason reason;
+    } cases[] = {
+        {"ends before", 4, HOUR, {EVEN}, PLACE_START_BACKFILL_ENDS},
+        {"would delay it", 4, 20 * HOUR, {EVEN}, PLACE_WAIT},
+        {"unknown run time", 4, 0, {EVEN}, PLACE_START_BACKFILL_ENDS},
+        {"no reservation: starves",
+         4,
+         20 * HOUR,
+         {EVEN, true, false},
+         PLACE_START_UNRESERVED},
+        {"no backfill: idles", 4, HOUR, {EVEN, false, true}, PLACE_WAIT},
+    };
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request queue[] = {
+            request(2, "a", 1, 8, false),
+            request(3, "b", 1, t.accelerators, false)};
+        struct place_decision d;
+
+        add_racks(c.get(), {1}, 8);
+        put(c.get(), 1, "x", 0, 0x0f, 0, 10 * HOUR);
+        queue[1].estimate_ms = t.estimate;
+        Place_Next(c.get(), queue, 2, &t.options, 0, &d);
+        EXPECT_STREQ(Place_ReasonName(d.reason), Place_ReasonName(t.reason))
+            << t.name;
+        if (!t.options.no_reservation) {
+            EXPECT_EQ(d.reserved_for, 2u) << t.name;
+            EXPECT_EQ(d.reserved_at, 10 * HOUR) << t.name;
+        }
+        Place_Clear(&d);
+    }
+}
+
+/* A long job behind the gang may start where the gang will not be. */
+TEST(Queue, BackfillThatLeavesRoom)
+{
+    Account c = own(Cells_New());
+    struct cells_request queue[] = {request(2, "a", 1, 8, false),
+                                    request(3, "b", 1, 4, false)};
+    struct place_options options = {EVEN};
+    struct place_decision d;
+
+    add_racks(c.get(), {2}, 8);
+    put(c.get(), 1, "x", 0, 0x0f, 0, HOUR);
+    put(c.get(), 4, "x", 1, 0x0f, 0, 9 * HOUR);
+    queue[1].estimate_ms = 50 * HOUR;
+    EXPECT_EQ(Place_Next(c.get(), queue, 2, &options, 0, &d),
+              PLACE_START_BACKFILL_ROOM);
+    EXPECT_EQ(workers(d.plan), std::vector<int>{1});
+    Place_Clear(&d);
+}
+
+/* A guarantee is never held back by a lent gang's reservation, and a job
+ * that can never run is named so that its caller hears it at once. */
+TEST(Queue, GuaranteedAndImpossibleWorkDoNotWaitBehindTheHead)
+{
+    Account c = own(Cells_New());
+    struct cells_request queue[] = {request(2, "x", 2, 8, false),
+                                    request(3, "a", 1, 8, true),
+                                    request(4, "x", 1, 9, false)};
+    struct place_options options = {EVEN};
+    struct place_decision d;
+
+    add_racks(c.get(), {2}, 8);
+    Cells_SetGuarantee(c.get(), "a", WORKER, 1);
+    put(c.get(), 1, "x", 0, 0x0f);
+    EXPECT_EQ(Place_Next(c.get(), queue, 3, &options, 0, &d),
+              PLACE_START_UNRESERVED);
+    EXPECT_EQ(d.index, 1);
+    Place_Clear(&d);
+    queue[1] = queue[2];
+    EXPECT_EQ(Place_Next(c.get(), queue, 2, &options, 0, &d), PLACE_NEVER);
+    EXPECT_EQ(d.plan.reason, CELLS_NEVER_TASK);
+    Place_Clear(&d);
+    EXPECT_EQ(Place_Next(c.get(), queue, 0, &options, 0, &d), PLACE_EMPTY);
+}
+
+/* A job that has outrun its estimate ends later, not now: otherwise the head
+ * seems about to start for ever, and nothing may backfill. */
+TEST(Queue, ForecastOfAnOverrunJob)
+{
+    Account c = own(Cells_New());
+    struct cells_request q = request(2, "a", 1, 8, false);
+
+    add_racks(c.get(), {1}, 8);
+    EXPECT_EQ(Place_Forecast(c.get(), &q, &EVEN, 5), 5);
+    put(c.get(), 1, "x", 0, 0x01, 0, HOUR);
+    EXPECT_EQ(Place_Forecast(c.get(), &q, &EVEN, 0), HOUR);
+    EXPECT_EQ(Place_Forecast(c.get(), &q, &EVEN, 4 * HOUR), 6 * HOUR);
+    Cells_SetWorkerState(c.get(), 0, CELLS_WORKER_FAILED);
+    EXPECT_EQ(Place_Forecast(c.get(), &q, &EVEN, 0), INT64_MAX);
+}
+
+/* Two workers half busy, a task of 8 waits. Moving one job to the other
+ * worker makes room; it is done only when the wait saved is worth it. */
+TEST(Defrag, OnlyWhereItPays)
+{
+    static const struct {
+        const char *name;
+        int64_t checkpoint_ms, estimate;
+        uint64_t mask1;
+        enum place_defrag_reason reason;
+    } cases[] = {
+        {"pays", 10000, 10 * HOUR, 0x0f, PLACE_DEFRAG_PAYS},
+        {"ends soon anyway", 10000, HOUR + 60000, 0x0f,
+         PLACE_DEFRAG_COSTS_MORE},
+        {"no checkpoint: all is lost", -1, HOUR + HOUR / 2, 0x0f,
+         PLACE_DEFRAG_COSTS_MORE},
+        {"no room", 10000, 10 * HOUR, 0xff, PLACE_DEFRAG_NO_ROOM},
+    };
+
+    for (const auto &t : cases) {
+        Account c = own(Cells_New());
+        struct cells_request q = request(9, "a", 1, 8, false);
+        struct place_defrag d;
+
+        add_racks(c.get(), {2}, 8);
+        for (int w = 0; w < 2; w++) {
+            struct cells_part part = {w, w ? t.mask1 : 0x0f, 1};
+            struct cells_request lent =
+                request(1 + w, "x", 1, __builtin_popcountll(part.mask), false);
+
+            lent.checkpoint_ms = t.checkpoint_ms;
+            lent.estimate_ms = t.estimate;
+            Cells_Adopt(c.get(), &lent, &part, 1, 0);
+        }
+        Place_Defrag(c.get(), &q, &EVEN, HOUR, &d);
+        EXPECT_STREQ(Place_DefragName(d.reason), Place_DefragName(t.reason))
+            << t.name;
+        if (d.reason == PLACE_DEFRAG_PAYS) {
+            ASSERT_EQ(d.resumes, 1);
+            EXPECT_EQ(Cells_Commit(c.get(), &d.plan), ERR_OK);
+            EXPECT_TRUE(
+                Cells_IsPlaced(start(c.get(), d.resume[0].request, HOUR)));
+        }
+        Place_DefragClear(&d);
+    }
+}
