--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -268,7 +268,7 @@
 } hearers[] = {
     {WIRE_DISPATCH, "work"}, {WIRE_WITHDRAW, "work"}, {WIRE_SETTLED, "work"},
     {WIRE_PREPARE, "parts"}, {WIRE_RELEASE, "parts"}, {WIRE_RENEW, "parts"},
-    {WIRE_STOP, "parts"},    {WIRE_FENCE, "parts"},
+    {WIRE_STOP, "parts"},    {WIRE_FENCE, "parts"},   {WIRE_BIND, "parts"},
 };
 
 /* A word from an entry. */
--- a/packages/entry/entry-links.c
+++ b/packages/entry/entry-links.c
@@ -29,7 +29,7 @@
     {WIRE_LEAVE, "members"},   {WIRE_TAKEN, "dispatch"},
     {WIRE_ANSWER, "dispatch"}, {WIRE_WITHDRAWN, "dispatch"},
     {WIRE_PREPARED, "gangs"},  {WIRE_TASK, "gangs"},
-    {WIRE_FENCED, "gangs"},
+    {WIRE_FENCED, "gangs"},    {WIRE_PULSE, "gangs"},
 };
 
 /* Hands a message to the task that hears its type. */
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -41,8 +41,8 @@
     FIELDS(wire_service, service_fields);
 
 static const struct wire_field part_fields[] = {
-    ID(wire_part, job), U(wire_part, attempt), U(wire_part, state),
-    U(wire_part, accelerators)};
+    ID(wire_part, job), U(wire_part, attempt), U(wire_part, term),
+    U(wire_part, state), U(wire_part, accelerators)};
 static const struct wire_fields part_table = FIELDS(wire_part, part_fields);
 
 static const struct wire_field entry_fields[] = {NAME(wire_entry, name),
@@ -113,44 +113,80 @@
                                               U(wire_withdrawn, attempt),
                                               U(wire_withdrawn, verdict)};
 
-static const struct wire_field prepare[] = {
-    ID(wire_prepare, job),        U(wire_prepare, attempt),
-    U(wire_prepare, incarnation), NAME(wire_prepare, domain),
-    U(wire_prepare, term),        U(wire_prepare, accelerators),
-    U(wire_prepare, tasks),       I(wire_prepare, lease_ms),
-    U(wire_prepare, guaranteed),  NAME(wire_prepare, organisation),
-    I(wire_prepare, grace_ms),    BUF(wire_prepare, spec)};
+static const struct wire_field working_fields[] = {
+    ID(wire_working, job),          U(wire_working, attempt),
+    U(wire_working, term),          U(wire_working, members),
+    I(wire_working, checkpoint_ms), I(wire_working, usage_permille)};
+static const struct wire_fields working_table =
+    FIELDS(wire_working, working_fields);
+
+static const struct wire_field renewed_fields[] = {
+    ID(wire_renewed, job), U(wire_renewed, attempt), U(wire_renewed, term)};
+static const struct wire_fields renewed_table =
+    FIELDS(wire_renewed, renewed_fields);
+
+static const struct wire_field binding_fields[] = {
+    NAME(wire_binding, organisation), U(wire_binding, accelerators)};
+static const struct wire_fields binding_table =
+    FIELDS(wire_binding, binding_fields);
+
+static const struct wire_field prepare[] = {ID(wire_prepare, job),
+                                            U(wire_prepare, attempt),
+                                            U(wire_prepare, term),
+                                            U(wire_prepare, incarnation),
+                                            U(wire_prepare, accelerators),
+                                            U(wire_prepare, tasks),
+                                            U(wire_prepare, members),
+                                            I(wire_prepare, lease_ms),
+                                            I(wire_prepare, grace_ms),
+                                            U(wire_prepare, guaranteed),
+                                            U(wire_prepare, claim_version),
+                                            U(wire_prepare, urgent),
+                                            NAME(wire_prepare, organisation),
+                                            BUF(wire_prepare, spec)};
 
 static const struct wire_field prepared[] = {
-    ID(wire_prepared, job),        U(wire_prepared, attempt),
-    U(wire_prepared, incarnation), U(wire_prepared, granted),
-    U(wire_prepared, busy),        NAME(wire_prepared, reason)};
+    ID(wire_prepared, job),     U(wire_prepared, attempt),
+    U(wire_prepared, term),     U(wire_prepared, incarnation),
+    U(wire_prepared, granted),  U(wire_prepared, busy),
+    NAME(wire_prepared, reason)};
 
 static const struct wire_field release[] = {
     ID(wire_release, job), U(wire_release, attempt), U(wire_release, term),
-    I(wire_release, lease_ms)};
+    U(wire_release, incarnation), I(wire_release, lease_ms)};
+
+static const struct wire_field task[] = {
+    ID(wire_task, job),     U(wire_task, attempt),
+    U(wire_task, term),     U(wire_task, incarnation),
+    U(wire_task, state),    I(wire_task, checkpoint_ms),
+    NAME(wire_task, reason)};
+
+static const struct wire_field pulse[] = {
+    NAME(wire_pulse, agent), U(wire_pulse, incarnation),
+    I(wire_pulse, sent),     U(wire_pulse, renewer),
+    I(wire_pulse, stamp),    LIST(wire_pulse, working, working_table)};
 
 static const struct wire_field renew[] = {
-    ID(wire_renew, job), U(wire_renew, attempt), U(wire_renew, term),
-    I(wire_renew, lease_ms)};
+    U(wire_renew, incarnation), I(wire_renew, sent),
+    U(wire_renew, renewer),     I(wire_renew, stamp),
+    I(wire_renew, lease_ms),    LIST(wire_renew, renewed, renewed_table)};
 
 static const struct wire_field stop[] = {
-    ID(wire_stop, job), U(wire_stop, attempt),  U(wire_stop, term),
-    U(wire_stop, how),  I(wire_stop, grace_ms), NAME(wire_stop, reason)};
-
-static const struct wire_field task[] = {
-    ID(wire_task, job),          U(wire_task, attempt),
-    U(wire_task, incarnation),   U(wire_task, state),
-    I(wire_task, checkpoint_ms), U(wire_task, lease_left_ms),
-    NAME(wire_task, reason)};
+    ID(wire_stop, job),        U(wire_stop, attempt), U(wire_stop, term),
+    U(wire_stop, incarnation), U(wire_stop, how),     I(wire_stop, grace_ms),
+    NAME(wire_stop, reason)};
 
 static const struct wire_field fence[] = {
-    ID(wire_fence, job), U(wire_fence, attempt), U(wire_fence, incarnation),
-    U(wire_fence, term)};
+    ID(wire_fence, job), U(wire_fence, attempt), U(wire_fence, term),
+    U(wire_fence, incarnation)};
 
 static const struct wire_field fenced[] = {
-    ID(wire_fenced, job), U(wire_fenced, attempt), U(wire_fenced, incarnation),
-    U(wire_fenced, running), U(wire_fenced, ran)};
+    ID(wire_fenced, job), U(wire_fenced, attempt), U(wire_fenced, term),
+    U(wire_fenced, incarnation), U(wire_fenced, done)};
+
+static const struct wire_field bind_fields[] = {
+    NAME(wire_bind, scope), U(wire_bind, term), U(wire_bind, incarnation),
+    U(wire_bind, version), LIST(wire_bind, bindings, binding_table)};
 
 static const struct wire_fields tables[WIRE_TYPE_LAST] = {
     [WIRE_HELLO] = FIELDS(wire_hello, hello),
@@ -169,6 +205,8 @@
     [WIRE_RENEW] = FIELDS(wire_renew, renew),
     [WIRE_STOP] = FIELDS(wire_stop, stop),
     [WIRE_TASK] = FIELDS(wire_task, task),
+    [WIRE_PULSE] = FIELDS(wire_pulse, pulse),
+    [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
 };
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -40,14 +40,16 @@
     WIRE_SETTLED,   /* entry: got the answer, forget it */
     WIRE_WITHDRAW,  /* entry: don't start this any more */
     WIRE_WITHDRAWN, /* agent: whether it had started */
-    WIRE_PREPARE,   /* entry: reserve for a gang */
+    WIRE_PREPARE,   /* owner: reserve for a gang */
     WIRE_PREPARED,  /* agent: reserved, or not */
-    WIRE_RELEASE,   /* entry: start, with all members released or renewing */
-    WIRE_RENEW,     /* entry: the gang is whole, go on */
-    WIRE_STOP,      /* entry: stop, throttle or checkpoint */
-    WIRE_TASK,      /* agent: state of a gang's part */
-    WIRE_FENCE,     /* entry: nothing up to this attempt may run any more */
+    WIRE_RELEASE,   /* owner: start */
+    WIRE_TASK,      /* agent: a part changed its state */
+    WIRE_PULSE,     /* agent to the gangs' renewer: these parts work */
+    WIRE_RENEW,     /* renewer: these gangs are whole, go on */
+    WIRE_STOP,      /* owner: stop, throttle or checkpoint */
+    WIRE_FENCE,     /* owner: nothing up to this attempt may run any more */
     WIRE_FENCED,    /* agent: nothing does */
+    WIRE_BIND,      /* owner: whose cells are on this worker */
     WIRE_TYPE_LAST
 };
 
@@ -74,8 +76,9 @@
 struct wire_part {
     struct id job;
     uint64_t attempt;
-    uint64_t state; /* enum part_state */
-    uint64_t accelerators;
+    uint64_t term;
+    uint64_t state;        /* enum part_state */
+    uint64_t accelerators; /* bits */
 };
 
 struct wire_hello {
@@ -204,19 +207,23 @@
     PART_DONE    /* the task ended well */
 };
 
+/* Rank of an attempt: (attempt, term). An agent refuses ranks below the
+ * highest that it knows of a job to be spent. */
 struct wire_prepare {
     struct wire_msg msg;
     struct id job;
     uint64_t attempt;
-    uint64_t incarnation;
-    char domain[NAME_SIZE]; /* whose owner asks */
     uint64_t term;
-    uint64_t accelerators; /* bits */
-    uint64_t tasks;        /* of the gang on this worker */
-    int64_t lease_ms;      /* of the reservation, on the agent's clock */
-    uint64_t guaranteed;
+    uint64_t incarnation;   /* of the agent that is meant */
+    uint64_t accelerators;  /* bits */
+    uint64_t tasks;         /* of the gang on this worker */
+    uint64_t members;       /* agents of the whole gang */
+    int64_t lease_ms;       /* of the reservation, from its arrival */
+    int64_t grace_ms;       /* of its class, when it is reclaimed */
+    uint64_t guaranteed;    /* a claim on its organisation's cells */
+    uint64_t claim_version; /* bindings that the claim rests on */
+    uint64_t urgent;
     char organisation[NAME_SIZE];
-    int64_t grace_ms;
     struct buf spec; /* for the task runner */
 };
 
@@ -224,6 +231,7 @@
     struct wire_msg msg;
     struct id job;
     uint64_t attempt;
+    uint64_t term;
     uint64_t incarnation;
     uint64_t granted;
     uint64_t busy; /* accelerators that were taken, when refused for that */
@@ -235,37 +243,75 @@
     struct id job;
     uint64_t attempt;
     uint64_t term;
-    int64_t lease_ms; /* of the running gang, until the next renewal */
+    uint64_t incarnation;
+    int64_t lease_ms; /* first lease of the gang, from its arrival */
 };
 
-struct wire_renew {
+/* Said at each change, to every entry, and again while nobody has fenced an
+ * attempt that ended. A refused release is told as PART_STOPPED. */
+struct wire_task {
     struct wire_msg msg;
     struct id job;
     uint64_t attempt;
     uint64_t term;
-    int64_t lease_ms;
+    uint64_t incarnation;
+    uint64_t state;        /* enum part_state */
+    int64_t checkpoint_ms; /* age of the last checkpoint; -1: none */
+    char reason[NAME_SIZE];
 };
 
-enum stop_how { STOP_THROTTLE, STOP_CHECKPOINT, STOP_NOW };
+/* A part that works, in a pulse. */
+struct wire_working {
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    uint64_t members; /* agents of the whole gang */
+    int64_t checkpoint_ms;
+    int64_t usage_permille;
+};
 
-struct wire_stop {
+/* The heartbeat of gangs, one message for all parts that one agent has with
+ * one renewer. Any entry can be the renewer; agents that hear the same
+ * entries choose the same one for a job. stamp echoes the newest stamp of
+ * that incarnation of the renewer; 0: none yet. */
+struct wire_pulse {
     struct wire_msg msg;
+    char agent[NAME_SIZE];
+    uint64_t incarnation;
+    int64_t sent; /* agent clock */
+    uint64_t renewer;
+    int64_t stamp;
+    struct wire_list working; /* struct wire_working */
+};
+
+/* A gang that is whole. */
+struct wire_renewed {
     struct id job;
     uint64_t attempt;
     uint64_t term;
-    uint64_t how; /* enum stop_how; checkpoint stops when it is written */
-    int64_t grace_ms;
-    char reason[NAME_SIZE];
 };
 
-struct wire_task {
+/* Leases of the parts named count from `sent`, the agent's own time. */
+struct wire_renew {
+    struct wire_msg msg;
+    uint64_t incarnation; /* of the agent */
+    int64_t sent;         /* of the pulse that is answered */
+    uint64_t renewer;     /* incarnation of the entry */
+    int64_t stamp;        /* renewer's clock, to be echoed */
+    int64_t lease_ms;
+    struct wire_list renewed; /* struct wire_renewed */
+};
+
+enum stop_how { STOP_THROTTLE, STOP_RESUME, STOP_CHECKPOINT, STOP_NOW };
+
+struct wire_stop {
     struct wire_msg msg;
     struct id job;
     uint64_t attempt;
+    uint64_t term;
     uint64_t incarnation;
-    uint64_t state;         /* enum part_state */
-    int64_t checkpoint_ms;  /* age of the last checkpoint; -1: none */
-    uint64_t lease_left_ms; /* when running */
+    uint64_t how;     /* enum stop_how; checkpoint stops when it is written */
+    int64_t grace_ms; /* stopped at the latest after this */
     char reason[NAME_SIZE];
 };
 
@@ -273,19 +319,42 @@
     struct wire_msg msg;
     struct id job;
     uint64_t attempt; /* this one and all before */
-    uint64_t incarnation;
     uint64_t term;
+    uint64_t incarnation; /* that had it; 0: whatever is there */
 };
 
 struct wire_fenced {
     struct wire_msg msg;
     struct id job;
     uint64_t attempt;
+    uint64_t term;
+    uint64_t incarnation; /* that answers */
+    uint64_t done;        /* 0: the part still stops; ask again */
+};
+
+/* Cells that are bound to an organisation on this worker. */
+struct wire_binding {
+    char organisation[NAME_SIZE];
+    uint64_t accelerators; /* bits */
+};
+
+struct wire_bind {
+    struct wire_msg msg;
+    char scope[NAME_SIZE]; /* region whose owner says so */
+    uint64_t term;
     uint64_t incarnation;
-    uint64_t running; /* 1: the part still stops; ask again */
-    uint64_t ran;     /* 1: an attempt up to this one had been released */
+    uint64_t version;          /* of these bindings */
+    struct wire_list bindings; /* struct wire_binding */
 };
 
+/* Times of gangs, in milliseconds. Whenever one member works and another does
+ * not, this lasts at most GANG_HEARD_MS + GANG_LEASE_MS (model/gang-lease.pml
+ * tells why). A pulse is a fifth of the lease, so that a renewer may die and
+ * the members agree on the next one before the lease is over. */
+#define GANG_PULSE_MS 1500
+#define GANG_HEARD_MS 4000
+#define GANG_LEASE_MS 9000
+
 /* ---- codec ------------------------------------------------------------- */
 
 const char *Wire_TypeName(enum wire_type type);
