dispatch model: a dropped record is not a proof of not started

Mutant 18: an agent that has dropped the record of a finished attempt (or turned it into a fence) and answers a withdraw with not_started lets a takeover of the claim run the request again. Rule 2 now says what an unknown attempt may be answered, by the time that the dispatch bears.

--- a/model/dispatch.pml
+++ b/model/dispatch.pml
@@ -24,9 +24,12 @@
  *  2. An agent's first answer about an attempt is its last: an attempt that was
  *     refused or withdrawn is fenced, so that a later copy does not start.
  *     `refused` and `not_started` therefore mean the same and stand here as one
- *     message. A fence may be dropped only when the agent would refuse the
- *     dispatch for its age anyway; an agent that is silent about an attempt
- *     for ever is among the behaviours here, so this needs no state.
+ *     message. Each dispatch bears a time on the agent's clock after which the
+ *     agent does not take it, and no record of an attempt, fenced or finished,
+ *     is dropped before. From then on an unknown attempt may have been started
+ *     and dropped: a withdraw of it is answered like one for another
+ *     incarnation, never by `not_started`. (An agent that is silent about an
+ *     attempt for ever is among the behaviours here, so this needs no state.)
  *  3. `not_run` and another upstream are permitted by `not_started` for the
  *     current attempt (the answer's attempt is compared) and by nothing else.
  *     No word ends as `unknown`.
@@ -73,6 +76,7 @@
 // MUTANT 15: a finished attempt is forgotten and a late copy taken => started_twice
 // MUTANT 16: a refusal for lack of the table says not_run => not_run_untrue
 // MUTANT 17: the claim is deleted when not_run is decided => claim_lost
+// MUTANT 18: a withdraw of a dropped finished attempt gets not_started => not_run_untrue
 
 // REACH 1: an unkeyed request is answered at its second attempt
 // REACH 2: a claim of another entry is taken over and answered
@@ -249,6 +253,10 @@
                     not_started[AT(n, a, i)] = true
                 :: memory[MEM(a, n)] == FENCED ->
                     not_started[AT(n, a, i)] = true
+#if MUTANT == 18
+                :: memory[MEM(a, n)] == STARTED && answered[n] ->
+                    not_started[AT(n, a, i)] = true
+#endif
                 :: else
                 fi
             fi
