agent: what has run is never told as not started

Cause: a settled answer turned the attempt's record into a fence, and a fence answers a withdraw with not_started. An entry that took over the claim of a dead one would have sent the request again. Found by mutant 18 of model/dispatch.pml, whose rule 2 this follows.

--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -314,7 +314,7 @@
         return;
     }
     Str_Copy(at->origin, sizeof(at->origin), origin);
-    at->forget_at = at->started_at + m->timeout_ms + KEEP_ANSWER_MS;
+    at->claim_by = at->started_at + m->timeout_ms + KEEP_ANSWER_MS;
     w->open++;
     count_origin(w, at, 1, 1);
     Counter_Add(&taken_total, 1);
@@ -338,7 +338,7 @@
         take_new(w, origin, at, m);
         return;
     }
-    if (v == TAKE_AGAIN || v == TAKE_ANSWERED) {
+    if (v == TAKE_AGAIN || v == TAKE_ANSWERED || v == TAKE_SETTLED) {
         say_taken(w, origin, m, true, Attempts_VerdictName(v), 0);
         if (v == TAKE_ANSWERED) {
             say_answer(w, at);
@@ -388,8 +388,7 @@
     count_origin(w, at, -1, 0);
 }
 
-/* An entry has the answer. The record stays as a fence until no copy of its
- * dispatch can be taken any more; only the answer is dropped. */
+/* An entry has the answer. */
 static void
 take_settled(struct work *w, const char *origin UNUSED,
              const struct wire_msg *msg)
@@ -401,9 +400,7 @@
         return;
     }
     close_attempt(w, at);
-    Wire_Free(&at->answer->msg);
-    at->answer = NULL;
-    Attempts_Fence(at);
+    Attempts_Settle(at);
 }
 
 static const struct {
@@ -493,13 +490,13 @@
     int64_t now = Clock_NowMs();
 
     RB_FOREACH_SAFE (at, attempt_tree, &w->attempts.tree, next) {
-        if (at->state == ATTEMPT_DONE && now >= at->forget_at) {
+        if (at->state == ATTEMPT_DONE && now >= at->claim_by) {
             char hex[ID_HEX_SIZE];
 
             LOG_W("answer_unclaimed", KV("request", Id_Hex(&at->request, hex)),
                   KV_INT("attempt", at->number));
             close_attempt(w, at);
-            Attempts_Fence(at);
+            Attempts_Settle(at);
         }
     }
     Attempts_Sweep(&w->attempts, now);
