--- a/packages/platform/platform-call.c
+++ b/packages/platform/platform-call.c
@@ -115,6 +115,7 @@
 {
     struct call *call = arg;
     bool whole = result->err == ERR_OK;
+    bool was_busy = call->err == ERR_BUSY;
 
     call->http = NULL;
     call->err = result->err;
@@ -131,7 +132,12 @@
     if (whole) {
         call->err = ERR_IO;
     }
-    call->maybe_done = call->maybe_done || call->err != ERR_UNREACHABLE;
+    if (call->err != ERR_UNREACHABLE) {
+        call->maybe_done = true;
+    }
+    else if (was_busy) {
+        call->err = ERR_BUSY; /* says more, and also that nothing was done */
+    }
     again(call);
 }
 
--- a/tests/fakes/platform.c
+++ b/tests/fakes/platform.c
@@ -31,6 +31,7 @@
     json_t *objects; /* name: base64 */
     struct faults faults;
     int64_t reads, writes, commits, conflicts;
+    int64_t hung; /* requests that will never be answered */
     struct second seconds[SECONDS_KEPT];
 };
 
@@ -76,10 +77,11 @@
                                             (json_int_t)s->writes));
         }
     }
-    return json_pack("{s:I,s:I,s:I,s:I,s:o}", "reads", (json_int_t)p->reads,
-                     "writes", (json_int_t)p->writes, "commits",
-                     (json_int_t)p->commits, "conflicts",
-                     (json_int_t)p->conflicts, "per_second", seconds);
+    return json_pack("{s:I,s:I,s:I,s:I,s:I,s:o}", "reads",
+                     (json_int_t)p->reads, "writes", (json_int_t)p->writes,
+                     "commits", (json_int_t)p->commits, "conflicts",
+                     (json_int_t)p->conflicts, "hung", (json_int_t)p->hung,
+                     "per_second", seconds);
 }
 
 /* A text member, or the empty string. */
@@ -284,7 +286,10 @@
     else if (p->faults.slow_ms > 0) {
         hold(p, ex);
     }
-    else if (!p->faults.hang) {
+    else if (p->faults.hang) {
+        p->hung++;
+    }
+    else {
         serve(p, ex);
     }
 }
--- /dev/null
+++ b/tests/platform-test.cc
@@ -0,0 +1,576 @@
+#include "harness.h"
+#include "platform.h"
+
+extern "C" {
+#include "platform-call.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using harness::Fake;
+using harness::Http;
+using harness::Number;
+using harness::TempDir;
+
+namespace {
+
+const int64_t DEADLINE_MS = 10000;
+
+/* Outcome of one call. */
+struct Outcome {
+    bool done = false;
+    int err = 0;
+    size_t at = 0;
+    std::vector<uint64_t> versions;
+    std::vector<std::pair<std::string, std::string>> rows;
+    uint64_t version = 0;
+    bool more = false;
+};
+
+struct Op {
+    enum table_verb verb;
+    const char *key;
+    uint64_t if_version;
+    const char *value;
+};
+
+/* A loop, the stand-in and a table on it. */
+class Platform : public testing::Test {
+  protected:
+    void SetUp() override
+    {
+        table = NewTable(2000, 8000, 0, 0);
+    }
+
+    void TearDown() override
+    {
+        table->ops->free(table);
+        ev_loop_destroy(loop);
+    }
+
+    struct table *NewTable(int64_t timeout_ms, int64_t give_up_ms,
+                           int64_t reads, int64_t writes)
+    {
+        const struct platform_limits limits = {timeout_ms, give_up_ms, reads,
+                                               writes};
+        return Platform_HttpTable(loop, fake.Url().c_str(), &limits);
+    }
+
+    /* Runs the loop until the predicate holds. */
+    void RunUntil(const std::function<bool()> &predicate)
+    {
+        ASSERT_TRUE(harness::WaitFor(
+            [&] {
+                ev_run(loop, EVRUN_NOWAIT);
+                return predicate();
+            },
+            DEADLINE_MS));
+    }
+
+    void StartCommit(struct table *t, const std::vector<Op> &ops, Outcome *o)
+    {
+        std::vector<struct table_op> list;
+
+        for (const auto &op : ops) {
+            list.push_back({op.verb, "t", op.key, op.if_version, op.value,
+                            op.value ? strlen(op.value) : 0});
+        }
+        o->versions.resize(ops.size());
+        t->ops->commit(t, list.data(), list.size(), OnCommit, o);
+    }
+
+    Outcome Commit(const std::vector<Op> &ops)
+    {
+        Outcome o;
+
+        StartCommit(table, ops, &o);
+        RunUntil([&] { return o.done; });
+        return o;
+    }
+
+    Outcome Get(const char *key)
+    {
+        Outcome o;
+
+        table->ops->get(table, "t", key, OnGet, &o);
+        RunUntil([&] { return o.done; });
+        return o;
+    }
+
+    void Faults(const std::string &json)
+    {
+        ASSERT_EQ(Http("PUT", fake.Url("/faults"), json).status, 200);
+    }
+
+    int64_t Count(const char *what)
+    {
+        return Number(Http("GET", fake.Url("/counts")).json().get(), what);
+    }
+
+    /* Another writer, without this plug-in. */
+    int OtherWriter(const std::string &op)
+    {
+        return Http("POST", fake.Url("/table/commit"),
+                    "{\"token\":\"000000000000000000000000000000ff\",\"ops\":["
+                    "{\"table\":\"t\"," +
+                        op + "}]}")
+            .status;
+    }
+
+    static void OnCommit(void *arg, int err, size_t at,
+                         const uint64_t *versions)
+    {
+        auto *o = static_cast<Outcome *>(arg);
+
+        EXPECT_FALSE(o->done);
+        o->done = true;
+        o->err = err;
+        o->at = at;
+        for (size_t i = 0; err == ERR_OK && i < o->versions.size(); i++) {
+            o->versions[i] = versions[i];
+        }
+    }
+
+    static void OnGet(void *arg, int err, struct table_row *row)
+    {
+        auto *o = static_cast<Outcome *>(arg);
+
+        o->done = true;
+        o->err = err;
+        o->version = row->version;
+        if (row->version != 0) {
+            o->rows.emplace_back(
+                row->key, std::string(row->value.data ? row->value.data : "",
+                                      row->value.len));
+        }
+    }
+
+    static void OnList(void *arg, int err, struct table_row *rows, size_t n,
+                       bool more)
+    {
+        auto *o = static_cast<Outcome *>(arg);
+
+        o->done = true;
+        o->err = err;
+        o->more = more;
+        for (size_t i = 0; i < n; i++) {
+            o->rows.emplace_back(rows[i].key, "");
+        }
+    }
+
+    TempDir dir;
+    Fake fake{dir, "fake-platform"};
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct table *table = nullptr;
+};
+
+} /* namespace */
+
+TEST_F(Platform, CommitsOnlyWhenEveryConditionHolds)
+{
+    static const struct {
+        const char *what;
+        std::vector<Op> ops;
+        int err;
+        size_t at;
+        std::vector<uint64_t> versions;
+    } cases[] = {
+        {"insert two",
+         {{TABLE_PUT, "a", 0, "1"}, {TABLE_PUT, "b", 0, "1"}},
+         ERR_OK,
+         0,
+         {1, 1}},
+        {"insert again", {{TABLE_PUT, "a", 0, "2"}}, ERR_CONFLICT, 0, {}},
+        {"second fails, first not written",
+         {{TABLE_PUT, "c", 0, "1"}, {TABLE_CHECK, "a", 7, nullptr}},
+         ERR_CONFLICT,
+         1,
+         {}},
+        {"check and put",
+         {{TABLE_CHECK, "a", 1, nullptr}, {TABLE_PUT, "b", 1, "2"}},
+         ERR_OK,
+         0,
+         {1, 2}},
+        {"whatever is there",
+         {{TABLE_PUT, "b", TABLE_ANY, "3"}},
+         ERR_OK,
+         0,
+         {3}},
+        {"delete", {{TABLE_DELETE, "a", 1, nullptr}}, ERR_OK, 0, {2}},
+        {"insert after delete", {{TABLE_PUT, "a", 0, "4"}}, ERR_OK, 0, {3}},
+    };
+    for (const auto &c : cases) {
+        Outcome o = Commit(c.ops);
+        EXPECT_EQ(o.err, c.err) << c.what;
+        EXPECT_EQ(o.at, c.at) << c.what;
+        if (c.err == ERR_OK) {
+            EXPECT_EQ(o.versions, c.versions) << c.what;
+        }
+    }
+    EXPECT_EQ(Get("c").version, 0u);
+    EXPECT_EQ(Get("a").rows[0].second, "4");
+}
+
+TEST_F(Platform, ListsByPrefixInPages)
+{
+    Commit({{TABLE_PUT, "j/1", 0, "x"},
+            {TABLE_PUT, "j/2", 0, "x"},
+            {TABLE_PUT, "j/3", 0, "x"},
+            {TABLE_PUT, "k/1", 0, "x"}});
+    Outcome first, rest;
+    table->ops->list(table, "t", "j/", "", 2, OnList, &first);
+    table->ops->list(table, "t", "j/", "j/2", 2, OnList, &rest);
+    RunUntil([&] { return first.done && rest.done; });
+    ASSERT_EQ(first.rows.size(), 2u);
+    EXPECT_TRUE(first.more);
+    ASSERT_EQ(rest.rows.size(), 1u);
+    EXPECT_EQ(rest.rows[0].first, "j/3");
+    EXPECT_FALSE(rest.more);
+}
+
+/* The caller sees its commit as done, once. The service writes it and drops
+ * the answer; the commit is sent again under its token and meets its own
+ * rows. Without the token a winner would be told that it lost. */
+TEST_F(Platform, RecognisesItsOwnWriteAfterALostAnswer)
+{
+    for (int lost = 1; lost <= 3; lost++) {
+        std::string key = "k" + std::to_string(lost);
+        Faults("{\"lose_answers\":" + std::to_string(lost) + "}");
+        Outcome o = Commit(
+            {{TABLE_PUT, key.c_str(), 0, "mine"}, {TABLE_CHECK, "x", 0, ""}});
+        EXPECT_EQ(o.err, ERR_OK);
+        EXPECT_EQ(o.versions[0], 1u);
+        EXPECT_EQ(Get(key.c_str()).version, 1u);
+    }
+    EXPECT_EQ(Count("commits"), 3);
+}
+
+/* The caller's answer is lost, and another writer is there before the commit
+ * is sent again. What the caller may be told depends on what the rows show:
+ * never "done" without its token, never "nothing written" unless a row proves
+ * it. */
+TEST_F(Platform, OverwrittenAfterALostAnswerIsNeverCalledConflict)
+{
+    static const struct {
+        const char *what;
+        bool written;        /* the first try was carried out */
+        std::vector<Op> ops; /* the rows a and b are at version 1 */
+        const char *other;   /* what the other writer does */
+        int err;
+    } cases[] = {
+        {"written, then overwritten",
+         true,
+         {{TABLE_PUT, "a", 1, "mine"}},
+         "\"verb\":\"put\",\"key\":\"a\",\"value\":\"\"",
+         ERR_UNKNOWN},
+        {"written, then deleted",
+         true,
+         {{TABLE_PUT, "a", 1, "mine"}},
+         "\"verb\":\"delete\",\"key\":\"a\"",
+         ERR_UNKNOWN},
+        {"written, one of two overwritten",
+         true,
+         {{TABLE_PUT, "a", 1, "mine"}, {TABLE_PUT, "b", 1, "mine"}},
+         "\"verb\":\"put\",\"key\":\"a\",\"value\":\"\"",
+         ERR_OK},
+        {"not written, the other came first",
+         false,
+         {{TABLE_PUT, "a", 1, "mine"}},
+         "\"verb\":\"put\",\"key\":\"a\",\"value\":\"\"",
+         ERR_CONFLICT},
+        {"not written, an untouched row proves it",
+         false,
+         {{TABLE_PUT, "b", 1, "mine"}, {TABLE_CHECK, "a", 1, nullptr}},
+         "\"verb\":\"put\",\"key\":\"a\",\"value\":\"\"",
+         ERR_CONFLICT},
+        {"not written, but may still be, when the other's row goes",
+         false,
+         {{TABLE_PUT, "b", 1, "mine"}, {TABLE_PUT, "new", 0, "mine"}},
+         "\"verb\":\"put\",\"key\":\"new\",\"value\":\"\"",
+         ERR_UNKNOWN},
+        {"not written, but may still be when the other's row goes",
+         false,
+         {{TABLE_PUT, "new", 0, "mine"}},
+         "\"verb\":\"put\",\"key\":\"new\",\"value\":\"\"",
+         ERR_UNKNOWN},
+    };
+    for (const auto &c : cases) {
+        Outcome o;
+        for (const char *key : {"a", "b", "new"}) {
+            OtherWriter(std::string("\"verb\":\"delete\",\"key\":\"") + key +
+                        "\"");
+        }
+        std::vector<Op> ops = c.ops;
+        uint64_t a = Commit({{TABLE_PUT, "a", 0, "0"}}).versions[0];
+        uint64_t b = Commit({{TABLE_PUT, "b", 0, "0"}}).versions[0];
+        for (auto &op : ops) {
+            op.if_version = op.key[0] == 'a'   ? a
+                            : op.key[0] == 'b' ? b
+                                               : op.if_version;
+        }
+        int64_t commits = Count("commits");
+        struct table *t = NewTable(200, 8000, 0, 0);
+        int64_t hung = Count("hung");
+        Faults(c.written ? "{\"lose_answers\":1}" : "{\"hang\":true}");
+        StartCommit(t, ops, &o);
+        if (c.written) {
+            RunUntil([&] { return Count("commits") > commits; });
+        }
+        else {
+            /* The hanging try has been read, so it counts as maybe done. */
+            RunUntil([&] { return Count("hung") > hung; });
+        }
+        /* The loop stands still here, so the second try comes after this. */
+        Faults("{}");
+        EXPECT_EQ(OtherWriter(c.other), 200) << c.what;
+        RunUntil([&] { return o.done; });
+        EXPECT_EQ(o.err, c.err) << c.what;
+        t->ops->free(t);
+    }
+}
+
+/* Two writers race for one row with every answer of the first lost: one wins,
+ * one is told so, and the row is the winner's. */
+TEST_F(Platform, OneOfTwoRacingWritersWins)
+{
+    struct table *other = NewTable(2000, 8000, 0, 0);
+    for (int round = 0; round < 20; round++) {
+        std::string key = "r" + std::to_string(round);
+        Outcome a, b;
+        Faults("{\"lose_answers\":" + std::to_string(round % 3) + "}");
+        StartCommit(table, {{TABLE_PUT, key.c_str(), 0, "a"}}, &a);
+        StartCommit(other, {{TABLE_PUT, key.c_str(), 0, "b"}}, &b);
+        RunUntil([&] { return a.done && b.done; });
+        EXPECT_EQ((a.err == ERR_OK) + (b.err == ERR_OK), 1);
+        /* A loser whose first answer was lost can't be sure. */
+        int loser = a.err == ERR_OK ? b.err : a.err;
+        EXPECT_TRUE(loser == ERR_CONFLICT || loser == ERR_UNKNOWN) << loser;
+        EXPECT_EQ(Get(key.c_str()).rows[0].second,
+                  a.err == ERR_OK ? "a" : "b");
+    }
+    other->ops->free(other);
+}
+
+/* What a caller is told in an outage, and that it is true: after "nothing was
+ * done" nothing ever is, and a write that the service had in hand is
+ * unknown, also when later tries are refused. */
+TEST_F(Platform, OutcomesOfAnOutage)
+{
+    static const struct {
+        const char *faults;
+        int commit;
+        int get;
+    } cases[] = {
+        {"{\"down\":true}", ERR_BUSY, ERR_BUSY},
+        {"{\"hang\":true}", ERR_UNKNOWN, ERR_TIMEOUT},
+        {"{\"slow_ms\":3000}", ERR_UNKNOWN, ERR_TIMEOUT},
+        {"{\"lose_answers\":100}", ERR_UNKNOWN, ERR_OK},
+        {"{\"down\":true,\"table_prefix\":\"other\"}", ERR_OK, ERR_OK},
+    };
+    for (const auto &c : cases) {
+        struct table *t = NewTable(400, 1200, 0, 0);
+        Outcome put, get;
+        Faults(c.faults);
+        StartCommit(t, {{TABLE_PUT, c.faults, TABLE_ANY, "x"}}, &put);
+        t->ops->get(t, "t", "none", OnGet, &get);
+        RunUntil([&] { return put.done && get.done; });
+        EXPECT_EQ(put.err, c.commit) << c.faults;
+        EXPECT_EQ(get.err, c.get) << c.faults;
+        t->ops->free(t);
+    }
+    Faults("{}");
+    EXPECT_EQ(Get("{\"down\":true}").version, 0u);
+}
+
+TEST_F(Platform, NobodyThereIsUnreachable)
+{
+    struct table *t = NewTable(100, 300, 0, 0);
+    Outcome put, get;
+
+    fake.process.Signal(SIGKILL);
+    fake.process.Wait();
+    StartCommit(t, {{TABLE_PUT, "a", 0, "x"}}, &put);
+    t->ops->get(t, "t", "a", OnGet, &get);
+    RunUntil([&] { return put.done && get.done; });
+    EXPECT_EQ(put.err, ERR_UNREACHABLE);
+    EXPECT_EQ(get.err, ERR_UNREACHABLE);
+    t->ops->free(t);
+}
+
+/* A service that was lost after the first try had been sent: the later tries
+ * find nobody, yet the first may have been carried out. */
+TEST_F(Platform, UnreachableAfterASentTryIsUnknown)
+{
+    struct table *t = NewTable(100, 500, 0, 0);
+    Outcome put;
+
+    Faults("{\"hang\":true}");
+    StartCommit(t, {{TABLE_PUT, "a", 0, "x"}}, &put);
+    RunUntil([&] { return Count("hung") > 0; });
+    fake.process.Signal(SIGKILL);
+    fake.process.Wait();
+    RunUntil([&] { return put.done; });
+    EXPECT_EQ(put.err, ERR_UNKNOWN);
+    t->ops->free(t);
+}
+
+TEST_F(Platform, OverTheBudgetIsRefusedAtOnce)
+{
+    struct table *t = NewTable(2000, 8000, 1, 1);
+    std::vector<Outcome> puts(50), gets(50);
+    int ok = 0, busy = 0, read = 0;
+
+    for (auto &o : puts) {
+        StartCommit(t, {{TABLE_PUT, "a", TABLE_ANY, "x"}}, &o);
+    }
+    for (auto &o : gets) {
+        t->ops->get(t, "t", "a", OnGet, &o);
+    }
+    RunUntil([&] {
+        for (size_t i = 0; i < puts.size(); i++) {
+            if (!puts[i].done || !gets[i].done) {
+                return false;
+            }
+        }
+        return true;
+    });
+    for (size_t i = 0; i < puts.size(); i++) {
+        ok += puts[i].err == ERR_OK;
+        busy += puts[i].err == ERR_BUSY;
+        read += gets[i].err == ERR_OK;
+    }
+    EXPECT_EQ(ok, 1);
+    EXPECT_EQ(busy, 49);
+    EXPECT_EQ(read, 1);
+    EXPECT_EQ(Count("writes"), 1);
+    t->ops->free(t);
+}
+
+TEST(Bucket, LetsNoMoreThanItsShareThrough)
+{
+    struct bucket b;
+    int64_t taken = 0;
+
+    Bucket_Init(&b, 100, 0);
+    for (int64_t ms = 0; ms <= 10000; ms++) {
+        taken += Bucket_Take(&b, 1, ms);
+    }
+    EXPECT_GE(taken, 1000);
+    EXPECT_LE(taken, 1025);
+    Bucket_Init(&b, 100, 0);
+    EXPECT_TRUE(Bucket_Take(&b, 125, 0)); /* owes 100 */
+    EXPECT_FALSE(Bucket_Take(&b, 1, 1000));
+    EXPECT_TRUE(Bucket_Take(&b, 1, 1010));
+}
+
+TEST_F(Platform, ObjectsComeBackAsTheyWere)
+{
+    const struct platform_limits limits = {2000, 4000, 0, 0};
+    struct objects *objects =
+        Platform_HttpObjects(loop, fake.Url().c_str(), &limits);
+    std::string content("\0bytes\xff", 7);
+    struct Got {
+        int err = 1;
+        std::string content;
+    } put, got, missing;
+    auto on_put = [](void *arg, int err) {
+        static_cast<Got *>(arg)->err = err;
+    };
+    auto on_got = [](void *arg, int err, struct buf *b) {
+        auto *g = static_cast<Got *>(arg);
+        g->err = err;
+        g->content.assign(b->data ? b->data : "", b->len);
+    };
+
+    objects->ops->put(objects, "h1", content.data(), content.size(), on_put,
+                      &put);
+    RunUntil([&] { return put.err != 1; });
+    objects->ops->get(objects, "h1", on_got, &got);
+    objects->ops->get(objects, "h2", on_got, &missing);
+    RunUntil([&] { return got.err != 1 && missing.err != 1; });
+    EXPECT_EQ(put.err, ERR_OK);
+    EXPECT_EQ(got.err, ERR_OK);
+    EXPECT_EQ(got.content, content);
+    EXPECT_EQ(missing.err, ERR_NOTFOUND);
+    objects->ops->free(objects);
+}
+
+TEST_F(Platform, RunnerStartsControlsAndLists)
+{
+    Fake worker(dir, "fake-upstream");
+    const struct platform_limits limits = {2000, 4000, 0, 0};
+    struct runner *runner =
+        Platform_HttpRunner(loop, worker.Url().c_str(), &limits);
+    const std::string spec = "{\"checkpoint_ms\":30}";
+    struct id job = Id_Random();
+    struct Acted {
+        int err = 1;
+    };
+    struct Listed {
+        int err = 1;
+        std::vector<struct runner_task> tasks;
+    };
+    auto on_done = [](void *arg, int err) {
+        static_cast<Acted *>(arg)->err = err;
+    };
+    auto on_list = [](void *arg, int err, const struct runner_task *tasks,
+                      size_t n) {
+        auto *l = static_cast<Listed *>(arg);
+        l->err = err;
+        l->tasks.assign(tasks, tasks + n);
+    };
+    auto start = [&](uint64_t attempt) {
+        Acted a;
+        runner->ops->start(runner, &job, attempt, 0x8000000000000005u,
+                           spec.data(), spec.size(), on_done, &a);
+        RunUntil([&] { return a.err != 1; });
+        return a.err;
+    };
+    auto control = [&](uint64_t attempt, enum runner_verb verb) {
+        Acted a;
+        runner->ops->control(runner, &job, attempt, verb, on_done, &a);
+        RunUntil([&] { return a.err != 1; });
+        return a.err;
+    };
+    auto list = [&] {
+        Listed l;
+        runner->ops->list(runner, on_list, &l);
+        RunUntil([&] { return l.err != 1; });
+        return l;
+    };
+
+    EXPECT_EQ(start(1), ERR_OK);
+    EXPECT_EQ(start(1), ERR_OK);
+    EXPECT_EQ(control(2, RUNNER_STOP), ERR_NOTFOUND);
+    EXPECT_EQ(control(1, RUNNER_THROTTLE), ERR_OK);
+    Listed l = list();
+    ASSERT_EQ(l.tasks.size(), 1u);
+    EXPECT_EQ(Id_Compare(&l.tasks[0].job, &job), 0);
+    EXPECT_EQ(l.tasks[0].accelerators, 0x8000000000000005u);
+    EXPECT_EQ(l.tasks[0].state, RUNNER_THROTTLED);
+    EXPECT_EQ(l.tasks[0].checkpoint_ms, -1);
+    EXPECT_EQ(control(1, RUNNER_RESUME), ERR_OK);
+    EXPECT_EQ(control(1, RUNNER_CHECKPOINT_AND_STOP), ERR_OK);
+    RunUntil([&] { return list().tasks[0].state == RUNNER_STOPPED; });
+    EXPECT_GE(list().tasks[0].checkpoint_ms, 0);
+    EXPECT_EQ(start(1), ERR_STALE);
+    EXPECT_EQ(control(1, RUNNER_STOP), ERR_OK);
+    auto log = Http("GET", worker.Url("/runner/log")).json();
+    EXPECT_EQ(json_array_size(json_object_get(log.get(), "log")), 3u);
+    EXPECT_EQ(Number(log.get(), "double_booked"), 0);
+    runner->ops->free(runner);
+}
+
+TEST(PlatformUrl, NoneIsRefused)
+{
+    const struct platform_limits limits = {1, 1, 0, 0};
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+
+    EXPECT_EQ(Platform_HttpTable(loop, nullptr, &limits), nullptr);
+    EXPECT_EQ(Platform_HttpObjects(loop, "", &limits), nullptr);
+    EXPECT_EQ(Platform_HttpRunner(loop, "", &limits), nullptr);
+    ev_loop_destroy(loop);
+}
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -13,3 +13,19 @@
 pf_fake(fake-platform fakes/fake.c fakes/platform.c fakes/platform-rows.c
         PACKAGES http kernel base)
 pf_fake(fake-relay fakes/fake.c fakes/relay.c PACKAGES http kernel base)
+
+# pf_process_test(NAME FILES... PACKAGES p... NEEDS programs...): a test that
+# runs programs of the build.
+function(pf_process_test name)
+  cmake_parse_arguments(T "" "" "PACKAGES;NEEDS" ${ARGN})
+  pf_test(${name} ${T_UNPARSED_ARGUMENTS} harness.cc PACKAGES ${T_PACKAGES})
+  target_compile_definitions(
+    ${name} PRIVATE PF_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+  target_link_libraries(${name} PRIVATE curl jansson)
+  foreach(program ${T_NEEDS})
+    add_dependencies(${name} ${program})
+  endforeach()
+endfunction()
+
+pf_process_test(platform-test platform-test.cc PACKAGES platform
+                NEEDS fake-platform fake-upstream)
