--- a/model/config.pml
+++ b/model/config.pml
@@ -14,8 +14,8 @@
  *     tells the operator `unknown`. It never says `refused` then, and never
  *     writes at a newer epoch by itself.
  *  3. A node takes a head from the table service or from a peer's message only
- *     when its epoch is higher than its own, and only once it has the document.
- *     A writer's own entry takes its document no sooner than anybody.
+ *     when its epoch is higher than its own, and only once it has the
+ *     document. A writer's own entry takes it no sooner than anybody.
  *  4. A restarted node knows nothing: it reads the table service and asks its
  *     peers, takes the highest epoch that it hears, and until then serves
  *     nothing that needs the configuration.
--- a/model/dispatch.pml
+++ b/model/dispatch.pml
@@ -21,10 +21,10 @@
  *  1. An agent takes a dispatch or a withdraw only when it names the agent's
  *     own incarnation. To any other it answers that the incarnation is gone,
  *     which says nothing about a start: the entry treats it as no word.
- *  2. An agent's first answer about an attempt is its last: an attempt that was
- *     refused or withdrawn is fenced, so that a later copy does not start.
- *     `refused` and `not_started` therefore mean the same and stand here as one
- *     message. Each dispatch bears a time on the agent's clock after which the
+ *  2. An agent's first answer about an attempt is its last: an attempt that
+ *     was refused or withdrawn is fenced, so that a later copy does not start.
+ *     `refused` and `not_started` therefore mean the same and stand here as
+ *     one message. Each dispatch bears a time on the agent's clock after which the
  *     agent does not take it, and no record of an attempt, fenced or finished,
  *     is dropped before. From then on an unknown attempt may have been started
  *     and dropped: a withdraw of it is answered like one for another
@@ -203,7 +203,7 @@
 end:
     do
     :: atomic {
-        /* Takes some message that was sent to this agent, or acts by itself. */
+        /* Takes a message that was sent to this agent, or acts by itself. */
         if
         :: n = 1
         :: n = 2
--- a/model/gang-lease.pml
+++ b/model/gang-lease.pml
@@ -32,8 +32,9 @@
  * member and direction; it may be read late, again or never, and a newer one
  * takes its place or is lost.
  *
- * Bounds: 2 members (the property is about pairs), H = 2, G = 3, time without
- * end.
+ * Bounds: one renewer at a time (a lease is the longest of those granted, and
+ * each keeps to the rule by itself), 2 members (the property is about pairs),
+ * H = 2, G = 3, time without end.
  */
 
 // MUTANT 1: a renewed lease counts from the answer's arrival => lone_member
--- a/model/gang.pml
+++ b/model/gang.pml
@@ -2,8 +2,8 @@
  * gang: from reservation to release, takeover to attempt+1.
  *
  * Protocol that the code is to implement. A job's row in the table service
- * holds (attempt, term of its writer, members with their agents' incarnations);
- * the term row holds (owner, term).
+ * holds (attempt, term of its writer, members with their incarnations); the
+ * term row holds (owner, term).
  *  1. Prepare. The owner sends prepare(job, attempt, term, incarnation, R) to
  *     each member. An agent reserves for R on its own clock, counted from the
  *     arrival, and answers `prepared`. Nothing works yet. Prepares go out
@@ -36,9 +36,9 @@
  *       a. all members have answered `fenced`, or
  *       b. at least one has, and max(H, R) + G have gone by since then on the
  *          new owner's clock: the fenced member is not heard any more, so that
- *          no lease is renewed after H and the last ends G later; a reservation
- *          made before the commit lapses within R, and one that is released
- *          just before ends G later as it can't be renewed.
+ *          no lease is renewed after H and the last ends G later; a
+ *          reservation made before the commit lapses within R, and one that is
+ *          released just before ends G later as it can't be renewed.
  *     With no answer from any member the gang may be working whole and be
  *     renewed elsewhere: the job waits.
  *
@@ -284,7 +284,9 @@
 inline tick_rank(rank)
 {
     if
-    :: prepare[rank] -> older(prepare_age[rank], R); older(check_age[rank], C + 1)
+    :: prepare[rank] ->
+        older(prepare_age[rank], R);
+        older(check_age[rank], C + 1)
     :: else
     fi
 }
