--- a/packages/console/console-page.c
+++ b/packages/console/console-page.c
@@ -428,7 +428,7 @@
     "}\n",
     "\n",
     "const getDocument = () => ask('GET', '/v1/config');\n",
-    "const getState = () => ask('GET', '/v1/state');\n",
+    "const getState = () => ask('GET', '/v1/overview');\n",
     "const getWhy = (id) => ask('GET', `/v1/why/${encodeURIComponent(id)}`);\n",
     "\n",
     "// JSON is a part of YAML, which is what the entry reads.\n",
--- a/packages/console/page/server.js
+++ b/packages/console/page/server.js
@@ -38,7 +38,7 @@
 }
 
 const getDocument = () => ask('GET', '/v1/config');
-const getState = () => ask('GET', '/v1/state');
+const getState = () => ask('GET', '/v1/overview');
 const getWhy = (id) => ask('GET', `/v1/why/${encodeURIComponent(id)}`);
 
 // JSON is a part of YAML, which is what the entry reads.
--- /dev/null
+++ b/packages/entry/entry-config-follow.c
@@ -0,0 +1,242 @@
+#include "entry-config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Following the head: a read of it each second, a fetch of the document when
+ * the epoch is higher, and the first document while there is no head. */
+
+static struct counter poll_failed_total = {
+    "parsleyfall_config_polls_failed_total",
+    "Reads of the configuration's head that failed.", NULL, COUNTER_TOTAL};
+
+static void read_head(struct configs *c);
+
+/* Ends a poll, and begins another if something happened meanwhile. */
+static void
+poll_ended(struct configs *c)
+{
+    c->polling = POLL_IDLE;
+    if (c->again) {
+        c->again = false;
+        read_head(c);
+    }
+}
+
+/* Notes a poll that failed; says so at the first of a row. */
+static void
+poll_failed(struct configs *c, const char *what, int err)
+{
+    Counter_Add(&poll_failed_total, 1);
+    if (c->failed_polls++ == 0) {
+        LOG_W("config_unreadable", KV("what", what),
+              KV("error", Err_Name(err)));
+    }
+    c->again = false;
+    poll_ended(c);
+}
+
+/* A document has come: it must be what the head named. */
+static void
+on_document(void *arg, int err, struct buf *content)
+{
+    struct configs *c = arg;
+    struct conf_errors *errors CLEANUP(Mem_FreeP) = NULL;
+    struct buf why CLEANUP(Buf_Free) = {0};
+    char hash[DIGEST_HEX_SIZE];
+    struct in_force *f;
+
+    if (err != ERR_OK) {
+        poll_failed(c, "document", err);
+        return;
+    }
+    if (strcmp(Digest_Hex(content->data, content->len, hash), c->seen.hash) !=
+        0) {
+        poll_failed(c, "document", ERR_CUT);
+        return;
+    }
+    errors = Mem_Zero(1, sizeof(*errors));
+    f = config_make(c->seen.epoch, content, errors);
+    if (f == NULL) {
+        c->refused = c->seen.epoch;
+        Conf_Render(errors, "document", &why);
+        LOG_E("config_unusable", KV_INT("epoch", c->seen.epoch),
+              KV("errors", why.data));
+        poll_ended(c);
+        return;
+    }
+    Str_Copy(f->hash, sizeof(f->hash), c->seen.hash);
+    config_adopt(c, f);
+    poll_ended(c);
+}
+
+/* The first document is in the table, or another entry's is. */
+static void
+on_first_written(void *arg, int err, size_t at UNUSED,
+                 const uint64_t *versions UNUSED)
+{
+    struct configs *c = arg;
+
+    LOG_I("config_first", KV("result", Err_Name(err)));
+    c->again = err == ERR_OK || err == ERR_CONFLICT;
+    poll_ended(c);
+}
+
+/* The first document is stored: write the head if there is still none. */
+static void
+on_first_stored(void *arg, int err)
+{
+    struct configs *c = arg;
+    struct id write = Id_Random();
+    struct buf head CLEANUP(Buf_Free) = {0};
+    char key[CONFIG_HISTORY_KEY_SIZE];
+    json_t *history;
+    char *text;
+
+    if (err != ERR_OK) {
+        poll_failed(c, "first document", err);
+        return;
+    }
+    config_render_head(c->first, "configuration_file", 1, &head);
+    history = config_history_value(c->first, "configuration_file", &write,
+                                   "first document");
+    text = json_dumps(history, JSON_COMPACT);
+    const struct table_op ops[] = {
+        {TABLE_PUT, CONFIG_TABLE, CONFIG_HEAD_KEY, 0, head.data, head.len},
+        {TABLE_PUT, CONFIG_TABLE, config_history_key(1, key), 0, text,
+         strlen(text)},
+    };
+    c->table->ops->commit(c->table, ops, COUNT_OF(ops), on_first_written, c);
+    free(text);
+    json_decref(history);
+}
+
+/* Reads the document of the file; says what is wrong with it once. */
+static struct in_force *
+load_first(struct configs *c)
+{
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct buf text CLEANUP(Buf_Free) = {0};
+    struct buf why CLEANUP(Buf_Free) = {0};
+    const char *path = c->settings->configuration_file;
+    struct in_force *f;
+    int err;
+
+    if (path == NULL || c->first_refused) {
+        return NULL;
+    }
+    err = File_Read(path, CONFIG_DOCUMENT_MAX, &text);
+    f = err == ERR_OK ? config_make(1, &text, errors) : NULL;
+    if (f == NULL) {
+        c->first_refused = true;
+        Conf_Render(errors, path, &why);
+        LOG_E("config_file_refused", KV("file", path),
+              KV("error", Err_Name(err)), KV("errors", why.data));
+    }
+    return f;
+}
+
+/* The table has no head.
+ *
+ * Failure: every entry of a new deployment brings a file, and files are left
+ * on machines for years. Symptom: an old file undoes what operators changed.
+ * The head is only inserted where none ever was (its version is 0 until the
+ * first write and never again), so a file counts once at most. */
+static void
+offer_first(struct configs *c)
+{
+    if (c->first == NULL) {
+        c->first = load_first(c);
+    }
+    if (c->first == NULL) {
+        poll_ended(c);
+        return;
+    }
+    c->polling = POLL_FIRST;
+    c->objects->ops->put(c->objects, c->first->hash, c->first->text.data,
+                         c->first->text.len, on_first_stored, c);
+}
+
+/* The head has been read. */
+static void
+on_head(void *arg, int err, struct table_row *row)
+{
+    struct configs *c = arg;
+    struct config_head head = {0};
+
+    if (err == ERR_OK) {
+        err = config_read_head(row, &head);
+    }
+    if (err != ERR_OK) {
+        poll_failed(c, "head", err);
+        return;
+    }
+    if (c->failed_polls > 0) {
+        LOG_I("config_readable", KV_INT("failed", c->failed_polls));
+        c->failed_polls = 0;
+    }
+    c->heard_at = Clock_NowMs();
+    if (head.version == 0) {
+        offer_first(c);
+        return;
+    }
+    if (head.epoch == c->refused ||
+        (c->in_force != NULL && head.epoch <= c->in_force->epoch)) {
+        poll_ended(c);
+        return;
+    }
+    c->seen = head;
+    c->polling = POLL_DOCUMENT;
+    c->objects->ops->get(c->objects, head.hash, on_document, c);
+}
+
+/* Asks for the head. */
+static void
+read_head(struct configs *c)
+{
+    c->polling = POLL_HEAD;
+    c->table->ops->get(c->table, CONFIG_TABLE, CONFIG_HEAD_KEY, on_head, c);
+}
+
+/* Reads the head at once, or once more after the present read. */
+void
+config_poll_now(struct configs *c)
+{
+    if (c->polling != POLL_IDLE) {
+        c->again = true;
+        return;
+    }
+    read_head(c);
+}
+
+/* One poll at a time: a slow table is not asked more for being slow. */
+static void
+on_poll(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct configs *c = w->data;
+
+    if (c->polling == POLL_IDLE) {
+        read_head(c);
+    }
+}
+
+/* Begins to follow. Without a table service (a trial on one machine) the file
+ * is the configuration. */
+void
+config_poll_start(struct configs *c)
+{
+    ev_init(&c->poll, on_poll);
+    c->poll.data = c;
+    if (c->table != NULL && c->objects != NULL) {
+        Timer_Every(c->task.kernel->loop, &c->poll, CONFIG_POLL_MS);
+        read_head(c);
+        return;
+    }
+    c->first = load_first(c);
+    if (c->first != NULL) {
+        LOG_W("config_without_table",
+              KV("file", c->settings->configuration_file));
+        config_adopt(c, InForce_Ref(c->first));
+    }
+}
--- /dev/null
+++ b/packages/entry/entry-config-write.c
@@ -0,0 +1,421 @@
+#include "entry-config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* PUT /v1/config: one change on its way from the operator to the head. */
+
+static struct counter accepted_total = {"parsleyfall_config_writes_total",
+                                        "Changes asked for, by outcome.",
+                                        "outcome=\"accepted\"", COUNTER_TOTAL};
+static struct counter refused_total = {
+    "parsleyfall_config_writes_total", "Changes asked for, by outcome.",
+    "outcome=\"changed_since\"", COUNTER_TOTAL};
+static struct counter not_run_total = {"parsleyfall_config_writes_total",
+                                       "Changes asked for, by outcome.",
+                                       "outcome=\"not_run\"", COUNTER_TOTAL};
+static struct counter unknown_total = {"parsleyfall_config_writes_total",
+                                       "Changes asked for, by outcome.",
+                                       "outcome=\"unknown\"", COUNTER_TOTAL};
+
+struct config_write {
+    struct configs *configs;
+    struct http_exchange *ex;
+    char operator_name[NAME_SIZE];
+    struct id id;            /* stands in the history row */
+    struct config_head seen; /* what the operator saw */
+    struct config_head head; /* what the table had */
+    struct in_force *next;   /* what the operator wants */
+    struct buf lines;        /* difference to the head's document */
+    size_t changes;
+    bool sent; /* a write may have taken effect, or may yet */
+    int64_t decide_by;
+    ev_timer again;
+    TAILQ_ENTRY(config_write) entry;
+};
+
+static void commit(struct config_write *w);
+
+/* Frees a write that has its answer. */
+static void
+write_free(struct config_write *w)
+{
+    struct configs *c = w->configs;
+
+    ev_timer_stop(c->task.kernel->loop, &w->again);
+    TAILQ_REMOVE(&c->writes, w, entry);
+    InForce_Unref(w->next);
+    Buf_Free(&w->lines);
+    free(w);
+}
+
+/* Drops what is under way at the end of the process. */
+void
+config_writes_free(struct configs *c)
+{
+    struct config_write *w, *next;
+
+    TAILQ_FOREACH_SAFE (w, &c->writes, entry, next) {
+        write_free(w);
+    }
+}
+
+/* Answers that nothing was changed and nothing will be. */
+static void
+not_run(struct config_write *w, const char *reason, const char *detail)
+{
+    Counter_Add(&not_run_total, 1);
+    LOG_W("config_not_run", KV("operator", w->operator_name),
+          KV("reason", reason));
+    Front_Refuse(w->ex, 503, "not_run", reason, detail, CONFIG_RETRY_AFTER_MS,
+                 NULL);
+    write_free(w);
+}
+
+/* Answers that it is not known. */
+static void
+unknown(struct config_write *w)
+{
+    Counter_Add(&unknown_total, 1);
+    LOG_E("config_unknown", KV("operator", w->operator_name),
+          KV_INT("epoch", w->next->epoch), KV("hash", w->next->hash));
+    Front_Refuse(w->ex, 504, "unknown", "table_silent",
+                 "the change may take effect; read the configuration before "
+                 "changing it again",
+                 CONFIG_RETRY_AFTER_MS, NULL);
+    write_free(w);
+}
+
+/* Answers a change that is in the table, or none at all. */
+static void
+reply_in_force(struct config_write *w, const char *outcome, uint64_t epoch)
+{
+    struct buf tag CLEANUP(Buf_Free) = {0};
+
+    config_etag(epoch, w->next->hash, &tag);
+    Http_ReplyHeader(w->ex, "ETag", tag.data);
+    Front_ReplyJson(w->ex, 200,
+                    json_pack("{s:s, s:I, s:s, s:I}", "outcome", outcome,
+                              "epoch", (json_int_t)epoch, "hash",
+                              w->next->hash, "changes",
+                              (json_int_t)w->changes));
+    write_free(w);
+}
+
+/* The head names this document: in force here at once, then answered. */
+static void
+accepted(struct config_write *w)
+{
+    struct configs *c = w->configs;
+
+    Counter_Add(&accepted_total, 1);
+    LOG_I("config_accepted", KV("operator", w->operator_name),
+          KV_INT("epoch", w->next->epoch), KV("hash", w->next->hash),
+          KV_INT("changes", w->changes));
+    config_adopt(c, InForce_Ref(w->next));
+    reply_in_force(w, "accepted", w->next->epoch);
+}
+
+/* One change of the history, as the operator is told of it. */
+static json_t *
+change_of(const struct table_row *row)
+{
+    json_t *o = json_loadb(row->value.data, row->value.len, 0, NULL);
+    json_t *change = json_object();
+    static const char *const keys[] = {"epoch", "operator", "wall_ms",
+                                       "lines"};
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(keys); i++) {
+        json_object_set(change, keys[i], json_object_get(o, keys[i]));
+    }
+    json_decref(o);
+    return change;
+}
+
+/* Answers with what others changed since. That it was refused is certain
+ * without the list, so a table that falls silent here only shortens it. */
+static void
+on_changes(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct config_write *w = arg;
+    json_t *changes = json_array();
+    size_t i;
+
+    for (i = 0; err == ERR_OK && i < count; i++) {
+        json_array_append_new(changes, change_of(&rows[i]));
+    }
+    Counter_Add(&refused_total, 1);
+    LOG_I("config_changed_since", KV("operator", w->operator_name),
+          KV_INT("saw", w->seen.epoch), KV_INT("changes", count));
+    config_poll_now(w->configs);
+    Front_ReplyJson(
+        w->ex, 412,
+        json_pack("{s:s, s:s, s:s, s:o, s:b}", "outcome", "not_run", "reason",
+                  "changed_since", "detail",
+                  "the configuration is not the one that If-Match names",
+                  "changes", changes, "whole", err == ERR_OK && !more));
+    write_free(w);
+}
+
+/* Refuses: the head is not the one that the operator saw. */
+static void
+changed_since(struct config_write *w)
+{
+    struct table *t = w->configs->table;
+    char key[CONFIG_HISTORY_KEY_SIZE];
+
+    t->ops->list(t, CONFIG_TABLE, CONFIG_HISTORY_PREFIX,
+                 config_history_key(w->seen.epoch, key), CONFIG_HISTORY_KEPT,
+                 on_changes, w);
+}
+
+/* True when a history row is this write's. */
+static bool
+is_own(const struct config_write *w, const struct table_row *row)
+{
+    json_t *o = json_loadb(row->value.data, row->value.len, 0, NULL);
+    const char *text = json_string_value(json_object_get(o, "write"));
+    struct id id = {0};
+    bool own = text != NULL && Id_Parse(text, &id) == ERR_OK &&
+               Id_Compare(&id, &w->id) == 0;
+
+    json_decref(o);
+    return own;
+}
+
+/* Asks again a little later, or says that it is not known. */
+static void
+again(struct config_write *w)
+{
+    if (Clock_NowMs() >= w->decide_by) {
+        unknown(w);
+        return;
+    }
+    Timer_Set(w->configs->task.kernel->loop, &w->again, CONFIG_AGAIN_MS);
+}
+
+/* The history row of the wanted epoch decides. */
+static void
+on_history(void *arg, int err, struct table_row *row)
+{
+    struct config_write *w = arg;
+
+    if (err != ERR_OK || row->version == 0) {
+        again(w);
+    }
+    else if (is_own(w, row)) {
+        accepted(w);
+    }
+    else {
+        changed_since(w);
+    }
+}
+
+/* The transaction has an outcome, or none.
+ *
+ * Failure: the answer of the write is lost after it took effect, and the same
+ * write sent again meets its own head. Symptom: the operator is told that it
+ * lost a race against itself, and makes the change twice, or goes on with the
+ * old document. Only the history row of the wanted epoch says whose it is:
+ * rows of the history are inserted once and never changed, and carry the id
+ * of their write. So every outcome but ERR_OK is read back from there; no row
+ * means that nothing is decided, and the same write, under the same two
+ * conditions, is sent again: at most one of its copies can hold. */
+static void
+on_committed(void *arg, int err, size_t at UNUSED,
+             const uint64_t *versions UNUSED)
+{
+    struct config_write *w = arg;
+    struct table *t = w->configs->table;
+    char key[CONFIG_HISTORY_KEY_SIZE];
+    bool nothing_done = err == ERR_UNREACHABLE || err == ERR_BUSY;
+
+    if (err == ERR_OK) {
+        accepted(w);
+        return;
+    }
+    if (nothing_done && !w->sent) {
+        not_run(w, "table_down", "the table service can't be reached");
+        return;
+    }
+    if (err == ERR_INVALID && !w->sent) {
+        not_run(w, "table_refused", "the table service refused the write");
+        return;
+    }
+    w->sent = true;
+    t->ops->get(t, CONFIG_TABLE, config_history_key(w->next->epoch, key),
+                on_history, w);
+}
+
+/* Writes the head and the history in one transaction; the row that the
+ * history no longer keeps goes with it. */
+static void
+commit(struct config_write *w)
+{
+    struct table *t = w->configs->table;
+    json_t *value =
+        config_history_value(w->next, w->operator_name, &w->id, w->lines.data);
+    char *text = json_dumps(value, JSON_COMPACT);
+    struct buf head CLEANUP(Buf_Free) = {0};
+    char key[CONFIG_HISTORY_KEY_SIZE], old[CONFIG_HISTORY_KEY_SIZE];
+    uint64_t epoch = w->next->epoch;
+    bool full = epoch > CONFIG_HISTORY_KEPT;
+
+    config_render_head(w->next, w->operator_name, w->changes, &head);
+    const struct table_op ops[] = {
+        {TABLE_PUT, CONFIG_TABLE, CONFIG_HEAD_KEY, w->head.version, head.data,
+         head.len},
+        {TABLE_PUT, CONFIG_TABLE, config_history_key(epoch, key), 0, text,
+         strlen(text)},
+        {TABLE_DELETE, CONFIG_TABLE,
+         config_history_key(full ? epoch - CONFIG_HISTORY_KEPT : 0, old),
+         TABLE_ANY, NULL, 0},
+    };
+    t->ops->commit(t, ops, full ? 3 : 2, on_committed, w);
+    free(text);
+    json_decref(value);
+}
+
+/* Sends the same write again. */
+static void
+on_again(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
+{
+    commit(timer->data);
+}
+
+/* The document is stored under its hash. */
+static void
+on_stored(void *arg, int err)
+{
+    struct config_write *w = arg;
+
+    if (err != ERR_OK) {
+        not_run(w, "objects_down", "the object store did not take it");
+        return;
+    }
+    commit(w);
+}
+
+/* Notes the difference and stores the document. */
+static void
+store(struct config_write *w, const struct config *before)
+{
+    struct objects *o = w->configs->objects;
+
+    w->changes = Config_Diff(before, &w->next->doc, &w->lines);
+    o->ops->put(o, w->next->hash, w->next->text.data, w->next->text.len,
+                on_stored, w);
+}
+
+/* The head's document has come, for the difference. */
+static void
+on_before(void *arg, int err, struct buf *content)
+{
+    struct config_write *w = arg;
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct in_force *before =
+        err == ERR_OK ? config_make(w->head.epoch, content, errors) : NULL;
+
+    if (before == NULL) {
+        not_run(w, "objects_down", "the present document can't be read");
+        return;
+    }
+    store(w, &before->doc);
+    InForce_Unref(before);
+}
+
+/* The head has been read: is it the one that the operator saw? */
+static void
+on_head(void *arg, int err, struct table_row *row)
+{
+    struct config_write *w = arg;
+    struct configs *c = w->configs;
+
+    if (err == ERR_OK) {
+        err = config_read_head(row, &w->head);
+    }
+    if (err != ERR_OK) {
+        not_run(w, "table_down", "the table service did not answer");
+        return;
+    }
+    if (w->head.epoch != w->seen.epoch ||
+        strcmp(w->head.hash, w->seen.hash) != 0) {
+        changed_since(w);
+        return;
+    }
+    if (strcmp(w->head.hash, w->next->hash) == 0) {
+        reply_in_force(w, "unchanged", w->head.epoch);
+        return;
+    }
+    if (c->in_force->epoch == w->head.epoch) {
+        store(w, &c->in_force->doc);
+        return;
+    }
+    c->objects->ops->get(c->objects, w->head.hash, on_before, w);
+}
+
+/* Reads the document that the operator sends; NULL after a 422. */
+static struct in_force *
+read_document(struct http_exchange *ex, uint64_t epoch)
+{
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct buf body CLEANUP(Buf_Free) = {0};
+    struct in_force *f = config_make(epoch, Http_Body(ex), errors);
+
+    if (f == NULL) {
+        Config_RenderErrors(errors, &body);
+        Http_Reply(ex, 422, "application/json", body.data, body.len);
+    }
+    return f;
+}
+
+/* PUT /v1/config */
+static void
+put_config(struct task *t, struct http_exchange *ex,
+           const char *segment UNUSED)
+{
+    struct configs *c = (struct configs *)t;
+    const char *who = Operators_Identify(c->in_force, ex);
+    const char *tag = Http_Header(ex, "If-Match");
+    struct config_head seen = {0};
+    struct config_write *w;
+    struct in_force *next;
+
+    if (who == NULL) {
+        return;
+    }
+    if (tag == NULL || config_parse_etag(tag, &seen) != ERR_OK) {
+        Front_Refuse(ex, tag ? 400 : 428, "not_run", "if_match",
+                     "If-Match is the ETag of the document that you changed",
+                     -1, NULL);
+        return;
+    }
+    if (c->table == NULL || c->objects == NULL) {
+        Front_Refuse(ex, 503, "not_run", "no_table",
+                     "this entry's settings name no platform", -1, NULL);
+        return;
+    }
+    next = read_document(ex, seen.epoch + 1);
+    if (next == NULL) {
+        return;
+    }
+    w = Mem_Zero(1, sizeof(*w));
+    w->configs = c;
+    w->ex = ex;
+    Str_Copy(w->operator_name, sizeof(w->operator_name), who);
+    w->id = Id_Random();
+    w->seen = seen;
+    w->next = next;
+    w->decide_by = Clock_NowMs() + CONFIG_DECIDE_MS;
+    ev_init(&w->again, on_again);
+    w->again.data = w;
+    TAILQ_INSERT_TAIL(&c->writes, w, entry);
+    c->table->ops->get(c->table, CONFIG_TABLE, CONFIG_HEAD_KEY, on_head, w);
+}
+
+static struct front_route put_route = {
+    "PUT", "/v1/config", "config", put_config, {0}};
+FRONT_ROUTE(put_route)
--- a/packages/entry/entry-config.c
+++ b/packages/entry/entry-config.c
@@ -1,109 +1,156 @@
-#include "entry.h"
+#include "entry-config.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define SUBSCRIBERS_MAX 8
-
-/* config: the document in force. */
-struct configs {
-    struct task task;
-    const struct entry_settings *settings;
-    struct in_force *in_force;
-    const char *subscribers[SUBSCRIBERS_MAX];
-    int subscriber_count;
-};
+static struct counter epoch_gauge = {"parsleyfall_config_epoch",
+                                     "Epoch of the configuration in force.",
+                                     NULL, COUNTER_GAUGE};
+static struct counter adopted_total = {"parsleyfall_config_adopted_total",
+                                       "Documents put in force here.", NULL,
+                                       COUNTER_TOTAL};
+static struct counter stale_total = {
+    "parsleyfall_config_stale_total",
+    "Documents not taken because a later one is in force.", NULL,
+    COUNTER_TOTAL};
 
 /* Makes a document of text that is right. */
-static struct in_force *
-make(uint64_t epoch, const struct buf *text, struct conf_errors *errors)
+struct in_force *
+config_make(uint64_t epoch, const struct buf *text, struct conf_errors *errors)
 {
     struct in_force *f = Mem_Zero(1, sizeof(*f));
 
     f->refs = 1;
     f->epoch = epoch;
-    if (Config_Parse(text->data, text->len, &f->doc, errors) != ERR_OK) {
+    if (Config_Parse(text->data ? text->data : "", text->len, &f->doc,
+                     errors) != ERR_OK) {
         InForce_Unref(f);
         return NULL;
     }
-    Buf_Set(&f->text, text->data, text->len);
-    Digest_Hex(text->data, text->len, f->hash);
+    Config_Render(&f->doc, &f->text);
+    Digest_Hex(f->text.data, f->text.len, f->hash);
     return f;
 }
 
-/* Puts a document in force and tells the other tasks. */
+/* Tells a task of the document in force. */
 static void
-adopt(struct configs *c, struct in_force *f)
+tell(struct configs *c, const char *task)
+{
+    struct config_note *note = Mem_Zero(1, sizeof(*note));
+
+    note->in_force = InForce_Ref(c->in_force);
+    Kernel_Post(Kernel_FindTask(c->task.kernel, task), &note->base,
+                &Entry_Config);
+}
+
+/* Puts a document in force and tells the other tasks.
+ *
+ * Failure: a read of the head that was slow, or a process that was paused
+ * between the read and here, brings an old document after a newer one.
+ * Symptom: an accepted change is undone at one entry. Epochs only rise in the
+ * table, so a document that is not higher than ours is never a newer one. */
+void
+config_adopt(struct configs *c, struct in_force *f)
 {
     int i;
 
+    if (c->in_force != NULL && f->epoch <= c->in_force->epoch) {
+        Counter_Add(&stale_total, 1);
+        InForce_Unref(f);
+        return;
+    }
     InForce_Unref(c->in_force);
     c->in_force = f;
+    Counter_Add(&adopted_total, 1);
+    Counter_Set(&epoch_gauge, (int64_t)f->epoch);
     LOG_I("config_adopted", KV_INT("epoch", f->epoch), KV("hash", f->hash));
     for (i = 0; i < c->subscriber_count; i++) {
-        struct config_note *note = Mem_Zero(1, sizeof(*note));
-
-        note->in_force = InForce_Ref(f);
-        Kernel_Post(Kernel_FindTask(c->task.kernel, c->subscribers[i]),
-                    &note->base, &Entry_Config);
+        tell(c, c->subscribers[i]);
     }
 }
 
-/* Reads the first document from its file. */
-static int
-load_first(struct configs *c)
+/* Writes the entity tag of a document. */
+void
+config_etag(uint64_t epoch, const char *hash, struct buf *out)
 {
-    struct conf_errors *errors CLEANUP(Mem_FreeP) =
-        Mem_Zero(1, sizeof(*errors));
-    struct buf text CLEANUP(Buf_Free) = {0};
-    const char *path = c->settings->configuration_file;
-    struct in_force *f;
-    int err;
-
-    if (path == NULL) {
-        return ERR_OK;
+    Buf_Printf(out, "\"%llu-%s\"", (unsigned long long)epoch, hash);
+}
+
+/* Reads an entity tag. */
+int
+config_parse_etag(const char *text, struct config_head *out)
+{
+    size_t len;
+    char *end;
+
+    text += *text == '"';
+    if (*text < '0' || *text > '9') {
+        return ERR_INVALID;
     }
-    err = File_Read(path, (size_t)4 << 20, &text);
-    if (err != ERR_OK) {
-        LOG_E("config_unreadable", KV("file", path),
-              KV("error", Err_Name(err)));
-        return err;
+    out->epoch = strtoull(text, &end, 10);
+    if (*end != '-') {
+        return ERR_INVALID;
     }
-    f = make(1, &text, errors);
-    if (f == NULL) {
-        struct buf why CLEANUP(Buf_Free) = {0};
-
-        Conf_Render(errors, path, &why);
-        LOG_E("config_invalid", KV("errors", why.data));
+    len = strcspn(end + 1, "\"");
+    if (len != DIGEST_HEX_SIZE - 1) {
         return ERR_INVALID;
     }
-    adopt(c, f);
+    memcpy(out->hash, end + 1, len);
+    out->hash[len] = '\0';
     return ERR_OK;
 }
 
+/* Takes the notes of its routes. */
+static void
+configs_receive(struct task *t, struct message *m)
+{
+    Front_Handle(t, m);
+}
+
 /* The document in force, for operators. */
 static json_t *
 configs_state(const struct task *t)
 {
     const struct configs *c = (const struct configs *)t;
+    int64_t age = c->heard_at ? Clock_NowMs() - c->heard_at : -1;
 
-    if (c->in_force == NULL) {
-        return json_pack("{s:i}", "epoch", 0);
-    }
-    return json_pack("{s:I, s:s}", "epoch", (json_int_t)c->in_force->epoch,
-                     "hash", c->in_force->hash);
+    return json_pack("{s:I, s:s, s:b, s:I, s:i}", "epoch",
+                     (json_int_t)(c->in_force ? c->in_force->epoch : 0),
+                     "hash", c->in_force ? c->in_force->hash : "", "table",
+                     c->table != NULL, "head_read_ms", (json_int_t)age,
+                     "failed_polls", c->failed_polls);
 }
 
-/* Lets go of the document. */
+/* True when every change that was asked for has its answer. */
+static bool
+configs_drained(const struct task *t)
+{
+    return TAILQ_EMPTY(&((const struct configs *)t)->writes);
+}
+
+/* Lets go of the document and of what is under way. */
 static void
 configs_free(struct task *t)
 {
-    InForce_Unref(((struct configs *)t)->in_force);
-    free(t);
+    struct configs *c = (struct configs *)t;
+
+    ev_timer_stop(t->kernel->loop, &c->poll);
+    if (c->table != NULL) {
+        c->table->ops->free(c->table);
+    }
+    if (c->objects != NULL) {
+        c->objects->ops->free(c->objects);
+    }
+    config_writes_free(c);
+    InForce_Unref(c->first);
+    InForce_Unref(c->in_force);
+    free(c);
 }
 
 static const struct task_ops configs_ops = {
     .name = "config",
+    .receive = configs_receive,
+    .drained = configs_drained,
     .state = configs_state,
     .free = configs_free,
 };
@@ -114,7 +161,7 @@
 {
     struct configs *c = (struct configs *)Kernel_FindTask(k, "config");
 
-    if (c->subscriber_count == SUBSCRIBERS_MAX) {
+    if (c->subscriber_count == CONFIG_SUBSCRIBERS_MAX) {
         Fatal("too many subscribers to config");
     }
     c->subscribers[c->subscriber_count++] = task;
@@ -124,23 +171,36 @@
 static int
 start(struct kernel *k)
 {
+    const struct entry_settings *s = k->settings;
+    const struct platform_limits limits = {
+        .timeout_ms = CONFIG_CALL_MS,
+        .give_up_ms = CONFIG_GIVE_UP_MS,
+        .reads_per_s = CONFIG_READS_PER_S,
+        .writes_per_s = CONFIG_WRITES_PER_S,
+    };
     struct configs *c = Mem_Zero(1, sizeof(*c));
 
-    c->settings = k->settings;
+    c->settings = s;
+    TAILQ_INIT(&c->writes);
+    c->table = Platform_HttpTable(k->loop, s->platform.table_url, &limits);
+    c->objects =
+        Platform_HttpObjects(k->loop, s->platform.objects_url, &limits);
+    Config_SetCheck(Feasible_Check);
     Kernel_AddTask(k, &c->task, &configs_ops);
     return ERR_OK;
 }
 
-/* Puts the first document in force once all have subscribed. */
+/* Begins to follow the head once all have subscribed. */
 static int
-start_adopt(struct kernel *k)
+start_following(struct kernel *k)
 {
-    return load_first((struct configs *)Kernel_FindTask(k, "config"));
+    config_poll_start((struct configs *)Kernel_FindTask(k, "config"));
+    return ERR_OK;
 }
 
 static struct plugin config_plugin = {
     .name = "config", .rank = 30, .start = start};
 KERNEL_PLUGIN(config_plugin)
-static struct plugin adopt_plugin = {
-    .name = "config-adopt", .rank = 80, .start = start_adopt};
-KERNEL_PLUGIN(adopt_plugin)
+static struct plugin follow_plugin = {
+    .name = "config-follow", .rank = 95, .start = start_following};
+KERNEL_PLUGIN(follow_plugin)
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -1,5 +1,7 @@
 #include "entry.h"
 
+#include "console.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +10,7 @@
 struct front {
     struct task task;
     struct http_server *server;
+    struct in_force *in_force; /* NULL: no configuration yet */
     bool draining;
 };
 
@@ -163,14 +166,21 @@
     struct front *f = (struct front *)t;
 
     Http_ServerFree(f->server);
+    InForce_Unref(f->in_force);
     free(f);
 }
 
-/* Its own routes are all that it is told of. */
+/* Takes requests for its own routes, and the configuration. */
 static void
 front_receive(struct task *t, struct message *m)
 {
-    Front_Handle(t, m);
+    struct front *f = (struct front *)t;
+
+    if (Front_Handle(t, m)) {
+        return;
+    }
+    InForce_Unref(f->in_force);
+    f->in_force = InForce_Ref(((struct config_note *)m)->in_force);
 }
 
 static const struct task_ops front_ops = {
@@ -205,6 +215,12 @@
         Front_Refuse(ex, 503, "not_run", "draining", "", -1, NULL);
         return;
     }
+    if (((struct front *)t)->in_force == NULL) {
+        Front_Refuse(ex, 503, "not_run", "no_configuration",
+                     "the head of the configuration has not been read yet",
+                     1000, NULL);
+        return;
+    }
     Http_Reply(ex, 200, "text/plain", "ready\n", 6);
 }
 
@@ -223,10 +239,15 @@
     "GET", "/healthz", "front", healthz, {0}};
 static struct front_route readyz_route = {
     "GET", "/readyz", "front", readyz, {0}};
-/* GET /v1/state: everything that this process knows. */
+
+/* GET /v1/state: everything that this process knows. It names organisations
+ * and their work, so it is for operators; /metrics names none. */
 static void
 state(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
 {
+    if (Operators_Identify(((struct front *)t)->in_force, ex) == NULL) {
+        return;
+    }
     Front_ReplyJson(ex, 200, Kernel_State(t->kernel));
 }
 
@@ -239,6 +260,24 @@
 FRONT_ROUTE(readyz_route)
 FRONT_ROUTE(metrics_route)
 
+/* GET /console: the page, which asks for the token itself. */
+static void
+console(struct task *t UNUSED, struct http_exchange *ex,
+        const char *segment UNUSED)
+{
+    struct buf page CLEANUP(Buf_Free) = {0};
+
+    Console_Page(&page);
+    Http_ReplyHeader(ex, "Content-Security-Policy", CONSOLE_POLICY);
+    Http_ReplyHeader(ex, "X-Content-Type-Options", "nosniff");
+    Http_ReplyHeader(ex, "Cache-Control", "no-store");
+    Http_Reply(ex, 200, "text/html; charset=utf-8", page.data, page.len);
+}
+
+static struct front_route console_route = {
+    "GET", "/console", "front", console, {0}};
+FRONT_ROUTE(console_route)
+
 /* Listens for callers, last of all, when everything behind it is there. */
 static int
 start(struct kernel *k)
@@ -262,6 +301,7 @@
         return ERR_IO;
     }
     Kernel_AddTask(k, &f->task, &front_ops);
+    Configs_Subscribe(k, "front");
     LOG_I("listening", KV("address", s->listen.address),
           KV_INT("http", Front_Port(k)), KV("links", Links_Address(k)));
     return ERR_OK;
--- /dev/null
+++ b/packages/entry/entry-peers.c
@@ -0,0 +1,457 @@
+#include "entry.h"
+
+#include "platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* peers: which entries there are. Each writes a row of its own and lists all
+ * rows; nobody decides for the others. For 12 entries that is 0.4 writes and
+ * 1.2 reads a second of the table service. */
+
+#define PEERS_TABLE "entries"
+#define PEERS_MAX 256
+#define WRITE_MS 30000 /* between two writes of the own row */
+#define LIST_MS 10000  /* between two lists */
+#define CALL_MS 2000
+#define GIVE_UP_MS 8000
+#define SUBSCRIBERS_MAX 8
+
+/* A row that three writes should have changed has no writer any more: 95 s of
+ * lists. Lists are counted, not time.
+ *
+ * Failure: the table is down for minutes, or this process is paused; nobody's
+ * row changes, or nobody looks. Symptom, if time were counted: at the first
+ * list afterwards every entry is dropped by all, and agents lose them. A list
+ * that did not come counts for nothing, and within the next three every
+ * living entry has written again. */
+#define DROP_LISTS 10
+/* Lists after which a row that nobody writes is deleted: ten minutes. */
+#define DELETE_LISTS 60
+
+/* A row that has been listed. */
+struct peer {
+    struct peer_entry facts;
+    uint64_t version;
+    int unchanged; /* lists in a row */
+    bool listed;   /* in the present list */
+    TAILQ_ENTRY(peer) entry;
+};
+
+TAILQ_HEAD(peer_list, peer);
+
+struct peers {
+    struct task task;
+    const struct entry_settings *settings;
+    struct table *table; /* NULL: the platform has none */
+    struct peer_entry self;
+    struct peer_list list;
+    const char *subscribers[SUBSCRIBERS_MAX];
+    int subscriber_count;
+    struct peer_entry *told; /* as last told, in order of the names */
+    size_t told_count;
+    bool writing, listing, written, leaving;
+    ev_timer write_timer, list_timer;
+};
+
+static struct counter known_gauge = {"parsleyfall_entries",
+                                     "Entries that are known, this one too.",
+                                     NULL, COUNTER_GAUGE};
+static struct counter failed_total = {
+    "parsleyfall_entries_calls_failed_total",
+    "Writes and lists of the table of entries that failed.", NULL,
+    COUNTER_TOTAL};
+
+/* Order of the names. */
+static int
+compare(const void *a, const void *b)
+{
+    const struct peer_entry *x = a, *y = b;
+
+    return strcmp(x->name, y->name);
+}
+
+/* Tells one task of all entries. */
+static void
+tell(struct peers *p, const char *name)
+{
+    struct task *t = Kernel_FindTask(p->task.kernel, name);
+    struct peers_note *note;
+
+    if (t == NULL) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    note->count = p->told_count;
+    note->entries = Mem_Alloc(p->told_count * sizeof(*note->entries));
+    memcpy(note->entries, p->told, p->told_count * sizeof(*note->entries));
+    Kernel_Post(t, &note->base, &Entry_Peers);
+}
+
+/* Tells the others of the list, if it is another one than before. */
+static void
+tell_changes(struct peers *p)
+{
+    struct peer_entry *list = Mem_Zero(PEERS_MAX + 1, sizeof(*list));
+    struct peer *peer;
+    size_t n = 0;
+    int i;
+
+    list[n++] = p->self;
+    TAILQ_FOREACH (peer, &p->list, entry) {
+        if (peer->unchanged < DROP_LISTS && n <= PEERS_MAX &&
+            strcmp(peer->facts.name, p->self.name) != 0) {
+            list[n++] = peer->facts;
+        }
+    }
+    qsort(list, n, sizeof(*list), compare);
+    if (n == p->told_count && memcmp(list, p->told, n * sizeof(*list)) == 0) {
+        free(list);
+        return;
+    }
+    free(p->told);
+    p->told = list;
+    p->told_count = n;
+    Counter_Set(&known_gauge, (int64_t)n);
+    LOG_I("entries", KV_INT("count", n));
+    for (i = 0; i < p->subscriber_count; i++) {
+        tell(p, p->subscribers[i]);
+    }
+}
+
+/* Copies a text of a row. */
+static bool
+take_text(const json_t *o, const char *key, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(o, key));
+
+    return text != NULL && Str_Copy(out, size, text) == ERR_OK;
+}
+
+/* Reads a row. False when it is no entry's. */
+static bool
+read_row(const struct table_row *row, struct peer_entry *out)
+{
+    json_t *o = json_loadb(row->value.data ? row->value.data : "",
+                           row->value.len, 0, NULL);
+    const char *hex = json_string_value(json_object_get(o, "incarnation"));
+    bool good;
+
+    *out = (struct peer_entry){0};
+    good = take_text(o, "name", out->name, sizeof(out->name)) &&
+           take_text(o, "region", out->region, sizeof(out->region)) &&
+           take_text(o, "links", out->links, sizeof(out->links)) &&
+           take_text(o, "http", out->http, sizeof(out->http)) &&
+           strcmp(out->name, row->key) == 0 && hex != NULL;
+    if (good) {
+        out->incarnation = strtoull(hex, NULL, 16);
+    }
+    json_decref(o);
+    return good;
+}
+
+/* The record of a row's key, made if there is none. */
+static struct peer *
+find(struct peers *p, const char *name)
+{
+    struct peer *peer;
+
+    TAILQ_FOREACH (peer, &p->list, entry) {
+        if (strcmp(peer->facts.name, name) == 0) {
+            return peer;
+        }
+    }
+    peer = Mem_Zero(1, sizeof(*peer));
+    TAILQ_INSERT_TAIL(&p->list, peer, entry);
+    return peer;
+}
+
+/* Takes one row of a list. */
+static void
+take_row(struct peers *p, const struct table_row *row)
+{
+    struct peer_entry facts;
+    struct peer *peer;
+
+    if (!read_row(row, &facts)) {
+        LOG_W("entry_row_unreadable", KV("key", row->key));
+        return;
+    }
+    peer = find(p, facts.name);
+    peer->listed = true;
+    if (peer->version == row->version) {
+        peer->unchanged++;
+        return;
+    }
+    peer->facts = facts;
+    peer->version = row->version;
+    peer->unchanged = 0;
+}
+
+/* A row was deleted, or not: the next list shows it. */
+static void
+on_deleted(void *arg UNUSED, int err, size_t at UNUSED,
+           const uint64_t *versions UNUSED)
+{
+    LOG_I("entry_row_deleted", KV("result", Err_Name(err)));
+}
+
+/* Deletes a row that nobody writes, unless somebody just has. */
+static void
+delete_row(struct peers *p, const struct peer *peer)
+{
+    const struct table_op op = {TABLE_DELETE,  PEERS_TABLE, peer->facts.name,
+                                peer->version, NULL,        0};
+
+    p->table->ops->commit(p->table, &op, 1, on_deleted, NULL);
+}
+
+/* A list has come. */
+static void
+on_listed(void *arg, int err, struct table_row *rows, size_t count,
+          bool more UNUSED)
+{
+    struct peers *p = arg;
+    struct peer *peer, *next;
+    size_t i;
+
+    p->listing = false;
+    if (err != ERR_OK) {
+        Counter_Add(&failed_total, 1);
+        LOG_W("entries_unreadable", KV("error", Err_Name(err)));
+        return;
+    }
+    TAILQ_FOREACH (peer, &p->list, entry) {
+        peer->listed = false;
+    }
+    for (i = 0; i < count; i++) {
+        take_row(p, &rows[i]);
+    }
+    TAILQ_FOREACH_SAFE (peer, &p->list, entry, next) {
+        if (!peer->listed) {
+            TAILQ_REMOVE(&p->list, peer, entry);
+            free(peer);
+        }
+        else if (peer->unchanged == DELETE_LISTS) {
+            delete_row(p, peer);
+        }
+    }
+    tell_changes(p);
+}
+
+/* Asks for all rows. */
+static void
+list_rows(struct peers *p)
+{
+    if (p->listing) {
+        return;
+    }
+    p->listing = true;
+    p->table->ops->list(p->table, PEERS_TABLE, "", "", PEERS_MAX, on_listed,
+                        p);
+}
+
+/* The own row was written, or not. */
+static void
+on_written(void *arg, int err, size_t at UNUSED,
+           const uint64_t *versions UNUSED)
+{
+    struct peers *p = arg;
+    bool first = !p->written;
+
+    p->writing = false;
+    if (err != ERR_OK) {
+        Counter_Add(&failed_total, 1);
+        LOG_W("entry_row_unwritten", KV("error", Err_Name(err)));
+        return;
+    }
+    p->written = true;
+    if (first) {
+        list_rows(p);
+    }
+}
+
+/* Writes the own row, whatever is there: it is nobody else's. */
+static void
+write_row(struct peers *p)
+{
+    char hex[24];
+    json_t *o;
+    char *text;
+
+    if (p->writing || p->leaving) {
+        return;
+    }
+    snprintf(hex, sizeof(hex), "%016llx",
+             (unsigned long long)p->self.incarnation);
+    o = json_pack("{s:s, s:s, s:s, s:s, s:s}", "name", p->self.name, "region",
+                  p->self.region, "links", p->self.links, "http", p->self.http,
+                  "incarnation", hex);
+    text = json_dumps(o, JSON_COMPACT);
+    const struct table_op op = {TABLE_PUT, PEERS_TABLE, p->self.name,
+                                TABLE_ANY, text,        strlen(text)};
+
+    p->writing = true;
+    p->table->ops->commit(p->table, &op, 1, on_written, p);
+    free(text);
+    json_decref(o);
+}
+
+/* The own row is gone, or could not be. */
+static void
+on_left(void *arg, int err UNUSED, size_t at UNUSED,
+        const uint64_t *versions UNUSED)
+{
+    ((struct peers *)arg)->writing = false;
+}
+
+/* Takes the own row away, so that the others need not wait. */
+static void
+peers_drain(struct task *t)
+{
+    struct peers *p = (struct peers *)t;
+    const struct table_op op = {TABLE_DELETE, PEERS_TABLE, p->self.name,
+                                TABLE_ANY,    NULL,        0};
+
+    p->leaving = true;
+    if (p->table == NULL || !p->written || p->writing) {
+        return;
+    }
+    p->writing = true;
+    p->table->ops->commit(p->table, &op, 1, on_left, p);
+}
+
+/* True when the own row is gone or could not be taken away. */
+static bool
+peers_drained(const struct task *t)
+{
+    return !((const struct peers *)t)->writing;
+}
+
+/* The entries, for operators. */
+static json_t *
+peers_state(const struct task *t)
+{
+    const struct peers *p = (const struct peers *)t;
+    json_t *list = json_array();
+    size_t i;
+
+    for (i = 0; i < p->told_count; i++) {
+        const struct peer_entry *e = &p->told[i];
+
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:s}", "name", e->name, "region",
+                            e->region, "links", e->links, "http", e->http));
+    }
+    return json_pack("{s:o, s:b}", "entries", list, "written", p->written);
+}
+
+/* Frees the list and its calls. */
+static void
+peers_free(struct task *t)
+{
+    struct peers *p = (struct peers *)t;
+    struct peer *peer, *next;
+
+    ev_timer_stop(t->kernel->loop, &p->write_timer);
+    ev_timer_stop(t->kernel->loop, &p->list_timer);
+    if (p->table != NULL) {
+        p->table->ops->free(p->table);
+    }
+    TAILQ_FOREACH_SAFE (peer, &p->list, entry, next) {
+        free(peer);
+    }
+    free(p->told);
+    free(p);
+}
+
+static const struct task_ops peers_ops = {
+    .name = "peers",
+    .drain = peers_drain,
+    .drained = peers_drained,
+    .state = peers_state,
+    .free = peers_free,
+};
+
+/* Time to write. */
+static void
+on_write_timer(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    write_row(w->data);
+}
+
+/* Time to list; until the first write has been taken, time to write too. */
+static void
+on_list_timer(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct peers *p = w->data;
+
+    if (!p->written) {
+        write_row(p);
+    }
+    list_rows(p);
+}
+
+/* Notes that a task wants to hear of entries. */
+void
+Peers_Subscribe(struct kernel *k, const char *task)
+{
+    struct peers *p = (struct peers *)Kernel_FindTask(k, "peers");
+
+    if (p->subscriber_count == SUBSCRIBERS_MAX) {
+        Fatal("too many subscribers to peers");
+    }
+    p->subscribers[p->subscriber_count++] = task;
+}
+
+/* Makes the task that others subscribe to. */
+static int
+start(struct kernel *k)
+{
+    const struct entry_settings *s = k->settings;
+    const struct platform_limits limits = {.timeout_ms = CALL_MS,
+                                           .give_up_ms = GIVE_UP_MS,
+                                           .reads_per_s = 4,
+                                           .writes_per_s = 4};
+    struct peers *p = Mem_Zero(1, sizeof(*p));
+
+    p->settings = s;
+    TAILQ_INIT(&p->list);
+    p->table = Platform_HttpTable(k->loop, s->platform.table_url, &limits);
+    Kernel_AddTask(k, &p->task, &peers_ops);
+    Peers_Subscribe(k, "members");
+    return ERR_OK;
+}
+
+/* Begins once this entry has its ports and all have subscribed. */
+static int
+start_telling(struct kernel *k)
+{
+    struct peers *p = (struct peers *)Kernel_FindTask(k, "peers");
+
+    Str_Copy(p->self.name, sizeof(p->self.name), p->settings->name);
+    Str_Copy(p->self.region, sizeof(p->self.region), p->settings->region);
+    Str_Copy(p->self.links, sizeof(p->self.links), Links_Address(k));
+    snprintf(p->self.http, sizeof(p->self.http), "%s:%d",
+             p->settings->listen.address, Front_Port(k));
+    p->self.incarnation = Entry_Incarnation();
+    tell_changes(p);
+    ev_init(&p->write_timer, on_write_timer);
+    ev_init(&p->list_timer, on_list_timer);
+    p->write_timer.data = p;
+    p->list_timer.data = p;
+    if (p->table != NULL) {
+        Timer_Every(k->loop, &p->write_timer, WRITE_MS);
+        Timer_Every(k->loop, &p->list_timer, LIST_MS);
+        write_row(p);
+    }
+    return ERR_OK;
+}
+
+static struct plugin peers_plugin = {
+    .name = "peers", .rank = 25, .start = start};
+KERNEL_PLUGIN(peers_plugin)
+static struct plugin telling_plugin = {
+    .name = "peers-telling", .rank = 96, .start = start_telling};
+KERNEL_PLUGIN(telling_plugin)
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -142,6 +142,43 @@
 /* Tasks that want config notes say so before the loop runs. */
 void Configs_Subscribe(struct kernel *k, const char *task);
 
+/* Who asks, when it is an operator of that document. NULL after a refusal:
+ * 503 no_configuration (f is NULL), 401 no_token, 403 not_an_operator. */
+const char *Operators_Identify(const struct in_force *f,
+                               struct http_exchange *ex);
+
+/* ---- feasibility of guarantees ----------------------------------------- */
+
+struct cells_shape;
+
+/* Cells that one failure domain holds for one guarantee. */
+struct feasible_share {
+    const struct config_organisation *organisation;
+    const struct config_guarantee *guarantee;
+    const struct config_domain *domain;
+    int workers;      /* of a cell's shape, as of struct cells_shape */
+    int accelerators; /* likewise */
+    int cells;
+};
+
+/* The cell that a guarantee's shape is in a failure domain, and how many of
+ * them one shape takes: "racks: 2" is two cells, each as many workers as the
+ * domain's largest rack has. Workers lie in one rack. Returns the number of
+ * cells, or 0 with what is allowed when cells can't promise that shape. */
+int Feasible_Shape(const struct config_domain *d, const struct shape *shape,
+                   struct cells_shape *out, const char **allowed);
+/* Divides all guarantees over the failure domains, so that each domain can
+ * hold all of its own at once (Cells_Check of one account for each domain).
+ * The same document gives the same division everywhere. What it accepts is
+ * feasible; as it never takes back a choice, it may refuse a document that a
+ * search would accept, where guarantees without a failure domain fill the
+ * domains to the last worker. Returns the shares (to be freed) and adds what
+ * found no place to errors, with line and key. */
+struct feasible_share *Feasible_Divide(const struct config *c, size_t *count,
+                                       struct conf_errors *errors);
+/* As above, for Config_SetCheck. */
+void Feasible_Check(const struct config *c, struct conf_errors *errors);
+
 /* ---- requests ---------------------------------------------------------- */
 
 /* requests -> dispatch: a request that its organisation may make. */
@@ -173,6 +210,7 @@
     char region[NAME_SIZE];
     char links[NAME_SIZE]; /* "ip:port" */
     char http[NAME_SIZE];  /* "ip:port" */
+    uint64_t incarnation;
 };
 
 /* peers -> members, why, jobs: the whole list, this entry included. */
@@ -184,6 +222,10 @@
 
 extern const struct message_kind Entry_Peers;
 
+/* Tasks that want peers notes say so before the loop runs. "members" has one
+ * subscription from the start. */
+void Peers_Subscribe(struct kernel *k, const char *task);
+
 /* ---- front ------------------------------------------------------------- */
 
 /* A path that the front serves. A "*" stands for one segment of the path.
@@ -227,6 +269,25 @@
 void Front_Refuse(struct http_exchange *ex, int status, const char *outcome,
                   const char *reason, const char *detail,
                   int64_t retry_after_ms, const struct id *request);
+/* ---- overview ---------------------------------------------------------- */
+
+/* A part of GET /v1/overview, whose shape console.h gives. Parts are filled
+ * in order of their rank, each by reading its own task's state; a later one
+ * may complete what an earlier one has put in (organisations have "name" and
+ * "guaranteed" from the document; "used" and "lent" are whose jobs run). */
+struct overview_part {
+    int rank; /* 0..9 belong to entry-overview.c */
+    void (*fill)(struct kernel *k, const struct config *doc, json_t *view);
+    SLIST_ENTRY(overview_part) entry;
+};
+
+void Overview_Register(struct overview_part *part);
+#define OVERVIEW_PART(var)                                                    \
+    __attribute__((constructor)) static void register_##var(void)             \
+    {                                                                         \
+        Overview_Register(&(var));                                            \
+    }
+
 /* Ports that were got. */
 int Front_Port(struct kernel *k);
 const char *Links_Address(struct kernel *k);
