front: go on for 1.5 s after SIGTERM while /readyz says no

Cause: the listening socket closed at once, under callers that the balancer still sent; those waiting to be accepted were reset and could not tell what had become of their request. Requests on open connections were refused from the first moment, although everything behind was still there.

--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -258,10 +258,6 @@
     struct admission_facts facts = facts_of(o, now);
     struct admission_decision decision;
 
-    if (t->kernel->draining) {
-        Front_Refuse(o->ex, 503, "not_run", "draining", "", 0, &o->id);
-        return;
-    }
     Admission_SetWeight(s->admission, o->organisation, o->weight);
     decision = Admission_Offer(s->admission, &facts, now, Id_Random64());
     if (decision.verdict == ADMISSION_REFUSE) {
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -5,13 +5,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A balancer looks at /readyz at least this often. */
+#define CLOSE_AFTER_MS 1500
+
 static SLIST_HEAD(, front_route) routes = SLIST_HEAD_INITIALIZER(routes);
 
 struct front {
     struct task task;
     struct http_server *server;
     struct in_force *in_force; /* NULL: no configuration yet */
-    bool draining;
+    bool closing;              /* takes nothing new */
+    ev_timer close;
 };
 
 static struct counter requests_total = {"parsleyfall_http_requests_total",
@@ -127,6 +131,11 @@
     char segment[WIRE_TEXT_SIZE];
 
     Counter_Add(&requests_total, 1);
+    if (f->closing) {
+        Http_ReplyHeader(ex, "Connection", "close");
+        Front_Refuse(ex, 503, "not_run", "draining", "", 0, NULL);
+        return;
+    }
     SLIST_FOREACH (r, &routes, entry) {
         if (!matches(r->path, Http_Path(ex), segment, sizeof(segment))) {
             continue;
@@ -142,21 +151,35 @@
                  Http_Path(ex), -1, NULL);
 }
 
-/* Takes no new connections. */
+/* Takes nothing new from here on. */
+static void
+on_close(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct front *f = w->data;
+
+    f->closing = true;
+    Http_ServerQuiesce(f->server);
+}
+
+/* Goes on for a moment while /readyz says no. Without it the listening socket
+ * would close under callers that the balancer still sends: connections that
+ * wait to be accepted are reset, and their callers can't tell whether the
+ * request was taken. */
 static void
 front_drain(struct task *t)
 {
     struct front *f = (struct front *)t;
 
-    f->draining = true;
-    Http_ServerQuiesce(f->server);
+    Timer_Set(t->kernel->loop, &f->close, CLOSE_AFTER_MS);
 }
 
-/* True when every reply has been sent. */
+/* True when nothing new is taken and every reply has been sent. */
 static bool
 front_drained(const struct task *t)
 {
-    return Http_ServerOpen(((const struct front *)t)->server) == 0;
+    const struct front *f = (const struct front *)t;
+
+    return f->closing && Http_ServerOpen(f->server) == 0;
 }
 
 /* Closes the server. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -349,7 +349,7 @@
 
 /* Times of gangs, in milliseconds. Whenever one member works and another does
  * not, this lasts at most GANG_HEARD_MS + GANG_LEASE_MS (model/gang-lease.pml
- * tells why). A pulse is a fifth of the lease, so that a renewer may die and
+ * tells why). A pulse is a sixth of the lease, so that a renewer may die and
  * the members agree on the next one before the lease is over. */
 #define GANG_PULSE_MS 1500
 #define GANG_HEARD_MS 4000
