--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -314,6 +314,8 @@
     };
     struct front *f = Mem_Zero(1, sizeof(*f));
 
+    ev_init(&f->close, on_close);
+    f->close.data = f;
     f->server =
         Http_ServerNew(k->loop, s->listen.address, (int)s->listen.http_port,
                        &limits, on_request, f);
--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -7,12 +7,15 @@
 operator=demo-operator
 platform=http://127.0.0.1:1
 
+# Ends all that was started; the first (the platform's stand-in) last, as the
+# others say goodbye to it.
 stop_all() {
     local p
-    for p in "${pids[@]}"; do
+    for p in "${pids[@]:1}"; do
         kill -TERM "$p" 2>/dev/null || true
     done
-    for p in "${pids[@]}"; do
+    for p in "${pids[@]:1}" "${pids[@]:0:1}"; do
+        kill -TERM "$p" 2>/dev/null || true
         wait "$p" 2>/dev/null || true
     done
     pids=()
