entry: the record of decisions, /v1/why from any entry

Dispatch records admission's, routing's and the retry budget's decisions at the moment they fall, with the whole input of the judging function, and what agents said. The record is bounded by records of a subject and bytes of all; what gives way is counted and told.

Seen failing: without stretch_milli in the admission fields Why.AdmissionInputsAreWhole fails; without started in the retry fields Why.RetryInputsAreWhole fails.

--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -264,6 +264,11 @@
     }
     Admission_SetWeight(s->admission, o->organisation, o->weight);
     decision = Admission_Offer(s->admission, &facts, now, Id_Random64());
+    Why_Open(t->kernel, &o->id, o->organisation);
+    Why_Record(t->kernel, &o->id,
+               decision.verdict == ADMISSION_REFUSE ? "refused" : "admitted",
+               Admission_ReasonName(decision.reason),
+               Why_FromAdmission(&decision.inputs));
     if (decision.verdict == ADMISSION_REFUSE) {
         refuse(o, &decision);
         return;
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -26,6 +26,9 @@
           KV("outcome", outcome), KV("reason", reason),
           KV_INT("attempts", r->try_count),
           KV_INT("ms", Clock_NowMs() - r->accepted_at));
+    Why_Record(r->dispatch->task.kernel, &r->id, outcome, reason,
+               json_pack("{s:i, s:I}", "attempts", r->try_count, "ms",
+                         (json_int_t)(Clock_NowMs() - r->accepted_at)));
 }
 
 /* The upstream's answer, whole, as it came. */
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -7,6 +7,22 @@
 #define LATE_MS 250      /* an answer may be this late after the deadline */
 #define REFUSED_RETRY_MS 250
 
+/* Records a decision on the request, with its inputs or NULL. */
+static void
+record(const struct request *r, const char *decision, const char *reason,
+       json_t *inputs)
+{
+    Why_Record(r->dispatch->task.kernel, &r->id, decision, reason, inputs);
+}
+
+/* What is recorded with what an agent said of an attempt. */
+static json_t *
+try_inputs(const struct try *t)
+{
+    return json_pack("{s:I, s:s, s:I}", "attempt", (json_int_t)t->number,
+                     "agent", t->agent, "not_after", (json_int_t)t->not_after);
+}
+
 /* How an attempt that ended counts for its upstream. */
 static void
 settle(struct request *r, struct try *t, enum route_outcome outcome)
@@ -95,6 +111,7 @@
 
     if (t->state == TRY_SENT) {
         t->state = TRY_ASKING;
+        record(r, "withdraw", "asked", try_inputs(t));
     }
     if (s == NULL) {
         return;
@@ -171,6 +188,21 @@
     Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, true);
 }
 
+/* Records where the request goes, or why nowhere. */
+static void
+record_route(const struct request *r, const struct route_decision *d,
+             const char *agent)
+{
+    json_t *inputs = d->judged ? Why_FromRoute(&d->inputs) : json_object();
+
+    if (agent != NULL) {
+        json_object_set_new(inputs, "agent", json_string(agent));
+        json_object_set_new(inputs, "attempt", json_integer(r->try_count + 1));
+    }
+    record(r, agent != NULL ? "sent" : "not_sent", Route_ReasonName(d->reason),
+           inputs);
+}
+
 /* Picks an upstream and sends the request there. */
 int
 Request_Send(struct request *r)
@@ -193,10 +225,12 @@
         if (d.reason == ROUTE_NONE_FREE) {
             return ERR_BUSY;
         }
+        record_route(r, &d, NULL);
         Request_ReplyNotRun(r, 503, Route_ReasonName(d.reason), "",
                             REFUSED_RETRY_MS);
         return ERR_OK;
     }
+    record_route(r, &d, Route_Name(route, d.handle));
     s = Dispatch_FindServer(r->dispatch, Route_Name(route, d.handle));
     if (s == NULL) {
         Fatal("route names an agent that is not known: %s",
@@ -237,6 +271,8 @@
     LOG_I("retry", KV("request", Id_Hex(&r->id, hex)),
           KV("reason", Retry_ReasonName(d.reason)),
           KV_INT("allowed", d.allowed));
+    record(r, d.allowed ? "retry" : "no_retry", Retry_ReasonName(d.reason),
+           Why_FromRetry(&d.inputs));
     return d.allowed && r->try_count < TRIES_MAX;
 }
 
@@ -303,6 +339,8 @@
     if (t == NULL || t->state == TRY_OVER) {
         return;
     }
+    record(r, m->taken ? "taken" : "refused_by_agent", m->reason,
+           try_inputs(t));
     if (m->taken) {
         t->state = TRY_TAKEN;
         set_timer(r);
@@ -373,6 +411,18 @@
     after_unknown(r, m->reason);
 }
 
+/* Word of an agent's verdict on a withdraw. */
+static const char *
+withdraw_name(uint64_t verdict)
+{
+    static const char *const names[] = {[WITHDRAW_NOT_STARTED] = "not_started",
+                                        [WITHDRAW_STARTED] = "started",
+                                        [WITHDRAW_STRANGER] =
+                                            "incarnation_gone"};
+
+    return verdict < COUNT_OF(names) ? names[verdict] : "unnamed";
+}
+
 /* The agent says whether a withdrawn attempt had started. */
 void
 Request_Withdrawn(struct request *r, const struct wire_withdrawn *m)
@@ -382,6 +432,7 @@
     if (t == NULL || t->state == TRY_OVER) {
         return;
     }
+    record(r, "withdrawn", withdraw_name(m->verdict), try_inputs(t));
     if (m->verdict == WITHDRAW_STARTED) {
         t->state = TRY_TAKEN;
         set_timer(r);
--- /dev/null
+++ b/packages/entry/entry-why-book.c
@@ -0,0 +1,153 @@
+#include "entry-why.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int
+compare(const struct why_subject *a, const struct why_subject *b)
+{
+    return Id_Compare(&a->id, &b->id);
+}
+
+TREE_STATIC(why_tree, why_subject, node, compare);
+
+/* Starts with nothing recorded. */
+void
+WhyBook_Init(struct why_book *b, size_t bytes_max)
+{
+    memset(b, 0, sizeof(*b));
+    RB_INIT(&b->tree);
+    TAILQ_INIT(&b->ages);
+    b->bytes_max = bytes_max;
+}
+
+/* Finds a subject. */
+struct why_subject *
+WhyBook_Find(struct why_book *b, const struct id *id)
+{
+    struct why_subject key = {.id = *id};
+
+    return RB_FIND(why_tree, &b->tree, &key);
+}
+
+/* Takes a record of a subject out. */
+static void
+drop_record(struct why_book *b, struct why_subject *s, struct why_record *r)
+{
+    TAILQ_REMOVE(&s->records, r, entry);
+    b->bytes -= r->bytes;
+    s->count--;
+    free(r->decision);
+    free(r->reason);
+    free(r->inputs);
+    free(r);
+}
+
+/* Takes a subject out with its records. */
+static void
+drop_subject(struct why_book *b, struct why_subject *s)
+{
+    struct why_record *r, *next;
+
+    TAILQ_FOREACH_SAFE (r, &s->records, entry, next) {
+        drop_record(b, s, r);
+    }
+    RB_REMOVE(why_tree, &b->tree, s);
+    TAILQ_REMOVE(&b->ages, s, age);
+    b->bytes -= sizeof(*s);
+    free(s);
+}
+
+/* Forgets everything. */
+void
+WhyBook_Free(struct why_book *b)
+{
+    struct why_subject *s, *next;
+
+    TAILQ_FOREACH_SAFE (s, &b->ages, age, next) {
+        drop_subject(b, s);
+    }
+}
+
+/* Lets the oldest subjects go until the rest fits; the newest one stays. */
+static void
+make_room(struct why_book *b)
+{
+    struct why_subject *s, *next;
+
+    TAILQ_FOREACH_SAFE (s, &b->ages, age, next) {
+        if (b->bytes <= b->bytes_max || next == NULL) {
+            return;
+        }
+        drop_subject(b, s);
+        b->subjects_dropped++;
+    }
+}
+
+/* Finds or adds a subject. */
+struct why_subject *
+WhyBook_Open(struct why_book *b, const struct id *id, const char *organisation)
+{
+    struct why_subject *s = WhyBook_Find(b, id);
+
+    if (s != NULL) {
+        return s;
+    }
+    s = Mem_Zero(1, sizeof(*s));
+    s->id = *id;
+    Str_Copy(s->organisation, sizeof(s->organisation), organisation);
+    TAILQ_INIT(&s->records);
+    RB_INSERT(why_tree, &b->tree, s);
+    TAILQ_INSERT_TAIL(&b->ages, s, age);
+    b->bytes += sizeof(*s);
+    make_room(b);
+    return s;
+}
+
+/* Adds a record and moves its subject to the newest ones. */
+void
+WhyBook_Add(struct why_book *b, const struct id *id, int64_t at_ms,
+            const char *decision, const char *reason, const json_t *inputs)
+{
+    struct why_subject *s = WhyBook_Open(b, id, "");
+    struct why_record *r = Mem_Zero(1, sizeof(*r));
+
+    r->at_ms = at_ms;
+    r->decision = Mem_Dup(decision);
+    r->reason = Mem_Dup(reason);
+    r->inputs = inputs != NULL ? json_dumps(inputs, JSON_COMPACT) : NULL;
+    if (r->inputs == NULL) {
+        r->inputs = Mem_Dup("{}");
+    }
+    r->bytes =
+        sizeof(*r) + strlen(decision) + strlen(reason) + strlen(r->inputs);
+    TAILQ_INSERT_TAIL(&s->records, r, entry);
+    s->count++;
+    b->bytes += r->bytes;
+    if (s->count > WHY_RECORDS_MAX) {
+        drop_record(b, s, TAILQ_FIRST(&s->records));
+        s->dropped++;
+    }
+    TAILQ_REMOVE(&b->ages, s, age);
+    TAILQ_INSERT_TAIL(&b->ages, s, age);
+    make_room(b);
+}
+
+/* A subject as operators and its organisation see it. */
+json_t *
+WhyBook_Json(const struct why_subject *s)
+{
+    json_t *list = json_array();
+    const struct why_record *r;
+    char hex[ID_HEX_SIZE];
+
+    TAILQ_FOREACH (r, &s->records, entry) {
+        json_array_append_new(list, json_pack("{s:I, s:s, s:s, s:o}", "at_ms",
+                                              (json_int_t)r->at_ms, "decision",
+                                              r->decision, "reason", r->reason,
+                                              "inputs",
+                                              json_loads(r->inputs, 0, NULL)));
+    }
+    return json_pack("{s:s, s:I, s:o}", "id", Id_Hex(&s->id, hex), "dropped",
+                     (json_int_t)s->dropped, "records", list);
+}
--- /dev/null
+++ b/packages/entry/entry-why.c
@@ -0,0 +1,387 @@
+#include "entry-why.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* others -> why: a subject and whose it is. */
+struct open_note {
+    struct message base;
+    struct id id;
+    char organisation[NAME_SIZE];
+};
+
+/* others -> why: a decision, as of the moment when it fell. */
+struct record_note {
+    struct message base;
+    struct id id;
+    int64_t at_ms;
+    char *decision;
+    char *reason;
+    json_t *inputs;
+};
+
+static void free_record(struct message *m);
+
+static const struct message_kind open_kind = {"why_open", NULL};
+static const struct message_kind record_kind = {"why_record", free_record};
+
+struct why;
+
+struct question;
+
+/* One entry that is asked. */
+struct asked {
+    struct question *question;
+    char name[NAME_SIZE];
+};
+
+/* A question that other entries are asked. */
+struct question {
+    struct why *why;
+    struct http_exchange *ex; /* NULL: answered */
+    struct id id;
+    json_t *answers; /* {"entry", "answer"} of those that have answered */
+    int open;
+    TAILQ_ENTRY(question) entry;
+    struct asked asked[]; /* one for each entry of the list */
+};
+
+struct why {
+    struct task task;
+    const struct entry_settings *settings;
+    struct in_force *in_force;
+    struct why_book book;
+    struct http_client *client;
+    struct peer_entry *peers;
+    size_t peer_count;
+    TAILQ_HEAD(, question) questions;
+};
+
+static struct counter dropped_total = {
+    "parsleyfall_why_dropped_total",
+    "Requests and jobs whose record gave way to newer ones.", NULL,
+    COUNTER_TOTAL};
+
+/* Frees a decision that has not been recorded. */
+static void
+free_record(struct message *m)
+{
+    struct record_note *n = (struct record_note *)m;
+
+    free(n->decision);
+    free(n->reason);
+    json_decref(n->inputs);
+    free(n);
+}
+
+/* Says whose a subject is. */
+void
+Why_Open(struct kernel *k, const struct id *id, const char *organisation)
+{
+    struct task *t = Kernel_FindTask(k, "why");
+    struct open_note *n;
+
+    if (t == NULL) {
+        return;
+    }
+    n = Mem_Zero(1, sizeof(*n));
+    n->id = *id;
+    Str_Copy(n->organisation, sizeof(n->organisation), organisation);
+    Kernel_Post(t, &n->base, &open_kind);
+}
+
+/* Records a decision. */
+void
+Why_Record(struct kernel *k, const struct id *subject, const char *decision,
+           const char *reason, json_t *inputs)
+{
+    struct task *t = Kernel_FindTask(k, "why");
+    struct record_note *n;
+
+    if (t == NULL) {
+        json_decref(inputs);
+        return;
+    }
+    n = Mem_Zero(1, sizeof(*n));
+    n->id = *subject;
+    n->at_ms = Clock_WallMs();
+    n->decision = Mem_Dup(decision);
+    n->reason = Mem_Dup(reason);
+    n->inputs = inputs;
+    Kernel_Post(t, &n->base, &record_kind);
+}
+
+/* True when the holder of a token may see a subject of an organisation. */
+static bool
+may_see(const struct why *w, const char *token, const char *organisation)
+{
+    const struct config *doc = &w->in_force->doc;
+    const struct config_organisation *org;
+
+    if (Config_OperatorOfToken(doc, token) != NULL) {
+        return true;
+    }
+    org = Config_OrganisationOfToken(doc, token);
+    return org != NULL && strcmp(org->name, organisation) == 0;
+}
+
+/* Says that nobody knows the subject, and who was asked. */
+static void
+reply_unknown(const struct why *w, struct http_exchange *ex,
+              const struct id *id, json_t *asked)
+{
+    char hex[ID_HEX_SIZE];
+
+    Front_ReplyJson(
+        ex, 404,
+        json_pack("{s:s, s:s, s:s, s:o, s:I}", "id", Id_Hex(id, hex), "reason",
+                  "not_known", "detail",
+                  "no entry that answered has a record of it, or it is "
+                  "another organisation's",
+                  "asked", asked, "dropped_here",
+                  (json_int_t)w->book.subjects_dropped));
+}
+
+/* Frees a question that all have answered. */
+static void
+end_question(struct question *q)
+{
+    if (q->ex != NULL) {
+        reply_unknown(q->why, q->ex, &q->id, json_incref(q->answers));
+    }
+    TAILQ_REMOVE(&q->why->questions, q, entry);
+    json_decref(q->answers);
+    free(q);
+}
+
+/* An entry has answered, or hasn't in time. The first that knows is heard. */
+static void
+on_answer(void *arg, struct http_result *r)
+{
+    struct asked *a = arg;
+    struct question *q = a->question;
+
+    if (r->err == ERR_OK && r->status == 200 && q->ex != NULL) {
+        Http_Reply(q->ex, 200, "application/json", r->body.data, r->body.len);
+        q->ex = NULL;
+    }
+    json_array_append_new(
+        q->answers,
+        json_pack("{s:s, s:s}", "entry", a->name, "answer",
+                  r->err == ERR_OK ? "not_known" : Err_Name(r->err)));
+    if (--q->open == 0) {
+        end_question(q);
+    }
+}
+
+/* Asks one entry, with the caller's own token. */
+static void
+ask_one(struct question *q, const struct peer_entry *p, const char *token)
+{
+    struct asked *a = &q->asked[q->open++];
+    struct buf url CLEANUP(Buf_Free) = {0};
+    struct buf bearer CLEANUP(Buf_Free) = {0};
+    struct http_header header = {"Authorization", NULL};
+    struct http_request request = {.method = "GET",
+                                   .headers = &header,
+                                   .header_count = 1,
+                                   .connect_ms = WHY_ASK_MS / 2,
+                                   .timeout_ms = WHY_ASK_MS};
+    char hex[ID_HEX_SIZE];
+
+    a->question = q;
+    Str_Copy(a->name, sizeof(a->name), p->name);
+    Buf_Printf(&url, "http://%s/v1/why/%s?local=1", p->http,
+               Id_Hex(&q->id, hex));
+    Buf_Printf(&bearer, "Bearer %s", token);
+    header.value = bearer.data;
+    request.url = url.data;
+    Http_Call(q->why->client, &request, on_answer, a);
+}
+
+/* Asks the other entries. */
+static void
+ask_others(struct why *w, struct http_exchange *ex, const struct id *id,
+           const char *token)
+{
+    struct question *q =
+        Mem_Zero(1, sizeof(*q) + w->peer_count * sizeof(q->asked[0]));
+    size_t i;
+
+    q->why = w;
+    q->ex = ex;
+    q->id = *id;
+    q->answers = json_array();
+    TAILQ_INSERT_TAIL(&w->questions, q, entry);
+    for (i = 0; i < w->peer_count; i++) {
+        if (strcmp(w->peers[i].name, w->settings->name) != 0) {
+            ask_one(q, &w->peers[i], token);
+        }
+    }
+    if (q->open == 0) {
+        end_question(q);
+    }
+}
+
+/* GET /v1/why/{id}; ?local=1 asks no other entry. */
+static void
+get_why(struct task *t, struct http_exchange *ex, const char *segment)
+{
+    struct why *w = (struct why *)t;
+    const char *token = Requests_Token(ex);
+    const struct why_subject *s;
+    struct id id;
+
+    if (w->in_force == NULL) {
+        Front_Refuse(ex, 503, "not_run", "no_configuration", "", 1000, NULL);
+        return;
+    }
+    if (token == NULL ||
+        (Config_OperatorOfToken(&w->in_force->doc, token) == NULL &&
+         Config_OrganisationOfToken(&w->in_force->doc, token) == NULL)) {
+        Front_Refuse(ex, 401, "not_run", "no_token",
+                     "Authorization: Bearer TOKEN of an organisation or an "
+                     "operator",
+                     -1, NULL);
+        return;
+    }
+    if (Id_Parse(segment, &id) != ERR_OK) {
+        Front_Refuse(ex, 400, "not_run", "bad_id", "32 hex digits", -1, NULL);
+        return;
+    }
+    s = WhyBook_Find(&w->book, &id);
+    if (s != NULL && may_see(w, token, s->organisation)) {
+        Front_ReplyJson(ex, 200, WhyBook_Json(s));
+        return;
+    }
+    if (s != NULL || Http_Query(ex, "local") != NULL) {
+        reply_unknown(w, ex, &id, json_array());
+        return;
+    }
+    ask_others(w, ex, &id, token);
+}
+
+static struct front_route why_route = {
+    "GET", "/v1/why/*", "why", get_why, {0}};
+FRONT_ROUTE(why_route)
+
+/* Takes a subject. */
+static void
+take_open(struct why *w, struct message *m)
+{
+    const struct open_note *n = (const struct open_note *)m;
+
+    WhyBook_Open(&w->book, &n->id, n->organisation);
+}
+
+/* Takes a decision. */
+static void
+take_record(struct why *w, struct message *m)
+{
+    const struct record_note *n = (const struct record_note *)m;
+    int64_t before = w->book.subjects_dropped;
+
+    WhyBook_Add(&w->book, &n->id, n->at_ms, n->decision, n->reason, n->inputs);
+    Counter_Add(&dropped_total, w->book.subjects_dropped - before);
+}
+
+/* Takes the configuration, for its tokens. */
+static void
+take_config(struct why *w, struct message *m)
+{
+    InForce_Unref(w->in_force);
+    w->in_force = InForce_Ref(((struct config_note *)m)->in_force);
+}
+
+/* Takes the list of entries. */
+static void
+take_peers(struct why *w, struct message *m)
+{
+    const struct peers_note *n = (const struct peers_note *)m;
+
+    free(w->peers);
+    w->peers = Mem_Zero(n->count + 1, sizeof(*w->peers));
+    if (n->count > 0) {
+        memcpy(w->peers, n->entries, n->count * sizeof(*w->peers));
+    }
+    w->peer_count = n->count;
+}
+
+static const struct {
+    const struct message_kind *kind;
+    void (*take)(struct why *, struct message *);
+} takers[] = {{&open_kind, take_open},
+              {&record_kind, take_record},
+              {&Entry_Config, take_config},
+              {&Entry_Peers, take_peers}};
+
+/* Takes a message by its kind. */
+static void
+why_receive(struct task *t, struct message *m)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(takers); i++) {
+        if (takers[i].kind == m->kind) {
+            takers[i].take((struct why *)t, m);
+            return;
+        }
+    }
+    if (!Front_Handle(t, m)) {
+        Fatal("why got a message of kind %s", m->kind->name);
+    }
+}
+
+/* Size and losses of the record, for operators. */
+static json_t *
+why_state(const struct task *t)
+{
+    const struct why *w = (const struct why *)t;
+
+    return json_pack("{s:I, s:I, s:I}", "bytes", (json_int_t)w->book.bytes,
+                     "dropped", (json_int_t)w->book.subjects_dropped,
+                     "entries", (json_int_t)w->peer_count);
+}
+
+/* Frees the record, and questions that are open. */
+static void
+why_free(struct task *t)
+{
+    struct why *w = (struct why *)t;
+    struct question *q, *next;
+
+    Http_ClientFree(w->client);
+    TAILQ_FOREACH_SAFE (q, &w->questions, entry, next) {
+        json_decref(q->answers);
+        free(q);
+    }
+    WhyBook_Free(&w->book);
+    InForce_Unref(w->in_force);
+    free(w->peers);
+    free(w);
+}
+
+static const struct task_ops why_ops = {
+    .name = "why",
+    .receive = why_receive,
+    .state = why_state,
+    .free = why_free,
+};
+
+/* Starts with nothing recorded. */
+static int
+start(struct kernel *k)
+{
+    struct why *w = Mem_Zero(1, sizeof(*w));
+
+    w->settings = k->settings;
+    w->client = Http_ClientNew(k->loop, 8);
+    WhyBook_Init(&w->book, WHY_BYTES_MAX);
+    TAILQ_INIT(&w->questions);
+    Kernel_AddTask(k, &w->task, &why_ops);
+    Configs_Subscribe(k, "why");
+    return ERR_OK;
+}
+
+static struct plugin why_plugin = {.name = "why", .rank = 35, .start = start};
+KERNEL_PLUGIN(why_plugin)
--- /dev/null
+++ b/packages/entry/entry-why.h
@@ -0,0 +1,60 @@
+/* why: the bounded record, private to its files. */
+#ifndef ENTRY_WHY_H
+#define ENTRY_WHY_H
+
+#include "entry.h"
+
+/* Records of one subject, and bytes of all: a record takes 200 to 900 bytes
+ * of JSON, so that some 10,000 requests are remembered. */
+#define WHY_RECORDS_MAX 32
+#define WHY_BYTES_MAX ((size_t)32 << 20)
+#define WHY_ASK_MS 2000 /* other entries answer within this, or not at all */
+
+struct why_record {
+    int64_t at_ms; /* of the day, for people */
+    char *decision;
+    char *reason;
+    char *inputs; /* JSON */
+    size_t bytes;
+    TAILQ_ENTRY(why_record) entry;
+};
+
+TAILQ_HEAD(why_records, why_record);
+
+struct why_subject {
+    struct id id;
+    char organisation[NAME_SIZE]; /* "": nobody but operators */
+    struct why_records records;
+    int count;
+    int64_t dropped;
+    RB_ENTRY(why_subject) node;
+    TAILQ_ENTRY(why_subject) age; /* the oldest first */
+};
+
+RB_HEAD(why_tree, why_subject);
+TAILQ_HEAD(why_ages, why_subject);
+
+struct why_book {
+    struct why_tree tree;
+    struct why_ages ages;
+    size_t bytes;
+    size_t bytes_max;
+    int64_t subjects_dropped;
+};
+
+/* entry-why-book.c: pure. */
+void WhyBook_Init(struct why_book *b, size_t bytes_max);
+void WhyBook_Free(struct why_book *b);
+struct why_subject *WhyBook_Find(struct why_book *b, const struct id *id);
+/* Finds or adds a subject; its organisation is that of its first record. */
+struct why_subject *WhyBook_Open(struct why_book *b, const struct id *id,
+                                 const char *organisation);
+/* Adds a record; the oldest of the subject, and the oldest subjects, give
+ * way. */
+void WhyBook_Add(struct why_book *b, const struct id *id, int64_t at_ms,
+                 const char *decision, const char *reason,
+                 const json_t *inputs);
+/* {"id", "dropped", "records"}; the caller owns it. */
+json_t *WhyBook_Json(const struct why_subject *s);
+
+#endif
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -184,6 +184,27 @@
 
 extern const struct message_kind Entry_Peers;
 
+/* ---- why --------------------------------------------------------------- */
+
+/* Says whose a request or a job is: its record is seen by that organisation
+ * and by operators. Before the first Why_Record; an unopened one is seen by
+ * operators alone. */
+void Why_Open(struct kernel *k, const struct id *id, const char *organisation);
+/* Records a decision at the moment when it falls, with all the inputs that
+ * decided it; takes inputs (NULL: none). The record is bounded: the oldest
+ * give way and are counted. GET /v1/why/{id} tells it, from any entry. */
+void Why_Record(struct kernel *k, const struct id *subject,
+                const char *decision, const char *reason, json_t *inputs);
+/* Inputs of the decisions of policy as JSON, and back, so that a recorded
+ * decision can be judged again. ERR_OK, or ERR_INVALID when a field is
+ * missing or of another type. */
+json_t *Why_FromAdmission(const struct admission_inputs *in);
+int Why_ToAdmission(const json_t *o, struct admission_inputs *out);
+json_t *Why_FromRoute(const struct route_inputs *in);
+int Why_ToRoute(const json_t *o, struct route_inputs *out);
+json_t *Why_FromRetry(const struct retry_inputs *in);
+int Why_ToRetry(const json_t *o, struct retry_inputs *out);
+
 /* ---- front ------------------------------------------------------------- */
 
 /* A path that the front serves. A "*" stands for one segment of the path.
--- /dev/null
+++ b/tests/why-test.cc
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+extern "C" {
+#include "../packages/entry/entry-why.h"
+}
+
+#include <string>
+
+namespace {
+
+struct id
+numbered(int n)
+{
+    struct id id = {};
+
+    id.b[0] = static_cast<uint8_t>(n >> 8);
+    id.b[1] = static_cast<uint8_t>(n);
+    return id;
+}
+
+/* Through text and back, as a reader of /v1/why gets it. */
+json_t *
+through_text(json_t *o)
+{
+    char *text = json_dumps(o, 0);
+    json_t *back = json_loads(text, 0, nullptr);
+
+    free(text);
+    json_decref(o);
+    return back;
+}
+
+int64_t
+ms()
+{
+    return *rc::gen::inRange<int64_t>(0, 100000);
+}
+
+int
+few()
+{
+    return *rc::gen::inRange(0, 20);
+}
+
+} // namespace
+
+// A recorded decision judged again gives the same decision: no input that
+// matters is left out of the record or cut on its way through JSON.
+RC_GTEST_PROP(Why, AdmissionInputsAreWhole, ())
+{
+    struct admission_inputs in = {};
+    struct admission_inputs out = {};
+
+    in.now = ms();
+    in.deadline_at = ms();
+    in.cost_ms = ms();
+    in.cost_high_ms = ms();
+    in.ahead_ms = ms();
+    in.org_ahead_ms = ms();
+    in.caller_ahead_ms = ms();
+    in.running_ms = ms();
+    in.drain_milli = ms() + 1;
+    in.org_share_milli = *rc::gen::inRange<int64_t>(1, 1001);
+    in.caller_share_milli = *rc::gen::inRange<int64_t>(1, 1001);
+    in.stretch_milli = ms() + 1;
+    in.comeback_ms = ms();
+    in.retry_min_ms = 50;
+    in.retry_max_ms = 50 + ms();
+    in.rnd = *rc::gen::arbitrary<uint64_t>();
+    in.running = few();
+    in.capacity = few();
+    in.queued = few();
+    in.queue_max = few();
+    in.org_queued = few();
+    in.caller_queued = few();
+    in.duplicate = few() == 0;
+    in.expired = few() == 0;
+    json_t *o = through_text(Why_FromAdmission(&in));
+    RC_ASSERT(Why_ToAdmission(o, &out) == ERR_OK);
+    json_decref(o);
+    struct admission_decision a = Admission_Judge(&in);
+    struct admission_decision b = Admission_Judge(&out);
+    RC_ASSERT(a.verdict == b.verdict);
+    RC_ASSERT(a.reason == b.reason);
+    RC_ASSERT(a.wait_ms == b.wait_ms);
+    RC_ASSERT(a.retry_after_ms == b.retry_after_ms);
+}
+
+RC_GTEST_PROP(Why, RouteInputsAreWhole, ())
+{
+    struct route_inputs in = {};
+    struct route_inputs out = {};
+
+    in.expected_ms = ms();
+    in.hop_us = ms();
+    for (int i = 0; i < ROUTE_CANDIDATES; i++) {
+        in.at[i].handle = few() < 4 ? ROUTE_NONE : i + few();
+        in.at[i].remote = few() < 10;
+        in.at[i].slots = 1 + few();
+        in.at[i].load_milli = ms();
+        in.at[i].slowness_milli = ms();
+    }
+    json_t *o = through_text(Why_FromRoute(&in));
+    RC_ASSERT(Why_ToRoute(o, &out) == ERR_OK);
+    json_decref(o);
+    struct route_decision a = Route_Judge(&in);
+    struct route_decision b = Route_Judge(&out);
+    RC_ASSERT(a.handle == b.handle);
+    RC_ASSERT(a.reason == b.reason);
+    RC_ASSERT(a.expected_us == b.expected_us);
+}
+
+RC_GTEST_PROP(Why, RetryInputsAreWhole, ())
+{
+    struct retry_inputs in = {};
+    struct retry_inputs out = {};
+
+    in.facts.cause = static_cast<enum retry_cause>(few() % 3);
+    in.facts.repeatable = few() < 10;
+    in.facts.started = few() < 10;
+    in.facts.attempts = few() % 5;
+    in.facts.sent_at = ms();
+    in.facts.deadline_at = 2 * ms();
+    in.facts.expected_ms = ms() / 100;
+    in.now = ms();
+    in.tokens_milli = ms() / 20;
+    in.p95_ms = ms() - 1;
+    in.attempts_max = 3;
+    in.hedge = few() < 15;
+    json_t *o = through_text(Why_FromRetry(&in));
+    RC_ASSERT(Why_ToRetry(o, &out) == ERR_OK);
+    json_decref(o);
+    struct retry_decision a = Retry_Judge(&in);
+    struct retry_decision b = Retry_Judge(&out);
+    RC_ASSERT(a.allowed == b.allowed);
+    RC_ASSERT(a.reason == b.reason);
+    RC_ASSERT(a.token == b.token);
+}
+
+// Records of one subject beyond the bound drop its oldest, and it says so.
+TEST(Why, RecordsOfASubjectAreBounded)
+{
+    struct why_book b;
+    struct id id = numbered(1);
+
+    WhyBook_Init(&b, 1 << 20);
+    WhyBook_Open(&b, &id, "ours");
+    for (int i = 0; i < WHY_RECORDS_MAX + 5; i++) {
+        WhyBook_Add(&b, &id, i, "decision", "reason", nullptr);
+    }
+    json_t *o = WhyBook_Json(WhyBook_Find(&b, &id));
+    json_t *list = json_object_get(o, "records");
+    EXPECT_EQ(json_integer_value(json_object_get(o, "dropped")), 5);
+    EXPECT_EQ(json_array_size(list), WHY_RECORDS_MAX);
+    EXPECT_EQ(
+        json_integer_value(json_object_get(json_array_get(list, 0), "at_ms")),
+        5);
+    json_decref(o);
+    WhyBook_Free(&b);
+    EXPECT_EQ(b.bytes, 0U);
+}
+
+// Subjects beyond the bytes drop the one that was silent for longest, which
+// is counted; what was written last is still there.
+TEST(Why, BytesOfAllAreBounded)
+{
+    struct why_book b;
+
+    WhyBook_Init(&b, 20000);
+    for (int i = 0; i < 1000; i++) {
+        struct id id = numbered(i);
+
+        WhyBook_Add(&b, &id, i, "decision", "reason", nullptr);
+        ASSERT_LE(b.bytes, 20000U);
+    }
+    struct id first = numbered(0);
+    struct id last = numbered(999);
+    EXPECT_EQ(WhyBook_Find(&b, &first), nullptr);
+    EXPECT_NE(WhyBook_Find(&b, &last), nullptr);
+    EXPECT_GT(b.subjects_dropped, 900);
+    WhyBook_Free(&b);
+}
