--- a/packages/agent/agent-attempts.c
+++ b/packages/agent/agent-attempts.c
@@ -72,7 +72,6 @@
     at->number = number;
     at->state = state;
     at->not_after = not_after;
-    at->forget_at = not_after;
     RB_INSERT(attempt_tree, &a->tree, at);
     a->count++;
     return at;
@@ -85,7 +84,8 @@
     static const enum take_verdict verdicts[] = {
         [ATTEMPT_FENCED] = TAKE_FENCED,
         [ATTEMPT_RUNNING] = TAKE_AGAIN,
-        [ATTEMPT_DONE] = TAKE_ANSWERED};
+        [ATTEMPT_DONE] = TAKE_ANSWERED,
+        [ATTEMPT_SETTLED] = TAKE_SETTLED};
 
     return verdicts[at->state];
 }
@@ -122,8 +122,10 @@
 }
 
 /* Withdrawing from another incarnation can't be answered: what that one
- * started is not known here. The fence of an unknown attempt stays until
- * not_after, after which no copy of the dispatch is taken anyway. */
+ * started is not known here. Nor can an unknown attempt after its not_after:
+ * it may have run and its record be dropped, and who was told "not started"
+ * would run it again. Before that, no record is dropped, so that unknown is
+ * not started; the fence keeps it so for as long as a copy could be taken. */
 enum withdraw_verdict
 Attempts_Withdraw(struct attempts *a, const struct wire_withdraw *m,
                   uint64_t incarnation, int64_t now, struct attempt **out)
@@ -134,10 +136,11 @@
     if (m->incarnation != incarnation) {
         return WITHDRAW_STRANGER;
     }
+    if (at == NULL && now >= m->not_after) {
+        return WITHDRAW_STRANGER;
+    }
     if (at == NULL) {
-        if (now < m->not_after) {
-            add(a, &m->request, m->attempt, ATTEMPT_FENCED, m->not_after);
-        }
+        add(a, &m->request, m->attempt, ATTEMPT_FENCED, m->not_after);
         return WITHDRAW_NOT_STARTED;
     }
     if (at->state == ATTEMPT_FENCED) {
@@ -152,10 +155,21 @@
 Attempts_Fence(struct attempt *at)
 {
     at->state = ATTEMPT_FENCED;
-    at->forget_at = at->not_after;
 }
 
-/* Drops what can't matter any more. */
+/* Drops the answer and keeps the fact. */
+void
+Attempts_Settle(struct attempt *at)
+{
+    at->state = ATTEMPT_SETTLED;
+    if (at->answer != NULL) {
+        Wire_Free(&at->answer->msg);
+        at->answer = NULL;
+    }
+}
+
+/* Drops what can't matter any more: no copy of these can be taken, and a
+ * withdraw of them is answered as one of an unknown attempt. */
 size_t
 Attempts_Sweep(struct attempts *a, int64_t now)
 {
@@ -163,7 +177,10 @@
     size_t dropped = 0;
 
     RB_FOREACH_SAFE (at, attempt_tree, &a->tree, next) {
-        if (at->state != ATTEMPT_RUNNING && now >= at->forget_at) {
+        bool over =
+            at->state == ATTEMPT_FENCED || at->state == ATTEMPT_SETTLED;
+
+        if (over && now >= at->not_after) {
             Attempts_Remove(a, at);
             dropped++;
         }
@@ -175,13 +192,12 @@
 const char *
 Attempts_VerdictName(enum take_verdict verdict)
 {
-    static const char *const names[] = {"taken",
-                                        "taken",
-                                        "answered",
-                                        "withdrawn",
-                                        "stale_incarnation",
-                                        "expired",
-                                        "attempts_full"};
+    static const char *const names[] = {
+        [TAKE_NEW] = "taken",         [TAKE_AGAIN] = "taken",
+        [TAKE_ANSWERED] = "answered", [TAKE_SETTLED] = "settled",
+        [TAKE_FENCED] = "withdrawn",  [TAKE_STALE] = "stale_incarnation",
+        [TAKE_EXPIRED] = "expired",   [TAKE_FULL] = "attempts_full",
+    };
 
     return names[verdict];
 }
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -54,18 +54,6 @@
 static struct counter beats_total = {"parsleyfall_agent_beats_total",
                                      "Heartbeats sent.", NULL, COUNTER_TOTAL};
 
-/* Copies a list of plain items. */
-static void
-copy_list(struct wire_list *dst, const struct wire_list *src, size_t size)
-{
-    free(dst->items);
-    dst->count = src->count;
-    dst->items = Mem_Alloc(src->count * size);
-    if (src->count > 0) {
-        memcpy(dst->items, src->items, src->count * size);
-    }
-}
-
 /* Sends to one entry; a link that can't take it is seen by its silence. */
 static void
 say(struct entry_link *e, const struct wire_msg *m)
@@ -94,8 +82,8 @@
     hello->accelerators = (uint64_t)s->accelerators;
     hello->agent_clock = Clock_NowMs();
     hello->leaving = l->leaving;
-    copy_list(&hello->services, &l->services, sizeof(struct wire_service));
-    copy_list(&hello->parts, &l->parts, sizeof(struct wire_part));
+    Wire_ListCopy(&hello->services, &l->services, sizeof(struct wire_service));
+    Wire_ListCopy(&hello->parts, &l->parts, sizeof(struct wire_part));
     say(e, &hello->msg);
     Wire_Free(&hello->msg);
 }
@@ -117,7 +105,7 @@
 
         *busy = s[i].busy;
     }
-    copy_list(&beat.own, &e->own, sizeof(uint64_t));
+    Wire_ListCopy(&beat.own, &e->own, sizeof(uint64_t));
     say(e, &beat.msg);
     Wire_Clear(&beat.msg);
     Counter_Add(&beats_total, 1);
@@ -403,7 +391,7 @@
     bool differ = services_differ(&l->services, &note->services);
     struct entry_link *e;
 
-    copy_list(&l->services, &note->services, sizeof(struct wire_service));
+    Wire_ListCopy(&l->services, &note->services, sizeof(struct wire_service));
     if (!differ) {
         return;
     }
@@ -421,7 +409,7 @@
 
     if (e != NULL) {
         e->busy = note->count;
-        copy_list(&e->own, &note->own, sizeof(uint64_t));
+        Wire_ListCopy(&e->own, &note->own, sizeof(uint64_t));
     }
 }
 
@@ -432,7 +420,7 @@
     struct links *l = (struct links *)t;
     struct parts_note *note = (struct parts_note *)m;
 
-    copy_list(&l->parts, &note->parts, sizeof(struct wire_part));
+    Wire_ListCopy(&l->parts, &note->parts, sizeof(struct wire_part));
 }
 
 static const struct {
--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -17,6 +17,7 @@
     int64_t connections;
     int64_t timeout_ms;
     int64_t busy;
+    size_t index; /* in the order of the list */
     bool leaving;
     struct http_client *client;
     TAILQ_ENTRY(upstream) entry;
@@ -25,7 +26,8 @@
 /* How much an entry has in progress here. */
 struct origin {
     char address[NAME_SIZE];
-    int count; /* running, or answered and not settled */
+    int count;                /* running, or answered and not settled */
+    struct wire_list running; /* uint64: by upstream, in their order */
     TAILQ_ENTRY(origin) entry;
 };
 
@@ -35,6 +37,7 @@
     struct attempts attempts;
     TAILQ_HEAD(, upstream) upstreams;
     TAILQ_HEAD(, origin) origins;
+    size_t upstream_count;
     size_t open; /* running, or answered and not settled */
     bool leaving;
     ev_timer sweep;
@@ -95,35 +98,15 @@
                 &Agent_Services);
 }
 
-/* Requests of an entry that run at an upstream now. */
-static uint64_t
-running_for(struct work *w, const char *address, const char *service)
-{
-    struct attempt *at;
-    uint64_t n = 0;
-
-    RB_FOREACH (at, attempt_tree, &w->attempts.tree) {
-        n += at->state == ATTEMPT_RUNNING &&
-             strcmp(at->origin, address) == 0 &&
-             strcmp(at->service, service) == 0;
-    }
-    return n;
-}
-
 /* Tells the links task what an entry has in progress here. */
 static void
 tell_busy(struct work *w, const struct origin *o)
 {
     struct busy_note *note = Mem_Zero(1, sizeof(*note));
-    struct upstream *u;
 
     Str_Copy(note->origin, sizeof(note->origin), o->address);
     note->count = o->count;
-    TAILQ_FOREACH (u, &w->upstreams, entry) {
-        uint64_t *n = Wire_ListAdd(&note->own, sizeof(*n));
-
-        *n = running_for(w, o->address, u->service);
-    }
+    Wire_ListCopy(&note->own, &o->running, sizeof(uint64_t));
     Kernel_Post(Kernel_FindTask(w->task.kernel, "links"), &note->base,
                 &Agent_Busy);
 }
@@ -145,17 +128,33 @@
     return o;
 }
 
-/* Counts work in progress for an entry and tells the links task. */
+/* Frees the account of an entry. */
+static void
+drop_origin(struct work *w, struct origin *o)
+{
+    TAILQ_REMOVE(&w->origins, o, entry);
+    free(o->running.items);
+    free(o);
+}
+
+/* Counts work in progress for an entry, and of it what runs at an upstream,
+ * and tells the links task. */
 static void
-count_origin(struct work *w, const char *address, int change)
+count_origin(struct work *w, const struct attempt *at, int open, int running)
 {
-    struct origin *o = find_origin(w, address);
+    struct origin *o = find_origin(w, at->origin);
+    const struct upstream *u = find_upstream(w, at->service);
+    uint64_t *n;
 
-    o->count += change;
+    while (o->running.count <= u->index) {
+        Wire_ListAdd(&o->running, sizeof(uint64_t));
+    }
+    n = (uint64_t *)o->running.items + u->index;
+    *n += (uint64_t)(int64_t)running;
+    o->count += open;
     tell_busy(w, o);
     if (o->count == 0) {
-        TAILQ_REMOVE(&w->origins, o, entry);
-        free(o);
+        drop_origin(w, o);
     }
 }
 
@@ -244,7 +243,7 @@
           KV_INT("status", r->status), KV_INT("ms", now - at->started_at));
     say_answer(w, at);
     tell_services(w);
-    count_origin(w, at->origin, 0);
+    count_origin(w, at, 0, -1);
     at->context = NULL;
     free(c);
 }
@@ -315,9 +314,9 @@
         return;
     }
     Str_Copy(at->origin, sizeof(at->origin), origin);
-    at->forget_at = at->started_at + m->timeout_ms + KEEP_ANSWER_MS;
+    at->claim_by = at->started_at + m->timeout_ms + KEEP_ANSWER_MS;
     w->open++;
-    count_origin(w, origin, 1);
+    count_origin(w, at, 1, 1);
     Counter_Add(&taken_total, 1);
     LOG_I("taken", KV("request", Id_Hex(&m->request, hex)),
           KV_INT("attempt", m->attempt), KV("service", m->service));
@@ -339,7 +338,7 @@
         take_new(w, origin, at, m);
         return;
     }
-    if (v == TAKE_AGAIN || v == TAKE_ANSWERED) {
+    if (v == TAKE_AGAIN || v == TAKE_ANSWERED || v == TAKE_SETTLED) {
         say_taken(w, origin, m, true, Attempts_VerdictName(v), 0);
         if (v == TAKE_ANSWERED) {
             say_answer(w, at);
@@ -370,9 +369,11 @@
           KV_INT("attempt", m->attempt), KV_INT("verdict", reply->verdict));
     Agent_Say(w->task.kernel, origin, &reply->msg);
     if (at != NULL && strcmp(at->origin, origin) != 0) {
-        count_origin(w, at->origin, -1);
-        count_origin(w, origin, 1);
+        int running = at->state == ATTEMPT_RUNNING;
+
+        count_origin(w, at, -1, -running);
         Str_Copy(at->origin, sizeof(at->origin), origin);
+        count_origin(w, at, 1, running);
     }
     if (at != NULL && at->state == ATTEMPT_DONE) {
         say_answer(w, at);
@@ -384,11 +385,10 @@
 close_attempt(struct work *w, struct attempt *at)
 {
     w->open--;
-    count_origin(w, at->origin, -1);
+    count_origin(w, at, -1, 0);
 }
 
-/* An entry has the answer. The record stays as a fence until no copy of its
- * dispatch can be taken any more; only the answer is dropped. */
+/* An entry has the answer. */
 static void
 take_settled(struct work *w, const char *origin UNUSED,
              const struct wire_msg *msg)
@@ -400,9 +400,7 @@
         return;
     }
     close_attempt(w, at);
-    Wire_Free(&at->answer->msg);
-    at->answer = NULL;
-    Attempts_Fence(at);
+    Attempts_Settle(at);
 }
 
 static const struct {
@@ -440,6 +438,7 @@
         u = Mem_Zero(1, sizeof(*u));
         Str_Copy(u->service, sizeof(u->service), service);
         u->client = Http_ClientNew(w->task.kernel->loop, (long)connections);
+        u->index = w->upstream_count++;
         TAILQ_INSERT_TAIL(&w->upstreams, u, entry);
     }
     free(u->url);
@@ -491,13 +490,13 @@
     int64_t now = Clock_NowMs();
 
     RB_FOREACH_SAFE (at, attempt_tree, &w->attempts.tree, next) {
-        if (at->state == ATTEMPT_DONE && now >= at->forget_at) {
+        if (at->state == ATTEMPT_DONE && now >= at->claim_by) {
             char hex[ID_HEX_SIZE];
 
             LOG_W("answer_unclaimed", KV("request", Id_Hex(&at->request, hex)),
                   KV_INT("attempt", at->number));
             close_attempt(w, at);
-            Attempts_Fence(at);
+            Attempts_Settle(at);
         }
     }
     Attempts_Sweep(&w->attempts, now);
@@ -556,7 +555,7 @@
         free(u);
     }
     TAILQ_FOREACH_SAFE (o, &w->origins, entry, onext) {
-        free(o);
+        drop_origin(w, o);
     }
     Attempts_Free(&w->attempts);
     ev_timer_stop(t->kernel->loop, &w->sweep);
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -110,15 +110,16 @@
 enum attempt_state {
     ATTEMPT_FENCED,  /* never started, never will */
     ATTEMPT_RUNNING, /* handed to the upstream */
-    ATTEMPT_DONE     /* ended; its answer waits to be settled */
+    ATTEMPT_DONE,    /* ended; its answer waits to be settled */
+    ATTEMPT_SETTLED  /* ended; its answer was taken, or nobody came for it */
 };
 
 struct attempt {
     struct id request;
     uint64_t number;
     enum attempt_state state;
-    int64_t not_after; /* may not start later; fences are kept until then */
-    int64_t forget_at; /* a finished one is dropped then, settled or not */
+    int64_t not_after; /* may not start later; a record is kept until then */
+    int64_t claim_by;  /* an answer that nobody has settled is dropped then */
     char origin[NAME_SIZE];
     char service[NAME_SIZE];
     int64_t started_at;
@@ -144,6 +145,7 @@
     TAKE_NEW,      /* recorded as running: start it */
     TAKE_AGAIN,    /* a copy: runs already */
     TAKE_ANSWERED, /* a copy: ended already, say the answer again */
+    TAKE_SETTLED,  /* a copy: has run, and its answer is dropped */
     TAKE_FENCED,   /* withdrawn before it came */
     TAKE_STALE,    /* meant for another incarnation */
     TAKE_EXPIRED,  /* came after its not_after */
@@ -163,12 +165,14 @@
                                         const struct wire_withdraw *m,
                                         uint64_t incarnation, int64_t now,
                                         struct attempt **out);
+/* Drops the answer of an attempt that ended; that it ran is remembered. */
+void Attempts_Settle(struct attempt *at);
 /* Turns a taken attempt whose start never happened into a fenced one. */
 void Attempts_Fence(struct attempt *at);
 struct attempt *Attempts_Find(struct attempts *a, const struct id *request,
                               uint64_t number);
 void Attempts_Remove(struct attempts *a, struct attempt *at);
-/* Drops fences and answers whose time is over; returns how many. */
+/* Drops fences and settled attempts whose time is over; returns how many. */
 size_t Attempts_Sweep(struct attempts *a, int64_t now);
 const char *Attempts_VerdictName(enum take_verdict verdict);
 
--- a/packages/entry/entry-links.c
+++ b/packages/entry/entry-links.c
@@ -11,11 +11,6 @@
     struct link_keys keys;
 };
 
-static struct counter in_total = {"parsleyfall_entry_messages_in_total",
-                                  "Messages from agents.", NULL,
-                                  COUNTER_TOTAL};
-static struct counter out_total = {"parsleyfall_entry_messages_out_total",
-                                   "Messages to agents.", NULL, COUNTER_TOTAL};
 static struct counter lost_total = {
     "parsleyfall_entry_messages_undelivered_total",
     "Messages that no link took.", NULL, COUNTER_TOTAL};
@@ -40,7 +35,6 @@
     struct inbound *in;
     size_t i;
 
-    Counter_Add(&in_total, 1);
     for (i = 0; i < COUNT_OF(hearers); i++) {
         struct task *t;
 
@@ -70,7 +64,6 @@
     struct undelivered *back;
     int err = Link_Send(l->link, &out->peer, out->m);
 
-    Counter_Add(&out_total, 1);
     if (err == ERR_OK) {
         return;
     }
--- a/packages/entry/entry-members.c
+++ b/packages/entry/entry-members.c
@@ -85,18 +85,6 @@
     return NULL;
 }
 
-/* Copies a list of plain items. */
-static struct wire_list
-copy_list(const struct wire_list *src, size_t size)
-{
-    struct wire_list dst = {Mem_Alloc(src->count * size), src->count};
-
-    if (src->count > 0) {
-        memcpy(dst.items, src->items, src->count * size);
-    }
-    return dst;
-}
-
 /* Tells the subscribers of a change. */
 static void
 tell(struct members *s, const struct member *m, enum member_change change)
@@ -118,10 +106,12 @@
         note = Mem_Zero(1, sizeof(*note));
         note->change = change;
         note->facts = m->facts;
-        note->facts.services =
-            copy_list(&m->facts.services, sizeof(struct wire_service));
-        note->facts.parts =
-            copy_list(&m->facts.parts, sizeof(struct wire_part));
+        note->facts.services = (struct wire_list){0};
+        note->facts.parts = (struct wire_list){0};
+        Wire_ListCopy(&note->facts.services, &m->facts.services,
+                      sizeof(struct wire_service));
+        Wire_ListCopy(&note->facts.parts, &m->facts.parts,
+                      sizeof(struct wire_part));
         Kernel_Post(t, &note->base, &Entry_Member);
     }
 }
@@ -210,10 +200,8 @@
     Str_Copy(f->rack, sizeof(f->rack), h->rack);
     f->accelerators = h->accelerators <= 64 ? (int)h->accelerators : 64;
     f->leaving = h->leaving != 0;
-    free(f->services.items);
-    free(f->parts.items);
-    f->services = copy_list(&h->services, sizeof(struct wire_service));
-    f->parts = copy_list(&h->parts, sizeof(struct wire_part));
+    Wire_ListCopy(&f->services, &h->services, sizeof(struct wire_service));
+    Wire_ListCopy(&f->parts, &h->parts, sizeof(struct wire_part));
 }
 
 /* What a hello changes about an agent. */
@@ -308,9 +296,9 @@
     note = Mem_Zero(1, sizeof(*note));
     Str_Copy(note->name, sizeof(note->name), m->facts.name);
     note->incarnation = m->facts.incarnation;
-    note->services =
-        copy_list(&m->facts.services, sizeof(struct wire_service));
-    note->own = copy_list(&b->own, sizeof(uint64_t));
+    Wire_ListCopy(&note->services, &m->facts.services,
+                  sizeof(struct wire_service));
+    Wire_ListCopy(&note->own, &b->own, sizeof(uint64_t));
     set_busy(&note->services, &b->busy);
     Kernel_Post(t, &note->base, &Entry_Load);
 }
--- a/packages/wire/wire-codec.c
+++ b/packages/wire/wire-codec.c
@@ -98,6 +98,19 @@
     return at;
 }
 
+/* Copies a list of plain items. */
+void
+Wire_ListCopy(struct wire_list *dst, const struct wire_list *src,
+              size_t item_size)
+{
+    free(dst->items);
+    dst->count = src->count;
+    dst->items = Mem_Alloc(src->count * item_size);
+    if (src->count > 0) {
+        memcpy(dst->items, src->items, src->count * item_size);
+    }
+}
+
 /* msgpack's writer. */
 static int
 write_bytes(void *arg, const char *data, size_t len)
--- a/packages/wire/wire-link.c
+++ b/packages/wire/wire-link.c
@@ -26,6 +26,19 @@
     char address[NAME_SIZE];
 };
 
+static struct counter in_bytes = {"parsleyfall_link_in_bytes_total",
+                                  "Bytes of messages received on links.", NULL,
+                                  COUNTER_TOTAL};
+static struct counter out_bytes = {"parsleyfall_link_out_bytes_total",
+                                   "Bytes of messages sent on links.", NULL,
+                                   COUNTER_TOTAL};
+static struct counter in_messages = {"parsleyfall_link_in_messages_total",
+                                     "Messages received on links.", NULL,
+                                     COUNTER_TOTAL};
+static struct counter out_messages = {"parsleyfall_link_out_messages_total",
+                                      "Messages sent on links.", NULL,
+                                      COUNTER_TOTAL};
+
 /* Makes the ZeroMQ context of a process. */
 struct link_context *
 Link_ContextNew(void)
@@ -108,6 +121,8 @@
         if (!receive_one(link, &peer, &body)) {
             return;
         }
+        Counter_Add(&in_messages, 1);
+        Counter_Add(&in_bytes, (int64_t)body.len);
         if (Wire_Decode(body.data, body.len, &m) != ERR_OK) {
             LOG_W("bad_message", KV("link", link->address),
                   KV_INT("bytes", body.len));
@@ -294,7 +309,12 @@
         n = errno == EAGAIN ? ERR_BUSY : ERR_UNREACHABLE;
     }
     ev_feed_event(link->loop, &link->io, EV_READ);
-    return n < 0 ? n : ERR_OK;
+    if (n < 0) {
+        return n;
+    }
+    Counter_Add(&out_messages, 1);
+    Counter_Add(&out_bytes, (int64_t)body.len);
+    return ERR_OK;
 }
 
 /* True when two return addresses are one. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -371,6 +371,9 @@
 int Wire_Decode(const void *data, size_t len, struct wire_msg **out);
 /* Appends a zeroed item of that size to a list and returns it. */
 void *Wire_ListAdd(struct wire_list *list, size_t item_size);
+/* Replaces dst by a copy of src; for items that hold nothing themselves. */
+void Wire_ListCopy(struct wire_list *dst, const struct wire_list *src,
+                   size_t item_size);
 
 /* ---- links ------------------------------------------------------------- */
 
