--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -180,9 +180,9 @@
     Agent_Say(w->task.kernel, origin, &reply->msg);
 }
 
-/* Says the kept answer of an attempt. */
+/* Says the kept answer of an attempt to one entry. */
 static void
-say_answer(struct work *w, const struct attempt *at)
+say_answer_to(struct work *w, const struct attempt *at, const char *origin)
 {
     struct wire_answer *copy = Wire_New(WIRE_ANSWER);
     struct buf body = {0};
@@ -190,7 +190,19 @@
     *copy = *at->answer;
     Buf_Append(&body, at->answer->body.data, at->answer->body.len);
     copy->body = body;
-    Agent_Say(w->task.kernel, at->origin, &copy->msg);
+    Agent_Say(w->task.kernel, origin, &copy->msg);
+}
+
+/* Says the kept answer of an attempt. An entry that asked about another
+ * entry's attempt may have taken it for dead too early: the first one hears
+ * the answer too, and its caller need not wait for the deadline. */
+static void
+say_answer(struct work *w, const struct attempt *at)
+{
+    say_answer_to(w, at, at->origin);
+    if (at->earlier[0] != '\0') {
+        say_answer_to(w, at, at->earlier);
+    }
 }
 
 /* How an attempt ended, from the result of its call. */
@@ -372,6 +384,7 @@
         int running = at->state == ATTEMPT_RUNNING;
 
         count_origin(w, at, -1, -running);
+        Str_Copy(at->earlier, sizeof(at->earlier), at->origin);
         Str_Copy(at->origin, sizeof(at->origin), origin);
         count_origin(w, at, 1, running);
     }
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -121,6 +121,8 @@
     int64_t not_after; /* may not start later; a record is kept until then */
     int64_t claim_by;  /* an answer that nobody has settled is dropped then */
     char origin[NAME_SIZE];
+    char
+        earlier[NAME_SIZE]; /* that was the origin, and hears the answer too */
     char service[NAME_SIZE];
     int64_t started_at;
     struct http_call *call;
--- /dev/null
+++ b/packages/entry/entry-claims-sweep.c
@@ -0,0 +1,191 @@
+#include "entry-claims.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TURN_MS 60000 /* one entry of all sweeps once in this time */
+#define BATCH 200     /* rows that a sweep looks at */
+#define COMMIT_MAX 20 /* rows that one commit deletes */
+/* Row of the sweep itself: "at_ms cursor". Claims' keys are hex. */
+#define SWEEP_KEY "sweep"
+
+/* Whoever writes the sweep's row has the turn, so that the entries together
+ * sweep once a minute, each batch from where the last one ended. */
+struct sweep {
+    struct task task;
+    struct table *table;
+    uint64_t version; /* of the sweep's row */
+    char cursor[DIGEST_HEX_SIZE];
+    char *keys[BATCH]; /* to delete */
+    uint64_t versions[BATCH];
+    size_t count, done;
+    ev_timer timer;
+};
+
+static struct counter swept_total = {"parsleyfall_claims_swept_total",
+                                     "Claims deleted after their time.", NULL,
+                                     COUNTER_TOTAL};
+
+/* Deletes the next rows, each as it was read. A row that was written since is
+ * not old: its commit is left, and the rest waits for the next turn. */
+static void
+on_deleted(void *arg, int err, size_t at UNUSED,
+           const uint64_t *versions UNUSED)
+{
+    struct sweep *s = arg;
+    struct table_op ops[COMMIT_MAX];
+    size_t n = 0;
+
+    Counter_Add(&swept_total, err == ERR_OK ? (int64_t)s->done : 0);
+    for (s->done = 0; err == ERR_OK && s->count > 0 && n < COMMIT_MAX; n++) {
+        s->count--;
+        s->done++;
+        ops[n] = (struct table_op){.verb = TABLE_DELETE,
+                                   .table = CLAIMS_TABLE,
+                                   .key = s->keys[s->count],
+                                   .if_version = s->versions[s->count]};
+    }
+    if (n > 0) {
+        s->table->ops->commit(s->table, ops, n, on_deleted, s);
+    }
+    while (n > 0) {
+        free(s->keys[s->count + --n]);
+    }
+}
+
+/* True when a claim's time is over. */
+static bool
+is_old(const struct table_row *row)
+{
+    struct claim_row c;
+    int err = ClaimRow_Decode(&row->value, &c);
+
+    Buf_Free(&c.body);
+    return err == ERR_OK && c.at_ms + CLAIMS_KEEP_MS < Clock_WallMs();
+}
+
+/* Forgets what was left of the last batch. */
+static void
+clear(struct sweep *s)
+{
+    while (s->count > 0) {
+        free(s->keys[--s->count]);
+    }
+    s->done = 0;
+}
+
+/* A batch of rows has come: those that are old go. */
+static void
+on_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct sweep *s = arg;
+    size_t i;
+
+    if (err != ERR_OK) {
+        return;
+    }
+    clear(s);
+    for (i = 0; i < count; i++) {
+        if (is_old(&rows[i])) {
+            s->versions[s->count] = rows[i].version;
+            s->keys[s->count++] = Mem_Dup(rows[i].key);
+        }
+    }
+    Str_Copy(s->cursor, sizeof(s->cursor),
+             more && count > 0 ? rows[count - 1].key : "");
+    on_deleted(s, ERR_OK, 0, NULL);
+}
+
+/* The turn is ours, or another's. */
+static void
+on_turn(void *arg, int err, size_t at UNUSED, const uint64_t *versions UNUSED)
+{
+    struct sweep *s = arg;
+
+    if (err == ERR_OK) {
+        s->table->ops->list(s->table, CLAIMS_TABLE, "", s->cursor, BATCH,
+                            on_listed, s);
+    }
+}
+
+/* The sweep's row has come: takes the turn when the last one is long ago.
+ * The cursor in the row is the one that the last sweep began at; an own,
+ * later one is taken on. */
+static void
+on_row(void *arg, int err, struct table_row *row)
+{
+    struct sweep *s = arg;
+    char value[DIGEST_HEX_SIZE + 32];
+    char cursor[DIGEST_HEX_SIZE] = "";
+    long long at_ms = 0;
+    struct table_op op = {.verb = TABLE_PUT,
+                          .table = CLAIMS_TABLE,
+                          .key = SWEEP_KEY,
+                          .value = value};
+
+    if (err != ERR_OK) {
+        return;
+    }
+    if (row->version > 0 && row->value.data != NULL) {
+        sscanf(row->value.data, "%lld %64[0-9a-f]", &at_ms, cursor);
+    }
+    if (Clock_WallMs() - at_ms < TURN_MS) {
+        return;
+    }
+    if (row->version != s->version) {
+        Str_Copy(s->cursor, sizeof(s->cursor), cursor);
+    }
+    s->version = row->version + 1;
+    snprintf(value, sizeof(value), "%lld %s", (long long)Clock_WallMs(),
+             s->cursor);
+    op.len = strlen(value);
+    op.if_version = row->version;
+    s->table->ops->commit(s->table, &op, 1, on_turn, s);
+}
+
+/* Looks whose turn it is. */
+static void
+on_timer(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct sweep *s = w->data;
+
+    s->table->ops->get(s->table, CLAIMS_TABLE, SWEEP_KEY, on_row, s);
+}
+
+/* Frees what is left of a batch. */
+static void
+sweep_free(struct task *t)
+{
+    struct sweep *s = (struct sweep *)t;
+
+    ev_timer_stop(t->kernel->loop, &s->timer);
+    clear(s);
+    free(s);
+}
+
+static const struct task_ops sweep_ops = {.name = "claims-sweep",
+                                          .free = sweep_free};
+
+/* Sweeps when there is a table. */
+static int
+start(struct kernel *k)
+{
+    struct table *table = Entry_Table(k);
+    struct sweep *s;
+
+    if (table == NULL) {
+        return ERR_OK;
+    }
+    s = Mem_Zero(1, sizeof(*s));
+    s->table = table;
+    Kernel_AddTask(k, &s->task, &sweep_ops);
+    ev_init(&s->timer, on_timer);
+    s->timer.data = s;
+    Timer_Every(k->loop, &s->timer, TURN_MS);
+    return ERR_OK;
+}
+
+static struct plugin sweep_plugin = {
+    .name = "claims-sweep", .rank = 45, .start = start};
+KERNEL_PLUGIN(sweep_plugin)
--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -15,6 +15,8 @@
                                     "Requests accepted and not ended.", NULL,
                                     COUNTER_GAUGE};
 
+static const struct retry_limits retry_limits = {.hedge = true};
+
 static int
 compare_services(const struct service *a, const struct service *b)
 {
@@ -48,14 +50,31 @@
 }
 
 /* Finds a request. */
-static struct request *
-find_request(struct dispatch *d, const struct id *id)
+struct request *
+Dispatch_FindRequest(struct dispatch *d, const struct id *id)
 {
     struct request key = {.id = *id};
 
     return RB_FIND(request_tree, &d->requests, &key);
 }
 
+/* Enters a request under another id. */
+bool
+Dispatch_Rekey(struct request *r, const struct id *id)
+{
+    struct dispatch *d = r->dispatch;
+    struct request *other = Dispatch_FindRequest(d, id);
+
+    if (other != NULL) {
+        return other == r;
+    }
+    RB_REMOVE(request_tree, &d->requests, r);
+    r->id = *id;
+    RB_INSERT(request_tree, &d->requests, r);
+    Why_Open(d->task.kernel, id, r->organisation);
+    return true;
+}
+
 /* Finds a service, or adds it. */
 static struct service *
 get_service(struct dispatch *d, const char *name)
@@ -71,7 +90,7 @@
     Str_Copy(s->name, sizeof(s->name), name);
     s->admission = Admission_New(NULL);
     s->route = Route_New(NULL);
-    s->retry = Retry_New(NULL);
+    s->retry = Retry_New(&retry_limits);
     RB_INSERT(service_tree, &d->services, s);
     return s;
 }
@@ -122,7 +141,7 @@
 
     while (Admission_Expire(s->admission, Clock_NowMs(), Id_Random64(), &id,
                             &why) == ERR_OK) {
-        Request_Expire(find_request(d, &id), &why);
+        Request_Expire(Dispatch_FindRequest(d, &id), &why);
     }
 }
 
@@ -134,7 +153,7 @@
 
     expire(d, s);
     while (Admission_Next(s->admission, Clock_NowMs(), &next) == ERR_OK) {
-        struct request *r = find_request(d, &next.id);
+        struct request *r = Dispatch_FindRequest(d, &next.id);
 
         r->cost_ms = next.cost_ms;
         if (Request_Send(r) == ERR_BUSY) {
@@ -167,6 +186,8 @@
     RB_REMOVE(request_tree, &d->requests, r);
     ev_timer_stop(d->task.kernel->loop, &r->timer);
     Buf_Free(&r->body);
+    Claims_Free(r->claim);
+    d->told -= r->ex == NULL;
     free(r);
     d->open--;
     Counter_Set(&open_gauge, (int64_t)d->open);
@@ -193,8 +214,9 @@
     Str_Copy(r->organisation, sizeof(r->organisation), o->organisation);
     Str_Copy(r->class_name, sizeof(r->class_name), o->class_name);
     Str_Copy(r->content_type, sizeof(r->content_type), o->content_type);
-    r->repeatable = o->repeatable;
+    r->repeatable = o->repeatable && o->key[0] == '\0';
     Buf_Move(&r->body, &o->body);
+    r->claim = Claims_New(o, &r->body);
     r->accepted_at = now;
     r->deadline_at = now + o->timeout_ms;
     ev_init(&r->timer, on_request_timer);
@@ -207,24 +229,24 @@
 
 /* What admission is to judge. */
 static struct admission_facts
-facts_of(const struct offer *o, int64_t now)
+facts_of(const struct offer *o, const struct request *r)
 {
     return (struct admission_facts){
-        .id = o->id,
+        .id = r->id,
         .organisation = o->organisation,
         .caller = o->caller[0] != '\0' ? o->caller : NULL,
         .class_name = o->class_name,
         .priority = o->priority,
         .cost_hint_ms = o->cost_hint_ms,
-        .deadline_at = now + o->timeout_ms,
-        .repeatable = o->repeatable,
+        .deadline_at = r->deadline_at,
+        .repeatable = r->repeatable,
     };
 }
 
 /* A refusal by admission: too many of the organisation's own are 429, a
  * service that is full or short of upstreams is 503. */
 static void
-refuse(const struct offer *o, const struct admission_decision *d)
+refuse(struct request *r, const struct admission_decision *d)
 {
     static const bool callers_own[ADMISSION_REASON_COUNT] = {
         [REFUSE_SHARE_USED] = true,
@@ -232,49 +254,66 @@
         [REFUSE_ORG_QUEUE] = true,
         [REFUSE_CALLER_QUEUE] = true,
     };
-    char hex[ID_HEX_SIZE];
 
-    LOG_I("request_end", KV("request", Id_Hex(&o->id, hex)),
-          KV("service", o->service), KV("organisation", o->organisation),
-          KV("outcome", "not_run"),
-          KV("reason", Admission_ReasonName(d->reason)),
-          KV_INT("wait_ms", d->wait_ms),
-          KV_INT("retry_after_ms", d->retry_after_ms));
-    Http_ReplyHeader(o->ex, "X-Outcome", "not_run");
-    Front_Refuse(o->ex, callers_own[d->reason] ? 429 : 503, "not_run",
-                 Admission_ReasonName(d->reason), "", d->retry_after_ms,
-                 &o->id);
+    if (r->claim != NULL && !Claims_Fenced(r)) {
+        r->claim->stage = STAGE_TOLD;
+    }
+    Request_ReplyNotRun(r, callers_own[d->reason] ? 429 : 503,
+                        Admission_ReasonName(d->reason), "",
+                        d->retry_after_ms);
+}
+
+/* Lets admission judge a request as it was offered. */
+static void
+admit(struct request *r, const struct offer *o)
+{
+    struct service *s = r->service;
+    struct admission_facts facts = facts_of(o, r);
+    struct admission_decision decision;
+
+    Admission_SetWeight(s->admission, o->organisation, o->weight);
+    decision =
+        Admission_Offer(s->admission, &facts, Clock_NowMs(), Id_Random64());
+    Why_Record(r->dispatch->task.kernel, &r->id,
+               decision.verdict == ADMISSION_REFUSE ? "refused" : "admitted",
+               Admission_ReasonName(decision.reason),
+               Why_FromAdmission(&decision.inputs));
+    if (decision.verdict == ADMISSION_REFUSE) {
+        refuse(r, &decision);
+        return;
+    }
+    r->state = REQUEST_QUEUED;
+    ev_timer_stop(r->dispatch->task.kernel->loop, &r->timer);
+    Dispatch_PumpSoon(r->dispatch, s);
+}
+
+/* A keyed request whose row says that it may run. */
+void
+Dispatch_Admit(struct request *r)
+{
+    admit(r, &r->claim->offer);
 }
 
 /* A request comes: admission judges it, and what is admitted waits for its
- * turn, which may be now. */
+ * turn, which may be now. A keyed one reads its row first. */
 static void
 take_offer(struct task *t, struct message *m)
 {
     struct dispatch *d = (struct dispatch *)t;
     struct offer *o = (struct offer *)m;
-    struct service *s = get_service(d, o->service);
-    int64_t now = Clock_NowMs();
-    struct admission_facts facts = facts_of(o, now);
-    struct admission_decision decision;
+    struct request *r;
 
     if (t->kernel->draining) {
         Front_Refuse(o->ex, 503, "not_run", "draining", "", 0, &o->id);
         return;
     }
-    Admission_SetWeight(s->admission, o->organisation, o->weight);
-    decision = Admission_Offer(s->admission, &facts, now, Id_Random64());
+    r = new_request(d, get_service(d, o->service), o, Clock_NowMs());
     Why_Open(t->kernel, &o->id, o->organisation);
-    Why_Record(t->kernel, &o->id,
-               decision.verdict == ADMISSION_REFUSE ? "refused" : "admitted",
-               Admission_ReasonName(decision.reason),
-               Why_FromAdmission(&decision.inputs));
-    if (decision.verdict == ADMISSION_REFUSE) {
-        refuse(o, &decision);
+    if (r->claim != NULL) {
+        Claims_Open(r);
         return;
     }
-    new_request(d, s, o, now);
-    Dispatch_PumpSoon(d, s);
+    admit(r, o);
 }
 
 /* The request that an agent's message is about; NULL when it has ended. */
@@ -288,14 +327,14 @@
         [WIRE_DISPATCH] = offsetof(struct wire_dispatch, request),
     };
 
-    return find_request(
+    return Dispatch_FindRequest(
         d, (const struct id *)((const char *)m + offsets[m->type]));
 }
 
 /* Tells an agent that it may forget an answer, wanted or not. */
-static void
-say_settled(struct dispatch *d, const struct link_peer *peer,
-            const struct wire_answer *a)
+void
+Dispatch_SaySettled(struct dispatch *d, const struct link_peer *peer,
+                    const struct wire_answer *a)
 {
     struct wire_settled *m = Wire_New(WIRE_SETTLED);
 
@@ -304,6 +343,25 @@
     Entry_Say(&d->task, peer, &m->msg, false);
 }
 
+/* An answer has come. Of a keyed request the agent keeps it until the row
+ * has it: an entry that dies in between would take it along. */
+static void
+take_answer(struct dispatch *d, struct request *r, struct inbound *in)
+{
+    struct wire_answer *a = (struct wire_answer *)in->m;
+
+    if (r == NULL || r->claim == NULL || r->claim->stage == STAGE_TOLD) {
+        Dispatch_SaySettled(d, &in->peer, a);
+    }
+    else {
+        r->claim->from = in->peer;
+        r->claim->settle = true;
+    }
+    if (r != NULL) {
+        Request_Answer(r, a);
+    }
+}
+
 /* What an agent said of a request. */
 static void
 take_inbound(struct task *t, struct message *m)
@@ -312,19 +370,16 @@
     struct inbound *in = (struct inbound *)m;
     struct request *r = concerned(d, in->m);
 
-    if (in->m->type == WIRE_ANSWER) {
-        say_settled(d, &in->peer, (struct wire_answer *)in->m);
+    if (r != NULL && r->state == REQUEST_CLAIM) {
+        Claims_Inbound(r, in);
     }
-    if (r == NULL) {
-        return;
+    else if (in->m->type == WIRE_ANSWER) {
+        take_answer(d, r, in);
     }
-    if (in->m->type == WIRE_TAKEN) {
+    else if (r != NULL && in->m->type == WIRE_TAKEN) {
         Request_Taken(r, (struct wire_taken *)in->m);
     }
-    else if (in->m->type == WIRE_ANSWER) {
-        Request_Answer(r, (struct wire_answer *)in->m);
-    }
-    else {
+    else if (r != NULL) {
         Request_Withdrawn(r, (struct wire_withdrawn *)in->m);
     }
 }
@@ -337,7 +392,7 @@
     struct undelivered *back = (struct undelivered *)m;
     struct request *r = concerned(d, back->m);
 
-    if (r != NULL) {
+    if (r != NULL && r->state != REQUEST_CLAIM) {
         Request_Undelivered(r, back->m->type,
                             ((struct wire_dispatch *)back->m)->attempt);
     }
@@ -392,7 +447,7 @@
     struct request *r, *next;
 
     RB_FOREACH_SAFE (r, request_tree, &d->requests, next) {
-        if (r->try_count == 0) {
+        if (r->try_count == 0 || r->state == REQUEST_CLAIM) {
             continue;
         }
         if (n->change == MEMBER_RETURNED) {
@@ -487,7 +542,9 @@
 static bool
 dispatch_drained(const struct task *t)
 {
-    return ((const struct dispatch *)t)->open == 0;
+    const struct dispatch *d = (const struct dispatch *)t;
+
+    return d->open == d->told;
 }
 
 /* The upstreams of a service, for operators. */
@@ -547,13 +604,19 @@
     struct request *r, *rn;
     struct service *s, *sn;
     struct server *v, *vn;
+    struct claim_op *op, *on;
 
     RB_FOREACH_SAFE (r, request_tree, &d->requests, rn) {
         RB_REMOVE(request_tree, &d->requests, r);
         ev_timer_stop(t->kernel->loop, &r->timer);
         Buf_Free(&r->body);
+        Claims_Free(r->claim);
         free(r);
     }
+    LIST_FOREACH_SAFE(op, &d->claim_ops, entry, on)
+    {
+        free(op);
+    }
     RB_FOREACH_SAFE (s, service_tree, &d->services, sn) {
         RB_REMOVE(service_tree, &d->services, s);
         Admission_Free(s->admission);
@@ -587,6 +650,9 @@
     RB_INIT(&d->services);
     RB_INIT(&d->servers);
     RB_INIT(&d->requests);
+    LIST_INIT(&d->claim_ops);
+    d->table = Entry_Table(k);
+    d->objects = Entry_Objects(k);
     Kernel_AddTask(k, &d->task, &dispatch_ops);
     ev_init(&d->expire, on_expire);
     d->expire.data = d;
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_DISPATCH_H
 #define ENTRY_DISPATCH_H
 
+#include "entry-claims.h"
 #include "entry.h"
 
 #define TRIES_MAX 8 /* attempts of one request, refused ones included */
@@ -51,13 +52,65 @@
 
 enum request_state {
     REQUEST_QUEUED, /* in admission's queue */
-    REQUEST_OUT     /* one try at least is not over */
+    REQUEST_OUT,    /* one try at least is not over */
+    REQUEST_CLAIM   /* its claim is read, written, settled or followed */
+};
+
+enum claim_stage {
+    STAGE_READ,   /* the row is being read; nothing is sent */
+    STAGE_FREE,   /* the row may be claimed; waits for its turn */
+    STAGE_WRITE,  /* the claim is being written; this try is not sent */
+    STAGE_OWN,    /* our claim is in the row */
+    STAGE_FOLLOW, /* another's claim is; its outcome is awaited */
+    STAGE_SETTLE, /* the outcome is being written */
+    STAGE_TOLD    /* nothing more is written: callers are told at once */
+};
+
+enum final_kind { FINAL_NONE, FINAL_ANSWER, FINAL_NOT_RUN, FINAL_UNKNOWN };
+
+/* An outcome that is kept back until the row has it. */
+struct claim_final {
+    enum final_kind kind;
+    int status;
+    char reason[NAME_SIZE];
+    char detail[NAME_SIZE];
+    int64_t retry_after_ms;
+    const struct wire_answer *answer; /* the claim's own once deferred */
+};
+
+/* The key of a request, and what is known of its row. */
+struct claim {
+    char key[DIGEST_HEX_SIZE]; /* of the row */
+    char body_hash[DIGEST_HEX_SIZE];
+    enum claim_stage stage;
+    struct offer offer;   /* for admission; its body is the request's */
+    struct claim_row row; /* as last read or written */
+    uint64_t version;     /* of the row; 0: there is none */
+    int64_t seen_at;      /* when it was first seen at this version */
+    int64_t asked_at;     /* its agent, last */
+    int64_t poll_ms;
+    uint64_t op; /* number of the last operation */
+    bool heard;  /* from the agent: how a followed attempt ended */
+    bool settle; /* an answer is to be settled at `from` */
+    struct link_peer from;
+    struct claim_final final;
+};
+
+/* An operation on a row. Its request may have ended before it has. */
+struct claim_op {
+    struct dispatch *dispatch;
+    struct id request;
+    uint64_t number;
+    LIST_ENTRY(claim_op) entry;
 };
 
 struct request {
     struct dispatch *dispatch;
     struct id id;
-    struct http_exchange *ex;
+    struct http_exchange *ex; /* NULL: told, but its row is open */
+    struct claim *claim;      /* NULL: without a key */
+    uint64_t attempt_base;    /* attempts of earlier entries */
+    bool hedged;              /* a hedge has been asked for */
     struct service *service;
     char organisation[NAME_SIZE];
     char class_name[NAME_SIZE];
@@ -83,6 +136,10 @@
     struct server_tree servers;
     struct request_tree requests;
     size_t open;
+    size_t told; /* of those, told already */
+    struct table *table;
+    struct objects *objects;
+    LIST_HEAD(, claim_op) claim_ops;
     ev_timer expire;
 };
 
@@ -94,6 +151,15 @@
 /* Takes a request out and frees it, after its reply. */
 void Dispatch_Drop(struct dispatch *d, struct request *r);
 
+struct request *Dispatch_FindRequest(struct dispatch *d, const struct id *id);
+/* Gives a request another id. False when that one is in use here. */
+bool Dispatch_Rekey(struct request *r, const struct id *id);
+/* Admission judges a request, and what is admitted waits for its turn. */
+void Dispatch_Admit(struct request *r);
+/* Tells an agent that it may forget an answer. */
+void Dispatch_SaySettled(struct dispatch *d, const struct link_peer *peer,
+                         const struct wire_answer *a);
+
 /* entry-request.c */
 /* A slot may be free: sends the request to an upstream. ERR_OK: out, or
  * ended with its final answer; ERR_BUSY: nothing can take it now, it goes
@@ -116,6 +182,11 @@
 /* Its agent is silent: a repeatable one may go elsewhere. */
 void Request_AgentSilent(struct request *r, const char *agent);
 void Request_Timer(struct request *r);
+/* The last try may be sent: its claim is in the row. */
+void Request_Claimed(struct request *r);
+/* The last try was never sent and won't be. */
+void Request_Unsend(struct request *r);
+const char *Request_WithdrawName(uint64_t verdict);
 
 /* entry-reply.c */
 /* Each ends the request: replies and drops it. */
@@ -123,5 +194,41 @@
 void Request_ReplyNotRun(struct request *r, int status, const char *reason,
                          const char *detail, int64_t retry_after_ms);
 void Request_ReplyUnknown(struct request *r, const char *reason);
+/* The table is down, so that a keyed request is not served. */
+void Request_ReplyNoTable(struct request *r, bool may_have_run,
+                          int64_t retry_after_ms);
+/* The key was used before, with another body. */
+void Request_ReplyKeyReused(struct request *r);
+/* Tells the caller, and keeps the request for its row. */
+void Request_TellUnknown(struct request *r, const char *reason);
+
+/* entry-claims.c, entry-claims-follow.c: a keyed request claims its row
+ * before anything is sent, after model/dispatch.pml. */
+struct claim *Claims_New(const struct offer *o, const struct buf *body);
+void Claims_Free(struct claim *c);
+/* Begins: reads the row and goes on by what it says. */
+void Claims_Open(struct request *r);
+/* Writes the claim of a try; Request_Claimed follows when it is there. */
+void Claims_Write(struct request *r, const struct try *t);
+/* True when an outcome is kept back until its row has it; the reply is then
+ * made later. */
+bool Claims_Defer(struct request *r, const struct claim_final *f);
+/* True when another's claim was fenced and is still in the row. */
+bool Claims_Fenced(const struct request *r);
+/* While the request's state is REQUEST_CLAIM. */
+void Claims_Timer(struct request *r);
+void Claims_Inbound(struct request *r, const struct inbound *in);
+/* Between the two files. */
+struct claim_op *Claims_NewOp(struct request *r);
+struct request *Claims_EndOp(struct claim_op *op);
+void Claims_Get(struct request *r);
+void Claims_Read(struct request *r, int err);
+void Claims_Own(struct request *r);
+void Claims_Lost(struct request *r);
+void Claims_Tell(struct request *r);
+void Claims_Forgo(struct request *r);
+void Claims_Refuse(struct request *r, bool may_have_run);
+void Claims_Follow(struct request *r);
+void Claims_SetTimer(struct request *r);
 
 #endif
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -35,13 +35,21 @@
 void
 Request_ReplyAnswer(struct request *r, const struct wire_answer *m)
 {
+    struct claim_final final = {.kind = FINAL_ANSWER, .answer = m};
     char hex[ID_HEX_SIZE], attempt[24];
 
+    if (Claims_Defer(r, &final)) {
+        return;
+    }
+    if (r->ex == NULL) {
+        Dispatch_Drop(r->dispatch, r);
+        return;
+    }
     Counter_Add(&answered_total, 1);
     Counter_Observe(&answer_ms, Clock_NowMs() - r->accepted_at);
     log_end(r, "answered", "answered");
     snprintf(attempt, sizeof(attempt), "%llu", (unsigned long long)m->attempt);
-    Http_ReplyHeader(r->ex, "X-Request-Id", Id_Hex(&r->id, hex));
+    Http_ReplyHeader(r->ex, "X-Request-Id", Id_Hex(&m->request, hex));
     Http_ReplyHeader(r->ex, "X-Attempt", attempt);
     Http_ReplyHeader(r->ex, "X-Outcome", "answered");
     Http_Reply(r->ex, (int)m->status, m->content_type, m->body.data,
@@ -54,6 +62,19 @@
 Request_ReplyNotRun(struct request *r, int status, const char *reason,
                     const char *detail, int64_t retry_after_ms)
 {
+    struct claim_final final = {.kind = FINAL_NOT_RUN,
+                                .status = status,
+                                .retry_after_ms = retry_after_ms};
+
+    Str_Copy(final.reason, sizeof(final.reason), reason);
+    Str_Copy(final.detail, sizeof(final.detail), detail);
+    if (Claims_Defer(r, &final)) {
+        return;
+    }
+    if (r->ex == NULL) {
+        Dispatch_Drop(r->dispatch, r);
+        return;
+    }
     Counter_Add(&not_run_total, 1);
     log_end(r, "not_run", reason);
     Http_ReplyHeader(r->ex, "X-Outcome", "not_run");
@@ -64,13 +85,70 @@
 
 /* Nobody can say whether it ran. Not to be asked again blindly, so there is
  * no time to come back. */
-void
-Request_ReplyUnknown(struct request *r, const char *reason)
+static void
+reply_unknown(struct request *r, const char *reason)
 {
     Counter_Add(&unknown_total, 1);
     log_end(r, "unknown", reason);
     Http_ReplyHeader(r->ex, "X-Outcome", "unknown");
     Front_Refuse(r->ex, 504, "unknown", reason,
                  "the request may have run; its answer is lost", -1, &r->id);
+}
+
+/* The end of a request that may have run. */
+void
+Request_ReplyUnknown(struct request *r, const char *reason)
+{
+    struct claim_final final = {.kind = FINAL_UNKNOWN};
+
+    Str_Copy(final.reason, sizeof(final.reason), reason);
+    if (Claims_Defer(r, &final)) {
+        return;
+    }
+    if (r->ex != NULL) {
+        reply_unknown(r, reason);
+    }
+    Dispatch_Drop(r->dispatch, r);
+}
+
+/* The caller's end of a request whose row is still open. */
+void
+Request_TellUnknown(struct request *r, const char *reason)
+{
+    reply_unknown(r, reason);
+    r->ex = NULL;
+    r->dispatch->told++;
+}
+
+/* Nothing was sent; but where the row could not be read, or its claim may
+ * have been written, another request with the key may run. The key makes it
+ * safe to ask again in any case, so there is a time to come back. */
+void
+Request_ReplyNoTable(struct request *r, bool may_have_run,
+                     int64_t retry_after_ms)
+{
+    const char *outcome = may_have_run ? "unknown" : "not_run";
+
+    Counter_Add(may_have_run ? &unknown_total : &not_run_total, 1);
+    log_end(r, outcome, "table_down");
+    Http_ReplyHeader(r->ex, "X-Outcome", outcome);
+    Front_Refuse(r->ex, 503, outcome, "table_down",
+                 may_have_run ? "this request was not sent; an earlier one "
+                                "with its key may have run"
+                              : "",
+                 retry_after_ms, &r->id);
+    Dispatch_Drop(r->dispatch, r);
+}
+
+/* The same key with another body is a mistake of the caller's. */
+void
+Request_ReplyKeyReused(struct request *r)
+{
+    Counter_Add(&not_run_total, 1);
+    log_end(r, "not_run", "key_reused");
+    Http_ReplyHeader(r->ex, "X-Outcome", "not_run");
+    Front_Refuse(r->ex, 422, "not_run", "key_reused",
+                 "this Idempotency-Key was used with another body", -1,
+                 &r->id);
     Dispatch_Drop(r->dispatch, r);
 }
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -6,6 +6,11 @@
 #define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
 #define LATE_MS 250      /* an answer may be this late after the deadline */
 #define REFUSED_RETRY_MS 250
+#define AFTER_MS 10000 /* agents keep an answer so long after a deadline */
+
+static struct counter hedges_total = {"parsleyfall_hedges_total",
+                                      "Second attempts beside a late one.",
+                                      NULL, COUNTER_TOTAL};
 
 /* Records a decision on the request, with its inputs or NULL. */
 static void
@@ -79,14 +84,34 @@
     return false;
 }
 
+/* When a second try is worth asking for: the answer of the only one is late.
+ * -1: never. */
+static int64_t
+hedge_at(const struct request *r)
+{
+    int64_t after = Retry_HedgeAfterMs(r->service->retry);
+    const struct try *t = &r->tries[0];
+
+    if (!r->repeatable || r->hedged || after < 0 || r->try_count != 1 ||
+        t->state == TRY_OVER) {
+        return -1;
+    }
+    return t->sent_at + after;
+}
+
 /* Sets the timer of the request to what is due next. */
 static void
 set_timer(struct request *r)
 {
     int64_t now = Clock_NowMs();
     int64_t due = r->deadline_at + LATE_MS;
+    int64_t hedge = hedge_at(r);
     int i;
 
+    if (hedge >= 0 && hedge < due) {
+        due = hedge;
+    }
+
     for (i = 0; i < r->try_count; i++) {
         const struct try *t = &r->tries[i];
         int64_t at = t->sent_at + ACCEPT_MS;
@@ -156,7 +181,7 @@
 {
     struct try *t = &r->tries[r->try_count];
 
-    *t = (struct try){.number = (uint64_t)++r->try_count,
+    *t = (struct try){.number = r->attempt_base + (uint64_t)++r->try_count,
                       .handle = handle,
                       .incarnation = s->facts.incarnation,
                       .not_after = r->deadline_at + s->facts.clock_offset,
@@ -203,11 +228,10 @@
            inputs);
 }
 
-/* Picks an upstream and sends the request there. */
-int
-Request_Send(struct request *r)
+/* Picks an upstream that was not tried. */
+static struct route_decision
+pick(const struct request *r)
 {
-    struct route *route = r->service->route;
     int avoid[TRIES_MAX];
     struct route_request want = {
         .domain = r->dispatch->settings->failure_domain,
@@ -216,34 +240,65 @@
         .avoid = avoid,
         .avoid_count = tried(r, avoid),
     };
+
+    return Route_Pick(r->service->route, &want, Clock_NowMs(), Id_Random64());
+}
+
+/* Starts an attempt at the upstream that was picked: at once, or when its
+ * claim has been written. */
+static void
+start_try(struct request *r, const struct route_decision *d)
+{
+    struct route *route = r->service->route;
+    const char *agent = Route_Name(route, d->handle);
+    struct server *s = Dispatch_FindServer(r->dispatch, agent);
     int64_t now = Clock_NowMs();
-    struct route_decision d = Route_Pick(route, &want, now, Id_Random64());
-    struct server *s;
     struct try *t;
 
+    if (s == NULL) {
+        Fatal("route names an agent that is not known: %s", agent);
+    }
+    record_route(r, d, agent);
+    t = new_try(r, d->handle, s, now);
+    r->state = REQUEST_OUT;
+    Route_Sent(route, d->handle, now);
+    if (r->claim != NULL && r->claim->stage != STAGE_TOLD) {
+        Claims_Write(r, t);
+        return;
+    }
+    send_try(r, t, s);
+    set_timer(r);
+}
+
+/* Picks an upstream and sends the request there. */
+int
+Request_Send(struct request *r)
+{
+    struct route_decision d = pick(r);
+
+    if (d.handle == ROUTE_NONE && d.reason == ROUTE_NONE_FREE) {
+        return ERR_BUSY;
+    }
     if (d.handle == ROUTE_NONE) {
-        if (d.reason == ROUTE_NONE_FREE) {
-            return ERR_BUSY;
-        }
         record_route(r, &d, NULL);
         Request_ReplyNotRun(r, 503, Route_ReasonName(d.reason), "",
                             REFUSED_RETRY_MS);
         return ERR_OK;
     }
-    record_route(r, &d, Route_Name(route, d.handle));
-    s = Dispatch_FindServer(r->dispatch, Route_Name(route, d.handle));
-    if (s == NULL) {
-        Fatal("route names an agent that is not known: %s",
-              Route_Name(route, d.handle));
-    }
-    t = new_try(r, d.handle, s, now);
-    r->state = REQUEST_OUT;
-    Route_Sent(route, d.handle, now);
-    send_try(r, t, s);
-    set_timer(r);
+    start_try(r, &d);
     return ERR_OK;
 }
 
+/* The last try was never sent: its upstream owes nothing. */
+void
+Request_Unsend(struct request *r)
+{
+    struct try *t = &r->tries[r->try_count - 1];
+
+    t->may_run = false;
+    settle(r, t, ROUTE_WITHDRAWN);
+}
+
 /* The facts of a retry decision for this request as it stands. */
 static struct retry_facts
 retry_facts(const struct request *r, enum retry_cause cause, bool started)
@@ -276,6 +331,24 @@
     return d.allowed && r->try_count < TRIES_MAX;
 }
 
+/* Sends a second try beside the first, whose answer is late. Whichever ends
+ * first is the answer; the other is withdrawn. */
+static void
+hedge(struct request *r)
+{
+    struct route_decision d;
+
+    r->hedged = true;
+    if (!may_retry(r, RETRY_HEDGE, true)) {
+        return;
+    }
+    d = pick(r);
+    if (d.handle != ROUTE_NONE) {
+        Counter_Add(&hedges_total, 1);
+        start_try(r, &d);
+    }
+}
+
 /* Puts a request back to the head of its queue, to be sent elsewhere. */
 static void
 requeue(struct request *r)
@@ -330,6 +403,24 @@
     Request_ReplyUnknown(r, reason);
 }
 
+/* The last try's claim is in the row, so it may be sent, unless its agent
+ * has restarted meanwhile. */
+void
+Request_Claimed(struct request *r)
+{
+    struct try *t = &r->tries[r->try_count - 1];
+    struct server *s = Dispatch_FindServer(r->dispatch, t->agent);
+
+    if (s == NULL || s->facts.incarnation != t->incarnation) {
+        Request_Unsend(r);
+        after_not_run(r, RETRY_REFUSED, "agent_restarted", REFUSED_RETRY_MS);
+        return;
+    }
+    t->sent_at = Clock_NowMs();
+    send_try(r, t, s);
+    set_timer(r);
+}
+
 /* An agent has taken the request or refused it before anything started. */
 void
 Request_Taken(struct request *r, const struct wire_taken *m)
@@ -412,8 +503,8 @@
 }
 
 /* Word of an agent's verdict on a withdraw. */
-static const char *
-withdraw_name(uint64_t verdict)
+const char *
+Request_WithdrawName(uint64_t verdict)
 {
     static const char *const names[] = {[WITHDRAW_NOT_STARTED] = "not_started",
                                         [WITHDRAW_STARTED] = "started",
@@ -432,7 +523,7 @@
     if (t == NULL || t->state == TRY_OVER) {
         return;
     }
-    record(r, "withdrawn", withdraw_name(m->verdict), try_inputs(t));
+    record(r, "withdrawn", Request_WithdrawName(m->verdict), try_inputs(t));
     if (m->verdict == WITHDRAW_STARTED) {
         t->state = TRY_TAKEN;
         set_timer(r);
@@ -519,6 +610,15 @@
     }
 }
 
+/* The caller of a keyed request is told, but its answer may still come: it is
+ * awaited for as long as agents keep it, so that a repetition finds it. */
+static void
+tell_and_wait(struct request *r)
+{
+    Request_TellUnknown(r, "deadline");
+    Timer_Set(r->dispatch->task.kernel->loop, &r->timer, AFTER_MS);
+}
+
 /* Final answer at the deadline: with no word from an agent nobody can say
  * that the request has not run. What may still be unstarted is withdrawn. */
 static void
@@ -527,6 +627,10 @@
     bool may_have_run = any_may_have_run(r);
 
     withdraw_all(r);
+    if (may_have_run && r->claim != NULL && r->claim->stage == STAGE_OWN) {
+        tell_and_wait(r);
+        return;
+    }
     if (may_have_run) {
         Request_ReplyUnknown(r, "deadline");
         return;
@@ -542,10 +646,21 @@
     int64_t now = Clock_NowMs();
     int i;
 
+    if (r->state == REQUEST_CLAIM) {
+        Claims_Timer(r);
+        return;
+    }
+    if (r->ex == NULL) {
+        Dispatch_Drop(r->dispatch, r);
+        return;
+    }
     if (now >= r->deadline_at + LATE_MS) {
         give_up(r);
         return;
     }
+    if (hedge_at(r) >= 0 && now >= hedge_at(r)) {
+        hedge(r);
+    }
     for (i = 0; i < r->try_count; i++) {
         struct try *t = &r->tries[i];
 
--- a/packages/entry/entry-requests.c
+++ b/packages/entry/entry-requests.c
@@ -47,6 +47,21 @@
     const char *detail;
 };
 
+/* True for 1..255 visible bytes of ASCII. */
+static bool
+is_key(const char *key)
+{
+    size_t len = strlen(key);
+    size_t i;
+
+    for (i = 0; i < len; i++) {
+        if (key[i] < 0x21 || key[i] > 0x7e) {
+            return false;
+        }
+    }
+    return len > 0 && len < KEY_SIZE;
+}
+
 /* Fills an offer from the request, the service and its class. */
 static struct objection
 fill(const struct requests *q, const struct http_exchange *ex,
@@ -56,6 +71,7 @@
         Config_ClassOf(&q->in_force->doc, service, Http_Header(ex, "X-Class"));
     const char *caller = Http_Header(ex, "X-Caller");
     const char *type = Http_Header(ex, "Content-Type");
+    const char *key = Http_Header(ex, "Idempotency-Key");
     int64_t max = q->settings->limits.deadline_ms_max;
 
     if (class == NULL) {
@@ -74,12 +90,19 @@
         return (struct objection){400, "bad_header",
                                   "X-Caller is a name of up to 63 characters"};
     }
+    if (key != NULL && !is_key(key)) {
+        return (struct objection){
+            400, "bad_header",
+            "Idempotency-Key is 1 to 255 visible ASCII characters"};
+    }
     if (o->timeout_ms == 0) {
         o->timeout_ms = class->deadline_ms < max ? class->deadline_ms : max;
     }
     Str_Copy(o->caller, sizeof(o->caller), caller ? caller : "");
     Str_Copy(o->content_type, sizeof(o->content_type), type ? type : "");
     Str_Copy(o->class_name, sizeof(o->class_name), class->name);
+    Str_Copy(o->key, sizeof(o->key), key ? key : "");
+    o->keyed_without_table = class->keyed_when_table_down == KEYED_SERVE;
     o->priority = (enum priority) class->priority;
     o->repeatable = class->repeatable;
     o->queue_max = (int)service->queue_limit;
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -27,6 +27,7 @@
 #include "config.h"
 #include "http.h"
 #include "kernel.h"
+#include "platform.h"
 #include "policy.h"
 #include "wire.h"
 
@@ -142,8 +143,20 @@
 /* Tasks that want config notes say so before the loop runs. */
 void Configs_Subscribe(struct kernel *k, const char *task);
 
+/* ---- the platform's services -------------------------------------------- */
+
+/* The one connection of this process to each, with one budget for all its
+ * tasks; NULL when the settings name none. Tasks ask for them when they
+ * start, and not after. */
+struct table *Entry_Table(struct kernel *k);
+struct objects *Entry_Objects(struct kernel *k);
+
 /* ---- requests ---------------------------------------------------------- */
 
+#define KEY_SIZE                                                              \
+    256 /* bytes of an Idempotency-Key, the final NUL included                \
+         */
+
 /* requests -> dispatch: a request that its organisation may make. */
 struct offer {
     struct message base;
@@ -158,7 +171,9 @@
     bool repeatable;
     int queue_max; /* of the service; 0: default */
     int64_t cost_hint_ms;
-    int64_t timeout_ms; /* from now to the deadline */
+    int64_t timeout_ms;       /* from now to the deadline */
+    char key[KEY_SIZE];       /* Idempotency-Key; "": none */
+    bool keyed_without_table; /* its class serves it without a claim */
     char content_type[WIRE_TEXT_SIZE];
     struct buf body;
 };
