--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -27,6 +27,7 @@
 #include "config.h"
 #include "http.h"
 #include "kernel.h"
+#include "platform.h"
 #include "policy.h"
 #include "wire.h"
 
@@ -179,8 +180,20 @@
 /* As above, for Config_SetCheck. */
 void Feasible_Check(const struct config *c, struct conf_errors *errors);
 
+/* ---- the platform's services -------------------------------------------- */
+
+/* The one connection of this process to each, with one budget for all its
+ * tasks; NULL when the settings name none. Tasks ask for them when they
+ * start, and not after. */
+struct table *Entry_Table(struct kernel *k);
+struct objects *Entry_Objects(struct kernel *k);
+
 /* ---- requests ---------------------------------------------------------- */
 
+#define KEY_SIZE                                                              \
+    256 /* bytes of an Idempotency-Key, the final NUL included                \
+         */
+
 /* requests -> dispatch: a request that its organisation may make. */
 struct offer {
     struct message base;
@@ -195,7 +208,9 @@
     bool repeatable;
     int queue_max; /* of the service; 0: default */
     int64_t cost_hint_ms;
-    int64_t timeout_ms; /* from now to the deadline */
+    int64_t timeout_ms;       /* from now to the deadline */
+    char key[KEY_SIZE];       /* Idempotency-Key; "": none */
+    bool keyed_without_table; /* its class serves it without a claim */
     char content_type[WIRE_TEXT_SIZE];
     struct buf body;
 };
@@ -226,6 +241,27 @@
  * subscription from the start. */
 void Peers_Subscribe(struct kernel *k, const char *task);
 
+/* ---- why --------------------------------------------------------------- */
+
+/* Says whose a request or a job is: its record is seen by that organisation
+ * and by operators. Before the first Why_Record; an unopened one is seen by
+ * operators alone. */
+void Why_Open(struct kernel *k, const struct id *id, const char *organisation);
+/* Records a decision at the moment when it falls, with all the inputs that
+ * decided it; takes inputs (NULL: none). The record is bounded: the oldest
+ * give way and are counted. GET /v1/why/{id} tells it, from any entry. */
+void Why_Record(struct kernel *k, const struct id *subject,
+                const char *decision, const char *reason, json_t *inputs);
+/* Inputs of the decisions of policy as JSON, and back, so that a recorded
+ * decision can be judged again. ERR_OK, or ERR_INVALID when a field is
+ * missing or of another type. */
+json_t *Why_FromAdmission(const struct admission_inputs *in);
+int Why_ToAdmission(const json_t *o, struct admission_inputs *out);
+json_t *Why_FromRoute(const struct route_inputs *in);
+int Why_ToRoute(const json_t *o, struct route_inputs *out);
+json_t *Why_FromRetry(const struct retry_inputs *in);
+int Why_ToRetry(const json_t *o, struct retry_inputs *out);
+
 /* ---- front ------------------------------------------------------------- */
 
 /* A path that the front serves. A "*" stands for one segment of the path.
