platform: tasks run under leases that the worker ends by itself

A duration from arrival was ruled out, as a retried renewal would have prolonged the lease by its delay. A label is kept with the task, from which an agent that restarts learns the rank of what it adopts.

--- a/packages/platform/platform-runner.c
+++ b/packages/platform/platform-runner.c
@@ -104,16 +104,30 @@
 
 /* Starts a task. */
 static void
-runner_start(struct runner *runner, const struct id *job, uint64_t attempt,
-             uint64_t accelerators, const void *spec, size_t len,
+runner_start(struct runner *runner, const struct runner_start *start,
              runner_done done, void *arg)
 {
     char hex[ID_HEX_SIZE];
 
     act(runner, "/runner/start",
-        json_pack("{s:s,s:I,s:o,s:o}", "job", Id_Hex(job, hex), "attempt",
-                  (json_int_t)attempt, "accelerators", bits_json(accelerators),
-                  "spec", Json_Bytes(spec, len)),
+        json_pack("{s:s,s:I,s:o,s:I,s:s,s:o}", "job", Id_Hex(&start->job, hex),
+                  "attempt", (json_int_t)start->attempt, "accelerators",
+                  bits_json(start->accelerators), "until",
+                  (json_int_t)start->until, "label", start->label, "spec",
+                  Json_Bytes(start->spec, start->spec_len)),
+        done, arg);
+}
+
+/* Renews the lease of a task. */
+static void
+runner_renew(struct runner *runner, const struct id *job, uint64_t attempt,
+             int64_t until, runner_done done, void *arg)
+{
+    char hex[ID_HEX_SIZE];
+
+    act(runner, "/runner/renew",
+        json_pack("{s:s,s:I,s:I}", "job", Id_Hex(job, hex), "attempt",
+                  (json_int_t)attempt, "until", (json_int_t)until),
         done, arg);
 }
 
@@ -171,9 +185,12 @@
 static int
 read_task(const json_t *o, struct runner_task *task)
 {
+    const char *label = json_string_value(json_object_get(o, "label"));
     int64_t attempt;
 
-    if (Json_ToId(json_object_get(o, "job"), &task->job) != ERR_OK ||
+    if (label == NULL ||
+        Json_ToInt(json_object_get(o, "until"), &task->until) != ERR_OK ||
+        Json_ToId(json_object_get(o, "job"), &task->job) != ERR_OK ||
         Json_ToInt(json_object_get(o, "attempt"), &attempt) != ERR_OK ||
         read_state(json_object_get(o, "state"), &task->state) != ERR_OK ||
         read_bits(json_object_get(o, "accelerators"), &task->accelerators) !=
@@ -185,6 +202,7 @@
         return ERR_INVALID;
     }
     task->attempt = (uint64_t)attempt;
+    Str_Copy(task->label, sizeof(task->label), label);
     return ERR_OK;
 }
 
@@ -197,14 +215,16 @@
     const json_t *tasks = json_object_get(o, "tasks"), *task;
     size_t i, n = json_array_size(tasks);
     struct runner_task *found = Mem_Zero(n + 1, sizeof(*found));
-    bool ok = result->status == 200 && json_is_array(tasks);
+    int64_t clock = 0;
+    bool ok = result->status == 200 && json_is_array(tasks) &&
+              Json_ToInt(json_object_get(o, "clock"), &clock) == ERR_OK;
 
     json_array_foreach(tasks, i, task)
     {
         ok = ok && read_task(task, &found[i]) == ERR_OK;
     }
     if (ok) {
-        list->done(list->arg, ERR_OK, found, n);
+        list->done(list->arg, ERR_OK, found, n, clock);
     }
     free(found);
     json_decref(o);
@@ -216,7 +236,7 @@
 {
     struct list_call *list = (struct list_call *)call;
 
-    list->done(list->arg, err, NULL, 0);
+    list->done(list->arg, err, NULL, 0, 0);
 }
 
 static const struct call_ops list_ops = {.answered = list_answered,
@@ -246,6 +266,7 @@
 
 static const struct runner_ops runner_ops = {.name = "http",
                                              .start = runner_start,
+                                             .renew = runner_renew,
                                              .control = runner_control,
                                              .list = runner_list,
                                              .free = runner_free};
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -126,14 +126,33 @@
     RUNNER_STOPPED
 };
 
+#define RUNNER_LABEL_SIZE 192
+
 /* A task on this worker: one attempt of one job's part. Usage lags. */
 struct runner_task {
     struct id job;
     uint64_t attempt;
     enum runner_state state;
-    uint64_t accelerators;  /* bits */
-    int64_t checkpoint_ms;  /* age of the last checkpoint; -1: none */
-    int64_t usage_permille; /* of its accelerators, as last reported */
+    uint64_t accelerators;         /* bits */
+    int64_t checkpoint_ms;         /* age of the last checkpoint; -1: none */
+    int64_t usage_permille;        /* of its accelerators, as last reported */
+    int64_t until;                 /* end of its lease, worker clock */
+    char label[RUNNER_LABEL_SIZE]; /* as it was started with */
+};
+
+/* A task to be started under a lease: at `until` the worker stops it by
+ * itself, whether anybody still runs who could ask for it. until is a reading
+ * of the worker's own clock, so that a copy that comes late grants nothing
+ * more; each list brings a reading to count from. The label is kept with the
+ * task for the agent that comes after this one. */
+struct runner_start {
+    struct id job;
+    uint64_t attempt;
+    uint64_t accelerators; /* bits */
+    int64_t until;         /* worker clock, milliseconds */
+    const char *label;
+    const void *spec;
+    size_t spec_len;
 };
 
 enum runner_verb {
@@ -145,19 +164,24 @@
 };
 
 /* err as of the table: ERR_UNKNOWN means that it may have started. Starting
- * an attempt that runs already is ERR_OK; one that has ended is ERR_STALE.
- * Control of an attempt that was never here is ERR_NOTFOUND, of one that has
- * ended ERR_OK. Both are repeated until their outcome is known or the time is
- * over. A list holds a task for a minute after its end. */
+ * an attempt that runs already is ERR_OK; one that has ended, or whose lease
+ * is over already, is ERR_STALE. Renewing never shortens a lease; it is
+ * ERR_STALE for a task that has ended. Control of an attempt that was never
+ * here is ERR_NOTFOUND, of one that has ended ERR_OK. All are repeated until
+ * their outcome is known or the time is over. A list holds a task for a
+ * minute after its end. */
 typedef void (*runner_done)(void *arg, int err);
+/* clock: the worker's, read between the call and its answer. */
 typedef void (*runner_listed)(void *arg, int err,
-                              const struct runner_task *tasks, size_t count);
+                              const struct runner_task *tasks, size_t count,
+                              int64_t clock);
 
 struct runner_ops {
     const char *name;
-    void (*start)(struct runner *, const struct id *job, uint64_t attempt,
-                  uint64_t accelerators, const void *spec, size_t len,
+    void (*start)(struct runner *, const struct runner_start *start,
                   runner_done done, void *arg);
+    void (*renew)(struct runner *, const struct id *job, uint64_t attempt,
+                  int64_t until, runner_done done, void *arg);
     void (*control)(struct runner *, const struct id *job, uint64_t attempt,
                     enum runner_verb verb, runner_done done, void *arg);
     void (*list)(struct runner *, runner_listed done, void *arg);
--- a/tests/fakes/upstream-runner.c
+++ b/tests/fakes/upstream-runner.c
@@ -15,6 +15,8 @@
     char job[ID_HEX_SIZE];
     int64_t attempt;
     json_t *accelerators;
+    char *label;
+    int64_t until;     /* end of the lease */
     const char *state; /* as in the published format */
     bool ended;
     bool fails;
@@ -28,6 +30,7 @@
     int64_t checkpoint_at; /* -1: none */
     ev_timer run_timer;
     ev_timer write_timer;
+    ev_timer lease_timer;
     TAILQ_ENTRY(part) entry;
 };
 
@@ -56,6 +59,7 @@
 {
     ev_timer_stop(p->runner->loop, &p->run_timer);
     ev_timer_stop(p->runner->loop, &p->write_timer);
+    ev_timer_stop(p->runner->loop, &p->lease_timer);
     p->state = state;
     p->ended = true;
     p->ended_ms = Clock_NowMs();
@@ -75,6 +79,29 @@
     end_part(p, "ended", "end");
 }
 
+/* Nobody renewed the lease. */
+static void
+on_lease_end(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct part *p = w->data;
+
+    end_part(p, "stopped", "lease-end");
+}
+
+/* Lets the lease end at a reading of the worker's clock, never sooner than
+ * was said before. */
+static void
+set_lease(struct part *p, int64_t until)
+{
+    int64_t left = until - Clock_NowMs();
+
+    if (until <= p->until) {
+        return;
+    }
+    p->until = until;
+    Timer_Set(p->runner->loop, &p->lease_timer, left > 0 ? left : 0);
+}
+
 /* State of a part that is working. */
 static const char *
 running_state(const struct part *p)
@@ -250,6 +277,10 @@
     p->run_timer.data = p;
     ev_init(&p->write_timer, on_written);
     p->write_timer.data = p;
+    ev_init(&p->lease_timer, on_lease_end);
+    p->lease_timer.data = p;
+    p->label = Mem_Dup(json_string_value(json_object_get(o, "label")));
+    set_lease(p, Fake_Int(o, "until", 0));
     set_rate(p, FULL_RATE);
     p->rate_before = 0;
     count_faults(r, p);
@@ -267,12 +298,13 @@
     const struct part *p;
 
     if (job == NULL || attempt < 0 ||
+        !json_is_string(json_object_get(o, "label")) ||
         !json_is_array(json_object_get(o, "accelerators"))) {
         Fake_Reply(ex, 400, json_pack("{s:s}", "reason", "start"));
         return;
     }
     p = find(r, job, attempt);
-    if (p != NULL && p->ended) {
+    if (p != NULL ? p->ended : Fake_Int(o, "until", 0) <= Clock_NowMs()) {
         Fake_Reply(ex, 409, json_pack("{s:s}", "reason", "stale"));
         return;
     }
@@ -282,6 +314,22 @@
     Fake_Reply(ex, 200, json_object());
 }
 
+/* POST /runner/renew. */
+static void
+serve_renew(struct fake_runner *r, struct http_exchange *ex, const json_t *o)
+{
+    const char *job = json_string_value(json_object_get(o, "job"));
+    struct part *p =
+        find(r, job == NULL ? "" : job, Fake_Int(o, "attempt", -1));
+
+    if (p == NULL || p->ended) {
+        Fake_Reply(ex, p == NULL ? 404 : 409, json_object());
+        return;
+    }
+    set_lease(p, Fake_Int(o, "until", 0));
+    Fake_Reply(ex, 200, json_object());
+}
+
 /* POST /runner/control. */
 static void
 serve_control(struct fake_runner *r, struct http_exchange *ex, const json_t *o)
@@ -317,10 +365,12 @@
     int64_t usage =
         now - p->changed_ms >= USAGE_LAG_MS ? p->rate : p->rate_before;
 
-    return json_pack("{s:s,s:I,s:s,s:O,s:I,s:I}", "job", p->job, "attempt",
-                     (json_int_t)p->attempt, "state", p->state, "accelerators",
-                     p->accelerators, "checkpoint_ms", (json_int_t)age,
-                     "usage_permille", (json_int_t)(p->ended ? 0 : usage));
+    return json_pack("{s:s,s:I,s:s,s:O,s:I,s:I,s:I,s:s}", "job", p->job,
+                     "attempt", (json_int_t)p->attempt, "state", p->state,
+                     "accelerators", p->accelerators, "checkpoint_ms",
+                     (json_int_t)age, "usage_permille",
+                     (json_int_t)(p->ended ? 0 : usage), "until",
+                     (json_int_t)p->until, "label", p->label);
 }
 
 /* Lists what runs, and on request what has ended of late. */
@@ -347,7 +397,9 @@
     json_t *o;
 
     if (strcmp(path, "/runner/tasks") == 0) {
-        Fake_Reply(ex, 200, json_pack("{s:o}", "tasks", list(r, true)));
+        Fake_Reply(ex, 200,
+                   json_pack("{s:o,s:I}", "tasks", list(r, true), "clock",
+                             (json_int_t)Clock_NowMs()));
         return;
     }
     if (strcmp(path, "/runner/log") == 0) {
@@ -365,6 +417,9 @@
     if (strcmp(path, "/runner/start") == 0) {
         serve_start(r, ex, o);
     }
+    else if (strcmp(path, "/runner/renew") == 0) {
+        serve_renew(r, ex, o);
+    }
     else if (strcmp(path, "/runner/control") == 0) {
         serve_control(r, ex, o);
     }
@@ -396,7 +451,9 @@
         TAILQ_REMOVE(&r->parts, p, entry);
         ev_timer_stop(r->loop, &p->run_timer);
         ev_timer_stop(r->loop, &p->write_timer);
+        ev_timer_stop(r->loop, &p->lease_timer);
         json_decref(p->accelerators);
+        free(p->label);
         free(p);
     }
     json_decref(r->log);
