--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -17,6 +17,7 @@
 struct entry_link {
     char address[NAME_SIZE];
     char name[NAME_SIZE]; /* "" until it has welcomed us */
+    uint64_t incarnation; /* of the entry */
     struct link *link;
     bool seed;
     bool welcomed;
@@ -43,7 +44,7 @@
     TAILQ_HEAD(, entry_link) entries;
     struct wire_list services;
     struct wire_list parts;
-    int heard; /* entries heard, as last told to the others */
+    uint64_t heard; /* hash of the entries heard, as last told */
     bool leaving;
     ev_timer tick;
 };
@@ -233,6 +234,7 @@
               KV_INT("beat_ms", w->beat_ms));
     }
     Str_Copy(e->name, sizeof(e->name), w->entry);
+    e->incarnation = w->incarnation;
     e->welcomed = true;
     e->draining = w->draining != 0;
     e->pace_ms = w->beat_ms < MIN_BEAT_MS   ? MIN_BEAT_MS
@@ -293,18 +295,38 @@
           KV("entry", e->address));
 }
 
-/* Tells the other tasks how many entries are heard, when that changes. */
+/* Lists the entries that are heard and stay. */
 static void
-tell_contact(struct links *l, int heard)
+list_heard(struct links *l, struct wire_list *heard)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        struct heard_entry *h;
+
+        if (!e->welcomed || e->draining) {
+            continue;
+        }
+        h = Wire_ListAdd(heard, sizeof(*h));
+        Str_Copy(h->address, sizeof(h->address), e->address);
+        Str_Copy(h->name, sizeof(h->name), e->name);
+        h->incarnation = e->incarnation;
+    }
+}
+
+/* Tells the other tasks which entries are heard, when that changes. */
+static void
+tell_contact(struct links *l)
 {
     static const char *const tasks[] = {"work", "parts"};
+    struct wire_list heard = {0};
+    uint64_t hash;
     size_t i;
 
-    if (heard == l->heard) {
-        return;
-    }
-    l->heard = heard;
-    for (i = 0; i < COUNT_OF(tasks); i++) {
+    list_heard(l, &heard);
+    hash = Hash_Bytes(heard.items, heard.count * sizeof(struct heard_entry),
+                      heard.count);
+    for (i = 0; i < COUNT_OF(tasks) && hash != l->heard; i++) {
         struct task *t = Kernel_FindTask(l->task.kernel, tasks[i]);
         struct contact_note *note;
 
@@ -312,19 +334,21 @@
             continue;
         }
         note = Mem_Zero(1, sizeof(*note));
-        note->entries = heard;
+        copy_list(&note->heard, &heard, sizeof(struct heard_entry));
         Kernel_Post(t, &note->base, &Agent_Contact);
     }
+    l->heard = hash;
+    free(heard.items);
 }
 
-/* Looks after one link. False when the entry was dropped. */
-static bool
+/* Looks after one link. */
+static void
 tend(struct links *l, struct entry_link *e, int64_t now)
 {
     if (!e->seed && is_silent(e, now) && now - e->listed_at > FORGET_MS) {
         LOG_I("entry_forgotten", KV("address", e->address));
         drop_entry(l, e);
-        return false;
+        return;
     }
     if (is_silent(e, now)) {
         LOG_W("link_silent", KV("entry", e->address),
@@ -339,7 +363,6 @@
     else if (e->welcomed && now - e->said_at >= interval(e)) {
         say_beat(l, e);
     }
-    return true;
 }
 
 /* Looks after all links. */
@@ -349,14 +372,11 @@
     struct links *l = w->data;
     struct entry_link *e, *next;
     int64_t now = Clock_NowMs();
-    int heard = 0;
 
+    tell_contact(l);
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
-        if (tend(l, e, now) && e->welcomed) {
-            heard++;
-        }
+        tend(l, e, now);
     }
-    tell_contact(l, heard);
 }
 
 /* Sends to the entry that it is for, or to all. */
--- a/packages/agent/agent-messages.c
+++ b/packages/agent/agent-messages.c
@@ -52,12 +52,22 @@
     free(note);
 }
 
+/* Frees a note of the entries that are heard. */
+static void
+free_contact(struct message *m)
+{
+    struct contact_note *note = (struct contact_note *)m;
+
+    free(note->heard.items);
+    free(note);
+}
+
 const struct message_kind Agent_Inbound = {"inbound", free_inbound};
 const struct message_kind Agent_Outbound = {"outbound", free_outbound};
 const struct message_kind Agent_Services = {"services", free_services};
 const struct message_kind Agent_Busy = {"busy", free_busy};
 const struct message_kind Agent_Parts = {"parts", free_parts};
-const struct message_kind Agent_Contact = {"contact", NULL};
+const struct message_kind Agent_Contact = {"contact", free_contact};
 const struct message_kind Agent_Upstream = {"upstream", NULL};
 
 /* Hands a message for an entry to the links task. */
--- /dev/null
+++ b/packages/agent/agent-parts-adopt.c
@@ -0,0 +1,244 @@
+#include "agent-parts.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Writes what the next process must know of a task: rank, size of the gang,
+ * guarantee. */
+void
+Parts_Label(const struct part *part, char out[RUNNER_LABEL_SIZE])
+{
+    snprintf(out, RUNNER_LABEL_SIZE, "1 %llu %llu %llu %lld %d %s",
+             (unsigned long long)part->term, (unsigned long long)part->members,
+             (unsigned long long)part->tasks, (long long)part->grace_ms,
+             part->guaranteed, part->organisation);
+}
+
+/* Reads a label. A strange one leaves a part without members, which nobody
+ * can renew: it ends with its lease. */
+static void
+read_label(struct part *part, const char *label)
+{
+    unsigned long long term, members, tasks;
+    long long grace;
+    int guaranteed, at = 0;
+
+    part->grace_ms = PARTS_ADOPTED_GRACE_MS;
+    if (sscanf(label, "1 %llu %llu %llu %lld %d %n", &term, &members, &tasks,
+               &grace, &guaranteed, &at) != 5 ||
+        at == 0) {
+        return;
+    }
+    part->term = term;
+    part->members = members;
+    part->tasks = tasks;
+    part->grace_ms = grace;
+    part->guaranteed = guaranteed != 0;
+    Str_Copy(part->organisation, sizeof(part->organisation), label + at);
+}
+
+/* How the runner's states look here. */
+static const struct {
+    bool ended;
+    enum part_state state;
+    const char *reason;
+} ends[] = {
+    [RUNNER_RUNNING] = {false, PART_RUNNING, "adopted"},
+    [RUNNER_THROTTLED] = {false, PART_RUNNING, "adopted"},
+    [RUNNER_CHECKPOINTING] = {false, PART_RUNNING, "adopted"},
+    [RUNNER_ENDED_WELL] = {true, PART_DONE, "ended"},
+    [RUNNER_FAILED] = {true, PART_FAILED, "failed"},
+    [RUNNER_STOPPED] = {true, PART_STOPPED, "stopped"},
+};
+
+/* Notes what a list says of a task. */
+static void
+note_task(struct part *part, const struct runner_task *task, int64_t now)
+{
+    if (part->start != START_KNOWN) {
+        part->start = START_KNOWN;
+        part->known_at = now;
+    }
+    part->checkpoint_ms = task->checkpoint_ms;
+    part->usage_permille = task->usage_permille;
+}
+
+/* Takes in a task that this process did not start. Its lease is what is left
+ * of it at the worker, counted from before the list was asked for, so that a
+ * restart never makes a lease longer. */
+static struct part *
+adopt(struct parts *p, const struct runner_task *task, int64_t clock,
+      int64_t asked_at, int64_t now)
+{
+    struct part *part = Mem_Zero(1, sizeof(*part));
+    int64_t left = task->until - clock;
+
+    part->job = task->job;
+    part->attempt = task->attempt;
+    part->accelerators = task->accelerators;
+    part->throttled = task->state == RUNNER_THROTTLED;
+    part->throttle_told = part->throttled;
+    read_label(part, task->label);
+    part->lease_until =
+        asked_at + (left < GANG_LEASE_MS ? left : GANG_LEASE_MS);
+    part->lease_told = part->lease_until;
+    note_task(part, task, now);
+    TAILQ_INSERT_TAIL(&p->list, part, entry);
+    if (ends[task->state].ended) {
+        Part_End(p, part, ends[task->state].state, ends[task->state].reason,
+                 now);
+    }
+    else {
+        Part_Change(part, PART_RUNNING, ends[task->state].reason);
+    }
+    return part;
+}
+
+/* How likely a record is that of a task that the runner lists. */
+static int
+likeness(const struct part *part)
+{
+    return (Parts_Holds(part) ? START_KNOWN + 1 : 0) + (int)part->start;
+}
+
+/* The record of a task; the runner doesn't know terms. */
+static struct part *
+find_task(struct parts *p, const struct runner_task *task)
+{
+    struct part *part, *found = NULL;
+
+    TAILQ_FOREACH (part, &p->list, entry) {
+        if (part->attempt == task->attempt &&
+            Id_Compare(&part->job, &task->job) == 0 &&
+            (found == NULL || likeness(part) > likeness(found))) {
+            found = part;
+        }
+    }
+    return found;
+}
+
+/* Compares a part with what the runner says of its task. */
+static void
+compare_part(struct parts *p, struct part *part,
+             const struct runner_task *task, int64_t now)
+{
+    const char *reason =
+        part->state == PART_STOPPING ? part->reason : ends[task->state].reason;
+    char copy[NAME_SIZE];
+
+    note_task(part, task, now);
+    if (ends[task->state].ended) {
+        Str_Copy(copy, sizeof(copy), reason);
+        Part_End(p, part, ends[task->state].state, copy, now);
+    }
+}
+
+/* A task that works without a part that may work: one whose start came after
+ * all, or of another agent. It is stopped, and holds its accelerators until
+ * then. */
+static void
+stop_stray(struct parts *p, const struct runner_task *task, int64_t clock,
+           int64_t asked_at, int64_t now)
+{
+    struct part *part = adopt(p, task, clock, asked_at, now);
+
+    part->fenced = Spent_Covers(p, &part->job, part->attempt, part->term);
+    Part_StopBy(p, part, "stray", now, now);
+}
+
+/* Takes in one task of a list. */
+static void
+observe_task(struct parts *p, const struct runner_task *task, int64_t clock,
+             int64_t asked_at, int64_t now)
+{
+    struct part *part = find_task(p, task);
+    bool ended = ends[task->state].ended;
+    bool unknown = part == NULL || part->ended_at < asked_at;
+
+    if (part != NULL && Parts_Holds(part) && part->start != START_NOT_ASKED) {
+        compare_part(p, part, task, now);
+    }
+    else if (part == NULL && !p->ready) {
+        adopt(p, task, clock, asked_at, now);
+    }
+    else if (unknown && !ended) {
+        stop_stray(p, task, clock, asked_at, now);
+    }
+}
+
+/* True when the list names the task of a part. */
+static bool
+is_listed(const struct part *part, const struct runner_task *tasks,
+          size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (tasks[i].attempt == part->attempt &&
+            Id_Compare(&tasks[i].job, &part->job) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A part that the list doesn't show. One that was seen before is lost, if
+ * the list was asked for later. One whose start was never confirmed may still
+ * start until its lease is over: the worker refuses it from then on. */
+static void
+observe_missing(struct parts *p, struct part *part, int64_t asked_at,
+                int64_t now)
+{
+    if (part->start == START_KNOWN && asked_at > part->known_at) {
+        Part_End(p, part, PART_STOPPED, "lost", now);
+    }
+    else if (part->start == START_ASKED && asked_at > part->lease_until) {
+        Part_End(p, part, PART_STOPPED, "never_started", now);
+    }
+}
+
+/* Takes in what the runner lists. */
+void
+Parts_Observe(struct parts *p, const struct runner_task *tasks, size_t count,
+              int64_t clock, int64_t asked_at, int64_t now)
+{
+    struct part *part, *next;
+
+    for (size_t i = 0; i < count; i++) {
+        observe_task(p, &tasks[i], clock, asked_at, now);
+    }
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        if ((part->state == PART_RUNNING || part->state == PART_STOPPING) &&
+            !is_listed(part, tasks, count)) {
+            observe_missing(p, part, asked_at, now);
+        }
+    }
+    p->ready = true;
+}
+
+/* What the runner said about a start. After an unknown outcome a late copy
+ * may still start the task, so nothing but a list tells; else a refusal shows
+ * that nothing runs. */
+void
+Parts_Started(struct parts *p, struct part *part, int err, int64_t now)
+{
+    if (part->start != START_ASKED) {
+        return;
+    }
+    if (err == ERR_OK) {
+        part->start = START_KNOWN;
+        part->known_at = now;
+        return;
+    }
+    if (err == ERR_STALE || err == ERR_UNKNOWN) {
+        part->start_doubted = true;
+    }
+    if (part->start_doubted) {
+        return;
+    }
+    part->start = START_NOT_ASKED;
+    if (err == ERR_INVALID) {
+        Part_End(p, part, PART_FAILED, "refused_by_runner", now);
+    }
+    else if (part->state == PART_STOPPING) {
+        Part_End(p, part, PART_STOPPED, "never_started", now);
+    }
+}
--- /dev/null
+++ b/packages/agent/agent-parts-runner.c
@@ -0,0 +1,271 @@
+#include "agent-parts.h"
+
+#include <stdlib.h>
+
+#define LIST_MS 1000     /* while parts run */
+#define LIST_FAST_MS 100 /* while the runner's next word decides something */
+#define LIST_IDLE_MS 10000
+#define LEASE_STEP_MS 500 /* a lease that grew by less is not told */
+
+static struct counter starts_total = {"parsleyfall_agent_part_starts_total",
+                                      "Parts that the runner has started.",
+                                      NULL, COUNTER_TOTAL};
+static struct counter errors_total = {
+    "parsleyfall_agent_runner_errors_total",
+    "Calls of the task runner that failed or whose outcome is unknown.", NULL,
+    COUNTER_TOTAL};
+
+/* Opens a call for a part. */
+static struct runner_call *
+open_call(struct parts_task *t, struct part *part, enum runner_call_kind kind)
+{
+    struct runner_call *c = Mem_Zero(1, sizeof(*c));
+
+    c->task = t;
+    c->kind = kind;
+    c->job = part->job;
+    c->attempt = part->attempt;
+    c->term = part->term;
+    c->lease = part->lease_until;
+    part->calls |= kind;
+    TAILQ_INSERT_TAIL(&t->calls, c, entry);
+    return c;
+}
+
+/* Writes the outcome of a call into its part. */
+static void
+note_outcome(struct parts_task *t, const struct runner_call *c,
+             struct part *part, int err)
+{
+    int64_t now = Clock_NowMs();
+
+    part->calls &= ~(unsigned)c->kind;
+    if (c->kind == CALL_START) {
+        Parts_Started(&t->parts, part, err, now);
+        Counter_Add(&starts_total, err == ERR_OK);
+    }
+    if (err != ERR_OK) {
+        return;
+    }
+    if (c->kind != CALL_CONTROL && c->lease > part->lease_told) {
+        part->lease_told = c->lease;
+    }
+    if (c->kind == CALL_CONTROL &&
+        (c->verb == RUNNER_THROTTLE || c->verb == RUNNER_RESUME)) {
+        part->throttle_told = c->verb == RUNNER_THROTTLE;
+    }
+}
+
+/* A call for a part has ended. */
+static void
+on_done(void *arg, int err)
+{
+    struct runner_call *c = arg;
+    struct parts_task *t = c->task;
+    struct part *part = Parts_Find(&t->parts, &c->job, c->attempt, c->term);
+    char hex[ID_HEX_SIZE];
+
+    if (err != ERR_OK) {
+        Counter_Add(&errors_total, 1);
+        LOG_W("runner_call_failed", KV("job", Id_Hex(&c->job, hex)),
+              KV_INT("attempt", c->attempt), KV_INT("kind", c->kind),
+              KV("error", Err_Name(err)));
+    }
+    if (part != NULL) {
+        note_outcome(t, c, part, err);
+    }
+    TAILQ_REMOVE(&t->calls, c, entry);
+    free(c);
+    PartsTell_Changes(t, Clock_NowMs());
+}
+
+/* The end of a lease on the worker's clock. The reading that it counts from
+ * was made before read_at, so the worker ends the lease no later than it is
+ * over here. */
+static int64_t
+on_worker_clock(const struct parts_task *t, int64_t until)
+{
+    return t->worker_clock + (until - t->read_at);
+}
+
+/* Asks for the start of a released part. */
+static void
+ask_start(struct parts_task *t, struct part *part)
+{
+    char label[RUNNER_LABEL_SIZE];
+    struct runner_start start = {
+        .job = part->job,
+        .attempt = part->attempt,
+        .accelerators = part->accelerators,
+        .until = on_worker_clock(t, part->lease_until),
+        .label = label,
+        .spec = part->spec.data != NULL ? part->spec.data : "",
+        .spec_len = part->spec.len,
+    };
+
+    Parts_Label(part, label);
+    part->start = START_ASKED;
+    t->runner->ops->start(t->runner, &start, on_done,
+                          open_call(t, part, CALL_START));
+}
+
+/* Asks for a longer lease at the worker. */
+static void
+ask_renew(struct parts_task *t, struct part *part)
+{
+    t->runner->ops->renew(t->runner, &part->job, part->attempt,
+                          on_worker_clock(t, part->lease_until), on_done,
+                          open_call(t, part, CALL_RENEW));
+}
+
+/* Asks for what a part is to do from now on. */
+static void
+ask_control(struct parts_task *t, struct part *part, enum runner_verb verb)
+{
+    struct runner_call *c = open_call(t, part, CALL_CONTROL);
+
+    c->verb = verb;
+    t->runner->ops->control(t->runner, &part->job, part->attempt, verb,
+                            on_done, c);
+}
+
+/* Brings a running part to its state. */
+static void
+tend_running(struct parts_task *t, struct part *part)
+{
+    if (part->start != START_KNOWN) {
+        if ((part->calls & CALL_START) == 0) {
+            ask_start(t, part);
+        }
+        return;
+    }
+    if ((part->calls & CALL_RENEW) == 0 &&
+        part->lease_until >= part->lease_told + LEASE_STEP_MS) {
+        ask_renew(t, part);
+    }
+    if ((part->calls & CALL_CONTROL) == 0 &&
+        part->throttled != part->throttle_told) {
+        ask_control(t, part,
+                    part->throttled ? RUNNER_THROTTLE : RUNNER_RESUME);
+    }
+}
+
+/* Stops a part: by a checkpoint while its grace lasts, then at once. The stop
+ * does not wait for the answer to an earlier word, as that may never come. */
+static void
+tend_stopping(struct parts_task *t, struct part *part, int64_t now)
+{
+    bool at_once = now >= part->stop_by;
+
+    if (at_once != part->stopped_at_once) {
+        part->stopped_at_once = at_once;
+        part->calls &= ~(unsigned)CALL_CONTROL;
+        part->checkpoint_asked = true;
+        ask_control(t, part, RUNNER_STOP);
+        return;
+    }
+    if ((part->calls & CALL_CONTROL) != 0) {
+        return;
+    }
+    if (at_once) {
+        ask_control(t, part, RUNNER_STOP);
+    }
+    else if (!part->checkpoint_asked) {
+        part->checkpoint_asked = true;
+        ask_control(t, part, RUNNER_CHECKPOINT_AND_STOP);
+    }
+}
+
+/* How soon the runner's list is wanted again. */
+static int64_t
+list_interval(const struct parts_task *t)
+{
+    const struct part *part;
+    int64_t ms = LIST_IDLE_MS;
+
+    if (!t->parts.ready) {
+        return LIST_FAST_MS;
+    }
+    TAILQ_FOREACH (part, &t->parts.list, entry) {
+        if (part->state == PART_STOPPING ||
+            (part->state == PART_RUNNING && part->start != START_KNOWN)) {
+            return LIST_FAST_MS;
+        }
+        if (Parts_Holds(part)) {
+            ms = LIST_MS;
+        }
+    }
+    return ms;
+}
+
+/* The runner has listed its tasks. */
+static void
+on_list(void *arg, int err, const struct runner_task *tasks, size_t count,
+        int64_t clock)
+{
+    struct parts_task *t = arg;
+    int64_t now = Clock_NowMs();
+    bool first = !t->parts.ready;
+
+    t->listing = false;
+    if (err != ERR_OK) {
+        Counter_Add(&errors_total, 1);
+        LOG_W("runner_list_failed", KV("error", Err_Name(err)));
+        return;
+    }
+    t->worker_clock = clock;
+    t->read_at = now;
+    Parts_Observe(&t->parts, tasks, count, clock, t->list_asked_at, now);
+    if (first) {
+        LOG_I("runner_listed", KV_INT("tasks", count));
+    }
+    PartsTell_Changes(t, now);
+}
+
+/* Asks for the list when it is due. */
+static void
+tend_list(struct parts_task *t, int64_t now)
+{
+    if (t->listing || now - t->list_asked_at < list_interval(t)) {
+        return;
+    }
+    t->listing = true;
+    t->list_asked_at = now;
+    t->runner->ops->list(t->runner, on_list, t);
+}
+
+/* Brings the runner to what the parts' states ask for. What is wanted follows
+ * from the state each time, so a lost answer costs one more try. */
+void
+PartsRunner_Tend(struct parts_task *t, int64_t now)
+{
+    struct part *part;
+
+    if (t->runner == NULL) {
+        return;
+    }
+    TAILQ_FOREACH (part, &t->parts.list, entry) {
+        if (part->state == PART_RUNNING) {
+            tend_running(t, part);
+        }
+        else if (part->state == PART_STOPPING) {
+            tend_stopping(t, part, now);
+        }
+    }
+    tend_list(t, now);
+}
+
+/* Frees the runner and the calls that are open. */
+void
+PartsRunner_Free(struct parts_task *t)
+{
+    struct runner_call *c;
+
+    if (t->runner != NULL) {
+        t->runner->ops->free(t->runner);
+    }
+    while ((c = TAILQ_FIRST(&t->calls)) != NULL) {
+        TAILQ_REMOVE(&t->calls, c, entry);
+        free(c);
+    }
+}
--- /dev/null
+++ b/packages/agent/agent-parts-state.c
@@ -0,0 +1,326 @@
+#include "agent-parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ENDED_MAX 1024 /* ended parts that nobody has fenced yet */
+
+/* Notes a change of state. */
+void
+Part_Change(struct part *part, enum part_state state, const char *reason)
+{
+    part->state = state;
+    part->changed = true;
+    Str_Copy(part->reason, sizeof(part->reason), reason);
+}
+
+/* True while a part occupies its accelerators. */
+bool
+Parts_Holds(const struct part *part)
+{
+    return part->state == PART_RESERVED || part->state == PART_RUNNING ||
+           part->state == PART_STOPPING;
+}
+
+/* Removes a part. */
+void
+Parts_Remove(struct parts *p, struct part *part)
+{
+    p->ended -= !Parts_Holds(part);
+    TAILQ_REMOVE(&p->list, part, entry);
+    Buf_Free(&part->spec);
+    free(part);
+}
+
+/* Drops the oldest ended parts beyond the bound. Each is an attempt whose
+ * owner did not fence it for as long as it took a thousand others to end. */
+static void
+bound_ended(struct parts *p)
+{
+    struct part *part, *next;
+
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        if (p->ended <= ENDED_MAX) {
+            return;
+        }
+        if (!Parts_Holds(part)) {
+            Parts_Remove(p, part);
+        }
+    }
+}
+
+/* Ends a part and spends its rank. */
+void
+Part_End(struct parts *p, struct part *part, enum part_state state,
+         const char *reason, int64_t now)
+{
+    Part_Change(part, state, reason);
+    part->ended_at = now;
+    p->ended++;
+    Buf_Free(&part->spec);
+    Spent_Raise(p, &part->job, part->attempt, part->term, now);
+}
+
+/* Stops a part, or tightens the time by which it has to be stopped. Where
+ * nothing was asked of the runner, nothing can run. */
+void
+Part_StopBy(struct parts *p, struct part *part, const char *reason,
+            int64_t stop_by, int64_t now)
+{
+    if (part->state == PART_STOPPING) {
+        part->stop_by = stop_by < part->stop_by ? stop_by : part->stop_by;
+        return;
+    }
+    if (part->start == START_NOT_ASKED) {
+        Part_End(p, part, PART_STOPPED, reason, now);
+        return;
+    }
+    Part_Change(part, PART_STOPPING, reason);
+    part->stop_by = stop_by;
+}
+
+/* Prepares for a worker with that many accelerators. */
+void
+Parts_Init(struct parts *p, int accelerators, uint64_t incarnation)
+{
+    memset(p, 0, sizeof(*p));
+    TAILQ_INIT(&p->list);
+    RB_INIT(&p->spent);
+    p->incarnation = incarnation;
+    p->accelerators = accelerators >= CELLS_ACCELERATORS_MAX
+                          ? UINT64_MAX
+                          : (UINT64_C(1) << accelerators) - 1;
+}
+
+/* Frees all records. */
+void
+Parts_Free(struct parts *p)
+{
+    struct part *part, *next;
+
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        Parts_Remove(p, part);
+    }
+    Spent_Free(p);
+}
+
+/* Finds a part by its rank. */
+struct part *
+Parts_Find(struct parts *p, const struct id *job, uint64_t attempt,
+           uint64_t term)
+{
+    struct part *part;
+
+    TAILQ_FOREACH (part, &p->list, entry) {
+        if (part->attempt == attempt && part->term == term &&
+            Id_Compare(&part->job, job) == 0) {
+            return part;
+        }
+    }
+    return NULL;
+}
+
+/* True when nobody else is on the accelerators of a reservation. A displaced
+ * part may still write its checkpoint there; starting beside it would run two
+ * tasks on one accelerator. */
+bool
+Parts_Clear(const struct parts *p, const struct part *part)
+{
+    const struct part *other;
+
+    TAILQ_FOREACH (other, &p->list, entry) {
+        if (other != part && Parts_Holds(other) &&
+            (other->accelerators & part->accelerators) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A release that can't be taken ends its attempt: the rank is spent, so that
+ * no late copy of its prepare reserves for it again. */
+static struct parts_verdict
+refuse_release(struct parts *p, const struct wire_release *m,
+               struct part *part, enum parts_reason reason, int64_t now)
+{
+    if (part != NULL && part->state == PART_RESERVED) {
+        Part_End(p, part, PART_STOPPED, Parts_ReasonName(reason), now);
+    }
+    else if (part == NULL) {
+        Spent_Raise(p, &m->job, m->attempt, m->term, now);
+    }
+    return (struct parts_verdict){.reason = reason, .part = part};
+}
+
+/* Starts the work of a reservation. A lapsed one is refused though it may
+ * still stand here: another attempt may have begun since, elsewhere, on the
+ * word that this one can't start any more. */
+struct parts_verdict
+Parts_Release(struct parts *p, const struct wire_release *m, int64_t now)
+{
+    struct part *part = Parts_Find(p, &m->job, m->attempt, m->term);
+    int64_t lease = m->lease_ms < GANG_LEASE_MS ? m->lease_ms : GANG_LEASE_MS;
+
+    if (m->incarnation != p->incarnation) {
+        return (struct parts_verdict){.reason = PARTS_STRANGER};
+    }
+    if (part == NULL) {
+        return refuse_release(p, m, part, PARTS_UNKNOWN, now);
+    }
+    if (part->state == PART_RUNNING) {
+        return (struct parts_verdict){.reason = PARTS_AGAIN, .part = part};
+    }
+    if (part->state != PART_RESERVED) {
+        return refuse_release(p, m, part, PARTS_SPENT, now);
+    }
+    if (now >= part->lease_until) {
+        return refuse_release(p, m, part, PARTS_LAPSED, now);
+    }
+    if (!Parts_Clear(p, part)) {
+        return refuse_release(p, m, part, PARTS_BUSY, now);
+    }
+    Part_Change(part, PART_RUNNING, "released");
+    part->lease_until = now + lease;
+    return (struct parts_verdict){.reason = PARTS_GRANTED, .part = part};
+}
+
+/* Prolongs the leases that a renewer names. They count from the agent's own
+ * time of sending the pulse: counted from the answer's arrival, an answer
+ * that waited would let a member work on long after the others stopped. */
+size_t
+Parts_Renew(struct parts *p, const struct wire_renew *m, int64_t now)
+{
+    const struct wire_renewed *list = m->renewed.items;
+    int64_t lease = m->lease_ms < GANG_LEASE_MS ? m->lease_ms : GANG_LEASE_MS;
+    size_t grown = 0, i;
+
+    if (m->incarnation != p->incarnation || m->sent > now) {
+        return 0;
+    }
+    for (i = 0; i < m->renewed.count; i++) {
+        struct part *part =
+            Parts_Find(p, &list[i].job, list[i].attempt, list[i].term);
+
+        if (part != NULL && Parts_Works(part) && now < part->lease_until &&
+            m->sent + lease > part->lease_until) {
+            part->lease_until = m->sent + lease;
+            grown++;
+        }
+    }
+    return grown;
+}
+
+/* True when a part works. */
+bool
+Parts_Works(const struct part *part)
+{
+    return part->state == PART_RUNNING && part->start == START_KNOWN;
+}
+
+/* Carries out an owner's word on a running part. */
+static void
+apply_stop(struct parts *p, struct part *part, const struct wire_stop *m,
+           int64_t now)
+{
+    const char *reason = m->reason[0] != '\0' ? m->reason : "asked";
+    int64_t grace =
+        m->how == STOP_CHECKPOINT && m->grace_ms > 0 ? m->grace_ms : 0;
+
+    if (m->how == STOP_THROTTLE || m->how == STOP_RESUME) {
+        part->throttled = m->how == STOP_THROTTLE;
+        return;
+    }
+    Part_StopBy(p, part, reason, now + grace, now);
+}
+
+/* An owner wants a part to stop, or to run slower. */
+struct parts_verdict
+Parts_Stop(struct parts *p, const struct wire_stop *m, int64_t now)
+{
+    struct parts_verdict v = {.part =
+                                  Parts_Find(p, &m->job, m->attempt, m->term)};
+
+    if (m->incarnation != p->incarnation) {
+        v.reason = PARTS_STRANGER;
+    }
+    else if (v.part == NULL) {
+        v.reason = PARTS_UNKNOWN;
+    }
+    else if (!Parts_Holds(v.part)) {
+        v.reason = PARTS_SPENT;
+    }
+    else {
+        apply_stop(p, v.part, m, now);
+    }
+    return v;
+}
+
+/* True when a part's rank is that of the fence or below. */
+static bool
+is_fenced_by(const struct part *part, const struct wire_fence *m)
+{
+    return Id_Compare(&part->job, &m->job) == 0 &&
+           Rank_Compare(part->attempt, part->term, m->attempt, m->term) <= 0;
+}
+
+/* Lets nothing up to this rank start, and stops what works. Any incarnation
+ * may be named: the question is what can work from now on. `done` waits for
+ * the runner to show the end: said sooner, the next attempt would start while
+ * this one still works. The term is the rank's, so it may be an older one. */
+void
+Parts_Fence(struct parts *p, const struct wire_fence *m, int64_t now,
+            bool *done)
+{
+    struct part *part, *next;
+
+    *done = p->ready || p->no_runner; /* else an earlier task may work */
+    Spent_Raise(p, &m->job, m->attempt, m->term, now);
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        if (!is_fenced_by(part, m)) {
+            continue;
+        }
+        if (Parts_Holds(part)) {
+            Part_StopBy(p, part, "fenced", now, now);
+        }
+        part->fenced = true;
+        *done = *done && !Parts_Holds(part);
+    }
+}
+
+/* Ends what is over. Work stops here when nobody renewed it, so that a member
+ * which is cut off does not go on alone; the worker does the same by itself
+ * when this process can't. */
+size_t
+Parts_Tick(struct parts *p, int64_t now)
+{
+    struct part *part, *next;
+    size_t lapsed = 0;
+
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        if (part->state == PART_RESERVED && now >= part->lease_until) {
+            Part_End(p, part, PART_STOPPED, "lapsed", now);
+            lapsed++;
+        }
+        else if (part->state == PART_RUNNING && now >= part->lease_until) {
+            Part_StopBy(p, part, "lease_over", now, now);
+            lapsed++;
+        }
+    }
+    bound_ended(p);
+    Spent_Sweep(p, now);
+    return lapsed;
+}
+
+/* Takes nothing new. */
+void
+Parts_Drain(struct parts *p, int64_t now)
+{
+    struct part *part, *next;
+
+    p->leaving = true;
+    TAILQ_FOREACH_SAFE (part, &p->list, entry, next) {
+        if (part->state == PART_RESERVED) {
+            Part_End(p, part, PART_STOPPED, "leaving", now);
+        }
+    }
+}
--- /dev/null
+++ b/packages/agent/agent-parts-tell.c
@@ -0,0 +1,177 @@
+#include "agent-parts.h"
+
+#define SAY_AGAIN_MS 2000 /* an end that nobody has fenced */
+
+static const char *const state_names[] = {
+    [PART_RESERVED] = "reserved", [PART_RUNNING] = "running",
+    [PART_STOPPING] = "stopping", [PART_STOPPED] = "stopped",
+    [PART_FAILED] = "failed",     [PART_DONE] = "done",
+};
+
+static struct counter ended_total = {"parsleyfall_agent_parts_ended_total",
+                                     "Parts and reservations that have ended.",
+                                     NULL, COUNTER_TOTAL};
+static struct counter held = {"parsleyfall_agent_parts_held",
+                              "Parts that hold accelerators.", NULL,
+                              COUNTER_GAUGE};
+
+/* Says the state of one part. */
+void
+PartsTell_Task(struct parts_task *t, const char *origin,
+               const struct part *part)
+{
+    struct wire_task *m = Wire_New(WIRE_TASK);
+
+    m->job = part->job;
+    m->attempt = part->attempt;
+    m->term = part->term;
+    m->incarnation = t->parts.incarnation;
+    m->state = part->state;
+    m->checkpoint_ms = part->checkpoint_ms;
+    Str_Copy(m->reason, sizeof(m->reason), part->reason);
+    Agent_Say(t->task.kernel, origin, &m->msg);
+}
+
+/* Says that a reservation is granted. */
+static void
+say_granted(struct parts_task *t, struct part *part)
+{
+    struct wire_prepared *m = Wire_New(WIRE_PREPARED);
+
+    part->answered = true;
+    m->job = part->job;
+    m->attempt = part->attempt;
+    m->term = part->term;
+    m->incarnation = t->parts.incarnation;
+    m->granted = 1;
+    Str_Copy(m->reason, sizeof(m->reason), "granted");
+    Agent_Say(t->task.kernel, part->origin, &m->msg);
+}
+
+/* Tells links what to say in the next hello. */
+static void
+tell_links(struct parts_task *t)
+{
+    struct parts_note *note = Mem_Zero(1, sizeof(*note));
+    const struct part *part;
+    int64_t n = 0;
+
+    TAILQ_FOREACH (part, &t->parts.list, entry) {
+        struct wire_part *w = Wire_ListAdd(&note->parts, sizeof(*w));
+
+        w->job = part->job;
+        w->attempt = part->attempt;
+        w->term = part->term;
+        w->state = part->state;
+        w->accelerators = part->accelerators;
+        n += Parts_Holds(part);
+    }
+    Counter_Set(&held, n);
+    Kernel_Post(Kernel_FindTask(t->task.kernel, "links"), &note->base,
+                &Agent_Parts);
+}
+
+/* Logs and says a change of state. Of a reservation only its maker hears,
+ * when it is granted. */
+static void
+tell_change(struct parts_task *t, struct part *part, int64_t now)
+{
+    char hex[ID_HEX_SIZE];
+
+    part->changed = false;
+    part->said_at = now;
+    LOG_I("part", KV("job", Id_Hex(&part->job, hex)),
+          KV_INT("attempt", part->attempt), KV_INT("term", part->term),
+          KV("state", state_names[part->state]), KV("reason", part->reason),
+          KV_INT("accelerators", part->accelerators));
+    if (part->state != PART_RESERVED) {
+        PartsTell_Task(t, "", part);
+    }
+    Counter_Add(&ended_total, !Parts_Holds(part));
+}
+
+/* True for an end that needs no more words: the owner has fenced it, or
+ * nothing ever ran, which the owner learns from its refused release too. */
+static bool
+is_over(const struct part *part)
+{
+    return !Parts_Holds(part) &&
+           (part->fenced || part->start == START_NOT_ASKED);
+}
+
+/* Tells what has changed, grants what has become free, and says an end again
+ * until its owner has fenced it: a word may be lost, or nobody may own the
+ * job just now, and the job would wait for its end for ever. */
+void
+PartsTell_Changes(struct parts_task *t, int64_t now)
+{
+    struct part *part, *next;
+    bool changed = false;
+
+    TAILQ_FOREACH_SAFE (part, &t->parts.list, entry, next) {
+        if (part->changed) {
+            changed = true;
+            tell_change(t, part, now);
+        }
+        if (part->state == PART_RESERVED && !part->answered &&
+            Parts_Clear(&t->parts, part)) {
+            say_granted(t, part);
+        }
+        if (is_over(part)) {
+            changed = true;
+            Parts_Remove(&t->parts, part);
+        }
+        else if (!Parts_Holds(part) && now - part->said_at >= SAY_AGAIN_MS) {
+            part->said_at = now;
+            PartsTell_Task(t, "", part);
+        }
+    }
+    if (changed) {
+        tell_links(t);
+    }
+}
+
+/* One part, for operators. */
+static json_t *
+part_state(const struct part *part, int64_t now)
+{
+    char hex[ID_HEX_SIZE];
+
+    return json_pack(
+        "{s:s, s:I, s:I, s:s, s:s, s:I, s:I, s:b, s:s, s:I, s:I, s:I}", "job",
+        Id_Hex(&part->job, hex), "attempt", (json_int_t)part->attempt, "term",
+        (json_int_t)part->term, "state", state_names[part->state], "reason",
+        part->reason, "accelerators", (json_int_t)part->accelerators,
+        "members", (json_int_t)part->members, "guaranteed", part->guaranteed,
+        "organisation", part->organisation, "lease_ms",
+        (json_int_t)(part->lease_until - now), "checkpoint_ms",
+        (json_int_t)part->checkpoint_ms, "usage_permille",
+        (json_int_t)part->usage_permille);
+}
+
+/* The parts, for operators. */
+json_t *
+PartsTell_State(const struct parts_task *t)
+{
+    const struct parts *p = &t->parts;
+    json_t *list = json_array(), *renewers = json_array();
+    const struct part *part;
+    const struct renewer *r;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH (part, &p->list, entry) {
+        json_array_append_new(list, part_state(part, now));
+    }
+    TAILQ_FOREACH (r, &t->renewers, link) {
+        json_array_append_new(
+            renewers,
+            json_pack("{s:s, s:s, s:i}", "name", r->entry.name, "address",
+                      r->entry.address, "unanswered", r->unanswered));
+    }
+    return json_pack("{s:o, s:o, s:I, s:I, s:I, s:i, s:b, s:b, s:b}", "parts",
+                     list, "renewers", renewers, "term", (json_int_t)p->term,
+                     "spent", (json_int_t)p->spent_count, "binding_version",
+                     (json_int_t)p->binding_version, "bindings", p->bindings,
+                     "runner", t->runner != NULL, "ready", p->ready, "leaving",
+                     p->leaving);
+}
--- /dev/null
+++ b/packages/agent/agent-parts.c
@@ -0,0 +1,317 @@
+#include "agent-parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 100
+#define RUNNER_TRY_MS 1000     /* one try of a call */
+#define RUNNER_GIVE_UP_MS 3000 /* then the part's state asks anew */
+
+static struct counter granted_total = {
+    "parsleyfall_agent_reservations_total",
+    "Reservations made for gangs, claims included.", NULL, COUNTER_TOTAL};
+static struct counter denied_total = {
+    "parsleyfall_agent_reservations_refused_total",
+    "Prepares and releases that were refused.", NULL, COUNTER_TOTAL};
+static struct counter displaced_total = {
+    "parsleyfall_agent_parts_displaced_total",
+    "Lent parts that had to make room for a claim.", NULL, COUNTER_TOTAL};
+static struct counter lapsed_total = {
+    "parsleyfall_agent_leases_lapsed_total",
+    "Reservations and leases of gangs that nobody renewed.", NULL,
+    COUNTER_TOTAL};
+
+/* Says why a prepare was refused. */
+static void
+say_refused(struct parts_task *t, const char *origin,
+            const struct wire_prepare *m, const struct parts_verdict *v)
+{
+    struct wire_prepared *reply = Wire_New(WIRE_PREPARED);
+    const char *reason = v->reason == PARTS_CLAIM
+                             ? Cells_ClaimName(v->claim)
+                             : Parts_ReasonName(v->reason);
+
+    reply->job = m->job;
+    reply->attempt = m->attempt;
+    reply->term = m->term;
+    reply->incarnation = t->parts.incarnation;
+    reply->busy = v->busy;
+    Str_Copy(reply->reason, sizeof(reply->reason), reason);
+    Agent_Say(t->task.kernel, origin, &reply->msg);
+}
+
+/* Logs a refusal. */
+static void
+log_refused(const char *what, const struct id *job, uint64_t attempt,
+            const struct parts_verdict *v)
+{
+    char hex[ID_HEX_SIZE];
+
+    Counter_Add(&denied_total, 1);
+    LOG_I(
+        "part_refused", KV("what", what), KV("job", Id_Hex(job, hex)),
+        KV_INT("attempt", attempt), KV("reason", Parts_ReasonName(v->reason)),
+        KV("claim", v->reason == PARTS_CLAIM ? Cells_ClaimName(v->claim) : ""),
+        KV_INT("busy", v->busy));
+}
+
+/* An owner wants accelerators. The grant is said when they are free. */
+static void
+take_prepare(struct parts_task *t, const char *origin,
+             const struct wire_msg *msg)
+{
+    const struct wire_prepare *m = (const struct wire_prepare *)msg;
+    struct parts_verdict v = Parts_Prepare(&t->parts, m, Clock_NowMs());
+
+    if (v.reason == PARTS_GRANTED || v.reason == PARTS_AGAIN) {
+        Str_Copy(v.part->origin, sizeof(v.part->origin), origin);
+        v.part->answered = false;
+        Counter_Add(&granted_total, v.reason == PARTS_GRANTED);
+        Counter_Add(&displaced_total, v.displaced);
+        return;
+    }
+    log_refused("prepare", &m->job, m->attempt, &v);
+    say_refused(t, origin, m, &v);
+}
+
+/* Says that a release was refused and that nothing runs for it. */
+static void
+say_not_released(struct parts_task *t, const char *origin,
+                 const struct wire_release *m, enum parts_reason reason)
+{
+    struct wire_task *reply = Wire_New(WIRE_TASK);
+
+    reply->job = m->job;
+    reply->attempt = m->attempt;
+    reply->term = m->term;
+    reply->incarnation = t->parts.incarnation;
+    reply->state = PART_STOPPED;
+    reply->checkpoint_ms = -1;
+    Str_Copy(reply->reason, sizeof(reply->reason), Parts_ReasonName(reason));
+    Agent_Say(t->task.kernel, origin, &reply->msg);
+}
+
+/* An owner has committed: the work begins. A copy hears how it stands. */
+static void
+take_release(struct parts_task *t, const char *origin,
+             const struct wire_msg *msg)
+{
+    const struct wire_release *m = (const struct wire_release *)msg;
+    struct parts_verdict v = Parts_Release(&t->parts, m, Clock_NowMs());
+
+    if (v.reason == PARTS_GRANTED) {
+        return;
+    }
+    if (v.part != NULL) {
+        PartsTell_Task(t, origin, v.part);
+    }
+    else {
+        say_not_released(t, origin, m, v.reason);
+    }
+    if (v.reason != PARTS_AGAIN) {
+        log_refused("release", &m->job, m->attempt, &v);
+    }
+}
+
+/* A renewer says which gangs are whole. */
+static void
+take_renew(struct parts_task *t, const char *origin,
+           const struct wire_msg *msg)
+{
+    const struct wire_renew *m = (const struct wire_renew *)msg;
+
+    if (PartsPulse_Answered(t, origin, m)) {
+        Parts_Renew(&t->parts, m, Clock_NowMs());
+    }
+}
+
+/* An owner wants a part to stop, or to run slower. */
+static void
+take_stop(struct parts_task *t, const char *origin, const struct wire_msg *msg)
+{
+    const struct wire_stop *m = (const struct wire_stop *)msg;
+    struct parts_verdict v = Parts_Stop(&t->parts, m, Clock_NowMs());
+
+    if (v.part != NULL) {
+        PartsTell_Task(t, origin, v.part);
+    }
+}
+
+/* An owner wants nothing up to an attempt to run any more. */
+static void
+take_fence(struct parts_task *t, const char *origin,
+           const struct wire_msg *msg)
+{
+    const struct wire_fence *m = (const struct wire_fence *)msg;
+    struct wire_fenced *reply = Wire_New(WIRE_FENCED);
+    bool done;
+
+    Parts_Fence(&t->parts, m, Clock_NowMs(), &done);
+    reply->job = m->job;
+    reply->attempt = m->attempt;
+    reply->term = m->term;
+    reply->incarnation = t->parts.incarnation;
+    reply->done = done;
+    Agent_Say(t->task.kernel, origin, &reply->msg);
+}
+
+/* The owner of this region says whose cells are here. */
+static void
+take_bind(struct parts_task *t, const char *origin, const struct wire_msg *msg)
+{
+    const struct wire_bind *m = (const struct wire_bind *)msg;
+    enum parts_reason reason;
+
+    if (strcmp(m->scope, t->settings->region) != 0) {
+        LOG_W("bind_of_other_region", KV("region", m->scope),
+              KV("entry", origin));
+        return;
+    }
+    reason = Parts_Bind(&t->parts, m);
+    LOG_I("bind", KV_INT("version", m->version), KV_INT("term", m->term),
+          KV("result", Parts_ReasonName(reason)));
+}
+
+static const struct {
+    enum wire_type type;
+    void (*take)(struct parts_task *, const char *, const struct wire_msg *);
+} speakers[] = {
+    {WIRE_PREPARE, take_prepare}, {WIRE_RELEASE, take_release},
+    {WIRE_RENEW, take_renew},     {WIRE_STOP, take_stop},
+    {WIRE_FENCE, take_fence},     {WIRE_BIND, take_bind},
+};
+
+/* Ends what is over, then brings the runner and the entries up to date. */
+static void
+tend(struct parts_task *t)
+{
+    int64_t now = Clock_NowMs();
+
+    Counter_Add(&lapsed_total, (int64_t)Parts_Tick(&t->parts, now));
+    PartsRunner_Tend(t, now);
+    PartsTell_Changes(t, now);
+}
+
+/* What an entry said. Whatever is over by now ends first: after a pause the
+ * words that waited must not find a lease that is over. */
+static void
+take_inbound(struct parts_task *t, const struct inbound *in)
+{
+    size_t i;
+
+    Parts_Tick(&t->parts, Clock_NowMs());
+    for (i = 0; i < COUNT_OF(speakers); i++) {
+        if (speakers[i].type == in->m->type) {
+            speakers[i].take(t, in->origin, in->m);
+            break;
+        }
+    }
+    tend(t);
+}
+
+/* Takes a message by its kind. */
+static void
+parts_receive(struct task *task, struct message *m)
+{
+    struct parts_task *t = (struct parts_task *)task;
+
+    if (m->kind == &Agent_Inbound) {
+        take_inbound(t, (const struct inbound *)m);
+    }
+    else if (m->kind == &Agent_Contact) {
+        PartsPulse_Contact(t, (const struct contact_note *)m);
+    }
+}
+
+/* Looks after all parts. */
+static void
+on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    tend(w->data);
+}
+
+/* Says the heartbeats of the gangs. */
+static void
+on_pulse(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct parts_task *t = w->data;
+
+    tend(t);
+    PartsPulse_Say(t, Clock_NowMs());
+}
+
+/* Takes nothing new. Tasks go on under their leases: they live in the worker,
+ * and the agent's next process adopts them. */
+static void
+parts_drain(struct task *task)
+{
+    struct parts_task *t = (struct parts_task *)task;
+
+    Parts_Drain(&t->parts, Clock_NowMs());
+    tend(t);
+}
+
+/* The parts, for operators. */
+static json_t *
+parts_state(const struct task *task)
+{
+    return PartsTell_State((const struct parts_task *)task);
+}
+
+/* Ends the task; the worker's tasks stay. */
+static void
+parts_free(struct task *task)
+{
+    struct parts_task *t = (struct parts_task *)task;
+
+    ev_timer_stop(task->kernel->loop, &t->tick);
+    ev_timer_stop(task->kernel->loop, &t->pulse);
+    PartsRunner_Free(t);
+    PartsPulse_Free(t);
+    Parts_Free(&t->parts);
+    free(t);
+}
+
+static const struct task_ops parts_ops = {
+    .name = "parts",
+    .receive = parts_receive,
+    .drain = parts_drain,
+    .state = parts_state,
+    .free = parts_free,
+};
+
+/* Starts a repeating timer of the task. */
+static void
+start_timer(struct parts_task *t, ev_timer *w,
+            void (*on_time)(struct ev_loop *, ev_timer *, int), int64_t ms)
+{
+    ev_init(w, on_time);
+    w->data = t;
+    Timer_Every(t->task.kernel->loop, w, ms);
+}
+
+/* Starts the task, with the runner of the settings if there is one. */
+static int
+start(struct kernel *k)
+{
+    const struct agent_settings *s = k->settings;
+    const struct platform_limits limits = {.timeout_ms = RUNNER_TRY_MS,
+                                           .give_up_ms = RUNNER_GIVE_UP_MS};
+    struct parts_task *t = Mem_Zero(1, sizeof(*t));
+
+    t->settings = s;
+    TAILQ_INIT(&t->calls);
+    TAILQ_INIT(&t->renewers);
+    Parts_Init(&t->parts, (int)s->accelerators, Agent_Incarnation());
+    Kernel_AddTask(k, &t->task, &parts_ops);
+    t->runner = Platform_HttpRunner(k->loop, s->runner_url, &limits);
+    t->parts.no_runner = t->runner == NULL;
+    start_timer(t, &t->tick, on_tick, TICK_MS);
+    start_timer(t, &t->pulse, on_pulse, GANG_PULSE_MS);
+    tend(t);
+    return ERR_OK;
+}
+
+static struct plugin parts_plugin = {
+    .name = "parts", .rank = 30, .start = start};
+KERNEL_PLUGIN(parts_plugin)
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -25,9 +25,11 @@
 #define AGENT_H
 
 #include "base.h"
+#include "cells.h"
 #include "config.h"
 #include "http.h"
 #include "kernel.h"
+#include "platform.h"
 #include "wire.h"
 
 #ifdef __cplusplus
@@ -71,11 +73,18 @@
     struct wire_list parts; /* struct wire_part */
 };
 
-/* links -> parts, work: a lease of the worker's own is kept alive by nobody
- * while all entries are silent; tells when entries are heard again. */
+/* An entry that is heard now and stays. */
+struct heard_entry {
+    char address[NAME_SIZE];
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+};
+
+/* links -> parts, work: the entries that are heard, whole list, whenever it
+ * changes. */
 struct contact_note {
     struct message base;
-    int entries; /* that are heard now */
+    struct wire_list heard; /* struct heard_entry */
 };
 
 /* announce -> work: an upstream came, changed or leaves. */
@@ -172,6 +181,194 @@
 size_t Attempts_Sweep(struct attempts *a, int64_t now);
 const char *Attempts_VerdictName(enum take_verdict verdict);
 
+/* ---- parts of gangs -----------------------------------------------------
+ *
+ * What this worker holds for gangs, on the agent's side of model/gang.pml.
+ * Pure: times are arguments and readings of the agent's own clock. It decides
+ * and remembers; what it wants of the task runner follows from each part's
+ * state, and what the runner lists comes back through Parts_Observe.
+ *
+ *   RESERVED -> RUNNING -> STOPPING -> STOPPED, FAILED or DONE
+ *
+ * A part counts as stopped only when the runner shows it: `fenced` must not
+ * be said while the task may still work. Parts that have ended are kept until
+ * their owner has fenced them.
+ */
+
+#define PARTS_LEASE_MAX_MS 60000 /* of a reservation */
+/* An urgent claim starts within 1.8 s, commit and release included, so it
+ * waits for a checkpoint of another's work no longer than this. */
+#define PARTS_URGENT_GRACE_MS 800
+/* Of a part whose class is not known, after a restart. */
+#define PARTS_ADOPTED_GRACE_MS 1000
+
+enum parts_reason {
+    PARTS_GRANTED,
+    PARTS_AGAIN,      /* a copy of what was granted */
+    PARTS_STRANGER,   /* meant for another incarnation */
+    PARTS_NO_RUNNER,  /* this worker runs no jobs */
+    PARTS_NOT_READY,  /* the runner has not said yet what it runs */
+    PARTS_LEAVING,    /* the agent drains */
+    PARTS_LOW_TERM,   /* of an owner that was replaced */
+    PARTS_SPENT,      /* this rank or a higher one was used up */
+    PARTS_JOB_HELD,   /* another attempt of the job is here: fence it */
+    PARTS_INVALID,    /* no such accelerators, no lease */
+    PARTS_BUSY,       /* accelerators are in use */
+    PARTS_CLAIM,      /* the claim is not rightful: see claim */
+    PARTS_FULL,       /* no place to remember one more rank */
+    PARTS_LAPSED,     /* the reservation's lease was over */
+    PARTS_UNKNOWN,    /* there is no such reservation or part */
+    PARTS_OLD_BINDING /* newer bindings are known */
+};
+
+const char *Parts_ReasonName(enum parts_reason reason);
+
+/* How much is known of a task's start. */
+enum part_start {
+    START_NOT_ASKED, /* nothing can run */
+    START_ASKED,     /* may run */
+    START_KNOWN      /* the runner has shown it */
+};
+
+struct part {
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    enum part_state state;
+    char reason[NAME_SIZE]; /* of its last change of state */
+    uint64_t accelerators;  /* bits */
+    uint64_t tasks;
+    uint64_t members;
+    int64_t grace_ms;
+    bool guaranteed; /* now; a binding may be withdrawn */
+    char organisation[NAME_SIZE];
+    struct buf spec;
+    int64_t lease_until; /* of the reservation, then of the gang */
+    int64_t stop_by;     /* stopped at once from then on */
+    int64_t ended_at;
+    bool throttled;  /* as was asked for */
+    bool fenced;     /* goes when it has ended */
+    bool changed;    /* to be told */
+    bool answered;   /* the reservation was said to be granted */
+    int64_t said_at; /* when its state was last told */
+    enum part_start start;
+    bool start_doubted;     /* a start's outcome was unknown */
+    int64_t known_at;       /* when the start became known */
+    int64_t checkpoint_ms;  /* age when last seen; -1: none */
+    int64_t usage_permille; /* when last seen */
+    /* What was asked of the runner; kept by the task, not by Parts_. */
+    unsigned calls;     /* in progress, bits of enum runner_call_kind */
+    int64_t lease_told; /* end of lease that the runner knows of */
+    bool throttle_told;
+    bool checkpoint_asked;  /* to stop when it is written */
+    bool stopped_at_once;   /* the grace is over */
+    char origin[NAME_SIZE]; /* that asked for the reservation */
+    TAILQ_ENTRY(part) entry;
+};
+
+TAILQ_HEAD(part_list, part);
+
+struct spent_rank {
+    struct id job;
+    uint64_t attempt;
+    uint64_t term;
+    int64_t at; /* when it was last raised */
+    RB_ENTRY(spent_rank) entry;
+};
+
+RB_HEAD(spent_tree, spent_rank);
+
+struct parts {
+    struct part_list list;
+    size_t ended;
+    struct spent_tree spent;
+    size_t spent_count;
+    uint64_t accelerators; /* bits of this worker */
+    uint64_t incarnation;
+    uint64_t term; /* highest that was heard */
+    bool no_runner;
+    bool ready; /* the runner has listed what it runs */
+    bool leaving;
+    struct cells_local_binding binding[CELLS_ACCELERATORS_MAX];
+    int bindings;
+    uint64_t binding_version;
+    uint64_t binding_term;
+};
+
+struct parts_verdict {
+    enum parts_reason reason;
+    enum cells_claim_reason claim; /* when reason is PARTS_CLAIM */
+    uint64_t busy;                 /* bits, when reason is PARTS_BUSY */
+    int displaced;                 /* lent parts that make room */
+    struct part *part;             /* that it is about, or NULL */
+};
+
+void Parts_Init(struct parts *p, int accelerators, uint64_t incarnation);
+void Parts_Free(struct parts *p);
+struct part *Parts_Find(struct parts *p, const struct id *job,
+                        uint64_t attempt, uint64_t term);
+/* True while a part occupies its accelerators. */
+bool Parts_Holds(const struct part *part);
+/* True when no other part is on a reservation's accelerators any more: only
+ * then may the reservation be said to be granted. */
+bool Parts_Clear(const struct parts *p, const struct part *part);
+/* Reserves: a fresh rank on free accelerators, or a rightful claim, which
+ * tells lent parts to make room within their grace. */
+struct parts_verdict Parts_Prepare(struct parts *p,
+                                   const struct wire_prepare *m, int64_t now);
+/* Turns the reservation of this very rank into a running part. A refused
+ * release spends the rank. */
+struct parts_verdict Parts_Release(struct parts *p,
+                                   const struct wire_release *m, int64_t now);
+/* Prolongs leases, counted from m->sent. Returns how many grew. */
+size_t Parts_Renew(struct parts *p, const struct wire_renew *m, int64_t now);
+struct parts_verdict Parts_Stop(struct parts *p, const struct wire_stop *m,
+                                int64_t now);
+/* Spends the rank and all below. *done: nothing up to it can work now. */
+void Parts_Fence(struct parts *p, const struct wire_fence *m, int64_t now,
+                 bool *done);
+enum parts_reason Parts_Bind(struct parts *p, const struct wire_bind *m);
+/* Ends what is over. Returns how many reservations and leases lapsed. */
+size_t Parts_Tick(struct parts *p, int64_t now);
+/* Takes nothing new; drops reservations. Running parts go on: they live in
+ * the worker, and the next agent process adopts them. */
+void Parts_Drain(struct parts *p, int64_t now);
+/* What the runner said about a part's start (ERR_ of the runner). */
+void Parts_Started(struct parts *p, struct part *part, int err, int64_t now);
+/* What the runner lists. asked_at: when it was asked; clock: its clock then
+ * or later. The first list is adopted, with the leases that the worker
+ * keeps; later, a running task that is not known is stopped. */
+void Parts_Observe(struct parts *p, const struct runner_task *tasks,
+                   size_t count, int64_t clock, int64_t asked_at, int64_t now);
+/* True when the part's task works, so that it belongs in a pulse. */
+bool Parts_Works(const struct part *part);
+/* Removes an ended part. */
+void Parts_Remove(struct parts *p, struct part *part);
+/* Label that is kept with a task, for the process that adopts it. */
+void Parts_Label(const struct part *part, char out[RUNNER_LABEL_SIZE]);
+
+/* Ranks that are used up: a late copy of their prepare must not reserve
+ * again. What bounds the memory: a rank is forgotten after SPENT_KEEP_MS, and
+ * while SPENT_MAX are remembered nothing new is taken. Why
+ * forgetting is safe: an owner sends in order on one link, which the agent
+ * reads in order and closes when it opens another, so a copy of a prepare
+ * comes after the fence or the lapse of its rank only from a process that
+ * sent it late; such an owner was replaced, and either its term is refused or
+ * its commit fails, so that no release follows. A restart forgets all; its
+ * incarnation refuses whatever was sent before. */
+#define SPENT_MAX 4096
+#define SPENT_KEEP_MS 600000
+
+bool Spent_Covers(struct parts *p, const struct id *job, uint64_t attempt,
+                  uint64_t term);
+void Spent_Raise(struct parts *p, const struct id *job, uint64_t attempt,
+                 uint64_t term, int64_t now);
+void Spent_Sweep(struct parts *p, int64_t now);
+void Spent_Free(struct parts *p);
+/* Order of ranks, as memcmp. */
+int Rank_Compare(uint64_t attempt, uint64_t term, uint64_t other_attempt,
+                 uint64_t other_term);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/platform-test.cc
+++ b/tests/platform-test.cc
@@ -512,20 +512,30 @@
     struct Listed {
         int err = 1;
         std::vector<struct runner_task> tasks;
+        int64_t clock = 0;
     };
     auto on_done = [](void *arg, int err) {
         static_cast<Acted *>(arg)->err = err;
     };
     auto on_list = [](void *arg, int err, const struct runner_task *tasks,
-                      size_t n) {
+                      size_t n, int64_t clock) {
         auto *l = static_cast<Listed *>(arg);
         l->err = err;
+        l->clock = clock;
         l->tasks.assign(tasks, tasks + n);
     };
-    auto start = [&](uint64_t attempt) {
+    auto start = [&](uint64_t attempt, int64_t until) {
+        struct runner_start s = {job,        attempt,   0x8000000000000005u,
+                                 until,      "a label", spec.data(),
+                                 spec.size()};
         Acted a;
-        runner->ops->start(runner, &job, attempt, 0x8000000000000005u,
-                           spec.data(), spec.size(), on_done, &a);
+        runner->ops->start(runner, &s, on_done, &a);
+        RunUntil([&] { return a.err != 1; });
+        return a.err;
+    };
+    auto renew = [&](uint64_t attempt, int64_t until) {
+        Acted a;
+        runner->ops->renew(runner, &job, attempt, until, on_done, &a);
         RunUntil([&] { return a.err != 1; });
         return a.err;
     };
@@ -542,8 +552,12 @@
         return l;
     };
 
-    EXPECT_EQ(start(1), ERR_OK);
-    EXPECT_EQ(start(1), ERR_OK);
+    const int64_t far = list().clock + 600000;
+    EXPECT_EQ(start(1, far), ERR_OK);
+    EXPECT_EQ(start(1, far), ERR_OK);
+    EXPECT_EQ(renew(1, far + 5), ERR_OK);
+    EXPECT_EQ(renew(1, far - 5), ERR_OK);
+    EXPECT_EQ(renew(2, far), ERR_NOTFOUND);
     EXPECT_EQ(control(2, RUNNER_STOP), ERR_NOTFOUND);
     EXPECT_EQ(control(1, RUNNER_THROTTLE), ERR_OK);
     Listed l = list();
@@ -552,18 +566,65 @@
     EXPECT_EQ(l.tasks[0].accelerators, 0x8000000000000005u);
     EXPECT_EQ(l.tasks[0].state, RUNNER_THROTTLED);
     EXPECT_EQ(l.tasks[0].checkpoint_ms, -1);
+    EXPECT_EQ(l.tasks[0].until, far + 5);
+    EXPECT_STREQ(l.tasks[0].label, "a label");
     EXPECT_EQ(control(1, RUNNER_RESUME), ERR_OK);
     EXPECT_EQ(control(1, RUNNER_CHECKPOINT_AND_STOP), ERR_OK);
     RunUntil([&] { return list().tasks[0].state == RUNNER_STOPPED; });
     EXPECT_GE(list().tasks[0].checkpoint_ms, 0);
-    EXPECT_EQ(start(1), ERR_STALE);
+    EXPECT_EQ(start(1, far), ERR_STALE);
+    EXPECT_EQ(renew(1, far), ERR_STALE);
     EXPECT_EQ(control(1, RUNNER_STOP), ERR_OK);
+    EXPECT_EQ(start(3, list().clock - 1), ERR_STALE);
     auto log = Http("GET", worker.Url("/runner/log")).json();
     EXPECT_EQ(json_array_size(json_object_get(log.get(), "log")), 3u);
     EXPECT_EQ(Number(log.get(), "double_booked"), 0);
     runner->ops->free(runner);
 }
 
+/* The agent of this worker is dead or paused. Nobody renews the task, and
+ * nobody asks for its end; the worker ends it by itself, so that one member of
+ * a gang does not go on for good after the others have stopped. */
+TEST_F(Platform, WorkerEndsATaskWhoseLeaseIsOver)
+{
+    Fake worker(dir, "fake-upstream");
+    const struct platform_limits limits = {2000, 4000, 0, 0};
+    struct runner *runner =
+        Platform_HttpRunner(loop, worker.Url().c_str(), &limits);
+    struct Seen {
+        int err = 1;
+        int64_t clock = 0;
+        enum runner_state state = RUNNER_RUNNING;
+    };
+    auto on_list = [](void *arg, int err, const struct runner_task *tasks,
+                      size_t n, int64_t clock) {
+        auto *s = static_cast<Seen *>(arg);
+        s->err = err;
+        s->clock = clock;
+        s->state = n > 0 ? tasks[0].state : RUNNER_RUNNING;
+    };
+    auto list = [&] {
+        Seen s;
+        runner->ops->list(runner, on_list, &s);
+        RunUntil([&] { return s.err != 1; });
+        return s;
+    };
+    int err = 1;
+    auto on_done = [](void *arg, int e) { *static_cast<int *>(arg) = e; };
+    struct runner_start start = {Id_Random(), 1,    1, list().clock + 200,
+                                 "",          "{}", 2};
+
+    runner->ops->start(runner, &start, on_done, &err);
+    RunUntil([&] { return err != 1; });
+    EXPECT_EQ(err, ERR_OK);
+    RunUntil([&] { return list().state == RUNNER_STOPPED; });
+    EXPECT_GE(list().clock, start.until);
+    auto log = Http("GET", worker.Url("/runner/log")).json();
+    const json_t *last = json_array_get(json_object_get(log.get(), "log"), 1);
+    EXPECT_EQ(harness::Text(last, "event"), "lease-end");
+    runner->ops->free(runner);
+}
+
 TEST(PlatformUrl, NoneIsRefused)
 {
     const struct platform_limits limits = {1, 1, 0, 0};
