platform: an agent attaches to the runner, which refuses its predecessor's starts

A start that an agent sent just before its death could be carried out after its successor had read the list, beside what the successor then started on the same accelerators.

--- a/packages/agent/agent-parts-runner.c
+++ b/packages/agent/agent-parts-runner.c
@@ -94,6 +94,7 @@
 {
     char label[RUNNER_LABEL_SIZE];
     struct runner_start start = {
+        .agent = t->parts.incarnation,
         .job = part->job,
         .attempt = part->attempt,
         .accelerators = part->accelerators,
@@ -231,7 +232,11 @@
     }
     t->listing = true;
     t->list_asked_at = now;
-    t->runner->ops->list(t->runner, on_list, t);
+    if (t->parts.ready) {
+        t->runner->ops->list(t->runner, on_list, t);
+        return;
+    }
+    t->runner->ops->attach(t->runner, t->parts.incarnation, on_list, t);
 }
 
 /* Brings the runner to what the parts' states ask for. What is wanted follows
--- a/packages/platform/platform-runner.c
+++ b/packages/platform/platform-runner.c
@@ -102,6 +102,13 @@
     return list;
 }
 
+/* Writes an agent's number as text: it has 64 bits. */
+static json_t *
+agent_json(uint64_t agent)
+{
+    return json_sprintf("%016llx", (unsigned long long)agent);
+}
+
 /* Starts a task. */
 static void
 runner_start(struct runner *runner, const struct runner_start *start,
@@ -110,7 +117,8 @@
     char hex[ID_HEX_SIZE];
 
     act(runner, "/runner/start",
-        json_pack("{s:s,s:I,s:o,s:I,s:s,s:o}", "job", Id_Hex(&start->job, hex),
+        json_pack("{s:o,s:s,s:I,s:o,s:I,s:s,s:o}", "agent",
+                  agent_json(start->agent), "job", Id_Hex(&start->job, hex),
                   "attempt", (json_int_t)start->attempt, "accelerators",
                   bits_json(start->accelerators), "until",
                   (json_int_t)start->until, "label", start->label, "spec",
@@ -242,17 +250,36 @@
 static const struct call_ops list_ops = {.answered = list_answered,
                                          .failed = list_failed};
 
-/* Lists the tasks. */
-static void
-runner_list(struct runner *runner, runner_listed done, void *arg)
+/* Makes a call whose answer is a list. */
+static struct call *
+list_call(struct runner *runner, const char *method, const char *path,
+          runner_listed done, void *arg)
 {
     struct http_runner *r = (struct http_runner *)runner;
     struct list_call *list =
-        Call_New(&r->http, sizeof(*list), &list_ops, "GET", "/runner/tasks");
+        Call_New(&r->http, sizeof(*list), &list_ops, method, path);
 
     list->done = done;
     list->arg = arg;
-    Call_Start(&list->call);
+    return &list->call;
+}
+
+/* Lists the tasks. */
+static void
+runner_list(struct runner *runner, runner_listed done, void *arg)
+{
+    Call_Start(list_call(runner, "GET", "/runner/tasks", done, arg));
+}
+
+/* Takes the place of the agent before, and lists. */
+static void
+runner_attach(struct runner *runner, uint64_t agent, runner_listed done,
+              void *arg)
+{
+    struct call *call = list_call(runner, "POST", "/runner/attach", done, arg);
+
+    Call_SetJson(call, json_pack("{s:o}", "agent", agent_json(agent)));
+    Call_Start(call);
 }
 
 static void
@@ -265,6 +292,7 @@
 }
 
 static const struct runner_ops runner_ops = {.name = "http",
+                                             .attach = runner_attach,
                                              .start = runner_start,
                                              .renew = runner_renew,
                                              .control = runner_control,
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -146,6 +146,7 @@
  * more; each list brings a reading to count from. The label is kept with the
  * task for the agent that comes after this one. */
 struct runner_start {
+    uint64_t agent; /* that attached last; of another one it is refused */
     struct id job;
     uint64_t attempt;
     uint64_t accelerators; /* bits */
@@ -165,11 +166,11 @@
 
 /* err as of the table: ERR_UNKNOWN means that it may have started. Starting
  * an attempt that runs already is ERR_OK; one that has ended, or whose lease
- * is over already, is ERR_STALE. Renewing never shortens a lease; it is
- * ERR_STALE for a task that has ended. Control of an attempt that was never
- * here is ERR_NOTFOUND, of one that has ended ERR_OK. All are repeated until
- * their outcome is known or the time is over. A list holds a task for a
- * minute after its end. */
+ * is over already, or of an agent that another has replaced, is ERR_STALE.
+ * Renewing never shortens a lease; it is ERR_STALE for a task that has ended.
+ * Control of an attempt that was never here is ERR_NOTFOUND, of one that has
+ * ended ERR_OK. All are repeated until their outcome is known or the time is
+ * over. A list holds a task for a minute after its end. */
 typedef void (*runner_done)(void *arg, int err);
 /* clock: the worker's, read between the call and its answer. */
 typedef void (*runner_listed)(void *arg, int err,
@@ -178,6 +179,11 @@
 
 struct runner_ops {
     const char *name;
+    /* Lists, and from then on starts nothing for another agent: a start that
+     * an earlier process sent just before its death must not come to pass
+     * after this one has read what runs. */
+    void (*attach)(struct runner *, uint64_t agent, runner_listed done,
+                   void *arg);
     void (*start)(struct runner *, const struct runner_start *start,
                   runner_done done, void *arg);
     void (*renew)(struct runner *, const struct id *job, uint64_t attempt,
--- a/tests/fakes/upstream-runner.c
+++ b/tests/fakes/upstream-runner.c
@@ -37,6 +37,7 @@
 struct fake_runner {
     struct ev_loop *loop;
     json_t *log;
+    char agent[17];        /* that is attached */
     int64_t double_booked; /* starts on an accelerator in use */
     int64_t overlapping;   /* starts beside another attempt of the job */
     TAILQ_HEAD(, part) parts;
@@ -289,6 +290,18 @@
     json_decref(spec);
 }
 
+/* True for a start that can't be taken any more. */
+static bool
+is_stale(const struct fake_runner *r, const struct part *p, const json_t *o)
+{
+    const char *agent = json_string_value(json_object_get(o, "agent"));
+
+    if (agent == NULL || strcmp(agent, r->agent) != 0) {
+        return true;
+    }
+    return p != NULL ? p->ended : Fake_Int(o, "until", 0) <= Clock_NowMs();
+}
+
 /* POST /runner/start. */
 static void
 serve_start(struct fake_runner *r, struct http_exchange *ex, const json_t *o)
@@ -304,7 +317,7 @@
         return;
     }
     p = find(r, job, attempt);
-    if (p != NULL ? p->ended : Fake_Int(o, "until", 0) <= Clock_NowMs()) {
+    if (is_stale(r, p, o)) {
         Fake_Reply(ex, 409, json_pack("{s:s}", "reason", "stale"));
         return;
     }
@@ -389,6 +402,25 @@
     return all;
 }
 
+/* Answers with what runs and what has ended. */
+static void
+reply_tasks(const struct fake_runner *r, struct http_exchange *ex)
+{
+    Fake_Reply(ex, 200,
+               json_pack("{s:o,s:I}", "tasks", list(r, true), "clock",
+                         (json_int_t)Clock_NowMs()));
+}
+
+/* POST /runner/attach. */
+static void
+serve_attach(struct fake_runner *r, struct http_exchange *ex, const json_t *o)
+{
+    const char *agent = json_string_value(json_object_get(o, "agent"));
+
+    Str_Copy(r->agent, sizeof(r->agent), agent == NULL ? "" : agent);
+    reply_tasks(r, ex);
+}
+
 /* Serves what is under /runner/. */
 void
 FakeRunner_Serve(struct fake_runner *r, struct http_exchange *ex)
@@ -397,9 +429,7 @@
     json_t *o;
 
     if (strcmp(path, "/runner/tasks") == 0) {
-        Fake_Reply(ex, 200,
-                   json_pack("{s:o,s:I}", "tasks", list(r, true), "clock",
-                             (json_int_t)Clock_NowMs()));
+        reply_tasks(r, ex);
         return;
     }
     if (strcmp(path, "/runner/log") == 0) {
@@ -417,6 +447,9 @@
     if (strcmp(path, "/runner/start") == 0) {
         serve_start(r, ex, o);
     }
+    else if (strcmp(path, "/runner/attach") == 0) {
+        serve_attach(r, ex, o);
+    }
     else if (strcmp(path, "/runner/renew") == 0) {
         serve_renew(r, ex, o);
     }
--- a/tests/platform-test.cc
+++ b/tests/platform-test.cc
@@ -524,10 +524,17 @@
         l->clock = clock;
         l->tasks.assign(tasks, tasks + n);
     };
+    uint64_t agent = 9;
+    auto attach = [&](uint64_t who) {
+        Listed l;
+        runner->ops->attach(runner, who, on_list, &l);
+        RunUntil([&] { return l.err != 1; });
+        return l.err;
+    };
     auto start = [&](uint64_t attempt, int64_t until) {
-        struct runner_start s = {job,        attempt,   0x8000000000000005u,
-                                 until,      "a label", spec.data(),
-                                 spec.size()};
+        struct runner_start s = {
+            agent, job,       attempt,     0x8000000000000005u,
+            until, "a label", spec.data(), spec.size()};
         Acted a;
         runner->ops->start(runner, &s, on_done, &a);
         RunUntil([&] { return a.err != 1; });
@@ -553,6 +560,10 @@
     };
 
     const int64_t far = list().clock + 600000;
+    EXPECT_EQ(start(1, far), ERR_STALE) << "nobody is attached";
+    EXPECT_EQ(attach(8), ERR_OK);
+    EXPECT_EQ(start(1, far), ERR_STALE) << "another agent is attached";
+    EXPECT_EQ(attach(agent), ERR_OK);
     EXPECT_EQ(start(1, far), ERR_OK);
     EXPECT_EQ(start(1, far), ERR_OK);
     EXPECT_EQ(renew(1, far + 5), ERR_OK);
@@ -609,10 +620,13 @@
         RunUntil([&] { return s.err != 1; });
         return s;
     };
+    Seen attached;
+    runner->ops->attach(runner, 7, on_list, &attached);
+    RunUntil([&] { return attached.err != 1; });
     int err = 1;
     auto on_done = [](void *arg, int e) { *static_cast<int *>(arg) = e; };
-    struct runner_start start = {Id_Random(), 1,    1, list().clock + 200,
-                                 "",          "{}", 2};
+    struct runner_start start = {7,  Id_Random(), 1, 1, list().clock + 200,
+                                 "", "{}",        2};
 
     runner->ops->start(runner, &start, on_done, &err);
     RunUntil([&] { return err != 1; });
