--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -353,7 +353,7 @@
             continue;
         }
         note = Mem_Zero(1, sizeof(*note));
-        copy_list(&note->heard, &heard, sizeof(struct heard_entry));
+        Wire_ListCopy(&note->heard, &heard, sizeof(struct heard_entry));
         Kernel_Post(t, &note->base, &Agent_Contact);
     }
     l->heard = hash;
