--- a/tests/parts-test.cc
+++ b/tests/parts-test.cc
@@ -126,6 +126,20 @@
     EXPECT_STREQ(Find(&w.p, 1, 1, 1)->reason, "lapsed");
 }
 
+/* The record of an end goes once it was told; its rank stays spent. */
+TEST(Parts, LapseFreesTheAcceleratorsAndSpendsTheRank)
+{
+    Worker w;
+    auto m = Prepare(1, 1, 1, 3, 3000);
+    auto other = Prepare(2, 1, 1, 3, 3000);
+
+    Parts_Prepare(&w.p, &m, 0);
+    EXPECT_EQ(Parts_Tick(&w.p, 3000), 1u);
+    EXPECT_EQ(Parts_Prepare(&w.p, &other, 3000).reason, PARTS_GRANTED);
+    Parts_Remove(&w.p, Find(&w.p, 1, 1, 1));
+    EXPECT_EQ(Parts_Prepare(&w.p, &m, 3001).reason, PARTS_SPENT);
+}
+
 TEST(Parts, ReleaseOfWhatWasNeverReservedSpendsItsRank)
 {
     Worker w;
