policy: three candidates a side, and chance left out of slowness

Cause: averages of exponential service times scatter by a quarter, which outweighed a request more or less of eight: the choice went by chance. A pick that met only full upstreams looked at all 780, twice for each arrival: draws now come first, then the upstream settled last, and that all are full is remembered until something changes.

--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -302,26 +302,28 @@
  * failing one, always free, draws traffic; half the requests cross domains
  * for no gain.
  *
- * Answer: two random candidates of the entry's own domain and two of the
+ * Answer: three random candidates of the entry's own domain and three of the
  * others; the least expected time wins, that is expected service time, times
  * slowness (average of latency over expected latency, against the median of
- * all; errors count as slow), times (slots + load) / slots, plus the hop
- * there and back for another domain. Load is the entry's own outstanding
+ * all; errors count as slow; within a factor of 1.5 it is taken for chance),
+ * times (slots + load) / slots, plus the hop there and back for another
+ * domain. Load is the entry's own outstanding
  * requests plus the others' by the last report, which fades towards the mean
  * of all as it ages.
  *
- * Grounds: two choices bring most of the gain of looking at all of them and
- * don't herd on late reports; figures in docs/results/load.md.
+ * Grounds: a few random choices bring most of the gain of looking at all and
+ * cost the same however many upstreams there are; two, three and four, the
+ * factor and the half-life were measured, see docs/design/load.md.
  */
 
 #define ROUTE_NONE (-1)
-#define ROUTE_CANDIDATES 4
+#define ROUTE_CANDIDATES 6
 
 struct route;
 
 struct route_limits {
     int64_t hop_us;       /* one way between domains; 1500 */
-    int64_t report_ms;    /* a report counts half after this; 1000 */
+    int64_t report_ms;    /* a report counts half after this; 3000 */
     int64_t forget_ms;    /* slowness halves without samples in; 10000 */
     int64_t probe_any_ms; /* wait for a repeatable probe request; 5000 */
     struct health_limits health;
--- a/packages/policy/route-pick.c
+++ b/packages/policy/route-pick.c
@@ -6,11 +6,15 @@
 /* A report that is this many half-lives old says nothing of a full upstream:
  * otherwise one that was full when reports ceased would stay so for good. */
 #define REPORT_LIVES 8
-/* Random tries for a usable candidate before all are looked at. */
+/* Random tries for a usable candidate. */
 #define DRAWS 4
-/* Bounds of slowness against the median: no upstream is thought to be so
- * slow, or so fast, that its load doesn't matter. */
-#define SLOWNESS_MIN 0.25
+/* That all are full is looked at again after this, as reports fade. */
+#define FULL_MS 10
+/* Candidates of the own domain, and of the others. */
+#define DRAWN (ROUTE_CANDIDATES / 2)
+/* Latency within this factor of the median is no sign of a slow upstream. */
+#define SLOWNESS_BAND 1.5
+/* No upstream is thought to be slower than this against the median. */
 #define SLOWNESS_MAX 16.0
 
 /* Draws the next random number of a sequence (SplitMix64). */
@@ -55,16 +59,26 @@
 /* Slowness against the median of all, which an upstream returns to when
  * nothing is sent to it: so a slow one is tried again in time. */
 double
+route_raw_slowness(const struct route *r, const struct route_upstream *u,
+                   int64_t now)
+{
+    double off = u->slowness / r->median - 1;
+
+    return 1 + off * fade(now - u->slowness_at, r->limits.forget_ms);
+}
+
+/* The same without what may be chance: service times scatter, and a choice by
+ * that scatter sends requests to where there is more load. */
+double
 route_slowness(const struct route *r, const struct route_upstream *u,
                int64_t now)
 {
-    double off = u->slowness / r->median - 1;
+    double factor = route_raw_slowness(r, u, now);
 
-    off *= fade(now - u->slowness_at, r->limits.forget_ms);
-    if (off + 1 < SLOWNESS_MIN) {
-        return SLOWNESS_MIN;
+    if (factor > SLOWNESS_BAND) {
+        return fmin(factor / SLOWNESS_BAND, SLOWNESS_MAX);
     }
-    return off + 1 > SLOWNESS_MAX ? SLOWNESS_MAX : off + 1;
+    return factor < 1 / SLOWNESS_BAND ? factor * SLOWNESS_BAND : 1;
 }
 
 /* Tells whether a slot and a connection are free. */
@@ -78,7 +92,7 @@
     if (u->reported && now - u->reported_at < report_life) {
         connections += u->other_connections;
     }
-    return connections < u->connections &&
+    return connections < u->connections && u->own < u->slots &&
            route_load(r, u, now) <= u->slots - 0.5;
 }
 
@@ -112,40 +126,70 @@
     return false;
 }
 
+/* Tells whether a handle is a candidate already. */
+static bool
+among(const struct route_candidate *taken, int count, int handle)
+{
+    int i;
+
+    for (i = 0; i < count; i++) {
+        if (taken[i].handle == handle) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Tells whether a handle can be a candidate. */
 static bool
-usable(const struct pick *p, int handle, bool remote, int taken)
+usable(const struct pick *p, int handle)
 {
     const struct route_upstream *u = &p->r->up[handle];
 
-    return handle != taken && remote == (u->domain != p->own_domain) &&
-           route_takes(u) && !avoided(p, handle) &&
+    return route_takes(u) && !avoided(p, handle) &&
            route_has_room(p->r, u, p->now);
 }
 
-/* Draws a usable handle from a list, other than the one taken already; looks
- * at all of them, from a random place on, when a few draws meet none. */
+/* Tells whether a handle stands in another domain than the entry. */
+static bool
+is_remote(const struct pick *p, int handle)
+{
+    return p->r->up[handle].domain != p->own_domain;
+}
+
+/* Draws a usable handle from a list; ROUTE_NONE when a few draws meet none,
+ * or none that isn't a candidate already. */
 static int
 draw_usable(struct pick *p, const struct route_list *list, bool remote,
-            int taken)
+            const struct route_candidate *taken, int count)
 {
     int i, at;
 
-    if (list->count == 0) {
-        return ROUTE_NONE;
-    }
-    for (i = 0; i < DRAWS; i++) {
+    for (i = 0; i < DRAWS && list->count > 0; i++) {
         at = list->at[draw(&p->random) % (uint64_t)list->count];
-        if (usable(p, at, remote, taken)) {
+        if (is_remote(p, at) == remote && usable(p, at) &&
+            !among(taken, count, at)) {
             return at;
         }
     }
-    at = (int)(draw(&p->random) % (uint64_t)list->count);
-    for (i = 0; i < list->count; i++) {
-        int handle = list->at[(at + i) % list->count];
+    return ROUTE_NONE;
+}
 
-        if (usable(p, handle, remote, taken)) {
-            return handle;
+/* Looks for any usable handle: the one settled last, which is likely to have
+ * a slot free when all are busy, then all, from a random place on. */
+static int
+find_usable(struct pick *p)
+{
+    const struct route_list *all = &p->r->all;
+    int i, at;
+
+    if (p->r->freed < p->r->count && usable(p, p->r->freed)) {
+        return p->r->freed;
+    }
+    for (i = 0, at = 0; i < all->count; i++) {
+        at = i == 0 ? (int)(draw(&p->random) % (uint64_t)all->count) : at + 1;
+        if (usable(p, all->at[at % all->count])) {
+            return all->at[at % all->count];
         }
     }
     return ROUTE_NONE;
@@ -153,8 +197,7 @@
 
 /* Writes down what is known of a candidate. */
 static void
-describe(const struct pick *p, int handle, bool remote,
-         struct route_candidate *c)
+describe(const struct pick *p, int handle, struct route_candidate *c)
 {
     const struct route_upstream *u;
 
@@ -163,25 +206,24 @@
         return;
     }
     u = &p->r->up[handle];
-    c->remote = remote;
+    c->remote = is_remote(p, handle);
     c->slots = u->slots;
     c->load_milli = llround(route_load(p->r, u, p->now) * 1000);
     c->slowness_milli = llround(route_slowness(p->r, u, p->now) * 1000);
 }
 
-/* Draws two candidates of a list. */
+/* Draws candidates of a list. */
 static void
-draw_two(struct pick *p, const struct route_list *list, bool remote,
-         struct route_candidate *out)
+draw_some(struct pick *p, const struct route_list *list, bool remote,
+          struct route_candidate *out)
 {
-    int first = draw_usable(p, list, remote, ROUTE_NONE);
-    int second = ROUTE_NONE;
+    int i;
 
-    if (first != ROUTE_NONE) {
-        second = draw_usable(p, list, remote, first);
+    for (i = 0; i < DRAWN; i++) {
+        int handle = draw_usable(p, list, remote, out, i);
+
+        describe(p, handle, &out[i]);
     }
-    describe(p, first, remote, &out[0]);
-    describe(p, second, remote, &out[1]);
 }
 
 /* Finds an ejected upstream that is due for a probe. A request that must not
@@ -246,28 +288,54 @@
     return ROUTE_NONE;
 }
 
-/* Chooses an upstream for a request. */
+/* Gathers candidates: a few drawn at random; any one that is free when these
+ * draws meet none, as happens when nearly all are full. */
+static void
+gather(struct pick *p, struct route_inputs *in)
+{
+    static const struct route_list nobody;
+    const struct route_list *own = &nobody;
+    bool found = false;
+    int i;
+
+    if (p->own_domain >= 0) {
+        own = &p->r->domain[p->own_domain].list;
+    }
+    draw_some(p, own, false, &in->at[0]);
+    draw_some(p, &p->r->all, true, &in->at[DRAWN]);
+    for (i = 0; i < ROUTE_CANDIDATES; i++) {
+        found = found || in->at[i].handle != ROUTE_NONE;
+    }
+    if (!found) {
+        describe(p, find_usable(p), &in->at[0]);
+    }
+}
+
+/* Chooses an upstream for a request. That all are full is remembered until
+ * something changes: a queue in front asks again for each arrival. */
 struct route_decision
 Route_Pick(struct route *r, const struct route_request *request, int64_t now,
            uint64_t rnd)
 {
     struct pick p = {r, request, now, rnd, own_domain(r, request->domain)};
     struct route_inputs in = {request->expected_ms, r->limits.hop_us};
-    struct route_decision d = {ROUTE_NONE};
-    static const struct route_list nobody;
+    struct route_decision d = {ROUTE_NONE, ROUTE_NONE_FREE};
 
+    if (r->full && now - r->full_at < FULL_MS) {
+        return d;
+    }
     d.handle = find_probe(&p);
     if (d.handle != ROUTE_NONE) {
         d.reason = ROUTE_PROBE;
         return d;
     }
-    draw_two(&p, p.own_domain >= 0 ? &r->domain[p.own_domain].list : &nobody,
-             false, &in.at[0]);
-    draw_two(&p, &r->all, true, &in.at[2]);
+    gather(&p, &in);
     d = Route_Judge(&in);
     if (d.handle == ROUTE_NONE) {
         d.reason = why_none(&p);
         d.judged = false;
+        r->full = d.reason == ROUTE_NONE_FREE;
+        r->full_at = now;
     }
     return d;
 }
--- a/packages/policy/route-private.h
+++ b/packages/policy/route-private.h
@@ -48,12 +48,17 @@
     int64_t probe_at;      /* no probe is due before */
     double median;         /* of slowness */
     int median_age;        /* results since it was computed */
+    int freed;             /* the upstream settled last */
+    bool full;             /* no slot was free, and nothing has changed */
+    int64_t full_at;
 };
 
 /* Load in requests, by what is known at this time. */
 double route_load(const struct route *r, const struct route_upstream *u,
                   int64_t now);
-/* Slowness against the median. */
+/* Slowness against the median; raw, or with what may be chance left out. */
+double route_raw_slowness(const struct route *r,
+                          const struct route_upstream *u, int64_t now);
 double route_slowness(const struct route *r, const struct route_upstream *u,
                       int64_t now);
 /* True when a slot and a connection are free. */
--- a/packages/policy/route-settle.c
+++ b/packages/policy/route-settle.c
@@ -74,7 +74,7 @@
     if (sample > SAMPLE_MAX) {
         sample = SAMPLE_MAX;
     }
-    u->slowness = r->median * route_slowness(r, u, now);
+    u->slowness = r->median * route_raw_slowness(r, u, now);
     u->slowness += (sample - u->slowness) * SLOWNESS_GAIN;
     u->slowness_at = now;
     if (++r->median_age >= MEDIAN_EVERY && r->all.count > 0) {
@@ -152,6 +152,8 @@
         return HEALTH_STAYS;
     }
     u->own--;
+    r->full = false;
+    r->freed = handle;
     if (!u->known) {
         return HEALTH_STAYS;
     }
--- a/packages/policy/route.c
+++ b/packages/policy/route.c
@@ -20,7 +20,7 @@
         r->limits = *limits;
     }
     r->limits.hop_us = or_default(r->limits.hop_us, 1500);
-    r->limits.report_ms = or_default(r->limits.report_ms, 1000);
+    r->limits.report_ms = or_default(r->limits.report_ms, 3000);
     r->limits.forget_ms = or_default(r->limits.forget_ms, 10000);
     r->limits.probe_any_ms = or_default(r->limits.probe_any_ms, 5000);
     r->median = 1;
@@ -214,6 +214,7 @@
     if (u->known && u->domain != domain) {
         unlist(r, handle);
     }
+    r->full = false;
     u->domain = domain;
     u->slots = facts->slots;
     u->connections = facts->connections;
@@ -255,6 +256,7 @@
     if (u == NULL || !u->known) {
         return;
     }
+    r->full = false;
     others = others > 0 ? others : 0;
     r->others_sum += others - u->others;
     u->others = others;
