--- a/packages/policy/admit-judge.c
+++ b/packages/policy/admit-judge.c
@@ -87,12 +87,12 @@
 predict(const struct admission_inputs *in)
 {
     struct prediction p = {0, REFUSE_WAIT_TOO_LONG};
-    int64_t residual = in->running > 0 ? in->running_ms / in->running : 0;
     int64_t share = in->org_share_milli > 0 ? in->org_share_milli : 1;
     int64_t org;
 
-    p.wait_ms = drain_time(in, in->ahead_ms + residual);
-    org = drain_time(in, (in->org_ahead_ms * 1000 / share) + residual);
+    p.wait_ms = drain_time(in, in->ahead_ms) + in->next_free_ms;
+    org = drain_time(in, in->org_ahead_ms * 1000 / share);
+    org += in->next_free_ms;
     if (org < p.wait_ms) {
         p.wait_ms = org;
         p.reason = REFUSE_SHARE_USED;
--- a/packages/policy/admit-observe.c
+++ b/packages/policy/admit-observe.c
@@ -125,7 +125,7 @@
     in.org_ahead_ms = org ? ahead(org, priority) : 0;
     in.caller_ahead_ms = caller ? ahead(caller, priority) : 0;
     in.key_ahead_ms = key ? ahead(key, priority) : 0;
-    in.running_ms = a->running_ms;
+    in.next_free_ms = a->running > 0 ? llround(1 / a->release) : 0;
     in.drain_milli = admit_drain_milli(a);
     in.org_share_milli = share_milli(root, org);
     in.caller_share_milli = share_milli(org, caller);
--- a/packages/policy/admit-private.h
+++ b/packages/policy/admit-private.h
@@ -103,10 +103,10 @@
     struct admit_fifo level[PRIORITY_COUNT]; /* queued, oldest first */
     struct admit_fifo expired;
     int running;
-    int64_t running_ms; /* expected cost of what runs */
-    int since_aged;     /* dispatches since the last aged turn */
-    double busy;        /* slots in use times ms, while backlogged, fading */
-    double backlogged;  /* ms, fading in the same way */
+    double release;    /* slots expected to get free in a ms */
+    int since_aged;    /* dispatches since the last aged turn */
+    double busy;       /* slots in use times ms, while backlogged, fading */
+    double backlogged; /* ms, fading in the same way */
     int64_t measured_at;
 };
 
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -187,7 +187,7 @@
     admit_flow_charge(e->key, e->cost_ms);
     e->state = ADMIT_RUNNING;
     a->running++;
-    a->running_ms += e->cost_ms;
+    a->release += 1 / (double)e->cost_ms;
     out->id = e->id;
     out->waited_ms = now - e->offered_at;
     out->cost_ms = e->cost_ms;
@@ -199,7 +199,10 @@
 stop_running(struct admission *a, struct admit_entry *e)
 {
     a->running--;
-    a->running_ms -= e->cost_ms;
+    a->release -= 1 / (double)e->cost_ms;
+    if (a->running == 0) {
+        a->release = 0; /* no sum of rounding errors */
+    }
 }
 
 /* Undoes Admission_Next. */
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -121,7 +121,7 @@
     int64_t org_ahead_ms;    /* of that, its organisation's */
     int64_t caller_ahead_ms; /* of that, its caller's */
     int64_t key_ahead_ms;    /* of that, its key's */
-    int64_t running_ms;      /* expected work of the requests in slots */
+    int64_t next_free_ms;    /* expected until the next slot is free */
     int64_t drain_milli;     /* slots that a backlog gets, in thousandths */
     int64_t org_share_milli; /* organisation's part of the drain */
     int64_t caller_share_milli; /* caller's part of its organisation's */
