--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -91,6 +91,7 @@
     REFUSE_WAIT_TOO_LONG,  /* the service's backlog is too long */
     REFUSE_SHARE_USED,     /* its organisation's own backlog is too long */
     REFUSE_CALLER_SHARE,   /* its caller's own backlog is too long */
+    REFUSE_KEY_SHARE,      /* its key's own backlog is too long */
     REFUSE_QUEUE_FULL,     /* no place in the queue */
     REFUSE_ORG_QUEUE,      /* the organisation's places are taken */
     REFUSE_CALLER_QUEUE,   /* the caller's places are taken */
@@ -112,10 +113,12 @@
     int64_t ahead_ms;        /* work queued before it, whoever's */
     int64_t org_ahead_ms;    /* of that, its organisation's */
     int64_t caller_ahead_ms; /* of that, its caller's */
-    int64_t running_ms;      /* expected work of the requests in slots */
+    int64_t key_ahead_ms;    /* of that, its key's */
+    int64_t next_free_ms;    /* expected until the next slot is free */
     int64_t drain_milli;     /* slots that a backlog gets, in thousandths */
     int64_t org_share_milli; /* organisation's part of the drain */
     int64_t caller_share_milli; /* caller's part of its organisation's */
+    int64_t key_share_milli;    /* key's part of its caller's */
     int64_t stretch_milli; /* waits against predictions of late; 1000: equal */
     int64_t comeback_ms;   /* how far refused ones are booked already */
     int64_t retry_min_ms;
@@ -295,26 +298,28 @@
  * failing one, always free, draws traffic; half the requests cross domains
  * for no gain.
  *
- * Answer: two random candidates of the entry's own domain and two of the
+ * Answer: three random candidates of the entry's own domain and three of the
  * others; the least expected time wins, that is expected service time, times
  * slowness (average of latency over expected latency, against the median of
- * all; errors count as slow), times (slots + load) / slots, plus the hop
- * there and back for another domain. Load is the entry's own outstanding
+ * all; errors count as slow; within a factor of 1.5 it is taken for chance),
+ * times (slots + load) / slots, plus the hop there and back for another
+ * domain. Load is the entry's own outstanding
  * requests plus the others' by the last report, which fades towards the mean
  * of all as it ages.
  *
- * Grounds: two choices bring most of the gain of looking at all of them and
- * don't herd on late reports; figures in docs/results/load.md.
+ * Grounds: a few random choices bring most of the gain of looking at all and
+ * cost the same however many upstreams there are; two, three and four, the
+ * factor and the half-life were measured, see docs/design/load.md.
  */
 
 #define ROUTE_NONE (-1)
-#define ROUTE_CANDIDATES 4
+#define ROUTE_CANDIDATES 6
 
 struct route;
 
 struct route_limits {
     int64_t hop_us;       /* one way between domains; 1500 */
-    int64_t report_ms;    /* a report counts half after this; 1000 */
+    int64_t report_ms;    /* a report counts half after this; 3000 */
     int64_t forget_ms;    /* slowness halves without samples in; 10000 */
     int64_t probe_any_ms; /* wait for a repeatable probe request; 5000 */
     struct health_limits health;
@@ -457,17 +462,18 @@
  * done, and is bounded by attempts alone. A hedge is sent when the answer is
  * later than 95% of answers were.
  *
- * Grounds: 10% bounds the load that retries add to a tenth; 95% makes
- * hedging cost at most a twentieth. One object for requests of one class:
- * lateness is relative to answers of the same kind.
+ * Grounds: 20% bounds the load that retries add to a fifth; 95% makes
+ * hedging cost at most a twentieth, but it gained nothing where measured and
+ * is off by default. Figures in docs/results/load.md. One object for requests
+ * of one class: lateness is relative to answers of the same kind.
  */
 
 struct retry;
 
 struct retry_limits {
-    int share_percent; /* of successes; 10 */
+    int share_percent; /* of successes; 20 */
     int floor_per_s;   /* 1 */
-    int burst;         /* most tokens saved; 20 */
+    int burst;         /* most tokens saved; 100 */
     int attempts_max;  /* of one request, the first counted; 3 */
     bool hedge;        /* hedging is on; off by default */
 };
