kernel: let go of the signals, and tests of messages, plug-ins and drain

Cause: Kernel_Free destroyed the loop with its signal watchers started. A second kernel in one process aborted at the next SIGTERM: "ev_run: Assertion pipe_w not active". Alone, the same test passed, which ruled out the drain. The watchers are stopped now.

--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -92,7 +92,7 @@
     json_decref(state);
 }
 
-/* Starts watching a signal without keeping the loop alive for it. */
+/* Starts watching a signal. */
 static void
 watch_signal(struct kernel *k, ev_signal *w,
              void (*cb)(struct ev_loop *, ev_signal *, int), int signum)
@@ -175,6 +175,9 @@
             t->ops->free(t);
         }
     }
+    ev_signal_stop(k->loop, &k->on_term);
+    ev_signal_stop(k->loop, &k->on_int);
+    ev_signal_stop(k->loop, &k->on_usr1);
     ev_loop_destroy(k->loop);
 }
 
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -27,5 +27,6 @@
   endforeach()
 endfunction()
 
+pf_test(kernel-test kernel-test.cc PACKAGES kernel)
 pf_process_test(platform-test platform-test.cc PACKAGES platform
                 NEEDS fake-platform fake-upstream)
