http: deadlines of waiting calls, stop under load, and the package's tests

Two faults that the tests found, each mended here: - A call that waits for one of the connections to its host did not end at its time: with one connection hanging, a call of 300 ms was not done after 10 s. libcurl's time-out leaves such transfers alone. Each call now has a timer of its own; the call ends as unreachable, as nothing was sent. - Http_ServerFree ended the process when a request came in during its last turn: "MHD_stop_daemon() called while we have suspended connections". A stopping server answers 503 without its handler. Ruled out: a new connection, which that turn only accepts; it takes a used one.

--- a/packages/http/http-client.c
+++ b/packages/http/http-client.c
@@ -32,6 +32,7 @@
     size_t max_body;
     bool too_big;
     bool has_length; /* the end of the body is marked */
+    ev_timer deadline;
     TAILQ_ENTRY(http_call) entry;
 };
 
@@ -40,6 +41,7 @@
 free_call(struct http_call *call)
 {
     TAILQ_REMOVE(&call->client->calls, call, entry);
+    ev_timer_stop(call->client->loop, &call->deadline);
     curl_multi_remove_handle(call->client->multi, call->easy);
     curl_easy_cleanup(call->easy);
     curl_slist_free_all(call->headers);
@@ -172,6 +174,32 @@
     }
 }
 
+/* The time of a call is over. libcurl's own time-out does not end a transfer
+ * that still waits for one of the connections to its host: its caller would
+ * wait for as long as the calls before it, past its deadline. This timer runs
+ * from the start of the call, wherever it stands. */
+static void
+on_deadline(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct http_call *call = w->data;
+
+    call->result.err = was_sent(call->easy) ? ERR_TIMEOUT : ERR_UNREACHABLE;
+    call->done(call->arg, &call->result);
+    free_call(call);
+}
+
+/* Starts the deadline of a call. */
+static void
+set_deadline(struct http_call *call, int64_t ms)
+{
+    struct ev_loop *loop = call->client->loop;
+
+    ev_now_update(loop);
+    ev_timer_init(&call->deadline, on_deadline, (double)ms / 1000.0, 0.);
+    call->deadline.data = call;
+    ev_timer_start(loop, &call->deadline);
+}
+
 /* Tells libcurl what a socket is ready for. */
 static void
 on_socket(struct ev_loop *loop UNUSED, ev_io *w, int events)
@@ -290,7 +318,6 @@
 {
     CURL *e = call->easy;
     int64_t connect = request->connect_ms ? request->connect_ms : CONNECT_MS;
-    int64_t timeout = request->timeout_ms ? request->timeout_ms : TIMEOUT_MS;
 
     curl_easy_setopt(e, CURLOPT_PRIVATE, call);
     curl_easy_setopt(e, CURLOPT_URL, request->url);
@@ -299,7 +326,6 @@
     curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect);
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)timeout);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, call);
@@ -354,6 +380,7 @@
     set_common(call, request);
     set_content(call, request);
     TAILQ_INSERT_TAIL(&client->calls, call, entry);
+    set_deadline(call, request->timeout_ms ? request->timeout_ms : TIMEOUT_MS);
     curl_multi_add_handle(client->multi, call->easy);
     return call;
 }
--- a/packages/http/http-server.c
+++ b/packages/http/http-server.c
@@ -15,6 +15,7 @@
     int port;
     MHD_socket quiesced; /* listening socket after a quiesce, or -1 */
     size_t open;
+    bool stopping; /* the handler is not called any more */
     TAILQ_HEAD(, http_exchange) exchanges;
     ev_io io;
     ev_timer timer;
@@ -183,6 +184,10 @@
         reply_too_big(ex);
         return queue_reply(ex);
     }
+    if (server->stopping) {
+        Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+        return queue_reply(ex);
+    }
     ex->begun = true;
     server->open++;
     server->handler(server->arg, ex);
@@ -268,7 +273,9 @@
 }
 
 /* Stops the server. What is still suspended is resumed with a 503, as
- * libmicrohttpd can't stop before. */
+ * libmicrohttpd can't stop before: it ends the process. The turn that sends
+ * those replies may read new requests, which a handler would suspend again,
+ * so they get a 503 without it. */
 void
 Http_ServerFree(struct http_server *server)
 {
@@ -277,6 +284,7 @@
     if (server == NULL) {
         return;
     }
+    server->stopping = true;
     TAILQ_FOREACH (ex, &server->exchanges, entry) {
         if (ex->suspended) {
             Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
--- /dev/null
+++ b/tests/http-test.cc
@@ -0,0 +1,374 @@
+#include "harness.h"
+#include "http.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+using harness::Fake;
+using harness::Number;
+using harness::TempDir;
+
+namespace {
+
+/* What a call came to. */
+struct Outcome {
+    bool done = false;
+    int err = 0;
+    int status = 0;
+    std::string body;
+};
+
+struct Options {
+    std::string fake;
+    std::string id;
+    bool once = false;
+    size_t max_body = 0;
+    int64_t timeout_ms = 5000;
+};
+
+/* A client on a loop of its own. */
+class Http : public testing::Test {
+  protected:
+    void TearDown() override
+    {
+        Http_ClientFree(client);
+        ev_loop_destroy(loop);
+    }
+
+    void RunUntil(const std::function<bool()> &predicate)
+    {
+        ASSERT_TRUE(harness::WaitFor([&] {
+            ev_run(loop, EVRUN_NOWAIT);
+            return predicate();
+        }));
+    }
+
+    void Start(const std::string &url, const std::string &body,
+               const Options &options, Outcome *o)
+    {
+        const struct http_header headers[] = {
+            {"X-Fake", options.fake.c_str()},
+            {"X-Request-Id", options.id.c_str()}};
+        struct http_request request = {};
+
+        request.method = "POST";
+        request.url = url.c_str();
+        request.headers = headers;
+        request.header_count = 2;
+        request.body = body.data();
+        request.body_len = body.size();
+        request.once = options.once;
+        request.max_body = options.max_body;
+        request.timeout_ms = options.timeout_ms;
+        Http_Call(client, &request, OnDone, o);
+    }
+
+    Outcome Call(const std::string &url, const std::string &body,
+                 const Options &options)
+    {
+        Outcome o;
+
+        Start(url, body, options, &o);
+        RunUntil([&] { return o.done; });
+        return o;
+    }
+
+    static void OnDone(void *arg, struct http_result *result)
+    {
+        auto *o = static_cast<Outcome *>(arg);
+
+        EXPECT_FALSE(o->done);
+        o->done = true;
+        o->err = result->err;
+        o->status = result->status;
+        o->body.assign(result->body.data ? result->body.data : "",
+                       result->body.len);
+    }
+
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct http_client *client = Http_ClientNew(loop, 8);
+};
+
+/* A server beside the client; it keeps what it is asked on /hold. */
+class HttpServer : public Http {
+  protected:
+    void SetUp() override
+    {
+        const struct http_limits limits = {1000, 16384, 16, 4, 1000};
+
+        server =
+            Http_ServerNew(loop, "127.0.0.1", 0, &limits, OnRequest, this);
+        ASSERT_NE(server, nullptr);
+    }
+
+    void TearDown() override
+    {
+        Http_ServerFree(server);
+        Http::TearDown();
+    }
+
+    static void OnRequest(void *arg, struct http_exchange *ex)
+    {
+        auto *self = static_cast<HttpServer *>(arg);
+        const struct buf *body = Http_Body(ex);
+
+        self->handled++;
+        if (std::string(Http_Path(ex)) == "/hold") {
+            self->held.push_back(ex);
+            return;
+        }
+        Http_Reply(ex, 200, "text/plain", body->data, body->len);
+    }
+
+    std::string Url(const std::string &path)
+    {
+        return "http://127.0.0.1:" + std::to_string(Http_ServerPort(server)) +
+               path;
+    }
+
+    /* A client that speaks bytes. */
+    int Connect(const std::string &bytes)
+    {
+        struct sockaddr_in sa = {};
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+        sa.sin_family = AF_INET;
+        sa.sin_port = htons(static_cast<uint16_t>(Http_ServerPort(server)));
+        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&sa), sizeof(sa)),
+                  0);
+        EXPECT_EQ(write(fd, bytes.data(), bytes.size()),
+                  static_cast<ssize_t>(bytes.size()));
+        fcntl(fd, F_SETFL, O_NONBLOCK);
+        return fd;
+    }
+
+    /* Everything until the server closes. */
+    std::string ReadToEnd(int fd)
+    {
+        std::string all;
+
+        RunUntil([&] {
+            char chunk[4096];
+            ssize_t n = read(fd, chunk, sizeof(chunk));
+            if (n > 0) {
+                all.append(chunk, static_cast<size_t>(n));
+            }
+            return n == 0 || (n < 0 && errno != EAGAIN);
+        });
+        close(fd);
+        return all;
+    }
+
+    struct http_server *server = nullptr;
+    std::vector<struct http_exchange *> held;
+    int handled = 0;
+};
+
+} /* namespace */
+
+/* An upstream that misbehaves: the caller must never take a part for the
+ * whole, nor "may have run" for "did not". */
+TEST_F(Http, ResultsOfAnUpstreamThatMisbehaves)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream", {"--slots", "20"});
+    static const struct {
+        const char *fake;
+        size_t max_body;
+        int64_t timeout_ms;
+        int err;
+        int status;
+    } cases[] = {
+        {"", 0, 5000, ERR_OK, 200},
+        {"late=20,slow=20", 0, 5000, ERR_OK, 200},
+        {"error", 0, 5000, ERR_OK, 500},
+        {"truncate", 0, 5000, ERR_CUT, 200},
+        {"no-length", 0, 5000, ERR_CUT, 200},
+        {"close", 0, 5000, ERR_CUT, 0},
+        {"hang", 0, 300, ERR_TIMEOUT, 0},
+        {"", 5, 5000, ERR_TOOBIG, 200},
+    };
+    for (const auto &c : cases) {
+        Outcome o = Call(up.Url("/x"), "hello",
+                         {c.fake, "a", true, c.max_body, c.timeout_ms});
+        EXPECT_EQ(o.err, c.err) << c.fake;
+        EXPECT_EQ(o.status, c.status) << c.fake;
+        if (c.err == ERR_OK && c.status == 200) {
+            EXPECT_EQ(o.body, "done:hello") << c.fake;
+        }
+    }
+    auto counts = harness::Http("GET", up.Url("/counts")).json();
+    EXPECT_EQ(Number(counts.get(), "by_id/a/starts"), 8);
+}
+
+TEST_F(Http, NobodyThereIsUnreachable)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream");
+
+    up.process.Signal(SIGKILL);
+    up.process.Wait();
+    EXPECT_EQ(Call(up.Url("/x"), "hello", {}).err, ERR_UNREACHABLE);
+}
+
+/* The caller of a request that may run once hears that its answer is lost.
+ * The upstream takes the request on a connection that had served another one,
+ * starts the work, and dies before it answers; libcurl would then send the
+ * request again by itself, as the connection might have been closed before. */
+TEST_F(Http, OnceIsNeverSentTwice)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream");
+    Options first, second;
+
+    first.id = "warm";
+    second.id = "once";
+    second.fake = "close";
+    second.once = true;
+    EXPECT_EQ(Call(up.Url("/x"), "hello", first).err, ERR_OK);
+    EXPECT_EQ(Call(up.Url("/x"), "hello", second).err, ERR_CUT);
+    auto counts = harness::Http("GET", up.Url("/counts")).json();
+    EXPECT_EQ(Number(counts.get(), "by_id/once/starts"), 1);
+}
+
+/* The upstream dies in the middle of a request on a used connection. libcurl
+ * sends again by itself and finds nobody, but the first sending had arrived:
+ * the caller must not hear that nothing was sent. */
+TEST_F(Http, DiedAfterTheStartIsNotUnreachable)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream");
+    Options warm, hang;
+    Outcome o;
+
+    hang.id = "a";
+    hang.fake = "hang";
+    EXPECT_EQ(Call(up.Url("/x"), "hello", warm).err, ERR_OK);
+    Start(up.Url("/x"), "hello", hang, &o);
+    RunUntil([&] {
+        auto counts = harness::Http("GET", up.Url("/counts")).json();
+        return Number(counts.get(), "by_id/a/starts") == 1;
+    });
+    up.process.Signal(SIGKILL);
+    up.process.Wait();
+    RunUntil([&] { return o.done; });
+    EXPECT_EQ(o.err, ERR_CUT);
+}
+
+/* A call that waits for a connection has sent nothing when its time is over,
+ * and a call that was cancelled has no callback. */
+TEST_F(Http, WaitingForAConnectionIsUnreachable)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream");
+    struct http_client *one = Http_ClientNew(loop, 1);
+    Outcome first, second;
+    Options options;
+
+    std::swap(one, client);
+    options.fake = "hang";
+    options.timeout_ms = 60000;
+    options.id = "first";
+    Start(up.Url("/x"), "hello", options, &first);
+    options.timeout_ms = 300;
+    options.id = "second";
+    Start(up.Url("/x"), "hello", options, &second);
+    RunUntil([&] { return second.done; });
+    EXPECT_EQ(second.err, ERR_UNREACHABLE);
+    std::swap(one, client);
+    Http_ClientFree(one);
+    EXPECT_FALSE(first.done);
+    auto counts = harness::Http("GET", up.Url("/counts")).json();
+    EXPECT_EQ(Number(counts.get(), "by_id/first/starts"), 1);
+    EXPECT_EQ(Number(counts.get(), "by_id/second/starts"), -1);
+}
+
+TEST_F(HttpServer, RefusesBodiesOverTheLimit)
+{
+    static const struct {
+        const char *what;
+        size_t bytes;
+        int status;
+        int handled;
+    } cases[] = {{"at the limit", 1000, 200, 1}, {"over it", 1001, 413, 1}};
+
+    for (const auto &c : cases) {
+        Outcome o = Call(Url("/x"), std::string(c.bytes, 'x'), {});
+        EXPECT_EQ(o.status, c.status) << c.what;
+        EXPECT_EQ(handled, c.handled) << c.what;
+    }
+    /* In chunks nothing is announced. */
+    std::string chunk = "200\r\n" + std::string(0x200, 'x') + "\r\n";
+    std::string reply = ReadToEnd(
+        Connect("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" +
+                chunk + chunk + "0\r\n\r\n"));
+    EXPECT_EQ(reply.substr(0, 12), "HTTP/1.1 413");
+    EXPECT_EQ(handled, 1);
+}
+
+TEST_F(HttpServer, CutsOffSlowClients)
+{
+    int fd = Connect("POST /x HTTP/1.1\r\nHost: h\r\nContent-Le");
+
+    EXPECT_EQ(ReadToEnd(fd).find("200"), std::string::npos);
+    EXPECT_EQ(handled, 0);
+}
+
+/* The reply leaves although nothing else happens on the server. */
+TEST_F(HttpServer, RepliesAfterSuspension)
+{
+    Outcome o;
+
+    Start(Url("/hold"), "hello", {}, &o);
+    RunUntil([&] { return held.size() == 1; });
+    EXPECT_EQ(Http_ServerOpen(server), 1u);
+    Http_ServerQuiesce(server);
+    Http_Reply(held[0], 200, "text/plain", "late", 4);
+    RunUntil([&] { return o.done; });
+    EXPECT_EQ(o.err, ERR_OK);
+    EXPECT_EQ(o.body, "late");
+    RunUntil([&] { return Http_ServerOpen(server) == 0; });
+}
+
+/* The process ends while one client waits for its answer and the request of
+ * another has just come in: the first gets a 503, the second's is never
+ * handled, and neither stops the process. */
+TEST_F(HttpServer, EndsWhileSuspended)
+{
+    Outcome o;
+
+    Start(Url("/hold"), "hello", {}, &o);
+    RunUntil([&] { return held.size() == 1; });
+    const std::string get = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+    int fd = Connect("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    RunUntil([&] {
+        char byte;
+        return recv(fd, &byte, 1, MSG_PEEK) == 1;
+    });
+    ASSERT_EQ(write(fd, get.data(), get.size()),
+              static_cast<ssize_t>(get.size()));
+    Http_ServerFree(server);
+    server = nullptr;
+    RunUntil([&] { return o.done; });
+    EXPECT_EQ(o.status, 503);
+    EXPECT_EQ(handled, 2);
+    close(fd);
+}
+
+/* A client that has gone leaves its exchange valid until the reply. */
+TEST_F(HttpServer, ClientGoneWhileSuspended)
+{
+    close(Connect("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"));
+    RunUntil([&] { return held.size() == 1; });
+    EXPECT_STREQ(Http_Path(held[0]), "/hold");
+    Http_Reply(held[0], 200, nullptr, "x", 1);
+    RunUntil([&] { return Http_ServerOpen(server) == 0; });
+}
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -30,3 +30,4 @@
 pf_test(kernel-test kernel-test.cc PACKAGES kernel)
 pf_process_test(platform-test platform-test.cc PACKAGES platform
                 NEEDS fake-platform fake-upstream)
+pf_process_test(http-test http-test.cc PACKAGES http NEEDS fake-upstream)
