--- a/packages/wire/wire-link.c
+++ b/packages/wire/wire-link.c
@@ -1,4 +1,5 @@
 #include "wire.h"
+#include "wire-zap.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -14,6 +15,7 @@
 
 struct link_context {
     void *zmq;
+    struct zap *zap; /* once a link listens with keys */
 };
 
 struct link {
@@ -44,6 +46,7 @@
 Link_ContextFree(struct link_context *context)
 {
     if (context != NULL) {
+        Zap_Free(context->zap);
         zmq_ctx_term(context->zmq);
         free(context);
     }
@@ -136,6 +139,10 @@
     }
     if (listens) {
         set_int(socket, ZMQ_CURVE_SERVER, 1);
+        if (zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, keys->public_key,
+                           strlen(keys->public_key)) != 0) {
+            return ERR_INVALID;
+        }
     }
     else if (zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, keys->server_public,
                             strlen(keys->server_public) + 1) != 0) {
@@ -210,11 +217,18 @@
             const char *address, const struct link_keys *keys,
             link_receive receive, void *arg)
 {
-    struct link *link = new_link(context, loop, true, keys, receive, arg);
+    struct link *link;
     char endpoint[NAME_SIZE + 8];
     char bound[NAME_SIZE + 8];
     size_t size = sizeof(bound);
 
+    if (context->zap == NULL && keys != NULL && keys->secret_key[0] != '\0') {
+        context->zap = Zap_New(context->zmq, loop);
+        if (context->zap == NULL) {
+            return NULL;
+        }
+    }
+    link = new_link(context, loop, true, keys, receive, arg);
     if (link == NULL) {
         return NULL;
     }
--- /dev/null
+++ b/packages/wire/wire-zap.c
@@ -0,0 +1,145 @@
+#include "wire-zap.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define KEY_BYTES 32
+#define KEY_TEXT_SIZE 41
+#define TEXT_SIZE 64
+
+/* Frames of a question, in their order. */
+enum zap_frame {
+    ZAP_VERSION,
+    ZAP_REQUEST,
+    ZAP_DOMAIN,
+    ZAP_ADDRESS,
+    ZAP_IDENTITY,
+    ZAP_MECHANISM,
+    ZAP_KEY,
+    ZAP_FRAMES
+};
+
+struct zap {
+    void *socket;
+    struct ev_loop *loop;
+    ev_io io;
+};
+
+struct frame {
+    char data[TEXT_SIZE];
+    size_t len;
+};
+
+/* Receives a question; frames beyond the known ones are dropped. False when
+ * nothing is there. */
+static bool
+receive(void *socket, struct frame *frames, size_t *count)
+{
+    struct frame dropped;
+    int more = 1, n;
+    size_t size = sizeof(more);
+
+    for (*count = 0; more; (*count)++) {
+        struct frame *f = *count < ZAP_FRAMES ? &frames[*count] : &dropped;
+
+        memset(f, 0, sizeof(*f));
+        n = zmq_recv(socket, f->data, sizeof(f->data) - 1, ZMQ_DONTWAIT);
+        if (n < 0) {
+            return false;
+        }
+        f->len = (size_t)n;
+        zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
+    }
+    return true;
+}
+
+/* Decides on a client. CURVE alone proves only that the client has the secret
+ * of the key it shows, and takes any key: whoever learns the entry's public
+ * key, which every agent has, could announce itself as a worker and be sent
+ * requests. The link's domain names the one key of the system's own processes
+ * (in Z85), so nobody without its secret is let in. */
+static bool
+allowed(const struct frame *frames, size_t count)
+{
+    char key[KEY_TEXT_SIZE];
+
+    if (count != ZAP_FRAMES || strcmp(frames[ZAP_VERSION].data, "1.0") != 0 ||
+        strcmp(frames[ZAP_MECHANISM].data, "CURVE") != 0 ||
+        frames[ZAP_KEY].len != KEY_BYTES) {
+        return false;
+    }
+    zmq_z85_encode(key, (const uint8_t *)frames[ZAP_KEY].data, KEY_BYTES);
+    return Secret_Equal(key, frames[ZAP_DOMAIN].data);
+}
+
+/* Answers one question. */
+static void
+answer(void *socket, const struct frame *request, bool allow)
+{
+    const char *status = allow ? "200" : "400";
+
+    zmq_send(socket, "1.0", 3, ZMQ_SNDMORE);
+    zmq_send(socket, request->data, request->len, ZMQ_SNDMORE);
+    zmq_send(socket, status, strlen(status), ZMQ_SNDMORE);
+    zmq_send(socket, "", 0, ZMQ_SNDMORE);
+    zmq_send(socket, "", 0, ZMQ_SNDMORE);
+    zmq_send(socket, "", 0, 0);
+}
+
+/* Answers what has been asked, until nothing is left: the descriptor tells of
+ * a change only. */
+static void
+on_question(struct ev_loop *loop UNUSED, ev_io *w, int events UNUSED)
+{
+    struct zap *zap = w->data;
+    struct frame frames[ZAP_FRAMES];
+    size_t count;
+
+    while (receive(zap->socket, frames, &count)) {
+        bool allow = allowed(frames, count);
+
+        if (!allow) {
+            LOG_W("stranger", KV("address", frames[ZAP_ADDRESS].data));
+        }
+        answer(zap->socket, &frames[ZAP_REQUEST], allow);
+    }
+}
+
+/* Starts to answer; it must stand before the first link with keys. */
+struct zap *
+Zap_New(void *zmq, struct ev_loop *loop)
+{
+    struct zap *zap = Mem_Zero(1, sizeof(*zap));
+    size_t size = sizeof(int);
+    int fd;
+
+    zap->loop = loop;
+    zap->socket = zmq_socket(zmq, ZMQ_REP);
+    if (zap->socket == NULL || zmq_bind(zap->socket, ZAP_ENDPOINT) != 0) {
+        if (zap->socket != NULL) {
+            zmq_close(zap->socket);
+        }
+        free(zap);
+        return NULL;
+    }
+    zmq_getsockopt(zap->socket, ZMQ_FD, &fd, &size);
+    ev_io_init(&zap->io, on_question, fd, EV_READ);
+    zap->io.data = zap;
+    ev_io_start(loop, &zap->io);
+    ev_feed_event(loop, &zap->io, EV_READ);
+    return zap;
+}
+
+/* Stops answering. */
+void
+Zap_Free(struct zap *zap)
+{
+    if (zap == NULL) {
+        return;
+    }
+    ev_io_stop(zap->loop, &zap->io);
+    zmq_close(zap->socket);
+    free(zap);
+}
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -304,7 +304,9 @@
 
 /* ---- links ------------------------------------------------------------- */
 
-/* CURVE keys, Z85 text; server_public is for clients. All empty: none. */
+/* CURVE keys, Z85 text. The system's own processes share one pair: a client
+ * sets server_public to the same public key, and a listening link lets in only
+ * clients that hold the secret of its own public_key. All empty: no keys. */
 struct link_keys {
     char public_key[41];
     char secret_key[41];
