--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -377,7 +377,9 @@
 
 /* ---- links ------------------------------------------------------------- */
 
-/* CURVE keys, Z85 text; server_public is for clients. All empty: none. */
+/* CURVE keys, Z85 text. The system's own processes share one pair: a client
+ * sets server_public to the same public key, and a listening link lets in only
+ * clients that hold the secret of its own public_key. All empty: no keys. */
 struct link_keys {
     char public_key[41];
     char secret_key[41];
