agent: upstreams announce themselves on a local port

There is no list of upstreams: one that comes renews its lease with the agent beside it, and one that dies or is cut off leaves when the lease lapses. Settings: announce_port, 0 any free, without it none.

--- /dev/null
+++ b/packages/agent/agent-announce.c
@@ -0,0 +1,374 @@
+#include "agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ADDRESS "127.0.0.1" /* upstreams stand beside the agent */
+#define PREFIX "/v1/upstreams/"
+#define TICK_MS 100
+#define UPSTREAMS_MAX 64
+#define SLOTS_MAX 4096
+#define LEASE_MIN_MS 200
+#define LEASE_MAX_MS 600000
+#define BODY_MAX 4096
+#define HEADER_MAX 8192
+#define CONNECTIONS_MAX 64
+#define IDLE_MS 10000
+
+/* An upstream that has announced itself. */
+struct announced {
+    char service[NAME_SIZE];
+    char url[WIRE_TEXT_SIZE];
+    int64_t slots;
+    int64_t connections;
+    int64_t lease_ms;
+    int64_t lease_until;
+    TAILQ_ENTRY(announced) entry;
+};
+
+struct announce {
+    struct task task;
+    struct http_server *server;
+    TAILQ_HEAD(, announced) upstreams;
+    size_t count;
+    ev_timer tick;
+};
+
+static struct counter announced_total = {
+    "parsleyfall_agent_announced_total",
+    "Announcements of upstreams that were taken.", NULL, COUNTER_TOTAL};
+static struct counter lapsed_total = {
+    "parsleyfall_agent_announcements_lapsed_total",
+    "Upstreams that did not announce themselves in time.", NULL,
+    COUNTER_TOTAL};
+
+/* Replies with JSON and drops the reference to it. */
+static void
+reply(struct http_exchange *ex, int status, json_t *body)
+{
+    char *text CLEANUP(Mem_FreeP) = json_dumps(body, JSON_COMPACT);
+
+    json_decref(body);
+    Http_Reply(ex, status, "application/json", text, strlen(text));
+}
+
+/* Refuses, saying what is wrong and what is allowed. */
+static void
+refuse(struct http_exchange *ex, int status, const char *key, const char *what)
+{
+    reply(ex, status, json_pack("{s:s, s:s}", "key", key, "allowed", what));
+}
+
+/* Finds an upstream by its service. */
+static struct announced *
+find(struct announce *a, const char *service)
+{
+    struct announced *u;
+
+    TAILQ_FOREACH (u, &a->upstreams, entry) {
+        if (strcmp(u->service, service) == 0) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+/* Tells the work task of an upstream; without slots it leaves. */
+static void
+tell(struct announce *a, const struct announced *u, bool leaves)
+{
+    struct upstream_note *note = Mem_Zero(1, sizeof(*note));
+
+    Str_Copy(note->service, sizeof(note->service), u->service);
+    Str_Copy(note->url, sizeof(note->url), u->url);
+    note->slots = leaves ? 0 : (uint64_t)u->slots;
+    note->connections = (uint64_t)u->connections;
+    Kernel_Post(Kernel_FindTask(a->task.kernel, "work"), &note->base,
+                &Agent_Upstream);
+}
+
+/* Lets an upstream leave: it gets nothing new from now on. */
+static void
+leave(struct announce *a, struct announced *u, const char *why)
+{
+    LOG_I("upstream_leaves", KV("service", u->service), KV("why", why));
+    tell(a, u, true);
+    TAILQ_REMOVE(&a->upstreams, u, entry);
+    a->count--;
+    free(u);
+}
+
+static const struct {
+    const char *key;
+    size_t offset;
+    int64_t min;
+    int64_t max;
+    const char *allowed;
+} numbers[] = {
+    {"slots", offsetof(struct announced, slots), 1, SLOTS_MAX, "1..4096"},
+    {"connections", offsetof(struct announced, connections), 1, SLOTS_MAX,
+     "1..4096, at least slots"},
+    {"lease_ms", offsetof(struct announced, lease_ms), LEASE_MIN_MS,
+     LEASE_MAX_MS, "200..600000"},
+};
+
+/* Reads the numbers of an announcement. Returns the place of the first wrong
+ * one, or how many there are. */
+static size_t
+read_numbers(const json_t *o, struct announced *u)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(numbers); i++) {
+        const json_t *n = json_object_get(o, numbers[i].key);
+        int64_t value = json_integer_value(n);
+
+        if (!json_is_integer(n) || value < numbers[i].min ||
+            value > numbers[i].max) {
+            return i;
+        }
+        memcpy((char *)u + numbers[i].offset, &value, sizeof(value));
+    }
+    return i;
+}
+
+/* Reads an announcement, or refuses it. */
+static bool
+read_announcement(struct http_exchange *ex, const json_t *o,
+                  struct announced *u)
+{
+    const char *url = json_string_value(json_object_get(o, "url"));
+    size_t wrong = read_numbers(o, u);
+
+    if (!json_is_object(o)) {
+        refuse(ex, 400, "", "a JSON object");
+    }
+    else if (url == NULL || !Settings_IsUrl(url) ||
+             Str_Copy(u->url, sizeof(u->url), url) != ERR_OK) {
+        refuse(ex, 400, "url", "http://host[:port][/path], under 256 bytes");
+    }
+    else if (wrong < COUNT_OF(numbers)) {
+        refuse(ex, 400, numbers[wrong].key, numbers[wrong].allowed);
+    }
+    else if (u->connections < u->slots) {
+        refuse(ex, 400, "connections", "1..4096, at least slots");
+    }
+    else if (json_object_size(o) != COUNT_OF(numbers) + 1) {
+        refuse(ex, 400, "", "url, slots, connections and lease_ms only");
+    }
+    else {
+        return true;
+    }
+    return false;
+}
+
+/* Takes an announcement, or renews it. Only news are told on. */
+static void
+take(struct announce *a, const struct announced *new)
+{
+    struct announced *u = find(a, new->service);
+    bool same = u != NULL && strcmp(u->url, new->url) == 0 &&
+                u->slots == new->slots && u->connections == new->connections;
+
+    if (u == NULL) {
+        u = Mem_Zero(1, sizeof(*u));
+        TAILQ_INSERT_TAIL(&a->upstreams, u, entry);
+        a->count++;
+    }
+    Str_Copy(u->service, sizeof(u->service), new->service);
+    Str_Copy(u->url, sizeof(u->url), new->url);
+    u->slots = new->slots;
+    u->connections = new->connections;
+    u->lease_ms = new->lease_ms;
+    u->lease_until = Clock_NowMs() + new->lease_ms;
+    Counter_Add(&announced_total, 1);
+    if (!same) {
+        LOG_I("upstream_announced", KV("service", u->service),
+              KV("url", u->url), KV_INT("slots", u->slots));
+        tell(a, u, false);
+    }
+}
+
+/* PUT /v1/upstreams/{service} */
+static void
+serve_put(struct announce *a, struct http_exchange *ex, const char *service)
+{
+    const struct buf *body = Http_Body(ex);
+    json_t *o = json_loadb(body->data != NULL ? body->data : "", body->len,
+                           JSON_REJECT_DUPLICATES, NULL);
+    struct announced u = {0};
+
+    if (!read_announcement(ex, o, &u)) {
+        json_decref(o);
+        return;
+    }
+    json_decref(o);
+    if (find(a, service) == NULL && a->count >= UPSTREAMS_MAX) {
+        refuse(ex, 503, "service", "64 services at most");
+        return;
+    }
+    Str_Copy(u.service, sizeof(u.service), service);
+    take(a, &u);
+    reply(ex, 200, json_pack("{s:I}", "lease_ms", (json_int_t)u.lease_ms));
+}
+
+/* DELETE /v1/upstreams/{service} */
+static void
+serve_delete(struct announce *a, struct http_exchange *ex, const char *service)
+{
+    struct announced *u = find(a, service);
+
+    if (u == NULL) {
+        refuse(ex, 404, "service", "one that is announced");
+        return;
+    }
+    leave(a, u, "asked");
+    reply(ex, 200, json_object());
+}
+
+static const struct {
+    const char *method;
+    void (*serve)(struct announce *, struct http_exchange *, const char *);
+} verbs[] = {{"PUT", serve_put}, {"DELETE", serve_delete}};
+
+/* Serves what is under /v1/upstreams/. */
+static void
+serve_upstream(struct announce *a, struct http_exchange *ex,
+               const char *service)
+{
+    size_t i;
+
+    if (!Str_IsName(service)) {
+        refuse(ex, 400, "service", "1..63 of A-Z a-z 0-9 . _ -");
+        return;
+    }
+    for (i = 0; i < COUNT_OF(verbs); i++) {
+        if (strcmp(verbs[i].method, Http_Method(ex)) == 0) {
+            verbs[i].serve(a, ex, service);
+            return;
+        }
+    }
+    refuse(ex, 405, "method", "PUT, DELETE");
+}
+
+/* Sends each request where it belongs. */
+static void
+on_request(void *arg, struct http_exchange *ex)
+{
+    struct announce *a = arg;
+    const char *path = Http_Path(ex);
+
+    if (strncmp(path, PREFIX, strlen(PREFIX)) == 0) {
+        serve_upstream(a, ex, path + strlen(PREFIX));
+        return;
+    }
+    if (strcmp(path, "/v1/state") == 0 &&
+        strcmp(Http_Method(ex), "GET") == 0) {
+        reply(ex, 200, Kernel_State(a->task.kernel));
+        return;
+    }
+    refuse(ex, 404, "path", PREFIX "{service}, GET /v1/state");
+}
+
+/* Upstreams that are dead, paused or cut off leave when their lease lapses:
+ * nobody else would tell, and requests would go on being sent to them. */
+static void
+on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct announce *a = w->data;
+    struct announced *u, *next;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH_SAFE (u, &a->upstreams, entry, next) {
+        if (now >= u->lease_until) {
+            Counter_Add(&lapsed_total, 1);
+            leave(a, u, "lapsed");
+        }
+    }
+}
+
+/* True when every reply has been sent. */
+static bool
+announce_drained(const struct task *t)
+{
+    return Http_ServerOpen(((const struct announce *)t)->server) == 0;
+}
+
+/* What is announced, for operators. */
+static json_t *
+announce_state(const struct task *t)
+{
+    const struct announce *a = (const struct announce *)t;
+    json_t *list = json_array();
+    const struct announced *u;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH (u, &a->upstreams, entry) {
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:I, s:I, s:I}", "service", u->service,
+                            "url", u->url, "slots", (json_int_t)u->slots,
+                            "connections", (json_int_t)u->connections,
+                            "lease_ms", (json_int_t)(u->lease_until - now)));
+    }
+    return json_pack("{s:i, s:o}", "port", Http_ServerPort(a->server),
+                     "upstreams", list);
+}
+
+/* Closes the port. */
+static void
+announce_free(struct task *t)
+{
+    struct announce *a = (struct announce *)t;
+    struct announced *u, *next;
+
+    ev_timer_stop(t->kernel->loop, &a->tick);
+    Http_ServerFree(a->server);
+    TAILQ_FOREACH_SAFE (u, &a->upstreams, entry, next) {
+        free(u);
+    }
+    free(a);
+}
+
+static const struct task_ops announce_ops = {
+    .name = "announce",
+    .drained = announce_drained,
+    .state = announce_state,
+    .free = announce_free,
+};
+
+/* Listens, if the settings have a port for it. */
+static int
+start(struct kernel *k)
+{
+    const struct agent_settings *s = k->settings;
+    const struct http_limits limits = {.body_bytes = BODY_MAX,
+                                       .header_bytes = HEADER_MAX,
+                                       .connections = CONNECTIONS_MAX,
+                                       .idle_ms = IDLE_MS};
+    struct announce *a;
+
+    if (s->announce_port < 0) {
+        return ERR_OK;
+    }
+    a = Mem_Zero(1, sizeof(*a));
+    TAILQ_INIT(&a->upstreams);
+    a->server = Http_ServerNew(k->loop, ADDRESS, (int)s->announce_port,
+                               &limits, on_request, a);
+    if (a->server == NULL) {
+        LOG_E("listen_failed", KV("address", ADDRESS),
+              KV_INT("port", s->announce_port));
+        free(a);
+        return ERR_IO;
+    }
+    Kernel_AddTask(k, &a->task, &announce_ops);
+    ev_init(&a->tick, on_tick);
+    a->tick.data = a;
+    Timer_Every(k->loop, &a->tick, TICK_MS);
+    LOG_I("announce_listening", KV("address", ADDRESS),
+          KV_INT("port", Http_ServerPort(a->server)));
+    return ERR_OK;
+}
+
+static struct plugin announce_plugin = {
+    .name = "announce", .rank = 40, .start = start};
+KERNEL_PLUGIN(announce_plugin)
--- a/packages/config/config-agent.c
+++ b/packages/config/config-agent.c
@@ -76,6 +76,12 @@
      .type = CONF_STRING,
      .offset = AT(runner_url),
      .format = &config_url_format},
+    {.name = "announce_port",
+     .type = CONF_INT,
+     .offset = AT(announce_port),
+     .min = -1,
+     .max = 65535,
+     .fallback = "-1"},
     {.name = "platform",
      .type = CONF_MAP,
      .offset = AT(platform),
@@ -160,8 +166,9 @@
                           i, errors);
         check_doubled(s, i, errors);
     }
-    if (s->services.count == 0 && s->runner_url == NULL) {
-        Conf_Add(errors, 1, "services", "services, runner_url or both",
+    if (s->services.count == 0 && s->announce_port < 0 &&
+        s->runner_url == NULL) {
+        Conf_Add(errors, 1, "services", "services, announce_port, runner_url",
                  "the worker takes neither requests nor jobs");
     }
     return errors->count == before ? ERR_OK : ERR_INVALID;
--- a/packages/config/config-format.c
+++ b/packages/config/config-format.c
@@ -78,8 +78,8 @@
 }
 
 /* True for an HTTP URL with a host, without spaces, query or last slash. */
-static bool
-is_url(const char *text)
+bool
+Settings_IsUrl(const char *text)
 {
     const char *host = strstr(text, "://");
     size_t scheme = host == NULL ? 0 : (size_t)(host - text);
@@ -123,7 +123,7 @@
     "ip:port, or [ip]:port, with a port of 1..65535", is_address};
 const struct conf_format config_url_format = {
     "http://host[:port][/path] or https://, without a slash at the end",
-    is_url};
+    Settings_IsUrl};
 const struct conf_format config_hash_format = {
     "the hash of a token, 64 of 0-9 a-f", is_hash};
 const struct conf_format config_name_format = {
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -327,6 +327,7 @@
     struct conf_list seeds;            /* char *, at least one */
     struct conf_list services;         /* struct upstream_settings */
     char *runner_url;                  /* NULL: requests only, no jobs */
+    int64_t announce_port;             /* -1: none, 0: any free one */
     struct platform_settings platform; /* both NULL: not used */
     int64_t lease_ms;                  /* of a reservation, on own clock */
     int64_t drain_ms;
@@ -353,6 +354,8 @@
 
 /* Splits "ip:port" or "[ip]:port". ERR_OK or ERR_INVALID. */
 int Settings_SplitAddress(const char *text, char ip[NAME_SIZE], int *port);
+/* True for an HTTP URL with a host, without spaces, query or last slash. */
+bool Settings_IsUrl(const char *text);
 
 #ifdef __cplusplus
 }
--- a/tests/settings-test.cc
+++ b/tests/settings-test.cc
@@ -64,6 +64,7 @@
               ERR_OK)
         << render(errors);
     EXPECT_EQ(s.lease_ms, 3000);
+    EXPECT_EQ(s.announce_port, -1);
     EXPECT_EQ(s.platform.table_url, nullptr);
     const auto *u = CONFIG_AT(s.services, struct upstream_settings, 0);
     EXPECT_EQ(u->timeout_ms, 60000);
@@ -104,6 +105,7 @@
         const char *want;
     } cases[] = {
         {"", "f:1: services: the worker takes neither requests nor jobs"},
+        {"announce_port: 70000\n", "f:7: announce_port: '70000' is out"},
         {"services: [{name: s, url: 'ftp://x', slots: 1, connections: 1}]\n",
          "f:7: services[0].url: has a wrong form (allowed: http://host"},
         {"services: [{name: s, url: 'http://x', slots: 8, connections: 4}]\n",
