agent: a part that writes its checkpoint is kept alive within its grace

A part told to make room left the pulses at once, so its lease ended at most 9 s later at the worker, and a class's longer grace was cut short before the checkpoint was written. It stays in the pulses now until its grace or its lease is over; agent-process-test shows a checkpoint of 4 s under leases of 3 s.

--- a/packages/agent/agent-parts-runner.c
+++ b/packages/agent/agent-parts-runner.c
@@ -130,6 +130,16 @@
                             on_done, c);
 }
 
+/* Tells the worker of a lease that has grown. */
+static void
+tend_lease(struct parts_task *t, struct part *part)
+{
+    if ((part->calls & CALL_RENEW) == 0 &&
+        part->lease_until >= part->lease_told + LEASE_STEP_MS) {
+        ask_renew(t, part);
+    }
+}
+
 /* Brings a running part to its state. */
 static void
 tend_running(struct parts_task *t, struct part *part)
@@ -140,10 +150,7 @@
         }
         return;
     }
-    if ((part->calls & CALL_RENEW) == 0 &&
-        part->lease_until >= part->lease_told + LEASE_STEP_MS) {
-        ask_renew(t, part);
-    }
+    tend_lease(t, part);
     if ((part->calls & CALL_CONTROL) == 0 &&
         part->throttled != part->throttle_told) {
         ask_control(t, part,
@@ -151,30 +158,27 @@
     }
 }
 
-/* Stops a part: by a checkpoint while its grace lasts, then at once. The stop
- * does not wait for the answer to an earlier word, as that may never come. */
+/* Lets a part write its checkpoint while its grace lasts. */
 static void
-tend_stopping(struct parts_task *t, struct part *part, int64_t now)
+tend_checkpointing(struct parts_task *t, struct part *part)
 {
-    bool at_once = now >= part->stop_by;
-
-    if (at_once != part->stopped_at_once) {
-        part->stopped_at_once = at_once;
-        part->calls &= ~(unsigned)CALL_CONTROL;
+    tend_lease(t, part);
+    if ((part->calls & CALL_CONTROL) == 0 && !part->checkpoint_asked) {
         part->checkpoint_asked = true;
-        ask_control(t, part, RUNNER_STOP);
-        return;
+        ask_control(t, part, RUNNER_CHECKPOINT_AND_STOP);
     }
-    if ((part->calls & CALL_CONTROL) != 0) {
+}
+
+/* Stops a part at once. The first time this does not wait for the answer to
+ * an earlier word, which may never come. */
+static void
+tend_stopping(struct parts_task *t, struct part *part)
+{
+    if (part->stop_asked && (part->calls & CALL_CONTROL) != 0) {
         return;
     }
-    if (at_once) {
-        ask_control(t, part, RUNNER_STOP);
-    }
-    else if (!part->checkpoint_asked) {
-        part->checkpoint_asked = true;
-        ask_control(t, part, RUNNER_CHECKPOINT_AND_STOP);
-    }
+    part->stop_asked = true;
+    ask_control(t, part, RUNNER_STOP);
 }
 
 /* How soon the runner's list is wanted again. */
@@ -253,8 +257,11 @@
         if (part->state == PART_RUNNING) {
             tend_running(t, part);
         }
+        else if (part->checkpointing) {
+            tend_checkpointing(t, part);
+        }
         else if (part->state == PART_STOPPING) {
-            tend_stopping(t, part, now);
+            tend_stopping(t, part);
         }
     }
     tend_list(t, now);
--- a/packages/agent/agent-parts-state.c
+++ b/packages/agent/agent-parts-state.c
@@ -56,6 +56,7 @@
 {
     Part_Change(part, state, reason);
     part->ended_at = now;
+    part->checkpointing = false;
     p->ended++;
     Buf_Free(&part->spec);
     Spent_Raise(p, &part->job, part->attempt, part->term, now);
@@ -69,6 +70,7 @@
 {
     if (part->state == PART_STOPPING) {
         part->stop_by = stop_by < part->stop_by ? stop_by : part->stop_by;
+        part->checkpointing = part->checkpointing && part->stop_by > now;
         return;
     }
     if (part->start == START_NOT_ASKED) {
@@ -77,6 +79,7 @@
     }
     Part_Change(part, PART_STOPPING, reason);
     part->stop_by = stop_by;
+    part->checkpointing = stop_by > now;
 }
 
 /* Prepares for a worker with that many accelerators. */
@@ -214,7 +217,8 @@
 bool
 Parts_Works(const struct part *part)
 {
-    return part->state == PART_RUNNING && part->start == START_KNOWN;
+    return part->start == START_KNOWN &&
+           (part->state == PART_RUNNING || part->checkpointing);
 }
 
 /* Carries out an owner's word on a running part. */
@@ -305,6 +309,10 @@
             Part_StopBy(p, part, "lease_over", now, now);
             lapsed++;
         }
+        else if (part->checkpointing &&
+                 (now >= part->stop_by || now >= part->lease_until)) {
+            Part_StopBy(p, part, part->reason, now, now);
+        }
     }
     bound_ended(p);
     Spent_Sweep(p, now);
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -245,6 +245,7 @@
     struct buf spec;
     int64_t lease_until; /* of the reservation, then of the gang */
     int64_t stop_by;     /* stopped at once from then on */
+    bool checkpointing;  /* may write its checkpoint until then */
     int64_t ended_at;
     bool throttled;  /* as was asked for */
     bool fenced;     /* goes when it has ended */
@@ -261,7 +262,7 @@
     int64_t lease_told; /* end of lease that the runner knows of */
     bool throttle_told;
     bool checkpoint_asked;  /* to stop when it is written */
-    bool stopped_at_once;   /* the grace is over */
+    bool stop_asked;        /* at once */
     char origin[NAME_SIZE]; /* that asked for the reservation */
     TAILQ_ENTRY(part) entry;
 };
@@ -340,7 +341,9 @@
  * keeps; later, a running task that is not known is stopped. */
 void Parts_Observe(struct parts *p, const struct runner_task *tasks,
                    size_t count, int64_t clock, int64_t asked_at, int64_t now);
-/* True when the part's task works, so that it belongs in a pulse. */
+/* True when the part's task works, so that it belongs in a pulse. One that
+ * writes its checkpoint before it stops is kept alive: its grace may be longer
+ * than a lease. */
 bool Parts_Works(const struct part *part);
 /* Removes an ended part. */
 void Parts_Remove(struct parts *p, struct part *part);
--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -242,6 +242,24 @@
         Buf_Free(&m.spec);
     }
 
+    /* Binds two accelerators to an organisation that then calls them in. */
+    void SayClaim(bool urgent)
+    {
+        struct wire_binding mine = {"court", 3};
+        struct wire_bind bind = {};
+        struct wire_prepare claim = Claim(2, 1, 1, 3, 1, urgent);
+
+        bind.msg.type = WIRE_BIND;
+        Str_Copy(bind.scope, sizeof(bind.scope), "r");
+        bind.term = 1;
+        bind.incarnation = first->agent_incarnation;
+        bind.version = 1;
+        bind.bindings = {&mine, 1};
+        first->Say(&bind.msg);
+        claim.lease_ms = 10 * SECOND;
+        SayPrepare(claim);
+    }
+
     bool Granted(uint8_t job)
     {
         return Until([&] { return first->granted[job]; });
@@ -261,7 +279,10 @@
     bool RunPart(uint8_t job, uint64_t bits, int64_t lease_ms,
                  const std::string &spec = "{}")
     {
-        SayPrepare(Prepare(job, 1, 1, bits, 10 * SECOND), spec);
+        auto m = Prepare(job, 1, 1, bits, 10 * SECOND);
+
+        m.grace_ms = 60 * SECOND;
+        SayPrepare(m, spec);
         if (!Granted(job)) {
             return false;
         }
@@ -416,25 +437,15 @@
 }
 
 /* An urgent claim on lent accelerators, whose work would take a minute to
- * write its checkpoint. The claim is granted long before that, after the lent
- * part has stopped and never beside it. */
+ * write its checkpoint and has leave to. The claim is granted long before,
+ * after the lent part has stopped and never beside it. */
 TEST_F(Agent, UrgentClaimDoesNotWaitForASlowCheckpoint)
 {
+    first->renew_ms = GANG_LEASE_MS;
     auto agent = Start();
-    struct wire_binding mine = {"court", 3};
-    struct wire_bind bind = {};
-    struct wire_prepare claim = Claim(2, 1, 1, 3, 1, true);
 
     ASSERT_TRUE(RunPart(1, 3, GANG_LEASE_MS, "{\"checkpoint_ms\":60000}"));
-    bind.msg.type = WIRE_BIND;
-    Str_Copy(bind.scope, sizeof(bind.scope), "r");
-    bind.term = 1;
-    bind.incarnation = first->agent_incarnation;
-    bind.version = 1;
-    bind.bindings = {&mine, 1};
-    first->Say(&bind.msg);
-    claim.lease_ms = 10 * SECOND;
-    SayPrepare(claim);
+    SayClaim(true);
     EXPECT_TRUE(Granted(2));
     EXPECT_EQ(Events(1, "stop"), 1);
     EXPECT_EQ(Events(1, "checkpoint"), 0);
@@ -445,6 +456,22 @@
     ExpectNoFault();
 }
 
+/* The same without hurry: the checkpoint takes longer than a lease, and is
+ * written whole, as the gang is kept alive until then. */
+TEST_F(Agent, ClaimLetsACheckpointBeWritten)
+{
+    first->renew_ms = 3 * SECOND;
+    auto agent = Start();
+
+    ASSERT_TRUE(RunPart(1, 3, 3 * SECOND, "{\"checkpoint_ms\":4000}"));
+    ASSERT_TRUE(Until([&] { return first->echoed > 0; }));
+    SayClaim(false);
+    EXPECT_TRUE(Granted(2));
+    EXPECT_EQ(Events(1, "checkpoint"), 1);
+    EXPECT_EQ(Events(1, "lease-end"), 0);
+    ExpectNoFault();
+}
+
 /* The agent's process is replaced. The gang goes on: its tasks live in the
  * worker. */
 TEST_F(Agent, DrainLeavesPartsRunning)
--- a/tests/parts-property.cc
+++ b/tests/parts-property.cc
@@ -287,7 +287,7 @@
         struct part *part;
 
         TAILQ_FOREACH (part, &p.list, entry) {
-            RC_ASSERT(part->state != PART_RUNNING ||
+            RC_ASSERT(!(part->state == PART_RUNNING || part->checkpointing) ||
                       part->lease_until <= may_work_until[Of(part)]);
         }
         for (const Work &w : runner) {
--- a/tests/parts-test.cc
+++ b/tests/parts-test.cc
@@ -263,6 +263,33 @@
     }
 }
 
+/* Its class gives a part more time for its checkpoint than a lease has. The
+ * gang is kept alive meanwhile, and never beyond its lease or its grace. */
+TEST(Parts, CheckpointMayTakeLongerThanALease)
+{
+    for (bool renewed : {true, false}) {
+        Worker w;
+        auto lent = Prepare(9, 1, 1, 3);
+        lent.grace_ms = 2 * GANG_LEASE_MS;
+        Bind(&w.p, 1, 4, 3);
+        struct part *part = Started(&w.p, lent, 0);
+        auto m = Claim(1, 1, 1, 3, 4);
+        m.lease_ms = PARTS_LEASE_MAX_MS;
+        Parts_Prepare(&w.p, &m, 100);
+
+        EXPECT_TRUE(Parts_Works(part));
+        if (renewed) {
+            EXPECT_EQ(Renew(&w.p, 9, 1, 1, 5000, 5001), 1u);
+        }
+        Parts_Tick(&w.p, GANG_LEASE_MS);
+        EXPECT_EQ(part->checkpointing, renewed);
+        Renew(&w.p, 9, 1, 1, 13000, 13001);
+        Parts_Tick(&w.p, 100 + lent.grace_ms);
+        EXPECT_FALSE(part->checkpointing);
+        EXPECT_FALSE(Parts_Works(part));
+    }
+}
+
 TEST(Parts, ClaimThatIsReleasedBesideLentWorkIsRefused)
 {
     Worker w;
