Test the request path and keyed requests on processes under faults

Found by these tests: a claim whose write's answer was lost, and whose row another entry has replaced since, ended as table_down though the row could be read and held the answer; it is read now (Keyed.EntryPausedBetweenClaimAndSend printed 503 table_down for 200 before).

--- a/packages/entry/entry-claims-follow.c
+++ b/packages/entry/entry-claims-follow.c
@@ -188,6 +188,10 @@
         Claims_Own(r);
         return;
     }
+    if (c->stage == STAGE_WRITE && err != ERR_OK) {
+        Claims_NotWritten(r, ERR_UNKNOWN);
+        return;
+    }
     if (c->stage == STAGE_WRITE) {
         Claims_Lost(r);
         return;
--- a/packages/entry/entry-claims.c
+++ b/packages/entry/entry-claims.c
@@ -165,8 +165,8 @@
 }
 
 /* The claim could not be written, so that nothing has been sent. */
-static void
-not_written(struct request *r, int err)
+void
+Claims_NotWritten(struct request *r, int err)
 {
     bool claimed = r->claim->version > 0;
 
@@ -180,8 +180,8 @@
     Claims_Refuse(r, err == ERR_UNKNOWN || claimed);
 }
 
-/* The claim has been written, or not. A write whose answer was lost has been
- * recognised by its token; its version is then read. */
+/* The claim has been written, or not. Where its answer was lost, and another
+ * has written since, only the row can say what became of it. */
 static void
 on_claimed(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
@@ -194,15 +194,15 @@
         Claims_Lost(r);
         return;
     }
-    if (err != ERR_OK) {
-        not_written(r, err);
+    if (err == ERR_UNKNOWN || (err == ERR_OK && versions[0] == 0)) {
+        Claims_Get(r);
         return;
     }
-    r->claim->version = versions[0];
-    if (versions[0] == 0) {
-        Claims_Get(r);
+    if (err != ERR_OK) {
+        Claims_NotWritten(r, err);
         return;
     }
+    r->claim->version = versions[0];
     Claims_Own(r);
 }
 
@@ -246,7 +246,7 @@
     c->stage = STAGE_WRITE;
     Claims_SetTimer(r);
     if (r->dispatch->table == NULL) {
-        not_written(r, ERR_UNREACHABLE);
+        Claims_NotWritten(r, ERR_UNREACHABLE);
         return;
     }
     put(r, row, on_claimed);
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -224,6 +224,7 @@
 void Claims_Get(struct request *r);
 void Claims_Read(struct request *r, int err);
 void Claims_Own(struct request *r);
+void Claims_NotWritten(struct request *r, int err);
 void Claims_Lost(struct request *r);
 void Claims_Tell(struct request *r);
 void Claims_Forgo(struct request *r);
--- /dev/null
+++ b/tests/request-keyed-test.cc
@@ -0,0 +1,250 @@
+#include "request-stack.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+using namespace stack;
+
+/* All starts of all requests. */
+static int64_t
+startsOf(const Stack &s)
+{
+    int64_t n = 0;
+
+    for (const auto &[id, starts] : s.Starts()) {
+        n += starts;
+    }
+    return n;
+}
+
+static void
+expectAnswered(const Call &c)
+{
+    EXPECT_EQ(c.reply.status, 200) << c.reply.body;
+    EXPECT_EQ(c.reply.body, "done:" + c.body);
+}
+
+/* A caller asks, loses its connection and asks again, at the same entry and
+ * at another: the same bytes, and the work ran once. A body that is too large
+ * for a row goes through the object store. The same key with another body is
+ * a mistake, and is told as one. */
+TEST(Keyed, RepetitionGetsTheSameAnswer)
+{
+    Stack s({.entries = 2, .service_ms = 10});
+
+    for (const std::string &body :
+         {std::string("small"), std::string(20000, 'x')}) {
+        std::string key = "key-" + std::to_string(body.size());
+
+        expectAnswered(s.Ask(body, 0, key));
+        expectAnswered(s.Ask(body, 0, key));
+        expectAnswered(s.Ask(body, 1, key));
+        EXPECT_EQ(s.Ask(body + "!", 1, key).reply.status, 422);
+    }
+    EXPECT_EQ(startsOf(s), 2);
+}
+
+/* Several at once with one key, at both entries: one claims, the others wait
+ * for its outcome. */
+TEST(Keyed, AtOnceRunsOnce)
+{
+    Stack s({.entries = 2});
+    std::vector<std::future<Call>> calls;
+
+    for (size_t i = 0; i < 8; i++) {
+        calls.push_back(s.Later("same", i % 2, "k"));
+    }
+    for (auto &c : calls) {
+        expectAnswered(c.get());
+    }
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* The entry dies while the upstream works. The repetition finds the claim,
+ * asks its agent, hears that it has started, and gets the answer from there.
+ */
+TEST(Keyed, EntryKilledWhileItRuns)
+{
+    Stack s({.entries = 2, .service_ms = 600});
+    auto first = s.Later("a", 0, "k");
+
+    ASSERT_TRUE(s.WaitStarted(1));
+    s.entries[0].process->Signal(SIGKILL);
+    EXPECT_EQ(first.get().reply.status, 0);
+    expectAnswered(s.Ask("a", 1, "k"));
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* The entry is paused after its claim was written and before it sends: it
+ * can't send, as it does not hear that the claim was written. Another takes
+ * over: fences at the agent, claims the next attempt, gets the answer. The
+ * first wakes, finds its claim replaced, sends nothing, and its caller gets
+ * the same answer out of the row. */
+TEST(Keyed, EntryPausedBetweenClaimAndSend)
+{
+    Stack s({.entries = 2, .service_ms = 10});
+
+    s.Faults("{\"lose_answers\": 100000}");
+    auto first = s.Later("a", 0, "k", 9000);
+    ASSERT_TRUE(WaitFor([&] { return s.Rows() == 1; }));
+    s.entries[0].process->Signal(SIGSTOP);
+    s.Faults("{}");
+    Call second = s.Ask("a", 1, "k");
+    expectAnswered(second);
+    EXPECT_EQ(second.Header("x-attempt"), "2");
+    s.entries[0].process->Signal(SIGCONT);
+    expectAnswered(first.get());
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* The dispatch is sent, but stays in a relay that is stopped. Another entry,
+ * whose link goes round the relay, takes over and is answered. Then the relay
+ * goes on and the old dispatch arrives: it is fenced, so that it does not
+ * start, and its caller gets the answer of the row. */
+TEST(Keyed, DispatchArrivesAfterTakeover)
+{
+    Stack s({.entries = 2, .agents = 1, .service_ms = 10, .relayed = true});
+
+    s.relay->process.Signal(SIGSTOP);
+    auto first = s.Later("a", 0, "k", 9000);
+    ASSERT_TRUE(WaitFor([&] { return s.Rows() == 1; }));
+    expectAnswered(s.Ask("a", 1, "k"));
+    s.relay->process.Signal(SIGCONT);
+    expectAnswered(first.get());
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* Two at once: the entry and the agent die while the upstream works. The new
+ * incarnation of the agent knows nothing, so nobody can say whether it ran:
+ * unknown, for every repetition at once, and it is never sent again. */
+TEST(Keyed, EntryAndAgentKilled)
+{
+    Stack s({.entries = 2, .agents = 1, .service_ms = 300});
+    auto first = s.Later("a", 0, "k");
+
+    ASSERT_TRUE(s.WaitStarted(1));
+    s.entries[0].process->Signal(SIGKILL);
+    s.agents[0].process->Signal(SIGKILL);
+    s.agents[0].process->Wait();
+    s.restart(s.agents[0]);
+    first.get();
+    for (int i = 0; i < 2; i++) {
+        Call c = s.Ask("a", 1, "k");
+
+        EXPECT_EQ(c.reply.status, 504);
+        EXPECT_EQ(c.Outcome(), "unknown");
+        EXPECT_NE(c.reply.body.find("agent_restarted"), c.reply.body.npos);
+    }
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* The table is down before the row could be read: refused at once with a time
+ * to come back, by a class that wishes so; nothing is sent. It is not told as
+ * not_run, as an earlier one with the key may have run. */
+TEST(Keyed, TableDownRefuses)
+{
+    Stack s({});
+
+    s.Faults("{\"down\": true}");
+    Call c = s.Ask("a", 0, "k");
+    EXPECT_EQ(c.reply.status, 503);
+    EXPECT_EQ(c.Outcome(), "unknown");
+    EXPECT_EQ(c.Header("retry-after"), "1");
+    EXPECT_EQ(startsOf(s), 0);
+    s.Faults("{}");
+    expectAnswered(s.Ask("a", 0, "k"));
+}
+
+/* As above by a class that would rather be served, and it is counted. */
+TEST(Keyed, TableDownServes)
+{
+    Stack s({.service_ms = 10, .table_down = "serve"});
+
+    s.Faults("{\"down\": true}");
+    expectAnswered(s.Ask("a", 0, "k"));
+    std::string metrics = Http("GET", s.entries[0].Url("/metrics")).body;
+    EXPECT_NE(metrics.find("parsleyfall_claims_unclaimed_total 1"),
+              metrics.npos);
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* The table goes down while the request runs: the caller gets its answer, and
+ * the agent keeps it, as the row could not be written. When the table is back,
+ * the repetition gets the same answer from there. */
+TEST(Keyed, TableDownAfterTheClaim)
+{
+    Stack s({.entries = 2, .service_ms = 300});
+    auto first = s.Later("a", 0, "k");
+
+    ASSERT_TRUE(s.WaitStarted(1));
+    s.Faults("{\"down\": true}");
+    expectAnswered(first.get());
+    s.Faults("{}");
+    expectAnswered(s.Ask("a", 1, "k"));
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* Table writes whose answers are lost, and a slow table: the claim is known
+ * again by its token, sent once, and settled. */
+TEST(Keyed, TableLosesAnswersOrIsSlow)
+{
+    Stack s({.entries = 2, .service_ms = 10});
+
+    s.Faults("{\"lose_answers\": 1}");
+    expectAnswered(s.Ask("a", 0, "k1"));
+    s.Faults("{\"slow_ms\": 150}");
+    expectAnswered(s.Ask("a", 0, "k2"));
+    expectAnswered(s.Ask("a", 1, "k1"));
+    expectAnswered(s.Ask("a", 1, "k2"));
+    EXPECT_EQ(startsOf(s), 2);
+}
+
+/* The only upstream is gone: a true not_run. It does not use the key up: when
+ * there is an upstream again, the same key runs. */
+TEST(Keyed, NotRunReleasesTheKey)
+{
+    Stack s({.entries = 2, .agents = 1, .service_ms = 10});
+
+    s.agents[0].upstream->process.Signal(SIGKILL);
+    s.agents[0].upstream->process.Wait();
+    Call c = s.Ask("a", 0, "k");
+    EXPECT_EQ(c.Outcome(), "not_run") << c.reply.body;
+    s.agents.push_back(s.startAgent("w2"));
+    s.waitHeard(s.entries[1], 2);
+    ASSERT_TRUE(WaitFor([&] {
+        c = s.Ask("a", 1, "k");
+        return c.reply.status == 200;
+    }));
+    expectAnswered(c);
+    EXPECT_GT(std::stoi(c.Header("x-attempt")), 1);
+    EXPECT_EQ(startsOf(s), 1);
+}
+
+/* Many keys under load when an entry dies: whoever lost its connection asks
+ * the other entry with its key, and all are answered, each started once. */
+TEST(Keyed, EntryKilledUnderLoad)
+{
+    Stack s({.entries = 2, .service_ms = 200, .jitter_ms = 300});
+    auto calls = s.Load(24, "key-");
+
+    ASSERT_TRUE(s.WaitStarted(8));
+    s.entries[0].process->Signal(SIGKILL);
+    std::vector<std::future<Call>> again;
+    for (size_t i = 0; i < calls.size(); i++) {
+        Call c = calls[i].get();
+
+        if (c.reply.status != 0) {
+            expectAnswered(c);
+            continue;
+        }
+        again.push_back(s.Later(c.body, 1, "key-" + std::to_string(i)));
+    }
+    EXPECT_GT(again.size(), 0U);
+    for (auto &c : again) {
+        expectAnswered(c.get());
+    }
+    for (const auto &[id, n] : s.Starts()) {
+        EXPECT_EQ(n, 1) << id;
+    }
+    EXPECT_EQ(startsOf(s), 24);
+}
--- /dev/null
+++ b/tests/request-process-test.cc
@@ -0,0 +1,297 @@
+#include "request-stack.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+
+using namespace stack;
+
+/* What a caller may be told in a case, beside its own whole answer. */
+enum Allowed { ANSWERED_ONLY = 0, NOT_RUN = 1, UNKNOWN = 2, NO_REPLY = 4 };
+
+/* Judges one caller's reply: its own whole answer, or an outcome that is
+ * allowed and true. */
+static void
+judgeOne(const Call &c, int allowed,
+         const std::map<std::string, int64_t> &starts)
+{
+    std::string id = c.Header("x-request-id");
+    int64_t n = starts.count(id) ? starts.at(id) : 0;
+
+    SCOPED_TRACE(c.body + " " + id + " status " +
+                 std::to_string(c.reply.status) + " " + c.reply.body);
+    if (c.reply.status == 200) {
+        EXPECT_EQ(c.reply.body, "done:" + c.body);
+        return;
+    }
+    if (c.Outcome() == "not_run") {
+        EXPECT_TRUE(allowed & NOT_RUN);
+        EXPECT_EQ(n, 0) << "not_run, but it was started";
+        return;
+    }
+    if (c.Outcome() == "unknown") {
+        EXPECT_TRUE(allowed & UNKNOWN);
+        return;
+    }
+    EXPECT_TRUE(allowed & NO_REPLY) << "nothing that was accepted is dropped";
+}
+
+/* Judges all callers; and nothing was started twice. */
+static std::map<std::string, int>
+judge(const Stack &s, std::vector<std::future<Call>> &calls, int allowed)
+{
+    std::map<std::string, int> outcomes;
+    std::vector<Call> got;
+
+    for (auto &c : calls) {
+        got.push_back(c.get());
+    }
+    auto starts = s.Starts();
+    for (const auto &c : got) {
+        judgeOne(c, allowed, starts);
+        outcomes[c.reply.status == 200 ? "answered" : c.Outcome()]++;
+    }
+    if (!s.options.repeatable) {
+        for (const auto &[id, n] : starts) {
+            EXPECT_LE(n, 1) << id << " was started " << n << " times";
+        }
+    }
+    return outcomes;
+}
+
+/* A fault in the midst of a load of unkeyed, non-repeatable requests. */
+struct FaultCase {
+    const char *name;
+    Options options;
+    const char *mode; /* of the upstreams, from the start */
+    void (*fault)(Stack &);
+    int allowed;
+    int answered_min;
+};
+
+/* For gtest, in place of the bytes of a case. */
+static void
+PrintTo(const FaultCase &p, std::ostream *out)
+{
+    *out << p.name;
+}
+
+static void
+noFault(Stack &)
+{
+}
+
+static const FaultCase fault_cases[] = {
+    /* Callers of the other entry see nothing; those of the killed one get no
+     * reply. Agents run on what they took, for nobody: it is not sent again.
+     */
+    {"EntryKilled",
+     {.entries = 2},
+     "",
+     [](Stack &s) { s.entries[0].process->Signal(SIGKILL); },
+     NO_REPLY,
+     10},
+    /* The agent dies with requests at its upstream. Nobody can say whether
+     * they ran: their callers hear unknown, as soon as the new incarnation is
+     * heard, and nothing is sent a second time. */
+    {"AgentKilledAndBack",
+     {},
+     "",
+     [](Stack &s) {
+         s.agents[0].process->Signal(SIGKILL);
+         s.agents[0].process->Wait();
+         s.restart(s.agents[0]);
+     },
+     UNKNOWN | NOT_RUN,
+     5},
+    /* The same, and it stays away: unknown at the deadline. */
+    {"AgentKilled",
+     {},
+     "",
+     [](Stack &s) { s.agents[0].process->Signal(SIGKILL); },
+     UNKNOWN | NOT_RUN,
+     5},
+    /* The upstream dies: connections break after the request was sent, which
+     * is unknown; later ones can't connect, which is a true not_run and goes
+     * to the other upstream. */
+    {"UpstreamKilled",
+     {},
+     "",
+     [](Stack &s) { s.agents[1].upstream->process.Signal(SIGKILL); },
+     UNKNOWN | NOT_RUN,
+     5},
+    /* The agent is stopped past its silence and goes on: it reads what was
+     * sent to it meanwhile, old dispatches and withdraws. Answers that it
+     * holds reach their callers when it wakes in time. */
+    {"AgentPaused",
+     {},
+     "",
+     [](Stack &s) {
+         s.agents[0].process->Signal(SIGSTOP);
+         WaitFor([&] {
+             Json j = Http("GET", s.entries[0].Url("/v1/state")).json();
+
+             return Number(j.get(), "members/heard") == 1;
+         });
+         s.agents[0].process->Signal(SIGCONT);
+     },
+     UNKNOWN | NOT_RUN,
+     5},
+    /* Something in between loses its connections without a word, while new
+     * ones work: the agents open new links by themselves, ask and are asked
+     * how the attempts stand, and every caller still gets its answer. */
+    {"LinkSilent",
+     {.agents = 1, .relayed = true, .slots = 32},
+     "",
+     [](Stack &s) { s.relay->process.Signal(SIGUSR1); },
+     NOT_RUN,
+     24},
+    /* The table is down: unkeyed requests don't notice. */
+    {"TableDown",
+     {},
+     "",
+     [](Stack &s) { s.Faults("{\"down\": true}"); },
+     ANSWERED_ONLY,
+     24},
+    /* An entry is told to stop: it takes no new connections, and everybody
+     * whose request it has gets the answer before it ends. */
+    {"EntryDrains",
+     {.entries = 2},
+     "",
+     [](Stack &s) { EXPECT_EQ(s.entries[0].process->Terminate(), 0); },
+     ANSWERED_ONLY,
+     24},
+    /* An agent is told to stop: it ends what it took; what it refuses from
+     * then on goes to the other one. */
+    {"AgentDrains",
+     {},
+     "",
+     [](Stack &s) { EXPECT_EQ(s.agents[0].process->Terminate(), 0); },
+     NOT_RUN,
+     24},
+    /* Answers come late and in another order than the requests; each caller
+     * gets the one to its own. */
+    {"OutOfOrder", {.jitter_ms = 400}, "late=150", noFault, 0, 24},
+    /* An answer that breaks off, or whose end nothing marks, is never passed
+     * on as whole. */
+    {"Truncated", {}, "truncate", noFault, UNKNOWN, 0},
+    {"NoLength", {}, "no-length", noFault, UNKNOWN, 0},
+    /* The upstream counts a start and closes: not sent again by anybody. */
+    {"ClosedAfterStart", {}, "close", noFault, UNKNOWN, 0},
+    /* Two at once: one agent dies while the other one's entry is stopped for
+     * longer than agents wait, and wakes. */
+    {"AgentKilledEntryPaused",
+     {.entries = 2},
+     "",
+     [](Stack &s) {
+         s.entries[0].process->Signal(SIGSTOP);
+         s.agents[0].process->Signal(SIGKILL);
+         s.waitHeard(s.entries[1], 1);
+         s.entries[0].process->Signal(SIGCONT);
+     },
+     UNKNOWN | NOT_RUN,
+     5},
+    /* Two at once: the links are lost in silence and the table is down. */
+    {"LinkSilentTableDown",
+     {.agents = 1, .relayed = true, .slots = 32},
+     "",
+     [](Stack &s) {
+         s.Faults("{\"down\": true}");
+         s.relay->process.Signal(SIGUSR1);
+     },
+     NOT_RUN,
+     24},
+};
+
+class RequestFault : public testing::TestWithParam<FaultCase> {};
+
+TEST_P(RequestFault, CallersHearTheTruth)
+{
+    const FaultCase &p = GetParam();
+    Stack s(p.options);
+
+    s.Mode(p.mode);
+    auto calls = s.Load(24);
+    ASSERT_TRUE(s.WaitStarted(p.mode[0] != '\0'   ? 1
+                              : p.options.relayed ? 24
+                                                  : 16));
+    p.fault(s);
+    auto outcomes = judge(s, calls, p.allowed);
+    EXPECT_GE(outcomes["answered"], p.answered_min);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RequestFault, testing::ValuesIn(fault_cases),
+                         [](const auto &i) { return i.param.name; });
+
+/* Requests that may be repeated: an answer that is late is asked for a second
+ * time elsewhere, and the caller gets whichever comes first. */
+TEST(Request, LateAnswerIsHedged)
+{
+    Stack s({.service_ms = 20, .repeatable = true});
+    std::string metrics;
+
+    for (int i = 0; i < 60; i++) {
+        ASSERT_EQ(s.Ask("warm").reply.status, 200);
+    }
+    Http("PUT", s.agents[0].upstream->Url("/mode"), "slow=3500");
+    auto calls = s.Load(6);
+    auto outcomes = judge(s, calls, ANSWERED_ONLY);
+    EXPECT_EQ(outcomes["answered"], 6);
+    metrics = Http("GET", s.entries[0].Url("/metrics")).body;
+    EXPECT_EQ(metrics.find("parsleyfall_hedges_total 0"), metrics.npos);
+    EXPECT_NE(metrics.find("parsleyfall_hedges_total"), metrics.npos);
+}
+
+/* An agent is leaving, and a long request keeps it there. The entry hears of
+ * it within a beat; from then on everything goes to the other one, and the
+ * long request is answered all the same. */
+TEST(Request, LeavingUpstreamGetsNothing)
+{
+    Stack s({.service_ms = 10});
+    std::string state;
+
+    Http("PUT", s.agents[0].upstream->Url("/mode"), "slow=2500");
+    Http("PUT", s.agents[1].upstream->Url("/mode"), "slow=2500");
+    auto calls = s.Load(8);
+    ASSERT_TRUE(s.WaitStarted(8));
+    s.Mode("");
+    s.agents[0].process->Signal(SIGTERM);
+    ASSERT_TRUE(WaitFor([&] {
+        state = Http("GET", s.entries[0].Url("/v1/state")).body;
+        return state.find("\"state\": \"leaving\"") != state.npos;
+    }));
+    int64_t before = s.Started(0);
+    auto more = s.Load(30);
+    auto outcomes = judge(s, more, ANSWERED_ONLY);
+    EXPECT_EQ(outcomes["answered"], 30);
+    EXPECT_EQ(s.Started(0), before);
+    EXPECT_EQ(judge(s, calls, ANSWERED_ONLY)["answered"], 8);
+    EXPECT_EQ(s.agents[0].process->Wait(), 0);
+}
+
+/* What was decided on a request is told by its id, to its organisation. */
+TEST(Request, WhyTellsTheDecisions)
+{
+    Stack s({.agents = 1, .service_ms = 0});
+    Call c = s.Ask("why");
+    std::string path = "/v1/why/" + c.Header("x-request-id");
+    std::vector<std::string> decisions;
+    Json j;
+
+    ASSERT_EQ(c.reply.status, 200);
+    j = Http("GET", s.entries[0].Url(path), "",
+             {"Authorization: Bearer token"})
+            .json();
+    json_t *records = json_object_get(j.get(), "records");
+    for (size_t i = 0; i < json_array_size(records); i++) {
+        decisions.push_back(Text(json_array_get(records, i), "decision"));
+    }
+    EXPECT_EQ(decisions, (std::vector<std::string>{"admitted", "sent", "taken",
+                                                   "answered"}));
+    EXPECT_EQ(Http("GET", s.entries[0].Url(path)).status, 401);
+    EXPECT_EQ(Http("GET", s.entries[0].Url("/v1/why/" + std::string(32, '0')),
+                   "", {"Authorization: Bearer operator"})
+                  .status,
+              404);
+}
--- /dev/null
+++ b/tests/request-stack.h
@@ -0,0 +1,317 @@
+/* The request path as processes: the platform's stand-in, upstreams, agents
+ * and entries on free ports, callers as threads, and the judging of what the
+ * callers got against what the upstreams counted. */
+#ifndef REQUEST_STACK_H
+#define REQUEST_STACK_H
+
+#include "harness.h"
+
+extern "C" {
+#include "base.h"
+}
+
+#include <future>
+#include <set>
+
+namespace stack {
+
+using namespace harness;
+
+inline std::string
+Digest(const std::string &text)
+{
+    char hex[DIGEST_HEX_SIZE];
+
+    return Digest_Hex(text.data(), text.size(), hex);
+}
+
+/* The value of key= in a process's line about listening. */
+inline std::string
+Listening(const Process &p, const std::string &key)
+{
+    std::string log;
+    size_t at = std::string::npos;
+
+    WaitFor([&] {
+        log = p.Err();
+        at = log.find("event=listening");
+        return at != std::string::npos && log.find('\n', at) != log.npos;
+    });
+    at = log.find(key + "=", at);
+    if (at == std::string::npos) {
+        return "";
+    }
+    at += key.size() + 1;
+    return log.substr(at, log.find_first_of(" \n", at) - at);
+}
+
+struct Entry {
+    std::string name;
+    std::unique_ptr<Process> process;
+    std::string links, http;
+    std::string Url(const std::string &path) const
+    {
+        return "http://127.0.0.1:" + http + path;
+    }
+};
+
+struct Agent {
+    std::string name;
+    std::unique_ptr<Fake> upstream;
+    std::unique_ptr<Process> process;
+    std::string settings;
+};
+
+struct Options {
+    int entries = 1;
+    int agents = 2;
+    int service_ms = 300;
+    int jitter_ms = 0;
+    bool relayed = false; /* agents reach the first entry by a relay */
+    bool repeatable = false;
+    const char *table_down = "refuse";
+    int slots = 16;
+};
+
+/* What a caller asked and got. */
+struct Call {
+    std::string body;
+    Reply reply;
+    std::string Header(const std::string &name) const
+    {
+        auto it = reply.headers.find(name);
+
+        return it == reply.headers.end() ? "" : it->second;
+    }
+    std::string Outcome() const
+    {
+        return Header("x-outcome");
+    }
+};
+
+class Stack {
+  public:
+    explicit Stack(const Options &o)
+        : options(o), platform(dir, "fake-platform")
+    {
+        dir.Write("configuration.yaml", configuration());
+        for (int i = 1; i <= o.entries; i++) {
+            entries.push_back(startEntry("entry-" + std::to_string(i)));
+        }
+        if (o.relayed) {
+            relay = std::make_unique<Fake>(
+                dir, "fake-relay",
+                std::vector<std::string>{"--to", entries[0].links});
+        }
+        for (int i = 1; i <= o.agents; i++) {
+            agents.push_back(startAgent("w" + std::to_string(i)));
+        }
+        for (const auto &e : entries) {
+            waitHeard(e);
+        }
+    }
+
+    Call Ask(const std::string &body, size_t entry = 0,
+             const std::string &key = "", int64_t deadline_ms = 4000) const
+    {
+        std::vector<std::string> headers = {"Authorization: Bearer token",
+                                            "X-Deadline-Ms: " +
+                                                std::to_string(deadline_ms)};
+
+        if (!key.empty()) {
+            headers.push_back("Idempotency-Key: " + key);
+        }
+        return {body,
+                Http("POST", entries[entry].Url("/v1/services/work/requests"),
+                     body, headers, deadline_ms + 8000)};
+    }
+    std::future<Call> Later(const std::string &body, size_t entry = 0,
+                            const std::string &key = "",
+                            int64_t deadline_ms = 4000) const
+    {
+        return std::async(std::launch::async,
+                          [=] { return Ask(body, entry, key, deadline_ms); });
+    }
+    /* n callers at once, each with a body of its own, over all entries. */
+    std::vector<std::future<Call>> Load(int n, const std::string &keys = "",
+                                        int64_t deadline_ms = 4000) const
+    {
+        std::vector<std::future<Call>> calls;
+
+        for (int i = 0; i < n; i++) {
+            std::string number = std::to_string(i);
+
+            calls.push_back(Later(
+                "body-" + number, static_cast<size_t>(i) % entries.size(),
+                keys.empty() ? "" : keys + number, deadline_ms));
+        }
+        return calls;
+    }
+
+    int64_t Started() const
+    {
+        int64_t n = 0;
+
+        for (const auto &a : agents) {
+            n += std::max<int64_t>(0, count(a, "started"));
+        }
+        return n;
+    }
+    int64_t Started(size_t agent) const
+    {
+        return count(agents[agent], "started");
+    }
+    bool WaitStarted(int64_t n) const
+    {
+        return WaitFor([&] { return Started() >= n; });
+    }
+    /* Starts of each request that any upstream has seen. */
+    std::map<std::string, int64_t> Starts() const
+    {
+        std::map<std::string, int64_t> starts;
+
+        for (const auto &a : agents) {
+            Json j = Http("GET", a.upstream->Url("/counts")).json();
+            json_t *ids = json_object_get(j.get(), "by_id");
+            const char *id;
+            json_t *one;
+
+            json_object_foreach(ids, id, one)
+            {
+                starts[id] += Number(one, "starts");
+            }
+        }
+        return starts;
+    }
+    void Mode(const std::string &words)
+    {
+        for (const auto &a : agents) {
+            Http("PUT", a.upstream->Url("/mode"), words);
+        }
+    }
+    void Faults(const std::string &json)
+    {
+        Http("PUT", platform.Url("/faults"), json);
+    }
+    /* How many claims there are. */
+    size_t Rows() const
+    {
+        Json j = Http("GET", platform.Url("/rows?table=claims")).json();
+
+        return json_array_size(json_object_get(j.get(), "rows"));
+    }
+    Agent startAgent(const std::string &name)
+    {
+        Agent a;
+        std::string seeds;
+
+        for (const auto &e : entries) {
+            bool first = &e == &entries[0];
+
+            seeds +=
+                "\"" + (relay && first ? relay->Address() : e.links) + "\", ";
+        }
+        a.name = name;
+        a.upstream = std::make_unique<Fake>(
+            dir, "fake-upstream",
+            std::vector<std::string>{
+                "--slots", std::to_string(options.slots), "--service-ms",
+                std::to_string(options.service_ms), "--jitter-ms",
+                std::to_string(options.jitter_ms)},
+            "upstream-" + name);
+        a.settings = dir.Write(
+            "agent-" + name + ".yaml",
+            "name: " + name +
+                "\nregion: r\nfailure_domain: d\nrack: k\naccelerators: 8\n"
+                "seeds: [" +
+                seeds + "]\nservices: [{name: work, url: \"" +
+                a.upstream->Url() +
+                "\", slots: " + std::to_string(options.slots) +
+                ", connections: 64, timeout_ms: 60000}]\n"
+                "lease_ms: 3000\ndrain_ms: 10000\n");
+        restart(a);
+        return a;
+    }
+    void restart(Agent &a)
+    {
+        a.process = std::make_unique<Process>(
+            dir, "parsleyfall-agent",
+            std::vector<std::string>{"run", a.settings}, "agent-" + a.name);
+    }
+    void waitHeard(const Entry &e, int64_t n = -1) const
+    {
+        int64_t want = n < 0 ? options.agents : n;
+
+        if (!WaitFor([&] {
+                Json j = Http("GET", e.Url("/v1/state")).json();
+
+                return Number(j.get(), "members/heard") == want;
+            })) {
+            throw std::runtime_error(e.name + " does not hear all agents: " +
+                                     Http("GET", e.Url("/v1/state")).body +
+                                     e.process->Err() +
+                                     agents[0].process->Err());
+        }
+    }
+
+    Options options;
+    TempDir dir;
+    Fake platform;
+    std::unique_ptr<Fake> relay;
+    std::vector<Entry> entries;
+    std::vector<Agent> agents;
+
+  private:
+    static int64_t count(const Agent &a, const std::string &what)
+    {
+        return Number(Http("GET", a.upstream->Url("/counts")).json().get(),
+                      what);
+    }
+    std::string configuration() const
+    {
+        return "version: 1\nweights: {completion: 70, fragmentation: 30}\n"
+               "topology: {regions: [{name: r, failure_domains: [{name: d, "
+               "racks: [{name: k, workers: [{name: w1, accelerators: 8}, "
+               "{name: w2, accelerators: 8}, {name: w3, accelerators: 8}]}]"
+               "}]}]}\noperators: [{name: op, token_hashes: [" +
+               Digest("operator") +
+               "]}]\norganisations: [{name: org, weight: 1, token_hashes: [" +
+               Digest("token") +
+               "]}]\nclasses: [{name: c, kind: request, priority: normal, "
+               "repeatable: " +
+               (options.repeatable ? "true" : "false") +
+               ", deadline_ms: 4000, keyed_when_table_down: " +
+               options.table_down +
+               "}]\nservices: [{name: work, organisations: [org], classes: "
+               "[c], request_bytes: 65536, answer_bytes: 65536, queue_limit: "
+               "64}]\n";
+    }
+    Entry startEntry(const std::string &name)
+    {
+        Entry e;
+        std::string path = dir.Write(
+            name + ".yaml",
+            "name: " + name +
+                "\nregion: r\nfailure_domain: d\nlisten: {address: 127.0.0.1, "
+                "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
+                "{table_url: \"" +
+                platform.Url() + "\", objects_url: \"" + platform.Url() +
+                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
+                "configuration_file: " +
+                dir.Path("configuration.yaml") + "\n");
+
+        e.name = name;
+        e.process = std::make_unique<Process>(
+            dir, "parsleyfall", std::vector<std::string>{"serve", path}, name);
+        e.http = Listening(*e.process, "http");
+        e.links = Listening(*e.process, "links");
+        if (e.http.empty()) {
+            throw std::runtime_error(name + ": " + e.process->Err());
+        }
+        return e;
+    }
+};
+
+} /* namespace stack */
+
+#endif
--- a/tests/requests.cmake
+++ b/tests/requests.cmake
@@ -1,3 +1,9 @@
 find_package(rapidcheck REQUIRED)
 pf_test(why-test why-test.cc PACKAGES entry policy kernel base)
 set_tests_properties(why-test PROPERTIES ENVIRONMENT "RC_PARAMS=seed=731")
+pf_process_test(
+  request-process-test request-process-test.cc PACKAGES base
+  NEEDS parsleyfall parsleyfall-agent fake-platform fake-upstream fake-relay)
+pf_process_test(
+  request-keyed-test request-keyed-test.cc PACKAGES base
+  NEEDS parsleyfall parsleyfall-agent fake-platform fake-upstream fake-relay)
