feasibility: a shape that one domain can't hold may lie in another

The message 'can't be guaranteed' was given where a domain without such a rack came after one that had it but was full.

--- a/packages/entry/entry-feasible.c
+++ b/packages/entry/entry-feasible.c
@@ -20,7 +20,8 @@
     char key[128];
     char name[NAME_SIZE]; /* of its own in the accounts */
     int left;             /* shapes that have no place yet */
-    const char *allowed;  /* why no domain can hold the shape, or NULL */
+    bool possible;        /* some domain can hold the shape by itself */
+    const char *allowed;  /* what shapes a domain can hold that can't */
 };
 
 struct division {
@@ -199,7 +200,7 @@
     if (each == 0) {
         return;
     }
-    m->allowed = NULL;
+    m->possible = true;
     for (step = m->left; step > 0; step = step > 1 ? (step + 1) / 2 : 0) {
         if (fits + step <= m->left &&
             holds(site, m->name, shape, (fits + step) * each)) {
@@ -239,7 +240,7 @@
     if (m->left == 0) {
         return;
     }
-    if (m->allowed != NULL) {
+    if (!m->possible) {
         Conf_Add(errors, g->line, m->key, m->allowed,
                  "'%s' can't be guaranteed", g->shape_text);
         return;
