cli: commands of both programs; links refuse strangers by key

parsleyfall serve|check|apply|why|dump|jobs and parsleyfall-agent run|check|dump share one table of arguments and exit codes (0 well, 1 failed, 2 usage, 3 refused, 4 no answer). link_keys of the settings were read and never used: links were open whatever they said. CURVE alone lets in any client that knows the server's public key, so a gate answers libzmq's question for each client key and lets in the deployment's own only.

--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -531,8 +531,14 @@
 {
     const struct agent_settings *s = k->settings;
     struct links *l = Mem_Zero(1, sizeof(*l));
+    int err = Link_LoadKeys(s->link_keys.public_file, s->link_keys.secret_file,
+                            &l->keys);
     size_t i;
 
+    if (err != ERR_OK) {
+        free(l);
+        return err;
+    }
     l->settings = s;
     l->context = Link_ContextNew();
     TAILQ_INIT(&l->entries);
--- a/packages/agent/main.c
+++ b/packages/agent/main.c
@@ -1,52 +1,38 @@
 #include "agent.h"
 
-#include <argtable2.h>
+#include "cli.h"
+
+#include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Exit codes, as --help tells them. */
-enum exit_code { EXIT_WELL = 0, EXIT_FAILED = 1, EXIT_USAGE = 2 };
-
-/* Loads the settings and says every mistake on stderr. */
+/* parsleyfall-agent check SETTINGS */
 static int
-load(const char *path, struct agent_settings *s)
+check(const struct cli_args *args)
 {
     struct conf_errors *errors CLEANUP(Mem_FreeP) =
         Mem_Zero(1, sizeof(*errors));
-    struct buf text CLEANUP(Buf_Free) = {0};
-    int err = Settings_LoadAgent(path, s, errors);
-
-    if (err != ERR_OK) {
-        Conf_Render(errors, path, &text);
-        fwrite(text.data, 1, text.len, stderr);
-    }
-    return err;
-}
-
-/* parsleyfall-agent check SETTINGS */
-static int
-check(const char *path)
-{
     struct agent_settings s CLEANUP(Settings_FreeAgent) = {0};
+    int err = Settings_LoadAgent(args->subject, &s, errors);
 
-    if (load(path, &s) != ERR_OK) {
-        return EXIT_FAILED;
-    }
-    printf("%s: ok\n", path);
-    return EXIT_WELL;
+    return Cli_SayChecked(args, args->subject, err, errors);
 }
 
 /* parsleyfall-agent run SETTINGS */
 static int
-run(const char *path)
+run(const struct cli_args *args)
 {
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
     struct agent_settings s CLEANUP(Settings_FreeAgent) = {0};
     struct kernel k;
-    int err;
+    int err = Settings_LoadAgent(args->subject, &s, errors);
 
-    if (load(path, &s) != ERR_OK) {
-        return EXIT_FAILED;
+    if (err != ERR_OK) {
+        Cli_SayErrors(args, args->subject, errors);
+        return CLI_FAILED;
     }
     Log_SetProcess(s.name);
     Log_SetLevel((enum log_level)s.log_level);
@@ -59,72 +45,45 @@
     }
     LOG_I("stop", KV("result", Err_Name(err)));
     Kernel_Free(&k);
-    return err == ERR_OK ? EXIT_WELL : EXIT_FAILED;
+    return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
-static const struct {
-    const char *name;
-    int (*run)(const char *path);
-} commands[] = {{"run", run}, {"check", check}};
-
-/* Says how the program is used. */
-static void
-usage(FILE *out, void **table)
-{
-    fputs("usage: parsleyfall-agent", out);
-    arg_print_syntax(out, table, "\n\n");
-    fputs("  run    runs the agent of one worker\n"
-          "  check  reads the settings and says every mistake\n\n",
-          out);
-    arg_print_glossary(out, table, "  %-20s %s\n");
-    fputs("\nSIGTERM drains, SIGUSR1 prints the state as JSON.\n"
-          "Exit: 0 well, 1 failed, 2 usage.\n",
-          out);
-}
-
-/* Runs the command that the arguments name. */
+/* parsleyfall-agent dump PID: an agent listens for nobody but its entries, so
+ * it is asked by signal, and writes its state where its output goes. */
 static int
-dispatch_command(const char *name, const char *path)
+dump(const struct cli_args *args)
 {
-    size_t i;
+    char *end;
+    long pid = strtol(args->subject, &end, 10);
 
-    for (i = 0; i < COUNT_OF(commands); i++) {
-        if (strcmp(commands[i].name, name) == 0) {
-            return commands[i].run(path);
-        }
+    if (*args->subject == '\0' || *end != '\0' || pid < 2) {
+        fprintf(stderr, "%s: %s is no process id\n", args->program,
+                args->subject);
+        return CLI_USAGE;
+    }
+    if (kill((pid_t)pid, SIGUSR1) != 0) {
+        fprintf(stderr, "%s: %ld: %s\n", args->program, pid, strerror(errno));
+        return CLI_UNREACHABLE;
     }
-    fprintf(stderr, "parsleyfall-agent: no command %s; see --help\n", name);
-    return EXIT_USAGE;
+    return CLI_WELL;
 }
 
+static const struct cli_command commands[] = {
+    {"run", "runs the agent of one worker", "SETTINGS", false, run},
+    {"check", "says every mistake of the settings", "SETTINGS", false, check},
+    {"dump", "lets an agent write its state to its standard output", "PID",
+     false, dump},
+};
+
+static const struct cli_program program = {
+    .name = "parsleyfall-agent",
+    .notes = "An agent drains at SIGTERM, and prints its state at SIGUSR1.",
+    .commands = commands,
+    .count = COUNT_OF(commands),
+};
+
 int
 main(int argc, char **argv)
 {
-    struct arg_lit *help = arg_lit0("h", "help", "say this");
-    struct arg_lit *version = arg_lit0(NULL, "version", "say the version");
-    struct arg_str *name = arg_str0(NULL, NULL, "COMMAND", "run or check");
-    struct arg_file *file =
-        arg_file0(NULL, NULL, "SETTINGS", "YAML settings of this agent");
-    struct arg_end *end = arg_end(8);
-    void *table[] = {help, version, name, file, end};
-    int errors = arg_parse(argc, argv, table);
-    int code = EXIT_USAGE;
-
-    if (help->count > 0) {
-        usage(stdout, table);
-        code = EXIT_WELL;
-    }
-    else if (version->count > 0) {
-        puts("parsleyfall-agent " PF_VERSION);
-        code = EXIT_WELL;
-    }
-    else if (errors > 0 || name->count == 0 || file->count == 0) {
-        arg_print_errors(stderr, end, "parsleyfall-agent");
-        usage(stderr, table);
-    }
-    else {
-        code = dispatch_command(name->sval[0], file->filename[0]);
-    }
-    arg_freetable(table, COUNT_OF(table));
-    return code;
+    return Cli_Main(&program, argc, argv);
 }
--- /dev/null
+++ b/packages/cli/cli-apply.c
@@ -0,0 +1,174 @@
+#include "cli.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+/* apply: the difference, the change, and what became of it. */
+
+/* The document to be applied, and the one in force. */
+struct change {
+    struct config next;
+    struct config before;
+    struct buf text; /* canonical, of next */
+    char hash[DIGEST_HEX_SIZE];
+    char etag[128]; /* of before */
+    struct buf lines;
+    size_t count;
+};
+
+/* Frees both documents. */
+static void
+change_free(struct change *c)
+{
+    Config_Free(&c->next);
+    Config_Free(&c->before);
+    Buf_Free(&c->text);
+    Buf_Free(&c->lines);
+}
+
+/* Reads and checks the file. */
+static int
+read_next(const struct cli_args *args, struct change *c)
+{
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+
+    if (Config_Load(args->subject, &c->next, errors) != ERR_OK) {
+        Cli_SayErrors(args, args->subject, errors);
+        return CLI_FAILED;
+    }
+    Config_Render(&c->next, &c->text);
+    Digest_Hex(c->text.data, c->text.len, c->hash);
+    return CLI_WELL;
+}
+
+/* Reads the document in force. */
+static int
+read_before(const struct cli_args *args, struct change *c)
+{
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct cli_answer a CLEANUP(Cli_FreeAnswer) = {0};
+    int code =
+        Cli_Ask(args, "GET", "/v1/config", "application/yaml", NULL, NULL, &a);
+
+    if (code != CLI_WELL) {
+        return code;
+    }
+    if (a.status != 200) {
+        return Cli_SayRefusal(args, &a);
+    }
+    if (Config_Parse(a.body.data, a.body.len, &c->before, errors) != ERR_OK) {
+        Cli_SayErrors(args, args->url, errors);
+        return CLI_FAILED;
+    }
+    Str_Copy(c->etag, sizeof(c->etag), a.etag);
+    c->count = Config_Diff(&c->before, &c->next, &c->lines);
+    return CLI_WELL;
+}
+
+/* True when the document in force is the one that was to be applied. */
+static bool
+is_in_force(const struct cli_args *args, const struct change *c)
+{
+    struct cli_answer a CLEANUP(Cli_FreeAnswer) = {0};
+
+    return Cli_Ask(args, "GET", "/v1/config", "application/yaml", NULL, NULL,
+                   &a) == CLI_WELL &&
+           a.status == 200 && strstr(a.etag, c->hash) != NULL;
+}
+
+/* No answer, or one that it isn't known: the head may say more. */
+static int
+read_back(const struct cli_args *args, const struct change *c)
+{
+    if (is_in_force(args, c)) {
+        printf("in force: read back after the answer was lost\n");
+        return CLI_WELL;
+    }
+    fprintf(stderr,
+            "%s: it is not known whether this took effect; read the "
+            "configuration before changing it again\n",
+            args->program);
+    return CLI_UNREACHABLE;
+}
+
+/* Says what others changed since. */
+static void
+say_changes(const struct cli_answer *a)
+{
+    json_t *o = json_loadb(a->body.data, a->body.len, 0, NULL);
+    json_t *change, *line;
+    size_t i, j;
+
+    fputs("changed since by others:\n", stderr);
+    json_array_foreach(json_object_get(o, "changes"), i, change)
+    {
+        fprintf(
+            stderr, "  epoch %lld by %s\n",
+            (long long)json_integer_value(json_object_get(change, "epoch")),
+            json_string_value(json_object_get(change, "operator")));
+        json_array_foreach(json_object_get(change, "lines"), j, line)
+        {
+            fprintf(stderr, "    %s\n", json_string_value(line));
+        }
+    }
+    json_decref(o);
+}
+
+/* Says the outcome of an answer. */
+static int
+say_outcome(const struct cli_args *args, const struct change *c,
+            const struct cli_answer *a)
+{
+    if (a->status == 504) {
+        return read_back(args, c);
+    }
+    if (args->json) {
+        fwrite(a->body.data, 1, a->body.len, stdout);
+        return a->status == 200 ? CLI_WELL : CLI_REFUSED;
+    }
+    if (a->status == 200) {
+        printf("accepted: %s\n", a->etag);
+        return CLI_WELL;
+    }
+    if (a->status == 412) {
+        say_changes(a);
+        return CLI_REFUSED;
+    }
+    if (a->status == 422) {
+        fwrite(a->body.data, 1, a->body.len, stderr);
+        return CLI_REFUSED;
+    }
+    return Cli_SayRefusal(args, a);
+}
+
+/* Applies a file to the deployment of an entry. */
+int
+Cli_Apply(const struct cli_args *args)
+{
+    struct change c CLEANUP(change_free) = {0};
+    struct cli_answer a CLEANUP(Cli_FreeAnswer) = {0};
+    int code = read_next(args, &c);
+
+    if (code == CLI_WELL) {
+        code = read_before(args, &c);
+    }
+    if (code != CLI_WELL) {
+        return code;
+    }
+    if (!args->json && c.lines.data != NULL) {
+        fputs(c.lines.data, stdout);
+    }
+    if (c.count == 0) {
+        printf(args->json ? "{\"outcome\": \"unchanged\"}\n" : "unchanged\n");
+        return CLI_WELL;
+    }
+    code = Cli_Ask(args, "PUT", "/v1/config", "application/json",
+                   args->seen ? args->seen : c.etag, &c.text, &a);
+    if (code == CLI_UNREACHABLE && a.err != ERR_UNREACHABLE) {
+        return read_back(args, &c);
+    }
+    return code == CLI_WELL ? say_outcome(args, &c, &a) : code;
+}
--- /dev/null
+++ b/packages/cli/cli-args.c
@@ -0,0 +1,150 @@
+#include "cli.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ERRORS_KEPT 8
+
+/* The arguments of both programs, in the order of --help. */
+struct arguments {
+    struct arg_lit *help;
+    struct arg_lit *version;
+    struct arg_lit *json;
+    struct arg_str *url;
+    struct arg_file *token_file;
+    struct arg_str *seen;
+    struct arg_str *kind;
+    struct arg_str *command;
+    struct arg_str *subject;
+    struct arg_end *end;
+};
+
+/* Makes them, as argtable wants them: a table of pointers. */
+static void
+make(struct arguments *a)
+{
+    a->help = arg_lit0("h", "help", "say this");
+    a->version = arg_lit0(NULL, "version", "say the version");
+    a->json = arg_lit0(NULL, "json", "write JSON");
+    a->url = arg_str0(NULL, "url", "URL", "an entry, as http://10.0.0.1:8080");
+    a->token_file =
+        arg_file0(NULL, "token-file", "FILE", "holds the operator's token");
+    a->seen =
+        arg_str0(NULL, "seen", "ETAG", "apply: of the document you changed");
+    a->kind = arg_str0(NULL, "kind", "KIND",
+                       "check: settings or configuration; else recognised");
+    a->command = arg_str0(NULL, NULL, "COMMAND", "one of those above");
+    a->subject = arg_str0(NULL, NULL, "SUBJECT", "what the command is about");
+    a->end = arg_end(ERRORS_KEPT);
+}
+
+/* The first value of an option, or NULL. */
+static const char *
+value(const struct arg_str *arg)
+{
+    return arg->count > 0 ? arg->sval[0] : NULL;
+}
+
+/* Says how the program is used. */
+static void
+usage(const struct cli_program *p, void **table, FILE *out)
+{
+    size_t i;
+
+    fprintf(out, "usage: %s", p->name);
+    arg_print_syntax(out, table, "\n\n");
+    for (i = 0; i < p->count; i++) {
+        const struct cli_command *c = &p->commands[i];
+
+        fprintf(out, "  %-6s %-9s %s\n", c->name, c->subject ? c->subject : "",
+                c->help);
+    }
+    fputs("\n", out);
+    arg_print_glossary(out, table, "  %-20s %s\n");
+    fprintf(out,
+            "\n%s\nExit: 0 well, 1 failed (a file is wrong, or the process "
+            "ended with an error),\n2 usage, 3 refused by the entry, 4 no "
+            "answer or its outcome is unknown.\n",
+            p->notes);
+}
+
+/* Says what is missing; returns the exit code. */
+static int
+complain(const struct cli_program *p, const char *command, const char *what)
+{
+    fprintf(stderr, "%s %s: %s; see --help\n", p->name, command, what);
+    return CLI_USAGE;
+}
+
+/* Runs a command once its arguments are there. */
+static int
+run(const struct cli_program *p, const struct cli_command *c,
+    const struct cli_args *args)
+{
+    if (c->subject != NULL && args->subject == NULL) {
+        return complain(p, c->name, "what it is about is missing");
+    }
+    if (c->subject == NULL && args->subject != NULL) {
+        return complain(p, c->name, "one word too many");
+    }
+    if (c->asks && (args->url == NULL || args->token_file == NULL)) {
+        return complain(p, c->name, "--url and --token-file are needed");
+    }
+    return c->run(args);
+}
+
+/* Finds the command and runs it. */
+static int
+find(const struct cli_program *p, const struct arguments *a)
+{
+    const struct cli_args args = {
+        .program = p->name,
+        .subject = value(a->subject),
+        .url = value(a->url),
+        .token_file =
+            a->token_file->count > 0 ? a->token_file->filename[0] : NULL,
+        .seen = value(a->seen),
+        .kind = value(a->kind),
+        .json = a->json->count > 0,
+    };
+    size_t i;
+
+    for (i = 0; i < p->count; i++) {
+        if (strcmp(p->commands[i].name, a->command->sval[0]) == 0) {
+            return run(p, &p->commands[i], &args);
+        }
+    }
+    return complain(p, a->command->sval[0], "no such command");
+}
+
+/* Parses the arguments and runs the command. */
+int
+Cli_Main(const struct cli_program *program, int argc, char **argv)
+{
+    struct arguments a;
+    int errors, code;
+
+    make(&a);
+    void *table[] = {a.help, a.version, a.json,    a.url,     a.token_file,
+                     a.seen, a.kind,    a.command, a.subject, a.end};
+    errors = arg_parse(argc, argv, table);
+    if (a.help->count > 0) {
+        usage(program, table, stdout);
+        code = CLI_WELL;
+    }
+    else if (a.version->count > 0) {
+        printf("%s %s\n", program->name, PF_VERSION);
+        code = CLI_WELL;
+    }
+    else if (errors > 0 || a.command->count == 0) {
+        arg_print_errors(stderr, a.end, program->name);
+        usage(program, table, stderr);
+        code = CLI_USAGE;
+    }
+    else {
+        code = find(program, &a);
+    }
+    arg_freetable(table, COUNT_OF(table));
+    return code;
+}
--- a/packages/entry/entry-links.c
+++ b/packages/entry/entry-links.c
@@ -118,7 +118,13 @@
     const struct entry_settings *s = k->settings;
     struct links *l = Mem_Zero(1, sizeof(*l));
     char address[NAME_SIZE];
+    int err = Link_LoadKeys(s->link_keys.public_file, s->link_keys.secret_file,
+                            &l->keys);
 
+    if (err != ERR_OK) {
+        free(l);
+        return err;
+    }
     snprintf(address, sizeof(address), "%s:%d", s->listen.address,
              (int)s->listen.link_port);
     l->context = Link_ContextNew();
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -1,52 +1,88 @@
 #include "entry.h"
 
-#include <argtable2.h>
+#include "cli.h"
+
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-/* Exit codes, as --help tells them. */
-enum exit_code { EXIT_WELL = 0, EXIT_FAILED = 1, EXIT_USAGE = 2 };
+#define FILE_MAX ((size_t)4 << 20)
 
-/* Loads the settings and says every mistake on stderr. */
+/* Loads the settings and says every mistake. */
 static int
-load(const char *path, struct entry_settings *s)
+load(const struct cli_args *args, struct entry_settings *s)
 {
     struct conf_errors *errors CLEANUP(Mem_FreeP) =
         Mem_Zero(1, sizeof(*errors));
-    struct buf text CLEANUP(Buf_Free) = {0};
-    int err = Settings_LoadEntry(path, s, errors);
+    int err = Settings_LoadEntry(args->subject, s, errors);
 
     if (err != ERR_OK) {
-        Conf_Render(errors, path, &text);
-        fwrite(text.data, 1, text.len, stderr);
+        Cli_SayErrors(args, args->subject, errors);
     }
     return err;
 }
 
-/* parsleyfall check SETTINGS */
+/* True when a file is a configuration document: only that has a topology. */
+static bool
+is_document(const struct cli_args *args)
+{
+    struct buf text CLEANUP(Buf_Free) = {0};
+
+    if (args->kind != NULL) {
+        return strcmp(args->kind, "configuration") == 0;
+    }
+    if (File_Read(args->subject, FILE_MAX, &text) != ERR_OK ||
+        text.data == NULL) {
+        return false;
+    }
+    return strncmp(text.data, "topology:", 9) == 0 ||
+           strstr(text.data, "\ntopology:") != NULL ||
+           strstr(text.data, "\"topology\"") != NULL;
+}
+
+/* parsleyfall check FILE */
 static int
-check(const char *path)
+check(const struct cli_args *args)
 {
-    struct entry_settings s CLEANUP(Settings_FreeEntry) = {0};
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct entry_settings settings CLEANUP(Settings_FreeEntry) = {0};
+    struct config document CLEANUP(Config_Free) = {0};
+    int err;
 
-    if (load(path, &s) != ERR_OK) {
-        return EXIT_FAILED;
+    if (args->kind != NULL && strcmp(args->kind, "configuration") != 0 &&
+        strcmp(args->kind, "settings") != 0) {
+        fprintf(stderr, "%s: --kind is settings or configuration\n",
+                args->program);
+        return CLI_USAGE;
     }
-    printf("%s: ok\n", path);
-    return EXIT_WELL;
+    if (is_document(args)) {
+        Config_SetCheck(Feasible_Check);
+        err = Config_Load(args->subject, &document, errors);
+    }
+    else {
+        err = Settings_LoadEntry(args->subject, &settings, errors);
+    }
+    return Cli_SayChecked(args, args->subject, err, errors);
+}
+
+/* parsleyfall apply FILE */
+static int
+apply(const struct cli_args *args)
+{
+    Config_SetCheck(Feasible_Check);
+    return Cli_Apply(args);
 }
 
 /* parsleyfall serve SETTINGS */
 static int
-run(const char *path)
+serve(const struct cli_args *args)
 {
     struct entry_settings s CLEANUP(Settings_FreeEntry) = {0};
     struct kernel k;
     int err;
 
-    if (load(path, &s) != ERR_OK) {
-        return EXIT_FAILED;
+    if (load(args, &s) != ERR_OK) {
+        return CLI_FAILED;
     }
     Log_SetProcess(s.name);
     Log_SetLevel((enum log_level)s.log_level);
@@ -59,72 +95,29 @@
     }
     LOG_I("stop", KV("result", Err_Name(err)));
     Kernel_Free(&k);
-    return err == ERR_OK ? EXIT_WELL : EXIT_FAILED;
+    return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
-static const struct {
-    const char *name;
-    int (*run)(const char *path);
-} commands[] = {{"serve", run}, {"check", check}};
+static const struct cli_command commands[] = {
+    {"serve", "runs an entry", "SETTINGS", false, serve},
+    {"check", "says every mistake of settings or a configuration", "FILE",
+     false, check},
+    {"apply", "puts a configuration in force, after showing what changes",
+     "FILE", true, apply},
+    {"why", "the recorded decisions of a request or job", "ID", true, Cli_Why},
+    {"dump", "everything that an entry knows, as JSON", NULL, true, Cli_Dump},
+    {"jobs", "the jobs that wait or run", NULL, true, Cli_Jobs},
+};
 
-/* Says how the program is used. */
-static void
-usage(FILE *out, void **table)
-{
-    fputs("usage: parsleyfall", out);
-    arg_print_syntax(out, table, "\n\n");
-    fputs("  serve  runs an entry\n"
-          "  check  reads the settings and says every mistake\n\n",
-          out);
-    arg_print_glossary(out, table, "  %-20s %s\n");
-    fputs("\nSIGTERM drains, SIGUSR1 prints the state as JSON.\n"
-          "Exit: 0 well, 1 failed, 2 usage.\n",
-          out);
-}
-
-/* Runs the command that the arguments name. */
-static int
-dispatch_command(const char *name, const char *path)
-{
-    size_t i;
-
-    for (i = 0; i < COUNT_OF(commands); i++) {
-        if (strcmp(commands[i].name, name) == 0) {
-            return commands[i].run(path);
-        }
-    }
-    fprintf(stderr, "parsleyfall: no command %s; see --help\n", name);
-    return EXIT_USAGE;
-}
+static const struct cli_program program = {
+    .name = "parsleyfall",
+    .notes = "An entry drains at SIGTERM, and prints its state at SIGUSR1.",
+    .commands = commands,
+    .count = COUNT_OF(commands),
+};
 
 int
 main(int argc, char **argv)
 {
-    struct arg_lit *help = arg_lit0("h", "help", "say this");
-    struct arg_lit *version = arg_lit0(NULL, "version", "say the version");
-    struct arg_str *name = arg_str0(NULL, NULL, "COMMAND", "serve or check");
-    struct arg_file *file =
-        arg_file0(NULL, NULL, "SETTINGS", "YAML settings of this entry");
-    struct arg_end *end = arg_end(8);
-    void *table[] = {help, version, name, file, end};
-    int errors = arg_parse(argc, argv, table);
-    int code = EXIT_USAGE;
-
-    if (help->count > 0) {
-        usage(stdout, table);
-        code = EXIT_WELL;
-    }
-    else if (version->count > 0) {
-        puts("parsleyfall " PF_VERSION);
-        code = EXIT_WELL;
-    }
-    else if (errors > 0 || name->count == 0 || file->count == 0) {
-        arg_print_errors(stderr, end, "parsleyfall");
-        usage(stderr, table);
-    }
-    else {
-        code = dispatch_command(name->sval[0], file->filename[0]);
-    }
-    arg_freetable(table, COUNT_OF(table));
-    return code;
+    return Cli_Main(&program, argc, argv);
 }
--- a/packages/wire/wire-link.c
+++ b/packages/wire/wire-link.c
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "wire-keys.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -18,6 +18,7 @@
 
 struct link {
     void *socket;
+    struct link_gate *gate; /* of a listening link with keys, or NULL */
     struct ev_loop *loop;
     ev_io io;
     link_receive receive;
@@ -204,6 +205,13 @@
     ev_feed_event(link->loop, &link->io, EV_READ);
 }
 
+/* True unless keys were given and nobody would ask for them. */
+static bool
+is_guarded(const struct link *link, const struct link_keys *keys)
+{
+    return keys == NULL || keys->secret_key[0] == '\0' || link->gate != NULL;
+}
+
 /* Listens. */
 struct link *
 Link_Listen(struct link_context *context, struct ev_loop *loop,
@@ -218,9 +226,13 @@
     if (link == NULL) {
         return NULL;
     }
+    if (keys != NULL && keys->secret_key[0] != '\0') {
+        link->gate = link_gate_new(context->zmq, loop, keys);
+    }
     snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
-    if (zmq_bind(link->socket, endpoint) != 0) {
+    if (!is_guarded(link, keys) || zmq_bind(link->socket, endpoint) != 0) {
         zmq_close(link->socket);
+        link_gate_free(link->gate);
         free(link);
         return NULL;
     }
@@ -263,6 +275,7 @@
     ev_io_stop(link->loop, &link->io);
     ev_clear_pending(link->loop, &link->io);
     zmq_close(link->socket);
+    link_gate_free(link->gate);
     free(link);
 }
 
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -381,6 +381,12 @@
     char server_public[41];
 };
 
+/* Reads the pair that all processes of a deployment share; both NULL: no keys,
+ * out is emptied. ERR_OK, ERR_INVALID (no key in Z85, or one file only) or as
+ * File_Read, which is logged. */
+int Link_LoadKeys(const char *public_file, const char *secret_file,
+                  struct link_keys *out);
+
 /* Return address of a peer of a listening link. */
 struct link_peer {
     uint8_t id[32];
@@ -397,7 +403,8 @@
 struct link_context *Link_ContextNew(void);
 void Link_ContextFree(struct link_context *context);
 
-/* Listens on "ip:port"; port 0 takes any free one. NULL when it can't. */
+/* Listens on "ip:port"; port 0 takes any free one. NULL when it can't. With
+ * keys it lets in only who holds the same pair; one such link a context. */
 struct link *Link_Listen(struct link_context *context, struct ev_loop *loop,
                          const char *address, const struct link_keys *keys,
                          link_receive receive, void *arg);
--- /dev/null
+++ b/tests/cli-process-test.cc
@@ -0,0 +1,209 @@
+#include "epochs-support.h"
+
+#include <signal.h>
+#include <zmq.h>
+
+using epochs::Deployment;
+using epochs::Document;
+using epochs::Entry;
+using harness::Process;
+using harness::Text;
+using harness::WaitFor;
+
+namespace {
+
+struct Ran {
+    int code;
+    std::string out, err;
+};
+
+class Cli : public Deployment {
+  protected:
+    Ran Run(std::vector<std::string> args,
+            const std::string &program = "parsleyfall")
+    {
+        Process p(dir, program, args, "cli" + std::to_string(++runs));
+        int code = p.Wait();
+
+        return {code, p.Out(), p.Err()};
+    }
+    int runs = 0;
+};
+
+/* Exit codes as --help tells them. */
+TEST_F(Cli, ExitCodes)
+{
+    auto one = Start("one");
+    ASSERT_TRUE(one->Reaches(1));
+    const std::string same = dir.Write("same", Document(1));
+    const std::string next = dir.Write("next", Document(2));
+    const std::string wrong = dir.Write("wrong", "version: 1\n");
+    const std::string token = "--token-file=" + dir.Write("t", "token-amal\n");
+    const std::string a = "--token-file=" + dir.Write("ta", "token-a\n");
+    const std::string url = "--url=" + one->Url("");
+    const std::string nobody = "--url=http://127.0.0.1:1";
+    const std::string id(32, 'a');
+    const std::string old = "--seen=\"9-" + std::string(64, '0') + "\"";
+    const struct {
+        std::vector<std::string> args;
+        int code;
+        std::string says; /* on either output */
+    } cases[] = {
+        {{"--help"}, 0, "Exit: 0 well"},
+        {{"--version"}, 0, "parsleyfall 0."},
+        {{}, 2, "usage"},
+        {{"sing"}, 2, "no such command"},
+        {{"check"}, 2, "is missing"},
+        {{"dump", "x", url, token}, 2, "one word too many"},
+        {{"dump"}, 2, "--url and --token-file"},
+        {{"why", "x", url, token}, 2, "32 hex digits"},
+        {{"check", same}, 0, "ok"},
+        {{"check", same, "--json"}, 0, "\"errors\""},
+        {{"check", wrong, "--kind=configuration"}, 1, "topology: is missing"},
+        {{"check", wrong, "--json"}, 1, "\"allowed\""},
+        {{"check", wrong, "--kind=x"}, 2, "--kind is"},
+        {{"check", dir.Path("none")}, 1, "none"},
+        {{"dump", url, token}, 0, "\"config\""},
+        {{"dump", url, a}, 3, "not_an_operator"},
+        {{"dump", nobody, token}, 4, "unreachable"},
+        {{"dump", url, "--token-file=" + dir.Path("none")}, 1, "none"},
+        {{"why", id, nobody, token}, 4, "unreachable"},
+        {{"jobs", nobody, token}, 4, "unreachable"},
+        {{"apply", wrong, url, token}, 1, "is missing"},
+        {{"apply", same, url, token}, 0, "unchanged"},
+        {{"apply", next, url, a}, 3, "not_an_operator"},
+        {{"apply", next, nobody, token}, 4, "unreachable"},
+        {{"apply", next, url, token, old}, 3, "changed since"},
+        {{"apply", next, url, token}, 0, "organisations[a].weight: 1 -> 2"},
+        {{"apply", next, url, token}, 0, "unchanged"},
+    };
+
+    for (const auto &c : cases) {
+        Ran r = Run(c.args);
+        std::string line;
+
+        for (const auto &word : c.args) {
+            line += word + " ";
+        }
+        EXPECT_EQ(c.code, r.code) << line << r.out << r.err;
+        EXPECT_NE(std::string::npos, (r.out + r.err).find(c.says))
+            << line << r.out << r.err;
+    }
+    EXPECT_EQ(2, one->Epoch());
+}
+
+/* Exit codes of the agent's program. */
+TEST_F(Cli, ExitCodesOfTheAgent)
+{
+    const std::string wrong = dir.Write("wrong", "name: w\n");
+    const struct {
+        std::vector<std::string> args;
+        int code;
+        std::string says;
+    } cases[] = {{{"--help"}, 0, "runs the agent"},
+                 {{"check", wrong}, 1, "region: is missing"},
+                 {{"run", wrong}, 1, "region: is missing"},
+                 {{"dump", "x"}, 2, "no process id"},
+                 {{"dump", "1"}, 2, "no process id"}};
+
+    for (const auto &c : cases) {
+        Ran r = Run(c.args, "parsleyfall-agent");
+
+        EXPECT_EQ(c.code, r.code) << r.out << r.err;
+        EXPECT_NE(std::string::npos, (r.out + r.err).find(c.says))
+            << r.out << r.err;
+    }
+}
+
+/* The operator's `apply` gets no answer to its change, which took effect: the
+ * entry is killed in between. Asked again through another entry, the command
+ * finds its document in force. */
+TEST_F(Cli, ApplyAfterALostAnswer)
+{
+    auto one = Start("one"), two = Start("two");
+    const std::string next = dir.Write("next", Document(2));
+    const std::string token = "--token-file=" + dir.Write("t", "token-amal");
+
+    ASSERT_TRUE(one->Reaches(1) && two->Reaches(1));
+    Faults("{\"lose_answers\": 1000}");
+    Process apply(dir, "parsleyfall",
+                  {"apply", next, "--url=" + one->Url(""), token}, "apply");
+    ASSERT_TRUE(WaitFor([&] { return HasHistory(2); }));
+    one->process.Signal(SIGKILL);
+    EXPECT_EQ(4, apply.Wait()) << apply.Err();
+    EXPECT_NE(std::string::npos, apply.Err().find("not known"));
+    Faults("{}");
+    ASSERT_TRUE(two->Reaches(2));
+    EXPECT_EQ(0, Run({"apply", next, "--url=" + two->Url(""), token}).code);
+    EXPECT_EQ(2, two->Epoch());
+}
+
+/* Links with keys: an agent with the deployment's pair is heard; one with a
+ * pair of its own that knows the server's public key, and one without keys,
+ * are not. CURVE alone would let the first stranger in. */
+TEST_F(Cli, LinksRefuseStrangers)
+{
+    char pub[41], secret[41], other_pub[41], other_secret[41];
+    ASSERT_EQ(0, zmq_curve_keypair(pub, secret));
+    ASSERT_EQ(0, zmq_curve_keypair(other_pub, other_secret));
+    auto keys = [&](const std::string &name, const char *p, const char *s) {
+        return "link_keys: {public_file: " + dir.Write(name + ".pub", p) +
+               ", secret_file: " + dir.Write(name + ".key", s) + "}\n";
+    };
+    Entry one(dir, platform, "one", Document(1), keys("ours", pub, secret));
+    auto agent = [&](const std::string &name, const std::string &with) {
+        return std::make_unique<Process>(
+            dir, "parsleyfall-agent",
+            std::vector<std::string>{
+                "run", dir.Write(name + ".yaml",
+                                 "name: " + name +
+                                     "\nregion: r\nfailure_domain: d1\nrack: "
+                                     "k1\naccelerators: 8\nseeds: [\"" +
+                                     one.Links() +
+                                     "\"]\nservices: [{name: s, url: "
+                                     "\"http://127.0.0.1:1\", slots: 1, "
+                                     "connections: 1, timeout_ms: 1000}]\n" +
+                                     with)},
+            name);
+    };
+
+    ASSERT_TRUE(one.Reaches(1));
+    auto mixed = agent("w1", keys("mixed", pub, other_secret));
+    auto plain = agent("w2", "");
+    auto own = agent("w4", keys("own", other_pub, other_secret));
+    auto ours = agent("w3", keys("ours2", pub, secret));
+    auto state = [&] { return one.Get("/v1/state").json(); };
+    ASSERT_TRUE(WaitFor([&] {
+        return Text(state().get(), "members/agents/0/name") == "w3";
+    })) << one.Get("/v1/state").body
+        << ours->Err();
+    EXPECT_EQ(1, harness::Number(state().get(), "members/heard"));
+}
+
+/* The gate itself: a client that shows the server's public key as the one it
+ * expects, and a right pair of its own, is refused. */
+TEST_F(Cli, AKnownServerKeyIsNotEnough)
+{
+    char pub[41], secret[41], other_pub[41], other_secret[41];
+    ASSERT_EQ(0, zmq_curve_keypair(pub, secret));
+    ASSERT_EQ(0, zmq_curve_keypair(other_pub, other_secret));
+    Entry one(dir, platform, "one", Document(1),
+              "link_keys: {public_file: " + dir.Write("k.pub", pub) +
+                  ", secret_file: " + dir.Write("k.key", secret) + "}\n");
+    ASSERT_TRUE(one.Reaches(1));
+    void *context = zmq_ctx_new();
+    void *socket = zmq_socket(context, ZMQ_DEALER);
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, pub, 41);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, other_pub, 41);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, other_secret, 41);
+    ASSERT_EQ(0, zmq_connect(socket, ("tcp://" + one.Links()).c_str()));
+    EXPECT_TRUE(WaitFor([&] {
+        return one.process.Err().find("stranger_refused") != std::string::npos;
+    }));
+    int zero = 0;
+    zmq_setsockopt(socket, ZMQ_LINGER, &zero, sizeof(zero));
+    zmq_close(socket);
+    zmq_ctx_term(context);
+}
+
+} /* namespace */
