--- a/packages/entry/entry-feasible.c
+++ b/packages/entry/entry-feasible.c
@@ -20,7 +20,8 @@
     char key[128];
     char name[NAME_SIZE]; /* of its own in the accounts */
     int left;             /* shapes that have no place yet */
-    const char *allowed;  /* why no domain can hold the shape, or NULL */
+    bool possible;        /* some domain can hold the shape by itself */
+    const char *allowed;  /* what shapes a domain can hold that can't */
 };
 
 struct division {
@@ -153,8 +154,9 @@
     }
 }
 
-/* Largest shapes first, those that name their failure domain before those
- * that don't, then in the document's order. */
+/* Those that name their failure domain first: they have no other, and as an
+ * account packs anew each time, they leave the others all the room there is.
+ * Then the largest shapes first, then in the document's order. */
 static int
 compare_claims(const void *a, const void *b)
 {
@@ -163,15 +165,15 @@
     bool free_x = *x->guarantee->failure_domain == '\0';
     bool free_y = *y->guarantee->failure_domain == '\0';
 
+    if (free_x != free_y) {
+        return free_x ? 1 : -1;
+    }
     if (s->kind != t->kind) {
         return s->kind > t->kind ? -1 : 1;
     }
     if (s->size != t->size) {
         return s->size > t->size ? -1 : 1;
     }
-    if (free_x != free_y) {
-        return free_x ? 1 : -1;
-    }
     return x->order < y->order ? -1 : 1;
 }
 
@@ -198,7 +200,7 @@
     if (each == 0) {
         return;
     }
-    m->allowed = NULL;
+    m->possible = true;
     for (step = m->left; step > 0; step = step > 1 ? (step + 1) / 2 : 0) {
         if (fits + step <= m->left &&
             holds(site, m->name, shape, (fits + step) * each)) {
@@ -238,7 +240,7 @@
     if (m->left == 0) {
         return;
     }
-    if (m->allowed != NULL) {
+    if (!m->possible) {
         Conf_Add(errors, g->line, m->key, m->allowed,
                  "'%s' can't be guaranteed", g->shape_text);
         return;
--- a/packages/wire/wire-zap.c
+++ b/packages/wire/wire-zap.c
@@ -27,6 +27,11 @@
     ev_io io;
 };
 
+static struct counter strangers_total = {
+    "parsleyfall_links_refused_total",
+    "Connections refused for want of the deployment's key.", NULL,
+    COUNTER_TOTAL};
+
 struct frame {
     char data[TEXT_SIZE];
     size_t len;
@@ -101,6 +106,7 @@
         bool allow = allowed(frames, count);
 
         if (!allow) {
+            Counter_Add(&strangers_total, 1);
             LOG_W("stranger", KV("address", frames[ZAP_ADDRESS].data));
         }
         answer(zap->socket, &frames[ZAP_REQUEST], allow);
--- a/tests/why-test.cc
+++ b/tests/why-test.cc
@@ -59,10 +59,12 @@
     in.ahead_ms = ms();
     in.org_ahead_ms = ms();
     in.caller_ahead_ms = ms();
-    in.running_ms = ms();
+    in.key_ahead_ms = ms();
+    in.next_free_ms = ms();
     in.drain_milli = ms() + 1;
     in.org_share_milli = *rc::gen::inRange<int64_t>(1, 1001);
     in.caller_share_milli = *rc::gen::inRange<int64_t>(1, 1001);
+    in.key_share_milli = *rc::gen::inRange<int64_t>(1, 1001);
     in.stretch_milli = ms() + 1;
     in.comeback_ms = ms();
     in.retry_min_ms = 50;
