--- a/tests/policy-test.cc
+++ b/tests/policy-test.cc
@@ -274,6 +274,27 @@
     EXPECT_NEAR(first, 75, 1);
 }
 
+/* Callers' names come from outside: a caller who uses a new key for each
+ * request must not make the entry remember them all. */
+TEST(Admission, ForgetsIdleFlows)
+{
+    Admission a = make_admission(1);
+    struct admission_stats stats;
+    struct admission_next next;
+
+    for (uint32_t i = 0; i < 20000; i++) {
+        std::string key = std::to_string(i);
+        struct admission_facts f = facts_of(i, "a", 0);
+
+        f.key = key.c_str();
+        Admission_Offer(a.get(), &f, i, 0);
+        ASSERT_EQ(Admission_Next(a.get(), i, &next), ERR_OK);
+        Admission_Finished(a.get(), &next.id, 100, true, i);
+    }
+    Admission_Stats(a.get(), &stats);
+    EXPECT_LE(stats.flows, 1100);
+}
+
 TEST(Health, EjectsProbesAndReturns)
 {
     static const struct {
