Cells: plan only what can succeed, forecast only what is asked for

Now a request for more than the room there is ends at once, and a reservation is worked out when a job behind it could start.

--- a/packages/cells/cells-impl.h
+++ b/packages/cells/cells-impl.h
@@ -292,4 +292,15 @@
 void Planner_TryGuaranteed(struct planner *p);
 void Planner_TryLent(struct planner *p);
 
+/* ---- place-forecast.c -------------------------------------------------- */
+
+/* How long a job is expected to run. */
+int64_t Place_RunTime(const struct cells_request *q);
+/* As Place_Forecast; *then gets the account as it will be, to be freed, or
+ * NULL. */
+int64_t Place_ForecastThen(const struct cells *c,
+                           const struct cells_request *q,
+                           const struct cells_weights *weights, int64_t now,
+                           struct cells **then);
+
 #endif
--- a/packages/cells/cells.h
+++ b/packages/cells/cells.h
@@ -430,8 +430,10 @@
     int index;              /* in the queue, or CELLS_NONE */
     struct cells_plan plan; /* to be committed, or why the head waits */
     uint64_t reserved_for;  /* job with a reservation, or 0 */
-    int64_t reserved_at;    /* when it is to start; INT64_MAX: not known */
-    int tried;              /* jobs looked at */
+    /* When that is expected to start. 0: not worked out, as nothing behind
+     * it could start anyway (Place_Forecast does); INT64_MAX: not known. */
+    int64_t reserved_at;
+    int tried; /* jobs looked at */
 };
 
 /* The next job to start out of a queue in its order. Call again after each
--- /dev/null
+++ b/packages/cells/place-forecast.c
@@ -0,0 +1,135 @@
+#include "cells-impl.h"
+
+#include <stdlib.h>
+
+/* Run time of a job without an estimate: "most running for hours". */
+#define UNKNOWN_RUN_MS INT64_C(14400000)
+/* A job that has outrun its estimate is taken to need half of its run again,
+ * and this much at least: otherwise the head's start would always be said to
+ * be now, and every backfill would be refused. */
+#define OVERRUN_LEAST_MS INT64_C(60000)
+
+/* A running job and when it is expected to end. */
+struct ending {
+    uint64_t job;
+    int64_t at;
+};
+
+/* Earlier first, then by id. */
+static int
+ending_order(const void *a, const void *b)
+{
+    const struct ending *x = a, *y = b;
+
+    if (x->at != y->at) {
+        return x->at < y->at ? -1 : 1;
+    }
+    return x->job < y->job ? -1 : x->job > y->job;
+}
+
+/* How long a job is expected to run. */
+int64_t
+Place_RunTime(const struct cells_request *q)
+{
+    return q->estimate_ms > 0 ? q->estimate_ms : UNKNOWN_RUN_MS;
+}
+
+/* When a running job is expected to end. */
+static int64_t
+expected_end(const struct job *job, int64_t now)
+{
+    int64_t end = job->started_at + Place_RunTime(&job->request);
+    int64_t half = (now - job->started_at) / 2;
+
+    if (end > now) {
+        return end;
+    }
+    return now + (half > OVERRUN_LEAST_MS ? half : OVERRUN_LEAST_MS);
+}
+
+/* All running jobs by their expected ends; the caller frees the list. */
+static struct ending *
+endings(const struct cells *c, int64_t now, int *n)
+{
+    struct ending *list =
+        Mem_Alloc(sizeof(*list) * (size_t)(c->job_count + 1));
+    struct job *job;
+
+    *n = 0;
+    RB_FOREACH (job, job_tree, (struct job_tree *)&c->jobs) {
+        list[*n].job = job->request.job;
+        list[(*n)++].at = expected_end(job, now);
+    }
+    qsort(list, (size_t)*n, sizeof(*list), ending_order);
+    return list;
+}
+
+/* A copy in which the first n endings have come. */
+static struct cells *
+after_endings(const struct cells *c, const struct ending *list, int n)
+{
+    struct cells *copy = Cells_Clone(c);
+
+    for (int i = 0; i < n; i++) {
+        struct job *job = Jobs_Find(copy, list[i].job);
+
+        if (job != NULL) {
+            Jobs_Drop(copy, job);
+        }
+    }
+    return copy;
+}
+
+/* Whether a request could be placed. */
+static bool
+fits(const struct cells *c, const struct cells_request *q,
+     const struct cells_weights *weights, int64_t now)
+{
+    struct cells_plan plan CLEANUP(Cells_PlanClear);
+
+    return Cells_IsPlaced(Cells_Plan(c, q, weights, now, &plan));
+}
+
+/* The time at which a request will fit: the fewest endings are found by
+ * halving, for more free accelerators never make it fit less. *then gets the
+ * account as it will be, to be freed, or NULL. */
+int64_t
+Place_ForecastThen(const struct cells *c, const struct cells_request *q,
+                   const struct cells_weights *weights, int64_t now,
+                   struct cells **then)
+{
+    int n, low = 0, high;
+    struct ending *list CLEANUP(Mem_FreeP) = endings(c, now, &n);
+
+    *then = after_endings(c, list, n);
+    if (!fits(*then, q, weights, now)) {
+        Cells_FreeP(then);
+        return INT64_MAX;
+    }
+    high = n;
+    while (low < high) {
+        int middle = low + (high - low) / 2;
+        struct cells *copy = after_endings(c, list, middle);
+
+        if (fits(copy, q, weights, now)) {
+            Cells_Free(*then);
+            *then = copy;
+            high = middle;
+        }
+        else {
+            Cells_Free(copy);
+            low = middle + 1;
+        }
+    }
+    return high == 0 ? now : list[high - 1].at;
+}
+
+/* Earliest time at which a job fits. */
+int64_t
+Place_Forecast(const struct cells *c, const struct cells_request *request,
+               const struct cells_weights *weights, int64_t now)
+{
+    struct cells *then CLEANUP(Cells_FreeP) = NULL;
+
+    return Place_ForecastThen(c, request, weights, now, &then);
+}
--- a/packages/cells/place-queue.c
+++ b/packages/cells/place-queue.c
@@ -3,13 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Run time of a job without an estimate: "most running for hours". */
-#define UNKNOWN_RUN_MS INT64_C(14400000)
-/* A job that has outrun its estimate is taken to need half of its run again,
- * and this much at least: otherwise the head's start would always be said to
- * be now, and every backfill would be refused. */
-#define OVERRUN_LEAST_MS INT64_C(60000)
-
 #define REASON(r, name) [r] = (name)
 
 static const char *const reasons[] = {
@@ -29,136 +22,13 @@
     return (size_t)reason < COUNT_OF(reasons) ? reasons[reason] : "unnamed";
 }
 
-/* A running job and when it is expected to end. */
-struct ending {
-    uint64_t job;
-    int64_t at;
-};
-
-/* Earlier first, then by id. */
-static int
-ending_order(const void *a, const void *b)
-{
-    const struct ending *x = a, *y = b;
-
-    if (x->at != y->at) {
-        return x->at < y->at ? -1 : 1;
-    }
-    return x->job < y->job ? -1 : x->job > y->job;
-}
-
-/* How long a job is expected to run. */
-static int64_t
-run_time(const struct cells_request *q)
-{
-    return q->estimate_ms > 0 ? q->estimate_ms : UNKNOWN_RUN_MS;
-}
-
-/* When a running job is expected to end. */
-static int64_t
-expected_end(const struct job *job, int64_t now)
-{
-    int64_t end = job->started_at + run_time(&job->request);
-    int64_t half = (now - job->started_at) / 2;
-
-    if (end > now) {
-        return end;
-    }
-    return now + (half > OVERRUN_LEAST_MS ? half : OVERRUN_LEAST_MS);
-}
-
-/* All running jobs by their expected ends; the caller frees the list. */
-static struct ending *
-endings(const struct cells *c, int64_t now, int *n)
-{
-    struct ending *list =
-        Mem_Alloc(sizeof(*list) * (size_t)(c->job_count + 1));
-    struct job *job;
-
-    *n = 0;
-    RB_FOREACH (job, job_tree, (struct job_tree *)&c->jobs) {
-        list[*n].job = job->request.job;
-        list[(*n)++].at = expected_end(job, now);
-    }
-    qsort(list, (size_t)*n, sizeof(*list), ending_order);
-    return list;
-}
-
-/* A copy in which the first n endings have come. */
-static struct cells *
-after_endings(const struct cells *c, const struct ending *list, int n)
-{
-    struct cells *copy = Cells_Clone(c);
-
-    for (int i = 0; i < n; i++) {
-        struct job *job = Jobs_Find(copy, list[i].job);
-
-        if (job != NULL) {
-            Jobs_Drop(copy, job);
-        }
-    }
-    return copy;
-}
-
-/* Whether a request could be placed. */
-static bool
-fits(const struct cells *c, const struct cells_request *q,
-     const struct cells_weights *weights, int64_t now)
-{
-    struct cells_plan plan CLEANUP(Cells_PlanClear);
-
-    return Cells_IsPlaced(Cells_Plan(c, q, weights, now, &plan));
-}
-
-/* The time at which a request will fit: the fewest endings are found by
- * halving, for more free accelerators never make it fit less. *then gets the
- * account as it will be, to be freed, or NULL. */
-static int64_t
-forecast(const struct cells *c, const struct cells_request *q,
-         const struct cells_weights *weights, int64_t now, struct cells **then)
-{
-    int n, low = 0, high;
-    struct ending *list CLEANUP(Mem_FreeP) = endings(c, now, &n);
-
-    *then = after_endings(c, list, n);
-    if (!fits(*then, q, weights, now)) {
-        Cells_FreeP(then);
-        return INT64_MAX;
-    }
-    high = n;
-    while (low < high) {
-        int middle = low + (high - low) / 2;
-        struct cells *copy = after_endings(c, list, middle);
-
-        if (fits(copy, q, weights, now)) {
-            Cells_Free(*then);
-            *then = copy;
-            high = middle;
-        }
-        else {
-            Cells_Free(copy);
-            low = middle + 1;
-        }
-    }
-    return high == 0 ? now : list[high - 1].at;
-}
-
-/* Earliest time at which a job fits. */
-int64_t
-Place_Forecast(const struct cells *c, const struct cells_request *request,
-               const struct cells_weights *weights, int64_t now)
-{
-    struct cells *then CLEANUP(Cells_FreeP) = NULL;
-
-    return forecast(c, request, weights, now, &then);
-}
-
 /* Stands on the accelerators that a reservation will use. */
 #define PLACEHOLDER UINT64_MAX
 
 /* What a job that can't start yet holds back from those behind it. */
 struct reservation {
     const struct cells_request *q;
+    bool known; /* at and held are worked out */
     int64_t at;
     /* The account of now with the placeholder; NULL: never. */
     struct cells *held;
@@ -185,8 +55,8 @@
 }
 
 /* The reservation that a request must respect, or NULL. */
-static const struct reservation *
-reservation_for(const struct pass *p, const struct cells_request *q)
+static struct reservation *
+reservation_for(struct pass *p, const struct cells_request *q)
 {
     for (int i = 0; i < p->count; i++) {
         if (same_pool(p->held[i].q, q)) {
@@ -223,23 +93,31 @@
     return held;
 }
 
-/* Holds room for a request that can't start, unless an earlier one of its
- * pool does already. */
+/* Notes that a request can't start, unless an earlier one of its pool can't
+ * either. */
 static void
 reserve(struct pass *p, const struct cells_request *q)
+{
+    if (!p->options->no_reservation && reservation_for(p, q) == NULL) {
+        p->held[p->count++] = (struct reservation){.q = q};
+    }
+}
+
+/* Works a reservation out. Done only once something behind it could start:
+ * a forecast costs some ten plans. */
+static void
+work_out(const struct pass *p, struct reservation *r)
 {
     struct cells *then CLEANUP(Cells_FreeP) = NULL;
-    struct reservation *r;
 
-    if (p->options->no_reservation || reservation_for(p, q) != NULL) {
+    if (r->known) {
         return;
     }
-    r = &p->held[p->count++];
-    r->q = q;
-    r->held = NULL;
-    r->at = forecast(p->c, q, &p->options->weights, p->now, &then);
+    r->known = true;
+    r->at =
+        Place_ForecastThen(p->c, r->q, &p->options->weights, p->now, &then);
     if (then != NULL) {
-        r->held = hold_room(p, then, q);
+        r->held = hold_room(p, then, r->q);
     }
 }
 
@@ -265,9 +143,9 @@
 /* Whether a placed request may start past the reservation of its pool, and
  * as what. One that would run on beyond it is planned anew beside it. */
 static enum place_reason
-may_start(const struct pass *p, int index, struct cells_plan *plan)
+may_start(struct pass *p, int index, struct cells_plan *plan)
 {
-    const struct reservation *r = reservation_for(p, &plan->request);
+    struct reservation *r = reservation_for(p, &plan->request);
 
     if (r == NULL) {
         return index == 0 ? PLACE_START_HEAD : PLACE_START_UNRESERVED;
@@ -275,10 +153,11 @@
     if (p->options->no_backfill) {
         return PLACE_WAIT;
     }
+    work_out(p, r);
     if (r->at == INT64_MAX) {
         return PLACE_START_UNRESERVED;
     }
-    if (p->now + run_time(&plan->request) <= r->at) {
+    if (p->now + Place_RunTime(&plan->request) <= r->at) {
         return PLACE_START_BACKFILL_ENDS;
     }
     return plan_beside(p, r, plan) ? PLACE_START_BACKFILL_ROOM : PLACE_WAIT;
--- a/packages/cells/place-try.c
+++ b/packages/cells/place-try.c
@@ -209,15 +209,47 @@
            (p->score.near == CELLS_LEVEL_WORKER || p->one_cell);
 }
 
-/* Guaranteed: free accelerators of own cells, then those with lent work on
- * them, and only then lower priorities of the own organisation. One cell
- * that holds the request goes before several. */
-void
-Planner_TryGuaranteed(struct planner *p)
+/* Healthy accelerators of own cells that no guaranteed job is on. */
+static int
+own_room(const struct planner *p)
 {
-    if (p->org == NULL) {
-        return;
+    const struct cell *cell;
+    int room = 0;
+
+    TAILQ_FOREACH (cell, &p->org->cells, of_org) {
+        for (int i = 0; i < cell->place.workers; i++) {
+            const struct worker *at = p->c->worker[cell->place.worker[i]];
+            uint64_t mask = Place_Mask(p->c, &cell->place, i) & ~at->held;
+
+            if (at->state == CELLS_WORKER_UP) {
+                room += __builtin_popcountll(mask);
+            }
+        }
+    }
+    return room;
+}
+
+/* Healthy accelerators without a job. */
+static int
+free_room(const struct planner *p)
+{
+    int room = 0;
+
+    for (int i = 0; i < p->c->workers; i++) {
+        const struct worker *at = p->c->worker[i];
+
+        if (at != NULL && at->state == CELLS_WORKER_UP) {
+            room += __builtin_popcountll(at->all & ~at->busy);
+        }
     }
+    return room;
+}
+
+/* Free accelerators of own cells, then those with lent work on them; one
+ * cell that holds the request goes before several. */
+static void
+try_own_room(struct planner *p)
+{
     try_one_cell(p, WAY_NO_VICTIMS);
     p->one_cell = p->found;
     if (!settled(p)) {
@@ -227,6 +259,21 @@
         try_one_cell(p, WAY_LENT);
         try_own_cells(p, WAY_LENT);
     }
+}
+
+/* Guaranteed: own cells without guaranteed work, and only then lower
+ * priorities of the own organisation. */
+void
+Planner_TryGuaranteed(struct planner *p)
+{
+    if (p->org == NULL) {
+        return;
+    }
+    /* Waiting jobs are planned again at each event, and a way that must fail
+     * costs most of all. */
+    if (own_room(p) >= p->q->tasks * p->q->accelerators) {
+        try_own_room(p);
+    }
     if (!p->found && p->q->preempt) {
         try_own_cells(p, WAY_OWN);
     }
@@ -237,7 +284,9 @@
 void
 Planner_TryLent(struct planner *p)
 {
-    for (int i = 0; i < 4; i++) {
+    bool room = free_room(p) >= p->q->tasks * p->q->accelerators;
+
+    for (int i = 0; room && i < 4; i++) {
         struct way w = Planner_Way(p);
 
         w.unbound = i < 2;
