wire: bytes can't make the codec ask for memory that they don't fill

Two faults that the sanitizer build found with the codec's tests: - Five bytes that announce an array of 2^32-1 items made msgpack ask for 0x2000000008 bytes before it had seen one ("allocator is out of memory"). The bytes are looked at first: an array may announce no more items than bytes follow and than a list may hold. Ruled out: the codec's own bound on lists, which comes after the unpacking. The plain build passed before, as that much is refused there; less would not have been. - An empty string has no address in msgpack's object, and was handed to memchr and memcpy ("null pointer passed as argument 1").

make sanitize: 5 passed, 0 failed; before the first 4 passed, 1 failed.

--- a/packages/wire/wire-codec.c
+++ b/packages/wire/wire-codec.c
@@ -1,11 +1,10 @@
 #include "wire-fields.h"
+#include "wire-guard.h"
 
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define LIST_MAX 65536 /* items of a list that a reader accepts */
-
 /* Address of a field in a struct. */
 static void *
 field_at(void *base, const struct wire_field *f)
@@ -184,17 +183,21 @@
     pack_struct(&pk, t, m);
 }
 
-/* Reads a string into an array of that size; no NUL inside. */
+/* Reads a string into an array of that size; no NUL inside. An empty one has
+ * no address in msgpack's object. */
 static int
 take_text(const msgpack_object *o, char *at, size_t size)
 {
-    if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size ||
-        memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+    size_t len = o->type == MSGPACK_OBJECT_STR ? o->via.str.size : size;
+
+    if (len >= size) {
         return ERR_INVALID;
     }
-    memcpy(at, o->via.str.ptr, o->via.str.size);
-    at[o->via.str.size] = '\0';
-    return ERR_OK;
+    if (len > 0) {
+        memcpy(at, o->via.str.ptr, len);
+    }
+    at[len] = '\0';
+    return strlen(at) == len ? ERR_OK : ERR_INVALID;
 }
 
 static int
@@ -264,7 +267,7 @@
     struct wire_list *list = at;
     size_t i, n;
 
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > LIST_MAX) {
+    if (o->type != MSGPACK_OBJECT_ARRAY) {
         return ERR_INVALID;
     }
     n = o->via.array.size;
@@ -345,6 +348,9 @@
     int err = ERR_INVALID;
 
     *out = NULL;
+    if (Wire_Guard(data, len) != ERR_OK) {
+        return ERR_INVALID;
+    }
     msgpack_unpacked_init(&un);
     if (msgpack_unpack_next(&un, data, len, &off) == MSGPACK_UNPACK_SUCCESS &&
         off == len) {
--- /dev/null
+++ b/packages/wire/wire-guard.h
@@ -0,0 +1,13 @@
+/* A look at bytes before the codec unpacks them; private to the codec. */
+#ifndef WIRE_GUARD_H
+#define WIRE_GUARD_H
+
+#include "base.h"
+
+/* Items of one array that a reader accepts. */
+#define WIRE_ITEMS_MAX 65536
+
+/* ERR_OK, or ERR_INVALID for bytes that msgpack shouldn't unpack. */
+int Wire_Guard(const void *data, size_t len);
+
+#endif
--- a/tests/wire-test.cc
+++ b/tests/wire-test.cc
@@ -196,6 +196,11 @@
         {"bytes left over", "\x93\x01\x04\x01\x01"},
         {"array of 2^32-1", "\xdd\xff\xff\xff\xff"},
         {"bin of 2^32-1", "\x93\x01\x04\xc6\xff\xff\xff\xff"},
+        {"array of more items than bytes", "\xdd\x00\x00\x00\x05\x01"},
+        {"array of more items than a list may have",
+         std::string("\xdd\x00\x01\x00\x01", 5) + std::string(65537, '\x01')},
+        {"map", "\x81\x01\x01"},
+        {"extension", "\xd4\x01\x01"},
         {"deep nesting", std::string(100000, '\x91')},
     };
     for (const auto &c : cases) {
