http: one time-out tells of all silent connections

Cause: after connections have gone silent, libcurl drops only the one that timed out, and gives the next call the next idle one. Now connections that were open at a time-out are not used again. Ruled out: TCP keep-alive, which the two ends' kernels still answer and which takes two hours by default.

--- /dev/null
+++ b/packages/http/http-call.c
@@ -0,0 +1,262 @@
+#include "http-client.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define CONNECT_MS 2000
+#define TIMEOUT_MS 10000
+#define MAX_BODY ((size_t)4 << 20)
+#define IDLE_S 118 /* libcurl itself drops connections idle for longer */
+
+/* Frees a call's memory and its handle. */
+void
+HttpCall_Free(struct http_call *call)
+{
+    TAILQ_REMOVE(&call->client->calls, call, entry);
+    ev_timer_stop(call->client->loop, &call->deadline);
+    curl_multi_remove_handle(call->client->multi, call->easy);
+    curl_easy_cleanup(call->easy);
+    curl_slist_free_all(call->headers);
+    Buf_Free(&call->result.body);
+    free(call);
+}
+
+/* Collects the body up to its limit. */
+static size_t
+on_body(char *data, size_t size, size_t n, void *arg)
+{
+    struct http_call *call = arg;
+    size_t len = size * n;
+
+    if (call->result.body.len + len > call->max_body) {
+        call->too_big = true;
+        return 0;
+    }
+    Buf_Append(&call->result.body, data, len);
+    return len;
+}
+
+/* Copies the value of a header line when it has that name. */
+static bool
+header_value(const char *line, size_t len, const char *name, char *out,
+             size_t size)
+{
+    size_t n = strlen(name);
+    char *end;
+
+    if (len <= n || strncasecmp(line, name, n) != 0 || line[n] != ':') {
+        return false;
+    }
+    for (n++; n < len && line[n] == ' '; n++) {
+    }
+    len -= n;
+    if (len >= size) {
+        len = size - 1;
+    }
+    memcpy(out, line + n, len);
+    out[len] = '\0';
+    end = out + strcspn(out, "\r\n");
+    *end = '\0';
+    return true;
+}
+
+/* Notes the headers that the callers of this package need. */
+static size_t
+on_header(char *line, size_t size, size_t n, void *arg)
+{
+    struct http_call *call = arg;
+    size_t len = size * n;
+    char text[128];
+
+    if (len > 5 && strncmp(line, "HTTP/", 5) == 0) {
+        call->has_length = false;
+        return len;
+    }
+    if (header_value(line, len, "Content-Length", text, sizeof(text)) ||
+        (header_value(line, len, "Transfer-Encoding", text, sizeof(text)) &&
+         strcasestr(text, "chunked") != NULL)) {
+        call->has_length = true;
+    }
+    if (header_value(line, len, "Retry-After", text, sizeof(text))) {
+        call->result.retry_after_ms = strtoll(text, NULL, 10) * 1000;
+    }
+    header_value(line, len, "Content-Type", call->result.content_type,
+                 sizeof(call->result.content_type));
+    header_value(line, len, "ETag", call->result.etag,
+                 sizeof(call->result.etag));
+    return len;
+}
+
+/* True when the request may have left this process. */
+static bool
+was_sent(CURL *easy)
+{
+    curl_off_t pretransfer = 0;
+
+    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+    return pretransfer > 0;
+}
+
+/* An answer without a length that ends by a close may be a truncated one;
+ * the client would take half a report for the whole. Only a marked end
+ * (length or chunks) shows that it is complete. */
+static bool
+is_whole(const struct http_call *call)
+{
+    int status = call->result.status;
+
+    return call->has_length || status == 204 || status == 304;
+}
+
+/* Translates libcurl's result. */
+int
+HttpCall_Error(const struct http_call *call, CURLcode code)
+{
+    if (code == CURLE_OK) {
+        return is_whole(call) ? ERR_OK : ERR_CUT;
+    }
+    if (call->too_big) {
+        return ERR_TOOBIG;
+    }
+    if (!was_sent(call->easy)) {
+        return ERR_UNREACHABLE;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? ERR_TIMEOUT : ERR_CUT;
+}
+
+/* The time of a call is over. libcurl's own time-out does not end a transfer
+ * that still waits for one of the connections to its host: its caller would
+ * wait for as long as the calls before it, past its deadline. This timer runs
+ * from the start of the call, wherever it stands. */
+static void
+on_deadline(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct http_call *call = w->data;
+
+    call->result.err = ERR_UNREACHABLE;
+    if (was_sent(call->easy)) {
+        call->result.err = ERR_TIMEOUT;
+        call->client->timeout_at = Clock_NowMs();
+    }
+    call->done(call->arg, &call->result);
+    HttpCall_Free(call);
+}
+
+/* Starts the deadline of a call. */
+static void
+set_deadline(struct http_call *call, int64_t ms)
+{
+    struct ev_loop *loop = call->client->loop;
+
+    ev_now_update(loop);
+    ev_timer_init(&call->deadline, on_deadline, (double)ms / 1000.0, 0.);
+    call->deadline.data = call;
+    ev_timer_start(loop, &call->deadline);
+}
+
+/* Keeps a call off connections that may be silent.
+ *
+ * Failure: something on the way has lost track of all open connections; they
+ * take what is sent and never answer, while new ones work. Symptom: each call
+ * takes the next idle connection and runs into its time-out, one after the
+ * other, until none is left. Connections that were open at a time-out are
+ * therefore not used again; those made after it are. A slow upstream costs
+ * its callers new connections by this, and nothing else. */
+static void
+avoid_silent(const struct http_client *client, CURL *easy)
+{
+    int64_t age_s = (Clock_NowMs() - client->timeout_at) / 1000;
+
+    if (client->timeout_at == 0 || age_s > IDLE_S) {
+        return;
+    }
+    if (age_s < 2) { /* libcurl counts whole seconds, and 0 is no bound */
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)age_s - 1);
+}
+
+/* Sets what is common to all calls: no redirect, no proxy, no signal. */
+static void
+set_common(struct http_call *call, const struct http_request *request)
+{
+    CURL *e = call->easy;
+    int64_t connect = request->connect_ms ? request->connect_ms : CONNECT_MS;
+
+    curl_easy_setopt(e, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(e, CURLOPT_URL, request->url);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
+    avoid_silent(call->client, e);
+    if (request->once) {
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+/* Sets the method, the body and the headers. */
+static void
+set_content(struct http_call *call, const struct http_request *request)
+{
+    struct buf line CLEANUP(Buf_Free) = {0};
+    CURL *e = call->easy;
+    size_t i;
+
+    curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, request->method);
+    if (request->body != NULL) {
+        curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)request->body_len);
+        curl_easy_setopt(e, CURLOPT_COPYPOSTFIELDS, request->body);
+    }
+    call->headers = curl_slist_append(NULL, "Expect:");
+    for (i = 0; i < request->header_count; i++) {
+        Buf_Clear(&line);
+        Buf_Printf(&line, "%s: %s", request->headers[i].name,
+                   request->headers[i].value);
+        call->headers = curl_slist_append(call->headers, line.data);
+    }
+    curl_easy_setopt(e, CURLOPT_HTTPHEADER, call->headers);
+}
+
+/* Starts a call. */
+struct http_call *
+Http_Call(struct http_client *client, const struct http_request *request,
+          http_done done, void *arg)
+{
+    struct http_call *call = Mem_Zero(1, sizeof(*call));
+
+    call->client = client;
+    call->done = done;
+    call->arg = arg;
+    call->max_body = request->max_body ? request->max_body : MAX_BODY;
+    call->result.retry_after_ms = -1;
+    call->easy = curl_easy_init();
+    if (call->easy == NULL) {
+        Fatal("no libcurl handle");
+    }
+    set_common(call, request);
+    set_content(call, request);
+    TAILQ_INSERT_TAIL(&client->calls, call, entry);
+    set_deadline(call, request->timeout_ms ? request->timeout_ms : TIMEOUT_MS);
+    curl_multi_add_handle(client->multi, call->easy);
+    return call;
+}
+
+/* Ends a call without its callback. */
+void
+Http_Cancel(struct http_call *call)
+{
+    if (call != NULL) {
+        HttpCall_Free(call);
+    }
+}
--- a/tests/http-test.cc
+++ b/tests/http-test.cc
@@ -262,6 +262,32 @@
     EXPECT_EQ(o.err, ERR_CUT);
 }
 
+/* Something between client and upstream loses track of every connection: they
+ * are silent for good, and new ones work. One call runs into its time-out; the
+ * next must not try the other silent connections one by one. */
+TEST_F(Http, OneTimeoutTellsOfAllSilentConnections)
+{
+    TempDir dir;
+    Fake up(dir, "fake-upstream", {"--service-ms", "50"});
+    Fake relay(dir, "fake-relay", {"--to", up.Address()});
+    Outcome warm[4], o;
+    Options options;
+
+    for (auto &w : warm) {
+        Start(relay.Url("/x"), "hello", options, &w);
+    }
+    RunUntil([&] {
+        return warm[0].done && warm[1].done && warm[2].done && warm[3].done;
+    });
+    relay.process.Signal(SIGUSR1);
+    options.timeout_ms = 1000;
+    do {
+        o = Call(relay.Url("/x"), "hello", options);
+    } while (o.err == ERR_OK); /* the signal is still on its way */
+    EXPECT_EQ(o.err, ERR_TIMEOUT);
+    EXPECT_EQ(Call(relay.Url("/x"), "hello", options).err, ERR_OK);
+}
+
 /* A call that waits for a connection has sent nothing when its time is over,
  * and a call that was cancelled has no callback. */
 TEST_F(Http, WaitingForAConnectionIsUnreachable)
