--- a/packages/entry/entry-claims-follow.c
+++ b/packages/entry/entry-claims-follow.c
@@ -223,13 +223,13 @@
     Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, false);
 }
 
-/* The incarnation that had the attempt is gone: it may have run, and nobody
- * will ever know. Written to the row as final. */
+/* The incarnation that had the attempt is gone, or has dropped its record: it
+ * may have run, and nobody will ever know. Written to the row as final. */
 static void
-gone(struct request *r)
+gone(struct request *r, const char *reason)
 {
     r->claim->heard = true;
-    Request_ReplyUnknown(r, "agent_restarted");
+    Request_ReplyUnknown(r, reason);
 }
 
 /* Looks into a claim that has stood for long, unless it is another request's
@@ -247,7 +247,7 @@
     }
     c->asked_at = now;
     if (s->facts.incarnation != c->row.incarnation) {
-        gone(r);
+        gone(r, "agent_restarted");
         return true;
     }
     ask(r, s);
@@ -291,7 +291,7 @@
         may_claim(r);
     }
     else if (m->verdict == WITHDRAW_STRANGER) {
-        gone(r);
+        gone(r, "attempt_forgotten");
     }
 }
 
--- a/tests/request-keyed-test.cc
+++ b/tests/request-keyed-test.cc
@@ -75,6 +75,20 @@
     EXPECT_EQ(startsOf(s), 1);
 }
 
+/* The request takes long, and a repetition at another entry asks its agent
+ * how it stands. Nobody is dead: both callers get the answer when it comes,
+ * the first one too, whose entry did not ask. */
+TEST(Keyed, RepeatedWhileItRunsLong)
+{
+    Stack s({.entries = 2, .service_ms = 1800});
+    auto first = s.Later("a", 0, "k");
+
+    ASSERT_TRUE(s.WaitStarted(1));
+    expectAnswered(s.Ask("a", 1, "k"));
+    expectAnswered(first.get());
+    EXPECT_EQ(startsOf(s), 1);
+}
+
 /* The entry is paused after its claim was written and before it sends: it
  * can't send, as it does not hear that the claim was written. Another takes
  * over: fences at the agent, claims the next attempt, gets the answer. The
@@ -168,9 +182,9 @@
     EXPECT_EQ(startsOf(s), 1);
 }
 
-/* The table goes down while the request runs: the caller gets its answer, and
- * the agent keeps it, as the row could not be written. When the table is back,
- * the repetition gets the same answer from there. */
+/* Two at once: the table goes down while the request runs, and its entry dies
+ * after that. The caller gets its answer, which the row has not; so the agent
+ * keeps it. When the table is back, the repetition gets it from there. */
 TEST(Keyed, TableDownAfterTheClaim)
 {
     Stack s({.entries = 2, .service_ms = 300});
@@ -179,6 +193,8 @@
     ASSERT_TRUE(s.WaitStarted(1));
     s.Faults("{\"down\": true}");
     expectAnswered(first.get());
+    s.entries[0].process->Signal(SIGKILL);
+    s.entries[0].process->Wait();
     s.Faults("{}");
     expectAnswered(s.Ask("a", 1, "k"));
     EXPECT_EQ(startsOf(s), 1);
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -243,6 +243,21 @@
     EXPECT_NE(metrics.find("parsleyfall_hedges_total"), metrics.npos);
 }
 
+/* The agent has used its connections to the upstream before, and now the
+ * upstream closes each without an answer, after it has begun the work. On a
+ * used connection the client's library would send again by itself. */
+TEST(Request, ClosedOnAUsedConnection)
+{
+    Stack s({.agents = 1, .service_ms = 0});
+
+    for (int i = 0; i < 8; i++) {
+        ASSERT_EQ(s.Ask("warm").reply.status, 200);
+    }
+    s.Mode("close");
+    auto calls = s.Load(8);
+    EXPECT_EQ(judge(s, calls, UNKNOWN)["unknown"], 8);
+}
+
 /* An agent is leaving, and a long request keeps it there. The entry hears of
  * it within a beat; from then on everything goes to the other one, and the
  * long request is answered all the same. */
--- a/tests/requests.cmake
+++ b/tests/requests.cmake
@@ -7,3 +7,5 @@
 pf_process_test(
   request-keyed-test request-keyed-test.cc PACKAGES base
   NEEDS parsleyfall parsleyfall-agent fake-platform fake-upstream fake-relay)
+pf_test(attempts-test attempts-test.cc PACKAGES agent http wire kernel base)
+set_tests_properties(attempts-test PROPERTIES ENVIRONMENT "RC_PARAMS=seed=942")
