--- a/packages/entry/entry-overview.c
+++ b/packages/entry/entry-overview.c
@@ -3,6 +3,7 @@
 #include "cells.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* GET /v1/overview: what the console shows, put together from what the tasks
  * of this process know. */
@@ -32,34 +33,65 @@
     SLIST_INSERT_AFTER(after, part, entry);
 }
 
-/* The failure domain that a guarantee names, or the first one. */
-static const struct config_domain *
-domain_of(const struct config *doc, const struct config_guarantee *g)
+/* Accelerators of a failure domain's largest worker. */
+static int64_t
+largest_worker(const struct config_domain *d)
 {
-    const struct config_region *r =
-        CONFIG_AT(doc->topology.regions, struct config_region, 0);
+    int64_t most = 0;
+
+    for (size_t i = 0; i < d->racks.count; i++) {
+        const struct config_rack *r =
+            CONFIG_AT(d->racks, struct config_rack, i);
 
-    if (*g->failure_domain != '\0') {
-        return Config_FindDomain(doc, g->failure_domain);
+        for (size_t j = 0; j < r->workers.count; j++) {
+            const struct config_worker *w =
+                CONFIG_AT(r->workers, struct config_worker, j);
+
+            most = w->accelerators > most ? w->accelerators : most;
+        }
     }
-    return CONFIG_AT(r->failure_domains, struct config_domain, 0);
+    return most;
 }
 
-/* Accelerators of a guarantee; whole workers count as its domain's first. */
+/* Accelerators of one shape of a guarantee in a failure domain; 0 when it
+ * can't lie there. */
 static int64_t
-guaranteed(const struct config *doc, const struct config_guarantee *g)
+size_in(const struct config_domain *d, const struct config_guarantee *g)
 {
-    const struct config_domain *d = domain_of(doc, g);
-    const struct config_rack *r = CONFIG_AT(d->racks, struct config_rack, 0);
     struct cells_shape shape;
     const char *allowed;
-    int64_t cells = Feasible_Shape(d, &g->shape, &shape, &allowed) * g->count;
+    int64_t cells = 0;
 
-    if (shape.workers == 0) {
-        return cells * shape.accelerators;
+    if (*g->failure_domain == '\0' ||
+        strcmp(g->failure_domain, d->name) == 0) {
+        cells = Feasible_Shape(d, &g->shape, &shape, &allowed);
+    }
+    if (cells == 0) {
+        return 0;
+    }
+    return cells * (shape.workers > 0 ? shape.workers * largest_worker(d)
+                                      : shape.accelerators);
+}
+
+/* Accelerators of a guarantee, by the first failure domain that it may lie
+ * in. */
+static int64_t
+guaranteed(const struct config *doc, const struct config_guarantee *g)
+{
+    for (size_t i = 0; i < doc->topology.regions.count; i++) {
+        const struct config_region *r =
+            CONFIG_AT(doc->topology.regions, struct config_region, i);
+
+        for (size_t j = 0; j < r->failure_domains.count; j++) {
+            int64_t size = size_in(
+                CONFIG_AT(r->failure_domains, struct config_domain, j), g);
+
+            if (size > 0) {
+                return size * g->count;
+            }
+        }
     }
-    return cells * shape.workers *
-           CONFIG_AT(r->workers, struct config_worker, 0)->accelerators;
+    return 0;
 }
 
 /* The organisations with the accelerators that they are guaranteed. */
--- /dev/null
+++ b/packages/entry/entry-peers-list.c
@@ -0,0 +1,134 @@
+#include "entry-peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Order of the names. */
+static int
+compare(const void *a, const void *b)
+{
+    const struct peer_entry *x = a, *y = b;
+
+    return strcmp(x->name, y->name);
+}
+
+/* Copies a text of a row. */
+static bool
+take_text(const json_t *o, const char *key, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(o, key));
+
+    return text != NULL && Str_Copy(out, size, text) == ERR_OK;
+}
+
+/* Reads a row. False when it is no entry's. */
+static bool
+read_row(const struct table_row *row, struct peer_entry *out)
+{
+    json_t *o = json_loadb(row->value.data ? row->value.data : "",
+                           row->value.len, 0, NULL);
+    const char *hex = json_string_value(json_object_get(o, "incarnation"));
+    bool good;
+
+    *out = (struct peer_entry){0};
+    good = take_text(o, "name", out->name, sizeof(out->name)) &&
+           take_text(o, "region", out->region, sizeof(out->region)) &&
+           take_text(o, "links", out->links, sizeof(out->links)) &&
+           take_text(o, "http", out->http, sizeof(out->http)) &&
+           strcmp(out->name, row->key) == 0 && hex != NULL;
+    if (good) {
+        out->incarnation = strtoull(hex, NULL, 16);
+    }
+    json_decref(o);
+    return good;
+}
+
+/* The record of a row's key, made if there is none. */
+static struct peer *
+find(struct peer_list *list, const char *name)
+{
+    struct peer *peer;
+
+    TAILQ_FOREACH (peer, list, entry) {
+        if (strcmp(peer->facts.name, name) == 0) {
+            return peer;
+        }
+    }
+    peer = Mem_Zero(1, sizeof(*peer));
+    TAILQ_INSERT_TAIL(list, peer, entry);
+    return peer;
+}
+
+/* Takes one row of a list. */
+static void
+take_row(struct peer_list *list, const struct table_row *row)
+{
+    struct peer_entry facts;
+    struct peer *peer;
+
+    if (!read_row(row, &facts)) {
+        LOG_W("entry_row_unreadable", KV("key", row->key));
+        return;
+    }
+    peer = find(list, facts.name);
+    peer->listed = true;
+    if (peer->version == row->version) {
+        peer->unchanged++;
+        return;
+    }
+    peer->facts = facts;
+    peer->version = row->version;
+    peer->unchanged = 0;
+}
+
+/* Takes a whole list. */
+void
+peers_take(struct peer_list *list, const struct table_row *rows, size_t count)
+{
+    struct peer *peer, *next;
+    size_t i;
+
+    TAILQ_FOREACH (peer, list, entry) {
+        peer->listed = false;
+    }
+    for (i = 0; i < count; i++) {
+        take_row(list, &rows[i]);
+    }
+    TAILQ_FOREACH_SAFE (peer, list, entry, next) {
+        if (!peer->listed) {
+            TAILQ_REMOVE(list, peer, entry);
+            free(peer);
+        }
+    }
+}
+
+/* Writes the entries that are alive. */
+size_t
+peers_living(const struct peer_list *list, const struct peer_entry *self,
+             struct peer_entry *out)
+{
+    const struct peer *peer;
+    size_t n = 0;
+
+    out[n++] = *self;
+    TAILQ_FOREACH (peer, list, entry) {
+        if (peer->unchanged < DROP_LISTS && n <= PEERS_MAX &&
+            strcmp(peer->facts.name, self->name) != 0) {
+            out[n++] = peer->facts;
+        }
+    }
+    qsort(out, n, sizeof(*out), compare);
+    return n;
+}
+
+/* Frees all records. */
+void
+peers_clear(struct peer_list *list)
+{
+    struct peer *peer, *next;
+
+    TAILQ_FOREACH_SAFE (peer, list, entry, next) {
+        TAILQ_REMOVE(list, peer, entry);
+        free(peer);
+    }
+}
--- a/packages/entry/entry-peers.c
+++ b/packages/entry/entry-peers.c
@@ -1,6 +1,4 @@
-#include "entry.h"
-
-#include "platform.h"
+#include "entry-peers.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,36 +9,12 @@
  * 1.2 reads a second of the table service. */
 
 #define PEERS_TABLE "entries"
-#define PEERS_MAX 256
 #define WRITE_MS 30000 /* between two writes of the own row */
 #define LIST_MS 10000  /* between two lists */
 #define CALL_MS 2000
 #define GIVE_UP_MS 8000
 #define SUBSCRIBERS_MAX 8
 
-/* A row that three writes should have changed has no writer any more: 95 s of
- * lists. Lists are counted, not time.
- *
- * Failure: the table is down for minutes, or this process is paused; nobody's
- * row changes, or nobody looks. Symptom, if time were counted: at the first
- * list afterwards every entry is dropped by all, and agents lose them. A list
- * that did not come counts for nothing, and within the next three every
- * living entry has written again. */
-#define DROP_LISTS 10
-/* Lists after which a row that nobody writes is deleted: ten minutes. */
-#define DELETE_LISTS 60
-
-/* A row that has been listed. */
-struct peer {
-    struct peer_entry facts;
-    uint64_t version;
-    int unchanged; /* lists in a row */
-    bool listed;   /* in the present list */
-    TAILQ_ENTRY(peer) entry;
-};
-
-TAILQ_HEAD(peer_list, peer);
-
 struct peers {
     struct task task;
     const struct entry_settings *settings;
@@ -63,15 +37,6 @@
     "Writes and lists of the table of entries that failed.", NULL,
     COUNTER_TOTAL};
 
-/* Order of the names. */
-static int
-compare(const void *a, const void *b)
-{
-    const struct peer_entry *x = a, *y = b;
-
-    return strcmp(x->name, y->name);
-}
-
 /* Tells one task of all entries. */
 static void
 tell(struct peers *p, const char *name)
@@ -94,18 +59,9 @@
 tell_changes(struct peers *p)
 {
     struct peer_entry *list = Mem_Zero(PEERS_MAX + 1, sizeof(*list));
-    struct peer *peer;
-    size_t n = 0;
+    size_t n = peers_living(&p->list, &p->self, list);
     int i;
 
-    list[n++] = p->self;
-    TAILQ_FOREACH (peer, &p->list, entry) {
-        if (peer->unchanged < DROP_LISTS && n <= PEERS_MAX &&
-            strcmp(peer->facts.name, p->self.name) != 0) {
-            list[n++] = peer->facts;
-        }
-    }
-    qsort(list, n, sizeof(*list), compare);
     if (n == p->told_count && memcmp(list, p->told, n * sizeof(*list)) == 0) {
         free(list);
         return;
@@ -120,75 +76,6 @@
     }
 }
 
-/* Copies a text of a row. */
-static bool
-take_text(const json_t *o, const char *key, char *out, size_t size)
-{
-    const char *text = json_string_value(json_object_get(o, key));
-
-    return text != NULL && Str_Copy(out, size, text) == ERR_OK;
-}
-
-/* Reads a row. False when it is no entry's. */
-static bool
-read_row(const struct table_row *row, struct peer_entry *out)
-{
-    json_t *o = json_loadb(row->value.data ? row->value.data : "",
-                           row->value.len, 0, NULL);
-    const char *hex = json_string_value(json_object_get(o, "incarnation"));
-    bool good;
-
-    *out = (struct peer_entry){0};
-    good = take_text(o, "name", out->name, sizeof(out->name)) &&
-           take_text(o, "region", out->region, sizeof(out->region)) &&
-           take_text(o, "links", out->links, sizeof(out->links)) &&
-           take_text(o, "http", out->http, sizeof(out->http)) &&
-           strcmp(out->name, row->key) == 0 && hex != NULL;
-    if (good) {
-        out->incarnation = strtoull(hex, NULL, 16);
-    }
-    json_decref(o);
-    return good;
-}
-
-/* The record of a row's key, made if there is none. */
-static struct peer *
-find(struct peers *p, const char *name)
-{
-    struct peer *peer;
-
-    TAILQ_FOREACH (peer, &p->list, entry) {
-        if (strcmp(peer->facts.name, name) == 0) {
-            return peer;
-        }
-    }
-    peer = Mem_Zero(1, sizeof(*peer));
-    TAILQ_INSERT_TAIL(&p->list, peer, entry);
-    return peer;
-}
-
-/* Takes one row of a list. */
-static void
-take_row(struct peers *p, const struct table_row *row)
-{
-    struct peer_entry facts;
-    struct peer *peer;
-
-    if (!read_row(row, &facts)) {
-        LOG_W("entry_row_unreadable", KV("key", row->key));
-        return;
-    }
-    peer = find(p, facts.name);
-    peer->listed = true;
-    if (peer->version == row->version) {
-        peer->unchanged++;
-        return;
-    }
-    peer->facts = facts;
-    peer->version = row->version;
-    peer->unchanged = 0;
-}
-
 /* A row was deleted, or not: the next list shows it. */
 static void
 on_deleted(void *arg UNUSED, int err, size_t at UNUSED,
@@ -213,8 +100,7 @@
           bool more UNUSED)
 {
     struct peers *p = arg;
-    struct peer *peer, *next;
-    size_t i;
+    const struct peer *peer;
 
     p->listing = false;
     if (err != ERR_OK) {
@@ -222,18 +108,9 @@
         LOG_W("entries_unreadable", KV("error", Err_Name(err)));
         return;
     }
+    peers_take(&p->list, rows, count);
     TAILQ_FOREACH (peer, &p->list, entry) {
-        peer->listed = false;
-    }
-    for (i = 0; i < count; i++) {
-        take_row(p, &rows[i]);
-    }
-    TAILQ_FOREACH_SAFE (peer, &p->list, entry, next) {
-        if (!peer->listed) {
-            TAILQ_REMOVE(&p->list, peer, entry);
-            free(peer);
-        }
-        else if (peer->unchanged == DELETE_LISTS) {
+        if (peer->unchanged == DELETE_LISTS) {
             delete_row(p, peer);
         }
     }
@@ -352,16 +229,13 @@
 peers_free(struct task *t)
 {
     struct peers *p = (struct peers *)t;
-    struct peer *peer, *next;
 
     ev_timer_stop(t->kernel->loop, &p->write_timer);
     ev_timer_stop(t->kernel->loop, &p->list_timer);
     if (p->table != NULL) {
         p->table->ops->free(p->table);
     }
-    TAILQ_FOREACH_SAFE (peer, &p->list, entry, next) {
-        free(peer);
-    }
+    peers_clear(&p->list);
     free(p->told);
     free(p);
 }
--- a/tests/epochs-process-test.cc
+++ b/tests/epochs-process-test.cc
@@ -288,7 +288,9 @@
 /* Which paths ask for an operator's token. */
 TEST_F(Epochs, WhoMayReadWhat)
 {
-    auto one = Start("one");
+    auto one = Start(
+        "one", Document(1, "   guarantees: [{shape: \"workers: 2\", count: 1},"
+                           " {shape: \"accelerators: 4\", count: 2}]\n"));
 
     ASSERT_TRUE(one->Reaches(1));
     const struct {
@@ -312,6 +314,7 @@
               page.headers["content-security-policy"].find("default-src"));
     auto view = one->Get("/v1/overview").json();
     EXPECT_EQ("a", Text(view.get(), "organisations/0/name"));
+    EXPECT_EQ(24, Number(view.get(), "organisations/0/guaranteed"));
     EXPECT_EQ(1, Number(view.get(), "epoch"));
 }
 
--- a/tests/epochs-test.cc
+++ b/tests/epochs-test.cc
@@ -2,12 +2,14 @@
 
 extern "C" {
 #include "entry-config.h"
+#include "entry-peers.h"
 }
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <sstream>
 #include <vector>
 
 /* Adopting: documents arrive late, twice and out of order (a slow read, a
@@ -106,3 +108,53 @@
     }
     Config_SetCheck(nullptr);
 }
+
+/* Rows of entries as lists bring them: version "1 2 2 ..." of one entry, "-"
+ * where the list did not come (the table was down, or this process paused),
+ * "0" where the row was gone. An entry that stopped writing is dropped after
+ * ten lists; an outage of any length drops nobody by itself, as a list that
+ * did not come says nothing about who lives. */
+TEST(Peers, WhoIsAlive)
+{
+    const struct {
+        std::string versions;
+        bool alive;
+    } cases[] = {
+        {"1", true},
+        {"1 1 1 2 2 2 3 3 3 4 4 4", true},
+        {"1 1 1 1 1 1 1 1 1 1", true},
+        {"1 1 1 1 1 1 1 1 1 1 1", false},
+        {"1 1 1 1 1 1 1 1 1 1 1 2", true},
+        {"1 - - - - - - - - - - - - - - - - 1 1 1 2", true},
+        {"1 - - - - - - - - - - - - - - - - 1", true},
+        {"1 0", false},
+    };
+
+    for (const auto &c : cases) {
+        struct peer_list list = TAILQ_HEAD_INITIALIZER(list);
+        struct peer_entry self = {}, out[PEERS_MAX + 1] = {};
+        std::stringstream words(c.versions);
+        std::string word, key = "b",
+                          value = "{\"name\":\"b\",\"region\":\"r\",\"links\":"
+                                  "\"l\",\"http\":\"h\",\"incarnation\":"
+                                  "\"00ff\"}";
+
+        Str_Copy(self.name, sizeof(self.name), "a");
+        while (words >> word) {
+            struct table_row row = {};
+
+            row.key = key.data();
+            row.version = word == "-" ? 0 : std::stoul(word);
+            row.value.data = value.data();
+            row.value.len = value.size();
+            if (word != "-") {
+                peers_take(&list, &row, row.version != 0);
+            }
+        }
+        EXPECT_EQ(c.alive ? 2u : 1u, peers_living(&list, &self, out))
+            << c.versions;
+        EXPECT_STREQ("a", out[0].name);
+        EXPECT_EQ(c.alive ? 255u : 0u, out[1].incarnation);
+        peers_clear(&list);
+    }
+}
