--- a/packages/entry/entry-overview.c
+++ b/packages/entry/entry-overview.c
@@ -1,6 +1,9 @@
 #include "entry.h"
 
+#include "cells.h"
+
 #include <stdlib.h>
+#include <string.h>
 
 /* GET /v1/overview: what the console shows, put together from what the tasks
  * of this process know. */
@@ -30,18 +33,65 @@
     SLIST_INSERT_AFTER(after, part, entry);
 }
 
-/* Accelerators of a cell: whole workers count as the domain's first one. */
+/* Accelerators of a failure domain's largest worker. */
 static int64_t
-cell_size(const struct feasible_share *s)
+largest_worker(const struct config_domain *d)
 {
-    const struct config_rack *r =
-        CONFIG_AT(s->domain->racks, struct config_rack, 0);
+    int64_t most = 0;
+
+    for (size_t i = 0; i < d->racks.count; i++) {
+        const struct config_rack *r =
+            CONFIG_AT(d->racks, struct config_rack, i);
+
+        for (size_t j = 0; j < r->workers.count; j++) {
+            const struct config_worker *w =
+                CONFIG_AT(r->workers, struct config_worker, j);
 
-    if (s->workers == 0) {
-        return s->accelerators;
+            most = w->accelerators > most ? w->accelerators : most;
+        }
+    }
+    return most;
+}
+
+/* Accelerators of one shape of a guarantee in a failure domain; 0 when it
+ * can't lie there. */
+static int64_t
+size_in(const struct config_domain *d, const struct config_guarantee *g)
+{
+    struct cells_shape shape;
+    const char *allowed;
+    int64_t cells = 0;
+
+    if (*g->failure_domain == '\0' ||
+        strcmp(g->failure_domain, d->name) == 0) {
+        cells = Feasible_Shape(d, &g->shape, &shape, &allowed);
+    }
+    if (cells == 0) {
+        return 0;
     }
-    return s->workers *
-           CONFIG_AT(r->workers, struct config_worker, 0)->accelerators;
+    return cells * (shape.workers > 0 ? shape.workers * largest_worker(d)
+                                      : shape.accelerators);
+}
+
+/* Accelerators of a guarantee, by the first failure domain that it may lie
+ * in. */
+static int64_t
+guaranteed(const struct config *doc, const struct config_guarantee *g)
+{
+    for (size_t i = 0; i < doc->topology.regions.count; i++) {
+        const struct config_region *r =
+            CONFIG_AT(doc->topology.regions, struct config_region, i);
+
+        for (size_t j = 0; j < r->failure_domains.count; j++) {
+            int64_t size = size_in(
+                CONFIG_AT(r->failure_domains, struct config_domain, j), g);
+
+            if (size > 0) {
+                return size * g->count;
+            }
+        }
+    }
+    return 0;
 }
 
 /* The organisations with the accelerators that they are guaranteed. */
@@ -49,22 +99,16 @@
 fill_organisations(struct kernel *k UNUSED, const struct config *doc,
                    json_t *view)
 {
-    struct conf_errors *errors CLEANUP(Mem_FreeP) =
-        Mem_Zero(1, sizeof(*errors));
-    struct feasible_share *shares CLEANUP(Mem_FreeP) = NULL;
     json_t *list = json_array();
-    size_t count;
 
-    shares = Feasible_Divide(doc, &count, errors);
     for (size_t i = 0; i < doc->organisations.count; i++) {
         const struct config_organisation *o =
             CONFIG_AT(doc->organisations, struct config_organisation, i);
         int64_t sum = 0;
 
-        for (size_t j = 0; j < count; j++) {
-            if (shares[j].organisation == o) {
-                sum += shares[j].cells * cell_size(&shares[j]);
-            }
+        for (size_t j = 0; j < o->guarantees.count; j++) {
+            sum += guaranteed(
+                doc, CONFIG_AT(o->guarantees, struct config_guarantee, j));
         }
         json_array_append_new(list,
                               json_pack("{s:s, s:I, s:i, s:i}", "name",
