--- a/packages/wire/wire-zap.c
+++ b/packages/wire/wire-zap.c
@@ -107,7 +107,7 @@
 
         if (!allow) {
             Counter_Add(&strangers_total, 1);
-            LOG_W("stranger", KV("address", frames[ZAP_ADDRESS].data));
+            LOG_W("stranger_refused", KV("address", frames[ZAP_ADDRESS].data));
         }
         answer(zap->socket, &frames[ZAP_REQUEST], allow);
     }
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -130,7 +130,9 @@
      [](Stack &s) {
          s.agents[0].process->Signal(SIGSTOP);
          WaitFor([&] {
-             Json j = Http("GET", s.entries[0].Url("/v1/state")).json();
+             Json j = Http("GET", s.entries[0].Url("/v1/state"), "",
+                           {"Authorization: Bearer operator"})
+                          .json();
 
              return Number(j.get(), "members/heard") == 1;
          });
@@ -273,7 +275,9 @@
     s.Mode("");
     s.agents[0].process->Signal(SIGTERM);
     ASSERT_TRUE(WaitFor([&] {
-        state = Http("GET", s.entries[0].Url("/v1/state")).body;
+        state = Http("GET", s.entries[0].Url("/v1/state"), "",
+                     {"Authorization: Bearer operator"})
+                    .body;
         return state.find("\"state\": \"leaving\"") != state.npos;
     }));
     int64_t before = s.Started(0);
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -243,12 +243,16 @@
         int64_t want = n < 0 ? options.agents : n;
 
         if (!WaitFor([&] {
-                Json j = Http("GET", e.Url("/v1/state")).json();
+                Json j = Http("GET", e.Url("/v1/state"), "",
+                              {"Authorization: Bearer operator"})
+                             .json();
 
                 return Number(j.get(), "members/heard") == want;
             })) {
             throw std::runtime_error(e.name + " does not hear all agents: " +
-                                     Http("GET", e.Url("/v1/state")).body +
+                                     Http("GET", e.Url("/v1/state"), "",
+                                          {"Authorization: Bearer operator"})
+                                         .body +
                                      e.process->Err() +
                                      agents[0].process->Err());
         }
