entry: a service of one upstream need not refuse for a refusal that is over

Cause: a request whose attempt had been withdrawn (it did not run) was refused as all_tried when every free upstream had been tried once, though attempts are bounded by the retry budget anyway.

--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -228,7 +228,10 @@
            inputs);
 }
 
-/* Picks an upstream that was not tried. */
+/* Picks an upstream that was not tried; when all were and none of them has
+ * the request now, any. What sends a request on is that its last attempt did
+ * not run, or that it may be repeated, and attempts are bounded, so a service
+ * of one upstream need not refuse for a refusal that may be over. */
 static struct route_decision
 pick(const struct request *r)
 {
@@ -241,6 +244,13 @@
         .avoid_count = tried(r, avoid),
     };
 
+    struct route_decision d =
+        Route_Pick(r->service->route, &want, Clock_NowMs(), Id_Random64());
+
+    if (d.reason != ROUTE_NONE_UNTRIED || any_out(r)) {
+        return d;
+    }
+    want.avoid_count = 0;
     return Route_Pick(r->service->route, &want, Clock_NowMs(), Id_Random64());
 }
 
