policy: charge a request for the time that it held its slot

Cause: what a request was charged for came from the caller of Admission_Finished, who has nothing to tell when the work is given up: an organisation that submits and gives up worked for nothing (test AbandonedWorkIsCharged: 100 of 100 turns with the charge by result, 50 with the charge by time).

--- a/packages/policy/admit-private.h
+++ b/packages/policy/admit-private.h
@@ -87,6 +87,7 @@
     int64_t deadline_at;
     int64_t cost_high_ms;
     int64_t offered_at;
+    int64_t taken_at;     /* out of the queue, to run */
     int64_t predicted_ms; /* wait, before it was corrected */
     RB_ENTRY(admit_entry) by_id;
     RB_ENTRY(admit_entry) by_expiry;
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -186,6 +186,7 @@
     admit_stretch_learn(e, now);
     admit_flow_charge(e->key, e->cost_ms);
     e->state = ADMIT_RUNNING;
+    e->taken_at = now;
     a->running++;
     a->release += 1 / (double)e->cost_ms;
     out->id = e->id;
@@ -265,8 +266,9 @@
     return ERR_OK;
 }
 
-/* Learns from a request that ran, and charges what it took beyond what was
- * expected. */
+/* Learns from a request that ran, and charges the time that it held its slot
+ * beyond what was expected: by the clock, as a caller who submits and gives up
+ * would otherwise work for nothing. */
 int
 Admission_Finished(struct admission *a, const struct id *id,
                    int64_t service_ms, bool ok, int64_t now)
@@ -278,7 +280,7 @@
     }
     admit_measure(a, now);
     stop_running(a, e);
-    admit_flow_charge(e->key, service_ms - e->cost_ms);
+    admit_flow_charge(e->key, now - e->taken_at - e->cost_ms);
     if (ok) {
         admit_class_learn(&a->classes, e->class_hash, service_ms);
     }
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -84,7 +84,7 @@
     enum priority priority;
     int64_t cost_hint_ms; /* declared service time, or 0 */
     int64_t deadline_at;  /* or 0: none */
-    bool repeatable;
+    bool repeatable;      /* doesn't decide here: see retries */
 };
 
 enum admission_verdict {
@@ -205,9 +205,9 @@
 /* Drops a queued request in O(log n). ERR_OK; ERR_NOTFOUND when it isn't
  * queued (it may be running: its slot is freed by Finished). */
 int Admission_Cancel(struct admission *a, const struct id *id);
-/* A request has left its slot. service_ms: from Next until now, attempts that
- * met no free slot included, as that is what the next ones wait for. ok
- * teaches its class; a failure only corrects the account. ERR_OK or
+/* A request has left its slot, and is charged for the time since Next.
+ * service_ms teaches its class if ok: the same time, attempts that met no
+ * free slot included, as that is what the next ones wait for. ERR_OK or
  * ERR_NOTFOUND. */
 int Admission_Finished(struct admission *a, const struct id *id,
                        int64_t service_ms, bool ok, int64_t now);
--- a/tests/policy-test.cc
+++ b/tests/policy-test.cc
@@ -274,6 +274,30 @@
     EXPECT_NEAR(first, 75, 1);
 }
 
+/* An organisation gives each request up when it has run for its whole time, so
+ * that it is finished without a result. It is charged as if there were one:
+ * the other gets its half of the turns. */
+TEST(Admission, AbandonedWorkIsCharged)
+{
+    Admission a = make_admission(1);
+    struct admission_next next;
+    int first = 0;
+
+    for (uint32_t i = 0; i < 400; i++) {
+        struct admission_facts f = facts_of(i, i % 2 == 0 ? "a" : "b", 0);
+        Admission_Offer(a.get(), &f, 0, 0);
+    }
+    for (int64_t now = 0; now < 10000; now += 100) {
+        ASSERT_EQ(Admission_Next(a.get(), now, &next), ERR_OK);
+        bool gives_up = next.id.b[0] % 2 == 0;
+
+        first += gives_up ? 1 : 0;
+        Admission_Finished(a.get(), &next.id, gives_up ? 0 : 100, !gives_up,
+                           now + 100);
+    }
+    EXPECT_NEAR(first, 50, 1);
+}
+
 /* Callers' names come from outside: a caller who uses a new key for each
  * request must not make the entry remember them all. */
 TEST(Admission, ForgetsIdleFlows)
