--- /dev/null
+++ b/packages/http/http-server.h
@@ -0,0 +1,41 @@
+/* A server's state and its exchanges; private to the server. */
+#ifndef HTTP_SERVER_H
+#define HTTP_SERVER_H
+
+#include "http.h"
+
+#include <microhttpd.h>
+
+struct http_server {
+    struct ev_loop *loop;
+    struct MHD_Daemon *daemon;
+    struct http_limits limits;
+    http_handler handler;
+    void *arg;
+    int port;
+    MHD_socket quiesced; /* listening socket after a quiesce, or -1 */
+    size_t open;
+    bool stopping; /* the handler is not called any more */
+    TAILQ_HEAD(, http_exchange) exchanges;
+    ev_io io;
+    ev_timer timer;
+    ev_prepare prepare;
+};
+
+struct http_exchange {
+    struct http_server *server;
+    struct MHD_Connection *connection;
+    struct MHD_Response *response; /* once replied */
+    int status;
+    char method[16];
+    char *path;
+    struct buf body;
+    struct buf headers; /* name NUL value NUL, ... */
+    bool begun;         /* the handler was called */
+    bool suspended;
+    bool too_big;
+    bool replied;
+    TAILQ_ENTRY(http_exchange) entry;
+};
+
+#endif
