--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -445,14 +445,22 @@
     }
 }
 
-/* Notes the parts, for the next hello. */
+/* Notes the parts for the next hello, which is said at once when they were
+ * adopted: the first hello left before the worker had said what it runs. */
 static void
 take_parts(struct task *t, struct message *m)
 {
     struct links *l = (struct links *)t;
     struct parts_note *note = (struct parts_note *)m;
+    struct entry_link *e;
 
     copy_list(&l->parts, &note->parts, sizeof(struct wire_part));
+    if (!note->adopted) {
+        return;
+    }
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        say_hello(l, e);
+    }
 }
 
 static const struct {
--- a/packages/agent/agent-parts-runner.c
+++ b/packages/agent/agent-parts-runner.c
@@ -222,6 +222,7 @@
     t->read_at = now;
     Parts_Observe(&t->parts, tasks, count, clock, t->list_asked_at, now);
     if (first) {
+        t->adopted = !TAILQ_EMPTY(&t->parts.list);
         LOG_I("runner_listed", KV_INT("tasks", count));
     }
     PartsTell_Changes(t, now);
--- a/packages/agent/agent-parts-tell.c
+++ b/packages/agent/agent-parts-tell.c
@@ -66,6 +66,8 @@
         w->accelerators = part->accelerators;
         n += Parts_Holds(part);
     }
+    note->adopted = t->adopted;
+    t->adopted = false;
     Counter_Set(&held, n);
     Kernel_Post(Kernel_FindTask(t->task.kernel, "links"), &note->base,
                 &Agent_Parts);
@@ -90,6 +92,15 @@
     Counter_Add(&ended_total, !Parts_Holds(part));
 }
 
+/* True when there is something to tell. A released part is told as running
+ * only when the runner has shown it: an owner counts on what it hears. */
+static bool
+has_news(const struct part *part)
+{
+    return part->changed &&
+           (part->state != PART_RUNNING || part->start == START_KNOWN);
+}
+
 /* True for an end that needs no more words: the owner has fenced it, or
  * nothing ever ran, which the owner learns from its refused release too. */
 static bool
@@ -109,7 +120,7 @@
     bool changed = false;
 
     TAILQ_FOREACH_SAFE (part, &t->parts.list, entry, next) {
-        if (part->changed) {
+        if (has_news(part)) {
             changed = true;
             tell_change(t, part, now);
         }
--- a/packages/agent/agent-parts.c
+++ b/packages/agent/agent-parts.c
@@ -102,10 +102,10 @@
     if (v.reason == PARTS_GRANTED) {
         return;
     }
-    if (v.part != NULL) {
+    if (v.part != NULL && !v.part->changed) {
         PartsTell_Task(t, origin, v.part);
     }
-    else {
+    else if (v.part == NULL) {
         say_not_released(t, origin, m, v.reason);
     }
     if (v.reason != PARTS_AGAIN) {
--- a/packages/agent/agent-parts.h
+++ b/packages/agent/agent-parts.h
@@ -55,6 +55,7 @@
     int64_t worker_clock; /* a reading of the runner's clock... */
     int64_t read_at;      /* ...not after this, on ours */
     bool listing;
+    bool adopted; /* parts that no hello has named */
     int64_t list_asked_at;
     ev_timer tick;
     ev_timer pulse;
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -71,6 +71,7 @@
 struct parts_note {
     struct message base;
     struct wire_list parts; /* struct wire_part */
+    bool adopted;           /* after a restart: no hello has named them yet */
 };
 
 /* An entry that is heard now and stays. */
--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -76,6 +76,7 @@
     std::map<std::pair<uint8_t, uint64_t>, int> states;
     std::map<uint8_t, std::string> reasons;
     std::vector<struct wire_service> services;
+    std::vector<struct wire_part> parts; /* of the last hello */
 
   private:
     static void OnReceive(void *arg, const struct link_peer *peer,
@@ -129,7 +130,11 @@
 
         hellos++;
         agent_incarnation = m->incarnation;
+        const auto *held =
+            static_cast<const struct wire_part *>(m->parts.items);
+
         services.assign(list, list + m->services.count);
+        parts.assign(held, held + m->parts.count);
         Welcome(0);
     }
 
@@ -345,6 +350,17 @@
     int processes = 0;
 };
 
+/* Port of the agent's that upstreams announce themselves at. */
+std::string
+AnnounceUrl(const Process &agent)
+{
+    std::string text = agent.Err();
+    size_t at = text.find(" port=", text.find("event=announce_listening"));
+
+    return "http://127.0.0.1:" +
+           std::to_string(atoi(text.c_str() + at + strlen(" port=")));
+}
+
 TEST_F(Agent, WithoutARunnerRefusesEveryPrepare)
 {
     auto agent = Start(false);
@@ -390,6 +406,29 @@
     EXPECT_EQ(Events(1, "start"), 0);
 }
 
+/* The word that a task has ended is lost, or its owner has just died. It is
+ * said again until an owner has fenced the attempt; the job would wait for
+ * ever otherwise. */
+TEST_F(Agent, EndIsSaidAgainUntilItIsFenced)
+{
+    auto agent = Start();
+    auto held = [&] {
+        auto state = Http("GET", AnnounceUrl(*agent) + "/v1/state").json();
+        return json_array_size(
+            json_object_get(json_object_get(state.get(), "parts"), "parts"));
+    };
+
+    ASSERT_TRUE(RunPart(1, 3, GANG_LEASE_MS, "{\"run_ms\":50}"));
+    for (int i = 0; i < 2; i++) {
+        EXPECT_TRUE(Until([&] { return first->State(1, 1) == PART_DONE; }));
+        EXPECT_EQ(held(), 1u);
+        first->states.clear();
+    }
+    first->Fence(1, 1, 1);
+    EXPECT_TRUE(Until([&] { return first->fenced[1]; }));
+    EXPECT_TRUE(Until([&] { return held() == 0; }));
+}
+
 /* The agent is killed while its part runs. The worker goes on under the lease;
  * the next process adopts the part, tells of it, sends its pulses and has it
  * renewed. It is started once. Fenced by the owner, it stops. */
@@ -404,7 +443,11 @@
     first->states.clear();
 
     agent = Start();
-    EXPECT_TRUE(Until([&] { return first->State(1, 1) == PART_RUNNING; }));
+    /* A word on a link that is not up yet is lost; the hello tells it. */
+    ASSERT_TRUE(Until([&] { return first->parts.size() == 1; }));
+    EXPECT_EQ(first->parts.at(0).state, (uint64_t)PART_RUNNING);
+    EXPECT_EQ(first->parts.at(0).accelerators, 3u);
+    EXPECT_EQ(first->parts.at(0).term, 1u);
     EXPECT_TRUE(Until([&] { return LeaseEnd() > end; }));
     EXPECT_EQ(Events(1, "start"), 1);
     first->Fence(1, 1, 1);
@@ -514,17 +557,6 @@
     EXPECT_EQ(Events(1, "start"), 1);
 }
 
-/* Port of the agent's that upstreams announce themselves at. */
-std::string
-AnnounceUrl(const Process &agent)
-{
-    std::string text = agent.Err();
-    size_t at = text.find(" port=", text.find("event=announce_listening"));
-
-    return "http://127.0.0.1:" +
-           std::to_string(atoi(text.c_str() + at + strlen(" port=")));
-}
-
 TEST_F(Agent, UpstreamsAnnounceThemselvesAndLeave)
 {
     auto agent = Start();
--- a/tests/parts-test.cc
+++ b/tests/parts-test.cc
@@ -442,6 +442,20 @@
     EXPECT_EQ(part->stop_by, 4);
 }
 
+TEST(Parts, DrainDropsReservationsOnly)
+{
+    Worker w;
+    struct part *part = Started(&w.p, Prepare(1, 1, 1, 3), 0);
+    auto m = Prepare(2, 1, 1, 4);
+    auto r = Release(2, 1, 1);
+
+    Parts_Prepare(&w.p, &m, 0);
+    Parts_Drain(&w.p, 1);
+    EXPECT_EQ(part->state, PART_RUNNING);
+    EXPECT_EQ(Renew(&w.p, 1, 1, 1, 1500, 1501), 1u);
+    EXPECT_EQ(Parts_Release(&w.p, &r, 2).reason, PARTS_SPENT);
+}
+
 TEST(Parts, SpentRanksAreBounded)
 {
     Worker w;
