--- a/packages/agent/agent-announce.c
+++ b/packages/agent/agent-announce.c
@@ -1,4 +1,4 @@
-#include "agent.h"
+#include "agent-announce.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -7,25 +7,11 @@
 #define PREFIX "/v1/upstreams/"
 #define TICK_MS 100
 #define UPSTREAMS_MAX 64
-#define SLOTS_MAX 4096
-#define LEASE_MIN_MS 200
-#define LEASE_MAX_MS 600000
 #define BODY_MAX 4096
 #define HEADER_MAX 8192
 #define CONNECTIONS_MAX 64
 #define IDLE_MS 10000
 
-/* An upstream that has announced itself. */
-struct announced {
-    char service[NAME_SIZE];
-    char url[WIRE_TEXT_SIZE];
-    int64_t slots;
-    int64_t connections;
-    int64_t lease_ms;
-    int64_t lease_until;
-    TAILQ_ENTRY(announced) entry;
-};
-
 struct announce {
     struct task task;
     struct http_server *server;
@@ -42,23 +28,6 @@
     "Upstreams that did not announce themselves in time.", NULL,
     COUNTER_TOTAL};
 
-/* Replies with JSON and drops the reference to it. */
-static void
-reply(struct http_exchange *ex, int status, json_t *body)
-{
-    char *text CLEANUP(Mem_FreeP) = json_dumps(body, JSON_COMPACT);
-
-    json_decref(body);
-    Http_Reply(ex, status, "application/json", text, strlen(text));
-}
-
-/* Refuses, saying what is wrong and what is allowed. */
-static void
-refuse(struct http_exchange *ex, int status, const char *key, const char *what)
-{
-    reply(ex, status, json_pack("{s:s, s:s}", "key", key, "allowed", what));
-}
-
 /* Finds an upstream by its service. */
 static struct announced *
 find(struct announce *a, const char *service)
@@ -98,70 +67,6 @@
     free(u);
 }
 
-static const struct {
-    const char *key;
-    size_t offset;
-    int64_t min;
-    int64_t max;
-    const char *allowed;
-} numbers[] = {
-    {"slots", offsetof(struct announced, slots), 1, SLOTS_MAX, "1..4096"},
-    {"connections", offsetof(struct announced, connections), 1, SLOTS_MAX,
-     "1..4096, at least slots"},
-    {"lease_ms", offsetof(struct announced, lease_ms), LEASE_MIN_MS,
-     LEASE_MAX_MS, "200..600000"},
-};
-
-/* Reads the numbers of an announcement. Returns the place of the first wrong
- * one, or how many there are. */
-static size_t
-read_numbers(const json_t *o, struct announced *u)
-{
-    size_t i;
-
-    for (i = 0; i < COUNT_OF(numbers); i++) {
-        const json_t *n = json_object_get(o, numbers[i].key);
-        int64_t value = json_integer_value(n);
-
-        if (!json_is_integer(n) || value < numbers[i].min ||
-            value > numbers[i].max) {
-            return i;
-        }
-        memcpy((char *)u + numbers[i].offset, &value, sizeof(value));
-    }
-    return i;
-}
-
-/* Reads an announcement, or refuses it. */
-static bool
-read_announcement(struct http_exchange *ex, const json_t *o,
-                  struct announced *u)
-{
-    const char *url = json_string_value(json_object_get(o, "url"));
-    size_t wrong = read_numbers(o, u);
-
-    if (!json_is_object(o)) {
-        refuse(ex, 400, "", "a JSON object");
-    }
-    else if (url == NULL || !Settings_IsUrl(url) ||
-             Str_Copy(u->url, sizeof(u->url), url) != ERR_OK) {
-        refuse(ex, 400, "url", "http://host[:port][/path], under 256 bytes");
-    }
-    else if (wrong < COUNT_OF(numbers)) {
-        refuse(ex, 400, numbers[wrong].key, numbers[wrong].allowed);
-    }
-    else if (u->connections < u->slots) {
-        refuse(ex, 400, "connections", "1..4096, at least slots");
-    }
-    else if (json_object_size(o) != COUNT_OF(numbers) + 1) {
-        refuse(ex, 400, "", "url, slots, connections and lease_ms only");
-    }
-    else {
-        return true;
-    }
-    return false;
-}
-
 /* Takes an announcement, or renews it. Only news are told on. */
 static void
 take(struct announce *a, const struct announced *new)
@@ -198,18 +103,19 @@
                            JSON_REJECT_DUPLICATES, NULL);
     struct announced u = {0};
 
-    if (!read_announcement(ex, o, &u)) {
+    if (!Announce_Read(ex, o, &u)) {
         json_decref(o);
         return;
     }
     json_decref(o);
     if (find(a, service) == NULL && a->count >= UPSTREAMS_MAX) {
-        refuse(ex, 503, "service", "64 services at most");
+        Announce_Refuse(ex, 503, "service", "64 services at most");
         return;
     }
     Str_Copy(u.service, sizeof(u.service), service);
     take(a, &u);
-    reply(ex, 200, json_pack("{s:I}", "lease_ms", (json_int_t)u.lease_ms));
+    Announce_Reply(ex, 200,
+                   json_pack("{s:I}", "lease_ms", (json_int_t)u.lease_ms));
 }
 
 /* DELETE /v1/upstreams/{service} */
@@ -219,11 +125,11 @@
     struct announced *u = find(a, service);
 
     if (u == NULL) {
-        refuse(ex, 404, "service", "one that is announced");
+        Announce_Refuse(ex, 404, "service", "one that is announced");
         return;
     }
     leave(a, u, "asked");
-    reply(ex, 200, json_object());
+    Announce_Reply(ex, 200, json_object());
 }
 
 static const struct {
@@ -239,7 +145,7 @@
     size_t i;
 
     if (!Str_IsName(service)) {
-        refuse(ex, 400, "service", "1..63 of A-Z a-z 0-9 . _ -");
+        Announce_Refuse(ex, 400, "service", "1..63 of A-Z a-z 0-9 . _ -");
         return;
     }
     for (i = 0; i < COUNT_OF(verbs); i++) {
@@ -248,7 +154,7 @@
             return;
         }
     }
-    refuse(ex, 405, "method", "PUT, DELETE");
+    Announce_Refuse(ex, 405, "method", "PUT, DELETE");
 }
 
 /* Sends each request where it belongs. */
@@ -264,10 +170,10 @@
     }
     if (strcmp(path, "/v1/state") == 0 &&
         strcmp(Http_Method(ex), "GET") == 0) {
-        reply(ex, 200, Kernel_State(a->task.kernel));
+        Announce_Reply(ex, 200, Kernel_State(a->task.kernel));
         return;
     }
-    refuse(ex, 404, "path", PREFIX "{service}, GET /v1/state");
+    Announce_Refuse(ex, 404, "path", PREFIX "{service}, GET /v1/state");
 }
 
 /* Upstreams that are dead, paused or cut off leave when their lease lapses:
