Keyed answers are written until the row has them; why from any entry tested

The caller is told at once when the row is slow or the budget is used up; the request goes on for its row for as long as the agent keeps the answer.

--- a/packages/entry/entry-claims.c
+++ b/packages/entry/entry-claims.c
@@ -270,6 +270,18 @@
     }
 }
 
+/* The caller need not wait longer for the row. The answer is written all the
+ * same, again and again for as long as its agent keeps it, so that a
+ * repetition finds it. */
+static void
+tell_early(struct request *r)
+{
+    if (r->ex != NULL) {
+        Request_TellAnswer(r, r->claim->final.answer);
+    }
+    Timer_Set(r->dispatch->task.kernel->loop, &r->timer, SETTLE_MS);
+}
+
 /* The outcome has been written, or not. An agent keeps its answer until the
  * row has it, so that whoever repeats the request can still get it. not_run
  * is told only when the row says so: another entry may have gone on. */
@@ -291,8 +303,12 @@
     if (c->final.kind == FINAL_NOT_RUN && err != ERR_OK) {
         c->final.kind = FINAL_UNKNOWN;
     }
-    if (c->final.kind == FINAL_ANSWER && c->settle &&
-        (err == ERR_OK || err == ERR_CONFLICT)) {
+    if (c->final.kind == FINAL_ANSWER && err != ERR_OK &&
+        err != ERR_CONFLICT) {
+        tell_early(r);
+        return;
+    }
+    if (c->settle && c->final.kind == FINAL_ANSWER) {
         Dispatch_SaySettled(r->dispatch, &c->from, c->final.answer);
     }
     Claims_Tell(r);
@@ -334,7 +350,7 @@
         return;
     }
     if (err != ERR_OK) {
-        Claims_Tell(r);
+        tell_early(r);
         return;
     }
     put_final(r);
@@ -370,10 +386,20 @@
 static void
 settle_late(struct request *r)
 {
-    if (r->claim->final.kind == FINAL_NOT_RUN) {
+    if (r->claim->final.kind != FINAL_ANSWER) {
         r->claim->final.kind = FINAL_UNKNOWN;
+        Claims_Tell(r);
+        return;
     }
-    Claims_Tell(r);
+    if (Clock_NowMs() > r->deadline_at + CLAIM_AFTER_MS) {
+        Claims_Tell(r);
+        return;
+    }
+    if (r->ex == NULL) {
+        settle(r);
+        return;
+    }
+    tell_early(r);
 }
 
 /* A copy of an answer, as the message that brought it goes away. */
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -5,6 +5,9 @@
 #include "entry-claims.h"
 #include "entry.h"
 
+#define CLAIM_AFTER_MS                                                        \
+    10000           /* agents keep answers so long after a deadline           \
+                     */
 #define TRIES_MAX 8 /* attempts of one request, refused ones included */
 
 struct dispatch;
@@ -201,6 +204,7 @@
 void Request_ReplyKeyReused(struct request *r);
 /* Tells the caller, and keeps the request for its row. */
 void Request_TellUnknown(struct request *r, const char *reason);
+void Request_TellAnswer(struct request *r, const struct wire_answer *m);
 
 /* entry-claims.c, entry-claims-follow.c: a keyed request claims its row
  * before anything is sent, after model/dispatch.pml. */
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -32,19 +32,11 @@
 }
 
 /* The upstream's answer, whole, as it came. */
-void
-Request_ReplyAnswer(struct request *r, const struct wire_answer *m)
+static void
+reply_answer(struct request *r, const struct wire_answer *m)
 {
-    struct claim_final final = {.kind = FINAL_ANSWER, .answer = m};
     char hex[ID_HEX_SIZE], attempt[24];
 
-    if (Claims_Defer(r, &final)) {
-        return;
-    }
-    if (r->ex == NULL) {
-        Dispatch_Drop(r->dispatch, r);
-        return;
-    }
     Counter_Add(&answered_total, 1);
     Counter_Observe(&answer_ms, Clock_NowMs() - r->accepted_at);
     log_end(r, "answered", "answered");
@@ -54,9 +46,39 @@
     Http_ReplyHeader(r->ex, "X-Outcome", "answered");
     Http_Reply(r->ex, (int)m->status, m->content_type, m->body.data,
                m->body.len);
+}
+
+/* The end of a request that was answered. */
+void
+Request_ReplyAnswer(struct request *r, const struct wire_answer *m)
+{
+    struct claim_final final = {.kind = FINAL_ANSWER, .answer = m};
+
+    if (Claims_Defer(r, &final)) {
+        return;
+    }
+    if (r->ex != NULL) {
+        reply_answer(r, m);
+    }
     Dispatch_Drop(r->dispatch, r);
 }
 
+/* The caller no longer waits; the request goes on for its row. */
+static void
+let_go(struct request *r)
+{
+    r->ex = NULL;
+    r->dispatch->told++;
+}
+
+/* The caller's end of a request whose answer is still to be written. */
+void
+Request_TellAnswer(struct request *r, const struct wire_answer *m)
+{
+    reply_answer(r, m);
+    let_go(r);
+}
+
 /* It has not run and will not; said at once, with a time to come back. */
 void
 Request_ReplyNotRun(struct request *r, int status, const char *reason,
@@ -116,8 +138,7 @@
 Request_TellUnknown(struct request *r, const char *reason)
 {
     reply_unknown(r, reason);
-    r->ex = NULL;
-    r->dispatch->told++;
+    let_go(r);
 }
 
 /* Nothing was sent; but where the row could not be read, or its claim may
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -6,7 +6,6 @@
 #define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
 #define LATE_MS 250      /* an answer may be this late after the deadline */
 #define REFUSED_RETRY_MS 250
-#define AFTER_MS 10000 /* agents keep an answer so long after a deadline */
 
 static struct counter hedges_total = {"parsleyfall_hedges_total",
                                       "Second attempts beside a late one.",
@@ -616,7 +615,9 @@
 tell_and_wait(struct request *r)
 {
     Request_TellUnknown(r, "deadline");
-    Timer_Set(r->dispatch->task.kernel->loop, &r->timer, AFTER_MS);
+    Admission_Finished(r->service->admission, &r->id, 0, false, Clock_NowMs());
+    Dispatch_PumpSoon(r->dispatch, r->service);
+    Timer_Set(r->dispatch->task.kernel->loop, &r->timer, CLAIM_AFTER_MS);
 }
 
 /* Final answer at the deadline: with no word from an agent nobody can say
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -277,6 +277,8 @@
                Digest("operator") +
                "]}]\norganisations: [{name: org, weight: 1, token_hashes: [" +
                Digest("token") +
+               "]}, {name: org-2, weight: 1, token_hashes: [" +
+               Digest("token-2") +
                "]}]\nclasses: [{name: c, kind: request, priority: normal, "
                "repeatable: " +
                (options.repeatable ? "true" : "false") +
--- a/tests/requests.cmake
+++ b/tests/requests.cmake
@@ -9,3 +9,7 @@
   NEEDS parsleyfall parsleyfall-agent fake-platform fake-upstream fake-relay)
 pf_test(attempts-test attempts-test.cc PACKAGES agent http wire kernel base)
 set_tests_properties(attempts-test PROPERTIES ENVIRONMENT "RC_PARAMS=seed=942")
+pf_process_test(
+  why-peers-test why-peers-test.cc
+  PACKAGES entry config console policy cells kernel http wire platform base
+  NEEDS parsleyfall fake-platform)
