--- a/tests/fakes/upstream.c
+++ b/tests/fakes/upstream.c
@@ -31,12 +31,34 @@
     int64_t finished;
     int64_t refused;
     json_t *by_id;
+    const char *starts_file; /* NULL: none */
     LIST_HEAD(, run) runs;
 };
 
+/* Appends a start to the file, which outlives this process when a test kills
+ * it: id, attempt, the clock in ms, and the first word of the body. */
+static void
+note_start(const struct upstream *up, struct http_exchange *ex, const char *id)
+{
+    const struct buf *body = Http_Body(ex);
+    FILE *f = up->starts_file != NULL ? fopen(up->starts_file, "a") : NULL;
+    size_t word = 0;
+
+    if (f == NULL) {
+        return;
+    }
+    while (word < body->len && body->data[word] != ' ') {
+        word++;
+    }
+    fprintf(f, "%s %lld %lld %.*s\n", id,
+            (long long)Fake_HeaderInt(ex, "X-Attempt", 0),
+            (long long)Clock_NowMs(), (int)word, word > 0 ? body->data : "");
+    fclose(f);
+}
+
 /* Counts a start under its request's id and attempt. */
 static void
-count_start(struct upstream *up, const struct http_exchange *ex)
+count_start(struct upstream *up, struct http_exchange *ex)
 {
     const char *id = Http_Header(ex, "X-Request-Id");
     json_t *one;
@@ -47,6 +69,7 @@
         up->max_at_once = up->busy;
     }
     id = id == NULL ? "" : id;
+    note_start(up, ex, id);
     one = json_object_get(up->by_id, id);
     if (one == NULL) {
         one = json_pack("{s:[],s:i}", "attempts", "starts", 0);
@@ -231,8 +254,10 @@
     struct arg_int *jitter =
         arg_int0(NULL, "jitter-ms", "MS", "added at most");
     struct arg_str *file = arg_str0(NULL, "port-file", "F", "gets the port");
+    struct arg_str *starts =
+        arg_str0(NULL, "starts-file", "F", "gets a line for each start");
     struct arg_end *end = arg_end(5);
-    void *table[] = {port, slots, ms, jitter, file, end};
+    void *table[] = {port, slots, ms, jitter, file, starts, end};
     struct upstream up = {.slots = 8, .service_ms = 0};
 
     port->ival[0] = 0;
@@ -240,6 +265,7 @@
     ms->ival[0] = 0;
     jitter->ival[0] = 0;
     file->sval[0] = NULL;
+    starts->sval[0] = NULL;
     if (arg_parse(argc, argv, table) != 0) {
         arg_print_errors(stderr, end, argv[0]);
         return 2;
@@ -247,6 +273,7 @@
     up.slots = slots->ival[0];
     up.service_ms = ms->ival[0];
     up.jitter_ms = jitter->ival[0];
+    up.starts_file = starts->sval[0];
     run_upstream(&up, port->ival[0], file->sval[0]);
     arg_freetable(table, COUNT_OF(table));
     return 0;
--- /dev/null
+++ b/tests/storm-process-test.cc
@@ -0,0 +1,368 @@
+/* Storms: a stream of requests and of configurations through real processes,
+ * while a schedule of faults, drawn from a fixed seed, kills, pauses, drains
+ * and cuts off what serves them, two at once where the schedule says so.
+ *
+ * Timing differs from run to run, so no test here expects a certain outcome
+ * of a certain request. What must hold in every run is judged afterwards from
+ * both ends: what callers received, and what the upstreams started
+ * (storm-judge.cc, with what each promise means to a caller). */
+#include "storm-judge.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <future>
+#include <numeric>
+#include <random>
+#include <thread>
+
+namespace storm {
+
+static const int64_t STORM_MS = 6000;
+static const int64_t FAULTS_FROM_MS = 500; /* first fault */
+static const int64_t FAULTS_FOR_MS = 2500; /* last one after it */
+static const int64_t WATCH_MS = 2000;      /* after the last outcome */
+static const int64_t DEADLINE_MS = 2000;
+static const int64_t CURL_EXTRA_MS = 8000; /* pauses included */
+static const size_t CALLERS = 24;
+static const size_t FAULTS = 7;
+
+enum class Target { ENTRY, AGENT, UPSTREAM, PLATFORM };
+
+/* A kind of fault, what it is done to and for how long. Both ends take a
+ * connection for silent after 3.5 s. */
+struct Kind {
+    const char *name;
+    Target target;
+    int64_t least_ms, most_ms;
+    void (*run)(Stack &s, size_t target, int64_t ms);
+};
+
+static const Kind kinds[] = {
+    {"kill an entry", Target::ENTRY, 100, 500,
+     [](Stack &s, size_t i, int64_t ms) { s.KillEntry(i, ms); }},
+    {"pause an entry beyond silence", Target::ENTRY, 3900, 4300,
+     [](Stack &s, size_t i, int64_t ms) { s.PauseEntry(i, ms); }},
+    {"pause an entry beyond a claim's takeover", Target::ENTRY, 1200, 1900,
+     [](Stack &s, size_t i, int64_t ms) { s.PauseEntry(i, ms); }},
+    {"drain and replace an entry", Target::ENTRY, 0, 0,
+     [](Stack &s, size_t i, int64_t ms) { s.DrainEntry(i, ms); }},
+    {"silence the links of an entry", Target::ENTRY, 0, 0,
+     [](Stack &s, size_t i, int64_t ms) { s.SilenceEntryLinks(i, ms); }},
+    {"kill an agent", Target::AGENT, 0, 400,
+     [](Stack &s, size_t i, int64_t ms) { s.KillAgent(i, ms); }},
+    {"pause an agent beyond silence", Target::AGENT, 3900, 4300,
+     [](Stack &s, size_t i, int64_t ms) { s.PauseAgent(i, ms); }},
+    {"pause an agent beyond acceptance", Target::AGENT, 1100, 1800,
+     [](Stack &s, size_t i, int64_t ms) { s.PauseAgent(i, ms); }},
+    {"drain and replace an agent", Target::AGENT, 0, 0,
+     [](Stack &s, size_t i, int64_t ms) { s.DrainAgent(i, ms); }},
+    {"silence the links of an agent", Target::AGENT, 0, 0,
+     [](Stack &s, size_t i, int64_t ms) { s.SilenceAgentLinks(i, ms); }},
+    {"kill an upstream", Target::UPSTREAM, 0, 600,
+     [](Stack &s, size_t i, int64_t ms) { s.KillUpstream(i, ms); }},
+    {"platform down", Target::PLATFORM, 800, 2500,
+     [](Stack &s, size_t, int64_t ms) {
+         s.FaultPlatform("{\"down\": true}", ms);
+     }},
+    {"platform hangs", Target::PLATFORM, 800, 2500,
+     [](Stack &s, size_t, int64_t ms) {
+         s.FaultPlatform("{\"hang\": true}", ms);
+     }},
+    {"platform slow", Target::PLATFORM, 1000, 3000,
+     [](Stack &s, size_t, int64_t ms) {
+         s.FaultPlatform("{\"slow_ms\": 400}", ms);
+     }},
+    {"platform loses answers", Target::PLATFORM, 1500, 3000,
+     [](Stack &s, size_t, int64_t ms) {
+         s.FaultPlatform("{\"lose_answers\": 40}", ms);
+     }},
+};
+
+struct Fault {
+    const Kind *kind;
+    size_t target;
+    int64_t at, ms; /* from the start of the storm */
+};
+
+struct Seed {
+    unsigned seed;
+    size_t entries, agents;
+};
+
+static const Seed seeds[] = {
+    {11, 2, 3}, {23, 3, 3}, {37, 2, 4}, {41, 3, 4},
+    {59, 2, 3}, {67, 3, 3}, {73, 2, 4}, {89, 3, 3},
+};
+
+static std::string
+word(size_t caller, size_t number)
+{
+    return "c" + std::to_string(caller) + "-" + std::to_string(number);
+}
+
+class Storm : public testing::TestWithParam<Seed> {
+  protected:
+    Storm() : stack(GetParam().entries, GetParam().agents)
+    {
+    }
+
+    /* Deals kinds from a shuffled deck, each to a target that has no other
+     * fault; every second one falls together with the one before. */
+    void Draw()
+    {
+        std::mt19937_64 random(GetParam().seed);
+        std::vector<std::vector<size_t>> free = {
+            std::vector<size_t>(stack.entry_count),
+            std::vector<size_t>(stack.agent_count),
+            std::vector<size_t>(stack.agent_count),
+            {0}};
+        std::vector<size_t> deck(std::size(kinds));
+        int64_t at = 0;
+
+        for (auto &f : free) {
+            std::iota(f.begin(), f.end(), 0);
+        }
+        std::iota(deck.begin(), deck.end(), 0);
+        for (size_t i = deck.size() - 1; i > 0; i--) {
+            std::swap(deck[i], deck[random() % (i + 1)]);
+        }
+        for (size_t card : deck) {
+            const Kind &k = kinds[card];
+            auto &targets = free[static_cast<size_t>(k.target)];
+
+            if (targets.empty() || faults.size() == FAULTS) {
+                continue;
+            }
+            size_t pick = random() % targets.size();
+            int64_t more = static_cast<int64_t>(
+                random() % static_cast<uint64_t>(k.most_ms - k.least_ms + 1));
+            if (faults.size() % 2 == 0) {
+                at = FAULTS_FROM_MS +
+                     static_cast<int64_t>(
+                         random() % static_cast<uint64_t>(FAULTS_FOR_MS));
+            }
+            faults.push_back({&k, targets[pick], at, k.least_ms + more});
+            targets.erase(targets.begin() + static_cast<ptrdiff_t>(pick));
+        }
+    }
+
+    std::string Schedule() const
+    {
+        std::string text = "seed " + std::to_string(GetParam().seed) + ", " +
+                           std::to_string(stack.entry_count) + " entries, " +
+                           std::to_string(stack.agent_count) + " agents\n";
+
+        for (const auto &f : faults) {
+            text += "  +" + std::to_string(f.at) + " ms (" +
+                    std::to_string(started_at + f.at) + "): " + f.kind->name +
+                    ", number " + std::to_string(f.target + 1) + ", " +
+                    std::to_string(f.ms) + " ms\n";
+        }
+        return text;
+    }
+
+    /* A request of its own, or with a key; a third of the keyed ones repeat a
+     * key that another caller has used, wherever that was. */
+    Call Next(size_t caller, size_t number, std::mt19937_64 &random)
+    {
+        std::lock_guard<std::mutex> lock(mutex);
+        Call c = {};
+
+        if (!keyed.empty() && random() % 6 == 0) {
+            size_t recent = std::min<size_t>(keyed.size(), 8);
+
+            c = keyed[keyed.size() - 1 - random() % recent];
+        }
+        else {
+            c.word = word(caller, number);
+            c.body = c.word + " " + std::string(random() % 6000, 'x') + c.word;
+            c.repeatable = random() % 2 == 0;
+            if (random() % 3 == 0) {
+                c.key = "key-" + c.word;
+                c.repeatable = false;
+                keyed.push_back(c);
+            }
+        }
+        c.entry = stack.PickEntry(random());
+        c.deadline_ms = DEADLINE_MS;
+        return c;
+    }
+
+    void Ask(Call &c, size_t caller) const
+    {
+        std::vector<std::string> headers = {
+            "Authorization: Bearer token",
+            "X-Class: " + std::string(c.repeatable ? "preview" : "estimate"),
+            "X-Caller: caller-" + std::to_string(caller),
+            "X-Deadline-Ms: " + std::to_string(c.deadline_ms)};
+
+        if (!c.key.empty()) {
+            headers.push_back("Idempotency-Key: " + c.key);
+        }
+        c.begin = Now();
+        c.reply =
+            Http("POST", stack.Url(c.entry, "/v1/services/work/requests"),
+                 c.body, headers, c.deadline_ms + CURL_EXTRA_MS);
+        c.end = Now();
+    }
+
+    void Caller(size_t caller)
+    {
+        std::mt19937_64 random(GetParam().seed * 1000 + caller);
+
+        for (size_t n = 0; Now() < started_at + STORM_MS; n++) {
+            Call c = Next(caller, n, random);
+
+            Ask(c, caller);
+            {
+                std::lock_guard<std::mutex> lock(mutex);
+                evidence.calls.push_back(c);
+            }
+            SleepUntil(Now() + 20 + static_cast<int64_t>(random() % 100));
+        }
+    }
+
+    /* The epoch that an entry tells; 0 when it tells none. */
+    int64_t LookAtConfig(size_t entry, std::string *tag)
+    {
+        Reply r = Http("GET", stack.Url(entry, "/v1/config"), "",
+                       {"Authorization: Bearer operator"}, 1000);
+        int64_t epoch = 0;
+
+        if (r.status == 200) {
+            *tag = r.headers["etag"];
+            epoch = std::atoll(tag->c_str() + 1);
+            evidence.epochs.push_back({entry, Now(), epoch});
+        }
+        return epoch;
+    }
+
+    /* An operator who looks at each entry in turn and now and then changes
+     * the document that it saw. */
+    void Operator()
+    {
+        for (size_t n = 0; Now() < started_at + STORM_MS; n++) {
+            size_t entry = n % stack.entry_count;
+            std::string tag;
+            int64_t seen = LookAtConfig(entry, &tag);
+
+            if (seen > 0 && n % 5 == 0) {
+                Reply r = Http(
+                    "PUT", stack.Url(entry, "/v1/config"),
+                    Stack::Configuration(static_cast<int>(64 + n)),
+                    {"Authorization: Bearer operator", "If-Match: " + tag},
+                    3000);
+                accepted =
+                    r.status == 200 ? std::max(accepted, seen + 1) : accepted;
+            }
+            SleepUntil(Now() + 50);
+        }
+    }
+
+    void Run()
+    {
+        std::vector<std::future<void>> threads;
+        auto go = [&threads](auto f) {
+            threads.push_back(std::async(std::launch::async, f));
+        };
+
+        started_at = Now();
+        for (size_t i = 0; i < CALLERS; i++) {
+            go([this, i] { Caller(i); });
+        }
+        go([this] { Operator(); });
+        for (const auto &f : faults) {
+            go([this, f] {
+                SleepUntil(started_at + f.at);
+                f.kind->run(stack, f.target, f.ms);
+            });
+        }
+        for (auto &t : threads) {
+            t.get();
+        }
+    }
+
+    /* Looks at the evidence until the time is over in which a late start
+     * would still break a promise, or one is broken. */
+    std::vector<Breach> Watch()
+    {
+        std::vector<Breach> breaches;
+
+        evidence.windows = stack.Windows();
+        WaitFor(
+            [&] {
+                evidence.starts = stack.Starts();
+                breaches = Judge(evidence);
+                return !breaches.empty();
+            },
+            WATCH_MS);
+        return breaches;
+    }
+
+    size_t Count(const std::string &outcome) const
+    {
+        return static_cast<size_t>(std::count_if(
+            evidence.calls.begin(), evidence.calls.end(),
+            [&](const Call &c) { return c.Outcome() == outcome; }));
+    }
+
+    Stack stack;
+    std::vector<Fault> faults;
+    std::mutex mutex;
+    std::vector<Call> keyed;
+    Evidence evidence;
+    int64_t accepted = 0; /* highest epoch that an operator was told */
+    int64_t started_at = 0;
+};
+
+/* Callers see outcomes of which each is true, while two processes at once are
+ * killed, paused, cut off, drained or without their platform. Afterwards the
+ * system is whole again: every entry hears every agent, serves, and has the
+ * last configuration that an operator was told to be accepted. */
+TEST_P(Storm, KeepsWhatIsPromised)
+{
+    Draw();
+    Run();
+
+    std::vector<Breach> breaches = Watch();
+    for (size_t i = 0; i < breaches.size() && i < 5; i++) {
+        ADD_FAILURE() << breaches[i].what << "\n"
+                      << stack.Story(breaches[i].ids);
+    }
+    EXPECT_EQ(breaches.size(), 0u) << Schedule();
+    for (const auto &death : stack.Deaths()) {
+        ADD_FAILURE() << death << "\n" << Schedule();
+    }
+    EXPECT_GT(Count("answered") * 2, evidence.calls.size()) << Schedule();
+    std::cout << evidence.calls.size() << " calls: " << Count("answered")
+              << " answered, " << Count("not_run") << " not_run, "
+              << Count("unknown") << " unknown\n";
+
+    EXPECT_TRUE(stack.WaitAllHeard()) << Schedule();
+    for (size_t i = 0; i < stack.entry_count; i++) {
+        std::string tag;
+
+        EXPECT_TRUE(WaitFor([&] { return LookAtConfig(i, &tag) >= accepted; }))
+            << "entry-" << i + 1 << " lacks epoch " << accepted << "\n"
+            << Schedule();
+        EXPECT_TRUE(WaitFor([&] {
+            Call c = {};
+            c.body = c.word = word(CALLERS, i);
+            c.entry = i;
+            c.repeatable = true;
+            c.deadline_ms = DEADLINE_MS;
+            Ask(c, CALLERS);
+            return c.Outcome() == "answered";
+        })) << "entry-"
+            << i + 1 << " does not serve\n"
+            << Schedule();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Storm, testing::ValuesIn(seeds),
+                         [](const auto &seed) {
+                             return "seed" + std::to_string(seed.param.seed);
+                         });
+
+} /* namespace storm */
