entry: refusals before dispatch tell their outcome, for a key that is unknown

Cause: a request that an entry refuses before dispatch hears of it (no configuration yet, no token, ...) got no X-Outcome.

The other refusals of a keyed request whose row can't be read (table_down) say unknown with a time to come back; this is the same.

--- a/packages/entry/entry-requests.c
+++ b/packages/entry/entry-requests.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define NO_CONFIGURATION_RETRY_MS 1000
+
 /* requests: who asks, for what, and by which class. What passes is offered to
  * dispatch. */
 struct requests {
@@ -140,6 +142,22 @@
     return (struct objection){0};
 }
 
+/* Refuses a request that dispatch never hears of. Without a configuration no
+ * row is read either: an earlier request with this key may have run, and a
+ * caller that reads not_run would ask for the work again with another key. */
+static void
+refuse(struct http_exchange *ex, const struct objection *no,
+       const struct id *id)
+{
+    bool unread =
+        no->status == 503 && Http_Header(ex, "Idempotency-Key") != NULL;
+    const char *outcome = unread ? "unknown" : "not_run";
+
+    Http_ReplyHeader(ex, "X-Outcome", outcome);
+    Front_Refuse(ex, no->status, outcome, no->reason, no->detail,
+                 no->status == 503 ? NO_CONFIGURATION_RETRY_MS : -1, id);
+}
+
 /* POST /v1/services/{service}/requests */
 static void
 post_request(struct task *t, struct http_exchange *ex, const char *name)
@@ -160,8 +178,7 @@
                                 "the service's request_bytes is less"};
     }
     if (no.status != 0) {
-        Front_Refuse(ex, no.status, "not_run", no.reason, no.detail,
-                     no.status == 503 ? 1000 : -1, &o->id);
+        refuse(ex, &no, &o->id);
         free(o);
         return;
     }
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -158,15 +158,14 @@
     for (const auto &relay : a.relays) {
         seeds += "\"" + relay->Address() + "\", ";
     }
-    a.settings =
-        dir.Write("agent-" + a.name + ".yaml",
-                  "name: " + a.name +
-                      "\nregion: r\nfailure_domain: d\nrack: k\n"
-                      "accelerators: 8\nseeds: [" +
-                      seeds + "]\nservices: [{name: work, url: \"" +
-                      a.upstream->Url() +
-                      "\", slots: 16, connections: 64, timeout_ms: 60000}]\n"
-                      "lease_ms: 3000\ndrain_ms: 15000\n");
+    a.settings = dir.Write(
+        "agent-" + a.name + ".yaml",
+        "name: " + a.name +
+            "\nregion: r\nfailure_domain: d\nrack: k\n"
+            "accelerators: 8\nseeds: [" +
+            seeds + "]\nservices: [{name: work, url: \"" + a.upstream->Url() +
+            "\", slots: 16, connections: 64, timeout_ms: 60000}]\n"
+            "lease_ms: 3000\ndrain_ms: 15000\n");
 }
 
 void
