entry: what may have run is not told as not_run when nothing is left to try

Cause: Request_Send told not_run when routing had no upstream left, without a look at the earlier attempts. The three other ends that refuse looked at the attempts each for itself; all four now go through one function.

Ruled out: the fence and the agents (w3's verdict not_started was true), and the order of the attempts (the smallest case fails in both).

--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -270,6 +270,21 @@
     set_timer(r);
 }
 
+/* The end of a request that will not be sent any more. It is told as not run
+ * only when no attempt may have run: an earlier one may have started and lost
+ * its answer before the last was refused, and its caller, told not_run, would
+ * have the work done a second time. */
+static void
+end_unsent(struct request *r, const char *reason, const char *detail,
+           int64_t retry_after_ms)
+{
+    if (any_may_have_run(r)) {
+        Request_ReplyUnknown(r, reason);
+        return;
+    }
+    Request_ReplyNotRun(r, 503, reason, detail, retry_after_ms);
+}
+
 /* Picks an upstream and sends the request there. */
 int
 Request_Send(struct request *r)
@@ -281,8 +296,7 @@
     }
     if (d.handle == ROUTE_NONE) {
         record_route(r, &d, NULL);
-        Request_ReplyNotRun(r, 503, Route_ReasonName(d.reason), "",
-                            REFUSED_RETRY_MS);
+        end_unsent(r, Route_ReasonName(d.reason), "", REFUSED_RETRY_MS);
         return ERR_OK;
     }
     start_try(r, &d);
@@ -380,11 +394,7 @@
         requeue(r);
         return;
     }
-    if (may_have_run) {
-        Request_ReplyUnknown(r, reason);
-        return;
-    }
-    Request_ReplyNotRun(r, 503, reason, "no upstream took it", retry_after_ms);
+    end_unsent(r, reason, "no upstream took it", retry_after_ms);
 }
 
 /* An attempt is over and may have run. Only a request that may be repeated
@@ -631,11 +641,7 @@
         tell_and_wait(r);
         return;
     }
-    if (may_have_run) {
-        Request_ReplyUnknown(r, "deadline");
-        return;
-    }
-    Request_ReplyNotRun(r, 503, "deadline", "", REFUSED_RETRY_MS);
+    end_unsent(r, "deadline", "", REFUSED_RETRY_MS);
 }
 
 /* The request's timer: no word on a dispatch, no word on a withdraw, or the
@@ -673,15 +679,10 @@
 }
 
 /* A queued request that can't be answered in time any more is refused at
- * once, unless an earlier attempt may have run. */
+ * once. */
 void
 Request_Expire(struct request *r, const struct admission_decision *why)
 {
-    if (any_may_have_run(r)) {
-        Request_ReplyUnknown(r, Admission_ReasonName(why->reason));
-        return;
-    }
-    Request_ReplyNotRun(r, 503, Admission_ReasonName(why->reason),
-                        "the deadline can't be met any more",
-                        why->retry_after_ms);
+    end_unsent(r, Admission_ReasonName(why->reason),
+               "the deadline can't be met any more", why->retry_after_ms);
 }
--- /dev/null
+++ b/tests/storm-found-test.cc
@@ -0,0 +1,62 @@
+/* What the storms have found, each as the smallest case that shows it. */
+#include "storm-stack.h"
+
+#include <gtest/gtest.h>
+
+namespace storm {
+
+static Reply
+ask(const Stack &s, const std::vector<std::string> &more)
+{
+    std::vector<std::string> headers = {"Authorization: Bearer token",
+                                        "X-Deadline-Ms: 3000"};
+
+    headers.insert(headers.end(), more.begin(), more.end());
+    return Http("POST", s.Url(0, "/v1/services/work/requests"), "body",
+                headers);
+}
+
+/* Seed 59. A preview may be repeated. Its attempt on the first worker starts
+ * and loses its answer; on the second nothing starts, as its upstream is
+ * gone. With no worker left to try, the caller must not hear not_run for the
+ * one that has run, in whichever order the two were tried. */
+TEST(Found, RunOnceAndRefusedElsewhereIsNotToldAsNotRun)
+{
+    Stack s(1, 2);
+
+    s.SetUpstreamMode(0, "close");
+    s.RemoveUpstream(1);
+    Reply r = ask(s, {"X-Class: preview"});
+
+    EXPECT_EQ(s.Starts().size(), 1u);
+    EXPECT_EQ(r.headers["x-outcome"], "unknown") << r.body;
+    EXPECT_EQ(r.status, 504);
+}
+
+/* Seed 41. An estimate with a key has run; then its entry dies and comes back
+ * while the platform is down, so that it has no configuration and can't read
+ * the key's row. The caller who repeats the key must not hear not_run. One
+ * without a key may: this entry sent nothing. Both hear it in the header too.
+ */
+TEST(Found, KeyedRefusalWithoutConfigurationIsNotToldAsNotRun)
+{
+    Stack s(1, 1);
+    std::vector<std::string> keyed = {"X-Class: estimate",
+                                      "Idempotency-Key: key"};
+
+    ASSERT_EQ(ask(s, keyed).headers["x-outcome"], "answered");
+    s.SetPlatformFaults("{\"down\": true}");
+    s.KillEntry(0, 0);
+    Reply with = ask(s, keyed);
+    Reply without = ask(s, {"X-Class: estimate"});
+
+    EXPECT_EQ(with.headers["x-outcome"], "unknown") << with.body;
+    EXPECT_EQ(without.headers["x-outcome"], "not_run") << without.body;
+    for (const Reply &r : {with, without}) {
+        EXPECT_EQ(r.status, 503);
+        EXPECT_FALSE(r.json() == nullptr);
+        EXPECT_NE(r.body.find("no_configuration"), std::string::npos);
+    }
+}
+
+} /* namespace storm */
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -326,6 +326,19 @@
     startUpstream(a, port);
 }
 
+void
+Stack::RemoveUpstream(size_t i)
+{
+    agents[i]->upstream->process.Signal(SIGKILL);
+    agents[i]->upstream->process.Wait();
+}
+
+void
+Stack::SetUpstreamMode(size_t i, const std::string &words)
+{
+    Http("PUT", agents[i]->upstream->Url("/mode"), words);
+}
+
 void
 Stack::SilenceEntryLinks(size_t i, int64_t)
 {
@@ -342,14 +355,20 @@
     }
 }
 
+void
+Stack::SetPlatformFaults(const std::string &json)
+{
+    Http("PUT", platform.Url("/faults"), json);
+}
+
 void
 Stack::FaultPlatform(const std::string &json, int64_t ms)
 {
     int64_t from = Now();
 
-    Http("PUT", platform.Url("/faults"), json);
+    SetPlatformFaults(json);
     SleepUntil(from + ms);
-    Http("PUT", platform.Url("/faults"), "{}");
+    SetPlatformFaults("{}");
 }
 
 bool
--- a/tests/storm-stack.h
+++ b/tests/storm-stack.h
@@ -44,10 +44,15 @@
     void PauseAgent(size_t i, int64_t ms);
     void DrainAgent(size_t i, int64_t ms);
     void KillUpstream(size_t i, int64_t ms);
+    /* Kills it; nothing listens at its address any more. */
+    void RemoveUpstream(size_t i);
+    /* How an upstream answers from now on (X-Fake words). */
+    void SetUpstreamMode(size_t i, const std::string &words);
     /* Present connections of all relays of one entry go silent for good. */
     void SilenceEntryLinks(size_t i, int64_t ms);
     /* The same of all relays of one agent. */
     void SilenceAgentLinks(size_t i, int64_t ms);
+    void SetPlatformFaults(const std::string &json);
     void FaultPlatform(const std::string &json, int64_t ms);
 
     /* An entry that a balancer would send to; salt chooses. */
