--- a/tests/storm-process-test.cc
+++ b/tests/storm-process-test.cc
@@ -25,7 +25,7 @@
 static const int64_t DEADLINE_MS = 2000;
 static const int64_t CURL_EXTRA_MS = 8000; /* pauses included */
 static const size_t CALLERS = 24;
-static const size_t FAULTS = 7;
+static const size_t FAULTS = 8;
 
 enum class Target { ENTRY, AGENT, UPSTREAM, PLATFORM };
 
@@ -61,6 +61,9 @@
      [](Stack &s, size_t i, int64_t ms) { s.SilenceAgentLinks(i, ms); }},
     {"kill an upstream", Target::UPSTREAM, 0, 600,
      [](Stack &s, size_t i, int64_t ms) { s.KillUpstream(i, ms); }},
+    {"an upstream starts work and closes without an answer", Target::UPSTREAM,
+     500, 1500,
+     [](Stack &s, size_t i, int64_t ms) { s.CloseUnanswered(i, ms); }},
     {"platform down", Target::PLATFORM, 800, 2500,
      [](Stack &s, size_t, int64_t ms) {
          s.FaultPlatform("{\"down\": true}", ms);
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -339,6 +339,16 @@
     Http("PUT", agents[i]->upstream->Url("/mode"), words);
 }
 
+void
+Stack::CloseUnanswered(size_t i, int64_t ms)
+{
+    int64_t from = Now();
+
+    SetUpstreamMode(i, "close");
+    SleepUntil(from + ms);
+    SetUpstreamMode(i, "");
+}
+
 void
 Stack::SilenceEntryLinks(size_t i, int64_t)
 {
--- a/tests/storm-stack.h
+++ b/tests/storm-stack.h
@@ -44,6 +44,8 @@
     void PauseAgent(size_t i, int64_t ms);
     void DrainAgent(size_t i, int64_t ms);
     void KillUpstream(size_t i, int64_t ms);
+    /* It starts what it gets and closes the connections without an answer. */
+    void CloseUnanswered(size_t i, int64_t ms);
     /* Kills it; nothing listens at its address any more. */
     void RemoveUpstream(size_t i);
     /* How an upstream answers from now on (X-Fake words). */
