agent: one link to an entry that has two addresses

Cause: the storms' agents reach entries through relays (seeds), and learn the entries' own addresses from the welcomes: two links to one process. The entry knows an agent by its last connection, so that a beat on the other is answered 'not known', a hello follows, the agent is seen to return, and what was just dispatched to it is withdrawn; 4 to 8 'change=returned' within the first seconds of an entry's log without any fault. The same happens to an operator whose seeds are forwarded ports.

The seed's link stays; the listed address is opened when that falls silent.

Ruled out: taking relays out of the harness (silent connections would then not be tested), and preferring the listed address (a firewall may be why the operator wrote the other one).

--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -23,9 +23,10 @@
     bool seed;
     bool welcomed;
     bool draining;
-    bool replace; /* at the next tick, outside of the link's own callback */
-    int busy;     /* in progress here for that entry */
-    struct wire_list own; /* of its requests, running by service */
+    bool doubled; /* dropped at the next tick, outside of its own callback */
+    char listed[NAME_SIZE]; /* the entry's own address, by its name */
+    int busy;               /* in progress here for that entry */
+    struct wire_list own;   /* of its requests, running by service */
     int64_t pace_ms;
     int64_t opened_at;
     int64_t said_at;
@@ -143,7 +144,6 @@
         Fatal("an address that was checked can't be used: %s", e->address);
     }
     e->welcomed = false;
-    e->replace = false;
     e->opened_at = now;
     e->heard_at = now;
     e->pace_ms = FIRST_BEAT_MS;
@@ -234,6 +234,55 @@
     return before < FOREIGN_ENTRIES;
 }
 
+/* Another link to the same process that is welcomed, or NULL. */
+static struct entry_link *
+twin_of(struct links *l, const struct entry_link *e)
+{
+    struct entry_link *o;
+
+    TAILQ_FOREACH (o, &l->entries, entry) {
+        if (o != e && o->welcomed && !o->doubled &&
+            o->incarnation == e->incarnation &&
+            strcmp(o->name, e->name) == 0) {
+            return o;
+        }
+    }
+    return NULL;
+}
+
+/* Keeps one link to an entry. A seed may be another address of an entry than
+ * the one that it lists (a forwarded port). With two links the entry takes
+ * each beat for one of the other connection, asks for a hello and sees the
+ * agent return, twice a second, and withdraws each time what it has just
+ * dispatched. The seed stays, as the operator wrote it. */
+static void
+mark_twin(struct links *l, struct entry_link *e)
+{
+    struct entry_link *o = twin_of(l, e);
+
+    if (o == NULL || e->seed == o->seed) {
+        return;
+    }
+    (e->seed ? o : e)->doubled = true;
+}
+
+/* True when an entry of a list is reached under another address. That is
+ * noted, for when the present one falls silent. */
+static bool
+is_reached(struct links *l, const struct wire_entry *listed)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (e->seed && e->welcomed && strcmp(e->name, listed->name) == 0 &&
+            strcmp(e->address, listed->address) != 0) {
+            Str_Copy(e->listed, sizeof(e->listed), listed->address);
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A welcome: the entry is there; it sets the pace and lists the entries. */
 static void
 take_welcome(struct links *l, struct entry_link *e,
@@ -257,8 +306,9 @@
     e->pace_ms = w->beat_ms < MIN_BEAT_MS   ? MIN_BEAT_MS
                  : w->beat_ms > MAX_BEAT_MS ? MAX_BEAT_MS
                                             : w->beat_ms;
+    mark_twin(l, e);
     for (i = 0; i < w->entries.count; i++) {
-        if (is_chosen(l, &w->entries, &list[i])) {
+        if (is_chosen(l, &w->entries, &list[i]) && !is_reached(l, &list[i])) {
             add_entry(l, list[i].address, false);
         }
     }
@@ -360,10 +410,29 @@
     free(heard.items);
 }
 
+/* Drops a second link to an entry. The entry may have heard the last word on
+ * it; a hello on the other tells it where the agent is, and it asks there for
+ * what the dropped one may have lost. */
+static void
+drop_doubled(struct links *l, struct entry_link *e)
+{
+    struct entry_link *o = twin_of(l, e);
+
+    LOG_I("link_doubled", KV("address", e->address), KV("entry", e->name));
+    drop_entry(l, e);
+    if (o != NULL) {
+        say_hello(l, o);
+    }
+}
+
 /* Looks after one link. */
 static void
 tend(struct links *l, struct entry_link *e, int64_t now)
 {
+    if (e->doubled) {
+        drop_doubled(l, e);
+        return;
+    }
     if (!e->seed && is_silent(e, now) && now - e->listed_at > FORGET_MS) {
         LOG_I("entry_forgotten", KV("address", e->address));
         drop_entry(l, e);
@@ -375,6 +444,10 @@
         Counter_Add(&replaced_total, 1);
         e->replaced++;
         open_link(l, e);
+        if (e->listed[0] != '\0') {
+            add_entry(l, e->listed, false);
+            e->listed[0] = '\0';
+        }
     }
     else if (!e->welcomed && now - e->said_at >= HELLO_MS) {
         say_hello(l, e);
--- a/tests/storm-found-test.cc
+++ b/tests/storm-found-test.cc
@@ -2,6 +2,7 @@
 #include "storm-stack.h"
 
 #include <gtest/gtest.h>
+#include <signal.h>
 
 namespace storm {
 
@@ -59,4 +60,41 @@
     }
 }
 
+/* True when the agent has as many links, all of them welcomed, and has said
+ * so to the end of the dump. */
+static bool
+has_links(const Stack &s, size_t count)
+{
+    Json state = s.AgentState(0);
+    json_t *links =
+        json_object_get(json_object_get(state.get(), "links"), "entries");
+    size_t i, welcomed = 0;
+    json_t *link;
+
+    json_array_foreach(links, i, link)
+    {
+        welcomed += json_is_true(json_object_get(link, "welcomed"));
+    }
+    return welcomed == count && json_array_size(links) == count;
+}
+
+/* The harness of the storms itself: agents reach entries through relays, and
+ * learn the entries' own addresses from them. An agent that keeps both links
+ * is seen to return twice a second, and what was just dispatched to it is
+ * withdrawn each time. When the relay stops working for good, the other
+ * address is used, so that callers are served on; and one link remains when
+ * it works again. */
+TEST(Found, OneLinkToAnEntryThatHasTwoAddresses)
+{
+    Stack s(2, 1);
+
+    EXPECT_TRUE(WaitFor([&] { return has_links(s, 2); }));
+    s.SignalRelays(0, SIGUSR2);
+    EXPECT_TRUE(WaitFor([&] {
+        return ask(s, {"X-Class: preview"}).headers["x-outcome"] == "answered";
+    }));
+    s.SignalRelays(0, SIGHUP);
+    EXPECT_TRUE(WaitFor([&] { return has_links(s, 2); }));
+}
+
 } /* namespace storm */
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -220,6 +220,16 @@
     });
 }
 
+Json
+Stack::AgentState(size_t i) const
+{
+    std::string out = agents[i]->process->Out();
+    size_t at = out.rfind("\n{");
+
+    agents[i]->process->Signal(SIGUSR1);
+    return Parse(at == out.npos ? out : out.substr(at));
+}
+
 void
 Stack::addWindow(size_t entry, Trouble trouble, int64_t from, int64_t to)
 {
@@ -350,13 +360,19 @@
 }
 
 void
-Stack::SilenceEntryLinks(size_t i, int64_t)
+Stack::SignalRelays(size_t i, int signum)
 {
     for (const auto &a : agents) {
-        a->relays[i]->process.Signal(SIGUSR1);
+        a->relays[i]->process.Signal(signum);
     }
 }
 
+void
+Stack::SilenceEntryLinks(size_t i, int64_t)
+{
+    SignalRelays(i, SIGUSR1);
+}
+
 void
 Stack::SilenceAgentLinks(size_t i, int64_t)
 {
--- a/tests/storm-stack.h
+++ b/tests/storm-stack.h
@@ -54,6 +54,9 @@
     void SilenceEntryLinks(size_t i, int64_t ms);
     /* The same of all relays of one agent. */
     void SilenceAgentLinks(size_t i, int64_t ms);
+    /* Sends a signal to all relays of one entry: SIGUSR2, present and new
+     * connections are silent; SIGHUP, new ones work again. */
+    void SignalRelays(size_t i, int signum);
     void SetPlatformFaults(const std::string &json);
     void FaultPlatform(const std::string &json, int64_t ms);
 
@@ -68,6 +71,8 @@
     /* Processes that did not end as they should, or have ended. */
     std::vector<std::string> Deaths();
     bool WaitAllHeard();
+    /* The last state that an agent has dumped; asks for another one. */
+    Json AgentState(size_t i) const;
 
     static std::string Configuration(int queue_limit);
     const size_t entry_count, agent_count;
