--- /dev/null
+++ b/packages/entry/entry-jobs-load.c
@@ -0,0 +1,235 @@
+#include "entry-jobs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_PAGE 200
+#define NEWS_PAGE 50
+
+/* A read under way, for the term in which it began. */
+struct reading {
+    struct sched *sched;
+    uint64_t term;
+    struct id id;
+    char news_key[JOB_KEY_SIZE];
+    uint64_t news_version;
+};
+
+/* True while this entry is the owner of the term in which the read began. */
+static bool
+is_current(const struct reading *r)
+{
+    return r->sched->owner.self && r->sched->owner.term == r->term;
+}
+
+/* A read of this term. */
+static struct reading *
+begin(struct sched *s)
+{
+    struct reading *r = Mem_Zero(1, sizeof(*r));
+
+    r->sched = s;
+    r->term = s->owner.term;
+    return r;
+}
+
+/* The prefix of this region's keys. */
+static const char *
+prefix_of(const struct sched *s, char out[NAME_SIZE + 1])
+{
+    snprintf(out, NAME_SIZE + 1, "%s/", s->settings->region);
+    return out;
+}
+
+/* Reads a row's id from its key, and the row from its value. */
+static int
+parse(const struct sched *s, const struct table_row *row, struct job_row *out)
+{
+    size_t skip = strlen(s->settings->region) + 1;
+
+    if (JobRow_Parse(row->value.data, row->value.len, out) != ERR_OK ||
+        strlen(row->key) < skip ||
+        Id_Parse(row->key + skip, &out->id) != ERR_OK) {
+        LOG_E("job_row_unreadable", KV("key", row->key));
+        return ERR_INVALID;
+    }
+    return ERR_OK;
+}
+
+/* Enters a job that the table holds, by its state. */
+static void
+enter(struct sched *s, const struct job_row *row, uint64_t version)
+{
+    struct job *j = Jobs_Add(s, row, version);
+
+    if (row->members > 0) {
+        Gang_Adopt(j);
+        return;
+    }
+    Account_Enqueue(j);
+}
+
+/* Takes in a row: a new job, or a wish about one that is known. */
+void
+Jobs_Absorb(struct sched *s, const struct job_row *row, uint64_t version)
+{
+    struct job *j = Jobs_Find(s, &row->id);
+
+    if (j == NULL && !Job_IsOver(row->state)) {
+        enter(s, row, version);
+        return;
+    }
+    if (j == NULL || version <= j->version) {
+        return;
+    }
+    if (j->writing) {
+        return; /* its own conflict tells it */
+    }
+    j->version = version;
+    if (row->cancel || row->state == JOB_CANCELLED) {
+        j->row.cancel = true;
+        Gang_Cancel(j);
+    }
+}
+
+static void load_page(struct sched *s, const char *after);
+
+/* Takes in a page of rows, and asks for the next one. */
+static void
+on_loaded(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct reading *r = arg;
+    struct sched *s = r->sched;
+    bool current = is_current(r);
+    size_t i;
+
+    free(r);
+    if (!current) {
+        return;
+    }
+    if (err != ERR_OK) {
+        s->polling = false; /* the poll begins the load again */
+        return;
+    }
+    for (i = 0; i < count; i++) {
+        struct job_row row CLEANUP(JobRow_Free) = {0};
+
+        if (parse(s, &rows[i], &row) == ERR_OK) {
+            Jobs_Absorb(s, &row, rows[i].version);
+        }
+    }
+    if (more && count > 0) {
+        load_page(s, rows[count - 1].key);
+        return;
+    }
+    s->polling = false;
+    s->owner.loaded = true;
+    LOG_I("jobs_loaded", KV_INT("term", s->owner.term));
+    Account_Place(s);
+}
+
+/* Asks for a page of rows. */
+static void
+load_page(struct sched *s, const char *after)
+{
+    char prefix[NAME_SIZE + 1];
+
+    s->table->ops->list(s->table, "jobs", prefix_of(s, prefix), after,
+                        LOAD_PAGE, on_loaded, begin(s));
+}
+
+/* Reads all rows of the region, so that everything accepted goes on. Nothing
+ * is placed before the last one is read. */
+void
+Jobs_Load(struct sched *s)
+{
+    Account_Rebuild(s);
+    s->polling = true;
+    load_page(s, "");
+}
+
+/* The marker is gone, or is a newer one that the next poll finds. */
+static void
+on_marker_gone(void *arg, int err, size_t at UNUSED,
+               const uint64_t *versions UNUSED)
+{
+    struct sched *s = arg;
+
+    if (err != ERR_OK && err != ERR_CONFLICT) {
+        LOG_D("job_news_kept", KV("region", s->settings->region),
+              KV("error", Err_Name(err)));
+    }
+}
+
+/* Takes in a row that somebody wrote, and drops its marker. */
+static void
+on_news_row(void *arg, int err, struct table_row *row)
+{
+    struct reading *r = arg;
+    struct sched *s = r->sched;
+    struct job_row found CLEANUP(JobRow_Free) = {0};
+    struct table_op op = {.verb = TABLE_DELETE,
+                          .table = "job-news",
+                          .key = r->news_key,
+                          .if_version = r->news_version};
+
+    if (is_current(r) && err == ERR_OK) {
+        if (row->version != 0 &&
+            JobRow_Parse(row->value.data, row->value.len, &found) == ERR_OK) {
+            found.id = r->id;
+            Jobs_Absorb(s, &found, row->version);
+            s->account_changed = true;
+        }
+        s->table->ops->commit(s->table, &op, 1, on_marker_gone, s);
+    }
+    free(r);
+}
+
+/* Reads the row of each marker. */
+static void
+on_news(void *arg, int err, struct table_row *rows, size_t count,
+        bool more UNUSED)
+{
+    struct reading *r = arg;
+    struct sched *s = r->sched;
+    size_t skip = strlen(s->settings->region) + 1;
+    bool current = is_current(r);
+    size_t i;
+
+    free(r);
+    if (!current) {
+        return;
+    }
+    s->polling = false;
+    for (i = 0; err == ERR_OK && i < count; i++) {
+        struct reading *one = begin(s);
+
+        if (strlen(rows[i].key) < skip ||
+            Id_Parse(rows[i].key + skip, &one->id) != ERR_OK) {
+            free(one);
+            continue;
+        }
+        Str_Copy(one->news_key, sizeof(one->news_key), rows[i].key);
+        one->news_version = rows[i].version;
+        s->table->ops->get(s->table, "jobs", rows[i].key, on_news_row, one);
+    }
+}
+
+/* Reads the markers of what others wrote: nothing, most of the time. */
+void
+Jobs_Poll(struct sched *s)
+{
+    char prefix[NAME_SIZE + 1];
+
+    if (!s->owner.self || s->polling) {
+        return;
+    }
+    if (!s->owner.loaded) {
+        Jobs_Load(s);
+        return;
+    }
+    s->polling = true;
+    s->table->ops->list(s->table, "job-news", prefix_of(s, prefix), "",
+                        NEWS_PAGE, on_news, begin(s));
+}
--- /dev/null
+++ b/packages/entry/entry-jobs-read.c
@@ -0,0 +1,388 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_PAGE 200
+#define CANCEL_TRIES 5
+#define TABLE_RETRY_MS 2000
+
+/* What a caller waits for. */
+struct reader {
+    struct sched *sched;
+    struct http_exchange *ex;
+    struct id id;
+    bool is_operator;
+    char organisation[NAME_SIZE];
+    struct job_row row;
+    int tries;
+};
+
+static void read_to_cancel(struct reader *r);
+
+/* Who asks, by the bearer token. */
+bool
+Asker_Find(struct sched *s, struct http_exchange *ex, struct asker *out)
+{
+    const char *token = Requests_Token(ex);
+
+    memset(out, 0, sizeof(*out));
+    if (s->in_force == NULL) {
+        Front_Refuse(ex, 503, "not_run", "no_configuration",
+                     "this entry has no configuration yet", TABLE_RETRY_MS,
+                     NULL);
+        return false;
+    }
+    if (token != NULL) {
+        out->organisation =
+            Config_OrganisationOfToken(&s->in_force->doc, token);
+        out->is_operator =
+            Config_OperatorOfToken(&s->in_force->doc, token) != NULL;
+    }
+    if (out->organisation == NULL && !out->is_operator) {
+        Front_Refuse(ex, 401, "not_run", "no_token",
+                     "Authorization: Bearer TOKEN of an organisation or an "
+                     "operator",
+                     -1, NULL);
+        return false;
+    }
+    return true;
+}
+
+/* True for an operator, and for the organisation itself. */
+bool
+Asker_MaySee(const struct asker *a, const char *organisation)
+{
+    return a->is_operator ||
+           (a->organisation != NULL &&
+            strcmp(a->organisation->name, organisation) == 0);
+}
+
+/* The row with its id. */
+json_t *
+Job_View(const struct job_row *row)
+{
+    json_t *o = JobRow_ToJson(row);
+    char hex[ID_HEX_SIZE];
+
+    json_object_set_new(o, "job", json_string(Id_Hex(&row->id, hex)));
+    return o;
+}
+
+/* A reader for who asks. The configuration may change before the answer, so
+ * the organisation's name is kept and not the document. */
+static struct reader *
+begin(struct sched *s, struct http_exchange *ex, const struct asker *a)
+{
+    struct reader *r = Mem_Zero(1, sizeof(*r));
+
+    r->sched = s;
+    r->ex = ex;
+    r->is_operator = a->is_operator;
+    Str_Copy(r->organisation, sizeof(r->organisation),
+             a->organisation ? a->organisation->name : "");
+    return r;
+}
+
+/* Ends a reader whose exchange has its reply. */
+static void
+end(struct reader *r)
+{
+    JobRow_Free(&r->row);
+    free(r);
+}
+
+/* True when the reader may see a row. */
+static bool
+may_see(const struct reader *r, const struct job_row *row)
+{
+    return r->is_operator || strcmp(r->organisation, row->organisation) == 0;
+}
+
+/* 404, also for what is another organisation's: that it exists is theirs. */
+static void
+not_found(struct http_exchange *ex)
+{
+    Front_Refuse(ex, 404, "not_found", "no_such_job", "", -1, NULL);
+}
+
+/* The table can't be read now. */
+static void
+not_read(struct http_exchange *ex)
+{
+    Front_Refuse(ex, 503, "unavailable", "table_unavailable",
+                 "nothing was changed; ask again", TABLE_RETRY_MS, NULL);
+}
+
+/* Reads the row that came. False when the exchange has its reply. */
+static bool
+take_row(struct reader *r, int err, const struct table_row *row)
+{
+    JobRow_Free(&r->row);
+    if (err != ERR_OK) {
+        not_read(r->ex);
+        return false;
+    }
+    if (row->version == 0 ||
+        JobRow_Parse(row->value.data, row->value.len, &r->row) != ERR_OK ||
+        !may_see(r, &r->row)) {
+        not_found(r->ex);
+        return false;
+    }
+    r->row.id = r->id;
+    return true;
+}
+
+/* Replies with the row; with the owner's own view while the table is down. */
+static void
+on_row(void *arg, int err, struct table_row *row)
+{
+    struct reader *r = arg;
+    const struct job *j = Jobs_Find(r->sched, &r->id);
+
+    if (err != ERR_OK && j != NULL && may_see(r, &j->row)) {
+        Front_ReplyJson(r->ex, 200, Job_View(&j->row));
+    }
+    else if (take_row(r, err, row)) {
+        Front_ReplyJson(r->ex, 200, Job_View(&r->row));
+    }
+    end(r);
+}
+
+/* Asks for the row of a reader. */
+static void
+get_row(struct reader *r, table_got done)
+{
+    struct sched *s = r->sched;
+    char key[JOB_KEY_SIZE];
+
+    s->table->ops->get(s->table, "jobs",
+                       JobRow_Key(s->settings->region, &r->id, key), done, r);
+}
+
+/* Reads the id, and who asks. NULL when the exchange has its reply. */
+static struct reader *
+begin_one(struct sched *s, struct http_exchange *ex, const char *segment,
+          const struct job **attached)
+{
+    struct asker asker;
+    struct reader *r;
+    struct job *j;
+    struct id id;
+
+    *attached = NULL;
+    if (!Asker_Find(s, ex, &asker)) {
+        return NULL;
+    }
+    if (Id_Parse(segment, &id) != ERR_OK) {
+        not_found(ex);
+        return NULL;
+    }
+    j = Jobs_Find(s, &id);
+    if (j != NULL && j->attached &&
+        Asker_MaySee(&asker, j->row.organisation)) {
+        *attached = j;
+    }
+    else if (s->table == NULL) {
+        not_found(ex);
+        return NULL;
+    }
+    r = begin(s, ex, &asker);
+    r->id = id;
+    return r;
+}
+
+/* GET /v1/jobs/{id} */
+static void
+get_job(struct task *t, struct http_exchange *ex, const char *segment)
+{
+    const struct job *attached;
+    struct reader *r = begin_one((struct sched *)t, ex, segment, &attached);
+
+    if (r == NULL) {
+        return;
+    }
+    if (attached != NULL) {
+        Front_ReplyJson(ex, 200, Job_View(&attached->row));
+        end(r);
+        return;
+    }
+    get_row(r, on_row);
+}
+
+/* Replies with the rows of a page that the reader may see. */
+static void
+on_list(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct reader *r = arg;
+    size_t skip = strlen(r->sched->settings->region) + 1;
+    json_t *list = json_array();
+    size_t i;
+
+    if (err != ERR_OK) {
+        json_decref(list);
+        not_read(r->ex);
+        end(r);
+        return;
+    }
+    for (i = 0; i < count; i++) {
+        struct job_row row CLEANUP(JobRow_Free) = {0};
+
+        if (JobRow_Parse(rows[i].value.data, rows[i].value.len, &row) ==
+                ERR_OK &&
+            may_see(r, &row) &&
+            Id_Parse(rows[i].key + skip, &row.id) == ERR_OK) {
+            json_array_append_new(list, Job_View(&row));
+        }
+    }
+    Front_ReplyJson(r->ex, 200,
+                    json_pack("{s:o, s:s}", "jobs", list, "next",
+                              more ? rows[count - 1].key + skip : ""));
+    end(r);
+}
+
+/* GET /v1/jobs?after=ID: a page of rows; "next" is "" at the last one. */
+static void
+get_jobs(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
+{
+    struct sched *s = (struct sched *)t;
+    const char *after = Http_Query(ex, "after");
+    struct buf prefix CLEANUP(Buf_Free) = {0};
+    struct buf from CLEANUP(Buf_Free) = {0};
+    struct asker asker;
+
+    if (!Asker_Find(s, ex, &asker)) {
+        return;
+    }
+    if (s->table == NULL) {
+        not_read(ex);
+        return;
+    }
+    Buf_Printf(&prefix, "%s/", s->settings->region);
+    Buf_Printf(&from, "%s/%s", s->settings->region, after ? after : "");
+    s->table->ops->list(s->table, "jobs", prefix.data, from.data, LIST_PAGE,
+                        on_list, begin(s, ex, &asker));
+}
+
+/* Replies to a cancellation: 200 when it is over, 202 while it stops. */
+static void
+reply_cancelled(struct reader *r)
+{
+    Front_ReplyJson(r->ex, Job_IsOver(r->row.state) ? 200 : 202,
+                    Job_View(&r->row));
+    end(r);
+}
+
+/* How the wish to cancel was written. On a conflict the row has moved on and
+ * is read again: one that was queued may have started. */
+static void
+on_cancel_written(void *arg, int err, size_t at UNUSED,
+                  const uint64_t *versions)
+{
+    struct reader *r = arg;
+    struct sched *s = r->sched;
+
+    if ((err == ERR_CONFLICT || err == ERR_UNKNOWN) &&
+        ++r->tries < CANCEL_TRIES) {
+        read_to_cancel(r);
+        return;
+    }
+    if (err != ERR_OK) {
+        not_read(r->ex);
+        end(r);
+        return;
+    }
+    if (s->owner.self && s->owner.loaded && versions[0] != 0) {
+        Jobs_Absorb(s, &r->row, versions[0]);
+    }
+    reply_cancelled(r);
+}
+
+/* Puts the wish in the row: cancelled at once while it is queued, as then no
+ * commit of it succeeds any more; otherwise for the owner to carry out. */
+static void
+mark_cancelled(struct job_row *row)
+{
+    if (row->state == JOB_QUEUED) {
+        row->state = JOB_CANCELLED;
+        row->ended_at = Clock_WallMs();
+        Str_Copy(row->reason, sizeof(row->reason), "cancelled");
+        return;
+    }
+    row->state = JOB_STOPPING;
+    row->cancel = true;
+}
+
+/* Writes the wish to the row that was read. */
+static void
+on_row_to_cancel(void *arg, int err, struct table_row *row)
+{
+    struct reader *r = arg;
+    struct sched *s = r->sched;
+    struct buf text CLEANUP(Buf_Free) = {0};
+    char key[JOB_KEY_SIZE];
+    struct table_op ops[2];
+
+    if (!take_row(r, err, row)) {
+        end(r);
+        return;
+    }
+    if (Job_IsOver(r->row.state) || r->row.cancel) {
+        reply_cancelled(r);
+        return;
+    }
+    mark_cancelled(&r->row);
+    JobRow_Render(&r->row, &text);
+    JobRow_Key(s->settings->region, &r->id, key);
+    ops[0] = (struct table_op){.verb = TABLE_PUT,
+                               .table = "jobs",
+                               .key = key,
+                               .if_version = row->version,
+                               .value = text.data,
+                               .len = text.len};
+    ops[1] = (struct table_op){.verb = TABLE_PUT,
+                               .table = "job-news",
+                               .key = key,
+                               .if_version = TABLE_ANY,
+                               .value = "{}",
+                               .len = 2};
+    s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_cancel_written, r);
+}
+
+/* Reads the row that is to be cancelled. */
+static void
+read_to_cancel(struct reader *r)
+{
+    get_row(r, on_row_to_cancel);
+}
+
+/* DELETE /v1/jobs/{id} */
+static void
+delete_job(struct task *t, struct http_exchange *ex, const char *segment)
+{
+    const struct job *attached;
+    struct reader *r = begin_one((struct sched *)t, ex, segment, &attached);
+
+    if (r == NULL) {
+        return;
+    }
+    if (attached != NULL) {
+        struct job *j = Jobs_Find(r->sched, &r->id);
+
+        Front_ReplyJson(ex, 202, Job_View(&j->row));
+        Gang_Cancel(j);
+        end(r);
+        return;
+    }
+    read_to_cancel(r);
+}
+
+static struct front_route get_route = {
+    "GET", "/v1/jobs/*", "gangs", get_job, {0}};
+FRONT_ROUTE(get_route)
+static struct front_route list_route = {
+    "GET", "/v1/jobs", "gangs", get_jobs, {0}};
+FRONT_ROUTE(list_route)
+static struct front_route delete_route = {
+    "DELETE", "/v1/jobs/*", "gangs", delete_job, {0}};
+FRONT_ROUTE(delete_route)
--- /dev/null
+++ b/packages/entry/entry-jobs-write.c
@@ -0,0 +1,161 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A write under way, and what it wrote: enough to know it when read back. */
+struct job_write {
+    struct sched *sched;
+    struct id id;
+    uint64_t owner_term;
+    uint64_t attempt;
+    uint64_t row_term;
+    enum job_state state;
+    uint64_t version; /* that it replaces */
+    job_written done;
+};
+
+static void read_back(struct job_write *w);
+
+/* The job, while this entry still is the owner that began the write. */
+static struct job *
+live(const struct job_write *w)
+{
+    const struct owner *o = &w->sched->owner;
+
+    if (!o->self || o->term != w->owner_term) {
+        return NULL;
+    }
+    return Jobs_Find(w->sched, &w->id);
+}
+
+/* Ends a write. */
+static void
+finish(struct job_write *w, int err)
+{
+    struct job *j = live(w);
+    job_written done = w->done;
+
+    free(w);
+    if (j != NULL) {
+        j->writing = false;
+        done(j, err);
+    }
+}
+
+/* True when the row read is the one that was written. */
+static bool
+is_own(const struct job_write *w, const struct job_row *row)
+{
+    return row->attempt == w->attempt && row->term == w->row_term &&
+           row->state == w->state;
+}
+
+/* Compares what stands in the table with what was written. Others only ask
+ * for a cancellation, or cancel what has not started. */
+static void
+on_read_back(void *arg, int err, struct table_row *row)
+{
+    struct job_write *w = arg;
+    struct job_row found CLEANUP(JobRow_Free) = {0};
+    struct job *j = live(w);
+
+    if (j == NULL || err != ERR_OK || row->version == 0 ||
+        JobRow_Parse(row->value.data, row->value.len, &found) != ERR_OK) {
+        finish(w, ERR_UNREACHABLE);
+        return;
+    }
+    if (row->version == w->version) {
+        finish(w, ERR_UNREACHABLE);
+        return;
+    }
+    j->version = row->version;
+    if (is_own(w, &found)) {
+        finish(w, ERR_OK);
+        return;
+    }
+    j->row.cancel =
+        j->row.cancel || found.cancel || found.state == JOB_CANCELLED;
+    if (found.state == JOB_CANCELLED) {
+        j->row.state = JOB_CANCELLED;
+    }
+    finish(w, ERR_CONFLICT);
+}
+
+/* Reads the row, as only it can tell. */
+static void
+read_back(struct job_write *w)
+{
+    struct sched *s = w->sched;
+    char key[JOB_KEY_SIZE];
+
+    s->table->ops->get(s->table, "jobs",
+                       JobRow_Key(s->settings->region, &w->id, key),
+                       on_read_back, w);
+}
+
+/* How a write went. */
+static void
+on_committed(void *arg, int err, size_t at, const uint64_t *versions)
+{
+    struct job_write *w = arg;
+    struct job *j = live(w);
+
+    if (j == NULL) {
+        free(w);
+        return;
+    }
+    if (err == ERR_CONFLICT && at == 0) {
+        free(w);
+        Owner_StepDown(j->sched, "higher_term");
+        return;
+    }
+    if (err == ERR_OK && versions[1] != 0) {
+        j->version = versions[1];
+        finish(w, ERR_OK);
+        return;
+    }
+    if (err == ERR_OK || err == ERR_CONFLICT || err == ERR_UNKNOWN) {
+        read_back(w);
+        return;
+    }
+    finish(w, ERR_UNREACHABLE);
+}
+
+/* Writes the job's row when the term and the row's version still hold. */
+void
+Job_Write(struct job *j, job_written done)
+{
+    struct sched *s = j->sched;
+    struct buf text CLEANUP(Buf_Free) = {0};
+    char key[JOB_KEY_SIZE];
+    struct table_op ops[2] = {Owner_Check(s)};
+    struct job_write *w;
+
+    if (j->attached) {
+        done(j, ERR_OK);
+        return;
+    }
+    if (j->writing) {
+        Fatal("a row is written twice at once");
+    }
+    JobRow_Render(&j->row, &text);
+    ops[1] = (struct table_op){
+        .verb = TABLE_PUT,
+        .table = "jobs",
+        .key = JobRow_Key(s->settings->region, &j->row.id, key),
+        .if_version = j->version,
+        .value = text.data,
+        .len = text.len};
+    w = Mem_Zero(1, sizeof(*w));
+    w->sched = s;
+    w->id = j->row.id;
+    w->owner_term = s->owner.term;
+    w->attempt = j->row.attempt;
+    w->row_term = j->row.term;
+    w->state = j->row.state;
+    w->version = j->version;
+    w->done = done;
+    j->writing = true;
+    s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_committed, w);
+}
--- /dev/null
+++ b/packages/entry/entry-jobs.c
@@ -0,0 +1,423 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define POLL_MS 1000
+#define TICK_MS 100
+#define HTTP_CONNECTIONS 64
+
+/* By id. */
+static int
+compare_jobs(const struct job *a, const struct job *b)
+{
+    return Id_Compare(&a->row.id, &b->row.id);
+}
+
+RB_GENERATE(job_tree, job, entry, compare_jobs)
+
+/* By name. */
+static int
+compare_workers(const struct worker *a, const struct worker *b)
+{
+    return strcmp(a->name, b->name);
+}
+
+RB_GENERATE(worker_tree, worker, entry, compare_workers)
+
+/* Logs a decision with its reason and what decided it. */
+void
+Sched_Decided(struct sched *s, const struct id *job, const char *decision,
+              const char *reason, json_t *inputs)
+{
+    char hex[ID_HEX_SIZE];
+    char *text = json_dumps(inputs, JSON_COMPACT);
+
+    LOG_I("job_decision", KV("job", Id_Hex(job, hex)),
+          KV("decision", decision), KV("reason", reason),
+          KV_INT("term", s->owner.term), KV("inputs", text));
+    free(text);
+    json_decref(inputs);
+}
+
+/* Finds a job by its id. */
+struct job *
+Jobs_Find(struct sched *s, const struct id *id)
+{
+    struct job key;
+
+    key.row.id = *id;
+    return RB_FIND(job_tree, &s->jobs, &key);
+}
+
+/* Finds a job by its number in the accounts. */
+struct job *
+Jobs_OfNumber(struct sched *s, uint64_t number)
+{
+    struct job *j;
+
+    RB_FOREACH (j, job_tree, &s->jobs) {
+        if (j->number == number) {
+            return j;
+        }
+    }
+    return NULL;
+}
+
+/* Enters a job. Its number is a part of its random id. */
+struct job *
+Jobs_Add(struct sched *s, const struct job_row *row, uint64_t version)
+{
+    struct job *j = Mem_Zero(1, sizeof(*j));
+
+    j->sched = s;
+    JobRow_Copy(&j->row, row);
+    j->version = version;
+    j->number = Hash_Bytes(row->id.b, ID_BYTES, 0) | 1;
+    j->try_attempt = row->attempt;
+    j->submitted_ms = Clock_NowMs() - (Clock_WallMs() - row->submitted_at);
+    j->deadline = INT64_MAX;
+    RB_INSERT(job_tree, &s->jobs, j);
+    return j;
+}
+
+/* Forgets a job; its row stays. */
+void
+Jobs_Drop(struct job *j)
+{
+    RB_REMOVE(job_tree, &j->sched->jobs, j);
+    JobRow_Free(&j->row);
+    free(j->member);
+    free(j->victim);
+    free(j);
+}
+
+/* Forgets all jobs. What an attached caller waits for may still run. */
+void
+Jobs_DropAll(struct sched *s)
+{
+    struct job *j, *next;
+
+    RB_FOREACH_SAFE (j, job_tree, &s->jobs, next) {
+        if (j->ex != NULL) {
+            Front_Refuse(j->ex, 504, "unknown", "owner_changed",
+                         "the job may still run", -1, &j->row.id);
+        }
+        Jobs_Drop(j);
+    }
+    Order_Free(s->order);
+    s->order = Order_New(NULL);
+    Cells_Free(s->cells);
+    s->cells = NULL;
+}
+
+/* Finds an agent. */
+struct worker *
+Workers_Find(struct sched *s, const char *name)
+{
+    struct worker key;
+
+    Str_Copy(key.name, sizeof(key.name), name);
+    return RB_FIND(worker_tree, &s->workers, &key);
+}
+
+/* Takes in the parts that an agent named when it came. A part of an earlier
+ * incarnation that it doesn't name is gone with it. */
+static void
+take_parts(struct sched *s, struct worker *w, const struct wire_list *parts)
+{
+    const struct wire_part *part = parts->items;
+    struct job *j, *next;
+    size_t i;
+
+    for (i = 0; i < parts->count; i++) {
+        Gang_TakePart(s, w, &part[i], "hello");
+    }
+    RB_FOREACH_SAFE (j, job_tree, &s->jobs, next) {
+        for (i = 0; i < j->members && j->phase == GANG_RELEASED; i++) {
+            const struct seen *p;
+
+            if (strcmp(j->member[i].at.agent, w->name) != 0 ||
+                j->member[i].at.incarnation == w->incarnation) {
+                continue;
+            }
+            p = Seen_Find(&s->seen, &j->row.id, w->name);
+            if (p == NULL || p->incarnation != w->incarnation ||
+                p->part.attempt != j->row.attempt) {
+                Gang_Fence(j, JOB_QUEUED, "agent_restarted");
+            }
+        }
+    }
+}
+
+/* An agent of the region came, changed or went. */
+static void
+take_member(struct sched *s, const struct member_note *note)
+{
+    const struct member_facts *f = &note->facts;
+    struct worker *w = Workers_Find(s, f->name);
+
+    if (strcmp(f->region, s->settings->region) != 0) {
+        return;
+    }
+    if (w == NULL) {
+        w = Mem_Zero(1, sizeof(*w));
+        Str_Copy(w->name, sizeof(w->name), f->name);
+        RB_INSERT(worker_tree, &s->workers, w);
+    }
+    w->incarnation = f->incarnation;
+    w->peer = f->peer;
+    w->leaving = f->leaving;
+    w->up = note->change != MEMBER_SILENT && note->change != MEMBER_GONE;
+    if (w->up) {
+        w->bound_term = 0; /* to be told again */
+        take_parts(s, w, &f->parts);
+    }
+    Account_SetWorker(s, w);
+    s->account_changed = true;
+}
+
+/* Takes another document. */
+static void
+take_config(struct sched *s, const struct config_note *note)
+{
+    InForce_Unref(s->in_force);
+    s->in_force = InForce_Ref(note->in_force);
+    if (s->owner.self) {
+        Account_Rebuild(s);
+        s->account_changed = true;
+    }
+}
+
+/* Answers a pulse, as the renewer of its gangs. */
+static void
+take_pulse(struct sched *s, const struct inbound *in)
+{
+    const struct wire_pulse *pulse = (const struct wire_pulse *)in->m;
+    struct wire_renew *r =
+        Heard_Answer(&s->heard, pulse, Entry_Incarnation(), Clock_NowMs());
+
+    Entry_Say(&s->task, &in->peer, &r->msg, false);
+}
+
+/* The agent that a message came from, or NULL. */
+static struct worker *
+sender(struct sched *s, const struct inbound *in, uint64_t incarnation)
+{
+    struct worker *w;
+
+    RB_FOREACH (w, worker_tree, &s->workers) {
+        if (w->incarnation == incarnation &&
+            Link_SamePeer(&w->peer, &in->peer)) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+/* A part changed its state. Kept by every entry. */
+static void
+take_task(struct sched *s, const struct inbound *in)
+{
+    const struct wire_task *m = (const struct wire_task *)in->m;
+    struct worker *w = sender(s, in, m->incarnation);
+    struct wire_part part = {.job = m->job,
+                             .attempt = m->attempt,
+                             .term = m->term,
+                             .state = m->state};
+
+    if (w != NULL) {
+        Gang_TakePart(s, w, &part, m->reason);
+    }
+}
+
+/* An agent has reserved, or won't. */
+static void
+take_prepared(struct sched *s, const struct inbound *in)
+{
+    Gang_TakePrepared(s, (const struct wire_prepared *)in->m);
+}
+
+/* An agent has fenced an attempt. */
+static void
+take_fenced(struct sched *s, const struct inbound *in)
+{
+    const struct wire_fenced *m = (const struct wire_fenced *)in->m;
+    const struct worker *w = sender(s, in, m->incarnation);
+
+    if (w != NULL) {
+        Gang_TakeFenced(s, m, w->name);
+    }
+}
+
+static const struct {
+    enum wire_type type;
+    void (*take)(struct sched *, const struct inbound *);
+} takers[] = {{WIRE_PULSE, take_pulse},
+              {WIRE_TASK, take_task},
+              {WIRE_PREPARED, take_prepared},
+              {WIRE_FENCED, take_fenced}};
+
+/* Hands what an agent said to the one whom it concerns. */
+static void
+take_inbound(struct sched *s, const struct inbound *in)
+{
+    size_t i;
+
+    for (i = 0; i < COUNT_OF(takers); i++) {
+        if (takers[i].type == in->m->type) {
+            takers[i].take(s, in);
+            return;
+        }
+    }
+}
+
+/* Takes what agents say, members, documents and callers' requests. */
+static void
+sched_receive(struct task *t, struct message *m)
+{
+    struct sched *s = (struct sched *)t;
+
+    if (Front_Handle(t, m)) {
+        return;
+    }
+    if (m->kind == &Entry_Member) {
+        take_member(s, (struct member_note *)m);
+    }
+    else if (m->kind == &Entry_Config) {
+        take_config(s, (struct config_note *)m);
+    }
+    else if (m->kind == &Entry_Inbound) {
+        take_inbound(s, (struct inbound *)m);
+    }
+}
+
+/* Looks for news of others. */
+static void
+on_poll(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    Jobs_Poll(w->data);
+}
+
+/* Deadlines of gangs, and what can start. */
+static void
+on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct sched *s = w->data;
+    int64_t now = Clock_NowMs();
+
+    Heard_Prune(&s->heard, now);
+    Seen_Prune(&s->seen, now);
+    if (!s->owner.self || !s->owner.loaded) {
+        return;
+    }
+    Gang_Tick(s);
+    Account_Place(s);
+}
+
+/* The owner's view, for operators. */
+static json_t *
+sched_state(const struct task *t)
+{
+    const struct sched *s = (const struct sched *)t;
+    json_t *jobs = json_array();
+    struct job *j;
+
+    RB_FOREACH (j, job_tree, &((struct sched *)t)->jobs) {
+        char hex[ID_HEX_SIZE];
+
+        json_array_append_new(jobs,
+                              json_pack("{s:s, s:s, s:i, s:I, s:i}", "job",
+                                        Id_Hex(&j->row.id, hex), "state",
+                                        Job_StateName(j->row.state), "phase",
+                                        (int)j->phase, "attempt",
+                                        (json_int_t)j->row.attempt, "members",
+                                        (int)j->members));
+    }
+    return json_pack("{s:b, s:I, s:s, s:i, s:o}", "owner", (int)s->owner.self,
+                     "term", (json_int_t)s->owner.term, "owner_name",
+                     s->owner.name, "heard", s->heard.count, "jobs", jobs);
+}
+
+/* True when no attached caller waits any more. */
+static bool
+sched_drained(const struct task *t)
+{
+    struct job *j;
+
+    RB_FOREACH (j, job_tree, &((struct sched *)t)->jobs) {
+        if (j->ex != NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Frees the task. */
+static void
+sched_free(struct task *t)
+{
+    struct sched *s = (struct sched *)t;
+    struct worker *w, *next;
+    struct job *j;
+
+    RB_FOREACH (j, job_tree, &s->jobs) {
+        j->ex = NULL; /* went with the front */
+    }
+    Jobs_DropAll(s);
+    Order_Free(s->order);
+    RB_FOREACH_SAFE (w, worker_tree, &s->workers, next) {
+        RB_REMOVE(worker_tree, &s->workers, w);
+        free(w);
+    }
+    Heard_Free(&s->heard);
+    Seen_Free(&s->seen);
+    Http_ClientFree(s->client);
+    InForce_Unref(s->in_force);
+    free(s);
+}
+
+static const struct task_ops sched_ops = {
+    .name = "gangs",
+    .receive = sched_receive,
+    .drained = sched_drained,
+    .state = sched_state,
+    .free = sched_free,
+};
+
+/* Starts a repeating timer of the task. */
+static void
+start_timer(struct sched *s, ev_timer *w,
+            void (*cb)(struct ev_loop *, ev_timer *, int), int64_t ms)
+{
+    ev_init(w, cb);
+    w->data = s;
+    Timer_Every(s->task.kernel->loop, w, ms);
+}
+
+/* Starts as a watcher: the table says who is the owner. */
+static int
+start(struct kernel *k)
+{
+    struct sched *s = Mem_Zero(1, sizeof(*s));
+
+    s->settings = k->settings;
+    s->table = Entry_Table(k);
+    s->client = Http_ClientNew(k->loop, HTTP_CONNECTIONS);
+    s->order = Order_New(NULL);
+    RB_INIT(&s->jobs);
+    RB_INIT(&s->workers);
+    RB_INIT(&s->seen);
+    Heard_Init(&s->heard);
+    Kernel_AddTask(k, &s->task, &sched_ops);
+    Members_Subscribe(k, "gangs");
+    Configs_Subscribe(k, "gangs");
+    start_timer(s, &s->poll, on_poll, POLL_MS);
+    start_timer(s, &s->tick, on_tick, TICK_MS);
+    Owner_Start(s);
+    return ERR_OK;
+}
+
+static struct plugin jobs_plugin = {
+    .name = "jobs", .rank = 60, .start = start};
+KERNEL_PLUGIN(jobs_plugin)
--- /dev/null
+++ b/packages/entry/entry-jobs.h
@@ -0,0 +1,345 @@
+/*
+ * jobs: long work, from its submission to its end, as one task ("gangs").
+ *
+ *   entry-owner.c        which entry schedules the region: term and renewal
+ *   entry-jobs-row.c     a job as its row in the table service holds it
+ *   entry-jobs-states.c  which state may follow which
+ *   entry-jobs-write.c   conditional writes of a row under the owner's term
+ *   entry-jobs-load.c    rows read by the owner: all at takeover, then news
+ *   entry-jobs-submit.c  POST /v1/jobs
+ *   entry-jobs-read.c    GET and DELETE
+ *   entry-gangs*.c       prepare, commit, release, end; renewal of leases
+ *   entry-cells.c        accounts and placement
+ *
+ * Rows of tables, by region: owners/REGION (who, which term) and
+ * owners/REGION/beat (that it lives), jobs/REGION/ID, and
+ * job-news/REGION/ID: a marker of a row that others than the owner wrote, so
+ * that the owner's poll reads what changed and not every row.
+ */
+#ifndef ENTRY_JOBS_H
+#define ENTRY_JOBS_H
+
+#include "cells.h"
+#include "entry-table.h"
+#include "entry.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- a job's row ------------------------------------------------------- */
+
+enum job_state {
+    JOB_QUEUED,
+    JOB_STARTING, /* committed; its members are released */
+    JOB_RUNNING,
+    JOB_STOPPING, /* to be cancelled once its members are fenced */
+    JOB_DONE,
+    JOB_FAILED,
+    JOB_CANCELLED,
+    JOB_CANNOT_RUN,
+    JOB_STATE_COUNT
+};
+
+const char *Job_StateName(enum job_state state);
+bool Job_IsOver(enum job_state state);
+bool Job_MayBecome(enum job_state from, enum job_state to);
+
+struct job_member {
+    char agent[NAME_SIZE];
+    uint64_t incarnation;
+    uint64_t accelerators; /* bits */
+    int tasks;
+};
+
+#define JOB_SPEC_MAX 65536
+
+/* What the row holds. Times of the day are for people to read only. */
+struct job_row {
+    struct id id;
+    char organisation[NAME_SIZE];
+    char class_name[NAME_SIZE];
+    int tasks;
+    int accelerators; /* of one task */
+    enum cells_level within;
+    int64_t declared_ms; /* 0: not declared */
+    bool guaranteed;
+    bool cancel; /* asked for while it had an attempt */
+    struct buf spec;
+    enum job_state state;
+    uint64_t attempt; /* the last that was committed; 0: none */
+    uint64_t term;    /* of the owner that committed it */
+    struct job_member *member;
+    size_t members;
+    char reason[NAME_SIZE];
+    int64_t submitted_at; /* ms since 1970 */
+    int64_t ended_at;     /* likewise; 0: not ended */
+};
+
+/* The caller owns the result. */
+json_t *JobRow_ToJson(const struct job_row *row);
+void JobRow_Render(const struct job_row *row, struct buf *out);
+/* ERR_OK or ERR_INVALID; out is to be freed in both cases. */
+int JobRow_Parse(const char *text, size_t len, struct job_row *out);
+/* Reads the body of a submission; *why names the first mistake. */
+int JobRow_ParseSubmission(const json_t *body, struct job_row *out,
+                           bool *attached, const char **why);
+void JobRow_Copy(struct job_row *dst, const struct job_row *src);
+void JobRow_Free(struct job_row *row); /* fit for CLEANUP */
+#define JOB_KEY_SIZE (NAME_SIZE + ID_HEX_SIZE + 1)
+const char *JobRow_Key(const char *region, const struct id *id,
+                       char out[JOB_KEY_SIZE]);
+
+/* ---- who was heard when (entry-gangs-heard.c) -------------------------- */
+
+struct heard;
+RB_HEAD(heard_tree, heard);
+
+/* The renewer's memory: members by the stamps that they echoed. Empty is a
+ * good beginning, so a restart may lose it. */
+struct heard_book {
+    struct heard_tree tree;
+    int count;
+};
+
+void Heard_Init(struct heard_book *b);
+/* The member had worked at that reading of the renewer's own clock. */
+void Heard_Note(struct heard_book *b, const struct wire_working *w,
+                const char *agent, int64_t stamp);
+/* True when all members were heard within GANG_HEARD_MS. */
+bool Heard_IsWhole(struct heard_book *b, const struct wire_working *w,
+                   int64_t now);
+void Heard_Prune(struct heard_book *b, int64_t now);
+void Heard_Free(struct heard_book *b);
+/* The answer to a pulse, to be sent to its agent. */
+struct wire_renew *Heard_Answer(struct heard_book *b,
+                                const struct wire_pulse *pulse,
+                                uint64_t renewer, int64_t now);
+
+/* ---- parts as agents told them (entry-gangs-seen.c) -------------------- */
+
+/* A part as last heard of. Kept by every entry, for the day it takes over. */
+struct seen {
+    char agent[NAME_SIZE];
+    uint64_t incarnation;
+    struct wire_part part;
+    int64_t at;
+    RB_ENTRY(seen) entry;
+};
+
+RB_HEAD(seen_tree, seen);
+
+void Seen_Note(struct seen_tree *tree, const char *agent, uint64_t incarnation,
+               const struct wire_part *part, int64_t now);
+/* The last word on that job's part of that agent, or NULL. */
+const struct seen *Seen_Find(struct seen_tree *tree, const struct id *job,
+                             const char *agent);
+void Seen_Prune(struct seen_tree *tree, int64_t now);
+void Seen_Free(struct seen_tree *tree);
+
+/* ---- the task ---------------------------------------------------------- */
+
+enum gang_phase {
+    GANG_WAITING,    /* in the queue */
+    GANG_CLEARING,   /* placed; those it displaces still leave */
+    GANG_PREPARING,  /* reservations asked for */
+    GANG_COMMITTING, /* row under way */
+    GANG_RELEASED,   /* members start and work */
+    GANG_ADOPTING,   /* found at takeover; its members are looked for */
+    GANG_YIELDING,   /* displaced: checkpoints and stops within its grace */
+    GANG_FENCING,    /* no member may work any more */
+    GANG_SETTLING,   /* fenced; its row is being written */
+    GANG_ENDING      /* all members are done; its row is being written */
+};
+
+/* A member of the present attempt. */
+struct gang_member {
+    struct job_member at;
+    bool granted;
+    bool fenced;
+    enum part_state state;
+};
+
+/* A job as its owner knows it. */
+struct job {
+    struct sched *sched;
+    struct job_row row;
+    uint64_t version; /* of its row; 0: none */
+    uint64_t number;  /* in the accounts */
+    bool attached;
+    struct http_exchange *ex; /* of an attached one */
+    bool writing;
+    enum gang_phase phase;
+    uint64_t try_attempt; /* of the present or last try */
+    struct gang_member *member;
+    size_t members;
+    struct id *victim;
+    size_t victims;
+    enum job_state after;  /* fencing: what follows */
+    int64_t submitted_ms;  /* own clock */
+    int64_t since;         /* phase, own clock */
+    int64_t deadline;      /* of the phase; INT64_MAX: none */
+    int64_t fence_sent_at; /* last time */
+    int64_t first_fenced_at;
+    int64_t not_before;      /* back-off of tries that were refused */
+    uint64_t before_attempt; /* committing: of the row that it replaces */
+    uint64_t before_term;
+    bool yielded;       /* displaced by another job */
+    bool row_behind;    /* "running" is to be written again */
+    int64_t started_at; /* own clock */
+    RB_ENTRY(job) entry;
+};
+
+RB_HEAD(job_tree, job);
+RB_PROTOTYPE(job_tree, job, entry, )
+
+/* An agent of this region. */
+struct worker {
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+    struct link_peer peer;
+    bool up;
+    bool leaving;
+    struct health health;
+    uint64_t bound_term; /* bindings that were sent last */
+    uint64_t bound_version;
+    RB_ENTRY(worker) entry;
+};
+
+RB_HEAD(worker_tree, worker);
+RB_PROTOTYPE(worker_tree, worker, entry, )
+
+/* Whether this entry schedules its region, or who does. */
+struct owner {
+    bool self;
+    bool table_down; /* the last call to the table failed */
+    bool loaded;     /* all rows are read */
+    uint64_t term;
+    uint64_t row_version;
+    uint64_t beat_version; /* seen by a watcher */
+    int64_t beat_at;       /* when it last changed, on own clock */
+    char name[NAME_SIZE];
+    char http[NAME_SIZE]; /* "ip:port" of the owner's front */
+    bool busy;            /* a call is under way */
+    ev_timer timer;
+};
+
+struct sched {
+    struct task task;
+    const struct entry_settings *settings;
+    struct in_force *in_force;
+    struct table *table; /* NULL: none */
+    struct http_client *client;
+    struct owner owner;
+    struct cells *cells;
+    struct order *order;
+    struct job_tree jobs;
+    struct worker_tree workers;
+    struct heard_book heard;
+    struct seen_tree seen;
+    bool polling;
+    bool account_changed;
+    uint64_t account_hash;  /* of what the accounts were built from */
+    uint64_t account_count; /* of times that they were built */
+    int64_t placed_at;
+    ev_timer poll;
+    ev_timer tick;
+};
+
+/* Logs a decision about a job, with its typed reason. */
+void Sched_Decided(struct sched *s, const struct id *job, const char *decision,
+                   const char *reason, json_t *inputs);
+
+/* ---- owner (entry-owner.c) --------------------------------------------- */
+
+void Owner_Start(struct sched *s);
+void Owner_StepDown(struct sched *s, const char *reason);
+/* The condition of every write under this term. key is kept by s. */
+struct table_op Owner_Check(const struct sched *s);
+
+/* ---- jobs -------------------------------------------------------------- */
+
+/* The job of that id, or NULL. */
+struct job *Jobs_Find(struct sched *s, const struct id *id);
+struct job *Jobs_OfNumber(struct sched *s, uint64_t number);
+/* Enters a job; the row is copied. */
+struct job *Jobs_Add(struct sched *s, const struct job_row *row,
+                     uint64_t version);
+void Jobs_Drop(struct job *j);
+void Jobs_DropAll(struct sched *s);
+/* Reads all rows of the region, at takeover. */
+void Jobs_Load(struct sched *s);
+/* Reads what others wrote since. */
+void Jobs_Poll(struct sched *s);
+/* Takes in a row as it was read from the table. */
+void Jobs_Absorb(struct sched *s, const struct job_row *row, uint64_t version);
+
+typedef void (*job_written)(struct job *j, int err);
+/* Writes the row under the term. done gets ERR_OK, ERR_CONFLICT (others wrote
+ * it; their wish and its version are taken in) or ERR_UNREACHABLE (may still
+ * come; say it again). Not called when the term is over. Without a row
+ * (attached) it is done at once. */
+void Job_Write(struct job *j, job_written done);
+
+/* Who asks: an operator, an organisation, or neither. */
+struct asker {
+    bool is_operator;
+    const struct config_organisation *organisation;
+};
+
+/* False when it was refused already. */
+bool Asker_Find(struct sched *s, struct http_exchange *ex, struct asker *out);
+bool Asker_MaySee(const struct asker *a, const char *organisation);
+/* The row with its id, for callers. */
+json_t *Job_View(const struct job_row *row);
+
+/* ---- gangs ------------------------------------------------------------- */
+
+struct worker *Workers_Find(struct sched *s, const char *name);
+void Gang_Start(struct job *j, const struct cells_plan *plan);
+/* Prepares once those that it displaces are gone. */
+void Gang_Clear(struct job *j);
+/* Back to the queue before anything was committed. */
+void Gang_DropTry(struct job *j, const char *reason, const char *agent);
+void Gang_End(struct job *j);
+void Gang_Repeat(struct job *j, int64_t now);
+void Gang_Cancel(struct job *j);
+void Gang_Adopt(struct job *j);
+/* Ends the attempt: fences all members, then the job is `after`. */
+void Gang_Fence(struct job *j, enum job_state after, const char *reason);
+void Gang_SendFences(struct job *j);
+void Gang_Yield(struct job *j, const struct cells_victim *victim);
+void Gang_SetPhase(struct job *j, enum gang_phase phase, int64_t within_ms);
+/* The row is to be written again. */
+void Gang_Settle(struct job *j);
+void Gang_Tick(struct sched *s);
+/* What agents say. */
+void Gang_TakePrepared(struct sched *s, const struct wire_prepared *m);
+void Gang_TakeFenced(struct sched *s, const struct wire_fenced *m,
+                     const char *agent);
+/* A part as it stands now; one that is nobody's is fenced. */
+void Gang_TakePart(struct sched *s, const struct worker *w,
+                   const struct wire_part *part, const char *reason);
+/* Ends an attached job's exchange. */
+void Job_ReplyAttached(struct job *j);
+
+/* ---- accounts (entry-cells.c) ------------------------------------------ */
+
+/* Builds the accounts anew from the configuration, with all running jobs. */
+void Account_Rebuild(struct sched *s);
+void Account_SetWorker(struct sched *s, const struct worker *w);
+int Account_Adopt(struct job *j);
+void Account_Release(struct job *j);
+void Account_Enqueue(struct job *j);
+void Account_Dequeue(struct job *j);
+/* Starts what can start, and tells agents of changed bindings. */
+void Account_Place(struct sched *s);
+/* A start or a run failed on a worker. True when the job can't run. */
+bool Account_Failed(struct job *j, const char *worker, bool job_fault);
+void Account_Done(struct job *j);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
