--- a/packages/entry/entry-cells.c
+++ b/packages/entry/entry-cells.c
@@ -289,7 +289,7 @@
     s->account_count++;
     add_workers(s->cells, region);
     add_guarantees(s->cells, &s->in_force->doc, region);
-    RB_FOREACH (j, job_tree, &s->jobs) {
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
         if (is_placed(j) && Account_Adopt(j) != ERR_OK) {
             LOG_W("job_off_account", KV("organisation", j->row.organisation));
         }
@@ -504,7 +504,7 @@
 
     while (n < QUEUE_MAX &&
            Order_Next(s->order, after, now, &next) == ERR_OK) {
-        struct job *j = Jobs_Find(s, &next.id);
+        struct job *j = JobSet_Find(s, &next.id);
 
         last = next.id;
         after = &last;
--- a/packages/entry/entry-gangs-end.c
+++ b/packages/entry/entry-gangs-end.c
@@ -82,7 +82,7 @@
     if (Job_IsOver(j->row.state)) {
         Job_ReplyAttached(j);
         Order_Forget(j->sched->order, &j->row.id);
-        Jobs_Drop(j);
+        JobSet_Drop(j);
         return;
     }
     free(j->member);
@@ -141,7 +141,7 @@
 Gang_TakeFenced(struct sched *s, const struct wire_fenced *m,
                 const char *agent)
 {
-    struct job *j = Jobs_Find(s, &m->job);
+    struct job *j = JobSet_Find(s, &m->job);
     size_t i;
 
     if (j == NULL || j->phase != GANG_FENCING || !m->done ||
@@ -175,7 +175,7 @@
     Account_Done(j);
     Account_Release(j);
     Job_ReplyAttached(j);
-    Jobs_Drop(j);
+    JobSet_Drop(j);
 }
 
 /* All members have done their parts. */
@@ -255,7 +255,7 @@
         if (Job_IsOver(j->row.state)) {
             Order_Forget(j->sched->order, &j->row.id);
             Job_ReplyAttached(j);
-            Jobs_Drop(j);
+            JobSet_Drop(j);
             return;
         }
         j->after = JOB_CANCELLED;
--- a/packages/entry/entry-gangs-watch.c
+++ b/packages/entry/entry-gangs-watch.c
@@ -166,7 +166,7 @@
 Gang_TakePart(struct sched *s, const struct worker *w,
               const struct wire_part *part, const char *reason)
 {
-    struct job *j = Jobs_Find(s, &part->job);
+    struct job *j = JobSet_Find(s, &part->job);
     struct gang_member *gm = j ? member_of(j, w->name, part) : NULL;
 
     Seen_Note(&s->seen, w->name, w->incarnation, part, Clock_NowMs());
@@ -259,7 +259,7 @@
     int64_t now = Clock_NowMs();
     struct job *j, *next;
 
-    RB_FOREACH_SAFE (j, job_tree, &s->jobs, next) {
+    RB_FOREACH_SAFE (j, sched_jobs, &s->jobs, next) {
         tick(j, now);
     }
 }
--- a/packages/entry/entry-gangs.c
+++ b/packages/entry/entry-gangs.c
@@ -139,7 +139,7 @@
     size_t i;
 
     for (i = 0; i < j->victims; i++) {
-        const struct job *v = Jobs_Find(j->sched, &j->victim[i]);
+        const struct job *v = JobSet_Find(j->sched, &j->victim[i]);
 
         if (v != NULL && holds(v)) {
             return;
@@ -158,7 +158,7 @@
     j->victim = Mem_Zero((size_t)plan->victims + 1, sizeof(*j->victim));
     j->victims = 0;
     for (i = 0; i < plan->victims; i++) {
-        struct job *v = Jobs_OfNumber(j->sched, plan->victim[i].job);
+        struct job *v = JobSet_OfNumber(j->sched, plan->victim[i].job);
 
         if (v != NULL) {
             j->victim[j->victims++] = v->row.id;
@@ -314,7 +314,7 @@
 void
 Gang_TakePrepared(struct sched *s, const struct wire_prepared *m)
 {
-    struct job *j = Jobs_Find(s, &m->job);
+    struct job *j = JobSet_Find(s, &m->job);
     size_t i;
 
     if (j == NULL || j->phase != GANG_PREPARING ||
--- a/packages/entry/entry-jobs-load.c
+++ b/packages/entry/entry-jobs-load.c
@@ -61,7 +61,7 @@
 static void
 enter(struct sched *s, const struct job_row *row, uint64_t version)
 {
-    struct job *j = Jobs_Add(s, row, version);
+    struct job *j = JobSet_Add(s, row, version);
 
     if (row->members > 0) {
         Gang_Adopt(j);
@@ -72,9 +72,9 @@
 
 /* Takes in a row: a new job, or a wish about one that is known. */
 void
-Jobs_Absorb(struct sched *s, const struct job_row *row, uint64_t version)
+JobSet_Absorb(struct sched *s, const struct job_row *row, uint64_t version)
 {
-    struct job *j = Jobs_Find(s, &row->id);
+    struct job *j = JobSet_Find(s, &row->id);
 
     if (j == NULL && !Job_IsOver(row->state)) {
         enter(s, row, version);
@@ -116,7 +116,7 @@
         struct job_row row CLEANUP(JobRow_Free) = {0};
 
         if (parse(s, &rows[i], &row) == ERR_OK) {
-            Jobs_Absorb(s, &row, rows[i].version);
+            JobSet_Absorb(s, &row, rows[i].version);
         }
     }
     if (more && count > 0) {
@@ -142,7 +142,7 @@
 /* Reads all rows of the region, so that everything accepted goes on. Nothing
  * is placed before the last one is read. */
 void
-Jobs_Load(struct sched *s)
+JobSet_Load(struct sched *s)
 {
     Account_Rebuild(s);
     s->polling = true;
@@ -178,7 +178,7 @@
         if (row->version != 0 &&
             JobRow_Parse(row->value.data, row->value.len, &found) == ERR_OK) {
             found.id = r->id;
-            Jobs_Absorb(s, &found, row->version);
+            JobSet_Absorb(s, &found, row->version);
             s->account_changed = true;
         }
         s->table->ops->commit(s->table, &op, 1, on_marker_gone, s);
@@ -218,7 +218,7 @@
 
 /* Reads the markers of what others wrote: nothing, most of the time. */
 void
-Jobs_Poll(struct sched *s)
+JobSet_Poll(struct sched *s)
 {
     char prefix[NAME_SIZE + 1];
 
@@ -226,7 +226,7 @@
         return;
     }
     if (!s->owner.loaded) {
-        Jobs_Load(s);
+        JobSet_Load(s);
         return;
     }
     s->polling = true;
--- a/packages/entry/entry-jobs-read.c
+++ b/packages/entry/entry-jobs-read.c
@@ -138,7 +138,7 @@
 on_row(void *arg, int err, struct table_row *row)
 {
     struct reader *r = arg;
-    const struct job *j = Jobs_Find(r->sched, &r->id);
+    const struct job *j = JobSet_Find(r->sched, &r->id);
 
     if (err != ERR_OK && j != NULL && may_see(r, &j->row)) {
         Front_ReplyJson(r->ex, 200, Job_View(&j->row));
@@ -178,7 +178,7 @@
         not_found(ex);
         return NULL;
     }
-    j = Jobs_Find(s, &id);
+    j = JobSet_Find(s, &id);
     if (j != NULL && j->attached &&
         Asker_MaySee(&asker, j->row.organisation)) {
         *attached = j;
@@ -293,7 +293,7 @@
         return;
     }
     if (s->owner.self && s->owner.loaded && versions[0] != 0) {
-        Jobs_Absorb(s, &r->row, versions[0]);
+        JobSet_Absorb(s, &r->row, versions[0]);
     }
     reply_cancelled(r);
 }
@@ -367,7 +367,7 @@
         return;
     }
     if (attached != NULL) {
-        struct job *j = Jobs_Find(r->sched, &r->id);
+        struct job *j = JobSet_Find(r->sched, &r->id);
 
         Front_ReplyJson(ex, 202, Job_View(&j->row));
         Gang_Cancel(j);
--- a/packages/entry/entry-jobs-submit.c
+++ b/packages/entry/entry-jobs-submit.c
@@ -99,7 +99,7 @@
         return;
     }
     if (s->owner.self && s->owner.loaded && versions[0] != 0) {
-        Jobs_Absorb(s, &u->row, versions[0]);
+        JobSet_Absorb(s, &u->row, versions[0]);
         Account_Place(s);
     }
     accept(u);
@@ -201,7 +201,7 @@
     struct job *j;
 
     if (s->owner.self && s->owner.loaded) {
-        j = Jobs_Add(s, row, 0);
+        j = JobSet_Add(s, row, 0);
         j->attached = true;
         j->ex = ex;
         Counter_Add(&accepted_total, 1);
--- a/packages/entry/entry-jobs-write.c
+++ b/packages/entry/entry-jobs-write.c
@@ -26,7 +26,7 @@
     if (!o->self || o->term != w->owner_term) {
         return NULL;
     }
-    return Jobs_Find(w->sched, &w->id);
+    return JobSet_Find(w->sched, &w->id);
 }
 
 /* Ends a write. */
--- a/packages/entry/entry-jobs.c
+++ b/packages/entry/entry-jobs.c
@@ -14,7 +14,7 @@
     return Id_Compare(&a->row.id, &b->row.id);
 }
 
-RB_GENERATE(job_tree, job, entry, compare_jobs)
+RB_GENERATE(sched_jobs, job, entry, compare_jobs)
 
 /* By name. */
 static int
@@ -42,21 +42,21 @@
 
 /* Finds a job by its id. */
 struct job *
-Jobs_Find(struct sched *s, const struct id *id)
+JobSet_Find(struct sched *s, const struct id *id)
 {
     struct job key;
 
     key.row.id = *id;
-    return RB_FIND(job_tree, &s->jobs, &key);
+    return RB_FIND(sched_jobs, &s->jobs, &key);
 }
 
 /* Finds a job by its number in the accounts. */
 struct job *
-Jobs_OfNumber(struct sched *s, uint64_t number)
+JobSet_OfNumber(struct sched *s, uint64_t number)
 {
     struct job *j;
 
-    RB_FOREACH (j, job_tree, &s->jobs) {
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
         if (j->number == number) {
             return j;
         }
@@ -66,7 +66,7 @@
 
 /* Enters a job. Its number is a part of its random id. */
 struct job *
-Jobs_Add(struct sched *s, const struct job_row *row, uint64_t version)
+JobSet_Add(struct sched *s, const struct job_row *row, uint64_t version)
 {
     struct job *j = Mem_Zero(1, sizeof(*j));
 
@@ -77,15 +77,15 @@
     j->try_attempt = row->attempt;
     j->submitted_ms = Clock_NowMs() - (Clock_WallMs() - row->submitted_at);
     j->deadline = INT64_MAX;
-    RB_INSERT(job_tree, &s->jobs, j);
+    RB_INSERT(sched_jobs, &s->jobs, j);
     return j;
 }
 
 /* Forgets a job; its row stays. */
 void
-Jobs_Drop(struct job *j)
+JobSet_Drop(struct job *j)
 {
-    RB_REMOVE(job_tree, &j->sched->jobs, j);
+    RB_REMOVE(sched_jobs, &j->sched->jobs, j);
     JobRow_Free(&j->row);
     free(j->member);
     free(j->victim);
@@ -94,16 +94,16 @@
 
 /* Forgets all jobs. What an attached caller waits for may still run. */
 void
-Jobs_DropAll(struct sched *s)
+JobSet_DropAll(struct sched *s)
 {
     struct job *j, *next;
 
-    RB_FOREACH_SAFE (j, job_tree, &s->jobs, next) {
+    RB_FOREACH_SAFE (j, sched_jobs, &s->jobs, next) {
         if (j->ex != NULL) {
             Front_Refuse(j->ex, 504, "unknown", "owner_changed",
                          "the job may still run", -1, &j->row.id);
         }
-        Jobs_Drop(j);
+        JobSet_Drop(j);
     }
     Order_Free(s->order);
     s->order = Order_New(NULL);
@@ -133,7 +133,7 @@
     for (i = 0; i < parts->count; i++) {
         Gang_TakePart(s, w, &part[i], "hello");
     }
-    RB_FOREACH_SAFE (j, job_tree, &s->jobs, next) {
+    RB_FOREACH_SAFE (j, sched_jobs, &s->jobs, next) {
         for (i = 0; i < j->members && j->phase == GANG_RELEASED; i++) {
             const struct seen *p;
 
@@ -296,7 +296,7 @@
 static void
 on_poll(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
 {
-    Jobs_Poll(w->data);
+    JobSet_Poll(w->data);
 }
 
 /* Deadlines of gangs, and what can start. */
@@ -323,7 +323,7 @@
     json_t *jobs = json_array();
     struct job *j;
 
-    RB_FOREACH (j, job_tree, &((struct sched *)t)->jobs) {
+    RB_FOREACH (j, sched_jobs, &((struct sched *)t)->jobs) {
         char hex[ID_HEX_SIZE];
 
         json_array_append_new(jobs,
@@ -345,7 +345,7 @@
 {
     struct job *j;
 
-    RB_FOREACH (j, job_tree, &((struct sched *)t)->jobs) {
+    RB_FOREACH (j, sched_jobs, &((struct sched *)t)->jobs) {
         if (j->ex != NULL) {
             return false;
         }
@@ -361,10 +361,10 @@
     struct worker *w, *next;
     struct job *j;
 
-    RB_FOREACH (j, job_tree, &s->jobs) {
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
         j->ex = NULL; /* went with the front */
     }
-    Jobs_DropAll(s);
+    JobSet_DropAll(s);
     Order_Free(s->order);
     RB_FOREACH_SAFE (w, worker_tree, &s->workers, next) {
         RB_REMOVE(worker_tree, &s->workers, w);
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -190,8 +190,8 @@
     RB_ENTRY(job) entry;
 };
 
-RB_HEAD(job_tree, job);
-RB_PROTOTYPE(job_tree, job, entry, )
+RB_HEAD(sched_jobs, job);
+RB_PROTOTYPE(sched_jobs, job, entry, )
 
 /* An agent of this region. */
 struct worker {
@@ -233,7 +233,7 @@
     struct owner owner;
     struct cells *cells;
     struct order *order;
-    struct job_tree jobs;
+    struct sched_jobs jobs;
     struct worker_tree workers;
     struct heard_book heard;
     struct seen_tree seen;
@@ -260,19 +260,20 @@
 /* ---- jobs -------------------------------------------------------------- */
 
 /* The job of that id, or NULL. */
-struct job *Jobs_Find(struct sched *s, const struct id *id);
-struct job *Jobs_OfNumber(struct sched *s, uint64_t number);
+struct job *JobSet_Find(struct sched *s, const struct id *id);
+struct job *JobSet_OfNumber(struct sched *s, uint64_t number);
 /* Enters a job; the row is copied. */
-struct job *Jobs_Add(struct sched *s, const struct job_row *row,
-                     uint64_t version);
-void Jobs_Drop(struct job *j);
-void Jobs_DropAll(struct sched *s);
+struct job *JobSet_Add(struct sched *s, const struct job_row *row,
+                       uint64_t version);
+void JobSet_Drop(struct job *j);
+void JobSet_DropAll(struct sched *s);
 /* Reads all rows of the region, at takeover. */
-void Jobs_Load(struct sched *s);
+void JobSet_Load(struct sched *s);
 /* Reads what others wrote since. */
-void Jobs_Poll(struct sched *s);
+void JobSet_Poll(struct sched *s);
 /* Takes in a row as it was read from the table. */
-void Jobs_Absorb(struct sched *s, const struct job_row *row, uint64_t version);
+void JobSet_Absorb(struct sched *s, const struct job_row *row,
+                   uint64_t version);
 
 typedef void (*job_written)(struct job *j, int err);
 /* Writes the row under the term. done gets ERR_OK, ERR_CONFLICT (others wrote
--- a/packages/entry/entry-owner.c
+++ b/packages/entry/entry-owner.c
@@ -69,7 +69,7 @@
     s->owner.loaded = false;
     s->owner.beat_at = Clock_NowMs();
     Counter_Set(&is_owner, 0);
-    Jobs_DropAll(s);
+    JobSet_DropAll(s);
     Timer_Set(s->task.kernel->loop, &s->owner.timer, OWNER_WATCH_MS);
 }
 
@@ -86,7 +86,7 @@
     LOG_I("owner_take", KV("region", s->settings->region),
           KV_INT("term", term));
     Timer_Set(s->task.kernel->loop, &s->owner.timer, OWNER_RENEW_MS);
-    Jobs_Load(s);
+    JobSet_Load(s);
 }
 
 /* How a renewal went. Only a conflict ends the term: with the table down the
