--- /dev/null
+++ b/tests/sched-test.cc
@@ -0,0 +1,253 @@
+#include "entry-jobs.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace {
+
+/* ---- rows -------------------------------------------------------------- */
+
+RC_GTEST_PROP(JobRow, ReadsWhatItWrote, ())
+{
+    struct job_row row = {}, back = {};
+    struct buf text = {};
+
+    Str_Copy(row.organisation, sizeof(row.organisation), "one");
+    Str_Copy(row.class_name, sizeof(row.class_name), "train");
+    Str_Copy(row.reason, sizeof(row.reason), "member_stopped");
+    row.tasks = *rc::gen::inRange(1, 1025);
+    row.accelerators = *rc::gen::inRange(1, 65);
+    row.within = (enum cells_level) * rc::gen::inRange(0, 5);
+    row.declared_ms = *rc::gen::inRange<int64_t>(0, INT64_MAX);
+    row.guaranteed = *rc::gen::arbitrary<bool>();
+    row.cancel = *rc::gen::arbitrary<bool>();
+    row.state = (enum job_state) * rc::gen::inRange(0, (int)JOB_STATE_COUNT);
+    row.attempt = *rc::gen::inRange<uint64_t>(0, INT64_MAX);
+    row.term = *rc::gen::inRange<uint64_t>(0, INT64_MAX);
+    row.submitted_at = *rc::gen::inRange<int64_t>(0, INT64_MAX);
+    Buf_AppendStr(&row.spec, "{\"image\":\"x\"}");
+    row.members = *rc::gen::inRange<size_t>(0, 65);
+    row.member =
+        (struct job_member *)Mem_Zero(row.members + 1, sizeof(*row.member));
+    for (size_t i = 0; i < row.members; i++) {
+        Str_Copy(row.member[i].agent, NAME_SIZE, "w1");
+        row.member[i].incarnation = *rc::gen::arbitrary<uint64_t>();
+        row.member[i].accelerators = *rc::gen::arbitrary<uint64_t>();
+        row.member[i].tasks = *rc::gen::inRange(0, 64);
+    }
+    JobRow_Render(&row, &text);
+    RC_ASSERT(JobRow_Parse(text.data, text.len, &back) == ERR_OK);
+    RC_ASSERT(back.tasks == row.tasks);
+    RC_ASSERT(back.accelerators == row.accelerators);
+    RC_ASSERT(back.within == row.within);
+    RC_ASSERT(back.declared_ms == row.declared_ms);
+    RC_ASSERT(back.guaranteed == row.guaranteed);
+    RC_ASSERT(back.cancel == row.cancel);
+    RC_ASSERT(back.state == row.state);
+    RC_ASSERT(back.attempt == row.attempt);
+    RC_ASSERT(back.term == row.term);
+    RC_ASSERT(back.submitted_at == row.submitted_at);
+    RC_ASSERT(std::string(back.reason) == row.reason);
+    RC_ASSERT(std::string(back.spec.data) == row.spec.data);
+    RC_ASSERT(back.members == row.members);
+    for (size_t i = 0; i < row.members; i++) {
+        RC_ASSERT(back.member[i].incarnation == row.member[i].incarnation);
+        RC_ASSERT(back.member[i].accelerators == row.member[i].accelerators);
+        RC_ASSERT(back.member[i].tasks == row.member[i].tasks);
+    }
+    JobRow_Free(&row);
+    JobRow_Free(&back);
+    Buf_Free(&text);
+}
+
+TEST(JobRow, RefusesBytesThatAreNoRow)
+{
+    for (const char *text : {"", "{", "[]", "{}", "{\"state\":\"queued\"}"}) {
+        struct job_row row = {};
+
+        EXPECT_EQ(JobRow_Parse(text, strlen(text), &row), ERR_INVALID) << text;
+        JobRow_Free(&row);
+    }
+}
+
+struct SubmissionCase {
+    const char *body;
+    const char *why; /* its first word; NULL: right */
+};
+
+TEST(JobRow, ReadsSubmissions)
+{
+    static const SubmissionCase cases[] = {
+        {R"({"class":"c","tasks":2,"accelerators":8})", nullptr},
+        {R"({"class":"c","tasks":2,"accelerators":8,"within":"rack"})",
+         nullptr},
+        {R"({"tasks":2,"accelerators":8})", "class"},
+        {R"({"class":7,"tasks":2,"accelerators":8})", "class"},
+        {R"({"class":"c","accelerators":8})", "tasks"},
+        {R"({"class":"c","tasks":0,"accelerators":8})", "tasks"},
+        {R"({"class":"c","tasks":1025,"accelerators":8})", "tasks"},
+        {R"({"class":"c","tasks":"2","accelerators":8})", "tasks"},
+        {R"({"class":"c","tasks":2,"accelerators":65})", "accelerators"},
+        {R"({"class":"c","tasks":2,"accelerators":8,"run_ms":-1})", "run_ms"},
+        {R"({"class":"c","tasks":2,"accelerators":8,"within":"x"})", "within"},
+    };
+
+    for (const SubmissionCase &c : cases) {
+        json_t *body = json_loads(c.body, 0, nullptr);
+        struct job_row row = {};
+        bool attached;
+        const char *why = nullptr;
+        int err = JobRow_ParseSubmission(body, &row, &attached, &why);
+
+        EXPECT_EQ(err, c.why ? ERR_INVALID : ERR_OK) << c.body;
+        if (c.why != nullptr && why != nullptr) {
+            EXPECT_EQ(std::string(why).substr(0, strlen(c.why)), c.why);
+        }
+        JobRow_Free(&row);
+        json_decref(body);
+    }
+}
+
+/* ---- states ------------------------------------------------------------ */
+
+TEST(JobState, WhatIsOverStaysOver)
+{
+    for (int from = 0; from < JOB_STATE_COUNT; from++) {
+        for (int to = 0; to < JOB_STATE_COUNT; to++) {
+            bool may = Job_MayBecome((enum job_state)from, (enum job_state)to);
+
+            EXPECT_FALSE(Job_IsOver((enum job_state)from) && may);
+        }
+    }
+    EXPECT_TRUE(Job_MayBecome(JOB_QUEUED, JOB_CANCELLED));
+    EXPECT_FALSE(Job_MayBecome(JOB_QUEUED, JOB_RUNNING));
+    EXPECT_FALSE(Job_MayBecome(JOB_STOPPING, JOB_QUEUED));
+}
+
+/* ---- renewal ----------------------------------------------------------- */
+
+const uint64_t RENEWER = 7;
+
+struct Renewer : ::testing::Test {
+    void SetUp() override
+    {
+        Heard_Init(&book);
+        working.job = Id_Random();
+        working.attempt = 1;
+        working.term = 1;
+        working.members = 2;
+    }
+    void TearDown() override
+    {
+        Heard_Free(&book);
+    }
+    /* True when the pulse's gang is renewed. */
+    bool Pulse(const char *agent, int64_t stamp, int64_t now,
+               uint64_t renewer = RENEWER)
+    {
+        struct wire_pulse p = {};
+        struct wire_renew *r;
+        bool renewed;
+
+        p.msg.type = WIRE_PULSE;
+        Str_Copy(p.agent, sizeof(p.agent), agent);
+        p.renewer = renewer;
+        p.stamp = stamp;
+        *(struct wire_working *)Wire_ListAdd(&p.working, sizeof(working)) =
+            working;
+        r = Heard_Answer(&book, &p, RENEWER, now);
+        EXPECT_EQ(r->stamp, now);
+        renewed = r->renewed.count == 1;
+        Wire_Free(&r->msg);
+        Wire_Clear(&p.msg);
+        return renewed;
+    }
+    struct heard_book book;
+    struct wire_working working = {};
+};
+
+TEST_F(Renewer, RenewsOnlyAWholeGang)
+{
+    EXPECT_FALSE(Pulse("a", 0, 1000)); /* no stamp yet */
+    EXPECT_FALSE(Pulse("a", 1000, 2000));
+    EXPECT_FALSE(Pulse("a", 1500, 2100)); /* one member, heard twice */
+    EXPECT_TRUE(Pulse("b", 1000, 2200));
+    EXPECT_TRUE(Pulse("a", 2100, 2300));
+    working.attempt = 2;
+    EXPECT_FALSE(Pulse("a", 2300, 2400)); /* another attempt */
+}
+
+/* A pulse waits in a queue while the renewer is paused. It was sent before its
+ * fellow stopped; counted by its arrival it would renew a broken gang. */
+TEST_F(Renewer, PulseThatWaitedProvesNothing)
+{
+    EXPECT_FALSE(Pulse("a", 1000, 1100));
+    EXPECT_TRUE(Pulse("b", 1000, 1100));
+    EXPECT_FALSE(Pulse("b", 1100, 1000 + GANG_HEARD_MS + 1));
+    EXPECT_FALSE(Pulse("a", 1000, 1000 + GANG_HEARD_MS + 2));
+}
+
+/* After a restart the stamps are of another clock. */
+TEST_F(Renewer, StampsOfAnotherIncarnationCountForNothing)
+{
+    EXPECT_FALSE(Pulse("a", 1000, 1100, RENEWER + 1));
+    EXPECT_FALSE(Pulse("b", 1000, 1100, RENEWER + 1));
+    EXPECT_FALSE(Pulse("b", 9000, 1100)); /* of the future */
+}
+
+/* Whatever pulses come, in any order and late: a gang is renewed only when
+ * each member's newest stamp is of the last GANG_HEARD_MS. */
+RC_GTEST_PROP(RenewerProperty, RenewsByStampsOnly, ())
+{
+    struct heard_book book;
+    struct wire_working working = {};
+    int members = *rc::gen::inRange(1, 5);
+    std::vector<int64_t> newest((size_t)members, INT64_MIN / 2);
+    int64_t now = 1;
+
+    Heard_Init(&book);
+    working.job = Id_Random();
+    working.members = (uint64_t)members;
+    for (int step = 0; step < 60; step++) {
+        size_t who = *rc::gen::inRange<size_t>(0, (size_t)members);
+        int64_t stamp;
+        bool whole = true;
+
+        now += *rc::gen::inRange(0, 1500);
+        stamp = std::max<int64_t>(1, now - *rc::gen::inRange(0, 6000));
+        newest[who] = std::max(newest[who], stamp);
+        Heard_Note(&book, &working, std::to_string(who).c_str(), stamp);
+        for (int64_t at : newest) {
+            whole = whole && now - at <= GANG_HEARD_MS;
+        }
+        RC_ASSERT(Heard_IsWhole(&book, &working, now) == whole);
+        if (*rc::gen::arbitrary<bool>()) {
+            Heard_Prune(&book, now);
+            RC_ASSERT(Heard_IsWhole(&book, &working, now) == whole);
+        }
+    }
+    Heard_Free(&book);
+}
+
+TEST(Seen, KeepsTheNewestAttempt)
+{
+    struct seen_tree tree = RB_INITIALIZER(&tree);
+    struct wire_part part = {};
+
+    part.job = Id_Random();
+    part.attempt = 2;
+    part.state = PART_RUNNING;
+    Seen_Note(&tree, "w1", 5, &part, 0);
+    part.attempt = 1;
+    part.state = PART_STOPPED;
+    Seen_Note(&tree, "w1", 5, &part, 1);
+    ASSERT_NE(Seen_Find(&tree, &part.job, "w1"), nullptr);
+    EXPECT_EQ(Seen_Find(&tree, &part.job, "w1")->part.state,
+              (uint64_t)PART_RUNNING);
+    EXPECT_EQ(Seen_Find(&tree, &part.job, "w2"), nullptr);
+    Seen_Free(&tree);
+}
+
+} /* namespace */
