--- a/packages/entry/entry-jobs-load.c
+++ b/packages/entry/entry-jobs-load.c
@@ -93,6 +93,32 @@
     }
 }
 
+/* The owner takes in what it wrote itself, and needs no marker. The check
+ * makes that sure: were its term over, its successor might have read all rows
+ * before this one is written, and would never learn of it. */
+struct table_op
+JobSet_Announce(const struct sched *s, const char *key)
+{
+    struct table_op marker = {.verb = TABLE_PUT,
+                              .table = "job-news",
+                              .key = key,
+                              .if_version = TABLE_ANY,
+                              .value = "{}",
+                              .len = 2};
+
+    return s->owner.self && s->owner.loaded ? Owner_Check(s) : marker;
+}
+
+/* The owner goes on at once with what it wrote for a caller. */
+void
+JobSet_Wrote(struct sched *s, const struct job_row *row, uint64_t version)
+{
+    if (s->owner.self && s->owner.loaded) {
+        JobSet_Absorb(s, row, version);
+        Account_Place(s);
+    }
+}
+
 static void load_page(struct sched *s, const char *after);
 
 /* Takes in a page of rows, and asks for the next one. */
--- a/packages/entry/entry-jobs-read.c
+++ b/packages/entry/entry-jobs-read.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 #define LIST_PAGE 200
-#define CANCEL_TRIES 5
+#define CANCEL_TRIES 40
+#define CANCEL_PAUSE_MS 250
 #define TABLE_RETRY_MS 2000
 
 /* What a caller waits for. */
@@ -16,6 +17,7 @@
     char organisation[NAME_SIZE];
     struct job_row row;
     int tries;
+    ev_timer pause;
 };
 
 static void read_to_cancel(struct reader *r);
@@ -108,9 +110,10 @@
 
 /* The table can't be read now. */
 static void
-not_read(struct http_exchange *ex)
+not_read(struct http_exchange *ex, int err)
 {
-    Front_Refuse(ex, 503, "unavailable", "table_unavailable",
+    Front_Refuse(ex, 503, "unavailable",
+                 err == ERR_BUSY ? "table_budget" : "table_unavailable",
                  "nothing was changed; ask again", TABLE_RETRY_MS, NULL);
 }
 
@@ -120,7 +123,7 @@
 {
     JobRow_Free(&r->row);
     if (err != ERR_OK) {
-        not_read(r->ex);
+        not_read(r->ex, err);
         return false;
     }
     if (row->version == 0 ||
@@ -221,7 +224,7 @@
 
     if (err != ERR_OK) {
         json_decref(list);
-        not_read(r->ex);
+        not_read(r->ex, err);
         end(r);
         return;
     }
@@ -255,7 +258,7 @@
         return;
     }
     if (s->table == NULL) {
-        not_read(ex);
+        not_read(ex, ERR_UNREACHABLE);
         return;
     }
     Buf_Printf(&prefix, "%s/", s->settings->region);
@@ -273,8 +276,16 @@
     end(r);
 }
 
+/* The pause before another try is over. */
+static void
+on_pause_end(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    read_to_cancel(w->data);
+}
+
 /* How the wish to cancel was written. On a conflict the row has moved on and
- * is read again: one that was queued may have started. */
+ * is read again: one that was queued may have started. A wave of them draws
+ * on the budget of writes, and waits for it here. */
 static void
 on_cancel_written(void *arg, int err, size_t at UNUSED,
                   const uint64_t *versions)
@@ -282,19 +293,20 @@
     struct reader *r = arg;
     struct sched *s = r->sched;
 
-    if ((err == ERR_CONFLICT || err == ERR_UNKNOWN) &&
+    if ((err == ERR_CONFLICT || err == ERR_UNKNOWN || err == ERR_BUSY ||
+         (err == ERR_OK && versions[0] == 0)) &&
         ++r->tries < CANCEL_TRIES) {
-        read_to_cancel(r);
+        ev_timer_init(&r->pause, on_pause_end, CANCEL_PAUSE_MS / 1e3, 0.);
+        r->pause.data = r;
+        ev_timer_start(s->task.kernel->loop, &r->pause);
         return;
     }
     if (err != ERR_OK) {
-        not_read(r->ex);
+        not_read(r->ex, err);
         end(r);
         return;
     }
-    if (s->owner.self && s->owner.loaded && versions[0] != 0) {
-        JobSet_Absorb(s, &r->row, versions[0]);
-    }
+    JobSet_Wrote(s, &r->row, versions[0]);
     reply_cancelled(r);
 }
 
@@ -340,12 +352,7 @@
                                .if_version = row->version,
                                .value = text.data,
                                .len = text.len};
-    ops[1] = (struct table_op){.verb = TABLE_PUT,
-                               .table = "job-news",
-                               .key = key,
-                               .if_version = TABLE_ANY,
-                               .value = "{}",
-                               .len = 2};
+    ops[1] = JobSet_Announce(s, key);
     s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_cancel_written, r);
 }
 
--- a/packages/entry/entry-jobs-submit.c
+++ b/packages/entry/entry-jobs-submit.c
@@ -72,24 +72,34 @@
     struct submission *u = arg;
 
     if (err == ERR_OK && row->version != 0) {
+        JobSet_Wrote(u->sched, &u->row, row->version);
         accept(u);
         return;
     }
     unknown(u);
 }
 
+/* Reads the row, as only it can tell. */
+static void
+read_back(struct submission *u)
+{
+    struct sched *s = u->sched;
+    char key[JOB_KEY_SIZE];
+
+    s->table->ops->get(s->table, "jobs",
+                       JobRow_Key(s->settings->region, &u->row.id, key),
+                       on_read_back, u);
+}
+
 /* How the write of the row went. */
 static void
 on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
     struct submission *u = arg;
     struct sched *s = u->sched;
-    char key[JOB_KEY_SIZE];
 
     if (err == ERR_UNKNOWN) {
-        s->table->ops->get(s->table, "jobs",
-                           JobRow_Key(s->settings->region, &u->row.id, key),
-                           on_read_back, u);
+        read_back(u);
         return;
     }
     if (err != ERR_OK) {
@@ -105,9 +115,7 @@
     accept(u);
 }
 
-/* Writes the row, and the marker that tells the owner of it. The marker is
- * written even when this entry is the owner: it may lose its term before the
- * row lands, and its successor may have read all rows by then. */
+/* Writes the row, in a way that the owner learns of it. */
 static void
 submit(struct sched *s, struct http_exchange *ex, struct job_row *row)
 {
@@ -135,12 +143,7 @@
                                .if_version = 0,
                                .value = text.data,
                                .len = text.len};
-    ops[1] = (struct table_op){.verb = TABLE_PUT,
-                               .table = "job-news",
-                               .key = key,
-                               .if_version = TABLE_ANY,
-                               .value = "{}",
-                               .len = 2};
+    ops[1] = JobSet_Announce(s, key);
     s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_written, u);
 }
 
--- a/packages/entry/entry-jobs.c
+++ b/packages/entry/entry-jobs.c
@@ -334,9 +334,11 @@
                                         (json_int_t)j->row.attempt, "members",
                                         (int)j->members));
     }
-    return json_pack("{s:b, s:I, s:s, s:i, s:o}", "owner", (int)s->owner.self,
-                     "term", (json_int_t)s->owner.term, "owner_name",
-                     s->owner.name, "heard", s->heard.count, "jobs", jobs);
+    return json_pack("{s:b, s:b, s:I, s:s, s:i, s:o}", "owner",
+                     (int)s->owner.self, "table_down",
+                     (int)s->owner.table_down, "term",
+                     (json_int_t)s->owner.term, "owner_name", s->owner.name,
+                     "heard", s->heard.count, "jobs", jobs);
 }
 
 /* True when no attached caller waits any more. */
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -271,6 +271,12 @@
 void JobSet_Load(struct sched *s);
 /* Reads what others wrote since. */
 void JobSet_Poll(struct sched *s);
+/* What goes into the transaction that writes a row for the owner to see: the
+ * term's check when this entry is the owner, the marker of news otherwise. */
+struct table_op JobSet_Announce(const struct sched *s, const char *key);
+/* Takes in a row that this entry wrote for a caller, if it is the owner. */
+void JobSet_Wrote(struct sched *s, const struct job_row *row,
+                  uint64_t version);
 /* Takes in a row as it was read from the table. */
 void JobSet_Absorb(struct sched *s, const struct job_row *row,
                    uint64_t version);
--- a/packages/entry/entry-owner.c
+++ b/packages/entry/entry-owner.c
@@ -15,7 +15,10 @@
 /* Watchers don't act at the same time: each waits for its own part of this,
  * so that usually one writes and the others see it. */
 #define OWNER_SPREAD_MS 1000
-#define OWNER_WATCH_MS 500 /* while no owner is known */
+/* How often the row is read, by watchers and by the owner itself: so it sees
+ * a higher term soon, and that the table service is down before a caller has
+ * to wait for it. */
+#define OWNER_WATCH_MS 500
 
 static struct counter terms_total = {"parsleyfall_entry_owner_terms_total",
                                      "Times that this entry became owner.",
@@ -70,7 +73,6 @@
     s->owner.beat_at = Clock_NowMs();
     Counter_Set(&is_owner, 0);
     JobSet_DropAll(s);
-    Timer_Set(s->task.kernel->loop, &s->owner.timer, OWNER_WATCH_MS);
 }
 
 /* Begins a term. */
@@ -85,7 +87,7 @@
     Counter_Set(&is_owner, 1);
     LOG_I("owner_take", KV("region", s->settings->region),
           KV_INT("term", term));
-    Timer_Set(s->task.kernel->loop, &s->owner.timer, OWNER_RENEW_MS);
+    s->owner.beat_at = Clock_NowMs();
     JobSet_Load(s);
 }
 
@@ -97,7 +99,6 @@
     struct sched *s = arg;
 
     s->owner.busy = false;
-    s->owner.table_down = err != ERR_OK && err != ERR_CONFLICT;
     if (!s->owner.self) {
         return;
     }
@@ -107,7 +108,9 @@
     }
     if (err != ERR_OK) {
         LOG_W("owner_not_renewed", KV("error", Err_Name(err)));
+        return;
     }
+    s->owner.beat_at = Clock_NowMs();
 }
 
 /* Says that the owner lives. The beat takes any version: the check in the
@@ -227,13 +230,20 @@
 {
     struct sched *s = arg;
     char key[NAME_SIZE + 8];
-    bool changed = row != NULL && row->version != s->owner.row_version;
+    bool changed;
 
     s->owner.busy = false;
-    s->owner.table_down = err != ERR_OK;
+    if (err != ERR_BUSY) {
+        s->owner.table_down = err != ERR_OK;
+    }
+    if (err == ERR_OK && s->owner.self &&
+        row->version != s->owner.row_version) {
+        Owner_StepDown(s, "higher_term");
+    }
     if (err != ERR_OK || s->owner.self) {
         return;
     }
+    changed = row->version != s->owner.row_version;
     s->owner.row_version = row->version;
     if (changed) {
         s->owner.beat_at = Clock_NowMs();
@@ -260,11 +270,11 @@
 {
     struct sched *s = w->data;
 
-    Timer_Set(loop, w, s->owner.self ? OWNER_RENEW_MS : OWNER_WATCH_MS);
+    Timer_Set(loop, w, OWNER_WATCH_MS);
     if (s->owner.busy) {
         return;
     }
-    if (s->owner.self) {
+    if (s->owner.self && Clock_NowMs() - s->owner.beat_at >= OWNER_RENEW_MS) {
         renew(s);
         return;
     }
