--- a/packages/entry/entry-cells.c
+++ b/packages/entry/entry-cells.c
@@ -541,6 +541,9 @@
         Fatal("a fresh plan does not fit its account");
     }
     Account_Dequeue(j);
+    /* An agent judges a claim by the bindings that it has, so those that this
+     * plan moved go to it first. */
+    push_bindings(j->sched);
     Sched_Decided(j->sched, &j->row.id, "start",
                   Cells_ReasonName(d->plan.reason),
                   json_pack("{s:s, s:i, s:i, s:i, s:I}", "queue",
@@ -597,5 +600,4 @@
     push_bindings(s);
     while (left-- > 0 && place_one(s, now)) {
     }
-    push_bindings(s);
 }
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 
 using namespace harness;
@@ -94,28 +95,19 @@
     std::string http, links;
 };
 
-/* A table service, entries, and three agents that speak to all of them. */
-struct Region : ::testing::Test {
-    void Up(int entries)
+/* A table service and entries. */
+struct Base : ::testing::Test {
+    std::vector<std::string> Entries(int count)
     {
         std::vector<std::string> links;
 
         platform = std::make_unique<Fake>(dir, "fake-platform");
-        for (int i = 0; i < entries; i++) {
+        for (int i = 0; i < count; i++) {
             entry.push_back(std::make_unique<Entry>(
                 dir, "entry-" + std::to_string(i), platform->Url()));
             links.push_back(entry.back()->links);
         }
-        agents.Add("w1", links);
-        agents.Add("w2", links);
-        agents.Add("w3", links);
-        agents.Run();
-        ASSERT_TRUE(WaitFor([&] { return Owner() >= 0; }));
-        ASSERT_TRUE(WaitFor([&] {
-            return agents.Bound("w1", "two") + agents.Bound("w2", "two") +
-                       agents.Bound("w3", "two") ==
-                   0xff;
-        }));
+        return links;
     }
     int Owner()
     {
@@ -148,9 +140,105 @@
     TempDir dir;
     std::unique_ptr<Fake> platform;
     std::vector<std::unique_ptr<Entry>> entry;
+};
+
+/* With three agents of the test's own, that speak to all entries. */
+struct Region : Base {
+    void Up(int entries)
+    {
+        std::vector<std::string> links = Entries(entries);
+
+        agents.Add("w1", links);
+        agents.Add("w2", links);
+        agents.Add("w3", links);
+        agents.Run();
+        ASSERT_TRUE(WaitFor([&] { return Owner() >= 0; }));
+        ASSERT_TRUE(WaitFor([&] {
+            return agents.Bound("w1", "two") + agents.Bound("w2", "two") +
+                       agents.Bound("w3", "two") ==
+                   0xff;
+        }));
+    }
     gang::Agents agents;
 };
 
+/* With three real agents, each beside the stand-in of a worker, whose exact
+ * log of its task runner is the judge. */
+struct Workers : Base {
+    void Up(int entries)
+    {
+        std::vector<std::string> links = Entries(entries);
+        std::string seeds;
+
+        for (const std::string &link : links) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + link + "\"";
+        }
+        for (int i = 0; i < 3; i++) {
+            std::string name = "w" + std::to_string(i + 1);
+
+            worker.push_back(std::make_unique<Fake>(
+                dir, "fake-upstream", std::vector<std::string>{}, name));
+            agent.push_back(std::make_unique<Process>(
+                dir, "parsleyfall-agent",
+                std::vector<std::string>{"run",
+                                         dir.Write("agent-" + name + ".yaml",
+                                                   Settings(name, seeds, i))},
+                "agent-" + name));
+        }
+        ASSERT_TRUE(WaitFor([&] { return Owner() >= 0; }));
+        ASSERT_TRUE(WaitFor([&] {
+            return std::all_of(agent.begin(), agent.end(), [](auto &a) {
+                return a->Err().find("event=bind") != std::string::npos;
+            });
+        }));
+    }
+    std::string Settings(const std::string &name, const std::string &seeds,
+                         int i)
+    {
+        return "name: " + name +
+               "\nregion: here\nfailure_domain: a\nrack: r\n"
+               "accelerators: 8\nseeds: [" +
+               seeds + "]\nservices: []\nrunner_url: \"" +
+               worker[(size_t)i]->Url() + "\"\n";
+    }
+    /* Events of that kind in all workers' logs. */
+    int Count(const std::string &job, int64_t attempt,
+              const std::string &event)
+    {
+        int n = 0;
+
+        for (auto &w : worker) {
+            Json log = Http("GET", w->Url("/runner/log")).json();
+            size_t i;
+            json_t *line;
+
+            EXPECT_EQ(Number(log.get(), "double_booked"), 0);
+            EXPECT_EQ(Number(log.get(), "overlapping"), 0);
+            json_array_foreach(json_object_get(log.get(), "log"), i, line)
+            {
+                n += Text(line, "job") == job &&
+                     Number(line, "attempt") == attempt &&
+                     Text(line, "event") == event;
+            }
+        }
+        return n;
+    }
+    std::string Errors()
+    {
+        std::string all;
+
+        for (auto &e : entry) {
+            all += e->process.Err();
+        }
+        for (auto &a : agent) {
+            all += a->Err();
+        }
+        return all;
+    }
+    std::vector<std::unique_ptr<Fake>> worker;
+    std::vector<std::unique_ptr<Process>> agent;
+};
+
 const char TWO_BY_EIGHT[] =
     "{\"class\":\"train\",\"tasks\":2,\"accelerators\":8}";
 
@@ -355,4 +443,94 @@
     EXPECT_TRUE(Becomes(e, lent, "queued"));
 }
 
+/* ---- with real agents -------------------------------------------------- */
+
+TEST_F(Workers, GangRunsAndIsCancelled)
+{
+    Up(1);
+    Entry &e = *entry[0];
+    std::string job = Submit(e, TWO_BY_EIGHT);
+
+    ASSERT_TRUE(Becomes(e, job, "running")) << Errors();
+    EXPECT_EQ(Count(job, 1, "start"), 2);
+    Http("DELETE", e.http + "/v1/jobs/" + job, "", {ORG});
+    ASSERT_TRUE(Becomes(e, job, "cancelled")) << Errors();
+    EXPECT_EQ(Count(job, 1, "stop"), 2);
+    EXPECT_EQ(Count(job, 2, "start"), 0);
+}
+
+TEST_F(Workers, GangRunsToItsEnd)
+{
+    Up(2);
+    Entry &e = *entry[0];
+    std::string job = Submit(e, "{\"class\":\"once\",\"tasks\":2,"
+                                "\"accelerators\":8,\"spec\":"
+                                "{\"run_ms\":300}}");
+
+    ASSERT_TRUE(Becomes(e, job, "done")) << Errors();
+    EXPECT_EQ(Count(job, 1, "start"), 2);
+    EXPECT_EQ(Count(job, 1, "end"), 2);
+    EXPECT_EQ(Count(job, 2, "start"), 0);
+}
+
+/* A gang works for longer than a lease, while its owner dies and another entry
+ * takes over: the renewers keep it alive, and it runs once. */
+TEST_F(Workers, GangOutlivesItsOwner)
+{
+    Up(2);
+    int first = Owner();
+    Entry &other = *entry[1 - first];
+    std::string job = Submit(other, "{\"class\":\"once\",\"tasks\":2,"
+                                    "\"accelerators\":8,\"spec\":"
+                                    "{\"run_ms\":18000}}");
+
+    ASSERT_TRUE(Becomes(other, job, "running")) << Errors();
+    entry[first]->process.Signal(SIGKILL);
+    ASSERT_TRUE(Becomes(other, job, "done", 30000)) << Errors();
+    EXPECT_EQ(Count(job, 1, "start"), 2);
+    EXPECT_EQ(Count(job, 1, "end"), 2);
+    EXPECT_EQ(Count(job, 2, "start"), 0);
+}
+
+/* An agent and its worker's link die with it. Its worker ends the task by the
+ * lease, as its fellow does; then the whole gang runs on other workers. */
+TEST_F(Workers, LostAgentMovesTheWholeGang)
+{
+    Up(1);
+    Entry &e = *entry[0];
+    std::string job = Submit(e, TWO_BY_EIGHT);
+    size_t lost = 0;
+
+    ASSERT_TRUE(Becomes(e, job, "running")) << Errors();
+    while (Http("GET", worker[lost]->Url("/runner/log")).body.find(job) ==
+           std::string::npos) {
+        lost++;
+    }
+    agent[lost]->Signal(SIGKILL);
+    ASSERT_TRUE(WaitFor([&] { return Count(job, 2, "start") == 2; }, 45000))
+        << Errors();
+    EXPECT_EQ(Count(job, 1, "start"), 2);
+}
+
+/* As with agents of the test's own: all of a lent gang stops for a guarantee,
+ * and goes back to the queue. */
+TEST_F(Workers, GuaranteeIsReclaimedFromLentWork)
+{
+    Up(1);
+    Entry &e = *entry[0];
+    std::string lent = Submit(e, "{\"class\":\"train\",\"tasks\":3,"
+                                 "\"accelerators\":8}"),
+                claim;
+
+    ASSERT_TRUE(Becomes(e, lent, "running")) << Errors();
+    claim = Submit(e,
+                   "{\"class\":\"train\",\"tasks\":1,\"accelerators\":8,"
+                   "\"guaranteed\":true}",
+                   OTHER);
+    ASSERT_TRUE(WaitFor([&] { return Count(claim, 1, "start") == 1; }))
+        << Errors();
+    EXPECT_EQ(Count(lent, 1, "stop"), 3);
+    EXPECT_TRUE(Becomes(e, lent, "queued"));
+}
+
 } /* namespace */
--- a/tests/sched.cmake
+++ b/tests/sched.cmake
@@ -1,4 +1,5 @@
 pf_test(sched-test sched-test.cc PACKAGES entry)
 set_tests_properties(sched-test PROPERTIES ENVIRONMENT "RC_PARAMS=seed=11")
 pf_process_test(gang-process-test gang-process-test.cc gang-agents.cc
-                PACKAGES entry NEEDS parsleyfall fake-platform)
+                PACKAGES entry NEEDS parsleyfall parsleyfall-agent
+                fake-platform fake-upstream)
