--- a/packages/entry/entry-jobs.c
+++ b/packages/entry/entry-jobs.c
@@ -25,7 +25,7 @@
 
 RB_GENERATE(worker_tree, worker, entry, compare_workers)
 
-/* Logs a decision with its reason and what decided it. */
+/* Logs and records a decision with its reason and what decided it. */
 void
 Sched_Decided(struct sched *s, const struct id *job, const char *decision,
               const char *reason, json_t *inputs)
@@ -37,7 +37,7 @@
           KV("decision", decision), KV("reason", reason),
           KV_INT("term", s->owner.term), KV("inputs", text));
     free(text);
-    json_decref(inputs);
+    Why_Record(s->task.kernel, job, decision, reason, inputs);
 }
 
 /* Finds a job by its id. */
@@ -78,6 +78,7 @@
     j->submitted_ms = Clock_NowMs() - (Clock_WallMs() - row->submitted_at);
     j->deadline = INT64_MAX;
     RB_INSERT(sched_jobs, &s->jobs, j);
+    Why_Open(s->task.kernel, &row->id, row->organisation);
     return j;
 }
 
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -20,8 +20,8 @@
 #define ENTRY_JOBS_H
 
 #include "cells.h"
-#include "entry-table.h"
 #include "entry.h"
+#include "platform.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -246,7 +246,8 @@
     ev_timer tick;
 };
 
-/* Logs a decision about a job, with its typed reason. */
+/* Logs and records a decision about a job, with its typed reason; takes
+ * inputs. */
 void Sched_Decided(struct sched *s, const struct id *job, const char *decision,
                    const char *reason, json_t *inputs);
 
--- a/packages/entry/entry-table.c
+++ b/packages/entry/entry-table.c
@@ -1,59 +1,72 @@
-#include "entry-table.h"
-
 #include "entry.h"
 
 #include <stdlib.h>
 
 #define TRY_MS 1000
 #define GIVE_UP_MS 4000
+/* A tenth of what the service bears: there are about ten entries. */
 #define READS_PER_S 200
-#define WRITES_PER_S 100
+#define WRITES_PER_S 50
 
-struct shared_table {
+/* The connections of this process to the platform's services. */
+struct platform_task {
     struct task task;
     struct table *table;
+    struct objects *objects;
 };
 
-/* Closes the connection, after the tasks that use it are gone. */
+static const struct platform_limits limits = {.timeout_ms = TRY_MS,
+                                              .give_up_ms = GIVE_UP_MS,
+                                              .reads_per_s = READS_PER_S,
+                                              .writes_per_s = WRITES_PER_S};
+
+/* Ends the connections, with the calls that are open on them. */
 static void
-shared_free(struct task *t)
+platform_free(struct task *t)
 {
-    struct shared_table *s = (struct shared_table *)t;
+    struct platform_task *p = (struct platform_task *)t;
 
-    if (s->table != NULL) {
-        s->table->ops->free(s->table);
+    if (p->table != NULL) {
+        p->table->ops->free(p->table);
+    }
+    if (p->objects != NULL) {
+        p->objects->ops->free(p->objects);
     }
-    free(s);
+    free(p);
 }
 
-static const struct task_ops shared_ops = {.name = "table",
-                                           .free = shared_free};
+static const struct task_ops platform_ops = {.name = "platform",
+                                             .free = platform_free};
+
+/* The task that holds the connections, made at the first use. */
+static struct platform_task *
+get(struct kernel *k)
+{
+    struct task *t = Kernel_FindTask(k, "platform");
+    const struct entry_settings *s = k->settings;
+    struct platform_task *p;
 
-/* The table service as all tasks of this process share it. */
+    if (t != NULL) {
+        return (struct platform_task *)t;
+    }
+    p = Mem_Zero(1, sizeof(*p));
+    p->table = Platform_HttpTable(k->loop, s->platform.table_url, &limits);
+    p->objects =
+        Platform_HttpObjects(k->loop, s->platform.objects_url, &limits);
+    Kernel_AddTask(k, &p->task, &platform_ops);
+    return p;
+}
+
+/* The table service. */
 struct table *
 Entry_Table(struct kernel *k)
 {
-    return ((struct shared_table *)Kernel_FindTask(k, "table"))->table;
+    return get(k)->table;
 }
 
-/* Opens the connection before the tasks that use it. */
-static int
-start(struct kernel *k)
+/* The object store. */
+struct objects *
+Entry_Objects(struct kernel *k)
 {
-    static const struct platform_limits limits = {.timeout_ms = TRY_MS,
-                                                  .give_up_ms = GIVE_UP_MS,
-                                                  .reads_per_s = READS_PER_S,
-                                                  .writes_per_s =
-                                                      WRITES_PER_S};
-    const struct entry_settings *settings = k->settings;
-    struct shared_table *s = Mem_Zero(1, sizeof(*s));
-
-    s->table =
-        Platform_HttpTable(k->loop, settings->platform.table_url, &limits);
-    Kernel_AddTask(k, &s->task, &shared_ops);
-    return ERR_OK;
+    return get(k)->objects;
 }
-
-static struct plugin table_plugin = {
-    .name = "table", .rank = 5, .start = start};
-KERNEL_PLUGIN(table_plugin)
