--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -303,10 +303,6 @@
     struct offer *o = (struct offer *)m;
     struct request *r;
 
-    if (t->kernel->draining) {
-        Front_Refuse(o->ex, 503, "not_run", "draining", "", 0, &o->id);
-        return;
-    }
     r = new_request(d, get_service(d, o->service), o, Clock_NowMs());
     Why_Open(t->kernel, &o->id, o->organisation);
     if (r->claim != NULL) {
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -1,14 +1,21 @@
 #include "entry.h"
 
+#include "console.h"
+
 #include <stdlib.h>
 #include <string.h>
 
+/* A balancer looks at /readyz at least this often. */
+#define CLOSE_AFTER_MS 1500
+
 static SLIST_HEAD(, front_route) routes = SLIST_HEAD_INITIALIZER(routes);
 
 struct front {
     struct task task;
     struct http_server *server;
-    bool draining;
+    struct in_force *in_force; /* NULL: no configuration yet */
+    bool closing;              /* takes nothing new */
+    ev_timer close;
 };
 
 static struct counter requests_total = {"parsleyfall_http_requests_total",
@@ -124,6 +131,11 @@
     char segment[WIRE_TEXT_SIZE];
 
     Counter_Add(&requests_total, 1);
+    if (f->closing) {
+        Http_ReplyHeader(ex, "Connection", "close");
+        Front_Refuse(ex, 503, "not_run", "draining", "", 0, NULL);
+        return;
+    }
     SLIST_FOREACH (r, &routes, entry) {
         if (!matches(r->path, Http_Path(ex), segment, sizeof(segment))) {
             continue;
@@ -139,21 +151,35 @@
                  Http_Path(ex), -1, NULL);
 }
 
-/* Takes no new connections. */
+/* Takes nothing new from here on. */
+static void
+on_close(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct front *f = w->data;
+
+    f->closing = true;
+    Http_ServerQuiesce(f->server);
+}
+
+/* Goes on for a moment while /readyz says no. Without it the listening socket
+ * would close under callers that the balancer still sends: connections that
+ * wait to be accepted are reset, and their callers can't tell whether the
+ * request was taken. */
 static void
 front_drain(struct task *t)
 {
     struct front *f = (struct front *)t;
 
-    f->draining = true;
-    Http_ServerQuiesce(f->server);
+    Timer_Set(t->kernel->loop, &f->close, CLOSE_AFTER_MS);
 }
 
-/* True when every reply has been sent. */
+/* True when nothing new is taken and every reply has been sent. */
 static bool
 front_drained(const struct task *t)
 {
-    return Http_ServerOpen(((const struct front *)t)->server) == 0;
+    const struct front *f = (const struct front *)t;
+
+    return f->closing && Http_ServerOpen(f->server) == 0;
 }
 
 /* Closes the server. */
@@ -163,14 +189,21 @@
     struct front *f = (struct front *)t;
 
     Http_ServerFree(f->server);
+    InForce_Unref(f->in_force);
     free(f);
 }
 
-/* Its own routes are all that it is told of. */
+/* Takes requests for its own routes, and the configuration. */
 static void
 front_receive(struct task *t, struct message *m)
 {
-    Front_Handle(t, m);
+    struct front *f = (struct front *)t;
+
+    if (Front_Handle(t, m)) {
+        return;
+    }
+    InForce_Unref(f->in_force);
+    f->in_force = InForce_Ref(((struct config_note *)m)->in_force);
 }
 
 static const struct task_ops front_ops = {
@@ -205,6 +238,12 @@
         Front_Refuse(ex, 503, "not_run", "draining", "", -1, NULL);
         return;
     }
+    if (((struct front *)t)->in_force == NULL) {
+        Front_Refuse(ex, 503, "not_run", "no_configuration",
+                     "the head of the configuration has not been read yet",
+                     1000, NULL);
+        return;
+    }
     Http_Reply(ex, 200, "text/plain", "ready\n", 6);
 }
 
@@ -223,10 +262,15 @@
     "GET", "/healthz", "front", healthz, {0}};
 static struct front_route readyz_route = {
     "GET", "/readyz", "front", readyz, {0}};
-/* GET /v1/state: everything that this process knows. */
+
+/* GET /v1/state: everything that this process knows. It names organisations
+ * and their work, so it is for operators; /metrics names none. */
 static void
 state(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
 {
+    if (Operators_Identify(((struct front *)t)->in_force, ex) == NULL) {
+        return;
+    }
     Front_ReplyJson(ex, 200, Kernel_State(t->kernel));
 }
 
@@ -239,6 +283,24 @@
 FRONT_ROUTE(readyz_route)
 FRONT_ROUTE(metrics_route)
 
+/* GET /console: the page, which asks for the token itself. */
+static void
+console(struct task *t UNUSED, struct http_exchange *ex,
+        const char *segment UNUSED)
+{
+    struct buf page CLEANUP(Buf_Free) = {0};
+
+    Console_Page(&page);
+    Http_ReplyHeader(ex, "Content-Security-Policy", CONSOLE_POLICY);
+    Http_ReplyHeader(ex, "X-Content-Type-Options", "nosniff");
+    Http_ReplyHeader(ex, "Cache-Control", "no-store");
+    Http_Reply(ex, 200, "text/html; charset=utf-8", page.data, page.len);
+}
+
+static struct front_route console_route = {
+    "GET", "/console", "front", console, {0}};
+FRONT_ROUTE(console_route)
+
 /* Listens for callers, last of all, when everything behind it is there. */
 static int
 start(struct kernel *k)
@@ -252,6 +314,8 @@
     };
     struct front *f = Mem_Zero(1, sizeof(*f));
 
+    ev_init(&f->close, on_close);
+    f->close.data = f;
     f->server =
         Http_ServerNew(k->loop, s->listen.address, (int)s->listen.http_port,
                        &limits, on_request, f);
@@ -262,6 +326,7 @@
         return ERR_IO;
     }
     Kernel_AddTask(k, &f->task, &front_ops);
+    Configs_Subscribe(k, "front");
     LOG_I("listening", KV("address", s->listen.address),
           KV_INT("http", Front_Port(k)), KV("links", Links_Address(k)));
     return ERR_OK;
