--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -21,6 +21,7 @@
 
 const std::string ORG = "Authorization: Bearer token-one";
 const std::string OTHER = "Authorization: Bearer token-two";
+const std::string OPERATOR = "Authorization: Bearer token-operator";
 
 /* Three workers of 8 accelerators in one rack; "two" is guaranteed one. */
 std::string
@@ -35,6 +36,10 @@
            "                - {name: w1, accelerators: 8}\n"
            "                - {name: w2, accelerators: 8}\n"
            "                - {name: w3, accelerators: 8}\n"
+           "operators:\n"
+           "  - name: op\n    token_hashes: [" +
+           HashOf("token-operator") +
+           "]\n"
            "organisations:\n"
            "  - name: one\n    token_hashes: [" +
            HashOf("token-one") +
@@ -86,7 +91,7 @@
     }
     bool Owns()
     {
-        Reply r = Http("GET", http + "/v1/state");
+        Reply r = Http("GET", http + "/v1/state", "", {OPERATOR});
 
         return json_is_true(json_object_get(
             json_object_get(r.json().get(), "gangs"), "owner"));
@@ -405,7 +410,7 @@
 
     platform->process.Signal(SIGKILL);
     ASSERT_TRUE(WaitFor([&] {
-        r = Http("GET", e.http + "/v1/state");
+        r = Http("GET", e.http + "/v1/state", "", {OPERATOR});
         return json_is_true(json_object_get(
             json_object_get(r.json().get(), "gangs"), "table_down"));
     }));
