--- a/packages/entry/entry-cells.c
+++ b/packages/entry/entry-cells.c
@@ -231,7 +231,7 @@
 {
     int index;
 
-    if (s->cells == NULL) {
+    if (s->cells == NULL || !s->owner.loaded) {
         return;
     }
     index = Cells_FindWorker(s->cells, w->name);
@@ -242,12 +242,12 @@
 }
 
 /* Marks every worker as what is known of it; unknown ones as failed. */
-static void
-set_workers(struct sched *s)
+void
+Account_SetWorkers(struct sched *s)
 {
     int i;
 
-    for (i = 0; i < Cells_WorkerCount(s->cells); i++) {
+    for (i = 0; s->cells != NULL && i < Cells_WorkerCount(s->cells); i++) {
         const struct cells_worker_info *info = Cells_Worker(s->cells, i);
         const struct worker *w = info ? Workers_Find(s, info->name) : NULL;
 
@@ -283,18 +283,24 @@
     if ((s->cells != NULL && hash == s->account_hash) || region == NULL) {
         return;
     }
+    if (s->cells != NULL) {
+        Account_Remember(s);
+    }
     Cells_Free(s->cells);
     s->cells = Cells_New();
     s->account_hash = hash;
     s->account_count++;
     add_workers(s->cells, region);
     add_guarantees(s->cells, &s->in_force->doc, region);
+    Account_Recall(s);
     RB_FOREACH (j, sched_jobs, &s->jobs) {
         if (is_placed(j) && Account_Adopt(j) != ERR_OK) {
             LOG_W("job_off_account", KV("organisation", j->row.organisation));
         }
     }
-    set_workers(s);
+    if (s->owner.loaded) {
+        Account_SetWorkers(s);
+    }
     s->account_changed = true;
     LOG_I("accounts_built", KV_INT("epoch", s->in_force->epoch),
           KV_INT("workers", Cells_WorkerCount(s->cells)),
--- a/packages/entry/entry-gangs-end.c
+++ b/packages/entry/entry-gangs-end.c
@@ -71,6 +71,16 @@
     }
 }
 
+/* Forgets a job that is over; its row stays for a while. */
+static void
+end_row(struct job *j)
+{
+    if (!j->attached) {
+        Ended_Note(j->sched, &j->row.id);
+    }
+    JobSet_Drop(j);
+}
+
 /* The row says how it went on. */
 static void
 on_settled(struct job *j, int err)
@@ -82,7 +92,7 @@
     if (Job_IsOver(j->row.state)) {
         Job_ReplyAttached(j);
         Order_Forget(j->sched->order, &j->row.id);
-        JobSet_Drop(j);
+        end_row(j);
         return;
     }
     free(j->member);
@@ -175,7 +185,7 @@
     Account_Done(j);
     Account_Release(j);
     Job_ReplyAttached(j);
-    JobSet_Drop(j);
+    end_row(j);
 }
 
 /* All members have done their parts. */
@@ -255,7 +265,7 @@
         if (Job_IsOver(j->row.state)) {
             Order_Forget(j->sched->order, &j->row.id);
             Job_ReplyAttached(j);
-            JobSet_Drop(j);
+            end_row(j);
             return;
         }
         j->after = JOB_CANCELLED;
--- a/packages/entry/entry-jobs-load.c
+++ b/packages/entry/entry-jobs-load.c
@@ -9,7 +9,7 @@
 
 /* A read under way, for the term in which it began. */
 struct reading {
-    struct sched *sched;
+    struct sched_call call;
     uint64_t term;
     struct id id;
     char news_key[JOB_KEY_SIZE];
@@ -20,16 +20,15 @@
 static bool
 is_current(const struct reading *r)
 {
-    return r->sched->owner.self && r->sched->owner.term == r->term;
+    return r->call.sched->owner.self && r->call.sched->owner.term == r->term;
 }
 
 /* A read of this term. */
 static struct reading *
 begin(struct sched *s)
 {
-    struct reading *r = Mem_Zero(1, sizeof(*r));
+    struct reading *r = SchedCall_New(s, sizeof(*r), NULL);
 
-    r->sched = s;
     r->term = s->owner.term;
     return r;
 }
@@ -80,7 +79,11 @@
         enter(s, row, version);
         return;
     }
-    if (j == NULL || version <= j->version) {
+    if (j == NULL) {
+        Ended_Note(s, &row->id);
+        return;
+    }
+    if (version <= j->version) {
         return;
     }
     if (j->writing) {
@@ -126,11 +129,11 @@
 on_loaded(void *arg, int err, struct table_row *rows, size_t count, bool more)
 {
     struct reading *r = arg;
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
     bool current = is_current(r);
     size_t i;
 
-    free(r);
+    SchedCall_Free(&r->call);
     if (!current) {
         return;
     }
@@ -151,6 +154,7 @@
     }
     s->polling = false;
     s->owner.loaded = true;
+    Account_SetWorkers(s);
     LOG_I("jobs_loaded", KV_INT("term", s->owner.term));
     Account_Place(s);
 }
@@ -165,14 +169,37 @@
                         LOAD_PAGE, on_loaded, begin(s));
 }
 
-/* Reads all rows of the region, so that everything accepted goes on. Nothing
- * is placed before the last one is read. */
+/* Builds the accounts on the bindings that were stored, then reads the rows.
+ */
+static void
+on_bindings(void *arg, int err, struct table_row *row)
+{
+    struct reading *r = arg;
+    struct sched *s = r->call.sched;
+    bool current = is_current(r);
+
+    SchedCall_Free(&r->call);
+    if (!current) {
+        return;
+    }
+    if (err != ERR_OK) {
+        s->polling = false; /* the poll begins the load again */
+        return;
+    }
+    Buf_Set(&s->bindings, row->value.data ? row->value.data : "",
+            row->value.len);
+    Account_Rebuild(s);
+    load_page(s, "");
+}
+
+/* Reads the bindings and all rows of the region, so that everything accepted
+ * goes on. Nothing is placed before the last one is read. */
 void
 JobSet_Load(struct sched *s)
 {
-    Account_Rebuild(s);
     s->polling = true;
-    load_page(s, "");
+    s->table->ops->get(s->table, "bindings", s->settings->region, on_bindings,
+                       begin(s));
 }
 
 /* The marker is gone, or is a newer one that the next poll finds. */
@@ -193,7 +220,7 @@
 on_news_row(void *arg, int err, struct table_row *row)
 {
     struct reading *r = arg;
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
     struct job_row found CLEANUP(JobRow_Free) = {0};
     struct table_op op = {.verb = TABLE_DELETE,
                           .table = "job-news",
@@ -209,7 +236,7 @@
         }
         s->table->ops->commit(s->table, &op, 1, on_marker_gone, s);
     }
-    free(r);
+    SchedCall_Free(&r->call);
 }
 
 /* Reads the row of each marker. */
@@ -218,12 +245,12 @@
         bool more UNUSED)
 {
     struct reading *r = arg;
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
     size_t skip = strlen(s->settings->region) + 1;
     bool current = is_current(r);
     size_t i;
 
-    free(r);
+    SchedCall_Free(&r->call);
     if (!current) {
         return;
     }
@@ -233,7 +260,7 @@
 
         if (strlen(rows[i].key) < skip ||
             Id_Parse(rows[i].key + skip, &one->id) != ERR_OK) {
-            free(one);
+            SchedCall_Free(&one->call);
             continue;
         }
         Str_Copy(one->news_key, sizeof(one->news_key), rows[i].key);
--- a/packages/entry/entry-jobs-read.c
+++ b/packages/entry/entry-jobs-read.c
@@ -10,7 +10,7 @@
 
 /* What a caller waits for. */
 struct reader {
-    struct sched *sched;
+    struct sched_call call;
     struct http_exchange *ex;
     struct id id;
     bool is_operator;
@@ -71,14 +71,23 @@
     return o;
 }
 
+/* Frees what a reader holds. */
+static void
+clear_reader(struct sched_call *call)
+{
+    struct reader *r = (struct reader *)call;
+
+    ev_timer_stop(call->sched->task.kernel->loop, &r->pause);
+    JobRow_Free(&r->row);
+}
+
 /* A reader for who asks. The configuration may change before the answer, so
  * the organisation's name is kept and not the document. */
 static struct reader *
 begin(struct sched *s, struct http_exchange *ex, const struct asker *a)
 {
-    struct reader *r = Mem_Zero(1, sizeof(*r));
+    struct reader *r = SchedCall_New(s, sizeof(*r), clear_reader);
 
-    r->sched = s;
     r->ex = ex;
     r->is_operator = a->is_operator;
     Str_Copy(r->organisation, sizeof(r->organisation),
@@ -90,8 +99,7 @@
 static void
 end(struct reader *r)
 {
-    JobRow_Free(&r->row);
-    free(r);
+    SchedCall_Free(&r->call);
 }
 
 /* True when the reader may see a row. */
@@ -141,7 +149,7 @@
 on_row(void *arg, int err, struct table_row *row)
 {
     struct reader *r = arg;
-    const struct job *j = JobSet_Find(r->sched, &r->id);
+    const struct job *j = JobSet_Find(r->call.sched, &r->id);
 
     if (err != ERR_OK && j != NULL && may_see(r, &j->row)) {
         Front_ReplyJson(r->ex, 200, Job_View(&j->row));
@@ -156,7 +164,7 @@
 static void
 get_row(struct reader *r, table_got done)
 {
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
     char key[JOB_KEY_SIZE];
 
     s->table->ops->get(s->table, "jobs",
@@ -218,7 +226,7 @@
 on_list(void *arg, int err, struct table_row *rows, size_t count, bool more)
 {
     struct reader *r = arg;
-    size_t skip = strlen(r->sched->settings->region) + 1;
+    size_t skip = strlen(r->call.sched->settings->region) + 1;
     json_t *list = json_array();
     size_t i;
 
@@ -291,7 +299,7 @@
                   const uint64_t *versions)
 {
     struct reader *r = arg;
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
 
     if ((err == ERR_CONFLICT || err == ERR_UNKNOWN || err == ERR_BUSY ||
          (err == ERR_OK && versions[0] == 0)) &&
@@ -330,7 +338,7 @@
 on_row_to_cancel(void *arg, int err, struct table_row *row)
 {
     struct reader *r = arg;
-    struct sched *s = r->sched;
+    struct sched *s = r->call.sched;
     struct buf text CLEANUP(Buf_Free) = {0};
     char key[JOB_KEY_SIZE];
     struct table_op ops[2];
@@ -374,7 +382,7 @@
         return;
     }
     if (attached != NULL) {
-        struct job *j = JobSet_Find(r->sched, &r->id);
+        struct job *j = JobSet_Find(r->call.sched, &r->id);
 
         Front_ReplyJson(ex, 202, Job_View(&j->row));
         Gang_Cancel(j);
--- a/packages/entry/entry-jobs-submit.c
+++ b/packages/entry/entry-jobs-submit.c
@@ -16,7 +16,7 @@
 
 /* A submission whose row is under way. */
 struct submission {
-    struct sched *sched;
+    struct sched_call call;
     struct http_exchange *ex;
     struct job_row row;
 };
@@ -30,12 +30,18 @@
     Front_Refuse(ex, status, "not_run", reason, detail, retry_after_ms, NULL);
 }
 
-/* Replies, and ends the submission. */
+/* Frees what a submission holds. */
+static void
+clear_submission(struct sched_call *call)
+{
+    JobRow_Free(&((struct submission *)call)->row);
+}
+
+/* Ends a submission that has its reply. */
 static void
 finish(struct submission *u)
 {
-    JobRow_Free(&u->row);
-    free(u);
+    SchedCall_Free(&u->call);
 }
 
 /* 202: the row is written, so the job is not lost whoever fails. */
@@ -72,7 +78,7 @@
     struct submission *u = arg;
 
     if (err == ERR_OK && row->version != 0) {
-        JobSet_Wrote(u->sched, &u->row, row->version);
+        JobSet_Wrote(u->call.sched, &u->row, row->version);
         accept(u);
         return;
     }
@@ -83,7 +89,7 @@
 static void
 read_back(struct submission *u)
 {
-    struct sched *s = u->sched;
+    struct sched *s = u->call.sched;
     char key[JOB_KEY_SIZE];
 
     s->table->ops->get(s->table, "jobs",
@@ -96,7 +102,7 @@
 on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
     struct submission *u = arg;
-    struct sched *s = u->sched;
+    struct sched *s = u->call.sched;
 
     if (err == ERR_UNKNOWN) {
         read_back(u);
@@ -131,8 +137,7 @@
                TABLE_RETRY_MS);
         return;
     }
-    u = Mem_Zero(1, sizeof(*u));
-    u->sched = s;
+    u = SchedCall_New(s, sizeof(*u), clear_submission);
     u->ex = ex;
     JobRow_Copy(&u->row, row);
     JobRow_Render(row, &text);
@@ -149,6 +154,7 @@
 
 /* An attached job that the owner works on; the answer goes back as it came. */
 struct forward {
+    struct sched_call call;
     struct http_exchange *ex;
 };
 
@@ -170,7 +176,7 @@
         Front_Refuse(f->ex, 504, "unknown", "owner_lost",
                      "the job may have run; its answer is lost", -1, NULL);
     }
-    free(f);
+    SchedCall_Free(&f->call);
 }
 
 /* Hands an attached job to the owner of the region. It is sent once only. */
@@ -189,7 +195,7 @@
                                    .body_len = Http_Body(ex)->len,
                                    .timeout_ms = FORWARD_MAX_MS,
                                    .once = true};
-    struct forward *f = Mem_Zero(1, sizeof(*f));
+    struct forward *f = SchedCall_New(s, sizeof(*f), NULL);
 
     Buf_Printf(&url, "http://%s/v1/jobs", s->owner.http);
     request.url = url.data;
--- a/packages/entry/entry-jobs-write.c
+++ b/packages/entry/entry-jobs-write.c
@@ -5,7 +5,7 @@
 
 /* A write under way, and what it wrote: enough to know it when read back. */
 struct job_write {
-    struct sched *sched;
+    struct sched_call call;
     struct id id;
     uint64_t owner_term;
     uint64_t attempt;
@@ -21,12 +21,12 @@
 static struct job *
 live(const struct job_write *w)
 {
-    const struct owner *o = &w->sched->owner;
+    const struct owner *o = &w->call.sched->owner;
 
     if (!o->self || o->term != w->owner_term) {
         return NULL;
     }
-    return JobSet_Find(w->sched, &w->id);
+    return JobSet_Find(w->call.sched, &w->id);
 }
 
 /* Ends a write. */
@@ -36,7 +36,7 @@
     struct job *j = live(w);
     job_written done = w->done;
 
-    free(w);
+    SchedCall_Free(&w->call);
     if (j != NULL) {
         j->writing = false;
         done(j, err);
@@ -86,7 +86,7 @@
 static void
 read_back(struct job_write *w)
 {
-    struct sched *s = w->sched;
+    struct sched *s = w->call.sched;
     char key[JOB_KEY_SIZE];
 
     s->table->ops->get(s->table, "jobs",
@@ -102,11 +102,11 @@
     struct job *j = live(w);
 
     if (j == NULL) {
-        free(w);
+        SchedCall_Free(&w->call);
         return;
     }
     if (err == ERR_CONFLICT && at == 0) {
-        free(w);
+        SchedCall_Free(&w->call);
         Owner_StepDown(j->sched, "higher_term");
         return;
     }
@@ -147,8 +147,7 @@
         .if_version = j->version,
         .value = text.data,
         .len = text.len};
-    w = Mem_Zero(1, sizeof(*w));
-    w->sched = s;
+    w = SchedCall_New(s, sizeof(*w), NULL);
     w->id = j->row.id;
     w->owner_term = s->owner.term;
     w->attempt = j->row.attempt;
--- a/packages/entry/entry-jobs.c
+++ b/packages/entry/entry-jobs.c
@@ -110,6 +110,9 @@
     s->order = Order_New(NULL);
     Cells_Free(s->cells);
     s->cells = NULL;
+    s->storing = false;
+    s->stored_version = 0;
+    Ended_Free(s);
 }
 
 /* Finds an agent. */
@@ -297,7 +300,13 @@
 static void
 on_poll(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
 {
-    JobSet_Poll(w->data);
+    struct sched *s = w->data;
+
+    JobSet_Poll(s);
+    if (s->owner.self && s->owner.loaded) {
+        Account_Store(s);
+        Ended_Sweep(s, Clock_NowMs());
+    }
 }
 
 /* Deadlines of gangs, and what can start. */
@@ -322,8 +331,13 @@
 {
     const struct sched *s = (const struct sched *)t;
     json_t *jobs = json_array();
+    struct cells_counts counts = {0};
     struct job *j;
 
+    if (s->cells != NULL) {
+        Cells_Counts(s->cells, &counts);
+    }
+
     RB_FOREACH (j, sched_jobs, &((struct sched *)t)->jobs) {
         char hex[ID_HEX_SIZE];
 
@@ -335,11 +349,14 @@
                                         (json_int_t)j->row.attempt, "members",
                                         (int)j->members));
     }
-    return json_pack("{s:b, s:b, s:I, s:s, s:i, s:o}", "owner",
-                     (int)s->owner.self, "table_down",
-                     (int)s->owner.table_down, "term",
-                     (json_int_t)s->owner.term, "owner_name", s->owner.name,
-                     "heard", s->heard.count, "jobs", jobs);
+    return json_pack(
+        "{s:b, s:b, s:b, s:I, s:s, s:i, s:o, s:{s:i, s:i, s:i, s:i}}", "owner",
+        (int)s->owner.self, "table_down", (int)s->owner.table_down,
+        "bindings_stored", (int)(!s->storing && Account_IsStored(s)), "term",
+        (json_int_t)s->owner.term, "owner_name", s->owner.name, "heard",
+        s->heard.count, "jobs", jobs, "accelerators", "all",
+        counts.accelerators, "free", counts.free, "guaranteed",
+        counts.guaranteed, "lent", counts.lent);
 }
 
 /* True when no attached caller waits any more. */
@@ -368,6 +385,8 @@
         j->ex = NULL; /* went with the front */
     }
     JobSet_DropAll(s);
+    SchedCall_FreeAll(s);
+    Buf_Free(&s->bindings);
     Order_Free(s->order);
     RB_FOREACH_SAFE (w, worker_tree, &s->workers, next) {
         RB_REMOVE(worker_tree, &s->workers, w);
@@ -408,6 +427,8 @@
     s->table = Entry_Table(k);
     s->client = Http_ClientNew(k->loop, HTTP_CONNECTIONS);
     s->order = Order_New(NULL);
+    TAILQ_INIT(&s->calls);
+    TAILQ_INIT(&s->ended);
     RB_INIT(&s->jobs);
     RB_INIT(&s->workers);
     RB_INIT(&s->seen);
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -8,11 +8,14 @@
  *   entry-jobs-load.c    rows read by the owner: all at takeover, then news
  *   entry-jobs-submit.c  POST /v1/jobs
  *   entry-jobs-read.c    GET and DELETE
+ *   entry-jobs-ended.c   rows that are over, and when they go
+ *   entry-jobs-call.c    what open calls hold
  *   entry-gangs*.c       prepare, commit, release, end; renewal of leases
  *   entry-cells.c        accounts and placement
+ *   entry-cells-store.c  the bindings of cells, kept for the next owner
  *
  * Rows of tables, by region: owners/REGION (who, which term) and
- * owners/REGION/beat (that it lives), jobs/REGION/ID, and
+ * owners/REGION/beat (that it lives), bindings/REGION, jobs/REGION/ID, and
  * job-news/REGION/ID: a marker of a row that others than the owner wrote, so
  * that the owner's poll reads what changed and not every row.
  */
@@ -224,6 +227,11 @@
     ev_timer timer;
 };
 
+struct sched_call;
+struct ended;
+TAILQ_HEAD(sched_call_list, sched_call);
+TAILQ_HEAD(ended_list, ended);
+
 struct sched {
     struct task task;
     const struct entry_settings *settings;
@@ -242,10 +250,27 @@
     uint64_t account_hash;  /* of what the accounts were built from */
     uint64_t account_count; /* of times that they were built */
     int64_t placed_at;
+    struct buf bindings; /* of cells, as stored last or as read */
+    uint64_t stored_version;
+    bool storing;
+    struct sched_call_list calls;
+    struct ended_list ended;
     ev_timer poll;
     ev_timer tick;
 };
 
+/* First member of what an open call needs when it ends. */
+struct sched_call {
+    struct sched *sched;
+    void (*clear)(struct sched_call *); /* NULL: holds nothing */
+    TAILQ_ENTRY(sched_call) entry;
+};
+
+void *SchedCall_New(struct sched *s, size_t size,
+                    void (*clear)(struct sched_call *));
+void SchedCall_Free(struct sched_call *c);
+void SchedCall_FreeAll(struct sched *s);
+
 /* Logs and records a decision about a job, with its typed reason; takes
  * inputs. */
 void Sched_Decided(struct sched *s, const struct id *job, const char *decision,
@@ -275,6 +300,10 @@
 /* What goes into the transaction that writes a row for the owner to see: the
  * term's check when this entry is the owner, the marker of news otherwise. */
 struct table_op JobSet_Announce(const struct sched *s, const char *key);
+/* Rows of jobs that are over, until they are deleted. */
+void Ended_Note(struct sched *s, const struct id *id);
+void Ended_Sweep(struct sched *s, int64_t now);
+void Ended_Free(struct sched *s);
 /* Takes in a row that this entry wrote for a caller, if it is the owner. */
 void JobSet_Wrote(struct sched *s, const struct job_row *row,
                   uint64_t version);
@@ -336,6 +365,16 @@
 /* Builds the accounts anew from the configuration, with all running jobs. */
 void Account_Rebuild(struct sched *s);
 void Account_SetWorker(struct sched *s, const struct worker *w);
+/* Tells the accounts of all workers, once what runs has been taken in: the
+ * idle cells of a worker that is down move, those in use must not. */
+void Account_SetWorkers(struct sched *s);
+/* The bindings of cells (entry-cells-store.c): noted, taken over by fresh
+ * accounts, and stored when they changed. */
+void Account_Remember(struct sched *s);
+void Account_Recall(struct sched *s);
+void Account_Store(struct sched *s);
+/* True when the bindings as they are have been given to the table. */
+bool Account_IsStored(const struct sched *s);
 int Account_Adopt(struct job *j);
 void Account_Release(struct job *j);
 void Account_Enqueue(struct job *j);
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -89,12 +89,23 @@
 
         return err.substr(at, err.find_first_of(" \n", at) - at);
     }
-    bool Owns()
+    /* A flag of the task's state. */
+    bool Says(const char *flag)
     {
         Reply r = Http("GET", http + "/v1/state", "", {OPERATOR});
 
-        return json_is_true(json_object_get(
-            json_object_get(r.json().get(), "gangs"), "owner"));
+        return json_is_true(
+            json_object_get(json_object_get(r.json().get(), "gangs"), flag));
+    }
+    bool Owns()
+    {
+        return Says("owner");
+    }
+    int64_t Accelerators(const std::string &which)
+    {
+        return Number(
+            Http("GET", http + "/v1/state", "", {OPERATOR}).json().get(),
+            "gangs/accelerators/" + which);
     }
     Process process;
     std::string http, links;
@@ -247,6 +258,9 @@
 const char TWO_BY_EIGHT[] =
     "{\"class\":\"train\",\"tasks\":2,\"accelerators\":8}";
 
+const char ONE_BY_EIGHT[] =
+    "{\"class\":\"train\",\"tasks\":1,\"accelerators\":8}";
+
 /* The caller submits a gang of two whole workers, sees it run, and cancels it;
  * both members start once and stop, and another organisation sees nothing. */
 TEST_F(Region, GangRunsAndIsCancelled)
@@ -282,6 +296,56 @@
     EXPECT_EQ(agents.Log().size(), 4u); /* two starts, two ends */
 }
 
+/* What can't run is said at once and with its reason: it would wait for ever.
+ */
+TEST_F(Region, JobThatCanNeverRunIsToldSo)
+{
+    static const struct {
+        const char *body;
+        const char *reason;
+    } cases[] = {
+        {"{\"class\":\"train\",\"tasks\":1,\"accelerators\":9}", "never_task"},
+        {"{\"class\":\"train\",\"tasks\":4,\"accelerators\":8}", "never_gang"},
+        {"{\"class\":\"train\",\"tasks\":2,\"accelerators\":8,"
+         "\"within\":\"worker\"}",
+         "never_within"},
+        {"{\"class\":\"train\",\"tasks\":1,\"accelerators\":8,"
+         "\"guaranteed\":true}",
+         "never_guarantee"},
+    };
+
+    Up(1);
+    for (const auto &c : cases) {
+        std::string job = Submit(*entry[0], c.body);
+        Json row;
+
+        ASSERT_TRUE(Becomes(*entry[0], job, "cannot_run")) << c.body;
+        row =
+            Http("GET", entry[0]->http + "/v1/jobs/" + job, "", {ORG}).json();
+        EXPECT_EQ(Text(row.get(), "reason"), c.reason) << c.body;
+    }
+    EXPECT_TRUE(agents.Log().empty());
+}
+
+/* A task fails. Work that may not be repeated ends as failed, and is never
+ * started again; other work is tried as a whole once more. */
+TEST_F(Region, FailedTaskEndsOrRepeatsTheWholeGang)
+{
+    const std::string rest = "\",\"tasks\":2,\"accelerators\":4,\"within\":"
+                             "\"any\",\"spec\":{\"run_ms\":100,"
+                             "\"fail\":true}}";
+
+    Up(1);
+    std::string once = Submit(*entry[0], "{\"class\":\"once" + rest);
+    std::string again = Submit(*entry[0], "{\"class\":\"train" + rest);
+
+    ASSERT_TRUE(Becomes(*entry[0], once, "failed")) << entry[0]->process.Err();
+    ASSERT_TRUE(
+        WaitFor([&] { return agents.Count(again, 2, "start") > 0; }, 20000))
+        << entry[0]->process.Err();
+    EXPECT_EQ(agents.Count(once, 2, "start"), 0);
+}
+
 /* One member is lost without a word. Its fellow can't be renewed any more,
  * stops by its lease within the bound that the model shows, and is fenced;
  * when the lost one can't work any more either, the whole gang starts again
@@ -338,6 +402,32 @@
     EXPECT_EQ(State(other, job), "running");
 }
 
+/* Guaranteed work lies in its organisation's cells, whose places the owner
+ * chose. A new owner that chose others would count it as lent, and displace
+ * it for somebody else's guarantee. */
+TEST_F(Region, GuaranteedWorkStaysSoUnderANewOwner)
+{
+    Up(2);
+    int first = Owner();
+    Entry &owner = *entry[first], &other = *entry[1 - first];
+    std::string lent = Submit(other, ONE_BY_EIGHT), job;
+
+    ASSERT_TRUE(Becomes(other, lent, "running")) << owner.process.Err();
+    job = Submit(other,
+                 "{\"class\":\"once\",\"tasks\":1,\"accelerators\":8,"
+                 "\"guaranteed\":true}",
+                 OTHER);
+    ASSERT_TRUE(WaitFor([&] { return agents.Count(job, 1, "start") == 1; }));
+    ASSERT_TRUE(WaitFor([&] { return owner.Says("bindings_stored"); }));
+    EXPECT_EQ(owner.Accelerators("guaranteed"), 8);
+    owner.process.Signal(SIGKILL);
+    ASSERT_TRUE(WaitFor([&] { return other.Owns(); }, 20000));
+    ASSERT_TRUE(WaitFor([&] { return other.Accelerators("lent") == 8; }))
+        << other.process.Err();
+    EXPECT_EQ(other.Accelerators("guaranteed"), 8);
+    EXPECT_EQ(agents.Log().size(), 2u);
+}
+
 /* The owner is paused between its prepares and their answers, past its term.
  * Another entry takes the term and starts the job. The paused one wakes, finds
  * all answers there, and must neither commit nor release: its reservations
@@ -409,11 +499,7 @@
     Reply r;
 
     platform->process.Signal(SIGKILL);
-    ASSERT_TRUE(WaitFor([&] {
-        r = Http("GET", e.http + "/v1/state", "", {OPERATOR});
-        return json_is_true(json_object_get(
-            json_object_get(r.json().get(), "gangs"), "table_down"));
-    }));
+    ASSERT_TRUE(WaitFor([&] { return e.Says("table_down"); }));
     r = Http("POST", e.http + "/v1/jobs", TWO_BY_EIGHT, {ORG});
     EXPECT_EQ(r.status, 503) << r.body;
     EXPECT_EQ(Text(r.json().get(), "outcome"), "not_run");
