--- a/packages/entry/entry-jobs-call.c
+++ b/packages/entry/entry-jobs-call.c
@@ -33,7 +33,9 @@
 void
 SchedCall_FreeAll(struct sched *s)
 {
-    while (!TAILQ_EMPTY(&s->calls)) {
-        SchedCall_Free(TAILQ_FIRST(&s->calls));
+    struct sched_call *c, *next;
+
+    TAILQ_FOREACH_SAFE (c, &s->calls, entry, next) {
+        SchedCall_Free(c);
     }
 }
--- a/packages/entry/entry-jobs-ended.c
+++ b/packages/entry/entry-jobs-ended.c
@@ -44,10 +44,12 @@
     char key[ENDED_AT_ONCE][JOB_KEY_SIZE];
     struct table_op ops[ENDED_AT_ONCE + 1] = {Owner_Check(s)};
     size_t n = 0;
-    struct ended *e;
+    struct ended *e, *next;
 
-    while (n < ENDED_AT_ONCE && (e = TAILQ_FIRST(&s->ended)) != NULL &&
-           now - e->at >= ENDED_KEEP_MS) {
+    TAILQ_FOREACH_SAFE (e, &s->ended, entry, next) {
+        if (n == ENDED_AT_ONCE || now - e->at < ENDED_KEEP_MS) {
+            break;
+        }
         JobRow_Key(s->settings->region, &e->id, key[n]);
         ops[n + 1] = (struct table_op){.verb = TABLE_DELETE,
                                        .table = "jobs",
@@ -66,10 +68,10 @@
 void
 Ended_Free(struct sched *s)
 {
-    struct ended *e;
+    struct ended *e, *next;
 
-    while ((e = TAILQ_FIRST(&s->ended)) != NULL) {
-        TAILQ_REMOVE(&s->ended, e, entry);
+    TAILQ_FOREACH_SAFE (e, &s->ended, entry, next) {
         free(e);
     }
+    TAILQ_INIT(&s->ended);
 }
