jobs: a leaving owner gives its region away; a restarted agent's gang isn't cut

The gang of an agent that came back under a new incarnation was fenced at its hello, before the agent had asked its worker what works. Now its silence has the time of all leases that it ends.

--- a/packages/entry/entry-gangs-watch.c
+++ b/packages/entry/entry-gangs-watch.c
@@ -130,6 +130,34 @@
     }
 }
 
+/* An agent was replaced. Its new process may find the part at work and adopt
+ * it, so the gang is not cut at once; but a part that nobody speaks for any
+ * more would leave the job running on paper for ever. By the time given all
+ * leases that this member's silence ends are over. */
+void
+Gang_MemberRestarted(struct job *j, const struct worker *w)
+{
+    size_t i;
+
+    for (i = 0; i < j->members && j->phase == GANG_RELEASED; i++) {
+        struct gang_member *gm = &j->member[i];
+        const struct seen *p;
+
+        if (strcmp(gm->at.agent, w->name) != 0 ||
+            gm->at.incarnation == w->incarnation) {
+            continue;
+        }
+        p = Seen_Find(&j->sched->seen, &j->row.id, w->name);
+        gm->at.incarnation = w->incarnation;
+        if (p != NULL && p->incarnation == w->incarnation &&
+            p->part.attempt == j->row.attempt) {
+            continue;
+        }
+        gm->state = PART_RESERVED;
+        Gang_SetPhase(j, GANG_RELEASED, GANG_HEARD_MS + GANG_LEASE_MS);
+    }
+}
+
 /* Fences a part that belongs to no present attempt. */
 static void
 fence_stray(struct sched *s, const struct worker *w,
@@ -150,7 +178,10 @@
     bool trying = j->phase == GANG_PREPARING || j->phase == GANG_COMMITTING;
     size_t i;
 
-    if (part->attempt != (trying ? j->try_attempt : j->row.attempt)) {
+    /* While it is cleared for, the members are those of a coming try: a late
+     * word on the last attempt would count against it. */
+    if (j->phase == GANG_CLEARING ||
+        part->attempt != (trying ? j->try_attempt : j->row.attempt)) {
         return NULL;
     }
     for (i = 0; i < j->members; i++) {
@@ -203,11 +234,13 @@
     Gang_SetPhase(j, GANG_ADOPTING, ADOPT_MS);
     for (i = 0; i < j->members; i++) {
         struct gang_member *gm = &j->member[i];
+        const struct worker *w;
         const struct seen *p;
 
         gm->at = j->row.member[i];
+        w = Workers_Find(s, gm->at.agent);
         p = Seen_Find(&s->seen, &j->row.id, gm->at.agent);
-        if (p != NULL && p->incarnation == gm->at.incarnation &&
+        if (p != NULL && w != NULL && p->incarnation == w->incarnation &&
             p->part.attempt == j->row.attempt && p->part.term == j->row.term) {
             gm->state = (enum part_state)p->part.state;
         }
@@ -236,7 +269,7 @@
         Gang_DropTry(j, "no_answer", "");
     }
     else if (j->phase == GANG_RELEASED && late) {
-        Gang_Fence(j, after_cut(j, false), "not_all_started");
+        Gang_Fence(j, after_cut(j, false), "members_missing");
     }
     else if (j->phase == GANG_ADOPTING && late) {
         Gang_Fence(j, after_cut(j, false), "not_all_found");
--- a/packages/entry/entry-jobs.c
+++ b/packages/entry/entry-jobs.c
@@ -93,6 +93,20 @@
     free(j);
 }
 
+/* True while an attached caller waits. */
+bool
+JobSet_AnyAttached(struct sched *s)
+{
+    struct job *j;
+
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
+        if (j->ex != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Forgets all jobs. What an attached caller waits for may still run. */
 void
 JobSet_DropAll(struct sched *s)
@@ -125,32 +139,20 @@
     return RB_FIND(worker_tree, &s->workers, &key);
 }
 
-/* Takes in the parts that an agent named when it came. A part of an earlier
- * incarnation that it doesn't name is gone with it. */
+/* Takes in the parts that an agent named when it came, and sees which of its
+ * earlier incarnation's it doesn't name. */
 static void
 take_parts(struct sched *s, struct worker *w, const struct wire_list *parts)
 {
     const struct wire_part *part = parts->items;
-    struct job *j, *next;
+    struct job *j;
     size_t i;
 
     for (i = 0; i < parts->count; i++) {
         Gang_TakePart(s, w, &part[i], "hello");
     }
-    RB_FOREACH_SAFE (j, sched_jobs, &s->jobs, next) {
-        for (i = 0; i < j->members && j->phase == GANG_RELEASED; i++) {
-            const struct seen *p;
-
-            if (strcmp(j->member[i].at.agent, w->name) != 0 ||
-                j->member[i].at.incarnation == w->incarnation) {
-                continue;
-            }
-            p = Seen_Find(&s->seen, &j->row.id, w->name);
-            if (p == NULL || p->incarnation != w->incarnation ||
-                p->part.attempt != j->row.attempt) {
-                Gang_Fence(j, JOB_QUEUED, "agent_restarted");
-            }
-        }
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
+        Gang_MemberRestarted(j, w);
     }
 }
 
@@ -359,18 +361,13 @@
         counts.guaranteed, "lent", counts.lent);
 }
 
-/* True when no attached caller waits any more. */
+/* True when no attached caller waits any more and another may be the owner. */
 static bool
 sched_drained(const struct task *t)
 {
-    struct job *j;
+    struct sched *s = (struct sched *)t;
 
-    RB_FOREACH (j, sched_jobs, &((struct sched *)t)->jobs) {
-        if (j->ex != NULL) {
-            return false;
-        }
-    }
-    return true;
+    return !JobSet_AnyAttached(s) && !s->owner.self;
 }
 
 /* Frees the task. */
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -293,6 +293,7 @@
                        uint64_t version);
 void JobSet_Drop(struct job *j);
 void JobSet_DropAll(struct sched *s);
+bool JobSet_AnyAttached(struct sched *s);
 /* Reads all rows of the region, at takeover. */
 void JobSet_Load(struct sched *s);
 /* Reads what others wrote since. */
@@ -350,6 +351,7 @@
 /* The row is to be written again. */
 void Gang_Settle(struct job *j);
 void Gang_Tick(struct sched *s);
+void Gang_MemberRestarted(struct job *j, const struct worker *w);
 /* What agents say. */
 void Gang_TakePrepared(struct sched *s, const struct wire_prepared *m);
 void Gang_TakeFenced(struct sched *s, const struct wire_fenced *m,
--- a/packages/entry/entry-owner.c
+++ b/packages/entry/entry-owner.c
@@ -131,6 +131,35 @@
     s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_renewed, s);
 }
 
+/* The beat is gone: the others need not wait for it. With the table down there
+ * is nothing to give away. */
+static void
+on_resigned(void *arg, int err, size_t at UNUSED,
+            const uint64_t *versions UNUSED)
+{
+    struct sched *s = arg;
+
+    s->owner.busy = false;
+    if (err != ERR_BUSY) {
+        Owner_StepDown(s, "resigned");
+    }
+}
+
+/* Gives the region to another entry before this one leaves. */
+static void
+resign(struct sched *s)
+{
+    char key[NAME_SIZE + 8];
+    struct table_op ops[] = {Owner_Check(s),
+                             {.verb = TABLE_DELETE,
+                              .table = "owners",
+                              .key = beat_key(s, key),
+                              .if_version = TABLE_ANY}};
+
+    s->owner.busy = true;
+    s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_resigned, s);
+}
+
 /* How taking the row went. An answer that is lost is read back by watch. */
 static void
 on_taken(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
@@ -191,7 +220,7 @@
         s->owner.beat_version = row->version;
         s->owner.beat_at = now;
     }
-    if (s->owner.row_version != 0) {
+    if (s->owner.row_version != 0 && row->version != 0) {
         patience += OWNER_MISSED * OWNER_RENEW_MS;
     }
     if (now - s->owner.beat_at >= patience && !s->task.kernel->draining) {
@@ -274,6 +303,10 @@
     if (s->owner.busy) {
         return;
     }
+    if (s->owner.self && s->task.kernel->draining && !JobSet_AnyAttached(s)) {
+        resign(s);
+        return;
+    }
     if (s->owner.self && Clock_NowMs() - s->owner.beat_at >= OWNER_RENEW_MS) {
         renew(s);
         return;
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -403,15 +403,26 @@
 }
 
 /* Guaranteed work lies in its organisation's cells, whose places the owner
- * chose. A new owner that chose others would count it as lent, and displace
- * it for somebody else's guarantee. */
+ * chose: here another worker than at first, which is lost. A new owner that
+ * chose anew would count the work as lent, and displace it for somebody
+ * else's guarantee. */
 TEST_F(Region, GuaranteedWorkStaysSoUnderANewOwner)
 {
     Up(2);
     int first = Owner();
     Entry &owner = *entry[first], &other = *entry[1 - first];
-    std::string lent = Submit(other, ONE_BY_EIGHT), job;
+    std::string bound = "w1", lent, job;
 
+    while (agents.Bound(bound, "two") == 0) {
+        bound[1]++;
+    }
+    agents.Kill(bound);
+    ASSERT_TRUE(WaitFor([&] {
+        return agents.Bound("w1", "two") + agents.Bound("w2", "two") +
+                   agents.Bound("w3", "two") ==
+               2 * 0xff; /* the lost one's word included */
+    }));
+    lent = Submit(other, ONE_BY_EIGHT);
     ASSERT_TRUE(Becomes(other, lent, "running")) << owner.process.Err();
     job = Submit(other,
                  "{\"class\":\"once\",\"tasks\":1,\"accelerators\":8,"
@@ -428,6 +439,24 @@
     EXPECT_EQ(agents.Log().size(), 2u);
 }
 
+/* The owner is asked to leave. It gives the region away first, so nobody has
+ * to wait for its beat; the gang goes on. */
+TEST_F(Region, LeavingOwnerGivesItsRegionAway)
+{
+    Up(2);
+    int first = Owner();
+    Entry &other = *entry[1 - first];
+    std::string job = Submit(other, TWO_BY_EIGHT);
+
+    ASSERT_TRUE(Becomes(other, job, "running")) << other.process.Err();
+    EXPECT_EQ(entry[first]->process.Terminate(), 0);
+    EXPECT_NE(entry[first]->process.Err().find("reason=resigned"),
+              std::string::npos);
+    ASSERT_TRUE(WaitFor([&] { return other.Owns(); }));
+    ASSERT_TRUE(WaitFor([&] { return other.Accelerators("lent") == 16; }));
+    EXPECT_EQ(agents.Log().size(), 2u);
+}
+
 /* The owner is paused between its prepares and their answers, past its term.
  * Another entry takes the term and starts the job. The paused one wakes, finds
  * all answers there, and must neither commit nor release: its reservations
@@ -583,6 +612,27 @@
     EXPECT_EQ(Count(job, 2, "start"), 0);
 }
 
+/* An agent dies and is replaced within the lease. Its new process finds the
+ * task at work and speaks for it; the gang is not cut, and runs once. */
+TEST_F(Workers, GangOutlivesItsAgentsProcess)
+{
+    Up(1);
+    Entry &e = *entry[0];
+    std::string job = Submit(e, "{\"class\":\"once\",\"tasks\":3,"
+                                "\"accelerators\":8,\"spec\":"
+                                "{\"run_ms\":16000}}");
+
+    ASSERT_TRUE(Becomes(e, job, "running")) << Errors();
+    agent[0]->Signal(SIGKILL);
+    agent[0] = std::make_unique<Process>(
+        dir, "parsleyfall-agent",
+        std::vector<std::string>{"run", dir.Path("agent-w1.yaml")},
+        "agent-w1-again");
+    ASSERT_TRUE(Becomes(e, job, "done", 30000)) << Errors();
+    EXPECT_EQ(Count(job, 1, "start"), 3);
+    EXPECT_EQ(Count(job, 1, "end"), 3);
+}
+
 /* An agent and its worker's link die with it. Its worker ends the task by the
  * lease, as its fellow does; then the whole gang runs on other workers. */
 TEST_F(Workers, LostAgentMovesTheWholeGang)
