--- /dev/null
+++ b/packages/entry/entry-cells-health.c
@@ -0,0 +1,90 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+
+/* How tasks end, counted against jobs and workers. */
+
+/* Notes how a worker's task ended, and takes a worker that fails everything
+ * out of use for a while, never more than a share of them at once. */
+static void
+judge_worker(struct sched *s, const char *name, bool ok)
+{
+    struct worker *w = Workers_Find(s, name);
+    struct health_inputs in = {.ok = ok, .now = Clock_NowMs()};
+    struct health_decision d;
+    struct worker *other;
+
+    if (w == NULL) {
+        return;
+    }
+    RB_FOREACH (other, worker_tree, &s->workers) {
+        in.total++;
+        in.out += other != w && other->health.state != HEALTH_GOOD;
+    }
+    in.before = w->health;
+    d = Health_Judge(&in);
+    if (d.reason != HEALTH_STAYS) {
+        LOG_W("worker_health", KV("agent", name),
+              KV("reason", Health_ReasonName(d.reason)), KV_INT("out", in.out),
+              KV_INT("total", in.total));
+    }
+    w->health = d.after;
+    Account_SetWorker(s, w);
+}
+
+/* Lets workers that have served their time take a job again. */
+void
+Account_Probe(struct sched *s, int64_t now)
+{
+    struct worker *w;
+
+    RB_FOREACH (w, worker_tree, &s->workers) {
+        if (w->health.state == HEALTH_EJECTED &&
+            Health_MayProbe(&w->health, now)) {
+            w->health.state = HEALTH_PROBING;
+            Account_SetWorker(s, w);
+        }
+    }
+}
+
+/* Counts a failure against the job and its worker. */
+bool
+Account_Failed(struct job *j, const char *worker, bool job_fault)
+{
+    struct sched *s = j->sched;
+    const struct worker *w = Workers_Find(s, worker);
+    bool suspect = w != NULL && w->health.state != HEALTH_GOOD;
+    enum order_failure_kind kind = !job_fault ? ORDER_WORKER_LOST
+                                   : suspect  ? ORDER_WORKER_SUSPECT
+                                              : ORDER_JOB_FAILED;
+    struct order_failure f;
+    struct worker *each;
+    int usable = 0;
+
+    RB_FOREACH (each, worker_tree, &s->workers) {
+        usable += Account_StateOf(each) == CELLS_WORKER_UP;
+    }
+    f = Order_Failed(s->order, &j->row.id, worker, usable, kind, Clock_NowMs(),
+                     Id_Random64());
+    Sched_Decided(s, &j->row.id, f.cannot_run ? "cannot_run" : "again",
+                  Order_ReasonName(f.reason),
+                  json_pack("{s:s, s:i, s:i}", "agent", worker, "fails",
+                            f.inputs.fails, "workers", f.inputs.workers));
+    if (job_fault) {
+        judge_worker(s, worker, false);
+    }
+    return f.cannot_run;
+}
+
+/* A job has run to its end: its class and its workers are judged by it. */
+void
+Account_Done(struct job *j)
+{
+    size_t i;
+
+    for (i = 0; i < j->members; i++) {
+        judge_worker(j->sched, j->member[i].at.agent, true);
+    }
+    Order_Done(j->sched->order, &j->row.id, j->row.class_name,
+               j->row.declared_ms, Clock_NowMs() - j->started_at);
+}
--- a/packages/entry/entry-gangs-watch.c
+++ b/packages/entry/entry-gangs-watch.c
@@ -42,9 +42,7 @@
 static enum job_state
 after_cut(const struct job *j, bool checkpointed)
 {
-    const struct in_force *f = j->sched->in_force;
-    const struct config_class *class =
-        f ? Config_FindClass(&f->doc, j->row.class_name) : NULL;
+    const struct config_class *class = Job_Class(j);
 
     if (class != NULL &&
         (class->repeatable || (checkpointed && class->checkpoint))) {
--- a/packages/entry/entry-gangs.c
+++ b/packages/entry/entry-gangs.c
@@ -27,15 +27,6 @@
     j->deadline = within_ms == INT64_MAX ? INT64_MAX : j->since + within_ms;
 }
 
-/* The class of a job, or NULL when the document has it no more. */
-static const struct config_class *
-class_of(const struct job *j)
-{
-    const struct in_force *f = j->sched->in_force;
-
-    return f ? Config_FindClass(&f->doc, j->row.class_name) : NULL;
-}
-
 /* Tells every member to drop the try that did not come to its commit. */
 static void
 fence_try(struct job *j)
@@ -80,7 +71,7 @@
 static void
 send_prepare(struct job *j, const struct gang_member *gm)
 {
-    const struct config_class *class = class_of(j);
+    const struct config_class *class = Job_Class(j);
     struct worker *w = Workers_Find(j->sched, gm->at.agent);
     struct wire_prepare *m = Wire_New(WIRE_PREPARE);
 
--- /dev/null
+++ b/packages/entry/entry-jobs-cancel.c
@@ -0,0 +1,131 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CANCEL_TRIES 40
+#define CANCEL_PAUSE_MS 250
+
+static void read_to_cancel(struct reader *r);
+
+/* Replies to a cancellation: 200 when it is over, 202 while it stops. */
+static void
+reply_cancelled(struct reader *r)
+{
+    Front_ReplyJson(r->ex, Job_IsOver(r->row.state) ? 200 : 202,
+                    Job_View(&r->row));
+    Reader_End(r);
+}
+
+/* The pause before another try is over. */
+static void
+on_pause_end(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    read_to_cancel(w->data);
+}
+
+/* How the wish to cancel was written. On a conflict the row has moved on and
+ * is read again: one that was queued may have started. A wave of them draws
+ * on the budget of writes, and waits for it here. */
+static void
+on_cancel_written(void *arg, int err, size_t at UNUSED,
+                  const uint64_t *versions)
+{
+    struct reader *r = arg;
+    struct sched *s = r->call.sched;
+
+    if ((err == ERR_CONFLICT || err == ERR_UNKNOWN || err == ERR_BUSY ||
+         (err == ERR_OK && versions[0] == 0)) &&
+        ++r->tries < CANCEL_TRIES) {
+        ev_timer_init(&r->pause, on_pause_end, CANCEL_PAUSE_MS / 1e3, 0.);
+        r->pause.data = r;
+        ev_timer_start(s->task.kernel->loop, &r->pause);
+        return;
+    }
+    if (err != ERR_OK) {
+        Reader_NotRead(r->ex, err);
+        Reader_End(r);
+        return;
+    }
+    JobSet_Wrote(s, &r->row, versions[0]);
+    reply_cancelled(r);
+}
+
+/* Puts the wish in the row: cancelled at once while it is queued, as then no
+ * commit of it succeeds any more; otherwise for the owner to carry out. */
+static void
+mark_cancelled(struct job_row *row)
+{
+    if (row->state == JOB_QUEUED) {
+        row->state = JOB_CANCELLED;
+        row->ended_at = Clock_WallMs();
+        Str_Copy(row->reason, sizeof(row->reason), "cancelled");
+        return;
+    }
+    row->state = JOB_STOPPING;
+    row->cancel = true;
+}
+
+/* Writes the wish to the row that was read. */
+static void
+on_row_to_cancel(void *arg, int err, struct table_row *row)
+{
+    struct reader *r = arg;
+    struct sched *s = r->call.sched;
+    struct buf text CLEANUP(Buf_Free) = {0};
+    char key[JOB_KEY_SIZE];
+    struct table_op ops[2];
+
+    if (!Reader_TakeRow(r, err, row)) {
+        Reader_End(r);
+        return;
+    }
+    if (Job_IsOver(r->row.state) || r->row.cancel) {
+        reply_cancelled(r);
+        return;
+    }
+    mark_cancelled(&r->row);
+    JobRow_Render(&r->row, &text);
+    JobRow_Key(s->settings->region, &r->id, key);
+    ops[0] = (struct table_op){.verb = TABLE_PUT,
+                               .table = "jobs",
+                               .key = key,
+                               .if_version = row->version,
+                               .value = text.data,
+                               .len = text.len};
+    ops[1] = JobSet_Announce(s, key);
+    s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_cancel_written, r);
+}
+
+/* Reads the row that is to be cancelled. */
+static void
+read_to_cancel(struct reader *r)
+{
+    Reader_GetRow(r, on_row_to_cancel);
+}
+
+/* DELETE /v1/jobs/{id} */
+static void
+delete_job(struct task *t, struct http_exchange *ex, const char *segment)
+{
+    const struct job *attached;
+    struct reader *r =
+        Reader_BeginOne((struct sched *)t, ex, segment, &attached);
+
+    if (r == NULL) {
+        return;
+    }
+    if (attached != NULL) {
+        struct job *j = JobSet_Find(r->call.sched, &r->id);
+
+        Front_ReplyJson(ex, 202, Job_View(&j->row));
+        Gang_Cancel(j);
+        Reader_End(r);
+        return;
+    }
+    read_to_cancel(r);
+}
+
+static struct front_route delete_route = {
+    "DELETE", "/v1/jobs/*", "gangs", delete_job, {0}};
+FRONT_ROUTE(delete_route)
--- a/packages/entry/entry-jobs-read.c
+++ b/packages/entry/entry-jobs-read.c
@@ -4,24 +4,8 @@
 #include <string.h>
 
 #define LIST_PAGE 200
-#define CANCEL_TRIES 40
-#define CANCEL_PAUSE_MS 250
 #define TABLE_RETRY_MS 2000
 
-/* What a caller waits for. */
-struct reader {
-    struct sched_call call;
-    struct http_exchange *ex;
-    struct id id;
-    bool is_operator;
-    char organisation[NAME_SIZE];
-    struct job_row row;
-    int tries;
-    ev_timer pause;
-};
-
-static void read_to_cancel(struct reader *r);
-
 /* Who asks, by the bearer token. */
 bool
 Asker_Find(struct sched *s, struct http_exchange *ex, struct asker *out)
@@ -96,8 +80,8 @@
 }
 
 /* Ends a reader whose exchange has its reply. */
-static void
-end(struct reader *r)
+void
+Reader_End(struct reader *r)
 {
     SchedCall_Free(&r->call);
 }
@@ -117,8 +101,8 @@
 }
 
 /* The table can't be read now. */
-static void
-not_read(struct http_exchange *ex, int err)
+void
+Reader_NotRead(struct http_exchange *ex, int err)
 {
     Front_Refuse(ex, 503, "unavailable",
                  err == ERR_BUSY ? "table_budget" : "table_unavailable",
@@ -126,12 +110,12 @@
 }
 
 /* Reads the row that came. False when the exchange has its reply. */
-static bool
-take_row(struct reader *r, int err, const struct table_row *row)
+bool
+Reader_TakeRow(struct reader *r, int err, const struct table_row *row)
 {
     JobRow_Free(&r->row);
     if (err != ERR_OK) {
-        not_read(r->ex, err);
+        Reader_NotRead(r->ex, err);
         return false;
     }
     if (row->version == 0 ||
@@ -154,15 +138,15 @@
     if (err != ERR_OK && j != NULL && may_see(r, &j->row)) {
         Front_ReplyJson(r->ex, 200, Job_View(&j->row));
     }
-    else if (take_row(r, err, row)) {
+    else if (Reader_TakeRow(r, err, row)) {
         Front_ReplyJson(r->ex, 200, Job_View(&r->row));
     }
-    end(r);
+    Reader_End(r);
 }
 
 /* Asks for the row of a reader. */
-static void
-get_row(struct reader *r, table_got done)
+void
+Reader_GetRow(struct reader *r, table_got done)
 {
     struct sched *s = r->call.sched;
     char key[JOB_KEY_SIZE];
@@ -172,9 +156,9 @@
 }
 
 /* Reads the id, and who asks. NULL when the exchange has its reply. */
-static struct reader *
-begin_one(struct sched *s, struct http_exchange *ex, const char *segment,
-          const struct job **attached)
+struct reader *
+Reader_BeginOne(struct sched *s, struct http_exchange *ex, const char *segment,
+                const struct job **attached)
 {
     struct asker asker;
     struct reader *r;
@@ -208,17 +192,18 @@
 get_job(struct task *t, struct http_exchange *ex, const char *segment)
 {
     const struct job *attached;
-    struct reader *r = begin_one((struct sched *)t, ex, segment, &attached);
+    struct reader *r =
+        Reader_BeginOne((struct sched *)t, ex, segment, &attached);
 
     if (r == NULL) {
         return;
     }
     if (attached != NULL) {
         Front_ReplyJson(ex, 200, Job_View(&attached->row));
-        end(r);
+        Reader_End(r);
         return;
     }
-    get_row(r, on_row);
+    Reader_GetRow(r, on_row);
 }
 
 /* Replies with the rows of a page that the reader may see. */
@@ -232,8 +217,8 @@
 
     if (err != ERR_OK) {
         json_decref(list);
-        not_read(r->ex, err);
-        end(r);
+        Reader_NotRead(r->ex, err);
+        Reader_End(r);
         return;
     }
     for (i = 0; i < count; i++) {
@@ -249,7 +234,7 @@
     Front_ReplyJson(r->ex, 200,
                     json_pack("{s:o, s:s}", "jobs", list, "next",
                               more ? rows[count - 1].key + skip : ""));
-    end(r);
+    Reader_End(r);
 }
 
 /* GET /v1/jobs?after=ID: a page of rows; "next" is "" at the last one. */
@@ -266,7 +251,7 @@
         return;
     }
     if (s->table == NULL) {
-        not_read(ex, ERR_UNREACHABLE);
+        Reader_NotRead(ex, ERR_UNREACHABLE);
         return;
     }
     Buf_Printf(&prefix, "%s/", s->settings->region);
@@ -275,129 +260,9 @@
                         on_list, begin(s, ex, &asker));
 }
 
-/* Replies to a cancellation: 200 when it is over, 202 while it stops. */
-static void
-reply_cancelled(struct reader *r)
-{
-    Front_ReplyJson(r->ex, Job_IsOver(r->row.state) ? 200 : 202,
-                    Job_View(&r->row));
-    end(r);
-}
-
-/* The pause before another try is over. */
-static void
-on_pause_end(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
-{
-    read_to_cancel(w->data);
-}
-
-/* How the wish to cancel was written. On a conflict the row has moved on and
- * is read again: one that was queued may have started. A wave of them draws
- * on the budget of writes, and waits for it here. */
-static void
-on_cancel_written(void *arg, int err, size_t at UNUSED,
-                  const uint64_t *versions)
-{
-    struct reader *r = arg;
-    struct sched *s = r->call.sched;
-
-    if ((err == ERR_CONFLICT || err == ERR_UNKNOWN || err == ERR_BUSY ||
-         (err == ERR_OK && versions[0] == 0)) &&
-        ++r->tries < CANCEL_TRIES) {
-        ev_timer_init(&r->pause, on_pause_end, CANCEL_PAUSE_MS / 1e3, 0.);
-        r->pause.data = r;
-        ev_timer_start(s->task.kernel->loop, &r->pause);
-        return;
-    }
-    if (err != ERR_OK) {
-        not_read(r->ex, err);
-        end(r);
-        return;
-    }
-    JobSet_Wrote(s, &r->row, versions[0]);
-    reply_cancelled(r);
-}
-
-/* Puts the wish in the row: cancelled at once while it is queued, as then no
- * commit of it succeeds any more; otherwise for the owner to carry out. */
-static void
-mark_cancelled(struct job_row *row)
-{
-    if (row->state == JOB_QUEUED) {
-        row->state = JOB_CANCELLED;
-        row->ended_at = Clock_WallMs();
-        Str_Copy(row->reason, sizeof(row->reason), "cancelled");
-        return;
-    }
-    row->state = JOB_STOPPING;
-    row->cancel = true;
-}
-
-/* Writes the wish to the row that was read. */
-static void
-on_row_to_cancel(void *arg, int err, struct table_row *row)
-{
-    struct reader *r = arg;
-    struct sched *s = r->call.sched;
-    struct buf text CLEANUP(Buf_Free) = {0};
-    char key[JOB_KEY_SIZE];
-    struct table_op ops[2];
-
-    if (!take_row(r, err, row)) {
-        end(r);
-        return;
-    }
-    if (Job_IsOver(r->row.state) || r->row.cancel) {
-        reply_cancelled(r);
-        return;
-    }
-    mark_cancelled(&r->row);
-    JobRow_Render(&r->row, &text);
-    JobRow_Key(s->settings->region, &r->id, key);
-    ops[0] = (struct table_op){.verb = TABLE_PUT,
-                               .table = "jobs",
-                               .key = key,
-                               .if_version = row->version,
-                               .value = text.data,
-                               .len = text.len};
-    ops[1] = JobSet_Announce(s, key);
-    s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_cancel_written, r);
-}
-
-/* Reads the row that is to be cancelled. */
-static void
-read_to_cancel(struct reader *r)
-{
-    get_row(r, on_row_to_cancel);
-}
-
-/* DELETE /v1/jobs/{id} */
-static void
-delete_job(struct task *t, struct http_exchange *ex, const char *segment)
-{
-    const struct job *attached;
-    struct reader *r = begin_one((struct sched *)t, ex, segment, &attached);
-
-    if (r == NULL) {
-        return;
-    }
-    if (attached != NULL) {
-        struct job *j = JobSet_Find(r->call.sched, &r->id);
-
-        Front_ReplyJson(ex, 202, Job_View(&j->row));
-        Gang_Cancel(j);
-        end(r);
-        return;
-    }
-    read_to_cancel(r);
-}
-
 static struct front_route get_route = {
     "GET", "/v1/jobs/*", "gangs", get_job, {0}};
 FRONT_ROUTE(get_route)
 static struct front_route list_route = {
     "GET", "/v1/jobs", "gangs", get_jobs, {0}};
 FRONT_ROUTE(list_route)
-static struct front_route delete_route = {
-    "DELETE", "/v1/jobs/*", "gangs", delete_job, {0}};
-FRONT_ROUTE(delete_route)
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -7,11 +7,15 @@
  *   entry-jobs-write.c   conditional writes of a row under the owner's term
  *   entry-jobs-load.c    rows read by the owner: all at takeover, then news
  *   entry-jobs-submit.c  POST /v1/jobs
- *   entry-jobs-read.c    GET and DELETE
+ *   entry-jobs-read.c    GET
+ *   entry-jobs-cancel.c  DELETE
+ *   entry-jobs-agents.c  what members and agents tell the task
  *   entry-jobs-ended.c   rows that are over, and when they go
  *   entry-jobs-call.c    what open calls hold
  *   entry-gangs*.c       prepare, commit, release, end; renewal of leases
- *   entry-cells.c        accounts and placement
+ *   entry-cells.c        accounts, from the configuration
+ *   entry-cells-place.c  what starts next
+ *   entry-cells-health.c how tasks end, counted against jobs and workers
  *   entry-cells-store.c  the bindings of cells, kept for the next owner
  *
  * Rows of tables, by region: owners/REGION (who, which term) and
@@ -331,9 +335,37 @@
 /* The row with its id, for callers. */
 json_t *Job_View(const struct job_row *row);
 
+/* What a caller waits for, who asked for one row or for a list. */
+struct reader {
+    struct sched_call call;
+    struct http_exchange *ex;
+    struct id id;
+    bool is_operator;
+    char organisation[NAME_SIZE];
+    struct job_row row;
+    int tries;
+    ev_timer pause;
+};
+
+/* A reader of the row that the path names; NULL when it was refused already.
+ * *attached: the job, when this entry has it and there is no row. */
+struct reader *Reader_BeginOne(struct sched *s, struct http_exchange *ex,
+                               const char *segment,
+                               const struct job **attached);
+void Reader_GetRow(struct reader *r, table_got done);
+/* Takes in the row; false when the exchange has been refused. */
+bool Reader_TakeRow(struct reader *r, int err, const struct table_row *row);
+void Reader_NotRead(struct http_exchange *ex, int err);
+/* Frees a reader whose exchange has its reply. */
+void Reader_End(struct reader *r);
+
 /* ---- gangs ------------------------------------------------------------- */
 
 struct worker *Workers_Find(struct sched *s, const char *name);
+/* An agent of the region came, changed or went. */
+void Sched_TakeMember(struct sched *s, const struct member_note *note);
+/* Hands what an agent said to the one whom it concerns. */
+void Sched_TakeInbound(struct sched *s, const struct inbound *in);
 void Gang_Start(struct job *j, const struct cells_plan *plan);
 /* Prepares once those that it displaces are gone. */
 void Gang_Clear(struct job *j);
@@ -378,6 +410,14 @@
 /* True when the bindings as they are have been given to the table. */
 bool Account_IsStored(const struct sched *s);
 int Account_Adopt(struct job *j);
+/* How the accounts are to see a worker. */
+enum cells_worker_state Account_StateOf(const struct worker *w);
+/* Lets workers that were out of use for their time take a job again. */
+void Account_Probe(struct sched *s, int64_t now);
+/* The class of a job; NULL when the document has it no more. */
+const struct config_class *Job_Class(const struct job *j);
+/* What the accounts are asked for a job. */
+struct cells_request Account_Request(const struct job *j, int64_t estimate_ms);
 void Account_Release(struct job *j);
 void Account_Enqueue(struct job *j);
 void Account_Dequeue(struct job *j);
