--- /dev/null
+++ b/packages/entry/entry-cells.c
@@ -0,0 +1,299 @@
+#include "entry-jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The owner's accounts of its region: topology, guarantees and who runs where,
+ * built from the configuration. */
+
+/* Enters the workers of this region; up or not is told after. */
+static void
+add_workers(struct cells *c, const struct config_region *region)
+{
+    size_t d, r, w;
+
+    for (d = 0; d < region->failure_domains.count; d++) {
+        const struct config_domain *domain =
+            CONFIG_AT(region->failure_domains, struct config_domain, d);
+
+        for (r = 0; r < domain->racks.count; r++) {
+            const struct config_rack *rack =
+                CONFIG_AT(domain->racks, struct config_rack, r);
+
+            for (w = 0; w < rack->workers.count; w++) {
+                const struct config_worker *worker =
+                    CONFIG_AT(rack->workers, struct config_worker, w);
+                struct cells_worker_info info = {
+                    .accelerators = (int)worker->accelerators};
+
+                Str_Copy(info.name, sizeof(info.name), worker->name);
+                Str_Copy(info.region, sizeof(info.region), region->name);
+                Str_Copy(info.domain, sizeof(info.domain), domain->name);
+                Str_Copy(info.rack, sizeof(info.rack), rack->name);
+                Cells_AddWorker(c, &info);
+            }
+        }
+    }
+}
+
+/* Workers of the region's largest rack: the shape of a rack's guarantee. */
+static int
+rack_size(const struct config_region *region)
+{
+    size_t d, r, most = 1;
+
+    for (d = 0; d < region->failure_domains.count; d++) {
+        const struct config_domain *domain =
+            CONFIG_AT(region->failure_domains, struct config_domain, d);
+
+        for (r = 0; r < domain->racks.count; r++) {
+            size_t n =
+                CONFIG_AT(domain->racks, struct config_rack, r)->workers.count;
+
+            most = n > most ? n : most;
+        }
+    }
+    return (int)most;
+}
+
+/* True when a guarantee is this region's: it names a failure domain of it, or
+ * names none and the region is the document's first. */
+static bool
+is_here(const struct config *doc, const struct config_region *region,
+        const struct config_guarantee *g)
+{
+    size_t d;
+
+    if (g->failure_domain[0] == '\0') {
+        return region ==
+               CONFIG_AT(doc->topology.regions, struct config_region, 0);
+    }
+    for (d = 0; d < region->failure_domains.count; d++) {
+        const struct config_domain *domain =
+            CONFIG_AT(region->failure_domains, struct config_domain, d);
+
+        if (strcmp(domain->name, g->failure_domain) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* One guarantee as cells: so many of a shape. */
+static void
+add_guarantee(struct cells *c, const struct config_region *region,
+              const char *organisation, const struct config_guarantee *g)
+{
+    struct cells_shape shape = {0};
+    int count = (int)g->count, had = 0, i;
+    struct cells_binding b;
+
+    if (g->shape.kind == SHAPE_ACCELERATORS) {
+        shape.accelerators = (int)g->shape.size;
+    }
+    else if (g->shape.kind == SHAPE_WORKERS) {
+        shape.workers = (int)g->shape.size;
+    }
+    else {
+        shape.workers = rack_size(region);
+        count *= (int)g->shape.size;
+    }
+    for (i = 0; Cells_Binding(c, i, &b); i++) {
+        had += strcmp(b.organisation, organisation) == 0 &&
+               b.shape.workers == shape.workers &&
+               b.shape.accelerators == shape.accelerators;
+    }
+    if (Cells_SetGuarantee(c, organisation, shape, had + count) != ERR_OK) {
+        LOG_E("guarantee_refused", KV("organisation", organisation),
+              KV("shape", g->shape_text));
+    }
+}
+
+/* Enters the guarantees of this region. */
+static void
+add_guarantees(struct cells *c, const struct config *doc,
+               const struct config_region *region)
+{
+    size_t o, g;
+
+    for (o = 0; o < doc->organisations.count; o++) {
+        const struct config_organisation *org =
+            CONFIG_AT(doc->organisations, struct config_organisation, o);
+
+        for (g = 0; g < org->guarantees.count; g++) {
+            const struct config_guarantee *one =
+                CONFIG_AT(org->guarantees, struct config_guarantee, g);
+
+            if (is_here(doc, region, one)) {
+                add_guarantee(c, region, org->name, one);
+            }
+        }
+    }
+}
+
+/* This region in the document, or NULL. */
+static const struct config_region *
+own_region(const struct sched *s)
+{
+    const struct conf_list *regions = &s->in_force->doc.topology.regions;
+    size_t i;
+
+    for (i = 0; i < regions->count; i++) {
+        const struct config_region *r =
+            CONFIG_AT(*regions, struct config_region, i);
+
+        if (strcmp(r->name, s->settings->region) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+/* Hash of the sections that the accounts are built from. */
+static uint64_t
+hash_of(const struct config *doc)
+{
+    struct config_sections sections;
+    uint64_t hash = 1;
+    size_t i;
+
+    Config_Sections(doc, &sections);
+    for (i = 0; i < sections.count; i++) {
+        const char *name = sections.at[i].name;
+
+        if (strcmp(name, "topology") == 0 ||
+            strncmp(name, "organisation/", 13) == 0) {
+            hash = Hash_Str(sections.at[i].hash, Hash_Str(name, hash));
+        }
+    }
+    Config_FreeSections(&sections);
+    return hash;
+}
+
+/* How the accounts are to see a worker. One whose tasks fail is left to what
+ * runs there. */
+enum cells_worker_state
+Account_StateOf(const struct worker *w)
+{
+    if (!w->up) {
+        return CELLS_WORKER_FAILED;
+    }
+    return w->leaving || w->health.state == HEALTH_EJECTED
+               ? CELLS_WORKER_LEAVING
+               : CELLS_WORKER_UP;
+}
+
+/* Tells the accounts of a worker. */
+void
+Account_SetWorker(struct sched *s, const struct worker *w)
+{
+    int index;
+
+    if (s->cells == NULL || !s->owner.loaded) {
+        return;
+    }
+    index = Cells_FindWorker(s->cells, w->name);
+    if (index != CELLS_NONE) {
+        Cells_SetWorkerState(s->cells, index, Account_StateOf(w));
+        s->account_changed = true;
+    }
+}
+
+/* Marks every worker as what is known of it; unknown ones as failed. */
+void
+Account_SetWorkers(struct sched *s)
+{
+    int i;
+
+    for (i = 0; s->cells != NULL && i < Cells_WorkerCount(s->cells); i++) {
+        const struct cells_worker_info *info = Cells_Worker(s->cells, i);
+        const struct worker *w = info ? Workers_Find(s, info->name) : NULL;
+
+        if (info != NULL) {
+            Cells_SetWorkerState(s->cells, i,
+                                 w ? Account_StateOf(w) : CELLS_WORKER_FAILED);
+        }
+    }
+}
+
+/* True for a job that stands on the account. */
+static bool
+is_placed(const struct job *j)
+{
+    return j->members > 0 && j->phase != GANG_WAITING &&
+           j->phase != GANG_SETTLING && !j->yielded;
+}
+
+/* Builds the accounts from the document, when what it says of them changed,
+ * and takes in what runs. */
+void
+Account_Rebuild(struct sched *s)
+{
+    const struct config_region *region;
+    struct job *j;
+    uint64_t hash;
+
+    if (s->in_force == NULL) {
+        return;
+    }
+    hash = hash_of(&s->in_force->doc);
+    region = own_region(s);
+    if ((s->cells != NULL && hash == s->account_hash) || region == NULL) {
+        return;
+    }
+    if (s->cells != NULL) {
+        Account_Remember(s);
+    }
+    Cells_Free(s->cells);
+    s->cells = Cells_New();
+    s->account_hash = hash;
+    s->account_count++;
+    add_workers(s->cells, region);
+    add_guarantees(s->cells, &s->in_force->doc, region);
+    Account_Recall(s);
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
+        if (is_placed(j) && Account_Adopt(j) != ERR_OK) {
+            LOG_W("job_off_account", KV("organisation", j->row.organisation));
+        }
+    }
+    if (s->owner.loaded) {
+        Account_SetWorkers(s);
+    }
+    s->account_changed = true;
+    LOG_I("accounts_built", KV_INT("epoch", s->in_force->epoch),
+          KV_INT("workers", Cells_WorkerCount(s->cells)),
+          KV_INT("cells", Cells_BindingCount(s->cells)));
+}
+
+/* Takes a gang that runs into the account. */
+int
+Account_Adopt(struct job *j)
+{
+    struct sched *s = j->sched;
+    struct cells_request r = Account_Request(j, j->row.declared_ms);
+    struct cells_part part[CELLS_TASKS_MAX];
+    size_t i;
+
+    if (s->cells == NULL || j->members > COUNT_OF(part)) {
+        return ERR_CONFLICT;
+    }
+    for (i = 0; i < j->members; i++) {
+        part[i].worker = Cells_FindWorker(s->cells, j->member[i].at.agent);
+        part[i].mask = j->member[i].at.accelerators;
+        part[i].tasks = j->member[i].at.tasks;
+        if (part[i].worker == CELLS_NONE) {
+            return ERR_CONFLICT;
+        }
+    }
+    return Cells_Adopt(s->cells, &r, part, (int)j->members, Clock_NowMs());
+}
+
+/* The job is off its accelerators. */
+void
+Account_Release(struct job *j)
+{
+    if (j->sched->cells != NULL) {
+        Cells_Release(j->sched->cells, j->number);
+    }
+    j->sched->account_changed = true;
+}
