Test that a mute renewer gets no gang before it answers again

Without the empty pulses to a mute renewer the gang went back to it every third pulse, which the test did not see; it does now (own->working_pulses differs).

--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -549,9 +549,11 @@
     Entry *other = own == first.get() ? second.get() : first.get();
     int others = other->working_pulses;
     own->answers = false;
-    EXPECT_TRUE(Until([&] { return other->working_pulses > others + 1; }));
-    own->answers = true;
+    EXPECT_TRUE(Until([&] { return other->working_pulses > others; }));
     int before = own->working_pulses;
+    EXPECT_TRUE(Until([&] { return other->working_pulses > others + 2; }));
+    EXPECT_EQ(own->working_pulses, before) << "back before it answered";
+    own->answers = true;
     EXPECT_TRUE(Until([&] { return own->working_pulses > before; }));
     EXPECT_EQ(Running(), 1u);
     EXPECT_EQ(Events(1, "start"), 1);
