--- a/packages/entry/entry-gangs-watch.c
+++ b/packages/entry/entry-gangs-watch.c
@@ -260,7 +260,10 @@
 {
     bool late = now >= j->deadline;
 
-    if (j->phase == GANG_CLEARING) {
+    if (j->phase == GANG_CLEARING && late) {
+        Gang_DropTry(j, "displaced_stay", "");
+    }
+    else if (j->phase == GANG_CLEARING) {
         Gang_Clear(j);
     }
     else if (j->phase == GANG_PREPARING && late) {
--- a/packages/entry/entry-gangs.c
+++ b/packages/entry/entry-gangs.c
@@ -10,6 +10,9 @@
 #define COMMIT_MS 1000
 #define START_SLACK_MS 1000
 #define BACKOFF_MS 500
+/* Those that are displaced have gone so long after their grace, unless a
+ * worker of theirs can't be asked: another place is better than that wait. */
+#define CLEAR_MS 30000
 
 static struct counter started_total = {"parsleyfall_gangs_started_total",
                                        "Gangs that were released.", NULL,
@@ -139,10 +142,12 @@
     prepare(j);
 }
 
-/* Notes whom a plan displaces, and asks them to leave. */
-static void
+/* Notes whom a plan displaces, and asks them to leave. Returns the longest
+ * grace. */
+static int64_t
 displace(struct job *j, const struct cells_plan *plan)
 {
+    int64_t grace = 0;
     int i;
 
     free(j->victim);
@@ -155,7 +160,11 @@
             j->victim[j->victims++] = v->row.id;
             Gang_Yield(v, &plan->victim[i]);
         }
+        if (plan->victim[i].grace_ms > grace) {
+            grace = plan->victim[i].grace_ms;
+        }
     }
+    return grace;
 }
 
 /* Begins a try on the workers of a plan that the accounts have taken. */
@@ -176,8 +185,7 @@
         m->tasks = plan->part[i].tasks;
     }
     j->yielded = false;
-    displace(j, plan);
-    Gang_SetPhase(j, GANG_CLEARING, INT64_MAX);
+    Gang_SetPhase(j, GANG_CLEARING, displace(j, plan) + CLEAR_MS);
     Gang_Clear(j);
 }
 
