--- a/tests/gang-agents.cc
+++ b/tests/gang-agents.cc
@@ -120,6 +120,29 @@
     }
 }
 
+void
+Agents::Restart(const std::string &name)
+{
+    std::lock_guard<std::mutex> guard(mutex);
+
+    for (auto &a : agents) {
+        std::vector<Part> parts;
+
+        if (a->name != name) {
+            continue;
+        }
+        a->incarnation = Id_Random64();
+        parts.swap(a->parts);
+        for (size_t i = 0; i < a->links.size(); i++) {
+            Hello(*a, i);
+        }
+        parts.swap(a->parts);
+        for (Part &p : a->parts) {
+            Tell(*a, p, "adopted");
+        }
+    }
+}
+
 std::vector<Event>
 Agents::Log()
 {
--- a/tests/gang-agents.h
+++ b/tests/gang-agents.h
@@ -62,6 +62,9 @@
     void Add(const std::string &name, const std::vector<std::string> &entries);
     void Run();
     void Kill(const std::string &name); /* silent for good; its work stops */
+    /* Another incarnation that says hello before it knows of its parts, and
+     * then adopts them. */
+    void Restart(const std::string &name);
     std::vector<Event> Log();
     int Count(const std::string &job, uint64_t attempt,
               const std::string &what);
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -439,6 +439,23 @@
     EXPECT_EQ(agents.Log().size(), 2u);
 }
 
+/* An agent's process is replaced. The new one says hello before its worker has
+ * told it what runs, and adopts the part then. Taken by its hello, the whole
+ * gang would be cut at every restart of an agent. */
+TEST_F(Region, RestartedAgentDoesNotCutTheGang)
+{
+    Up(1);
+    Entry &e = *entry[0];
+    std::string job = Submit(e, TWO_BY_EIGHT), later;
+
+    ASSERT_TRUE(Becomes(e, job, "running")) << e.process.Err();
+    agents.Restart(agents.Log()[0].agent);
+    later = Submit(e, ONE_BY_EIGHT);
+    ASSERT_TRUE(Becomes(e, later, "running")) << e.process.Err();
+    EXPECT_EQ(State(e, job), "running");
+    EXPECT_EQ(agents.Log().size(), 3u); /* starts */
+}
+
 /* The owner is asked to leave. It gives the region away first, so nobody has
  * to wait for its beat; the gang goes on. */
 TEST_F(Region, LeavingOwnerGivesItsRegionAway)
