--- a/packages/cli/cli-show.c
+++ b/packages/cli/cli-show.c
@@ -105,9 +105,54 @@
     return show(args, "/v1/state", NULL);
 }
 
-/* The jobs that wait or run. */
+/* Adds the jobs of one page to a list; next is where the next one begins, or
+ * "". Returns an exit code. */
+static int
+add_page(const struct cli_args *args, json_t *jobs, struct buf *next)
+{
+    struct cli_answer a CLEANUP(Cli_FreeAnswer) = {0};
+    struct buf path CLEANUP(Buf_Free) = {0};
+    json_t *page;
+    const char *after;
+    int code;
+
+    Buf_Printf(&path, "/v1/jobs%s%s", next->len > 0 ? "?after=" : "",
+               next->len > 0 ? next->data : "");
+    code = Cli_Ask(args, "GET", path.data, "application/json", NULL, NULL, &a);
+    if (code != CLI_WELL) {
+        return code;
+    }
+    if (a.status != 200) {
+        return Cli_SayRefusal(args, &a);
+    }
+    page = json_loadb(a.body.data ? a.body.data : "", a.body.len, 0, NULL);
+    json_array_extend(jobs, json_object_get(page, "jobs"));
+    after = json_string_value(json_object_get(page, "next"));
+    Buf_Clear(next);
+    Buf_AppendStr(next, after ? after : "");
+    json_decref(page);
+    return CLI_WELL;
+}
+
+/* The jobs that wait or run, all pages of them. */
 int
 Cli_Jobs(const struct cli_args *args)
 {
-    return show(args, "/v1/jobs", "jobs");
+    struct buf next CLEANUP(Buf_Free) = {0};
+    json_t *jobs = json_array();
+    json_t *answer = json_pack("{s:o}", "jobs", jobs);
+    int code;
+
+    do {
+        code = add_page(args, jobs, &next);
+    } while (code == CLI_WELL && next.len > 0);
+    if (code == CLI_WELL && args->json) {
+        json_dumpf(answer, stdout, JSON_INDENT(1));
+        puts("");
+    }
+    else if (code == CLI_WELL) {
+        say_list(answer, "jobs");
+    }
+    json_decref(answer);
+    return code;
 }
