--- a/packages/entry/entry-feasible.c
+++ b/packages/entry/entry-feasible.c
@@ -10,6 +10,7 @@
 
 /* A failure domain with an account of its own, as a scheduling owner has. */
 struct site {
+    const struct config_region *region;
     const struct config_domain *domain;
     struct cells *cells;
     struct cells_shape full[FULL_KEPT];
@@ -125,7 +126,7 @@
         for (size_t j = 0; j < r->failure_domains.count; j++) {
             struct site *site = &v->sites[v->site_count++];
 
-            *site = (struct site){0};
+            *site = (struct site){.region = r};
             site->domain =
                 CONFIG_AT(r->failure_domains, struct config_domain, j);
             site->cells = Cells_New();
@@ -242,6 +243,7 @@
     v->shares[v->share_count++] = (struct feasible_share){
         .organisation = m->organisation,
         .guarantee = m->guarantee,
+        .region = site->region,
         .domain = site->domain,
         .workers = shape.workers,
         .accelerators = shape.accelerators,
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -155,6 +155,7 @@
 struct feasible_share {
     const struct config_organisation *organisation;
     const struct config_guarantee *guarantee;
+    const struct config_region *region;
     const struct config_domain *domain;
     int workers;      /* of a cell's shape, as of struct cells_shape */
     int accelerators; /* likewise */
--- a/tests/epochs-test.cc
+++ b/tests/epochs-test.cc
@@ -109,6 +109,31 @@
     Config_SetCheck(nullptr);
 }
 
+/* What a scheduling owner takes from a division: all cells of a guarantee,
+ * each in a failure domain that it may lie in, and as the shape is there. */
+TEST(Feasible, DividesAllOfAGuarantee)
+{
+    ConfigText text;
+    struct conf_errors errors = {};
+    size_t count;
+
+    text.organisations = "organisations:\n - name: a\n   guarantees: "
+                         "[{shape: worker, count: 3}]\n - name: b\n";
+    ConfigParsed parsed(text.text());
+    ASSERT_EQ("", parsed.mistakes());
+    struct feasible_share *shares =
+        Feasible_Divide(&parsed.c, &count, &errors);
+    ASSERT_EQ(2u, count);
+    EXPECT_EQ(0, errors.count);
+    EXPECT_STREQ("d1", shares[0].domain->name);
+    EXPECT_EQ(2, shares[0].cells);
+    EXPECT_STREQ("d2", shares[1].domain->name);
+    EXPECT_EQ(1, shares[1].cells);
+    EXPECT_STREQ("r", shares[1].region->name);
+    EXPECT_EQ(1, shares[1].workers);
+    free(shares);
+}
+
 /* Rows of entries as lists bring them: version "1 2 2 ..." of one entry, "-"
  * where the list did not come (the table was down, or this process paused),
  * "0" where the row was gone. An entry that stopped writing is dropped after
