--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -6,9 +6,11 @@
 #include "entry.h"
 
 #define CLAIM_AFTER_MS                                                        \
-    10000           /* agents keep answers so long after a deadline           \
-                     */
-#define TRIES_MAX 8 /* attempts of one request, refused ones included */
+    10000              /* agents keep answers so long after a deadline        \
+                        */
+#define ACCEPT_MS 1000 /* an agent says taken or refused within this */
+#define LATE_MS 250    /* an answer may be this late after the deadline */
+#define TRIES_MAX 8    /* attempts of one request, refused ones included */
 
 struct dispatch;
 
@@ -163,6 +165,28 @@
 void Dispatch_SaySettled(struct dispatch *d, const struct link_peer *peer,
                          const struct wire_answer *a);
 
+/* entry-dispatch-state.c */
+json_t *Dispatch_ServiceState(const struct service *s);
+
+/* entry-request-try.c: the attempts of a request. */
+void Request_Record(const struct request *r, const char *decision,
+                    const char *reason, json_t *inputs);
+json_t *Try_Inputs(const struct try *t);
+void Try_Settle(struct request *r, struct try *t, enum route_outcome outcome);
+struct try *Try_Find(struct request *r, uint64_t number);
+bool Try_AnyOut(const struct request *r);
+bool Try_AnyMayHaveRun(const struct request *r);
+/* When a hedge is due, or -1. */
+int64_t Request_HedgeAt(const struct request *r);
+void Request_SetTimer(struct request *r);
+void Try_Withdraw(struct request *r, struct try *t);
+void Try_WithdrawAll(struct request *r);
+/* Writes the handles that were tried; returns how many. */
+int Try_Handles(const struct request *r, int *handles);
+struct try *Try_New(struct request *r, int handle, const struct server *s,
+                    int64_t now);
+void Try_Send(struct request *r, const struct try *t, const struct server *s);
+
 /* entry-request.c */
 /* A slot may be free: sends the request to an upstream. ERR_OK: out, or
  * ended with its final answer; ERR_BUSY: nothing can take it now, it goes
@@ -206,7 +230,7 @@
 void Request_TellUnknown(struct request *r, const char *reason);
 void Request_TellAnswer(struct request *r, const struct wire_answer *m);
 
-/* entry-claims.c, entry-claims-follow.c: a keyed request claims its row
+/* entry-claims.c, -follow.c and -settle.c: a keyed request claims its row
  * before anything is sent, after model/dispatch.pml. */
 struct claim *Claims_New(const struct offer *o, const struct buf *body);
 void Claims_Free(struct claim *c);
@@ -222,10 +246,12 @@
 /* While the request's state is REQUEST_CLAIM. */
 void Claims_Timer(struct request *r);
 void Claims_Inbound(struct request *r, const struct inbound *in);
-/* Between the two files. */
+/* Between these files. */
 struct claim_op *Claims_NewOp(struct request *r);
 struct request *Claims_EndOp(struct claim_op *op);
 void Claims_Get(struct request *r);
+void Claims_Put(struct request *r, const struct claim_row *row,
+                table_committed done);
 void Claims_Read(struct request *r, int err);
 void Claims_Own(struct request *r);
 void Claims_NotWritten(struct request *r, int err);
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -2,216 +2,12 @@
 
 #include <string.h>
 
-#define ACCEPT_MS 1000   /* an agent says taken or refused within this */
-#define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
-#define LATE_MS 250      /* an answer may be this late after the deadline */
 #define REFUSED_RETRY_MS 250
 
 static struct counter hedges_total = {"parsleyfall_hedges_total",
                                       "Second attempts beside a late one.",
                                       NULL, COUNTER_TOTAL};
 
-/* Records a decision on the request, with its inputs or NULL. */
-static void
-record(const struct request *r, const char *decision, const char *reason,
-       json_t *inputs)
-{
-    Why_Record(r->dispatch->task.kernel, &r->id, decision, reason, inputs);
-}
-
-/* What is recorded with what an agent said of an attempt. */
-static json_t *
-try_inputs(const struct try *t)
-{
-    return json_pack("{s:I, s:s, s:I}", "attempt", (json_int_t)t->number,
-                     "agent", t->agent, "not_after", (json_int_t)t->not_after);
-}
-
-/* How an attempt that ended counts for its upstream. */
-static void
-settle(struct request *r, struct try *t, enum route_outcome outcome)
-{
-    int64_t now = Clock_NowMs();
-
-    if (t->state == TRY_OVER) {
-        return;
-    }
-    t->state = TRY_OVER;
-    Route_Settled(r->service->route, t->handle, outcome, now - t->sent_at,
-                  r->cost_ms, now);
-}
-
-/* The attempt of that number, or NULL. */
-static struct try *
-find_try(struct request *r, uint64_t number)
-{
-    int i;
-
-    for (i = 0; i < r->try_count; i++) {
-        if (r->tries[i].number == number) {
-            return &r->tries[i];
-        }
-    }
-    return NULL;
-}
-
-/* True when an attempt is still out. */
-static bool
-any_out(const struct request *r)
-{
-    int i;
-
-    for (i = 0; i < r->try_count; i++) {
-        if (r->tries[i].state != TRY_OVER) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* True when an attempt that is over may have run. */
-static bool
-any_may_have_run(const struct request *r)
-{
-    int i;
-
-    for (i = 0; i < r->try_count; i++) {
-        if (r->tries[i].may_run) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* When a second try is worth asking for: the answer of the only one is late.
- * -1: never. */
-static int64_t
-hedge_at(const struct request *r)
-{
-    int64_t after = Retry_HedgeAfterMs(r->service->retry);
-    const struct try *t = &r->tries[0];
-
-    if (!r->repeatable || r->hedged || after < 0 || r->try_count != 1 ||
-        t->state == TRY_OVER) {
-        return -1;
-    }
-    return t->sent_at + after;
-}
-
-/* Sets the timer of the request to what is due next. */
-static void
-set_timer(struct request *r)
-{
-    int64_t now = Clock_NowMs();
-    int64_t due = r->deadline_at + LATE_MS;
-    int64_t hedge = hedge_at(r);
-    int i;
-
-    if (hedge >= 0 && hedge < due) {
-        due = hedge;
-    }
-
-    for (i = 0; i < r->try_count; i++) {
-        const struct try *t = &r->tries[i];
-        int64_t at = t->sent_at + ACCEPT_MS;
-
-        if (t->state == TRY_ASKING) {
-            at = now + ASK_AGAIN_MS;
-        }
-        if ((t->state == TRY_SENT || t->state == TRY_ASKING) && at < due) {
-            due = at;
-        }
-    }
-    Timer_Set(r->dispatch->task.kernel->loop, &r->timer,
-              due > now ? due - now : 0);
-}
-
-/* Asks the agent of an attempt not to start it any more. */
-static void
-withdraw(struct request *r, struct try *t)
-{
-    struct server *s = Dispatch_FindServer(r->dispatch, t->agent);
-    struct wire_withdraw *m;
-
-    if (t->state == TRY_SENT) {
-        t->state = TRY_ASKING;
-        record(r, "withdraw", "asked", try_inputs(t));
-    }
-    if (s == NULL) {
-        return;
-    }
-    m = Wire_New(WIRE_WITHDRAW);
-    m->request = r->id;
-    m->attempt = t->number;
-    m->incarnation = t->incarnation;
-    m->not_after = t->not_after;
-    Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, false);
-}
-
-/* Withdraws whatever is still out, as the caller has its final answer. */
-static void
-withdraw_all(struct request *r)
-{
-    int i;
-
-    for (i = 0; i < r->try_count; i++) {
-        if (r->tries[i].state != TRY_OVER) {
-            withdraw(r, &r->tries[i]);
-            settle(r, &r->tries[i], ROUTE_WITHDRAWN);
-        }
-    }
-}
-
-/* The handles that were tried, for routing to avoid. */
-static int
-tried(const struct request *r, int *handles)
-{
-    int i;
-
-    for (i = 0; i < r->try_count; i++) {
-        handles[i] = r->tries[i].handle;
-    }
-    return r->try_count;
-}
-
-/* Records a new attempt at an agent. */
-static struct try *
-new_try(struct request *r, int handle, const struct server *s, int64_t now)
-{
-    struct try *t = &r->tries[r->try_count];
-
-    *t = (struct try){.number = r->attempt_base + (uint64_t)++r->try_count,
-                      .handle = handle,
-                      .incarnation = s->facts.incarnation,
-                      .not_after = r->deadline_at + s->facts.clock_offset,
-                      .sent_at = now,
-                      .state = TRY_SENT,
-                      .may_run = true};
-    Str_Copy(t->agent, sizeof(t->agent), s->facts.name);
-    return t;
-}
-
-/* Sends an attempt to its agent. */
-static void
-send_try(struct request *r, const struct try *t, const struct server *s)
-{
-    struct wire_dispatch *m = Wire_New(WIRE_DISPATCH);
-    char hex[ID_HEX_SIZE];
-
-    m->request = r->id;
-    m->attempt = t->number;
-    m->incarnation = t->incarnation;
-    m->not_after = t->not_after;
-    m->timeout_ms = r->deadline_at - t->sent_at;
-    m->repeatable = r->repeatable;
-    Str_Copy(m->service, sizeof(m->service), r->service->name);
-    Str_Copy(m->content_type, sizeof(m->content_type), r->content_type);
-    Buf_Append(&m->body, r->body.data, r->body.len);
-    LOG_I("dispatch", KV("request", Id_Hex(&r->id, hex)),
-          KV_INT("attempt", t->number), KV("agent", t->agent));
-    Entry_Say(&r->dispatch->task, &s->facts.peer, &m->msg, true);
-}
-
 /* Records where the request goes, or why nowhere. */
 static void
 record_route(const struct request *r, const struct route_decision *d,
@@ -221,10 +17,12 @@
 
     if (agent != NULL) {
         json_object_set_new(inputs, "agent", json_string(agent));
-        json_object_set_new(inputs, "attempt", json_integer(r->try_count + 1));
+        json_object_set_new(
+            inputs, "attempt",
+            json_integer((json_int_t)r->attempt_base + r->try_count + 1));
     }
-    record(r, agent != NULL ? "sent" : "not_sent", Route_ReasonName(d->reason),
-           inputs);
+    Request_Record(r, agent != NULL ? "sent" : "not_sent",
+                   Route_ReasonName(d->reason), inputs);
 }
 
 /* Picks an upstream that was not tried. */
@@ -237,7 +35,7 @@
         .expected_ms = r->cost_ms,
         .repeatable = r->repeatable,
         .avoid = avoid,
-        .avoid_count = tried(r, avoid),
+        .avoid_count = Try_Handles(r, avoid),
     };
 
     return Route_Pick(r->service->route, &want, Clock_NowMs(), Id_Random64());
@@ -258,15 +56,15 @@
         Fatal("route names an agent that is not known: %s", agent);
     }
     record_route(r, d, agent);
-    t = new_try(r, d->handle, s, now);
+    t = Try_New(r, d->handle, s, now);
     r->state = REQUEST_OUT;
     Route_Sent(route, d->handle, now);
     if (r->claim != NULL && r->claim->stage != STAGE_TOLD) {
         Claims_Write(r, t);
         return;
     }
-    send_try(r, t, s);
-    set_timer(r);
+    Try_Send(r, t, s);
+    Request_SetTimer(r);
 }
 
 /* Picks an upstream and sends the request there. */
@@ -295,7 +93,7 @@
     struct try *t = &r->tries[r->try_count - 1];
 
     t->may_run = false;
-    settle(r, t, ROUTE_WITHDRAWN);
+    Try_Settle(r, t, ROUTE_WITHDRAWN);
 }
 
 /* The facts of a retry decision for this request as it stands. */
@@ -325,8 +123,8 @@
     LOG_I("retry", KV("request", Id_Hex(&r->id, hex)),
           KV("reason", Retry_ReasonName(d.reason)),
           KV_INT("allowed", d.allowed));
-    record(r, d.allowed ? "retry" : "no_retry", Retry_ReasonName(d.reason),
-           Why_FromRetry(&d.inputs));
+    Request_Record(r, d.allowed ? "retry" : "no_retry",
+                   Retry_ReasonName(d.reason), Why_FromRetry(&d.inputs));
     return d.allowed && r->try_count < TRIES_MAX;
 }
 
@@ -369,10 +167,10 @@
 after_not_run(struct request *r, enum retry_cause cause, const char *reason,
               int64_t retry_after_ms)
 {
-    bool may_have_run = any_may_have_run(r);
+    bool may_have_run = Try_AnyMayHaveRun(r);
 
-    if (any_out(r)) {
-        set_timer(r);
+    if (Try_AnyOut(r)) {
+        Request_SetTimer(r);
         return;
     }
     if (may_retry(r, cause, may_have_run)) {
@@ -391,8 +189,8 @@
 static void
 after_unknown(struct request *r, const char *reason)
 {
-    if (any_out(r)) {
-        set_timer(r);
+    if (Try_AnyOut(r)) {
+        Request_SetTimer(r);
         return;
     }
     if (may_retry(r, RETRY_FAILED, true)) {
@@ -416,28 +214,28 @@
         return;
     }
     t->sent_at = Clock_NowMs();
-    send_try(r, t, s);
-    set_timer(r);
+    Try_Send(r, t, s);
+    Request_SetTimer(r);
 }
 
 /* An agent has taken the request or refused it before anything started. */
 void
 Request_Taken(struct request *r, const struct wire_taken *m)
 {
-    struct try *t = find_try(r, m->attempt);
+    struct try *t = Try_Find(r, m->attempt);
 
     if (t == NULL || t->state == TRY_OVER) {
         return;
     }
-    record(r, m->taken ? "taken" : "refused_by_agent", m->reason,
-           try_inputs(t));
+    Request_Record(r, m->taken ? "taken" : "refused_by_agent", m->reason,
+                   Try_Inputs(t));
     if (m->taken) {
         t->state = TRY_TAKEN;
-        set_timer(r);
+        Request_SetTimer(r);
         return;
     }
     t->may_run = false;
-    settle(r, t, ROUTE_REFUSED);
+    Try_Settle(r, t, ROUTE_REFUSED);
     after_not_run(r, RETRY_REFUSED, m->reason, m->retry_after_ms);
 }
 
@@ -456,9 +254,9 @@
     int64_t now = Clock_NowMs();
     bool failed = is_failure(m);
 
-    settle(r, t, failed ? ROUTE_FAILED : ROUTE_OK);
+    Try_Settle(r, t, failed ? ROUTE_FAILED : ROUTE_OK);
     if (failed && r->repeatable) {
-        if (any_out(r) || r->state == REQUEST_QUEUED) {
+        if (Try_AnyOut(r) || r->state == REQUEST_QUEUED) {
             return;
         }
         if (may_retry(r, RETRY_FAILED, true)) {
@@ -469,7 +267,7 @@
     if (!failed) {
         Retry_Success(r->service->retry, now - t->sent_at, now);
     }
-    withdraw_all(r);
+    Try_WithdrawAll(r);
     Admission_Finished(r->service->admission, &r->id, m->service_ms, !failed,
                        now);
     Request_ReplyAnswer(r, m);
@@ -480,7 +278,7 @@
 void
 Request_Answer(struct request *r, struct wire_answer *m)
 {
-    struct try *t = find_try(r, m->attempt);
+    struct try *t = Try_Find(r, m->attempt);
 
     if (t == NULL) {
         return;
@@ -492,7 +290,7 @@
     if (t->state == TRY_OVER) {
         return;
     }
-    settle(r, t, ROUTE_FAILED);
+    Try_Settle(r, t, ROUTE_FAILED);
     if (m->kind == ANSWER_NOT_RUN) {
         t->may_run = false;
         after_not_run(r, RETRY_FAILED, m->reason, REFUSED_RETRY_MS);
@@ -517,18 +315,19 @@
 void
 Request_Withdrawn(struct request *r, const struct wire_withdrawn *m)
 {
-    struct try *t = find_try(r, m->attempt);
+    struct try *t = Try_Find(r, m->attempt);
 
     if (t == NULL || t->state == TRY_OVER) {
         return;
     }
-    record(r, "withdrawn", Request_WithdrawName(m->verdict), try_inputs(t));
+    Request_Record(r, "withdrawn", Request_WithdrawName(m->verdict),
+                   Try_Inputs(t));
     if (m->verdict == WITHDRAW_STARTED) {
         t->state = TRY_TAKEN;
-        set_timer(r);
+        Request_SetTimer(r);
         return;
     }
-    settle(r, t, ROUTE_FAILED);
+    Try_Settle(r, t, ROUTE_FAILED);
     if (m->verdict == WITHDRAW_NOT_STARTED) {
         t->may_run = false;
         after_not_run(r, RETRY_REFUSED, "withdrawn", REFUSED_RETRY_MS);
@@ -541,13 +340,13 @@
 void
 Request_Undelivered(struct request *r, enum wire_type type, uint64_t attempt)
 {
-    struct try *t = find_try(r, attempt);
+    struct try *t = Try_Find(r, attempt);
 
     if (type != WIRE_DISPATCH || t == NULL || t->state == TRY_OVER) {
         return;
     }
     t->may_run = false;
-    settle(r, t, ROUTE_FAILED);
+    Try_Settle(r, t, ROUTE_FAILED);
     after_not_run(r, RETRY_REFUSED, "unreachable", REFUSED_RETRY_MS);
 }
 
@@ -562,11 +361,11 @@
         struct try *t = &r->tries[i];
 
         if (t->state != TRY_OVER && strcmp(t->agent, agent) == 0) {
-            withdraw(r, t);
+            Try_Withdraw(r, t);
         }
     }
     if (r->state == REQUEST_OUT) {
-        set_timer(r);
+        Request_SetTimer(r);
     }
 }
 
@@ -583,7 +382,7 @@
 
         if (t->state != TRY_OVER && t->incarnation != incarnation &&
             strcmp(t->agent, agent) == 0) {
-            settle(r, t, ROUTE_FAILED);
+            Try_Settle(r, t, ROUTE_FAILED);
             lost = true;
         }
     }
@@ -604,7 +403,7 @@
         return;
     }
     if (may_retry(r, RETRY_FAILED, true)) {
-        settle(r, last, ROUTE_FAILED);
+        Try_Settle(r, last, ROUTE_FAILED);
         requeue(r);
     }
 }
@@ -625,9 +424,9 @@
 static void
 give_up(struct request *r)
 {
-    bool may_have_run = any_may_have_run(r);
+    bool may_have_run = Try_AnyMayHaveRun(r);
 
-    withdraw_all(r);
+    Try_WithdrawAll(r);
     if (may_have_run && r->claim != NULL && r->claim->stage == STAGE_OWN) {
         tell_and_wait(r);
         return;
@@ -659,7 +458,7 @@
         give_up(r);
         return;
     }
-    if (hedge_at(r) >= 0 && now >= hedge_at(r)) {
+    if (Request_HedgeAt(r) >= 0 && now >= Request_HedgeAt(r)) {
         hedge(r);
     }
     for (i = 0; i < r->try_count; i++) {
@@ -667,10 +466,10 @@
 
         if (t->state == TRY_ASKING ||
             (t->state == TRY_SENT && now >= t->sent_at + ACCEPT_MS)) {
-            withdraw(r, t);
+            Try_Withdraw(r, t);
         }
     }
-    set_timer(r);
+    Request_SetTimer(r);
 }
 
 /* A queued request that can't be answered in time any more is refused at
@@ -678,7 +477,7 @@
 void
 Request_Expire(struct request *r, const struct admission_decision *why)
 {
-    if (any_may_have_run(r)) {
+    if (Try_AnyMayHaveRun(r)) {
         Request_ReplyUnknown(r, Admission_ReasonName(why->reason));
         return;
     }
