--- a/packages/entry/entry-claims-sweep.c
+++ b/packages/entry/entry-claims-sweep.c
@@ -5,8 +5,10 @@
 #include <string.h>
 
 #define TURN_MS 60000 /* one entry of all sweeps once in this time */
+#define FIRST_MS 1000 /* after the start */
 #define BATCH 200     /* rows that a sweep looks at */
-#define COMMIT_MAX 20 /* rows that one commit deletes */
+#define COMMIT_MAX 4  /* rows that one commit deletes */
+#define PACE_MS 500   /* between commits, to leave the budget to requests */
 /* Row of the sweep itself: "at_ms cursor". Claims' keys are hex. */
 #define SWEEP_KEY "sweep"
 
@@ -19,33 +21,43 @@
     char cursor[DIGEST_HEX_SIZE];
     char *keys[BATCH]; /* to delete */
     uint64_t versions[BATCH];
-    size_t count, done;
-    ev_timer timer;
+    size_t count;
+    size_t deleting; /* rows of the commit that is out */
+    ev_timer timer, pace;
 };
 
 static struct counter swept_total = {"parsleyfall_claims_swept_total",
                                      "Claims deleted after their time.", NULL,
                                      COUNTER_TOTAL};
 
-/* Deletes the next rows, each as it was read. A row that was written since is
- * not old: its commit is left, and the rest waits for the next turn. */
+/* Some rows are gone. A row that was written since it was read is not old:
+ * its commit is left for the next turn, as is one that the budget forbids. */
 static void
 on_deleted(void *arg, int err, size_t at UNUSED,
            const uint64_t *versions UNUSED)
 {
     struct sweep *s = arg;
+
+    Counter_Add(&swept_total, err == ERR_OK ? (int64_t)s->deleting : 0);
+    Timer_Set(s->task.kernel->loop, &s->pace, PACE_MS);
+}
+
+/* Deletes the next rows, each as it was read. */
+static void
+on_pace(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct sweep *s = w->data;
     struct table_op ops[COMMIT_MAX];
     size_t n = 0;
 
-    Counter_Add(&swept_total, err == ERR_OK ? (int64_t)s->done : 0);
-    for (s->done = 0; err == ERR_OK && s->count > 0 && n < COMMIT_MAX; n++) {
+    while (s->count > 0 && n < COMMIT_MAX) {
         s->count--;
-        s->done++;
-        ops[n] = (struct table_op){.verb = TABLE_DELETE,
-                                   .table = CLAIMS_TABLE,
-                                   .key = s->keys[s->count],
-                                   .if_version = s->versions[s->count]};
+        ops[n++] = (struct table_op){.verb = TABLE_DELETE,
+                                     .table = CLAIMS_TABLE,
+                                     .key = s->keys[s->count],
+                                     .if_version = s->versions[s->count]};
     }
+    s->deleting = n;
     if (n > 0) {
         s->table->ops->commit(s->table, ops, n, on_deleted, s);
     }
@@ -72,7 +84,6 @@
     while (s->count > 0) {
         free(s->keys[--s->count]);
     }
-    s->done = 0;
 }
 
 /* A batch of rows has come: those that are old go. */
@@ -94,7 +105,7 @@
     }
     Str_Copy(s->cursor, sizeof(s->cursor),
              more && count > 0 ? rows[count - 1].key : "");
-    on_deleted(s, ERR_OK, 0, NULL);
+    Timer_Set(s->task.kernel->loop, &s->pace, PACE_MS);
 }
 
 /* The turn is ours, or another's. */
@@ -150,6 +161,7 @@
 {
     struct sweep *s = w->data;
 
+    Timer_Set(s->task.kernel->loop, w, TURN_MS);
     s->table->ops->get(s->table, CLAIMS_TABLE, SWEEP_KEY, on_row, s);
 }
 
@@ -160,6 +172,7 @@
     struct sweep *s = (struct sweep *)t;
 
     ev_timer_stop(t->kernel->loop, &s->timer);
+    ev_timer_stop(t->kernel->loop, &s->pace);
     clear(s);
     free(s);
 }
@@ -181,8 +194,10 @@
     s->table = table;
     Kernel_AddTask(k, &s->task, &sweep_ops);
     ev_init(&s->timer, on_timer);
+    ev_init(&s->pace, on_pace);
     s->timer.data = s;
-    Timer_Every(k->loop, &s->timer, TURN_MS);
+    s->pace.data = s;
+    Timer_Set(k->loop, &s->timer, FIRST_MS);
     return ERR_OK;
 }
 
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -15,6 +15,13 @@
  *   front    the HTTP server; routes register themselves (Front_Register).
  *   dispatch requests: admission, routing, outcomes (entry-dispatch.c).
  *   why      the bounded record of decisions, by request or job.
+ *   platform the connections to the table service and the object store.
+ *   claims-sweep deletes claims of keyed requests after their time.
+ *
+ * A request with an Idempotency-Key claims a row of the table service before
+ * anything is sent, so that it runs once however often, and at whichever
+ * entry, it is asked for (entry-claims.h, model/dispatch.pml). It is never
+ * repeated by itself, also where its class may be.
  *
  * The rule for requests is told in agent.h: only an agent's word that an
  * attempt has not started permits another one, or a not_run, for a request
--- a/tests/request-keyed-test.cc
+++ b/tests/request-keyed-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sodium.h>
 
 using namespace stack;
 
@@ -264,3 +265,44 @@
     }
     EXPECT_EQ(startsOf(s), 20);
 }
+
+/* A claim's row as the platform's format has it. */
+static std::string
+putOp(const std::string &key, int64_t at_ms)
+{
+    std::string row = "{\"state\":\"answered\",\"request\":\"" +
+                      std::string(32, '1') +
+                      "\",\"at_ms\":" + std::to_string(at_ms) + "}\n";
+    char text[1024];
+
+    sodium_bin2base64(text, sizeof(text),
+                      reinterpret_cast<const unsigned char *>(row.data()),
+                      row.size(), sodium_base64_VARIANT_ORIGINAL);
+    return "{\"verb\": \"put\", \"table\": \"claims\", \"key\": \"" + key +
+           "\", \"if_version\": 0, \"value\": \"" + text + "\"}";
+}
+
+/* Claims are kept for a day. Those that are older go, in batches, by one entry
+ * of two; the others stay, so that their keys still get their answers. */
+TEST(Keyed, OldClaimsAreSwept)
+{
+    Stack s({.entries = 0, .agents = 0});
+    int64_t now = Clock_WallMs(), day = 24 * 3600 * 1000;
+    std::string ops;
+
+    for (int i = 0; i < 24; i++) {
+        std::string key = "a" + std::to_string(100 + i);
+
+        ops += (i > 0 ? ", " : "") +
+               putOp(key, now - (i % 6 == 0 ? day / 2 : day + 60000));
+    }
+    ASSERT_EQ(Http("POST", s.platform.Url("/table/commit"),
+                   "{\"token\": \"" + std::string(32, '2') + "\", \"ops\": [" +
+                       ops + "]}")
+                  .status,
+              200);
+    ASSERT_EQ(s.Rows(), 24U);
+    s.entries.push_back(s.startEntry("entry-1"));
+    s.entries.push_back(s.startEntry("entry-2"));
+    EXPECT_TRUE(WaitFor([&] { return s.Rows() == 5; })) << s.Rows();
+}
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -200,6 +200,30 @@
 
         return json_array_size(json_object_get(j.get(), "rows"));
     }
+    Entry startEntry(const std::string &name)
+    {
+        Entry e;
+        std::string path = dir.Write(
+            name + ".yaml",
+            "name: " + name +
+                "\nregion: r\nfailure_domain: d\nlisten: {address: 127.0.0.1, "
+                "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
+                "{table_url: \"" +
+                platform.Url() + "\", objects_url: \"" + platform.Url() +
+                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
+                "configuration_file: " +
+                dir.Path("configuration.yaml") + "\n");
+
+        e.name = name;
+        e.process = std::make_unique<Process>(
+            dir, "parsleyfall", std::vector<std::string>{"serve", path}, name);
+        e.http = Listening(*e.process, "http");
+        e.links = Listening(*e.process, "links");
+        if (e.http.empty()) {
+            throw std::runtime_error(name + ": " + e.process->Err());
+        }
+        return e;
+    }
     Agent startAgent(const std::string &name)
     {
         Agent a;
@@ -288,30 +312,6 @@
                "[c], request_bytes: 65536, answer_bytes: 65536, queue_limit: "
                "64}]\n";
     }
-    Entry startEntry(const std::string &name)
-    {
-        Entry e;
-        std::string path = dir.Write(
-            name + ".yaml",
-            "name: " + name +
-                "\nregion: r\nfailure_domain: d\nlisten: {address: 127.0.0.1, "
-                "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
-                "{table_url: \"" +
-                platform.Url() + "\", objects_url: \"" + platform.Url() +
-                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
-                "configuration_file: " +
-                dir.Path("configuration.yaml") + "\n");
-
-        e.name = name;
-        e.process = std::make_unique<Process>(
-            dir, "parsleyfall", std::vector<std::string>{"serve", path}, name);
-        e.http = Listening(*e.process, "http");
-        e.links = Listening(*e.process, "links");
-        if (e.http.empty()) {
-            throw std::runtime_error(name + ": " + e.process->Err());
-        }
-        return e;
-    }
 };
 
 } /* namespace stack */
