--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -193,12 +193,45 @@
     {
         Http("PUT", platform.Url("/faults"), json);
     }
-    /* How many claims there are. */
-    size_t Rows() const
+    /* The keys of all claims' rows. */
+    std::set<std::string> Keys() const
     {
         Json j = Http("GET", platform.Url("/rows?table=claims")).json();
+        json_t *rows = json_object_get(j.get(), "rows");
+        std::set<std::string> keys;
 
-        return json_array_size(json_object_get(j.get(), "rows"));
+        for (size_t i = 0; i < json_array_size(rows); i++) {
+            keys.insert(Text(json_array_get(rows, i), "key"));
+        }
+        return keys;
+    }
+    size_t Rows() const
+    {
+        return Keys().size();
+    }
+    Entry startEntry(const std::string &name)
+    {
+        Entry e;
+        std::string path = dir.Write(
+            name + ".yaml",
+            "name: " + name +
+                "\nregion: r\nfailure_domain: d\nlisten: {address: 127.0.0.1, "
+                "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
+                "{table_url: \"" +
+                platform.Url() + "\", objects_url: \"" + platform.Url() +
+                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
+                "configuration_file: " +
+                dir.Path("configuration.yaml") + "\n");
+
+        e.name = name;
+        e.process = std::make_unique<Process>(
+            dir, "parsleyfall", std::vector<std::string>{"serve", path}, name);
+        e.http = Listening(*e.process, "http");
+        e.links = Listening(*e.process, "links");
+        if (e.http.empty()) {
+            throw std::runtime_error(name + ": " + e.process->Err());
+        }
+        return e;
     }
     Agent startAgent(const std::string &name)
     {
@@ -292,30 +325,6 @@
                "[c], request_bytes: 65536, answer_bytes: 65536, queue_limit: "
                "64}]\n";
     }
-    Entry startEntry(const std::string &name)
-    {
-        Entry e;
-        std::string path = dir.Write(
-            name + ".yaml",
-            "name: " + name +
-                "\nregion: r\nfailure_domain: d\nlisten: {address: 127.0.0.1, "
-                "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
-                "{table_url: \"" +
-                platform.Url() + "\", objects_url: \"" + platform.Url() +
-                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
-                "configuration_file: " +
-                dir.Path("configuration.yaml") + "\n");
-
-        e.name = name;
-        e.process = std::make_unique<Process>(
-            dir, "parsleyfall", std::vector<std::string>{"serve", path}, name);
-        e.http = Listening(*e.process, "http");
-        e.links = Listening(*e.process, "links");
-        if (e.http.empty()) {
-            throw std::runtime_error(name + ": " + e.process->Err());
-        }
-        return e;
-    }
 };
 
 } /* namespace stack */
