--- a/bench/cells-work.c
+++ b/bench/cells-work.c
@@ -5,7 +5,7 @@
 
 /* The two deployments of today and the size to design for. At 88
  * accelerators 1,100 jobs a day leave 1.5 accelerator-hours for each, so
- * runs are shorter there; the load offered is about 0.75 at each. */
+ * runs are shorter there; the table heads print the load. */
 const struct site SITES[] = {
     {"Authority, 88", 11, 3, 4, 1100, 64, 0.065, 1, {80, 20, 0}},
     {"Bahay Kasama, 88", 11, 3, 4, 1100, 64, 0.065, 1, {30, 70, 0}},
