owner: cells get their places after a takeover; guarantees divided as checked

Cause 1: Cells_Import leaves cells without a stored place unbound until Cells_Mend, which the owner never called: a fresh region bound no cell, and Region.* of gang-process-test failed on the merge (sum of the bound masks 0 for 0xff). Cause 2: a guarantee without a failure domain counted in the document's first region, while the check of the document divides it over all.

Region.GangRunsAndIsCancelled and Region.GangRunsToItsEnd pass; the others of that program have not been run again yet.

--- a/packages/entry/entry-cells.c
+++ b/packages/entry/entry-cells.c
@@ -36,68 +36,14 @@
     }
 }
 
-/* Workers of the region's largest rack: the shape of a rack's guarantee. */
-static int
-rack_size(const struct config_region *region)
-{
-    size_t d, r, most = 1;
-
-    for (d = 0; d < region->failure_domains.count; d++) {
-        const struct config_domain *domain =
-            CONFIG_AT(region->failure_domains, struct config_domain, d);
-
-        for (r = 0; r < domain->racks.count; r++) {
-            size_t n =
-                CONFIG_AT(domain->racks, struct config_rack, r)->workers.count;
-
-            most = n > most ? n : most;
-        }
-    }
-    return (int)most;
-}
-
-/* True when a guarantee is this region's: it names a failure domain of it, or
- * names none and the region is the document's first. */
-static bool
-is_here(const struct config *doc, const struct config_region *region,
-        const struct config_guarantee *g)
-{
-    size_t d;
-
-    if (g->failure_domain[0] == '\0') {
-        return region ==
-               CONFIG_AT(doc->topology.regions, struct config_region, 0);
-    }
-    for (d = 0; d < region->failure_domains.count; d++) {
-        const struct config_domain *domain =
-            CONFIG_AT(region->failure_domains, struct config_domain, d);
-
-        if (strcmp(domain->name, g->failure_domain) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* One guarantee as cells: so many of a shape. */
+/* Adds cells of a shape to what an organisation holds. */
 static void
-add_guarantee(struct cells *c, const struct config_region *region,
-              const char *organisation, const struct config_guarantee *g)
+add_cells(struct cells *c, const char *organisation, struct cells_shape shape,
+          int count)
 {
-    struct cells_shape shape = {0};
-    int count = (int)g->count, had = 0, i;
     struct cells_binding b;
+    int had = 0, i;
 
-    if (g->shape.kind == SHAPE_ACCELERATORS) {
-        shape.accelerators = (int)g->shape.size;
-    }
-    else if (g->shape.kind == SHAPE_WORKERS) {
-        shape.workers = (int)g->shape.size;
-    }
-    else {
-        shape.workers = rack_size(region);
-        count *= (int)g->shape.size;
-    }
     for (i = 0; Cells_Binding(c, i, &b); i++) {
         had += strcmp(b.organisation, organisation) == 0 &&
                b.shape.workers == shape.workers &&
@@ -105,30 +51,34 @@
     }
     if (Cells_SetGuarantee(c, organisation, shape, had + count) != ERR_OK) {
         LOG_E("guarantee_refused", KV("organisation", organisation),
-              KV("shape", g->shape_text));
+              KV_INT("cells", count));
     }
 }
 
-/* Enters the guarantees of this region. */
+/* Enters this region's shares of all guarantees. They are divided as the
+ * check of the document divided them: with any other division a document
+ * that was accepted could fail in an owner's account. */
 static void
 add_guarantees(struct cells *c, const struct config *doc,
                const struct config_region *region)
 {
-    size_t o, g;
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    size_t count, i;
+    struct feasible_share *shares CLEANUP(Mem_FreeP) =
+        Feasible_Divide(doc, &count, errors);
 
-    for (o = 0; o < doc->organisations.count; o++) {
-        const struct config_organisation *org =
-            CONFIG_AT(doc->organisations, struct config_organisation, o);
+    for (i = 0; i < count; i++) {
+        struct cells_shape shape = {shares[i].workers, shares[i].accelerators};
 
-        for (g = 0; g < org->guarantees.count; g++) {
-            const struct config_guarantee *one =
-                CONFIG_AT(org->guarantees, struct config_guarantee, g);
-
-            if (is_here(doc, region, one)) {
-                add_guarantee(c, region, org->name, one);
-            }
+        if (shares[i].region == region) {
+            add_cells(c, shares[i].organisation->name, shape, shares[i].cells);
         }
     }
+    if (errors->count > 0) {
+        LOG_E("guarantees_without_place", KV("guarantee", errors->at[0].key),
+              KV_INT("count", errors->count + errors->more));
+    }
 }
 
 /* This region in the document, or NULL. */
@@ -199,7 +149,9 @@
     }
 }
 
-/* Marks every worker as what is known of it; unknown ones as failed. */
+/* Marks every worker as what is known of it; unknown ones as failed. Bindings
+ * are taken over and jobs adopted by then, so cells without a place get one.
+ */
 void
 Account_SetWorkers(struct sched *s)
 {
@@ -214,6 +166,10 @@
                                  w ? Account_StateOf(w) : CELLS_WORKER_FAILED);
         }
     }
+    if (s->cells != NULL) {
+        Cells_Mend(s->cells);
+        s->account_changed = true;
+    }
 }
 
 /* True for a job that stands on the account. */
