agent: a part that is done stays in its gang's pulses until fenced

Cause: a renewer counts members by their pulses, and a part that had ended well sent none, so the first member to finish stopped the renewal of the others: they were cut when their lease ran out and the job repeated or failed. Found by reading. DonePartIsToldInPulsesUntilItIsFenced waits 20 s in vain without the change and passes in 3.0 s with it.

why subscribes to the list of entries, so that any entry tells.

--- a/packages/agent/agent-parts-pulse.c
+++ b/packages/agent/agent-parts-pulse.c
@@ -90,6 +90,17 @@
     return best;
 }
 
+/* True for a part that counts as a member of its gang that is there. One that
+ * has done its work well counts until its owner has fenced it: members end at
+ * different moments, and without its pulses the renewer would take the gang
+ * for broken and let the leases of those run out that still work. */
+static bool
+is_there(const struct part *part)
+{
+    return Parts_Works(part) ||
+           (part->state == PART_DONE && part->members != 1);
+}
+
 /* Adds the parts that a renewer is to keep alive. */
 static void
 add_working(struct parts_task *t, const struct renewer *r,
@@ -100,7 +111,7 @@
     TAILQ_FOREACH (part, &t->parts.list, entry) {
         struct wire_working *w;
 
-        if (!Parts_Works(part) ||
+        if (!is_there(part) ||
             PartsPulse_Choose(&t->renewers, &part->job) != r) {
             continue;
         }
@@ -129,14 +140,14 @@
     return pulse;
 }
 
-/* True when any part works. */
+/* True when any part is to be told of. */
 static bool
-any_works(const struct parts_task *t)
+any_there(const struct parts_task *t)
 {
     const struct part *part;
 
     TAILQ_FOREACH (part, &t->parts.list, entry) {
-        if (Parts_Works(part)) {
+        if (is_there(part)) {
             return true;
         }
     }
@@ -148,7 +159,7 @@
 void
 PartsPulse_Say(struct parts_task *t, int64_t now)
 {
-    bool works = any_works(t);
+    bool works = any_there(t);
     struct renewer *r;
 
     TAILQ_FOREACH (r, &t->renewers, link) {
--- a/packages/entry/entry-why.c
+++ b/packages/entry/entry-why.c
@@ -380,6 +380,7 @@
     TAILQ_INIT(&w->questions);
     Kernel_AddTask(k, &w->task, &why_ops);
     Configs_Subscribe(k, "why");
+    Peers_Subscribe(k, "why");
     return ERR_OK;
 }
 
--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -559,6 +559,28 @@
     EXPECT_EQ(Events(1, "start"), 1);
 }
 
+/* The tasks of a gang end at different moments. The caller sees the job fail,
+ * or its work done twice, when the renewer takes a member that is done for
+ * one that is lost and lets the leases of the others run out. So a part that
+ * is done stays in the pulses until its owner has fenced it. */
+TEST_F(Agent, DonePartIsToldInPulsesUntilItIsFenced)
+{
+    first->renew_ms = GANG_LEASE_MS;
+    auto agent = Start();
+    ASSERT_TRUE(RunPart(1, 3, GANG_LEASE_MS, "{\"run_ms\":50}"));
+    ASSERT_TRUE(Until([&] { return Events(1, "end") == 1; }));
+
+    int before = first->working_pulses;
+    EXPECT_TRUE(Until([&] { return first->working_pulses >= before + 2; }));
+    first->Fence(1, 1, 1);
+    EXPECT_TRUE(Until([&] {
+        auto state = Http("GET", AnnounceUrl(*agent) + "/v1/state").json();
+        json_t *parts = json_object_get(state.get(), "parts");
+
+        return json_array_size(json_object_get(parts, "parts")) == 0;
+    }));
+}
+
 TEST_F(Agent, UpstreamsAnnounceThemselvesAndLeave)
 {
     auto agent = Start();
--- a/tests/why-peers-test.cc
+++ b/tests/why-peers-test.cc
@@ -36,6 +36,11 @@
         port = Front_Port(&kernel);
         tell(others);
         thread = std::thread([this] { Kernel_Run(&kernel); });
+        WaitFor([this] {
+            return Http("GET",
+                        "http://127.0.0.1:" + std::to_string(port) + "/readyz")
+                       .status == 200;
+        });
     }
     ~LocalEntry()
     {
