--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -272,6 +272,15 @@
     addWindow(i, Trouble::PAUSED, from, Now());
 }
 
+void
+Stack::PauseClaiming(size_t i, int64_t ms)
+{
+    static const int64_t slow_ms = 400;
+
+    FaultPlatform("{\"slow_ms\": 400}", slow_ms);
+    PauseEntry(i, ms);
+}
+
 void
 Stack::DrainEntry(size_t i, int64_t)
 {
--- a/tests/storm-stack.h
+++ b/tests/storm-stack.h
@@ -39,6 +39,9 @@
 
     void KillEntry(size_t i, int64_t ms);
     void PauseEntry(size_t i, int64_t ms);
+    /* Makes the platform slow for a moment, so that claims are on their way
+     * when the entry is paused: it sends them when it wakes. */
+    void PauseClaiming(size_t i, int64_t ms);
     void DrainEntry(size_t i, int64_t ms);
     void KillAgent(size_t i, int64_t ms);
     void PauseAgent(size_t i, int64_t ms);
