--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -270,6 +270,7 @@
     struct admission_facts facts = facts_of(o, r);
     struct admission_decision decision;
 
+    Admission_SetQueueMax(s->admission, o->queue_max);
     Admission_SetWeight(s->admission, o->organisation, o->weight);
     decision =
         Admission_Offer(s->admission, &facts, Clock_NowMs(), Id_Random64());
--- a/packages/entry/entry-request-try.c
+++ b/packages/entry/entry-request-try.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
-#define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
+#define ASK_AGAIN_MS 500      /* a withdraw without a word is sent again */
+#define START_WITHIN_MS 20000 /* from sending, for attempts without a claim   \
+                               */
 
 /* Records a decision on the request, with its inputs or NULL. */
 void
@@ -167,6 +169,20 @@
     return r->try_count;
 }
 
+/* Until when an attempt may start, on our clock. An agent remembers every
+ * attempt until then, so it is bound for requests without a key: the dispatch
+ * goes out once, and what a link holds back for longer is not worth starting.
+ * An attempt with a key may be asked about by another entry after this one
+ * has died, for as long as the deadline lasts. */
+static int64_t
+start_by(const struct request *r, int64_t now)
+{
+    if (r->claim != NULL || r->deadline_at - now < START_WITHIN_MS) {
+        return r->deadline_at;
+    }
+    return now + START_WITHIN_MS;
+}
+
 /* Records a new attempt at an agent. */
 struct try *
 Try_New(struct request *r, int handle, const struct server *s, int64_t now)
@@ -176,7 +192,7 @@
     *t = (struct try){.number = r->attempt_base + (uint64_t)++r->try_count,
                       .handle = handle,
                       .incarnation = s->facts.incarnation,
-                      .not_after = r->deadline_at + s->facts.clock_offset,
+                      .not_after = start_by(r, now) + s->facts.clock_offset,
                       .sent_at = now,
                       .state = TRY_SENT,
                       .may_run = true};
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -79,6 +79,13 @@
     a->limits.capacity = slots > 0 ? slots : 0;
 }
 
+/* Sets the places; what is queued already stays. */
+void
+Admission_SetQueueMax(struct admission *a, int queue_max)
+{
+    a->limits.queue_max = queue_max > 0 ? queue_max : 1;
+}
+
 /* Sets a weight; the organisation is remembered for good. */
 void
 Admission_SetWeight(struct admission *a, const char *organisation, int weight)
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -155,6 +155,8 @@
 
 /* Slots that upstreams in use offer for this service to this entry. */
 void Admission_SetCapacity(struct admission *a, int slots);
+/* Requests that may wait in all, from now on; at least 1. */
+void Admission_SetQueueMax(struct admission *a, int queue_max);
 /* Share of an organisation; 100 for one never set, values below 1 count
  * as 1. */
 void Admission_SetWeight(struct admission *a, const char *organisation,
--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -159,10 +159,10 @@
     curl -m 5 -sf "http://$1/metrics" | awk -v n="$2" '$1 == n {print $2}'
 }
 
-# cpu_ms PID: processor time so far. rss_kb PID: resident memory.
+# cpu_ms PID: processor time of all its threads so far. rss_kb PID: resident
+# memory.
 cpu_ms() {
-    awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000 / hz}' \
-        "/proc/$1/stat"
+    cat /proc/"$1"/task/*/schedstat | awk '{ns += $1} END {print ns / 1e6}'
 }
 rss_kb() {
     awk '/^VmRSS/ {print $2}' "/proc/$1/status"
