--- a/tests/storm-process-test.cc
+++ b/tests/storm-process-test.cc
@@ -5,7 +5,9 @@
  * Timing differs from run to run, so no test here expects a certain outcome
  * of a certain request. What must hold in every run is judged afterwards from
  * both ends: what callers received, and what the upstreams started
- * (storm-judge.cc, with what each promise means to a caller). */
+ * (storm-judge.cc, with what each promise means to a caller). A schedule
+ * meets a fault in some runs and not in others: what one has found gets a
+ * case of its own in storm-found-test.cc. */
 #include "storm-judge.h"
 
 #include <gtest/gtest.h>
