--- a/packages/entry/entry-request-try.c
+++ b/packages/entry/entry-request-try.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-#define ASK_AGAIN_MS 500      /* a withdraw without a word is sent again */
-#define START_WITHIN_MS 20000 /* from sending, for attempts without a claim   \
-                               */
+/* Time from sending in which an attempt without a claim may start. */
+#define START_WITHIN_MS 20000
+#define ASK_AGAIN_MS 500 /* a withdraw without a word is sent again */
 
 /* Records a decision on the request, with its inputs or NULL. */
 void
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -121,9 +121,9 @@
         if (!key.empty()) {
             headers.push_back("Idempotency-Key: " + key);
         }
-        return {body,
-                Http("POST", entries[entry].Url("/v1/services/work/requests"),
-                     body, headers, deadline_ms + 8000)};
+        return {body, Http("POST",
+                           entries[entry].Url("/v1/services/photos/requests"),
+                           body, headers, deadline_ms + 8000)};
     }
     std::future<Call> Later(const std::string &body, size_t entry = 0,
                             const std::string &key = "",
@@ -257,7 +257,7 @@
             "name: " + name +
                 "\nregion: r\nfailure_domain: d\nrack: k\naccelerators: 8\n"
                 "seeds: [" +
-                seeds + "]\nservices: [{name: work, url: \"" +
+                seeds + "]\nservices: [{name: photos, url: \"" +
                 a.upstream->Url() +
                 "\", slots: " + std::to_string(options.slots) +
                 ", connections: 64, timeout_ms: 60000}]\n"
@@ -321,7 +321,7 @@
                (options.repeatable ? "true" : "false") +
                ", deadline_ms: 4000, keyed_when_table_down: " +
                options.table_down +
-               "}]\nservices: [{name: work, organisations: [org], classes: "
+               "}]\nservices: [{name: photos, organisations: [org], classes: "
                "[c], request_bytes: 65536, answer_bytes: 65536, queue_limit: "
                "64}]\n";
     }
--- a/tests/storm-found-test.cc
+++ b/tests/storm-found-test.cc
@@ -13,7 +13,7 @@
                                         "X-Deadline-Ms: 3000"};
 
     headers.insert(headers.end(), more.begin(), more.end());
-    return Http("POST", s.Url(0, "/v1/services/work/requests"), "body",
+    return Http("POST", s.Url(0, "/v1/services/photos/requests"), "body",
                 headers);
 }
 
--- a/tests/storm-process-test.cc
+++ b/tests/storm-process-test.cc
@@ -221,7 +221,7 @@
         }
         c.begin = Now();
         c.reply =
-            Http("POST", stack.Url(c.entry, "/v1/services/work/requests"),
+            Http("POST", stack.Url(c.entry, "/v1/services/photos/requests"),
                  c.body, headers, c.deadline_ms + CURL_EXTRA_MS);
         c.end = Now();
     }
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -83,7 +83,8 @@
            "false, deadline_ms: 2000, keyed_when_table_down: refuse}\n"
            "  - {name: preview, kind: request, priority: urgent, repeatable: "
            "true, deadline_ms: 2000, keyed_when_table_down: refuse}\n"
-           "services: [{name: work, organisations: [org], classes: [estimate, "
+           "services: [{name: photos, organisations: [org], classes: "
+           "[estimate, "
            "preview], request_bytes: 65536, answer_bytes: 65536, "
            "queue_limit: " +
            std::to_string(queue_limit) + "}]\n";
@@ -158,14 +159,15 @@
     for (const auto &relay : a.relays) {
         seeds += "\"" + relay->Address() + "\", ";
     }
-    a.settings = dir.Write(
-        "agent-" + a.name + ".yaml",
-        "name: " + a.name +
-            "\nregion: r\nfailure_domain: d\nrack: k\n"
-            "accelerators: 8\nseeds: [" +
-            seeds + "]\nservices: [{name: work, url: \"" + a.upstream->Url() +
-            "\", slots: 16, connections: 64, timeout_ms: 60000}]\n"
-            "lease_ms: 3000\ndrain_ms: 15000\n");
+    a.settings =
+        dir.Write("agent-" + a.name + ".yaml",
+                  "name: " + a.name +
+                      "\nregion: r\nfailure_domain: d\nrack: k\n"
+                      "accelerators: 8\nseeds: [" +
+                      seeds + "]\nservices: [{name: photos, url: \"" +
+                      a.upstream->Url() +
+                      "\", slots: 16, connections: 64, timeout_ms: 60000}]\n"
+                      "lease_ms: 3000\ndrain_ms: 15000\n");
 }
 
 void
