--- /dev/null
+++ b/packages/agent/agent-links-list.c
@@ -0,0 +1,133 @@
+#include "agent-links.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FOREIGN_ENTRIES 2 /* of other regions that an agent connects to */
+
+/* Finds an entry by its address. */
+struct entry_link *
+Entries_Find(struct links *l, const char *address)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (strcmp(e->address, address) == 0) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+/* Adds an entry unless it is known; ignores what is no address. */
+struct entry_link *
+Entries_Add(struct links *l, const char *address, bool seed)
+{
+    struct entry_link *e = Entries_Find(l, address);
+    char ip[NAME_SIZE];
+    int port;
+
+    if (e != NULL) {
+        e->listed_at = Clock_NowMs();
+        return e;
+    }
+    if (Settings_SplitAddress(address, ip, &port) != ERR_OK || port == 0) {
+        LOG_W("bad_entry_address", KV("address", address));
+        return NULL;
+    }
+    e = Mem_Zero(1, sizeof(*e));
+    Str_Copy(e->address, sizeof(e->address), address);
+    e->seed = seed;
+    e->owner = l;
+    e->listed_at = Clock_NowMs();
+    TAILQ_INSERT_TAIL(&l->entries, e, entry);
+    EntryLink_Open(l, e);
+    return e;
+}
+
+/* Forgets an entry. */
+void
+Entries_Drop(struct links *l, struct entry_link *e)
+{
+    TAILQ_REMOVE(&l->entries, e, entry);
+    Link_Free(e->link);
+    free(e->own.items);
+    free(e);
+}
+
+/* Rank of an entry for this agent: other agents rank it otherwise. */
+static uint64_t
+rank_of(const struct links *l, const struct wire_entry *e)
+{
+    return Hash_Str(e->name, Hash_Str(l->settings->name, 0));
+}
+
+/* True when this agent is to connect to an entry of the list: to all of its
+ * own region, and to few of the others. Each connection costs an entry about
+ * 28 KB, so that all of 780 agents would take it over its 32 MB. */
+bool
+Entries_IsChosen(const struct links *l, const struct wire_list *entries,
+                 const struct wire_entry *e)
+{
+    const struct wire_entry *list = entries->items;
+    int before = 0;
+    size_t i;
+
+    if (strcmp(e->region, l->settings->region) == 0) {
+        return true;
+    }
+    for (i = 0; i < entries->count; i++) {
+        before += strcmp(list[i].region, l->settings->region) != 0 &&
+                  rank_of(l, &list[i]) > rank_of(l, e);
+    }
+    return before < FOREIGN_ENTRIES;
+}
+
+/* Another link to the same process that is welcomed, or NULL. */
+struct entry_link *
+Entries_Twin(struct links *l, const struct entry_link *e)
+{
+    struct entry_link *o;
+
+    TAILQ_FOREACH (o, &l->entries, entry) {
+        if (o != e && o->welcomed && !o->doubled &&
+            o->incarnation == e->incarnation &&
+            strcmp(o->name, e->name) == 0) {
+            return o;
+        }
+    }
+    return NULL;
+}
+
+/* Keeps one link to an entry. A seed may be another address of an entry than
+ * the one that it lists (a forwarded port). With two links the entry takes
+ * each beat for one of the other connection, asks for a hello and sees the
+ * agent return, twice a second, and withdraws each time what it has just
+ * dispatched. The seed stays, as the operator wrote it. */
+void
+Entries_MarkTwin(struct links *l, struct entry_link *e)
+{
+    struct entry_link *o = Entries_Twin(l, e);
+
+    if (o == NULL || e->seed == o->seed) {
+        return;
+    }
+    (e->seed ? o : e)->doubled = true;
+}
+
+/* True when an entry of a list is reached under another address. That is
+ * noted, for when the present one falls silent. */
+bool
+Entries_IsReached(struct links *l, const struct wire_entry *listed)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (e->seed && e->welcomed && strcmp(e->name, listed->name) == 0 &&
+            strcmp(e->address, listed->address) != 0) {
+            Str_Copy(e->listed, sizeof(e->listed), listed->address);
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -1,288 +1,17 @@
-#include "agent.h"
+#include "agent-links.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #define TICK_MS 200
-#define FIRST_BEAT_MS 1000 /* until an entry sets the pace */
-#define HELLO_MS 200       /* between hellos until the first welcome */
-#define BUSY_BEAT_MS 1000  /* while an entry has something in progress here */
 #define MIN_BEAT_MS 200
 #define MAX_BEAT_MS 60000
-#define SILENT_BEATS 3      /* beats without a word: the link is silent */
-#define SILENT_EXTRA_MS 500 /* beside those beats, for slow moments */
-#define FOREIGN_ENTRIES 2   /* of other regions that an agent connects to */
-#define FORGET_MS 120000    /* an entry that nobody lists and nobody hears */
-
-/* A link to one entry. */
-struct entry_link {
-    char address[NAME_SIZE];
-    char name[NAME_SIZE]; /* "" until it has welcomed us */
-    uint64_t incarnation; /* of the entry */
-    struct link *link;
-    bool seed;
-    bool welcomed;
-    bool draining;
-    bool doubled; /* dropped at the next tick, outside of its own callback */
-    char listed[NAME_SIZE]; /* the entry's own address, by its name */
-    int busy;               /* in progress here for that entry */
-    struct wire_list own;   /* of its requests, running by service */
-    int64_t pace_ms;
-    int64_t opened_at;
-    int64_t beat_at; /* of the last beat or hello; answers don't count */
-    int64_t heard_at;
-    int64_t listed_at;
-    uint64_t seq;
-    uint64_t replaced; /* times */
-    struct links *owner;
-    TAILQ_ENTRY(entry_link) entry;
-};
-
-struct links {
-    struct task task;
-    const struct agent_settings *settings;
-    struct link_context *context;
-    struct link_keys keys;
-    TAILQ_HEAD(, entry_link) entries;
-    struct wire_list services;
-    struct wire_list parts;
-    uint64_t heard; /* hash of the entries heard, as last told */
-    bool leaving;
-    ev_timer tick;
-};
+#define HELLO_MS 200     /* between hellos until the first welcome */
+#define FORGET_MS 120000 /* an entry that nobody lists and nobody hears */
 
 static struct counter replaced_total = {
     "parsleyfall_agent_links_replaced_total",
     "Silent links replaced by new ones.", NULL, COUNTER_TOTAL};
-static struct counter beats_total = {"parsleyfall_agent_beats_total",
-                                     "Heartbeats sent.", NULL, COUNTER_TOTAL};
-
-/* Sends to one entry; a link that can't take it is seen by its silence. */
-static void
-say(struct entry_link *e, const struct wire_msg *m)
-{
-    int err = Link_Send(e->link, NULL, m);
-
-    if (err != ERR_OK) {
-        LOG_D("send_failed", KV("entry", e->address),
-              KV("type", Wire_TypeName(m->type)), KV("error", Err_Name(err)));
-    }
-}
-
-/* Says who we are and what we hold. */
-static void
-say_hello(struct links *l, struct entry_link *e)
-{
-    const struct agent_settings *s = l->settings;
-    struct wire_hello *hello = Wire_New(WIRE_HELLO);
-
-    Str_Copy(hello->agent, NAME_SIZE, s->name);
-    Str_Copy(hello->region, NAME_SIZE, s->region);
-    Str_Copy(hello->domain, NAME_SIZE, s->failure_domain);
-    Str_Copy(hello->rack, NAME_SIZE, s->rack);
-    hello->incarnation = Agent_Incarnation();
-    hello->accelerators = (uint64_t)s->accelerators;
-    hello->agent_clock = Clock_NowMs();
-    hello->leaving = l->leaving;
-    Wire_ListCopy(&hello->services, &l->services, sizeof(struct wire_service));
-    Wire_ListCopy(&hello->parts, &l->parts, sizeof(struct wire_part));
-    say(e, &hello->msg);
-    e->beat_at = hello->agent_clock;
-    Wire_Free(&hello->msg);
-}
-
-/* Says that we are here, with the load of each service. */
-static void
-say_beat(struct links *l, struct entry_link *e)
-{
-    struct wire_beat beat = {.msg = {WIRE_BEAT}};
-    size_t i;
-
-    beat.incarnation = Agent_Incarnation();
-    beat.seq = ++e->seq;
-    beat.agent_clock = Clock_NowMs();
-    beat.leaving = l->leaving;
-    for (i = 0; i < l->services.count; i++) {
-        const struct wire_service *s = l->services.items;
-        uint64_t *busy = Wire_ListAdd(&beat.busy, sizeof(*busy));
-
-        *busy = s[i].busy;
-    }
-    Wire_ListCopy(&beat.own, &e->own, sizeof(uint64_t));
-    say(e, &beat.msg);
-    e->beat_at = beat.agent_clock;
-    Wire_Clear(&beat.msg);
-    Counter_Add(&beats_total, 1);
-}
-
-/* Finds an entry by its address. */
-static struct entry_link *
-find(struct links *l, const char *address)
-{
-    struct entry_link *e;
-
-    TAILQ_FOREACH (e, &l->entries, entry) {
-        if (strcmp(e->address, address) == 0) {
-            return e;
-        }
-    }
-    return NULL;
-}
-
-static void on_receive(void *arg, const struct link_peer *peer,
-                       struct wire_msg **m);
-
-/* Opens a fresh connection to an entry and says hello on it. */
-static void
-open_link(struct links *l, struct entry_link *e)
-{
-    int64_t now = Clock_NowMs();
-
-    Link_Free(e->link);
-    e->link = Link_Connect(l->context, l->task.kernel->loop, e->address,
-                           &l->keys, on_receive, e);
-    if (e->link == NULL) {
-        Fatal("an address that was checked can't be used: %s", e->address);
-    }
-    e->welcomed = false;
-    e->opened_at = now;
-    e->heard_at = now;
-    e->pace_ms = FIRST_BEAT_MS;
-    say_hello(l, e);
-}
-
-/* Adds an entry unless it is known; ignores what is no address. */
-static struct entry_link *
-add_entry(struct links *l, const char *address, bool seed)
-{
-    struct entry_link *e = find(l, address);
-    char ip[NAME_SIZE];
-    int port;
-
-    if (e != NULL) {
-        e->listed_at = Clock_NowMs();
-        return e;
-    }
-    if (Settings_SplitAddress(address, ip, &port) != ERR_OK || port == 0) {
-        LOG_W("bad_entry_address", KV("address", address));
-        return NULL;
-    }
-    e = Mem_Zero(1, sizeof(*e));
-    Str_Copy(e->address, sizeof(e->address), address);
-    e->seed = seed;
-    e->owner = l;
-    e->listed_at = Clock_NowMs();
-    TAILQ_INSERT_TAIL(&l->entries, e, entry);
-    open_link(l, e);
-    return e;
-}
-
-/* Forgets an entry. */
-static void
-drop_entry(struct links *l, struct entry_link *e)
-{
-    TAILQ_REMOVE(&l->entries, e, entry);
-    Link_Free(e->link);
-    free(e->own.items);
-    free(e);
-}
-
-/* Time between two beats to an entry. */
-static int64_t
-interval(const struct entry_link *e)
-{
-    if (e->busy > 0 && e->pace_ms > BUSY_BEAT_MS) {
-        return BUSY_BEAT_MS;
-    }
-    return e->pace_ms;
-}
-
-/* True when an entry has been silent for too long. Something between the two
- * ends may have lost track of the connection: TCP then reports nothing, ours
- * wait on it for good, while a new connection works. Only a word from the
- * other end counts, so a link that swallows what we send is found as well. */
-static bool
-is_silent(const struct entry_link *e, int64_t now)
-{
-    return now - e->heard_at > SILENT_BEATS * interval(e) + SILENT_EXTRA_MS;
-}
-
-/* Rank of an entry for this agent: other agents rank it otherwise. */
-static uint64_t
-rank_of(const struct links *l, const struct wire_entry *e)
-{
-    return Hash_Str(e->name, Hash_Str(l->settings->name, 0));
-}
-
-/* True when this agent is to connect to an entry of the list: to all of its
- * own region, and to few of the others. Each connection costs an entry about
- * 28 KB, so that all of 780 agents would take it over its 32 MB. */
-static bool
-is_chosen(const struct links *l, const struct wire_list *entries,
-          const struct wire_entry *e)
-{
-    const struct wire_entry *list = entries->items;
-    int before = 0;
-    size_t i;
-
-    if (strcmp(e->region, l->settings->region) == 0) {
-        return true;
-    }
-    for (i = 0; i < entries->count; i++) {
-        before += strcmp(list[i].region, l->settings->region) != 0 &&
-                  rank_of(l, &list[i]) > rank_of(l, e);
-    }
-    return before < FOREIGN_ENTRIES;
-}
-
-/* Another link to the same process that is welcomed, or NULL. */
-static struct entry_link *
-twin_of(struct links *l, const struct entry_link *e)
-{
-    struct entry_link *o;
-
-    TAILQ_FOREACH (o, &l->entries, entry) {
-        if (o != e && o->welcomed && !o->doubled &&
-            o->incarnation == e->incarnation &&
-            strcmp(o->name, e->name) == 0) {
-            return o;
-        }
-    }
-    return NULL;
-}
-
-/* Keeps one link to an entry. A seed may be another address of an entry than
- * the one that it lists (a forwarded port). With two links the entry takes
- * each beat for one of the other connection, asks for a hello and sees the
- * agent return, twice a second, and withdraws each time what it has just
- * dispatched. The seed stays, as the operator wrote it. */
-static void
-mark_twin(struct links *l, struct entry_link *e)
-{
-    struct entry_link *o = twin_of(l, e);
-
-    if (o == NULL || e->seed == o->seed) {
-        return;
-    }
-    (e->seed ? o : e)->doubled = true;
-}
-
-/* True when an entry of a list is reached under another address. That is
- * noted, for when the present one falls silent. */
-static bool
-is_reached(struct links *l, const struct wire_entry *listed)
-{
-    struct entry_link *e;
-
-    TAILQ_FOREACH (e, &l->entries, entry) {
-        if (e->seed && e->welcomed && strcmp(e->name, listed->name) == 0 &&
-            strcmp(e->address, listed->address) != 0) {
-            Str_Copy(e->listed, sizeof(e->listed), listed->address);
-            return true;
-        }
-    }
-    return false;
-}
 
 /* A welcome: the entry is there; it sets the pace and lists the entries. */
 static void
@@ -293,7 +22,7 @@
     size_t i;
 
     if (!w->known) {
-        say_hello(l, e);
+        EntryLink_SayHello(l, e);
         return;
     }
     if (!e->welcomed) {
@@ -307,10 +36,11 @@
     e->pace_ms = w->beat_ms < MIN_BEAT_MS   ? MIN_BEAT_MS
                  : w->beat_ms > MAX_BEAT_MS ? MAX_BEAT_MS
                                             : w->beat_ms;
-    mark_twin(l, e);
+    Entries_MarkTwin(l, e);
     for (i = 0; i < w->entries.count; i++) {
-        if (is_chosen(l, &w->entries, &list[i]) && !is_reached(l, &list[i])) {
-            add_entry(l, list[i].address, false);
+        if (Entries_IsChosen(l, &w->entries, &list[i]) &&
+            !Entries_IsReached(l, &list[i])) {
+            Entries_Add(l, list[i].address, false);
         }
     }
 }
@@ -344,8 +74,9 @@
 };
 
 /* A word from an entry. */
-static void
-on_receive(void *arg, const struct link_peer *peer UNUSED, struct wire_msg **m)
+void
+Links_Receive(void *arg, const struct link_peer *peer UNUSED,
+              struct wire_msg **m)
 {
     struct entry_link *e = arg;
     size_t i;
@@ -417,12 +148,12 @@
 static void
 drop_doubled(struct links *l, struct entry_link *e)
 {
-    struct entry_link *o = twin_of(l, e);
+    struct entry_link *o = Entries_Twin(l, e);
 
     LOG_I("link_doubled", KV("address", e->address), KV("entry", e->name));
-    drop_entry(l, e);
+    Entries_Drop(l, e);
     if (o != NULL) {
-        say_hello(l, o);
+        EntryLink_SayHello(l, o);
     }
 }
 
@@ -434,27 +165,28 @@
         drop_doubled(l, e);
         return;
     }
-    if (!e->seed && is_silent(e, now) && now - e->listed_at > FORGET_MS) {
+    if (!e->seed && EntryLink_IsSilent(e, now) &&
+        now - e->listed_at > FORGET_MS) {
         LOG_I("entry_forgotten", KV("address", e->address));
-        drop_entry(l, e);
+        Entries_Drop(l, e);
         return;
     }
-    if (is_silent(e, now)) {
+    if (EntryLink_IsSilent(e, now)) {
         LOG_W("link_silent", KV("entry", e->address),
               KV_INT("silent_ms", now - e->heard_at));
         Counter_Add(&replaced_total, 1);
         e->replaced++;
-        open_link(l, e);
+        EntryLink_Open(l, e);
         if (e->listed[0] != '\0') {
-            add_entry(l, e->listed, false);
+            Entries_Add(l, e->listed, false);
             e->listed[0] = '\0';
         }
     }
     else if (!e->welcomed && now - e->beat_at >= HELLO_MS) {
-        say_hello(l, e);
+        EntryLink_SayHello(l, e);
     }
-    else if (e->welcomed && now - e->beat_at >= interval(e)) {
-        say_beat(l, e);
+    else if (e->welcomed && now - e->beat_at >= EntryLink_Interval(e)) {
+        EntryLink_SayBeat(l, e);
     }
 }
 
@@ -482,7 +214,7 @@
 
     TAILQ_FOREACH (e, &l->entries, entry) {
         if (out->origin[0] == '\0' || strcmp(e->address, out->origin) == 0) {
-            say(e, out->m);
+            EntryLink_Say(e, out->m);
         }
     }
 }
@@ -521,7 +253,7 @@
         return;
     }
     TAILQ_FOREACH (e, &l->entries, entry) {
-        say_hello(l, e);
+        EntryLink_SayHello(l, e);
     }
 }
 
@@ -530,7 +262,7 @@
 take_busy(struct task *t, struct message *m)
 {
     struct busy_note *note = (struct busy_note *)m;
-    struct entry_link *e = find((struct links *)t, note->origin);
+    struct entry_link *e = Entries_Find((struct links *)t, note->origin);
 
     if (e != NULL) {
         e->busy = note->count;
@@ -552,7 +284,7 @@
         return;
     }
     TAILQ_FOREACH (e, &l->entries, entry) {
-        say_hello(l, e);
+        EntryLink_SayHello(l, e);
     }
 }
 
@@ -593,7 +325,7 @@
 
     l->leaving = true;
     TAILQ_FOREACH (e, &l->entries, entry) {
-        say(e, &leave.msg);
+        EntryLink_Say(e, &leave.msg);
     }
 }
 
@@ -629,7 +361,7 @@
     struct entry_link *e, *next;
 
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
-        drop_entry(l, e);
+        Entries_Drop(l, e);
     }
     ev_timer_stop(t->kernel->loop, &l->tick);
     Link_ContextFree(l->context);
@@ -665,7 +397,7 @@
     TAILQ_INIT(&l->entries);
     Kernel_AddTask(k, &l->task, &links_ops);
     for (i = 0; i < s->seeds.count; i++) {
-        add_entry(l, *CONFIG_AT(s->seeds, char *, i), true);
+        Entries_Add(l, *CONFIG_AT(s->seeds, char *, i), true);
     }
     ev_init(&l->tick, on_tick);
     l->tick.data = l;
