--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -238,7 +238,10 @@
     Request_SetTimer(r);
 }
 
-/* An agent has taken the request or refused it before anything started. */
+/* An agent has taken the request or refused it before anything started. Every
+ * refusal is a proof that it has not started, also one by another incarnation
+ * or after not_after: a dispatch is handed to one link once, links repeat
+ * nothing, so what was refused was the only copy. */
 void
 Request_Taken(struct request *r, const struct wire_taken *m)
 {
--- a/packages/entry/entry-why.h
+++ b/packages/entry/entry-why.h
@@ -5,9 +5,10 @@
 #include "entry.h"
 
 /* Records of one subject, and bytes of all: a record takes 200 to 900 bytes
- * of JSON, so that some 10,000 requests are remembered. */
+ * of JSON, so that some 2,000 requests are remembered. More would take an
+ * entry over the 32 MB that a node may spend (docs/CAPACITY.md). */
 #define WHY_RECORDS_MAX 32
-#define WHY_BYTES_MAX ((size_t)32 << 20)
+#define WHY_BYTES_MAX ((size_t)4 << 20)
 #define WHY_ASK_MS 2000 /* other entries answer within this, or not at all */
 
 struct why_record {
