--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,14 @@
 demo: build
 	@scripts/demo $(B)
 
+# Prints the tables of docs/results and docs/CAPACITY.md, but for those that
+# take long: scripts/bench-cells, scripts/bench-cost (callgrind),
+# scripts/bench-capacity and scripts/bench-jobs.
 bench: build
 	@scripts/bench $(B)
+	@$(B)/bin/config-bench
+	@$(B)/bin/wire-bench
+	@scripts/bench-path $(B)
 
 clean:
 	rm -rf build build-san
