--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -183,6 +183,8 @@
 void Try_WithdrawAll(struct request *r);
 /* Writes the handles that were tried; returns how many. */
 int Try_Handles(const struct request *r, int *handles);
+/* Of those, where it may have run. */
+int Try_HandlesThatMayHaveRun(const struct request *r, int *handles);
 struct try *Try_New(struct request *r, int handle, const struct server *s,
                     int64_t now);
 void Try_Send(struct request *r, const struct try *t, const struct server *s);
--- a/packages/entry/entry-request-try.c
+++ b/packages/entry/entry-request-try.c
@@ -169,6 +169,20 @@
     return r->try_count;
 }
 
+/* The handles where it may have run. */
+int
+Try_HandlesThatMayHaveRun(const struct request *r, int *handles)
+{
+    int i, n = 0;
+
+    for (i = 0; i < r->try_count; i++) {
+        if (r->tries[i].may_run) {
+            handles[n++] = r->tries[i].handle;
+        }
+    }
+    return n;
+}
+
 /* Until when an attempt may start, on our clock. An agent remembers every
  * attempt until then, so it is bound for requests without a key: the dispatch
  * goes out once, and what a link holds back for longer is not worth starting.
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -25,10 +25,11 @@
                    Route_ReasonName(d->reason), inputs);
 }
 
-/* Picks an upstream that was not tried; when all were and none of them has
- * the request now, any. What sends a request on is that its last attempt did
- * not run, or that it may be repeated, and attempts are bounded, so a service
- * of one upstream need not refuse for a refusal that may be over. */
+/* Picks an upstream that was not tried; when all were, and none of them has
+ * the request now, one where it did not run. Attempts are bounded, so a
+ * service of one upstream need not refuse for a refusal that may be over. One
+ * where it may have run is left out: that would repeat work for no token of
+ * the retry budget. */
 static struct route_decision
 pick(const struct request *r)
 {
@@ -47,7 +48,7 @@
     if (d.reason != ROUTE_NONE_UNTRIED || Try_AnyOut(r)) {
         return d;
     }
-    want.avoid_count = 0;
+    want.avoid_count = Try_HandlesThatMayHaveRun(r, avoid);
     return Route_Pick(r->service->route, &want, Clock_NowMs(), Id_Random64());
 }
 
