overview: who holds which accelerators, and what waits

Cause: no part of the view told of jobs, so the console showed every accelerator as free while a gang ran (seen with the demo's stack: 24 of 24 null, used 0). The region's owner fills it in; another entry names the owner and shows "?". Region.OverviewTellsWhoHoldsWhat passes; without the part its counts are 0 for 16 and 0 for 24.

--- a/packages/console/console.h
+++ b/packages/console/console.h
@@ -10,7 +10,7 @@
  *   PUT /v1/config, If-Match: that ETag, the document as JSON
  *       2xx taken; 422 Config_RenderErrors; 412
  *       {"changes":[{"epoch":n,"operator":"...","lines":["path: a -> b"]}]}
- *   GET /v1/overview -> {"process","epoch","organisations":[{"name",
+ *   GET /v1/overview -> {"process","epoch","owner","organisations":[{"name",
  *       "guaranteed","used","lent"}],"workers":[{"name","domain","rack",
  *       "state","accelerators":[job id or null]}],"queue":[{"id",
  *       "organisation","class","tasks","waiting_ms","reason"}]}
--- /dev/null
+++ b/packages/entry/entry-overview-jobs.c
@@ -0,0 +1,163 @@
+#include "entry-jobs.h"
+
+#include <string.h>
+
+/* The jobs' part of GET /v1/overview. Only the region's owner knows what
+ * holds which accelerators and what waits; another entry says whose answer it
+ * is, and shows "?" rather than free accelerators. */
+
+/* The item of a list whose "name" is that, or NULL. */
+static json_t *
+named(json_t *list, const char *name)
+{
+    json_t *item;
+    size_t i;
+
+    json_array_foreach(list, i, item)
+    {
+        const char *its = json_string_value(json_object_get(item, "name"));
+
+        if (its != NULL && strcmp(its, name) == 0) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+/* Adds to a number of an organisation. */
+static void
+add_to(json_t *view, const char *organisation, const char *key, int n)
+{
+    json_t *o = named(json_object_get(view, "organisations"), organisation);
+
+    if (o != NULL) {
+        json_int_t had = json_integer_value(json_object_get(o, key));
+
+        json_object_set_new(o, key, json_integer(had + n));
+    }
+}
+
+/* Writes a text over those accelerators of a worker. */
+static void
+mark(json_t *worker, uint64_t accelerators, const char *text)
+{
+    json_t *list = json_object_get(worker, "accelerators");
+    size_t i, n = json_array_size(list);
+
+    for (i = 0; i < n; i++) {
+        if ((accelerators >> i & 1) != 0) {
+            json_array_set_new(list, i, json_string(text));
+        }
+    }
+}
+
+/* Shows a job on the accelerators that it holds. */
+static void
+show_held(json_t *view, const struct job *j)
+{
+    json_t *workers = json_object_get(view, "workers");
+    char hex[ID_HEX_SIZE];
+    size_t i;
+
+    Id_Hex(&j->row.id, hex);
+    for (i = 0; i < j->members; i++) {
+        const struct job_member *at = &j->member[i].at;
+
+        mark(named(workers, at->agent), at->accelerators, hex);
+        add_to(view, j->row.organisation, "used",
+               __builtin_popcountll(at->accelerators));
+    }
+}
+
+/* Shows a job that waits. */
+static void
+show_waiting(json_t *view, const struct job *j, int64_t now)
+{
+    char hex[ID_HEX_SIZE];
+
+    json_array_append_new(
+        json_object_get(view, "queue"),
+        json_pack("{s:s, s:s, s:s, s:i, s:I, s:s}", "id",
+                  Id_Hex(&j->row.id, hex), "organisation", j->row.organisation,
+                  "class", j->row.class_name, "tasks", j->row.tasks,
+                  "waiting_ms", (json_int_t)(now - j->submitted_ms), "reason",
+                  j->row.reason));
+}
+
+/* Accelerators of a worker that jobs of other organisations hold. */
+static uint64_t
+held_by_others(struct sched *s, const char *agent, const char *organisation)
+{
+    uint64_t held = 0;
+    struct job *j;
+    size_t i;
+
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
+        for (i = 0; i < j->members; i++) {
+            if (strcmp(j->member[i].at.agent, agent) == 0 &&
+                strcmp(j->row.organisation, organisation) != 0) {
+                held |= j->member[i].at.accelerators;
+            }
+        }
+    }
+    return held;
+}
+
+/* Counts the accelerators of guaranteed cells that others use now. */
+static void
+show_lent(struct sched *s, json_t *view)
+{
+    struct cells_binding b;
+    int i, w;
+
+    for (i = 0; Cells_Binding(s->cells, i, &b); i++) {
+        for (w = 0; w < b.workers; w++) {
+            const struct cells_worker_info *info =
+                Cells_Worker(s->cells, b.worker[w]);
+            uint64_t lent =
+                b.mask[w] & held_by_others(s, info->name, b.organisation);
+
+            add_to(view, b.organisation, "lent", __builtin_popcountll(lent));
+        }
+    }
+}
+
+/* Shows that this entry can't tell what the accelerators do. */
+static void
+show_unknown(json_t *view)
+{
+    json_t *worker;
+    size_t i;
+
+    json_array_foreach(json_object_get(view, "workers"), i, worker)
+    {
+        mark(worker, UINT64_MAX, "?");
+    }
+}
+
+/* Fills in what the owner of the region knows of jobs. */
+static void
+fill_jobs(struct kernel *k, const struct config *doc UNUSED, json_t *view)
+{
+    struct sched *s = (struct sched *)Kernel_FindTask(k, "gangs");
+    int64_t now = Clock_NowMs();
+    struct job *j;
+
+    json_object_set_new(view, "owner", json_string(s->owner.name));
+    if (!s->owner.self || !s->owner.loaded || s->cells == NULL) {
+        show_unknown(view);
+        return;
+    }
+    RB_FOREACH (j, sched_jobs, &s->jobs) {
+        if (j->phase == GANG_WAITING) {
+            show_waiting(view, j, now);
+        }
+        else {
+            show_held(view, j);
+        }
+    }
+    show_lent(s, view);
+}
+
+static struct overview_part jobs_part = {10, fill_jobs, {0}};
+OVERVIEW_PART(jobs_part)
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -283,6 +283,36 @@
     EXPECT_EQ(e.process.Terminate(), 0) << e.process.Err();
 }
 
+/* An operator looks at the console while a gang runs. At the owner's entry
+ * the accelerators bear its id; another entry can't tell what they do, and
+ * must not show them as free, or the operator takes a full region for empty.
+ */
+TEST_F(Region, OverviewTellsWhoHoldsWhat)
+{
+    Up(2);
+    const Entry &owner = *entry[(size_t)Owner()];
+    const Entry &other = *entry[(size_t)(1 - Owner())];
+    std::string job =
+        Submit(owner, R"({"class":"train","tasks":2,"accelerators":8})");
+    auto count = [](const Entry &e, const std::string &what) {
+        std::string view =
+            Http("GET", e.http + "/v1/overview", "", {OPERATOR}).body;
+        size_t n = 0, at = 0;
+
+        while ((at = view.find("\"" + what + "\"", at)) != view.npos) {
+            at++;
+            n++;
+        }
+        return n;
+    };
+
+    ASSERT_TRUE(Becomes(owner, job, "running"));
+    EXPECT_EQ(count(owner, job), 16u);
+    EXPECT_EQ(count(owner, "?"), 0u);
+    EXPECT_EQ(count(other, job), 0u);
+    EXPECT_EQ(count(other, "?"), 24u);
+}
+
 TEST_F(Region, GangRunsToItsEnd)
 {
     Up(1);
