Hedging is a service's own choice, off unless it asks for it

The tests of requests and storms ask for it, so that it stays covered; a document that says nothing gets none.

--- a/packages/config/config-work.c
+++ b/packages/config/config-work.c
@@ -92,6 +92,10 @@
      .min = 0,
      .max = 100000,
      .fallback = "256"},
+    {.name = "hedge",
+     .type = CONF_BOOL,
+     .offset = offsetof(struct config_service, hedge),
+     .fallback = "false"},
 };
 
 const struct conf_table config_service_table = {
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -121,6 +121,7 @@
     int64_t request_bytes;    /* limit of a request's body */
     int64_t answer_bytes;     /* limit of an answer's body */
     int64_t queue_limit;      /* requests that wait at one entry */
+    bool hedge; /* a late repeatable request is sent a second time */
     int line;
 };
 
--- a/packages/console/page/schema.js
+++ b/packages/console/page/schema.js
@@ -71,6 +71,7 @@
   fresh: () => ({
     name: '', organisations: [], classes: [], request_bytes: 8388608,
     answer_bytes: 8388608, queue_limit: 256,
+    hedge: false,
   }),
   keys: {
     name: NAME,
@@ -80,6 +81,8 @@
     request_bytes: {type: 'number', min: 1, max: 67108864},
     answer_bytes: {type: 'number', min: 1, max: 67108864},
     queue_limit: {type: 'number', min: 0, max: 100000},
+    hedge: {type: 'flag',
+      hint: 'Sends a late repeatable request to a second worker.'},
   },
 };
 
--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -15,8 +15,6 @@
                                     "Requests accepted and not ended.", NULL,
                                     COUNTER_GAUGE};
 
-static const struct retry_limits retry_limits = {.hedge = true};
-
 static int
 compare_services(const struct service *a, const struct service *b)
 {
@@ -90,7 +88,7 @@
     Str_Copy(s->name, sizeof(s->name), name);
     s->admission = Admission_New(NULL);
     s->route = Route_New(NULL);
-    s->retry = Retry_New(&retry_limits);
+    s->retry = Retry_New(NULL);
     RB_INSERT(service_tree, &d->services, s);
     return s;
 }
@@ -270,6 +268,7 @@
     struct admission_facts facts = facts_of(o, r);
     struct admission_decision decision;
 
+    Retry_SetHedge(s->retry, o->hedge);
     Admission_SetQueueMax(s->admission, o->queue_max);
     Admission_SetWeight(s->admission, o->organisation, o->weight);
     decision =
--- a/packages/entry/entry-requests.c
+++ b/packages/entry/entry-requests.c
@@ -108,6 +108,7 @@
     o->priority = (enum priority) class->priority;
     o->repeatable = class->repeatable;
     o->queue_max = (int)service->queue_limit;
+    o->hedge = service->hedge;
     return (struct objection){0};
 }
 
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -215,6 +215,7 @@
     enum priority priority;
     bool repeatable;
     int queue_max; /* of the service; 0: default */
+    bool hedge;    /* of the service */
     int64_t cost_hint_ms;
     int64_t timeout_ms;       /* from now to the deadline */
     char key[KEY_SIZE];       /* Idempotency-Key; "": none */
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -530,6 +530,7 @@
 
 struct retry *Retry_New(const struct retry_limits *limits);
 void Retry_Free(struct retry *r);
+void Retry_SetHedge(struct retry *r, bool hedge);
 /* For CLEANUP. */
 void Retry_FreeP(struct retry **r);
 /* An answer came, this long after it was sent. */
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -204,6 +204,13 @@
     return d;
 }
 
+/* Turns hedging on or off from now on. */
+void
+Retry_SetHedge(struct retry *r, bool hedge)
+{
+    r->limits.hedge = hedge;
+}
+
 /* Tells when a hedge is worth asking for. */
 int64_t
 Retry_HedgeAfterMs(const struct retry *r)
--- a/tests/config-property-test.cc
+++ b/tests/config-property-test.cc
@@ -93,10 +93,12 @@
     if (!taken.empty()) {
         t.services = "services:\n";
         for (const auto &s : some_names(3)) {
-            t.services += "- {name: '" + s + "', organisations: ['" +
-                          organisations[0] + "'], classes: [" + taken +
-                          "], queue_limit: " + number(0, 100000) +
-                          ", request_bytes: " + number(1, 67108864) + "}\n";
+            t.services +=
+                "- {name: '" + s + "', organisations: ['" + organisations[0] +
+                "'], classes: [" + taken +
+                "], hedge: " + (number(0, 1) == "0" ? "false" : "true") +
+                ", queue_limit: " + number(0, 100000) +
+                ", request_bytes: " + number(1, 67108864) + "}\n";
         }
     }
     return t.text();
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -323,7 +323,7 @@
                options.table_down +
                "}]\nservices: [{name: photos, organisations: [org], classes: "
                "[c], request_bytes: 65536, answer_bytes: 65536, queue_limit: "
-               "64}]\n";
+               "64, hedge: true}]\n";
     }
 };
 
--- a/tests/storm-stack.cc
+++ b/tests/storm-stack.cc
@@ -87,7 +87,7 @@
            "[estimate, "
            "preview], request_bytes: 65536, answer_bytes: 65536, "
            "queue_limit: " +
-           std::to_string(queue_limit) + "}]\n";
+           std::to_string(queue_limit) + ", hedge: true}]\n";
 }
 
 /* With port 0 at first, then with the ports that were got. */
