console: the queue in its order, accelerators by short ids

Seen in a browser on the running system (load, change a weight, preview, apply: epoch 2): the queue was shown in order of ids under a caption that said otherwise, and full ids took four lines a worker.

--- a/packages/console/page/views.js
+++ b/packages/console/page/views.js
@@ -19,9 +19,9 @@
     {class: typeof content === 'number' ? 'number' : undefined}, node);
 }
 
-function whyButton(id, askWhy) {
+function whyButton(id, askWhy, text = id) {
   return element('button', {type: 'button', onclick: () => askWhy(id),
-    'aria-label': `Why: ${id}`}, id);
+    'aria-label': `Why: ${id}`, title: id}, text);
 }
 
 function guaranteesView(state) {
@@ -31,11 +31,20 @@
     ['Organisation', 'Guaranteed', 'Used by it', 'Lent to others'], rows);
 }
 
+// What holds an accelerator: a job, by the first digits of its id; nothing; or
+// "?", where another entry has to be asked.
+function holder(job, askWhy) {
+  if (!job) {
+    return 'free';
+  }
+  return job === '?' ? job : whyButton(job, askWhy, job.slice(0, 8));
+}
+
 function accelerators(worker, askWhy) {
   return element('ol', {class: 'accelerators'},
     ...(worker.accelerators || []).map((job, i) => element('li', {
       'aria-label': `Accelerator ${i}: ${job || 'free'}`},
-    job ? whyButton(job, askWhy) : 'free')));
+    holder(job, askWhy))));
 }
 
 function groupBy(list, key) {
--- a/packages/entry/entry-overview-jobs.c
+++ b/packages/entry/entry-overview-jobs.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define QUEUE_SHOWN 200 /* jobs of a long queue */
+
 /* The jobs' part of GET /v1/overview. Only the region's owner knows what
  * holds which accelerators and what waits; another entry says whose answer it
  * is, and shows "?" rather than free accelerators. */
@@ -84,6 +86,29 @@
                   j->row.reason));
 }
 
+/* Shows the jobs that wait, in the order in which they will be tried; those
+ * that a failure holds back for a while are not in it. */
+static void
+show_queue(struct sched *s, json_t *view, int64_t now)
+{
+    struct order_job next;
+    struct id last;
+    const struct id *after = NULL;
+    int n;
+
+    for (n = 0;
+         n < QUEUE_SHOWN && Order_Next(s->order, after, now, &next) == ERR_OK;
+         n++) {
+        const struct job *j = JobSet_Find(s, &next.id);
+
+        if (j != NULL && j->phase == GANG_WAITING) {
+            show_waiting(view, j, now);
+        }
+        last = next.id;
+        after = &last;
+    }
+}
+
 /* Accelerators of a worker that jobs of other organisations hold. */
 static uint64_t
 held_by_others(struct sched *s, const char *agent, const char *organisation)
@@ -149,13 +174,11 @@
         return;
     }
     RB_FOREACH (j, sched_jobs, &s->jobs) {
-        if (j->phase == GANG_WAITING) {
-            show_waiting(view, j, now);
-        }
-        else {
+        if (j->phase != GANG_WAITING) {
             show_held(view, j);
         }
     }
+    show_queue(s, view, now);
     show_lent(s, view);
 }
 
