jobs: why a job waits is recorded when it is decided

Cause: only starts and ends were recorded, so why of a waiting job told nothing and the console's reason was empty. Recorded on change only: the first of the queue with its plan's reason and figures, the others as behind it.

--- a/packages/entry/entry-cells-place.c
+++ b/packages/entry/entry-cells-place.c
@@ -169,6 +169,7 @@
         Fatal("a fresh plan does not fit its account");
     }
     Account_Dequeue(j);
+    j->wait = NULL;
     /* An agent judges a claim by the bindings that it has, so those that this
      * plan moved go to it first. */
     push_bindings(j->sched);
@@ -182,6 +183,37 @@
     Gang_Start(j, &d->plan);
 }
 
+/* Records why a job waits, when that has changed. */
+static void
+note_wait(struct job *j, const char *reason, json_t *inputs)
+{
+    if (j->wait != NULL && strcmp(j->wait, reason) == 0) {
+        json_decref(inputs);
+        return;
+    }
+    j->wait = reason;
+    Sched_Decided(j->sched, &j->row.id, "wait", reason, inputs);
+}
+
+/* Nothing can start: the first of the queue for the reason of its plan, the
+ * others because they would not end before it is to start, or have no room. */
+static void
+note_waits(struct job **job, int n, const struct place_decision *d)
+{
+    char hex[ID_HEX_SIZE];
+    int i;
+
+    note_wait(job[0], Cells_ReasonName(d->plan.reason),
+              json_pack("{s:i, s:i}", "free", d->plan.score.free_accelerators,
+                        "wanted", d->plan.score.wanted_accelerators));
+    for (i = 1; i < n; i++) {
+        note_wait(job[i], "behind_first",
+                  json_pack("{s:s, s:i, s:i}", "first",
+                            Id_Hex(&job[0]->row.id, hex), "place", i, "tried",
+                            d->tried));
+    }
+}
+
 /* Looks at the queue once. True when something started or was refused. */
 static bool
 place_one(struct sched *s, int64_t now)
@@ -200,6 +232,9 @@
         return false;
     }
     reason = Place_Next(s->cells, queue, n, &options, now, &d);
+    if (reason == PLACE_WAIT) {
+        note_waits(job, n, &d);
+    }
     if (reason == PLACE_WAIT || reason == PLACE_EMPTY) {
         return false;
     }
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -191,6 +191,7 @@
     int64_t not_before;      /* back-off of tries that were refused */
     uint64_t before_attempt; /* committing: of the row that it replaces */
     uint64_t before_term;
+    const char *wait;   /* why it waits, as last recorded; NULL: not yet */
     bool yielded;       /* displaced by another job */
     bool row_behind;    /* "running" is to be written again */
     int64_t started_at; /* own clock */
--- a/packages/entry/entry-overview-jobs.c
+++ b/packages/entry/entry-overview-jobs.c
@@ -83,7 +83,7 @@
                   Id_Hex(&j->row.id, hex), "organisation", j->row.organisation,
                   "class", j->row.class_name, "tasks", j->row.tasks,
                   "waiting_ms", (json_int_t)(now - j->submitted_ms), "reason",
-                  j->row.reason));
+                  j->wait != NULL ? j->wait : j->row.reason));
 }
 
 /* Shows the jobs that wait, in the order in which they will be tried; those
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -311,6 +311,12 @@
     EXPECT_EQ(count(owner, "?"), 0u);
     EXPECT_EQ(count(other, job), 0u);
     EXPECT_EQ(count(other, "?"), 24u);
+
+    std::string waiting =
+        Submit(owner, R"({"class":"train","tasks":2,"accelerators":8})");
+    EXPECT_TRUE(WaitFor([&] { return count(owner, "wait_full") == 1; }));
+    Reply why = Http("GET", owner.http + "/v1/why/" + waiting, "", {ORG});
+    EXPECT_NE(why.body.find("\"wait_full\""), why.body.npos) << why.body;
 }
 
 TEST_F(Region, GangRunsToItsEnd)
