--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -286,7 +286,7 @@
 /* An operator looks at the console while a gang runs. At the owner's entry
  * the accelerators bear its id; another entry can't tell what they do, and
  * must not show them as free, or the operator takes a full region for empty.
- */
+ * A job that waits bears the reason, which is recorded for its caller too. */
 TEST_F(Region, OverviewTellsWhoHoldsWhat)
 {
     Up(2);
