Read again: one way to run a process, no dead code, no work for nothing

The two programs' run commands were the same fourteen lines: Kernel_RunProcess. Removed, called from nowhere: Id_IsZero, Log_ParseLevel, Mem_DupN, Priority_Name, Order_Count and its count, Order_PredictorName, Admission_TurnName, Retry_FreeP, two fields that were only written, and the note of heard entries to the work task, which ignored it. The queue's reasons are made into JSON only when they are news, not for 32 jobs at every look.

Left alone: the readers of the two settings, the two programs' messages and the platform's three plug-ins look alike but differ in their types.

--- a/packages/agent/agent-links-say.c
+++ b/packages/agent/agent-links-say.c
@@ -81,7 +81,6 @@
         Fatal("an address that was checked can't be used: %s", e->address);
     }
     e->welcomed = false;
-    e->opened_at = now;
     e->heard_at = now;
     e->pace_ms = FIRST_BEAT_MS;
     EntryLink_SayHello(l, e);
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -115,31 +115,26 @@
     }
 }
 
-/* Tells the other tasks which entries are heard, when that changes. */
+/* Tells the parts task which entries are heard, when that changes. */
 static void
 tell_contact(struct links *l)
 {
-    static const char *const tasks[] = {"work", "parts"};
+    struct task *parts = Kernel_FindTask(l->task.kernel, "parts");
     struct wire_list heard = {0};
+    struct contact_note *note;
     uint64_t hash;
-    size_t i;
 
     list_heard(l, &heard);
     hash = Hash_Bytes(heard.items, heard.count * sizeof(struct heard_entry),
                       heard.count);
-    for (i = 0; i < COUNT_OF(tasks) && hash != l->heard; i++) {
-        struct task *t = Kernel_FindTask(l->task.kernel, tasks[i]);
-        struct contact_note *note;
-
-        if (t == NULL) {
-            continue;
-        }
-        note = Mem_Zero(1, sizeof(*note));
-        Wire_ListCopy(&note->heard, &heard, sizeof(struct heard_entry));
-        Kernel_Post(t, &note->base, &Agent_Contact);
+    if (hash == l->heard || parts == NULL) {
+        free(heard.items);
+        return;
     }
     l->heard = hash;
-    free(heard.items);
+    note = Mem_Zero(1, sizeof(*note));
+    note->heard = heard;
+    Kernel_Post(parts, &note->base, &Agent_Contact);
 }
 
 /* Drops a second link to an entry. The entry may have heard the last word on
--- a/packages/agent/agent-links.h
+++ b/packages/agent/agent-links.h
@@ -18,7 +18,6 @@
     int busy;               /* in progress here for that entry */
     struct wire_list own;   /* of its requests, running by service */
     int64_t pace_ms;
-    int64_t opened_at;
     int64_t beat_at; /* of the last beat or hello; answers don't count */
     int64_t heard_at;
     int64_t listed_at;
--- a/packages/agent/agent-work.c
+++ b/packages/agent/agent-work.c
@@ -33,7 +33,6 @@
 
 struct work {
     struct task task;
-    const struct agent_settings *settings;
     struct attempts attempts;
     TAILQ_HEAD(, upstream) upstreams;
     TAILQ_HEAD(, origin) origins;
@@ -592,7 +591,6 @@
     struct work *w = Mem_Zero(1, sizeof(*w));
     size_t i;
 
-    w->settings = s;
     Attempts_Init(&w->attempts);
     TAILQ_INIT(&w->upstreams);
     TAILQ_INIT(&w->origins);
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -81,7 +81,7 @@
     uint64_t incarnation;
 };
 
-/* links -> parts, work: the entries that are heard, whole list, whenever it
+/* links -> parts: the entries that are heard, whole list, whenever it
  * changes. */
 struct contact_note {
     struct message base;
--- a/packages/agent/main.c
+++ b/packages/agent/main.c
@@ -27,24 +27,14 @@
     struct conf_errors *errors CLEANUP(Mem_FreeP) =
         Mem_Zero(1, sizeof(*errors));
     struct agent_settings s CLEANUP(Settings_FreeAgent) = {0};
-    struct kernel k;
     int err = Settings_LoadAgent(args->subject, &s, errors);
 
     if (err != ERR_OK) {
         Cli_SayErrors(args, args->subject, errors);
         return CLI_FAILED;
     }
-    Log_SetProcess(s.name);
-    Log_SetLevel((enum log_level)s.log_level);
-    Kernel_Init(&k, s.name, &s, s.drain_ms);
-    LOG_I("start", KV("version", PF_VERSION),
-          KV_INT("incarnation", Agent_Incarnation()));
-    err = Kernel_Start(&k);
-    if (err == ERR_OK) {
-        err = Kernel_Run(&k);
-    }
-    LOG_I("stop", KV("result", Err_Name(err)));
-    Kernel_Free(&k);
+    err = Kernel_RunProcess(s.name, &s, s.drain_ms,
+                            (enum log_level)s.log_level, Agent_Incarnation());
     return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -66,12 +66,11 @@
 /* Ends the process: only for broken invariants and lack of memory. */
 void Fatal(const char *fmt, ...) PRINTFLIKE(1, 2) __attribute__((noreturn));
 
-/* As malloc, calloc, realloc, strdup and strndup, but never NULL. */
+/* As malloc, calloc, realloc and strdup, but never NULL. */
 void *Mem_Alloc(size_t size);
 void *Mem_Zero(size_t count, size_t size);
 void *Mem_Grow(void *old, size_t size);
 char *Mem_Dup(const char *s);
-char *Mem_DupN(const char *s, size_t n);
 /* For CLEANUP(Mem_FreeP): frees what a local pointer points at. */
 void Mem_FreeP(void *pointer_to_pointer);
 
@@ -110,7 +109,6 @@
 
 struct id Id_Random(void);
 uint64_t Id_Random64(void); /* never 0 */
-bool Id_IsZero(const struct id *id);
 int Id_Compare(const struct id *a, const struct id *b);
 /* Writes 32 hex digits and a NUL; returns out. */
 const char *Id_Hex(const struct id *id, char out[ID_HEX_SIZE]);
@@ -171,7 +169,6 @@
 /* Lowest level that is written; the default is LOG_INFO. */
 void
 Log_SetLevel(enum log_level level);
-int Log_ParseLevel(const char *word, enum log_level *out);
 /* Name put on every line as proc=. */
 void Log_SetProcess(const char *name);
 /* One line on stderr. A line of the same event and level that comes more
--- a/packages/base/id.c
+++ b/packages/base/id.c
@@ -43,15 +43,6 @@
     return n;
 }
 
-/* True for the id that stands for "none". */
-bool
-Id_IsZero(const struct id *id)
-{
-    static const struct id zero;
-
-    return Id_Compare(id, &zero) == 0;
-}
-
 /* Order of two ids, for trees. */
 int
 Id_Compare(const struct id *a, const struct id *b)
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -27,21 +27,6 @@
     lowest = level;
 }
 
-/* Reads a level's word. */
-int
-Log_ParseLevel(const char *word, enum log_level *out)
-{
-    size_t i;
-
-    for (i = 0; i < COUNT_OF(words); i++) {
-        if (strcmp(word, words[i]) == 0) {
-            *out = (enum log_level)i;
-            return ERR_OK;
-        }
-    }
-    return ERR_INVALID;
-}
-
 /* Sets the name that stands on every line. */
 void
 Log_SetProcess(const char *name)
--- a/packages/base/mem.c
+++ b/packages/base/mem.c
@@ -43,13 +43,6 @@
     return checked(strdup(s));
 }
 
-/* strndup that ends the process when there is no memory. */
-char *
-Mem_DupN(const char *s, size_t n)
-{
-    return checked(strndup(s, n));
-}
-
 /* Frees the object of a local pointer when its scope ends. */
 void
 Mem_FreeP(void *pointer_to_pointer)
--- a/packages/entry/entry-cells-place.c
+++ b/packages/entry/entry-cells-place.c
@@ -183,34 +183,39 @@
     Gang_Start(j, &d->plan);
 }
 
-/* Records why a job waits, when that has changed. */
-static void
-note_wait(struct job *j, const char *reason, json_t *inputs)
+/* Notes why a job waits. True when that is news, to be recorded. */
+static bool
+waits_anew(struct job *j, const char *reason)
 {
-    if (j->wait != NULL && strcmp(j->wait, reason) == 0) {
-        json_decref(inputs);
-        return;
-    }
+    bool anew = j->wait == NULL || strcmp(j->wait, reason) != 0;
+
     j->wait = reason;
-    Sched_Decided(j->sched, &j->row.id, "wait", reason, inputs);
+    return anew;
 }
 
 /* Nothing can start: the first of the queue for the reason of its plan, the
  * others because they would not end before it is to start, or have no room. */
 static void
-note_waits(struct job **job, int n, const struct place_decision *d)
+note_waits(struct sched *s, struct job **job, int n,
+           const struct place_decision *d)
 {
+    const char *reason = Cells_ReasonName(d->plan.reason);
     char hex[ID_HEX_SIZE];
     int i;
 
-    note_wait(job[0], Cells_ReasonName(d->plan.reason),
-              json_pack("{s:i, s:i}", "free", d->plan.score.free_accelerators,
-                        "wanted", d->plan.score.wanted_accelerators));
+    if (waits_anew(job[0], reason)) {
+        Sched_Decided(s, &job[0]->row.id, "wait", reason,
+                      json_pack("{s:i, s:i}", "free",
+                                d->plan.score.free_accelerators, "wanted",
+                                d->plan.score.wanted_accelerators));
+    }
     for (i = 1; i < n; i++) {
-        note_wait(job[i], "behind_first",
-                  json_pack("{s:s, s:i, s:i}", "first",
-                            Id_Hex(&job[0]->row.id, hex), "place", i, "tried",
-                            d->tried));
+        if (waits_anew(job[i], "behind_first")) {
+            Sched_Decided(s, &job[i]->row.id, "wait", "behind_first",
+                          json_pack("{s:s, s:i, s:i}", "first",
+                                    Id_Hex(&job[0]->row.id, hex), "place", i,
+                                    "tried", d->tried));
+        }
     }
 }
 
@@ -233,9 +238,10 @@
     }
     reason = Place_Next(s->cells, queue, n, &options, now, &d);
     if (reason == PLACE_WAIT) {
-        note_waits(job, n, &d);
+        note_waits(s, job, n, &d);
+        return false;
     }
-    if (reason == PLACE_WAIT || reason == PLACE_EMPTY) {
+    if (reason == PLACE_EMPTY) {
         return false;
     }
     if (reason == PLACE_NEVER) {
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -78,23 +78,13 @@
 serve(const struct cli_args *args)
 {
     struct entry_settings s CLEANUP(Settings_FreeEntry) = {0};
-    struct kernel k;
     int err;
 
     if (load(args, &s) != ERR_OK) {
         return CLI_FAILED;
     }
-    Log_SetProcess(s.name);
-    Log_SetLevel((enum log_level)s.log_level);
-    Kernel_Init(&k, s.name, &s, s.drain_ms);
-    LOG_I("start", KV("version", PF_VERSION),
-          KV_INT("incarnation", Entry_Incarnation()));
-    err = Kernel_Start(&k);
-    if (err == ERR_OK) {
-        err = Kernel_Run(&k);
-    }
-    LOG_I("stop", KV("result", Err_Name(err)));
-    Kernel_Free(&k);
+    err = Kernel_RunProcess(s.name, &s, s.drain_ms,
+                            (enum log_level)s.log_level, Entry_Incarnation());
     return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -181,6 +181,28 @@
     ev_loop_destroy(k->loop);
 }
 
+/* Runs a process from its settings to its end. */
+int
+Kernel_RunProcess(const char *name, const void *settings, int64_t drain_ms,
+                  enum log_level level, uint64_t incarnation)
+{
+    struct kernel k;
+    int err;
+
+    Log_SetProcess(name);
+    Log_SetLevel(level);
+    Kernel_Init(&k, name, settings, drain_ms);
+    LOG_I("start", KV("version", PF_VERSION),
+          KV_INT("incarnation", incarnation));
+    err = Kernel_Start(&k);
+    if (err == ERR_OK) {
+        err = Kernel_Run(&k);
+    }
+    LOG_I("stop", KV("result", Err_Name(err)));
+    Kernel_Free(&k);
+    return err;
+}
+
 /* Adds a task to the process. */
 void
 Kernel_AddTask(struct kernel *k, struct task *t, const struct task_ops *ops)
--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -108,6 +108,12 @@
 /* Frees the tasks in reverse order, undelivered messages and the loop. */
 void Kernel_Free(struct kernel *k);
 
+/* All of a process: sets up the log, starts the registered plug-ins, runs
+ * until drained and frees everything. Returns as Kernel_Start or Kernel_Run.
+ */
+int Kernel_RunProcess(const char *name, const void *settings, int64_t drain_ms,
+                      enum log_level level, uint64_t incarnation);
+
 void Kernel_AddTask(struct kernel *k, struct task *t,
                     const struct task_ops *ops);
 /* The task of that name, or NULL. */
--- a/packages/policy/admit-judge.c
+++ b/packages/policy/admit-judge.c
@@ -36,15 +36,6 @@
     return reason_names[reason];
 }
 
-/* The text of a turn. */
-const char *
-Admission_TurnName(enum admission_turn turn)
-{
-    static const char *const names[] = {"priority", "share", "aged"};
-
-    return (unsigned)turn < COUNT_OF(names) ? names[turn] : "unnamed";
-}
-
 /* What is predicted, and which backlog it is that makes the request wait. */
 struct prediction {
     int64_t wait_ms;
--- a/packages/policy/order-estimate.c
+++ b/packages/policy/order-estimate.c
@@ -19,19 +19,6 @@
 
 TREE_STATIC(order_classes, order_class, entry, compare);
 
-/* The text of a predictor. */
-const char *
-Order_PredictorName(enum order_predictor predictor)
-{
-    static const char *const names[ORDER_PREDICTOR_COUNT] = {
-        "declared", "scaled", "typical", "guess"};
-
-    if ((unsigned)predictor >= ORDER_PREDICTOR_COUNT) {
-        return "unnamed";
-    }
-    return names[predictor];
-}
-
 /* Looks a class up. */
 static struct order_class *
 find(struct order *o, const char *name)
--- a/packages/policy/order-private.h
+++ b/packages/policy/order-private.h
@@ -46,7 +46,6 @@
     struct order_limits limits;
     struct order_queue queue;
     struct order_ids ids;
-    int count;
     struct order_classes classes;
     int class_count;
     struct order_failures failures;
--- a/packages/policy/order.c
+++ b/packages/policy/order.c
@@ -135,7 +135,6 @@
     e->urgent = facts->priority == PRIORITY_URGENT;
     RB_INSERT(order_queue, &o->queue, e);
     RB_INSERT(order_ids, &o->ids, e);
-    o->count++;
     return ERR_OK;
 }
 
@@ -150,7 +149,6 @@
     }
     RB_REMOVE(order_queue, &o->queue, e);
     RB_REMOVE(order_ids, &o->ids, e);
-    o->count--;
     free(e);
     return ERR_OK;
 }
@@ -195,13 +193,6 @@
     return at;
 }
 
-/* Jobs that are queued. */
-int
-Order_Count(const struct order *o)
-{
-    return o->count;
-}
-
 /* Learns from a job that ran to its end. */
 void
 Order_Done(struct order *o, const struct id *id, const char *class_name,
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -26,8 +26,6 @@
 extern "C" {
 #endif
 
-const char *Priority_Name(enum priority priority);
-
 /* ---- admission ---------------------------------------------------------
  *
  * Pattern: a burst or lasting overload, often from one organisation, caller
@@ -173,8 +171,6 @@
     TURN_AGED      /* a low priority that has waited long enough */
 };
 
-const char *Admission_TurnName(enum admission_turn turn);
-
 /* One request taken out of the queue. */
 struct admission_next {
     struct id id;
@@ -531,8 +527,6 @@
 struct retry *Retry_New(const struct retry_limits *limits);
 void Retry_Free(struct retry *r);
 void Retry_SetHedge(struct retry *r, bool hedge);
-/* For CLEANUP. */
-void Retry_FreeP(struct retry **r);
 /* An answer came, this long after it was sent. */
 void Retry_Success(struct retry *r, int64_t latency_ms, int64_t now);
 /* Decides, and takes the token. */
@@ -589,8 +583,6 @@
     ORDER_PREDICTOR_COUNT
 };
 
-const char *Order_PredictorName(enum order_predictor predictor);
-
 struct order_job {
     struct id id;
     enum priority priority;
@@ -615,7 +607,6 @@
                struct order_job *out);
 /* Earliest end of a back-off after now, or -1. */
 int64_t Order_ReadyAt(const struct order *o, int64_t now);
-int Order_Count(const struct order *o);
 /* A job ran to its end: teaches its class. Total run time, without stops.
  * declared_ms as in its facts. Forgets its failures. */
 void Order_Done(struct order *o, const struct id *id, const char *class_name,
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -123,13 +123,6 @@
     free(r);
 }
 
-/* Frees what a local pointer points at. */
-void
-Retry_FreeP(struct retry **r)
-{
-    Retry_Free(*r);
-}
-
 /* Adds tokens up to the burst. */
 static void
 earn(struct retry *r, int64_t milli)
