--- a/packages/agent/main.c
+++ b/packages/agent/main.c
@@ -34,7 +34,8 @@
         return CLI_FAILED;
     }
     err = Kernel_RunProcess(s.name, &s, s.drain_ms,
-                            (enum log_level)s.log_level, Agent_Incarnation());
+                            (enum log_level)s.log_level, Agent_Incarnation(),
+                            s.hosted.worker != NULL ? PROFILE_HOSTED : "");
     return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
--- a/packages/cells/cells-commit.c
+++ b/packages/cells/cells-commit.c
@@ -83,7 +83,7 @@
     if (!parts_free(c, part, parts, nobody_leaves, NULL)) {
         return ERR_CONFLICT;
     }
-    job = Jobs_New(c, request, part, parts, started_at);
+    job = CellsJob_New(c, request, part, parts, started_at);
     job->guaranteed =
         request->guaranteed && in_own_cells(c, job->org, part, parts);
     Jobs_Put(c, job);
@@ -149,7 +149,7 @@
     for (int i = 0; i < plan->moves; i++) {
         apply_move(c, &plan->move[i]);
     }
-    job = Jobs_New(c, &plan->request, plan->part, plan->parts, plan->at);
+    job = CellsJob_New(c, &plan->request, plan->part, plan->parts, plan->at);
     job->guaranteed = plan->request.guaranteed;
     if (job->guaranteed &&
         !in_own_cells(c, job->org, plan->part, plan->parts)) {
--- a/packages/cells/cells-impl.h
+++ b/packages/cells/cells-impl.h
@@ -138,9 +138,9 @@
 
 struct job *Jobs_Find(const struct cells *c, uint64_t id); /* or NULL */
 /* A job that is not on the account yet. */
-struct job *Jobs_New(struct cells *c, const struct cells_request *request,
-                     const struct cells_part *part, int parts,
-                     int64_t started_at);
+struct job *CellsJob_New(struct cells *c, const struct cells_request *request,
+                         const struct cells_part *part, int parts,
+                         int64_t started_at);
 void Jobs_Put(struct cells *c, struct job *job);
 void Jobs_Take(struct cells *c, struct job *job); /* off its accelerators */
 void Jobs_Drop(struct cells *c, struct job *job); /* and frees it */
--- a/packages/cells/cells-job.c
+++ b/packages/cells/cells-job.c
@@ -115,8 +115,8 @@
 
 /* A job that is not on the account yet. */
 struct job *
-Jobs_New(struct cells *c, const struct cells_request *request,
-         const struct cells_part *part, int parts, int64_t started_at)
+CellsJob_New(struct cells *c, const struct cells_request *request,
+             const struct cells_part *part, int parts, int64_t started_at)
 {
     struct job *job = Mem_Zero(1, sizeof(*job));
     size_t size = sizeof(*part) * (size_t)parts;
--- a/packages/config/config-agent.c
+++ b/packages/config/config-agent.c
@@ -106,6 +106,10 @@
      .type = CONF_MAP,
      .offset = AT(link_keys),
      .sub = &config_link_keys_table},
+    {.name = "hosted",
+     .type = CONF_MAP,
+     .offset = AT(hosted),
+     .sub = &config_hosted_table},
 };
 
 static const struct conf_table agent_table = {
@@ -167,8 +171,9 @@
         check_doubled(s, i, errors);
     }
     if (s->services.count == 0 && s->announce_port < 0 &&
-        s->runner_url == NULL) {
-        Conf_Add(errors, 1, "services", "services, announce_port, runner_url",
+        s->runner_url == NULL && s->hosted.worker == NULL) {
+        Conf_Add(errors, 1, "services",
+                 "services, announce_port, runner_url, hosted.worker",
                  "the worker takes neither requests nor jobs");
     }
     return errors->count == before ? ERR_OK : ERR_INVALID;
--- a/packages/config/config-entry.c
+++ b/packages/config/config-entry.c
@@ -121,6 +121,10 @@
      .type = CONF_MAP,
      .offset = AT(link_keys),
      .sub = &config_link_keys_table},
+    {.name = "hosted",
+     .type = CONF_MAP,
+     .offset = AT(hosted),
+     .sub = &config_hosted_table},
 };
 
 static const struct conf_table entry_table = {
--- /dev/null
+++ b/packages/config/config-hosted.c
@@ -0,0 +1,58 @@
+#include "config-internal.h"
+
+#define AT(field) offsetof(struct hosted_settings, field)
+#define ADDRESS(n)                                                            \
+    {                                                                         \
+        .name = #n, .type = CONF_STRING, .offset = AT(n),                     \
+        .format = &config_address_format                                      \
+    }
+
+/* The fallbacks are a platform's that lets a lease last ten seconds. */
+static const struct conf_key hosted_keys[] = {
+    ADDRESS(store),
+    ADDRESS(callers),
+    ADDRESS(ready),
+    ADDRESS(links),
+    ADDRESS(beats),
+    ADDRESS(worker),
+    {.name = "remote_factor",
+     .type = CONF_STRING,
+     .offset = AT(remote_factor),
+     .min = 1,
+     .max = 16,
+     .fallback = "3"},
+    {.name = "lease_ms",
+     .type = CONF_INT,
+     .offset = AT(lease_ms),
+     .min = 500,
+     .max = 600000,
+     .fallback = "10000"},
+    {.name = "early_ms",
+     .type = CONF_INT,
+     .offset = AT(early_ms),
+     .max = 60000,
+     .fallback = "250"},
+    {.name = "keep_s",
+     .type = CONF_INT,
+     .offset = AT(keep_s),
+     .min = 1,
+     .max = 864000,
+     .fallback = "120"},
+    {.name = "reads_per_s",
+     .type = CONF_INT,
+     .offset = AT(reads_per_s),
+     .max = 1000000,
+     .fallback = "0"},
+    {.name = "writes_per_s",
+     .type = CONF_INT,
+     .offset = AT(writes_per_s),
+     .max = 1000000,
+     .fallback = "0"},
+};
+
+const struct conf_table config_hosted_table = {
+    .name = "hosted",
+    .size = sizeof(struct hosted_settings),
+    .keys = hosted_keys,
+    .count = COUNT_OF(hosted_keys),
+};
--- a/packages/config/config-internal.h
+++ b/packages/config/config-internal.h
@@ -10,6 +10,7 @@
 
 extern const struct conf_table config_platform_table;
 extern const struct conf_table config_link_keys_table;
+extern const struct conf_table config_hosted_table;
 
 extern const struct conf_format config_hash_format;
 extern const struct conf_format config_name_format;
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -292,6 +292,26 @@
     int64_t deadline_ms_max;
 };
 
+/* The profile of a process that runs on a platform with a store of its own,
+ * where jobs of steps come from the platform's callers and run on its
+ * workers. Addresses are "ip:port". */
+#define PROFILE_HOSTED "hosted"
+
+struct hosted_settings {
+    char *store;         /* entry: the platform's store; NULL: not hosted */
+    char *callers;       /* entry: where callers connect */
+    char *ready;         /* entry: where the balancer asks */
+    char *links;         /* entry: where agents and entries connect */
+    char *beats;         /* agent: where its worker reports */
+    char *worker;        /* agent: the worker's calls; NULL: not hosted */
+    char *remote_factor; /* slow-down away from the data, a number */
+    int64_t lease_ms;    /* of what runs, on the worker's clock */
+    int64_t early_ms;    /* before its due time a job may start */
+    int64_t keep_s;      /* an ended job is shown for so long */
+    int64_t reads_per_s; /* that all processes share; 0: no bound */
+    int64_t writes_per_s;
+};
+
 /* parsleyfall serve. */
 struct entry_settings {
     char name[NAME_SIZE];
@@ -306,6 +326,7 @@
     char *configuration_file; /* first document, while the table has none;
                                * NULL: none */
     struct link_key_settings link_keys;
+    struct hosted_settings hosted;
 };
 
 /* One service of the upstream beside an agent. */
@@ -334,6 +355,7 @@
     int64_t drain_ms;
     int64_t log_level; /* enum log_level */
     struct link_key_settings link_keys;
+    struct hosted_settings hosted;
 };
 
 /* Read and check a file. ERR_OK or ERR_INVALID with every mistake in errors;
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -84,7 +84,8 @@
         return CLI_FAILED;
     }
     err = Kernel_RunProcess(s.name, &s, s.drain_ms,
-                            (enum log_level)s.log_level, Entry_Incarnation());
+                            (enum log_level)s.log_level, Entry_Incarnation(),
+                            s.hosted.store != NULL ? PROFILE_HOSTED : "");
     return err == ERR_OK ? CLI_WELL : CLI_FAILED;
 }
 
--- /dev/null
+++ b/packages/jobs/jobs-book.c
@@ -0,0 +1,422 @@
+#include "jobs-book.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Order of jobs by id. */
+static int
+job_compare(struct jobs_job *a, struct jobs_job *b)
+{
+    return strcmp(a->spec.id, b->spec.id);
+}
+
+RB_GENERATE(book_tree, jobs_job, by_id, job_compare)
+
+/* Makes an empty book. */
+struct jobs_book *
+Jobs_New(const struct jobs_limits *limits)
+{
+    struct jobs_book *b = Mem_Zero(1, sizeof(*b));
+
+    b->limits = *limits;
+    RB_INIT(&b->jobs);
+    RB_INIT(&b->workers);
+    TAILQ_INIT(&b->active);
+    return b;
+}
+
+/* Frees a unit and lets go of its tasks' places. */
+static void
+free_unit(struct jobs_unit *u)
+{
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        struct jobs_task *t = &u->tasks[i];
+
+        if (t->worker != NULL) {
+            TAILQ_REMOVE(&t->worker->tasks, t, on_worker);
+        }
+    }
+    free(u->tasks);
+    free(u);
+}
+
+/* Frees a job with its units. */
+static void
+free_job(struct jobs_job *j)
+{
+    struct jobs_unit *u;
+
+    while ((u = TAILQ_FIRST(&j->units)) != NULL) {
+        TAILQ_REMOVE(&j->units, u, entry);
+        free_unit(u);
+    }
+    JobsSpec_Clear(&j->spec);
+    free(j);
+}
+
+/* Frees the book. */
+void
+Jobs_Free(struct jobs_book *b)
+{
+    struct jobs_worker *w;
+    struct jobs_job *j;
+
+    if (b == NULL) {
+        return;
+    }
+    while ((j = RB_ROOT(&b->jobs)) != NULL) {
+        RB_REMOVE(book_tree, &b->jobs, j);
+        free_job(j);
+    }
+    while ((w = RB_ROOT(&b->workers)) != NULL) {
+        Worker_Free(b, w);
+    }
+    free(b);
+}
+
+/* Marks a job's row as to be written. */
+void
+Book_Touch(struct jobs_book *b UNUSED, struct jobs_job *j)
+{
+    j->dirty = true;
+}
+
+/* Finds a job by its id. */
+struct jobs_job *
+Book_FindJob(const struct jobs_book *b, const char *id)
+{
+    struct jobs_job key;
+
+    if (Str_Copy(key.spec.id, sizeof(key.spec.id), id) != ERR_OK) {
+        return NULL;
+    }
+    return RB_FIND(book_tree, (struct book_tree *)&b->jobs, &key);
+}
+
+/* True when the job is known. */
+bool
+Jobs_Has(const struct jobs_book *b, const char *id)
+{
+    return Book_FindJob(b, id) != NULL;
+}
+
+/* The step of a unit. */
+const struct jobs_step *
+Unit_Step(const struct jobs_unit *u)
+{
+    return &u->job->spec.steps[u->step];
+}
+
+/* Writes the name of a task. */
+void
+Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE])
+{
+    snprintf(out, JOBS_TASK_SIZE, "%s.%u.%u.%u", t->unit->job->spec.id,
+             t->unit->occurrence, t->unit->step, t->index);
+}
+
+/* Finds a task within its job. */
+static struct jobs_task *
+find_in_job(struct jobs_job *j, uint32_t occurrence, uint32_t step,
+            uint32_t index)
+{
+    struct jobs_unit *u;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        if (u->occurrence == occurrence && u->step == step &&
+            index >= u->tasks[0].index &&
+            index < u->tasks[0].index + u->task_count) {
+            return &u->tasks[index - u->tasks[0].index];
+        }
+    }
+    return NULL;
+}
+
+/* Finds a task by the name that workers know. */
+struct jobs_task *
+Book_FindTask(const struct jobs_book *b, const char *name)
+{
+    uint32_t occurrence, step, index;
+    char id[JOBS_ID_SIZE];
+    struct jobs_job *j;
+    size_t len = strcspn(name, ".");
+
+    if (len >= sizeof(id) ||
+        sscanf(name + len, ".%" SCNu32 ".%" SCNu32 ".%" SCNu32, &occurrence,
+               &step, &index) != 3) {
+        return NULL;
+    }
+    memcpy(id, name, len);
+    id[len] = '\0';
+    j = Book_FindJob(b, id);
+    return j != NULL ? find_in_job(j, occurrence, step, index) : NULL;
+}
+
+/* Adds one unit of a step. */
+static void
+add_unit(struct jobs_job *j, uint32_t step, uint32_t first, uint32_t count)
+{
+    struct jobs_unit *u = Mem_Zero(1, sizeof(*u));
+
+    u->job = j;
+    u->occurrence = j->occurrences;
+    u->step = step;
+    u->tasks = Mem_Zero(count, sizeof(*u->tasks));
+    u->task_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        u->tasks[i].unit = u;
+        u->tasks[i].index = first + i;
+    }
+    TAILQ_INSERT_TAIL(&j->units, u, entry);
+}
+
+/* Makes the units of the next occurrence. */
+void
+Book_AddOccurrence(struct jobs_job *j)
+{
+    for (uint32_t i = 0; i < j->spec.step_count; i++) {
+        const struct jobs_step *s = &j->spec.steps[i];
+
+        if (s->gang) {
+            add_unit(j, i, 0, s->count);
+            continue;
+        }
+        for (uint32_t k = 0; k < s->count; k++) {
+            add_unit(j, i, k, 1);
+        }
+    }
+    j->occurrences++;
+}
+
+/* Sum of the estimates along the longest chain of steps. */
+static int64_t
+chain_of(const struct jobs_spec *s)
+{
+    int64_t at[JOBS_STEPS_MAX] = {0}, longest = 0;
+
+    for (uint32_t i = 0; i < s->step_count; i++) {
+        for (uint32_t k = 0; k < s->steps[i].after_count; k++) {
+            int64_t before = at[s->steps[i].after[k]];
+
+            at[i] = before > at[i] ? before : at[i];
+        }
+        at[i] += s->steps[i].estimate_ms;
+        longest = at[i] > longest ? at[i] : longest;
+    }
+    return longest;
+}
+
+/* Takes what a job needs of its queue. A queue that is gone from the
+ * configuration leaves its jobs as they were. */
+static void
+set_queue(struct jobs_book *b, struct jobs_job *j)
+{
+    const struct jobs_queue *q = JobsConfig_Queue(b->config, j->spec.queue);
+
+    j->queue = q;
+    if (q != NULL) {
+        j->priority = q->priority;
+        j->attempts = q->attempts;
+    }
+}
+
+/* Puts another configuration in force. */
+void
+Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c)
+{
+    struct jobs_job *j;
+
+    b->config = c;
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        set_queue(b, j);
+    }
+}
+
+/* Lets every run of an ended job end. */
+static void
+stop_all(struct jobs_job *j)
+{
+    struct jobs_unit *u;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        Unit_Stop(u, true);
+    }
+}
+
+/* Takes an accepted job. */
+int
+Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
+         size_t len, int64_t now_ms)
+{
+    struct jobs_job *j;
+    int err = ERR_OK;
+
+    if (Jobs_Has(b, s->id)) {
+        return ERR_EXISTS;
+    }
+    j = Mem_Zero(1, sizeof(*j));
+    j->spec = *s;
+    memset(s, 0, sizeof(*s));
+    TAILQ_INIT(&j->units);
+    j->arrived_ms = now_ms;
+    j->chain_ms = chain_of(&j->spec);
+    j->attempts = 1;
+    set_queue(b, j);
+    if (j->spec.repetitions == 0) {
+        Book_AddOccurrence(j);
+    }
+    RB_INSERT(book_tree, &b->jobs, j);
+    if (progress != NULL) {
+        err = Row_Decode(b, j, progress, len);
+    }
+    TAILQ_INSERT_TAIL(&b->active, j, active);
+    if (j->state > JOB_RUNNING) {
+        stop_all(j);
+        Job_Settle(b, j, now_ms);
+    }
+    return err;
+}
+
+/* The caller wants the job no more. */
+void
+Jobs_Cancel(struct jobs_book *b, const char *id, int64_t now_ms)
+{
+    struct jobs_job *j = Book_FindJob(b, id);
+
+    if (j == NULL || j->cancelled || j->state > JOB_RUNNING) {
+        return;
+    }
+    j->cancelled = true;
+    stop_all(j);
+    Book_Touch(b, j);
+    Job_Settle(b, j, now_ms);
+}
+
+/* The next ended job that nobody has to be shown any more. */
+const char *
+Jobs_NextExpired(struct jobs_book *b, int64_t now_ms)
+{
+    struct jobs_job *j;
+
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->ended_ms != 0 && !j->dirty && !j->in_batch &&
+            now_ms - j->ended_ms > b->limits.keep_ms) {
+            return j->spec.id;
+        }
+    }
+    return NULL;
+}
+
+/* Forgets an ended job. */
+void
+Jobs_Remove(struct jobs_book *b, const char *id)
+{
+    struct jobs_job *j = Book_FindJob(b, id);
+
+    if (j != NULL && j->ended_ms != 0) {
+        RB_REMOVE(book_tree, &b->jobs, j);
+        free_job(j);
+    }
+}
+
+/* Hands out the rows to be written, one after the other. */
+const char *
+Jobs_NextDirty(struct jobs_book *b, struct buf *out)
+{
+    struct jobs_worker *w;
+    struct jobs_job *j;
+
+    if (!b->batch_open) {
+        b->batch_open = true;
+        b->batch_whole = false;
+        RB_FOREACH (w, lifetime_tree, &b->workers) {
+            w->seen_batch = w->seen;
+        }
+    }
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->dirty && !j->in_batch) {
+            j->dirty = false;
+            j->in_batch = true;
+            Row_Encode(j, out);
+            return j->spec.id;
+        }
+    }
+    b->batch_whole = true;
+    return NULL;
+}
+
+/* Runs named by a stored row may be ordered now. */
+static void
+mark_written(struct jobs_job *j)
+{
+    struct jobs_unit *u;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        u->unwritten = u->unwritten && j->dirty;
+    }
+}
+
+/* Closes a batch. A job that changed since stays dirty, and a unit given
+ * since is not ordered before its own write. */
+void
+Jobs_Written(struct jobs_book *b)
+{
+    struct jobs_worker *w;
+    struct jobs_job *j;
+
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->in_batch) {
+            j->in_batch = false;
+            mark_written(j);
+        }
+    }
+    if (b->batch_whole) {
+        RB_FOREACH (w, lifetime_tree, &b->workers) {
+            w->seen_rows = w->seen_batch;
+        }
+    }
+    b->batch_open = false;
+}
+
+/* The batch is not stored. */
+void
+Jobs_NotWritten(struct jobs_book *b)
+{
+    struct jobs_job *j;
+
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->in_batch) {
+            j->in_batch = false;
+            j->dirty = true;
+        }
+    }
+    b->batch_open = false;
+}
+
+/* The active jobs and the workers, for operators. */
+json_t *
+Jobs_State(const struct jobs_book *b)
+{
+    json_t *jobs = json_array();
+    json_t *workers = json_array();
+    const struct jobs_job *j;
+    struct jobs_worker *w;
+
+    TAILQ_FOREACH (j, &b->active, active) {
+        json_array_append_new(
+            jobs, json_pack("{s:s,s:s,s:s,s:i}", "id", j->spec.id, "queue",
+                            j->spec.queue, "state", Jobs_StateName(j->state),
+                            "priority", j->priority));
+    }
+    RB_FOREACH (w, lifetime_tree, (struct lifetime_tree *)&b->workers) {
+        json_array_append_new(
+            workers,
+            json_pack("{s:s,s:s,s:I,s:I,s:b}", "id", w->id, "agent", w->agent,
+                      "accelerators", (json_int_t)w->capacity.accelerators,
+                      "used", (json_int_t)w->used.accelerators, "draining",
+                      w->draining));
+    }
+    return json_pack("{s:o,s:o}", "jobs", jobs, "workers", workers);
+}
--- /dev/null
+++ b/packages/jobs/jobs-book.h
@@ -0,0 +1,162 @@
+/* The book's own structures, shared by the files of this package. */
+#ifndef JOBS_BOOK_H
+#define JOBS_BOOK_H
+
+#include "jobs-json.h"
+
+/* A worker's clock may be slow by this share (the platform's pages), so a
+ * lease of n ms may last n * LEASE_STRETCH by ours. */
+#define LEASE_STRETCH 1.03
+
+enum unit_state { UNIT_WAITING, UNIT_GIVEN, UNIT_DONE, UNIT_FAILED };
+
+struct jobs_unit;
+struct jobs_worker;
+
+/* One task of a unit, and where its present run is. */
+struct jobs_task {
+    struct jobs_unit *unit;
+    uint32_t index;
+    struct jobs_worker *worker; /* NULL: no run of it can be anywhere */
+    bool confirmed;             /* seen running */
+    int64_t given_ms;
+    int64_t sent_ms; /* last order; 0: none yet */
+    int64_t percent;
+    int64_t moved_ms; /* when the percent last changed */
+    TAILQ_ENTRY(jobs_task) on_worker;
+};
+
+/* What starts and ends together. */
+struct jobs_unit {
+    struct jobs_job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    enum unit_state state;
+    uint64_t run; /* of the present or last run; 0: none yet */
+    uint32_t failures;
+    bool failed_run;  /* this run's failure is counted */
+    bool stopping;    /* its run is to end */
+    bool dropped;     /* and it is not to run again */
+    bool unwritten;   /* this run is not stored yet */
+    bool begun;       /* a task was seen running, ever */
+    int64_t ready_ms; /* since when it could start; 0: not yet */
+    int64_t not_before_ms;
+    char checkpoint[JOBS_TEXT_SIZE];
+    char avoid[JOBS_TEXT_SIZE]; /* worker where it failed last */
+    struct jobs_task *tasks;
+    uint32_t task_count;
+    TAILQ_ENTRY(jobs_unit) entry;
+};
+TAILQ_HEAD(unit_list, jobs_unit);
+
+struct jobs_job {
+    struct jobs_spec spec;
+    const struct jobs_queue *queue; /* NULL: no configuration has it */
+    int priority;
+    int attempts;
+    enum jobs_state state;
+    bool cancelled;
+    bool dirty;
+    bool in_batch;
+    uint32_t occurrences; /* that have units */
+    int64_t arrived_ms;
+    int64_t ended_ms; /* 0: has not ended */
+    int64_t chain_ms; /* estimates along its longest chain */
+    struct unit_list units;
+    RB_ENTRY(jobs_job) by_id;
+    TAILQ_ENTRY(jobs_job) active;
+};
+
+/* A run on a worker that the book does not want. */
+struct stray {
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    TAILQ_ENTRY(stray) entry;
+};
+
+/* One lifetime of a worker. */
+struct jobs_worker {
+    char id[JOBS_TEXT_SIZE];
+    char agent[NAME_SIZE];
+    char service[NAME_SIZE];
+    char rack[JOBS_TEXT_SIZE];
+    char labels[4][JOBS_TEXT_SIZE];
+    uint32_t label_count;
+    struct jobs_need capacity;
+    struct jobs_need used;     /* by what may run there */
+    struct jobs_need freeing;  /* of it, what is being stopped */
+    struct jobs_need reserved; /* in this turn of the planner */
+    bool heard;
+    bool draining;
+    int64_t report_ms;
+    int64_t clock_ms;
+    int64_t lease_end_ms; /* our clock: nothing runs after it unheard */
+    int64_t full_until_ms;
+    int64_t suspect_until_ms;
+    uint32_t failures_in_row;
+    uint64_t seen;       /* ends taken into the book */
+    uint64_t seen_batch; /* of them, those in rows being written */
+    uint64_t seen_rows;  /* of them, those stored */
+    TAILQ_HEAD(, jobs_task) tasks;
+    TAILQ_HEAD(, stray) strays;
+    RB_ENTRY(jobs_worker) by_id;
+};
+
+RB_HEAD(book_tree, jobs_job);
+RB_HEAD(lifetime_tree, jobs_worker);
+
+struct jobs_book {
+    struct jobs_limits limits;
+    const struct jobs_config *config;
+    struct book_tree jobs;
+    TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
+    struct lifetime_tree workers;
+    bool batch_open;
+    bool batch_whole; /* nothing was dirty beside it */
+    struct jobs_worker *order_worker;
+    struct jobs_task *order_task;
+    bool ordering;
+};
+
+RB_PROTOTYPE(book_tree, jobs_job, by_id, job_compare)
+RB_PROTOTYPE(lifetime_tree, jobs_worker, by_id, worker_compare)
+
+/* ---- jobs-book.c */
+void Book_Touch(struct jobs_book *b, struct jobs_job *j);
+struct jobs_job *Book_FindJob(const struct jobs_book *b, const char *id);
+/* The task of that name, or NULL. */
+struct jobs_task *Book_FindTask(const struct jobs_book *b, const char *name);
+void Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE]);
+/* Makes the units of one occurrence. */
+void Book_AddOccurrence(struct jobs_job *j);
+const struct jobs_step *Unit_Step(const struct jobs_unit *u);
+
+/* ---- jobs-worker.c */
+struct jobs_worker *Book_FindWorker(const struct jobs_book *b, const char *id);
+struct jobs_worker *Book_Worker(struct jobs_book *b, const char *id,
+                                const char *agent);
+void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
+void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
+/* Lets the run of a unit end: its room counts as being freed. */
+void Unit_Stop(struct jobs_unit *u, bool drop);
+/* The run of this task can't run any more. */
+void Task_Gone(struct jobs_book *b, struct jobs_task *t, int64_t now_ms);
+void Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
+void Unit_Failed(struct jobs_book *b, struct jobs_unit *u);
+/* The worker's lifetime is over: nothing runs there. */
+void Worker_Lost(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms);
+/* Ends the job when nothing is left to do. */
+void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
+
+/* ---- jobs-row.c */
+void Row_Encode(const struct jobs_job *j, struct buf *out);
+int Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
+               size_t len);
+
+/* ---- jobs-place.c */
+/* Chooses workers for a waiting unit; gives it there and returns true when it
+ * can start now, else reserves what it waits for where it has a claim. */
+bool Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
+                bool reserve);
+
+#endif
--- /dev/null
+++ b/packages/jobs/jobs-json.h
@@ -0,0 +1,44 @@
+/* Reading fields of JSON objects, for the rows of this package. */
+#ifndef JOBS_JSON_H
+#define JOBS_JSON_H
+
+#include "jobs.h"
+
+/* The field as a number, or 0. */
+static inline int64_t
+json_number(const json_t *o, const char *key)
+{
+    return json_integer_value(json_object_get(o, key));
+}
+
+/* Copies a field of text, "" when there is none. */
+static inline int
+json_text(const json_t *o, const char *key, char *out, size_t size)
+{
+    const char *s = json_string_value(json_object_get(o, key));
+
+    return Str_Copy(out, size, s != NULL ? s : "");
+}
+
+/* Sets a text where it is not empty. */
+static inline void
+json_put_text(json_t *o, const char *key, const char *s)
+{
+    if (*s != '\0') {
+        json_object_set_new(o, key, json_string(s));
+    }
+}
+
+/* Sets a number where it is not 0. */
+static inline void
+json_put_number(json_t *o, const char *key, int64_t n)
+{
+    if (n != 0) {
+        json_object_set_new(o, key, json_integer(n));
+    }
+}
+
+/* Appends a value as compact JSON and drops it. */
+void JobsJson_Append(json_t *o, struct buf *out);
+
+#endif
--- /dev/null
+++ b/packages/jobs/jobs-order.c
@@ -0,0 +1,101 @@
+#include "jobs-book.h"
+
+#include <string.h>
+
+#define RESEND_MS 400   /* an order whose effect isn't seen is sent again */
+#define GIVE_UP_MS 1600 /* then the start is stopped and placed elsewhere */
+
+/* Fills what orders of a task have in common. */
+static void
+fill(struct jobs_order *o, const struct jobs_worker *w, enum jobs_verb verb,
+     uint64_t run)
+{
+    memset(o, 0, sizeof(*o));
+    o->verb = verb;
+    o->run = run;
+    o->checkpoint = "";
+    Str_Copy(o->agent, sizeof(o->agent), w->agent);
+    Str_Copy(o->worker, sizeof(o->worker), w->id);
+}
+
+/* Makes the order that a task needs now, if any. */
+static bool
+order_of(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+         int64_t now_ms, struct jobs_order *o)
+{
+    struct jobs_unit *u = t->unit;
+    int64_t late_ms;
+
+    if (u->unwritten || (t->sent_ms != 0 && now_ms - t->sent_ms < RESEND_MS)) {
+        return false;
+    }
+    if (u->state == UNIT_GIVEN && !u->stopping && t->confirmed) {
+        return false;
+    }
+    if (u->state == UNIT_GIVEN && !u->stopping && t->sent_ms != 0 &&
+        now_ms - t->given_ms > GIVE_UP_MS) {
+        Unit_Stop(u, false);
+    }
+    t->sent_ms = now_ms;
+    if (u->state != UNIT_GIVEN || u->stopping) {
+        fill(o, w, ORDER_STOP, u->run);
+        Book_TaskName(t, o->task);
+        return true;
+    }
+    fill(o, w, ORDER_START, u->run);
+    Book_TaskName(t, o->task);
+    o->until_ms = w->clock_ms + b->limits.start_ms;
+    o->payload = u->job->spec.payload;
+    o->checkpoint = u->checkpoint;
+    late_ms = now_ms + (int64_t)((double)b->limits.start_ms * LEASE_STRETCH);
+    w->lease_end_ms = late_ms > w->lease_end_ms ? late_ms : w->lease_end_ms;
+    return true;
+}
+
+/* Orders the end of a run that is not wanted; a later report that still has
+ * it brings it up again. */
+static bool
+order_stray(struct jobs_worker *w, struct jobs_order *o)
+{
+    struct stray *s = TAILQ_FIRST(&w->strays);
+
+    if (s == NULL) {
+        return false;
+    }
+    fill(o, w, ORDER_STOP, s->run);
+    Str_Copy(o->task, sizeof(o->task), s->task);
+    TAILQ_REMOVE(&w->strays, s, entry);
+    Mem_FreeP(&s);
+    return true;
+}
+
+/* Walks over the workers; the walk begins anew after it returned false. */
+bool
+Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, struct jobs_order *out)
+{
+    struct jobs_worker *w;
+    struct jobs_task *t;
+
+    if (!b->ordering) {
+        b->ordering = true;
+        b->order_worker = RB_MIN(lifetime_tree, &b->workers);
+        b->order_task =
+            b->order_worker ? TAILQ_FIRST(&b->order_worker->tasks) : NULL;
+    }
+    while ((w = b->order_worker) != NULL) {
+        if (w->heard && order_stray(w, out)) {
+            return true;
+        }
+        while (w->heard && (t = b->order_task) != NULL) {
+            b->order_task = TAILQ_NEXT(t, on_worker);
+            if (order_of(b, w, t, now_ms, out)) {
+                return true;
+            }
+        }
+        b->order_worker = RB_NEXT(lifetime_tree, &b->workers, w);
+        b->order_task =
+            b->order_worker ? TAILQ_FIRST(&b->order_worker->tasks) : NULL;
+    }
+    b->ordering = false;
+    return false;
+}
--- /dev/null
+++ b/packages/jobs/jobs-plan.c
@@ -0,0 +1,165 @@
+#include "jobs-book.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define RESERVATIONS                                                          \
+    2 /* units below the first priority that room is kept for */
+#define GONE_MS 60000 /* a silent worker without runs is forgotten */
+
+/* A unit that waits, and its place in the queue. */
+struct waiter {
+    struct jobs_unit *unit;
+    int64_t due_ms;
+};
+
+/* First by priority, then by the time at which the job's objective is over;
+ * shorter objectives therefore come first, and waiting ages. */
+static int
+waiter_compare(const void *va, const void *vb)
+{
+    const struct waiter *a = va, *b = vb;
+    int pa = a->unit->job->priority, pb = b->unit->job->priority;
+
+    if (pa != pb) {
+        return pa < pb ? -1 : 1;
+    }
+    if (a->due_ms != b->due_ms) {
+        return a->due_ms < b->due_ms ? -1 : 1;
+    }
+    return strcmp(a->unit->job->spec.id, b->unit->job->spec.id);
+}
+
+/* Adds the occurrences of a job that are due. */
+static void
+add_due(struct jobs_book *b, struct jobs_job *j, int64_t wall_ms)
+{
+    while (j->occurrences < j->spec.repetitions && !j->cancelled &&
+           j->state <= JOB_RUNNING &&
+           wall_ms + b->limits.early_ms >=
+               j->spec.first_due_ms +
+                   (int64_t)j->occurrences * j->spec.interval_ms) {
+        Book_AddOccurrence(j);
+        Book_Touch(b, j);
+    }
+}
+
+/* True when all steps that this one comes after are done. */
+static bool
+is_due(const struct jobs_unit *u)
+{
+    const struct jobs_step *s = Unit_Step(u);
+    const struct jobs_unit *other;
+
+    TAILQ_FOREACH (other, &u->job->units, entry) {
+        for (uint32_t i = 0; i < s->after_count; i++) {
+            if (other->occurrence == u->occurrence &&
+                other->step == s->after[i] && other->state != UNIT_DONE) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Collects the units that could start now, in order. */
+static struct waiter *
+collect(struct jobs_book *b, int64_t now_ms, int64_t wall_ms, size_t *count)
+{
+    struct waiter *list = NULL;
+    struct jobs_unit *u;
+    struct jobs_job *j;
+    size_t cap = 0;
+
+    *count = 0;
+    TAILQ_FOREACH (j, &b->active, active) {
+        double stretch = j->queue != NULL ? j->queue->stretch : 1;
+        int64_t target = j->queue != NULL ? j->queue->target_ms : 0;
+
+        add_due(b, j, wall_ms);
+        TAILQ_FOREACH (u, &j->units, entry) {
+            if (u->state != UNIT_WAITING || u->dropped ||
+                j->state > JOB_RUNNING || u->not_before_ms > now_ms ||
+                !is_due(u)) {
+                continue;
+            }
+            if (u->ready_ms == 0) {
+                u->ready_ms = now_ms;
+            }
+            if (*count == cap) {
+                cap = cap ? cap * 2 : 64;
+                list = Mem_Grow(list, cap * sizeof(*list));
+            }
+            list[*count].unit = u;
+            list[(*count)++].due_ms =
+                j->arrived_ms + (int64_t)(stretch * (double)j->chain_ms) +
+                target;
+        }
+    }
+    if (*count > 1) {
+        qsort(list, *count, sizeof(*list), waiter_compare);
+    }
+    return list;
+}
+
+/* Ends what can't run any more on workers whose agents say nothing. */
+static void
+lapse(struct jobs_book *b, int64_t now_ms)
+{
+    struct jobs_worker *w, *next;
+
+    for (w = RB_MIN(lifetime_tree, &b->workers); w != NULL; w = next) {
+        next = RB_NEXT(lifetime_tree, &b->workers, w);
+        w->reserved = (struct jobs_need){0};
+        if (now_ms - w->report_ms <= b->limits.silent_ms ||
+            now_ms <= w->lease_end_ms) {
+            continue;
+        }
+        Worker_Lost(b, w, now_ms);
+        if (now_ms - w->report_ms > GONE_MS) {
+            Worker_Free(b, w);
+        }
+    }
+}
+
+/* When nothing is to be written, ends without consequence are noted. */
+static void
+note_seen(struct jobs_book *b)
+{
+    struct jobs_worker *w;
+    struct jobs_job *j;
+
+    if (b->batch_open) {
+        return;
+    }
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->dirty) {
+            return;
+        }
+    }
+    RB_FOREACH (w, lifetime_tree, &b->workers) {
+        w->seen_rows = w->seen;
+    }
+}
+
+/* Chooses starts and stops. */
+void
+Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms)
+{
+    struct waiter *list CLEANUP(Mem_FreeP) = NULL;
+    int reservations = 0;
+    size_t count;
+
+    lapse(b, now_ms);
+    list = collect(b, now_ms, wall_ms, &count);
+    for (size_t i = 0; i < count; i++) {
+        bool first = list[i].unit->job->priority == 0;
+        bool reserve = first || reservations < RESERVATIONS;
+
+        if (!Place_Unit(b, list[i].unit, now_ms, reserve) && !first &&
+            reserve) {
+            reservations++;
+        }
+    }
+    note_seen(b);
+}
--- /dev/null
+++ b/packages/jobs/jobs-report.c
@@ -0,0 +1,256 @@
+#include "jobs-book.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Notes a run that is not wanted, to be stopped. */
+static void
+add_stray(struct jobs_worker *w, const char *task, uint64_t run)
+{
+    struct stray *s;
+
+    TAILQ_FOREACH (s, &w->strays, entry) {
+        if (s->run == run && strcmp(s->task, task) == 0) {
+            return;
+        }
+    }
+    s = Mem_Zero(1, sizeof(*s));
+    Str_Copy(s->task, sizeof(s->task), task);
+    s->run = run;
+    TAILQ_INSERT_TAIL(&w->strays, s, entry);
+}
+
+/* Takes the facts of the worker itself. */
+static void
+take_facts(struct jobs_worker *w, const struct jobs_report *r, int64_t now_ms)
+{
+    Str_Copy(w->agent, sizeof(w->agent), r->agent);
+    Str_Copy(w->service, sizeof(w->service), r->service);
+    w->label_count = r->label_count;
+    memcpy(w->labels, r->labels, sizeof(w->labels));
+    /* The last label is the rack; the ones before are kinds. */
+    Str_Copy(w->rack, sizeof(w->rack),
+             r->label_count > 0 ? r->labels[r->label_count - 1] : "");
+    w->capacity = r->capacity;
+    w->draining = r->draining;
+    w->heard = true;
+    w->report_ms = now_ms;
+    w->clock_ms = r->clock_ms;
+}
+
+/* A worker that fails all that it starts, whatever it is, is left alone for
+ * a while. Failure: a sick worker ends each task at once, so it always has
+ * room and draws the next one. Symptom: jobs run out of attempts within
+ * seconds. Jobs that fail by their own fault fail elsewhere too, and a single
+ * end that is done clears the count, so sound workers stay in use. */
+static void
+note_health(struct jobs_worker *w, enum jobs_end how, int64_t now_ms)
+{
+    static const uint32_t enough = 3;    /* by chance: 2% each, at most */
+    static const int64_t rest_ms = 4000; /* then it is tried again */
+
+    if (how == END_DONE) {
+        w->failures_in_row = 0;
+        w->suspect_until_ms = 0;
+    }
+    if (how == END_FAILED && ++w->failures_in_row >= enough) {
+        w->suspect_until_ms = now_ms + rest_ms;
+    }
+}
+
+/* One end that the worker lists. */
+static void
+take_end(struct jobs_book *b, struct jobs_worker *w,
+         const struct jobs_ended *e, int64_t now_ms)
+{
+    struct jobs_task *t = Book_FindTask(b, e->task);
+    struct jobs_unit *u;
+
+    if (t == NULL || t->worker != w || t->unit->run != e->run) {
+        return;
+    }
+    u = t->unit;
+    note_health(w, e->how, now_ms);
+    if (e->how == END_DONE) {
+        Unit_Done(b, u, now_ms);
+        return;
+    }
+    if (*e->checkpoint != '\0') {
+        Str_Copy(u->checkpoint, sizeof(u->checkpoint), e->checkpoint);
+    }
+    if (e->how == END_FAILED) {
+        Str_Copy(u->avoid, sizeof(u->avoid), w->id);
+        Unit_Failed(b, u);
+    }
+    Task_Gone(b, t, now_ms);
+}
+
+/* One run that the worker lists as there. */
+static void
+take_running(struct jobs_book *b, struct jobs_worker *w,
+             const struct jobs_running *r, int64_t now_ms)
+{
+    struct jobs_task *t = Book_FindTask(b, r->task);
+    struct jobs_unit *u;
+
+    if (t == NULL || t->worker != w || t->unit->run != r->run ||
+        t->unit->state != UNIT_GIVEN) {
+        add_stray(w, r->task, r->run);
+        return;
+    }
+    u = t->unit;
+    if (*r->checkpoint != '\0') {
+        Str_Copy(u->checkpoint, sizeof(u->checkpoint), r->checkpoint);
+    }
+    if (!t->confirmed || r->percent != t->percent) {
+        t->percent = r->percent;
+        t->moved_ms = now_ms;
+    }
+    t->confirmed = true;
+    if (!u->begun) {
+        u->begun = true;
+        Book_Touch(b, u->job);
+        Job_Settle(b, u->job, now_ms);
+    }
+}
+
+/* True when the report lists that run as there. */
+static bool
+lists_running(const struct jobs_report *r, const char *task, uint64_t run)
+{
+    for (size_t i = 0; i < r->running_count; i++) {
+        if (r->running[i].run == run &&
+            strcmp(r->running[i].task, task) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A run whose stop is confirmed, and that is not there: it never begins. */
+static void
+take_stopped(struct jobs_book *b, struct jobs_worker *w,
+             const struct jobs_report *r, const struct jobs_stopped *s,
+             int64_t now_ms)
+{
+    struct jobs_task *t = Book_FindTask(b, s->task);
+
+    if (t == NULL || t->worker != w || t->unit->run != s->run ||
+        lists_running(r, s->task, s->run)) {
+        return;
+    }
+    Task_Gone(b, t, now_ms);
+}
+
+/* Ends the other lifetimes that this agent had beside it: a machine holds
+ * one worker at a time, and this one has answered under its own id. */
+static void
+end_earlier(struct jobs_book *b, const struct jobs_worker *w, int64_t now_ms)
+{
+    struct jobs_worker *other, *next;
+
+    for (other = RB_MIN(lifetime_tree, &b->workers); other != NULL;
+         other = next) {
+        next = RB_NEXT(lifetime_tree, &b->workers, other);
+        if (other != w && strcmp(other->agent, w->agent) == 0) {
+            Worker_Lost(b, other, now_ms);
+            Worker_Free(b, other);
+        }
+    }
+}
+
+/* Takes an agent's look at its worker. */
+void
+Jobs_Report(struct jobs_book *b, const struct jobs_report *r, int64_t now_ms)
+{
+    struct jobs_worker *w;
+
+    if (*r->worker == '\0') {
+        return;
+    }
+    w = Book_Worker(b, r->worker, r->agent);
+    take_facts(w, r, now_ms);
+    end_earlier(b, w, now_ms);
+    for (size_t i = 0; i < r->ended_count; i++) {
+        if (r->ended[i].number > w->seen) {
+            take_end(b, w, &r->ended[i], now_ms);
+            w->seen = r->ended[i].number;
+        }
+    }
+    for (size_t i = 0; i < r->running_count; i++) {
+        take_running(b, w, &r->running[i], now_ms);
+    }
+    for (size_t i = 0; i < r->stopped_count; i++) {
+        take_stopped(b, w, r, &r->stopped[i], now_ms);
+    }
+}
+
+/* A worker has left: its agent saw its word and found it gone. */
+void
+Jobs_Left(struct jobs_book *b, const char *worker, int64_t now_ms)
+{
+    struct jobs_worker *w = Book_FindWorker(b, worker);
+
+    if (w != NULL) {
+        Worker_Lost(b, w, now_ms);
+        Worker_Free(b, w);
+    }
+}
+
+/* A worker refused a start. The order may have been sent twice, and its other
+ * copy may still arrive, so the run is stopped before the next one: after
+ * that the worker refuses whatever comes late. */
+void
+Jobs_Refused(struct jobs_book *b, const char *agent UNUSED, const char *worker,
+             const char *task, uint64_t run, const char *reason,
+             int64_t now_ms)
+{
+    static const int64_t pause_ms = 400; /* a stop takes about as long */
+    struct jobs_worker *w = Book_FindWorker(b, worker);
+    struct jobs_task *t = Book_FindTask(b, task);
+
+    if (w == NULL || t == NULL || t->worker != w || t->unit->run != run ||
+        t->confirmed) {
+        return;
+    }
+    if (strcmp(reason, "room") == 0 || strcmp(reason, "busy") == 0) {
+        w->full_until_ms = now_ms + pause_ms;
+    }
+    Unit_Stop(t->unit, false);
+}
+
+/* Until when an agent's worker may hold leases of ours. */
+void
+Jobs_Granted(struct jobs_book *b, const char *worker, int64_t now_ms)
+{
+    struct jobs_worker *w = Book_FindWorker(b, worker);
+    int64_t end =
+        now_ms + (int64_t)((double)b->limits.lease_ms * LEASE_STRETCH);
+
+    if (w != NULL && end > w->lease_end_ms) {
+        w->lease_end_ms = end;
+    }
+}
+
+/* Up to which end the worker may forget. */
+uint64_t
+Jobs_LastSeen(const struct jobs_book *b, const char *worker)
+{
+    const struct jobs_worker *w = Book_FindWorker(b, worker);
+
+    return w != NULL ? w->seen_rows : 0;
+}
+
+/* Workers that only the rows name may run what they had until then. */
+void
+Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms)
+{
+    struct jobs_worker *w;
+
+    RB_FOREACH (w, lifetime_tree, &b->workers) {
+        w->lease_end_ms = lost_at_ms;
+        if (!w->heard) {
+            w->report_ms = now_ms;
+        }
+    }
+}
--- /dev/null
+++ b/packages/jobs/jobs-worker.c
@@ -0,0 +1,277 @@
+#include "jobs-book.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Order of workers by lifetime. */
+static int
+worker_compare(struct jobs_worker *a, struct jobs_worker *b)
+{
+    return strcmp(a->id, b->id);
+}
+
+RB_GENERATE(lifetime_tree, jobs_worker, by_id, worker_compare)
+
+/* Finds a worker's lifetime. */
+struct jobs_worker *
+Book_FindWorker(const struct jobs_book *b, const char *id)
+{
+    struct jobs_worker key;
+
+    if (Str_Copy(key.id, sizeof(key.id), id) != ERR_OK) {
+        return NULL;
+    }
+    return RB_FIND(lifetime_tree, (struct lifetime_tree *)&b->workers, &key);
+}
+
+/* Finds a worker's lifetime or makes it, unheard of so far. */
+struct jobs_worker *
+Book_Worker(struct jobs_book *b, const char *id, const char *agent)
+{
+    struct jobs_worker *w = Book_FindWorker(b, id);
+
+    if (w != NULL) {
+        return w;
+    }
+    w = Mem_Zero(1, sizeof(*w));
+    Str_Copy(w->id, sizeof(w->id), id);
+    Str_Copy(w->agent, sizeof(w->agent), agent);
+    TAILQ_INIT(&w->tasks);
+    TAILQ_INIT(&w->strays);
+    RB_INSERT(lifetime_tree, &b->workers, w);
+    return w;
+}
+
+/* Adds a need n times; n may be negative. */
+static void
+add_need(struct jobs_need *to, const struct jobs_need *need, int n)
+{
+    to->millicores += n * need->millicores;
+    to->memory_mb += n * need->memory_mb;
+    to->accelerators += n * need->accelerators;
+}
+
+/* What a task takes from its worker's room. */
+static struct jobs_need
+counted_need(const struct jobs_unit *u)
+{
+    struct jobs_need need = Unit_Step(u)->need;
+
+    if (Unit_Step(u)->fills) {
+        need.millicores = 0;
+    }
+    return need;
+}
+
+/* Puts a task's run on a worker. */
+void
+Worker_Take(struct jobs_worker *w, struct jobs_task *t)
+{
+    struct jobs_need need = counted_need(t->unit);
+
+    t->worker = w;
+    t->confirmed = false;
+    t->sent_ms = 0;
+    t->percent = -1;
+    add_need(&w->used, &need, 1);
+    if (t->unit->stopping) {
+        add_need(&w->freeing, &need, 1);
+    }
+    TAILQ_INSERT_TAIL(&w->tasks, t, on_worker);
+}
+
+/* Takes a task's run off its worker. */
+static void
+let_go(struct jobs_task *t)
+{
+    struct jobs_need need = counted_need(t->unit);
+    struct jobs_worker *w = t->worker;
+
+    add_need(&w->used, &need, -1);
+    if (t->unit->stopping) {
+        add_need(&w->freeing, &need, -1);
+    }
+    TAILQ_REMOVE(&w->tasks, t, on_worker);
+    t->worker = NULL;
+    t->confirmed = false;
+}
+
+/* Lets the run of a unit end. */
+void
+Unit_Stop(struct jobs_unit *u, bool drop)
+{
+    struct jobs_need need = counted_need(u);
+
+    u->dropped = u->dropped || drop;
+    if (u->state != UNIT_GIVEN || u->stopping) {
+        return;
+    }
+    u->stopping = true;
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        if (u->tasks[i].worker != NULL) {
+            add_need(&u->tasks[i].worker->freeing, &need, 1);
+            u->tasks[i].sent_ms = 0;
+        }
+    }
+}
+
+/* Forgets the strays of a worker. */
+static void
+clear_strays(struct jobs_worker *w)
+{
+    struct stray *s;
+
+    while ((s = TAILQ_FIRST(&w->strays)) != NULL) {
+        TAILQ_REMOVE(&w->strays, s, entry);
+        free(s);
+    }
+}
+
+/* Forgets a worker on which nothing runs. */
+void
+Worker_Free(struct jobs_book *b, struct jobs_worker *w)
+{
+    clear_strays(w);
+    RB_REMOVE(lifetime_tree, &b->workers, w);
+    free(w);
+}
+
+/* True when a unit is waited for by a job that still lives. */
+static bool
+is_wanted(const struct jobs_unit *u)
+{
+    return !u->dropped && u->state != UNIT_DONE && u->state != UNIT_FAILED;
+}
+
+/* The run of this task is over. When it was the last of its unit, the unit
+ * waits again, or is finished. */
+void
+Task_Gone(struct jobs_book *b, struct jobs_task *t, int64_t now_ms)
+{
+    struct jobs_unit *u = t->unit;
+    bool any = false;
+
+    if (t->worker == NULL) {
+        return;
+    }
+    let_go(t);
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        any = any || u->tasks[i].worker != NULL;
+    }
+    if (any) {
+        Unit_Stop(u, false);
+        return;
+    }
+    u->stopping = false;
+    u->unwritten = false;
+    if (is_wanted(u)) {
+        u->state = UNIT_WAITING;
+        u->ready_ms = now_ms;
+    }
+    Book_Touch(b, u->job);
+    Job_Settle(b, u->job, now_ms);
+}
+
+/* One task ended as done; that stands for the whole gang. */
+void
+Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        if (u->tasks[i].worker != NULL) {
+            let_go(&u->tasks[i]);
+        }
+    }
+    u->stopping = false;
+    u->unwritten = false;
+    u->state = Unit_Step(u)->lasting && !u->dropped ? UNIT_WAITING : UNIT_DONE;
+    u->ready_ms = now_ms;
+    Book_Touch(b, u->job);
+    Job_Settle(b, u->job, now_ms);
+}
+
+/* A run ended as failed: counted once for each run, at once, so that the row
+ * that lets the end be acknowledged has it. */
+void
+Unit_Failed(struct jobs_book *b, struct jobs_unit *u)
+{
+    struct jobs_unit *other;
+
+    if (u->failed_run) {
+        return;
+    }
+    u->failed_run = true;
+    u->failures++;
+    Book_Touch(b, u->job);
+    if (Unit_Step(u)->lasting || u->failures < (uint32_t)u->job->attempts) {
+        return;
+    }
+    TAILQ_FOREACH (other, &u->job->units, entry) {
+        Unit_Stop(other, true);
+    }
+    u->state = UNIT_FAILED;
+}
+
+/* Nothing runs on this lifetime any more. */
+void
+Worker_Lost(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms)
+{
+    struct jobs_task *t;
+
+    while ((t = TAILQ_FIRST(&w->tasks)) != NULL) {
+        Task_Gone(b, t, now_ms);
+    }
+    clear_strays(w);
+}
+
+/* What the units of a job come to. */
+static enum jobs_state
+state_of(const struct jobs_job *j, bool *runs)
+{
+    bool begun = false, all_done = true;
+    struct jobs_unit *u;
+    bool failed = false;
+
+    *runs = false;
+    TAILQ_FOREACH (u, &j->units, entry) {
+        begun = begun || u->begun;
+        all_done = all_done && u->state == UNIT_DONE;
+        failed = failed || u->state == UNIT_FAILED;
+        for (uint32_t i = 0; i < u->task_count; i++) {
+            *runs = *runs || u->tasks[i].worker != NULL;
+        }
+    }
+    if (j->occurrences < (j->spec.repetitions ? j->spec.repetitions : 1)) {
+        all_done = false;
+    }
+    if (failed) {
+        return JOB_FAILED;
+    }
+    if (all_done) {
+        return JOB_COMPLETED;
+    }
+    if (j->cancelled) {
+        return JOB_CANCELLED;
+    }
+    return begun ? JOB_RUNNING : JOB_QUEUED;
+}
+
+/* Sets the job's state; one that has ended leaves the active ones when none
+ * of its runs is left. */
+void
+Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms)
+{
+    enum jobs_state was = j->state;
+    bool runs;
+
+    if (j->ended_ms != 0) {
+        return;
+    }
+    j->state = state_of(j, &runs);
+    if (j->state != was) {
+        Book_Touch(b, j);
+    }
+    if (j->state > JOB_RUNNING && !runs) {
+        j->ended_ms = now_ms;
+        TAILQ_REMOVE(&b->active, j, active);
+    }
+}
--- /dev/null
+++ b/packages/jobs/jobs.h
@@ -0,0 +1,288 @@
+/*
+ * jobs: jobs of steps, from their acceptance to their last end, and the
+ * decision which of them starts where. No socket, clock or log: time is an
+ * argument, orders and rows to write are results.
+ *
+ * A job has steps, a step has tasks, and each start of a task is a run with a
+ * number that rises. A unit is what starts and ends together: all tasks of a
+ * gang, or a single task. A job with repetitions has each unit once for every
+ * occurrence.
+ *
+ * The book rests on four rules:
+ *   1. A run is written before it is ordered (Jobs_NextDirty, Jobs_Written),
+ *      so whoever reads the rows knows every run that may exist.
+ *   2. A unit starts again only when no task of its last run can still run:
+ *      its end is listed, its worker has another lifetime or has left, or the
+ *      last lease that its worker can hold is over.
+ *   3. An end is acknowledged to its worker only after it is written.
+ *   4. Orders are repeated until a report shows them carried out; each is
+ *      idempotent by (task, run).
+ */
+#ifndef JOBS_H
+#define JOBS_H
+
+#include "base.h"
+
+#include <jansson.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define JOBS_ID_SIZE 33     /* id of a job, the final NUL included */
+#define JOBS_TASK_SIZE 96   /* name of a task: ID.OCCURRENCE.STEP.INDEX */
+#define JOBS_TEXT_SIZE 96   /* labels, racks, worker ids, checkpoints */
+#define JOBS_STEPS_MAX 64   /* of a job */
+#define JOBS_TASKS_MAX 4096 /* of a job, all steps of one occurrence */
+#define JOBS_ROW_MAX 60000  /* bytes of a row; stores bear 64 KiB */
+
+/* ---- configuration ------------------------------------------------------ */
+
+/* A queue that callers hand jobs in to. */
+struct jobs_queue {
+    char name[NAME_SIZE];
+    char host[256];   /* of its address */
+    char prefix[256]; /* of the path, up to the job's id */
+    char service[NAME_SIZE];
+    int priority; /* 0 comes first and may preempt */
+    int attempts; /* runs that may end as failed */
+    double stretch;
+    int64_t target_ms; /* a job's objective: stretch * its chain + this */
+    bool anonymous;
+    bool asks_advice;
+};
+
+struct jobs_organisation {
+    char name[NAME_SIZE];
+    struct conf_list keys; /* char * */
+    int64_t guaranteed;    /* accelerators for its jobs of priority 0 */
+};
+
+struct jobs_service {
+    char name[NAME_SIZE];
+    bool guarded; /* its workers refuse what does not fit */
+};
+
+struct jobs_config {
+    uint64_t version;
+    struct jobs_queue *queues;
+    size_t queue_count;
+    struct jobs_organisation *organisations;
+    size_t organisation_count;
+    struct jobs_service *services;
+    size_t service_count;
+    int64_t body_bytes; /* longest body of a caller's request; 0: unset */
+};
+
+void JobsConfig_Clear(struct jobs_config *c); /* fit for CLEANUP */
+/* The queue with that host and the longest prefix that the path starts with,
+ * or NULL. */
+const struct jobs_queue *JobsConfig_Route(const struct jobs_config *c,
+                                          const char *host, const char *path);
+const struct jobs_queue *JobsConfig_Queue(const struct jobs_config *c,
+                                          const char *name);
+/* The organisation that holds the key, or NULL. */
+const struct jobs_organisation *JobsConfig_ByKey(const struct jobs_config *c,
+                                                 const char *key);
+
+/* ---- what callers ask for ------------------------------------------------
+ */
+
+/* What a task needs of its worker. */
+struct jobs_need {
+    int64_t millicores;
+    int64_t memory_mb;
+    int64_t accelerators;
+};
+
+struct jobs_step {
+    uint32_t count; /* tasks */
+    struct jobs_need need;
+    int64_t estimate_ms; /* rough, by the caller */
+    uint32_t after[JOBS_STEPS_MAX];
+    uint32_t after_count;
+    bool checkpoints;
+    bool gang;       /* tasks work only together */
+    bool same_rack;  /* and slow down when they lie on several racks */
+    bool duplicates; /* copies may run at once */
+    bool lasting;    /* runs until its job is cancelled */
+    bool fills;      /* its cores are not counted against the worker */
+    uint32_t spread; /* at most so many on one worker; 0: no bound */
+    int64_t latency_target_ms; /* of a lasting task that serves; 0: none */
+    uint32_t max_unavailable;
+    char label[JOBS_TEXT_SIZE]; /* the worker must bear it; "": any */
+    char rack[JOBS_TEXT_SIZE];  /* where its data lies; "": anywhere */
+    char image[JOBS_TEXT_SIZE];
+};
+
+struct jobs_spec {
+    char id[JOBS_ID_SIZE];
+    char queue[NAME_SIZE];
+    char organisation[NAME_SIZE]; /* "": anonymous */
+    char *payload;                /* for the worker, opaque */
+    struct jobs_step *steps;
+    uint32_t step_count;
+    uint32_t repetitions; /* 0: runs once, at once */
+    int64_t first_due_ms; /* of occurrence 0, since 1970 */
+    int64_t interval_ms;
+    int64_t accepted_ms; /* since 1970, by the entry that took it */
+};
+
+void JobsSpec_Clear(struct jobs_spec *s); /* fit for CLEANUP */
+/* ERR_OK, or ERR_INVALID with what is wrong in why. */
+int JobsSpec_Check(const struct jobs_spec *s, char why[128]);
+/* The row of a spec, as JSON, and back. ERR_OK or ERR_INVALID. */
+void JobsSpec_Encode(const struct jobs_spec *s, struct buf *out);
+int JobsSpec_Decode(const char *text, size_t len, struct jobs_spec *out);
+
+/* ---- what workers say ----------------------------------------------------
+ */
+
+enum jobs_end {
+    END_DONE,
+    END_FAILED,  /* by its own fault or the worker's; an attempt is spent */
+    END_STOPPED, /* as ordered */
+    END_LAPSED,  /* its lease was over */
+    END_BROKEN,  /* another task of its gang ended */
+    END_ALONE    /* the rest of its gang never came */
+};
+
+struct jobs_running {
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    char checkpoint[JOBS_TEXT_SIZE];
+    int64_t percent;
+};
+
+struct jobs_ended {
+    uint64_t number; /* rises within a lifetime */
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    enum jobs_end how;
+    char checkpoint[JOBS_TEXT_SIZE];
+};
+
+/* A run whose stop the worker has confirmed: it does not start any more. */
+struct jobs_stopped {
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+};
+
+/* What an agent knows of its worker, in one look. */
+struct jobs_report {
+    char agent[NAME_SIZE];
+    char worker[JOBS_TEXT_SIZE]; /* its lifetime; "": none is there */
+    char service[NAME_SIZE];
+    char labels[4][JOBS_TEXT_SIZE];
+    uint32_t label_count;
+    struct jobs_need capacity;
+    bool draining;
+    int64_t drain_left_ms; /* at least; while draining */
+    uint64_t term;         /* the worker has seen; 0: none */
+    int64_t clock_ms;      /* the worker's own */
+    struct jobs_running *running;
+    size_t running_count;
+    struct jobs_ended *ended;
+    size_t ended_count;
+    struct jobs_stopped *stopped;
+    size_t stopped_count;
+};
+
+/* ---- the book --------------------------------------------------------------
+ */
+
+enum jobs_state {
+    JOB_QUEUED,
+    JOB_RUNNING,
+    JOB_COMPLETED,
+    JOB_FAILED,
+    JOB_CANCELLED
+};
+const char *Jobs_StateName(enum jobs_state state);
+
+/* What the book is told of its place. Times in milliseconds. */
+struct jobs_limits {
+    int64_t lease_ms;  /* of a grant, on the worker's clock */
+    int64_t start_ms;  /* a start that comes later is refused */
+    int64_t early_ms;  /* an occurrence may start so much before it is due */
+    int64_t silent_ms; /* an agent that says nothing gets nothing new */
+    double remote_factor; /* slow-down away from the data, or across racks */
+    int64_t keep_ms;      /* an ended job is shown for so long */
+};
+
+enum jobs_verb { ORDER_START, ORDER_STOP };
+
+struct jobs_order {
+    enum jobs_verb verb;
+    char agent[NAME_SIZE];
+    char worker[JOBS_TEXT_SIZE];
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    int64_t until_ms;       /* worker clock; of a start */
+    const char *payload;    /* valid until the book changes */
+    const char *checkpoint; /* "": none */
+};
+
+struct jobs_book;
+struct jobs_job;
+
+struct jobs_book *Jobs_New(const struct jobs_limits *limits);
+void Jobs_Free(struct jobs_book *b);
+
+/* The configuration in force; the book keeps a pointer to it. */
+void Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c);
+/* Takes an accepted job; the spec is moved out of s. progress is the row of
+ * Jobs_Progress, or NULL. ERR_OK, ERR_EXISTS or ERR_INVALID. */
+int Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
+             size_t len, int64_t now_ms);
+/* True when the job is known. */
+bool Jobs_Has(const struct jobs_book *b, const char *id);
+/* Its caller wants it no more. */
+void Jobs_Cancel(struct jobs_book *b, const char *id, int64_t now_ms);
+/* An agent's look at its worker. */
+void Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
+                 int64_t now_ms);
+/* A worker refused a start; it has not begun and may be ordered anew. */
+void Jobs_Refused(struct jobs_book *b, const char *agent, const char *worker,
+                  const char *task, uint64_t run, const char *reason,
+                  int64_t now_ms);
+/* A worker that its agent saw leave is gone. */
+void Jobs_Left(struct jobs_book *b, const char *worker, int64_t now_ms);
+/* Runs that the rows name on workers unheard of so far end at this time at
+ * the latest; called once, after all rows are in. */
+void Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms);
+/* Lapses leases, chooses starts and stops. wall_ms: since 1970, for due
+ * times. */
+void Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms);
+
+/* Jobs whose row has to be written: appends the row of the next one to out
+ * and returns its id, or NULL when none is left. */
+const char *Jobs_NextDirty(struct jobs_book *b, struct buf *out);
+/* All rows handed out by Jobs_NextDirty since the last call are stored. */
+void Jobs_Written(struct jobs_book *b);
+/* They are not: hand them out again. */
+void Jobs_NotWritten(struct jobs_book *b);
+
+/* The next order that is due, or false. Call until it returns false. */
+bool Jobs_NextOrder(struct jobs_book *b, int64_t now_ms,
+                    struct jobs_order *out);
+/* Up to which end the worker's list is taken note of. */
+uint64_t Jobs_LastSeen(const struct jobs_book *b, const char *worker);
+/* A lease goes out to the worker, from a clock reading heard at now_ms. */
+void Jobs_Granted(struct jobs_book *b, const char *worker, int64_t now_ms);
+/* The id of a job that may be forgotten, or NULL. */
+const char *Jobs_NextExpired(struct jobs_book *b, int64_t now_ms);
+void Jobs_Remove(struct jobs_book *b, const char *id);
+
+/* State in a progress row, for those who only show it. started: a task has
+ * begun. ERR_OK or ERR_INVALID. */
+int Jobs_ReadProgress(const char *text, size_t len, enum jobs_state *state,
+                      bool *started);
+/* The book as JSON for operators. */
+json_t *Jobs_State(const struct jobs_book *b);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/kernel/kernel-plugin.c
+++ b/packages/kernel/kernel-plugin.c
@@ -1,5 +1,7 @@
 #include "kernel.h"
 
+#include <string.h>
+
 static SLIST_HEAD(, plugin) plugins = SLIST_HEAD_INITIALIZER(plugins);
 
 /* Enters a plug-in, in order of rank and then of name. Called before main. */
@@ -30,6 +32,9 @@
     int err;
 
     SLIST_FOREACH (p, &plugins, entry) {
+        if (strcmp(p->profile != NULL ? p->profile : "", k->profile) != 0) {
+            continue;
+        }
         err = p->start(k);
         if (err != ERR_OK) {
             LOG_E("plugin_failed", KV("plugin", p->name),
--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -92,6 +92,17 @@
     json_decref(state);
 }
 
+/* SIGHUP: the settings file has changed. Nothing here reads it again; without
+ * a handler the signal would end the process and all that it has in hand. */
+static void
+on_hup_signal(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
+{
+    const struct kernel *k = w->data;
+
+    LOG_I("settings_changed", KV("process", k->name),
+          KV("effect", "when the process is replaced"));
+}
+
 /* Starts watching a signal. */
 static void
 watch_signal(struct kernel *k, ev_signal *w,
@@ -114,6 +125,7 @@
     }
     k->name = name;
     k->settings = settings;
+    k->profile = "";
     k->drain_ms = drain_ms;
     TAILQ_INIT(&k->tasks);
     TAILQ_INIT(&k->mailbox);
@@ -128,6 +140,7 @@
     watch_signal(k, &k->on_term, on_stop_signal, SIGTERM);
     watch_signal(k, &k->on_int, on_stop_signal, SIGINT);
     watch_signal(k, &k->on_usr1, on_dump_signal, SIGUSR1);
+    watch_signal(k, &k->on_hup, on_hup_signal, SIGHUP);
 }
 
 /* Runs the loop until a drain ends it. */
@@ -178,13 +191,15 @@
     ev_signal_stop(k->loop, &k->on_term);
     ev_signal_stop(k->loop, &k->on_int);
     ev_signal_stop(k->loop, &k->on_usr1);
+    ev_signal_stop(k->loop, &k->on_hup);
     ev_loop_destroy(k->loop);
 }
 
 /* Runs a process from its settings to its end. */
 int
 Kernel_RunProcess(const char *name, const void *settings, int64_t drain_ms,
-                  enum log_level level, uint64_t incarnation)
+                  enum log_level level, uint64_t incarnation,
+                  const char *profile)
 {
     struct kernel k;
     int err;
@@ -192,6 +207,7 @@
     Log_SetProcess(name);
     Log_SetLevel(level);
     Kernel_Init(&k, name, settings, drain_ms);
+    k.profile = profile;
     LOG_I("start", KV("version", PF_VERSION),
           KV_INT("incarnation", incarnation));
     err = Kernel_Start(&k);
--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -70,10 +70,11 @@
     struct ev_loop *loop;
     const void *settings; /* of the program that runs */
     const char *name;     /* of the process, for logs and dumps */
+    const char *profile;  /* which plug-ins run; "": those that name none */
     struct task_list tasks;
     struct message_list mailbox;
     ev_idle pump;
-    ev_signal on_term, on_int, on_usr1;
+    ev_signal on_term, on_int, on_usr1, on_hup;
     ev_timer drain_timer;
     ev_prepare drain_check;
     int64_t drain_ms;
@@ -83,7 +84,8 @@
 /* A part of a program. Its start adds tasks; an error ends the program. */
 struct plugin {
     const char *name;
-    int rank; /* lower starts first */
+    int rank;            /* lower starts first */
+    const char *profile; /* starts only in that one; NULL: in "" alone */
     int (*start)(struct kernel *);
     SLIST_ENTRY(plugin) entry;
 };
@@ -95,7 +97,9 @@
         Kernel_Register(&(var));                                              \
     }
 
-/* Prepares the loop and the signals. drain_ms bounds a drain. */
+/* SIGHUP says that the settings file has changed; what differs takes effect
+ * when the process is replaced. Prepares the loop and the signals. drain_ms
+ * bounds a drain. */
 void Kernel_Init(struct kernel *k, const char *name, const void *settings,
                  int64_t drain_ms);
 /* Starts every registered plug-in. Returns the first error. */
@@ -112,7 +116,8 @@
  * until drained and frees everything. Returns as Kernel_Start or Kernel_Run.
  */
 int Kernel_RunProcess(const char *name, const void *settings, int64_t drain_ms,
-                      enum log_level level, uint64_t incarnation);
+                      enum log_level level, uint64_t incarnation,
+                      const char *profile);
 
 void Kernel_AddTask(struct kernel *k, struct task *t,
                     const struct task_ops *ops);
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -10,9 +10,18 @@
 pf_package(platform USES base kernel http LIBS jansson sodium)
 pf_package(agent USES base config kernel http wire platform cells)
 pf_package(entry USES base config console policy cells kernel http wire platform)
+pf_package(jobs USES base LIBS jansson m)
+pf_package(queue USES base config jobs kernel platform wire)
+pf_package(runs USES base config jobs kernel wire)
+
+# The adapter to the users' platform: a part for each program.
+pf_package(hosted-entry DIR platform/entry USES http platform queue)
+pf_package(hosted-agent DIR platform/agent USES http runs)
+target_include_directories(hosted-entry PUBLIC platform)
+target_include_directories(hosted-agent PUBLIC platform)
 
 add_executable(parsleyfall-agent packages/agent/main.c)
-pf_link(parsleyfall-agent agent cli)
+pf_link(parsleyfall-agent agent hosted-agent cli)
 
 add_executable(parsleyfall packages/entry/main.c)
-pf_link(parsleyfall entry cli)
+pf_link(parsleyfall entry hosted-entry cli)
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -67,6 +67,12 @@
 typedef void (*table_committed)(void *arg, int err, size_t at,
                                 const uint64_t *versions);
 
+/* err: ERR_OK (rows that changed after the position asked for, in order, maybe
+ * none; version 0: dropped; position: where to go on), ERR_GONE (the service
+ * does not remember that far: list anew) and as of a row's. */
+typedef void (*table_fed)(void *arg, int err, struct table_row *rows,
+                          size_t count, uint64_t position);
+
 struct table_ops {
     const char *name;
     void (*get)(struct table *, const char *table, const char *key,
@@ -82,12 +88,19 @@
      * use a version wherever that matters. */
     void (*commit)(struct table *, const struct table_op *ops, size_t count,
                    table_committed done, void *arg);
+    /* Changes of a table after a position, as soon as there is one, or none
+     * after wait_ms. NULL: this service has no feed. */
+    void (*feed)(struct table *, const char *table, uint64_t after,
+                 int64_t wait_ms, table_fed done, void *arg);
     /* Drops open calls without their callbacks. */
     void (*free)(struct table *);
 };
 
 struct table {
     const struct table_ops *ops;
+    /* Newest position of the service when it gave the answer that is being
+     * handed to a callback; for feeds, 0 where there is none. */
+    uint64_t position;
 };
 
 /* ---- object store ------------------------------------------------------ */
--- /dev/null
+++ b/packages/queue/queue-batch.c
@@ -0,0 +1,140 @@
+#include "queue-owner.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Bounds of one transaction: the store takes 100 entries and 1 MB. */
+#define BATCH_ROWS 90
+#define BATCH_BYTES 600000
+#define BUSY_PAUSE_MS 60
+
+static struct counter writes_total = {"parsleyfall_queue_writes_total",
+                                      "Transactions of the owner.", NULL,
+                                      COUNTER_TOTAL};
+static struct counter write_ms = {"parsleyfall_queue_write_ms",
+                                  "Time of a transaction of the owner.", NULL,
+                                  COUNTER_LATENCY};
+
+/* The rows of one transaction; texts live until it is sent. */
+struct batch {
+    struct table_op ops[BATCH_ROWS + 2];
+    char keys[BATCH_ROWS][JOBS_ID_SIZE + 8];
+    struct buf rows[BATCH_ROWS];
+    size_t row_count;
+    size_t op_count;
+    size_t bytes;
+};
+
+/* What became of a transaction.
+ *
+ * Failure: its answer is lost, and it is carried out seconds later, after
+ * newer ones. Symptom: a row goes back, and the owner after us starts a run
+ * again that has ended. So after an unknown outcome nothing else is written
+ * until the owner row itself has been rewritten: every write expects that
+ * row's version, and what is still on its way expects the old one. */
+static void
+on_committed(void *arg, int err, size_t at UNUSED,
+             const uint64_t *versions UNUSED)
+{
+    struct owner *o = arg;
+    int64_t now = Clock_NowMs();
+
+    o->writing = false;
+    if (o->book == NULL) {
+        return;
+    }
+    if (err == ERR_OK) {
+        Counter_Observe(&write_ms, now - o->write_ms);
+        o->confirmed_ms = o->write_ms;
+        Jobs_Written(o->book);
+        Owner_Soon(o);
+        return;
+    }
+    Jobs_NotWritten(o->book);
+    LOG_W("write_failed", KV("error", Err_Name(err)), KV_INT("term", o->term));
+    if (err == ERR_CONFLICT) {
+        /* The owner row is another one: the feed will tell whose. */
+        o->pause_ms = now + BUSY_PAUSE_MS;
+        return;
+    }
+    if (err == ERR_UNKNOWN) {
+        o->office = OFFICE_FENCING;
+        return;
+    }
+    o->pause_ms = now + BUSY_PAUSE_MS;
+}
+
+/* Adds the rows that have to be written. */
+static void
+add_rows(struct owner *o, struct batch *b)
+{
+    const char *id;
+
+    while (b->row_count < BATCH_ROWS && b->bytes < BATCH_BYTES) {
+        struct buf *row = &b->rows[b->row_count];
+        char *key = b->keys[b->row_count];
+
+        id = Jobs_NextDirty(o->book, row);
+        if (id == NULL) {
+            return;
+        }
+        snprintf(key, sizeof(b->keys[0]), "run/%s", id);
+        b->ops[b->op_count++] =
+            (struct table_op){.verb = TABLE_PUT,
+                              .table = Queue_Site()->own_table,
+                              .key = key,
+                              .if_version = TABLE_ANY,
+                              .value = row->data,
+                              .len = row->len};
+        b->row_count++;
+        b->bytes += row->len;
+    }
+}
+
+/* Adds the beat, which shows the others that this owner lives. */
+static void
+add_beat(struct owner *o, struct batch *b, struct buf *value)
+{
+    Buf_Printf(value, "{\"term\":%llu,\"beats\":%llu}",
+               (unsigned long long)o->term, (unsigned long long)o->beats++);
+    b->ops[b->op_count++] = (struct table_op){.verb = TABLE_PUT,
+                                              .table = Queue_Site()->own_table,
+                                              .key = "beat",
+                                              .if_version = TABLE_ANY,
+                                              .value = value->data,
+                                              .len = value->len};
+}
+
+/* Writes what is to be written, one transaction at a time: what comes up
+ * while one is under way goes into the next. */
+void
+Batch_Start(struct owner *o)
+{
+    struct buf beat CLEANUP(Buf_Free) = {0};
+    struct batch *b CLEANUP(Mem_FreeP) = NULL;
+    int64_t now = Clock_NowMs();
+
+    if (o->writing || o->office != OFFICE_HELD || now < o->pause_ms) {
+        return;
+    }
+    b = Mem_Zero(1, sizeof(*b));
+    b->ops[b->op_count++] = (struct table_op){.verb = TABLE_CHECK,
+                                              .table = Queue_Site()->own_table,
+                                              .key = "owner",
+                                              .if_version = o->version};
+    add_rows(o, b);
+    if (b->row_count == 0 && now - o->write_ms < BEAT_MS) {
+        Jobs_NotWritten(o->book);
+        return;
+    }
+    if (now - o->write_ms >= BEAT_MS || b->row_count == 0) {
+        add_beat(o, b, &beat);
+    }
+    o->writing = true;
+    o->write_ms = now;
+    Counter_Add(&writes_total, 1);
+    o->store->ops->commit(o->store, b->ops, b->op_count, on_committed, o);
+    for (size_t i = 0; i < b->row_count; i++) {
+        Buf_Free(&b->rows[i]);
+    }
+}
--- /dev/null
+++ b/packages/queue/queue-cache.c
@@ -0,0 +1,259 @@
+#include "queue-intake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Order of rows by key. */
+static int
+row_compare(struct cached_row *a, struct cached_row *b)
+{
+    return strcmp(a->key, b->key);
+}
+
+/* Order of jobs by id. */
+static int
+shown_compare(struct shown_job *a, struct shown_job *b)
+{
+    return strcmp(a->id, b->id);
+}
+
+TREE_STATIC(row_tree, cached_row, by_key, row_compare);
+TREE_STATIC(shown_tree, shown_job, by_id, shown_compare);
+
+/* Finds a row. */
+const struct cached_row *
+Cache_Find(struct intake *in, const char *key)
+{
+    struct cached_row probe = {.key = (char *)key};
+
+    return RB_FIND(row_tree, &in->cache, &probe);
+}
+
+/* Finds what is shown of a job. */
+struct shown_job *
+Cache_Job(struct intake *in, const char *id)
+{
+    struct shown_job probe;
+
+    if (Str_Copy(probe.id, sizeof(probe.id), id) != ERR_OK) {
+        return NULL;
+    }
+    return RB_FIND(shown_tree, &in->jobs, &probe);
+}
+
+/* Finds or makes it. */
+static struct shown_job *
+shown(struct intake *in, const char *id)
+{
+    struct shown_job *j = Cache_Job(in, id);
+
+    if (j == NULL) {
+        j = Mem_Zero(1, sizeof(*j));
+        Str_Copy(j->id, sizeof(j->id), id);
+        RB_INSERT(shown_tree, &in->jobs, j);
+    }
+    return j;
+}
+
+/* What an accepted job's row shows. */
+static void
+show_spec(struct intake *in, const char *id, const struct buf *value)
+{
+    struct jobs_spec spec CLEANUP(JobsSpec_Clear) = {0};
+    struct shown_job *j = shown(in, id);
+
+    if (JobsSpec_Decode(value->data, value->len, &spec) != ERR_OK) {
+        LOG_E("row_unreadable", KV("key", id));
+        return;
+    }
+    j->has_spec = true;
+    j->scheduled = spec.repetitions > 0;
+    Str_Copy(j->queue, sizeof(j->queue), spec.queue);
+    Str_Copy(j->organisation, sizeof(j->organisation), spec.organisation);
+}
+
+/* What its progress shows. */
+static void
+show_run(struct intake *in, const char *id, const struct buf *value)
+{
+    struct shown_job *j = shown(in, id);
+
+    if (Jobs_ReadProgress(value->data, value->len, &j->state, &j->begun) !=
+        ERR_OK) {
+        LOG_E("row_unreadable", KV("key", id));
+    }
+}
+
+/* That its caller wants it no more. */
+static void
+show_stop(struct intake *in, const char *id, const struct buf *value UNUSED)
+{
+    shown(in, id)->stopped = true;
+}
+
+static const struct {
+    const char *prefix;
+    void (*show)(struct intake *, const char *id, const struct buf *value);
+} kinds[] = {{"spec/", show_spec}, {"run/", show_run}, {"stop/", show_stop}};
+
+/* Shows what a row says. */
+static void
+show(struct intake *in, const char *key, const struct buf *value)
+{
+    for (size_t i = 0; i < COUNT_OF(kinds); i++) {
+        size_t len = strlen(kinds[i].prefix);
+
+        if (strncmp(key, kinds[i].prefix, len) == 0) {
+            kinds[i].show(in, key + len, value);
+        }
+    }
+}
+
+/* Forgets a row, and its job with the row of its spec. */
+static void
+drop(struct intake *in, struct cached_row *r)
+{
+    struct shown_job *j = NULL;
+
+    if (strncmp(r->key, "spec/", 5) == 0) {
+        j = Cache_Job(in, r->key + 5);
+    }
+    if (j != NULL) {
+        RB_REMOVE(shown_tree, &in->jobs, j);
+        free(j);
+    }
+    RB_REMOVE(row_tree, &in->cache, r);
+    free(r->key);
+    Buf_Free(&r->value);
+    free(r);
+}
+
+/* Takes a row as the store told it. */
+bool
+Cache_Take(struct intake *in, const struct table_row *row)
+{
+    struct cached_row probe = {.key = row->key};
+    struct cached_row *r = RB_FIND(row_tree, &in->cache, &probe);
+
+    if (row->version == 0) {
+        if (r != NULL) {
+            drop(in, r);
+        }
+        return r != NULL;
+    }
+    if (r == NULL) {
+        r = Mem_Zero(1, sizeof(*r));
+        r->key = Mem_Dup(row->key);
+        RB_INSERT(row_tree, &in->cache, r);
+    }
+    r->listed = true;
+    if (row->version <= r->version) {
+        return false;
+    }
+    r->version = row->version;
+    Buf_Set(&r->value, row->value.data, row->value.len);
+    show(in, r->key, &r->value);
+    return true;
+}
+
+/* Marks all rows as not seen yet. */
+void
+Cache_BeginList(struct intake *in)
+{
+    struct cached_row *r;
+
+    RB_FOREACH (r, row_tree, &in->cache) {
+        r->listed = false;
+    }
+}
+
+/* Drops rows that the list no longer had, and tells the owner. Rows that came
+ * in since the first page by a write of this process are newer than it. */
+void
+Cache_EndList(struct intake *in)
+{
+    struct cached_row *r, *next;
+
+    for (r = RB_MIN(row_tree, &in->cache); r != NULL; r = next) {
+        next = RB_NEXT(row_tree, &in->cache, r);
+        if (!r->listed && r->version <= in->rows.list_position) {
+            drop(in, r);
+        }
+    }
+}
+
+/* Jobs of a queue of which nothing has started. */
+int64_t
+Cache_Waiting(struct intake *in, const char *queue)
+{
+    struct shown_job *j;
+    int64_t n = 0;
+
+    RB_FOREACH (j, shown_tree, &in->jobs) {
+        if (j->has_spec && !j->stopped && !j->begun &&
+            j->state <= JOB_RUNNING && strcmp(j->queue, queue) == 0) {
+            n++;
+        }
+    }
+    return n;
+}
+
+/* Walks over the rows of a prefix. */
+void
+Cache_Each(struct intake *in, const char *prefix,
+           void (*fn)(const struct cached_row *, void *arg), void *arg)
+{
+    struct cached_row probe = {.key = (char *)prefix};
+    struct cached_row *r = RB_NFIND(row_tree, &in->cache, &probe);
+
+    for (; r != NULL && strncmp(r->key, prefix, strlen(prefix)) == 0;
+         r = RB_NEXT(row_tree, &in->cache, r)) {
+        fn(r, arg);
+    }
+}
+
+/* Copies every row for the owner, which builds its book from them. */
+void
+Cache_TellAll(struct intake *in)
+{
+    struct rows_changed *note;
+    struct cached_row *r;
+    size_t n = 0;
+
+    if (!in->rows.listed) {
+        in->owner_wants_all = true;
+        return;
+    }
+    in->owner_wants_all = false;
+    note = Mem_Zero(1, sizeof(*note));
+    note->all = true;
+    note->position = in->rows.position;
+    RB_FOREACH (r, row_tree, &in->cache) {
+        n++;
+    }
+    note->rows = Mem_Zero(n + 1, sizeof(*note->rows));
+    RB_FOREACH (r, row_tree, &in->cache) {
+        struct table_row *row = &note->rows[note->count++];
+
+        row->key = Mem_Dup(r->key);
+        row->version = r->version;
+        Buf_Set(&row->value, r->value.data, r->value.len);
+    }
+    Queue_Post(in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
+}
+
+/* Forgets everything. */
+void
+Cache_Clear(struct intake *in)
+{
+    struct cached_row *r;
+    struct shown_job *j;
+
+    while ((r = RB_ROOT(&in->cache)) != NULL) {
+        drop(in, r);
+    }
+    while ((j = RB_ROOT(&in->jobs)) != NULL) {
+        RB_REMOVE(shown_tree, &in->jobs, j);
+        free(j);
+    }
+}
--- /dev/null
+++ b/packages/queue/queue-calls.c
@@ -0,0 +1,354 @@
+#include "queue-intake.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A write whose outcome is not known, or that was turned away, is sent again
+ * for so long at most, within what the caller waits: callers wait 3 s and
+ * then ask another entry, so half of that leaves time for one. */
+#define WRITE_TRIES_MS 1200
+#define RETRY_PAUSE_MS 60
+/* When to come back: the store's short troubles are over, and another entry
+ * may be reached by then. */
+#define COME_BACK_MS 1000
+
+/* A call while it waits for the store. */
+struct open_call {
+    struct intake *in;
+    struct queue_call *call;
+    char key[64];
+    struct buf value;
+    int64_t until_ms;
+    bool maybe_done; /* a try may have been, or may still be, carried out */
+    ev_timer pause;
+};
+
+static struct counter accepted_total = {"parsleyfall_queue_accepted_total",
+                                        "Jobs accepted by this entry.", NULL,
+                                        COUNTER_TOTAL};
+static struct counter later_total = {
+    "parsleyfall_queue_refused_total",
+    "Calls that were refused with a time to come back.", NULL, COUNTER_TOTAL};
+static struct counter unknown_total = {"parsleyfall_queue_unknown_total",
+                                       "Calls whose outcome is not known.",
+                                       NULL, COUNTER_TOTAL};
+
+/* Ends a call. */
+static void
+finish(struct queue_call *call, enum queue_outcome outcome, const char *reason)
+{
+    call->outcome = outcome;
+    call->reason = reason;
+    if (outcome == QUEUE_LATER) {
+        call->retry_ms = COME_BACK_MS;
+        Counter_Add(&later_total, 1);
+    }
+    if (outcome == QUEUE_UNKNOWN) {
+        Counter_Add(&unknown_total, 1);
+    }
+    call->done(call);
+    Queue_CallKind.free(&call->base);
+}
+
+/* Ends a call that waited for the store. */
+static void
+finish_open(struct open_call *o, enum queue_outcome outcome,
+            const char *reason)
+{
+    ev_timer_stop(o->in->task.kernel->loop, &o->pause);
+    o->in->open_calls--;
+    finish(o->call, outcome, reason);
+    Buf_Free(&o->value);
+    free(o);
+}
+
+/* Opens a call for a row. */
+static struct open_call *
+open_call(struct intake *in, struct queue_call *call, const char *prefix,
+          const char *id)
+{
+    struct open_call *o = Mem_Zero(1, sizeof(*o));
+    struct buf key CLEANUP(Buf_Free) = {0};
+
+    Buf_Printf(&key, "%s%s", prefix, id);
+    Str_Copy(o->key, sizeof(o->key), key.data);
+    o->in = in;
+    o->call = call;
+    o->until_ms = Clock_NowMs() + WRITE_TRIES_MS;
+    in->open_calls++;
+    return o;
+}
+
+/* Shows and hands on a row that this entry has written, at once. */
+static void
+took_row(struct open_call *o, uint64_t version)
+{
+    struct rows_changed *note = Mem_Zero(1, sizeof(*note));
+    struct table_row *row;
+
+    note->rows = Mem_Zero(1, sizeof(*note->rows));
+    row = &note->rows[0];
+    row->key = Mem_Dup(o->key);
+    row->version = version;
+    Buf_Set(&row->value, o->value.data, o->value.len);
+    note->count = Cache_Take(o->in, row) ? 1 : 0;
+    if (note->count == 0) {
+        free(row->key);
+        Buf_Free(&row->value);
+    }
+    Queue_Post(o->in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
+}
+
+static void send_write(struct open_call *o);
+
+static void
+on_pause(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    send_write(w->data);
+}
+
+/* How a write went.
+ *
+ * Failure: an answer is lost, and the write takes effect now or seconds
+ * later. Symptom of a plain refusal: the caller is told "not accepted", and
+ * the job runs. A refusal is therefore given only when every try was turned
+ * away for certain; after any other it is "unknown", and the same id may be
+ * handed in again. */
+static void
+on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
+{
+    struct open_call *o = arg;
+    bool submit = o->call->verb == QUEUE_SUBMIT;
+
+    if (err == ERR_OK) {
+        if (submit) {
+            Counter_Add(&accepted_total, 1);
+        }
+        LOG_I(submit ? "job_accepted" : "job_cancelled", KV("row", o->key),
+              KV_INT("version", versions[0]));
+        took_row(o, versions[0]);
+        finish_open(o, QUEUE_OK, "stored");
+        return;
+    }
+    if (err == ERR_CONFLICT && submit) {
+        finish_open(o, QUEUE_OK, "known_already");
+        return;
+    }
+    if (err == ERR_INVALID) {
+        finish_open(o, QUEUE_INVALID, "the store refuses its row");
+        return;
+    }
+    o->maybe_done = o->maybe_done || err == ERR_UNKNOWN;
+    if (Clock_NowMs() < o->until_ms) {
+        Timer_Set(o->in->task.kernel->loop, &o->pause, RETRY_PAUSE_MS);
+        return;
+    }
+    LOG_W("write_given_up", KV("row", o->key), KV("error", Err_Name(err)),
+          KV("maybe_done", o->maybe_done ? "yes" : "no"));
+    if (o->maybe_done) {
+        finish_open(o, QUEUE_UNKNOWN, "store_silent");
+        return;
+    }
+    finish_open(o, QUEUE_LATER, "store_away");
+}
+
+/* Sends the write of a call. */
+static void
+send_write(struct open_call *o)
+{
+    struct table *store = o->in->store;
+    struct table_op op = {.verb = TABLE_PUT,
+                          .table = Queue_Site()->own_table,
+                          .key = o->key,
+                          .if_version = TABLE_ANY,
+                          .value = o->value.data,
+                          .len = o->value.len};
+
+    if (o->call->verb == QUEUE_SUBMIT) {
+        op.if_version = 0;
+    }
+    store->ops->commit(store, &op, 1, on_written, o);
+}
+
+/* Sends a call's row for the first time. */
+static void
+start_write(struct open_call *o)
+{
+    ev_init(&o->pause, on_pause);
+    o->pause.data = o;
+    send_write(o);
+}
+
+/* Hands a job in. */
+static void
+submit(struct intake *in, struct queue_call *call,
+       const struct jobs_queue *queue, const char *organisation,
+       const char *id)
+{
+    struct open_call *o;
+    char why[128];
+
+    Str_Copy(call->spec.queue, sizeof(call->spec.queue), queue->name);
+    Str_Copy(call->spec.organisation, sizeof(call->spec.organisation),
+             organisation);
+    Str_Copy(call->spec.id, sizeof(call->spec.id), id);
+    call->spec.accepted_ms = Clock_WallMs();
+    if (JobsSpec_Check(&call->spec, why) != ERR_OK) {
+        LOG_W("job_invalid", KV("job", id), KV("why", why));
+        finish(call, QUEUE_INVALID, "invalid_job");
+        return;
+    }
+    if (Cache_Job(in, id) != NULL && Cache_Job(in, id)->has_spec) {
+        finish(call, QUEUE_OK, "known_already");
+        return;
+    }
+    o = open_call(in, call, "spec/", id);
+    JobsSpec_Encode(&call->spec, &o->value);
+    if (o->value.len > JOBS_ROW_MAX) {
+        finish_open(o, QUEUE_INVALID, "job_too_big");
+        return;
+    }
+    start_write(o);
+}
+
+/* Cancels a job that is known. */
+static void
+cancel(struct intake *in, struct queue_call *call, const char *id)
+{
+    struct shown_job *j = Cache_Job(in, id);
+    struct open_call *o;
+
+    if (j->stopped || j->state > JOB_RUNNING) {
+        finish(call, QUEUE_OK, "ended_already");
+        return;
+    }
+    o = open_call(in, call, "stop/", id);
+    Buf_AppendStr(&o->value, "{}");
+    start_write(o);
+}
+
+/* Answers with what is shown of a job, or cancels it. */
+static void
+serve_known(struct intake *in, struct queue_call *call, const char *id)
+{
+    struct shown_job *j = Cache_Job(in, id);
+
+    if (call->verb == QUEUE_CANCEL) {
+        cancel(in, call, id);
+        return;
+    }
+    call->state =
+        j->stopped && j->state <= JOB_RUNNING ? JOB_CANCELLED : j->state;
+    finish(call, QUEUE_OK, "known");
+}
+
+/* A job that was not known here, as the store has it. */
+static void
+on_looked(void *arg, int err, struct table_row *row)
+{
+    struct open_call *o = arg;
+    struct intake *in = o->in;
+    struct queue_call *call = o->call;
+    char id[JOBS_ID_SIZE];
+
+    if (err != ERR_OK) {
+        finish_open(o, QUEUE_LATER, "store_away");
+        return;
+    }
+    if (row->version == 0) {
+        finish_open(o, QUEUE_GONE, "no_such_job");
+        return;
+    }
+    Cache_Take(in, row);
+    Str_Copy(id, sizeof(id), o->key + strlen("spec/"));
+    in->open_calls--;
+    Buf_Free(&o->value);
+    free(o);
+    if (Cache_Job(in, id) == NULL) {
+        finish(call, QUEUE_LATER, "row_unreadable");
+        return;
+    }
+    serve_known(in, call, id);
+}
+
+/* Looks a job up: 410 is said only by the store itself, as this entry's cache
+ * may be behind. */
+static void
+look_up(struct intake *in, struct queue_call *call, const char *id)
+{
+    struct open_call *o = open_call(in, call, "spec/", id);
+
+    ev_init(&o->pause, on_pause);
+    in->store->ops->get(in->store, Queue_Site()->own_table, o->key, on_looked,
+                        o);
+}
+
+/* True for 1 to 32 hexadecimal digits. */
+static bool
+is_id(const char *s)
+{
+    size_t n = strspn(s, "0123456789abcdefABCDEF");
+
+    return n > 0 && n < JOBS_ID_SIZE && s[n] == '\0';
+}
+
+/* Who calls; false when the key is nobody's. */
+static bool
+identify(struct intake *in, const struct queue_call *call,
+         const struct jobs_queue *queue, const char **organisation)
+{
+    const struct jobs_organisation *o = NULL;
+
+    *organisation = "";
+    if (*call->key != '\0') {
+        o = JobsConfig_ByKey(&in->config->jobs, call->key);
+    }
+    if (o != NULL) {
+        *organisation = o->name;
+    }
+    return o != NULL || queue->anonymous;
+}
+
+/* Serves a call. */
+void
+Intake_Call(struct intake *in, struct queue_call *call)
+{
+    const struct jobs_queue *queue;
+    const char *organisation, *id;
+    struct shown_job *j;
+
+    if (in->config == NULL) {
+        finish(call, QUEUE_LATER, "no_configuration");
+        return;
+    }
+    queue = JobsConfig_Route(&in->config->jobs, call->host, call->path);
+    if (queue == NULL) {
+        finish(call, QUEUE_NO_QUEUE, "no_such_queue");
+        return;
+    }
+    if (!identify(in, call, queue, &organisation)) {
+        finish(call, QUEUE_NO_KEY, "unknown_key");
+        return;
+    }
+    id = call->path + strlen(queue->prefix);
+    if (*id == '\0' && call->verb == QUEUE_ASK) {
+        call->waiting = Cache_Waiting(in, queue->name);
+        finish(call, QUEUE_WAITING, "counted");
+        return;
+    }
+    if (!is_id(id)) {
+        finish(call, QUEUE_INVALID, "malformed_id");
+        return;
+    }
+    if (call->verb == QUEUE_SUBMIT) {
+        submit(in, call, queue, organisation, id);
+        return;
+    }
+    j = Cache_Job(in, id);
+    if (j == NULL || !j->has_spec) {
+        look_up(in, call, id);
+        return;
+    }
+    serve_known(in, call, id);
+}
--- /dev/null
+++ b/packages/queue/queue-config.c
@@ -0,0 +1,50 @@
+#include "queue-intake.h"
+
+#include <stdlib.h>
+
+static struct counter version_gauge = {"parsleyfall_queue_config_version",
+                                       "Configuration version in force.", NULL,
+                                       COUNTER_GAUGE};
+
+/* Tells a task of the configuration in force. */
+static void
+tell(struct intake *in, const char *task)
+{
+    struct config_in_force *note = Mem_Zero(1, sizeof(*note));
+
+    note->config = QueueConfig_Ref(in->config);
+    Queue_Post(in->task.kernel, task, &note->base, &Queue_ConfigKind);
+}
+
+/* Takes a configuration, from the store or from another entry.
+ *
+ * Failure: what another entry sends may be older than what the store has told
+ * meanwhile. Symptom: a key that was taken away works again. A lower version
+ * than the one in force is therefore never taken, whoever brings it. */
+void
+Intake_TakeConfig(struct intake *in, const char *text, size_t len,
+                  const char *from)
+{
+    struct queue_config *c = Mem_Zero(1, sizeof(*c));
+    char why[128];
+
+    c->refs = 1;
+    if (Queue_Site()->read_config(text, len, &c->jobs, why) != ERR_OK) {
+        LOG_E("config_unreadable", KV("from", from), KV("why", why));
+        QueueConfig_Unref(c);
+        return;
+    }
+    if (in->config != NULL && c->jobs.version <= in->config->jobs.version) {
+        QueueConfig_Unref(c);
+        return;
+    }
+    Buf_Set(&c->text, text, len);
+    QueueConfig_Unref(in->config);
+    in->config = c;
+    Counter_Set(&version_gauge, (int64_t)c->jobs.version);
+    LOG_I("config_in_force", KV_INT("version", c->jobs.version),
+          KV("from", from), KV_INT("queues", c->jobs.queue_count),
+          KV_INT("organisations", c->jobs.organisation_count));
+    tell(in, TASK_OWNER);
+    tell(in, TASK_LINKS);
+}
--- /dev/null
+++ b/packages/queue/queue-entries.c
@@ -0,0 +1,89 @@
+#include "queue-intake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* An entry writes its row so often; one that has not for three times that
+ * long is not told to agents any more. */
+#define TELL_MS 4000
+#define FIRST_TELL_MS 300
+
+static void
+on_told(void *arg, int err, size_t at UNUSED, const uint64_t *versions UNUSED)
+{
+    struct intake *in = arg;
+
+    in->own_row_stored = err == ERR_OK;
+}
+
+/* Writes this entry's row. */
+static void
+write_own_row(struct intake *in)
+{
+    const struct entry_settings *s = in->task.kernel->settings;
+    struct buf value CLEANUP(Buf_Free) = {0};
+    struct buf key CLEANUP(Buf_Free) = {0};
+    struct table_op op = {.verb = TABLE_PUT, .if_version = TABLE_ANY};
+
+    Buf_Printf(&key, "entry/%s", s->name);
+    Buf_Printf(&value, "{\"links\":\"%s\",\"incarnation\":%llu}",
+               s->hosted.links, (unsigned long long)Queue_Incarnation());
+    op.table = Queue_Site()->own_table;
+    op.key = key.data;
+    op.value = value.data;
+    op.len = value.len;
+    in->store->ops->commit(in->store, &op, 1, on_told, in);
+}
+
+/* Adds an entry's row to the list. */
+static void
+add_entry(const struct cached_row *r, void *arg)
+{
+    struct entries_listed *note = arg;
+    json_t *o = json_loadb(r->value.data, r->value.len, 0, NULL);
+    const char *links = json_string_value(json_object_get(o, "links"));
+
+    if (links != NULL) {
+        struct wire_entry *e = Wire_ListAdd(&note->entries, sizeof(*e));
+
+        Str_Copy(e->name, sizeof(e->name), r->key + strlen("entry/"));
+        Str_Copy(e->address, sizeof(e->address), links);
+    }
+    json_decref(o);
+}
+
+/* Tells the links of the entries that the store lists. */
+static void
+tell_entries(struct intake *in)
+{
+    struct entries_listed *note = Mem_Zero(1, sizeof(*note));
+
+    Cache_Each(in, "entry/", add_entry, note);
+    Queue_Post(in->task.kernel, TASK_LINKS, &note->base, &Queue_EntriesKind);
+}
+
+static void
+on_tell(struct ev_loop *loop, ev_timer *w, int events UNUSED)
+{
+    struct intake *in = w->data;
+
+    write_own_row(in);
+    tell_entries(in);
+    Timer_Set(loop, w, in->own_row_stored ? TELL_MS : FIRST_TELL_MS);
+}
+
+/* Begins to write this entry's row. */
+void
+Entries_Start(struct intake *in)
+{
+    ev_init(&in->tell, on_tell);
+    in->tell.data = in;
+    Timer_Set(in->task.kernel->loop, &in->tell, 1);
+}
+
+/* Stops it. */
+void
+Entries_Stop(struct intake *in)
+{
+    ev_timer_stop(in->task.kernel->loop, &in->tell);
+}
--- /dev/null
+++ b/packages/queue/queue-follow.c
@@ -0,0 +1,203 @@
+#include "queue-intake.h"
+
+#include <string.h>
+
+/* How long a feed waits for news. A connection that has gone silent is seen
+ * at the latest after this and the time-out of a call; shorter waits cost
+ * calls, of which a hundred an entry and minute are no matter. */
+#define WAIT_MS 1000
+#define RETRY_MS 60      /* after a first failure */
+#define RETRY_MAX_MS 400 /* the store turns away for seconds, never long */
+#define PAGE 500
+
+static void ask(struct follow *f);
+
+/* Asks again after a pause that grows. */
+static void
+later(struct follow *f)
+{
+    int64_t ms = RETRY_MS << (f->failures < 3 ? f->failures : 3);
+
+    f->failures++;
+    Timer_Set(f->intake->task.kernel->loop, &f->retry,
+              ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS);
+}
+
+static void
+on_retry(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    ask(w->data);
+}
+
+/* Notes that an answer came, and says so when the store was away. */
+static void
+note_answer(struct follow *f)
+{
+    if (f->failures > 5) {
+        LOG_I("store_regained", KV("table", f->table),
+              KV_INT("failures", f->failures));
+    }
+    f->failures = 0;
+    f->fresh_ms = Clock_NowMs();
+}
+
+/* Notes that none came. */
+static void
+note_failure(struct follow *f, int err)
+{
+    if (f->failures == 5) {
+        LOG_W("store_lost", KV("table", f->table), KV("error", Err_Name(err)));
+    }
+    later(f);
+}
+
+/* Takes rows of the own table and hands the news to the owner. */
+static void
+take_own(struct intake *in, struct table_row *rows, size_t count,
+         uint64_t position)
+{
+    struct rows_changed *note = Mem_Zero(1, sizeof(*note));
+
+    note->rows = Mem_Zero(count + 1, sizeof(*note->rows));
+    note->position = position;
+    for (size_t i = 0; i < count; i++) {
+        if (Cache_Take(in, &rows[i])) {
+            note->rows[note->count++] = rows[i];
+            memset(&rows[i], 0, sizeof(rows[i]));
+        }
+    }
+    Queue_Post(in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
+}
+
+/* Takes rows of the operators' table. */
+static void
+take_operator(struct intake *in, const struct table_row *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(rows[i].key, Queue_Site()->config_key) == 0 &&
+            rows[i].version != 0) {
+            Intake_TakeConfig(in, rows[i].value.data, rows[i].value.len,
+                              "store");
+        }
+    }
+}
+
+/* Takes rows of whichever table. */
+static void
+take_rows(struct follow *f, struct table_row *rows, size_t count,
+          uint64_t position)
+{
+    if (f == &f->intake->rows) {
+        take_own(f->intake, rows, count, position);
+        return;
+    }
+    take_operator(f->intake, rows, count);
+}
+
+/* A page of the whole table. The feed goes on from the first page's position,
+ * so that what changes while pages are read is told again, not missed. */
+static void
+on_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct follow *f = arg;
+    bool first = f->after[0] == '\0';
+
+    if (err != ERR_OK) {
+        note_failure(f, err);
+        return;
+    }
+    note_answer(f);
+    if (first) {
+        f->list_position = f->intake->store->position;
+    }
+    if (count > 0) {
+        Str_Copy(f->after, sizeof(f->after), rows[count - 1].key);
+    }
+    take_rows(f, rows, count, f->list_position);
+    if (more && count > 0) {
+        ask(f);
+        return;
+    }
+    if (f == &f->intake->rows) {
+        Cache_EndList(f->intake);
+    }
+    f->after[0] = '\0';
+    f->listed = true;
+    f->position = f->list_position;
+    LOG_I("table_listed", KV("table", f->table),
+          KV_INT("position", f->position));
+    if (f->intake->owner_wants_all) {
+        Cache_TellAll(f->intake);
+    }
+    ask(f);
+}
+
+/* Changes. */
+static void
+on_fed(void *arg, int err, struct table_row *rows, size_t count,
+       uint64_t position)
+{
+    struct follow *f = arg;
+
+    if (err == ERR_GONE) {
+        LOG_W("history_dropped", KV("table", f->table),
+              KV_INT("position", f->position));
+        f->listed = false;
+        f->after[0] = '\0';
+        ask(f);
+        return;
+    }
+    if (err != ERR_OK) {
+        note_failure(f, err);
+        return;
+    }
+    note_answer(f);
+    if (position > f->position) {
+        f->position = position;
+    }
+    take_rows(f, rows, count, f->position);
+    ask(f);
+}
+
+/* Asks the store for what comes next. */
+static void
+ask(struct follow *f)
+{
+    struct table *store = f->intake->store;
+
+    if (f->listed) {
+        store->ops->feed(store, f->table, f->position, WAIT_MS, on_fed, f);
+        return;
+    }
+    if (f->after[0] == '\0' && f == &f->intake->rows) {
+        Cache_BeginList(f->intake);
+    }
+    store->ops->list(store, f->table, "", f->after, PAGE, on_listed, f);
+}
+
+/* Begins to follow a table. */
+static void
+begin(struct intake *in, struct follow *f, const char *table)
+{
+    f->intake = in;
+    f->table = table;
+    ev_init(&f->retry, on_retry);
+    f->retry.data = f;
+    ask(f);
+}
+
+/* Follows the own table and the operators'. */
+void
+Follow_Start(struct intake *in)
+{
+    begin(in, &in->rows, Queue_Site()->own_table);
+    begin(in, &in->operator, Queue_Site()->config_table);
+}
+
+/* Stops the timers. */
+void
+Follow_Stop(struct intake *in)
+{
+    ev_timer_stop(in->task.kernel->loop, &in->rows.retry);
+    ev_timer_stop(in->task.kernel->loop, &in->operator.retry);
+}
--- /dev/null
+++ b/packages/queue/queue-intake.h
@@ -0,0 +1,91 @@
+/* The intake's own structures, shared by its files. */
+#ifndef QUEUE_INTAKE_H
+#define QUEUE_INTAKE_H
+
+#include "queue.h"
+
+/* A row as last seen. */
+struct cached_row {
+    char *key;
+    uint64_t version;
+    struct buf value;
+    bool listed; /* seen by the list that is under way */
+    RB_ENTRY(cached_row) by_key;
+};
+RB_HEAD(row_tree, cached_row);
+
+/* What callers ask about, kept beside the rows. */
+struct shown_job {
+    char id[JOBS_ID_SIZE];
+    char queue[NAME_SIZE];
+    char organisation[NAME_SIZE];
+    bool scheduled; /* its occurrences have due times */
+    bool has_spec;
+    bool stopped; /* its caller wants it no more */
+    bool begun;
+    enum jobs_state state;
+    RB_ENTRY(shown_job) by_id;
+};
+RB_HEAD(shown_tree, shown_job);
+
+/* One table that is followed: listed whole, then by its feed. */
+struct follow {
+    struct intake *intake;
+    const char *table;
+    bool listed; /* complete, and the feed goes on from position */
+    uint64_t position;
+    uint64_t list_position; /* of the first page */
+    char after[256];        /* where the next page begins */
+    int64_t fresh_ms;       /* last whole answer; 0: none yet */
+    int failures;           /* in a row */
+    ev_timer retry;
+};
+
+struct intake {
+    struct task task;
+    struct table *store;
+    struct follow rows;     /* of the own table */
+    struct follow operator; /* of the operators' table */
+    struct row_tree cache;
+    struct shown_tree jobs;
+    struct queue_config *config;
+    bool draining;
+    bool owner_wants_all;
+    size_t open_calls;
+    ev_timer tell; /* own row, and the entries */
+    bool own_row_stored;
+};
+
+/* ---- queue-follow.c */
+void Follow_Start(struct intake *in);
+void Follow_Stop(struct intake *in);
+
+/* ---- queue-cache.c */
+/* Takes a row; older ones than known are left. True when it is news. */
+bool Cache_Take(struct intake *in, const struct table_row *row);
+void Cache_BeginList(struct intake *in);
+/* Drops what the list did not have. */
+void Cache_EndList(struct intake *in);
+const struct cached_row *Cache_Find(struct intake *in, const char *key);
+struct shown_job *Cache_Job(struct intake *in, const char *id);
+int64_t Cache_Waiting(struct intake *in, const char *queue);
+/* Calls fn for each row whose key starts with prefix. */
+void Cache_Each(struct intake *in, const char *prefix,
+                void (*fn)(const struct cached_row *, void *arg), void *arg);
+void Cache_Clear(struct intake *in);
+/* Sends every row to the owner. */
+void Cache_TellAll(struct intake *in);
+
+/* ---- queue-calls.c */
+void Intake_Call(struct intake *in, struct queue_call *call);
+
+/* ---- queue-config.c */
+/* Takes a configuration that is newer than the present one. */
+void Intake_TakeConfig(struct intake *in, const char *text, size_t len,
+                       const char *from);
+
+/* ---- queue-entries.c */
+void Entries_Start(struct intake *in);
+void Entries_Stop(struct intake *in);
+
+#endif
--- /dev/null
+++ b/packages/queue/queue-links.c
@@ -0,0 +1,336 @@
+#include "queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Entries say so often that they are there. A configuration that an entry
+ * can't read from the store reaches it from another one within this time. */
+#define PEER_MS 500
+/* A link that has brought nothing for so long is replaced: something between
+ * the two ends may have lost track of it while new connections work. */
+#define SILENT_MS 2500
+
+/* An agent and where it was last heard from. */
+struct agent {
+    char name[NAME_SIZE];
+    struct link_peer peer;
+    RB_ENTRY(agent) by_name;
+};
+RB_HEAD(agent_tree, agent);
+
+/* A link that this entry opened to another one. */
+struct peer {
+    struct links *links;
+    char address[NAME_SIZE];
+    struct link *link;
+    int64_t heard_ms;
+    bool listed;
+    TAILQ_ENTRY(peer) entry;
+};
+
+struct links {
+    struct task task;
+    struct link_context *context;
+    struct link *listening;
+    struct agent_tree agents;
+    TAILQ_HEAD(, peer) peers;
+    struct wire_list entries; /* struct wire_entry */
+    struct queue_config *config;
+    ev_timer tick;
+};
+
+/* Order of agents by name. */
+static int
+agent_compare(struct agent *a, struct agent *b)
+{
+    return strcmp(a->name, b->name);
+}
+
+TREE_STATIC(agent_tree, agent, by_name, agent_compare);
+
+/* Finds an agent. */
+static struct agent *
+find_agent(struct links *l, const char *name)
+{
+    struct agent probe;
+
+    Str_Copy(probe.name, sizeof(probe.name), name);
+    return RB_FIND(agent_tree, &l->agents, &probe);
+}
+
+/* Notes where an agent is to be answered. */
+static void
+note_agent(struct links *l, const char *name, const struct link_peer *from)
+{
+    struct agent *a = find_agent(l, name);
+
+    if (a == NULL) {
+        a = Mem_Zero(1, sizeof(*a));
+        Str_Copy(a->name, sizeof(a->name), name);
+        RB_INSERT(agent_tree, &l->agents, a);
+        LOG_I("agent_joined", KV("agent", name));
+    }
+    a->peer = *from;
+}
+
+/* Answers whoever spoke, so that it sees the link alive. */
+static void
+hail(struct links *l, const struct link_peer *to)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct wire_hail m = {.msg = {WIRE_HAIL},
+                          .incarnation = Queue_Incarnation(),
+                          .entries = l->entries};
+
+    Str_Copy(m.entry, sizeof(m.entry), s->name);
+    Link_Send(l->listening, to, &m.msg);
+}
+
+/* Sends the configuration to an entry that has an older one. */
+static void
+send_document(struct links *l, const struct link_peer *to,
+              const struct wire_peer *from)
+{
+    struct wire_document m = {.msg = {WIRE_DOCUMENT}};
+
+    if (l->config == NULL || from->version >= l->config->jobs.version) {
+        return;
+    }
+    m.version = l->config->jobs.version;
+    m.text = l->config->text;
+    Link_Send(l->listening, to, &m.msg);
+}
+
+/* Hands what an agent said to the owner. */
+static void
+pass_on(struct links *l, struct wire_msg **m)
+{
+    struct agent_said *said = Mem_Zero(1, sizeof(*said));
+
+    said->m = *m;
+    *m = NULL;
+    Queue_Post(l->task.kernel, TASK_OWNER, &said->base, &Queue_SaidKind);
+}
+
+/* What comes to the listening link. */
+static void
+on_heard(void *arg, const struct link_peer *from, struct wire_msg **m)
+{
+    struct links *l = arg;
+
+    switch ((*m)->type) {
+    case WIRE_LOOK:
+        note_agent(l, ((struct wire_look *)*m)->agent, from);
+        hail(l, from);
+        pass_on(l, m);
+        return;
+    case WIRE_REFUSED:
+        pass_on(l, m);
+        return;
+    case WIRE_PEER:
+        hail(l, from);
+        send_document(l, from, (struct wire_peer *)*m);
+        return;
+    default:
+        LOG_W("message_unexpected", KV("type", Wire_TypeName((*m)->type)));
+    }
+}
+
+/* What another entry answers. */
+static void
+on_answer(void *arg, const struct link_peer *from UNUSED, struct wire_msg **m)
+{
+    struct peer *p = arg;
+    struct wire_document *d = (struct wire_document *)*m;
+    struct peer_document *note;
+
+    p->heard_ms = Clock_NowMs();
+    if ((*m)->type != WIRE_DOCUMENT) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    note->version = d->version;
+    Buf_Move(&note->text, &d->text);
+    Queue_Post(p->links->task.kernel, TASK_INTAKE, &note->base,
+               &Queue_DocumentKind);
+}
+
+/* Opens the link to another entry, or opens it anew. */
+static void
+connect_peer(struct peer *p)
+{
+    Link_Free(p->link);
+    p->link = Link_Connect(p->links->context, p->links->task.kernel->loop,
+                           p->address, NULL, on_answer, p);
+    p->heard_ms = Clock_NowMs();
+}
+
+/* Drops a link to another entry. */
+static void
+free_peer(struct peer *p)
+{
+    TAILQ_REMOVE(&p->links->peers, p, entry);
+    Link_Free(p->link);
+    free(p);
+}
+
+/* Links to an entry, once. */
+static void
+want_peer(struct links *l, const char *address)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct peer *p;
+
+    if (strcmp(address, s->hosted.links) == 0) {
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (strcmp(p->address, address) == 0) {
+            p->listed = true;
+            return;
+        }
+    }
+    p = Mem_Zero(1, sizeof(*p));
+    p->links = l;
+    p->listed = true;
+    Str_Copy(p->address, sizeof(p->address), address);
+    TAILQ_INSERT_TAIL(&l->peers, p, entry);
+    connect_peer(p);
+}
+
+/* Takes the entries that the store lists. */
+static void
+take_entries(struct links *l, struct entries_listed *note)
+{
+    const struct wire_entry *e = note->entries.items;
+    struct peer *p, *next;
+
+    if (note->entries.count == 0) {
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        p->listed = false;
+    }
+    for (size_t i = 0; i < note->entries.count; i++) {
+        want_peer(l, e[i].address);
+    }
+    TAILQ_FOREACH_SAFE (p, &l->peers, entry, next) {
+        if (!p->listed) {
+            free_peer(p);
+        }
+    }
+    free(l->entries.items);
+    l->entries = note->entries;
+    note->entries = (struct wire_list){0};
+}
+
+/* Tells the other entries what this one has, and replaces silent links. */
+static void
+on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct links *l = w->data;
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct wire_peer m = {.msg = {WIRE_PEER},
+                          .incarnation = Queue_Incarnation()};
+    struct peer *p;
+
+    Str_Copy(m.entry, sizeof(m.entry), s->name);
+    m.version = l->config != NULL ? l->config->jobs.version : 0;
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (Clock_NowMs() - p->heard_ms > SILENT_MS) {
+            connect_peer(p);
+        }
+        if (p->link != NULL) {
+            Link_Send(p->link, NULL, &m.msg);
+        }
+    }
+}
+
+/* Sends what the owner has for an agent; what can't be handed over is sent
+ * again by the owner, whose orders are repeated until they are seen done. */
+static void
+say(struct links *l, const struct say_agent *s)
+{
+    struct agent *a = find_agent(l, s->agent);
+
+    if (a != NULL) {
+        Link_Send(l->listening, &a->peer, s->m);
+    }
+}
+
+/* Takes what other tasks send. */
+static void
+receive(struct task *t, struct message *m)
+{
+    struct links *l = (struct links *)t;
+
+    if (m->kind == &Queue_SayKind) {
+        say(l, (struct say_agent *)m);
+    }
+    else if (m->kind == &Queue_EntriesKind) {
+        take_entries(l, (struct entries_listed *)m);
+    }
+    else if (m->kind == &Queue_ConfigKind) {
+        QueueConfig_Unref(l->config);
+        l->config = QueueConfig_Ref(((struct config_in_force *)m)->config);
+    }
+}
+
+/* Frees the task. */
+static void
+links_free(struct task *t)
+{
+    struct links *l = (struct links *)t;
+    struct peer *p;
+    struct agent *a;
+
+    ev_timer_stop(t->kernel->loop, &l->tick);
+    while ((p = TAILQ_FIRST(&l->peers)) != NULL) {
+        free_peer(p);
+    }
+    while ((a = RB_ROOT(&l->agents)) != NULL) {
+        RB_REMOVE(agent_tree, &l->agents, a);
+        free(a);
+    }
+    Link_Free(l->listening);
+    Link_ContextFree(l->context);
+    QueueConfig_Unref(l->config);
+    free(l->entries.items);
+    free(l);
+}
+
+static const struct task_ops links_ops = {
+    .name = TASK_LINKS, .receive = receive, .free = links_free};
+
+/* Listens for agents and entries. */
+static int
+start(struct kernel *k)
+{
+    const struct entry_settings *s = k->settings;
+    struct links *l = Mem_Zero(1, sizeof(*l));
+    char *const *seeds = s->seeds.items;
+
+    RB_INIT(&l->agents);
+    TAILQ_INIT(&l->peers);
+    Kernel_AddTask(k, &l->task, &links_ops);
+    l->context = Link_ContextNew();
+    l->listening =
+        Link_Listen(l->context, k->loop, s->hosted.links, NULL, on_heard, l);
+    if (l->listening == NULL) {
+        LOG_E("listen_failed", KV("links", s->hosted.links));
+        return ERR_IO;
+    }
+    for (size_t i = 0; i < s->seeds.count; i++) {
+        want_peer(l, seeds[i]);
+    }
+    ev_init(&l->tick, on_tick);
+    l->tick.data = l;
+    Timer_Every(k->loop, &l->tick, PEER_MS);
+    return ERR_OK;
+}
+
+static struct plugin links_plugin = {.name = "queue-links",
+                                     .rank = 10,
+                                     .profile = PROFILE_HOSTED,
+                                     .start = start};
+KERNEL_PLUGIN(links_plugin)
--- /dev/null
+++ b/packages/queue/queue-messages.c
@@ -0,0 +1,155 @@
+#include "queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const struct queue_site *the_site;
+
+/* Sets what the platform brings. */
+void
+Queue_SetSite(const struct queue_site *site)
+{
+    the_site = site;
+}
+
+/* What the platform brings. */
+const struct queue_site *
+Queue_Site(void)
+{
+    return the_site;
+}
+
+/* Tells this process from its earlier ones. */
+uint64_t
+Queue_Incarnation(void)
+{
+    static uint64_t incarnation;
+
+    if (incarnation == 0) {
+        incarnation = Id_Random64() >> 1; /* fits JSON's signed integers */
+    }
+    return incarnation;
+}
+
+/* Shares a configuration. */
+struct queue_config *
+QueueConfig_Ref(struct queue_config *c)
+{
+    c->refs++;
+    return c;
+}
+
+/* Lets go of a configuration. */
+void
+QueueConfig_Unref(struct queue_config *c)
+{
+    if (c != NULL && --c->refs == 0) {
+        JobsConfig_Clear(&c->jobs);
+        Buf_Free(&c->text);
+        free(c);
+    }
+}
+
+/* Makes a call. */
+struct queue_call *
+QueueCall_New(enum queue_verb verb)
+{
+    struct queue_call *c = Mem_Zero(1, sizeof(*c));
+
+    c->verb = verb;
+    c->reason = "";
+    return c;
+}
+
+/* Frees a call, which is also its message. */
+static void
+free_call(struct message *m)
+{
+    struct queue_call *c = (struct queue_call *)m;
+
+    JobsSpec_Clear(&c->spec);
+    free(c);
+}
+
+static void
+free_config(struct message *m)
+{
+    QueueConfig_Unref(((struct config_in_force *)m)->config);
+    free(m);
+}
+
+static void
+free_rows(struct message *m)
+{
+    struct rows_changed *r = (struct rows_changed *)m;
+
+    for (size_t i = 0; i < r->count; i++) {
+        free(r->rows[i].key);
+        Buf_Free(&r->rows[i].value);
+    }
+    free(r->rows);
+    free(r);
+}
+
+static void
+free_said(struct message *m)
+{
+    Wire_Free(((struct agent_said *)m)->m);
+    free(m);
+}
+
+static void
+free_say(struct message *m)
+{
+    Wire_Free(((struct say_agent *)m)->m);
+    free(m);
+}
+
+static void
+free_document(struct message *m)
+{
+    Buf_Free(&((struct peer_document *)m)->text);
+    free(m);
+}
+
+static void
+free_entries(struct message *m)
+{
+    free(((struct entries_listed *)m)->entries.items);
+    free(m);
+}
+
+const struct message_kind Queue_CallKind = {"call", free_call};
+const struct message_kind Queue_ConfigKind = {"config", free_config};
+const struct message_kind Queue_RowsKind = {"rows", free_rows};
+const struct message_kind Queue_WantedKind = {"rows-wanted", NULL};
+const struct message_kind Queue_SaidKind = {"agent-said", free_said};
+const struct message_kind Queue_SayKind = {"say-agent", free_say};
+const struct message_kind Queue_DocumentKind = {"document", free_document};
+const struct message_kind Queue_EntriesKind = {"entries", free_entries};
+
+/* Posts to a task by name. */
+void
+Queue_Post(struct kernel *k, const char *task, struct message *m,
+           const struct message_kind *kind)
+{
+    struct task *t = Kernel_FindTask(k, task);
+
+    if (t != NULL) {
+        Kernel_Post(t, m, kind);
+        return;
+    }
+    m->kind = kind;
+    if (kind->free != NULL) {
+        kind->free(m);
+        return;
+    }
+    free(m);
+}
+
+/* Hands a call to the intake. */
+void
+Queue_Call(struct kernel *k, struct queue_call *call)
+{
+    Queue_Post(k, TASK_INTAKE, &call->base, &Queue_CallKind);
+}
--- /dev/null
+++ b/packages/queue/queue-orders.c
@@ -0,0 +1,166 @@
+#include "queue-owner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Copies the lists of a look. */
+static void
+copy_lists(const struct wire_look *m, struct jobs_report *r)
+{
+    const struct wire_run *runs = m->running.items;
+    const struct wire_end *ends = m->ended.items;
+    const struct wire_stopped *stopped = m->stopped.items;
+    const struct wire_label *labels = m->labels.items;
+
+    for (size_t i = 0; i < m->labels.count && i < COUNT_OF(r->labels); i++) {
+        Str_Copy(r->labels[i], sizeof(r->labels[i]), labels[i].text);
+        r->label_count++;
+    }
+    r->running = Mem_Zero(m->running.count + 1, sizeof(*r->running));
+    for (size_t i = 0; i < m->running.count; i++) {
+        struct jobs_running *to = &r->running[r->running_count++];
+
+        Str_Copy(to->task, sizeof(to->task), runs[i].task);
+        Str_Copy(to->checkpoint, sizeof(to->checkpoint), runs[i].checkpoint);
+        to->run = runs[i].run;
+        to->percent = runs[i].percent;
+    }
+    r->ended = Mem_Zero(m->ended.count + 1, sizeof(*r->ended));
+    for (size_t i = 0; i < m->ended.count; i++) {
+        struct jobs_ended *to = &r->ended[r->ended_count++];
+
+        Str_Copy(to->task, sizeof(to->task), ends[i].task);
+        Str_Copy(to->checkpoint, sizeof(to->checkpoint), ends[i].checkpoint);
+        to->run = ends[i].run;
+        to->number = ends[i].number;
+        to->how = (enum jobs_end)ends[i].how;
+    }
+    r->stopped = Mem_Zero(m->stopped.count + 1, sizeof(*r->stopped));
+    for (size_t i = 0; i < m->stopped.count; i++) {
+        struct jobs_stopped *to = &r->stopped[r->stopped_count++];
+
+        Str_Copy(to->task, sizeof(to->task), stopped[i].task);
+        to->run = stopped[i].run;
+    }
+}
+
+/* True while this owner may give out leases: its writes are confirmed, so
+ * nobody has taken over for longer than the bound that the next one waits. */
+static bool
+may_grant(const struct owner *o)
+{
+    return Clock_NowMs() - o->confirmed_ms < BLIND_MS;
+}
+
+/* Makes an empty message of orders. */
+static struct wire_orders *
+new_orders(const struct owner *o, const char *worker)
+{
+    struct wire_orders *m = Wire_New(WIRE_ORDERS);
+
+    m->term = o->term;
+    m->last_seen = Jobs_LastSeen(o->book, worker);
+    Str_Copy(m->worker, sizeof(m->worker), worker);
+    return m;
+}
+
+/* Hands a message for an agent to the links. */
+static void
+say(struct owner *o, const char *agent, struct wire_orders *m)
+{
+    struct say_agent *note = Mem_Zero(1, sizeof(*note));
+
+    Str_Copy(note->agent, sizeof(note->agent), agent);
+    note->m = &m->msg;
+    Queue_Post(o->task.kernel, TASK_LINKS, &note->base, &Queue_SayKind);
+}
+
+/* Takes a look into the book and answers it with the next lease. */
+void
+Orders_Look(struct owner *o, const struct wire_look *m)
+{
+    const struct entry_settings *s = o->task.kernel->settings;
+    struct jobs_report r = {0};
+    struct wire_orders *answer;
+    int64_t now = Clock_NowMs();
+
+    if (*m->left != '\0') {
+        Jobs_Left(o->book, m->left, now);
+    }
+    if (*m->worker == '\0') {
+        return;
+    }
+    Str_Copy(r.agent, sizeof(r.agent), m->agent);
+    Str_Copy(r.worker, sizeof(r.worker), m->worker);
+    Str_Copy(r.service, sizeof(r.service), m->service);
+    r.capacity =
+        (struct jobs_need){m->millicores, m->memory_mb, m->accelerators};
+    r.draining = m->draining != 0;
+    r.drain_left_ms = m->drain_left_ms;
+    r.term = m->term;
+    r.clock_ms = m->clock_ms;
+    copy_lists(m, &r);
+    Jobs_Report(o->book, &r, now);
+    free(r.running);
+    free(r.ended);
+    free(r.stopped);
+    answer = new_orders(o, m->worker);
+    if (may_grant(o)) {
+        answer->until_ms = m->clock_ms + s->hosted.lease_ms;
+        Jobs_Granted(o->book, m->worker, now);
+    }
+    say(o, m->agent, answer);
+}
+
+/* Takes a refused start. */
+void
+Orders_Refused(struct owner *o, const struct wire_refused *m)
+{
+    LOG_I("start_refused", KV("task", m->task), KV_INT("run", m->run),
+          KV("worker", m->worker), KV("reason", m->reason));
+    Jobs_Refused(o->book, m->agent, m->worker, m->task, m->run, m->reason,
+                 Clock_NowMs());
+}
+
+/* Logs an order and puts it into its message. */
+static void
+add_order(struct wire_orders *m, const struct jobs_order *order)
+{
+    struct wire_order *to = Wire_ListAdd(&m->orders, sizeof(*to));
+
+    to->verb = order->verb == ORDER_START ? WIRE_START_RUN : WIRE_STOP_RUN;
+    to->run = order->run;
+    to->until_ms = order->until_ms;
+    Str_Copy(to->task, sizeof(to->task), order->task);
+    Str_Copy(to->checkpoint, sizeof(to->checkpoint), order->checkpoint);
+    if (order->payload != NULL) {
+        Buf_AppendStr(&to->payload, order->payload);
+    }
+    LOG_I(order->verb == ORDER_START ? "order_start" : "order_stop",
+          KV("task", order->task), KV_INT("run", order->run),
+          KV("worker", order->worker), KV_INT("term", m->term));
+}
+
+/* Sends all orders that are due, one message for each worker. */
+void
+Orders_Send(struct owner *o)
+{
+    struct wire_orders *m = NULL;
+    char agent[NAME_SIZE] = "";
+    struct jobs_order order;
+
+    while (Jobs_NextOrder(o->book, Clock_NowMs(), &order)) {
+        if (m != NULL && strcmp(m->worker, order.worker) != 0) {
+            say(o, agent, m);
+            m = NULL;
+        }
+        if (m == NULL) {
+            m = new_orders(o, order.worker);
+            Str_Copy(agent, sizeof(agent), order.agent);
+        }
+        add_order(m, &order);
+    }
+    if (m != NULL) {
+        say(o, agent, m);
+    }
+}
--- /dev/null
+++ b/packages/queue/queue-owner.h
@@ -0,0 +1,69 @@
+/* The owner's own structures, shared by its files. */
+#ifndef QUEUE_OWNER_H
+#define QUEUE_OWNER_H
+
+#include "queue.h"
+
+/* An owner rewrites its beat so often, if it has written nothing else. */
+#define BEAT_MS 500
+/* Others take over when they see the store move but not the beat for this
+ * long: four beats, so that a slow store does not depose its owner. */
+#define SILENT_MS 2200
+/* An owner whose writes have not been confirmed for this long gives out no
+ * more leases: another may have taken over and wait just so long, and a lease
+ * more, for workers that it can't ask. Outages of the store last shorter. */
+#define BLIND_MS 12000
+
+enum office {
+    OFFICE_NONE,    /* another entry is the owner, or nobody */
+    OFFICE_LOADING, /* the row names us; the rows are on their way */
+    OFFICE_HELD,
+    OFFICE_FENCING /* rewriting the owner row, before writing anything else */
+};
+
+struct owner {
+    struct task task;
+    struct table *store;
+    struct queue_config *config;
+    enum office office;
+    bool draining;
+    bool released;
+    /* The owner row, as the feed told it last. */
+    uint64_t row_version;
+    char row_name[NAME_SIZE]; /* "": nobody */
+    uint64_t row_incarnation;
+    uint64_t row_term;
+    int64_t beat_seen_ms; /* last change of the owner's row or beat */
+    int64_t rows_seen_ms; /* last answer of the feed */
+    bool claiming;        /* a write of the owner row is under way */
+    int64_t claim_ms;     /* not before */
+    bool dead_before;     /* the owner before us had ended for certain */
+    /* In office. */
+    uint64_t term;
+    uint64_t version; /* of the owner row that our writes expect */
+    struct jobs_book *book;
+    bool writing;
+    bool beat_due;
+    int64_t confirmed_ms; /* start of the last write that succeeded */
+    int64_t write_ms;     /* start of the one under way */
+    int64_t pause_ms;     /* no write before */
+    uint64_t beats;
+    ev_timer tick;
+    ev_timer soon;
+};
+
+/* ---- queue-owner.c */
+void Owner_Leave(struct owner *o, const char *why);
+/* Plans, writes and gives orders, soon. */
+void Owner_Soon(struct owner *o);
+void Owner_Claim(struct owner *o, const char *name);
+
+/* ---- queue-batch.c */
+void Batch_Start(struct owner *o);
+
+/* ---- queue-orders.c */
+void Orders_Look(struct owner *o, const struct wire_look *m);
+void Orders_Refused(struct owner *o, const struct wire_refused *m);
+void Orders_Send(struct owner *o);
+
+#endif
--- /dev/null
+++ b/packages/queue/queue.h
@@ -0,0 +1,187 @@
+/*
+ * queue: the part of an entry that serves jobs of steps on a platform with a
+ * store. Entries are equal; each keeps nothing but a cache of the store.
+ *
+ * Tasks, and what they tell each other:
+ *
+ *   intake  follows the store (rows of jobs, configuration, entries) and
+ *           answers callers: hand in, state, cancel, count. An accepted job
+ *           is a stored row.
+ *   owner   one of all entries, by a row of the store taken under a
+ *           condition. It keeps the book (jobs.h), writes progress rows and
+ *           gives the orders.
+ *   links   owns the socket that agents and other entries connect to.
+ *
+ * Rows of the own table, all in one part, so that one transaction can check
+ * the owner and write what it decided:
+ *
+ *   owner      who gives orders: name, incarnation, term
+ *   beat       rewritten by the owner, so that others see it alive
+ *   spec/ID    an accepted job; written once, by whoever took it
+ *   stop/ID    its caller wants it no more
+ *   run/ID     its progress; written by the owner alone
+ *   entry/NAME an entry and where its links listen
+ */
+#ifndef QUEUE_H
+#define QUEUE_H
+
+#include "base.h"
+#include "config.h"
+#include "jobs.h"
+#include "kernel.h"
+#include "platform.h"
+#include "wire.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- the place it runs in -------------------------------------------------
+ */
+
+/* What a platform brings. */
+struct queue_site {
+    struct table *(*open_store)(struct ev_loop *,
+                                const struct hosted_settings *);
+    /* ERR_OK or ERR_INVALID with the reason; out is to be cleared. */
+    int (*read_config)(const char *text, size_t len, struct jobs_config *out,
+                       char why[128]);
+    const char *config_table; /* where operators write */
+    const char *config_key;
+    const char *own_table;
+};
+
+/* Called before main by the adapter that is linked in. */
+void Queue_SetSite(const struct queue_site *site);
+const struct queue_site *Queue_Site(void);
+/* The one connection of this process to the store. */
+struct table *Queue_Store(struct kernel *k);
+uint64_t Queue_Incarnation(void);
+
+/* ---- callers ---------------------------------------------------------------
+ */
+
+enum queue_verb { QUEUE_SUBMIT, QUEUE_ASK, QUEUE_CANCEL };
+
+enum queue_outcome {
+    QUEUE_OK,       /* accepted, cancelled; or state or waiting is set */
+    QUEUE_WAITING,  /* an ask for the queue: waiting is set */
+    QUEUE_NO_QUEUE, /* no such queue */
+    QUEUE_NO_KEY,   /* a key that nobody holds */
+    QUEUE_GONE,     /* no such job */
+    QUEUE_INVALID,  /* detail says what is wrong */
+    QUEUE_LATER,    /* nothing was done and nothing will be: retry_ms */
+    QUEUE_UNKNOWN   /* it may have been done, or be done later */
+};
+
+/* A call of a caller, on its way to the intake and back. */
+struct queue_call {
+    struct message base;
+    enum queue_verb verb;
+    char host[256];
+    char path[512];
+    char key[256];   /* bearer token; "": none */
+    int64_t wait_ms; /* the caller waits so long; 0: not said */
+    struct jobs_spec
+        spec; /* of a submit; id and queue are set by the intake */
+    /* Result, valid in done. */
+    enum queue_outcome outcome;
+    enum jobs_state state;
+    int64_t waiting;
+    int64_t retry_ms;
+    const char *reason;
+    /* Called once; frees nothing. */
+    void (*done)(struct queue_call *);
+    void *arg;
+};
+
+struct queue_call *QueueCall_New(enum queue_verb verb);
+/* Hands a call to the intake, which frees it after done. */
+void Queue_Call(struct kernel *k, struct queue_call *call);
+
+/* True when this entry can serve callers: it has a configuration, and is not
+ * about to end. */
+bool Queue_Ready(struct kernel *k);
+
+/* ---- messages between the tasks
+ * --------------------------------------------- */
+
+/* The configuration in force, shared and never changed. */
+struct queue_config {
+    struct jobs_config jobs;
+    struct buf text;
+    int refs;
+};
+
+struct queue_config *QueueConfig_Ref(struct queue_config *c);
+void QueueConfig_Unref(struct queue_config *c);
+
+/* intake -> owner, links. */
+struct config_in_force {
+    struct message base;
+    struct queue_config *config;
+};
+
+/* intake -> owner: rows of the own table that changed; version 0: dropped.
+ * all: every row there is, in answer to struct rows_wanted. */
+struct rows_changed {
+    struct message base;
+    struct table_row *rows;
+    size_t count;
+    bool all;
+    uint64_t position;
+};
+
+/* owner -> intake. */
+struct rows_wanted {
+    struct message base;
+};
+
+/* links -> owner: what an agent said. */
+struct agent_said {
+    struct message base;
+    struct wire_msg *m;
+};
+
+/* owner -> links: what to say to an agent. */
+struct say_agent {
+    struct message base;
+    char agent[NAME_SIZE];
+    struct wire_msg *m;
+};
+
+/* links -> intake: a configuration that another entry has. */
+struct peer_document {
+    struct message base;
+    uint64_t version;
+    struct buf text;
+};
+
+/* intake -> links: the entries that the store lists. */
+struct entries_listed {
+    struct message base;
+    struct wire_list entries; /* struct wire_entry */
+};
+
+extern const struct message_kind Queue_CallKind;
+extern const struct message_kind Queue_ConfigKind;
+extern const struct message_kind Queue_RowsKind;
+extern const struct message_kind Queue_WantedKind;
+extern const struct message_kind Queue_SaidKind;
+extern const struct message_kind Queue_SayKind;
+extern const struct message_kind Queue_DocumentKind;
+extern const struct message_kind Queue_EntriesKind;
+
+#define TASK_INTAKE "intake"
+#define TASK_OWNER "owner"
+#define TASK_LINKS "queue-links"
+
+/* Posts when that task runs; frees m otherwise. */
+void Queue_Post(struct kernel *k, const char *task, struct message *m,
+                const struct message_kind *kind);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/runs/runs-orders.c
@@ -0,0 +1,124 @@
+#include "runs-watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct counter starts_total = {"parsleyfall_agent_starts_total",
+                                      "Starts ordered at the worker.", NULL,
+                                      COUNTER_TOTAL};
+static struct counter refused_total = {"parsleyfall_agent_refused_total",
+                                       "Starts that the worker refused.", NULL,
+                                       COUNTER_TOTAL};
+
+/* True when the same order is at the worker already. */
+static bool
+is_under_way(const struct watch *w, const struct wire_order *order)
+{
+    const struct order_call *c;
+    bool stop = order->verb == WIRE_STOP_RUN;
+
+    TAILQ_FOREACH (c, &w->calls, entry) {
+        if (c->stop == stop && c->run == order->run &&
+            strcmp(c->task, order->task) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells the owner that a start was refused. */
+static void
+tell_refused(struct watch *w, const struct order_call *c, const char *reason)
+{
+    const struct agent_settings *s = w->task.kernel->settings;
+    struct wire_refused *m = Wire_New(WIRE_REFUSED);
+
+    Counter_Add(&refused_total, 1);
+    Str_Copy(m->agent, sizeof(m->agent), s->name);
+    Str_Copy(m->worker, sizeof(m->worker), c->lifetime);
+    Str_Copy(m->task, sizeof(m->task), c->task);
+    m->run = c->run;
+    Str_Copy(m->reason, sizeof(m->reason), reason);
+    Watch_Say(w, &m->msg);
+}
+
+/* Notes a confirmed stop, to be told with the next look. */
+static void
+note_stop(struct watch *w, const struct order_call *c)
+{
+    struct confirmed_stop *s = Mem_Zero(1, sizeof(*s));
+
+    Str_Copy(s->task, sizeof(s->task), c->task);
+    s->run = c->run;
+    s->before_look = w->looks + 1;
+    s->at_ms = Clock_NowMs();
+    TAILQ_INSERT_TAIL(&w->stops, s, entry);
+}
+
+/* How an order went. One without an answer is not told of: the owner sends
+ * it again until a look shows its effect. */
+static void
+on_ordered(void *arg, int err, const char *reason)
+{
+    struct order_call *c = arg;
+    struct watch *w = c->watch;
+    bool current = strcmp(c->lifetime, w->said.lifetime) == 0;
+
+    TAILQ_REMOVE(&w->calls, c, entry);
+    if (current && c->stop && err == ERR_OK) {
+        note_stop(w, c);
+    }
+    if (current && !c->stop && err == ERR_DENIED) {
+        tell_refused(w, c, reason);
+    }
+    if (err != ERR_OK && err != ERR_DENIED) {
+        LOG_W("order_unanswered", KV("task", c->task), KV_INT("run", c->run),
+              KV("order", c->stop ? "stop" : "start"),
+              KV("error", Err_Name(err)));
+    }
+    if (current) {
+        Watch_LookSoon(w);
+    }
+    free(c);
+}
+
+/* Carries out one order of the owner. */
+void
+Orders_Carry(struct watch *w, const struct wire_order *order)
+{
+    struct runs_start start = {.task = order->task,
+                               .run = order->run,
+                               .payload = order->payload.data,
+                               .checkpoint = order->checkpoint,
+                               .until_ms = order->until_ms,
+                               .term = w->term};
+    struct order_call *c;
+
+    if (is_under_way(w, order)) {
+        return;
+    }
+    /* From the moment when its worker's word that it leaves was confirmed,
+     * nothing new begins there, whatever an owner knew that sent it. */
+    if (order->verb == WIRE_START_RUN && (w->said.draining || w->leaving)) {
+        struct order_call refused = {.run = order->run};
+
+        Str_Copy(refused.lifetime, sizeof(refused.lifetime), w->said.lifetime);
+        Str_Copy(refused.task, sizeof(refused.task), order->task);
+        tell_refused(w, &refused, "draining");
+        return;
+    }
+    c = Mem_Zero(1, sizeof(*c));
+    c->watch = w;
+    c->stop = order->verb == WIRE_STOP_RUN;
+    c->run = order->run;
+    Str_Copy(c->lifetime, sizeof(c->lifetime), w->said.lifetime);
+    Str_Copy(c->task, sizeof(c->task), order->task);
+    TAILQ_INSERT_TAIL(&w->calls, c, entry);
+    if (c->stop) {
+        w->worker->ops->stop(w->worker, c->lifetime, c->task, c->run, w->term,
+                             on_ordered, c);
+        return;
+    }
+    Counter_Add(&starts_total, 1);
+    w->worker->ops->start(w->worker, c->lifetime, &start, on_ordered, c);
+}
--- /dev/null
+++ b/packages/runs/runs-watch.c
@@ -0,0 +1,363 @@
+#include "runs-watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A look waits so long for an end. Leases are renewed with each look, so a
+ * shorter wait keeps more of a lease in hand; calls on the own machine cost
+ * little. */
+#define WAIT_MS 400
+#define RETRY_MS 100
+#define SOON_MS 15 /* after an order, so that its effect is seen early */
+
+static void look(struct watch *w);
+
+/* Sends a message to all entries. */
+void
+Watch_Say(struct watch *w, struct wire_msg *m)
+{
+    struct task *links = Kernel_FindTask(w->task.kernel, TASK_RUNS_LINKS);
+    struct wire_note *note = Mem_Zero(1, sizeof(*note));
+
+    note->m = m;
+    Kernel_Post(links, &note->base, &Runs_WireKind);
+}
+
+/* Fills what the worker has and runs. */
+static void
+fill_lists(const struct watch *w, const struct runs_seen *seen,
+           struct wire_look *m)
+{
+    for (uint32_t i = 0; i < w->said.label_count; i++) {
+        struct wire_label *l = Wire_ListAdd(&m->labels, sizeof(*l));
+
+        Str_Copy(l->text, sizeof(l->text), w->said.labels[i]);
+    }
+    for (size_t i = 0; i < seen->running_count; i++) {
+        struct wire_run *r = Wire_ListAdd(&m->running, sizeof(*r));
+
+        Str_Copy(r->task, sizeof(r->task), seen->running[i].task);
+        Str_Copy(r->checkpoint, sizeof(r->checkpoint),
+                 seen->running[i].checkpoint);
+        r->run = seen->running[i].run;
+        r->percent = seen->running[i].percent;
+    }
+    for (size_t i = 0; i < seen->ended_count; i++) {
+        struct wire_end *e = Wire_ListAdd(&m->ended, sizeof(*e));
+
+        Str_Copy(e->task, sizeof(e->task), seen->ended[i].task);
+        Str_Copy(e->checkpoint, sizeof(e->checkpoint),
+                 seen->ended[i].checkpoint);
+        e->run = seen->ended[i].run;
+        e->number = seen->ended[i].number;
+        e->how = seen->ended[i].how;
+    }
+}
+
+/* Adds the stops that were confirmed before this look was sent. */
+static void
+fill_stopped(struct watch *w, uint64_t number, struct wire_look *m)
+{
+    struct confirmed_stop *s, *next;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH_SAFE (s, &w->stops, entry, next) {
+        if (now - s->at_ms > STOP_KEEP_MS) {
+            TAILQ_REMOVE(&w->stops, s, entry);
+            free(s);
+            continue;
+        }
+        if (s->before_look <= number) {
+            struct wire_stopped *to = Wire_ListAdd(&m->stopped, sizeof(*to));
+
+            Str_Copy(to->task, sizeof(to->task), s->task);
+            to->run = s->run;
+        }
+    }
+}
+
+/* Tells all entries what a look has shown. */
+static void
+tell(struct watch *w, const struct look_call *call,
+     const struct runs_seen *seen)
+{
+    const struct agent_settings *s = w->task.kernel->settings;
+    struct wire_look *m = Wire_New(WIRE_LOOK);
+
+    Str_Copy(m->agent, sizeof(m->agent), s->name);
+    Str_Copy(m->worker, sizeof(m->worker), w->said.lifetime);
+    Str_Copy(m->left, sizeof(m->left), w->left);
+    Str_Copy(m->service, sizeof(m->service), w->said.service);
+    m->millicores = w->said.capacity.millicores;
+    m->memory_mb = w->said.capacity.memory_mb;
+    m->accelerators = w->said.capacity.accelerators;
+    m->draining = w->said.draining;
+    m->drain_left_ms = w->said.drain_left_ms;
+    m->term = call->term;
+    m->clock_ms = seen->clock_ms;
+    fill_lists(w, seen, m);
+    fill_stopped(w, call->number, m);
+    Watch_Say(w, &m->msg);
+}
+
+/* Tells all entries that a lifetime is over. */
+static void
+tell_left(struct watch *w, const char *lifetime)
+{
+    const struct agent_settings *s = w->task.kernel->settings;
+    struct wire_look *m = Wire_New(WIRE_LOOK);
+
+    LOG_I("worker_gone", KV("worker", lifetime));
+    Str_Copy(w->left, sizeof(w->left), lifetime);
+    Str_Copy(m->agent, sizeof(m->agent), s->name);
+    Str_Copy(m->left, sizeof(m->left), lifetime);
+    Watch_Say(w, &m->msg);
+}
+
+/* Looks again after a while. */
+static void
+look_later(struct watch *w, int64_t ms)
+{
+    Timer_Set(w->task.kernel->loop, &w->again, ms);
+}
+
+static void
+on_again(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
+{
+    look(timer->data);
+}
+
+/* A look came back, or did not. */
+static void
+on_looked(void *arg, int err, struct runs_seen *seen)
+{
+    struct look_call *call CLEANUP(Mem_FreeP) = arg;
+    struct watch *w = call->watch;
+    bool current = strcmp(call->lifetime, w->said.lifetime) == 0;
+
+    if (!call->extra) {
+        w->looking = false;
+    }
+    if (err == ERR_OK && current) {
+        w->answered = true;
+        w->clock_ms = seen->clock_ms;
+        w->clock_at_ms = Clock_NowMs();
+        tell(w, call, seen);
+    }
+    else if (err == ERR_STALE && current) {
+        /* Another lifetime answers at this address: this one is over. */
+        Watch_Forget(w);
+    }
+    else if (err == ERR_UNREACHABLE && current && w->leaving) {
+        tell_left(w, call->lifetime);
+        Watch_Forget(w);
+    }
+    if (!call->extra) {
+        look_later(w, err == ERR_OK ? 0 : RETRY_MS);
+    }
+}
+
+/* Sends a look. */
+static void
+send_look(struct watch *w, bool extra)
+{
+    struct look_call *call = Mem_Zero(1, sizeof(*call));
+
+    call->watch = w;
+    call->extra = extra;
+    call->number = ++w->looks;
+    call->term = w->term;
+    Str_Copy(call->lifetime, sizeof(call->lifetime), w->said.lifetime);
+    w->worker->ops->look(w->worker, w->said.lifetime, w->term, w->last_seen,
+                         w->until_ms, extra ? 0 : WAIT_MS, on_looked, call);
+}
+
+/* Looks at the worker, when there is one. */
+static void
+look(struct watch *w)
+{
+    if (*w->said.lifetime == '\0' || w->looking) {
+        return;
+    }
+    w->looking = true;
+    send_look(w, false);
+}
+
+static void
+on_soon(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
+{
+    struct watch *w = timer->data;
+
+    if (*w->said.lifetime != '\0') {
+        send_look(w, true);
+    }
+}
+
+/* Looks soon, beside the one that waits for an end. */
+void
+Watch_LookSoon(struct watch *w)
+{
+    if (!ev_is_active(&w->soon)) {
+        Timer_Set(w->task.kernel->loop, &w->soon, SOON_MS);
+    }
+}
+
+/* Forgets the present lifetime. It is not believed again: a report that was
+ * under way for seconds may still name it. */
+void
+Watch_Forget(struct watch *w)
+{
+    struct confirmed_stop *s;
+
+    if (*w->said.lifetime == '\0') {
+        return;
+    }
+    Str_Copy(w->past[w->past_next++ % PAST_LIFETIMES], JOBS_TEXT_SIZE,
+             w->said.lifetime);
+    memset(&w->said, 0, sizeof(w->said));
+    w->answered = false;
+    w->leaving = false;
+    w->last_seen = 0;
+    w->until_ms = 0;
+    while ((s = TAILQ_FIRST(&w->stops)) != NULL) {
+        TAILQ_REMOVE(&w->stops, s, entry);
+        free(s);
+    }
+}
+
+/* True when that lifetime is over. */
+static bool
+is_past(const struct watch *w, const char *lifetime)
+{
+    for (size_t i = 0; i < PAST_LIFETIMES; i++) {
+        if (strcmp(w->past[i], lifetime) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The worker reports, or a report of one that is over comes late. */
+static void
+take_said(struct watch *w, const struct worker_said *said)
+{
+    bool same = strcmp(said->lifetime, w->said.lifetime) == 0;
+
+    if (is_past(w, said->lifetime)) {
+        return;
+    }
+    if (said->leaves) {
+        w->leaving = w->leaving || same;
+        return;
+    }
+    if (same && said->sequence < w->said.sequence) {
+        return;
+    }
+    if (!same) {
+        LOG_I("worker_found", KV("worker", said->lifetime),
+              KV("before", w->said.lifetime));
+        Watch_Forget(w);
+    }
+    if (said->draining && !w->said.draining) {
+        LOG_I("worker_draining", KV("worker", said->lifetime),
+              KV_INT("left_ms", said->drain_left_ms));
+        Watch_LookSoon(w);
+    }
+    w->said = *said;
+    if (!same) {
+        look(w);
+    }
+}
+
+/* Takes the owner's word: leases, ends that are stored, orders. */
+static void
+take_orders(struct watch *w, const struct wire_orders *m)
+{
+    const struct wire_order *orders = m->orders.items;
+
+    if (m->term < w->term || strcmp(m->worker, w->said.lifetime) != 0) {
+        return;
+    }
+    w->term = m->term;
+    if (m->until_ms > w->until_ms) {
+        w->until_ms = m->until_ms;
+    }
+    if (m->last_seen > w->last_seen) {
+        w->last_seen = m->last_seen;
+        Watch_LookSoon(w);
+    }
+    for (size_t i = 0; i < m->orders.count; i++) {
+        Orders_Carry(w, &orders[i]);
+    }
+}
+
+/* Takes what other tasks and the adapter send. */
+static void
+receive(struct task *t, struct message *m)
+{
+    struct watch *w = (struct watch *)t;
+
+    if (m->kind == &Runs_SaidKind) {
+        take_said(w, (struct worker_said *)m);
+    }
+    else if (m->kind == &Runs_WireKind) {
+        take_orders(w, (struct wire_orders *)((struct wire_note *)m)->m);
+    }
+}
+
+/* For operators. */
+static json_t *
+state(const struct task *t)
+{
+    const struct watch *w = (const struct watch *)t;
+
+    return json_pack("{s:s,s:I,s:I,s:I,s:b}", "worker", w->said.lifetime,
+                     "term", (json_int_t)w->term, "last_seen",
+                     (json_int_t)w->last_seen, "until_ms",
+                     (json_int_t)w->until_ms, "draining", w->said.draining);
+}
+
+/* Frees the task. */
+static void
+watch_free(struct task *t)
+{
+    struct watch *w = (struct watch *)t;
+
+    ev_timer_stop(t->kernel->loop, &w->again);
+    ev_timer_stop(t->kernel->loop, &w->soon);
+    Watch_Forget(w);
+    w->worker->ops->free(w->worker);
+    free(w);
+}
+
+static const struct task_ops watch_ops = {.name = TASK_WATCH,
+                                          .receive = receive,
+                                          .state = state,
+                                          .free = watch_free};
+
+/* Waits for the worker's first report. */
+static int
+start(struct kernel *k)
+{
+    const struct agent_settings *s = k->settings;
+    struct watch *w = Mem_Zero(1, sizeof(*w));
+
+    if (Runs_Site() == NULL) {
+        LOG_E("no_platform", KV("allowed", "a program with its adapter"));
+        free(w);
+        return ERR_INVALID;
+    }
+    TAILQ_INIT(&w->stops);
+    TAILQ_INIT(&w->calls);
+    w->worker = Runs_Site()->open_worker(k->loop, &s->hosted);
+    ev_init(&w->again, on_again);
+    w->again.data = w;
+    ev_init(&w->soon, on_soon);
+    w->soon.data = w;
+    Kernel_AddTask(k, &w->task, &watch_ops);
+    return ERR_OK;
+}
+
+static struct plugin watch_plugin = {
+    .name = "watch", .rank = 20, .profile = PROFILE_HOSTED, .start = start};
+KERNEL_PLUGIN(watch_plugin)
--- /dev/null
+++ b/packages/runs/runs-watch.h
@@ -0,0 +1,67 @@
+/* The watch's own structures, shared by its files. */
+#ifndef RUNS_WATCH_H
+#define RUNS_WATCH_H
+
+#include "runs.h"
+
+#define PAST_LIFETIMES 16  /* reports are under way for seconds at most */
+#define STOP_KEEP_MS 10000 /* a confirmed stop is told for so long */
+
+/* A run whose stop the worker has confirmed. */
+struct confirmed_stop {
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    uint64_t before_look; /* looks from this one on were sent after it */
+    int64_t at_ms;
+    TAILQ_ENTRY(confirmed_stop) entry;
+};
+
+/* An order at the worker. */
+struct order_call {
+    struct watch *watch;
+    bool stop;
+    char lifetime[JOBS_TEXT_SIZE];
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    TAILQ_ENTRY(order_call) entry;
+};
+
+struct look_call {
+    struct watch *watch;
+    bool extra;
+    char lifetime[JOBS_TEXT_SIZE];
+    uint64_t number;
+    uint64_t term;
+};
+
+struct watch {
+    struct task task;
+    struct runs_worker *worker;
+    struct worker_said said; /* lifetime "": none is known */
+    bool answered;           /* under its id */
+    bool leaving;            /* it said that it ends */
+    char left[JOBS_TEXT_SIZE];
+    char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
+    size_t past_next;
+    uint64_t term;      /* highest of an owner that was heard */
+    uint64_t last_seen; /* ends up to it are stored */
+    int64_t until_ms;   /* lease, worker's clock */
+    int64_t clock_ms;   /* worker's clock at the last look */
+    int64_t clock_at_ms;
+    bool looking;
+    uint64_t looks;
+    TAILQ_HEAD(, confirmed_stop) stops;
+    TAILQ_HEAD(, order_call) calls;
+    ev_timer again;
+    ev_timer soon;
+};
+
+/* ---- runs-watch.c */
+void Watch_Say(struct watch *w, struct wire_msg *m);
+void Watch_LookSoon(struct watch *w);
+void Watch_Forget(struct watch *w);
+
+/* ---- runs-orders.c */
+void Orders_Carry(struct watch *w, const struct wire_order *order);
+
+#endif
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -188,6 +188,66 @@
     NAME(wire_bind, scope), U(wire_bind, term), U(wire_bind, incarnation),
     U(wire_bind, version), LIST(wire_bind, bindings, binding_table)};
 
+static const struct wire_field label_fields[] = {TEXT(wire_label, text)};
+static const struct wire_fields label_table = FIELDS(wire_label, label_fields);
+
+static const struct wire_field run_fields[] = {
+    TEXT(wire_run, task), U(wire_run, run), TEXT(wire_run, checkpoint),
+    I(wire_run, percent)};
+static const struct wire_fields run_table = FIELDS(wire_run, run_fields);
+
+static const struct wire_field end_fields[] = {
+    U(wire_end, number), TEXT(wire_end, task), U(wire_end, run),
+    U(wire_end, how), TEXT(wire_end, checkpoint)};
+static const struct wire_fields end_table = FIELDS(wire_end, end_fields);
+
+static const struct wire_field stopped_fields[] = {TEXT(wire_stopped, task),
+                                                   U(wire_stopped, run)};
+static const struct wire_fields stopped_table =
+    FIELDS(wire_stopped, stopped_fields);
+
+static const struct wire_field look[] = {
+    NAME(wire_look, agent),
+    TEXT(wire_look, worker),
+    TEXT(wire_look, left),
+    TEXT(wire_look, service),
+    LIST(wire_look, labels, label_table),
+    I(wire_look, millicores),
+    I(wire_look, memory_mb),
+    I(wire_look, accelerators),
+    U(wire_look, draining),
+    I(wire_look, drain_left_ms),
+    U(wire_look, term),
+    I(wire_look, clock_ms),
+    LIST(wire_look, running, run_table),
+    LIST(wire_look, ended, end_table),
+    LIST(wire_look, stopped, stopped_table)};
+
+static const struct wire_field hail[] = {
+    NAME(wire_hail, entry), U(wire_hail, incarnation),
+    LIST(wire_hail, entries, entry_table)};
+
+static const struct wire_field order_fields[] = {
+    U(wire_order, verb),          TEXT(wire_order, task),
+    U(wire_order, run),           I(wire_order, until_ms),
+    TEXT(wire_order, checkpoint), BUF(wire_order, payload)};
+static const struct wire_fields order_table = FIELDS(wire_order, order_fields);
+
+static const struct wire_field orders[] = {
+    U(wire_orders, term), TEXT(wire_orders, worker), I(wire_orders, until_ms),
+    U(wire_orders, last_seen), LIST(wire_orders, orders, order_table)};
+
+static const struct wire_field refused[] = {
+    NAME(wire_refused, agent), TEXT(wire_refused, worker),
+    TEXT(wire_refused, task), U(wire_refused, run),
+    NAME(wire_refused, reason)};
+
+static const struct wire_field peer[] = {
+    NAME(wire_peer, entry), U(wire_peer, incarnation), U(wire_peer, version)};
+
+static const struct wire_field document[] = {U(wire_document, version),
+                                             BUF(wire_document, text)};
+
 static const struct wire_fields tables[WIRE_TYPE_LAST] = {
     [WIRE_HELLO] = FIELDS(wire_hello, hello),
     [WIRE_BEAT] = FIELDS(wire_beat, beat),
@@ -209,6 +269,12 @@
     [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
+    [WIRE_LOOK] = FIELDS(wire_look, look),
+    [WIRE_HAIL] = FIELDS(wire_hail, hail),
+    [WIRE_ORDERS] = FIELDS(wire_orders, orders),
+    [WIRE_REFUSED] = FIELDS(wire_refused, refused),
+    [WIRE_PEER] = FIELDS(wire_peer, peer),
+    [WIRE_DOCUMENT] = FIELDS(wire_document, document),
 };
 
 /* The table of a type. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -50,6 +50,12 @@
     WIRE_FENCE,     /* owner: nothing up to this attempt may run any more */
     WIRE_FENCED,    /* agent: nothing does */
     WIRE_BIND,      /* owner: whose cells are on this worker */
+    WIRE_LOOK,      /* agent to entries: what its worker has and runs */
+    WIRE_HAIL,      /* entry: heard you, and these are the entries */
+    WIRE_ORDERS,    /* owner to agent: lease, ends noted, starts, stops */
+    WIRE_REFUSED,   /* agent to owner: the worker refused a start */
+    WIRE_PEER,      /* entry to entry: still here, my configuration */
+    WIRE_DOCUMENT,  /* entry to entry: a configuration, as it was read */
     WIRE_TYPE_LAST
 };
 
@@ -347,6 +353,104 @@
     struct wire_list bindings; /* struct wire_binding */
 };
 
+/* ---- jobs of steps ------------------------------------------------------ */
+
+struct wire_label {
+    char text[WIRE_TEXT_SIZE];
+};
+
+/* A run that the worker has. */
+struct wire_run {
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+    char checkpoint[WIRE_TEXT_SIZE];
+    int64_t percent;
+};
+
+/* An end that the worker lists. */
+struct wire_end {
+    uint64_t number;
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+    uint64_t how; /* enum jobs_end */
+    char checkpoint[WIRE_TEXT_SIZE];
+};
+
+/* A run whose stop the worker has confirmed before this look began. */
+struct wire_stopped {
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+};
+
+/* One look of an agent at its worker, said to every entry. */
+struct wire_look {
+    struct wire_msg msg;
+    char agent[NAME_SIZE];
+    char worker[WIRE_TEXT_SIZE]; /* lifetime; "": none that answers */
+    char left[WIRE_TEXT_SIZE];   /* a lifetime that has left; "": none */
+    char service[WIRE_TEXT_SIZE];
+    struct wire_list labels; /* struct wire_label */
+    int64_t millicores;
+    int64_t memory_mb;
+    int64_t accelerators;
+    uint64_t draining;
+    int64_t drain_left_ms;
+    uint64_t term;            /* of the owner under which the look was made */
+    int64_t clock_ms;         /* the worker's own clock at the look */
+    struct wire_list running; /* struct wire_run */
+    struct wire_list ended;   /* struct wire_end */
+    struct wire_list stopped; /* struct wire_stopped */
+};
+
+struct wire_hail {
+    struct wire_msg msg;
+    char entry[NAME_SIZE];
+    uint64_t incarnation;
+    struct wire_list entries; /* struct wire_entry */
+};
+
+enum wire_order_verb { WIRE_START_RUN, WIRE_STOP_RUN };
+
+struct wire_order {
+    uint64_t verb; /* enum wire_order_verb */
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+    int64_t until_ms; /* worker's clock; of a start */
+    char checkpoint[WIRE_TEXT_SIZE];
+    struct buf payload;
+};
+
+struct wire_orders {
+    struct wire_msg msg;
+    uint64_t term;
+    char worker[WIRE_TEXT_SIZE];
+    int64_t until_ms;   /* lease of all that runs, worker's clock; 0: none */
+    uint64_t last_seen; /* ends up to it are stored */
+    struct wire_list orders; /* struct wire_order */
+};
+
+struct wire_refused {
+    struct wire_msg msg;
+    char agent[NAME_SIZE];
+    char worker[WIRE_TEXT_SIZE];
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+    char reason[NAME_SIZE];
+};
+
+struct wire_peer {
+    struct wire_msg msg;
+    char entry[NAME_SIZE];
+    uint64_t incarnation;
+    uint64_t version; /* of the configuration it has; 0: none */
+};
+
+struct wire_document {
+    struct wire_msg msg;
+    uint64_t version;
+    struct buf text;
+};
+
 /* Times of gangs, in milliseconds. Whenever one member works and another does
  * not, this lasts at most GANG_HEARD_MS + GANG_LEASE_MS (model/gang-lease.pml
  * tells why). A pulse is a sixth of the lease, so that a renewer may die and
