--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -88,6 +88,7 @@
         Jobs_Left(o->book, m->left, now);
     }
     if (*m->worker == '\0') {
+        say(o, m->agent, new_orders(o, "")); /* it needs the term */
         return;
     }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -238,8 +238,9 @@
         if (strcmp(r->rows[i].key, "owner") == 0) {
             take_owner_row(o, &r->rows[i]);
         }
-        else if (strcmp(r->rows[i].key, "beat") == 0) {
-            o->beat_seen_ms = Clock_NowMs();
+        else if (strcmp(r->rows[i].key, "beat") == 0 ||
+                 strncmp(r->rows[i].key, "run/", 4) == 0) {
+            o->beat_seen_ms = Clock_NowMs(); /* both are the owner's own */
         }
     }
     if (o->book != NULL && r->count > 0) {
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -100,6 +100,24 @@
     Watch_Say(w, &m->msg);
 }
 
+/* Tells all entries that this agent is here and has no look to show.
+ *
+ * Failure: an agent that starts anew knows no owner's term, and its worker
+ * answers nobody below the term that it has seen. Symptom: no look succeeds,
+ * so no entry hears of the agent, and nothing runs there again. The owner
+ * answers this with its term, and the next look is made under it. */
+static void
+tell_blind(struct watch *w)
+{
+    const struct agent_settings *s = w->task.kernel->settings;
+    struct wire_look *m = Wire_New(WIRE_LOOK);
+
+    Str_Copy(m->agent, sizeof(m->agent), s->name);
+    Str_Copy(m->left, sizeof(m->left), w->left);
+    m->term = w->term;
+    Watch_Say(w, &m->msg);
+}
+
 /* Tells all entries that a lifetime is over. */
 static void
 tell_left(struct watch *w, const char *lifetime)
@@ -152,6 +170,9 @@
         tell_left(w, call->lifetime);
         Watch_Forget(w);
     }
+    if (!call->extra && err != ERR_OK) {
+        tell_blind(w);
+    }
     if (!call->extra) {
         look_later(w, err == ERR_OK ? 0 : RETRY_MS);
     }
@@ -275,10 +296,17 @@
 {
     const struct wire_order *orders = m->orders.items;
 
-    if (m->term < w->term || strcmp(m->worker, w->said.lifetime) != 0) {
+    if (m->term < w->term) {
+        return;
+    }
+    if (m->term > w->term) {
+        LOG_I("owner_heard", KV_INT("term", m->term),
+              KV_INT("before", w->term));
+        w->term = m->term;
+    }
+    if (strcmp(m->worker, w->said.lifetime) != 0) {
         return;
     }
-    w->term = m->term;
     if (m->until_ms > w->until_ms) {
         w->until_ms = m->until_ms;
     }
