An entry that the store turns away calls it through another entry

Cause: while the store turned some machines away, callers of their zone were refused, and an owner there gave no orders until another took over (2.3 s at least, each time).

Ruled out: shorter silence before a takeover, which deposes owners whose store is only slow.

Entries tell each other when the store last answered them; a call that was refused, or that only reads, is made again through the freshest one; a write whose outcome is not known never is.

--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -9,6 +9,10 @@
 /* A link that has brought nothing for so long is replaced: something between
  * the two ends may have lost track of it while new connections work. */
 #define SILENT_MS 2500
+/* An entry is good to call the store through when it was heard, and the store
+ * answered it, within these: two hails, and one wait of a feed and a bit. */
+#define BEST_HEARD_MS 1200
+#define BEST_STORE_MS 1500
 
 /* An agent and where it was last heard from. */
 struct agent {
@@ -24,6 +28,7 @@
     char address[NAME_SIZE];
     struct link *link;
     int64_t heard_ms;
+    int64_t store_age_ms; /* of its own way to the store; -1: none */
     bool listed;
     TAILQ_ENTRY(peer) entry;
 };
@@ -36,6 +41,7 @@
     TAILQ_HEAD(, peer) peers;
     struct wire_list entries; /* struct wire_entry */
     struct queue_config *config;
+    char best[NAME_SIZE]; /* entry that reaches the store best */
     ev_timer tick;
 };
 
@@ -80,6 +86,7 @@
     const struct entry_settings *s = l->task.kernel->settings;
     struct wire_hail m = {.msg = {WIRE_HAIL},
                           .incarnation = Queue_Incarnation(),
+                          .store_age_ms = Queue_StoreAge(l->task.kernel),
                           .entries = l->entries};
 
     Str_Copy(m.entry, sizeof(m.entry), s->name);
@@ -112,6 +119,21 @@
     Queue_Post(l->task.kernel, TASK_OWNER, &said->base, &Queue_SaidKind);
 }
 
+/* Hands a call of the store, or an answer to one, to the store task. */
+static void
+pass_to_store(struct links *l, const struct link_peer *from,
+              struct wire_msg **m)
+{
+    struct store_said *said = Mem_Zero(1, sizeof(*said));
+
+    if (from != NULL) {
+        said->from = *from;
+    }
+    said->m = *m;
+    *m = NULL;
+    Queue_Post(l->task.kernel, TASK_STORE, &said->base, &Queue_StoreSaidKind);
+}
+
 /* What comes to the listening link. */
 static void
 on_heard(void *arg, const struct link_peer *from, struct wire_msg **m)
@@ -127,6 +149,9 @@
     case WIRE_REFUSED:
         pass_on(l, m);
         return;
+    case WIRE_STORE_CALL:
+        pass_to_store(l, from, m);
+        return;
     case WIRE_PEER:
         hail(l, from);
         send_document(l, from, (struct wire_peer *)*m);
@@ -145,6 +170,14 @@
     struct peer_document *note;
 
     p->heard_ms = Clock_NowMs();
+    if ((*m)->type == WIRE_STORE_ANSWER) {
+        pass_to_store(p->links, NULL, m);
+        return;
+    }
+    if ((*m)->type == WIRE_HAIL) {
+        p->store_age_ms = ((struct wire_hail *)*m)->store_age_ms;
+        return;
+    }
     if ((*m)->type != WIRE_DOCUMENT) {
         return;
     }
@@ -192,6 +225,7 @@
     }
     p = Mem_Zero(1, sizeof(*p));
     p->links = l;
+    p->store_age_ms = -1;
     p->listed = true;
     Str_Copy(p->address, sizeof(p->address), address);
     TAILQ_INSERT_TAIL(&l->peers, p, entry);
@@ -224,6 +258,48 @@
     note->entries = (struct wire_list){0};
 }
 
+/* Tells the store task which entry reaches the store, when that changes. */
+static void
+choose_best(struct links *l)
+{
+    struct best_entry *note;
+    struct peer *p, *best = NULL;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (p->link != NULL && now - p->heard_ms < BEST_HEARD_MS &&
+            p->store_age_ms >= 0 && p->store_age_ms < BEST_STORE_MS &&
+            (best == NULL || p->store_age_ms < best->store_age_ms)) {
+            best = p;
+        }
+    }
+    if (strcmp(l->best, best != NULL ? best->address : "") == 0) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    Str_Copy(l->best, sizeof(l->best), best != NULL ? best->address : "");
+    Str_Copy(note->address, sizeof(note->address), l->best);
+    Queue_Post(l->task.kernel, TASK_STORE, &note->base, &Queue_BestKind);
+}
+
+/* Sends a call of the store to the entry chosen, or an answer back. */
+static void
+say_entry(struct links *l, const struct say_entry *s)
+{
+    struct peer *p;
+
+    if (*s->address == '\0') {
+        Link_Send(l->listening, &s->to, s->m);
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (strcmp(p->address, s->address) == 0 && p->link != NULL) {
+            Link_Send(p->link, NULL, s->m);
+            return;
+        }
+    }
+}
+
 /* Tells the other entries what this one has, and replaces silent links. */
 static void
 on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
@@ -244,6 +320,7 @@
             Link_Send(p->link, NULL, &m.msg);
         }
     }
+    choose_best(l);
 }
 
 /* Sends what the owner has for an agent; what can't be handed over is sent
@@ -267,6 +344,9 @@
     if (m->kind == &Queue_SayKind) {
         say(l, (struct say_agent *)m);
     }
+    else if (m->kind == &Queue_SayEntryKind) {
+        say_entry(l, (struct say_entry *)m);
+    }
     else if (m->kind == &Queue_EntriesKind) {
         take_entries(l, (struct entries_listed *)m);
     }
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -105,6 +105,20 @@
     free(m);
 }
 
+static void
+free_store_said(struct message *m)
+{
+    Wire_Free(((struct store_said *)m)->m);
+    free(m);
+}
+
+static void
+free_say_entry(struct message *m)
+{
+    Wire_Free(((struct say_entry *)m)->m);
+    free(m);
+}
+
 static void
 free_document(struct message *m)
 {
@@ -127,6 +141,10 @@
 const struct message_kind Queue_SayKind = {"say-agent", free_say};
 const struct message_kind Queue_DocumentKind = {"document", free_document};
 const struct message_kind Queue_EntriesKind = {"entries", free_entries};
+const struct message_kind Queue_StoreSaidKind = {"store-said",
+                                                 free_store_said};
+const struct message_kind Queue_SayEntryKind = {"say-entry", free_say_entry};
+const struct message_kind Queue_BestKind = {"best-entry", NULL};
 
 /* Posts to a task by name. */
 void
--- /dev/null
+++ b/packages/queue/queue-relay-serve.c
@@ -0,0 +1,135 @@
+#include "queue-relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A call that is made for another entry. */
+struct served {
+    struct store_task *store;
+    struct link_peer to;
+    uint64_t number;
+    size_t ops;
+};
+
+/* Sends the answer and frees the call. */
+static void
+answer(struct served *c, struct wire_store_answer *m, int err)
+{
+    struct say_entry *say = Mem_Zero(1, sizeof(*say));
+
+    m->number = c->number;
+    m->err = err;
+    m->position = c->store->own->position;
+    say->to = c->to;
+    say->m = &m->msg;
+    Queue_Post(c->store->task.kernel, TASK_LINKS, &say->base,
+               &Queue_SayEntryKind);
+    free(c);
+}
+
+/* Adds rows, whose values are taken. */
+static void
+add_rows(struct wire_store_answer *m, struct table_row *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct wire_store_row *to = Wire_ListAdd(&m->rows, sizeof(*to));
+
+        Str_Copy(to->key, sizeof(to->key), rows[i].key);
+        to->version = rows[i].version;
+        Buf_Move(&to->value, &rows[i].value);
+    }
+}
+
+static void
+on_got(void *arg, int err, struct table_row *row)
+{
+    struct wire_store_answer *m = Wire_New(WIRE_STORE_ANSWER);
+
+    add_rows(m, row, row->version != 0 ? 1 : 0);
+    answer(arg, m, err);
+}
+
+static void
+on_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    struct wire_store_answer *m = Wire_New(WIRE_STORE_ANSWER);
+
+    add_rows(m, rows, count);
+    m->more = more;
+    answer(arg, m, err);
+}
+
+static void
+on_fed(void *arg, int err, struct table_row *rows, size_t count,
+       uint64_t position UNUSED)
+{
+    struct wire_store_answer *m = Wire_New(WIRE_STORE_ANSWER);
+
+    add_rows(m, rows, count);
+    answer(arg, m, err);
+}
+
+static void
+on_committed(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
+{
+    struct served *c = arg;
+    struct wire_store_answer *m = Wire_New(WIRE_STORE_ANSWER);
+
+    for (size_t i = 0; i < c->ops; i++) {
+        uint64_t *v = Wire_ListAdd(&m->versions, sizeof(*v));
+
+        *v = versions[i];
+    }
+    answer(c, m, err);
+}
+
+/* Makes the commit of another entry. */
+static void
+commit(struct store_task *s, const struct wire_store_call *m, struct served *c)
+{
+    const struct wire_store_op *from = m->ops.items;
+    struct table_op *ops CLEANUP(Mem_FreeP) =
+        Mem_Zero(m->ops.count + 1, sizeof(*ops));
+
+    for (size_t i = 0; i < m->ops.count; i++) {
+        ops[i] = (struct table_op){.verb = (enum table_verb)from[i].verb,
+                                   .table = from[i].table,
+                                   .key = from[i].key,
+                                   .if_version = from[i].if_version,
+                                   .value = from[i].value.data,
+                                   .len = from[i].value.len};
+    }
+    c->ops = m->ops.count;
+    s->own->ops->commit(s->own, ops, m->ops.count, on_committed, c);
+}
+
+/* Calls the store for another entry, on our own connection only: a call is
+ * passed on once. */
+void
+Relay_Serve(struct store_task *s, const struct link_peer *from,
+            const struct wire_store_call *m)
+{
+    struct served *c = Mem_Zero(1, sizeof(*c));
+    struct table *t = s->own;
+
+    c->store = s;
+    c->to = *from;
+    c->number = m->number;
+    switch (m->verb) {
+    case WIRE_STORE_GET:
+        t->ops->get(t, m->table, m->key, on_got, c);
+        return;
+    case WIRE_STORE_LIST:
+        t->ops->list(t, m->table, m->key, m->after, m->limit, on_listed, c);
+        return;
+    case WIRE_STORE_FEED:
+        t->ops->feed(t, m->table, m->position, m->wait_ms, on_fed, c);
+        return;
+    case WIRE_STORE_COMMIT:
+        commit(s, m, c);
+        return;
+    default:
+        LOG_W("store_call_unknown", KV_INT("verb", m->verb));
+        free(c);
+    }
+}
--- /dev/null
+++ b/packages/queue/queue-relay.c
@@ -0,0 +1,378 @@
+#include "queue-relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* While our own way fails, one call in this time still tries it. */
+#define PROBE_MS 300
+/* A relayed call without an answer ends after the time of a call and this. */
+#define RELAY_MS 1600
+
+static struct counter relayed_total = {
+    "parsleyfall_queue_relayed_total",
+    "Calls of the store that went through another entry.", NULL,
+    COUNTER_TOTAL};
+
+/* The task of a table that others see. */
+static struct store_task *
+task_of(struct table *t)
+{
+    return (struct store_task *)((char *)t -
+                                 offsetof(struct store_task, seen));
+}
+
+/* Frees a call. */
+static void
+free_way(struct way *w)
+{
+    Wire_Clear(&w->call.msg);
+    free(w);
+}
+
+/* Hands a result to whoever called. */
+static void
+finish(struct way *w, int err, struct table_row *rows, size_t count, bool more,
+       uint64_t position, const uint64_t *versions)
+{
+    struct table_row none = {0};
+
+    w->store->seen.position = position;
+    switch (w->call.verb) {
+    case WIRE_STORE_GET:
+        w->done.got(w->arg, err, count > 0 ? rows : &none);
+        break;
+    case WIRE_STORE_LIST:
+        w->done.listed(w->arg, err, rows, count, more);
+        break;
+    case WIRE_STORE_FEED:
+        w->done.fed(w->arg, err, rows, count, position);
+        break;
+    default:
+        w->done.committed(w->arg, err, 0, versions);
+    }
+    free_way(w);
+}
+
+/* The result of a call that can't be made at all. */
+static void
+fail(struct way *w, int err)
+{
+    uint64_t *none CLEANUP(Mem_FreeP) =
+        Mem_Zero(w->call.ops.count + 1, sizeof(*none));
+
+    finish(w, err, NULL, 0, false, w->store->seen.position, none);
+}
+
+/* No answer of the other entry. */
+static void
+on_limit(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
+{
+    struct way *w = timer->data;
+    bool writes = w->call.verb == WIRE_STORE_COMMIT;
+
+    TAILQ_REMOVE(&w->store->relayed, w, entry);
+    fail(w, writes ? ERR_UNKNOWN : ERR_TIMEOUT);
+}
+
+/* Sends a call through another entry; false when there is none. */
+static bool
+relay(struct way *w)
+{
+    struct store_task *s = w->store;
+    struct say_entry *say;
+    struct buf bytes CLEANUP(Buf_Free) = {0};
+    struct wire_msg *copy;
+
+    if (*s->best == '\0' || w->relayed) {
+        return false;
+    }
+    w->relayed = true;
+    w->call.number = ++s->numbers;
+    Wire_Encode(&w->call.msg, &bytes);
+    if (Wire_Decode(bytes.data, bytes.len, &copy) != ERR_OK) {
+        return false;
+    }
+    Counter_Add(&relayed_total, 1);
+    say = Mem_Zero(1, sizeof(*say));
+    Str_Copy(say->address, sizeof(say->address), s->best);
+    say->m = copy;
+    TAILQ_INSERT_TAIL(&s->relayed, w, entry);
+    ev_init(&w->limit, on_limit);
+    w->limit.data = w;
+    Timer_Set(s->task.kernel->loop, &w->limit, RELAY_MS + w->call.wait_ms);
+    Queue_Post(s->task.kernel, TASK_LINKS, &say->base, &Queue_SayEntryKind);
+    return true;
+}
+
+/* Notes how our own way did, and says when it changes. */
+static void
+note_own(struct store_task *s, int err)
+{
+    int64_t now = Clock_NowMs();
+    bool answered = err == ERR_OK || err == ERR_CONFLICT || err == ERR_GONE ||
+                    err == ERR_INVALID;
+
+    if (answered) {
+        if (s->relaying) {
+            LOG_I("store_way", KV("way", "own"),
+                  KV_INT("away_ms", now - s->own_failed_ms));
+        }
+        s->own_ok_ms = now;
+        s->own_failed_ms = 0;
+        s->relaying = false;
+        return;
+    }
+    if (s->own_failed_ms == 0) {
+        s->own_failed_ms = now;
+    }
+    if (!s->relaying && *s->best != '\0') {
+        s->relaying = true;
+        LOG_W("store_way", KV("way", s->best), KV("error", Err_Name(err)));
+    }
+}
+
+/* True when a failed call may be made again by another way: nothing was done,
+ * or it only reads. */
+static bool
+may_relay(const struct way *w, int err)
+{
+    if (err == ERR_BUSY || err == ERR_UNREACHABLE) {
+        return true;
+    }
+    return w->call.verb != WIRE_STORE_COMMIT &&
+           (err == ERR_TIMEOUT || err == ERR_IO);
+}
+
+/* A result of our own connection. */
+static void
+own_done(struct way *w, int err, struct table_row *rows, size_t count,
+         bool more, const uint64_t *versions)
+{
+    note_own(w->store, err);
+    if (may_relay(w, err) && relay(w)) {
+        return;
+    }
+    finish(w, err, rows, count, more, w->store->own->position, versions);
+}
+
+static void
+own_got(void *arg, int err, struct table_row *row)
+{
+    own_done(arg, err, row, row->version != 0, false, NULL);
+}
+
+static void
+own_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
+{
+    own_done(arg, err, rows, count, more, NULL);
+}
+
+static void
+own_fed(void *arg, int err, struct table_row *rows, size_t count,
+        uint64_t position UNUSED)
+{
+    own_done(arg, err, rows, count, false, NULL);
+}
+
+static void
+own_committed(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
+{
+    own_done(arg, err, NULL, 0, false, versions);
+}
+
+/* The ops of a commit as a table takes them; to be freed. */
+static struct table_op *
+ops_of(const struct wire_store_call *c)
+{
+    const struct wire_store_op *from = c->ops.items;
+    struct table_op *ops = Mem_Zero(c->ops.count + 1, sizeof(*ops));
+
+    for (size_t i = 0; i < c->ops.count; i++) {
+        ops[i] = (struct table_op){.verb = (enum table_verb)from[i].verb,
+                                   .table = from[i].table,
+                                   .key = from[i].key,
+                                   .if_version = from[i].if_version,
+                                   .value = from[i].value.data,
+                                   .len = from[i].value.len};
+    }
+    return ops;
+}
+
+/* Makes a call on a table of this process. */
+static void
+call_own(struct table *t, struct way *w)
+{
+    const struct wire_store_call *c = &w->call;
+    struct table_op *ops CLEANUP(Mem_FreeP) = NULL;
+
+    switch (c->verb) {
+    case WIRE_STORE_GET:
+        t->ops->get(t, c->table, c->key, own_got, w);
+        return;
+    case WIRE_STORE_LIST:
+        t->ops->list(t, c->table, c->key, c->after, c->limit, own_listed, w);
+        return;
+    case WIRE_STORE_FEED:
+        t->ops->feed(t, c->table, c->position, c->wait_ms, own_fed, w);
+        return;
+    default:
+        ops = ops_of(c);
+        t->ops->commit(t, ops, c->ops.count, own_committed, w);
+    }
+}
+
+/* Chooses the way of a call.
+ *
+ * Failure: the store turns this machine away for seconds and serves the
+ * others. Symptom: callers are refused here, the configuration stays old, and
+ * an owner here gives no orders until another one takes over. Each call is
+ * therefore made through another entry while our own way fails; one call in a
+ * while still tries our own, so it is used again as soon as it works. A write
+ * whose outcome is not known is never made a second time by itself. */
+static void
+send_way(struct way *w)
+{
+    struct store_task *s = w->store;
+    int64_t now = Clock_NowMs();
+
+    if (s->relaying && now < s->probe_ms && relay(w)) {
+        return;
+    }
+    s->probe_ms = now + PROBE_MS;
+    call_own(s->own, w);
+}
+
+/* Makes a call. */
+static struct way *
+new_way(struct table *t, enum wire_store_verb verb, const char *table,
+        void *arg)
+{
+    struct way *w = Mem_Zero(1, sizeof(*w));
+
+    w->store = task_of(t);
+    w->call.msg.type = WIRE_STORE_CALL;
+    w->call.verb = verb;
+    Str_Copy(w->call.table, sizeof(w->call.table), table);
+    w->arg = arg;
+    return w;
+}
+
+static void
+relay_get(struct table *t, const char *table, const char *key, table_got done,
+          void *arg)
+{
+    struct way *w = new_way(t, WIRE_STORE_GET, table, arg);
+
+    Str_Copy(w->call.key, sizeof(w->call.key), key);
+    w->done.got = done;
+    send_way(w);
+}
+
+static void
+relay_list(struct table *t, const char *table, const char *prefix,
+           const char *after, size_t limit, table_listed done, void *arg)
+{
+    struct way *w = new_way(t, WIRE_STORE_LIST, table, arg);
+
+    Str_Copy(w->call.key, sizeof(w->call.key), prefix);
+    Str_Copy(w->call.after, sizeof(w->call.after), after);
+    w->call.limit = limit;
+    w->done.listed = done;
+    send_way(w);
+}
+
+static void
+relay_feed(struct table *t, const char *table, uint64_t after, int64_t wait_ms,
+           table_fed done, void *arg)
+{
+    struct way *w = new_way(t, WIRE_STORE_FEED, table, arg);
+
+    w->call.position = after;
+    w->call.wait_ms = wait_ms;
+    w->done.fed = done;
+    send_way(w);
+}
+
+static void
+relay_commit(struct table *t, const struct table_op *ops, size_t count,
+             table_committed done, void *arg)
+{
+    struct way *w = new_way(t, WIRE_STORE_COMMIT, "", arg);
+
+    for (size_t i = 0; i < count; i++) {
+        struct wire_store_op *op = Wire_ListAdd(&w->call.ops, sizeof(*op));
+
+        op->verb = ops[i].verb;
+        op->if_version = ops[i].if_version;
+        Str_Copy(op->table, sizeof(op->table), ops[i].table);
+        Str_Copy(op->key, sizeof(op->key), ops[i].key);
+        Buf_Append(&op->value, ops[i].value, ops[i].len);
+    }
+    w->done.committed = done;
+    send_way(w);
+}
+
+static const struct table_ops relay_ops = {.name = "relay",
+                                           .get = relay_get,
+                                           .list = relay_list,
+                                           .commit = relay_commit,
+                                           .feed = relay_feed};
+
+/* Prepares the table that the other tasks see. */
+void
+Relay_Init(struct store_task *s)
+{
+    s->seen.ops = &relay_ops;
+    TAILQ_INIT(&s->relayed);
+}
+
+/* What another entry had from the store for us. */
+void
+Relay_Answer(struct store_task *s, struct wire_store_answer *m)
+{
+    struct table_row *rows CLEANUP(Mem_FreeP) = NULL;
+    struct wire_store_row *from = m->rows.items;
+    uint64_t *versions CLEANUP(Mem_FreeP) = NULL;
+    struct way *w;
+
+    TAILQ_FOREACH (w, &s->relayed, entry) {
+        if (w->call.number == m->number) {
+            break;
+        }
+    }
+    if (w == NULL) {
+        return; /* it came too late: the call has ended as unknown */
+    }
+    TAILQ_REMOVE(&s->relayed, w, entry);
+    ev_timer_stop(s->task.kernel->loop, &w->limit);
+    rows = Mem_Zero(m->rows.count + 1, sizeof(*rows));
+    for (size_t i = 0; i < m->rows.count; i++) {
+        rows[i] = (struct table_row){.key = Mem_Dup(from[i].key),
+                                     .version = from[i].version,
+                                     .value = from[i].value};
+        from[i].value = (struct buf){0};
+    }
+    versions = Mem_Zero(w->call.ops.count + 1, sizeof(*versions));
+    for (size_t i = 0; i < m->versions.count && i < w->call.ops.count; i++) {
+        versions[i] = ((uint64_t *)m->versions.items)[i];
+    }
+    finish(w, (int)m->err, rows, m->rows.count, m->more != 0, m->position,
+           versions);
+    for (size_t i = 0; i < m->rows.count; i++) {
+        free(rows[i].key);
+        Buf_Free(&rows[i].value);
+    }
+}
+
+/* Drops the calls that are open. */
+void
+Relay_Free(struct store_task *s)
+{
+    struct way *w;
+
+    while ((w = TAILQ_FIRST(&s->relayed)) != NULL) {
+        TAILQ_REMOVE(&s->relayed, w, entry);
+        ev_timer_stop(s->task.kernel->loop, &w->limit);
+        free_way(w);
+    }
+}
--- /dev/null
+++ b/packages/queue/queue-relay.h
@@ -0,0 +1,46 @@
+/* The store task's own structures, shared by its files. */
+#ifndef QUEUE_RELAY_H
+#define QUEUE_RELAY_H
+
+#include "queue.h"
+
+/* A call of this process, on one of its ways to the store. */
+struct way {
+    struct store_task *store;
+    uint64_t number;
+    struct wire_store_call call;
+    union {
+        table_got got;
+        table_listed listed;
+        table_fed fed;
+        table_committed committed;
+    } done;
+    void *arg;
+    bool relayed;
+    ev_timer limit;
+    TAILQ_ENTRY(way) entry;
+};
+
+/* The table that the other tasks see is the first member. */
+struct store_task {
+    struct task task;
+    struct table seen;
+    struct table *own;
+    int64_t own_ok_ms;     /* last answer of our own; 0: none yet */
+    int64_t own_failed_ms; /* since when it fails; 0: it does not */
+    int64_t probe_ms;      /* next call that tries our own again */
+    bool relaying;
+    char best[NAME_SIZE]; /* entry to call through; "": none */
+    uint64_t numbers;
+    TAILQ_HEAD(, way) relayed;
+};
+
+/* ---- queue-relay.c: calls of ours */
+void Relay_Init(struct store_task *s);
+void Relay_Answer(struct store_task *s, struct wire_store_answer *m);
+void Relay_Free(struct store_task *s);
+/* ---- queue-relay-serve.c: calls of another entry */
+void Relay_Serve(struct store_task *s, const struct link_peer *from,
+                 const struct wire_store_call *m);
+
+#endif
--- a/packages/queue/queue-store.c
+++ b/packages/queue/queue-store.c
@@ -1,18 +1,43 @@
-#include "queue.h"
+#include "queue-relay.h"
 
 #include <stdlib.h>
 
-/* Owns the connection to the store. */
-struct store_task {
-    struct task task;
-    struct table *table;
-};
-
-/* The connection of this process. */
+/* The store as the tasks of this process see it. */
 struct table *
 Queue_Store(struct kernel *k)
 {
-    return ((struct store_task *)Kernel_FindTask(k, "store"))->table;
+    return &((struct store_task *)Kernel_FindTask(k, TASK_STORE))->seen;
+}
+
+/* How long ago the store answered this process itself. */
+int64_t
+Queue_StoreAge(struct kernel *k)
+{
+    const struct store_task *s =
+        (const struct store_task *)Kernel_FindTask(k, TASK_STORE);
+
+    return s->own_ok_ms != 0 ? Clock_NowMs() - s->own_ok_ms : -1;
+}
+
+/* Takes what other entries say of the store. */
+static void
+receive(struct task *t, struct message *m)
+{
+    struct store_task *s = (struct store_task *)t;
+
+    if (m->kind == &Queue_BestKind) {
+        Str_Copy(s->best, sizeof(s->best), ((struct best_entry *)m)->address);
+    }
+    else if (m->kind == &Queue_StoreSaidKind) {
+        struct store_said *said = (struct store_said *)m;
+
+        if (said->m->type == WIRE_STORE_CALL) {
+            Relay_Serve(s, &said->from, (struct wire_store_call *)said->m);
+        }
+        else {
+            Relay_Answer(s, (struct wire_store_answer *)said->m);
+        }
+    }
 }
 
 /* Drops the connection and its calls. */
@@ -21,11 +46,13 @@
 {
     struct store_task *s = (struct store_task *)t;
 
-    s->table->ops->free(s->table);
+    Relay_Free(s);
+    s->own->ops->free(s->own);
     free(s);
 }
 
-static const struct task_ops store_ops = {.name = "store", .free = store_free};
+static const struct task_ops store_ops = {
+    .name = TASK_STORE, .receive = receive, .free = store_free};
 
 /* Opens the store, first of all. */
 static int
@@ -39,7 +66,8 @@
         return ERR_INVALID;
     }
     t = Mem_Zero(1, sizeof(*t));
-    t->table = Queue_Site()->open_store(k->loop, &s->hosted);
+    t->own = Queue_Site()->open_store(k->loop, &s->hosted);
+    Relay_Init(t);
     Kernel_AddTask(k, &t->task, &store_ops);
     return ERR_OK;
 }
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -11,6 +11,8 @@
  *           condition. It keeps the book (jobs.h), writes progress rows and
  *           gives the orders.
  *   links   owns the socket that agents and other entries connect to.
+ *   store   owns the connection to the store; while the store turns this
+ *           machine away, it calls through another entry.
  *
  * Rows of the own table, all in one part, so that one transaction can check
  * the owner and write what it decided:
@@ -54,8 +56,11 @@
 /* Called before main by the adapter that is linked in. */
 void Queue_SetSite(const struct queue_site *site);
 const struct queue_site *Queue_Site(void);
-/* The one connection of this process to the store. */
+/* The store as this process reaches it: by its own connection, or, while that
+ * is refused, through another entry (queue-relay.c). */
 struct table *Queue_Store(struct kernel *k);
+/* Milliseconds since the store answered this process itself; -1: never. */
+int64_t Queue_StoreAge(struct kernel *k);
 uint64_t Queue_Incarnation(void);
 
 /* ---- callers ---------------------------------------------------------------
@@ -157,6 +162,28 @@
     struct buf text;
 };
 
+/* links -> store: what another entry said of the store, and who. */
+struct store_said {
+    struct message base;
+    struct link_peer from;
+    struct wire_msg *m;
+};
+
+/* store -> links: a call to another entry (by its address), or an answer to
+ * the one that asked. */
+struct say_entry {
+    struct message base;
+    char address[NAME_SIZE]; /* "": an answer */
+    struct link_peer to;
+    struct wire_msg *m;
+};
+
+/* links -> store: the entry that reaches the store best; "": none. */
+struct best_entry {
+    struct message base;
+    char address[NAME_SIZE];
+};
+
 /* intake -> links: the entries that the store lists. */
 struct entries_listed {
     struct message base;
@@ -171,10 +198,14 @@
 extern const struct message_kind Queue_SayKind;
 extern const struct message_kind Queue_DocumentKind;
 extern const struct message_kind Queue_EntriesKind;
+extern const struct message_kind Queue_StoreSaidKind;
+extern const struct message_kind Queue_SayEntryKind;
+extern const struct message_kind Queue_BestKind;
 
 #define TASK_INTAKE "intake"
 #define TASK_OWNER "owner"
 #define TASK_LINKS "queue-links"
+#define TASK_STORE "store"
 
 /* Posts when that task runs; frees m otherwise. */
 void Queue_Post(struct kernel *k, const char *task, struct message *m,
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -225,7 +225,7 @@
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
-    LIST(wire_hail, entries, entry_table)};
+    I(wire_hail, store_age_ms), LIST(wire_hail, entries, entry_table)};
 
 static const struct wire_field order_fields[] = {
     U(wire_order, verb),          TEXT(wire_order, task),
@@ -248,6 +248,38 @@
 static const struct wire_field document[] = {U(wire_document, version),
                                              BUF(wire_document, text)};
 
+static const struct wire_field store_op_fields[] = {
+    U(wire_store_op, verb), NAME(wire_store_op, table),
+    TEXT(wire_store_op, key), U(wire_store_op, if_version),
+    BUF(wire_store_op, value)};
+static const struct wire_fields store_op_table =
+    FIELDS(wire_store_op, store_op_fields);
+
+static const struct wire_field store_call[] = {
+    U(wire_store_call, number),
+    U(wire_store_call, verb),
+    NAME(wire_store_call, table),
+    TEXT(wire_store_call, key),
+    TEXT(wire_store_call, after),
+    U(wire_store_call, limit),
+    U(wire_store_call, position),
+    I(wire_store_call, wait_ms),
+    LIST(wire_store_call, ops, store_op_table)};
+
+static const struct wire_field store_row_fields[] = {
+    TEXT(wire_store_row, key), U(wire_store_row, version),
+    BUF(wire_store_row, value)};
+static const struct wire_fields store_row_table =
+    FIELDS(wire_store_row, store_row_fields);
+
+static const struct wire_field store_answer[] = {
+    U(wire_store_answer, number),
+    I(wire_store_answer, err),
+    U(wire_store_answer, position),
+    U(wire_store_answer, more),
+    LIST(wire_store_answer, versions, count_table),
+    LIST(wire_store_answer, rows, store_row_table)};
+
 static const struct wire_fields tables[WIRE_TYPE_LAST] = {
     [WIRE_HELLO] = FIELDS(wire_hello, hello),
     [WIRE_BEAT] = FIELDS(wire_beat, beat),
@@ -275,6 +307,8 @@
     [WIRE_REFUSED] = FIELDS(wire_refused, refused),
     [WIRE_PEER] = FIELDS(wire_peer, peer),
     [WIRE_DOCUMENT] = FIELDS(wire_document, document),
+    [WIRE_STORE_CALL] = FIELDS(wire_store_call, store_call),
+    [WIRE_STORE_ANSWER] = FIELDS(wire_store_answer, store_answer),
 };
 
 /* The table of a type. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -30,32 +30,34 @@
 #define WIRE_MAX_BYTES ((size_t)20 << 20)
 
 enum wire_type {
-    WIRE_HELLO = 1, /* agent: who I am, what I run */
-    WIRE_BEAT,      /* agent: still here, my load */
-    WIRE_WELCOME,   /* entry: who I am, how often to beat, the entries */
-    WIRE_LEAVE,     /* agent: give me nothing new */
-    WIRE_DISPATCH,  /* entry: run this request */
-    WIRE_TAKEN,     /* agent: will run it, or won't (nothing has run) */
-    WIRE_ANSWER,    /* agent: how it ended */
-    WIRE_SETTLED,   /* entry: got the answer, forget it */
-    WIRE_WITHDRAW,  /* entry: don't start this any more */
-    WIRE_WITHDRAWN, /* agent: whether it had started */
-    WIRE_PREPARE,   /* owner: reserve for a gang */
-    WIRE_PREPARED,  /* agent: reserved, or not */
-    WIRE_RELEASE,   /* owner: start */
-    WIRE_TASK,      /* agent: a part changed its state */
-    WIRE_PULSE,     /* agent to the gangs' renewer: these parts work */
-    WIRE_RENEW,     /* renewer: these gangs are whole, go on */
-    WIRE_STOP,      /* owner: stop, throttle or checkpoint */
-    WIRE_FENCE,     /* owner: nothing up to this attempt may run any more */
-    WIRE_FENCED,    /* agent: nothing does */
-    WIRE_BIND,      /* owner: whose cells are on this worker */
-    WIRE_LOOK,      /* agent to entries: what its worker has and runs */
-    WIRE_HAIL,      /* entry: heard you, and these are the entries */
-    WIRE_ORDERS,    /* owner to agent: lease, ends noted, starts, stops */
-    WIRE_REFUSED,   /* agent to owner: the worker refused a start */
-    WIRE_PEER,      /* entry to entry: still here, my configuration */
-    WIRE_DOCUMENT,  /* entry to entry: a configuration, as it was read */
+    WIRE_HELLO = 1,    /* agent: who I am, what I run */
+    WIRE_BEAT,         /* agent: still here, my load */
+    WIRE_WELCOME,      /* entry: who I am, how often to beat, the entries */
+    WIRE_LEAVE,        /* agent: give me nothing new */
+    WIRE_DISPATCH,     /* entry: run this request */
+    WIRE_TAKEN,        /* agent: will run it, or won't (nothing has run) */
+    WIRE_ANSWER,       /* agent: how it ended */
+    WIRE_SETTLED,      /* entry: got the answer, forget it */
+    WIRE_WITHDRAW,     /* entry: don't start this any more */
+    WIRE_WITHDRAWN,    /* agent: whether it had started */
+    WIRE_PREPARE,      /* owner: reserve for a gang */
+    WIRE_PREPARED,     /* agent: reserved, or not */
+    WIRE_RELEASE,      /* owner: start */
+    WIRE_TASK,         /* agent: a part changed its state */
+    WIRE_PULSE,        /* agent to the gangs' renewer: these parts work */
+    WIRE_RENEW,        /* renewer: these gangs are whole, go on */
+    WIRE_STOP,         /* owner: stop, throttle or checkpoint */
+    WIRE_FENCE,        /* owner: nothing up to this attempt may run any more */
+    WIRE_FENCED,       /* agent: nothing does */
+    WIRE_BIND,         /* owner: whose cells are on this worker */
+    WIRE_LOOK,         /* agent to entries: what its worker has and runs */
+    WIRE_HAIL,         /* entry: heard you, and these are the entries */
+    WIRE_ORDERS,       /* owner to agent: lease, ends noted, starts, stops */
+    WIRE_REFUSED,      /* agent to owner: the worker refused a start */
+    WIRE_PEER,         /* entry to entry: still here, my configuration */
+    WIRE_DOCUMENT,     /* entry to entry: a configuration, as it was read */
+    WIRE_STORE_CALL,   /* entry to entry: call the store for me */
+    WIRE_STORE_ANSWER, /* entry to entry: what the store said */
     WIRE_TYPE_LAST
 };
 
@@ -406,6 +408,7 @@
     struct wire_msg msg;
     char entry[NAME_SIZE];
     uint64_t incarnation;
+    int64_t store_age_ms; /* since the store answered it itself; -1: never */
     struct wire_list entries; /* struct wire_entry */
 };
 
@@ -451,6 +454,52 @@
     struct buf text;
 };
 
+enum wire_store_verb {
+    WIRE_STORE_GET,
+    WIRE_STORE_LIST,
+    WIRE_STORE_FEED,
+    WIRE_STORE_COMMIT
+};
+
+/* One op of a commit, as of platform.h. */
+struct wire_store_op {
+    uint64_t verb; /* enum table_verb */
+    char table[NAME_SIZE];
+    char key[WIRE_TEXT_SIZE];
+    uint64_t if_version;
+    struct buf value;
+};
+
+/* A call of the store that the sender's own way to it refuses. */
+struct wire_store_call {
+    struct wire_msg msg;
+    uint64_t number; /* of the sender, for the answer */
+    uint64_t verb;   /* enum wire_store_verb */
+    char table[NAME_SIZE];
+    char key[WIRE_TEXT_SIZE];   /* of a get; prefix of a list */
+    char after[WIRE_TEXT_SIZE]; /* of a list */
+    uint64_t limit;             /* of a list */
+    uint64_t position;          /* of a feed */
+    int64_t wait_ms;            /* of a feed */
+    struct wire_list ops;       /* struct wire_store_op */
+};
+
+struct wire_store_row {
+    char key[WIRE_TEXT_SIZE];
+    uint64_t version;
+    struct buf value;
+};
+
+struct wire_store_answer {
+    struct wire_msg msg;
+    uint64_t number;
+    int64_t err; /* enum err */
+    uint64_t position;
+    uint64_t more;
+    struct wire_list versions; /* uint64_t */
+    struct wire_list rows;     /* struct wire_store_row */
+};
+
 /* Times of gangs, in milliseconds. Whenever one member works and another does
  * not, this lasts at most GANG_HEARD_MS + GANG_LEASE_MS (model/gang-lease.pml
  * tells why). A pulse is a sixth of the lease, so that a renewer may die and
