--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -24,6 +24,7 @@
     RB_INIT(&b->jobs);
     RB_INIT(&b->workers);
     TAILQ_INIT(&b->active);
+    TAILQ_INIT(&b->events);
     return b;
 }
 
@@ -61,11 +62,15 @@
 Jobs_Free(struct jobs_book *b)
 {
     struct jobs_worker *w;
+    struct jobs_event *e;
     struct jobs_job *j;
 
     if (b == NULL) {
         return;
     }
+    while ((e = Jobs_NextEvent(b)) != NULL) {
+        free(e);
+    }
     while ((j = RB_ROOT(&b->jobs)) != NULL) {
         RB_REMOVE(book_tree, &b->jobs, j);
         free_job(j);
@@ -236,12 +241,12 @@
 
 /* Lets every run of an ended job end. */
 static void
-stop_all(struct jobs_job *j)
+stop_all(struct jobs_book *b, struct jobs_job *j, const char *why)
 {
     struct jobs_unit *u;
 
     TAILQ_FOREACH (u, &j->units, entry) {
-        Unit_Stop(u, true);
+        Unit_Drop(b, u, why);
     }
 }
 
@@ -272,8 +277,9 @@
         err = Row_Decode(b, j, progress, len);
     }
     TAILQ_INSERT_TAIL(&b->active, j, active);
+    Event_Job(b, JOBS_JOB_TAKEN, j, progress != NULL ? "taken_over" : "new");
     if (j->state > JOB_RUNNING) {
-        stop_all(j);
+        stop_all(b, j, "job_ended");
         Job_Settle(b, j, now_ms);
     }
     return err;
@@ -289,7 +295,7 @@
         return;
     }
     j->cancelled = true;
-    stop_all(j);
+    stop_all(b, j, "cancelled");
     Book_Touch(b, j);
     Job_Settle(b, j, now_ms);
 }
@@ -418,5 +424,6 @@
                       "used", (json_int_t)w->used.accelerators, "draining",
                       w->draining));
     }
-    return json_pack("{s:o,s:o}", "jobs", jobs, "workers", workers);
+    return json_pack("{s:o,s:o,s:I}", "jobs", jobs, "workers", workers,
+                     "events_dropped", (json_int_t)b->events_dropped);
 }
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -107,6 +107,9 @@
 
 struct jobs_book {
     struct jobs_limits limits;
+    TAILQ_HEAD(, jobs_event) events;
+    size_t event_count;
+    int64_t events_dropped;
     const struct jobs_config *config;
     struct book_tree jobs;
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
@@ -138,16 +141,30 @@
 void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
 void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
-void Unit_Stop(struct jobs_unit *u, bool drop);
+void Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why);
+/* As above, and it is not to run again. */
+void Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why);
 /* The run of this task can't run any more. */
-void Task_Gone(struct jobs_book *b, struct jobs_task *t, int64_t now_ms);
+void Task_Gone(struct jobs_book *b, struct jobs_task *t, const char *why,
+               int64_t now_ms);
 void Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
 void Unit_Failed(struct jobs_book *b, struct jobs_unit *u);
 /* The worker's lifetime is over: nothing runs there. */
-void Worker_Lost(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms);
+void Worker_Lost(struct jobs_book *b, struct jobs_worker *w, const char *why,
+                 int64_t now_ms);
 /* Ends the job when nothing is left to do. */
 void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
 
+/* ---- jobs-event.c */
+/* Each returns the event, to be completed, never NULL. */
+struct jobs_event *Event_Job(struct jobs_book *b, enum jobs_event_kind kind,
+                             const struct jobs_job *j, const char *reason);
+struct jobs_event *Event_Task(struct jobs_book *b, enum jobs_event_kind kind,
+                              const struct jobs_task *t, const char *reason);
+struct jobs_event *Event_Worker(struct jobs_book *b,
+                                const struct jobs_worker *w,
+                                const char *reason);
+
 /* ---- jobs-row.c */
 void Row_Encode(const struct jobs_job *j, struct buf *out);
 int Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
--- /dev/null
+++ b/packages/jobs/jobs-event.c
@@ -0,0 +1,86 @@
+#include "jobs-book.h"
+
+#include <stdlib.h>
+
+#define EVENTS_MAX 4096 /* that nobody has taken */
+
+static const char *const names[] = {
+    [JOBS_JOB_TAKEN] = "job_taken",     [JOBS_RUN_GIVEN] = "run_given",
+    [JOBS_RUN_STOPPED] = "run_stopped", [JOBS_RUN_OVER] = "run_over",
+    [JOBS_JOB_STATE] = "job_state",     [JOBS_WORKER_OUT] = "worker_out"};
+
+/* The word of logs and counters. */
+const char *
+Jobs_EventName(enum jobs_event_kind kind)
+{
+    return names[kind];
+}
+
+/* Adds an event; one that finds no room is written over by the next. */
+static struct jobs_event *
+add(struct jobs_book *b, enum jobs_event_kind kind, const char *reason)
+{
+    static struct jobs_event spill;
+    struct jobs_event *e;
+
+    if (b->event_count == EVENTS_MAX) {
+        b->events_dropped++;
+        return &spill;
+    }
+    e = Mem_Zero(1, sizeof(*e));
+    e->kind = kind;
+    e->reason = reason;
+    TAILQ_INSERT_TAIL(&b->events, e, entry);
+    b->event_count++;
+    return e;
+}
+
+/* An event of a job. */
+struct jobs_event *
+Event_Job(struct jobs_book *b, enum jobs_event_kind kind,
+          const struct jobs_job *j, const char *reason)
+{
+    struct jobs_event *e = add(b, kind, reason);
+
+    Str_Copy(e->job, sizeof(e->job), j->spec.id);
+    return e;
+}
+
+/* An event of a task's present run. */
+struct jobs_event *
+Event_Task(struct jobs_book *b, enum jobs_event_kind kind,
+           const struct jobs_task *t, const char *reason)
+{
+    struct jobs_event *e = Event_Job(b, kind, t->unit->job, reason);
+
+    Book_TaskName(t, e->task);
+    e->run = t->unit->run;
+    if (t->worker != NULL) {
+        Str_Copy(e->worker, sizeof(e->worker), t->worker->id);
+    }
+    return e;
+}
+
+/* An event of a worker. */
+struct jobs_event *
+Event_Worker(struct jobs_book *b, const struct jobs_worker *w,
+             const char *reason)
+{
+    struct jobs_event *e = add(b, JOBS_WORKER_OUT, reason);
+
+    Str_Copy(e->worker, sizeof(e->worker), w->id);
+    return e;
+}
+
+/* Hands the oldest event over. */
+struct jobs_event *
+Jobs_NextEvent(struct jobs_book *b)
+{
+    struct jobs_event *e = TAILQ_FIRST(&b->events);
+
+    if (e != NULL) {
+        TAILQ_REMOVE(&b->events, e, entry);
+        b->event_count--;
+    }
+    return e;
+}
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -34,7 +34,7 @@
     }
     if (u->state == UNIT_GIVEN && !u->stopping && t->sent_ms != 0 &&
         now_ms - t->given_ms > GIVE_UP_MS) {
-        Unit_Stop(u, false);
+        Unit_Stop(b, u, "start_unconfirmed");
     }
     t->sent_ms = now_ms;
     if (u->state != UNIT_GIVEN || u->stopping) {
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -24,6 +24,7 @@
     struct spot spots[PLACE_MAX];
     size_t count;
     struct spot **chosen; /* one for each task of the unit */
+    const char *why;      /* near, or far from its data or from each other */
 };
 
 /* What evicting all below a priority would free on a worker. */
@@ -237,9 +238,11 @@
 choose_all(struct jobs_book *b, struct attempt *a, enum room room,
            int64_t now_ms)
 {
+    a->why = "near";
     if (choose_near(b, a, room, now_ms)) {
         return true;
     }
+    a->why = "far";
     if (!may_go_far(b, a->unit, now_ms)) {
         return false;
     }
@@ -261,6 +264,8 @@
     for (uint32_t k = 0; k < u->task_count; k++) {
         u->tasks[k].given_ms = now_ms;
         Worker_Take(a->chosen[k]->worker, &u->tasks[k]);
+        Event_Task(b, JOBS_RUN_GIVEN, &u->tasks[k], a->why)->number =
+            now_ms - u->ready_ms;
     }
     Book_Touch(b, u->job);
 }
@@ -295,7 +300,7 @@
 
 /* Stops the cheapest runs of lower priority until the chosen tasks fit. */
 static void
-evict(struct attempt *a, int64_t now_ms)
+evict(struct jobs_book *b, struct attempt *a, int64_t now_ms)
 {
     const struct jobs_step *step = Unit_Step(a->unit);
     int priority = a->unit->job->priority;
@@ -325,7 +330,7 @@
             if (best == NULL) {
                 break;
             }
-            Unit_Stop(best, false);
+            Unit_Stop(b, best, "gives_way");
         }
     }
 }
@@ -355,7 +360,7 @@
     }
     if (choose_all(b, a, ROOM_EVICTING, now_ms)) {
         if (u->job->priority == 0) {
-            evict(a, now_ms);
+            evict(b, a, now_ms);
         }
         keep_room(a);
     }
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -115,7 +115,7 @@
             now_ms <= w->lease_end_ms) {
             continue;
         }
-        Worker_Lost(b, w, now_ms);
+        Worker_Lost(b, w, "lease_over", now_ms);
         if (now_ms - w->report_ms > GONE_MS) {
             Worker_Free(b, w);
         }
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -44,7 +44,8 @@
  * seconds. Jobs that fail by their own fault fail elsewhere too, and a single
  * end that is done clears the count, so sound workers stay in use. */
 static void
-note_health(struct jobs_worker *w, enum jobs_end how, int64_t now_ms)
+note_health(struct jobs_book *b, struct jobs_worker *w, enum jobs_end how,
+            int64_t now_ms)
 {
     static const uint32_t enough = 3;    /* by chance: 2% each, at most */
     static const int64_t rest_ms = 4000; /* then it is tried again */
@@ -55,9 +56,15 @@
     }
     if (how == END_FAILED && ++w->failures_in_row >= enough) {
         w->suspect_until_ms = now_ms + rest_ms;
+        Event_Worker(b, w, "fails_all")->number = rest_ms;
     }
 }
 
+static const char *const end_names[] = {
+    [END_DONE] = "done",       [END_FAILED] = "failed",
+    [END_STOPPED] = "stopped", [END_LAPSED] = "lapsed",
+    [END_BROKEN] = "broken",   [END_ALONE] = "alone"};
+
 /* One end that the worker lists. */
 static void
 take_end(struct jobs_book *b, struct jobs_worker *w,
@@ -70,7 +77,7 @@
         return;
     }
     u = t->unit;
-    note_health(w, e->how, now_ms);
+    note_health(b, w, e->how, now_ms);
     if (e->how == END_DONE) {
         Unit_Done(b, u, now_ms);
         return;
@@ -82,7 +89,7 @@
         Str_Copy(u->avoid, sizeof(u->avoid), w->id);
         Unit_Failed(b, u);
     }
-    Task_Gone(b, t, now_ms);
+    Task_Gone(b, t, end_names[e->how], now_ms);
 }
 
 /* One run that the worker lists as there. */
@@ -139,7 +146,7 @@
         lists_running(r, s->task, s->run)) {
         return;
     }
-    Task_Gone(b, t, now_ms);
+    Task_Gone(b, t, "never_began", now_ms);
 }
 
 /* Ends the other lifetimes that this agent had beside it: a machine holds
@@ -153,7 +160,7 @@
          other = next) {
         next = RB_NEXT(lifetime_tree, &b->workers, other);
         if (other != w && strcmp(other->agent, w->agent) == 0) {
-            Worker_Lost(b, other, now_ms);
+            Worker_Lost(b, other, "other_lifetime", now_ms);
             Worker_Free(b, other);
         }
     }
@@ -192,7 +199,7 @@
     struct jobs_worker *w = Book_FindWorker(b, worker);
 
     if (w != NULL) {
-        Worker_Lost(b, w, now_ms);
+        Worker_Lost(b, w, "left", now_ms);
         Worker_Free(b, w);
     }
 }
@@ -216,7 +223,7 @@
     if (strcmp(reason, "room") == 0 || strcmp(reason, "busy") == 0) {
         w->full_until_ms = now_ms + pause_ms;
     }
-    Unit_Stop(t->unit, false);
+    Unit_Stop(b, t->unit, "start_refused");
 }
 
 /* Until when an agent's worker may hold leases of ours. */
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -98,11 +98,10 @@
 
 /* Lets the run of a unit end. */
 void
-Unit_Stop(struct jobs_unit *u, bool drop)
+Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why)
 {
     struct jobs_need need = counted_need(u);
 
-    u->dropped = u->dropped || drop;
     if (u->state != UNIT_GIVEN || u->stopping) {
         return;
     }
@@ -111,10 +110,19 @@
         if (u->tasks[i].worker != NULL) {
             add_need(&u->tasks[i].worker->freeing, &need, 1);
             u->tasks[i].sent_ms = 0;
+            Event_Task(b, JOBS_RUN_STOPPED, &u->tasks[i], why);
         }
     }
 }
 
+/* Lets it end for good. */
+void
+Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why)
+{
+    u->dropped = true;
+    Unit_Stop(b, u, why);
+}
+
 /* Forgets the strays of a worker. */
 static void
 clear_strays(struct jobs_worker *w)
@@ -146,7 +154,8 @@
 /* The run of this task is over. When it was the last of its unit, the unit
  * waits again, or is finished. */
 void
-Task_Gone(struct jobs_book *b, struct jobs_task *t, int64_t now_ms)
+Task_Gone(struct jobs_book *b, struct jobs_task *t, const char *why,
+          int64_t now_ms)
 {
     struct jobs_unit *u = t->unit;
     bool any = false;
@@ -154,12 +163,13 @@
     if (t->worker == NULL) {
         return;
     }
+    Event_Task(b, JOBS_RUN_OVER, t, why)->number = now_ms - t->given_ms;
     let_go(t);
     for (uint32_t i = 0; i < u->task_count; i++) {
         any = any || u->tasks[i].worker != NULL;
     }
     if (any) {
-        Unit_Stop(u, false);
+        Unit_Stop(b, u, "gang_broken");
         return;
     }
     u->stopping = false;
@@ -178,6 +188,8 @@
 {
     for (uint32_t i = 0; i < u->task_count; i++) {
         if (u->tasks[i].worker != NULL) {
+            Event_Task(b, JOBS_RUN_OVER, &u->tasks[i], "done")->number =
+                now_ms - u->tasks[i].given_ms;
             let_go(&u->tasks[i]);
         }
     }
@@ -206,19 +218,24 @@
         return;
     }
     TAILQ_FOREACH (other, &u->job->units, entry) {
-        Unit_Stop(other, true);
+        Unit_Drop(b, other, "job_failed");
     }
     u->state = UNIT_FAILED;
 }
 
 /* Nothing runs on this lifetime any more. */
 void
-Worker_Lost(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms)
+Worker_Lost(struct jobs_book *b, struct jobs_worker *w, const char *why,
+            int64_t now_ms)
 {
     struct jobs_task *t;
 
+    if (w->heard || !TAILQ_EMPTY(&w->tasks)) {
+        Event_Worker(b, w, why);
+    }
+    w->heard = false;
     while ((t = TAILQ_FIRST(&w->tasks)) != NULL) {
-        Task_Gone(b, t, now_ms);
+        Task_Gone(b, t, why, now_ms);
     }
     clear_strays(w);
 }
@@ -269,6 +286,8 @@
     j->state = state_of(j, &runs);
     if (j->state != was) {
         Book_Touch(b, j);
+        Event_Job(b, JOBS_JOB_STATE, j, Jobs_StateName(j->state))->number =
+            now_ms - j->arrived_ms;
     }
     if (j->state > JOB_RUNNING && !runs) {
         j->ended_ms = now_ms;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -274,6 +274,36 @@
 const char *Jobs_NextExpired(struct jobs_book *b, int64_t now_ms);
 void Jobs_Remove(struct jobs_book *b, const char *id);
 
+/* ---- what the book decided, and why
+ * ------------------------------------------ */
+
+enum jobs_event_kind {
+    JOBS_JOB_TAKEN,   /* number: tasks */
+    JOBS_RUN_GIVEN,   /* number: ms that it waited */
+    JOBS_RUN_STOPPED, /* ordered to stop; reason says why */
+    JOBS_RUN_OVER,    /* it can't run any more; number: ms since given */
+    JOBS_JOB_STATE,   /* reason: its new state; number: ms since taken */
+    JOBS_WORKER_OUT,  /* not used for a while, or gone for good */
+};
+
+/* One decision or fact, with what decided it. Texts are constants. */
+struct jobs_event {
+    enum jobs_event_kind kind;
+    const char *reason;
+    char job[JOBS_ID_SIZE];
+    char task[JOBS_TASK_SIZE];
+    char worker[JOBS_TEXT_SIZE];
+    char other[JOBS_ID_SIZE]; /* a job that it gave way to; "": none */
+    uint64_t run;
+    int64_t number;
+    TAILQ_ENTRY(jobs_event) entry;
+};
+
+const char *Jobs_EventName(enum jobs_event_kind kind);
+/* Takes the oldest event out; the caller frees it. NULL: none is left. Beyond
+ * 4,096 that nobody takes, new ones are only counted (Jobs_State). */
+struct jobs_event *Jobs_NextEvent(struct jobs_book *b);
+
 /* State in a progress row, for those who only show it. started: a task has
  * begun. ERR_OK or ERR_INVALID. */
 int Jobs_ReadProgress(const char *text, size_t len, enum jobs_state *state,
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -125,7 +125,17 @@
         if (submit) {
             Counter_Add(&accepted_total, 1);
         }
-        LOG_I(submit ? "job_accepted" : "job_cancelled", KV("row", o->key),
+        LOG_I(submit ? "job_accepted" : "job_cancelled",
+              KV("job", strchr(o->key, '/') + 1),
+              KV("queue", o->call->spec.queue),
+              KV("organisation", o->call->spec.organisation),
+              KV_INT("steps", o->call->spec.step_count),
+              KV_INT("tasks",
+                     submit ? (int64_t)o->call->spec.steps[0].count : 0),
+              KV_INT("accelerators",
+                     submit ? o->call->spec.steps[0].need.accelerators : 0),
+              KV_INT("estimate_ms",
+                     submit ? o->call->spec.steps[0].estimate_ms : 0),
               KV_INT("version", versions[0]));
         took_row(o, versions[0]);
         finish_open(o, QUEUE_OK, "stored");
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -137,7 +137,7 @@
     if (order->payload != NULL) {
         Buf_AppendStr(&to->payload, order->payload);
     }
-    LOG_I(order->verb == ORDER_START ? "order_start" : "order_stop",
+    LOG_D(order->verb == ORDER_START ? "order_start" : "order_stop",
           KV("task", order->task), KV_INT("run", order->run),
           KV("worker", order->worker), KV_INT("term", m->term));
 }
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -336,6 +336,22 @@
     Owner_Soon(o);
 }
 
+/* One line for each thing that the book decided or learned. */
+static void
+log_events(struct owner *o)
+{
+    struct jobs_event *e;
+
+    while ((e = Jobs_NextEvent(o->book)) != NULL) {
+        LOG_I(Jobs_EventName(e->kind), KV("reason", e->reason),
+              KV("job", e->job), KV("task", e->task), KV_INT("run", e->run),
+              KV("worker", e->worker), KV("other", e->other),
+              KV_INT("ms", e->number), KV_INT("term", o->term),
+              KV_INT("config", o->config ? o->config->jobs.version : 0));
+        free(e);
+    }
+}
+
 /* Plans, writes, gives orders. */
 static void
 on_soon(struct ev_loop *loop UNUSED, ev_timer *w UNUSED, int events UNUSED)
@@ -348,6 +364,7 @@
     Jobs_Plan(o->book, Clock_NowMs(), Clock_WallMs());
     Batch_Start(o);
     Orders_Send(o);
+    log_events(o);
 }
 
 /* Lets it be done soon, together with what else comes. */
