jobs: ranks by guarantee, cheapest evictions, runs' pace, slow and hanging workers left

Cause: first-priority work beyond its organisation's guarantee held up others' guaranteed jobs (one waited 2.56 s of the 2.7 allowed); victims were the tightest fit, not the cheapest; runs on slow or standing workers were left to themselves.

A pace measured over a checkpoint's restore looked slow too.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -20,9 +20,14 @@
     struct jobs_worker *worker; /* NULL: no run of it can be anywhere */
     bool confirmed;             /* seen running */
     int64_t given_ms;
-    int64_t sent_ms; /* last order; 0: none yet */
-    int64_t percent;
+    int64_t sent_ms;  /* last order; 0: none yet */
+    bool far;         /* from its data, or from the rest of its gang */
+    int64_t percent;  /* of its work, as last seen; -1: not seen yet */
     int64_t moved_ms; /* when the percent last changed */
+    /* Where the present pace is measured from, on the worker's clock. */
+    int64_t mark_percent;
+    int64_t mark_clock_ms;
+    double pace; /* percent a millisecond; 0: not known yet */
     TAILQ_ENTRY(jobs_task) on_worker;
 };
 
@@ -41,8 +46,11 @@
     bool begun;       /* a task was seen running, ever */
     int64_t ready_ms; /* since when it could start; 0: not yet */
     int64_t not_before_ms;
+    int64_t work_ms; /* of a run on a sound worker, as seen; 0: not known */
+    int64_t moved_away_ms; /* last time that it left a slow worker */
+    uint32_t moves;
     char checkpoint[JOBS_TEXT_SIZE];
-    char avoid[JOBS_TEXT_SIZE]; /* worker where it failed last */
+    char avoid[JOBS_TEXT_SIZE]; /* worker where it failed or hung last */
     struct jobs_task *tasks;
     uint32_t task_count;
     TAILQ_ENTRY(jobs_unit) entry;
@@ -53,6 +61,7 @@
     struct jobs_spec spec;
     const struct jobs_queue *queue; /* NULL: no configuration has it */
     int priority;
+    int rank; /* who gives way to whom: lower ranks evict higher ones */
     int attempts;
     enum jobs_state state;
     bool cancelled;
@@ -93,6 +102,9 @@
     int64_t lease_end_ms; /* our clock: nothing runs after it unheard */
     int64_t full_until_ms;
     int64_t suspect_until_ms;
+    int64_t slow_until_ms; /* its runs take far longer than elsewhere */
+    int64_t doubt_ms;      /* last run far over its estimate; 0: none */
+    char doubt_job[JOBS_ID_SIZE];
     uint32_t failures_in_row;
     uint64_t seen;       /* ends taken into the book */
     uint64_t seen_batch; /* of them, those in rows being written */
@@ -155,6 +167,31 @@
 /* Ends the job when nothing is left to do. */
 void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
 
+/* ---- jobs-pace.c */
+/* Takes the progress that a report shows. */
+void Pace_Take(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+               int64_t percent, int64_t clock_ms, int64_t now_ms);
+/* What a run of the unit takes, as far as is known. */
+int64_t Pace_WorkMs(const struct jobs_unit *u);
+/* How long the run of a task still takes. */
+int64_t Pace_LeftMs(const struct jobs_task *t, int64_t now_ms);
+/* True when a unit's run is better stopped and started elsewhere. */
+bool Pace_Crawls(const struct jobs_book *b, const struct jobs_unit *u,
+                 int64_t now_ms);
+
+/* ---- jobs-evict.c */
+/* Core milliseconds lost when enough of lower rank on a worker is stopped for
+ * n tasks of the unit to fit; -1: not even all of it is enough. */
+double Evict_Cost(const struct jobs_worker *w, const struct jobs_unit *u,
+                  uint32_t n, int64_t now_ms);
+void Evict_Apply(struct jobs_book *b, struct jobs_worker *w,
+                 const struct jobs_unit *u, uint32_t n, int64_t now_ms);
+
+/* ---- jobs-rank.c */
+#define RANK_COVERED (-1) /* within its organisation's guarantee */
+/* Sets the rank of all active jobs. */
+void Rank_All(struct jobs_book *b);
+
 /* ---- jobs-event.c */
 /* Each returns the event, to be completed, never NULL. */
 struct jobs_event *Event_Job(struct jobs_book *b, enum jobs_event_kind kind,
@@ -175,5 +212,7 @@
  * can start now, else reserves what it waits for where it has a claim. */
 bool Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
                 bool reserve);
+/* True when the unit would find room now, its own run left aside. */
+bool Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
 
 #endif
--- /dev/null
+++ b/packages/jobs/jobs-evict.c
@@ -0,0 +1,163 @@
+#include "jobs-book.h"
+
+#include <stdlib.h>
+
+#define VICTIMS_MAX 64 /* units of a worker that are weighed */
+
+/* A unit that may give way, and what that costs. */
+struct victim {
+    struct jobs_unit *unit;
+    double cost;
+    struct jobs_need frees; /* on the worker that is looked at */
+};
+
+/* Work that is lost when a run is stopped now, in core milliseconds; an
+ * accelerator counts as eight cores. What a checkpoint has saved is not lost;
+ * saving is a second old at most, and resuming takes some of it again. */
+static double
+cost_of(const struct jobs_unit *u, int64_t now_ms)
+{
+    static const double saved_ms = 900;
+    static const double start_ms = 150; /* of a stop and a start */
+    const struct jobs_step *s = Unit_Step(u);
+    double cores =
+        (double)s->need.millicores / 1000 + 8 * (double)s->need.accelerators;
+    double ran = (double)(now_ms - u->tasks[0].given_ms);
+
+    if (s->checkpoints && ran > saved_ms) {
+        ran = saved_ms;
+    }
+    return cores * u->task_count * (ran + start_ms);
+}
+
+/* Cheapest first. */
+static int
+victim_compare(const void *va, const void *vb)
+{
+    const struct victim *a = va, *b = vb;
+
+    return a->cost < b->cost ? -1 : a->cost > b->cost;
+}
+
+/* Adds a task's need to what its unit would free. */
+static void
+add_victim(struct victim *list, size_t *count, struct jobs_unit *u,
+           int64_t now_ms)
+{
+    const struct jobs_need *need = &Unit_Step(u)->need;
+    size_t i;
+
+    for (i = 0; i < *count && list[i].unit != u; i++) {
+    }
+    if (i == *count) {
+        if (*count == VICTIMS_MAX) {
+            return;
+        }
+        list[(*count)++] =
+            (struct victim){.unit = u, .cost = cost_of(u, now_ms)};
+    }
+    list[i].frees.millicores += Unit_Step(u)->fills ? 0 : need->millicores;
+    list[i].frees.memory_mb += need->memory_mb;
+    list[i].frees.accelerators += need->accelerators;
+}
+
+/* Room that is missing on a worker, with what is being stopped there; a value
+ * below 0 is room to spare. */
+static struct jobs_need
+missing_on(const struct jobs_worker *w, const struct jobs_unit *u, uint32_t n)
+{
+    const struct jobs_step *s = Unit_Step(u);
+    int64_t k = (int64_t)n;
+
+    return (struct jobs_need){
+        (s->fills ? 0 : k * s->need.millicores) + w->used.millicores +
+            w->reserved.millicores - w->freeing.millicores -
+            w->capacity.millicores,
+        k * s->need.memory_mb + w->used.memory_mb + w->reserved.memory_mb -
+            w->freeing.memory_mb - w->capacity.memory_mb,
+        k * s->need.accelerators + w->used.accelerators +
+            w->reserved.accelerators - w->freeing.accelerators -
+            w->capacity.accelerators};
+}
+
+/* True when nothing is missing. */
+static bool
+is_enough(const struct jobs_need *m)
+{
+    return m->millicores <= 0 && m->memory_mb <= 0 && m->accelerators <= 0;
+}
+
+/* Takes what a victim frees off what is missing, n times. */
+static void
+take_off(struct jobs_need *m, const struct jobs_need *frees, int n)
+{
+    m->millicores -= n * frees->millicores;
+    m->memory_mb -= n * frees->memory_mb;
+    m->accelerators -= n * frees->accelerators;
+}
+
+/* Chooses victims: the cheapest until it is enough, then leaves out, dearest
+ * first, whichever is not needed after all. Returns how many, or -1. */
+static int
+choose(const struct jobs_worker *w, const struct jobs_unit *u, uint32_t n,
+       int64_t now_ms, struct victim *list)
+{
+    struct jobs_need missing = missing_on(w, u, n);
+    const struct jobs_task *t;
+    size_t count = 0, taken = 0;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        if (t->unit->job->rank > u->job->rank && !t->unit->stopping &&
+            t->unit->state == UNIT_GIVEN) {
+            add_victim(list, &count, t->unit, now_ms);
+        }
+    }
+    qsort(list, count, sizeof(*list), victim_compare);
+    while (taken < count && !is_enough(&missing)) {
+        take_off(&missing, &list[taken++].frees, 1);
+    }
+    if (!is_enough(&missing)) {
+        return -1;
+    }
+    for (size_t i = taken; i-- > 0;) {
+        struct jobs_need without = missing;
+
+        take_off(&without, &list[i].frees, -1);
+        if (is_enough(&without)) {
+            missing = without;
+            list[i] = list[--taken];
+        }
+    }
+    return (int)taken;
+}
+
+/* What it costs to make room. */
+double
+Evict_Cost(const struct jobs_worker *w, const struct jobs_unit *u, uint32_t n,
+           int64_t now_ms)
+{
+    struct victim list[VICTIMS_MAX];
+    int taken = choose(w, u, n, now_ms, list);
+    double sum = 0;
+
+    if (taken < 0) {
+        return -1;
+    }
+    for (int i = 0; i < taken; i++) {
+        sum += list[i].cost;
+    }
+    return sum;
+}
+
+/* Makes the room. */
+void
+Evict_Apply(struct jobs_book *b, struct jobs_worker *w,
+            const struct jobs_unit *u, uint32_t n, int64_t now_ms)
+{
+    struct victim list[VICTIMS_MAX];
+    int taken = choose(w, u, n, now_ms, list);
+
+    for (int i = 0; i < taken; i++) {
+        Unit_Stop(b, list[i].unit, "gives_way");
+    }
+}
--- /dev/null
+++ b/packages/jobs/jobs-pace.c
@@ -0,0 +1,180 @@
+#include "jobs-book.h"
+
+#include <string.h>
+
+/* A pace is measured over so many percent, as whole ones are told, and over no
+ * longer than this. */
+#define MEASURE_PERCENT 5
+#define MEASURE_MAX_MS 1500
+/* A run that takes so many times what it took before, or what others of its
+ * step take, is on a slow worker. Runs of a step differ by up to a half, slow
+ * workers work 4 times as long or more; 2.5 lies between. Estimates of callers
+ * are off by as much at times, so against them it takes two different jobs
+ * within DOUBT_MS. */
+#define SLOW_FACTOR 2.5
+#define DOUBT_MS 4000
+/* A worker is left alone for so long after it was last seen slow. */
+#define SLOW_MS 1500
+/* A run without any progress for this hangs. A run that resumes from a
+ * checkpoint shows none for 600 ms. */
+#define HANG_MS 1600
+/* A unit leaves slow workers so often, and not more often than this. */
+#define MOVES_MAX 3
+#define MOVE_PAUSE_MS 2500
+
+/* What is known of a run's length beside its caller's estimate: from this unit
+ * on whichever worker, or from others of its step; 0: nothing. */
+static int64_t
+known_ms(const struct jobs_unit *u)
+{
+    const struct jobs_unit *other;
+
+    if (u->work_ms != 0) {
+        return u->work_ms;
+    }
+    TAILQ_FOREACH (other, &u->job->units, entry) {
+        if (other->step == u->step && other->work_ms != 0) {
+            return other->work_ms;
+        }
+    }
+    return 0;
+}
+
+/* Marks a worker as slow. */
+static void
+mark_slow(struct jobs_book *b, struct jobs_worker *w, double times,
+          int64_t now_ms)
+{
+    if (w->slow_until_ms < now_ms) {
+        Event_Worker(b, w, "slow")->number = (int64_t)(100 * times);
+    }
+    w->slow_until_ms = now_ms + SLOW_MS;
+}
+
+/* True when a run far over its estimate is the second of its kind on the
+ * worker: one may be a wrong estimate, two of different jobs are not. */
+static bool
+is_second_doubt(struct jobs_worker *w, const struct jobs_unit *u,
+                int64_t now_ms)
+{
+    bool second = w->doubt_ms != 0 && now_ms - w->doubt_ms < DOUBT_MS &&
+                  strcmp(w->doubt_job, u->job->spec.id) != 0;
+
+    w->doubt_ms = now_ms;
+    Str_Copy(w->doubt_job, sizeof(w->doubt_job), u->job->spec.id);
+    return second;
+}
+
+/* Takes a pace that was measured. */
+static void
+take_pace(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+          double pace, int64_t now_ms)
+{
+    struct jobs_unit *u = t->unit;
+    double factor = t->far ? b->limits.remote_factor : 1;
+    double work_ms = 100 / pace / factor;
+    double known = (double)known_ms(u);
+    double estimate = (double)Unit_Step(u)->estimate_ms;
+
+    t->pace = pace;
+    if (known > 0 && work_ms > SLOW_FACTOR * known) {
+        mark_slow(b, w, work_ms / known, now_ms);
+        return;
+    }
+    if (known <= 0 && estimate > 0 && work_ms > SLOW_FACTOR * estimate &&
+        is_second_doubt(w, u, now_ms)) {
+        mark_slow(b, w, work_ms / estimate, now_ms);
+        return;
+    }
+    u->work_ms = (int64_t)work_ms;
+}
+
+/* Takes the progress of a run. Workers tell it linearly, so two looks give
+ * what a run takes far better than its caller's estimate. It is measured from
+ * the first progress on: before, the run is set up, resumes from a checkpoint
+ * or waits for the rest of its gang. */
+void
+Pace_Take(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+          int64_t percent, int64_t clock_ms, int64_t now_ms)
+{
+    int64_t span = clock_ms - t->mark_clock_ms;
+    int64_t made = percent - t->mark_percent;
+
+    if (!t->confirmed || percent != t->percent) {
+        t->moved_ms = now_ms;
+    }
+    if (t->confirmed && t->percent >= 0 && percent > t->percent &&
+        t->mark_clock_ms == 0) {
+        t->mark_percent = percent;
+        t->mark_clock_ms = clock_ms;
+    }
+    else if (t->mark_clock_ms != 0 && !Unit_Step(t->unit)->lasting &&
+             (made >= MEASURE_PERCENT || span >= MEASURE_MAX_MS)) {
+        take_pace(b, w, t, (double)(made > 0 ? made : 0.5) / (double)span,
+                  now_ms);
+        t->mark_percent = percent;
+        t->mark_clock_ms = clock_ms;
+    }
+    t->percent = percent;
+}
+
+/* What a run takes: as seen, or as its caller estimated. */
+int64_t
+Pace_WorkMs(const struct jobs_unit *u)
+{
+    int64_t known = known_ms(u);
+
+    return known != 0 ? known : Unit_Step(u)->estimate_ms;
+}
+
+/* How long a run still takes, from its pace where that is known. */
+int64_t
+Pace_LeftMs(const struct jobs_task *t, int64_t now_ms)
+{
+    int64_t work = Pace_WorkMs(t->unit);
+    int64_t left = work - (now_ms - t->given_ms);
+
+    if (t->pace > 0) {
+        return (int64_t)((double)(100 - t->percent) / t->pace) -
+               (now_ms - t->moved_ms);
+    }
+    return left > work / 5 ? left : work / 5;
+}
+
+/* True when a run has not moved for longer than a sound one ever stands. */
+static bool
+hangs(const struct jobs_task *t, int64_t now_ms)
+{
+    int64_t quiet = now_ms - t->moved_ms;
+    int64_t step_ms = Pace_WorkMs(t->unit) / 25; /* four percent of it */
+
+    return t->confirmed && t->worker != NULL && quiet > HANG_MS &&
+           quiet > step_ms && now_ms - t->worker->report_ms < HANG_MS / 2;
+}
+
+/* True when the run is better started elsewhere: it hangs, or what is left of
+ * it there takes longer than all of it on a sound worker, by half. */
+bool
+Pace_Crawls(const struct jobs_book *b UNUSED, const struct jobs_unit *u,
+            int64_t now_ms)
+{
+    int64_t again = Pace_WorkMs(u) + Pace_WorkMs(u) / 2 + 600;
+
+    if (u->state != UNIT_GIVEN || u->stopping || Unit_Step(u)->lasting ||
+        u->moves >= MOVES_MAX || now_ms - u->moved_away_ms < MOVE_PAUSE_MS) {
+        return false;
+    }
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        const struct jobs_task *t = &u->tasks[i];
+
+        if (t->worker == NULL || !t->confirmed) {
+            continue;
+        }
+        if (hangs(t, now_ms) ||
+            (t->worker->slow_until_ms > now_ms && t->pace > 0 &&
+             Pace_LeftMs(t, now_ms) > again)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -17,41 +17,24 @@
     struct jobs_need free;
     uint32_t taken; /* tasks of this unit */
     uint32_t same;  /* tasks of the step that are there */
+    double cost;    /* of what is evicted for them */
 };
 
 struct attempt {
     struct jobs_unit *unit;
+    enum room room;
+    int64_t now_ms;
     struct spot spots[PLACE_MAX];
     size_t count;
     struct spot **chosen; /* one for each task of the unit */
     const char *why;      /* near, or far from its data or from each other */
 };
 
-/* What evicting all below a priority would free on a worker. */
-static struct jobs_need
-evictable(const struct jobs_worker *w, int priority)
-{
-    struct jobs_need sum = {0};
-    const struct jobs_task *t;
-
-    TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        const struct jobs_step *s = Unit_Step(t->unit);
-
-        if (t->unit->job->priority > priority && !t->unit->stopping) {
-            sum.millicores += s->fills ? 0 : s->need.millicores;
-            sum.memory_mb += s->need.memory_mb;
-            sum.accelerators += s->need.accelerators;
-        }
-    }
-    return sum;
-}
-
 /* Room on a worker, by what counts as room. */
 static struct jobs_need
-room_on(const struct jobs_worker *w, enum room room, int priority)
+room_on(const struct jobs_worker *w, enum room room)
 {
     struct jobs_need free = w->capacity;
-    struct jobs_need more = {0};
 
     free.millicores -= w->used.millicores + w->reserved.millicores;
     free.memory_mb -= w->used.memory_mb + w->reserved.memory_mb;
@@ -61,12 +44,6 @@
         free.memory_mb += w->freeing.memory_mb;
         free.accelerators += w->freeing.accelerators;
     }
-    if (room == ROOM_EVICTING) {
-        more = evictable(w, priority);
-    }
-    free.millicores += more.millicores;
-    free.memory_mb += more.memory_mb;
-    free.accelerators += more.accelerators;
     return free;
 }
 
@@ -129,6 +106,56 @@
     return a->free.millicores < b->free.millicores;
 }
 
+/* The spot where one more task costs the least, counting what is evicted
+ * there already for tasks of this unit. */
+static struct spot *
+cheapest(struct attempt *a, const char *rack)
+{
+    const struct jobs_step *step = Unit_Step(a->unit);
+    struct spot *best = NULL;
+    double best_cost = 0;
+
+    for (size_t i = 0; i < a->count; i++) {
+        struct spot *s = &a->spots[i];
+        double cost;
+
+        if ((rack != NULL && strcmp(s->worker->rack, rack) != 0) ||
+            (step->spread > 0 && s->taken + s->same >= step->spread)) {
+            continue;
+        }
+        cost = Evict_Cost(s->worker, a->unit, s->taken + 1, a->now_ms);
+        if (cost >= 0 && cost >= s->cost) {
+            cost -= s->cost;
+        }
+        if (cost >= 0 && (best == NULL || cost < best_cost)) {
+            best = s;
+            best_cost = cost;
+        }
+    }
+    if (best != NULL) {
+        best->cost += best_cost;
+    }
+    return best;
+}
+
+/* The spot that one more task fits best. */
+static struct spot *
+tightest(struct attempt *a, const char *rack)
+{
+    const struct jobs_step *step = Unit_Step(a->unit);
+    struct spot *best = NULL;
+
+    for (size_t i = 0; i < a->count; i++) {
+        struct spot *s = &a->spots[i];
+
+        if ((rack == NULL || strcmp(s->worker->rack, rack) == 0) &&
+            fits(s, step) && (best == NULL || is_tighter(s, best))) {
+            best = s;
+        }
+    }
+    return best;
+}
+
 /* Chooses a spot for each task, within one rack when one is named. */
 static bool
 choose(struct attempt *a, const char *rack)
@@ -137,18 +164,12 @@
 
     for (size_t i = 0; i < a->count; i++) {
         a->spots[i].taken = 0;
+        a->spots[i].cost = 0;
     }
     for (uint32_t k = 0; k < a->unit->task_count; k++) {
-        struct spot *best = NULL;
+        struct spot *best =
+            a->room == ROOM_EVICTING ? cheapest(a, rack) : tightest(a, rack);
 
-        for (size_t i = 0; i < a->count; i++) {
-            struct spot *s = &a->spots[i];
-
-            if ((rack == NULL || strcmp(s->worker->rack, rack) == 0) &&
-                fits(s, step) && (best == NULL || is_tighter(s, best))) {
-                best = s;
-            }
-        }
         a->chosen[k] = best;
         if (best == NULL) {
             return false;
@@ -161,6 +182,14 @@
     return true;
 }
 
+/* True for a worker that the unit had better not go to. */
+static bool
+is_disliked(const struct jobs_worker *w, const struct jobs_unit *u,
+            int64_t now_ms)
+{
+    return w->slow_until_ms > now_ms || strcmp(w->id, u->avoid) == 0;
+}
+
 /* Lists the spots of an attempt with their room. */
 static void
 list_spots(struct jobs_book *b, struct attempt *a, enum room room,
@@ -170,22 +199,25 @@
     bool alone = true;
 
     a->count = 0;
+    a->room = room;
+    a->now_ms = now_ms;
     RB_FOREACH (w, lifetime_tree, &b->workers) {
         if (a->count == PLACE_MAX || !is_eligible(b, w, a->unit, now_ms)) {
             continue;
         }
         a->spots[a->count++] = (struct spot){
             .worker = w,
-            .free = room_on(w, room, a->unit->job->priority),
+            .free = room_on(w, room),
             .same = count_same(w, a->unit),
         };
     }
-    /* Where the unit failed before it only goes when nothing else is there. */
+    /* To a slow worker, or where it failed before, it only goes when there
+     * is nothing else. */
     for (size_t i = 0; i < a->count; i++) {
-        alone = alone && strcmp(a->spots[i].worker->id, a->unit->avoid) == 0;
+        alone = alone && is_disliked(a->spots[i].worker, a->unit, now_ms);
     }
     for (size_t i = 0; !alone && i < a->count; i++) {
-        if (strcmp(a->spots[i].worker->id, a->unit->avoid) == 0) {
+        if (is_disliked(a->spots[i].worker, a->unit, now_ms)) {
             a->spots[i--] = a->spots[--a->count];
         }
     }
@@ -263,6 +295,7 @@
     u->unwritten = true;
     for (uint32_t k = 0; k < u->task_count; k++) {
         u->tasks[k].given_ms = now_ms;
+        u->tasks[k].far = strcmp(a->why, "far") == 0;
         Worker_Take(a->chosen[k]->worker, &u->tasks[k]);
         Event_Task(b, JOBS_RUN_GIVEN, &u->tasks[k], a->why)->number =
             now_ms - u->ready_ms;
@@ -285,52 +318,14 @@
     }
 }
 
-/* Work lost when a run is stopped now, in core milliseconds; an accelerator
- * counts as eight cores. Checkpointed work is mostly saved. */
-static double
-cost_of(const struct jobs_unit *u, int64_t now_ms)
-{
-    const struct jobs_step *s = Unit_Step(u);
-    double cores =
-        (double)s->need.millicores / 1000 + 8 * (double)s->need.accelerators;
-    double ran = (double)(now_ms - u->tasks[0].given_ms);
-
-    return cores * u->task_count * (s->checkpoints ? 600 : ran + 600);
-}
-
-/* Stops the cheapest runs of lower priority until the chosen tasks fit. */
+/* Makes room on the workers chosen. */
 static void
 evict(struct jobs_book *b, struct attempt *a, int64_t now_ms)
 {
-    const struct jobs_step *step = Unit_Step(a->unit);
-    int priority = a->unit->job->priority;
-
     for (size_t i = 0; i < a->count; i++) {
-        struct spot *s = &a->spots[i];
-        struct jobs_worker *w = s->worker;
-
-        while (s->taken > 0) {
-            struct jobs_need free = room_on(w, ROOM_SOON, priority);
-            struct jobs_unit *best = NULL;
-            struct jobs_task *t;
-
-            if (free.accelerators >= step->need.accelerators * s->taken &&
-                free.memory_mb >= step->need.memory_mb * s->taken &&
-                free.millicores >= step->need.millicores * s->taken) {
-                break;
-            }
-            TAILQ_FOREACH (t, &w->tasks, on_worker) {
-                if (t->unit->job->priority > priority && !t->unit->stopping &&
-                    t->unit->state == UNIT_GIVEN &&
-                    (best == NULL ||
-                     cost_of(t->unit, now_ms) < cost_of(best, now_ms))) {
-                    best = t->unit;
-                }
-            }
-            if (best == NULL) {
-                break;
-            }
-            Unit_Stop(b, best, "gives_way");
+        if (a->spots[i].taken > 0) {
+            Evict_Apply(b, a->spots[i].worker, a->unit, a->spots[i].taken,
+                        now_ms);
         }
     }
 }
@@ -358,11 +353,22 @@
         keep_room(a);
         return false;
     }
-    if (choose_all(b, a, ROOM_EVICTING, now_ms)) {
-        if (u->job->priority == 0) {
-            evict(b, a, now_ms);
-        }
+    if (u->job->priority == 0 && choose_all(b, a, ROOM_EVICTING, now_ms)) {
+        evict(b, a, now_ms);
         keep_room(a);
     }
     return false;
 }
+
+/* True when the unit would find room elsewhere. */
+bool
+Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
+{
+    struct spot **chosen CLEANUP(Mem_FreeP) =
+        Mem_Zero(u->task_count, sizeof(struct spot *));
+    struct attempt *a CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*a));
+
+    a->unit = u;
+    a->chosen = chosen;
+    return choose_near(b, a, ROOM_NOW, now_ms);
+}
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -13,13 +13,13 @@
     int64_t due_ms;
 };
 
-/* First by priority, then by the time at which the job's objective is over;
+/* First by rank, then by the time at which the job's objective is over;
  * shorter objectives therefore come first, and waiting ages. */
 static int
 waiter_compare(const void *va, const void *vb)
 {
     const struct waiter *a = va, *b = vb;
-    int pa = a->unit->job->priority, pb = b->unit->job->priority;
+    int pa = a->unit->job->rank, pb = b->unit->job->rank;
 
     if (pa != pb) {
         return pa < pb ? -1 : 1;
@@ -142,6 +142,27 @@
     }
 }
 
+/* Stops runs that are better started elsewhere, when there is room. */
+static void
+leave_slow(struct jobs_book *b, int64_t now_ms)
+{
+    struct jobs_unit *u;
+    struct jobs_job *j;
+
+    TAILQ_FOREACH (j, &b->active, active) {
+        TAILQ_FOREACH (u, &j->units, entry) {
+            if (!Pace_Crawls(b, u, now_ms) || !Place_CouldMove(b, u, now_ms)) {
+                continue;
+            }
+            u->moves++;
+            u->moved_away_ms = now_ms;
+            Str_Copy(u->avoid, sizeof(u->avoid),
+                     u->task_count == 1 ? u->tasks[0].worker->id : "");
+            Unit_Stop(b, u, "crawls");
+        }
+    }
+}
+
 /* Chooses starts and stops. */
 void
 Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms)
@@ -151,6 +172,8 @@
     size_t count;
 
     lapse(b, now_ms);
+    Rank_All(b);
+    leave_slow(b, now_ms);
     list = collect(b, now_ms, wall_ms, &count);
     for (size_t i = 0; i < count; i++) {
         bool first = list[i].unit->job->priority == 0;
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -109,10 +109,7 @@
     if (*r->checkpoint != '\0') {
         Str_Copy(u->checkpoint, sizeof(u->checkpoint), r->checkpoint);
     }
-    if (!t->confirmed || r->percent != t->percent) {
-        t->percent = r->percent;
-        t->moved_ms = now_ms;
-    }
+    Pace_Take(b, w, t, r->percent, w->clock_ms, now_ms);
     t->confirmed = true;
     if (!u->begun) {
         u->begun = true;
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -73,6 +73,10 @@
     t->confirmed = false;
     t->sent_ms = 0;
     t->percent = -1;
+    t->mark_percent = 0;
+    t->mark_clock_ms = 0;
+    t->pace = 0;
+    t->far = false;
     add_need(&w->used, &need, 1);
     if (t->unit->stopping) {
         add_need(&w->freeing, &need, 1);
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -9,6 +9,9 @@
 #define WAIT_MS 400
 #define RETRY_MS 100
 #define SOON_MS 15 /* after an order, so that its effect is seen early */
+/* Between two looks while ends wait to be stored: the worker answers at once
+ * then, and looking without a pause would cost all of the processor. */
+#define ENDS_MS 50
 
 static void look(struct watch *w);
 
@@ -174,7 +177,9 @@
         tell_blind(w);
     }
     if (!call->extra) {
-        look_later(w, err == ERR_OK ? 0 : RETRY_MS);
+        bool ends = err == ERR_OK && seen->ended_count > 0;
+
+        look_later(w, err != ERR_OK ? RETRY_MS : ends ? ENDS_MS : 0);
     }
 }
 
