--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -213,6 +213,10 @@
         finish(call, QUEUE_OK, "known_already");
         return;
     }
+    if (Queue_StoreAway(in->task.kernel)) {
+        finish(call, QUEUE_LATER, "store_away");
+        return;
+    }
     o = open_call(in, call, "spec/", id);
     JobsSpec_Encode(&call->spec, &o->value);
     if (o->value.len > JOBS_ROW_MAX) {
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -6,7 +6,10 @@
 
 #define TICK_MS 100
 #define SOON_MS 3 /* what comes within it is decided and written at once */
-#define CLAIM_PAUSE_MS 400
+#define CLAIM_PAUSE_MS 150
+/* The feed answers at least once a second; after a longer gap than this it
+ * has to be followed anew before silence of the owner means anything. */
+#define FEED_GAP_MS 1600
 
 static struct counter in_office = {"parsleyfall_queue_owner",
                                    "1 while this entry gives the orders.",
@@ -233,6 +236,9 @@
         }
         return;
     }
+    if (Clock_NowMs() - o->rows_seen_ms > FEED_GAP_MS) {
+        o->fresh_ms = Clock_NowMs();
+    }
     o->rows_seen_ms = Clock_NowMs();
     for (size_t i = 0; i < r->count; i++) {
         if (strcmp(r->rows[i].key, "owner") == 0) {
@@ -249,23 +255,30 @@
     }
 }
 
-/* Claims the office when nobody holds it, or its holder shows no life. */
+/* Claims the office when nobody holds it, or its holder shows no life.
+ *
+ * Failure: this entry was cut from the store for a while, and hears of it
+ * again. Symptom: the owner's last beat that it knows is old, and it deposes a
+ * living owner. Silence therefore counts from the moment since when the feed
+ * has come without a gap. */
 static void
 consider(struct owner *o)
 {
     const struct entry_settings *s = o->task.kernel->settings;
     int64_t now = Clock_NowMs();
+    int64_t heard =
+        o->beat_seen_ms > o->fresh_ms ? o->beat_seen_ms : o->fresh_ms;
     /* Entries wait for different times, so that one is first. */
     int64_t own = (int64_t)(Hash_Str(s->name, 0) % 300);
     bool nobody = o->row_version == 0 || o->row_name[0] == '\0';
     bool ours_before = strcmp(o->row_name, s->name) == 0 && !names_us(o);
 
     if (o->draining || o->rows_seen_ms == 0 ||
-        now - o->rows_seen_ms > SILENT_MS || o->config == NULL) {
+        now - o->rows_seen_ms > FEED_GAP_MS || o->config == NULL) {
         return;
     }
-    if (ours_before || (nobody && now - o->beat_seen_ms > own) ||
-        now - o->beat_seen_ms > SILENT_MS + own) {
+    if (ours_before || (nobody && now - heard > own) ||
+        now - heard > SILENT_MS + own) {
         Owner_Claim(o, s->name);
     }
 }
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -35,6 +35,7 @@
     uint64_t row_term;
     int64_t beat_seen_ms; /* last change of the owner's row or beat */
     int64_t rows_seen_ms; /* last answer of the feed */
+    int64_t fresh_ms;     /* since when its answers come without a gap */
     bool claiming;        /* a write of the owner row is under way */
     int64_t claim_ms;     /* not before */
     bool dead_before;     /* the owner before us had ended for certain */
--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -71,6 +71,7 @@
     bool writes = w->call.verb == WIRE_STORE_COMMIT;
 
     TAILQ_REMOVE(&w->store->relayed, w, entry);
+    w->store->relay_failures++;
     fail(w, writes ? ERR_UNKNOWN : ERR_TIMEOUT);
 }
 
@@ -104,15 +105,22 @@
     return true;
 }
 
+/* True when the store itself has spoken, and did not turn us away. */
+static bool
+is_answer(int err)
+{
+    return err == ERR_OK || err == ERR_CONFLICT || err == ERR_GONE ||
+           err == ERR_INVALID;
+}
+
 /* Notes how our own way did, and says when it changes. */
 static void
 note_own(struct store_task *s, int err)
 {
     int64_t now = Clock_NowMs();
-    bool answered = err == ERR_OK || err == ERR_CONFLICT || err == ERR_GONE ||
-                    err == ERR_INVALID;
 
-    if (answered) {
+    s->own_failures = is_answer(err) ? 0 : s->own_failures + 1;
+    if (is_answer(err)) {
         if (s->relaying) {
             LOG_I("store_way", KV("way", "own"),
                   KV_INT("away_ms", now - s->own_failed_ms));
@@ -345,6 +353,7 @@
     }
     TAILQ_REMOVE(&s->relayed, w, entry);
     ev_timer_stop(s->task.kernel->loop, &w->limit);
+    s->relay_failures = is_answer((int)m->err) ? 0 : s->relay_failures + 1;
     rows = Mem_Zero(m->rows.count + 1, sizeof(*rows));
     for (size_t i = 0; i < m->rows.count; i++) {
         rows[i] = (struct table_row){.key = Mem_Dup(from[i].key),
--- a/packages/queue/queue-relay.h
+++ b/packages/queue/queue-relay.h
@@ -4,6 +4,10 @@
 
 #include "queue.h"
 
+/* One failure may be a lost answer; this many in a row, of calls among which
+ * the feeds are, mean that the store is away. */
+#define AWAY_FAILURES 3
+
 /* A call of this process, on one of its ways to the store. */
 struct way {
     struct store_task *store;
@@ -29,6 +33,8 @@
     int64_t own_ok_ms;     /* last answer of our own; 0: none yet */
     int64_t own_failed_ms; /* since when it fails; 0: it does not */
     int64_t probe_ms;      /* next call that tries our own again */
+    int own_failures;      /* in a row */
+    int relay_failures;    /* in a row, through other entries */
     bool relaying;
     char best[NAME_SIZE]; /* entry to call through; "": none */
     uint64_t numbers;
--- a/packages/queue/queue-store.c
+++ b/packages/queue/queue-store.c
@@ -19,6 +19,17 @@
     return s->own_ok_ms != 0 ? Clock_NowMs() - s->own_ok_ms : -1;
 }
 
+/* True while no way to the store works. */
+bool
+Queue_StoreAway(struct kernel *k)
+{
+    const struct store_task *s =
+        (const struct store_task *)Kernel_FindTask(k, TASK_STORE);
+
+    return s->own_failures >= AWAY_FAILURES &&
+           (*s->best == '\0' || s->relay_failures >= AWAY_FAILURES);
+}
+
 /* Takes what other entries say of the store. */
 static void
 receive(struct task *t, struct message *m)
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -59,6 +59,9 @@
 /* The store as this process reaches it: by its own connection, or, while that
  * is refused, through another entry (queue-relay.c). */
 struct table *Queue_Store(struct kernel *k);
+/* True while calls fail on every way to the store: its own and through other
+ * entries. A caller is then refused at once, before anything is sent. */
+bool Queue_StoreAway(struct kernel *k);
 /* Milliseconds since the store answered this process itself; -1: never. */
 int64_t Queue_StoreAge(struct kernel *k);
 uint64_t Queue_Incarnation(void);
