jobs: tests in a world of workers; a gang that failed is not kept from where it fits

Cause: found by the new test: a gang that had failed on one worker avoided it for ever, also when it fitted nowhere without it, and waited. It now avoids a worker only while it has waited for little, and a gang avoids none.

--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -22,6 +22,7 @@
 
 struct attempt {
     struct jobs_unit *unit;
+    bool any; /* workers that the unit had better not go to, too */
     enum room room;
     int64_t now_ms;
     struct spot spots[PLACE_MAX];
@@ -196,13 +197,13 @@
            int64_t now_ms)
 {
     struct jobs_worker *w;
-    bool alone = true;
 
     a->count = 0;
     a->room = room;
     a->now_ms = now_ms;
     RB_FOREACH (w, lifetime_tree, &b->workers) {
-        if (a->count == PLACE_MAX || !is_eligible(b, w, a->unit, now_ms)) {
+        if (a->count == PLACE_MAX || !is_eligible(b, w, a->unit, now_ms) ||
+            (!a->any && is_disliked(w, a->unit, now_ms))) {
             continue;
         }
         a->spots[a->count++] = (struct spot){
@@ -211,16 +212,6 @@
             .same = count_same(w, a->unit),
         };
     }
-    /* To a slow worker, or where it failed before, it only goes when there
-     * is nothing else. */
-    for (size_t i = 0; i < a->count; i++) {
-        alone = alone && is_disliked(a->spots[i].worker, a->unit, now_ms);
-    }
-    for (size_t i = 0; !alone && i < a->count; i++) {
-        if (is_disliked(a->spots[i].worker, a->unit, now_ms)) {
-            a->spots[i--] = a->spots[--a->count];
-        }
-    }
 }
 
 /* Tries each rack; the data's rack alone where it has one. */
@@ -331,35 +322,62 @@
 }
 
 /* Places a unit: now, or where room comes free, or, for the first priority,
- * where lower ones give way. */
-bool
-Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
-           bool reserve)
+ * where lower ones give way. False: nowhere. */
+static bool
+place(struct jobs_book *b, struct attempt *a, int64_t now_ms, bool reserve,
+      bool *given)
 {
-    struct spot **chosen CLEANUP(Mem_FreeP) =
-        Mem_Zero(u->task_count, sizeof(struct spot *));
-    struct attempt *a CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*a));
-
-    a->unit = u;
-    a->chosen = chosen;
-    if (choose_all(b, a, ROOM_NOW, now_ms)) {
+    *given = choose_all(b, a, ROOM_NOW, now_ms);
+    if (*given) {
         give(b, a, now_ms);
         return true;
     }
     if (!reserve) {
-        return false;
+        return true;
     }
     if (choose_all(b, a, ROOM_SOON, now_ms)) {
         keep_room(a);
-        return false;
+        return true;
     }
-    if (u->job->priority == 0 && choose_all(b, a, ROOM_EVICTING, now_ms)) {
+    if (a->unit->job->priority == 0 &&
+        choose_all(b, a, ROOM_EVICTING, now_ms)) {
         evict(b, a, now_ms);
         keep_room(a);
+        return true;
     }
     return false;
 }
 
+/* How long a unit waits before it goes to a worker that is slow, or where it
+ * failed: somewhere else is better, but nowhere is worst. */
+static int64_t
+pickiness_ms(const struct jobs_unit *u)
+{
+    static const int64_t urgent_ms = 300, usual_ms = 1500;
+
+    return u->job->priority == 0 ? urgent_ms : usual_ms;
+}
+
+/* Places a unit. */
+bool
+Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
+           bool reserve)
+{
+    struct spot **chosen CLEANUP(Mem_FreeP) =
+        Mem_Zero(u->task_count, sizeof(struct spot *));
+    struct attempt *a CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*a));
+    bool given;
+
+    a->unit = u;
+    a->chosen = chosen;
+    if (!place(b, a, now_ms, reserve, &given) &&
+        now_ms - u->ready_ms >= pickiness_ms(u)) {
+        a->any = true;
+        place(b, a, now_ms, reserve, &given);
+    }
+    return given;
+}
+
 /* True when the unit would find room elsewhere. */
 bool
 Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -86,7 +86,7 @@
         Str_Copy(u->checkpoint, sizeof(u->checkpoint), e->checkpoint);
     }
     if (e->how == END_FAILED) {
-        Str_Copy(u->avoid, sizeof(u->avoid), w->id);
+        Str_Copy(u->avoid, sizeof(u->avoid), u->task_count == 1 ? w->id : "");
         Unit_Failed(b, u);
     }
     Task_Gone(b, t, end_names[e->how], now_ms);
--- /dev/null
+++ b/tests/jobs-test.cc
@@ -0,0 +1,504 @@
+/* The book of jobs against a world of workers: one case for each rule, and
+ * for each failure that it answers. */
+#include "jobs-world.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+TEST(Jobs, OneTaskRunsOnceAndItsEndIsAcknowledgedAfterItsRow)
+{
+    World w(1);
+
+    w.Submit(w.Spec("a1", 1, 1));
+    w.Turns(100);
+    EXPECT_EQ(w.State("a1"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("a1.0.0.0"), 1);
+    EXPECT_TRUE(w.workers[0].ended.empty());
+    EXPECT_TRUE(w.broken.empty());
+}
+
+TEST(Jobs, StepsWaitForThoseTheyComeAfter)
+{
+    World w(2);
+    struct jobs_spec s = w.Spec("b2", 2, 1);
+
+    s.step_count = 2;
+    s.steps[1] = s.steps[0];
+    s.steps[1].count = 1;
+    s.steps[1].after[0] = 0;
+    s.steps[1].after_count = 1;
+    w.natures["b2.0.0.1"].work_ms = 2000;
+    w.Submit(s);
+    w.Turns(60);
+    EXPECT_EQ(w.Starts("b2.0.1.0"), 0) << "one of step 0 still runs";
+    w.Turns(120);
+    EXPECT_EQ(w.State("b2"), JOB_COMPLETED);
+}
+
+TEST(Jobs, OccurrencesStartWhenTheyAreDue)
+{
+    World w(1);
+    struct jobs_spec s = w.Spec("c3", 1, 1);
+
+    s.repetitions = 2;
+    s.first_due_ms = w.now + 1000;
+    s.interval_ms = 500;
+    w.Submit(s);
+    w.Turns(40);
+    EXPECT_EQ(w.Starts("c3.0.0.0"), 0);
+    w.Turns(20);
+    EXPECT_EQ(w.Starts("c3.0.0.0"), 1);
+    w.Turns(150);
+    EXPECT_EQ(w.Starts("c3.1.0.0"), 1);
+    EXPECT_EQ(w.State("c3"), JOB_COMPLETED);
+}
+
+/* A task fails at each run. The caller sees "failed" after as many runs as
+ * its queue allows, not one more: a further one would spend what the caller
+ * did not grant. */
+TEST(Jobs, AttemptsAreBounded)
+{
+    World w(3, "batch:2:3");
+
+    w.natures["d4"].failures = 100;
+    w.Submit(w.Spec("d4", 1, 1));
+    w.Turns(600);
+    EXPECT_EQ(w.State("d4"), JOB_FAILED);
+    EXPECT_EQ(w.Starts("d4.0.0.0"), 3);
+}
+
+/* One member of a gang fails: the others break, which are no failures of
+ * their own. The gang runs again as a whole, under one new run number. */
+TEST(Jobs, AGangFailsAndRunsAgainAsAWhole)
+{
+    World w(2, "batch:2:2");
+    struct jobs_spec s = w.Spec("e5", 3, 4);
+
+    s.steps[0].gang = true;
+    w.natures["e5"].gang = 3;
+    w.natures["e5"].failures = 1;
+    w.Submit(s);
+    w.Turns(250);
+    EXPECT_EQ(w.State("e5"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("e5.0.0.0"), 2);
+    EXPECT_EQ(w.Starts("e5.0.0.2"), 2);
+}
+
+/* A gang that does not fit whole must not start in part: its members would
+ * hold accelerators and wait for the others until the worker ends them. */
+TEST(Jobs, AGangWaitsUntilAllOfItFits)
+{
+    World w(2);
+    struct jobs_spec s = w.Spec("f6", 3, 8);
+
+    s.steps[0].gang = true;
+    w.natures["f6"].gang = 3;
+    w.Submit(s);
+    w.Turns(50);
+    EXPECT_EQ(w.Starts("f6.0.0.0"), 0);
+}
+
+/* The first order is lost on the way. The task starts by the second one, and
+ * once: both name the same run. */
+TEST(Jobs, LostOrdersAreSentAgain)
+{
+    World w(1);
+
+    w.lose_orders = 1;
+    w.Submit(w.Spec("a7", 1, 1));
+    w.Turns(100);
+    EXPECT_EQ(w.State("a7"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("a7.0.0.0"), 1);
+}
+
+/* A worker leaves a start unanswered and carries it out 3 s later. The book
+ * has stopped that run before it placed the next, so the late start is
+ * refused; without the stop the task would run twice at once. */
+TEST(Jobs, AStartThatIsCarriedOutLateDoesNotRunBesideTheNext)
+{
+    World w(2);
+
+    w.natures["a8"].work_ms = 5000;
+    w.late_ms = 3000;
+    w.Submit(w.Spec("a8", 1, 1));
+    w.Turn();
+    w.late_ms = 0;
+    w.Turns(600);
+    EXPECT_EQ(w.State("a8"), JOB_COMPLETED);
+    EXPECT_TRUE(w.broken.empty()) << w.broken[0];
+}
+
+/* A worker can't be reached and runs on. Until its lease is over by its own
+ * slow clock its task must not start elsewhere; then it must. */
+TEST(Jobs, AWorkerOutOfReachIsWaitedForUntilItsLeaseIsOver)
+{
+    World w(2);
+
+    w.natures["b9"].work_ms = 60000;
+    w.Submit(w.Spec("b9", 1, 1));
+    w.Turns(10);
+    w.WorkerOf("b9.0.0.0")->reachable = false;
+    w.Turns(200);
+    EXPECT_EQ(w.Starts("b9.0.0.0"), 1) << "the lease may still hold";
+    w.Turns(150);
+    EXPECT_EQ(w.Starts("b9.0.0.0"), 2);
+    EXPECT_TRUE(w.broken.empty());
+}
+
+/* The machine has another lifetime of its worker: what ran there is gone at
+ * once, and nothing has to be waited for. */
+TEST(Jobs, AnotherLifetimeEndsTheRunsOfTheOneBefore)
+{
+    World w(1);
+
+    w.natures["c1"].work_ms = 3000;
+    w.Submit(w.Spec("c1", 1, 1));
+    w.Turns(10);
+    w.Reborn(0);
+    w.Turns(20);
+    EXPECT_EQ(w.Starts("c1.0.0.0"), 2);
+}
+
+/* Another owner takes over while a task runs. It reads the run from its row,
+ * hears that it runs, and lets it end; it does not start it again. */
+TEST(Jobs, ATakeoverLeavesRunsAlone)
+{
+    World w(2);
+
+    w.natures["d2"].work_ms = 3000;
+    w.Submit(w.Spec("d2", 1, 1));
+    w.Turns(20);
+    w.TakeOver();
+    w.Turns(200);
+    EXPECT_EQ(w.State("d2"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("d2.0.0.0"), 1);
+}
+
+/* The owner ends between writing a run and ordering it. The next one orders
+ * that same run: it is either there already, or it starts now. */
+TEST(Jobs, ARunThatWasWrittenAndNotOrderedIsOrderedByTheNextOwner)
+{
+    World w(1);
+
+    w.Submit(w.Spec("e3", 1, 1));
+    w.Turn();
+    w.starts.clear();
+    w.workers[0].runs.clear(); /* as if the order had never left */
+    w.TakeOver();
+    w.Turns(120);
+    EXPECT_EQ(w.State("e3"), JOB_COMPLETED);
+}
+
+/* The store is away. Nothing new starts, as a run must be written before it
+ * is ordered, and ends are not acknowledged; both come to pass afterwards. */
+TEST(Jobs, WhileNothingCanBeWrittenNothingStartsAndNoEndIsAcknowledged)
+{
+    World w(1);
+
+    w.Submit(w.Spec("f4", 1, 4));
+    w.Turns(10);
+    w.store_up = false;
+    w.Submit(w.Spec("f5", 1, 4));
+    w.Turns(100);
+    EXPECT_EQ(w.Starts("f5.0.0.0"), 0);
+    EXPECT_EQ(w.workers[0].ended.size(), 1u);
+    w.store_up = true;
+    w.Turns(100);
+    EXPECT_EQ(w.State("f4"), JOB_COMPLETED);
+    EXPECT_EQ(w.State("f5"), JOB_COMPLETED);
+    EXPECT_TRUE(w.workers[0].ended.empty());
+}
+
+TEST(Jobs, ACancelledJobIsStopped)
+{
+    World w(1);
+
+    w.natures["a5"].work_ms = 60000;
+    w.Submit(w.Spec("a5", 2, 1));
+    w.Turns(10);
+    w.Cancel("a5");
+    w.Turns(20);
+    EXPECT_EQ(w.State("a5"), JOB_CANCELLED);
+    EXPECT_TRUE(w.workers[0].runs.empty());
+}
+
+/* An end that says "done" of a run that its job's cancelling overtook, or of
+ * a job that is long gone, is acknowledged too: a worker keeps each end until
+ * then, and lists at most 500. */
+TEST(Jobs, EndsWithoutConsequenceAreAcknowledged)
+{
+    World w(1);
+
+    w.workers[0].ended.push_back(
+        {++w.workers[0].ends, "99.0.0.0", 1, END_DONE, ""});
+    w.Turns(5);
+    EXPECT_TRUE(w.workers[0].ended.empty());
+}
+
+/* A run that no row knows is stopped: it holds room, and nobody waits for
+ * what it brings. */
+TEST(Jobs, RunsThatNobodyWantsAreStopped)
+{
+    World w(1);
+
+    w.workers[0].runs.push_back({"99.0.0.0", 1, w.now, 60000, ""});
+    w.workers[0].until = w.now + 60000;
+    w.Turns(10);
+    EXPECT_TRUE(w.workers[0].runs.empty());
+}
+
+/* Urgent work finds all accelerators taken. Lower priorities give way, the
+ * cheapest of them: what has just begun, before what has run for long. */
+TEST(Jobs, UrgentWorkEvictsTheCheapest)
+{
+    World w(2, "urgent:0:3 batch:2:3");
+
+    w.natures["aa"].work_ms = w.natures["bb"].work_ms = 60000;
+    w.Submit(w.Spec("aa", 1, 8));
+    w.Turns(100);
+    w.Submit(w.Spec("bb", 1, 8));
+    w.Turns(20);
+    w.Submit(w.Spec("cc", 1, 8, "urgent"));
+    w.Turns(20);
+    EXPECT_NE(w.WorkerOf("cc.0.0.0"), nullptr);
+    EXPECT_NE(w.WorkerOf("aa.0.0.0"), nullptr);
+    EXPECT_EQ(w.WorkerOf("bb.0.0.0"), nullptr);
+    EXPECT_TRUE(w.Happened("run_stopped", "gives_way"));
+}
+
+TEST(Jobs, WorkOfLowerPriorityEvictsNothing)
+{
+    World w(1, "normal:1:3 batch:2:3");
+
+    w.natures["aa"].work_ms = 60000;
+    w.Submit(w.Spec("aa", 1, 8));
+    w.Turns(20);
+    w.Submit(w.Spec("bb", 1, 8, "normal"));
+    w.Turns(50);
+    EXPECT_NE(w.WorkerOf("aa.0.0.0"), nullptr);
+}
+
+/* One organisation's first-priority work fills everything, beyond what it is
+ * guaranteed. Another's guaranteed job must begin within its bound: it evicts
+ * what is beyond a guarantee, though that has the first priority too. */
+TEST(Jobs, AGuaranteeIsReclaimedFromFirstPriorityWorkBeyondIts)
+{
+    World w(2, "urgent:0:3");
+    struct jobs_spec big = w.Spec("aa", 2, 8, "urgent");
+    struct jobs_spec small = w.Spec("bb", 1, 8, "urgent");
+
+    w.config.organisation_count = 2;
+    w.config.organisations = static_cast<struct jobs_organisation *>(
+        Mem_Zero(2, sizeof(struct jobs_organisation)));
+    Str_Copy(w.config.organisations[0].name, NAME_SIZE, "big");
+    Str_Copy(w.config.organisations[1].name, NAME_SIZE, "small");
+    w.config.organisations[0].guaranteed = 8;
+    w.config.organisations[1].guaranteed = 8;
+    Str_Copy(big.organisation, NAME_SIZE, "big");
+    Str_Copy(small.organisation, NAME_SIZE, "small");
+    w.natures["aa"].work_ms = 60000;
+    w.Submit(big);
+    w.Turns(20);
+    w.Submit(small);
+    w.Turns(20);
+    EXPECT_NE(w.WorkerOf("bb.0.0.0"), nullptr);
+}
+
+/* A worker fails all that it starts. After two failures in a row it is left
+ * alone for a while, so that jobs don't run out of attempts on it. */
+TEST(Jobs, AWorkerThatFailsEverythingIsLeftAlone)
+{
+    World w(2, "batch:2:3");
+
+    w.workers[0].fails_all = true;
+    for (int i = 0; i < 8; i++) {
+        w.Submit(w.Spec("a" + std::to_string(i), 1, 2));
+    }
+    w.Turns(400);
+    for (int i = 0; i < 8; i++) {
+        EXPECT_EQ(w.State("a" + std::to_string(i)), JOB_COMPLETED);
+    }
+    EXPECT_TRUE(w.Happened("worker_out", "fails_all"));
+}
+
+/* Tasks on one worker stand still while its health is good. They are stopped
+ * and start elsewhere; without that they hold their room for ever. */
+TEST(Jobs, RunsThatStandStillAreMoved)
+{
+    World w(2);
+
+    w.workers[0].stands = true;
+    w.workers[1].capacity.accelerators = 4;
+    w.natures["b1"].work_ms = w.natures["b2"].work_ms = 2000;
+    w.Submit(w.Spec("b1", 1, 4));
+    w.Submit(w.Spec("b2", 1, 4));
+    w.Turns(600);
+    EXPECT_EQ(w.State("b1"), JOB_COMPLETED);
+    EXPECT_EQ(w.State("b2"), JOB_COMPLETED);
+    EXPECT_TRUE(w.Happened("run_stopped", "crawls"));
+}
+
+/* A caller's estimate is a third of the truth. The run must be left where it
+ * is: sound workers would be called slow, and work thrown away again and
+ * again, for a wrong number in a form. */
+TEST(Jobs, AWrongEstimateDoesNotMoveARun)
+{
+    World w(2);
+
+    w.natures["c2"].work_ms = 4000;
+    w.Submit(w.Spec("c2", 1, 1));
+    w.Turns(300);
+    EXPECT_EQ(w.State("c2"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("c2.0.0.0"), 1);
+}
+
+TEST(Jobs, ADrainingWorkerGetsNothingNew)
+{
+    World w(2);
+
+    w.workers[0].draining = true;
+    w.Turn();
+    w.Submit(w.Spec("d3", 4, 1));
+    w.Turns(10);
+    EXPECT_TRUE(w.workers[0].runs.empty());
+    EXPECT_EQ(w.workers[1].runs.size(), 4u);
+}
+
+TEST(Jobs, LabelsAndSpreadAreKept)
+{
+    World w(3);
+    struct jobs_spec s = w.Spec("e4", 3, 1);
+
+    s.steps[0].spread = 1;
+    w.Submit(s);
+    w.Turns(10);
+    for (const Worker &x : w.workers) {
+        EXPECT_EQ(x.runs.size(), 1u);
+    }
+    s = w.Spec("e5", 1, 1);
+    Str_Copy(s.steps[0].label, JOBS_TEXT_SIZE, "none has it");
+    w.Submit(s);
+    w.Turns(100);
+    EXPECT_EQ(w.Starts("e5.0.0.0"), 0);
+}
+
+TEST(Jobs, AJobIsPlacedInTheRackOfItsData)
+{
+    World w(6);
+    struct jobs_spec s = w.Spec("f1", 2, 1);
+
+    Str_Copy(s.steps[0].rack, JOBS_TEXT_SIZE, "r1");
+    w.Submit(s);
+    w.Turns(5);
+    EXPECT_EQ(w.WorkerOf("f1.0.0.0")->rack, "r1");
+    EXPECT_EQ(w.WorkerOf("f1.0.0.1")->rack, "r1");
+}
+
+/* Long-running tasks are restarted however they end, and no number of ends
+ * makes their job failed or completed. */
+TEST(Jobs, LastingTasksAreRestarted)
+{
+    World w(1, "batch:2:2");
+    struct jobs_spec s = w.Spec("a9", 1, 1);
+
+    s.steps[0].lasting = true;
+    w.natures["a9"].failures = 3;
+    w.Submit(s);
+    w.Turns(600);
+    EXPECT_GE(w.Starts("a9.0.0.0"), 5);
+    EXPECT_EQ(w.State("a9"), JOB_RUNNING);
+}
+
+/* A job's rows say all that the next owner needs: it starts from the
+ * checkpoint that the run before had saved. */
+TEST(Jobs, ACheckpointIsCarriedToTheNextRun)
+{
+    World w(1);
+
+    w.natures["b6"].work_ms = 2000;
+    w.Submit(w.Spec("b6", 1, 1));
+    w.Turns(50);
+    w.Reborn(0);
+    w.Turns(10);
+    EXPECT_EQ(w.workers[0].runs.size(), 1u);
+    EXPECT_EQ(w.workers[0].runs[0].checkpoint, "saved");
+}
+
+struct BadSpec {
+    const char *name;
+    const char *text;
+};
+
+TEST(JobsSpec, RowsThatMakeNoSenseAreRefused)
+{
+    static const BadSpec cases[] = {
+        {"empty", ""},
+        {"no object", "[1,2]"},
+        {"cut", R"({"id":"a1","steps":[{"count":1)"},
+        {"no steps", R"({"id":"a1","steps":[]})"},
+        {"no id", R"({"steps":[{"count":1}]})"},
+        {"count 0", R"({"id":"a1","steps":[{"count":0}]})"},
+        {"too many", R"({"id":"a1","steps":[{"count":99999}]})"},
+        {"after itself", R"({"id":"a1","steps":[{"count":1,"after":[0]}]})"},
+        {"steps no list", R"({"id":"a1","steps":7})"},
+    };
+
+    for (const BadSpec &c : cases) {
+        struct jobs_spec s;
+
+        EXPECT_EQ(JobsSpec_Decode(c.text, strlen(c.text), &s), ERR_INVALID)
+            << c.name;
+    }
+}
+
+TEST(JobsSpec, ARowIsReadAsItWasWritten)
+{
+    World w(0);
+    struct jobs_spec s = w.Spec("abc123", 7, 2), back;
+    struct buf row = {};
+
+    s.steps[0].gang = s.steps[0].same_rack = s.steps[0].checkpoints = true;
+    s.steps[0].spread = 3;
+    Str_Copy(s.steps[0].label, JOBS_TEXT_SIZE, "kind-a");
+    s.repetitions = 4;
+    s.first_due_ms = 1234567890123;
+    s.interval_ms = 250;
+    JobsSpec_Encode(&s, &row);
+    ASSERT_EQ(JobsSpec_Decode(row.data, row.len, &back), ERR_OK);
+    EXPECT_STREQ(back.id, "abc123");
+    EXPECT_EQ(back.steps[0].count, 7u);
+    EXPECT_TRUE(back.steps[0].gang && back.steps[0].same_rack);
+    EXPECT_FALSE(back.steps[0].lasting);
+    EXPECT_STREQ(back.steps[0].label, "kind-a");
+    EXPECT_EQ(back.first_due_ms, 1234567890123);
+    JobsSpec_Clear(&s);
+    JobsSpec_Clear(&back);
+    Buf_Free(&row);
+}
+
+TEST(JobsConfig, RoutesByHostAndLongestPrefix)
+{
+    struct jobs_queue queues[3] = {};
+    struct jobs_config c = {};
+
+    Str_Copy(queues[0].name, NAME_SIZE, "short");
+    Str_Copy(queues[0].host, 256, "one.example");
+    Str_Copy(queues[0].prefix, 256, "/a/");
+    Str_Copy(queues[1].name, NAME_SIZE, "long");
+    Str_Copy(queues[1].host, 256, "one.example");
+    Str_Copy(queues[1].prefix, 256, "/a/b/");
+    Str_Copy(queues[2].name, NAME_SIZE, "other");
+    Str_Copy(queues[2].host, 256, "two.example");
+    Str_Copy(queues[2].prefix, 256, "/a/");
+    c.queues = queues;
+    c.queue_count = 3;
+    EXPECT_STREQ(JobsConfig_Route(&c, "one.example", "/a/x")->name, "short");
+    EXPECT_STREQ(JobsConfig_Route(&c, "ONE.example:80", "/a/b/x")->name,
+                 "long");
+    EXPECT_STREQ(JobsConfig_Route(&c, "two.example", "/a/b/x")->name, "other");
+    EXPECT_EQ(JobsConfig_Route(&c, "one.example", "/b/x"), nullptr);
+    EXPECT_EQ(JobsConfig_Route(&c, "one.exampl", "/a/x"), nullptr);
+}
+
+} /* namespace */
--- /dev/null
+++ b/tests/jobs-world.cc
@@ -0,0 +1,519 @@
+#include "jobs-world.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+#include <sstream>
+
+namespace {
+
+const int64_t RESTORED = 500; /* work that a checkpoint saves, in its number */
+
+std::string
+JobOf(const std::string &task)
+{
+    return task.substr(0, task.find('.'));
+}
+
+/* ID.K.STEP, what the members of a gang share. */
+std::string
+GangOf(const std::string &task)
+{
+    return task.substr(0, task.rfind('.'));
+}
+
+} /* namespace */
+
+/* queues: NAME:PRIORITY:ATTEMPTS, separated by spaces. */
+World::World(int n, const std::string &queues)
+{
+    std::istringstream in(queues);
+    std::vector<struct jobs_queue> list;
+    std::string word;
+
+    while (in >> word) {
+        struct jobs_queue q = {};
+        size_t a = word.find(':'), b = word.rfind(':');
+
+        Str_Copy(q.name, sizeof(q.name), word.substr(0, a).c_str());
+        Str_Copy(q.service, sizeof(q.service), "pool");
+        q.priority = std::stoi(word.substr(a + 1, b - a - 1));
+        q.attempts = std::stoi(word.substr(b + 1));
+        q.stretch = 3;
+        q.target_ms = 1000;
+        list.push_back(q);
+    }
+    config.queue_count = list.size();
+    config.queues = static_cast<struct jobs_queue *>(
+        Mem_Zero(list.size(), sizeof(struct jobs_queue)));
+    std::copy(list.begin(), list.end(), config.queues);
+    limits = {.lease_ms = 6000,
+              .start_ms = 4000,
+              .early_ms = 0,
+              .silent_ms = 1500,
+              .remote_factor = 3,
+              .keep_ms = 60000};
+    book = Jobs_New(&limits);
+    Jobs_SetConfig(book, &config);
+    for (int i = 0; i < n; i++) {
+        Worker w;
+
+        w.id = "life-" + std::to_string(lifetimes++);
+        w.agent = "agent-" + std::to_string(i);
+        w.rack = "r" + std::to_string(i / 3);
+        workers.push_back(w);
+    }
+}
+
+World::~World()
+{
+    Jobs_Free(book);
+    JobsConfig_Clear(&config);
+}
+
+struct jobs_spec
+World::Spec(const std::string &id, uint32_t count, int64_t accelerators,
+            const std::string &queue)
+{
+    struct jobs_spec s = {};
+
+    Str_Copy(s.id, sizeof(s.id), id.c_str());
+    Str_Copy(s.queue, sizeof(s.queue), queue.c_str());
+    s.payload = Mem_Dup("work");
+    s.steps = static_cast<struct jobs_step *>(
+        Mem_Zero(JOBS_STEPS_MAX, sizeof(struct jobs_step)));
+    s.step_count = 1;
+    s.steps[0].count = count;
+    s.steps[0].need = {1000, 1000, accelerators};
+    s.steps[0].estimate_ms = 1000;
+    return s;
+}
+
+void
+World::Submit(struct jobs_spec spec)
+{
+    struct buf row = {};
+
+    JobsSpec_Encode(&spec, &row);
+    specs[spec.id] = std::string(row.data, row.len);
+    Jobs_Add(book, &spec, nullptr, 0, now);
+    JobsSpec_Clear(&spec);
+    Buf_Free(&row);
+}
+
+void
+World::Cancel(const std::string &id)
+{
+    cancelled.insert(id);
+    Jobs_Cancel(book, id.c_str(), now);
+}
+
+const Nature &
+World::NatureOf(const std::string &task) const
+{
+    static const Nature usual;
+    auto it = natures.find(task);
+
+    if (it == natures.end()) {
+        it = natures.find(JobOf(task));
+    }
+    return it == natures.end() ? usual : it->second;
+}
+
+/* A worker's start, by its pages: refused for a lower term, a late time, a
+ * run that is not higher than one ended there, and for want of room. */
+void
+World::Start(Worker &w, const std::string &task, uint64_t run,
+             const std::string &checkpoint, int64_t until, uint64_t t)
+{
+    const char *why = nullptr;
+
+    if (!w.up || t < w.term) {
+        return;
+    }
+    w.term = std::max(w.term, t);
+    for (const Run &r : w.runs) {
+        if (r.task == task && r.run == run) {
+            return; /* it is there already */
+        }
+    }
+    if (until <= now) {
+        why = "late";
+    }
+    else if (w.closed.count(task) != 0 && w.closed[task] >= run) {
+        why = "old";
+    }
+    if (why != nullptr) {
+        if (w.reachable) {
+            Jobs_Refused(book, w.agent.c_str(), w.id.c_str(), task.c_str(),
+                         run, why, now);
+        }
+        return;
+    }
+    for (const Worker &other : workers) {
+        for (const Run &r : other.runs) {
+            if (other.up && r.task == task) {
+                broken.push_back("twice: " + task);
+            }
+        }
+    }
+    if (done_noted.count(task) != 0) {
+        broken.push_back("started after its done was noted: " + task);
+    }
+    w.until = std::max(w.until, until);
+    starts[task]++;
+    Run r = {task, run, now, NatureOf(task).work_ms, checkpoint};
+    if (!checkpoint.empty()) {
+        r.work_ms = std::max<int64_t>(100, r.work_ms - RESTORED);
+    }
+    w.runs.push_back(r);
+}
+
+void
+World::Stop(Worker &w, const std::string &task, uint64_t run, uint64_t t)
+{
+    if (!w.up || t < w.term) {
+        return;
+    }
+    w.term = std::max(w.term, t);
+    for (size_t i = 0; i < w.runs.size(); i++) {
+        if (w.runs[i].task == task && w.runs[i].run <= run) {
+            Finish(w, i, END_STOPPED);
+            break;
+        }
+    }
+    w.closed[task] = std::max(w.closed[task], run);
+    w.stopped.emplace_back(task, run);
+}
+
+/* Ends a run; the other members of its gang break. */
+void
+World::Finish(Worker &w, size_t at, enum jobs_end how)
+{
+    Run r = w.runs[at];
+    std::string gang = GangOf(r.task);
+    bool is_gang = NatureOf(r.task).gang > 1;
+
+    w.runs.erase(w.runs.begin() + static_cast<long>(at));
+    w.closed[r.task] = std::max(w.closed[r.task], r.run);
+    w.ended.push_back({++w.ends, r.task, r.run, how,
+                       now - r.begun_ms > RESTORED ? "saved" : ""});
+    if (!is_gang) {
+        return;
+    }
+    for (Worker &o : workers) {
+        for (size_t i = 0; i < o.runs.size(); i++) {
+            if (GangOf(o.runs[i].task) == gang && o.runs[i].run == r.run) {
+                Finish(o, i, how == END_DONE ? END_DONE : END_BROKEN);
+                return;
+            }
+        }
+    }
+}
+
+/* Lets time go on: leases end, runs end. */
+void
+World::Advance(int64_t ms)
+{
+    now += ms;
+    while (!late.empty() && late.front().at <= now) {
+        Late l = late.front();
+        Worker &w = workers[l.worker];
+
+        late.pop_front();
+        if (w.id != l.lifetime) {
+            continue;
+        }
+        if (l.order.verb == ORDER_START) {
+            Start(w, l.order.task, l.order.run, l.checkpoint, l.order.until_ms,
+                  l.term);
+        }
+        else {
+            Stop(w, l.order.task, l.order.run, l.term);
+        }
+    }
+    for (Worker &w : workers) {
+        while (w.up && !w.runs.empty() && w.until <= now) {
+            Finish(w, 0, END_LAPSED);
+        }
+        for (size_t i = 0; w.up && i < w.runs.size(); i++) {
+            Run &r = w.runs[i];
+            const Nature &n = NatureOf(r.task);
+            int present = 0;
+
+            if (n.gang > 1) {
+                for (const Worker &o : workers) {
+                    for (const Run &p : o.runs) {
+                        present += o.up && GangOf(p.task) == GangOf(r.task) &&
+                                   p.run == r.run;
+                    }
+                }
+            }
+            if (w.stands || (n.gang > 1 && present < n.gang)) {
+                r.begun_ms += n.gang > 1 ? ms : 0;
+                continue;
+            }
+            if (now - r.begun_ms <
+                static_cast<int64_t>(static_cast<double>(r.work_ms) *
+                                     w.slow)) {
+                continue;
+            }
+            std::string key = n.gang > 1 ? GangOf(r.task) : r.task;
+            bool failed = w.fails_all || fails[key]++ < n.failures;
+            Finish(w, i, failed ? END_FAILED : END_DONE);
+            i = static_cast<size_t>(-1);
+        }
+    }
+}
+
+/* What the agent beside a worker reports, and the owner's answer. */
+void
+World::Look(Worker &w)
+{
+    struct jobs_report r = {};
+    std::vector<struct jobs_running> running;
+    std::vector<struct jobs_ended> ended;
+    std::vector<struct jobs_stopped> stopped;
+
+    if (!w.up || !w.reachable) {
+        return;
+    }
+    w.term = std::max(w.term, term);
+    uint64_t seen = Jobs_LastSeen(book, w.id.c_str());
+    for (const End &e : w.ended) {
+        if (e.number <= seen && e.how == END_DONE) {
+            done_noted.insert(e.task);
+        }
+    }
+    w.ended.erase(
+        std::remove_if(w.ended.begin(), w.ended.end(),
+                       [&](const End &e) { return e.number <= seen; }),
+        w.ended.end());
+    Str_Copy(r.agent, sizeof(r.agent), w.agent.c_str());
+    Str_Copy(r.worker, sizeof(r.worker), w.id.c_str());
+    Str_Copy(r.service, sizeof(r.service), w.service.c_str());
+    Str_Copy(r.labels[0], sizeof(r.labels[0]), "a");
+    Str_Copy(r.labels[1], sizeof(r.labels[1]), w.rack.c_str());
+    r.label_count = 2;
+    r.capacity = w.capacity;
+    r.draining = w.draining;
+    r.term = w.term;
+    r.clock_ms = now;
+    for (const Run &run : w.runs) {
+        struct jobs_running x = {};
+
+        Str_Copy(x.task, sizeof(x.task), run.task.c_str());
+        x.run = run.run;
+        x.percent = w.stands
+                        ? 0
+                        : static_cast<int64_t>(
+                              100.0 * static_cast<double>(now - run.begun_ms) /
+                              (static_cast<double>(run.work_ms) * w.slow));
+        if (now - run.begun_ms > RESTORED) {
+            Str_Copy(x.checkpoint, sizeof(x.checkpoint), "saved");
+        }
+        running.push_back(x);
+    }
+    for (const End &e : w.ended) {
+        struct jobs_ended x = {};
+
+        Str_Copy(x.task, sizeof(x.task), e.task.c_str());
+        Str_Copy(x.checkpoint, sizeof(x.checkpoint), e.checkpoint.c_str());
+        x.number = e.number;
+        x.run = e.run;
+        x.how = e.how;
+        ended.push_back(x);
+    }
+    for (const auto &s : w.stopped) {
+        struct jobs_stopped x = {};
+
+        Str_Copy(x.task, sizeof(x.task), s.first.c_str());
+        x.run = s.second;
+        stopped.push_back(x);
+    }
+    r.running = running.data();
+    r.running_count = running.size();
+    r.ended = ended.data();
+    r.ended_count = ended.size();
+    r.stopped = stopped.data();
+    r.stopped_count = stopped.size();
+    Jobs_Report(book, &r, now);
+    w.until = std::max(w.until, now + limits.lease_ms);
+    Jobs_Granted(book, w.id.c_str(), now);
+}
+
+void
+World::TakeEvents()
+{
+    struct jobs_event *e;
+
+    while ((e = Jobs_NextEvent(book)) != nullptr) {
+        events.emplace_back(Jobs_EventName(e->kind), e->reason);
+        free(e);
+    }
+}
+
+void
+World::Plan()
+{
+    Jobs_Plan(book, now, now);
+    TakeEvents();
+}
+
+bool
+World::Write()
+{
+    struct buf row = {};
+    std::map<std::string, std::string> batch;
+    const char *id;
+
+    while ((id = Jobs_NextDirty(book, &row)) != nullptr) {
+        batch[id] = std::string(row.data, row.len);
+        Buf_Clear(&row);
+    }
+    Buf_Free(&row);
+    if (!store_up) {
+        Jobs_NotWritten(book);
+        return false;
+    }
+    for (const auto &b : batch) {
+        rows[b.first] = b.second;
+    }
+    Jobs_Written(book);
+    return true;
+}
+
+void
+World::Orders()
+{
+    struct jobs_order o;
+
+    while (Jobs_NextOrder(book, now, &o)) {
+        for (size_t i = 0; i < workers.size(); i++) {
+            Worker &w = workers[i];
+
+            if (w.id != o.worker || !w.reachable) {
+                continue;
+            }
+            if (o.verb == ORDER_START && rows.count(JobOf(o.task)) == 0) {
+                broken.push_back("ordered before it was written");
+            }
+            if (lose_orders > 0) {
+                lose_orders--;
+                continue;
+            }
+            if (late_ms > 0) {
+                late.push_back(
+                    {i, w.id, o, "", o.checkpoint, term, now + late_ms});
+                continue;
+            }
+            if (o.verb == ORDER_START) {
+                Start(w, o.task, o.run, o.checkpoint, o.until_ms, term);
+            }
+            else {
+                Stop(w, o.task, o.run, term);
+            }
+        }
+    }
+    TakeEvents();
+}
+
+void
+World::Turn(int64_t ms)
+{
+    Advance(ms);
+    for (Worker &w : workers) {
+        Look(w);
+    }
+    Plan();
+    Write();
+    Orders();
+}
+
+void
+World::Turns(int n, int64_t ms)
+{
+    for (int i = 0; i < n; i++) {
+        Turn(ms);
+    }
+}
+
+void
+World::TakeOver(bool before_ended)
+{
+    int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
+
+    Jobs_Free(book);
+    book = Jobs_New(&limits);
+    Jobs_SetConfig(book, &config);
+    term++;
+    for (const auto &s : specs) {
+        struct jobs_spec spec;
+        auto row = rows.find(s.first);
+
+        JobsSpec_Decode(s.second.data(), s.second.size(), &spec);
+        Jobs_Add(book, &spec, row != rows.end() ? row->second.data() : nullptr,
+                 row != rows.end() ? row->second.size() : 0, now);
+        JobsSpec_Clear(&spec);
+    }
+    for (const std::string &id : cancelled) {
+        Jobs_Cancel(book, id.c_str(), now);
+    }
+    Jobs_TakeOver(book, before_ended ? lost : lost + 12000, now);
+}
+
+Worker &
+World::Reborn(size_t at)
+{
+    Worker &old = workers[at];
+    Worker w;
+
+    w.id = "life-" + std::to_string(lifetimes++);
+    w.agent = old.agent;
+    w.rack = old.rack;
+    w.capacity = old.capacity;
+    old = w;
+    return workers[at];
+}
+
+enum jobs_state
+World::State(const std::string &id) const
+{
+    enum jobs_state state = JOB_QUEUED;
+    bool begun;
+    auto row = rows.find(id);
+
+    if (row != rows.end()) {
+        Jobs_ReadProgress(row->second.data(), row->second.size(), &state,
+                          &begun);
+    }
+    return state;
+}
+
+Worker *
+World::WorkerOf(const std::string &task)
+{
+    for (Worker &w : workers) {
+        for (const Run &r : w.runs) {
+            if (w.up && r.task == task) {
+                return &w;
+            }
+        }
+    }
+    return nullptr;
+}
+
+int
+World::Starts(const std::string &task) const
+{
+    auto it = starts.find(task);
+
+    return it == starts.end() ? 0 : it->second;
+}
+
+bool
+World::Happened(const std::string &event, const std::string &reason) const
+{
+    return std::find(events.begin(), events.end(),
+                     std::make_pair(event, reason)) != events.end();
+}
--- /dev/null
+++ b/tests/jobs-world.h
@@ -0,0 +1,129 @@
+/* A world for the book of jobs: workers with leases, gangs, checkpoints and
+ * ends, as the platform's pages tell them, and the rows that are stored. Time
+ * is a number; nothing sleeps. */
+#ifndef JOBS_WORLD_H
+#define JOBS_WORLD_H
+
+#include "jobs.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/* A run at a worker. */
+struct Run {
+    std::string task;
+    uint64_t run;
+    int64_t begun_ms;
+    int64_t work_ms;
+    std::string checkpoint;
+};
+
+struct End {
+    uint64_t number;
+    std::string task;
+    uint64_t run;
+    enum jobs_end how;
+    std::string checkpoint;
+};
+
+/* What a task does at its runs. */
+struct Nature {
+    int64_t work_ms = 1000;
+    int failures = 0; /* so many runs fail */
+    int gang = 1;     /* tasks of its gang */
+};
+
+/* One lifetime of a worker and the agent beside it. */
+struct Worker {
+    std::string id, agent, rack = "r1", service = "pool";
+    struct jobs_need capacity = {16000, 64000, 8};
+    bool up = true;
+    bool reachable = true; /* by the owner */
+    bool draining = false;
+    bool fails_all = false;
+    bool stands = false; /* nothing makes progress */
+    double slow = 1;
+    int64_t until = 0; /* lease of everything there */
+    uint64_t term = 0;
+    uint64_t last_seen = 0;
+    uint64_t ends = 0;
+    std::vector<Run> runs;
+    std::vector<End> ended;
+    std::map<std::string, uint64_t> closed; /* highest run stopped or ended */
+    std::vector<std::pair<std::string, uint64_t>> stopped;
+};
+
+class World {
+  public:
+    explicit World(int workers, const std::string &queues = "batch:2:3");
+    ~World();
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    /* A job of one step unless more are added. */
+    struct jobs_spec Spec(const std::string &id, uint32_t count,
+                          int64_t accelerators,
+                          const std::string &queue = "batch");
+    void Submit(struct jobs_spec spec);
+    void Cancel(const std::string &id);
+
+    /* One turn: ends, reports, plan, write, orders; then time goes on. */
+    void Turn(int64_t ms = 20);
+    void Turns(int n, int64_t ms = 20);
+    void Look(Worker &w);
+    void Plan();
+    bool Write(); /* false when the store is away */
+    void Orders();
+    /* Another owner: a book from the stored rows. */
+    void TakeOver(bool before_ended = true);
+    /* The worker dies; another lifetime comes at its machine. */
+    Worker &Reborn(size_t at);
+
+    enum jobs_state State(const std::string &id) const;
+    Worker *WorkerOf(const std::string &task);
+    int Starts(const std::string &task) const;
+    bool Happened(const std::string &event, const std::string &reason) const;
+
+    struct jobs_book *book = nullptr;
+    struct jobs_limits limits;
+    struct jobs_config config = {};
+    int64_t now = 1000000;
+    uint64_t term = 1;
+    bool store_up = true;
+    int lose_orders = 0; /* of the next ones */
+    std::vector<Worker> workers;
+    std::map<std::string, std::string> specs, rows;
+    std::set<std::string> cancelled;
+    std::map<std::string, Nature> natures; /* by task or by job */
+    std::map<std::string, int> starts, fails;
+    std::set<std::string> done_noted; /* tasks whose done is acknowledged */
+    std::vector<std::pair<std::string, std::string>> events;
+    std::vector<std::string> broken; /* rules that were broken */
+    /* Orders that a worker carries out late. */
+    struct Late {
+        size_t worker;
+        std::string lifetime;
+        struct jobs_order order;
+        std::string payload, checkpoint;
+        uint64_t term;
+        int64_t at;
+    };
+    std::deque<Late> late;
+    int64_t late_ms = 0; /* delay of the next orders; 0: none */
+
+  private:
+    void Advance(int64_t ms);
+    void Start(Worker &w, const std::string &task, uint64_t run,
+               const std::string &checkpoint, int64_t until, uint64_t t);
+    void Stop(Worker &w, const std::string &task, uint64_t run, uint64_t t);
+    void Finish(Worker &w, size_t at, enum jobs_end how);
+    const Nature &NatureOf(const std::string &task) const;
+    void TakeEvents();
+    int lifetimes = 0;
+};
+
+#endif
