--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -28,6 +28,9 @@
     uint64_t run;
     enum jobs_end how;
     std::string checkpoint;
+    /* The worker's lease was over since: its "done" counts for nothing, as
+     * whoever waited for the lease could not know of it. */
+    bool lapsed = false;
 };
 
 /* What a task does at its runs. */
