--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -84,9 +84,9 @@
 /* A part of a program. Its start adds tasks; an error ends the program. */
 struct plugin {
     const char *name;
-    int rank;            /* lower starts first */
-    const char *profile; /* starts only in that one; NULL: in "" alone */
+    int rank; /* lower starts first */
     int (*start)(struct kernel *);
+    const char *profile; /* starts only in that one; NULL: in "" alone */
     SLIST_ENTRY(plugin) entry;
 };
 
--- /dev/null
+++ b/tests/fakes/hosted-store.c
@@ -0,0 +1,376 @@
+/* Stand-in for the hosted platform's store, to its published protocol: rows
+ * with versions of one counter, transactions, ranges, a feed with bounded
+ * history. It listens on two ports; a fault can be set for one of them, as the
+ * platform turns some machines away and serves others.
+ *
+ * PUT /fault/PORT with one of "", "busy", "silent", "lose" (writes are done
+ * and not answered); PUT /history/drop forgets all changes so far. */
+#include "fake.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FAULT_SIZE 16
+
+struct row {
+    char *table;
+    char *key;
+    json_t *value; /* base64 */
+    uint64_t version;
+    bool removed; /* kept for the feed */
+    TAILQ_ENTRY(row) entry;
+};
+
+struct waiter {
+    struct store *store;
+    struct http_exchange *ex;
+    char table[NAME_SIZE];
+    uint64_t after;
+    ev_timer limit;
+    TAILQ_ENTRY(waiter) entry;
+};
+
+struct door {
+    struct store *store;
+    struct http_server *server;
+    char fault[FAULT_SIZE];
+};
+
+struct store {
+    struct task task;
+    struct door doors[2];
+    TAILQ_HEAD(, row) rows;
+    TAILQ_HEAD(, waiter) waiters;
+    uint64_t version;
+    uint64_t oldest; /* feeds from before it get 410 */
+};
+
+/* Finds a row. */
+static struct row *
+find(struct store *s, const char *table, const char *key)
+{
+    struct row *r;
+
+    TAILQ_FOREACH (r, &s->rows, entry) {
+        if (strcmp(r->table, table) == 0 && strcmp(r->key, key) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+/* A row as the platform shows it. */
+static json_t *
+show(const struct row *r)
+{
+    json_t *o =
+        json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part", "", "key",
+                  r->key, "schema-version", (json_int_t)r->version);
+
+    if (r->removed) {
+        json_object_set_new(o, "removed", json_true());
+    }
+    else {
+        json_object_set(o, "value", r->value);
+    }
+    return o;
+}
+
+/* An answer about rows. */
+static json_t *
+answer(const struct store *s, json_t *rows)
+{
+    return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "has-more", 0,
+                     "schema-version", (json_int_t)s->version,
+                     "current-time-ms", (json_int_t)Clock_NowMs());
+}
+
+/* Rows that changed after a version, in order of their change. */
+static json_t *
+changes(const struct store *s, const char *table, uint64_t after)
+{
+    json_t *rows = json_array();
+    const struct row *r;
+
+    TAILQ_FOREACH (r, &s->rows, entry) {
+        if (strcmp(r->table, table) == 0 && r->version > after) {
+            json_array_append_new(rows, show(r));
+        }
+    }
+    return rows;
+}
+
+/* Ends a waiting feed. */
+static void
+end_wait(struct waiter *w)
+{
+    struct store *s = w->store;
+
+    TAILQ_REMOVE(&s->waiters, w, entry);
+    ev_timer_stop(s->task.kernel->loop, &w->limit);
+    Fake_Reply(w->ex, 200, answer(s, changes(s, w->table, w->after)));
+    free(w);
+}
+
+static void
+on_limit(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
+{
+    end_wait(timer->data);
+}
+
+/* Ends the feeds of a table that has changed. */
+static void
+wake(struct store *s, const char *table)
+{
+    struct waiter *w, *next;
+
+    TAILQ_FOREACH_SAFE (w, &s->waiters, entry, next) {
+        if (strcmp(w->table, table) == 0) {
+            end_wait(w);
+        }
+    }
+}
+
+/* GET /rows-feed */
+static void
+feed(struct store *s, struct http_exchange *ex)
+{
+    const char *table = Http_Query(ex, "table");
+    const char *after = Http_Query(ex, "after");
+    const char *wait = Http_Query(ex, "wait-ms");
+    struct waiter *w;
+    json_t *rows;
+
+    if (strtoull(after, NULL, 10) < s->oldest) {
+        Fake_Reply(ex, 410, json_object());
+        return;
+    }
+    rows = changes(s, table, strtoull(after, NULL, 10));
+    if (json_array_size(rows) > 0) {
+        Fake_Reply(ex, 200, answer(s, rows));
+        return;
+    }
+    json_decref(rows);
+    w = Mem_Zero(1, sizeof(*w));
+    w->store = s;
+    w->ex = ex;
+    Str_Copy(w->table, sizeof(w->table), table);
+    w->after = strtoull(after, NULL, 10);
+    ev_init(&w->limit, on_limit);
+    w->limit.data = w;
+    TAILQ_INSERT_TAIL(&s->waiters, w, entry);
+    Timer_Set(s->task.kernel->loop, &w->limit, strtoll(wait, NULL, 10));
+}
+
+/* Order of rows by key, for a range. */
+static int
+by_key(const void *va, const void *vb)
+{
+    const struct row *const *a = va, *const *b = vb;
+
+    return strcmp((*a)->key, (*b)->key);
+}
+
+/* GET /rows-get */
+static void
+get(struct store *s, struct http_exchange *ex)
+{
+    const char *table = Http_Query(ex, "table");
+    const char *from = Http_Query(ex, "from");
+    const char *to = Http_Query(ex, "target");
+    const struct row **list CLEANUP(Mem_FreeP) = NULL;
+    json_t *rows = json_array();
+    const struct row *r;
+    size_t n = 0;
+
+    TAILQ_FOREACH (r, &s->rows, entry) {
+        n++;
+    }
+    list = Mem_Zero(n + 1, sizeof(*list));
+    n = 0;
+    TAILQ_FOREACH (r, &s->rows, entry) {
+        if (!r->removed && strcmp(r->table, table) == 0 &&
+            (from == NULL || strcmp(r->key, from) >= 0) &&
+            (to == NULL || strcmp(r->key, to) < 0)) {
+            list[n++] = r;
+        }
+    }
+    qsort(list, n, sizeof(*list), by_key);
+    for (size_t i = 0; i < n; i++) {
+        json_array_append_new(rows, show(list[i]));
+    }
+    Fake_Reply(ex, 200, answer(s, rows));
+}
+
+/* Writes or removes one row under the next version. */
+static void
+write_row(struct store *s, const json_t *o, bool removed)
+{
+    const char *table = json_string_value(json_object_get(o, "table"));
+    const char *key = json_string_value(json_object_get(o, "key"));
+    struct row *r = find(s, table, key);
+
+    if (r == NULL) {
+        r = Mem_Zero(1, sizeof(*r));
+        r->table = Mem_Dup(table);
+        r->key = Mem_Dup(key);
+    }
+    else {
+        TAILQ_REMOVE(&s->rows, r, entry);
+        json_decref(r->value);
+    }
+    r->value = json_incref(json_object_get(o, "value"));
+    r->version = s->version;
+    r->removed = removed;
+    TAILQ_INSERT_TAIL(&s->rows, r, entry);
+}
+
+/* True when all conditions of a transaction hold. */
+static bool
+holds(struct store *s, const json_t *expect)
+{
+    json_t *o;
+    size_t i;
+
+    json_array_foreach(expect, i, o)
+    {
+        const struct row *r =
+            find(s, json_string_value(json_object_get(o, "table")),
+                 json_string_value(json_object_get(o, "key")));
+        uint64_t is = r != NULL && !r->removed ? r->version : 0;
+
+        if (is != (uint64_t)Fake_Int(o, "schema-version", 0)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* POST /rows-tx */
+static void
+transact(struct store *s, struct http_exchange *ex, bool lose)
+{
+    struct buf none = {0};
+    json_t *body = Fake_Body(ex);
+    json_t *o;
+    size_t i;
+
+    if (body == NULL) {
+        return;
+    }
+    if (!holds(s, json_object_get(body, "expect"))) {
+        Fake_Reply(ex, 412, answer(s, json_array()));
+        json_decref(body);
+        return;
+    }
+    s->version++;
+    json_array_foreach(json_object_get(body, "writes"), i, o)
+    {
+        write_row(s, o, false);
+    }
+    json_array_foreach(json_object_get(body, "remove"), i, o)
+    {
+        write_row(s, o, true);
+    }
+    json_array_foreach(json_object_get(body, "writes"), i, o)
+    {
+        wake(s, json_string_value(json_object_get(o, "table")));
+    }
+    if (lose) {
+        Fake_Close(ex, &none);
+    }
+    else {
+        Fake_Reply(ex, 200, answer(s, json_array()));
+    }
+    json_decref(body);
+}
+
+/* PUT /fault/PORT and /history/drop: what tests ask for. */
+static bool
+control(struct store *s, struct http_exchange *ex)
+{
+    const char *path = Http_Path(ex);
+    const struct buf *body = Http_Body(ex);
+
+    if (strncmp(path, "/fault/", 7) == 0) {
+        for (size_t i = 0; i < COUNT_OF(s->doors); i++) {
+            if (atoi(path + 7) == Http_ServerPort(s->doors[i].server)) {
+                Str_Copy(s->doors[i].fault, FAULT_SIZE,
+                         body->data != NULL ? body->data : "");
+            }
+        }
+    }
+    else if (strcmp(path, "/history/drop") == 0) {
+        s->oldest = s->version + 1;
+        s->version++;
+    }
+    else {
+        return false;
+    }
+    Fake_Reply(ex, 200, json_object());
+    return true;
+}
+
+/* A call, with the fault of the door that it came by. */
+static void
+on_call(void *arg, struct http_exchange *ex)
+{
+    struct door *d = arg;
+    const char *path = Http_Path(ex);
+
+    if (strcmp(Http_Method(ex), "PUT") == 0 && control(d->store, ex)) {
+        return;
+    }
+    if (strcmp(d->fault, "busy") == 0) {
+        Fake_Reply(ex, 503, json_object());
+    }
+    else if (strcmp(d->fault, "silent") == 0) {
+        return; /* never answered */
+    }
+    else if (strcmp(path, "/rows-feed") == 0) {
+        feed(d->store, ex);
+    }
+    else if (strcmp(path, "/rows-get") == 0) {
+        get(d->store, ex);
+    }
+    else if (strcmp(path, "/rows-tx") == 0) {
+        transact(d->store, ex, strcmp(d->fault, "lose") == 0);
+    }
+    else {
+        Fake_Reply(ex, 404, json_object());
+    }
+}
+
+static const struct task_ops store_ops = {.name = "store"};
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *first =
+        arg_file1(NULL, "port-file", "FILE", "gets the port");
+    struct arg_file *second =
+        arg_file0(NULL, "second-port-file", "FILE", "gets the other port");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {first, second, end};
+    struct store s = {.oldest = 0};
+    struct kernel k;
+
+    if (arg_parse(argc, argv, table) != 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        return 2;
+    }
+    TAILQ_INIT(&s.rows);
+    TAILQ_INIT(&s.waiters);
+    Kernel_Init(&k, "hosted-store", NULL, 100);
+    Kernel_AddTask(&k, &s.task, &store_ops);
+    s.doors[0].store = s.doors[1].store = &s;
+    s.doors[1].server =
+        Fake_Listen(k.loop, 0, second->count ? second->filename[0] : NULL,
+                    on_call, &s.doors[1]);
+    s.doors[0].server =
+        Fake_Listen(k.loop, 0, first->filename[0], on_call, &s.doors[0]);
+    Kernel_Run(&k);
+    _Exit(0); /* feeds may still wait; nothing here has to be kept */
+}
--- /dev/null
+++ b/tests/hosted-process-test.cc
@@ -0,0 +1,259 @@
+/* The whole path on the stand-in of the hosted platform, as processes. */
+#include "hosted-stack.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+
+using namespace harness;
+
+namespace {
+
+TEST(Hosted, AJobIsAcceptedRunAndShownByAnyEntry)
+{
+    HostedStack s(2, 2);
+
+    EXPECT_EQ(s.Submit(0, "a1", "100", 3).status, 200);
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 3u);
+}
+
+struct Refusal {
+    const char *what;
+    const char *method;
+    const char *path;
+    const char *host;
+    const char *key;
+    const char *body;
+    int status;
+};
+
+TEST(Hosted, CallsThatCantBeServedAreRefusedAtOnce)
+{
+    static const Refusal cases[] = {
+        {"no such host", "GET", "/q/a1", "two.example", "key-one", "", 404},
+        {"no such path", "GET", "/r/a1", "one.example", "key-one", "", 404},
+        {"no key", "GET", "/q/a1", "one.example", "", "", 401},
+        {"unknown key", "GET", "/q/a1", "one.example", "key-two", "", 401},
+        {"no such job", "GET", "/q/a1", "one.example", "key-one", "", 410},
+        {"cancel of none", "DELETE", "/q/a1", "one.example", "key-one", "",
+         410},
+        {"id no number", "GET", "/q/zz", "one.example", "key-one", "", 400},
+        {"body cut", "POST", "/q/a1", "one.example", "key-one",
+         "{\"steps\":[{", 400},
+        {"body no object", "POST", "/q/a1", "one.example", "key-one", "[]",
+         400},
+        {"no steps", "POST", "/q/a1", "one.example", "key-one", "{}", 400},
+        {"count a text", "POST", "/q/a1", "one.example", "key-one",
+         "{\"steps\":[{\"count\":\"many\"}]}", 400},
+        {"negative", "POST", "/q/a1", "one.example", "key-one",
+         "{\"steps\":[{\"count\":1,\"gpu\":-1}]}", 400},
+        {"after a later one", "POST", "/q/a1", "one.example", "key-one",
+         "{\"steps\":[{\"count\":1,\"after\":[1]},{\"count\":1}]}", 400},
+        {"method", "PUT", "/q/a1", "one.example", "key-one", "", 405},
+    };
+    HostedStack s(1, 1);
+
+    for (const Refusal &c : cases) {
+        std::vector<std::string> headers = {std::string("Host: ") + c.host};
+
+        if (*c.key != '\0') {
+            headers.push_back(std::string("Authorization: Bearer ") + c.key);
+        }
+        EXPECT_EQ(Http(c.method, s.Entry(0) + c.path, c.body, headers).status,
+                  c.status)
+            << c.what;
+    }
+    EXPECT_TRUE(s.Starts().empty());
+}
+
+/* The same id is handed in again, at another entry, also seconds later. It
+ * stays one job: its caller asks again when an answer was lost. */
+TEST(Hosted, AnIdHandedInTwiceIsOneJob)
+{
+    HostedStack s(2, 1);
+
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    EXPECT_EQ(s.Submit(1, "a1", "50").status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Submit(1, "a1", "50").status, 200);
+    EXPECT_EQ(s.Starts().size(), 1u);
+}
+
+TEST(Hosted, WaitingJobsAreCountedAndCancelled)
+{
+    HostedStack s(1, 1);
+
+    EXPECT_EQ(s.Submit(0, "a1", "60000", 8).status, 200);
+    EXPECT_TRUE(s.Ends(0, "a1", "running")) << s.Logs();
+    EXPECT_EQ(s.Submit(0, "a2", "100").status, 200);
+    EXPECT_EQ(Number(s.Ask(0, "").json().get(), "waiting"), 1);
+    EXPECT_EQ(s.Cancel(0, "a1").status, 200);
+    EXPECT_TRUE(s.Ends(0, "a1", "cancelled"));
+    EXPECT_TRUE(s.Ends(0, "a2", "completed")) << s.Logs();
+    EXPECT_EQ(Number(s.Ask(0, "").json().get(), "waiting"), 0);
+}
+
+TEST(Hosted, AttemptsAreThoseOfTheQueue)
+{
+    HostedStack s(1, 1);
+
+    EXPECT_EQ(s.Submit(0, "a1", "fail").status, 200);
+    EXPECT_TRUE(s.Ends(0, "a1", "failed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 2u);
+}
+
+/* The entry that gives the orders is killed while a job runs. The other one
+ * takes over by the store's row, leaves the run alone, and notes its end. */
+TEST(Hosted, AnotherEntryTakesOverAndNothingRunsTwice)
+{
+    HostedStack s(2, 1);
+
+    ASSERT_EQ(s.Submit(0, "a1", "1500").status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "running"));
+    bool first = ReadFile(s.dir.Path("entry-0.err")).find("owner_in_office") !=
+                 std::string::npos;
+    int owner = first ? 0 : 1;
+    s.entries[static_cast<size_t>(owner)]->Signal(SIGKILL);
+    EXPECT_TRUE(s.Ends(1 - owner, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Submit(1 - owner, "a2", "50").status, 200);
+    EXPECT_TRUE(s.Ends(1 - owner, "a2", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 2u);
+}
+
+/* Every process of the system is killed at once and started again. The agents
+ * know no owner's term then, and their workers answer nobody below the one
+ * they have seen; without the owner's word nothing would run any more. */
+TEST(Hosted, AllIsFoundAgainAfterEverythingWasKilled)
+{
+    HostedStack s(2, 2);
+
+    ASSERT_EQ(s.Submit(0, "a1", "2500", 2).status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "running"));
+    for (int i = 0; i < 2; i++) {
+        s.entries[static_cast<size_t>(i)]->Signal(SIGKILL);
+        s.agents[static_cast<size_t>(i)]->Signal(SIGKILL);
+    }
+    for (int i = 0; i < 2; i++) {
+        s.StartEntry(i);
+        s.StartAgent(i);
+    }
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Submit(0, "a2", "50").status, 200);
+    EXPECT_TRUE(s.Ends(0, "a2", "completed")) << s.Logs();
+}
+
+/* The store turns one entry's machine away and serves the other. Its callers
+ * are served all the same, through the other entry; without that they are
+ * refused for as long as it lasts. */
+TEST(Hosted, AnEntryThatTheStoreTurnsAwayServesThroughAnother)
+{
+    HostedStack s(2, 1);
+
+    s.StoreFault(1, "busy");
+    EXPECT_TRUE(WaitFor([&] { return s.Submit(1, "a1", "50").status == 200; }))
+        << s.Logs();
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    s.PutConfig(2, {"key-new"});
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Ask(1, "a1").status == 401 &&
+               s.Ask(1, "a1", "key-new").status == 200;
+    })) << s.Logs();
+}
+
+/* The store is away for everybody. A caller is refused with a time to come
+ * back, which is true: nothing is stored. Later the same id is accepted. */
+TEST(Hosted, WhileTheStoreIsAwayCallersAreToldWhenToComeBack)
+{
+    HostedStack s(2, 1);
+    Reply r;
+
+    s.StoreFault(0, "busy");
+    s.StoreFault(1, "busy");
+    EXPECT_TRUE(WaitFor([&] {
+        r = s.Submit(0, "a1", "50");
+        return r.status == 503;
+    }));
+    EXPECT_EQ(r.headers["retry-after"], "1");
+    s.StoreFault(0, "");
+    s.StoreFault(1, "");
+    EXPECT_TRUE(
+        WaitFor([&] { return s.Submit(0, "a1", "50").status == 200; }));
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 1u);
+}
+
+/* Writes take effect and their answers are lost. The owner can't know which
+ * of its rows are stored; it rewrites its own row first, so that none of them
+ * can come to pass later, and goes on. Nothing runs twice. */
+TEST(Hosted, LostAnswersOfTheStoreLoseNothing)
+{
+    HostedStack s(1, 1);
+
+    ASSERT_EQ(s.Submit(0, "a1", "400", 2).status, 200);
+    s.StoreFault(0, "lose");
+    ASSERT_TRUE(WaitFor([&] {
+        return s.Logs().find("write_failed error=unknown") !=
+               std::string::npos;
+    }));
+    s.StoreFault(0, "");
+    EXPECT_TRUE(s.Ends(0, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 2u);
+}
+
+/* The store forgets its history while entries follow it. They list the tables
+ * anew, and miss neither the configuration nor a job. */
+TEST(Hosted, ADroppedHistoryIsReadAgain)
+{
+    HostedStack s(2, 1);
+
+    s.DropHistory();
+    s.PutConfig(2, {"key-one", "key-new"});
+    EXPECT_TRUE(
+        WaitFor([&] { return s.Ask(0, "a1", "key-new").status == 410; }));
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+}
+
+/* A worker crashes and comes again at its address with another lifetime. What
+ * ran there starts again, once. */
+TEST(Hosted, AnotherLifetimeOfAWorkerRunsTheWorkAgain)
+{
+    HostedStack s(1, 1);
+
+    ASSERT_EQ(s.Submit(0, "a1", "700").status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "running"));
+    s.StartWorker(0, "i-again");
+    EXPECT_TRUE(s.Ends(0, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts(), std::vector<std::string>{"a1.0.0.0/2"});
+}
+
+/* SIGHUP says that the settings file has changed. Processes that don't know
+ * the signal end by it, and cut all that they have in hand. */
+TEST(Hosted, SighupEndsNothing)
+{
+    HostedStack s(1, 1);
+
+    s.entries[0]->Signal(SIGHUP);
+    s.agents[0]->Signal(SIGHUP);
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    EXPECT_TRUE(s.Ends(0, "a1", "completed")) << s.Logs();
+    EXPECT_TRUE(s.entries[0]->Running());
+    EXPECT_TRUE(s.agents[0]->Running());
+}
+
+/* SIGTERM: not ready at once, so that the balancer sends its callers to other
+ * entries; those that still come meanwhile are served. */
+TEST(Hosted, ADrainingEntryServesThoseWhoStillCome)
+{
+    HostedStack s(2, 1);
+
+    s.entries[0]->Signal(SIGTERM);
+    EXPECT_TRUE(WaitFor([&] { return !s.Ready(0); }));
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.entries[0]->Wait(), 0) << s.Logs();
+}
+
+} /* namespace */
--- /dev/null
+++ b/tests/hosted-stack.cc
@@ -0,0 +1,252 @@
+#include "hosted-stack.h"
+
+#include <sodium.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <stdexcept>
+
+using namespace harness;
+
+namespace {
+
+const int CALLERS = 7001, READY = 7002, LINKS = 7003, BEATS = 7004;
+
+std::string
+Base64(const std::string &s)
+{
+    std::string out(
+        sodium_base64_ENCODED_LEN(s.size(), sodium_base64_VARIANT_ORIGINAL),
+        '\0');
+
+    sodium_bin2base64(out.data(), out.size(),
+                      reinterpret_cast<const unsigned char *>(s.data()),
+                      s.size(), sodium_base64_VARIANT_ORIGINAL);
+    out.resize(out.size() - 1);
+    return out;
+}
+
+} /* namespace */
+
+HostedStack::HostedStack(int entry_count, int worker_count)
+{
+    static int stacks = 0;
+    int pid = static_cast<int>(getpid());
+
+    net = "127." + std::to_string(1 + pid / 250 % 250) + "." +
+          std::to_string(pid % 250) + "." + std::to_string(1 + stacks++ % 12);
+    store = std::make_unique<Fake>(
+        dir, "fake-hosted-store",
+        std::vector<std::string>{"--second-port-file", dir.Path("door2")});
+    entries.resize(static_cast<size_t>(entry_count));
+    agents.resize(static_cast<size_t>(worker_count));
+    workers.resize(static_cast<size_t>(worker_count));
+    worker_ports.resize(static_cast<size_t>(worker_count));
+    PutConfig(1, {"key-one"});
+    for (int i = 0; i < worker_count; i++) {
+        StartWorker(i, "i-" + std::to_string(i));
+        StartAgent(i);
+    }
+    for (int i = 0; i < entry_count; i++) {
+        StartEntry(i);
+    }
+    for (int i = 0; i < entry_count; i++) {
+        if (!WaitFor([&] { return Ready(i); })) {
+            throw std::runtime_error("an entry is not ready: " + Logs());
+        }
+    }
+}
+
+/* Hosts 0 to 4 are entries, 5 to 9 agents; one address each. */
+std::string
+HostedStack::Address(int host, int port) const
+{
+    return net + std::to_string(host % 10) + ":" + std::to_string(port);
+}
+
+int
+HostedStack::StorePort(int door) const
+{
+    return door == 0 ? store->port : ReadPort(dir.Path("door2"));
+}
+
+void
+HostedStack::StartEntry(int i)
+{
+    std::string n = std::to_string(i), seeds;
+    std::string ip = Address(i, 0);
+
+    ip = ip.substr(0, ip.find(':'));
+    for (size_t k = 0; k < entries.size(); k++) {
+        seeds +=
+            (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
+    }
+    std::string file = dir.Write(
+        "entry-" + n + ".yaml",
+        "name: entry-" + n + "\nregion: here\nfailure_domain: a\n" +
+            "listen: {address: " + ip + ", http_port: 0, link_port: 0}\n" +
+            "seeds: [" + seeds + "]\n" +
+            "platform: {table_url: \"http://127.0.0.1:1\", objects_url: "
+            "\"http://127.0.0.1:1\"}\n"
+            "limits: {deadline_ms_max: 4000}\ndrain_ms: 5000\n" +
+            "hosted:\n  store: \"127.0.0.1:" +
+            std::to_string(StorePort(i % 2)) + "\"\n  callers: \"" +
+            Address(i, CALLERS) + "\"\n  ready: \"" + Address(i, READY) +
+            "\"\n  links: \"" + Address(i, LINKS) + "\"\n  lease_ms: 4000\n");
+    entries[static_cast<size_t>(i)].reset();
+    entries[static_cast<size_t>(i)] = std::make_unique<Process>(
+        dir, "parsleyfall", std::vector<std::string>{"serve", file},
+        "entry-" + n);
+}
+
+void
+HostedStack::StartAgent(int i)
+{
+    std::string n = std::to_string(i), seeds;
+
+    for (size_t k = 0; k < entries.size(); k++) {
+        seeds +=
+            (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
+    }
+    std::string file = dir.Write(
+        "agent-" + n + ".yaml",
+        "name: agent-" + n + "\nregion: here\nfailure_domain: a\nrack: r\n" +
+            "accelerators: 0\nseeds: [" + seeds + "]\ndrain_ms: 1000\n" +
+            "hosted:\n  beats: \"" + Address(i + 5, BEATS) +
+            "\"\n  worker: \"127.0.0.1:" +
+            std::to_string(worker_ports[static_cast<size_t>(i)]) +
+            "\"\n  lease_ms: 4000\n");
+    agents[static_cast<size_t>(i)].reset();
+    agents[static_cast<size_t>(i)] = std::make_unique<Process>(
+        dir, "parsleyfall-agent", std::vector<std::string>{"run", file},
+        "agent-" + n);
+}
+
+void
+HostedStack::StartWorker(int i, const std::string &lifetime)
+{
+    size_t at = static_cast<size_t>(i);
+
+    workers[at].reset();
+    workers[at] = std::make_unique<Fake>(
+        dir, "fake-hosted-worker",
+        std::vector<std::string>{"--id", lifetime, "--beats",
+                                 Address(i + 5, BEATS), "--port",
+                                 std::to_string(worker_ports[at])},
+        "worker-" + std::to_string(names++));
+    worker_ports[at] = workers[at]->port;
+}
+
+void
+HostedStack::PutConfig(int version, const std::vector<std::string> &keys)
+{
+    std::string list;
+
+    for (const std::string &k : keys) {
+        list += (list.empty() ? "\"" : ",\"") + k + "\"";
+    }
+    std::string config =
+        R"({"version":)" + std::to_string(version) +
+        R"(,"routes":[{"name":"r-1","host":"one.example","prefix":"/q/",)"
+        R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
+        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false}],)"
+        R"("services":[{"name":"pool","admission-check":true}],)"
+        R"("limits":{"max-body-bytes":262144},)"
+        R"("tenants":[{"name":"t","api-keys":[)" +
+        list + R"(],"guaranteed":{"gpu":8}}]})";
+
+    Http("POST", store->Url("/rows-tx"),
+         R"({"expect":[],"remove":[],"writes":[{"table":"op","part":"",)"
+         R"("key":"config","value":")" +
+             Base64(config) + "\"}]}");
+}
+
+void
+HostedStack::StoreFault(int door, const std::string &fault)
+{
+    Http("PUT", store->Url("/fault/" + std::to_string(StorePort(door))),
+         fault);
+}
+
+void
+HostedStack::DropHistory()
+{
+    Http("PUT", store->Url("/history/drop"));
+}
+
+std::string
+HostedStack::Entry(int i) const
+{
+    return "http://" + Address(i, CALLERS);
+}
+
+bool
+HostedStack::Ready(int i) const
+{
+    return Http("GET", "http://" + Address(i, READY) + "/readiness").status ==
+           200;
+}
+
+Reply
+HostedStack::Submit(int entry, const std::string &id,
+                    const std::string &payload, int tasks,
+                    const std::string &key)
+{
+    return Http(
+        "POST", Entry(entry) + "/q/" + id,
+        R"({"task-spec":")" + payload + R"(","steps":[{"count":)" +
+            std::to_string(tasks) +
+            R"(,"cpu":1000,"mem-mb":100,"gpu":1,"estimated-ms":200}]})",
+        {"Host: one.example", "Authorization: Bearer " + key});
+}
+
+Reply
+HostedStack::Ask(int entry, const std::string &id, const std::string &key)
+{
+    return Http("GET", Entry(entry) + "/q/" + id, "",
+                {"Host: one.example", "Authorization: Bearer " + key});
+}
+
+Reply
+HostedStack::Cancel(int entry, const std::string &id)
+{
+    return Http("DELETE", Entry(entry) + "/q/" + id, "",
+                {"Host: one.example", "Authorization: Bearer key-one"});
+}
+
+bool
+HostedStack::Ends(int entry, const std::string &id, const std::string &state)
+{
+    return WaitFor(
+        [&] { return Text(Ask(entry, id).json().get(), "state") == state; },
+        30000);
+}
+
+std::vector<std::string>
+HostedStack::Starts() const
+{
+    std::vector<std::string> all;
+
+    for (const auto &w : workers) {
+        Json list = Http("GET", w->Url("/starts")).json();
+
+        for (size_t i = 0; i < json_array_size(list.get()); i++) {
+            all.emplace_back(json_string_value(json_array_get(list.get(), i)));
+        }
+    }
+    return all;
+}
+
+std::string
+HostedStack::Logs() const
+{
+    std::string all;
+
+    for (size_t i = 0; i < entries.size(); i++) {
+        all += ReadFile(dir.Path("entry-" + std::to_string(i) + ".err"));
+    }
+    for (size_t i = 0; i < agents.size(); i++) {
+        all += ReadFile(dir.Path("agent-" + std::to_string(i) + ".err"));
+    }
+    return all;
+}
--- /dev/null
+++ b/tests/hosted-stack.h
@@ -0,0 +1,54 @@
+/* The product on the stand-in of the hosted platform: a store, entries,
+ * agents and workers as processes. Each stack has addresses of its own in the
+ * loopback range, so that ports need not be guessed. */
+#ifndef HOSTED_STACK_H
+#define HOSTED_STACK_H
+
+#include "harness.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+class HostedStack {
+  public:
+    HostedStack(int entries, int workers);
+    void StartEntry(int i);
+    void StartAgent(int i);
+    /* A lifetime of the worker beside agent i. */
+    void StartWorker(int i, const std::string &lifetime);
+    /* What the operator writes: one queue "r-1" at one.example/q/, and the
+     * keys given. */
+    void PutConfig(int version, const std::vector<std::string> &keys);
+    /* A fault of one of the store's doors; entry i uses door i % 2. */
+    void StoreFault(int door, const std::string &fault);
+    void DropHistory();
+
+    std::string Entry(int i) const; /* where callers connect */
+    bool Ready(int i) const;
+    harness::Reply Submit(int entry, const std::string &id,
+                          const std::string &payload, int tasks = 1,
+                          const std::string &key = "key-one");
+    harness::Reply Ask(int entry, const std::string &id,
+                       const std::string &key = "key-one");
+    harness::Reply Cancel(int entry, const std::string &id);
+    bool Ends(int entry, const std::string &id, const std::string &state);
+    /* "TASK/RUN" of all starts at all workers, in order of each. */
+    std::vector<std::string> Starts() const;
+    std::string Logs() const;
+
+    harness::TempDir dir;
+    std::unique_ptr<harness::Fake> store;
+    std::vector<std::unique_ptr<harness::Process>> entries, agents;
+    std::vector<std::unique_ptr<harness::Fake>> workers;
+
+  private:
+    std::string Address(int host, int port) const;
+    int StorePort(int door) const;
+    std::string net;
+    std::vector<int> worker_ports;
+    int config_row = 0;
+    int names = 0;
+};
+
+#endif
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -18,8 +18,12 @@
 # pf_process_test(NAME FILES... PACKAGES p... NEEDS programs...): a test that
 # runs programs of the build.
 function(pf_process_test name)
-  cmake_parse_arguments(T "" "" "PACKAGES;NEEDS" ${ARGN})
-  pf_test(${name} ${T_UNPARSED_ARGUMENTS} harness.cc PACKAGES ${T_PACKAGES})
+  cmake_parse_arguments(T "" "SHARDS" "PACKAGES;NEEDS" ${ARGN})
+  if(T_SHARDS)
+    set(T_SHARDS SHARDS ${T_SHARDS})
+  endif()
+  pf_test(${name} ${T_UNPARSED_ARGUMENTS} harness.cc ${T_SHARDS}
+          PACKAGES ${T_PACKAGES})
   target_compile_definitions(
     ${name} PRIVATE PF_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
   target_link_libraries(${name} PRIVATE curl jansson)
