--- a/packages/config/config-hosted.c
+++ b/packages/config/config-hosted.c
@@ -15,6 +15,7 @@
     ADDRESS(links),
     ADDRESS(beats),
     ADDRESS(worker),
+    ADDRESS(metrics),
     {.name = "remote_factor",
      .type = CONF_STRING,
      .offset = AT(remote_factor),
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -137,7 +137,9 @@
         return;
     }
     SLIST_FOREACH (r, &routes, entry) {
-        if (!matches(r->path, Http_Path(ex), segment, sizeof(segment))) {
+        /* Some routes belong to tasks of another profile. */
+        if (!matches(r->path, Http_Path(ex), segment, sizeof(segment)) ||
+            Kernel_FindTask(f->task.kernel, r->task) == NULL) {
             continue;
         }
         path_known = true;
@@ -326,12 +328,16 @@
         return ERR_IO;
     }
     Kernel_AddTask(k, &f->task, &front_ops);
-    Configs_Subscribe(k, "front");
+    if (Kernel_FindTask(k, "config") != NULL) {
+        Configs_Subscribe(k, "front");
+    }
     LOG_I("listening", KV("address", s->listen.address),
-          KV_INT("http", Front_Port(k)), KV("links", Links_Address(k)));
+          KV_INT("http", Front_Port(k)),
+          KV("links", Kernel_FindTask(k, "links") != NULL ? Links_Address(k)
+                                                          : s->hosted.links));
     return ERR_OK;
 }
 
 static struct plugin front_plugin = {
-    .name = "front", .rank = 90, .start = start};
+    .name = "front", .rank = 90, .start = start, .profile = PROFILE_ANY};
 KERNEL_PLUGIN(front_plugin)
--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -96,6 +96,16 @@
     m->accelerators -= n * frees->accelerators;
 }
 
+/* True for a task that serves until its job is cancelled and bounds how many
+ * of its step may be away at once: it gives way to nobody. */
+static bool
+is_kept(const struct jobs_unit *u)
+{
+    const struct jobs_step *s = Unit_Step(u);
+
+    return s->lasting && s->max_unavailable > 0;
+}
+
 /* Chooses victims: the cheapest until it is enough, then leaves out, dearest
  * first, whichever is not needed after all. Returns how many, or -1. */
 static int
@@ -108,7 +118,7 @@
 
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
         if (t->unit->job->rank > u->job->rank && !t->unit->stopping &&
-            t->unit->state == UNIT_GIVEN) {
+            t->unit->state == UNIT_GIVEN && !is_kept(t->unit)) {
             add_victim(list, &count, t->unit, now_ms);
         }
     }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -296,6 +296,7 @@
     char other[JOBS_ID_SIZE]; /* a job that it gave way to; "": none */
     uint64_t run;
     int64_t number;
+    int64_t at_ms; /* for whoever keeps it; the book has no clock */
     TAILQ_ENTRY(jobs_event) entry;
 };
 
--- a/packages/kernel/kernel-plugin.c
+++ b/packages/kernel/kernel-plugin.c
@@ -24,6 +24,15 @@
     }
 }
 
+/* True when a plug-in belongs to a profile. */
+static bool
+is_of(const struct plugin *p, const char *profile)
+{
+    const char *own = p->profile != NULL ? p->profile : "";
+
+    return strcmp(own, PROFILE_ANY) == 0 || strcmp(own, profile) == 0;
+}
+
 /* Starts the plug-ins; the first that fails is named in the log. */
 int
 Kernel_Start(struct kernel *k)
@@ -32,7 +41,7 @@
     int err;
 
     SLIST_FOREACH (p, &plugins, entry) {
-        if (strcmp(p->profile != NULL ? p->profile : "", k->profile) != 0) {
+        if (!is_of(p, k->profile)) {
             continue;
         }
         err = p->start(k);
--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -81,12 +81,15 @@
     bool draining;
 };
 
+#define PROFILE_ANY "*"
+
 /* A part of a program. Its start adds tasks; an error ends the program. */
 struct plugin {
     const char *name;
     int rank; /* lower starts first */
     int (*start)(struct kernel *);
-    const char *profile; /* starts only in that one; NULL: in "" alone */
+    /* Starts only in that one; NULL: in "" alone; PROFILE_ANY: in all. */
+    const char *profile;
     SLIST_ENTRY(plugin) entry;
 };
 
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -324,6 +324,29 @@
     return o != NULL || queue->anonymous;
 }
 
+/* The queue of a call, and the id after its prefix; NULL: there is none. A
+ * call that names its job alone is for the queue that the job is in. */
+static const struct jobs_queue *
+route(struct intake *in, const struct queue_call *call, const char **id)
+{
+    const struct jobs_config *c = &in->config->jobs;
+    const struct jobs_queue *queue;
+    struct shown_job *j;
+
+    if (*call->queue != '\0' || *call->job != '\0') {
+        j = Cache_Job(in, call->job);
+        *id = call->job;
+        return JobsConfig_Queue(c, *call->queue == '\0' && j != NULL
+                                       ? j->queue
+                                       : call->queue);
+    }
+    queue = JobsConfig_Route(c, call->host, call->path);
+    if (queue != NULL) {
+        *id = call->path + strlen(queue->prefix);
+    }
+    return queue;
+}
+
 /* Serves a call. */
 void
 Intake_Call(struct intake *in, struct queue_call *call)
@@ -336,7 +359,7 @@
         finish(call, QUEUE_LATER, "no_configuration");
         return;
     }
-    queue = JobsConfig_Route(&in->config->jobs, call->host, call->path);
+    queue = route(in, call, &id);
     if (queue == NULL) {
         finish(call, QUEUE_NO_QUEUE, "no_such_queue");
         return;
@@ -345,7 +368,6 @@
         finish(call, QUEUE_NO_KEY, "unknown_key");
         return;
     }
-    id = call->path + strlen(queue->prefix);
     if (*id == '\0' && call->verb == QUEUE_ASK) {
         call->waiting = Cache_Waiting(in, queue->name);
         finish(call, QUEUE_WAITING, "counted");
--- /dev/null
+++ b/packages/queue/queue-http.c
@@ -0,0 +1,107 @@
+#include "queue-intake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How an outcome is told by the product's own interface. */
+static const struct {
+    enum queue_outcome outcome;
+    int status;
+    const char *word;
+} statuses[] = {
+    {QUEUE_NO_QUEUE, 404, "not_run"}, {QUEUE_NO_KEY, 401, "not_run"},
+    {QUEUE_GONE, 404, "not_run"},     {QUEUE_INVALID, 400, "not_run"},
+    {QUEUE_LATER, 503, "not_run"},    {QUEUE_UNKNOWN, 504, "unknown"}};
+
+/* Answers a call that came by the product's own interface. */
+static void
+on_done(struct queue_call *call)
+{
+    struct http_exchange *ex = call->arg;
+
+    for (size_t i = 0; i < COUNT_OF(statuses); i++) {
+        if (statuses[i].outcome == call->outcome) {
+            Front_Refuse(ex, statuses[i].status, statuses[i].word,
+                         call->reason, "",
+                         call->retry_ms > 0 ? call->retry_ms : -1, NULL);
+            return;
+        }
+    }
+    Front_ReplyJson(ex, call->verb == QUEUE_SUBMIT ? 202 : 200,
+                    json_pack("{s:s,s:s}", "id", call->job, "state",
+                              Jobs_StateName(call->state)));
+}
+
+/* Makes a call of a request. */
+static struct queue_call *
+new_call(struct http_exchange *ex, enum queue_verb verb)
+{
+    struct queue_call *call = QueueCall_New(verb);
+    const char *token = Requests_Token(ex);
+
+    call->done = on_done;
+    call->arg = ex;
+    Str_Copy(call->key, sizeof(call->key), token != NULL ? token : "");
+    return call;
+}
+
+/* POST /v1/jobs: a job as its row is written (jobs.h), with its id and its
+ * queue. */
+static void
+submit(struct task *t, struct http_exchange *ex, const char *segment UNUSED)
+{
+    const struct buf *body = Http_Body(ex);
+    struct queue_call *call = new_call(ex, QUEUE_SUBMIT);
+
+    if (JobsSpec_Decode(body->data != NULL ? body->data : "", body->len,
+                        &call->spec) != ERR_OK) {
+        Queue_CallKind.free(&call->base);
+        Front_Refuse(ex, 400, "not_run", "malformed_job",
+                     "id, queue, payload, steps: [{count, millicores, "
+                     "memory_mb, accelerators, estimate_ms, after, ...}]",
+                     -1, NULL);
+        return;
+    }
+    Str_Copy(call->queue, sizeof(call->queue), call->spec.queue);
+    Str_Copy(call->job, sizeof(call->job), call->spec.id);
+    Queue_Call(t->kernel, call);
+}
+
+/* Hands on a call that names a job. */
+static void
+about_job(struct task *t, struct http_exchange *ex, const char *id,
+          enum queue_verb verb)
+{
+    struct queue_call *call = new_call(ex, verb);
+
+    if (Str_Copy(call->job, sizeof(call->job), id) != ERR_OK) {
+        Queue_CallKind.free(&call->base);
+        Front_Refuse(ex, 404, "not_run", "no_such_job", "", -1, NULL);
+        return;
+    }
+    Queue_Call(t->kernel, call);
+}
+
+/* GET /v1/jobs/ID */
+static void
+ask(struct task *t, struct http_exchange *ex, const char *id)
+{
+    about_job(t, ex, id, QUEUE_ASK);
+}
+
+/* DELETE /v1/jobs/ID */
+static void
+cancel(struct task *t, struct http_exchange *ex, const char *id)
+{
+    about_job(t, ex, id, QUEUE_CANCEL);
+}
+
+static struct front_route submit_route = {
+    "POST", "/v1/jobs", TASK_INTAKE, submit, {0}};
+static struct front_route ask_route = {
+    "GET", "/v1/jobs/*", TASK_INTAKE, ask, {0}};
+static struct front_route cancel_route = {
+    "DELETE", "/v1/jobs/*", TASK_INTAKE, cancel, {0}};
+FRONT_ROUTE(submit_route)
+FRONT_ROUTE(ask_route)
+FRONT_ROUTE(cancel_route)
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -8,6 +8,9 @@
 {
     struct intake *in = (struct intake *)t;
 
+    if (Front_Handle(t, m)) {
+        return;
+    }
     if (m->kind == &Queue_CallKind) {
         /* The call is answered later: it outlives its message's delivery. */
         struct queue_call *call = Mem_Alloc(sizeof(*call));
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -361,7 +361,8 @@
               KV("worker", e->worker), KV("other", e->other),
               KV_INT("ms", e->number), KV_INT("term", o->term),
               KV_INT("config", o->config ? o->config->jobs.version : 0));
-        free(e);
+        e->at_ms = Clock_WallMs();
+        QueueWhy_Keep(o, e);
     }
 }
 
@@ -422,6 +423,9 @@
 {
     struct owner *o = (struct owner *)t;
 
+    if (Front_Handle(t, m)) {
+        return;
+    }
     if (m->kind == &Queue_RowsKind) {
         take_rows(o, (struct rows_changed *)m);
     }
@@ -464,6 +468,7 @@
     ev_timer_stop(t->kernel->loop, &o->tick);
     ev_timer_stop(t->kernel->loop, &o->soon);
     Jobs_Free(o->book);
+    QueueWhy_Clear(o);
     QueueConfig_Unref(o->config);
     free(o);
 }
@@ -482,6 +487,7 @@
 
     o->store = Queue_Store(k);
     o->beat_seen_ms = Clock_NowMs();
+    TAILQ_INIT(&o->kept);
     ev_init(&o->tick, on_tick);
     o->tick.data = o;
     ev_init(&o->soon, on_soon);
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -49,6 +49,8 @@
     int64_t write_ms;     /* start of the one under way */
     int64_t pause_ms;     /* no write before */
     uint64_t beats;
+    TAILQ_HEAD(, jobs_event) kept; /* for those who ask why */
+    size_t kept_count;
     ev_timer tick;
     ev_timer soon;
 };
@@ -62,6 +64,10 @@
 /* ---- queue-batch.c */
 void Batch_Start(struct owner *o);
 
+/* ---- queue-why.c */
+void QueueWhy_Keep(struct owner *o, struct jobs_event *e);
+void QueueWhy_Clear(struct owner *o);
+
 /* ---- queue-orders.c */
 void Orders_Look(struct owner *o, const struct wire_look *m);
 void Orders_Refused(struct owner *o, const struct wire_refused *m);
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -29,6 +29,7 @@
 
 #include "base.h"
 #include "config.h"
+#include "entry.h"
 #include "jobs.h"
 #include "kernel.h"
 #include "platform.h"
@@ -86,9 +87,11 @@
 struct queue_call {
     struct message base;
     enum queue_verb verb;
+    char queue[NAME_SIZE]; /* the queue; "": by host and path */
     char host[256];
     char path[512];
-    char key[256];   /* bearer token; "": none */
+    char job[JOBS_ID_SIZE]; /* where the queue is named, or "" to find it */
+    char key[256];          /* bearer token; "": none */
     int64_t wait_ms; /* the caller waits so long; 0: not said */
     struct jobs_spec
         spec; /* of a submit; id and queue are set by the intake */
