The product's own interface beside the platform's; explain; logs that never wait

POST /v1/jobs, GET and DELETE /v1/jobs/ID, GET /v1/why/ID and /metrics serve the same jobs in the product's words; agents show their counters too. `parsleyfall explain ID` tells the story of an id out of saved logs, over all processes; each refused call has its line. Lines that nobody reads wait in 256 KiB and are then dropped and counted: a full pipe held up every caller before.

Tests: three kinds of failed request explained from the id; the own interface; a reader that stops reading.

--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -1,9 +1,13 @@
 #include "base.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
+#define WAITING_MAX ((size_t)256 << 10) /* some thousand lines */
 #define HOLD_SLOTS 64
 #define HOLD_AFTER 20 /* lines of one event within a second */
 
@@ -19,6 +23,11 @@
 static enum log_level lowest = LOG_INFO;
 static char process[NAME_SIZE] = "-";
 static struct hold holds[HOLD_SLOTS];
+static struct buf waiting; /* lines that the reader has not taken yet */
+
+static struct counter dropped_total = {"parsleyfall_log_dropped_total",
+                                       "Lines dropped as nobody read the log.",
+                                       NULL, COUNTER_TOTAL};
 
 /* Sets the lowest level that is written. */
 void
@@ -83,6 +92,48 @@
     return held;
 }
 
+/* Writes what waits, as far as the reader takes it without making us wait.
+ * A pipe that poll finds writable takes PIPE_BUF bytes at once. */
+static void
+flush_waiting(void)
+{
+    struct pollfd fd = {.fd = STDERR_FILENO, .events = POLLOUT};
+    size_t done = 0;
+
+    while (done < waiting.len && poll(&fd, 1, 0) == 1 &&
+           (fd.revents & POLLOUT) != 0) {
+        size_t n = waiting.len - done;
+        ssize_t wrote = write(STDERR_FILENO, waiting.data + done,
+                              n < PIPE_BUF ? n : PIPE_BUF);
+
+        if (wrote <= 0) {
+            break;
+        }
+        done += (size_t)wrote;
+    }
+    if (done > 0) {
+        memmove(waiting.data, waiting.data + done, waiting.len - done);
+        waiting.len -= done;
+    }
+}
+
+/* Hands a line over, at once or when the reader takes it.
+ *
+ * Failure: whoever reads our logs stops reading. Symptom: a write waits for
+ * it, and with it every caller of this process. Lines therefore wait in a
+ * bounded buffer; beyond it they are dropped, and counted. */
+static void
+write_line(const struct buf *line)
+{
+    flush_waiting();
+    if (waiting.len + line->len > WAITING_MAX) {
+        Counter_Add(&dropped_total, 1);
+        return;
+    }
+    Buf_Append(&waiting, line->data, line->len);
+    flush_waiting();
+}
+
 /* Writes one event as one line. */
 void
 Log_Event(enum log_level level, const char *event, const struct log_kv *kv,
@@ -116,5 +167,5 @@
         Buf_Printf(&line, " repeated=%lld", (long long)held);
     }
     Buf_AppendStr(&line, "\n");
-    fwrite(line.data, 1, line.len, stderr);
+    write_line(&line);
 }
--- a/packages/cli/cli-args.c
+++ b/packages/cli/cli-args.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define ERRORS_KEPT 8
+#define LOGS_MAX 1024 /* of a fleet's processes */
 
 /* The arguments of both programs, in the order of --help. */
 struct arguments {
@@ -15,6 +16,7 @@
     struct arg_file *token_file;
     struct arg_str *seen;
     struct arg_str *kind;
+    struct arg_file *log;
     struct arg_str *command;
     struct arg_str *subject;
     struct arg_end *end;
@@ -34,6 +36,8 @@
         arg_str0(NULL, "seen", "ETAG", "apply: of the document you changed");
     a->kind = arg_str0(NULL, "kind", "KIND",
                        "check: settings or configuration; else recognised");
+    a->log = arg_filen(NULL, "log", "FILE", 0, LOGS_MAX,
+                       "explain: a saved log; else standard input");
     a->command = arg_str0(NULL, NULL, "COMMAND", "one of those above");
     a->subject = arg_str0(NULL, NULL, "SUBJECT", "what the command is about");
     a->end = arg_end(ERRORS_KEPT);
@@ -106,6 +110,8 @@
             a->token_file->count > 0 ? a->token_file->filename[0] : NULL,
         .seen = value(a->seen),
         .kind = value(a->kind),
+        .logs = (const char *const *)a->log->filename,
+        .log_count = a->log->count,
         .json = a->json->count > 0,
     };
     size_t i;
@@ -126,8 +132,9 @@
     int errors, code;
 
     make(&a);
-    void *table[] = {a.help, a.version, a.json,    a.url,     a.token_file,
-                     a.seen, a.kind,    a.command, a.subject, a.end};
+    void *table[] = {a.help,       a.version, a.json, a.url,
+                     a.token_file, a.seen,    a.kind, a.log,
+                     a.command,    a.subject, a.end};
     errors = arg_parse(argc, argv, table);
     if (a.help->count > 0) {
         usage(program, table, stdout);
--- /dev/null
+++ b/packages/cli/cli-explain.c
@@ -0,0 +1,134 @@
+#include "cli.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_MAX_BYTES 16384
+
+/* A line of a log that names the id. */
+struct found {
+    char *line;
+    char when[32]; /* its time, which sorts as text */
+    size_t order;  /* as read, for lines of the same time */
+};
+
+struct story {
+    const char *id;
+    struct found *lines;
+    size_t count;
+    size_t cap;
+};
+
+/* True when the line names the id as a word: "1" is not found in "12". What
+ * may follow is what task names and rows put there. */
+static bool
+names(const char *line, const char *id)
+{
+    size_t len = strlen(id);
+    const char *at = line;
+
+    while ((at = strstr(at, id)) != NULL) {
+        bool starts = at == line || !isalnum((unsigned char)at[-1]);
+
+        if (starts && !isalnum((unsigned char)at[len])) {
+            return true;
+        }
+        at++;
+    }
+    return false;
+}
+
+/* Takes a line into the story when it belongs there. */
+static void
+take(struct story *s, const char *line)
+{
+    const char *time = strstr(line, "time=");
+    struct found *f;
+
+    if (time == NULL || !names(line, s->id)) {
+        return;
+    }
+    if (s->count == s->cap) {
+        s->cap = s->cap ? s->cap * 2 : 64;
+        s->lines = Mem_Grow(s->lines, s->cap * sizeof(*s->lines));
+    }
+    f = &s->lines[s->count];
+    f->order = s->count++;
+    f->line = Mem_Dup(time);
+    Str_Copy(f->when, sizeof(f->when), time + strlen("time="));
+    f->when[strcspn(f->when, " ")] = '\0';
+}
+
+/* Reads one log. */
+static void
+read_log(struct story *s, FILE *in)
+{
+    char line[LINE_MAX_BYTES];
+
+    while (fgets(line, sizeof(line), in) != NULL) {
+        line[strcspn(line, "\n")] = '\0';
+        take(s, line);
+    }
+}
+
+/* By time, then as they were read. */
+static int
+found_compare(const void *va, const void *vb)
+{
+    const struct found *a = va, *b = vb;
+    int by_time = strcmp(a->when, b->when);
+
+    if (by_time != 0) {
+        return by_time;
+    }
+    return a->order < b->order ? -1 : 1;
+}
+
+/* Reads all logs that were named, or standard input. */
+static int
+read_all(const struct cli_args *args, struct story *s)
+{
+    for (int i = 0; i < args->log_count; i++) {
+        FILE *in = fopen(args->logs[i], "r");
+
+        if (in == NULL) {
+            fprintf(stderr, "%s: %s: %s\n", args->program, args->logs[i],
+                    strerror(errno));
+            return CLI_FAILED;
+        }
+        read_log(s, in);
+        fclose(in);
+    }
+    if (args->log_count == 0) {
+        read_log(s, stdin);
+    }
+    return CLI_WELL;
+}
+
+/* The story of an id, in order of time over all processes. */
+int
+Cli_Explain(const struct cli_args *args)
+{
+    struct story s = {.id = args->subject};
+    int code = read_all(args, &s);
+
+    if (s.count > 1) {
+        qsort(s.lines, s.count, sizeof(*s.lines), found_compare);
+    }
+    for (size_t i = 0; i < s.count; i++) {
+        if (code == CLI_WELL) {
+            puts(s.lines[i].line);
+        }
+        free(s.lines[i].line);
+    }
+    free(s.lines);
+    if (code == CLI_WELL && s.count == 0) {
+        fprintf(stderr, "%s: no line names %s\n", args->program,
+                args->subject);
+        return CLI_FAILED;
+    }
+    return code;
+}
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -30,8 +30,10 @@
     const char *subject; /* the second word: a file, an id, a process id */
     const char *url;
     const char *token_file;
-    const char *seen; /* ETag */
-    const char *kind; /* of a file to be checked */
+    const char *seen;        /* ETag */
+    const char *kind;        /* of a file to be checked */
+    const char *const *logs; /* files of logs; none: standard input */
+    int log_count;
     bool json;
 };
 
@@ -86,6 +88,7 @@
 int Cli_Why(const struct cli_args *args);   /* ID */
 int Cli_Dump(const struct cli_args *args);
 int Cli_Jobs(const struct cli_args *args);
+int Cli_Explain(const struct cli_args *args); /* ID, over saved logs */
 
 #ifdef __cplusplus
 }
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -298,13 +298,13 @@
 #define PROFILE_HOSTED "hosted"
 
 struct hosted_settings {
-    char *store;         /* entry: the platform's store; NULL: not hosted */
-    char *callers;       /* entry: where callers connect */
-    char *ready;         /* entry: where the balancer asks */
-    char *links;         /* entry: where agents and entries connect */
-    char *beats;         /* agent: where its worker reports */
-    char *worker;        /* agent: the worker's calls; NULL: not hosted */
-    char *metrics;       /* agent: where it shows its counters; NULL: nowhere */
+    char *store;   /* entry: the platform's store; NULL: not hosted */
+    char *callers; /* entry: where callers connect */
+    char *ready;   /* entry: where the balancer asks */
+    char *links;   /* entry: where agents and entries connect */
+    char *beats;   /* agent: where its worker reports */
+    char *worker;  /* agent: the worker's calls; NULL: not hosted */
+    char *metrics; /* agent: where it shows its counters; NULL: nowhere */
     char *remote_factor; /* slow-down away from the data, a number */
     int64_t lease_ms;    /* of what runs, on the worker's clock */
     int64_t early_ms;    /* before its due time a job may start */
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -325,7 +325,8 @@
         LOG_E("listen_failed", KV("address", s->listen.address),
               KV_INT("http", s->listen.http_port));
         free(f);
-        return ERR_IO;
+        /* Callers of a hosted entry come elsewhere. */
+        return s->hosted.store != NULL ? ERR_OK : ERR_IO;
     }
     Kernel_AddTask(k, &f->task, &front_ops);
     if (Kernel_FindTask(k, "config") != NULL) {
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -115,6 +115,8 @@
     {"apply", "puts a configuration in force, after showing what changes",
      "FILE", true, apply},
     {"why", "the recorded decisions of a request or job", "ID", true, Cli_Why},
+    {"explain", "the story of an id out of saved logs, over all processes",
+     "ID", false, Cli_Explain},
     {"dump", "everything that an entry knows, as JSON", NULL, true, Cli_Dump},
     {"keys", "makes the key pair of a deployment's links: NAME.pub, NAME.key",
      "NAME", false, keys},
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -34,6 +34,27 @@
                                        "Calls whose outcome is not known.",
                                        NULL, COUNTER_TOTAL};
 
+static const char *const outcome_names[] = {[QUEUE_OK] = "ok",
+                                            [QUEUE_WAITING] = "waiting",
+                                            [QUEUE_NO_QUEUE] = "no_queue",
+                                            [QUEUE_NO_KEY] = "no_key",
+                                            [QUEUE_GONE] = "gone",
+                                            [QUEUE_INVALID] = "invalid",
+                                            [QUEUE_LATER] = "later",
+                                            [QUEUE_UNKNOWN] = "unknown"};
+
+/* What the call was about, for logs: its job, or its path. */
+static const char *
+subject_of(const struct queue_call *call)
+{
+    const char *tail = strrchr(call->path, '/');
+
+    if (*call->job != '\0') {
+        return call->job;
+    }
+    return tail != NULL && tail[1] != '\0' ? tail + 1 : call->path;
+}
+
 /* Ends a call. */
 static void
 finish(struct queue_call *call, enum queue_outcome outcome, const char *reason)
@@ -47,6 +68,11 @@
     if (outcome == QUEUE_UNKNOWN) {
         Counter_Add(&unknown_total, 1);
     }
+    if (outcome != QUEUE_OK && outcome != QUEUE_WAITING) {
+        LOG_I("call_refused", KV("job", subject_of(call)),
+              KV("outcome", outcome_names[outcome]), KV("reason", reason),
+              KV("host", call->host), KV_INT("retry_ms", call->retry_ms));
+    }
     call->done(call);
     Queue_CallKind.free(&call->base);
 }
@@ -336,9 +362,8 @@
     if (*call->queue != '\0' || *call->job != '\0') {
         j = Cache_Job(in, call->job);
         *id = call->job;
-        return JobsConfig_Queue(c, *call->queue == '\0' && j != NULL
-                                       ? j->queue
-                                       : call->queue);
+        return JobsConfig_Queue(
+            c, *call->queue == '\0' && j != NULL ? j->queue : call->queue);
     }
     queue = JobsConfig_Route(c, call->host, call->path);
     if (queue != NULL) {
--- a/packages/queue/queue-why.c
+++ b/packages/queue/queue-why.c
@@ -44,10 +44,10 @@
 show(const struct jobs_event *e)
 {
     return json_pack("{s:I,s:s,s:s,s:s,s:I,s:s,s:s,s:I}", "at_ms",
-                     (json_int_t)e->at_ms, "decision",
-                     Jobs_EventName(e->kind), "reason", e->reason, "task",
-                     e->task, "run", (json_int_t)e->run, "worker", e->worker,
-                     "other", e->other, "ms", (json_int_t)e->number);
+                     (json_int_t)e->at_ms, "decision", Jobs_EventName(e->kind),
+                     "reason", e->reason, "task", e->task, "run",
+                     (json_int_t)e->run, "worker", e->worker, "other",
+                     e->other, "ms", (json_int_t)e->number);
 }
 
 /* GET /v1/why/ID: what this entry decided of a job while it was the owner.
--- a/packages/runs/runs-metrics.c
+++ b/packages/runs/runs-metrics.c
@@ -58,8 +58,8 @@
         m->server = Http_ServerNew(k->loop, ip, port, &limits, on_request, m);
     }
     if (m->server == NULL) {
-        LOG_E("listen_failed", KV("address", s->hosted.metrics));
-        return ERR_IO;
+        LOG_E("listen_failed", KV("address", s->hosted.metrics),
+              KV("effect", "no metrics"));
     }
     return ERR_OK;
 }
--- a/tests/base-test.cc
+++ b/tests/base-test.cc
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include <unistd.h>
+
 TEST(Err, EveryNumberHasItsName)
 {
     EXPECT_STREQ(Err_Name(ERR_OK), "ok");
@@ -88,3 +90,28 @@
               std::string::npos)
         << line;
 }
+
+/* Nobody reads our log any more: the pipe is full. The process must go on; a
+ * write that waits would hold up every caller. This test ends, or hangs. */
+TEST(Log, AReaderThatStopsReadingHoldsNothingUp)
+{
+    int fds[2], kept = dup(STDERR_FILENO);
+    struct buf counters = {};
+
+    ASSERT_EQ(pipe(fds), 0);
+    dup2(fds[1], STDERR_FILENO);
+    for (int i = 0; i < 20000; i++) {
+        LOG_E("filler", KV_INT("n", i), KV("text", "of some length, to fill"));
+    }
+    dup2(kept, STDERR_FILENO);
+    close(fds[0]);
+    close(fds[1]);
+    close(kept);
+    Counter_Render(&counters);
+    std::string text(counters.data, counters.len);
+    Buf_Free(&counters);
+    EXPECT_NE(text.find("\nparsleyfall_log_dropped_total "),
+              std::string::npos);
+    EXPECT_EQ(text.find("\nparsleyfall_log_dropped_total 0\n"),
+              std::string::npos);
+}
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -256,4 +256,88 @@
     EXPECT_EQ(s.entries[0]->Wait(), 0) << s.Logs();
 }
 
+/* What `parsleyfall explain ID` says over the logs of all entries. */
+std::string
+Explain(HostedStack &s, const std::string &id)
+{
+    static int asked = 0;
+    std::string name = "explain-" + std::to_string(asked++);
+    std::vector<std::string> args = {"explain", id};
+
+    for (size_t i = 0; i < s.entries.size(); i++) {
+        args.push_back("--log");
+        args.push_back(s.dir.Path("entry-" + std::to_string(i) + ".err"));
+    }
+    Process p(s.dir, "parsleyfall", args, name);
+    p.Wait();
+    return p.Out();
+}
+
+bool
+Says(HostedStack &s, const std::string &id, const std::string &what)
+{
+    return WaitFor(
+        [&] { return Explain(s, id).find(what) != std::string::npos; });
+}
+
+/* Three callers complain: one was refused, one's job failed, one was told
+ * that nobody knows. From the id alone the logs tell the cause of each. */
+TEST(Hosted, TheCauseOfAFailedRequestIsFoundFromItsId)
+{
+    HostedStack s(1, 1);
+
+    ASSERT_EQ(s.Submit(0, "a1", "fail").status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "failed"));
+    EXPECT_TRUE(Says(s, "a1", "event=run_over reason=failed"));
+    EXPECT_TRUE(Says(s, "a1", "event=job_state reason=failed"));
+    s.StoreFault(0, "lose");
+    EXPECT_EQ(s.Submit(0, "a2", "50").status, 200)
+        << "the row is found when it is written again";
+    s.StoreFault(0, "silent");
+    EXPECT_EQ(s.Submit(0, "a3", "50").status, 504);
+    EXPECT_TRUE(Says(s, "a3", "outcome=unknown reason=store_silent"));
+    s.StoreFault(0, "busy");
+    EXPECT_TRUE(
+        WaitFor([&] { return s.Submit(0, "a4", "50").status == 503; }));
+    EXPECT_TRUE(Says(s, "a4", "outcome=later reason=store_away"));
+    EXPECT_EQ(Explain(s, "a").find("a1"), std::string::npos);
+}
+
+/* The product's own interface serves the same jobs in its own words. */
+TEST(Hosted, TheOwnInterfaceServesTheSameJobs)
+{
+    HostedStack s(1, 1);
+    const std::vector<std::string> key = {"Authorization: Bearer key-one"};
+    std::string url;
+
+    ASSERT_TRUE(WaitFor([&] {
+        std::string log = s.Logs();
+        size_t at = log.find("event=listening address=");
+
+        if (at == std::string::npos) {
+            return false;
+        }
+        size_t ip = log.find("address=", at) + 8, port = log.find("http=", at);
+        url = "http://" + log.substr(ip, log.find(' ', ip) - ip) + ":" +
+              log.substr(port + 5, log.find(' ', port) - port - 5);
+        return true;
+    }));
+    EXPECT_EQ(Http("POST", url + "/v1/jobs",
+                   R"({"id":"b1","queue":"r-1","payload":"50","steps":)"
+                   R"([{"count":2,"millicores":500,"accelerators":1}]})",
+                   key)
+                  .status,
+              202);
+    EXPECT_TRUE(s.Ends(0, "b1", "completed")) << s.Logs();
+    Reply r = Http("GET", url + "/v1/jobs/b1", "", key);
+    EXPECT_EQ(Text(r.json().get(), "state"), "completed");
+    r = Http("GET", url + "/v1/why/b1", "", key);
+    EXPECT_NE(r.body.find("run_given"), std::string::npos);
+    EXPECT_EQ(Http("GET", url + "/v1/why/b1").status, 401);
+    EXPECT_EQ(Http("POST", url + "/v1/jobs", "{}", key).status, 400);
+    EXPECT_NE(Http("GET", url + "/metrics")
+                  .body.find("parsleyfall_queue_accepted_total"),
+              std::string::npos);
+}
+
 } /* namespace */
