--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -258,3 +258,16 @@
         }
     }
 }
+
+/* The owner before us has ended for certain. */
+void
+Jobs_OwnerEnded(struct jobs_book *b, int64_t lost_at_ms)
+{
+    struct jobs_worker *w;
+
+    RB_FOREACH (w, lifetime_tree, &b->workers) {
+        if (!w->heard && w->lease_end_ms > lost_at_ms) {
+            w->lease_end_ms = lost_at_ms;
+        }
+    }
+}
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -251,6 +251,9 @@
 /* Runs that the rows name on workers unheard of so far end at this time at
  * the latest; called once, after all rows are in. */
 void Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms);
+/* As is known now, the owner before gives out no lease any more: workers
+ * unheard of since the takeover end sooner than they were waited for. */
+void Jobs_OwnerEnded(struct jobs_book *b, int64_t lost_at_ms);
 /* Lapses leases, chooses starts and stops. wall_ms: since 1970, for due
  * times. */
 void Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms);
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -110,6 +110,9 @@
 
     if (!names_us(o)) {
         o->dead_before = o->row_version == 0 || was_nobody || was_own;
+        Str_Copy(o->before_name, sizeof(o->before_name),
+                 o->dead_before ? "" : o->row_name);
+        o->before_incarnation = o->row_incarnation;
     }
     o->row_version = row->version;
     Str_Copy(o->row_name, sizeof(o->row_name), name != NULL ? name : "");
@@ -217,6 +220,9 @@
     }
     take_jobs(o, r);
     Jobs_TakeOver(o->book, o->dead_before ? lost : lost + BLIND_MS, now);
+    for (size_t i = 0; i < LEFT_MAX; i++) {
+        Jobs_Left(o->book, o->left[i], now);
+    }
     o->office = OFFICE_HELD;
     o->beat_due = true;
     Counter_Add(&takeovers, 1);
@@ -226,6 +232,32 @@
     Owner_Soon(o);
 }
 
+/* Another process of the entry that was the owner before us has written its
+ * row: the one that was the owner has ended, and grants no lease any more. */
+static void
+note_entry(struct owner *o, const struct table_row *row)
+{
+    const struct entry_settings *s = o->task.kernel->settings;
+    json_t *v;
+    uint64_t incarnation;
+
+    if (*o->before_name == '\0' || o->book == NULL ||
+        strcmp(row->key + strlen("entry/"), o->before_name) != 0) {
+        return;
+    }
+    v = json_loadb(row->value.data ? row->value.data : "", row->value.len, 0,
+                   NULL);
+    incarnation =
+        (uint64_t)json_integer_value(json_object_get(v, "incarnation"));
+    json_decref(v);
+    if (incarnation != 0 && incarnation != o->before_incarnation) {
+        LOG_I("owner_before_ended", KV("entry", o->before_name));
+        o->before_name[0] = '\0';
+        Jobs_OwnerEnded(o->book, Clock_NowMs() + s->hosted.lease_ms +
+                                     s->hosted.lease_ms / 20);
+    }
+}
+
 /* Takes rows from the intake. */
 static void
 take_rows(struct owner *o, const struct rows_changed *r)
@@ -248,6 +280,9 @@
                  strncmp(r->rows[i].key, "run/", 4) == 0) {
             o->beat_seen_ms = Clock_NowMs(); /* both are the owner's own */
         }
+        else if (strncmp(r->rows[i].key, "entry/", 6) == 0) {
+            note_entry(o, &r->rows[i]);
+        }
     }
     if (o->book != NULL && r->count > 0) {
         take_jobs(o, r);
@@ -401,10 +436,32 @@
     o->config = QueueConfig_Ref(c);
 }
 
+/* Keeps a lifetime that has left, in office or not.
+ *
+ * Failure: a worker leaves, its machine with it, and the owner that heard of
+ * it ends too. Symptom: the next owner waits for leases of a worker that is
+ * gone, and its tasks stand for that long. Every entry hears the agents. */
+static void
+note_left(struct owner *o, const char *lifetime)
+{
+    if (*lifetime == '\0') {
+        return;
+    }
+    for (size_t i = 0; i < LEFT_MAX; i++) {
+        if (strcmp(o->left[i], lifetime) == 0) {
+            return;
+        }
+    }
+    Str_Copy(o->left[o->left_next++ % LEFT_MAX], JOBS_TEXT_SIZE, lifetime);
+}
+
 /* Takes what agents say. */
 static void
 take_said(struct owner *o, const struct wire_msg *m)
 {
+    if (m->type == WIRE_LOOK) {
+        note_left(o, ((const struct wire_look *)m)->left);
+    }
     if (o->book == NULL) {
         return;
     }
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -11,8 +11,11 @@
 #define SILENT_MS 2200
 /* An owner whose writes have not been confirmed for this long gives out no
  * more leases: another may have taken over and wait just so long, and a lease
- * more, for workers that it can't ask. Outages of the store last shorter. */
-#define BLIND_MS 12000
+ * more, for workers that it can't ask. An outage of the store is so survived
+ * for this and a lease. */
+#define BLIND_MS 7000
+/* Lifetimes that agents said have left, kept for whoever takes over next. */
+#define LEFT_MAX 32
 
 enum office {
     OFFICE_NONE,    /* another entry is the owner, or nobody */
@@ -39,6 +42,10 @@
     bool claiming;        /* a write of the owner row is under way */
     int64_t claim_ms;     /* not before */
     bool dead_before;     /* the owner before us had ended for certain */
+    char before_name[NAME_SIZE]; /* it; "": it need not be waited for */
+    uint64_t before_incarnation;
+    char left[LEFT_MAX][JOBS_TEXT_SIZE];
+    size_t left_next;
     /* In office. */
     uint64_t term;
     uint64_t version; /* of the owner row that our writes expect */
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -175,6 +175,26 @@
     EXPECT_EQ(w.Starts("d2.0.0.0"), 1);
 }
 
+/* A worker is lost together with the owner. The next owner waits for as long
+ * as the one before may have granted leases without the store, and a lease
+ * more; once it knows that one ended, only for the lease. */
+TEST(Jobs, AWorkerLostWithTheOwnerIsWaitedForNoLongerThanNeeded)
+{
+    World w(2);
+
+    w.natures["d8"].work_ms = 60000;
+    w.Submit(w.Spec("d8", 1, 1));
+    w.Turns(10);
+    w.WorkerOf("d8.0.0.0")->reachable = false;
+    w.TakeOver(false);
+    w.Turns(400);
+    EXPECT_EQ(w.Starts("d8.0.0.0"), 1) << "the owner before may still grant";
+    Jobs_OwnerEnded(w.book, w.now + w.limits.lease_ms);
+    w.Turns(350);
+    EXPECT_EQ(w.Starts("d8.0.0.0"), 2);
+    EXPECT_TRUE(w.broken.empty());
+}
+
 /* The owner ends between writing a run and ordering it. The next one orders
  * that same run: it is either there already, or it starts now. */
 TEST(Jobs, ARunThatWasWrittenAndNotOrderedIsOrderedByTheNextOwner)
