Looks that a partition held up are not taken; relayed reads end when the own way works

Looks now bring back a stamp of the entry, which bounds their age to 1.5 s.

Test: ALookThatComesLateEndsNoLifetime; without the check 2 starts for 1.

--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -5,7 +5,7 @@
 /* How long a feed waits for news. A connection that has gone silent is seen
  * at the latest after this and the time-out of a call; shorter waits cost
  * calls, of which a hundred an entry and minute are no matter. */
-#define WAIT_MS 1000
+#define WAIT_MS 700
 #define RETRY_MS 60      /* after a first failure */
 #define RETRY_MAX_MS 400 /* the store turns away for seconds, never long */
 #define PAGE 500
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -9,6 +9,9 @@
 /* A link that has brought nothing for so long is replaced: something between
  * the two ends may have lost track of it while new connections work. */
 #define SILENT_MS 2500
+/* Looks come at least every half second and each brings a new stamp, so one
+ * that is older than three of them was held up. */
+#define LOOK_AGE_MS 1500
 /* An entry is good to call the store through when it was heard, and the store
  * answered it, within these: two hails, and one wait of a feed and a bit. */
 #define BEST_HEARD_MS 1200
@@ -27,7 +30,8 @@
     struct links *links;
     char address[NAME_SIZE];
     struct link *link;
-    int64_t heard_ms;
+    int64_t opened_ms;    /* the present link */
+    int64_t heard_ms;     /* last answer; 0: none on any link yet */
     int64_t store_age_ms; /* of its own way to the store; -1: none */
     bool listed;
     TAILQ_ENTRY(peer) entry;
@@ -87,6 +91,7 @@
     struct wire_hail m = {.msg = {WIRE_HAIL},
                           .incarnation = Queue_Incarnation(),
                           .store_age_ms = Queue_StoreAge(l->task.kernel),
+                          .stamp = Clock_NowMs(),
                           .entries = l->entries};
 
     Str_Copy(m.entry, sizeof(m.entry), s->name);
@@ -134,6 +139,29 @@
     Queue_Post(l->task.kernel, TASK_STORE, &said->base, &Queue_StoreSaidKind);
 }
 
+/* True for a look that was sent after this process said its stamp, not long
+ * ago.
+ *
+ * Failure: looks that a partition held up in a connection arrive seconds
+ * later, when the agent has opened another one. Symptom: they name a lifetime
+ * of the worker that is over, the present one is taken for lost, and its runs
+ * are started again beside those that have ended. A stamp that comes back
+ * bounds the age of what is taken. */
+static bool
+is_fresh(const struct wire_look *m)
+{
+    int64_t age_ms = Clock_NowMs() - m->stamp;
+
+    if (m->stamped_by == Queue_Incarnation() && age_ms <= LOOK_AGE_MS) {
+        return true;
+    }
+    if (m->stamped_by != 0) {
+        LOG_I("look_too_old", KV("agent", m->agent), KV_INT("age_ms", age_ms),
+              KV("worker", m->worker));
+    }
+    return false;
+}
+
 /* What comes to the listening link. */
 static void
 on_heard(void *arg, const struct link_peer *from, struct wire_msg **m)
@@ -142,9 +170,11 @@
 
     switch ((*m)->type) {
     case WIRE_LOOK:
-        note_agent(l, ((struct wire_look *)*m)->agent, from);
         hail(l, from);
-        pass_on(l, m);
+        if (is_fresh((const struct wire_look *)*m)) {
+            note_agent(l, ((struct wire_look *)*m)->agent, from);
+            pass_on(l, m);
+        }
         return;
     case WIRE_REFUSED:
         pass_on(l, m);
@@ -195,7 +225,7 @@
     Link_Free(p->link);
     p->link = Link_Connect(p->links->context, p->links->task.kernel->loop,
                            p->address, NULL, on_answer, p);
-    p->heard_ms = Clock_NowMs();
+    p->opened_ms = Clock_NowMs();
 }
 
 /* Drops a link to another entry. */
@@ -313,7 +343,8 @@
     Str_Copy(m.entry, sizeof(m.entry), s->name);
     m.version = l->config != NULL ? l->config->jobs.version : 0;
     TAILQ_FOREACH (p, &l->peers, entry) {
-        if (Clock_NowMs() - p->heard_ms > SILENT_MS) {
+        if (Clock_NowMs() - p->heard_ms > SILENT_MS &&
+            Clock_NowMs() - p->opened_ms > SILENT_MS) {
             connect_peer(p);
         }
         if (p->link != NULL) {
--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -5,8 +5,9 @@
 
 /* While our own way fails, one call in this time still tries it. */
 #define PROBE_MS 300
-/* A relayed call without an answer ends after the time of a call and this. */
-#define RELAY_MS 1600
+/* A relayed call without an answer ends after its wait and this: the time of a
+ * slow store, and two ways between entries. */
+#define RELAY_MS 900
 
 static struct counter relayed_total = {
     "parsleyfall_queue_relayed_total",
@@ -113,6 +114,25 @@
            err == ERR_INVALID;
 }
 
+/* Ends reads that wait for another entry, as our own way works again.
+ *
+ * Failure: the entry that we call through freezes with a feed of ours in its
+ * hands. Symptom: the configuration stays old for the whole time of that
+ * call, though the store would answer us. Whoever reads asks again at once. */
+static void
+end_relayed_reads(struct store_task *s)
+{
+    struct way *w, *next;
+
+    TAILQ_FOREACH_SAFE (w, &s->relayed, entry, next) {
+        if (w->call.verb != WIRE_STORE_COMMIT) {
+            TAILQ_REMOVE(&s->relayed, w, entry);
+            ev_timer_stop(s->task.kernel->loop, &w->limit);
+            fail(w, ERR_TIMEOUT);
+        }
+    }
+}
+
 /* Notes how our own way did, and says when it changes. */
 static void
 note_own(struct store_task *s, int err)
@@ -127,7 +147,10 @@
         }
         s->own_ok_ms = now;
         s->own_failed_ms = 0;
-        s->relaying = false;
+        if (s->relaying) {
+            s->relaying = false;
+            end_relayed_reads(s);
+        }
         return;
     }
     if (s->own_failed_ms == 0) {
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -18,6 +18,8 @@
     struct link *link;
     int64_t heard_ms;  /* last answer, or when the link was opened */
     int64_t listed_ms; /* last time that somebody named it */
+    int64_t stamp;     /* its newest, to be echoed; 0: none on this link */
+    uint64_t stamped_by;
     TAILQ_ENTRY(entry_link) entry;
 };
 
@@ -45,6 +47,8 @@
         const struct wire_hail *hail = (const struct wire_hail *)*m;
         const struct wire_entry *list = hail->entries.items;
 
+        e->stamp = hail->stamp;
+        e->stamped_by = hail->incarnation;
         for (size_t i = 0; i < hail->entries.count; i++) {
             want(l, list[i].address);
         }
@@ -68,6 +72,8 @@
     e->link = Link_Connect(e->links->context, e->links->task.kernel->loop,
                            e->address, NULL, on_heard, e);
     e->heard_ms = Clock_NowMs();
+    e->stamp = 0;
+    e->stamped_by = 0;
 }
 
 /* Links to an entry, once. */
@@ -147,8 +153,14 @@
         return;
     }
     TAILQ_FOREACH (e, &l->entries, entry) {
+        struct wire_msg *said = ((struct wire_note *)m)->m;
+
+        if (said->type == WIRE_LOOK) {
+            ((struct wire_look *)said)->stamp = e->stamp;
+            ((struct wire_look *)said)->stamped_by = e->stamped_by;
+        }
         if (e->link != NULL) {
-            Link_Send(e->link, NULL, ((struct wire_note *)m)->m);
+            Link_Send(e->link, NULL, said);
         }
     }
 }
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -207,6 +207,8 @@
     FIELDS(wire_stopped, stopped_fields);
 
 static const struct wire_field look[] = {
+    I(wire_look, stamp),
+    U(wire_look, stamped_by),
     NAME(wire_look, agent),
     TEXT(wire_look, worker),
     TEXT(wire_look, left),
@@ -225,7 +227,8 @@
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
-    I(wire_hail, store_age_ms), LIST(wire_hail, entries, entry_table)};
+    I(wire_hail, store_age_ms), I(wire_hail, stamp),
+    LIST(wire_hail, entries, entry_table)};
 
 static const struct wire_field order_fields[] = {
     U(wire_order, verb),          TEXT(wire_order, task),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -387,6 +387,9 @@
 /* One look of an agent at its worker, said to every entry. */
 struct wire_look {
     struct wire_msg msg;
+    /* Newest stamp of that entry on this link, and whose it is; 0: none. */
+    int64_t stamp;
+    uint64_t stamped_by;
     char agent[NAME_SIZE];
     char worker[WIRE_TEXT_SIZE]; /* lifetime; "": none that answers */
     char left[WIRE_TEXT_SIZE];   /* a lifetime that has left; "": none */
@@ -409,6 +412,7 @@
     char entry[NAME_SIZE];
     uint64_t incarnation;
     int64_t store_age_ms; /* since the store answered it itself; -1: never */
+    int64_t stamp;        /* the entry's clock, to be echoed in looks */
     struct wire_list entries; /* struct wire_entry */
 };
 
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -1,6 +1,8 @@
 /* The whole path on the stand-in of the hosted platform, as processes. */
 #include "hosted-stack.h"
 
+#include "wire.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -340,4 +342,42 @@
               std::string::npos);
 }
 
+/* A look that a partition held up arrives late, and names another lifetime of
+ * the worker. It must not end the present one: its task would be started again
+ * though it runs. The look is told by its stamp, which is none of this entry's
+ * present process. */
+TEST(Hosted, ALookThatComesLateEndsNoLifetime)
+{
+    HostedStack s(1, 1);
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct link_context *context = Link_ContextNew();
+    bool answered = false;
+    struct link *link = Link_Connect(
+        context, loop, s.Links(0).c_str(), nullptr,
+        [](void *arg, const struct link_peer *, struct wire_msg **) {
+            *static_cast<bool *>(arg) = true;
+        },
+        &answered);
+    struct wire_look look = {};
+
+    ASSERT_EQ(s.Submit(0, "a1", "1500").status, 200);
+    ASSERT_TRUE(s.Ends(0, "a1", "running"));
+    look.msg.type = WIRE_LOOK;
+    look.stamp = 1;
+    look.stamped_by = 1;
+    Str_Copy(look.agent, sizeof(look.agent), "agent-0");
+    Str_Copy(look.worker, sizeof(look.worker), "i-before");
+    Str_Copy(look.service, sizeof(look.service), "pool");
+    EXPECT_TRUE(WaitFor([&] {
+        Link_Send(link, nullptr, &look.msg);
+        ev_run(loop, EVRUN_NOWAIT);
+        return answered;
+    }));
+    EXPECT_TRUE(s.Ends(0, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 1u);
+    Link_Free(link);
+    Link_ContextFree(context);
+    ev_loop_destroy(loop);
+}
+
 } /* namespace */
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -180,6 +180,12 @@
     return "http://" + Address(i, CALLERS);
 }
 
+std::string
+HostedStack::Links(int i) const
+{
+    return Address(i, LINKS);
+}
+
 bool
 HostedStack::Ready(int i) const
 {
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -25,6 +25,7 @@
     void DropHistory();
 
     std::string Entry(int i) const; /* where callers connect */
+    std::string Links(int i) const; /* where agents connect */
     bool Ready(int i) const;
     harness::Reply Submit(int entry, const std::string &id,
                           const std::string &payload, int tasks = 1,
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -5,6 +5,6 @@
 pf_fake(fake-hosted-worker fakes/fake.c fakes/hosted-worker.c
         PACKAGES http kernel base)
 pf_process_test(hosted-process-test hosted-process-test.cc hosted-stack.cc
-                PACKAGES base NEEDS parsleyfall parsleyfall-agent
+                PACKAGES wire NEEDS parsleyfall parsleyfall-agent
                 fake-hosted-store fake-hosted-worker SHARDS 4)
 target_link_libraries(hosted-process-test PRIVATE sodium)
