The last ends of a worker that left are told with its leaving

The agent keeps the ends of its last look, tells them until another lifetime comes, and every 500 ms, so that whoever takes over hears them.

Test: TheLastEndsOfAWorkerThatLeftAreTaken.

--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -92,6 +92,19 @@
     Task_Gone(b, t, end_names[e->how], now_ms);
 }
 
+/* The ends that are news, in their order. */
+static void
+take_ends(struct jobs_book *b, struct jobs_worker *w,
+          const struct jobs_ended *ended, size_t count, int64_t now_ms)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (ended[i].number > w->seen) {
+            take_end(b, w, &ended[i], now_ms);
+            w->seen = ended[i].number;
+        }
+    }
+}
+
 /* One run that the worker lists as there. */
 static void
 take_running(struct jobs_book *b, struct jobs_worker *w,
@@ -175,12 +188,7 @@
     w = Book_Worker(b, r->worker, r->agent);
     take_facts(w, r, now_ms);
     end_earlier(b, w, now_ms);
-    for (size_t i = 0; i < r->ended_count; i++) {
-        if (r->ended[i].number > w->seen) {
-            take_end(b, w, &r->ended[i], now_ms);
-            w->seen = r->ended[i].number;
-        }
-    }
+    take_ends(b, w, r->ended, r->ended_count, now_ms);
     for (size_t i = 0; i < r->running_count; i++) {
         take_running(b, w, &r->running[i], now_ms);
     }
@@ -189,16 +197,24 @@
     }
 }
 
-/* A worker has left: its agent saw its word and found it gone. */
+/* A worker has left: its agent saw its word and found it gone.
+ *
+ * Failure: a task ends as done while its agent is cut off, and its worker
+ * leaves before the cut heals. Symptom: the end is lost with the worker, the
+ * task runs once more, and what comes after it waits. The agent therefore
+ * tells the last ends together with the leaving. */
 void
-Jobs_Left(struct jobs_book *b, const char *worker, int64_t now_ms)
+Jobs_Left(struct jobs_book *b, const char *worker,
+          const struct jobs_ended *ended, size_t count, int64_t now_ms)
 {
     struct jobs_worker *w = Book_FindWorker(b, worker);
 
-    if (w != NULL) {
-        Worker_Lost(b, w, "left", now_ms);
-        Worker_Free(b, w);
+    if (w == NULL) {
+        return;
     }
+    take_ends(b, w, ended, count, now_ms);
+    Worker_Lost(b, w, "left", now_ms);
+    Worker_Free(b, w);
 }
 
 /* A worker refused a start. The order may have been sent twice, and its other
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -246,8 +246,10 @@
 void Jobs_Refused(struct jobs_book *b, const char *agent, const char *worker,
                   const char *task, uint64_t run, const char *reason,
                   int64_t now_ms);
-/* A worker that its agent saw leave is gone. */
-void Jobs_Left(struct jobs_book *b, const char *worker, int64_t now_ms);
+/* A worker that its agent saw leave is gone; ended is what it last listed, of
+ * which some may not have been reported before. */
+void Jobs_Left(struct jobs_book *b, const char *worker,
+               const struct jobs_ended *ended, size_t count, int64_t now_ms);
 /* Runs that the rows name on workers unheard of so far end at this time at
  * the latest; called once, after all rows are in. */
 void Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms);
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -44,6 +44,15 @@
     }
 }
 
+/* Frees the lists of a report. */
+static void
+free_lists(struct jobs_report *r)
+{
+    free(r->running);
+    free(r->ended);
+    free(r->stopped);
+}
+
 /* True while this owner may give out leases: its writes are confirmed, so
  * nobody has taken over for longer than the bound that the next one waits. */
 static bool
@@ -84,10 +93,11 @@
     struct wire_orders *answer;
     int64_t now = Clock_NowMs();
 
-    if (*m->left != '\0') {
-        Jobs_Left(o->book, m->left, now);
-    }
     if (*m->worker == '\0') {
+        /* Ends that come without a worker are those of the one that left. */
+        copy_lists(m, &r);
+        Jobs_Left(o->book, m->left, r.ended, r.ended_count, now);
+        free_lists(&r);
         say(o, m->agent, new_orders(o, "")); /* it needs the term */
         return;
     }
@@ -102,9 +112,10 @@
     r.clock_ms = m->clock_ms;
     copy_lists(m, &r);
     Jobs_Report(o->book, &r, now);
-    free(r.running);
-    free(r.ended);
-    free(r.stopped);
+    free_lists(&r);
+    if (*m->left != '\0') {
+        Jobs_Left(o->book, m->left, NULL, 0, now);
+    }
     answer = new_orders(o, m->worker);
     if (may_grant(o)) {
         answer->until_ms = m->clock_ms + s->hosted.lease_ms;
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -221,7 +221,7 @@
     take_jobs(o, r);
     Jobs_TakeOver(o->book, o->dead_before ? lost : lost + BLIND_MS, now);
     for (size_t i = 0; i < LEFT_MAX; i++) {
-        Jobs_Left(o->book, o->left[i], now);
+        Jobs_Left(o->book, o->left[i], NULL, 0, now);
     }
     o->office = OFFICE_HELD;
     o->beat_due = true;
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -8,7 +8,8 @@
  * little. */
 #define WAIT_MS 400
 #define RETRY_MS 100
-#define SOON_MS 15 /* after an order, so that its effect is seen early */
+#define BLIND_MS 500 /* while there is no worker to look at */
+#define SOON_MS 15   /* after an order, so that its effect is seen early */
 /* Between two looks while ends wait to be stored: the worker answers at once
  * then, and looking without a pause would cost all of the processor. */
 #define ENDS_MS 50
@@ -99,6 +100,7 @@
     m->term = call->term;
     m->clock_ms = seen->clock_ms;
     fill_lists(w, seen, m);
+    Wire_ListCopy(&w->ended, &m->ended, sizeof(struct wire_end));
     fill_stopped(w, call->number, m);
     Watch_Say(w, &m->msg);
 }
@@ -118,20 +120,9 @@
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->left, sizeof(m->left), w->left);
     m->term = w->term;
-    Watch_Say(w, &m->msg);
-}
-
-/* Tells all entries that a lifetime is over. */
-static void
-tell_left(struct watch *w, const char *lifetime)
-{
-    const struct agent_settings *s = w->task.kernel->settings;
-    struct wire_look *m = Wire_New(WIRE_LOOK);
-
-    LOG_I("worker_gone", KV("worker", lifetime));
-    Str_Copy(w->left, sizeof(w->left), lifetime);
-    Str_Copy(m->agent, sizeof(m->agent), s->name);
-    Str_Copy(m->left, sizeof(m->left), lifetime);
+    if (*w->said.lifetime == '\0') {
+        Wire_ListCopy(&m->ended, &w->ended, sizeof(struct wire_end));
+    }
     Watch_Say(w, &m->msg);
 }
 
@@ -167,10 +158,12 @@
     }
     else if (err == ERR_STALE && current) {
         /* Another lifetime answers at this address: this one is over. */
+        Str_Copy(w->left, sizeof(w->left), call->lifetime);
         Watch_Forget(w);
     }
     else if (err == ERR_UNREACHABLE && current && w->leaving) {
-        tell_left(w, call->lifetime);
+        LOG_I("worker_gone", KV("worker", call->lifetime));
+        Str_Copy(w->left, sizeof(w->left), call->lifetime);
         Watch_Forget(w);
     }
     if (!call->extra && err != ERR_OK) {
@@ -202,7 +195,13 @@
 static void
 look(struct watch *w)
 {
-    if (*w->said.lifetime == '\0' || w->looking) {
+    if (w->looking) {
+        return;
+    }
+    if (*w->said.lifetime == '\0') {
+        /* Whoever takes over next has to hear of a worker that left. */
+        tell_blind(w);
+        look_later(w, BLIND_MS);
         return;
     }
     w->looking = true;
@@ -240,6 +239,10 @@
     }
     Str_Copy(w->past[w->past_next++ % PAST_LIFETIMES], JOBS_TEXT_SIZE,
              w->said.lifetime);
+    if (strcmp(w->left, w->said.lifetime) != 0) {
+        Wire_ListCopy(&w->ended, &(struct wire_list){0},
+                      sizeof(struct wire_end));
+    }
     memset(&w->said, 0, sizeof(w->said));
     w->answered = false;
     w->leaving = false;
@@ -359,6 +362,7 @@
     ev_timer_stop(t->kernel->loop, &w->again);
     ev_timer_stop(t->kernel->loop, &w->soon);
     Watch_Forget(w);
+    free(w->ended.items);
     w->worker->ops->free(w->worker);
     free(w);
 }
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -41,6 +41,7 @@
     bool answered;           /* under its id */
     bool leaving;            /* it said that it ends */
     char left[JOBS_TEXT_SIZE];
+    struct wire_list ended; /* struct wire_end, of the last look */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
     size_t past_next;
     uint64_t term;      /* highest of an owner that was heard */
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -195,6 +195,30 @@
     EXPECT_TRUE(w.broken.empty());
 }
 
+/* A task ends as done while its worker can't be reached, and the worker leaves
+ * before it can. Its agent tells that end together with the leaving; without
+ * it the task would run once more, and what comes after it would wait. */
+TEST(Jobs, TheLastEndsOfAWorkerThatLeftAreTaken)
+{
+    World w(2);
+    struct jobs_ended end = {};
+
+    w.Submit(w.Spec("d9", 1, 1));
+    w.Turns(10);
+    Worker *there = w.WorkerOf("d9.0.0.0");
+    there->reachable = false;
+    w.Turns(60);
+    there->up = false;
+    end.number = 1;
+    Str_Copy(end.task, sizeof(end.task), "d9.0.0.0");
+    end.run = 1;
+    end.how = END_DONE;
+    Jobs_Left(w.book, there->id.c_str(), &end, 1, w.now);
+    w.Turns(5);
+    EXPECT_EQ(w.State("d9"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("d9.0.0.0"), 1);
+}
+
 /* The owner ends between writing a run and ordering it. The next one orders
  * that same run: it is either there already, or it starts now. */
 TEST(Jobs, ARunThatWasWrittenAndNotOrderedIsOrderedByTheNextOwner)
