--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -246,13 +246,13 @@
 void
 Cache_Clear(struct intake *in)
 {
-    struct cached_row *r;
-    struct shown_job *j;
+    struct cached_row *r, *next_row;
+    struct shown_job *j, *next;
 
-    while ((r = RB_ROOT(&in->cache)) != NULL) {
+    RB_FOREACH_SAFE (r, row_tree, &in->cache, next_row) {
         drop(in, r);
     }
-    while ((j = RB_ROOT(&in->jobs)) != NULL) {
+    RB_FOREACH_SAFE (j, shown_tree, &in->jobs, next) {
         RB_REMOVE(shown_tree, &in->jobs, j);
         free(j);
     }
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -392,14 +392,14 @@
 links_free(struct task *t)
 {
     struct links *l = (struct links *)t;
-    struct peer *p;
-    struct agent *a;
+    struct peer *p, *next_peer;
+    struct agent *a, *next;
 
     ev_timer_stop(t->kernel->loop, &l->tick);
-    while ((p = TAILQ_FIRST(&l->peers)) != NULL) {
+    TAILQ_FOREACH_SAFE (p, &l->peers, entry, next_peer) {
         free_peer(p);
     }
-    while ((a = RB_ROOT(&l->agents)) != NULL) {
+    RB_FOREACH_SAFE (a, agent_tree, &l->agents, next) {
         RB_REMOVE(agent_tree, &l->agents, a);
         free(a);
     }
--- a/packages/queue/queue-relay-serve.c
+++ b/packages/queue/queue-relay-serve.c
@@ -87,18 +87,8 @@
 static void
 commit(struct store_task *s, const struct wire_store_call *m, struct served *c)
 {
-    const struct wire_store_op *from = m->ops.items;
-    struct table_op *ops CLEANUP(Mem_FreeP) =
-        Mem_Zero(m->ops.count + 1, sizeof(*ops));
-
-    for (size_t i = 0; i < m->ops.count; i++) {
-        ops[i] = (struct table_op){.verb = (enum table_verb)from[i].verb,
-                                   .table = from[i].table,
-                                   .key = from[i].key,
-                                   .if_version = from[i].if_version,
-                                   .value = from[i].value.data,
-                                   .len = from[i].value.len};
-    }
+    struct table_op *ops CLEANUP(Mem_FreeP) = Relay_Ops(m);
+
     c->ops = m->ops.count;
     s->own->ops->commit(s->own, ops, m->ops.count, on_committed, c);
 }
--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -212,8 +212,8 @@
 }
 
 /* The ops of a commit as a table takes them; to be freed. */
-static struct table_op *
-ops_of(const struct wire_store_call *c)
+struct table_op *
+Relay_Ops(const struct wire_store_call *c)
 {
     const struct wire_store_op *from = c->ops.items;
     struct table_op *ops = Mem_Zero(c->ops.count + 1, sizeof(*ops));
@@ -247,7 +247,7 @@
         t->ops->feed(t, c->table, c->position, c->wait_ms, own_fed, w);
         return;
     default:
-        ops = ops_of(c);
+        ops = Relay_Ops(c);
         t->ops->commit(t, ops, c->ops.count, own_committed, w);
     }
 }
--- a/packages/queue/queue-relay.h
+++ b/packages/queue/queue-relay.h
@@ -45,6 +45,9 @@
 void Relay_Init(struct store_task *s);
 void Relay_Answer(struct store_task *s, struct wire_store_answer *m);
 void Relay_Free(struct store_task *s);
+/* The ops of a commit as a table takes them; valid while the call is, to be
+ * freed. */
+struct table_op *Relay_Ops(const struct wire_store_call *c);
 /* ---- queue-relay-serve.c: calls of another entry */
 void Relay_Serve(struct store_task *s, const struct link_peer *from,
                  const struct wire_store_call *m);
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -170,10 +170,10 @@
 links_free(struct task *t)
 {
     struct links *l = (struct links *)t;
-    struct entry_link *e;
+    struct entry_link *e, *next;
 
     ev_timer_stop(t->kernel->loop, &l->check);
-    while ((e = TAILQ_FIRST(&l->entries)) != NULL) {
+    TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
         drop(e);
     }
     Link_ContextFree(l->context);
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -8,3 +8,4 @@
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
                 fake-hosted-store fake-hosted-worker SHARDS 4)
 target_link_libraries(hosted-process-test PRIVATE sodium)
+pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
