--- a/packages/queue/queue-relay-serve.c
+++ b/packages/queue/queue-relay-serve.c
@@ -3,14 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A call that is made for another entry. */
-struct served {
-    struct store_task *store;
-    struct link_peer to;
-    uint64_t number;
-    size_t ops;
-};
-
 /* Sends the answer and frees the call. */
 static void
 answer(struct served *c, struct wire_store_answer *m, int err)
@@ -24,6 +16,7 @@
     say->m = &m->msg;
     Queue_Post(c->store->task.kernel, TASK_LINKS, &say->base,
                &Queue_SayEntryKind);
+    TAILQ_REMOVE(&c->store->served, c, entry);
     free(c);
 }
 
@@ -105,6 +98,7 @@
     c->store = s;
     c->to = *from;
     c->number = m->number;
+    TAILQ_INSERT_TAIL(&s->served, c, entry);
     switch (m->verb) {
     case WIRE_STORE_GET:
         t->ops->get(t, m->table, m->key, on_got, c);
@@ -120,6 +114,18 @@
         return;
     default:
         LOG_W("store_call_unknown", KV_INT("verb", m->verb));
+        TAILQ_REMOVE(&s->served, c, entry);
+        free(c);
+    }
+}
+
+/* Drops what other entries asked for. */
+void
+RelayServe_Free(struct store_task *s)
+{
+    struct served *c, *next;
+
+    TAILQ_FOREACH_SAFE (c, &s->served, entry, next) {
         free(c);
     }
 }
--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -179,6 +179,7 @@
 own_done(struct way *w, int err, struct table_row *rows, size_t count,
          bool more, const uint64_t *versions)
 {
+    TAILQ_REMOVE(&w->store->under_way, w, entry);
     note_own(w->store, err);
     if (may_relay(w, err) && relay(w)) {
         return;
@@ -270,6 +271,7 @@
         return;
     }
     s->probe_ms = now + PROBE_MS;
+    TAILQ_INSERT_TAIL(&s->under_way, w, entry);
     call_own(s->own, w);
 }
 
@@ -355,6 +357,8 @@
 {
     s->seen.ops = &relay_ops;
     TAILQ_INIT(&s->relayed);
+    TAILQ_INIT(&s->under_way);
+    TAILQ_INIT(&s->served);
 }
 
 /* What another entry had from the store for us. */
@@ -400,11 +404,13 @@
 void
 Relay_Free(struct store_task *s)
 {
-    struct way *w;
+    struct way *w, *next;
 
-    while ((w = TAILQ_FIRST(&s->relayed)) != NULL) {
-        TAILQ_REMOVE(&s->relayed, w, entry);
+    TAILQ_FOREACH_SAFE (w, &s->relayed, entry, next) {
         ev_timer_stop(s->task.kernel->loop, &w->limit);
         free_way(w);
     }
+    TAILQ_FOREACH_SAFE (w, &s->under_way, entry, next) {
+        free_way(w);
+    }
 }
--- a/packages/queue/queue-relay.h
+++ b/packages/queue/queue-relay.h
@@ -22,7 +22,16 @@
     void *arg;
     bool relayed;
     ev_timer limit;
-    TAILQ_ENTRY(way) entry;
+    TAILQ_ENTRY(way) entry; /* of the store's list of its kind */
+};
+
+/* A call that is made for another entry. */
+struct served {
+    struct store_task *store;
+    struct link_peer to;
+    uint64_t number;
+    size_t ops;
+    TAILQ_ENTRY(served) entry;
 };
 
 /* The table that the other tasks see is the first member. */
@@ -38,7 +47,9 @@
     bool relaying;
     char best[NAME_SIZE]; /* entry to call through; "": none */
     uint64_t numbers;
-    TAILQ_HEAD(, way) relayed;
+    TAILQ_HEAD(, way) relayed;   /* with another entry */
+    TAILQ_HEAD(, way) under_way; /* on our own connection */
+    TAILQ_HEAD(, served) served;
 };
 
 /* ---- queue-relay.c: calls of ours */
@@ -49,6 +60,7 @@
  * freed. */
 struct table_op *Relay_Ops(const struct wire_store_call *c);
 /* ---- queue-relay-serve.c: calls of another entry */
+void RelayServe_Free(struct store_task *s);
 void Relay_Serve(struct store_task *s, const struct link_peer *from,
                  const struct wire_store_call *m);
 
--- a/packages/queue/queue-store.c
+++ b/packages/queue/queue-store.c
@@ -57,8 +57,9 @@
 {
     struct store_task *s = (struct store_task *)t;
 
-    Relay_Free(s);
     s->own->ops->free(s->own);
+    Relay_Free(s);
+    RelayServe_Free(s);
     free(s);
 }
 
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -147,6 +147,7 @@
     struct watch *w = call->watch;
     bool current = strcmp(call->lifetime, w->said.lifetime) == 0;
 
+    TAILQ_REMOVE(&w->look_calls, call, entry);
     if (!call->extra) {
         w->looking = false;
     }
@@ -183,6 +184,7 @@
     struct look_call *call = Mem_Zero(1, sizeof(*call));
 
     call->watch = w;
+    TAILQ_INSERT_TAIL(&w->look_calls, call, entry);
     call->extra = extra;
     call->number = ++w->looks;
     call->term = w->term;
@@ -358,12 +360,20 @@
 watch_free(struct task *t)
 {
     struct watch *w = (struct watch *)t;
+    struct order_call *order, *next_order;
+    struct look_call *call, *next_call;
 
     ev_timer_stop(t->kernel->loop, &w->again);
     ev_timer_stop(t->kernel->loop, &w->soon);
     Watch_Forget(w);
     free(w->ended.items);
     w->worker->ops->free(w->worker);
+    TAILQ_FOREACH_SAFE (order, &w->calls, entry, next_order) {
+        free(order);
+    }
+    TAILQ_FOREACH_SAFE (call, &w->look_calls, entry, next_call) {
+        free(call);
+    }
     free(w);
 }
 
@@ -386,6 +396,7 @@
     }
     TAILQ_INIT(&w->stops);
     TAILQ_INIT(&w->calls);
+    TAILQ_INIT(&w->look_calls);
     w->worker = Runs_Site()->open_worker(k->loop, &s->hosted);
     ev_init(&w->again, on_again);
     w->again.data = w;
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -32,6 +32,7 @@
     char lifetime[JOBS_TEXT_SIZE];
     uint64_t number;
     uint64_t term;
+    TAILQ_ENTRY(look_call) entry;
 };
 
 struct watch {
@@ -53,6 +54,7 @@
     uint64_t looks;
     TAILQ_HEAD(, confirmed_stop) stops;
     TAILQ_HEAD(, order_call) calls;
+    TAILQ_HEAD(, look_call) look_calls;
     ev_timer again;
     ev_timer soon;
 };
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -256,6 +256,7 @@
     EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
     EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
     EXPECT_EQ(s.entries[0]->Wait(), 0) << s.Logs();
+    EXPECT_EQ(s.agents[0]->Terminate(), 0) << s.Logs();
 }
 
 /* What `parsleyfall explain ID` says over the logs of all entries. */
