A job outlives its queue

Cause: read through: a job whose queue no configuration had any more was eligible nowhere, so what was accepted waited for ever. Its row keeps the terms that it was taken under.

Test: AJobOutlivesItsQueue (queue and owner gone); before, the job stayed queued.

--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -213,17 +213,18 @@
     return longest;
 }
 
-/* Takes what a job needs of its queue. A queue that is gone from the
- * configuration leaves its jobs as they were. */
+/* Takes what a job's queue grants.
+ *
+ * Failure: an operator takes a queue away while jobs of it wait. Symptom:
+ * nobody knows any more which service runs them, and what was accepted never
+ * starts. A job without a queue keeps the terms that it had. */
 static void
 set_queue(struct jobs_book *b, struct jobs_job *j)
 {
     const struct jobs_queue *q = JobsConfig_Queue(b->config, j->spec.queue);
 
-    j->queue = q;
     if (q != NULL) {
-        j->priority = q->priority;
-        j->attempts = q->attempts;
+        JobsTerms_Of(q, &j->terms);
     }
 }
 
@@ -267,7 +268,10 @@
     TAILQ_INIT(&j->units);
     j->arrived_ms = now_ms;
     j->chain_ms = chain_of(&j->spec);
-    j->attempts = 1;
+    j->terms = j->spec.terms;
+    if (j->terms.attempts < 1) {
+        j->terms.attempts = 1;
+    }
     set_queue(b, j);
     if (j->spec.repetitions == 0) {
         Book_AddOccurrence(j);
@@ -414,7 +418,7 @@
         json_array_append_new(
             jobs, json_pack("{s:s,s:s,s:s,s:i}", "id", j->spec.id, "queue",
                             j->spec.queue, "state", Jobs_StateName(j->state),
-                            "priority", j->priority));
+                            "priority", j->terms.priority));
     }
     RB_FOREACH (w, lifetime_tree, (struct lifetime_tree *)&b->workers) {
         json_array_append_new(
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -59,10 +59,9 @@
 
 struct jobs_job {
     struct jobs_spec spec;
-    const struct jobs_queue *queue; /* NULL: no configuration has it */
-    int priority;
+    struct jobs_terms terms; /* of its queue, as the newest configuration that
+                              * has it says, else as it was taken */
     int rank; /* who gives way to whom: lower ranks evict higher ones */
-    int attempts;
     enum jobs_state state;
     bool cancelled;
     bool dirty;
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -54,13 +54,12 @@
             const struct jobs_unit *u, int64_t now_ms)
 {
     const struct jobs_step *s = Unit_Step(u);
-    const struct jobs_queue *q = u->job->queue;
     bool labelled = *s->label == '\0';
 
-    if (!w->heard || w->draining || q == NULL ||
+    if (!w->heard || w->draining ||
         now_ms - w->report_ms > b->limits.silent_ms ||
         w->full_until_ms > now_ms || w->suspect_until_ms > now_ms ||
-        strcmp(q->service, w->service) != 0) {
+        strcmp(u->job->terms.service, w->service) != 0) {
         return false;
     }
     for (uint32_t i = 0; i < w->label_count; i++) {
@@ -250,7 +249,7 @@
     double saved = (b->limits.remote_factor - 1) * (double)s->estimate_ms;
     int64_t patience = (int64_t)(saved / 2);
 
-    if (u->job->priority == 0 && patience > urgent_ms) {
+    if (u->job->terms.priority == 0 && patience > urgent_ms) {
         patience = urgent_ms;
     }
     return now_ms - u->ready_ms >= patience;
@@ -339,7 +338,7 @@
         keep_room(a);
         return true;
     }
-    if (a->unit->job->priority == 0 &&
+    if (a->unit->job->terms.priority == 0 &&
         choose_all(b, a, ROOM_EVICTING, now_ms)) {
         evict(b, a, now_ms);
         keep_room(a);
@@ -355,7 +354,7 @@
 {
     static const int64_t urgent_ms = 300, usual_ms = 1500;
 
-    return u->job->priority == 0 ? urgent_ms : usual_ms;
+    return u->job->terms.priority == 0 ? urgent_ms : usual_ms;
 }
 
 /* Places a unit. */
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -73,8 +73,8 @@
 
     *count = 0;
     TAILQ_FOREACH (j, &b->active, active) {
-        double stretch = j->queue != NULL ? j->queue->stretch : 1;
-        int64_t target = j->queue != NULL ? j->queue->target_ms : 0;
+        double stretch = j->terms.stretch;
+        int64_t target = j->terms.target_ms;
 
         add_due(b, j, wall_ms);
         TAILQ_FOREACH (u, &j->units, entry) {
@@ -176,7 +176,7 @@
     leave_slow(b, now_ms);
     list = collect(b, now_ms, wall_ms, &count);
     for (size_t i = 0; i < count; i++) {
-        bool first = list[i].unit->job->priority == 0;
+        bool first = list[i].unit->job->terms.priority == 0;
         bool reserve = first || reservations < RESERVATIONS;
 
         if (!Place_Unit(b, list[i].unit, now_ms, reserve) && !first &&
--- a/packages/jobs/jobs-rank.c
+++ b/packages/jobs/jobs-rank.c
@@ -42,7 +42,7 @@
         if (other == j) {
             break;
         }
-        if (other->priority == 0 && other->state <= JOB_RUNNING &&
+        if (other->terms.priority == 0 && other->state <= JOB_RUNNING &&
             strcmp(other->spec.organisation, j->spec.organisation) == 0) {
             sum += width_of(other);
         }
@@ -64,8 +64,8 @@
     struct jobs_job *j;
 
     TAILQ_FOREACH (j, &b->active, active) {
-        j->rank = j->priority;
-        if (j->priority == 0 &&
+        j->rank = j->terms.priority;
+        if (j->terms.priority == 0 &&
             taken_before(b, j) + width_of(j) <=
                 guaranteed_of(b->config, j->spec.organisation)) {
             j->rank = RANK_COVERED;
--- a/packages/jobs/jobs-spec.c
+++ b/packages/jobs/jobs-spec.c
@@ -127,6 +127,17 @@
     return o;
 }
 
+/* What a queue grants. */
+void
+JobsTerms_Of(const struct jobs_queue *q, struct jobs_terms *out)
+{
+    Str_Copy(out->service, sizeof(out->service), q->service);
+    out->priority = q->priority;
+    out->attempts = q->attempts;
+    out->stretch = q->stretch;
+    out->target_ms = q->target_ms;
+}
+
 /* Writes the row of a spec. */
 void
 JobsSpec_Encode(const struct jobs_spec *s, struct buf *out)
@@ -139,6 +150,11 @@
     json_put_text(o, "organisation", s->organisation);
     json_object_set_new(o, "payload",
                         json_string(s->payload != NULL ? s->payload : ""));
+    json_put_text(o, "service", s->terms.service);
+    json_put_number(o, "priority", s->terms.priority);
+    json_put_number(o, "attempts", s->terms.attempts);
+    json_object_set_new(o, "stretch", json_real(s->terms.stretch));
+    json_put_number(o, "target_ms", s->terms.target_ms);
     json_put_number(o, "repetitions", s->repetitions);
     json_put_number(o, "first_due_ms", s->first_due_ms);
     json_put_number(o, "interval_ms", s->interval_ms);
@@ -193,6 +209,11 @@
     err |= json_text(o, "queue", s->queue, sizeof(s->queue));
     err |=
         json_text(o, "organisation", s->organisation, sizeof(s->organisation));
+    err |= json_text(o, "service", s->terms.service, sizeof(s->terms.service));
+    s->terms.priority = (int)json_number(o, "priority");
+    s->terms.attempts = (int)json_number(o, "attempts");
+    s->terms.stretch = json_number_value(json_object_get(o, "stretch"));
+    s->terms.target_ms = json_number(o, "target_ms");
     s->payload = Mem_Dup(payload != NULL ? payload : "");
     s->repetitions = (uint32_t)json_number(o, "repetitions");
     s->first_due_ms = json_number(o, "first_due_ms");
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -218,7 +218,8 @@
     u->failed_run = true;
     u->failures++;
     Book_Touch(b, u->job);
-    if (Unit_Step(u)->lasting || u->failures < (uint32_t)u->job->attempts) {
+    if (Unit_Step(u)->lasting ||
+        u->failures < (uint32_t)u->job->terms.attempts) {
         return;
     }
     TAILQ_FOREACH (other, &u->job->units, entry) {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -115,7 +115,18 @@
     char image[JOBS_TEXT_SIZE];
 };
 
+/* What a queue grants its jobs. A job keeps those that it was taken under, for
+ * the time when no configuration has its queue any more. */
+struct jobs_terms {
+    char service[NAME_SIZE]; /* "": not known */
+    int priority;
+    int attempts;
+    double stretch;
+    int64_t target_ms;
+};
+
 struct jobs_spec {
+    struct jobs_terms terms;
     char id[JOBS_ID_SIZE];
     char queue[NAME_SIZE];
     char organisation[NAME_SIZE]; /* "": anonymous */
@@ -129,6 +140,8 @@
 };
 
 void JobsSpec_Clear(struct jobs_spec *s); /* fit for CLEANUP */
+/* Takes the terms of its queue. */
+void JobsTerms_Of(const struct jobs_queue *q, struct jobs_terms *out);
 /* ERR_OK, or ERR_INVALID with what is wrong in why. */
 int JobsSpec_Check(const struct jobs_spec *s, char why[128]);
 /* The row of a spec, as JSON, and back. ERR_OK or ERR_INVALID. */
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -226,6 +226,7 @@
     char why[128];
 
     Str_Copy(call->spec.queue, sizeof(call->spec.queue), queue->name);
+    JobsTerms_Of(queue, &call->spec.terms);
     Str_Copy(call->spec.organisation, sizeof(call->spec.organisation),
              organisation);
     Str_Copy(call->spec.id, sizeof(call->spec.id), id);
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -219,6 +219,26 @@
     EXPECT_EQ(w.Starts("d9.0.0.0"), 1);
 }
 
+/* An operator takes a queue away while a job of it waits, and another owner
+ * takes over, whose configuration never had that queue. What was accepted
+ * still runs, on the service that its queue had. */
+TEST(Jobs, AJobOutlivesItsQueue)
+{
+    World w(1);
+    struct jobs_spec s = w.Spec("da", 1, 1);
+
+    JobsTerms_Of(&w.config.queues[0], &s.terms);
+    w.workers[0].draining = true;
+    w.Submit(s);
+    w.Turns(10);
+    w.config.queue_count = 0;
+    Jobs_SetConfig(w.book, &w.config);
+    w.TakeOver();
+    w.workers[0].draining = false;
+    w.Turns(100);
+    EXPECT_EQ(w.State("da"), JOB_COMPLETED);
+}
+
 /* The owner ends between writing a run and ordering it. The next one orders
  * that same run: it is either there already, or it starts now. */
 TEST(Jobs, ARunThatWasWrittenAndNotOrderedIsOrderedByTheNextOwner)
