A given-back office grants nothing; loading asks again; own interface by organisation

Read through: an owner that had given the office back still answered looks with leases, while the next one waits only for those given before; an owner whose first rows were from before its own row would have loaded for ever; /v1/jobs and /v1/why told one organisation of another's jobs. Test: TheOwnInterfaceServesTheSameJobs.

--- a/packages/jobs/jobs-event.c
+++ b/packages/jobs/jobs-event.c
@@ -43,6 +43,7 @@
     struct jobs_event *e = add(b, kind, reason);
 
     Str_Copy(e->job, sizeof(e->job), j->spec.id);
+    Str_Copy(e->organisation, sizeof(e->organisation), j->spec.organisation);
     return e;
 }
 
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -309,6 +309,7 @@
     enum jobs_event_kind kind;
     const char *reason;
     char job[JOBS_ID_SIZE];
+    char organisation[NAME_SIZE]; /* of the job */
     char task[JOBS_TASK_SIZE];
     char worker[JOBS_TEXT_SIZE];
     char other[JOBS_ID_SIZE]; /* a job that it gave way to; "": none */
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -412,5 +412,10 @@
         look_up(in, call, id);
         return;
     }
+    /* By the product's own interface nobody sees another's work. */
+    if (*call->job != '\0' && strcmp(j->organisation, organisation) != 0) {
+        finish(call, QUEUE_GONE, "no_such_job");
+        return;
+    }
     serve_known(in, call, id);
 }
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -54,11 +54,13 @@
 }
 
 /* True while this owner may give out leases: its writes are confirmed, so
- * nobody has taken over for longer than the bound that the next one waits. */
+ * nobody has taken over for longer than the bound that the next one waits; and
+ * it has not given the office back, after which the next one waits for no more
+ * than the leases given so far. */
 static bool
 may_grant(const struct owner *o)
 {
-    return Clock_NowMs() - o->confirmed_ms < BLIND_MS;
+    return !o->released && Clock_NowMs() - o->confirmed_ms < BLIND_MS;
 }
 
 /* Makes an empty message of orders. */
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -7,6 +7,7 @@
 #define TICK_MS 100
 #define SOON_MS 3 /* what comes within it is decided and written at once */
 #define CLAIM_PAUSE_MS 150
+#define LOADING_MS 300 /* then the rows are asked for once more */
 /* The feed answers at least once a second; after a longer gap than this it
  * has to be followed anew before silence of the owner means anything. */
 #define FEED_GAP_MS 1600
@@ -84,17 +85,25 @@
 
 /* Asks for all rows, to build the book. */
 static void
-begin_loading(struct owner *o)
+want_rows(struct owner *o)
 {
     struct rows_wanted *m = Mem_Zero(1, sizeof(*m));
 
+    o->wanted_ms = Clock_NowMs();
+    Queue_Post(o->task.kernel, TASK_INTAKE, &m->base, &Queue_WantedKind);
+}
+
+/* The row names us: the rows come next. */
+static void
+begin_loading(struct owner *o)
+{
     o->office = OFFICE_LOADING;
     o->term = o->row_term;
     o->version = o->row_version;
     o->confirmed_ms = Clock_NowMs();
     LOG_I("owner_elected", KV_INT("term", o->term),
           KV_INT("version", o->version));
-    Queue_Post(o->task.kernel, TASK_INTAKE, &m->base, &Queue_WantedKind);
+    want_rows(o);
 }
 
 /* The owner row has changed. */
@@ -368,6 +377,10 @@
         consider(o);
         return;
     case OFFICE_LOADING:
+        /* Rows from before our own row came are not enough; ask again. */
+        if (Clock_NowMs() - o->wanted_ms > LOADING_MS) {
+            want_rows(o);
+        }
         return;
     case OFFICE_FENCING:
         Owner_Claim(o, s->name);
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -41,6 +41,7 @@
     int64_t fresh_ms;     /* since when its answers come without a gap */
     bool claiming;        /* a write of the owner row is under way */
     int64_t claim_ms;     /* not before */
+    int64_t wanted_ms;    /* when all rows were asked for */
     bool dead_before;     /* the owner before us had ended for certain */
     char before_name[NAME_SIZE]; /* it; "": it need not be waited for */
     uint64_t before_incarnation;
--- a/packages/queue/queue-why.c
+++ b/packages/queue/queue-why.c
@@ -51,24 +51,27 @@
 }
 
 /* GET /v1/why/ID: what this entry decided of a job while it was the owner.
- * The holder of a key is told of its organisation's jobs, of an id that it
- * can't have guessed. */
+ * The holder of a key is told of its own organisation's jobs. */
 static void
 why(struct task *t, struct http_exchange *ex, const char *id)
 {
     const struct owner *o = (const struct owner *)t;
     const char *token = Requests_Token(ex);
+    const struct jobs_organisation *asks = NULL;
     const struct jobs_event *e;
     json_t *list;
 
-    if (o->config == NULL || token == NULL ||
-        JobsConfig_ByKey(&o->config->jobs, token) == NULL) {
+    if (o->config != NULL && token != NULL) {
+        asks = JobsConfig_ByKey(&o->config->jobs, token);
+    }
+    if (asks == NULL) {
         Front_Refuse(ex, 401, "not_run", "unknown_key", "", -1, NULL);
         return;
     }
     list = json_array();
     TAILQ_FOREACH (e, &o->kept, entry) {
-        if (strcmp(e->job, id) == 0) {
+        if (strcmp(e->job, id) == 0 &&
+            strcmp(e->organisation, asks->name) == 0) {
             json_array_append_new(list, show(e));
         }
     }
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -337,6 +337,14 @@
     r = Http("GET", url + "/v1/why/b1", "", key);
     EXPECT_NE(r.body.find("run_given"), std::string::npos);
     EXPECT_EQ(Http("GET", url + "/v1/why/b1").status, 401);
+    s.PutConfig(2, {"key-one"}, "key-other");
+    const std::vector<std::string> other = {"Authorization: Bearer key-other"};
+    EXPECT_TRUE(WaitFor([&] {
+        return Http("GET", url + "/v1/jobs/b1", "", other).status == 404;
+    }));
+    r = Http("GET", url + "/v1/why/b1", "", other);
+    EXPECT_EQ(r.status, 200);
+    EXPECT_EQ(r.body.find("run_given"), std::string::npos);
     EXPECT_EQ(Http("POST", url + "/v1/jobs", "{}", key).status, 400);
     EXPECT_NE(Http("GET", url + "/metrics")
                   .body.find("parsleyfall_queue_accepted_total"),
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -138,9 +138,14 @@
 }
 
 void
-HostedStack::PutConfig(int version, const std::vector<std::string> &keys)
+HostedStack::PutConfig(int version, const std::vector<std::string> &keys,
+                       const std::string &other_key)
 {
-    std::string list;
+    std::string list, other;
+
+    if (!other_key.empty()) {
+        other = R"(,{"name":"u","api-keys":[")" + other_key + "\"]}";
+    }
 
     for (const std::string &k : keys) {
         list += (list.empty() ? "\"" : ",\"") + k + "\"";
@@ -153,7 +158,7 @@
         R"("services":[{"name":"pool","admission-check":true}],)"
         R"("limits":{"max-body-bytes":262144},)"
         R"("tenants":[{"name":"t","api-keys":[)" +
-        list + R"(],"guaranteed":{"gpu":8}}]})";
+        list + R"(],"guaranteed":{"gpu":8}})" + other + "]}";
 
     Http("POST", store->Url("/rows-tx"),
          R"({"expect":[],"remove":[],"writes":[{"table":"op","part":"",)"
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -17,9 +17,10 @@
     void StartAgent(int i);
     /* A lifetime of the worker beside agent i. */
     void StartWorker(int i, const std::string &lifetime);
-    /* What the operator writes: one queue "r-1" at one.example/q/, and the
-     * keys given. */
-    void PutConfig(int version, const std::vector<std::string> &keys);
+    /* What the operator writes: one queue "r-1" at one.example/q/, the keys
+     * of organisation "t", and one of "u". */
+    void PutConfig(int version, const std::vector<std::string> &keys,
+                   const std::string &other_key = "");
     /* A fault of one of the store's doors; entry i uses door i % 2. */
     void StoreFault(int door, const std::string &fault);
     void DropHistory();
