--- a/packages/config/config-hosted.c
+++ b/packages/config/config-hosted.c
@@ -39,16 +39,6 @@
      .min = 1,
      .max = 864000,
      .fallback = "120"},
-    {.name = "reads_per_s",
-     .type = CONF_INT,
-     .offset = AT(reads_per_s),
-     .max = 1000000,
-     .fallback = "0"},
-    {.name = "writes_per_s",
-     .type = CONF_INT,
-     .offset = AT(writes_per_s),
-     .max = 1000000,
-     .fallback = "0"},
 };
 
 const struct conf_table config_hosted_table = {
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -309,8 +309,6 @@
     int64_t lease_ms;    /* of what runs, on the worker's clock */
     int64_t early_ms;    /* before its due time a job may start */
     int64_t keep_s;      /* an ended job is shown for so long */
-    int64_t reads_per_s; /* that all processes share; 0: no bound */
-    int64_t writes_per_s;
 };
 
 /* parsleyfall serve. */
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -233,7 +233,6 @@
         Jobs_Left(o->book, o->left[i], NULL, 0, now);
     }
     o->office = OFFICE_HELD;
-    o->beat_due = true;
     Counter_Add(&takeovers, 1);
     Counter_Set(&in_office, 1);
     LOG_I("owner_in_office", KV_INT("term", o->term), KV_INT("rows", r->count),
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -52,7 +52,6 @@
     uint64_t version; /* of the owner row that our writes expect */
     struct jobs_book *book;
     bool writing;
-    bool beat_due;
     int64_t confirmed_ms; /* start of the last write that succeeded */
     int64_t write_ms;     /* start of the one under way */
     int64_t pause_ms;     /* no write before */
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -92,7 +92,6 @@
     char path[512];
     char job[JOBS_ID_SIZE]; /* where the queue is named, or "" to find it */
     char key[256];          /* bearer token; "": none */
-    int64_t wait_ms;        /* the caller waits so long; 0: not said */
     struct jobs_spec
         spec; /* of a submit; id and queue are set by the intake */
     /* Result, valid in done. */
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -152,9 +152,6 @@
         w->looking = false;
     }
     if (err == ERR_OK && current) {
-        w->answered = true;
-        w->clock_ms = seen->clock_ms;
-        w->clock_at_ms = Clock_NowMs();
         tell(w, call, seen);
     }
     else if (err == ERR_STALE && current) {
@@ -246,7 +243,6 @@
                       sizeof(struct wire_end));
     }
     memset(&w->said, 0, sizeof(w->said));
-    w->answered = false;
     w->leaving = false;
     w->last_seen = 0;
     w->until_ms = 0;
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -39,7 +39,6 @@
     struct task task;
     struct runs_worker *worker;
     struct worker_said said; /* lifetime "": none is known */
-    bool answered;           /* under its id */
     bool leaving;            /* it said that it ends */
     char left[JOBS_TEXT_SIZE];
     struct wire_list ended; /* struct wire_end, of the last look */
@@ -48,8 +47,6 @@
     uint64_t term;      /* highest of an owner that was heard */
     uint64_t last_seen; /* ends up to it are stored */
     int64_t until_ms;   /* lease, worker's clock */
-    int64_t clock_ms;   /* worker's clock at the last look */
-    int64_t clock_at_ms;
     bool looking;
     uint64_t looks;
     TAILQ_HEAD(, confirmed_stop) stops;
