A gang that waits for its last member is not taken for one that hangs

Cause: a member of a gang that is through with its share of the work stands at 100 percent until the last member is.

Change: a run at 100 percent neither hangs nor gives a pace. The test's world lets a gang end with its last member, as workers do.

--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -109,6 +109,7 @@
         t->mark_clock_ms = clock_ms;
     }
     else if (t->mark_clock_ms != 0 && !Unit_Step(t->unit)->lasting &&
+             percent < 100 &&
              (made >= MEASURE_PERCENT || span >= MEASURE_MAX_MS)) {
         take_pace(b, w, t, (double)(made > 0 ? made : 0.5) / (double)span,
                   now_ms);
@@ -141,15 +142,21 @@
     return left > work / 5 ? left : work / 5;
 }
 
-/* True when a run has not moved for longer than a sound one ever stands. */
+/* True when a run has not moved for longer than a sound one ever stands.
+ *
+ * Failure: a member of a gang that is through with its share stands at 100
+ * percent until the last one is. Symptom of taking that for a hang: the gang
+ * is stopped just before it ends, up to three times. Such a member waits; the
+ * one that it waits for is judged by its own progress. */
 static bool
 hangs(const struct jobs_task *t, int64_t now_ms)
 {
     int64_t quiet = now_ms - t->moved_ms;
     int64_t step_ms = Pace_WorkMs(t->unit) / 25; /* four percent of it */
 
-    return t->confirmed && t->worker != NULL && quiet > HANG_MS &&
-           quiet > step_ms && now_ms - t->worker->report_ms < HANG_MS / 2;
+    return t->percent < 100 && t->confirmed && t->worker != NULL &&
+           quiet > HANG_MS && quiet > step_ms &&
+           now_ms - t->worker->report_ms < HANG_MS / 2;
 }
 
 /* True when the run is better started elsewhere: it hangs, or what is left of
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -403,6 +403,25 @@
     EXPECT_TRUE(w.Happened("run_stopped", "crawls"));
 }
 
+/* The members of a gang have unequal shares of its work. Those that are
+ * through stand at 100 percent until the last one is; the gang must not be
+ * taken for one that hangs, or all its work is thrown away just before it
+ * ends. */
+TEST(Jobs, AGangWhoseLastMemberTakesLongerIsLeftAlone)
+{
+    World w(6); /* as much room elsewhere as it holds */
+    struct jobs_spec s = w.Spec("ab", 3, 8);
+
+    s.steps[0].gang = true;
+    w.natures["ab"] = {.work_ms = 2000, .gang = 3};
+    w.natures["ab.0.0.2"] = {.work_ms = 4600, .gang = 3};
+    w.Submit(s);
+    w.Turns(500);
+    EXPECT_EQ(w.State("ab"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("ab.0.0.0"), 1);
+    EXPECT_FALSE(w.Happened("run_stopped", "crawls"));
+}
+
 /* A caller's estimate is a third of the truth. The run must be left where it
  * is: sound workers would be called slow, and work thrown away again and
  * again, for a wrong number in a form. */
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -211,6 +211,20 @@
     }
 }
 
+/* How far a run is, as its worker tells it: in whole percent. */
+int64_t
+World::PercentOf(const Worker &w, const Run &r) const
+{
+    double work = static_cast<double>(r.work_ms) * w.slow;
+
+    if (w.stands) {
+        return 0;
+    }
+    return std::min<int64_t>(
+        100, static_cast<int64_t>(
+                 100.0 * static_cast<double>(now - r.begun_ms) / work));
+}
+
 /* Lets time go on: leases end, runs end. */
 void
 World::Advance(int64_t ms)
@@ -242,13 +256,16 @@
         for (size_t i = 0; w.up && i < w.runs.size(); i++) {
             Run &r = w.runs[i];
             const Nature &n = NatureOf(r.task);
-            int present = 0;
+            int present = 0, complete = 0;
 
             if (n.gang > 1) {
                 for (const Worker &o : workers) {
                     for (const Run &p : o.runs) {
-                        present += o.up && GangOf(p.task) == GangOf(r.task) &&
-                                   p.run == r.run;
+                        bool member = o.up && p.run == r.run &&
+                                      GangOf(p.task) == GangOf(r.task);
+
+                        present += member;
+                        complete += member && PercentOf(o, p) >= 100;
                     }
                 }
             }
@@ -256,10 +273,8 @@
                 r.begun_ms += n.gang > 1 ? ms : 0;
                 continue;
             }
-            if (now - r.begun_ms <
-                static_cast<int64_t>(static_cast<double>(r.work_ms) *
-                                     w.slow)) {
-                continue;
+            if (PercentOf(w, r) < 100 || (n.gang > 1 && complete < n.gang)) {
+                continue; /* a gang ends when all its members are through */
             }
             std::string key = n.gang > 1 ? GangOf(r.task) : r.task;
             bool failed = w.fails_all || fails[key]++ < n.failures;
@@ -307,11 +322,7 @@
 
         Str_Copy(x.task, sizeof(x.task), run.task.c_str());
         x.run = run.run;
-        x.percent = w.stands
-                        ? 0
-                        : static_cast<int64_t>(
-                              100.0 * static_cast<double>(now - run.begun_ms) /
-                              (static_cast<double>(run.work_ms) * w.slow));
+        x.percent = PercentOf(w, run);
         if (now - run.begun_ms > RESTORED) {
             Str_Copy(x.checkpoint, sizeof(x.checkpoint), "saved");
         }
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -120,6 +120,7 @@
 
   private:
     void Advance(int64_t ms);
+    int64_t PercentOf(const Worker &w, const Run &r) const;
     void Start(Worker &w, const std::string &task, uint64_t run,
                const std::string &checkpoint, int64_t until, uint64_t t);
     void Stop(Worker &w, const std::string &task, uint64_t run, uint64_t t);
