A job of thousands of tasks stays within its row, and within the planner's time

Cause: the progress row of a job named each task that had run, with its worker in full, about 90 bytes each. A job of more than 700 tasks outgrew the store's 64 KiB; the store refused the row and with it the owner's whole transaction, for ever: one large job held up every other. A repeated job grew the same way with each occurrence.

Change: tasks that are done are told as ranges, workers by numbers into one list; occurrences that are done at the front are dropped; a job starts no more tasks than its row can name, the rest waits for the first to end. Units are found by their place instead of a search, and what a step takes is kept with the job instead of searched among its units.

Ruled out: several rows for a job, which a takeover would have to read as one.

--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -53,6 +53,7 @@
         TAILQ_REMOVE(&j->units, u, entry);
         free_unit(u);
     }
+    free(j->at);
     JobsSpec_Clear(&j->spec);
     free(j);
 }
@@ -122,21 +123,30 @@
              t->unit->occurrence, t->unit->step, t->index);
 }
 
-/* Finds a task within its job. */
-static struct jobs_task *
-find_in_job(struct jobs_job *j, uint32_t occurrence, uint32_t step,
-            uint32_t index)
+/* Units of a step in one occurrence. */
+static uint32_t
+units_of(const struct jobs_step *s)
 {
-    struct jobs_unit *u;
+    return s->gang ? 1 : s->count;
+}
 
-    TAILQ_FOREACH (u, &j->units, entry) {
-        if (u->occurrence == occurrence && u->step == step &&
-            index >= u->tasks[0].index &&
-            index < u->tasks[0].index + u->task_count) {
-            return &u->tasks[index - u->tasks[0].index];
-        }
+/* The unit of a task, or NULL. Units stand in the order of their occurrence,
+ * step and index, so its place is known. */
+struct jobs_unit *
+Book_FindUnit(const struct jobs_job *j, uint32_t occurrence, uint32_t step,
+              uint32_t index)
+{
+    size_t at = 0;
+
+    if (occurrence < j->first_occurrence || occurrence >= j->occurrences ||
+        step >= j->spec.step_count || index >= j->spec.steps[step].count) {
+        return NULL;
     }
-    return NULL;
+    for (uint32_t i = 0; i < step; i++) {
+        at += units_of(&j->spec.steps[i]);
+    }
+    at += (occurrence - j->first_occurrence) * j->occurrence_units;
+    return j->at[at + (j->spec.steps[step].gang ? 0 : index)];
 }
 
 /* Finds a task by the name that workers know. */
@@ -145,6 +155,7 @@
 {
     uint32_t occurrence, step, index;
     char id[JOBS_ID_SIZE];
+    struct jobs_unit *u;
     struct jobs_job *j;
     size_t len = strcspn(name, ".");
 
@@ -156,7 +167,8 @@
     memcpy(id, name, len);
     id[len] = '\0';
     j = Book_FindJob(b, id);
-    return j != NULL ? find_in_job(j, occurrence, step, index) : NULL;
+    u = j != NULL ? Book_FindUnit(j, occurrence, step, index) : NULL;
+    return u != NULL ? &u->tasks[index - u->tasks[0].index] : NULL;
 }
 
 /* Adds one unit of a step. */
@@ -175,12 +187,19 @@
         u->tasks[i].index = first + i;
     }
     TAILQ_INSERT_TAIL(&j->units, u, entry);
+    j->at[j->at_count++] = u;
 }
 
 /* Makes the units of the next occurrence. */
 void
 Book_AddOccurrence(struct jobs_job *j)
 {
+    j->occurrence_units = 0;
+    for (uint32_t i = 0; i < j->spec.step_count; i++) {
+        j->occurrence_units += units_of(&j->spec.steps[i]);
+    }
+    j->at = Mem_Grow(j->at, (j->at_count + j->occurrence_units) *
+                                sizeof(struct jobs_unit *));
     for (uint32_t i = 0; i < j->spec.step_count; i++) {
         const struct jobs_step *s = &j->spec.steps[i];
 
@@ -195,6 +214,43 @@
     j->occurrences++;
 }
 
+/* True when all units of an occurrence are done. */
+static bool
+is_occurrence_done(const struct jobs_job *j, uint32_t occurrence)
+{
+    const struct jobs_unit *u;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        if (u->occurrence == occurrence && u->state != UNIT_DONE) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Drops occurrences that are done, from the first one on.
+ *
+ * Load: a job that is repeated for weeks. Without it, its units and its row
+ * grow with each occurrence until the row is refused. */
+void
+Book_DropDone(struct jobs_job *j)
+{
+    struct jobs_unit *u;
+
+    while (j->spec.repetitions > 0 && j->first_occurrence < j->occurrences &&
+           is_occurrence_done(j, j->first_occurrence)) {
+        while ((u = TAILQ_FIRST(&j->units)) != NULL &&
+               u->occurrence == j->first_occurrence) {
+            TAILQ_REMOVE(&j->units, u, entry);
+            free_unit(u);
+        }
+        j->at_count -= j->occurrence_units;
+        memmove(j->at, j->at + j->occurrence_units,
+                j->at_count * sizeof(struct jobs_unit *));
+        j->first_occurrence++;
+    }
+}
+
 /* When an occurrence is due. */
 int64_t
 Book_DueMs(const struct jobs_job *j, uint32_t occurrence)
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -67,12 +67,18 @@
     bool cancelled;
     bool dirty;
     bool in_batch;
-    uint32_t occurrences; /* that have units */
+    uint32_t first_occurrence; /* those before are done and have no units */
+    uint32_t occurrences;      /* from it on up to this, they have units */
+    size_t row_bytes;          /* of its row, at most; while planning */
     int64_t arrived_ms;
-    int64_t ended_ms;     /* 0: has not ended */
+    int64_t ended_ms;                /* 0: has not ended */
+    int64_t seen_ms[JOBS_STEPS_MAX]; /* work of a step's run; 0: not known */
     int64_t objective_ms; /* it is to end so long after its arrival */
     int64_t left_ms[JOBS_STEPS_MAX]; /* from each step on to its end */
     struct unit_list units;
+    struct jobs_unit **at; /* the same, by place */
+    size_t at_count;
+    size_t occurrence_units; /* of each occurrence */
     RB_ENTRY(jobs_job) by_id;
     TAILQ_ENTRY(jobs_job) active;
 };
@@ -110,6 +116,7 @@
     uint64_t seen;       /* ends taken into the book */
     uint64_t seen_batch; /* of them, those in rows being written */
     uint64_t seen_rows;  /* of them, those stored */
+    uint64_t row_mark;   /* of the last row in which its names were counted */
     TAILQ_HEAD(, jobs_task) tasks;
     TAILQ_HEAD(, stray) strays;
     RB_ENTRY(jobs_worker) by_id;
@@ -127,6 +134,7 @@
     struct book_tree jobs;
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
+    uint64_t row_mark;
     bool batch_open;
     bool batch_whole; /* nothing was dirty beside it */
     struct jobs_worker *order_worker;
@@ -140,11 +148,16 @@
 /* ---- jobs-book.c */
 void Book_Touch(struct jobs_book *b, struct jobs_job *j);
 struct jobs_job *Book_FindJob(const struct jobs_book *b, const char *id);
+/* The unit with that task of a step, or NULL. */
+struct jobs_unit *Book_FindUnit(const struct jobs_job *j, uint32_t occurrence,
+                                uint32_t step, uint32_t index);
 /* The task of that name, or NULL. */
 struct jobs_task *Book_FindTask(const struct jobs_book *b, const char *name);
 void Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE]);
 /* Makes the units of one occurrence. */
 void Book_AddOccurrence(struct jobs_job *j);
+/* Drops the units of the first occurrences that are done. */
+void Book_DropDone(struct jobs_job *j);
 /* When an occurrence is due, since 1970. */
 int64_t Book_DueMs(const struct jobs_job *j, uint32_t occurrence);
 /* Notes for units that have none yet when they were due by our clock. */
@@ -216,6 +229,9 @@
 
 /* ---- jobs-row.c */
 void Row_Encode(const struct jobs_job *j, struct buf *out);
+/* What a job's row takes at most, and what a unit adds to it by starting. */
+size_t Row_Bytes(struct jobs_book *b, const struct jobs_job *j);
+size_t Row_StartBytes(const struct jobs_unit *u);
 int Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
                size_t len);
 
--- a/packages/jobs/jobs-objective.c
+++ b/packages/jobs/jobs-objective.c
@@ -6,21 +6,13 @@
  * caller any more. */
 #define USELESS_FACTOR 3
 
-/* What each step takes, with what its runs have shown in place of its
- * caller's estimate: those are off by up to 3.6 times. */
-static void
-work_of(const struct jobs_job *j, int64_t work[JOBS_STEPS_MAX])
+/* What a step takes: as its runs have shown, or as its caller estimated, which
+ * is off by up to 3.6 times. */
+static int64_t
+work_ms(const struct jobs_job *j, uint32_t step)
 {
-    const struct jobs_unit *u;
-
-    for (uint32_t i = 0; i < j->spec.step_count; i++) {
-        work[i] = j->spec.steps[i].estimate_ms;
-    }
-    TAILQ_FOREACH (u, &j->units, entry) {
-        if (u->work_ms != 0) {
-            work[u->step] = u->work_ms;
-        }
-    }
+    return j->seen_ms[step] != 0 ? j->seen_ms[step]
+                                 : j->spec.steps[step].estimate_ms;
 }
 
 /* Sets what is left to do from each step on, along the longest chain of those
@@ -28,14 +20,13 @@
 void
 Objective_Set(struct jobs_job *j)
 {
-    int64_t work[JOBS_STEPS_MAX], longest = 0;
+    int64_t longest = 0;
 
-    work_of(j, work);
     memset(j->left_ms, 0, sizeof(j->left_ms));
     for (uint32_t i = j->spec.step_count; i-- > 0;) {
         const struct jobs_step *s = &j->spec.steps[i];
 
-        j->left_ms[i] += work[i];
+        j->left_ms[i] += work_ms(j, i);
         for (uint32_t k = 0; k < s->after_count; k++) {
             int64_t *before = &j->left_ms[s->after[k]];
 
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -27,17 +27,7 @@
 static int64_t
 known_ms(const struct jobs_unit *u)
 {
-    const struct jobs_unit *other;
-
-    if (u->work_ms != 0) {
-        return u->work_ms;
-    }
-    TAILQ_FOREACH (other, &u->job->units, entry) {
-        if (other->step == u->step && other->work_ms != 0) {
-            return other->work_ms;
-        }
-    }
-    return 0;
+    return u->work_ms != 0 ? u->work_ms : u->job->seen_ms[u->step];
 }
 
 /* Marks a worker as slow. */
@@ -87,6 +77,7 @@
         return;
     }
     u->work_ms = (int64_t)work_ms;
+    u->job->seen_ms[u->step] = u->work_ms;
 }
 
 /* Takes the progress of a run. Workers tell it linearly, so two looks give
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -46,17 +46,28 @@
     Book_NoteDue(j, now_ms, wall_ms);
 }
 
-/* True when all steps that this one comes after are done. */
+/* True when all steps that the unit's step comes after are done. before: the
+ * unit asked about last and its answer; a step's units follow each other. */
 static bool
-is_due(const struct jobs_unit *u)
+is_due(const struct jobs_unit *u, const struct jobs_unit **before, bool *due)
 {
     const struct jobs_step *s = Unit_Step(u);
     const struct jobs_unit *other;
 
+    if (*before != NULL && (*before)->job == u->job &&
+        (*before)->step == u->step && (*before)->occurrence == u->occurrence) {
+        return *due;
+    }
+    *before = u;
+    *due = true;
+    if (s->after_count == 0) {
+        return true;
+    }
     TAILQ_FOREACH (other, &u->job->units, entry) {
         for (uint32_t i = 0; i < s->after_count; i++) {
             if (other->occurrence == u->occurrence &&
                 other->step == s->after[i] && other->state != UNIT_DONE) {
+                *due = false;
                 return false;
             }
         }
@@ -68,19 +79,23 @@
 static struct waiter *
 collect(struct jobs_book *b, int64_t now_ms, int64_t wall_ms, size_t *count)
 {
+    const struct jobs_unit *asked = NULL;
     struct waiter *list = NULL;
     struct jobs_unit *u;
+    bool due = false;
     struct jobs_job *j;
     size_t cap = 0;
 
     *count = 0;
     TAILQ_FOREACH (j, &b->active, active) {
+        Book_DropDone(j);
         add_due(b, j, now_ms, wall_ms);
         Objective_Set(j);
+        j->row_bytes = Row_Bytes(b, j);
         TAILQ_FOREACH (u, &j->units, entry) {
             if (u->state != UNIT_WAITING || u->dropped ||
                 j->state > JOB_RUNNING || u->not_before_ms > now_ms ||
-                !is_due(u)) {
+                !is_due(u, &asked, &due)) {
                 continue;
             }
             if (u->ready_ms == 0) {
@@ -161,6 +176,33 @@
     }
 }
 
+/* True when a unit's start can still be told in its job's row.
+ *
+ * Failure: a job of thousands of tasks starts more of them than its row can
+ * name. Symptom: the store refuses the row, and with it the owner's whole
+ * transaction, again and again, so that no job goes on. The rest of such a job
+ * waits for the first of its tasks to end. */
+static bool
+fits_row(const struct jobs_unit *u)
+{
+    return u->run != 0 ||
+           u->job->row_bytes + Row_StartBytes(u) <= JOBS_ROW_MAX;
+}
+
+/* Places a unit; 1 when room is held for it, else 0. */
+static int
+place_waiter(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
+             bool may_hold)
+{
+    bool first_run = u->run == 0;
+    enum place_result result = Place_Unit(b, u, now_ms, may_hold);
+
+    if (result == PLACE_GIVEN && first_run) {
+        u->job->row_bytes += Row_StartBytes(u);
+    }
+    return result == PLACE_HELD;
+}
+
 /* Chooses starts and stops. */
 void
 Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms)
@@ -174,8 +216,9 @@
     leave_slow(b, now_ms);
     list = collect(b, now_ms, wall_ms, &count);
     for (size_t i = 0; i < count; i++) {
-        held +=
-            Place_Unit(b, list[i].unit, now_ms, held < HELD_MAX) == PLACE_HELD;
+        if (fits_row(list[i].unit)) {
+            held += place_waiter(b, list[i].unit, now_ms, held < HELD_MAX);
+        }
     }
     note_seen(b);
 }
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -13,9 +13,37 @@
     return state_names[state];
 }
 
-/* The tasks of a unit that may run, as [index, agent, worker]. */
+/* Bytes that JSON adds to what varies, with numbers at their longest. */
+#define HEAD_BYTES 160  /* of a row */
+#define RANGE_BYTES 40  /* of a range of units that are done */
+#define UNIT_BYTES 72   /* of a unit that has run, its checkpoint aside */
+#define TASK_BYTES 14   /* of a task that may run */
+#define WORKER_BYTES 10 /* of a worker, its names aside */
+
+/* The workers that a row names. */
+struct row_workers {
+    json_t *names;   /* [[agent, lifetime], ...] */
+    json_t *numbers; /* by lifetime */
+};
+
+/* The number of a worker in its row. */
+static json_int_t
+number_of(struct row_workers *w, const struct jobs_worker *worker)
+{
+    json_t *known = json_object_get(w->numbers, worker->id);
+
+    if (known == NULL) {
+        known = json_integer((json_int_t)json_array_size(w->names));
+        json_object_set_new(w->numbers, worker->id, known);
+        json_array_append_new(w->names,
+                              json_pack("[s,s]", worker->agent, worker->id));
+    }
+    return json_integer_value(known);
+}
+
+/* The tasks of a unit that may run, as [index, worker]. */
 static json_t *
-encode_tasks(const struct jobs_unit *u)
+encode_tasks(const struct jobs_unit *u, struct row_workers *workers)
 {
     json_t *tasks = json_array();
 
@@ -24,25 +52,70 @@
 
         if (t->worker != NULL) {
             json_array_append_new(tasks,
-                                  json_pack("[i,s,s]", (int)t->index,
-                                            t->worker->agent, t->worker->id));
+                                  json_pack("[i,I]", (int)t->index,
+                                            number_of(workers, t->worker)));
         }
     }
     return tasks;
 }
 
-/* Writes the progress of a job; units that never started are left out. */
+/* True for a unit of which its row needs no more than that it is done. */
+static bool
+is_plain_done(const struct jobs_unit *u)
+{
+    return u->state == UNIT_DONE && !u->dropped;
+}
+
+/* True for a unit that goes on where the one before it ends, done as well. */
+static bool
+continues(const struct jobs_unit *u)
+{
+    const struct jobs_unit *before = TAILQ_PREV(u, unit_list, entry);
+
+    return before != NULL && is_plain_done(before) && is_plain_done(u) &&
+           before->occurrence == u->occurrence && before->step == u->step;
+}
+
+/* The units that are done, as ranges [occurrence, step, first, last]. */
+static json_t *
+encode_done(const struct jobs_job *j)
+{
+    json_t *ranges = json_array();
+    const struct jobs_unit *u;
+    json_t *range = NULL;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        json_int_t last = u->tasks[0].index + u->task_count - 1;
+
+        if (!is_plain_done(u)) {
+            continue;
+        }
+        if (continues(u)) {
+            json_array_set_new(range, 3, json_integer(last));
+            continue;
+        }
+        range = json_pack("[i,i,i,I]", (int)u->occurrence, (int)u->step,
+                          (int)u->tasks[0].index, last);
+        json_array_append_new(ranges, range);
+    }
+    return ranges;
+}
+
+/* Writes the progress of a job. Units that never started are left out, those
+ * that are done are told as ranges, and workers by numbers: a job of thousands
+ * of tasks so stays within a row. */
 void
 Row_Encode(const struct jobs_job *j, struct buf *out)
 {
+    struct row_workers workers = {json_array(), json_object()};
     json_t *o = json_object();
     json_t *units = json_array();
     const struct jobs_unit *u;
-    bool begun = false;
+    bool begun = j->first_occurrence > 0;
 
     TAILQ_FOREACH (u, &j->units, entry) {
         begun = begun || u->begun;
-        if (u->run == 0 && u->state == UNIT_WAITING) {
+        if ((u->run == 0 && u->state == UNIT_WAITING) || is_plain_done(u)) {
             continue;
         }
         json_array_append_new(
@@ -50,15 +123,73 @@
             json_pack("[i,i,i,i,I,i,i,s,o]", (int)u->occurrence, (int)u->step,
                       (int)u->tasks[0].index, (int)u->state,
                       (json_int_t)u->run, (int)u->failures, (int)u->begun,
-                      u->checkpoint, encode_tasks(u)));
+                      u->checkpoint, encode_tasks(u, &workers)));
     }
     json_object_set_new(o, "state", json_string(state_names[j->state]));
     json_object_set_new(o, "begun", json_boolean(begun));
+    json_object_set_new(o, "first", json_integer(j->first_occurrence));
     json_object_set_new(o, "occurrences", json_integer(j->occurrences));
+    json_object_set_new(o, "workers", workers.names);
+    json_object_set_new(o, "done", encode_done(j));
     json_object_set_new(o, "units", units);
+    json_decref(workers.numbers);
     JobsJson_Append(o, out);
 }
 
+/* What a unit that has started takes of its row, the names of its workers
+ * aside. */
+static size_t
+unit_bytes(const struct jobs_unit *u)
+{
+    size_t checkpoint = Unit_Step(u)->checkpoints ? sizeof(u->checkpoint) : 0;
+
+    return RANGE_BYTES + UNIT_BYTES + checkpoint + u->task_count * TASK_BYTES;
+}
+
+/* What a unit adds to its job's row at most when it starts. */
+size_t
+Row_StartBytes(const struct jobs_unit *u)
+{
+    return unit_bytes(u) +
+           u->task_count * (WORKER_BYTES + NAME_SIZE + JOBS_TEXT_SIZE);
+}
+
+/* What the names of a unit's workers take that are not counted yet. */
+static size_t
+names_bytes(const struct jobs_unit *u, uint64_t mark)
+{
+    size_t sum = 0;
+
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        struct jobs_worker *w = u->tasks[i].worker;
+
+        if (w != NULL && w->row_mark != mark) {
+            w->row_mark = mark;
+            sum += WORKER_BYTES + strlen(w->agent) + strlen(w->id);
+        }
+    }
+    return sum;
+}
+
+/* What a job's row takes at most. */
+size_t
+Row_Bytes(struct jobs_book *b, const struct jobs_job *j)
+{
+    const struct jobs_unit *u;
+    size_t sum = HEAD_BYTES;
+
+    b->row_mark++;
+    TAILQ_FOREACH (u, &j->units, entry) {
+        if (is_plain_done(u)) {
+            sum += continues(u) ? 0 : RANGE_BYTES;
+        }
+        else if (u->run != 0 || u->state != UNIT_WAITING) {
+            sum += unit_bytes(u) + names_bytes(u, b->row_mark);
+        }
+    }
+    return sum;
+}
+
 /* Reads the state word of a row. */
 static int
 decode_state(const json_t *o, enum jobs_state *state)
@@ -88,45 +219,35 @@
 }
 
 /* Puts the tasks of a unit on the workers that the row names. */
-static void
-decode_tasks(struct jobs_book *b, struct jobs_unit *u, const json_t *tasks)
+static int
+decode_tasks(struct jobs_book *b, struct jobs_unit *u, const json_t *tasks,
+             const json_t *workers)
 {
     const char *agent, *worker;
+    json_int_t number;
     size_t i;
     json_t *row;
     int index;
 
     json_array_foreach(tasks, i, row)
     {
-        if (json_unpack(row, "[i,s,s]", &index, &agent, &worker) != 0 ||
+        if (json_unpack(row, "[i,I]", &index, &number) != 0 ||
+            json_unpack(json_array_get(workers, (size_t)number), "[s,s]",
+                        &agent, &worker) != 0 ||
             (uint32_t)index < u->tasks[0].index ||
             (uint32_t)index >= u->tasks[0].index + u->task_count) {
-            continue;
+            return ERR_INVALID;
         }
         Worker_Take(Book_Worker(b, worker, agent),
                     &u->tasks[(uint32_t)index - u->tasks[0].index]);
     }
-}
-
-/* Finds the unit that a row speaks of. */
-static struct jobs_unit *
-find_unit(struct jobs_job *j, int occurrence, int step, int first)
-{
-    struct jobs_unit *u;
-
-    TAILQ_FOREACH (u, &j->units, entry) {
-        if (u->occurrence == (uint32_t)occurrence &&
-            u->step == (uint32_t)step &&
-            u->tasks[0].index == (uint32_t)first) {
-            return u;
-        }
-    }
-    return NULL;
+    return ERR_OK;
 }
 
 /* Reads one unit of a row. */
 static int
-decode_unit(struct jobs_book *b, struct jobs_job *j, json_t *row)
+decode_unit(struct jobs_book *b, struct jobs_job *j, json_t *row,
+            const json_t *workers)
 {
     int occurrence, step, first, state, failures, begun;
     const char *checkpoint;
@@ -137,7 +258,8 @@
     if (json_unpack(row, "[i,i,i,i,I,i,i,s,o]", &occurrence, &step, &first,
                     &state, &run, &failures, &begun, &checkpoint,
                     &tasks) != 0 ||
-        (u = find_unit(j, occurrence, step, first)) == NULL) {
+        (u = Book_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
+                           (uint32_t)first)) == NULL) {
         return ERR_INVALID;
     }
     u->state = (enum unit_state)state;
@@ -145,7 +267,28 @@
     u->failures = (uint32_t)failures;
     u->begun = begun != 0;
     Str_Copy(u->checkpoint, sizeof(u->checkpoint), checkpoint);
-    decode_tasks(b, u, tasks);
+    return decode_tasks(b, u, tasks, workers);
+}
+
+/* Reads a range of units that are done. */
+static int
+decode_done(struct jobs_job *j, json_t *row)
+{
+    json_int_t occurrence, step, first, last;
+    struct jobs_unit *u;
+
+    if (json_unpack(row, "[I,I,I,I]", &occurrence, &step, &first, &last) !=
+        0) {
+        return ERR_INVALID;
+    }
+    TAILQ_FOREACH (u, &j->units, entry) {
+        if (u->occurrence == (uint32_t)occurrence &&
+            u->step == (uint32_t)step && u->tasks[0].index >= first &&
+            u->tasks[0].index <= last) {
+            u->state = UNIT_DONE;
+            u->begun = true;
+        }
+    }
     return ERR_OK;
 }
 
@@ -156,17 +299,26 @@
 {
     json_t *o = json_loadb(text, len, 0, NULL);
     uint32_t occurrences = (uint32_t)json_number(o, "occurrences");
+    const json_t *workers = json_object_get(o, "workers");
     int err = decode_state(o, &j->state);
     json_t *row;
     size_t i;
 
+    if (j->spec.repetitions > 0) {
+        j->first_occurrence = (uint32_t)json_number(o, "first");
+        j->occurrences = j->first_occurrence;
+    }
     while (err == ERR_OK && j->occurrences < occurrences &&
            j->occurrences < j->spec.repetitions) {
         Book_AddOccurrence(j);
     }
+    json_array_foreach(json_object_get(o, "done"), i, row)
+    {
+        err = err == ERR_OK ? decode_done(j, row) : err;
+    }
     json_array_foreach(json_object_get(o, "units"), i, row)
     {
-        err = err == ERR_OK ? decode_unit(b, j, row) : err;
+        err = err == ERR_OK ? decode_unit(b, j, row, workers) : err;
     }
     j->cancelled = j->state == JOB_CANCELLED;
     json_decref(o);
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -249,7 +249,7 @@
 static enum jobs_state
 state_of(const struct jobs_job *j, bool *runs)
 {
-    bool begun = false, all_done = true;
+    bool begun = j->first_occurrence > 0, all_done = true;
     struct jobs_unit *u;
     bool failed = false;
 
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -575,6 +575,59 @@
     const char *text;
 };
 
+/* A caller hands in a job of 4,000 tasks, and there is room for all of them at
+ * once. Its row must stay within what a store takes: one that is refused would
+ * hold up the owner's writes, and so every other job. All its tasks run, and
+ * another owner finds its place from the row. */
+TEST(Jobs, AJobOfThousandsOfTasksStaysWithinItsRow)
+{
+    World w(40);
+    size_t longest = 0;
+
+    for (Worker &x : w.workers) {
+        x.agent = "an-agent-with-a-long-name-" + x.agent;
+        x.capacity = {400000, 400000, 100};
+    }
+    w.natures["ad"].work_ms = 300;
+    w.Submit(w.Spec("ad", 4000, 1));
+    for (int i = 0; i < 300 && w.State("ad") != JOB_COMPLETED; i++) {
+        w.Turn();
+        longest = std::max(longest, w.rows["ad"].size());
+        if (i == 40) {
+            w.TakeOver();
+        }
+    }
+    EXPECT_EQ(w.State("ad"), JOB_COMPLETED);
+    EXPECT_LE(longest, static_cast<size_t>(JOBS_ROW_MAX));
+    EXPECT_GT(longest, static_cast<size_t>(JOBS_ROW_MAX / 4));
+    EXPECT_EQ(w.Starts("ad.0.0.3999"), 1);
+    EXPECT_EQ(w.broken, std::vector<std::string>());
+}
+
+/* A job is repeated a thousand times. What is done must not stay in the book
+ * and in its row, which would outgrow the store's bound after a day. */
+TEST(Jobs, AJobThatIsRepeatedForLongKeepsAShortRow)
+{
+    World w(2);
+    struct jobs_spec s = w.Spec("ae", 2, 1);
+
+    s.repetitions = 1000;
+    s.first_due_ms = w.now;
+    s.interval_ms = 40;
+    w.natures["ae"].work_ms = 30;
+    w.Submit(s);
+    for (int i = 0; i < 3000 && w.State("ae") != JOB_COMPLETED; i++) {
+        w.Turn();
+        ASSERT_LE(w.rows["ae"].size(), 4000u);
+        if (i == 700) {
+            w.TakeOver();
+        }
+    }
+    EXPECT_EQ(w.State("ae"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("ae.999.0.1"), 1);
+    EXPECT_EQ(w.Starts("ae.0.0.1"), 1);
+}
+
 TEST(JobsSpec, RowsThatMakeNoSenseAreRefused)
 {
     static const BadSpec cases[] = {
