--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 demo: build
 	@scripts/demo $(B)
+	@scripts/demo-hosted $(B)
 
 # Prints the tables of docs/results and docs/CAPACITY.md, but for those that
 # take long: scripts/bench-cells, scripts/bench-cost (callgrind),
