--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -103,6 +103,7 @@
     struct jobs_need freeing;  /* of it, what is being stopped */
     struct jobs_need reserved; /* in this turn of the planner */
     bool heard;
+    bool obeys; /* it has answered under our term */
     bool draining;
     int64_t report_ms;
     int64_t clock_ms;
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -18,10 +18,16 @@
     Str_Copy(o->worker, sizeof(o->worker), w->id);
 }
 
-/* Makes the order that a task needs now, if any. */
+/* Makes the order that a task needs now, if any.
+ *
+ * Failure: an owner that hears nothing of the store goes on ordering a start
+ * that shows no effect, while another has taken over, waited and run the task
+ * elsewhere. Symptom: it runs again after its end was acknowledged. Starts are
+ * ordered only while leases may be given out; who takes over waits for those.
+ */
 static bool
 order_of(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
-         int64_t now_ms, struct jobs_order *o)
+         int64_t now_ms, bool may_start, struct jobs_order *o)
 {
     struct jobs_unit *u = t->unit;
     int64_t late_ms;
@@ -36,6 +42,9 @@
         now_ms - t->given_ms > GIVE_UP_MS) {
         Unit_Stop(b, u, "start_unconfirmed");
     }
+    if (!may_start && u->state == UNIT_GIVEN && !u->stopping) {
+        return false;
+    }
     t->sent_ms = now_ms;
     if (u->state != UNIT_GIVEN || u->stopping) {
         fill(o, w, ORDER_STOP, u->run);
@@ -71,7 +80,8 @@
 
 /* Walks over the workers; the walk begins anew after it returned false. */
 bool
-Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, struct jobs_order *out)
+Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, bool may_start,
+               struct jobs_order *out)
 {
     struct jobs_worker *w;
     struct jobs_task *t;
@@ -88,7 +98,7 @@
         }
         while (w->heard && (t = b->order_task) != NULL) {
             b->order_task = TAILQ_NEXT(t, on_worker);
-            if (order_of(b, w, t, now_ms, out)) {
+            if (order_of(b, w, t, now_ms, may_start, out)) {
                 return true;
             }
         }
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -82,7 +82,7 @@
     const struct jobs_step *s = Unit_Step(u);
     bool labelled = *s->label == '\0';
 
-    if (!w->heard || w->draining ||
+    if (!w->heard || !w->obeys || w->draining ||
         now_ms - w->report_ms > b->limits.silent_ms ||
         w->full_until_ms > now_ms || w->suspect_until_ms > now_ms ||
         strcmp(u->job->terms.service, w->service) != 0) {
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -20,6 +20,24 @@
     TAILQ_INSERT_TAIL(&w->strays, s, entry);
 }
 
+/* Notes that a worker has answered under our term.
+ *
+ * Failure: the owner before, which does not know yet that it is deposed,
+ * grants a worker leases that we don't count, and it runs for longer than we
+ * wait when it gets out of reach. Symptom: a task runs twice. Once a worker
+ * has answered under our term its agent takes nothing from that owner; what it
+ * took before is no longer than a lease of ours from now on. Nothing is given
+ * to it earlier. */
+static void
+note_term(struct jobs_book *b, struct jobs_worker *w, uint64_t term,
+          int64_t now_ms)
+{
+    if (!w->obeys && term >= b->limits.term) {
+        w->obeys = true;
+        Jobs_Granted(b, w->id, now_ms);
+    }
+}
+
 /* Takes the facts of the worker itself. */
 static void
 take_facts(struct jobs_worker *w, const struct jobs_report *r, int64_t now_ms)
@@ -187,6 +205,7 @@
     }
     w = Book_Worker(b, r->worker, r->agent);
     take_facts(w, r, now_ms);
+    note_term(b, w, r->term, now_ms);
     end_earlier(b, w, now_ms);
     take_ends(b, w, r->ended, r->ended_count, now_ms);
     for (size_t i = 0; i < r->running_count; i++) {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -191,7 +191,7 @@
     struct jobs_need capacity;
     bool draining;
     int64_t drain_left_ms; /* at least; while draining */
-    uint64_t term;         /* the worker has seen; 0: none */
+    uint64_t term;         /* of the owner that the look was made under */
     int64_t clock_ms;      /* the worker's own */
     struct jobs_running *running;
     size_t running_count;
@@ -215,6 +215,7 @@
 
 /* What the book is told of its place. Times in milliseconds. */
 struct jobs_limits {
+    uint64_t term;     /* of the owner that keeps the book */
     int64_t lease_ms;  /* of a grant, on the worker's clock */
     int64_t start_ms;  /* a start that comes later is refused */
     int64_t early_ms;  /* an occurrence may start so much before it is due */
@@ -281,8 +282,9 @@
 /* They are not: hand them out again. */
 void Jobs_NotWritten(struct jobs_book *b);
 
-/* The next order that is due, or false. Call until it returns false. */
-bool Jobs_NextOrder(struct jobs_book *b, int64_t now_ms,
+/* The next order that is due, or false. Call until it returns false.
+ * may_start: leases may be given out, so starts may be ordered too. */
+bool Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, bool may_start,
                     struct jobs_order *out);
 /* Up to which end the worker's list is taken note of. */
 uint64_t Jobs_LastSeen(const struct jobs_book *b, const char *worker);
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -163,7 +163,7 @@
     char agent[NAME_SIZE] = "";
     struct jobs_order order;
 
-    while (Jobs_NextOrder(o->book, Clock_NowMs(), &order)) {
+    while (Jobs_NextOrder(o->book, Clock_NowMs(), may_grant(o), &order)) {
         if (m != NULL && strcmp(m->worker, order.worker) != 0) {
             say(o, agent, m);
             m = NULL;
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -213,6 +213,7 @@
 {
     const struct entry_settings *s = o->task.kernel->settings;
     struct jobs_limits limits = {
+        .term = o->term,
         .lease_ms = s->hosted.lease_ms,
         .start_ms = s->hosted.lease_ms < 4000 ? s->hosted.lease_ms : 4000,
         .early_ms = 0,
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -309,6 +309,7 @@
         LOG_I("owner_heard", KV_INT("term", m->term),
               KV_INT("before", w->term));
         w->term = m->term;
+        Watch_LookSoon(w); /* it gives us nothing before a look under it */
     }
     if (strcmp(m->worker, w->said.lifetime) != 0) {
         return;
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -239,6 +239,42 @@
     EXPECT_EQ(w.State("da"), JOB_COMPLETED);
 }
 
+/* An owner is deposed and does not know; one agent hears only that owner yet,
+ * and takes leases from it. The new owner must give that worker nothing: it
+ * could not tell for how long a run there may go on. */
+TEST(Jobs, NothingIsGivenToAWorkerThatStillObeysTheOwnerBefore)
+{
+    World w(1);
+
+    w.Turns(2);
+    w.workers[0].deaf = true;
+    w.TakeOver(false);
+    w.Submit(w.Spec("af", 1, 1));
+    w.Turns(20);
+    EXPECT_EQ(w.rows.count("af"), 0u); /* no run is written for it */
+    w.workers[0].deaf = false;
+    w.Turns(100);
+    EXPECT_EQ(w.State("af"), JOB_COMPLETED);
+}
+
+/* A run is written, and then nothing that the owner writes is confirmed any
+ * more. Another may have taken over: the owner must not order the start, even
+ * though its row is stored; the next owner orders it. */
+TEST(Jobs, NoStartIsOrderedWithoutConfirmedWrites)
+{
+    World w(1);
+
+    w.Turns(2);
+    w.may_start = false;
+    w.Submit(w.Spec("ag", 1, 1));
+    w.Turns(100);
+    EXPECT_EQ(w.Starts("ag.0.0.0"), 0);
+    w.may_start = true;
+    w.TakeOver(false);
+    w.Turns(200);
+    EXPECT_EQ(w.State("ag"), JOB_COMPLETED);
+}
+
 /* The owner ends between writing a run and ordering it. The next one orders
  * that same run: it is either there already, or it starts now. */
 TEST(Jobs, ARunThatWasWrittenAndNotOrderedIsOrderedByTheNextOwner)
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -47,7 +47,8 @@
     config.queues = static_cast<struct jobs_queue *>(
         Mem_Zero(list.size(), sizeof(struct jobs_queue)));
     std::copy(list.begin(), list.end(), config.queues);
-    limits = {.lease_ms = 6000,
+    limits = {.term = 1,
+              .lease_ms = 6000,
               .start_ms = 4000,
               .early_ms = 0,
               .silent_ms = 1500,
@@ -296,7 +297,9 @@
     if (!w.up || !w.reachable) {
         return;
     }
-    w.term = std::max(w.term, term);
+    if (!w.deaf) {
+        w.term = std::max(w.term, term);
+    }
     uint64_t seen = Jobs_LastSeen(book, w.id.c_str());
     for (const End &e : w.ended) {
         if (e.number <= seen && e.how == END_DONE && !e.lapsed) {
@@ -402,7 +405,7 @@
 {
     struct jobs_order o;
 
-    while (Jobs_NextOrder(book, now, &o)) {
+    while (Jobs_NextOrder(book, now, may_start, &o)) {
         for (size_t i = 0; i < workers.size(); i++) {
             Worker &w = workers[i];
 
@@ -458,9 +461,9 @@
     int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
 
     Jobs_Free(book);
+    limits.term = ++term;
     book = Jobs_New(&limits);
     Jobs_SetConfig(book, &config);
-    term++;
     for (const auto &s : specs) {
         struct jobs_spec spec;
         auto row = rows.find(s.first);
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -46,6 +46,7 @@
     struct jobs_need capacity = {16000, 64000, 8};
     bool up = true;
     bool reachable = true; /* by the owner */
+    bool deaf = false;     /* its agent hears the owner before only */
     bool draining = false;
     bool fails_all = false;
     bool stands = false; /* nothing makes progress */
@@ -97,7 +98,8 @@
     int64_t now = 1000000;
     uint64_t term = 1;
     bool store_up = true;
-    int lose_orders = 0; /* of the next ones */
+    bool may_start = true; /* the owner's writes are confirmed */
+    int lose_orders = 0;   /* of the next ones */
     std::vector<Worker> workers;
     std::map<std::string, std::string> specs, rows;
     std::set<std::string> cancelled;
