Filling tasks yield to the targets of serving ones

Gap: a task that fills a worker was never paced, so a serving task beside it stayed over its target until the filling work ended.

Change: the latency that workers report for serving tasks reaches the owner with each look; a control loop for each worker (jobs-share.c) takes the share of its filling tasks down by three quarters when a target is missed, by half when one is nearly missed, and up by a tenth while there is room to spare, one change in 0.7 s. Shares are orders as starts and stops are: repeated while they are below all, told anew by a new owner. Filling tasks avoid workers where less than half is left, and their progress says nothing of a worker's speed.

Ruled out: predicting disturbance by image, which changes within seconds; a loop in the agent, which does not know which runs fill.

Tests: a table of disturbances (none to very strong; busy by itself), longest time over the target 3 s of the 4 s allowed, with the share that must be left; a new owner tells shares anew; a process test over a killed owner on the stand-in, which adds latency by the shares ordered.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -27,7 +27,10 @@
     /* Where the present pace is measured from, on the worker's clock. */
     int64_t mark_percent;
     int64_t mark_clock_ms;
-    double pace; /* percent a millisecond; 0: not known yet */
+    double pace;    /* percent a millisecond; 0: not known yet */
+    int64_t figure; /* tail latency, ms, of a task that serves, as last seen */
+    int64_t share;  /* at which it may work, as last ordered; -1: not yet */
+    int64_t share_sent_ms;
     TAILQ_ENTRY(jobs_task) on_worker;
 };
 
@@ -102,6 +105,8 @@
     struct jobs_need used;     /* by what may run there */
     struct jobs_need freeing;  /* of it, what is being stopped */
     struct jobs_need reserved; /* in this turn of the planner */
+    int64_t share;             /* of tasks that fill, percent */
+    int64_t share_ms;          /* when it last changed */
     bool heard;
     bool obeys; /* it has answered under our term */
     bool draining;
@@ -198,6 +203,10 @@
 bool Pace_Crawls(const struct jobs_book *b, const struct jobs_unit *u,
                  int64_t now_ms);
 
+/* ---- jobs-share.c */
+void Share_Take(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms);
+bool Share_IsDue(const struct jobs_task *t, int64_t now_ms);
+
 /* ---- jobs-objective.c */
 void Objective_Set(struct jobs_job *j);
 int64_t Objective_SlackMs(const struct jobs_unit *u, int64_t now_ms);
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -32,6 +32,13 @@
     struct jobs_unit *u = t->unit;
     int64_t late_ms;
 
+    if (Share_IsDue(t, now_ms)) {
+        fill(o, w, ORDER_SHARE, u->run);
+        Book_TaskName(t, o->task);
+        o->percent = t->share = w->share;
+        t->share_sent_ms = now_ms;
+        return true;
+    }
     if (u->unwritten || (t->sent_ms != 0 && now_ms - t->sent_ms < RESEND_MS)) {
         return false;
     }
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -94,6 +94,10 @@
     if (!t->confirmed || percent != t->percent) {
         t->moved_ms = now_ms;
     }
+    if (Unit_Step(t->unit)->fills) {
+        t->percent = percent; /* its pace is what the others leave it */
+        return;
+    }
     if (t->confirmed && t->percent >= 0 && percent > t->percent &&
         t->mark_clock_ms == 0) {
         t->mark_percent = percent;
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -213,7 +213,10 @@
 is_disliked(const struct jobs_worker *w, const struct jobs_unit *u,
             int64_t now_ms)
 {
-    return w->slow_until_ms > now_ms || strcmp(w->id, u->avoid) == 0;
+    static const int64_t narrow = 50; /* percent */
+
+    return w->slow_until_ms > now_ms || strcmp(w->id, u->avoid) == 0 ||
+           (Unit_Step(u)->fills && w->share < narrow);
 }
 
 /* Lists the spots of an attempt with their room. */
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -142,6 +142,7 @@
     }
     Pace_Take(b, w, t, r->percent, w->clock_ms, now_ms);
     t->confirmed = true;
+    t->figure = r->figure;
     if (!u->begun) {
         u->begun = true;
         Book_Touch(b, u->job);
@@ -214,6 +215,7 @@
     for (size_t i = 0; i < r->stopped_count; i++) {
         take_stopped(b, w, r, &r->stopped[i], now_ms);
     }
+    Share_Take(b, w, now_ms);
 }
 
 /* A worker has left: its agent saw its word and found it gone.
--- /dev/null
+++ b/packages/jobs/jobs-share.c
@@ -0,0 +1,94 @@
+#include "jobs-book.h"
+
+/* Tasks that fill a worker take what its other tasks leave, and disturb those
+ * that serve users of their own. How much differs by image and changes within
+ * seconds, so it is not predicted: the tail latency of the serving tasks is
+ * what steers the share at which the filling ones may work.
+ *
+ * Load: a burst at a serving task beside work that fills its worker. Without
+ * this, its latency stays over its target until the filling work ends.
+ *
+ * The share falls by three quarters when a target is missed, and by half when
+ * one is nearly missed; it rises by a tenth at a time while there is room to
+ * spare. Looks come within 0.4 s and show the last 0.5 s, so a change is
+ * judged after PAUSE_MS: a target is met again within three changes, 2.1 s,
+ * where the filling work is the cause, and the share does not swing with old
+ * figures. */
+#define PAUSE_MS 700
+#define MISSED_PERCENT 100 /* of the target */
+#define NEAR_PERCENT 85
+#define SPARE_PERCENT 70
+#define RISE 10
+#define LEAST 5 /* a lower share is none */
+/* An order on a share may be lost, and no look shows it. */
+#define REPEAT_MS 1000
+
+/* How near to its target the worst serving task of a worker is, in percent;
+ * -1: none serves. */
+static int64_t
+strain_of(const struct jobs_worker *w)
+{
+    const struct jobs_task *t;
+    int64_t worst = -1;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        int64_t target = Unit_Step(t->unit)->latency_target_ms;
+
+        if (target > 0 && t->confirmed && !t->unit->stopping) {
+            int64_t strain = 100 * t->figure / target;
+
+            worst = strain > worst ? strain : worst;
+        }
+    }
+    return worst;
+}
+
+/* The share that follows from a strain. */
+static int64_t
+next_share(int64_t share, int64_t strain)
+{
+    if (strain >= MISSED_PERCENT) {
+        share /= 4;
+    }
+    else if (strain >= NEAR_PERCENT) {
+        share /= 2;
+    }
+    else if (strain < SPARE_PERCENT) {
+        share += RISE;
+    }
+    if (share < LEAST) {
+        share = 0;
+    }
+    return share < 100 ? share : 100;
+}
+
+/* Takes the figures that a report has brought. */
+void
+Share_Take(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms)
+{
+    int64_t strain = strain_of(w);
+    int64_t share = strain < 0 ? 100 : next_share(w->share, strain);
+
+    if (share == w->share || now_ms - w->share_ms < PAUSE_MS) {
+        return;
+    }
+    if (share < w->share) {
+        Event_Worker(b, w, "target_missed")->number = strain;
+    }
+    w->share = share;
+    w->share_ms = now_ms;
+}
+
+/* True when a filling task has to be told its share. */
+bool
+Share_IsDue(const struct jobs_task *t, int64_t now_ms)
+{
+    const struct jobs_worker *w = t->worker;
+
+    if (!Unit_Step(t->unit)->fills || !t->confirmed || t->unit->stopping) {
+        return false;
+    }
+    return t->share != w->share ||
+           (now_ms - t->share_sent_ms > REPEAT_MS &&
+            (w->share < 100 || t->share_sent_ms - w->share_ms < REPEAT_MS));
+}
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -36,6 +36,7 @@
     w = Mem_Zero(1, sizeof(*w));
     Str_Copy(w->id, sizeof(w->id), id);
     Str_Copy(w->agent, sizeof(w->agent), agent);
+    w->share = 100;
     TAILQ_INIT(&w->tasks);
     TAILQ_INIT(&w->strays);
     RB_INSERT(lifetime_tree, &b->workers, w);
@@ -77,6 +78,9 @@
     t->mark_clock_ms = 0;
     t->pace = 0;
     t->far = false;
+    t->figure = 0;
+    t->share = -1;
+    t->share_sent_ms = 0;
     add_need(&w->used, &need, 1);
     if (t->unit->stopping) {
         add_need(&w->freeing, &need, 1);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -165,6 +165,7 @@
     uint64_t run;
     char checkpoint[JOBS_TEXT_SIZE];
     int64_t percent;
+    int64_t figure; /* of one that serves: its tail latency, ms */
 };
 
 struct jobs_ended {
@@ -224,7 +225,7 @@
     int64_t keep_ms;      /* an ended job is shown for so long */
 };
 
-enum jobs_verb { ORDER_START, ORDER_STOP };
+enum jobs_verb { ORDER_START, ORDER_STOP, ORDER_SHARE };
 
 struct jobs_order {
     enum jobs_verb verb;
@@ -233,6 +234,7 @@
     char task[JOBS_TASK_SIZE];
     uint64_t run;
     int64_t until_ms;       /* worker clock; of a start */
+    int64_t percent;        /* of a share: how much the run may work */
     const char *payload;    /* valid until the book changes */
     const char *checkpoint; /* "": none */
 };
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -24,6 +24,7 @@
         Str_Copy(to->checkpoint, sizeof(to->checkpoint), runs[i].checkpoint);
         to->run = runs[i].run;
         to->percent = runs[i].percent;
+        to->figure = runs[i].figure;
     }
     r->ended = Mem_Zero(m->ended.count + 1, sizeof(*r->ended));
     for (size_t i = 0; i < m->ended.count; i++) {
@@ -136,23 +137,31 @@
                  Clock_NowMs());
 }
 
+static const struct {
+    enum wire_order_verb wire;
+    const char *event;
+} verbs[] = {[ORDER_START] = {WIRE_START_RUN, "order_start"},
+             [ORDER_STOP] = {WIRE_STOP_RUN, "order_stop"},
+             [ORDER_SHARE] = {WIRE_SHARE_RUN, "order_share"}};
+
 /* Logs an order and puts it into its message. */
 static void
 add_order(struct wire_orders *m, const struct jobs_order *order)
 {
     struct wire_order *to = Wire_ListAdd(&m->orders, sizeof(*to));
 
-    to->verb = order->verb == ORDER_START ? WIRE_START_RUN : WIRE_STOP_RUN;
+    to->verb = verbs[order->verb].wire;
     to->run = order->run;
+    to->percent = order->percent;
     to->until_ms = order->until_ms;
     Str_Copy(to->task, sizeof(to->task), order->task);
     Str_Copy(to->checkpoint, sizeof(to->checkpoint), order->checkpoint);
     if (order->payload != NULL) {
         Buf_AppendStr(&to->payload, order->payload);
     }
-    LOG_D(order->verb == ORDER_START ? "order_start" : "order_stop",
-          KV("task", order->task), KV_INT("run", order->run),
-          KV("worker", order->worker), KV_INT("term", m->term));
+    LOG_D(verbs[order->verb].event, KV("task", order->task),
+          KV_INT("run", order->run), KV("worker", order->worker),
+          KV_INT("term", m->term));
 }
 
 /* Sends all orders that are due, one message for each worker. */
--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -10,15 +10,18 @@
                                        "Starts that the worker refused.", NULL,
                                        COUNTER_TOTAL};
 
+static const char *const verb_names[] = {[WIRE_START_RUN] = "start",
+                                         [WIRE_STOP_RUN] = "stop",
+                                         [WIRE_SHARE_RUN] = "share"};
+
 /* True when the same order is at the worker already. */
 static bool
 is_under_way(const struct watch *w, const struct wire_order *order)
 {
     const struct order_call *c;
-    bool stop = order->verb == WIRE_STOP_RUN;
 
     TAILQ_FOREACH (c, &w->calls, entry) {
-        if (c->stop == stop && c->run == order->run &&
+        if (c->verb == order->verb && c->run == order->run &&
             strcmp(c->task, order->task) == 0) {
             return true;
         }
@@ -65,18 +68,17 @@
     bool current = strcmp(c->lifetime, w->said.lifetime) == 0;
 
     TAILQ_REMOVE(&w->calls, c, entry);
-    if (current && c->stop && err == ERR_OK) {
+    if (current && c->verb == WIRE_STOP_RUN && err == ERR_OK) {
         note_stop(w, c);
     }
-    if (current && !c->stop && err == ERR_DENIED) {
+    if (current && c->verb == WIRE_START_RUN && err == ERR_DENIED) {
         tell_refused(w, c, reason);
     }
     if (err != ERR_OK && err != ERR_DENIED) {
         LOG_W("order_unanswered", KV("task", c->task), KV_INT("run", c->run),
-              KV("order", c->stop ? "stop" : "start"),
-              KV("error", Err_Name(err)));
+              KV("order", verb_names[c->verb]), KV("error", Err_Name(err)));
     }
-    if (current) {
+    if (current && c->verb != WIRE_SHARE_RUN) {
         Watch_LookSoon(w);
     }
     free(c);
@@ -94,6 +96,10 @@
                                .term = w->term};
     struct order_call *c;
 
+    if (order->verb >= COUNT_OF(verb_names)) {
+        LOG_W("order_unknown", KV_INT("verb", order->verb));
+        return;
+    }
     if (is_under_way(w, order)) {
         return;
     }
@@ -109,16 +115,22 @@
     }
     c = Mem_Zero(1, sizeof(*c));
     c->watch = w;
-    c->stop = order->verb == WIRE_STOP_RUN;
+    c->verb = (enum wire_order_verb)order->verb;
     c->run = order->run;
     Str_Copy(c->lifetime, sizeof(c->lifetime), w->said.lifetime);
     Str_Copy(c->task, sizeof(c->task), order->task);
     TAILQ_INSERT_TAIL(&w->calls, c, entry);
-    if (c->stop) {
+    switch (c->verb) {
+    case WIRE_STOP_RUN:
         w->worker->ops->stop(w->worker, c->lifetime, c->task, c->run, w->term,
                              on_ordered, c);
         return;
+    case WIRE_SHARE_RUN:
+        w->worker->ops->share(w->worker, c->lifetime, c->task, c->run,
+                              order->percent, w->term, on_ordered, c);
+        return;
+    case WIRE_START_RUN:
+        Counter_Add(&starts_total, 1);
+        w->worker->ops->start(w->worker, c->lifetime, &start, on_ordered, c);
     }
-    Counter_Add(&starts_total, 1);
-    w->worker->ops->start(w->worker, c->lifetime, &start, on_ordered, c);
 }
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -45,6 +45,7 @@
                  seen->running[i].checkpoint);
         r->run = seen->running[i].run;
         r->percent = seen->running[i].percent;
+        r->figure = seen->running[i].figure;
     }
     for (size_t i = 0; i < seen->ended_count; i++) {
         struct wire_end *e = Wire_ListAdd(&m->ended, sizeof(*e));
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -19,7 +19,7 @@
 /* An order at the worker. */
 struct order_call {
     struct watch *watch;
-    bool stop;
+    enum wire_order_verb verb;
     char lifetime[JOBS_TEXT_SIZE];
     char task[JOBS_TASK_SIZE];
     uint64_t run;
--- a/packages/runs/runs.h
+++ b/packages/runs/runs.h
@@ -67,6 +67,10 @@
                   void *arg);
     void (*stop)(struct runs_worker *, const char *lifetime, const char *task,
                  uint64_t run, uint64_t term, runs_ordered done, void *arg);
+    /* Lets a run work at that share, in percent. */
+    void (*share)(struct runs_worker *, const char *lifetime, const char *task,
+                  uint64_t run, int64_t percent, uint64_t term,
+                  runs_ordered done, void *arg);
     void (*free)(struct runs_worker *);
 };
 
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -193,7 +193,7 @@
 
 static const struct wire_field run_fields[] = {
     TEXT(wire_run, task), U(wire_run, run), TEXT(wire_run, checkpoint),
-    I(wire_run, percent)};
+    I(wire_run, percent), I(wire_run, figure)};
 static const struct wire_fields run_table = FIELDS(wire_run, run_fields);
 
 static const struct wire_field end_fields[] = {
@@ -231,9 +231,10 @@
     LIST(wire_hail, entries, entry_table)};
 
 static const struct wire_field order_fields[] = {
-    U(wire_order, verb),          TEXT(wire_order, task),
-    U(wire_order, run),           I(wire_order, until_ms),
-    TEXT(wire_order, checkpoint), BUF(wire_order, payload)};
+    U(wire_order, verb),     TEXT(wire_order, task),
+    U(wire_order, run),      I(wire_order, until_ms),
+    I(wire_order, percent),  TEXT(wire_order, checkpoint),
+    BUF(wire_order, payload)};
 static const struct wire_fields order_table = FIELDS(wire_order, order_fields);
 
 static const struct wire_field orders[] = {
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -367,6 +367,7 @@
     uint64_t run;
     char checkpoint[WIRE_TEXT_SIZE];
     int64_t percent;
+    int64_t figure; /* tail latency of one that serves, ms */
 };
 
 /* An end that the worker lists. */
@@ -416,13 +417,14 @@
     struct wire_list entries; /* struct wire_entry */
 };
 
-enum wire_order_verb { WIRE_START_RUN, WIRE_STOP_RUN };
+enum wire_order_verb { WIRE_START_RUN, WIRE_STOP_RUN, WIRE_SHARE_RUN };
 
 struct wire_order {
     uint64_t verb; /* enum wire_order_verb */
     char task[WIRE_TEXT_SIZE];
     uint64_t run;
     int64_t until_ms; /* worker's clock; of a start */
+    int64_t percent;  /* of a share */
     char checkpoint[WIRE_TEXT_SIZE];
     struct buf payload;
 };
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -2,6 +2,9 @@
  * runs under a lease that the holder renews, a fencing token, ends that are
  * listed until they are noted. A run lasts as many milliseconds as its
  * payload says; "fail" makes it fail. GET /starts tells what was started.
+ * A run with the payload "serves" has a latency of 50 ms, to which each one
+ * with the payload "fills" adds 100 ms at its full share; GET /shares tells
+ * the shares that were ordered.
  *
  * PUT /say with "draining" or "leave" changes what it reports. */
 #include "fake.h"
@@ -20,7 +23,10 @@
     uint64_t run;
     int64_t begun_ms;
     int64_t work_ms;
+    int64_t share; /* percent */
     bool fails;
+    bool serves;
+    bool fills;
     ev_timer end;
     TAILQ_ENTRY(run) entry;
 };
@@ -54,6 +60,19 @@
     ev_timer lease;
 };
 
+/* Latency of a run that serves, beside those that fill the worker. */
+static int64_t
+latency(const struct worker *w)
+{
+    const struct run *r;
+    int64_t sum = 50;
+
+    TAILQ_FOREACH (r, &w->runs, entry) {
+        sum += r->fills ? r->share : 0;
+    }
+    return sum;
+}
+
 /* Both lists, as a look shows them. */
 static json_t *
 lists(const struct worker *w)
@@ -69,7 +88,8 @@
 
         json_array_append_new(
             running, json_pack("[s,I,s,I,I]", r->task, (json_int_t)r->run, "",
-                               (json_int_t)percent, (json_int_t)0));
+                               (json_int_t)percent,
+                               (json_int_t)(r->serves ? latency(w) : 0)));
     }
     TAILQ_FOREACH (e, &w->ended, entry) {
         json_array_append_new(
@@ -187,7 +207,12 @@
     r->run = (uint64_t)Fake_Int(o, "run", 0);
     r->begun_ms = Clock_NowMs();
     r->fails = strcmp(payload, "fail") == 0;
-    r->work_ms = r->fails ? 50 : strtoll(payload, NULL, 10);
+    r->share = 100;
+    r->serves = strcmp(payload, "serves") == 0;
+    r->fills = strcmp(payload, "fills") == 0;
+    r->work_ms = r->fails                ? 50
+                 : r->serves || r->fills ? 60000
+                                         : strtoll(payload, NULL, 10);
     snprintf(started, sizeof(started), "%s/%llu", task,
              (unsigned long long)r->run);
     json_array_append_new(w->starts, json_string(started));
@@ -216,6 +241,35 @@
     }
 }
 
+/* POST /pace: the share at which a run may work. */
+static void
+set_share(struct worker *w, struct http_exchange *ex, const json_t *o)
+{
+    const char *task = json_string_value(json_object_get(o, "task"));
+    struct run *r;
+
+    TAILQ_FOREACH (r, &w->runs, entry) {
+        if (strcmp(r->task, task) == 0) {
+            r->share = Fake_Int(o, "percent", 100);
+        }
+    }
+    Fake_Reply(ex, 200,
+               json_pack("{s:I}", "clock-ms", (json_int_t)Clock_NowMs()));
+}
+
+/* GET /shares: by task. */
+static json_t *
+shares(const struct worker *w)
+{
+    json_t *o = json_object();
+    const struct run *r;
+
+    TAILQ_FOREACH (r, &w->runs, entry) {
+        json_object_set_new(o, r->task, json_integer(r->share));
+    }
+    return o;
+}
+
 /* POST /hold */
 static void
 hold(struct worker *w, struct http_exchange *ex, const json_t *o)
@@ -241,7 +295,10 @@
 static const struct {
     const char *path;
     void (*serve)(struct worker *, struct http_exchange *, const json_t *);
-} calls[] = {{"/run-start", start}, {"/run-stop", stop}, {"/hold", hold}};
+} calls[] = {{"/run-start", start},
+             {"/run-stop", stop},
+             {"/hold", hold},
+             {"/pace", set_share}};
 
 /* A call of the agent, fenced by lifetime and token. */
 static void
@@ -256,6 +313,10 @@
         Fake_Reply(ex, 200, json_incref(w->starts));
         return;
     }
+    if (strcmp(Http_Path(ex), "/shares") == 0) {
+        Fake_Reply(ex, 200, shares(w));
+        return;
+    }
     if (strcmp(Http_Path(ex), "/say") == 0) {
         w->state = strncmp(Http_Body(ex)->data, "drain", 5) == 0 ? "draining"
                                                                  : "ready";
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -70,6 +70,38 @@
     EXPECT_TRUE(s.Starts().empty());
 }
 
+/* Work that fills a worker disturbs a task that serves users of its own there:
+ * its share is taken down until the target is met. Then the entry that decided
+ * so is killed; the next one finds the share and keeps the target too. */
+TEST(Hosted, FillingWorkYieldsToAServingTaskOverATakeover)
+{
+    HostedStack s(2, 1);
+    auto share = [&] {
+        return json_integer_value(json_object_get(
+            Http("GET", s.workers[0]->Url("/shares")).json().get(),
+            "b2.0.0.0"));
+    };
+    auto shares = [&] {
+        return json_object_size(
+            Http("GET", s.workers[0]->Url("/shares")).json().get());
+    };
+
+    EXPECT_EQ(s.SubmitStep(0, "b1", "serves",
+                           R"("long-running":true,"target-ms":100)")
+                  .status,
+              200);
+    EXPECT_EQ(s.SubmitStep(1, "b2", "fills", R"("fills":true)").status, 200);
+    EXPECT_TRUE(WaitFor([&] { return shares() == 2 && share() < 50; }))
+        << s.Logs();
+    std::string log = "entry-" + std::to_string(s.KillOwner()) + ".err";
+    EXPECT_TRUE(WaitFor([&] {
+        return ReadFile(s.dir.Path(log)).find("target_missed") !=
+               std::string::npos;
+    })) << s.Logs();
+    EXPECT_TRUE(WaitFor([&] { return share() < 50; })) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 2u);
+}
+
 /* The same id is handed in again, at another entry, also seconds later. It
  * stays one job: its caller asks again when an answer was lost. */
 TEST(Hosted, AnIdHandedInTwiceIsOneJob)
@@ -114,13 +146,10 @@
 
     ASSERT_EQ(s.Submit(0, "a1", "1500").status, 200);
     ASSERT_TRUE(s.Ends(0, "a1", "running"));
-    bool first = ReadFile(s.dir.Path("entry-0.err")).find("owner_in_office") !=
-                 std::string::npos;
-    int owner = first ? 0 : 1;
-    s.entries[static_cast<size_t>(owner)]->Signal(SIGKILL);
-    EXPECT_TRUE(s.Ends(1 - owner, "a1", "completed")) << s.Logs();
-    EXPECT_EQ(s.Submit(1 - owner, "a2", "50").status, 200);
-    EXPECT_TRUE(s.Ends(1 - owner, "a2", "completed")) << s.Logs();
+    int left = s.KillOwner();
+    EXPECT_TRUE(s.Ends(left, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Submit(left, "a2", "50").status, 200);
+    EXPECT_TRUE(s.Ends(left, "a2", "completed")) << s.Logs();
     EXPECT_EQ(s.Starts().size(), 2u);
 }
 
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <stdexcept>
 
@@ -211,6 +212,30 @@
         {"Host: one.example", "Authorization: Bearer " + key});
 }
 
+Reply
+HostedStack::SubmitStep(int entry, const std::string &id,
+                        const std::string &payload, const std::string &fields)
+{
+    return Http("POST", Entry(entry) + "/q/" + id,
+                R"({"task-spec":")" + payload +
+                    R"(","steps":[{"count":1,"cpu":1000,"mem-mb":100,)"
+                    R"("estimated-ms":200,)" +
+                    fields + "}]}",
+                {"Host: one.example", "Authorization: Bearer key-one"});
+}
+
+int
+HostedStack::KillOwner()
+{
+    size_t owner = ReadFile(dir.Path("entry-0.err")).find("owner_in_office") !=
+                           std::string::npos
+                       ? 0
+                       : 1;
+
+    entries[owner]->Signal(SIGKILL);
+    return owner == 0 ? 1 : 0;
+}
+
 Reply
 HostedStack::Ask(int entry, const std::string &id, const std::string &key)
 {
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -31,6 +31,13 @@
     harness::Reply Submit(int entry, const std::string &id,
                           const std::string &payload, int tasks = 1,
                           const std::string &key = "key-one");
+    /* A job of one task with further fields of its step, as JSON. */
+    harness::Reply SubmitStep(int entry, const std::string &id,
+                              const std::string &payload,
+                              const std::string &fields);
+    /* Of two entries, kills the one that gives the orders; returns which is
+     * left. */
+    int KillOwner();
     harness::Reply Ask(int entry, const std::string &id,
                        const std::string &key = "key-one");
     harness::Reply Cancel(int entry, const std::string &id);
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -591,6 +591,75 @@
     EXPECT_EQ(w.State("a9"), JOB_RUNNING);
 }
 
+/* How a serving task's latency follows from the work beside it. */
+struct Disturbance {
+    const char *what;
+    int64_t alone_ms;    /* its latency by itself */
+    int64_t by_fill_ms;  /* added by a filling task at its full share */
+    int64_t least_share; /* that the filling task has in the mean, later */
+};
+
+/* A filling task disturbs one that serves, whose target is 100 ms. Its share
+ * is taken down until the target is met, within 4 s at most, and stays as high
+ * as the target allows; where nothing is disturbed it stays at all. */
+TEST(Jobs, FillingTasksYieldToTheTargetsOfServingOnes)
+{
+    const Disturbance cases[] = {
+        {"none", 40, 0, 100},           {"light", 40, 20, 100},
+        {"strong", 50, 80, 20},         {"very strong", 50, 400, 5},
+        {"busy by itself", 88, 100, 0}, {"over it by itself", 120, 10, 0}};
+
+    for (const Disturbance &c : cases) {
+        World w(1);
+        struct jobs_spec serves = w.Spec("ah", 1, 1);
+        struct jobs_spec fills = w.Spec("ai", 1, 0);
+        int64_t over_ms = 0, longest_ms = 0, sum = 0;
+
+        serves.steps[0].lasting = true;
+        serves.steps[0].latency_target_ms = 100;
+        fills.steps[0].fills = true;
+        w.natures["ah"].work_ms = w.natures["ai"].work_ms = 600000;
+        w.Submit(serves);
+        w.Submit(fills);
+        w.Turns(20);
+        for (int i = 0; i < 1000; i++) {
+            Worker &x = w.workers[0];
+            int64_t share =
+                x.shares.count("ai.0.0.0") != 0 ? x.shares["ai.0.0.0"] : 100;
+            int64_t latency = c.alone_ms + c.by_fill_ms * share / 100;
+
+            x.figures["ah.0.0.0"] = latency;
+            over_ms = latency > 100 && c.alone_ms <= 100 && share > 0
+                          ? over_ms + 20
+                          : 0;
+            longest_ms = std::max(longest_ms, over_ms);
+            sum += i >= 500 ? share : 0;
+            w.Turn();
+        }
+        EXPECT_LT(longest_ms, 3000) << c.what;
+        EXPECT_GE(sum / 500, c.least_share) << c.what;
+        EXPECT_EQ(w.Starts("ah.0.0.0"), 1) << c.what;
+    }
+}
+
+/* An owner has taken a filling task's share down and ends. The next one does
+ * not know of it: it tells the task its share anew, or that stands still for
+ * ever though nothing is disturbed any more. */
+TEST(Jobs, ANewOwnerTellsFillingTasksTheirShare)
+{
+    World w(1);
+    struct jobs_spec fills = w.Spec("aj", 1, 0);
+
+    fills.steps[0].fills = true;
+    w.natures["aj"].work_ms = 600000;
+    w.Submit(fills);
+    w.Turns(20);
+    w.workers[0].shares["aj.0.0.0"] = 0;
+    w.TakeOver();
+    w.Turns(20);
+    EXPECT_EQ(w.workers[0].shares["aj.0.0.0"], 100);
+}
+
 /* A job's rows say all that the next owner needs: it starts from the
  * checkpoint that the run before had saved. */
 TEST(Jobs, ACheckpointIsCarriedToTheNextRun)
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -326,6 +326,9 @@
         Str_Copy(x.task, sizeof(x.task), run.task.c_str());
         x.run = run.run;
         x.percent = PercentOf(w, run);
+        if (w.figures.count(run.task) != 0) {
+            x.figure = w.figures[run.task];
+        }
         if (now - run.begun_ms > RESTORED) {
             Str_Copy(x.checkpoint, sizeof(x.checkpoint), "saved");
         }
@@ -419,6 +422,10 @@
                 lose_orders--;
                 continue;
             }
+            if (o.verb == ORDER_SHARE) {
+                w.shares[o.task] = o.percent;
+                continue;
+            }
             if (late_ms > 0) {
                 late.push_back(
                     {i, w.id, o, "", o.checkpoint, term, now + late_ms});
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -59,6 +59,8 @@
     std::vector<End> ended;
     std::map<std::string, uint64_t> closed; /* highest run stopped or ended */
     std::vector<std::pair<std::string, uint64_t>> stopped;
+    std::map<std::string, int64_t> figures; /* latency, by serving task */
+    std::map<std::string, int64_t> shares;  /* as ordered, by task */
 };
 
 class World {
