Steps of queues that ask for advice run where the adviser approves

Gap: a queue with an adviser got no start through, as none carried a ticket.

Change: jobs-advice.c keeps what the adviser said of each lifetime for a step; a unit waits for an approval whose ticket outlasts the start. Questions are made with the plan, for the unit served next: up to 30 workers at once, those with room first, refusals never again, tickets that are over only where there is room.

Ruled out: asking from every entry (the owner alone places), and asking for all workers of a service (2 ms each).

Tests: two cases of the book (approved workers only, with the ticket; tickets over before there is room), a process test on a stand-in adviser that is full at first.

--- a/packages/config/config-hosted.c
+++ b/packages/config/config-hosted.c
@@ -13,6 +13,7 @@
     ADDRESS(callers),
     ADDRESS(ready),
     ADDRESS(links),
+    ADDRESS(advice),
     ADDRESS(beats),
     ADDRESS(worker),
     ADDRESS(metrics),
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -301,6 +301,7 @@
     char *store;   /* entry: the platform's store; NULL: not hosted */
     char *callers; /* entry: where callers connect */
     char *ready;   /* entry: where the balancer asks */
+    char *advice;  /* entry: the platform's adviser; NULL: none */
     char *links;   /* entry: where agents and entries connect */
     char *beats;   /* agent: where its worker reports */
     char *worker;  /* agent: the worker's calls; NULL: not hosted */
--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -53,6 +53,7 @@
         TAILQ_REMOVE(&j->units, u, entry);
         free_unit(u);
     }
+    Advice_Forget(j, UINT32_MAX);
     free(j->at);
     JobsSpec_Clear(&j->spec);
     free(j);
@@ -248,6 +249,7 @@
         memmove(j->at, j->at + j->occurrence_units,
                 j->at_count * sizeof(struct jobs_unit *));
         j->first_occurrence++;
+        Advice_Forget(j, j->first_occurrence);
     }
 }
 
@@ -328,6 +330,7 @@
     j->spec = *s;
     memset(s, 0, sizeof(*s));
     TAILQ_INIT(&j->units);
+    TAILQ_INIT(&j->advice);
     j->arrived_ms = now_ms;
     j->terms = j->spec.terms;
     if (j->terms.attempts < 1) {
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -82,6 +82,7 @@
     struct jobs_unit **at; /* the same, by place */
     size_t at_count;
     size_t occurrence_units; /* of each occurrence */
+    TAILQ_HEAD(, advice) advice;
     RB_ENTRY(jobs_job) by_id;
     TAILQ_ENTRY(jobs_job) active;
 };
@@ -93,6 +94,17 @@
     TAILQ_ENTRY(stray) entry;
 };
 
+/* What an adviser said of a worker for a step. */
+struct advice {
+    uint32_t occurrence;
+    uint32_t step;
+    char worker[JOBS_TEXT_SIZE];
+    char ticket[JOBS_TEXT_SIZE];
+    bool approved;
+    int64_t until_ms;
+    TAILQ_ENTRY(advice) entry;
+};
+
 /* One lifetime of a worker. */
 struct jobs_worker {
     char id[JOBS_TEXT_SIZE];
@@ -140,6 +152,7 @@
     struct book_tree jobs;
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
+    struct jobs_question question; /* none while its count is 0 */
     uint64_t row_mark;
     bool batch_open;
     bool batch_whole; /* nothing was dirty beside it */
@@ -212,6 +225,16 @@
 int64_t Objective_SlackMs(const struct jobs_unit *u, int64_t now_ms);
 int64_t Objective_NextMs(const struct jobs_unit *u, int64_t now_ms);
 
+/* ---- jobs-advice.c */
+bool Advice_Allows(const struct jobs_unit *u, const struct jobs_worker *w,
+                   int64_t now_ms);
+const char *Advice_Ticket(const struct jobs_unit *u,
+                          const struct jobs_worker *w);
+void Advice_Drop(const struct jobs_unit *u, const struct jobs_worker *w);
+void Advice_Forget(struct jobs_job *j, uint32_t before);
+bool Advice_Collect(struct jobs_book *b, const struct jobs_unit *u,
+                    int64_t now_ms, struct jobs_question *q);
+
 /* ---- jobs-evict.c */
 /* Core milliseconds lost when enough of lower rank on a worker is stopped for
  * n tasks of the unit to fit; -1: not even all of it is enough. */
@@ -256,6 +279,11 @@
  * time that nobody knows may be kept for it. */
 enum place_result Place_Unit(struct jobs_book *b, struct jobs_unit *u,
                              int64_t now_ms, bool may_hold);
+/* True when a worker may run the step, as far as no adviser is asked. */
+bool Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
+                  const struct jobs_unit *u, int64_t now_ms);
+/* True when it has room for a task of the unit now. */
+bool Place_HasRoom(const struct jobs_worker *w, const struct jobs_unit *u);
 /* True when the unit would find room now, its own run left aside. */
 bool Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
 
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -14,6 +14,7 @@
     o->verb = verb;
     o->run = run;
     o->checkpoint = "";
+    o->ticket = "";
     Str_Copy(o->agent, sizeof(o->agent), w->agent);
     Str_Copy(o->worker, sizeof(o->worker), w->id);
 }
@@ -63,6 +64,7 @@
     o->until_ms = w->clock_ms + b->limits.start_ms;
     o->payload = u->job->spec.payload;
     o->checkpoint = u->checkpoint;
+    o->ticket = u->job->terms.asks_advice ? Advice_Ticket(u, w) : "";
     late_ms = now_ms + (int64_t)((double)b->limits.start_ms * LEASE_STRETCH);
     w->lease_end_ms = late_ms > w->lease_end_ms ? late_ms : w->lease_end_ms;
     return true;
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -75,9 +75,9 @@
 }
 
 /* True when a worker may run the step at all. */
-static bool
-is_eligible(const struct jobs_book *b, const struct jobs_worker *w,
-            const struct jobs_unit *u, int64_t now_ms)
+bool
+Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
+             const struct jobs_unit *u, int64_t now_ms)
 {
     const struct jobs_step *s = Unit_Step(u);
     bool labelled = *s->label == '\0';
@@ -94,6 +94,14 @@
     return labelled;
 }
 
+/* As above, with what advisers say. */
+static bool
+is_eligible(const struct jobs_book *b, const struct jobs_worker *w,
+            const struct jobs_unit *u, int64_t now_ms)
+{
+    return Place_MayRun(b, w, u, now_ms) && Advice_Allows(u, w, now_ms);
+}
+
 /* Tasks of the unit's step and occurrence that a worker has. */
 static uint32_t
 count_same(const struct jobs_worker *w, const struct jobs_unit *u)
@@ -419,6 +427,16 @@
     return PLACE_SOON;
 }
 
+/* True when a task of the unit fits now. */
+bool
+Place_HasRoom(const struct jobs_worker *w, const struct jobs_unit *u)
+{
+    struct attempt a = {.room = ROOM_NOW};
+    struct spot s = {.free = room_on(w, &a)};
+
+    return fits(&s, Unit_Step(u));
+}
+
 /* How long a unit waits before it goes to a worker that is slow, or where it
  * failed: somewhere else is better, but nowhere is worst. */
 static int64_t
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -197,6 +197,10 @@
     bool first_run = u->run == 0;
     enum place_result result = Place_Unit(b, u, now_ms, may_hold);
 
+    if (result != PLACE_GIVEN && b->question.count == 0) {
+        Advice_Collect(b, u, now_ms, &b->question);
+    }
+
     if (result == PLACE_GIVEN && first_run) {
         u->job->row_bytes += Row_StartBytes(u);
     }
@@ -211,6 +215,7 @@
     int held = 0;
     size_t count;
 
+    b->question.count = 0;
     lapse(b, now_ms);
     Rank_All(b);
     leave_slow(b, now_ms);
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -257,6 +257,9 @@
     if (strcmp(reason, "room") == 0 || strcmp(reason, "busy") == 0) {
         w->full_until_ms = now_ms + pause_ms;
     }
+    if (strcmp(reason, "ticket") == 0) {
+        Advice_Drop(t->unit, w);
+    }
     Unit_Stop(b, t->unit, "start_refused");
 }
 
--- a/packages/jobs/jobs-spec.c
+++ b/packages/jobs/jobs-spec.c
@@ -136,6 +136,7 @@
     out->attempts = q->attempts;
     out->stretch = q->stretch;
     out->target_ms = q->target_ms;
+    out->asks_advice = q->asks_advice;
 }
 
 /* Writes the row of a spec. */
@@ -155,6 +156,7 @@
     json_put_number(o, "attempts", s->terms.attempts);
     json_object_set_new(o, "stretch", json_real(s->terms.stretch));
     json_put_number(o, "target_ms", s->terms.target_ms);
+    json_object_set_new(o, "asks_advice", json_boolean(s->terms.asks_advice));
     json_put_number(o, "repetitions", s->repetitions);
     json_put_number(o, "first_due_ms", s->first_due_ms);
     json_put_number(o, "interval_ms", s->interval_ms);
@@ -214,6 +216,7 @@
     s->terms.attempts = (int)json_number(o, "attempts");
     s->terms.stretch = json_number_value(json_object_get(o, "stretch"));
     s->terms.target_ms = json_number(o, "target_ms");
+    s->terms.asks_advice = json_is_true(json_object_get(o, "asks_advice"));
     s->payload = Mem_Dup(payload != NULL ? payload : "");
     s->repetitions = (uint32_t)json_number(o, "repetitions");
     s->first_due_ms = json_number(o, "first_due_ms");
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -123,6 +123,7 @@
     int attempts;
     double stretch;
     int64_t target_ms;
+    bool asks_advice; /* only workers that an adviser approves run its steps */
 };
 
 struct jobs_spec {
@@ -237,6 +238,24 @@
     int64_t percent;        /* of a share: how much the run may work */
     const char *payload;    /* valid until the book changes */
     const char *checkpoint; /* "": none */
+    const char *ticket;     /* "": none */
+};
+
+#define JOBS_ASK_MAX 30 /* workers in one question; advisers take 100 */
+
+/* Which of these workers may run a step? */
+struct jobs_question {
+    char job[JOBS_ID_SIZE];
+    uint32_t occurrence;
+    uint32_t step;
+    char workers[JOBS_ASK_MAX][JOBS_TEXT_SIZE];
+    size_t count;
+};
+
+/* A worker that may, and the ticket for its starts. */
+struct jobs_approval {
+    char worker[JOBS_TEXT_SIZE];
+    char ticket[JOBS_TEXT_SIZE];
 };
 
 struct jobs_book;
@@ -276,6 +295,14 @@
  * times. */
 void Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms);
 
+/* What to ask an adviser, of the unit that is served next; NULL: nothing. */
+const struct jobs_question *Jobs_Question(const struct jobs_book *b);
+/* Its answer: tickets hold until until_ms; workers that were asked about and
+ * are not among the approvals never may run the step. */
+void Jobs_Advised(struct jobs_book *b, const struct jobs_question *q,
+                  const struct jobs_approval *approvals, size_t count,
+                  int64_t until_ms);
+
 /* Jobs whose row has to be written: appends the row of the next one to out
  * and returns its id, or NULL when none is left. */
 const char *Jobs_NextDirty(struct jobs_book *b, struct buf *out);
--- /dev/null
+++ b/packages/queue/queue-advice.c
@@ -0,0 +1,71 @@
+#include "queue-owner.h"
+
+/* After a question without an answer, the next one waits so long, and twice as
+ * long after each further one: the adviser is full, or away. */
+#define PAUSE_MS 100
+#define PAUSE_MAX_MS 1600
+
+static struct counter asked_total = {"parsleyfall_queue_advice_total",
+                                     "Questions to the adviser.", NULL,
+                                     COUNTER_TOTAL};
+static struct counter answer_ms = {"parsleyfall_queue_advice_ms",
+                                   "Time until the adviser answered.", NULL,
+                                   COUNTER_LATENCY};
+
+/* No answer: the next question waits. */
+static void
+back_off(struct owner *o, int err)
+{
+    o->ask_pause_ms = o->ask_pause_ms == 0 ? PAUSE_MS : 2 * o->ask_pause_ms;
+    if (o->ask_pause_ms > PAUSE_MAX_MS) {
+        o->ask_pause_ms = PAUSE_MAX_MS;
+    }
+    o->ask_ms = Clock_NowMs() + o->ask_pause_ms;
+    LOG_W("advice_failed", KV("job", o->asked.job), KV("error", Err_Name(err)),
+          KV_INT("pause_ms", o->ask_pause_ms));
+}
+
+/* An answer. Its tickets count from when it was asked for: they may have been
+ * made at once, and the answer may have been on its way for long. */
+static void
+on_advised(void *arg, int err, const struct jobs_approval *approvals,
+           size_t count, int64_t validity_ms)
+{
+    struct owner *o = arg;
+    int64_t took_ms = Clock_NowMs() - o->asked_ms;
+
+    o->asking = false;
+    if (err != ERR_OK) {
+        back_off(o, err);
+        return;
+    }
+    o->ask_pause_ms = 0;
+    Counter_Observe(&answer_ms, took_ms);
+    LOG_I("advice_given", KV("job", o->asked.job),
+          KV_INT("step", o->asked.step), KV_INT("asked", o->asked.count),
+          KV_INT("approved", count), KV_INT("validity_ms", validity_ms),
+          KV_INT("ms", took_ms));
+    if (o->book != NULL) {
+        Jobs_Advised(o->book, &o->asked, approvals, count,
+                     o->asked_ms + validity_ms);
+        Owner_Soon(o);
+    }
+}
+
+/* Asks what the book wants to know, one question at a time: the adviser takes
+ * this machine's questions in turn anyway. */
+void
+Advice_Ask(struct owner *o)
+{
+    const struct jobs_question *q = Jobs_Question(o->book);
+
+    if (q == NULL || o->asking || o->adviser == NULL ||
+        Clock_NowMs() < o->ask_ms) {
+        return;
+    }
+    o->asking = true;
+    o->asked = *q;
+    o->asked_ms = Clock_NowMs();
+    Counter_Add(&asked_total, 1);
+    o->adviser->ops->ask(o->adviser, &o->asked, on_advised, o);
+}
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -156,6 +156,7 @@
     to->until_ms = order->until_ms;
     Str_Copy(to->task, sizeof(to->task), order->task);
     Str_Copy(to->checkpoint, sizeof(to->checkpoint), order->checkpoint);
+    Str_Copy(to->ticket, sizeof(to->ticket), order->ticket);
     if (order->payload != NULL) {
         Buf_AppendStr(&to->payload, order->payload);
     }
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -426,6 +426,7 @@
     Jobs_Plan(o->book, Clock_NowMs(), Clock_WallMs());
     Batch_Start(o);
     Orders_Send(o);
+    Advice_Ask(o);
     log_events(o);
 }
 
@@ -538,6 +539,9 @@
     ev_timer_stop(t->kernel->loop, &o->tick);
     ev_timer_stop(t->kernel->loop, &o->soon);
     Jobs_Free(o->book);
+    if (o->adviser != NULL) {
+        o->adviser->ops->free(o->adviser);
+    }
     QueueWhy_Clear(o);
     QueueConfig_Unref(o->config);
     free(o);
@@ -553,9 +557,13 @@
 static int
 start(struct kernel *k)
 {
+    const struct entry_settings *s = k->settings;
     struct owner *o = Mem_Zero(1, sizeof(*o));
 
     o->store = Queue_Store(k);
+    if (s->hosted.advice != NULL) {
+        o->adviser = Queue_Site()->open_adviser(k->loop, &s->hosted);
+    }
     o->beat_seen_ms = Clock_NowMs();
     TAILQ_INIT(&o->kept);
     ev_init(&o->tick, on_tick);
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -56,6 +56,12 @@
     int64_t write_ms;     /* start of the one under way */
     int64_t pause_ms;     /* no write before */
     uint64_t beats;
+    struct adviser *adviser; /* NULL: the platform has none */
+    bool asking;
+    struct jobs_question asked;
+    int64_t asked_ms;
+    int64_t ask_ms;       /* not before */
+    int64_t ask_pause_ms; /* after the last one that failed; 0: none did */
     TAILQ_HEAD(, jobs_event) kept; /* for those who ask why */
     size_t kept_count;
     ev_timer tick;
@@ -71,6 +77,9 @@
 /* ---- queue-batch.c */
 void Batch_Start(struct owner *o);
 
+/* ---- queue-advice.c */
+void Advice_Ask(struct owner *o);
+
 /* ---- queue-why.c */
 void QueueWhy_Keep(struct owner *o, struct jobs_event *e);
 void QueueWhy_Clear(struct owner *o);
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -42,10 +42,30 @@
 /* ---- the place it runs in -------------------------------------------------
  */
 
+/* How an adviser answers. err: nothing is known, and it may be asked again. */
+typedef void (*advised)(void *arg, int err,
+                        const struct jobs_approval *approvals, size_t count,
+                        int64_t validity_ms);
+
+struct adviser;
+
+struct adviser_ops {
+    /* Asks which workers may run a step; q is not kept. */
+    void (*ask)(struct adviser *, const struct jobs_question *q, advised done,
+                void *arg);
+    void (*free)(struct adviser *);
+};
+
+struct adviser {
+    const struct adviser_ops *ops;
+};
+
 /* What a platform brings. */
 struct queue_site {
     struct table *(*open_store)(struct ev_loop *,
                                 const struct hosted_settings *);
+    struct adviser *(*open_adviser)(struct ev_loop *,
+                                    const struct hosted_settings *);
     /* ERR_OK or ERR_INVALID with the reason; out is to be cleared. */
     int (*read_config)(const char *text, size_t len, struct jobs_config *out,
                        char why[128]);
--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -92,6 +92,7 @@
                                .run = order->run,
                                .payload = order->payload.data,
                                .checkpoint = order->checkpoint,
+                               .ticket = order->ticket,
                                .until_ms = order->until_ms,
                                .term = w->term};
     struct order_call *c;
--- a/packages/runs/runs.h
+++ b/packages/runs/runs.h
@@ -52,6 +52,7 @@
     uint64_t run;
     const char *payload;
     const char *checkpoint; /* "": none */
+    const char *ticket;     /* of an adviser; "": none */
     int64_t until_ms;       /* worker's clock */
     uint64_t term;
 };
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -231,10 +231,10 @@
     LIST(wire_hail, entries, entry_table)};
 
 static const struct wire_field order_fields[] = {
-    U(wire_order, verb),     TEXT(wire_order, task),
-    U(wire_order, run),      I(wire_order, until_ms),
-    I(wire_order, percent),  TEXT(wire_order, checkpoint),
-    BUF(wire_order, payload)};
+    U(wire_order, verb),      TEXT(wire_order, task),
+    U(wire_order, run),       I(wire_order, until_ms),
+    I(wire_order, percent),   TEXT(wire_order, checkpoint),
+    TEXT(wire_order, ticket), BUF(wire_order, payload)};
 static const struct wire_fields order_table = FIELDS(wire_order, order_fields);
 
 static const struct wire_field orders[] = {
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -423,8 +423,9 @@
     uint64_t verb; /* enum wire_order_verb */
     char task[WIRE_TEXT_SIZE];
     uint64_t run;
-    int64_t until_ms; /* worker's clock; of a start */
-    int64_t percent;  /* of a share */
+    int64_t until_ms;            /* worker's clock; of a start */
+    int64_t percent;             /* of a share */
+    char ticket[WIRE_TEXT_SIZE]; /* of a start; "": none */
     char checkpoint[WIRE_TEXT_SIZE];
     struct buf payload;
 };
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -2,6 +2,7 @@
  * runs under a lease that the holder renews, a fencing token, ends that are
  * listed until they are noted. A run lasts as many milliseconds as its
  * payload says; "fail" makes it fail. GET /starts tells what was started.
+ * One of the form "advised:MS" is refused without the adviser's ticket.
  * A run with the payload "serves" has a latency of 50 ms, to which each one
  * with the payload "fills" adds 100 ms at its full share; GET /shares tells
  * the shares that were ordered.
@@ -187,6 +188,7 @@
     const char *task = json_string_value(json_object_get(o, "task"));
     const char *payload = json_string_value(json_object_get(o, "task-spec"));
     char started[TASK_SIZE + 24];
+    const char *ticket = json_string_value(json_object_get(o, "ticket"));
     struct run *r;
 
     if (Fake_Int(o, "until-ms", 0) <= Clock_NowMs()) {
@@ -201,6 +203,13 @@
             return;
         }
     }
+    if (strncmp(payload, "advised:", 8) == 0) {
+        if (ticket == NULL || strcmp(ticket, "ticket-of-adviser") != 0) {
+            refuse(ex, "ticket");
+            return;
+        }
+        payload += 8;
+    }
     r = Mem_Zero(1, sizeof(*r));
     r->worker = w;
     Str_Copy(r->task, sizeof(r->task), task);
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -102,6 +102,32 @@
     EXPECT_EQ(s.Starts().size(), 2u);
 }
 
+/* A queue's steps may run only where the adviser says so, and start with its
+ * ticket. The adviser is full at first: questions wait for longer each time,
+ * and the job runs when it answers, on a worker that it approved; one that it
+ * did not approve is asked about once. */
+TEST(Hosted, StepsThatNeedAdviceRunWhereTheAdviserApproves)
+{
+    HostedStack s(1, 3);
+    auto asked = [&](const char *what) {
+        return json_integer_value(json_object_get(
+            Http("GET", s.adviser->Url("/asked")).json().get(), what));
+    };
+
+    Http("PUT", s.adviser->Url("/full"));
+    EXPECT_EQ(
+        s.SubmitStep(0, "c1", "advised:300", R"("gpu":8)", "/advised/").status,
+        200);
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Logs().find("event=advice_failed") != std::string::npos;
+    })) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 0u);
+    Http("PUT", s.adviser->Url("/free"));
+    EXPECT_TRUE(WaitFor([&] { return s.Starts().size() == 1; })) << s.Logs();
+    EXPECT_EQ(Http("GET", s.workers[1]->Url("/starts")).body, "[]");
+    EXPECT_LE(asked("c1.0.0 i-1"), 1);
+}
+
 /* The same id is handed in again, at another entry, also seconds later. It
  * stays one job: its caller asks again when an answer was lost. */
 TEST(Hosted, AnIdHandedInTwiceIsOneJob)
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -39,6 +39,8 @@
     store = std::make_unique<Fake>(
         dir, "fake-hosted-store",
         std::vector<std::string>{"--second-port-file", dir.Path("door2")});
+    adviser = std::make_unique<Fake>(dir, "fake-hosted-adviser",
+                                     std::vector<std::string>{});
     entries.resize(static_cast<size_t>(entry_count));
     agents.resize(static_cast<size_t>(worker_count));
     workers.resize(static_cast<size_t>(worker_count));
@@ -93,7 +95,9 @@
             "hosted:\n  store: \"127.0.0.1:" +
             std::to_string(StorePort(i % 2)) + "\"\n  callers: \"" +
             Address(i, CALLERS) + "\"\n  ready: \"" + Address(i, READY) +
-            "\"\n  links: \"" + Address(i, LINKS) + "\"\n  lease_ms: 4000\n");
+            "\"\n  links: \"" + Address(i, LINKS) +
+            "\"\n  advice: \"127.0.0.1:" + std::to_string(adviser->port) +
+            "\"\n  lease_ms: 4000\n");
     entries[static_cast<size_t>(i)].reset();
     entries[static_cast<size_t>(i)] = std::make_unique<Process>(
         dir, "parsleyfall", std::vector<std::string>{"serve", file},
@@ -155,7 +159,11 @@
         R"({"version":)" + std::to_string(version) +
         R"(,"routes":[{"name":"r-1","host":"one.example","prefix":"/q/",)"
         R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
-        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false}],)"
+        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false},)"
+        R"({"name":"r-2","host":"one.example","prefix":"/advised/",)"
+        R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
+        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false,)"
+        R"("advice":{"decision-ms":20,"per-item-ms":2,"validity-ms":1200}}],)"
         R"("services":[{"name":"pool","admission-check":true}],)"
         R"("limits":{"max-body-bytes":262144},)"
         R"("tenants":[{"name":"t","api-keys":[)" +
@@ -214,9 +222,10 @@
 
 Reply
 HostedStack::SubmitStep(int entry, const std::string &id,
-                        const std::string &payload, const std::string &fields)
+                        const std::string &payload, const std::string &fields,
+                        const std::string &prefix)
 {
-    return Http("POST", Entry(entry) + "/q/" + id,
+    return Http("POST", Entry(entry) + prefix + id,
                 R"({"task-spec":")" + payload +
                     R"(","steps":[{"count":1,"cpu":1000,"mem-mb":100,)"
                     R"("estimated-ms":200,)" +
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -17,8 +17,9 @@
     void StartAgent(int i);
     /* A lifetime of the worker beside agent i. */
     void StartWorker(int i, const std::string &lifetime);
-    /* What the operator writes: one queue "r-1" at one.example/q/, the keys
-     * of organisation "t", and one of "u". */
+    /* What the operator writes: a queue "r-1" at one.example/q/, another that
+     * asks for advice, "r-2" at one.example/advised/, the keys of organisation
+     * "t", and one of "u". */
     void PutConfig(int version, const std::vector<std::string> &keys,
                    const std::string &other_key = "");
     /* A fault of one of the store's doors; entry i uses door i % 2. */
@@ -34,7 +35,8 @@
     /* A job of one task with further fields of its step, as JSON. */
     harness::Reply SubmitStep(int entry, const std::string &id,
                               const std::string &payload,
-                              const std::string &fields);
+                              const std::string &fields,
+                              const std::string &prefix = "/q/");
     /* Of two entries, kills the one that gives the orders; returns which is
      * left. */
     int KillOwner();
@@ -47,7 +49,7 @@
     std::string Logs() const;
 
     harness::TempDir dir;
-    std::unique_ptr<harness::Fake> store;
+    std::unique_ptr<harness::Fake> store, adviser;
     std::vector<std::unique_ptr<harness::Process>> entries, agents;
     std::vector<std::unique_ptr<harness::Fake>> workers;
 
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -4,8 +4,10 @@
         PACKAGES http kernel base)
 pf_fake(fake-hosted-worker fakes/fake.c fakes/hosted-worker.c
         PACKAGES http kernel base)
+pf_fake(fake-hosted-adviser fakes/fake.c fakes/hosted-adviser.c
+        PACKAGES http kernel base)
 pf_process_test(hosted-process-test hosted-process-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
-                fake-hosted-store fake-hosted-worker SHARDS 4)
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser SHARDS 4)
 target_link_libraries(hosted-process-test PRIVATE sodium)
 pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -591,6 +591,72 @@
     EXPECT_EQ(w.State("a9"), JOB_RUNNING);
 }
 
+/* Answers the book's question: the workers with these lifetimes may. Returns
+ * how many were asked about. */
+size_t
+Advise(World &w, const std::vector<std::string> &approved, int64_t until_ms)
+{
+    const struct jobs_question *asked = Jobs_Question(w.book);
+    std::vector<struct jobs_approval> approvals;
+    struct jobs_question q = {};
+
+    if (asked == nullptr) {
+        return 0;
+    }
+    q = *asked;
+    for (const std::string &id : approved) {
+        struct jobs_approval a = {};
+
+        Str_Copy(a.worker, sizeof(a.worker), id.c_str());
+        Str_Copy(a.ticket, sizeof(a.ticket), ("may-" + id).c_str());
+        approvals.push_back(a);
+    }
+    Jobs_Advised(w.book, &q, approvals.data(), approvals.size(), until_ms);
+    return q.count;
+}
+
+/* Only some workers may run a step. It waits for the adviser, starts where
+ * that approves and with the ticket, and nobody is asked about twice. */
+TEST(Jobs, StepsThatNeedAdviceStartWhereItIsGiven)
+{
+    World w(4);
+
+    w.config.queues[0].asks_advice = true;
+    w.Submit(w.Spec("ak", 2, 8));
+    w.Turns(20);
+    EXPECT_EQ(w.Starts("ak.0.0.0"), 0);
+    EXPECT_EQ(Advise(w, {"life-1", "life-3"}, w.now + 60000), 4u);
+    w.Turns(3);
+    EXPECT_EQ(w.Starts("ak.0.0.0") + w.Starts("ak.0.0.1"), 2);
+    EXPECT_TRUE(w.workers[0].runs.empty() && w.workers[2].runs.empty());
+    EXPECT_EQ(w.tickets["ak.0.0.0"].substr(0, 8), "may-life");
+    EXPECT_EQ(Advise(w, {}, 0), 0u);
+}
+
+/* A ticket is over before its worker has room. It is asked for anew when there
+ * is room, and not before; the worker that may not run the step is not asked
+ * about again. */
+TEST(Jobs, TicketsThatAreOverAreAskedForAnew)
+{
+    World w(2);
+
+    w.workers[1].draining = true;
+    w.natures["al"].work_ms = 2000;
+    w.Submit(w.Spec("al", 1, 8));
+    w.Turns(10);
+    w.config.queues[0].asks_advice = true;
+    w.workers[1].draining = false;
+    w.Submit(w.Spec("am", 1, 8));
+    w.Turns(2);
+    EXPECT_EQ(Advise(w, {"life-0"}, w.now + 500), 2u);
+    w.Turns(30);
+    EXPECT_EQ(Advise(w, {}, 0), 0u);
+    w.Turns(100); /* the first run has ended */
+    EXPECT_EQ(Advise(w, {"life-0"}, w.now + 5000), 1u);
+    w.Turns(100);
+    EXPECT_EQ(w.State("am"), JOB_COMPLETED);
+}
+
 /* How a serving task's latency follows from the work beside it. */
 struct Disturbance {
     const char *what;
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -415,6 +415,9 @@
             if (w.id != o.worker || !w.reachable) {
                 continue;
             }
+            if (o.verb == ORDER_START) {
+                tickets[o.task] = o.ticket;
+            }
             if (o.verb == ORDER_START && rows.count(JobOf(o.task)) == 0) {
                 broken.push_back("ordered before it was written");
             }
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -119,6 +119,7 @@
         uint64_t term;
         int64_t at;
     };
+    std::map<std::string, std::string> tickets; /* by task, as ordered */
     std::deque<Late> late;
     int64_t late_ms = 0; /* delay of the next orders; 0: none */
 
