Counters by reason and outcome, times of jobs; log lines of outcomes are kept

An eviction did not say for which job. Counters told neither how long callers, jobs and orders take nor why the book decides.

Change: a budget for each event (job outcomes 1,000 lines a second, runs 300, all else 20); run_stopped names the job that it gave way to; histograms of callers' calls by outcome, first start, jobs by state, takeovers and orders at workers; decisions counted by event and reason, from the same constants as the log.

Tests: budgets; an eviction names its job.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -171,6 +171,9 @@
 Log_SetLevel(enum log_level level);
 /* Name put on every line as proc=. */
 void Log_SetProcess(const char *name);
+/* Lets an event have so many lines within a second instead of 20; event is
+ * kept. ERR_OK, or ERR_NOMEM when 16 have one already. */
+int Log_SetBudget(const char *event, int lines);
 /* One line on stderr. A line of the same event and level that comes more
  * than 20 times within a second is held back and counted; the count stands
  * on the event's next line as repeated=. Errors are never held back. */
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -10,6 +10,7 @@
 #define WAITING_MAX ((size_t)256 << 10) /* some thousand lines */
 #define HOLD_SLOTS 64
 #define HOLD_AFTER 20 /* lines of one event within a second */
+#define BUDGETS_MAX 16
 
 /* How often an event was written in its present second. */
 struct hold {
@@ -29,6 +30,37 @@
                                        "Lines dropped as nobody read the log.",
                                        NULL, COUNTER_TOTAL};
 
+/* Events with another bound than HOLD_AFTER. */
+static struct {
+    const char *event;
+    int lines;
+} budgets[BUDGETS_MAX];
+static size_t budget_count;
+
+/* Lets an event have so many lines within a second. */
+int
+Log_SetBudget(const char *event, int lines)
+{
+    if (budget_count == BUDGETS_MAX) {
+        return ERR_NOMEM;
+    }
+    budgets[budget_count].event = event;
+    budgets[budget_count++].lines = lines;
+    return ERR_OK;
+}
+
+/* How many lines of an event may be written within a second. */
+static int
+budget_of(const char *event)
+{
+    for (size_t i = 0; i < budget_count; i++) {
+        if (strcmp(budgets[i].event, event) == 0) {
+            return budgets[i].lines;
+        }
+    }
+    return HOLD_AFTER;
+}
+
 /* Sets the lowest level that is written. */
 void
 Log_SetLevel(enum log_level level)
@@ -84,7 +116,7 @@
         held = h->hash == hash ? h->held : 0;
         *h = (struct hold){hash, now, 0, 0};
     }
-    if (h->written >= HOLD_AFTER) {
+    if (h->written >= budget_of(event)) {
         h->held++;
         return -1;
     }
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -191,6 +191,9 @@
 void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
 void Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why);
+/* As above, for another job to run in its place. */
+void Unit_StopFor(struct jobs_book *b, struct jobs_unit *u, const char *why,
+                  const struct jobs_job *other);
 /* As above, and it is not to run again. */
 void Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why);
 /* The run of this task can't run any more. */
--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -192,6 +192,6 @@
     int taken = choose(w, u, n, now_ms, list);
 
     for (int i = 0; i < taken; i++) {
-        Unit_Stop(b, list[i].unit, "gives_way");
+        Unit_StopFor(b, list[i].unit, "gives_way", u->job);
     }
 }
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -104,11 +104,13 @@
     t->confirmed = false;
 }
 
-/* Lets the run of a unit end. */
+/* Lets the run of a unit end, for another job or for none. */
 void
-Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why)
+Unit_StopFor(struct jobs_book *b, struct jobs_unit *u, const char *why,
+             const struct jobs_job *other)
 {
     struct jobs_need need = counted_need(u);
+    struct jobs_event *e;
 
     if (u->state != UNIT_GIVEN || u->stopping) {
         return;
@@ -118,11 +120,20 @@
         if (u->tasks[i].worker != NULL) {
             add_need(&u->tasks[i].worker->freeing, &need, 1);
             u->tasks[i].sent_ms = 0;
-            Event_Task(b, JOBS_RUN_STOPPED, &u->tasks[i], why);
+            e = Event_Task(b, JOBS_RUN_STOPPED, &u->tasks[i], why);
+            Str_Copy(e->other, sizeof(e->other),
+                     other != NULL ? other->spec.id : "");
         }
     }
 }
 
+/* Lets the run of a unit end. */
+void
+Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why)
+{
+    Unit_StopFor(b, u, why, NULL);
+}
+
 /* Lets it end for good. */
 void
 Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why)
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -73,6 +73,7 @@
               KV("outcome", outcome_names[outcome]), KV("reason", reason),
               KV("host", call->host), KV_INT("retry_ms", call->retry_ms));
     }
+    QueueMetrics_Call(outcome, Clock_NowMs() - call->begun_ms);
     call->done(call);
     Queue_CallKind.free(&call->base);
 }
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -90,12 +90,28 @@
            !in->draining;
 }
 
+/* What tells how a request went is not held back as repeated lines are: it is
+ * looked for by its id. A job has one line of each of the first kind; a step
+ * of a thousand tasks has as many of the second. */
+static const struct {
+    const char *event;
+    int lines; /* within a second */
+} budgets[] = {{"job_accepted", 1000}, {"job_cancelled", 1000},
+               {"job_state", 1000},    {"call_refused", 1000},
+               {"run_given", 300},     {"run_stopped", 300},
+               {"run_over", 300}};
+
 /* Begins to follow the store. */
 static int
 start(struct kernel *k)
 {
     struct intake *in = Mem_Zero(1, sizeof(*in));
 
+    for (size_t i = 0; i < COUNT_OF(budgets); i++) {
+        if (Log_SetBudget(budgets[i].event, budgets[i].lines) != ERR_OK) {
+            LOG_W("log_budget_refused", KV("event", budgets[i].event));
+        }
+    }
     RB_INIT(&in->cache);
     RB_INIT(&in->jobs);
     in->store = Queue_Store(k);
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -57,6 +57,7 @@
     struct queue_call *c = Mem_Zero(1, sizeof(*c));
 
     c->verb = verb;
+    c->begun_ms = Clock_NowMs();
     c->reason = "";
     return c;
 }
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -15,6 +15,9 @@
 static struct counter in_office = {"parsleyfall_queue_owner",
                                    "1 while this entry gives the orders.",
                                    NULL, COUNTER_GAUGE};
+static struct counter takeover_ms = {
+    "parsleyfall_queue_takeover_ms",
+    "Time from election until the rows are read.", NULL, COUNTER_LATENCY};
 static struct counter takeovers = {"parsleyfall_queue_takeovers_total",
                                    "Times this entry became the owner.", NULL,
                                    COUNTER_TOTAL};
@@ -98,6 +101,7 @@
 begin_loading(struct owner *o)
 {
     o->office = OFFICE_LOADING;
+    o->elected_ms = Clock_NowMs();
     o->term = o->row_term;
     o->version = o->row_version;
     o->confirmed_ms = Clock_NowMs();
@@ -235,6 +239,7 @@
     }
     o->office = OFFICE_HELD;
     Counter_Add(&takeovers, 1);
+    Counter_Observe(&takeover_ms, now - o->elected_ms);
     Counter_Set(&in_office, 1);
     LOG_I("owner_in_office", KV_INT("term", o->term), KV_INT("rows", r->count),
           KV("before", o->dead_before ? "ended" : "maybe_alive"));
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -48,6 +48,7 @@
     char left[LEFT_MAX][JOBS_TEXT_SIZE];
     size_t left_next;
     /* In office. */
+    int64_t elected_ms;
     uint64_t term;
     uint64_t version; /* of the owner row that our writes expect */
     struct jobs_book *book;
--- a/packages/queue/queue-why.c
+++ b/packages/queue/queue-why.c
@@ -6,17 +6,13 @@
 /* Decisions that are kept for those who ask why; some hundred bytes each. */
 #define KEPT_MAX 8000
 
-static struct counter decisions_total = {
-    "parsleyfall_queue_decisions_total",
-    "Decisions and facts of the owner's book.", NULL, COUNTER_TOTAL};
-
 /* Keeps an event, and lets the oldest go. */
 void
 QueueWhy_Keep(struct owner *o, struct jobs_event *e)
 {
     struct jobs_event *oldest;
 
-    Counter_Add(&decisions_total, 1);
+    QueueMetrics_Event(e);
     TAILQ_INSERT_TAIL(&o->kept, e, entry);
     if (++o->kept_count > KEPT_MAX) {
         oldest = TAILQ_FIRST(&o->kept);
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -114,6 +114,7 @@
     char key[256];          /* bearer token; "": none */
     struct jobs_spec
         spec; /* of a submit; id and queue are set by the intake */
+    int64_t begun_ms;
     /* Result, valid in done. */
     enum queue_outcome outcome;
     enum jobs_state state;
@@ -133,6 +134,14 @@
  * about to end. */
 bool Queue_Ready(struct kernel *k);
 
+/* ---- counters -------------------------------------------------------------
+ */
+
+/* Counts a decision of the book by its reason, and the times of jobs. */
+void QueueMetrics_Event(const struct jobs_event *e);
+/* Counts a caller's call, by its outcome, with the milliseconds it took. */
+void QueueMetrics_Call(enum queue_outcome outcome, int64_t ms);
+
 /* ---- messages between the tasks
  * --------------------------------------------- */
 
--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -14,6 +14,10 @@
                                          [WIRE_STOP_RUN] = "stop",
                                          [WIRE_SHARE_RUN] = "share"};
 
+static struct counter order_ms = {"parsleyfall_agent_order_ms",
+                                  "Time of an order at the worker.", NULL,
+                                  COUNTER_LATENCY};
+
 /* True when the same order is at the worker already. */
 static bool
 is_under_way(const struct watch *w, const struct wire_order *order)
@@ -68,6 +72,7 @@
     bool current = strcmp(c->lifetime, w->said.lifetime) == 0;
 
     TAILQ_REMOVE(&w->calls, c, entry);
+    Counter_Observe(&order_ms, Clock_NowMs() - c->sent_ms);
     if (current && c->verb == WIRE_STOP_RUN && err == ERR_OK) {
         note_stop(w, c);
     }
@@ -117,6 +122,7 @@
     c = Mem_Zero(1, sizeof(*c));
     c->watch = w;
     c->verb = (enum wire_order_verb)order->verb;
+    c->sent_ms = Clock_NowMs();
     c->run = order->run;
     Str_Copy(c->lifetime, sizeof(c->lifetime), w->said.lifetime);
     Str_Copy(c->task, sizeof(c->task), order->task);
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -23,6 +23,7 @@
     char lifetime[JOBS_TEXT_SIZE];
     char task[JOBS_TASK_SIZE];
     uint64_t run;
+    int64_t sent_ms;
     TAILQ_ENTRY(order_call) entry;
 };
 
--- a/tests/base-test.cc
+++ b/tests/base-test.cc
@@ -91,6 +91,34 @@
         << line;
 }
 
+/* A failing link writes thousands of equal lines a second: they are held back
+ * after 20. What tells how a request went is looked for by its id, and has a
+ * bound of its own. */
+TEST(Log, LinesAreHeldBackByTheBudgetOfTheirEvent)
+{
+    struct log_kv id = KV_INT("id", 1);
+    size_t repeated = 0, outcomes = 0;
+
+    ASSERT_EQ(Log_SetBudget("an_outcome", 100), ERR_OK);
+    testing::internal::CaptureStderr();
+    for (int i = 0; i < 100; i++) {
+        Log_Event(LOG_WARN, "of_a_link", &id, 1);
+        Log_Event(LOG_INFO, "an_outcome", &id, 1);
+    }
+    std::string text = testing::internal::GetCapturedStderr();
+    for (size_t at = 0; (at = text.find("=of_a_link ", at)) != text.npos;
+         at++) {
+        repeated++;
+    }
+    for (size_t at = 0; (at = text.find("=an_outcome ", at)) != text.npos;
+         at++) {
+        outcomes++;
+    }
+    EXPECT_GE(repeated, 20u);
+    EXPECT_LE(repeated, 40u); /* a second may begin in between */
+    EXPECT_EQ(outcomes, 100u);
+}
+
 /* Nobody reads our log any more: the pipe is full. The process must go on; a
  * write that waits would hold up every caller. This test ends, or hangs. */
 TEST(Log, AReaderThatStopsReadingHoldsNothingUp)
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -375,6 +375,7 @@
     EXPECT_NE(w.WorkerOf("aa.0.0.0"), nullptr);
     EXPECT_EQ(w.WorkerOf("bb.0.0.0"), nullptr);
     EXPECT_TRUE(w.Happened("run_stopped", "gives_way"));
+    EXPECT_EQ(w.gave_way_to, std::set<std::string>{"cc"});
 }
 
 /* Urgent work finds all accelerators taken by a run that ends while it can
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -369,6 +369,9 @@
 
     while ((e = Jobs_NextEvent(book)) != nullptr) {
         events.emplace_back(Jobs_EventName(e->kind), e->reason);
+        if (*e->other != '\0') {
+            gave_way_to.insert(e->other);
+        }
         free(e);
     }
 }
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -109,7 +109,8 @@
     std::map<std::string, int> starts, fails;
     std::set<std::string> done_noted; /* tasks whose done is acknowledged */
     std::vector<std::pair<std::string, std::string>> events;
-    std::vector<std::string> broken; /* rules that were broken */
+    std::set<std::string> gave_way_to; /* jobs that others were stopped for */
+    std::vector<std::string> broken;   /* rules that were broken */
     /* Orders that a worker carries out late. */
     struct Late {
         size_t worker;
