--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -85,7 +85,7 @@
 
 /* Marks a job's row as to be written. */
 void
-Book_Touch(struct jobs_book *b UNUSED, struct jobs_job *j)
+Book_Touch(struct jobs_job *j)
 {
     j->dirty = true;
 }
@@ -364,7 +364,7 @@
     }
     j->cancelled = true;
     stop_all(b, j, "cancelled");
-    Book_Touch(b, j);
+    Book_Touch(j);
     Job_Settle(b, j, now_ms);
 }
 
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -165,7 +165,7 @@
 RB_PROTOTYPE(lifetime_tree, jobs_worker, by_id, worker_compare)
 
 /* ---- jobs-book.c */
-void Book_Touch(struct jobs_book *b, struct jobs_job *j);
+void Book_Touch(struct jobs_job *j);
 struct jobs_job *Book_FindJob(const struct jobs_book *b, const char *id);
 /* The unit with that task of a step, or NULL. */
 struct jobs_unit *Book_FindUnit(const struct jobs_job *j, uint32_t occurrence,
@@ -216,8 +216,7 @@
 /* How long the run of a task still takes. */
 int64_t Pace_LeftMs(const struct jobs_task *t, int64_t now_ms);
 /* True when a unit's run is better stopped and started elsewhere. */
-bool Pace_Crawls(const struct jobs_book *b, const struct jobs_unit *u,
-                 int64_t now_ms);
+bool Pace_Crawls(const struct jobs_unit *u, int64_t now_ms);
 
 /* ---- jobs-share.c */
 void Share_Take(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms);
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -157,8 +157,7 @@
 /* True when the run is better started elsewhere: it hangs, or what is left of
  * it there takes longer than all of it on a sound worker, by half. */
 bool
-Pace_Crawls(const struct jobs_book *b UNUSED, const struct jobs_unit *u,
-            int64_t now_ms)
+Pace_Crawls(const struct jobs_unit *u, int64_t now_ms)
 {
     int64_t again = Pace_WorkMs(u) + Pace_WorkMs(u) / 2 + 600;
 
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -327,7 +327,7 @@
         Event_Task(b, JOBS_RUN_GIVEN, &u->tasks[k], a->why)->number =
             now_ms - u->ready_ms;
     }
-    Book_Touch(b, u->job);
+    Book_Touch(u->job);
 }
 
 /* Keeps the chosen room from those that come after in this turn. */
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -41,7 +41,7 @@
            j->state <= JOB_RUNNING &&
            wall_ms + b->limits.early_ms >= Book_DueMs(j, j->occurrences)) {
         Book_AddOccurrence(j);
-        Book_Touch(b, j);
+        Book_Touch(j);
     }
     Book_NoteDue(j, now_ms, wall_ms);
 }
@@ -164,7 +164,7 @@
 
     TAILQ_FOREACH (j, &b->active, active) {
         TAILQ_FOREACH (u, &j->units, entry) {
-            if (!Pace_Crawls(b, u, now_ms) || !Place_CouldMove(b, u, now_ms)) {
+            if (!Pace_Crawls(u, now_ms) || !Place_CouldMove(b, u, now_ms)) {
                 continue;
             }
             u->moves++;
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -145,7 +145,7 @@
     t->figure = r->figure;
     if (!u->begun) {
         u->begun = true;
-        Book_Touch(b, u->job);
+        Book_Touch(u->job);
         Job_Settle(b, u->job, now_ms);
     }
 }
@@ -242,9 +242,8 @@
  * copy may still arrive, so the run is stopped before the next one: after
  * that the worker refuses whatever comes late. */
 void
-Jobs_Refused(struct jobs_book *b, const char *agent UNUSED, const char *worker,
-             const char *task, uint64_t run, const char *reason,
-             int64_t now_ms)
+Jobs_Refused(struct jobs_book *b, const char *worker, const char *task,
+             uint64_t run, const char *reason, int64_t now_ms)
 {
     static const int64_t pause_ms = 400; /* a stop takes about as long */
     struct jobs_worker *w = Book_FindWorker(b, worker);
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -197,7 +197,7 @@
         u->state = UNIT_WAITING;
         u->ready_ms = now_ms;
     }
-    Book_Touch(b, u->job);
+    Book_Touch(u->job);
     Job_Settle(b, u->job, now_ms);
 }
 
@@ -216,7 +216,7 @@
     u->unwritten = false;
     u->state = Unit_Step(u)->lasting && !u->dropped ? UNIT_WAITING : UNIT_DONE;
     u->ready_ms = now_ms;
-    Book_Touch(b, u->job);
+    Book_Touch(u->job);
     Job_Settle(b, u->job, now_ms);
 }
 
@@ -232,7 +232,7 @@
     }
     u->failed_run = true;
     u->failures++;
-    Book_Touch(b, u->job);
+    Book_Touch(u->job);
     if (Unit_Step(u)->lasting ||
         u->failures < (uint32_t)u->job->terms.attempts) {
         return;
@@ -305,7 +305,7 @@
     }
     j->state = state_of(j, &runs);
     if (j->state != was) {
-        Book_Touch(b, j);
+        Book_Touch(j);
         Event_Job(b, JOBS_JOB_STATE, j, Jobs_StateName(j->state))->number =
             now_ms - j->arrived_ms;
     }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -192,9 +192,8 @@
     uint32_t label_count;
     struct jobs_need capacity;
     bool draining;
-    int64_t drain_left_ms; /* at least; while draining */
-    uint64_t term;         /* of the owner that the look was made under */
-    int64_t clock_ms;      /* the worker's own */
+    uint64_t term;    /* of the owner that the look was made under */
+    int64_t clock_ms; /* the worker's own */
     struct jobs_running *running;
     size_t running_count;
     struct jobs_ended *ended;
@@ -278,9 +277,8 @@
 void Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
                  int64_t now_ms);
 /* A worker refused a start; it has not begun and may be ordered anew. */
-void Jobs_Refused(struct jobs_book *b, const char *agent, const char *worker,
-                  const char *task, uint64_t run, const char *reason,
-                  int64_t now_ms);
+void Jobs_Refused(struct jobs_book *b, const char *worker, const char *task,
+                  uint64_t run, const char *reason, int64_t now_ms);
 /* A worker that its agent saw leave is gone; ended is what it last listed, of
  * which some may not have been reported before. */
 void Jobs_Left(struct jobs_book *b, const char *worker,
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -110,7 +110,6 @@
     r.capacity =
         (struct jobs_need){m->millicores, m->memory_mb, m->accelerators};
     r.draining = m->draining != 0;
-    r.drain_left_ms = m->drain_left_ms;
     r.term = m->term;
     r.clock_ms = m->clock_ms;
     copy_lists(m, &r);
@@ -133,7 +132,7 @@
 {
     LOG_I("start_refused", KV("task", m->task), KV_INT("run", m->run),
           KV("worker", m->worker), KV("reason", m->reason));
-    Jobs_Refused(o->book, m->agent, m->worker, m->task, m->run, m->reason,
+    Jobs_Refused(o->book, m->worker, m->task, m->run, m->reason,
                  Clock_NowMs());
 }
 
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -97,7 +97,6 @@
     m->memory_mb = w->said.capacity.memory_mb;
     m->accelerators = w->said.capacity.accelerators;
     m->draining = w->said.draining;
-    m->drain_left_ms = w->said.drain_left_ms;
     m->term = call->term;
     m->clock_ms = seen->clock_ms;
     fill_lists(w, seen, m);
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -218,7 +218,6 @@
     I(wire_look, memory_mb),
     I(wire_look, accelerators),
     U(wire_look, draining),
-    I(wire_look, drain_left_ms),
     U(wire_look, term),
     I(wire_look, clock_ms),
     LIST(wire_look, running, run_table),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -400,7 +400,6 @@
     int64_t memory_mb;
     int64_t accelerators;
     uint64_t draining;
-    int64_t drain_left_ms;
     uint64_t term;            /* of the owner under which the look was made */
     int64_t clock_ms;         /* the worker's own clock at the look */
     struct wire_list running; /* struct wire_run */
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -146,8 +146,7 @@
     }
     if (why != nullptr) {
         if (w.reachable) {
-            Jobs_Refused(book, w.agent.c_str(), w.id.c_str(), task.c_str(),
-                         run, why, now);
+            Jobs_Refused(book, w.id.c_str(), task.c_str(), run, why, now);
         }
         return;
     }
