--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -547,6 +547,20 @@
     EXPECT_EQ(w.workers[1].runs.size(), 4u);
 }
 
+/* Two services share the platform. A queue's tasks must run on the workers of
+ * its own only, also while those are full and the others idle. */
+TEST(Jobs, TasksRunOnTheWorkersOfTheirService)
+{
+    World w(2);
+
+    w.workers[0].service = "other";
+    w.Submit(w.Spec("an", 2, 8));
+    w.Turns(150);
+    EXPECT_EQ(w.State("an"), JOB_COMPLETED);
+    EXPECT_EQ(w.workers[0].ends, 0u);
+    EXPECT_EQ(w.workers[1].ends, 2u);
+}
+
 TEST(Jobs, LabelsAndSpreadAreKept)
 {
     World w(3);
