--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -56,6 +56,9 @@
         const struct wire_hail *hail = (const struct wire_hail *)*m;
         const struct wire_entry *list = hail->entries.items;
 
+        if (e->stamp == 0) {
+            e->said_ms = 0; /* what was said without a stamp is not taken */
+        }
         e->stamp = hail->stamp;
         e->stamped_by = hail->incarnation;
         for (size_t i = 0; i < hail->entries.count; i++) {
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -190,13 +190,23 @@
                          w->until_ms, extra ? 0 : WAIT_MS, on_looked, call);
 }
 
-/* Looks at the worker, when there is one. */
+/* Looks at the worker, when there is one and an owner is known.
+ *
+ * Failure: an agent that starts anew looks under no term, and its worker,
+ * which has seen one, does not answer that. Symptom: entries hear of the agent
+ * when the look has timed out, a second later, and nothing starts for as long.
+ * Until an owner has told its term the agent only says that it is here. */
 static void
 look(struct watch *w)
 {
     if (w->looking) {
         return;
     }
+    if (w->term == 0) {
+        tell_blind(w);
+        look_later(w, RETRY_MS);
+        return;
+    }
     if (*w->said.lifetime == '\0') {
         /* Whoever takes over next has to hear of a worker that left. */
         tell_blind(w);
@@ -309,7 +319,13 @@
         LOG_I("owner_heard", KV_INT("term", m->term),
               KV_INT("before", w->term));
         w->term = m->term;
-        Watch_LookSoon(w); /* it gives us nothing before a look under it */
+        /* It gives us nothing before a look under its term. */
+        if (w->looking) {
+            Watch_LookSoon(w);
+        }
+        else {
+            look(w);
+        }
     }
     if (strcmp(m->worker, w->said.lifetime) != 0) {
         return;
@@ -400,6 +416,7 @@
     ev_init(&w->soon, on_soon);
     w->soon.data = w;
     Kernel_AddTask(k, &w->task, &watch_ops);
+    look_later(w, RETRY_MS);
     return ERR_OK;
 }
 
--- a/packages/wire/wire-link.c
+++ b/packages/wire/wire-link.c
@@ -10,7 +10,14 @@
 #define RECEIVE_AT_ONCE 128 /* messages before other sockets get a turn */
 #define SEND_HWM 4096       /* messages queued to one peer */
 #define RECONNECT_MS 50
-#define RECONNECT_MAX_MS 1000
+/* Failure: both ends of a link lose power, and this one is back first. Its
+ * attempt to connect is lost, not refused, and the kernel tries again only
+ * after one, two and four seconds. Symptom: after a power cut agents hear no
+ * entry for 2 s, until the silent link is replaced, and nothing starts. An
+ * attempt is therefore given up after a time that is long for a connection
+ * between regions (100 ms there and back), and the next one follows soon. */
+#define CONNECT_MS 300
+#define RECONNECT_MAX_MS 250
 #define HANDSHAKE_MS 5000
 
 struct link_context {
@@ -201,6 +208,7 @@
     }
     else {
         set_int(link->socket, ZMQ_IMMEDIATE, 1);
+        set_int(link->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_MS);
         set_int(link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
         set_int(link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
     }
