What urgent work may throw away grows with its waiting; room it avoids beats waiting

Cause, found on reading the change again: (1) with a bound of its own work, urgent work beyond a guarantee could wait for hours for runs of hours that save nothing. The bound now rises with the square of the waiting, counted in objectives. (2) An urgent unit that waited for room kept away for ever from a slow worker, or one where it had failed, with room: only units that found nothing at all went there. What only waits goes there too.

Tests: two cases, both fail on the version before.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -243,7 +243,7 @@
 double Evict_Cost(const struct jobs_worker *w, const struct jobs_unit *u,
                   uint32_t n, int64_t now_ms);
 /* What making room for the unit may cost. */
-double Evict_Worth(const struct jobs_unit *u);
+double Evict_Worth(const struct jobs_unit *u, int64_t now_ms);
 void Evict_Apply(struct jobs_book *b, struct jobs_worker *w,
                  const struct jobs_unit *u, uint32_t n, int64_t now_ms);
 
--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -38,20 +38,27 @@
 }
 
 /* What stopping others for a unit may cost, in core milliseconds: as much as
- * its own work.
+ * its own work, and more the longer it has waited.
  *
  * Load: a burst of urgent gangs beside long runs. Without a bound, a gang of
  * two seconds throws away ten seconds of three others, which then wait, start
  * again and are stopped for the next one. Bounded by its own work, and with
  * units that wait while they can, 20 days of load threw away 0.032 of what was
  * owed instead of 0.062 (64 cores a worker) and 0.022 instead of 0.038 (128);
- * by 2.5 times its work, 0.033 and 0.024. Work that is guaranteed has no
- * bound. */
+ * by 2.5 times its work, 0.033 and 0.024. The bound rises with the square of
+ * the waiting, faster than the runs that it waits for become dearer, so that
+ * urgent work does not wait for hours for runs of hours. Work that is
+ * guaranteed has no bound. */
 double
-Evict_Worth(const struct jobs_unit *u)
+Evict_Worth(const struct jobs_unit *u, int64_t now_ms)
 {
-    return u->job->rank == RANK_COVERED ? INFINITY
-                                        : cores_of(u) * (double)Pace_WorkMs(u);
+    double objectives =
+        (double)(now_ms - u->ready_ms) / (double)(u->job->objective_ms + 1);
+
+    return u->job->rank == RANK_COVERED
+               ? INFINITY
+               : cores_of(u) * (double)Pace_WorkMs(u) *
+                     (1 + objectives * objectives);
 }
 
 /* Cheapest first. */
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -419,7 +419,7 @@
         !choose_all(b, a, ROOM_EVICTING, now_ms)) {
         return PLACE_NOWHERE;
     }
-    if (cost_of(a) > Evict_Worth(a->unit)) {
+    if (cost_of(a) > Evict_Worth(a->unit, now_ms)) {
         return hold(a, may_hold);
     }
     evict(b, a, now_ms);
@@ -460,9 +460,17 @@
     a->unit = u;
     a->chosen = chosen;
     result = place(b, a, now_ms, may_hold);
-    if (result == PLACE_NOWHERE && now_ms - u->ready_ms >= pickiness_ms(u)) {
-        a->any = true;
-        result = place(b, a, now_ms, may_hold);
+    a->any = true;
+    if (now_ms - u->ready_ms < pickiness_ms(u)) {
+        return result;
+    }
+    if (result == PLACE_NOWHERE) {
+        return place(b, a, now_ms, may_hold);
+    }
+    /* What only waits for room goes where it had better not go before that. */
+    if (result == PLACE_HELD && choose_all(b, a, ROOM_NOW, now_ms)) {
+        give(b, a, now_ms);
+        return PLACE_GIVEN;
     }
     return result;
 }
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -412,6 +412,39 @@
     EXPECT_FALSE(w.Happened("run_stopped", "gives_way"));
 }
 
+/* Urgent work of a second finds a run that takes hours, none of it saved. It
+ * waits, but not for hours: what it may throw away grows with its waiting. */
+TEST(Jobs, UrgentWorkDoesNotWaitForHours)
+{
+    World w(1, "urgent:0:3 batch:2:3");
+
+    w.Submit(Wide(w, "aa", "batch", 3600000));
+    w.Turns(200);
+    w.Submit(Wide(w, "cc", "urgent", 1000));
+    w.Turns(2000); /* 40 s */
+    EXPECT_EQ(w.State("cc"), JOB_COMPLETED);
+    EXPECT_TRUE(w.Happened("run_stopped", "gives_way"));
+}
+
+/* An urgent task has failed on one worker, by chance; the other one is full of
+ * work that is dear to stop. The first one has room: the task goes back there
+ * rather than wait for the other. */
+TEST(Jobs, UrgentWorkGoesBackWhereItFailedRatherThanWait)
+{
+    World w(2, "urgent:0:3 batch:2:3");
+
+    w.workers[0].draining = true;
+    w.Submit(Wide(w, "aa", "batch", 20000));
+    w.Turns(20);
+    w.workers[0].draining = false;
+    w.natures["cc"].failures = 1;
+    w.Submit(Wide(w, "cc", "urgent", 1000));
+    w.Turns(200);
+    EXPECT_EQ(w.State("cc"), JOB_COMPLETED);
+    EXPECT_EQ(w.Starts("cc.0.0.0"), 2);
+    EXPECT_EQ(w.Starts("aa.0.0.0"), 1);
+}
+
 /* Of two jobs that wait, one is late already, whatever is done. The one that
  * can still be in time goes first, or both are late; the late one follows. */
 TEST(Jobs, WhatCanBeInTimeGoesBeforeWhatIsLate)
