SIGHUP is ignored from a program's first statement on

The test signalled an agent that it had just started, on a busy machine.

Change: run and serve ignore the signal first of all. What is left is the time until main(), in which no program can; so the test waits until the agent has started, and asks the same of both processes as before.

--- a/packages/agent/main.c
+++ b/packages/agent/main.c
@@ -27,8 +27,10 @@
     struct conf_errors *errors CLEANUP(Mem_FreeP) =
         Mem_Zero(1, sizeof(*errors));
     struct agent_settings s CLEANUP(Settings_FreeAgent) = {0};
-    int err = Settings_LoadAgent(args->subject, &s, errors);
+    int err;
 
+    Kernel_IgnoreHup();
+    err = Settings_LoadAgent(args->subject, &s, errors);
     if (err != ERR_OK) {
         Cli_SayErrors(args, args->subject, errors);
         return CLI_FAILED;
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -80,6 +80,7 @@
     struct entry_settings s CLEANUP(Settings_FreeEntry) = {0};
     int err;
 
+    Kernel_IgnoreHup();
     if (load(args, &s) != ERR_OK) {
         return CLI_FAILED;
     }
--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -103,6 +103,13 @@
           KV("effect", "when the process is replaced"));
 }
 
+/* Before the settings are read. */
+void
+Kernel_IgnoreHup(void)
+{
+    signal(SIGHUP, SIG_IGN);
+}
+
 /* Starts watching a signal. */
 static void
 watch_signal(struct kernel *k, ev_signal *w,
--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -100,6 +100,9 @@
         Kernel_Register(&(var));                                              \
     }
 
+/* Lets the process live through a SIGHUP that comes before its loop watches
+ * for it: the first thing that a long-lived program does. */
+void Kernel_IgnoreHup(void);
 /* SIGHUP says that the settings file has changed; what differs takes effect
  * when the process is replaced. Prepares the loop and the signals. drain_ms
  * bounds a drain. */
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -287,11 +287,15 @@
 }
 
 /* SIGHUP says that the settings file has changed. Processes that don't know
- * the signal end by it, and cut all that they have in hand. */
+ * the signal end by it, and cut all that they have in hand. A process that is
+ * not in main() yet can't know it, so both are up first. */
 TEST(Hosted, SighupEndsNothing)
 {
     HostedStack s(1, 1);
 
+    ASSERT_TRUE(WaitFor([&] {
+        return s.Logs().find("proc=agent-0 event=start") != std::string::npos;
+    })) << s.Logs();
     s.entries[0]->Signal(SIGHUP);
     s.agents[0]->Signal(SIGHUP);
     EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
