Needs of tasks are added and counted by one piece of code

Behaviour as before: jobs-test, jobs-property and the hosted process tests pass; the whole check was not run again on it.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -187,6 +187,10 @@
 struct jobs_worker *Book_FindWorker(const struct jobs_book *b, const char *id);
 struct jobs_worker *Book_Worker(struct jobs_book *b, const char *id,
                                 const char *agent);
+/* Adds a need n times; n may be negative. */
+void Need_Add(struct jobs_need *to, const struct jobs_need *need, int n);
+/* What a task of the unit takes from its worker's room. */
+struct jobs_need Unit_Need(const struct jobs_unit *u);
 void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
 void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -75,7 +75,7 @@
 add_victim(struct victim *list, size_t *count, struct jobs_unit *u,
            int64_t now_ms)
 {
-    const struct jobs_need *need = &Unit_Step(u)->need;
+    struct jobs_need need = Unit_Need(u);
     size_t i;
 
     for (i = 0; i < *count && list[i].unit != u; i++) {
@@ -87,9 +87,7 @@
         list[(*count)++] =
             (struct victim){.unit = u, .cost = cost_of(u, now_ms)};
     }
-    list[i].frees.millicores += Unit_Step(u)->fills ? 0 : need->millicores;
-    list[i].frees.memory_mb += need->memory_mb;
-    list[i].frees.accelerators += need->accelerators;
+    Need_Add(&list[i].frees, &need, 1);
 }
 
 /* Room that is missing on a worker, with what is being stopped there; a value
@@ -118,15 +116,6 @@
     return m->millicores <= 0 && m->memory_mb <= 0 && m->accelerators <= 0;
 }
 
-/* Takes what a victim frees off what is missing, n times. */
-static void
-take_off(struct jobs_need *m, const struct jobs_need *frees, int n)
-{
-    m->millicores -= n * frees->millicores;
-    m->memory_mb -= n * frees->memory_mb;
-    m->accelerators -= n * frees->accelerators;
-}
-
 /* True for a task that serves until its job is cancelled and bounds how many
  * of its step may be away at once: it gives way to nobody. */
 static bool
@@ -155,7 +144,7 @@
     }
     qsort(list, count, sizeof(*list), victim_compare);
     while (taken < count && !is_enough(&missing)) {
-        take_off(&missing, &list[taken++].frees, 1);
+        Need_Add(&missing, &list[taken++].frees, -1);
     }
     if (!is_enough(&missing)) {
         return -1;
@@ -163,7 +152,7 @@
     for (size_t i = taken; i-- > 0;) {
         struct jobs_need without = missing;
 
-        take_off(&without, &list[i].frees, -1);
+        Need_Add(&without, &list[i].frees, 1);
         if (is_enough(&without)) {
             missing = without;
             list[i] = list[--taken];
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -41,15 +41,12 @@
     const struct jobs_task *t;
 
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        const struct jobs_step *s = Unit_Step(t->unit);
+        struct jobs_need need = Unit_Need(t->unit);
 
-        if (t->unit->stopping || s->lasting || !t->confirmed ||
-            Pace_LeftMs(t, now_ms) > while_ms) {
-            continue;
+        if (!t->unit->stopping && !Unit_Step(t->unit)->lasting &&
+            t->confirmed && Pace_LeftMs(t, now_ms) <= while_ms) {
+            Need_Add(free, &need, 1);
         }
-        free->millicores += s->fills ? 0 : s->need.millicores;
-        free->memory_mb += s->need.memory_mb;
-        free->accelerators += s->need.accelerators;
     }
 }
 
@@ -60,13 +57,10 @@
     enum room room = a->room;
     struct jobs_need free = w->capacity;
 
-    free.millicores -= w->used.millicores + w->reserved.millicores;
-    free.memory_mb -= w->used.memory_mb + w->reserved.memory_mb;
-    free.accelerators -= w->used.accelerators + w->reserved.accelerators;
+    Need_Add(&free, &w->used, -1);
+    Need_Add(&free, &w->reserved, -1);
     if (room >= ROOM_SOON) {
-        free.millicores += w->freeing.millicores;
-        free.memory_mb += w->freeing.memory_mb;
-        free.accelerators += w->freeing.accelerators;
+        Need_Add(&free, &w->freeing, 1);
     }
     if (room == ROOM_ENDING) {
         add_ending(w, a->now_ms, a->patience_ms, &free);
@@ -194,7 +188,7 @@
 static bool
 choose(struct attempt *a, const char *rack)
 {
-    const struct jobs_step *step = Unit_Step(a->unit);
+    struct jobs_need need = Unit_Need(a->unit);
 
     for (size_t i = 0; i < a->count; i++) {
         a->spots[i].taken = 0;
@@ -209,9 +203,7 @@
             return false;
         }
         best->taken++;
-        best->free.millicores -= step->fills ? 0 : step->need.millicores;
-        best->free.memory_mb -= step->need.memory_mb;
-        best->free.accelerators -= step->need.accelerators;
+        Need_Add(&best->free, &need, -1);
     }
     return true;
 }
@@ -334,14 +326,10 @@
 static void
 keep_room(struct attempt *a)
 {
-    const struct jobs_step *step = Unit_Step(a->unit);
+    struct jobs_need need = Unit_Need(a->unit);
 
     for (uint32_t k = 0; k < a->unit->task_count; k++) {
-        struct jobs_need *r = &a->chosen[k]->worker->reserved;
-
-        r->millicores += step->fills ? 0 : step->need.millicores;
-        r->memory_mb += step->need.memory_mb;
-        r->accelerators += step->need.accelerators;
+        Need_Add(&a->chosen[k]->worker->reserved, &need, 1);
     }
 }
 
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -200,7 +200,6 @@
     if (result != PLACE_GIVEN && b->question.count == 0) {
         Advice_Collect(b, u, now_ms, &b->question);
     }
-
     if (result == PLACE_GIVEN && first_run) {
         u->job->row_bytes += Row_StartBytes(u);
     }
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -44,8 +44,8 @@
 }
 
 /* Adds a need n times; n may be negative. */
-static void
-add_need(struct jobs_need *to, const struct jobs_need *need, int n)
+void
+Need_Add(struct jobs_need *to, const struct jobs_need *need, int n)
 {
     to->millicores += n * need->millicores;
     to->memory_mb += n * need->memory_mb;
@@ -53,8 +53,8 @@
 }
 
 /* What a task takes from its worker's room. */
-static struct jobs_need
-counted_need(const struct jobs_unit *u)
+struct jobs_need
+Unit_Need(const struct jobs_unit *u)
 {
     struct jobs_need need = Unit_Step(u)->need;
 
@@ -68,7 +68,7 @@
 void
 Worker_Take(struct jobs_worker *w, struct jobs_task *t)
 {
-    struct jobs_need need = counted_need(t->unit);
+    struct jobs_need need = Unit_Need(t->unit);
 
     t->worker = w;
     t->confirmed = false;
@@ -81,9 +81,9 @@
     t->figure = 0;
     t->share = -1;
     t->share_sent_ms = 0;
-    add_need(&w->used, &need, 1);
+    Need_Add(&w->used, &need, 1);
     if (t->unit->stopping) {
-        add_need(&w->freeing, &need, 1);
+        Need_Add(&w->freeing, &need, 1);
     }
     TAILQ_INSERT_TAIL(&w->tasks, t, on_worker);
 }
@@ -92,12 +92,12 @@
 static void
 let_go(struct jobs_task *t)
 {
-    struct jobs_need need = counted_need(t->unit);
+    struct jobs_need need = Unit_Need(t->unit);
     struct jobs_worker *w = t->worker;
 
-    add_need(&w->used, &need, -1);
+    Need_Add(&w->used, &need, -1);
     if (t->unit->stopping) {
-        add_need(&w->freeing, &need, -1);
+        Need_Add(&w->freeing, &need, -1);
     }
     TAILQ_REMOVE(&w->tasks, t, on_worker);
     t->worker = NULL;
@@ -109,7 +109,7 @@
 Unit_StopFor(struct jobs_book *b, struct jobs_unit *u, const char *why,
              const struct jobs_job *other)
 {
-    struct jobs_need need = counted_need(u);
+    struct jobs_need need = Unit_Need(u);
     struct jobs_event *e;
 
     if (u->state != UNIT_GIVEN || u->stopping) {
@@ -118,7 +118,7 @@
     u->stopping = true;
     for (uint32_t i = 0; i < u->task_count; i++) {
         if (u->tasks[i].worker != NULL) {
-            add_need(&u->tasks[i].worker->freeing, &need, 1);
+            Need_Add(&u->tasks[i].worker->freeing, &need, 1);
             u->tasks[i].sent_ms = 0;
             e = Event_Task(b, JOBS_RUN_STOPPED, &u->tasks[i], why);
             Str_Copy(e->other, sizeof(e->other),
