--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -1,5 +1,6 @@
 # The book of jobs: tables of cases and a property, in a world of the tests.
 pf_test(jobs-test jobs-test.cc jobs-world.cc PACKAGES jobs)
+pf_test(jobs-spec-test jobs-spec-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-property jobs-property.cc jobs-world.cc PACKAGES jobs)
 set_tests_properties(jobs-property PROPERTIES ENVIRONMENT
                      "RC_PARAMS=seed=20261202 max_success=1000 max_size=60")
