--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -215,6 +215,25 @@
 void Counter_Observe(struct counter *c, int64_t ms);
 void Counter_Render(struct buf *out);
 
+/* ---- input of others -----------------------------------------------------
+ */
+
+/* Whose word it was. */
+enum unreadable {
+    UNREADABLE_REPORT,  /* a worker of itself */
+    UNREADABLE_LOOK,    /* a worker of its runs */
+    UNREADABLE_ROW,     /* a row of our own table */
+    UNREADABLE_STORE,   /* the store's form of a row */
+    UNREADABLE_CONFIG,  /* an operator */
+    UNREADABLE_MESSAGE, /* another process of ours */
+    UNREADABLE_ADVICE,  /* the adviser */
+    UNREADABLE_SOURCES
+};
+
+/* Notes that something was left out as it can't be read: name says which
+ * (a key, a lifetime, a task), why what is wrong with it. */
+void Unreadable(enum unreadable source, const char *name, const char *why);
+
 /* ---- settings ---------------------------------------------------------- */
 
 /* One mistake in a document; line is counted from 1, 0 when unknown. */
--- a/packages/config/config-format.c
+++ b/packages/config/config-format.c
@@ -68,8 +68,8 @@
 }
 
 /* True for "ip:port". */
-static bool
-is_address(const char *text)
+bool
+Settings_IsAddress(const char *text)
 {
     char ip[NAME_SIZE];
     int port;
@@ -120,7 +120,7 @@
 const struct conf_format config_ip_format = {
     "an IP number that others reach, not 0.0.0.0", is_reachable_ip};
 const struct conf_format config_address_format = {
-    "ip:port, or [ip]:port, with a port of 1..65535", is_address};
+    "ip:port, or [ip]:port, with a port of 1..65535", Settings_IsAddress};
 const struct conf_format config_url_format = {
     "http://host[:port][/path] or https://, without a slash at the end",
     Settings_IsUrl};
--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -5,6 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Units of a job that are open at once, some 300 bytes each: four times the
+ * tasks that one occurrence may have. */
+#define OPEN_UNITS_MAX (4 * JOBS_TASKS_MAX)
+
 /* Order of jobs by id. */
 static int
 job_compare(struct jobs_job *a, struct jobs_job *b)
@@ -191,14 +195,22 @@
     j->at[j->at_count++] = u;
 }
 
-/* Makes the units of the next occurrence. */
-void
+/* Makes the units of the next occurrence.
+ *
+ * Load: a job that is due a million times at once. Without a bound its units
+ * take all memory of the entry that holds the book, and of each one after it.
+ * Further occurrences wait for the first ones to be done. */
+bool
 Book_AddOccurrence(struct jobs_job *j)
 {
     j->occurrence_units = 0;
     for (uint32_t i = 0; i < j->spec.step_count; i++) {
         j->occurrence_units += units_of(&j->spec.steps[i]);
     }
+    if (j->at_count > 0 &&
+        j->at_count + j->occurrence_units > OPEN_UNITS_MAX) {
+        return false;
+    }
     j->at = Mem_Grow(j->at, (j->at_count + j->occurrence_units) *
                                 sizeof(struct jobs_unit *));
     for (uint32_t i = 0; i < j->spec.step_count; i++) {
@@ -213,6 +225,7 @@
         }
     }
     j->occurrences++;
+    return true;
 }
 
 /* True when all units of an occurrence are done. */
@@ -315,6 +328,30 @@
     }
 }
 
+/* Holds a job whose progress can't be read.
+ *
+ * Failure: the row of its progress is spoiled, and the owner that knew what is
+ * done has ended. Symptom of going on as if nothing had run: what has ended as
+ * done runs again. Nothing of the job starts, what runs is left alone, and its
+ * row stays as it is, until its caller cancels it. */
+static void
+hold(struct jobs_job *j)
+{
+    struct jobs_unit *u;
+
+    TAILQ_FOREACH (u, &j->units, entry) {
+        for (uint32_t i = 0; i < u->task_count; i++) {
+            if (u->tasks[i].worker != NULL) {
+                Worker_LetGo(&u->tasks[i]);
+            }
+        }
+        u->state = UNIT_WAITING;
+    }
+    j->held = true;
+    j->cancelled = false;
+    j->state = JOB_RUNNING;
+}
+
 /* Takes an accepted job. */
 int
 Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
@@ -344,6 +381,9 @@
     if (progress != NULL) {
         err = Row_Decode(b, j, progress, len);
     }
+    if (err != ERR_OK) {
+        hold(j);
+    }
     TAILQ_INSERT_TAIL(&b->active, j, active);
     Event_Job(b, JOBS_JOB_TAKEN, j, progress != NULL ? "taken_over" : "new");
     if (j->state > JOB_RUNNING) {
@@ -363,11 +403,42 @@
         return;
     }
     j->cancelled = true;
+    j->held = false;
     stop_all(b, j, "cancelled");
     Book_Touch(j);
     Job_Settle(b, j, now_ms);
 }
 
+/* The row of a job's progress is not as it was written last. */
+void
+Jobs_Spoiled(struct jobs_book *b, const char *id, bool spec)
+{
+    struct jobs_job *j = Book_FindJob(b, id);
+
+    if (j != NULL && spec) {
+        j->spoiled = true;
+    }
+    else if (j != NULL && !j->held) {
+        Book_Touch(j);
+    }
+}
+
+/* A job whose spec has to be stored again. */
+const char *
+Jobs_NextSpoiled(struct jobs_book *b, struct buf *out)
+{
+    struct jobs_job *j;
+
+    RB_FOREACH (j, book_tree, &b->jobs) {
+        if (j->spoiled) {
+            j->spoiled = false;
+            JobsSpec_Encode(&j->spec, out);
+            return j->spec.id;
+        }
+    }
+    return NULL;
+}
+
 /* The next ended job that nobody has to be shown any more. */
 const char *
 Jobs_NextExpired(struct jobs_book *b, int64_t now_ms)
@@ -480,9 +551,9 @@
 
     TAILQ_FOREACH (j, &b->active, active) {
         json_array_append_new(
-            jobs, json_pack("{s:s,s:s,s:s,s:i}", "id", j->spec.id, "queue",
+            jobs, json_pack("{s:s,s:s,s:s,s:i,s:b}", "id", j->spec.id, "queue",
                             j->spec.queue, "state", Jobs_StateName(j->state),
-                            "priority", j->terms.priority));
+                            "priority", j->terms.priority, "held", j->held));
     }
     RB_FOREACH (w, lifetime_tree, (struct lifetime_tree *)&b->workers) {
         json_array_append_new(
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -19,6 +19,8 @@
     uint32_t index;
     struct jobs_worker *worker; /* NULL: no run of it can be anywhere */
     bool confirmed;             /* seen running */
+    uint64_t listed; /* number of the last report that listed its run */
+    int64_t listed_clock_ms; /* and the worker's clock then */
     int64_t given_ms;
     int64_t sent_ms;  /* last order; 0: none yet */
     bool far;         /* from its data, or from the rest of its gang */
@@ -68,6 +70,8 @@
     int rank; /* who gives way to whom: lower ranks evict higher ones */
     enum jobs_state state;
     bool cancelled;
+    bool held;    /* its progress can't be read, so nothing of it may start */
+    bool spoiled; /* the row of its spec can't be read any more */
     bool dirty;
     bool in_batch;
     uint32_t first_occurrence; /* those before are done and have no units */
@@ -131,6 +135,7 @@
     int64_t doubt_ms;      /* last run far over its estimate; 0: none */
     char doubt_job[JOBS_ID_SIZE];
     uint32_t failures_in_row;
+    uint64_t reports;
     uint64_t seen;       /* ends taken into the book */
     uint64_t seen_batch; /* of them, those in rows being written */
     uint64_t seen_rows;  /* of them, those stored */
@@ -173,8 +178,8 @@
 /* The task of that name, or NULL. */
 struct jobs_task *Book_FindTask(const struct jobs_book *b, const char *name);
 void Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE]);
-/* Makes the units of one occurrence. */
-void Book_AddOccurrence(struct jobs_job *j);
+/* Makes the units of one occurrence; false when the job has too many open. */
+bool Book_AddOccurrence(struct jobs_job *j);
 /* Drops the units of the first occurrences that are done. */
 void Book_DropDone(struct jobs_job *j);
 /* When an occurrence is due, since 1970. */
@@ -192,6 +197,8 @@
 /* What a task of the unit takes from its worker's room. */
 struct jobs_need Unit_Need(const struct jobs_unit *u);
 void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
+/* Takes it off again, and nothing follows from that. */
+void Worker_LetGo(struct jobs_task *t);
 void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
 void Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why);
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -39,8 +39,8 @@
 {
     while (j->occurrences < j->spec.repetitions && !j->cancelled &&
            j->state <= JOB_RUNNING &&
-           wall_ms + b->limits.early_ms >= Book_DueMs(j, j->occurrences)) {
-        Book_AddOccurrence(j);
+           wall_ms + b->limits.early_ms >= Book_DueMs(j, j->occurrences) &&
+           Book_AddOccurrence(j)) {
         Book_Touch(j);
     }
     Book_NoteDue(j, now_ms, wall_ms);
@@ -88,6 +88,9 @@
 
     *count = 0;
     TAILQ_FOREACH (j, &b->active, active) {
+        if (j->held) {
+            continue;
+        }
         Book_DropDone(j);
         add_due(b, j, now_ms, wall_ms);
         Objective_Set(j);
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -38,11 +38,43 @@
     }
 }
 
-/* Takes the facts of the worker itself. */
+/* True when the configuration names the service, or a job is left that was
+ * taken for it. */
+static bool
+is_named(const struct jobs_book *b, const char *service)
+{
+    const struct jobs_config *c = b->config;
+    const struct jobs_job *j;
+
+    for (size_t i = 0; c != NULL && i < c->service_count; i++) {
+        if (strcmp(c->services[i].name, service) == 0) {
+            return true;
+        }
+    }
+    for (size_t i = 0; c != NULL && i < c->queue_count; i++) {
+        if (strcmp(c->queues[i].service, service) == 0) {
+            return true;
+        }
+    }
+    TAILQ_FOREACH (j, &b->active, active) {
+        if (strcmp(j->terms.service, service) == 0) {
+            return true;
+        }
+    }
+    return c == NULL;
+}
+
+/* Takes what the worker is and has. A report that names a service that nobody
+ * has configured changes nothing: the last good one holds, and a worker of
+ * which there is none gets no work. */
 static void
-take_facts(struct jobs_worker *w, const struct jobs_report *r, int64_t now_ms)
+take_kind(struct jobs_book *b, struct jobs_worker *w,
+          const struct jobs_report *r)
 {
-    Str_Copy(w->agent, sizeof(w->agent), r->agent);
+    if (strcmp(w->service, r->service) != 0 && !is_named(b, r->service)) {
+        Unreadable(UNREADABLE_REPORT, w->id, "a service that is not named");
+        return;
+    }
     Str_Copy(w->service, sizeof(w->service), r->service);
     w->label_count = r->label_count;
     memcpy(w->labels, r->labels, sizeof(w->labels));
@@ -50,6 +82,15 @@
     Str_Copy(w->rack, sizeof(w->rack),
              r->label_count > 0 ? r->labels[r->label_count - 1] : "");
     w->capacity = r->capacity;
+}
+
+/* Takes the facts of the worker itself. */
+static void
+take_facts(struct jobs_book *b, struct jobs_worker *w,
+           const struct jobs_report *r, int64_t now_ms)
+{
+    Str_Copy(w->agent, sizeof(w->agent), r->agent);
+    take_kind(b, w, r);
     w->draining = r->draining;
     w->heard = true;
     w->report_ms = now_ms;
@@ -131,6 +172,9 @@
     struct jobs_task *t = Book_FindTask(b, r->task);
     struct jobs_unit *u;
 
+    if (t != NULL && t->unit->job->held) {
+        return;
+    }
     if (t == NULL || t->worker != w || t->unit->run != r->run ||
         t->unit->state != UNIT_GIVEN) {
         add_stray(w, r->task, r->run);
@@ -142,6 +186,8 @@
     }
     Pace_Take(b, w, t, r->percent, w->clock_ms, now_ms);
     t->confirmed = true;
+    t->listed = w->reports;
+    t->listed_clock_ms = w->clock_ms;
     t->figure = r->figure;
     if (!u->begun) {
         u->begun = true;
@@ -178,6 +224,33 @@
     Task_Gone(b, t, "never_began", now_ms);
 }
 
+/* Stops runs that were listed and are not any more, though no end was.
+ *
+ * Failure: the row that tells a run's end can't be read. Symptom: the run is
+ * taken for working for ever, and its job never ends. A worker lists what it
+ * was given as running or as ended, both as of one moment; what is in neither
+ * list for a second is over, and a stop makes sure of it: its confirmation
+ * frees the task. A list of ends that is full may lack some, and proves
+ * nothing. */
+static void
+stop_vanished(struct jobs_book *b, struct jobs_worker *w,
+              const struct jobs_report *r)
+{
+    static const int64_t vanished_ms = 1000; /* looks come twice as often */
+    static const size_t full = 500;          /* ends in one list, at most */
+    struct jobs_task *t;
+
+    if (r->ended_count >= full) {
+        return;
+    }
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        if (t->confirmed && t->listed != w->reports &&
+            w->clock_ms - t->listed_clock_ms > vanished_ms) {
+            Unit_Stop(b, t->unit, "vanished");
+        }
+    }
+}
+
 /* Ends the other lifetimes that this agent had beside it: a machine holds
  * one worker at a time, and this one has answered under its own id. */
 static void
@@ -205,7 +278,8 @@
         return;
     }
     w = Book_Worker(b, r->worker, r->agent);
-    take_facts(w, r, now_ms);
+    take_facts(b, w, r, now_ms);
+    w->reports++;
     note_term(b, w, r->term, now_ms);
     end_earlier(b, w, now_ms);
     take_ends(b, w, r->ended, r->ended_count, now_ms);
@@ -215,6 +289,7 @@
     for (size_t i = 0; i < r->stopped_count; i++) {
         take_stopped(b, w, r, &r->stopped[i], now_ms);
     }
+    stop_vanished(b, w, r);
     Share_Take(b, w, now_ms);
 }
 
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -218,6 +218,13 @@
     return err;
 }
 
+/* True for the id of a lifetime that is whole. */
+static bool
+is_lifetime(const char *worker)
+{
+    return *worker != '\0' && strlen(worker) < JOBS_TEXT_SIZE;
+}
+
 /* Puts the tasks of a unit on the workers that the row names. */
 static int
 decode_tasks(struct jobs_book *b, struct jobs_unit *u, const json_t *tasks,
@@ -231,17 +238,23 @@
 
     json_array_foreach(tasks, i, row)
     {
-        if (json_unpack(row, "[i,I]", &index, &number) != 0 ||
+        struct jobs_task *t;
+
+        if (json_unpack(row, "[i,I]", &index, &number) != 0 || number < 0 ||
             json_unpack(json_array_get(workers, (size_t)number), "[s,s]",
                         &agent, &worker) != 0 ||
+            !is_lifetime(worker) || strlen(agent) >= NAME_SIZE ||
             (uint32_t)index < u->tasks[0].index ||
             (uint32_t)index >= u->tasks[0].index + u->task_count) {
             return ERR_INVALID;
         }
-        Worker_Take(Book_Worker(b, worker, agent),
-                    &u->tasks[(uint32_t)index - u->tasks[0].index]);
+        t = &u->tasks[(uint32_t)index - u->tasks[0].index];
+        if (t->worker != NULL) {
+            return ERR_INVALID; /* one run is on one worker */
+        }
+        Worker_Take(Book_Worker(b, worker, agent), t);
     }
-    return ERR_OK;
+    return json_is_array(tasks) ? ERR_OK : ERR_INVALID;
 }
 
 /* Reads one unit of a row. */
@@ -258,6 +271,8 @@
     if (json_unpack(row, "[i,i,i,i,I,i,i,s,o]", &occurrence, &step, &first,
                     &state, &run, &failures, &begun, &checkpoint,
                     &tasks) != 0 ||
+        state < 0 || state > UNIT_FAILED || run < 0 || failures < 0 ||
+        strlen(checkpoint) >= JOBS_TEXT_SIZE ||
         (u = Book_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
                            (uint32_t)first)) == NULL) {
         return ERR_INVALID;
@@ -292,25 +307,42 @@
     return ERR_OK;
 }
 
+/* Makes the units of the occurrences that a row tells of. */
+static int
+decode_occurrences(struct jobs_job *j, int64_t first, int64_t until)
+{
+    if (first < 0 || first > until || until > j->spec.repetitions) {
+        return ERR_INVALID;
+    }
+    j->first_occurrence = (uint32_t)first;
+    j->occurrences = (uint32_t)first;
+    while (j->occurrences < until) {
+        if (!Book_AddOccurrence(j)) {
+            return ERR_INVALID;
+        }
+    }
+    return ERR_OK;
+}
+
 /* Reads the progress of a job into its units. */
 int
 Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
            size_t len)
 {
     json_t *o = json_loadb(text, len, 0, NULL);
-    uint32_t occurrences = (uint32_t)json_number(o, "occurrences");
     const json_t *workers = json_object_get(o, "workers");
     int err = decode_state(o, &j->state);
     json_t *row;
     size_t i;
 
-    if (j->spec.repetitions > 0) {
-        j->first_occurrence = (uint32_t)json_number(o, "first");
-        j->occurrences = j->first_occurrence;
+    if (!json_is_array(workers) ||
+        !json_is_array(json_object_get(o, "done")) ||
+        !json_is_array(json_object_get(o, "units"))) {
+        err = ERR_INVALID;
     }
-    while (err == ERR_OK && j->occurrences < occurrences &&
-           j->occurrences < j->spec.repetitions) {
-        Book_AddOccurrence(j);
+    if (err == ERR_OK && j->spec.repetitions > 0) {
+        err = decode_occurrences(j, json_number(o, "first"),
+                                 json_number(o, "occurrences"));
     }
     json_array_foreach(json_object_get(o, "done"), i, row)
     {
--- a/packages/jobs/jobs-spec.c
+++ b/packages/jobs/jobs-spec.c
@@ -80,8 +80,12 @@
         snprintf(why, 128, "a job has an id and 1 to 64 steps");
         return ERR_INVALID;
     }
-    if (s->repetitions > 0 && s->interval_ms < 0) {
-        snprintf(why, 128, "the interval can't be negative");
+    if (s->interval_ms < 0 || s->first_due_ms < 0 ||
+        s->first_due_ms > JOBS_DUE_MAX_MS ||
+        (s->repetitions > 0 &&
+         s->interval_ms >
+             (JOBS_DUE_MAX_MS - s->first_due_ms) / (int64_t)s->repetitions)) {
+        snprintf(why, 128, "the due times are out of range");
         return ERR_INVALID;
     }
     for (uint32_t i = 0; i < s->step_count; i++) {
@@ -168,24 +172,61 @@
     JobsJson_Append(o, out);
 }
 
+/* Reads a whole number from 0 to most; one that is left out is 0. */
+static int
+decode_number(const json_t *o, const char *key, int64_t most, int64_t *out)
+{
+    const json_t *value = json_object_get(o, key);
+
+    *out = json_integer_value(value);
+    if (value != NULL &&
+        (!json_is_integer(value) || *out < 0 || *out > most)) {
+        return ERR_INVALID;
+    }
+    return ERR_OK;
+}
+
+/* As above, into 32 bits. */
+static int
+decode_count(const json_t *o, const char *key, uint32_t *out)
+{
+    int64_t n;
+    int err = decode_number(o, key, INT32_MAX, &n);
+
+    *out = err == ERR_OK ? (uint32_t)n : 0;
+    return err;
+}
+
+/* Reads a text that is not cut; one that is left out is empty. */
+static int
+decode_text(const json_t *o, const char *key, char *out, size_t size)
+{
+    const json_t *value = json_object_get(o, key);
+
+    return value != NULL && !json_is_string(value)
+               ? ERR_INVALID
+               : json_text(o, key, out, size);
+}
+
 /* Reads one step. */
 static int
 decode_step(const json_t *o, struct jobs_step *s)
 {
     const json_t *after = json_object_get(o, "after");
-    int err = ERR_OK;
+    int err = json_is_object(o) ? ERR_OK : ERR_INVALID;
 
-    s->count = (uint32_t)json_number(o, "count");
-    s->need.millicores = json_number(o, "millicores");
-    s->need.memory_mb = json_number(o, "memory_mb");
-    s->need.accelerators = json_number(o, "accelerators");
-    s->estimate_ms = json_number(o, "estimate_ms");
-    s->spread = (uint32_t)json_number(o, "spread");
-    s->latency_target_ms = json_number(o, "latency_target_ms");
-    s->max_unavailable = (uint32_t)json_number(o, "max_unavailable");
-    err |= json_text(o, "label", s->label, sizeof(s->label));
-    err |= json_text(o, "rack", s->rack, sizeof(s->rack));
-    err |= json_text(o, "image", s->image, sizeof(s->image));
+    err |= decode_count(o, "count", &s->count);
+    err |= decode_number(o, "millicores", INT32_MAX, &s->need.millicores);
+    err |= decode_number(o, "memory_mb", INT32_MAX, &s->need.memory_mb);
+    err |= decode_number(o, "accelerators", INT32_MAX, &s->need.accelerators);
+    err |= decode_number(o, "estimate_ms", INT32_MAX, &s->estimate_ms);
+    err |= decode_count(o, "spread", &s->spread);
+    err |= decode_number(o, "latency_target_ms", INT32_MAX,
+                         &s->latency_target_ms);
+    err |= decode_count(o, "max_unavailable", &s->max_unavailable);
+    err |= decode_text(o, "label", s->label, sizeof(s->label));
+    err |= decode_text(o, "rack", s->rack, sizeof(s->rack));
+    err |= decode_text(o, "image", s->image, sizeof(s->image));
     for (size_t i = 0; i < COUNT_OF(flags); i++) {
         *(bool *)((char *)s + flags[i].offset) =
             json_is_true(json_object_get(o, flags[i].name));
@@ -194,8 +235,13 @@
         return ERR_INVALID;
     }
     for (size_t i = 0; i < json_array_size(after); i++) {
-        s->after[s->after_count++] =
-            (uint32_t)json_integer_value(json_array_get(after, i));
+        const json_t *step = json_array_get(after, i);
+
+        if (!json_is_integer(step) || json_integer_value(step) < 0 ||
+            json_integer_value(step) >= JOBS_STEPS_MAX) {
+            return ERR_INVALID;
+        }
+        s->after[s->after_count++] = (uint32_t)json_integer_value(step);
     }
     return err == ERR_OK ? ERR_OK : ERR_INVALID;
 }
@@ -205,23 +251,27 @@
 decode_fields(const json_t *o, struct jobs_spec *s)
 {
     const char *payload = json_string_value(json_object_get(o, "payload"));
-    int err = ERR_OK;
+    uint32_t priority = 0, attempts = 0;
+    int err = payload != NULL ? ERR_OK : ERR_INVALID;
 
-    err |= json_text(o, "id", s->id, sizeof(s->id));
-    err |= json_text(o, "queue", s->queue, sizeof(s->queue));
+    err |= decode_text(o, "id", s->id, sizeof(s->id));
+    err |= decode_text(o, "queue", s->queue, sizeof(s->queue));
+    err |= decode_text(o, "organisation", s->organisation,
+                       sizeof(s->organisation));
     err |=
-        json_text(o, "organisation", s->organisation, sizeof(s->organisation));
-    err |= json_text(o, "service", s->terms.service, sizeof(s->terms.service));
-    s->terms.priority = (int)json_number(o, "priority");
-    s->terms.attempts = (int)json_number(o, "attempts");
+        decode_text(o, "service", s->terms.service, sizeof(s->terms.service));
+    err |= decode_count(o, "priority", &priority);
+    err |= decode_count(o, "attempts", &attempts);
+    err |= decode_number(o, "target_ms", JOBS_DUE_MAX_MS, &s->terms.target_ms);
+    err |= decode_count(o, "repetitions", &s->repetitions);
+    err |= decode_number(o, "first_due_ms", JOBS_DUE_MAX_MS, &s->first_due_ms);
+    err |= decode_number(o, "interval_ms", JOBS_DUE_MAX_MS, &s->interval_ms);
+    err |= decode_number(o, "accepted_ms", JOBS_DUE_MAX_MS, &s->accepted_ms);
+    s->terms.priority = (int)priority;
+    s->terms.attempts = (int)attempts;
     s->terms.stretch = json_number_value(json_object_get(o, "stretch"));
-    s->terms.target_ms = json_number(o, "target_ms");
     s->terms.asks_advice = json_is_true(json_object_get(o, "asks_advice"));
     s->payload = Mem_Dup(payload != NULL ? payload : "");
-    s->repetitions = (uint32_t)json_number(o, "repetitions");
-    s->first_due_ms = json_number(o, "first_due_ms");
-    s->interval_ms = json_number(o, "interval_ms");
-    s->accepted_ms = json_number(o, "accepted_ms");
     return err == ERR_OK ? ERR_OK : ERR_INVALID;
 }
 
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -89,8 +89,8 @@
 }
 
 /* Takes a task's run off its worker. */
-static void
-let_go(struct jobs_task *t)
+void
+Worker_LetGo(struct jobs_task *t)
 {
     struct jobs_need need = Unit_Need(t->unit);
     struct jobs_worker *w = t->worker;
@@ -183,7 +183,7 @@
         return;
     }
     Event_Task(b, JOBS_RUN_OVER, t, why)->number = now_ms - t->given_ms;
-    let_go(t);
+    Worker_LetGo(t);
     for (uint32_t i = 0; i < u->task_count; i++) {
         any = any || u->tasks[i].worker != NULL;
     }
@@ -209,7 +209,7 @@
         if (u->tasks[i].worker != NULL) {
             Event_Task(b, JOBS_RUN_OVER, &u->tasks[i], "done")->number =
                 now_ms - u->tasks[i].given_ms;
-            let_go(&u->tasks[i]);
+            Worker_LetGo(&u->tasks[i]);
         }
     }
     u->stopping = false;
@@ -300,7 +300,7 @@
     enum jobs_state was = j->state;
     bool runs;
 
-    if (j->ended_ms != 0) {
+    if (j->ended_ms != 0 || (j->held && !j->cancelled)) {
         return;
     }
     j->state = state_of(j, &runs);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -34,7 +34,9 @@
 #define JOBS_TEXT_SIZE 96   /* labels, racks, worker ids, checkpoints */
 #define JOBS_STEPS_MAX 64   /* of a job */
 #define JOBS_TASKS_MAX 4096 /* of a job, all steps of one occurrence */
-#define JOBS_ROW_MAX 60000  /* bytes of a row; stores bear 64 KiB */
+/* Latest due time, since 1970: the year 5138. */
+#define JOBS_DUE_MAX_MS ((int64_t)100000000000000)
+#define JOBS_ROW_MAX 60000 /* bytes of a row; stores bear 64 KiB */
 
 /* ---- configuration ------------------------------------------------------ */
 
@@ -265,14 +267,21 @@
 
 /* The configuration in force; the book keeps a pointer to it. */
 void Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c);
-/* Takes an accepted job; the spec is moved out of s. progress is the row of
- * Jobs_Progress, or NULL. ERR_OK, ERR_EXISTS or ERR_INVALID. */
+/* Takes an accepted job; the spec is moved out of s. progress is its row, or
+ * NULL. ERR_OK, ERR_EXISTS, or ERR_INVALID when the row can't be read: the job
+ * is in the book, and nothing of it starts. */
 int Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
              size_t len, int64_t now_ms);
 /* True when the job is known. */
 bool Jobs_Has(const struct jobs_book *b, const char *id);
 /* Its caller wants it no more. */
 void Jobs_Cancel(struct jobs_book *b, const char *id, int64_t now_ms);
+/* A row of the job was found spoiled in the store: that of its spec, or of its
+ * progress. What the book knows is to be written over it. */
+void Jobs_Spoiled(struct jobs_book *b, const char *id, bool spec);
+/* Appends a spec that has to be stored again and returns its job's id, or NULL
+ * when there is none. */
+const char *Jobs_NextSpoiled(struct jobs_book *b, struct buf *out);
 /* An agent's look at its worker. */
 void Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
                  int64_t now_ms);
--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -56,57 +56,69 @@
 }
 
 /* What an accepted job's row shows. */
-static void
+static bool
 show_spec(struct intake *in, const char *id, const struct buf *value)
 {
     struct jobs_spec spec CLEANUP(JobsSpec_Clear) = {0};
     struct shown_job *j = shown(in, id);
 
-    if (JobsSpec_Decode(value->data, value->len, &spec) != ERR_OK) {
-        LOG_E("row_unreadable", KV("key", id));
-        return;
+    if (JobsSpec_Decode(value->data, value->len, &spec) != ERR_OK ||
+        strcmp(spec.id, id) != 0) {
+        return false;
     }
     j->has_spec = true;
     j->scheduled = spec.repetitions > 0;
     Str_Copy(j->queue, sizeof(j->queue), spec.queue);
     Str_Copy(j->organisation, sizeof(j->organisation), spec.organisation);
+    return true;
 }
 
 /* What its progress shows. */
-static void
+static bool
 show_run(struct intake *in, const char *id, const struct buf *value)
 {
     struct shown_job *j = shown(in, id);
+    enum jobs_state state;
+    bool begun;
 
-    if (Jobs_ReadProgress(value->data, value->len, &j->state, &j->begun) !=
-        ERR_OK) {
-        LOG_E("row_unreadable", KV("key", id));
+    if (Jobs_ReadProgress(value->data, value->len, &state, &begun) != ERR_OK) {
+        return false;
     }
+    j->state = state;
+    j->begun = begun;
+    return true;
 }
 
 /* That its caller wants it no more. */
-static void
-show_stop(struct intake *in, const char *id, const struct buf *value UNUSED)
+static bool
+show_stop(struct intake *in, const char *id, const struct buf *value)
 {
+    if (!Queue_IsStop(value)) {
+        return false;
+    }
     shown(in, id)->stopped = true;
+    return true;
 }
 
 static const struct {
     const char *prefix;
-    void (*show)(struct intake *, const char *id, const struct buf *value);
+    bool (*show)(struct intake *, const char *id, const struct buf *value);
 } kinds[] = {{"spec/", show_spec}, {"run/", show_run}, {"stop/", show_stop}};
 
-/* Shows what a row says. */
-static void
+/* Shows what a row says; false when it can't be read. Rows of no job are read
+ * by those who use them. */
+static bool
 show(struct intake *in, const char *key, const struct buf *value)
 {
     for (size_t i = 0; i < COUNT_OF(kinds); i++) {
         size_t len = strlen(kinds[i].prefix);
 
-        if (strncmp(key, kinds[i].prefix, len) == 0) {
-            kinds[i].show(in, key + len, value);
+        if (strncmp(key, kinds[i].prefix, len) == 0 &&
+            strlen(key + len) < JOBS_ID_SIZE) {
+            return kinds[i].show(in, key + len, value);
         }
     }
+    return true;
 }
 
 /* Forgets a row, and its job with the row of its spec. */
@@ -128,7 +140,13 @@
     free(r);
 }
 
-/* Takes a row as the store told it. */
+/* Takes a row as the store told it.
+ *
+ * Failure: another writer writes nonsense over the row of an accepted job.
+ * Symptom of keeping what the store has: whoever takes over next finds no job,
+ * or none of its progress, and it vanishes or runs again. What was read last
+ * is kept for as long as this entry lives; the owner writes it over the
+ * nonsense (Jobs_Spoiled). */
 bool
 Cache_Take(struct intake *in, const struct table_row *row)
 {
@@ -150,9 +168,16 @@
     if (row->version <= r->version) {
         return false;
     }
+    r->spoiled = !show(in, r->key, &row->value);
+    if (r->spoiled) {
+        Unreadable(UNREADABLE_ROW, r->key,
+                   r->version != 0 ? "the last good one holds"
+                                   : "none before");
+    }
+    if (!r->spoiled || r->version == 0) {
+        Buf_Set(&r->value, row->value.data, row->value.len);
+    }
     r->version = row->version;
-    Buf_Set(&r->value, row->value.data, row->value.len);
-    show(in, r->key, &r->value);
     return true;
 }
 
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -190,6 +190,19 @@
     finish_open(o, QUEUE_LATER, "store_away");
 }
 
+/* The version of the row that a job may be written over: 0, none may be there,
+ * but for one that nobody can read. Whoever hands that job in again puts it
+ * right. */
+static uint64_t
+spoiled_version(struct intake *in, const char *key)
+{
+    const struct cached_row *r = Cache_Find(in, key);
+    const struct shown_job *j = Cache_Job(in, strchr(key, '/') + 1);
+
+    return r != NULL && r->spoiled && (j == NULL || !j->has_spec) ? r->version
+                                                                  : 0;
+}
+
 /* Sends the write of a call. */
 static void
 send_write(struct open_call *o)
@@ -203,7 +216,7 @@
                           .len = o->value.len};
 
     if (o->call->verb == QUEUE_SUBMIT) {
-        op.if_version = 0;
+        op.if_version = spoiled_version(o->in, o->key);
     }
     store->ops->commit(store, &op, 1, on_written, o);
 }
--- a/packages/queue/queue-config.c
+++ b/packages/queue/queue-config.c
@@ -30,7 +30,7 @@
 
     c->refs = 1;
     if (Queue_Site()->read_config(text, len, &c->jobs, why) != ERR_OK) {
-        LOG_E("config_unreadable", KV("from", from), KV("why", why));
+        Unreadable(UNREADABLE_CONFIG, from, why);
         QueueConfig_Unref(c);
         return;
     }
--- a/packages/queue/queue-entries.c
+++ b/packages/queue/queue-entries.c
@@ -42,13 +42,17 @@
     struct entries_listed *note = arg;
     json_t *o = json_loadb(r->value.data, r->value.len, 0, NULL);
     const char *links = json_string_value(json_object_get(o, "links"));
+    const char *name = r->key + strlen("entry/");
 
-    if (links != NULL) {
+    if (links != NULL && Settings_IsAddress(links) && Str_IsName(name)) {
         struct wire_entry *e = Wire_ListAdd(&note->entries, sizeof(*e));
 
-        Str_Copy(e->name, sizeof(e->name), r->key + strlen("entry/"));
+        Str_Copy(e->name, sizeof(e->name), name);
         Str_Copy(e->address, sizeof(e->address), links);
     }
+    else {
+        Unreadable(UNREADABLE_ROW, r->key, "no entry with an address");
+    }
     json_decref(o);
 }
 
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -9,7 +9,8 @@
     char *key;
     uint64_t version;
     struct buf value;
-    bool listed; /* seen by the list that is under way */
+    bool listed;  /* seen by the list that is under way */
+    bool spoiled; /* the store's value can't be read; this one is older */
     RB_ENTRY(cached_row) by_key;
 };
 RB_HEAD(row_tree, cached_row);
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -28,8 +28,13 @@
     }
     r->ended = Mem_Zero(m->ended.count + 1, sizeof(*r->ended));
     for (size_t i = 0; i < m->ended.count; i++) {
-        struct jobs_ended *to = &r->ended[r->ended_count++];
+        struct jobs_ended *to = &r->ended[r->ended_count];
 
+        if (ends[i].how > END_ALONE) {
+            Unreadable(UNREADABLE_MESSAGE, ends[i].task, "an unknown end");
+            continue;
+        }
+        r->ended_count++;
         Str_Copy(to->task, sizeof(to->task), ends[i].task);
         Str_Copy(to->checkpoint, sizeof(to->checkpoint), ends[i].checkpoint);
         to->run = ends[i].run;
@@ -87,6 +92,18 @@
     Queue_Post(o->task.kernel, TASK_LINKS, &note->base, &Queue_SayKind);
 }
 
+/* True when no number of a look is out of its range: sums over all that a
+ * worker may run stay far within 64 bits. */
+static bool
+is_sound(const struct wire_look *m)
+{
+    static const int64_t most = (int64_t)1 << 40;
+
+    return m->millicores >= 0 && m->millicores <= most && m->memory_mb >= 0 &&
+           m->memory_mb <= most && m->accelerators >= 0 &&
+           m->accelerators <= most && m->clock_ms >= 0;
+}
+
 /* Takes a look into the book and answers it with the next lease. */
 void
 Orders_Look(struct owner *o, const struct wire_look *m)
@@ -104,6 +121,10 @@
         say(o, m->agent, new_orders(o, "")); /* it needs the term */
         return;
     }
+    if (!is_sound(m)) {
+        Unreadable(UNREADABLE_MESSAGE, m->agent, "a look out of range");
+        return;
+    }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
     Str_Copy(r.worker, sizeof(r.worker), m->worker);
     Str_Copy(r.service, sizeof(r.service), m->service);
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -35,13 +35,14 @@
     uint64_t row_version;
     char row_name[NAME_SIZE]; /* "": nobody */
     uint64_t row_incarnation;
-    uint64_t row_term;
+    uint64_t row_term;    /* the highest that is known */
     int64_t beat_seen_ms; /* last change of the owner's row or beat */
     int64_t rows_seen_ms; /* last answer of the feed */
     int64_t fresh_ms;     /* since when its answers come without a gap */
     bool claiming;        /* a write of the owner row is under way */
     int64_t claim_ms;     /* not before */
     int64_t wanted_ms;    /* when all rows were asked for */
+    bool row_spoiled;     /* it names nobody, as it can't be read */
     bool dead_before;     /* the owner before us had ended for certain */
     char before_name[NAME_SIZE]; /* it; "": it need not be waited for */
     uint64_t before_incarnation;
@@ -70,10 +71,26 @@
 };
 
 /* ---- queue-owner.c */
-void Owner_Leave(struct owner *o, const char *why);
 /* Plans, writes and gives orders, soon. */
 void Owner_Soon(struct owner *o);
+
+/* ---- queue-office.c */
+void Owner_Leave(struct owner *o, const char *why);
+/* Writes the owner row; name "": the office is given back. */
 void Owner_Claim(struct owner *o, const char *name);
+/* Asks for all rows, to build the book. */
+void Office_WantRows(struct owner *o);
+void Office_Rows(struct owner *o, const struct rows_changed *r);
+/* Claims the office if nobody holds it. */
+void Office_Consider(struct owner *o);
+
+/* ---- queue-rows.c */
+void Rows_Take(struct owner *o, const struct rows_changed *r);
+void Rows_LeftOffice(void);
+/* Drops the rows of a job that has been shown for long enough. */
+void Rows_Expire(struct owner *o);
+/* Stores the spec of a job again whose row was spoiled. */
+void Rows_Mend(struct owner *o);
 
 /* ---- queue-batch.c */
 void Batch_Start(struct owner *o);
--- /dev/null
+++ b/packages/queue/queue-rows.c
@@ -0,0 +1,245 @@
+#include "queue-owner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct counter in_office = {"parsleyfall_queue_owner",
+                                   "1 while this entry gives the orders.",
+                                   NULL, COUNTER_GAUGE};
+static struct counter takeover_ms = {
+    "parsleyfall_queue_takeover_ms",
+    "Time from election until the rows are read.", NULL, COUNTER_LATENCY};
+static struct counter takeovers = {"parsleyfall_queue_takeovers_total",
+                                   "Times this entry became the owner.", NULL,
+                                   COUNTER_TOTAL};
+
+/* True for a row that a caller's cancelling wrote: an object. Whatever else
+ * stands under that key cancels nothing. */
+bool
+Queue_IsStop(const struct buf *value)
+{
+    json_t *o = json_loadb(value->data != NULL ? value->data : "", value->len,
+                           0, NULL);
+    bool is = json_is_object(o);
+
+    json_decref(o);
+    return is;
+}
+
+/* The row of that key among rows, or NULL. */
+static const struct table_row *
+row_of(const struct rows_changed *r, const char *prefix, const char *id)
+{
+    size_t len = strlen(prefix);
+
+    for (size_t i = 0; i < r->count; i++) {
+        if (strncmp(r->rows[i].key, prefix, len) == 0 &&
+            strcmp(r->rows[i].key + len, id) == 0) {
+            return &r->rows[i];
+        }
+    }
+    return NULL;
+}
+
+/* The text of a progress row; one without any is not the same as no row. */
+static const char *
+progress_of(const struct table_row *run)
+{
+    if (run == NULL) {
+        return NULL;
+    }
+    return run->value.data != NULL ? run->value.data : "";
+}
+
+/* Takes an accepted job into the book. */
+static void
+add_job(struct owner *o, const struct table_row *row,
+        const struct table_row *run)
+{
+    struct jobs_spec spec CLEANUP(JobsSpec_Clear) = {0};
+    int err;
+
+    if (JobsSpec_Decode(row->value.data, row->value.len, &spec) != ERR_OK ||
+        strcmp(spec.id, row->key + strlen("spec/")) != 0) {
+        LOG_E("job_unreadable", KV("key", row->key));
+        return;
+    }
+    err = Jobs_Add(o->book, &spec, progress_of(run),
+                   run != NULL ? run->value.len : 0, Clock_NowMs());
+    if (err != ERR_OK && err != ERR_EXISTS) {
+        LOG_E("job_held", KV("key", row->key),
+              KV("why", "its progress can't be read"));
+    }
+}
+
+/* Takes rows of jobs that are in the store into the book. */
+static void
+take_jobs(struct owner *o, const struct rows_changed *r)
+{
+    for (size_t i = 0; i < r->count; i++) {
+        const char *key = r->rows[i].key;
+
+        if (strncmp(key, "spec/", 5) == 0 && r->rows[i].version != 0 &&
+            !Jobs_Has(o->book, key + 5)) {
+            add_job(o, &r->rows[i],
+                    r->all ? row_of(r, "run/", key + 5) : NULL);
+        }
+    }
+    for (size_t i = 0; i < r->count; i++) {
+        const char *key = r->rows[i].key;
+
+        if (strncmp(key, "stop/", 5) == 0 && r->rows[i].version != 0 &&
+            Queue_IsStop(&r->rows[i].value)) {
+            Jobs_Cancel(o->book, key + 5, Clock_NowMs());
+        }
+    }
+}
+
+/* Notes rows of jobs in the book that can't be read any more. */
+static void
+note_spoiled(struct owner *o, const struct rows_changed *r)
+{
+    for (size_t i = 0; i < r->count; i++) {
+        const struct table_row *row = &r->rows[i];
+        struct jobs_spec spec CLEANUP(JobsSpec_Clear) = {0};
+        enum jobs_state state;
+        bool begun;
+
+        if (strncmp(row->key, "spec/", 5) == 0 &&
+            Jobs_Has(o->book, row->key + 5) &&
+            JobsSpec_Decode(row->value.data, row->value.len, &spec) !=
+                ERR_OK) {
+            Jobs_Spoiled(o->book, row->key + 5, true);
+        }
+        if (strncmp(row->key, "run/", 4) == 0 &&
+            Jobs_ReadProgress(row->value.data, row->value.len, &state,
+                              &begun) != ERR_OK) {
+            Jobs_Spoiled(o->book, row->key + 4, false);
+        }
+    }
+}
+
+/* Builds the book from all rows. */
+static void
+take_office(struct owner *o, const struct rows_changed *r)
+{
+    const struct entry_settings *s = o->task.kernel->settings;
+    struct jobs_limits limits = {
+        .term = o->term,
+        .lease_ms = s->hosted.lease_ms,
+        .start_ms = s->hosted.lease_ms < 4000 ? s->hosted.lease_ms : 4000,
+        .early_ms = 0,
+        .silent_ms = 1500,
+        .remote_factor = strtod(s->hosted.remote_factor, NULL),
+        .keep_ms = (s->hosted.keep_s + 30) * 1000,
+    };
+    int64_t now = Clock_NowMs();
+    int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
+
+    o->book = Jobs_New(&limits);
+    if (o->config != NULL) {
+        Jobs_SetConfig(o->book, &o->config->jobs);
+    }
+    take_jobs(o, r);
+    Jobs_TakeOver(o->book, o->dead_before ? lost : lost + BLIND_MS, now);
+    for (size_t i = 0; i < LEFT_MAX; i++) {
+        Jobs_Left(o->book, o->left[i], NULL, 0, now);
+    }
+    o->office = OFFICE_HELD;
+    Counter_Add(&takeovers, 1);
+    Counter_Observe(&takeover_ms, now - o->elected_ms);
+    Counter_Set(&in_office, 1);
+    LOG_I("owner_in_office", KV_INT("term", o->term), KV_INT("rows", r->count),
+          KV("before", o->dead_before ? "ended" : "maybe_alive"));
+    Owner_Soon(o);
+}
+
+/* Says that this entry gives no orders any more. */
+void
+Rows_LeftOffice(void)
+{
+    Counter_Set(&in_office, 0);
+}
+
+/* Takes rows from the intake. */
+void
+Rows_Take(struct owner *o, const struct rows_changed *r)
+{
+    if (r->all) {
+        if (o->office == OFFICE_LOADING && r->position >= o->version) {
+            take_office(o, r);
+        }
+        return;
+    }
+    Office_Rows(o, r);
+    if (o->book != NULL && r->count > 0) {
+        note_spoiled(o, r);
+        take_jobs(o, r);
+        Owner_Soon(o);
+    }
+}
+
+static void
+on_dropped(void *arg UNUSED, int err, size_t at UNUSED,
+           const uint64_t *versions UNUSED)
+{
+    if (err != ERR_OK) {
+        LOG_W("drop_failed", KV("error", Err_Name(err)));
+    }
+}
+
+/* Drops the rows of a job that has been shown for long enough. A write that
+ * comes seconds late finds the row of the job gone, and makes it anew only if
+ * it was the one that accepted it, long before. */
+void
+Rows_Expire(struct owner *o)
+{
+    static const char *const prefixes[] = {"spec/", "stop/", "run/"};
+    struct table_op ops[COUNT_OF(prefixes) + 1] = {{0}};
+    char keys[COUNT_OF(prefixes)][JOBS_ID_SIZE + 8];
+    const char *id = Jobs_NextExpired(o->book, Clock_NowMs());
+
+    if (id == NULL) {
+        return;
+    }
+    ops[0] = (struct table_op){.verb = TABLE_CHECK,
+                               .table = Queue_Site()->own_table,
+                               .key = "owner",
+                               .if_version = o->version};
+    for (size_t i = 0; i < COUNT_OF(prefixes); i++) {
+        snprintf(keys[i], sizeof(keys[i]), "%s%s", prefixes[i], id);
+        ops[i + 1] = (struct table_op){.verb = TABLE_DELETE,
+                                       .table = Queue_Site()->own_table,
+                                       .key = keys[i],
+                                       .if_version = TABLE_ANY};
+    }
+    o->store->ops->commit(o->store, ops, COUNT_OF(ops), on_dropped, o);
+    Jobs_Remove(o->book, id);
+}
+
+/* Stores the spec of a job again whose row was spoiled. */
+void
+Rows_Mend(struct owner *o)
+{
+    struct buf value CLEANUP(Buf_Free) = {0};
+    const char *id = Jobs_NextSpoiled(o->book, &value);
+    char key[JOBS_ID_SIZE + 8];
+    struct table_op ops[2] = {{.verb = TABLE_CHECK,
+                               .table = Queue_Site()->own_table,
+                               .key = "owner",
+                               .if_version = o->version},
+                              {.verb = TABLE_PUT,
+                               .table = Queue_Site()->own_table,
+                               .key = key,
+                               .if_version = TABLE_ANY}};
+
+    if (id == NULL) {
+        return;
+    }
+    snprintf(key, sizeof(key), "spec/%s", id);
+    ops[1].value = value.data;
+    ops[1].len = value.len;
+    LOG_W("row_mended", KV("key", key));
+    o->store->ops->commit(o->store, ops, COUNT_OF(ops), on_dropped, o);
+}
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -241,6 +241,9 @@
 #define TASK_LINKS "queue-links"
 #define TASK_STORE "store"
 
+/* True for the value of a stop/ row that cancels its job. */
+bool Queue_IsStop(const struct buf *value);
+
 /* Posts when that task runs; frees m otherwise. */
 void Queue_Post(struct kernel *k, const char *task, struct message *m,
                 const struct message_kind *kind);
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -139,6 +139,59 @@
     look(timer->data);
 }
 
+/* Takes a report as that of the present lifetime. */
+static void
+adopt(struct watch *w, const struct worker_said *said)
+{
+    LOG_I("worker_found", KV("worker", said->lifetime),
+          KV("before", w->said.lifetime));
+    Watch_Forget(w);
+    w->said = *said;
+    memset(&w->next, 0, sizeof(w->next));
+    look(w);
+}
+
+/* Never believes a lifetime again: a report that was under way for seconds may
+ * still name it. */
+static void
+refute(struct watch *w, const char *lifetime)
+{
+    Str_Copy(w->past[w->past_next++ % PAST_LIFETIMES], JOBS_TEXT_SIZE,
+             lifetime);
+}
+
+/* A look under the lifetime that another report names came back. */
+static void
+on_probed(struct watch *w, const char *lifetime, int err)
+{
+    if (strcmp(lifetime, w->next.lifetime) != 0) {
+        return;
+    }
+    if (err == ERR_OK) {
+        struct worker_said said = w->next;
+
+        Str_Copy(w->left, sizeof(w->left), w->said.lifetime);
+        adopt(w, &said);
+    }
+    else if (err == ERR_STALE) {
+        Unreadable(UNREADABLE_REPORT, lifetime, "no lifetime of this worker");
+        refute(w, lifetime);
+        memset(&w->next, 0, sizeof(w->next));
+    }
+}
+
+/* Goes over to the lifetime that another report named, now that the present
+ * one is over. */
+static void
+adopt_next(struct watch *w)
+{
+    struct worker_said said = w->next;
+
+    if (*said.lifetime != '\0' && *w->said.lifetime == '\0') {
+        adopt(w, &said);
+    }
+}
+
 /* A look came back, or did not. */
 static void
 on_looked(void *arg, int err, struct runs_seen *seen)
@@ -148,6 +201,10 @@
     bool current = strcmp(call->lifetime, w->said.lifetime) == 0;
 
     TAILQ_REMOVE(&w->look_calls, call, entry);
+    if (call->probe) {
+        on_probed(w, call->lifetime, err);
+        return;
+    }
     if (!call->extra) {
         w->looking = false;
     }
@@ -172,6 +229,7 @@
 
         look_later(w, err != ERR_OK ? RETRY_MS : ends ? ENDS_MS : 0);
     }
+    adopt_next(w);
 }
 
 /* Sends a look. */
@@ -190,6 +248,32 @@
                          w->until_ms, extra ? 0 : WAIT_MS, on_looked, call);
 }
 
+/* Looks whether the lifetime that another report names is there.
+ *
+ * Failure: a report comes that is not of the worker beside us: of another
+ * writer, or of a lifetime that ended before this agent began. Symptom of
+ * believing it: the lifetime that is there is taken for over, its runs are
+ * given up, and its own reports are never believed again. The present one
+ * stays until a worker has answered under the other id. */
+static void
+probe(struct watch *w)
+{
+    struct look_call *call;
+
+    TAILQ_FOREACH (call, &w->look_calls, entry) {
+        if (call->probe && strcmp(call->lifetime, w->next.lifetime) == 0) {
+            return;
+        }
+    }
+    call = Mem_Zero(1, sizeof(*call));
+    call->watch = w;
+    call->probe = true;
+    Str_Copy(call->lifetime, sizeof(call->lifetime), w->next.lifetime);
+    TAILQ_INSERT_TAIL(&w->look_calls, call, entry);
+    w->worker->ops->look(w->worker, call->lifetime, w->term, 0, 0, 0,
+                         on_looked, call);
+}
+
 /* Looks at the worker, when there is one and an owner is known.
  *
  * Failure: an agent that starts anew looks under no term, and its worker,
@@ -236,8 +320,7 @@
     }
 }
 
-/* Forgets the present lifetime. It is not believed again: a report that was
- * under way for seconds may still name it. */
+/* Forgets the present lifetime. */
 void
 Watch_Forget(struct watch *w)
 {
@@ -246,8 +329,7 @@
     if (*w->said.lifetime == '\0') {
         return;
     }
-    Str_Copy(w->past[w->past_next++ % PAST_LIFETIMES], JOBS_TEXT_SIZE,
-             w->said.lifetime);
+    refute(w, w->said.lifetime);
     if (strcmp(w->left, w->said.lifetime) != 0) {
         Wire_ListCopy(&w->ended, &(struct wire_list){0},
                       sizeof(struct wire_end));
@@ -274,6 +356,20 @@
     return false;
 }
 
+/* A report names another lifetime than the present one. */
+static void
+take_other(struct watch *w, const struct worker_said *said)
+{
+    if (*w->said.lifetime == '\0') {
+        adopt(w, said);
+        return;
+    }
+    w->next = *said;
+    if (w->term != 0) {
+        probe(w); /* workers answer nobody below the term that they know */
+    }
+}
+
 /* The worker reports, or a report of one that is over comes late. */
 static void
 take_said(struct watch *w, const struct worker_said *said)
@@ -291,9 +387,8 @@
         return;
     }
     if (!same) {
-        LOG_I("worker_found", KV("worker", said->lifetime),
-              KV("before", w->said.lifetime));
-        Watch_Forget(w);
+        take_other(w, said);
+        return;
     }
     if (said->draining && !w->said.draining) {
         LOG_I("worker_draining", KV("worker", said->lifetime),
@@ -301,9 +396,6 @@
         Watch_LookSoon(w);
     }
     w->said = *said;
-    if (!same) {
-        look(w);
-    }
 }
 
 /* Takes the owner's word: leases, ends that are stored, orders. */
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -30,6 +30,7 @@
 struct look_call {
     struct watch *watch;
     bool extra;
+    bool probe; /* of a lifetime that is not the present one */
     char lifetime[JOBS_TEXT_SIZE];
     uint64_t number;
     uint64_t term;
@@ -40,6 +41,7 @@
     struct task task;
     struct runs_worker *worker;
     struct worker_said said; /* lifetime "": none is known */
+    struct worker_said next; /* names another one; "": none does */
     bool leaving;            /* it said that it ends */
     char left[JOBS_TEXT_SIZE];
     struct wire_list ended; /* struct wire_end, of the last look */
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -371,10 +371,12 @@
     struct buf url CLEANUP(Buf_Free) = {0};
     struct http_request r = {.method = "POST", .timeout_ms = 1000};
     json_t *o = json_pack(
-        "{s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I}", "service", "pool",
-        "state", w->state, "version", "v1", "capacity", "cpu", 16000, "mem-mb",
-        64000, "gpu", 8, "labels", "a", w->rack, "clock-ms",
-        (json_int_t)Clock_NowMs(), "sequence", (json_int_t)++w->sequence);
+        "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I}",
+        "service", "pool", "address", "127.0.0.1:1", "zone", "a", "state",
+        w->state, "version", "v1", "slots", 8, "cold-remaining-ms", 0,
+        "capacity", "cpu", 16000, "mem-mb", 64000, "gpu", 8, "labels", "a",
+        w->rack, "clock-ms", (json_int_t)Clock_NowMs(), "sequence",
+        (json_int_t)++w->sequence);
     char *text = json_dumps(o, JSON_COMPACT);
 
     Buf_Printf(&url, "http://%s/Instances.Heartbeat/%s", w->beats, w->id);
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -169,10 +169,17 @@
         R"("tenants":[{"name":"t","api-keys":[)" +
         list + R"(],"guaranteed":{"gpu":8}})" + other + "]}";
 
+    PutRow("op", "config", config);
+}
+
+void
+HostedStack::PutRow(const std::string &table, const std::string &key,
+                    const std::string &value)
+{
     Http("POST", store->Url("/rows-tx"),
-         R"({"expect":[],"remove":[],"writes":[{"table":"op","part":"",)"
-         R"("key":"config","value":")" +
-             Base64(config) + "\"}]}");
+         R"({"expect":[],"remove":[],"writes":[{"table":")" + table +
+             R"(","part":"","key":")" + key + R"(","value":")" +
+             Base64(value) + "\"}]}");
 }
 
 void
@@ -200,6 +207,12 @@
     return Address(i, LINKS);
 }
 
+std::string
+HostedStack::Beats(int i) const
+{
+    return "http://" + Address(i + 5, BEATS);
+}
+
 bool
 HostedStack::Ready(int i) const
 {
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -22,12 +22,16 @@
      * "t", and one of "u". */
     void PutConfig(int version, const std::vector<std::string> &keys,
                    const std::string &other_key = "");
+    /* What another writer writes into the store. */
+    void PutRow(const std::string &table, const std::string &key,
+                const std::string &value);
     /* A fault of one of the store's doors; entry i uses door i % 2. */
     void StoreFault(int door, const std::string &fault);
     void DropHistory();
 
     std::string Entry(int i) const; /* where callers connect */
     std::string Links(int i) const; /* where agents connect */
+    std::string Beats(int i) const; /* where worker i reports */
     bool Ready(int i) const;
     harness::Reply Submit(int entry, const std::string &id,
                           const std::string &payload, int tasks = 1,
--- a/tests/hosted-test.cc
+++ b/tests/hosted-test.cc
@@ -82,6 +82,11 @@
         {R"({"steps":[{"count":1,"after":[-1]}]})", "after"},
         {R"({"steps":[{"count":1,"after":["0"]}]})", "after"},
         {R"({"task-spec":[],"steps":[{"count":1}]})", "task-spec"},
+        {R"({"steps":[{"count":1}],"repetitions":"3"})", "repetitions"},
+        {R"({"steps":[{"count":1}],"repetitions":-3})", "repetitions"},
+        {R"({"steps":[{"count":1}],"first-run-ms":1.5})", "first-run-ms"},
+        {R"({"steps":[{"count":1}],"interval-ms":99999999999999999})",
+         "interval-ms"},
         {R"({"a":1,"a":2,"steps":[{"count":1}]})", "no JSON object"},
         {many.c_str(), "steps"},
     };
@@ -155,6 +160,13 @@
         R"({"version":1,"routes":[7]})",
         R"({"version":1,"routes":[{"name":"r","host":"h"}]})",
         R"({"version":1,"tenants":[{"name":"t","api-keys":[7]}]})",
+        R"({"version":1,"routes":[{"prefix":"/p/","priority":"1"}]})",
+        R"({"version":1,"routes":[{"prefix":"/p/","max-attempts":-1}]})",
+        R"({"version":1,"routes":[{"prefix":"/p/","stretch":"3"}]})",
+        R"({"version":1,"routes":[{"prefix":"/p/","service":7}]})",
+        R"({"version":1,"routes":[{"prefix":"/p/","allow-anonymous":1}]})",
+        R"({"version":1,"services":[{"name":"s","admission-check":"no"}]})",
+        R"({"version":1,"tenants":[{"name":"t","guaranteed":{"gpu":"8"}}]})",
     };
 
     for (const char *text : cases) {
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -10,4 +10,9 @@
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
                 fake-hosted-store fake-hosted-worker fake-hosted-adviser SHARDS 4)
 target_link_libraries(hosted-process-test PRIVATE sodium)
+pf_process_test(hosted-foreign-test hosted-foreign-test.cc hosted-stack.cc
+                PACKAGES wire NEEDS parsleyfall parsleyfall-agent
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser SHARDS 2)
+target_link_libraries(hosted-foreign-test PRIVATE sodium)
 pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
+pf_test(hosted-agent-test hosted-agent-test.cc PACKAGES hosted-agent)
--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -4,3 +4,6 @@
 pf_test(jobs-property jobs-property.cc jobs-world.cc PACKAGES jobs)
 set_tests_properties(jobs-property PROPERTIES ENVIRONMENT
                      "RC_PARAMS=seed=20261202 max_success=1000 max_size=60")
+pf_test(jobs-foreign-test jobs-foreign-test.cc jobs-world.cc PACKAGES jobs)
+set_tests_properties(jobs-foreign-test PROPERTIES ENVIRONMENT
+                     "RC_PARAMS=seed=20261203 max_success=400 max_size=60")
