Every job of saved logs in one table; callers that leave are noted

Operators ask what became of all jobs, not of one: `parsleyfall summary` tells for each its wait, how long it took against its objective, its runs by how they ended, and the core-seconds that runs threw away; then the sums by reason. Lines of runs carry their weight, those of jobs their objective.

A caller that leaves before its answer (its deadline passes while the store is slow) left no line until the write ended, and then none that nobody heard the answer. Now: caller_left with the wait and what it waited for, within 250 ms, and answer_unheard at the end.

call_refused named a path as job=; it has job= and path=, each for what it holds. A job by the own interface may leave its payload out, as before.

--- a/packages/cli/cli-args.c
+++ b/packages/cli/cli-args.c
@@ -37,7 +37,7 @@
     a->kind = arg_str0(NULL, "kind", "KIND",
                        "check: settings or configuration; else recognised");
     a->log = arg_filen(NULL, "log", "FILE", 0, LOGS_MAX,
-                       "explain: a saved log; else standard input");
+                       "explain, summary: a saved log; else standard input");
     a->command = arg_str0(NULL, NULL, "COMMAND", "one of those above");
     a->subject = arg_str0(NULL, NULL, "SUBJECT", "what the command is about");
     a->end = arg_end(ERRORS_KEPT);
--- a/packages/cli/cli-explain.c
+++ b/packages/cli/cli-explain.c
@@ -43,8 +43,9 @@
 
 /* Takes a line into the story when it belongs there. */
 static void
-take(struct story *s, const char *line)
+take(const char *line, void *arg)
 {
+    struct story *s = arg;
     const char *time = strstr(line, "time=");
     struct found *f;
 
@@ -64,13 +65,13 @@
 
 /* Reads one log. */
 static void
-read_log(struct story *s, FILE *in)
+read_log(FILE *in, void (*fn)(const char *line, void *arg), void *arg)
 {
     char line[LINE_MAX_BYTES];
 
     while (fgets(line, sizeof(line), in) != NULL) {
         line[strcspn(line, "\n")] = '\0';
-        take(s, line);
+        fn(line, arg);
     }
 }
 
@@ -88,8 +89,9 @@
 }
 
 /* Reads all logs that were named, or standard input. */
-static int
-read_all(const struct cli_args *args, struct story *s)
+int
+Cli_EachLine(const struct cli_args *args,
+             void (*fn)(const char *line, void *arg), void *arg)
 {
     for (int i = 0; i < args->log_count; i++) {
         FILE *in = fopen(args->logs[i], "r");
@@ -99,11 +101,11 @@
                     strerror(errno));
             return CLI_FAILED;
         }
-        read_log(s, in);
+        read_log(in, fn, arg);
         fclose(in);
     }
     if (args->log_count == 0) {
-        read_log(s, stdin);
+        read_log(stdin, fn, arg);
     }
     return CLI_WELL;
 }
@@ -113,7 +115,7 @@
 Cli_Explain(const struct cli_args *args)
 {
     struct story s = {.id = args->subject};
-    int code = read_all(args, &s);
+    int code = Cli_EachLine(args, take, &s);
 
     if (s.count > 1) {
         qsort(s.lines, s.count, sizeof(*s.lines), found_compare);
--- /dev/null
+++ b/packages/cli/cli-summary.c
@@ -0,0 +1,287 @@
+#include "cli.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define WORD_SIZE 64
+#define REASONS_MAX 24 /* of one table; the code has fewer */
+
+/* How often something was said for a reason, and what it cost. */
+struct tally {
+    char reason[WORD_SIZE];
+    int64_t count;
+    double core_s; /* an accelerator counts as eight cores */
+};
+
+struct tallies {
+    struct tally at[REASONS_MAX];
+    size_t count;
+};
+
+/* A job as the logs tell of it; times are since 1970. */
+struct told {
+    char id[WORD_SIZE];
+    char queue[WORD_SIZE];
+    char organisation[WORD_SIZE];
+    char state[WORD_SIZE];
+    int64_t accepted_ms;  /* 0: not told */
+    int64_t begun_ms;     /* its first run was given */
+    int64_t ended_ms;     /* 0: it has not */
+    int64_t objective_ms; /* after its acceptance */
+    int64_t runs;
+    double thrown_core_s; /* of runs that ended otherwise than done */
+    struct tallies over;  /* how its runs ended */
+    RB_ENTRY(told) by_id;
+};
+RB_HEAD(told_tree, told);
+
+struct summary {
+    struct told_tree jobs;
+    struct tallies over;    /* how runs ended */
+    struct tallies stopped; /* why they were ordered to */
+    struct tallies refused; /* calls of callers */
+};
+
+/* Order of jobs by id. */
+static int
+told_compare(struct told *a, struct told *b)
+{
+    return strcmp(a->id, b->id);
+}
+
+TREE_STATIC(told_tree, told, by_id, told_compare);
+
+/* Copies the value of a key of a line; "" when it has none. */
+static void
+field(const char *line, const char *key, char out[WORD_SIZE])
+{
+    char name[WORD_SIZE];
+    const char *at;
+    size_t len;
+
+    snprintf(name, sizeof(name), " %s=", key);
+    out[0] = '\0';
+    at = strstr(line, name);
+    if (at == NULL || at[strlen(name)] == '"') {
+        return;
+    }
+    at += strlen(name);
+    len = strcspn(at, " ");
+    if (len < WORD_SIZE) {
+        memcpy(out, at, len);
+        out[len] = '\0';
+    }
+}
+
+/* The value of a key as a number; 0 when it has none. */
+static int64_t
+number(const char *line, const char *key)
+{
+    char text[WORD_SIZE];
+
+    field(line, key, text);
+    return strtoll(text, NULL, 10);
+}
+
+/* When a line was written; 0 when it does not say. */
+static int64_t
+time_of(const char *line)
+{
+    const char *at = strstr(line, "time=");
+    struct tm tm = {0};
+    const char *rest;
+
+    rest = at != NULL ? strptime(at + 5, "%Y-%m-%dT%H:%M:%S", &tm) : NULL;
+    if (rest == NULL || *rest != '.') {
+        return 0;
+    }
+    return (int64_t)timegm(&tm) * 1000 + strtol(rest + 1, NULL, 10);
+}
+
+/* Counts one more for a reason. */
+static void
+count(struct tallies *t, const char *reason, double core_s)
+{
+    size_t i = 0;
+
+    while (i < t->count && strcmp(t->at[i].reason, reason) != 0) {
+        i++;
+    }
+    if (i == t->count) {
+        if (i == REASONS_MAX) {
+            return;
+        }
+        t->count++;
+        Str_Copy(t->at[i].reason, sizeof(t->at[i].reason), reason);
+    }
+    t->at[i].count++;
+    t->at[i].core_s += core_s;
+}
+
+/* The job that a line names, or NULL. */
+static struct told *
+job_of(struct summary *s, const char *line)
+{
+    struct told key, *j;
+
+    field(line, "job", key.id);
+    if (key.id[0] == '\0') {
+        return NULL;
+    }
+    j = RB_FIND(told_tree, &s->jobs, &key);
+    if (j == NULL) {
+        j = Mem_Zero(1, sizeof(*j));
+        Str_Copy(j->id, sizeof(j->id), key.id);
+        RB_INSERT(told_tree, &s->jobs, j);
+    }
+    return j;
+}
+
+static void
+on_accepted(struct summary *s UNUSED, struct told *j, const char *line,
+            const char *reason UNUSED)
+{
+    j->accepted_ms = time_of(line);
+    field(line, "queue", j->queue);
+    field(line, "organisation", j->organisation);
+}
+
+static void
+on_given(struct summary *s UNUSED, struct told *j, const char *line,
+         const char *reason UNUSED)
+{
+    int64_t objective = number(line, "objective_ms");
+
+    j->runs++;
+    j->begun_ms = j->begun_ms != 0 ? j->begun_ms : time_of(line);
+    j->objective_ms = objective != 0 ? objective : j->objective_ms;
+}
+
+static void
+on_stopped(struct summary *s, struct told *j UNUSED, const char *line UNUSED,
+           const char *reason)
+{
+    count(&s->stopped, reason, 0);
+}
+
+static void
+on_over(struct summary *s, struct told *j, const char *line,
+        const char *reason)
+{
+    double core_s =
+        (double)number(line, "ms") * (double)number(line, "weight") / 1e6;
+
+    count(&s->over, reason, core_s);
+    count(&j->over, reason, core_s);
+    if (strcmp(reason, "done") != 0) {
+        j->thrown_core_s += core_s;
+    }
+}
+
+static void
+on_state(struct summary *s UNUSED, struct told *j, const char *line,
+         const char *reason)
+{
+    Str_Copy(j->state, sizeof(j->state), reason);
+    if (strcmp(reason, "running") != 0) {
+        j->ended_ms = time_of(line);
+    }
+}
+
+static const struct {
+    const char *event;
+    void (*take)(struct summary *s, struct told *j, const char *line,
+                 const char *reason);
+} events[] = {{"job_accepted", on_accepted},
+              {"run_given", on_given},
+              {"run_stopped", on_stopped},
+              {"run_over", on_over},
+              {"job_state", on_state}};
+
+/* Takes one line. */
+static void
+take(const char *line, void *arg)
+{
+    struct summary *s = arg;
+    char event[WORD_SIZE], reason[WORD_SIZE];
+    struct told *j;
+
+    field(line, "event", event);
+    field(line, "reason", reason);
+    if (strcmp(event, "call_refused") == 0) {
+        count(&s->refused, reason, 0);
+        return;
+    }
+    for (size_t i = 0; i < COUNT_OF(events); i++) {
+        if (strcmp(event, events[i].event) == 0 &&
+            (j = job_of(s, line)) != NULL) {
+            events[i].take(s, j, line, reason);
+        }
+    }
+}
+
+/* Says one table: a line for each reason. */
+static void
+say_tallies(const char *what, const struct tallies *t)
+{
+    for (size_t i = 0; i < t->count; i++) {
+        printf("total %s reason=%s count=%lld core_s=%.1f\n", what,
+               t->at[i].reason, (long long)t->at[i].count, t->at[i].core_s);
+    }
+}
+
+/* Says one job; -1 stands for what the logs don't tell. */
+static void
+say_job(const struct told *j)
+{
+    int64_t from = j->accepted_ms;
+    int64_t wait = from != 0 && j->begun_ms != 0 ? j->begun_ms - from : -1;
+    int64_t took = from != 0 && j->ended_ms != 0 ? j->ended_ms - from : -1;
+    bool late = took > j->objective_ms && j->objective_ms > 0;
+
+    printf(
+        "job=%s queue=%s organisation=%s state=%s wait_ms=%lld took_ms=%lld "
+        "objective_ms=%lld late=%s runs=%lld thrown_core_s=%.1f",
+        j->id, j->queue, j->organisation,
+        *j->state != '\0' ? j->state : "queued", (long long)wait,
+        (long long)took, (long long)j->objective_ms, late ? "yes" : "no",
+        (long long)j->runs, j->thrown_core_s);
+    for (size_t i = 0; i < j->over.count; i++) {
+        printf(" %s=%lld", j->over.at[i].reason,
+               (long long)j->over.at[i].count);
+    }
+    puts("");
+}
+
+/* Every job of the logs, and the sums over them. */
+int
+Cli_Summary(const struct cli_args *args)
+{
+    struct summary *s CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*s));
+    struct told *j, *next;
+    int64_t jobs = 0;
+    int code;
+
+    RB_INIT(&s->jobs);
+    code = Cli_EachLine(args, take, s);
+    RB_FOREACH_SAFE (j, told_tree, &s->jobs, next) {
+        if (code == CLI_WELL) {
+            say_job(j);
+        }
+        jobs++;
+        RB_REMOVE(told_tree, &s->jobs, j);
+        free(j);
+    }
+    if (code == CLI_WELL && jobs == 0) {
+        fprintf(stderr, "%s: no line tells of a job\n", args->program);
+        return CLI_FAILED;
+    }
+    if (code == CLI_WELL) {
+        say_tallies("run_over", &s->over);
+        say_tallies("run_stopped", &s->stopped);
+        say_tallies("call_refused", &s->refused);
+    }
+    return code;
+}
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -89,6 +89,11 @@
 int Cli_Dump(const struct cli_args *args);
 int Cli_Jobs(const struct cli_args *args);
 int Cli_Explain(const struct cli_args *args); /* ID, over saved logs */
+int Cli_Summary(const struct cli_args *args); /* over saved logs */
+/* Hands each line of the logs that were named, or of standard input, over
+ * without its end. CLI_WELL, or what a file that can't be read gives. */
+int Cli_EachLine(const struct cli_args *args,
+                 void (*fn)(const char *line, void *arg), void *arg);
 
 #ifdef __cplusplus
 }
--- a/packages/entry/main.c
+++ b/packages/entry/main.c
@@ -118,6 +118,8 @@
     {"why", "the recorded decisions of a request or job", "ID", true, Cli_Why},
     {"explain", "the story of an id out of saved logs, over all processes",
      "ID", false, Cli_Explain},
+    {"summary", "every job of saved logs, and what became of its runs", NULL,
+     false, Cli_Summary},
     {"dump", "everything that an entry knows, as JSON", NULL, true, Cli_Dump},
     {"keys", "makes the key pair of a deployment's links: NAME.pub, NAME.key",
      "NAME", false, keys},
--- a/packages/http/http-exchange.c
+++ b/packages/http/http-exchange.c
@@ -1,6 +1,7 @@
 #include "http-server.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 /* Method of the request, as "POST". */
 const char *
@@ -41,6 +42,17 @@
     return info == NULL ? -1 : info->connect_fd;
 }
 
+/* True when the client has closed its connection. */
+bool
+Http_ClientLeft(const struct http_exchange *ex)
+{
+    int fd = Http_Socket(ex);
+    char byte;
+
+    return fd >= 0 &&
+           recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 /* Body of the request; the handler may take it by Buf_Move. */
 struct buf *
 Http_Body(struct http_exchange *ex)
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -108,6 +108,9 @@
 /* Socket of the connection, to see whether the client is still there, and for
  * stand-ins that must break it; -1 when there is none. */
 int Http_Socket(const struct http_exchange *ex);
+/* True when the client has closed its connection, so that nobody hears a
+ * reply. One that is only silent counts as there. */
+bool Http_ClientLeft(const struct http_exchange *ex);
 /* Adds a header to the coming reply. */
 void Http_ReplyHeader(struct http_exchange *ex, const char *name,
                       const char *value);
--- a/packages/jobs/jobs-event.c
+++ b/packages/jobs/jobs-event.c
@@ -44,6 +44,7 @@
 
     Str_Copy(e->job, sizeof(e->job), j->spec.id);
     Str_Copy(e->organisation, sizeof(e->organisation), j->spec.organisation);
+    e->objective_ms = j->objective_ms;
     return e;
 }
 
@@ -53,9 +54,11 @@
            const struct jobs_task *t, const char *reason)
 {
     struct jobs_event *e = Event_Job(b, kind, t->unit->job, reason);
+    const struct jobs_need *need = &Unit_Step(t->unit)->need;
 
     Book_TaskName(t, e->task);
     e->run = t->unit->run;
+    e->weight = need->millicores + 8000 * need->accelerators;
     if (t->worker != NULL) {
         Str_Copy(e->worker, sizeof(e->worker), t->worker->id);
     }
--- a/packages/jobs/jobs-spec.c
+++ b/packages/jobs/jobs-spec.c
@@ -250,9 +250,10 @@
 static int
 decode_fields(const json_t *o, struct jobs_spec *s)
 {
-    const char *payload = json_string_value(json_object_get(o, "payload"));
+    const json_t *value = json_object_get(o, "payload");
+    const char *payload = json_string_value(value);
     uint32_t priority = 0, attempts = 0;
-    int err = payload != NULL ? ERR_OK : ERR_INVALID;
+    int err = value == NULL || payload != NULL ? ERR_OK : ERR_INVALID;
 
     err |= decode_text(o, "id", s->id, sizeof(s->id));
     err |= decode_text(o, "queue", s->queue, sizeof(s->queue));
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -353,7 +353,10 @@
     char other[JOBS_ID_SIZE]; /* a job that it gave way to; "": none */
     uint64_t run;
     int64_t number;
-    int64_t at_ms; /* for whoever keeps it; the book has no clock */
+    int64_t weight;       /* of a run: thousandths of cores that it holds, an
+                           * accelerator counts as eight cores */
+    int64_t objective_ms; /* of a job: when it is to end, from its arrival */
+    int64_t at_ms;        /* for whoever keeps it; the book has no clock */
     TAILQ_ENTRY(jobs_event) entry;
 };
 
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -12,6 +12,9 @@
 /* When to come back: the store's short troubles are over, and another entry
  * may be reached by then. */
 #define COME_BACK_MS 1000
+/* How soon it is seen that a caller has left: well within what callers wait.
+ */
+#define LOOK_ROUND_MS 250
 
 /* A call while it waits for the store. */
 struct open_call {
@@ -22,6 +25,7 @@
     int64_t until_ms;
     bool maybe_done; /* a try may have been, or may still be, carried out */
     ev_timer pause;
+    TAILQ_ENTRY(open_call) entry;
 };
 
 static struct counter accepted_total = {"parsleyfall_queue_accepted_total",
@@ -43,16 +47,47 @@
                                             [QUEUE_LATER] = "later",
                                             [QUEUE_UNKNOWN] = "unknown"};
 
-/* What the call was about, for logs: its job, or its path. */
+static struct counter left_total = {
+    "parsleyfall_queue_callers_left_total",
+    "Calls whose caller left before the answer.", NULL, COUNTER_TOTAL};
+
+/* True for 1 to 32 hexadecimal digits. */
+static bool
+is_id(const char *s)
+{
+    size_t n = strspn(s, "0123456789abcdefABCDEF");
+
+    return n > 0 && n < JOBS_ID_SIZE && s[n] == '\0';
+}
+
+/* The job that the call is about, for logs; "": none that its path names. */
 static const char *
-subject_of(const struct queue_call *call)
+job_of(const struct queue_call *call)
 {
     const char *tail = strrchr(call->path, '/');
 
     if (*call->job != '\0') {
         return call->job;
     }
-    return tail != NULL && tail[1] != '\0' ? tail + 1 : call->path;
+    return tail != NULL && is_id(tail + 1) ? tail + 1 : "";
+}
+
+/* Notes that a caller has left, once.
+ *
+ * Failure: a caller's deadline passes while the store is slow, and it goes.
+ * Symptom: the job is stored and runs, its caller says that it was never told,
+ * and no line says so. waits_for: a row, or "" when the answer is there. */
+static void
+note_left(struct queue_call *call, const char *waits_for)
+{
+    if (call->caller_left || call->left == NULL || !call->left(call)) {
+        return;
+    }
+    call->caller_left = true;
+    Counter_Add(&left_total, 1);
+    LOG_I("caller_left", KV("job", job_of(call)), KV("path", call->path),
+          KV_INT("waited_ms", Clock_NowMs() - call->begun_ms),
+          KV("waits_for", waits_for));
 }
 
 /* Ends a call. */
@@ -68,8 +103,15 @@
     if (outcome == QUEUE_UNKNOWN) {
         Counter_Add(&unknown_total, 1);
     }
+    note_left(call, "");
+    if (call->caller_left) {
+        LOG_I("answer_unheard", KV("job", job_of(call)),
+              KV("outcome", outcome_names[outcome]), KV("reason", reason),
+              KV_INT("waited_ms", Clock_NowMs() - call->begun_ms));
+    }
     if (outcome != QUEUE_OK && outcome != QUEUE_WAITING) {
-        LOG_I("call_refused", KV("job", subject_of(call)),
+        LOG_I("call_refused", KV("job", job_of(call)),
+              KV("path", *job_of(call) == '\0' ? call->path : ""),
               KV("outcome", outcome_names[outcome]), KV("reason", reason),
               KV("host", call->host), KV_INT("retry_ms", call->retry_ms));
     }
@@ -78,16 +120,28 @@
     Queue_CallKind.free(&call->base);
 }
 
-/* Ends a call that waited for the store. */
-static void
-finish_open(struct open_call *o, enum queue_outcome outcome,
-            const char *reason)
+/* Lets go of what kept a call waiting; the call itself is the caller's. */
+static struct queue_call *
+close_call(struct open_call *o)
 {
+    struct queue_call *call = o->call;
+
     ev_timer_stop(o->in->task.kernel->loop, &o->pause);
     o->in->open_calls--;
-    finish(o->call, outcome, reason);
+    TAILQ_REMOVE(&o->in->open, o, entry);
     Buf_Free(&o->value);
     free(o);
+    return call;
+}
+
+/* Ends a call that waited for the store. */
+static void
+finish_open(struct open_call *o, enum queue_outcome outcome,
+            const char *reason)
+{
+    struct queue_call *call = close_call(o);
+
+    finish(call, outcome, reason);
 }
 
 /* Opens a call for a row. */
@@ -104,6 +158,7 @@
     o->call = call;
     o->until_ms = Clock_NowMs() + WRITE_TRIES_MS;
     in->open_calls++;
+    TAILQ_INSERT_TAIL(&in->open, o, entry);
     return o;
 }
 
@@ -317,9 +372,7 @@
     }
     Cache_Take(in, row);
     Str_Copy(id, sizeof(id), o->key + strlen("spec/"));
-    in->open_calls--;
-    Buf_Free(&o->value);
-    free(o);
+    close_call(o);
     if (Cache_Job(in, id) == NULL) {
         finish(call, QUEUE_LATER, "row_unreadable");
         return;
@@ -339,15 +392,6 @@
                         o);
 }
 
-/* True for 1 to 32 hexadecimal digits. */
-static bool
-is_id(const char *s)
-{
-    size_t n = strspn(s, "0123456789abcdefABCDEF");
-
-    return n > 0 && n < JOBS_ID_SIZE && s[n] == '\0';
-}
-
 /* Who calls; false when the key is nobody's. */
 static bool
 identify(struct intake *in, const struct queue_call *call,
@@ -433,3 +477,30 @@
     }
     serve_known(in, call, id);
 }
+
+static void
+on_look_round(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct intake *in = w->data;
+    struct open_call *o;
+
+    TAILQ_FOREACH (o, &in->open, entry) {
+        note_left(o->call, o->key);
+    }
+}
+
+/* Begins to look for callers that leave. */
+void
+Calls_Start(struct intake *in)
+{
+    ev_init(&in->look_round, on_look_round);
+    in->look_round.data = in;
+    Timer_Every(in->task.kernel->loop, &in->look_round, LOOK_ROUND_MS);
+}
+
+/* Ends it. */
+void
+Calls_Stop(struct intake *in)
+{
+    ev_timer_stop(in->task.kernel->loop, &in->look_round);
+}
--- a/packages/queue/queue-http.c
+++ b/packages/queue/queue-http.c
@@ -32,6 +32,13 @@
                               Jobs_StateName(call->state)));
 }
 
+/* True when nobody waits for the answer any more. */
+static bool
+has_left(const struct queue_call *call)
+{
+    return Http_ClientLeft(call->arg);
+}
+
 /* Makes a call of a request. */
 static struct queue_call *
 new_call(struct http_exchange *ex, enum queue_verb verb)
@@ -40,6 +47,7 @@
     const char *token = Requests_Token(ex);
 
     call->done = on_done;
+    call->left = has_left;
     call->arg = ex;
     Str_Copy(call->key, sizeof(call->key), token != NULL ? token : "");
     return call;
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -67,6 +67,7 @@
 
     Follow_Stop(in);
     Entries_Stop(in);
+    Calls_Stop(in);
     Cache_Clear(in);
     QueueConfig_Unref(in->config);
     free(in);
@@ -98,8 +99,8 @@
     int lines; /* within a second */
 } budgets[] = {{"job_accepted", 1000}, {"job_cancelled", 1000},
                {"job_state", 1000},    {"call_refused", 1000},
-               {"run_given", 300},     {"run_stopped", 300},
-               {"run_over", 300}};
+               {"caller_left", 1000},  {"run_given", 300},
+               {"run_stopped", 300},   {"run_over", 300}};
 
 /* Begins to follow the store. */
 static int
@@ -114,10 +115,12 @@
     }
     RB_INIT(&in->cache);
     RB_INIT(&in->jobs);
+    TAILQ_INIT(&in->open);
     in->store = Queue_Store(k);
     Kernel_AddTask(k, &in->task, &intake_ops);
     Follow_Start(in);
     Entries_Start(in);
+    Calls_Start(in);
     return ERR_OK;
 }
 
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -52,8 +52,10 @@
     struct queue_config *config;
     bool draining;
     bool owner_wants_all;
+    TAILQ_HEAD(, open_call) open; /* calls that wait for the store */
     size_t open_calls;
-    ev_timer tell; /* own row, and the entries */
+    ev_timer look_round; /* for callers that have left */
+    ev_timer tell;       /* own row, and the entries */
     bool own_row_stored;
 };
 
@@ -79,6 +81,9 @@
 
 /* ---- queue-calls.c */
 void Intake_Call(struct intake *in, struct queue_call *call);
+/* Begins to look for callers that leave before their answer, and ends. */
+void Calls_Start(struct intake *in);
+void Calls_Stop(struct intake *in);
 
 /* ---- queue-config.c */
 /* Takes a configuration that is newer than the present one. */
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -121,8 +121,11 @@
     int64_t waiting;
     int64_t retry_ms;
     const char *reason;
+    bool caller_left; /* nobody hears the answer */
     /* Called once; frees nothing. */
     void (*done)(struct queue_call *);
+    /* True when the caller is gone; NULL: nobody can say. */
+    bool (*left)(const struct queue_call *);
     void *arg;
 };
 
--- a/tests/cli-process-test.cc
+++ b/tests/cli-process-test.cc
@@ -92,6 +92,61 @@
     EXPECT_EQ(2, one->Epoch());
 }
 
+/* An operator has the logs of two entries, of which the second took over, and
+ * asks what became of all jobs: one was done late after a run that gave way,
+ * one still waits, one was refused. Lines of other kinds, cut ones and ones
+ * without a time are passed over. */
+TEST_F(Cli, TheSummaryTellsEveryJobOfSavedLogs)
+{
+    const std::string head = "time=2026-04-11T04:34:0";
+    const std::string first = dir.Write(
+        "first.log",
+        head + "1.000Z level=info proc=a event=job_accepted job=a1 queue=q "
+               "organisation=o steps=1\n" +
+            head + "1.250Z level=info proc=a event=run_given reason=near "
+                   "job=a1 task=a1.0.0.0 run=1 ms=0 weight=9000 "
+                   "objective_ms=2000\n" +
+            head + "2.250Z level=info proc=a event=run_stopped "
+                   "reason=gives_way job=a1 task=a1.0.0.0 run=1 other=b2\n" +
+            head + "2.500Z level=info proc=a event=run_over reason=stopped "
+                   "job=a1 task=a1.0.0.0 run=1 ms=1000 weight=9000\n" +
+            "event=job_accepted\n\n" + head + "x event=run_over job=\"\"\n");
+    const std::string second = dir.Write(
+        "second.log",
+        head + "3.000Z level=info proc=b event=run_given reason=near job=a1 "
+               "task=a1.0.0.0 run=2 objective_ms=2000\n" +
+            head + "4.000Z level=info proc=b event=run_over reason=done "
+                   "job=a1 task=a1.0.0.0 run=2 ms=1000 weight=9000\n" +
+            head + "4.010Z level=info proc=b event=job_state "
+                   "reason=completed job=a1 ms=3000\n" +
+            head + "5.000Z level=info proc=b event=job_accepted job=b2 "
+                   "queue=q organisation=o steps=1\n" +
+            head + "5.100Z level=info proc=b event=call_refused job=c3 "
+                   "outcome=later reason=store_away\n");
+    Ran r = Run({"summary", "--log", first, "--log", second});
+
+    EXPECT_EQ(r.code, 0) << r.err;
+    EXPECT_NE(r.out.find("job=a1 queue=q organisation=o state=completed "
+                         "wait_ms=250 took_ms=3010 objective_ms=2000 late=yes "
+                         "runs=2 thrown_core_s=9.0 stopped=1 done=1"),
+              std::string::npos)
+        << r.out;
+    EXPECT_NE(r.out.find("job=b2 queue=q organisation=o state=queued "
+                         "wait_ms=-1 took_ms=-1"),
+              std::string::npos)
+        << r.out;
+    for (const char *line :
+         {"total run_over reason=done count=1 core_s=9.0\n",
+          "total run_over reason=stopped count=1 core_s=9.0\n",
+          "total run_stopped reason=gives_way count=1",
+          "total call_refused reason=store_away count=1"}) {
+        EXPECT_NE(r.out.find(line), std::string::npos) << line << r.out;
+    }
+    EXPECT_EQ(Run({"summary", "--log", dir.Write("none", "x\n")}).code, 1);
+    EXPECT_EQ(Run({"summary", "--log", "/nowhere/x"}).code, 1);
+    EXPECT_EQ(Run({"summary", "extra"}).code, 2);
+}
+
 /* Exit codes of the agent's program. */
 TEST_F(Cli, ExitCodesOfTheAgent)
 {
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -318,6 +318,29 @@
     EXPECT_EQ(s.agents[0]->Terminate(), 0) << s.Logs();
 }
 
+/* A caller hands a job in while the store is silent, and leaves before its
+ * answer. The log says at once that it left, how long it had waited and for
+ * what, and at the end that nobody heard the answer; without these nobody can
+ * tell why a job runs whose caller was never told. */
+TEST(Hosted, ACallerThatLeavesBeforeItsAnswerIsNoted)
+{
+    HostedStack s(1, 1);
+
+    s.StoreFault(0, "silent");
+    Http("POST", s.Entry(0) + "/q/a1",
+         R"({"task-spec":"50","steps":[{"count":1,"gpu":1}]})",
+         {"Host: one.example", "Authorization: Bearer key-one"}, 300);
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Logs().find("event=caller_left job=a1 path=/q/a1") !=
+               std::string::npos;
+    })) << s.Logs();
+    EXPECT_NE(s.Logs().find("waits_for=spec/a1"), std::string::npos);
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Logs().find("event=answer_unheard job=a1 outcome=unknown") !=
+               std::string::npos;
+    })) << s.Logs();
+}
+
 /* What `parsleyfall explain ID` says over the logs of all entries. */
 std::string
 Explain(HostedStack &s, const std::string &id)
