--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -4,10 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A write whose outcome is not known, or that was turned away, is sent again
- * for so long at most, within what the caller waits: callers wait 3 s and
- * then ask another entry, so half of that leaves time for one. */
-#define WRITE_TRIES_MS 1200
+/* A call that waits for the store is answered after so long at most. */
+#define ANSWER_MS 1200
+/* And within this share of what its caller waits, so that it can come again
+ * twice, to other entries, while somebody still wants the answer. */
+#define ANSWER_SHARE 0.4
 #define RETRY_PAUSE_MS 60
 /* When to come back: the store's short troubles are over, and another entry
  * may be reached by then. */
@@ -24,7 +25,9 @@
     struct buf value;
     int64_t until_ms;
     bool maybe_done; /* a try may have been, or may still be, carried out */
+    bool asking;     /* the store has not answered yet */
     ev_timer pause;
+    ev_timer answer; /* by then the caller is told */
     TAILQ_ENTRY(open_call) entry;
 };
 
@@ -120,17 +123,28 @@
     Queue_CallKind.free(&call->base);
 }
 
-/* Lets go of what kept a call waiting; the call itself is the caller's. */
+/* Frees what kept a call waiting, once the store has answered too. */
+static void
+free_open(struct open_call *o)
+{
+    if (o->call == NULL && !o->asking) {
+        TAILQ_REMOVE(&o->in->open, o, entry);
+        Buf_Free(&o->value);
+        free(o);
+    }
+}
+
+/* Takes the call out of what kept it waiting, to be answered. */
 static struct queue_call *
 close_call(struct open_call *o)
 {
     struct queue_call *call = o->call;
 
     ev_timer_stop(o->in->task.kernel->loop, &o->pause);
+    ev_timer_stop(o->in->task.kernel->loop, &o->answer);
     o->in->open_calls--;
-    TAILQ_REMOVE(&o->in->open, o, entry);
-    Buf_Free(&o->value);
-    free(o);
+    o->call = NULL;
+    free_open(o);
     return call;
 }
 
@@ -144,6 +158,42 @@
     finish(call, outcome, reason);
 }
 
+static void send_write(struct open_call *o);
+
+static void
+on_pause(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    send_write(w->data);
+}
+
+/* The store has not answered, and the caller is told.
+ *
+ * Failure: the store takes calls and answers none. Symptom: a caller that
+ * waits 3 s hears after 1.5 s of the first entry, and has no time left for a
+ * second try elsewhere. What was sent may still be done: "unknown" for a
+ * write, and the same id may be handed in again at once. */
+static void
+on_answer_due(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    struct open_call *o = w->data;
+    bool writes = o->value.len > 0;
+
+    if (writes && (o->asking || o->maybe_done)) {
+        finish_open(o, QUEUE_UNKNOWN, "store_silent");
+        return;
+    }
+    finish_open(o, QUEUE_LATER, "store_away");
+}
+
+/* How long a call may wait for the store. */
+static int64_t
+patience_ms(const struct queue_call *call)
+{
+    int64_t share = (int64_t)(ANSWER_SHARE * (double)call->deadline_ms);
+
+    return share > 0 && share < ANSWER_MS ? share : ANSWER_MS;
+}
+
 /* Opens a call for a row. */
 static struct open_call *
 open_call(struct intake *in, struct queue_call *call, const char *prefix,
@@ -156,7 +206,12 @@
     Str_Copy(o->key, sizeof(o->key), key.data);
     o->in = in;
     o->call = call;
-    o->until_ms = Clock_NowMs() + WRITE_TRIES_MS;
+    o->until_ms = Clock_NowMs() + patience_ms(call);
+    ev_init(&o->pause, on_pause);
+    o->pause.data = o;
+    ev_init(&o->answer, on_answer_due);
+    o->answer.data = o;
+    Timer_Set(in->task.kernel->loop, &o->answer, patience_ms(call));
     in->open_calls++;
     TAILQ_INSERT_TAIL(&in->open, o, entry);
     return o;
@@ -182,14 +237,6 @@
     Queue_Post(o->in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
 }
 
-static void send_write(struct open_call *o);
-
-static void
-on_pause(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
-{
-    send_write(w->data);
-}
-
 /* How a write went.
  *
  * Failure: an answer is lost, and the write takes effect now or seconds
@@ -201,8 +248,18 @@
 on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
     struct open_call *o = arg;
-    bool submit = o->call->verb == QUEUE_SUBMIT;
-
+    bool submit = strncmp(o->key, "spec/", 5) == 0;
+
+    o->asking = false;
+    if (o->call == NULL) {
+        if (err == ERR_OK) {
+            LOG_I("stored_unheard", KV("row", o->key),
+                  KV_INT("version", versions[0]));
+            took_row(o, versions[0]);
+        }
+        free_open(o);
+        return;
+    }
     if (err == ERR_OK) {
         if (submit) {
             Counter_Add(&accepted_total, 1);
@@ -270,21 +327,13 @@
                           .value = o->value.data,
                           .len = o->value.len};
 
-    if (o->call->verb == QUEUE_SUBMIT) {
+    if (strncmp(o->key, "spec/", 5) == 0) {
         op.if_version = spoiled_version(o->in, o->key);
     }
+    o->asking = true;
     store->ops->commit(store, &op, 1, on_written, o);
 }
 
-/* Sends a call's row for the first time. */
-static void
-start_write(struct open_call *o)
-{
-    ev_init(&o->pause, on_pause);
-    o->pause.data = o;
-    send_write(o);
-}
-
 /* Hands a job in. */
 static void
 submit(struct intake *in, struct queue_call *call,
@@ -319,7 +368,7 @@
         finish_open(o, QUEUE_INVALID, "job_too_big");
         return;
     }
-    start_write(o);
+    send_write(o);
 }
 
 /* Cancels a job that is known. */
@@ -335,7 +384,7 @@
     }
     o = open_call(in, call, "stop/", id);
     Buf_AppendStr(&o->value, "{}");
-    start_write(o);
+    send_write(o);
 }
 
 /* Answers with what is shown of a job, or cancels it. */
@@ -362,6 +411,11 @@
     struct queue_call *call = o->call;
     char id[JOBS_ID_SIZE];
 
+    o->asking = false;
+    if (call == NULL) {
+        free_open(o);
+        return;
+    }
     if (err != ERR_OK) {
         finish_open(o, QUEUE_LATER, "store_away");
         return;
@@ -387,7 +441,7 @@
 {
     struct open_call *o = open_call(in, call, "spec/", id);
 
-    ev_init(&o->pause, on_pause);
+    o->asking = true;
     in->store->ops->get(in->store, Queue_Site()->own_table, o->key, on_looked,
                         o);
 }
@@ -485,7 +539,9 @@
     struct open_call *o;
 
     TAILQ_FOREACH (o, &in->open, entry) {
-        note_left(o->call, o->key);
+        if (o->call != NULL) {
+            note_left(o->call, o->key);
+        }
     }
 }
 
@@ -498,9 +554,17 @@
     Timer_Every(in->task.kernel->loop, &in->look_round, LOOK_ROUND_MS);
 }
 
-/* Ends it. */
+/* Ends it, and drops what the store has not answered. */
 void
 Calls_Stop(struct intake *in)
 {
+    struct open_call *o, *next;
+
+    TAILQ_FOREACH_SAFE (o, &in->open, entry, next) {
+        if (o->call == NULL) {
+            o->asking = false;
+            free_open(o);
+        }
+    }
     ev_timer_stop(in->task.kernel->loop, &in->look_round);
 }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -52,7 +52,7 @@
     struct queue_config *config;
     bool draining;
     bool owner_wants_all;
-    TAILQ_HEAD(, open_call) open; /* calls that wait for the store */
+    TAILQ_HEAD(, open_call) open; /* which the store has not answered */
     size_t open_calls;
     ev_timer look_round; /* for callers that have left */
     ev_timer tell;       /* own row, and the entries */
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -115,6 +115,7 @@
     struct jobs_spec
         spec; /* of a submit; id and queue are set by the intake */
     int64_t begun_ms;
+    int64_t deadline_ms; /* the caller waits so long; 0: it does not say */
     /* Result, valid in done. */
     enum queue_outcome outcome;
     enum jobs_state state;
--- a/tests/cli-process-test.cc
+++ b/tests/cli-process-test.cc
@@ -101,28 +101,37 @@
     const std::string head = "time=2026-04-11T04:34:0";
     const std::string first = dir.Write(
         "first.log",
-        head + "1.000Z level=info proc=a event=job_accepted job=a1 queue=q "
-               "organisation=o steps=1\n" +
-            head + "1.250Z level=info proc=a event=run_given reason=near "
-                   "job=a1 task=a1.0.0.0 run=1 ms=0 weight=9000 "
-                   "objective_ms=2000\n" +
-            head + "2.250Z level=info proc=a event=run_stopped "
-                   "reason=gives_way job=a1 task=a1.0.0.0 run=1 other=b2\n" +
-            head + "2.500Z level=info proc=a event=run_over reason=stopped "
-                   "job=a1 task=a1.0.0.0 run=1 ms=1000 weight=9000\n" +
+        head +
+            "1.000Z level=info proc=a event=job_accepted job=a1 queue=q "
+            "organisation=o steps=1\n" +
+            head +
+            "1.250Z level=info proc=a event=run_given reason=near "
+            "job=a1 task=a1.0.0.0 run=1 ms=0 weight=9000 "
+            "objective_ms=2000\n" +
+            head +
+            "2.250Z level=info proc=a event=run_stopped "
+            "reason=gives_way job=a1 task=a1.0.0.0 run=1 other=b2\n" +
+            head +
+            "2.500Z level=info proc=a event=run_over reason=stopped "
+            "job=a1 task=a1.0.0.0 run=1 ms=1000 weight=9000\n" +
             "event=job_accepted\n\n" + head + "x event=run_over job=\"\"\n");
     const std::string second = dir.Write(
         "second.log",
-        head + "3.000Z level=info proc=b event=run_given reason=near job=a1 "
-               "task=a1.0.0.0 run=2 objective_ms=2000\n" +
-            head + "4.000Z level=info proc=b event=run_over reason=done "
-                   "job=a1 task=a1.0.0.0 run=2 ms=1000 weight=9000\n" +
-            head + "4.010Z level=info proc=b event=job_state "
-                   "reason=completed job=a1 ms=3000\n" +
-            head + "5.000Z level=info proc=b event=job_accepted job=b2 "
-                   "queue=q organisation=o steps=1\n" +
-            head + "5.100Z level=info proc=b event=call_refused job=c3 "
-                   "outcome=later reason=store_away\n");
+        head +
+            "3.000Z level=info proc=b event=run_given reason=near job=a1 "
+            "task=a1.0.0.0 run=2 objective_ms=2000\n" +
+            head +
+            "4.000Z level=info proc=b event=run_over reason=done "
+            "job=a1 task=a1.0.0.0 run=2 ms=1000 weight=9000\n" +
+            head +
+            "4.010Z level=info proc=b event=job_state "
+            "reason=completed job=a1 ms=3000\n" +
+            head +
+            "5.000Z level=info proc=b event=job_accepted job=b2 "
+            "queue=q organisation=o steps=1\n" +
+            head +
+            "5.100Z level=info proc=b event=call_refused job=c3 "
+            "outcome=later reason=store_away\n");
     Ran r = Run({"summary", "--log", first, "--log", second});
 
     EXPECT_EQ(r.code, 0) << r.err;
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -341,6 +341,28 @@
     })) << s.Logs();
 }
 
+/* The store takes calls and answers none. A caller that says that it waits
+ * one second is told within that time that nobody knows, and hands the same
+ * id in again at another entry, which reaches the store: it runs once. Told
+ * after the store's own time-out of 1.5 s, it would have gone. */
+TEST(Hosted, ACallerHearsWithinWhatItWaits)
+{
+    HostedStack s(2, 1);
+    const std::string body =
+        R"({"task-spec":"50","steps":[{"count":1,"gpu":1}]})";
+    const std::vector<std::string> headers = {"Host: one.example",
+                                              "Authorization: Bearer key-one",
+                                              "Parsleyfall-Deadline-Ms: 1000"};
+
+    s.StoreFault(0, "silent");
+    EXPECT_EQ(Http("POST", s.Entry(0) + "/q/a1", body, headers, 1000).status,
+              504);
+    EXPECT_EQ(Http("POST", s.Entry(1) + "/q/a1", body, headers, 1000).status,
+              200);
+    EXPECT_TRUE(s.Ends(1, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 1u);
+}
+
 /* What `parsleyfall explain ID` says over the logs of all entries. */
 std::string
 Explain(HostedStack &s, const std::string &id)
