Lengths learned for each queue; runs from before a takeover have their true age

On the site of 80 machines 68 of 110 urgent gangs were late though they began 0.2 s after they came: their estimates are half of what they take, off by up to seven times, so their slack, the bound of evictions for them and their place in the queue were wrong until a run of the same job had shown its pace. Now a line is fitted for each queue, from its runs and their estimates; it starts at the estimate, shifts and flattens with what it sees.

After a takeover runs counted as ages old: dearest to stop, so that nothing gave way to urgent work, and as about to end. Their age comes from their progress now.

--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -29,6 +29,7 @@
     RB_INIT(&b->workers);
     TAILQ_INIT(&b->active);
     TAILQ_INIT(&b->events);
+    SLIST_INIT(&b->sizes);
     return b;
 }
 
@@ -84,6 +85,7 @@
     while ((w = RB_ROOT(&b->workers)) != NULL) {
         Worker_Free(b, w);
     }
+    Size_Clear(&b->sizes);
     free(b);
 }
 
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -3,6 +3,7 @@
 #define JOBS_BOOK_H
 
 #include "jobs-json.h"
+#include "jobs-size.h"
 
 /* A worker's clock may be slow by this share (the platform's pages), so a
  * lease of n ms may last n * LEASE_STRETCH by ours. */
@@ -21,7 +22,8 @@
     bool confirmed;             /* seen running */
     uint64_t listed; /* number of the last report that listed its run */
     int64_t listed_clock_ms; /* and the worker's clock then */
-    int64_t given_ms;
+    int64_t given_ms; /* when this run was given, or is taken to have been */
+    bool inherited;   /* it was given before this book was made */
     int64_t sent_ms;  /* last order; 0: none yet */
     bool far;         /* from its data, or from the rest of its gang */
     int64_t percent;  /* of its work, as last seen; -1: not seen yet */
@@ -78,8 +80,10 @@
     uint32_t occurrences;      /* from it on up to this, they have units */
     size_t row_bytes;          /* of its row, at most; while planning */
     int64_t arrived_ms;
-    int64_t ended_ms;                /* 0: has not ended */
-    int64_t seen_ms[JOBS_STEPS_MAX]; /* work of a step's run; 0: not known */
+    int64_t ended_ms;                 /* 0: has not ended */
+    int64_t seen_ms[JOBS_STEPS_MAX];  /* work of a step's run; 0: not known */
+    int64_t guess_ms[JOBS_STEPS_MAX]; /* the same, as its queue's runs tell */
+    uint64_t sized;       /* bits of the steps that told what they took */
     int64_t objective_ms; /* it is to end so long after its arrival */
     int64_t left_ms[JOBS_STEPS_MAX]; /* from each step on to its end */
     struct unit_list units;
@@ -158,6 +162,7 @@
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
     struct jobs_question question; /* none while its count is 0 */
+    struct size_lines sizes;
     uint64_t row_mark;
     bool batch_open;
     bool batch_whole; /* nothing was dirty beside it */
@@ -234,7 +239,7 @@
 bool Share_IsDue(const struct jobs_task *t, int64_t now_ms);
 
 /* ---- jobs-objective.c */
-void Objective_Set(struct jobs_job *j);
+void Objective_Set(const struct jobs_book *b, struct jobs_job *j);
 int64_t Objective_SlackMs(const struct jobs_unit *u, int64_t now_ms);
 int64_t Objective_NextMs(const struct jobs_unit *u, int64_t now_ms);
 
--- a/packages/jobs/jobs-objective.c
+++ b/packages/jobs/jobs-objective.c
@@ -6,19 +6,18 @@
  * caller any more. */
 #define USELESS_FACTOR 3
 
-/* What a step takes: as its runs have shown, or as its caller estimated, which
- * is off by up to 3.6 times. */
+/* What a step takes: as its runs have shown, or as other jobs of its queue
+ * make of its caller's estimate. */
 static int64_t
 work_ms(const struct jobs_job *j, uint32_t step)
 {
-    return j->seen_ms[step] != 0 ? j->seen_ms[step]
-                                 : j->spec.steps[step].estimate_ms;
+    return j->seen_ms[step] != 0 ? j->seen_ms[step] : j->guess_ms[step];
 }
 
 /* Sets what is left to do from each step on, along the longest chain of those
  * that come after it, and the job's objective. */
 void
-Objective_Set(struct jobs_job *j)
+Objective_Set(const struct jobs_book *b, struct jobs_job *j)
 {
     int64_t longest = 0;
 
@@ -26,6 +25,7 @@
     for (uint32_t i = j->spec.step_count; i-- > 0;) {
         const struct jobs_step *s = &j->spec.steps[i];
 
+        j->guess_ms[i] = Size_Guess(&b->sizes, j->spec.queue, s->estimate_ms);
         j->left_ms[i] += work_ms(j, i);
         for (uint32_t k = 0; k < s->after_count; k++) {
             int64_t *before = &j->left_ms[s->after[k]];
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -114,13 +114,17 @@
     t->percent = percent;
 }
 
-/* What a run takes: as seen, or as its caller estimated. */
+/* What a run takes: as seen, or as its queue's runs make of the estimate. */
 int64_t
 Pace_WorkMs(const struct jobs_unit *u)
 {
     int64_t known = known_ms(u);
 
-    return known != 0 ? known : Unit_Step(u)->estimate_ms;
+    if (known != 0) {
+        return known;
+    }
+    return u->job->guess_ms[u->step] != 0 ? u->job->guess_ms[u->step]
+                                          : Unit_Step(u)->estimate_ms;
 }
 
 /* How long a run still takes, from its pace where that is known. */
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -93,7 +93,7 @@
         }
         Book_DropDone(j);
         add_due(b, j, now_ms, wall_ms);
-        Objective_Set(j);
+        Objective_Set(b, j);
         j->row_bytes = Row_Bytes(b, j);
         TAILQ_FOREACH (u, &j->units, entry) {
             if (u->state != UNIT_WAITING || u->dropped ||
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -184,6 +184,9 @@
     if (*r->checkpoint != '\0') {
         Str_Copy(u->checkpoint, sizeof(u->checkpoint), r->checkpoint);
     }
+    if (t->inherited && !t->confirmed) {
+        t->given_ms = now_ms - Pace_WorkMs(u) * r->percent / 100;
+    }
     Pace_Take(b, w, t, r->percent, w->clock_ms, now_ms);
     t->confirmed = true;
     t->listed = w->reports;
@@ -359,6 +362,23 @@
     return w != NULL ? w->seen_rows : 0;
 }
 
+/* Takes over what a worker may run: as if it began now, until its progress
+ * tells.
+ *
+ * Load: urgent work that comes after a takeover, all rooms full. Without it
+ * those runs count as ages old: as the dearest to stop, so that nothing gives
+ * way, and as about to end, so that what waits for them waits too long. */
+static void
+inherit(struct jobs_worker *w, int64_t now_ms)
+{
+    struct jobs_task *t;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        t->inherited = true;
+        t->given_ms = now_ms;
+    }
+}
+
 /* Workers that only the rows name may run what they had until then. */
 void
 Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms)
@@ -370,6 +390,7 @@
         if (!w->heard) {
             w->report_ms = now_ms;
         }
+        inherit(w, now_ms);
     }
 }
 
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -78,6 +78,7 @@
     t->mark_clock_ms = 0;
     t->pace = 0;
     t->far = false;
+    t->inherited = false;
     t->figure = 0;
     t->share = -1;
     t->share_sent_ms = 0;
@@ -201,6 +202,21 @@
     Job_Settle(b, u->job, now_ms);
 }
 
+/* Learns what a step took, once for each job: one of a thousand tasks tells no
+ * more about its queue than one of a single task. */
+static void
+learn_size(struct jobs_book *b, const struct jobs_unit *u)
+{
+    struct jobs_job *j = u->job;
+    uint64_t bit = (uint64_t)1 << u->step;
+
+    if (!Unit_Step(u)->lasting && (j->sized & bit) == 0 && u->work_ms != 0) {
+        j->sized |= bit;
+        Size_Take(&b->sizes, j->spec.queue, Unit_Step(u)->estimate_ms,
+                  u->work_ms);
+    }
+}
+
 /* One task ended as done; that stands for the whole gang. */
 void
 Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
@@ -212,6 +228,7 @@
             Worker_LetGo(&u->tasks[i]);
         }
     }
+    learn_size(b, u);
     u->stopping = false;
     u->unwritten = false;
     u->state = Unit_Step(u)->lasting && !u->dropped ? UNIT_WAITING : UNIT_DONE;
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -842,4 +842,29 @@
     EXPECT_EQ(w.Starts("ae.0.0.1"), 1);
 }
 
+/* All rooms are full of runs when the owner changes. Urgent work comes, and
+ * one of the runs gives way to it: the new owner takes their age from how far
+ * they are. Taken for ages old they were the dearest to stop, so nothing gave
+ * way until they had ended, and the logs told of core-hours thrown away. */
+TEST(Jobs, RunsFromBeforeATakeoverGiveWayByTheirTrueAge)
+{
+    World w(1, "urgent:0:3 batch:2:3");
+
+    w.natures["long"].work_ms = 20000;
+    struct jobs_spec s = w.Spec("long", 1, 8);
+    s.steps[0].estimate_ms = 20000;
+    w.Submit(s);
+    w.Turns(20);
+    ASSERT_EQ(w.Starts("long.0.0.0"), 1);
+    w.TakeOver();
+    w.Turns(5);
+    w.natures["now"].work_ms = 2000;
+    s = w.Spec("now", 1, 8, "urgent");
+    s.steps[0].estimate_ms = 2000;
+    w.Submit(s);
+    w.Turns(250);
+    EXPECT_EQ(w.gave_way_to.count("now"), 1u);
+    EXPECT_EQ(w.State("now"), JOB_COMPLETED);
+}
+
 } /* namespace */
