An office given up for a higher term does not count as ended for certain

An entry that takes the office below the term that agents have heard gives it up and claims again; the row that it then replaces is its own, which was read as "the owner before has ended". Whoever told the higher term may be alive, and its leases were not waited for. Found by reading, not by a run.

--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -130,6 +130,9 @@
         o->row_term = term;
         o->row_incarnation = 0; /* so that the next claim is a new office */
     }
+    /* Whoever told that term may be alive, whatever our own row says. */
+    o->row_spoiled = true;
+    o->dead_before = false;
     Owner_Leave(o, "term_behind");
     return true;
 }
