A row of a job is parsed once on its way to the owner

Each progress row that came back by the feed was parsed by the cache and again by the owner, only to see whether it can be read, and each spec once more. The cache empties what it could not read, as the store's adapter does with values, and the owner looks at the length.

--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -148,7 +148,7 @@
  * is kept for as long as this entry lives; the owner writes it over the
  * nonsense (Jobs_Spoiled). */
 bool
-Cache_Take(struct intake *in, const struct table_row *row)
+Cache_Take(struct intake *in, struct table_row *row)
 {
     struct cached_row probe = {.key = row->key};
     struct cached_row *r = RB_FIND(row_tree, &in->cache, &probe);
@@ -177,6 +177,9 @@
     if (!r->spoiled || r->version == 0) {
         Buf_Set(&r->value, row->value.data, row->value.len);
     }
+    if (r->spoiled) {
+        Buf_Clear(&row->value); /* whoever is told of it need not parse it */
+    }
     r->version = row->version;
     return true;
 }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -64,8 +64,9 @@
 void Follow_Stop(struct intake *in);
 
 /* ---- queue-cache.c */
-/* Takes a row; older ones than known are left. True when it is news. */
-bool Cache_Take(struct intake *in, const struct table_row *row);
+/* Takes a row; a value that can't be read is emptied; older ones than known
+ * are left. True when it is news. */
+bool Cache_Take(struct intake *in, struct table_row *row);
 void Cache_BeginList(struct intake *in);
 /* Drops what the list did not have. */
 void Cache_EndList(struct intake *in);
--- a/packages/queue/queue-rows.c
+++ b/packages/queue/queue-rows.c
@@ -96,25 +96,21 @@
     }
 }
 
-/* Notes rows of jobs in the book that can't be read any more. */
+/* Notes rows of jobs in the book that are gone or can't be read any more: the
+ * cache, which has read them, empties those. */
 static void
 note_spoiled(struct owner *o, const struct rows_changed *r)
 {
     for (size_t i = 0; i < r->count; i++) {
         const struct table_row *row = &r->rows[i];
-        struct jobs_spec spec CLEANUP(JobsSpec_Clear) = {0};
-        enum jobs_state state;
-        bool begun;
-
-        if (strncmp(row->key, "spec/", 5) == 0 &&
-            Jobs_Has(o->book, row->key + 5) &&
-            JobsSpec_Decode(row->value.data, row->value.len, &spec) !=
-                ERR_OK) {
+
+        if (row->value.len > 0) {
+            continue;
+        }
+        if (strncmp(row->key, "spec/", 5) == 0) {
             Jobs_Spoiled(o->book, row->key + 5, true);
         }
-        if (strncmp(row->key, "run/", 4) == 0 &&
-            Jobs_ReadProgress(row->value.data, row->value.len, &state,
-                              &begun) != ERR_OK) {
+        if (strncmp(row->key, "run/", 4) == 0) {
             Jobs_Spoiled(o->book, row->key + 4, false);
         }
     }
