State that another field tells, and copies that nothing needs, are taken out

When a run was last listed is told by the worker's clock then, so the number of the report beside it decided nothing. A report is adopted from where it is kept. An address is checked by the function that settings use, whose comment had slipped below that of URLs. Behaviour is the same.

--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -377,9 +377,9 @@
 
 /* Splits "ip:port" or "[ip]:port". ERR_OK or ERR_INVALID. */
 int Settings_SplitAddress(const char *text, char ip[NAME_SIZE], int *port);
-/* True for an HTTP URL with a host, without spaces, query or last slash. */
 /* True for "ip:port" of an address that can be reached. */
 bool Settings_IsAddress(const char *text);
+/* True for an HTTP URL with a host, without spaces, query or last slash. */
 bool Settings_IsUrl(const char *text);
 
 #ifdef __cplusplus
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -20,8 +20,7 @@
     uint32_t index;
     struct jobs_worker *worker; /* NULL: no run of it can be anywhere */
     bool confirmed;             /* seen running */
-    uint64_t listed; /* number of the last report that listed its run */
-    int64_t listed_clock_ms; /* and the worker's clock then */
+    int64_t listed_clock_ms; /* worker's clock when its run was last listed */
     int64_t given_ms; /* when this run was given, or is taken to have been */
     bool inherited;   /* it was given before this book was made */
     int64_t sent_ms;  /* last order; 0: none yet */
@@ -139,7 +138,6 @@
     int64_t doubt_ms;      /* last run far over its estimate; 0: none */
     char doubt_job[JOBS_ID_SIZE];
     uint32_t failures_in_row;
-    uint64_t reports;
     uint64_t seen;       /* ends taken into the book */
     uint64_t seen_batch; /* of them, those in rows being written */
     uint64_t seen_rows;  /* of them, those stored */
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -189,7 +189,6 @@
     }
     Pace_Take(b, w, t, r->percent, w->clock_ms, now_ms);
     t->confirmed = true;
-    t->listed = w->reports;
     t->listed_clock_ms = w->clock_ms;
     t->figure = r->figure;
     if (!u->begun) {
@@ -247,8 +246,7 @@
         return;
     }
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        if (t->confirmed && t->listed != w->reports &&
-            w->clock_ms - t->listed_clock_ms > vanished_ms) {
+        if (t->confirmed && w->clock_ms - t->listed_clock_ms > vanished_ms) {
             Unit_Stop(b, t->unit, "vanished");
         }
     }
@@ -282,7 +280,6 @@
     }
     w = Book_Worker(b, r->worker, r->agent);
     take_facts(b, w, r, now_ms);
-    w->reports++;
     note_term(b, w, r->term, now_ms);
     end_earlier(b, w, now_ms);
     take_ends(b, w, r->ended, r->ended_count, now_ms);
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -139,7 +139,8 @@
     look(timer->data);
 }
 
-/* Takes a report as that of the present lifetime. */
+/* Takes a report, which may be the one kept as next, as that of the present
+ * lifetime. */
 static void
 adopt(struct watch *w, const struct worker_said *said)
 {
@@ -168,10 +169,8 @@
         return;
     }
     if (err == ERR_OK) {
-        struct worker_said said = w->next;
-
         Str_Copy(w->left, sizeof(w->left), w->said.lifetime);
-        adopt(w, &said);
+        adopt(w, &w->next);
     }
     else if (err == ERR_STALE) {
         Unreadable(UNREADABLE_REPORT, lifetime, "no lifetime of this worker");
@@ -185,10 +184,8 @@
 static void
 adopt_next(struct watch *w)
 {
-    struct worker_said said = w->next;
-
-    if (*said.lifetime != '\0' && *w->said.lifetime == '\0') {
-        adopt(w, &said);
+    if (*w->next.lifetime != '\0' && *w->said.lifetime == '\0') {
+        adopt(w, &w->next);
     }
 }
 
