One place tells a caller that the store gave no answer

The deadline of a call stood twice: as a time that failed tries were held against, and as the timer that ends the call, each with the same verdict. Since the timer came, the first decided nothing, and write_given_up, which the operators' page shows, was no longer written. The timer alone decides now, and writes that line with the error of the last try.

--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -23,7 +23,7 @@
     struct queue_call *call;
     char key[64];
     struct buf value;
-    int64_t until_ms;
+    int error;       /* of the last try; unknown while it is under way */
     bool maybe_done; /* a try may have been, or may still be, carried out */
     bool asking;     /* the store has not answered yet */
     ev_timer pause;
@@ -177,8 +177,14 @@
 {
     struct open_call *o = w->data;
     bool writes = o->value.len > 0;
+    bool maybe_done = writes && (o->asking || o->maybe_done);
 
-    if (writes && (o->asking || o->maybe_done)) {
+    if (writes) {
+        LOG_W("write_given_up", KV("row", o->key),
+              KV("error", Err_Name(o->error)),
+              KV("maybe_done", maybe_done ? "yes" : "no"));
+    }
+    if (maybe_done) {
         finish_open(o, QUEUE_UNKNOWN, "store_silent");
         return;
     }
@@ -206,7 +212,6 @@
     Str_Copy(o->key, sizeof(o->key), key.data);
     o->in = in;
     o->call = call;
-    o->until_ms = Clock_NowMs() + patience_ms(call);
     ev_init(&o->pause, on_pause);
     o->pause.data = o;
     ev_init(&o->answer, on_answer_due);
@@ -288,18 +293,9 @@
         finish_open(o, QUEUE_INVALID, "the store refuses its row");
         return;
     }
+    o->error = err;
     o->maybe_done = o->maybe_done || err == ERR_UNKNOWN;
-    if (Clock_NowMs() < o->until_ms) {
-        Timer_Set(o->in->task.kernel->loop, &o->pause, RETRY_PAUSE_MS);
-        return;
-    }
-    LOG_W("write_given_up", KV("row", o->key), KV("error", Err_Name(err)),
-          KV("maybe_done", o->maybe_done ? "yes" : "no"));
-    if (o->maybe_done) {
-        finish_open(o, QUEUE_UNKNOWN, "store_silent");
-        return;
-    }
-    finish_open(o, QUEUE_LATER, "store_away");
+    Timer_Set(o->in->task.kernel->loop, &o->pause, RETRY_PAUSE_MS);
 }
 
 /* The version of the row that a job may be written over: 0, none may be there,
@@ -330,6 +326,7 @@
     if (strncmp(o->key, "spec/", 5) == 0) {
         op.if_version = spoiled_version(o->in, o->key);
     }
+    o->error = ERR_UNKNOWN;
     o->asking = true;
     store->ops->commit(store, &op, 1, on_written, o);
 }
