--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -91,6 +91,10 @@
     a->peer = *from;
 }
 
+static struct counter document_bytes = {
+    "parsleyfall_queue_document_bytes_total",
+    "Bytes of configurations that other entries sent.", NULL, COUNTER_TOTAL};
+
 /* Answers whoever spoke, so that it sees the link alive. */
 static void
 hail(struct links *l, const struct link_peer *to, bool with_list)
@@ -238,6 +242,7 @@
     if ((*m)->type != WIRE_DOCUMENT) {
         return;
     }
+    Counter_Add(&document_bytes, (int64_t)d->text.len);
     note = Mem_Zero(1, sizeof(*note));
     note->version = d->version;
     Buf_Move(&note->text, &d->text);
