--- a/tests/fakes/relay.c
+++ b/tests/fakes/relay.c
@@ -1,7 +1,10 @@
 /* A TCP relay that goes silent without closing, as something between two ends
  * does that has lost track of their connections. SIGUSR1: every present
  * connection is silent for good, new ones work. SIGUSR2: new ones are silent
- * too. SIGHUP: new ones work again. */
+ * too. SIGHUP: new ones work again.
+ *
+ * With --bytes-per-s it is a thin link: all its connections together bring so
+ * much in one direction, in turn. */
 #include "fake.h"
 
 #include <argtable2.h>
@@ -16,6 +19,8 @@
 #include <unistd.h>
 
 #define CHUNK_BYTES 65536
+/* Of a thin link: small, so that its connections share it evenly. */
+#define THIN_CHUNK_BYTES 8192
 #define BACKLOG 512
 
 struct pair;
@@ -42,7 +47,9 @@
     struct ev_loop *loop;
     struct sockaddr_in target;
     int64_t delay_ms;
-    bool cut; /* new connections are silent */
+    int64_t bytes_per_s; /* of a thin link; 0: no bound */
+    double free_at[2];   /* when each direction is free; loop time, s */
+    bool cut;            /* new connections are silent */
     ev_io listening;
     LIST_HEAD(, pair) pairs;
 };
@@ -130,13 +137,32 @@
     ev_io_start(loop, &f->out);
 }
 
+/* Milliseconds until so many bytes are through a thin link, after those that
+ * were there before them. */
+static int64_t
+wait_for_link(struct flow *f, ssize_t n)
+{
+    struct relay *relay = f->pair->relay;
+    double *free_at = &relay->free_at[f == &f->pair->up];
+    double now = ev_now(relay->loop);
+
+    if (relay->bytes_per_s == 0) {
+        return 0;
+    }
+    *free_at = (*free_at > now ? *free_at : now) +
+               (double)n / (double)relay->bytes_per_s;
+    return (int64_t)((*free_at - now) * 1000.0);
+}
+
 /* Reads once; the next read waits until this one is passed on. */
 static void
 on_readable(struct ev_loop *loop, ev_io *w, int events UNUSED)
 {
     struct flow *f = w->data;
     char chunk[CHUNK_BYTES];
-    ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
+    struct relay *relay = f->pair->relay;
+    size_t room = relay->bytes_per_s > 0 ? THIN_CHUNK_BYTES : sizeof(chunk);
+    ssize_t n = recv(f->from, chunk, room, 0);
 
     if (n < 0 && errno == EAGAIN) {
         return;
@@ -152,8 +178,8 @@
         return;
     }
     Buf_Append(&f->waiting, chunk, (size_t)n);
-    if (f->pair->relay->delay_ms > 0) {
-        Timer_Set(loop, &f->delay, f->pair->relay->delay_ms);
+    if (relay->delay_ms > 0 || relay->bytes_per_s > 0) {
+        Timer_Set(loop, &f->delay, relay->delay_ms + wait_for_link(f, n));
         return;
     }
     ev_io_start(loop, &f->out);
@@ -307,17 +333,21 @@
         arg_str1(NULL, "listen-port-file", "F", "gets the port");
     struct arg_str *to = arg_str1(NULL, "to", "IP:PORT", "where to connect");
     struct arg_int *delay = arg_int0(NULL, "delay-ms", "MS", "one way");
+    struct arg_int *rate =
+        arg_int0(NULL, "bytes-per-s", "N", "of all connections, one way");
     struct arg_end *end = arg_end(5);
-    void *table[] = {file, to, delay, end};
+    void *table[] = {file, to, delay, rate, end};
     struct relay relay = {0};
 
     delay->ival[0] = 0;
+    rate->ival[0] = 0;
     if (arg_parse(argc, argv, table) != 0 ||
         !parse_target(to->sval[0], &relay.target)) {
         arg_print_errors(stderr, end, argv[0]);
         return 2;
     }
     relay.delay_ms = delay->ival[0];
+    relay.bytes_per_s = rate->ival[0];
     run_relay(&relay, file->sval[0]);
     arg_freetable(table, COUNT_OF(table));
     return 0;
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -417,18 +417,7 @@
     const std::vector<std::string> key = {"Authorization: Bearer key-one"};
     std::string url;
 
-    ASSERT_TRUE(WaitFor([&] {
-        std::string log = s.Logs();
-        size_t at = log.find("event=listening address=");
-
-        if (at == std::string::npos) {
-            return false;
-        }
-        size_t ip = log.find("address=", at) + 8, port = log.find("http=", at);
-        url = "http://" + log.substr(ip, log.find(' ', ip) - ip) + ":" +
-              log.substr(port + 5, log.find(' ', port) - port - 5);
-        return true;
-    }));
+    ASSERT_TRUE(WaitFor([&] { return !(url = s.Own(0)).empty(); }));
     EXPECT_EQ(Http("POST", url + "/v1/jobs",
                    R"({"id":"b1","queue":"r-1","payload":"50","steps":)"
                    R"([{"count":2,"millicores":500,"accelerators":1}]})",
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -42,6 +42,7 @@
     adviser = std::make_unique<Fake>(dir, "fake-hosted-adviser",
                                      std::vector<std::string>{});
     entries.resize(static_cast<size_t>(entry_count));
+    thin.resize(static_cast<size_t>(entry_count));
     agents.resize(static_cast<size_t>(worker_count));
     workers.resize(static_cast<size_t>(worker_count));
     worker_ports.resize(static_cast<size_t>(worker_count));
@@ -93,9 +94,11 @@
             "\"http://127.0.0.1:1\"}\n"
             "limits: {deadline_ms_max: 4000}\ndrain_ms: 5000\n" +
             "hosted:\n  store: \"127.0.0.1:" +
-            std::to_string(StorePort(i % 2)) + "\"\n  callers: \"" +
-            Address(i, CALLERS) + "\"\n  ready: \"" + Address(i, READY) +
-            "\"\n  links: \"" + Address(i, LINKS) +
+            std::to_string(thin[static_cast<size_t>(i)]
+                               ? thin[static_cast<size_t>(i)]->port
+                               : StorePort(i % 2)) +
+            "\"\n  callers: \"" + Address(i, CALLERS) + "\"\n  ready: \"" +
+            Address(i, READY) + "\"\n  links: \"" + Address(i, LINKS) +
             "\"\n  advice: \"127.0.0.1:" + std::to_string(adviser->port) +
             "\"\n  lease_ms: 4000\n");
     entries[static_cast<size_t>(i)].reset();
@@ -142,9 +145,10 @@
     worker_ports[at] = workers[at]->port;
 }
 
-void
-HostedStack::PutConfig(int version, const std::vector<std::string> &keys,
-                       const std::string &other_key)
+std::string
+HostedStack::Config(int version, const std::vector<std::string> &keys,
+                    const std::string &other_key,
+                    const std::string &more_queues) const
 {
     std::string list, other;
 
@@ -155,21 +159,96 @@
     for (const std::string &k : keys) {
         list += (list.empty() ? "\"" : ",\"") + k + "\"";
     }
-    std::string config =
-        R"({"version":)" + std::to_string(version) +
-        R"(,"routes":[{"name":"r-1","host":"one.example","prefix":"/q/",)"
-        R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
-        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false},)"
-        R"({"name":"r-2","host":"one.example","prefix":"/advised/",)"
-        R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
-        R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false,)"
-        R"("advice":{"decision-ms":20,"per-item-ms":2,"validity-ms":1200}}],)"
-        R"("services":[{"name":"pool","admission-check":true}],)"
-        R"("limits":{"max-body-bytes":262144},)"
-        R"("tenants":[{"name":"t","api-keys":[)" +
-        list + R"(],"guaranteed":{"gpu":8}})" + other + "]}";
-
-    PutRow("op", "config", config);
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"r-1","host":"one.example","prefix":"/q/",)"
+           R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
+           R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false},)"
+           R"({"name":"r-2","host":"one.example","prefix":"/advised/",)"
+           R"("target-duration-ms":1000,"priority":1,"service":"pool",)"
+           R"("max-attempts":2,"stretch":3.0,"allow-anonymous":false,)"
+           R"("advice":{"decision-ms":20,"per-item-ms":2,"validity-ms":1200}})" +
+           more_queues +
+           R"(],)"
+           R"("services":[{"name":"pool","admission-check":true}],)"
+           R"("limits":{"max-body-bytes":262144},)"
+           R"("tenants":[{"name":"t","api-keys":[)" +
+           list + R"(],"guaranteed":{"gpu":8}})" + other + "]}";
+}
+
+void
+HostedStack::PutConfig(int version, const std::vector<std::string> &keys,
+                       const std::string &other_key)
+{
+    PutRow("op", "config", Config(version, keys, other_key, ""));
+}
+
+void
+HostedStack::PutLargeConfig(int version, int queues)
+{
+    std::string more;
+
+    for (int k = 0; k < queues; k++) {
+        std::string n = std::to_string(k);
+
+        more += R"(,{"name":"n-)" + n + R"(","host":"one.example",)" +
+                R"("prefix":"/n/)" + n + R"(/","target-duration-ms":)" +
+                std::to_string(1000 + 7 * k % 9001) +
+                R"(,"priority":2,"service":"pool","max-attempts":2,)" +
+                R"("stretch":3.0,"allow-anonymous":false,"note":")" +
+                std::to_string(2654435761u * static_cast<unsigned>(k)) +
+                R"("})";
+    }
+    PutRow("op", "config", Config(version, {"key-one"}, "", more));
+}
+
+void
+HostedStack::ThinStore(int i, int bytes_per_s)
+{
+    thin[static_cast<size_t>(i)] = std::make_unique<Fake>(
+        dir, "fake-relay",
+        std::vector<std::string>{
+            "--to", "127.0.0.1:" + std::to_string(StorePort(i % 2)),
+            "--bytes-per-s", std::to_string(bytes_per_s)},
+        "thin-" + std::to_string(i));
+    StartEntry(i);
+    if (!WaitFor([&] { return Ready(i); })) {
+        throw std::runtime_error("an entry is not ready: " + Logs());
+    }
+}
+
+bool
+HostedStack::Serves(int i, int queue) const
+{
+    return Http("GET", Entry(i) + "/n/" + std::to_string(queue) + "/", "",
+                {"Host: one.example", "Authorization: Bearer key-one"})
+               .status == 200;
+}
+
+std::string
+HostedStack::Own(int i) const
+{
+    std::string log =
+        ReadFile(dir.Path("entry-" + std::to_string(i) + ".err"));
+    size_t at = log.rfind("event=listening address=");
+
+    if (at == std::string::npos) {
+        return "";
+    }
+    size_t ip = log.find("address=", at) + 8, port = log.find("http=", at);
+
+    return "http://" + log.substr(ip, log.find(' ', ip) - ip) + ":" +
+           log.substr(port + 5, log.find(' ', port) - port - 5);
+}
+
+int64_t
+HostedStack::Counter(int i, const std::string &name) const
+{
+    std::string all = Http("GET", Own(i) + "/metrics").body;
+    size_t at = all.find("\n" + name + " ");
+
+    return at == std::string::npos
+               ? 0
+               : std::stoll(all.substr(at + name.size() + 2));
 }
 
 void
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -22,6 +22,18 @@
      * "t", and one of "u". */
     void PutConfig(int version, const std::vector<std::string> &keys,
                    const std::string &other_key = "");
+    /* The same with this many further queues, "n-K" at one.example/n/K/, each
+     * some 230 bytes. */
+    void PutLargeConfig(int version, int queues);
+    /* Starts entry i anew, with all that it has of the store coming over a
+     * link of so many bytes a second. */
+    void ThinStore(int i, int bytes_per_s);
+    /* True when entry i knows queue "n-K". */
+    bool Serves(int i, int queue) const;
+    /* Where operators of entry i connect; "" until its log says so. */
+    std::string Own(int i) const;
+    /* A counter of entry i, by its name. */
+    int64_t Counter(int i, const std::string &name) const;
     /* What another writer writes into the store. */
     void PutRow(const std::string &table, const std::string &key,
                 const std::string &value);
@@ -54,12 +66,16 @@
 
     harness::TempDir dir;
     std::unique_ptr<harness::Fake> store, adviser;
+    std::vector<std::unique_ptr<harness::Fake>> thin; /* of each entry */
     std::vector<std::unique_ptr<harness::Process>> entries, agents;
     std::vector<std::unique_ptr<harness::Fake>> workers;
 
   private:
     std::string Address(int host, int port) const;
     int StorePort(int door) const;
+    std::string Config(int version, const std::vector<std::string> &keys,
+                       const std::string &other_key,
+                       const std::string &more_queues) const;
     std::string net;
     std::vector<int> worker_ports;
     int config_row = 0;
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -14,5 +14,9 @@
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
                 fake-hosted-store fake-hosted-worker fake-hosted-adviser SHARDS 2)
 target_link_libraries(hosted-foreign-test PRIVATE sodium)
+pf_process_test(hosted-large-test hosted-large-test.cc hosted-stack.cc
+                PACKAGES wire NEEDS parsleyfall fake-hosted-store
+                fake-hosted-adviser fake-relay)
+target_link_libraries(hosted-large-test PRIVATE sodium)
 pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
 pf_test(hosted-agent-test hosted-agent-test.cc PACKAGES hosted-agent)
