--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -124,6 +124,8 @@
     size_t cap;
 };
 
+/* Makes room for so many bytes beyond len, and a NUL. */
+void Buf_Reserve(struct buf *b, size_t more);
 void Buf_Append(struct buf *b, const void *data, size_t len);
 void Buf_AppendStr(struct buf *b, const char *s);
 void Buf_Printf(struct buf *b, const char *fmt, ...) PRINTFLIKE(2, 3);
--- a/packages/base/buf.c
+++ b/packages/base/buf.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 /* Makes room for more bytes and a final NUL. */
-static void
-reserve(struct buf *b, size_t more)
+void
+Buf_Reserve(struct buf *b, size_t more)
 {
     size_t want = b->len + more + 1;
     size_t cap = b->cap ? b->cap : 64;
@@ -25,7 +25,7 @@
 void
 Buf_Append(struct buf *b, const void *data, size_t len)
 {
-    reserve(b, len);
+    Buf_Reserve(b, len);
     if (len > 0) {
         memcpy(b->data + b->len, data, len);
     }
@@ -53,7 +53,7 @@
     if (n < 0) {
         Fatal("a format that can't be printed: %s", fmt);
     }
-    reserve(b, (size_t)n);
+    Buf_Reserve(b, (size_t)n);
     va_start(ap, fmt);
     vsnprintf(b->data + b->len, (size_t)n + 1, fmt, ap);
     va_end(ap);
--- a/packages/http/http-call.c
+++ b/packages/http/http-call.c
@@ -34,6 +34,11 @@
         return 0;
     }
     Buf_Append(&call->result.body, data, len);
+    call->last_ms = Clock_NowMs();
+    if (call->first_ms == 0) {
+        call->first_ms = call->last_ms;
+    }
+    call->result.transfer_ms = call->last_ms - call->first_ms;
     return len;
 }
 
@@ -125,15 +130,39 @@
     return code == CURLE_OPERATION_TIMEDOUT ? ERR_TIMEOUT : ERR_CUT;
 }
 
+/* Milliseconds for which a call may still go on as its answer comes; 0: none.
+ *
+ * Failure: an answer is longer than its link can bring within the time of a
+ * call. Symptom: it is given up before its end and asked for from the first
+ * byte, for ever; what was cut fills the link, so that other answers are late
+ * too. An answer that moves is not silent: only a pause in it ends it, and a
+ * bound on the whole. */
+static int64_t
+transfer_left(const struct http_call *call)
+{
+    int64_t now = Clock_NowMs();
+    int64_t stalled = call->last_ms + call->stall_ms - now;
+    int64_t whole = call->begun_ms + HTTP_TRANSFER_MS - now;
+    int64_t left = stalled < whole ? stalled : whole;
+
+    return call->stall_ms > 0 && call->first_ms > 0 && left > 0 ? left : 0;
+}
+
 /* The time of a call is over. libcurl's own time-out does not end a transfer
  * that still waits for one of the connections to its host: its caller would
  * wait for as long as the calls before it, past its deadline. This timer runs
  * from the start of the call, wherever it stands. */
 static void
-on_deadline(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+on_deadline(struct ev_loop *loop, ev_timer *w, int events UNUSED)
 {
     struct http_call *call = w->data;
+    int64_t left = transfer_left(call);
 
+    if (left > 0) {
+        ev_timer_set(w, (double)left / 1000.0, 0.);
+        ev_timer_start(loop, w);
+        return;
+    }
     call->result.err = ERR_UNREACHABLE;
     if (was_sent(call->easy)) {
         call->result.err = ERR_TIMEOUT;
@@ -239,6 +268,8 @@
     call->done = done;
     call->arg = arg;
     call->max_body = request->max_body ? request->max_body : MAX_BODY;
+    call->stall_ms = request->stall_ms;
+    call->begun_ms = Clock_NowMs();
     call->result.retry_after_ms = -1;
     call->easy = curl_easy_init();
     if (call->easy == NULL) {
--- a/packages/http/http-client.h
+++ b/packages/http/http-client.h
@@ -22,6 +22,10 @@
     void *arg;
     struct http_result result;
     size_t max_body;
+    int64_t stall_ms;
+    int64_t begun_ms;
+    int64_t first_ms; /* first byte of the body; 0: none yet */
+    int64_t last_ms;  /* last byte so far */
     bool too_big;
     bool has_length; /* the end of the body is marked */
     ev_timer deadline;
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -22,6 +22,10 @@
 struct http_client;
 struct http_call;
 
+/* Longest time of a call whose answer comes without a long pause: 4 MiB over a
+ * link of 1.2 Mbit/s. */
+#define HTTP_TRANSFER_MS 30000
+
 struct http_header {
     const char *name;
     const char *value;
@@ -37,7 +41,11 @@
     size_t body_len;
     int64_t connect_ms; /* 0: 2000 */
     int64_t timeout_ms; /* for all of it; 0: 10000 */
-    size_t max_body;    /* of the answer, bytes; 0: 4 MiB */
+    /* An answer whose body still comes goes on past timeout_ms, for at most
+     * HTTP_TRANSFER_MS in all, while no pause in it is longer than this. 0: it
+     * is given up. */
+    int64_t stall_ms;
+    size_t max_body; /* of the answer, bytes; 0: 4 MiB */
     /* Once only: never sent on a connection that was used before. On such a
      * connection libcurl sends again when it closes without an answer, and
      * an upstream that died after the start would run the work twice. */
@@ -54,6 +62,7 @@
     char content_type[128];
     char etag[128];
     int64_t retry_after_ms; /* from Retry-After in seconds; -1: none */
+    int64_t transfer_ms;    /* from the first byte of the body to the last */
     struct buf body;
 };
 
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -11,7 +11,7 @@
 pf_package(agent USES base config kernel http wire platform cells)
 pf_package(entry USES base config console policy cells kernel http wire platform)
 pf_package(jobs USES base LIBS jansson m)
-pf_package(queue USES base config entry jobs kernel platform wire)
+pf_package(queue USES base config entry jobs kernel platform wire LIBS zstd)
 pf_package(runs USES base config http jobs kernel wire)
 
 # The adapter to the users' platform: a part for each program.
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -101,6 +101,8 @@
     /* Newest position of the service when it gave the answer that is being
      * handed to a callback; for feeds, 0 where there is none. */
     uint64_t position;
+    /* How long that answer took from its first byte to its last. */
+    int64_t transfer_ms;
 };
 
 /* ---- object store ------------------------------------------------------ */
--- a/packages/queue/queue-config.c
+++ b/packages/queue/queue-config.c
@@ -6,13 +6,16 @@
                                        "Configuration version in force.", NULL,
                                        COUNTER_GAUGE};
 
-/* Tells a task of the configuration in force. */
+/* Tells a task of the configuration in force; text may be NULL. */
 static void
-tell(struct intake *in, const char *task)
+tell(struct intake *in, const char *task, struct buf *text)
 {
     struct config_in_force *note = Mem_Zero(1, sizeof(*note));
 
     note->config = QueueConfig_Ref(in->config);
+    if (text != NULL) {
+        Buf_Move(&note->text, text);
+    }
     Queue_Post(in->task.kernel, task, &note->base, &Queue_ConfigKind);
 }
 
@@ -22,14 +25,14 @@
  * meanwhile. Symptom: a key that was taken away works again. A lower version
  * than the one in force is therefore never taken, whoever brings it. */
 void
-Intake_TakeConfig(struct intake *in, const char *text, size_t len,
-                  const char *from)
+Intake_TakeConfig(struct intake *in, struct buf *text, const char *from)
 {
     struct queue_config *c = Mem_Zero(1, sizeof(*c));
     char why[128];
 
     c->refs = 1;
-    if (Queue_Site()->read_config(text, len, &c->jobs, why) != ERR_OK) {
+    if (Queue_Site()->read_config(text->data, text->len, &c->jobs, why) !=
+        ERR_OK) {
         Unreadable(UNREADABLE_CONFIG, from, why);
         QueueConfig_Unref(c);
         return;
@@ -38,13 +41,12 @@
         QueueConfig_Unref(c);
         return;
     }
-    Buf_Set(&c->text, text, len);
     QueueConfig_Unref(in->config);
     in->config = c;
     Counter_Set(&version_gauge, (int64_t)c->jobs.version);
     LOG_I("config_in_force", KV_INT("version", c->jobs.version),
           KV("from", from), KV_INT("queues", c->jobs.queue_count),
           KV_INT("organisations", c->jobs.organisation_count));
-    tell(in, TASK_OWNER);
-    tell(in, TASK_LINKS);
+    tell(in, TASK_OWNER, NULL);
+    tell(in, TASK_LINKS, text);
 }
--- /dev/null
+++ b/packages/queue/queue-configs.c
@@ -0,0 +1,263 @@
+#include "queue-links.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* One that has not asked for so long is told of no change: two of the times at
+ * which entries speak, and a bit. */
+#define HEARER_MS 1200
+/* What was sent is sent again when it is asked for after so long. On a link
+ * that lives nothing gets lost; it may take a second or two of a full one. */
+#define RESEND_MS 2500
+
+static struct counter document_bytes = {
+    "parsleyfall_queue_document_bytes_total",
+    "Bytes of configurations that other entries sent.", NULL, COUNTER_TOTAL};
+
+/* Finds one that asks, or notes it. */
+static struct hearer *
+hearer_of(struct links *l, const char *entry)
+{
+    struct hearer *h;
+
+    TAILQ_FOREACH (h, &l->hearers, entry_list) {
+        if (strcmp(h->entry, entry) == 0) {
+            return h;
+        }
+    }
+    h = Mem_Zero(1, sizeof(*h));
+    Str_Copy(h->entry, sizeof(h->entry), entry);
+    TAILQ_INSERT_TAIL(&l->hearers, h, entry_list);
+    return h;
+}
+
+/* True when the newest is on its way to it already. */
+static bool
+is_sent(const struct links *l, const struct hearer *h)
+{
+    return h->sent == Documents_Version(l->documents) &&
+           h->sent_has == h->has && Clock_NowMs() - h->sent_ms < RESEND_MS;
+}
+
+/* Sends the newest to one that has an older one.
+ *
+ * Load: a change of one queue in a megabyte of them, and entries behind links
+ * of 10 Mbit/s. Symptom of sending whole documents: each takes a second of the
+ * link, is asked for again before it is there, and holds up the rest. Only
+ * what differs from the one that it has is sent, once. */
+static void
+send_newest(struct links *l, struct hearer *h)
+{
+    struct wire_document m;
+
+    if (h->has >= Documents_Version(l->documents) || is_sent(l, h) ||
+        Documents_Pack(l->documents, h->has, &m) != ERR_OK ||
+        Link_Send(l->listening, &h->peer, &m.msg) != ERR_OK) {
+        return;
+    }
+    h->sent = m.version;
+    h->sent_has = h->has;
+    h->sent_ms = Clock_NowMs();
+}
+
+/* Says how this entry reads the operators' table, where it matters. */
+static void
+say_reader(struct links *l, const struct link_peer *to)
+{
+    bool reads = !l->left && l->read.read_ms != 0;
+    struct wire_reader m = {.msg = {WIRE_READER},
+                            .version = Documents_Version(l->documents),
+                            .position = l->read.position,
+                            .age_ms =
+                                reads ? Clock_NowMs() - l->read.read_ms : -1};
+
+    if (Documents_Bytes(l->documents) >= LARGE_BYTES) {
+        Link_Send(l->listening, to, &m.msg);
+    }
+}
+
+/* Another entry says what it has. */
+void
+Configs_Heard(struct links *l, const struct link_peer *from,
+              const struct wire_peer *m)
+{
+    struct hearer *h;
+
+    say_reader(l, from);
+    if (m->version == UINT64_MAX) {
+        return;
+    }
+    h = hearer_of(l, m->entry);
+    if (!Link_SamePeer(&h->peer, from)) {
+        h->sent = 0; /* what was on the link before is lost */
+    }
+    h->peer = *from;
+    h->has = m->version;
+    h->said_ms = Clock_NowMs();
+    send_newest(l, h);
+}
+
+/* Takes the configuration in force. */
+void
+Configs_Changed(struct links *l, struct config_in_force *note)
+{
+    struct hearer *h;
+    int64_t now = Clock_NowMs();
+
+    Documents_Add(l->documents, note->config->jobs.version, &note->text);
+    TAILQ_FOREACH (h, &l->hearers, entry_list) {
+        if (now - h->said_ms < HEARER_MS) {
+            send_newest(l, h);
+        }
+    }
+}
+
+/* Takes a configuration of another entry. One that rests on a text that is not
+ * here any more is asked for again, with the version that is. */
+void
+Configs_Take(struct peer *p, const struct wire_document *m)
+{
+    struct links *l = p->links;
+    struct buf text CLEANUP(Buf_Free) = {0};
+    struct peer_document *note;
+    int err;
+
+    Counter_Add(&document_bytes, (int64_t)m->packed.len);
+    if (m->version <= Documents_Version(l->documents)) {
+        return;
+    }
+    err = Documents_Unpack(l->documents, m, &text);
+    if (err == ERR_INVALID) {
+        Unreadable(UNREADABLE_CONFIG, p->address, "damaged");
+    }
+    if (err != ERR_OK) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    note->version = m->version;
+    Buf_Move(&note->text, &text);
+    Queue_Post(l->task.kernel, TASK_INTAKE, &note->base, &Queue_DocumentKind);
+}
+
+/* Takes what another entry says of its reading. */
+void
+Configs_TakeReader(struct peer *p, const struct wire_reader *m)
+{
+    int64_t now = Clock_NowMs();
+
+    p->source.heard_ms = now;
+    p->source.read_ms = m->age_ms >= 0 ? now - m->age_ms : 0;
+    p->version = m->version;
+    p->position = m->position;
+}
+
+/* Notes which of the peers are sources; returns how many. */
+static size_t
+mark_sources(struct links *l)
+{
+    struct source *all CLEANUP(Mem_FreeP) =
+        Mem_Zero(l->peer_count + 1, sizeof(*all));
+    size_t chosen[SOURCES], count, i = 0;
+    struct peer *p;
+
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        all[i++] = p->source;
+    }
+    count = Sources_Choose(all, i, Clock_NowMs(), chosen);
+    i = 0;
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        p->chosen = false;
+        for (size_t k = 0; k < count; k++) {
+            p->chosen = p->chosen || chosen[k] == i;
+        }
+        i++;
+    }
+    return count;
+}
+
+/* Tells the intake whether others read for it, and how far they are. */
+static void
+tell_intake(struct links *l)
+{
+    struct reading_left *note = Mem_Zero(1, sizeof(*note));
+    struct peer *p;
+
+    note->left = l->left;
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (p->chosen && p->position > note->position &&
+            p->version <= Documents_Version(l->documents)) {
+            note->position = p->position;
+            note->version = p->version;
+        }
+    }
+    Queue_Post(l->task.kernel, TASK_INTAKE, &note->base, &Queue_LeftKind);
+}
+
+/* Forgets those that ask no more. */
+static void
+drop_silent(struct links *l)
+{
+    struct hearer *h, *next;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH_SAFE (h, &l->hearers, entry_list, next) {
+        if (now - h->said_ms > HEARER_MS && now - h->sent_ms > RESEND_MS) {
+            TAILQ_REMOVE(&l->hearers, h, entry_list);
+            free(h);
+        }
+    }
+}
+
+/* Chooses sources anew, and leaves the reading to them or not.
+ *
+ * Failure: the entries that read for this one are gone, frozen or cut off from
+ * the store. Symptom: its configuration stays old though the store would tell
+ * it. A source counts only while it says that it has just read; without one
+ * this entry reads again at once, from where they said that they had come. */
+void
+Configs_Choose(struct links *l)
+{
+    size_t sources = mark_sources(l);
+    bool left =
+        Sources_Leaves(Documents_Bytes(l->documents), l->read.slow, sources);
+
+    drop_silent(l);
+    if (left != l->left) {
+        LOG_I("config_source", KV("way", left ? "entries" : "store"),
+              KV_INT("sources", sources),
+              KV_INT("bytes", Documents_Bytes(l->documents)));
+    }
+    if (left || l->left) {
+        l->left = left;
+        tell_intake(l);
+    }
+}
+
+/* True when that peer is to be asked: our sources, or all while there is
+ * little to send, or some in turn. */
+bool
+Configs_Asks(const struct links *l, const struct peer *p, size_t at)
+{
+    size_t bytes = Documents_Bytes(l->documents);
+
+    if (l->left) {
+        return p->chosen;
+    }
+    if (bytes > 0 && bytes < LARGE_BYTES) {
+        return true;
+    }
+    return (at + l->round) % l->peer_count < SOURCES;
+}
+
+/* Drops all. */
+void
+Configs_Free(struct links *l)
+{
+    struct hearer *h, *next;
+
+    TAILQ_FOREACH_SAFE (h, &l->hearers, entry_list, next) {
+        TAILQ_REMOVE(&l->hearers, h, entry_list);
+        free(h);
+    }
+    Documents_Free(l->documents);
+}
--- /dev/null
+++ b/packages/queue/queue-documents.c
@@ -0,0 +1,277 @@
+#include "queue-documents.h"
+
+#include <stdlib.h>
+#include <zstd.h>
+
+/* Earlier texts that are kept to compress against: an entry that misses a
+ * message or two still gets a difference. */
+#define KEPT 3
+#define KEPT_BYTES ((size_t)6 << 20) /* of all of them, the newest apart */
+/* Forms of the newest that are kept packed: most entries have the same text
+ * before it. */
+#define PACKED 4
+/* Largest text that is taken, bytes; some 60,000 queues. */
+#define TEXT_MAX ((size_t)16 << 20)
+/* 1 MB takes some 10 ms of a core; higher levels save a tenth of the bytes. */
+#define LEVEL 3
+
+struct document {
+    uint64_t version;
+    struct buf text;
+    TAILQ_ENTRY(document) entry;
+};
+TAILQ_HEAD(document_list, document);
+
+/* The newest, against one of the texts before it. */
+struct packed {
+    uint64_t base; /* 0: whole */
+    struct buf bytes;
+};
+
+struct documents {
+    struct document_list list; /* newest first */
+    uint64_t digest;           /* of the newest */
+    struct packed packed[PACKED];
+    size_t packed_at; /* which is replaced next */
+};
+
+/* Starts without any. */
+struct documents *
+Documents_New(void)
+{
+    struct documents *d = Mem_Zero(1, sizeof(*d));
+
+    TAILQ_INIT(&d->list);
+    return d;
+}
+
+/* Frees what is packed. */
+static void
+forget_packed(struct documents *d)
+{
+    for (size_t i = 0; i < PACKED; i++) {
+        Buf_Free(&d->packed[i].bytes);
+        d->packed[i] = (struct packed){0};
+    }
+}
+
+/* Frees one text. */
+static void
+drop(struct documents *d, struct document *old)
+{
+    TAILQ_REMOVE(&d->list, old, entry);
+    Buf_Free(&old->text);
+    free(old);
+}
+
+/* Frees all. */
+void
+Documents_Free(struct documents *d)
+{
+    struct document *old, *next;
+
+    if (d == NULL) {
+        return;
+    }
+    TAILQ_FOREACH_SAFE (old, &d->list, entry, next) {
+        drop(d, old);
+    }
+    forget_packed(d);
+    free(d);
+}
+
+/* Drops texts that are too many or too large. */
+static void
+trim(struct documents *d)
+{
+    struct document *old, *next;
+    size_t count = 0, bytes = 0;
+
+    TAILQ_FOREACH_SAFE (old, &d->list, entry, next) {
+        if (count++ == 0) {
+            continue;
+        }
+        bytes += old->text.len;
+        if (count > KEPT + 1 || bytes > KEPT_BYTES) {
+            drop(d, old);
+        }
+    }
+}
+
+/* Keeps a text as the newest. */
+void
+Documents_Add(struct documents *d, uint64_t version, struct buf *text)
+{
+    struct document *new = Mem_Zero(1, sizeof(*new));
+
+    new->version = version;
+    Buf_Move(&new->text, text);
+    TAILQ_INSERT_HEAD(&d->list, new, entry);
+    d->digest = Hash_Bytes(new->text.data, new->text.len, 0);
+    forget_packed(d);
+    trim(d);
+}
+
+/* Version of the newest. */
+uint64_t
+Documents_Version(const struct documents *d)
+{
+    const struct document *newest = TAILQ_FIRST(&d->list);
+
+    return newest != NULL ? newest->version : 0;
+}
+
+/* Bytes of the newest. */
+size_t
+Documents_Bytes(const struct documents *d)
+{
+    const struct document *newest = TAILQ_FIRST(&d->list);
+
+    return newest != NULL ? newest->text.len : 0;
+}
+
+/* Finds a text. */
+static const struct document *
+find(const struct documents *d, uint64_t version)
+{
+    const struct document *x;
+
+    TAILQ_FOREACH (x, &d->list, entry) {
+        if (version != 0 && x->version == version) {
+            return x;
+        }
+    }
+    return NULL;
+}
+
+/* Power of two that holds both texts, as the library counts windows. */
+static int
+window_log(size_t bytes)
+{
+    int log = 10;
+
+    while (((size_t)1 << log) < bytes) {
+        log++;
+    }
+    return log;
+}
+
+/* Frees a compressor. */
+static void
+free_compressor(ZSTD_CCtx **c)
+{
+    ZSTD_freeCCtx(*c);
+}
+
+/* Frees a decompressor. */
+static void
+free_decompressor(ZSTD_DCtx **c)
+{
+    ZSTD_freeDCtx(*c);
+}
+
+/* Compresses a text, against another one where there is one. Matches are
+ * looked for over the whole of both: without it a difference of one line in a
+ * megabyte is found only near the end of the text before. */
+static void
+compress_text(const struct buf *text, const struct buf *base, struct buf *out)
+{
+    ZSTD_CCtx *c CLEANUP(free_compressor) = ZSTD_createCCtx();
+    struct buf bytes CLEANUP(Buf_Free) = {0};
+    size_t room = ZSTD_compressBound(text->len);
+    size_t both = text->len + (base != NULL ? base->len : 0);
+    size_t n;
+
+    if (c == NULL) {
+        Fatal("no compressor");
+    }
+    ZSTD_CCtx_setParameter(c, ZSTD_c_compressionLevel, LEVEL);
+    ZSTD_CCtx_setParameter(c, ZSTD_c_windowLog, window_log(both));
+    ZSTD_CCtx_setParameter(c, ZSTD_c_enableLongDistanceMatching, 1);
+    if (base != NULL) {
+        ZSTD_CCtx_refPrefix(c, base->data, base->len);
+    }
+    Buf_Reserve(&bytes, room);
+    n = ZSTD_compress2(c, bytes.data, room, text->data, text->len);
+    if (ZSTD_isError(n)) {
+        Fatal("can't compress: %s", ZSTD_getErrorName(n));
+    }
+    Buf_Set(out, bytes.data, n);
+}
+
+/* The newest, packed for entries that have that version. */
+static const struct packed *
+packed_for(struct documents *d, uint64_t has)
+{
+    const struct document *newest = TAILQ_FIRST(&d->list);
+    const struct document *base = find(d, has);
+    uint64_t base_version = base != NULL ? base->version : 0;
+    struct packed *p;
+
+    for (size_t i = 0; i < PACKED; i++) {
+        if (d->packed[i].bytes.len > 0 && d->packed[i].base == base_version) {
+            return &d->packed[i];
+        }
+    }
+    p = &d->packed[d->packed_at++ % PACKED];
+    Buf_Free(&p->bytes);
+    *p = (struct packed){.base = base_version};
+    compress_text(&newest->text, base != NULL ? &base->text : NULL, &p->bytes);
+    return p;
+}
+
+/* Sets a message to the newest. */
+int
+Documents_Pack(struct documents *d, uint64_t has, struct wire_document *m)
+{
+    const struct document *newest = TAILQ_FIRST(&d->list);
+    const struct packed *p;
+
+    if (newest == NULL) {
+        return ERR_NOTFOUND;
+    }
+    p = packed_for(d, has);
+    *m = (struct wire_document){.msg = {WIRE_DOCUMENT},
+                                .version = newest->version,
+                                .base = p->base,
+                                .size = newest->text.len,
+                                .digest = d->digest,
+                                .packed = p->bytes};
+    return ERR_OK;
+}
+
+/* Reads what a message holds. Its size is told before anything is read, and
+ * its digest shows that it came out as it went in: a text that rests on
+ * another one than the sender's would be taken for a configuration else. */
+int
+Documents_Unpack(const struct documents *d, const struct wire_document *m,
+                 struct buf *text)
+{
+    ZSTD_DCtx *c CLEANUP(free_decompressor) = NULL;
+    const struct document *base = find(d, m->base);
+    size_t n;
+
+    if (m->base != 0 && base == NULL) {
+        return ERR_STALE;
+    }
+    if (m->size == 0 || m->size > TEXT_MAX) {
+        return ERR_INVALID;
+    }
+    c = ZSTD_createDCtx();
+    if (c == NULL) {
+        Fatal("no decompressor");
+    }
+    if (base != NULL) {
+        ZSTD_DCtx_refPrefix(c, base->text.data, base->text.len);
+    }
+    Buf_Reserve(text, m->size);
+    n = ZSTD_decompressDCtx(c, text->data, m->size, m->packed.data,
+                            m->packed.len);
+    if (ZSTD_isError(n) || n != m->size ||
+        Hash_Bytes(text->data, n, 0) != m->digest) {
+        return ERR_INVALID;
+    }
+    text->len = n;
+    text->data[n] = '\0';
+    return ERR_OK;
+}
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -1,4 +1,5 @@
 #include "queue-intake.h"
+#include "queue-sources.h"
 
 #include <string.h>
 
@@ -29,6 +30,24 @@
     ask(w->data);
 }
 
+/* Tells the links how the operators' table is read; ok: the store has
+ * answered. */
+static void
+tell_reading(struct follow *f, bool ok)
+{
+    struct operators_read *note;
+
+    if (f != &f->intake->operator) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    note->position = f->position;
+    note->read_ms = ok ? f->fresh_ms : 0;
+    note->slow = f->slow;
+    Queue_Post(f->intake->task.kernel, TASK_LINKS, &note->base,
+               &Queue_ReadKind);
+}
+
 /* Notes that an answer came, and says so when the store was away. */
 static void
 note_answer(struct follow *f)
@@ -48,6 +67,11 @@
     if (f->failures == 5) {
         LOG_W("store_lost", KV("table", f->table), KV("error", Err_Name(err)));
     }
+    if (f == &f->intake->operator&&
+              f->intake->store->transfer_ms> SLOW_READ_MS) {
+        f->slow = true;
+    }
+    tell_reading(f, false);
     later(f);
 }
 
@@ -71,13 +95,14 @@
 
 /* Takes rows of the operators' table. */
 static void
-take_operator(struct intake *in, const struct table_row *rows, size_t count)
+take_operator(struct intake *in, struct table_row *rows, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
         if (strcmp(rows[i].key, Queue_Site()->config_key) == 0 &&
             rows[i].version != 0) {
-            Intake_TakeConfig(in, rows[i].value.data, rows[i].value.len,
-                              "store");
+            in->operator.slow = rows[i].value.len >= LARGE_BYTES &&
+                in->store->transfer_ms> SLOW_READ_MS;
+            Intake_TakeConfig(in, &rows[i].value, "store");
         }
     }
 }
@@ -126,6 +151,7 @@
     f->position = f->list_position;
     LOG_I("table_listed", KV("table", f->table),
           KV_INT("position", f->position));
+    tell_reading(f, true);
     if (f->intake->owner_wants_all) {
         Cache_TellAll(f->intake);
     }
@@ -156,6 +182,7 @@
         f->position = position;
     }
     take_rows(f, rows, count, f->position);
+    tell_reading(f, true);
     ask(f);
 }
 
@@ -165,6 +192,10 @@
 {
     struct table *store = f->intake->store;
 
+    f->resting = f->left;
+    if (f->resting) {
+        return;
+    }
     if (f->listed) {
         store->ops->feed(store, f->table, f->position, WAIT_MS, on_fed, f);
         return;
@@ -175,6 +206,24 @@
     store->ops->list(store, f->table, "", f->after, PAGE, on_listed, f);
 }
 
+/* Leaves the operators' table to other entries, or reads it again from where
+ * they said that they had come. */
+void
+Follow_Leave(struct intake *in, const struct reading_left *note)
+{
+    struct follow *f = &in->operator;
+
+    f->left = note->left;
+    if (in->config != NULL && in->config->jobs.version >= note->version &&
+        note->position > f->position) {
+        f->position = note->position;
+        f->listed = true;
+    }
+    if (f->resting && !f->left) {
+        ask(f);
+    }
+}
+
 /* Begins to follow a table. */
 static void
 begin(struct intake *in, struct follow *f, const char *table)
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -27,9 +27,12 @@
         struct peer_document *d = (struct peer_document *)m;
 
         if (in->config == NULL || d->version > in->config->jobs.version) {
-            Intake_TakeConfig(in, d->text.data, d->text.len, "peer");
+            Intake_TakeConfig(in, &d->text, "peer");
         }
     }
+    else if (m->kind == &Queue_LeftKind) {
+        Follow_Leave(in, (struct reading_left *)m);
+    }
 }
 
 /* Begins to end. */
@@ -52,9 +55,10 @@
 {
     const struct intake *in = (const struct intake *)t;
 
-    return json_pack("{s:I,s:I,s:I,s:I}", "config_version",
+    return json_pack("{s:I,s:b,s:I,s:I,s:I}", "config_version",
                      (json_int_t)(in->config ? in->config->jobs.version : 0),
-                     "position", (json_int_t)in->rows.position, "rows_age_ms",
+                     "config_left_to_entries", in->operator.left, "position",
+                     (json_int_t)in->rows.position, "rows_age_ms",
                      (json_int_t)(Clock_NowMs() - in->rows.fresh_ms),
                      "open_calls", (json_int_t)in->open_calls);
 }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -39,6 +39,9 @@
     char after[256];        /* where the next page begins */
     int64_t fresh_ms;       /* last whole answer; 0: none yet */
     int failures;           /* in a row */
+    bool left;              /* others read it for us */
+    bool resting;           /* nothing is asked, as it is left to others */
+    bool slow;              /* the last large answer came slowly */
     ev_timer retry;
 };
 
@@ -62,6 +65,8 @@
 /* ---- queue-follow.c */
 void Follow_Start(struct intake *in);
 void Follow_Stop(struct intake *in);
+/* Leaves the operators' table to other entries, or reads it again. */
+void Follow_Leave(struct intake *in, const struct reading_left *note);
 
 /* ---- queue-cache.c */
 /* Takes a row; a value that can't be read is emptied; older ones than known
@@ -87,9 +92,9 @@
 void Calls_Stop(struct intake *in);
 
 /* ---- queue-config.c */
-/* Takes a configuration that is newer than the present one. */
-void Intake_TakeConfig(struct intake *in, const char *text, size_t len,
-                       const char *from);
+/* Takes a configuration that is newer than the present one; its text is then
+ * moved. */
+void Intake_TakeConfig(struct intake *in, struct buf *text, const char *from);
 
 /* ---- queue-entries.c */
 void Entries_Start(struct intake *in);
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -45,7 +45,6 @@
 {
     if (c != NULL && --c->refs == 0) {
         JobsConfig_Clear(&c->jobs);
-        Buf_Free(&c->text);
         free(c);
     }
 }
@@ -75,7 +74,10 @@
 static void
 free_config(struct message *m)
 {
-    QueueConfig_Unref(((struct config_in_force *)m)->config);
+    struct config_in_force *note = (struct config_in_force *)m;
+
+    QueueConfig_Unref(note->config);
+    Buf_Free(&note->text);
     free(m);
 }
 
@@ -146,6 +148,8 @@
                                                  free_store_said};
 const struct message_kind Queue_SayEntryKind = {"say-entry", free_say_entry};
 const struct message_kind Queue_BestKind = {"best-entry", NULL};
+const struct message_kind Queue_ReadKind = {"operators-read", NULL};
+const struct message_kind Queue_LeftKind = {"reading-left", NULL};
 
 /* Posts to a task by name. */
 void
--- /dev/null
+++ b/packages/queue/queue-peers.c
@@ -0,0 +1,199 @@
+#include "queue-links.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A link that has brought nothing for so long is replaced: something between
+ * the two ends may have lost track of it while new connections work. */
+#define SILENT_MS 2500
+/* An entry is good to call the store through when it was heard, and the store
+ * answered it, within these: two hails, and one wait of a feed and a bit. */
+#define BEST_HEARD_MS 1200
+#define BEST_STORE_MS 1500
+
+/* What another entry answers. */
+static void
+on_answer(void *arg, const struct link_peer *from UNUSED, struct wire_msg **m)
+{
+    struct peer *p = arg;
+
+    p->heard_ms = Clock_NowMs();
+    switch ((*m)->type) {
+    case WIRE_STORE_ANSWER:
+        Links_PassToStore(p->links, NULL, m);
+        return;
+    case WIRE_HAIL:
+        p->store_age_ms = ((struct wire_hail *)*m)->store_age_ms;
+        return;
+    case WIRE_DOCUMENT:
+        Configs_Take(p, (const struct wire_document *)*m);
+        return;
+    case WIRE_READER:
+        Configs_TakeReader(p, (const struct wire_reader *)*m);
+        return;
+    default:
+        LOG_W("message_unexpected", KV("type", Wire_TypeName((*m)->type)));
+    }
+}
+
+/* Opens the link to another entry, or opens it anew. */
+static void
+connect_peer(struct peer *p)
+{
+    Link_Free(p->link);
+    p->link = Link_Connect(p->links->context, p->links->task.kernel->loop,
+                           p->address, NULL, on_answer, p);
+    p->opened_ms = Clock_NowMs();
+}
+
+/* Drops a link to another entry. */
+static void
+free_peer(struct peer *p)
+{
+    TAILQ_REMOVE(&p->links->peers, p, entry);
+    p->links->peer_count--;
+    Link_Free(p->link);
+    free(p);
+}
+
+/* Links to an entry, once. */
+void
+Peers_Want(struct links *l, const char *address)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct peer *p;
+
+    if (strcmp(address, s->hosted.links) == 0) {
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (strcmp(p->address, address) == 0) {
+            p->listed = true;
+            return;
+        }
+    }
+    p = Mem_Zero(1, sizeof(*p));
+    p->links = l;
+    p->store_age_ms = -1;
+    p->listed = true;
+    Str_Copy(p->address, sizeof(p->address), address);
+    p->source.rank = Hash_Str(address, Hash_Str(s->name, 0));
+    TAILQ_INSERT_TAIL(&l->peers, p, entry);
+    l->peer_count++;
+    connect_peer(p);
+}
+
+/* Takes the entries that the store lists. */
+void
+Peers_TakeEntries(struct links *l, struct entries_listed *note)
+{
+    const struct wire_entry *e = note->entries.items;
+    struct peer *p, *next;
+
+    if (note->entries.count == 0) {
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        p->listed = false;
+    }
+    for (size_t i = 0; i < note->entries.count; i++) {
+        Peers_Want(l, e[i].address);
+    }
+    TAILQ_FOREACH_SAFE (p, &l->peers, entry, next) {
+        if (!p->listed) {
+            free_peer(p);
+        }
+    }
+    free(l->entries.items);
+    l->entries = note->entries;
+    note->entries = (struct wire_list){0};
+}
+
+/* Tells the store task which entry reaches the store, when that changes. */
+static void
+choose_best(struct links *l)
+{
+    struct best_entry *note;
+    struct peer *p, *best = NULL;
+    int64_t now = Clock_NowMs();
+
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (p->link != NULL && now - p->heard_ms < BEST_HEARD_MS &&
+            p->store_age_ms >= 0 && p->store_age_ms < BEST_STORE_MS &&
+            (best == NULL || p->store_age_ms < best->store_age_ms)) {
+            best = p;
+        }
+    }
+    if (strcmp(l->best, best != NULL ? best->address : "") == 0) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    Str_Copy(l->best, sizeof(l->best), best != NULL ? best->address : "");
+    Str_Copy(note->address, sizeof(note->address), l->best);
+    Queue_Post(l->task.kernel, TASK_STORE, &note->base, &Queue_BestKind);
+}
+
+/* Sends a call of the store to the entry chosen, or an answer back. */
+void
+Peers_Say(struct links *l, const struct say_entry *s)
+{
+    struct peer *p;
+
+    if (*s->address == '\0') {
+        Link_Send(l->listening, &s->to, s->m);
+        return;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (strcmp(p->address, s->address) == 0 && p->link != NULL) {
+            Link_Send(p->link, NULL, s->m);
+            return;
+        }
+    }
+}
+
+/* Tells another entry what this one has; a silent link is opened anew. */
+static void
+speak(struct peer *p, struct wire_peer *m, size_t at)
+{
+    struct links *l = p->links;
+    int64_t now = Clock_NowMs();
+
+    if (now - p->heard_ms > SILENT_MS && now - p->opened_ms > SILENT_MS) {
+        connect_peer(p);
+    }
+    m->version =
+        Configs_Asks(l, p, at) ? Documents_Version(l->documents) : UINT64_MAX;
+    if (p->link != NULL) {
+        Link_Send(p->link, NULL, &m->msg);
+    }
+}
+
+/* Tells the other entries what this one has, and replaces silent links. */
+void
+Peers_Tick(struct links *l)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct wire_peer m = {.msg = {WIRE_PEER},
+                          .incarnation = Queue_Incarnation()};
+    struct peer *p;
+    size_t at = 0;
+
+    Str_Copy(m.entry, sizeof(m.entry), s->name);
+    l->round++;
+    Configs_Choose(l);
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        speak(p, &m, at++);
+    }
+    choose_best(l);
+}
+
+/* Drops the links to other entries. */
+void
+Peers_Free(struct links *l)
+{
+    struct peer *p, *next;
+
+    TAILQ_FOREACH_SAFE (p, &l->peers, entry, next) {
+        free_peer(p);
+    }
+}
--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Rows of a page that another entry reads for us: half a megabyte of usual
+ * ones, which a thin link brings within RELAY_MS. */
+#define RELAY_ROWS 100
 /* While our own way fails, one call in this time still tries it. */
 #define PROBE_MS 300
 /* A relayed call without an answer ends after its wait and this: the time of a
@@ -76,7 +79,9 @@
     fail(w, writes ? ERR_UNKNOWN : ERR_TIMEOUT);
 }
 
-/* Sends a call through another entry; false when there is none. */
+/* Sends a call through another entry; false when there is none. What operators
+ * write is never asked for so: entries send it to each other by themselves,
+ * and only what differs. */
 static bool
 relay(struct way *w)
 {
@@ -85,10 +90,14 @@
     struct buf bytes CLEANUP(Buf_Free) = {0};
     struct wire_msg *copy;
 
-    if (*s->best == '\0' || w->relayed) {
+    if (*s->best == '\0' || w->relayed ||
+        strcmp(w->call.table, Queue_Site()->config_table) == 0) {
         return false;
     }
     w->relayed = true;
+    if (w->call.verb == WIRE_STORE_LIST && w->call.limit > RELAY_ROWS) {
+        w->call.limit = RELAY_ROWS;
+    }
     w->call.number = ++s->numbers;
     Wire_Encode(&w->call.msg, &bytes);
     if (Wire_Decode(bytes.data, bytes.len, &copy) != ERR_OK) {
@@ -180,6 +189,7 @@
          bool more, const uint64_t *versions)
 {
     TAILQ_REMOVE(&w->store->under_way, w, entry);
+    w->store->seen.transfer_ms = w->store->own->transfer_ms;
     note_own(w->store, err);
     if (may_relay(w, err) && relay(w)) {
         return;
--- /dev/null
+++ b/packages/queue/queue-sources.h
@@ -0,0 +1,57 @@
+/* Which entries read the operators' table, and which leave it to them. Pure:
+ * the time and what was heard are arguments.
+ *
+ * Load: a configuration of a megabyte, a change every second or so, and
+ * entries behind links of 10 Mbit/s among others of 200. The store's feed
+ * brings the whole document for each change, a second of a thin link: the
+ * entry there has room for nothing else, its callers' answers and its agents'
+ * looks included. An entry that has seen that reading is slow leaves it to
+ * others that read well, and takes what differs from them, a few hundred
+ * bytes. */
+#ifndef QUEUE_SOURCES_H
+#define QUEUE_SOURCES_H
+
+#include "base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* So many are asked at once: one that freezes or is cut off from the store is
+ * noticed only after SOURCE_READ_MS, and the other one has told of a change by
+ * then. */
+#define SOURCES 2
+/* A configuration from this size on is large: 32 KiB are 0.03 s of a link of
+ * 10 Mbit/s, and no matter. */
+#define LARGE_BYTES ((size_t)32 << 10)
+/* A large one that took longer to come, in ms, is slow to read. With a change
+ * each half second this is a third of the link. */
+#define SLOW_READ_MS 150
+/* Another entry is a source when it said so, and had read the table, within
+ * these: two of the times at which entries speak, and a wait of a feed, its
+ * answer, and such a time. */
+#define SOURCE_HEARD_MS 1200
+#define SOURCE_READ_MS 1700
+
+/* Another entry as a source. */
+struct source {
+    uint64_t rank;    /* one of its own for each pair of entries */
+    int64_t heard_ms; /* when it last spoke of its reading; 0: never */
+    int64_t read_ms; /* when it had last read the table; 0: it does not read */
+};
+
+/* Chooses the sources of an entry: those that read, by rank, so that entries
+ * spread over them and stay with theirs. Returns how many; chosen has their
+ * places. */
+size_t Sources_Choose(const struct source *all, size_t count, int64_t now,
+                      size_t chosen[SOURCES]);
+/* True when an entry leaves the reading to its sources: bytes of its
+ * configuration, whether the last large one came slowly, and how many sources
+ * it has. */
+bool Sources_Leaves(size_t bytes, bool slow, size_t sources);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -10,7 +10,10 @@
  *   owner   one of all entries, by a row of the store taken under a
  *           condition. It keeps the book (jobs.h), writes progress rows and
  *           gives the orders.
- *   links   owns the socket that agents and other entries connect to.
+ *   links   owns the socket that agents and other entries connect to, and
+ *           the links to these. Entries send each other what changed in the
+ *           configuration; those to which the store's feed brings large ones
+ *           slowly leave the reading to others (queue-sources.h).
  *   store   owns the connection to the store; while the store turns this
  *           machine away, it calls through another entry.
  *
@@ -152,17 +155,34 @@
 /* The configuration in force, shared and never changed. */
 struct queue_config {
     struct jobs_config jobs;
-    struct buf text;
     int refs;
 };
 
 struct queue_config *QueueConfig_Ref(struct queue_config *c);
 void QueueConfig_Unref(struct queue_config *c);
 
-/* intake -> owner, links. */
+/* intake -> owner, links; text: as it was read, for the links only. */
 struct config_in_force {
     struct message base;
     struct queue_config *config;
+    struct buf text;
+};
+
+/* intake -> links: how the operators' table is read. */
+struct operators_read {
+    struct message base;
+    uint64_t position; /* up to it all is known */
+    int64_t read_ms;   /* when the store last answered; 0: it does not */
+    bool slow;         /* the last large configuration came slowly */
+};
+
+/* links -> intake: whether others read that table for us, and what they say
+ * of it: up to that position there is none newer than that version. */
+struct reading_left {
+    struct message base;
+    bool left;
+    uint64_t version;
+    uint64_t position;
 };
 
 /* intake -> owner: rows of the own table that changed; version 0: dropped.
@@ -239,6 +259,8 @@
 extern const struct message_kind Queue_StoreSaidKind;
 extern const struct message_kind Queue_SayEntryKind;
 extern const struct message_kind Queue_BestKind;
+extern const struct message_kind Queue_ReadKind;
+extern const struct message_kind Queue_LeftKind;
 
 #define TASK_INTAKE "intake"
 #define TASK_OWNER "owner"
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -248,8 +248,12 @@
 static const struct wire_field peer[] = {
     NAME(wire_peer, entry), U(wire_peer, incarnation), U(wire_peer, version)};
 
-static const struct wire_field document[] = {U(wire_document, version),
-                                             BUF(wire_document, text)};
+static const struct wire_field document[] = {
+    U(wire_document, version), U(wire_document, base), U(wire_document, size),
+    U(wire_document, digest), BUF(wire_document, packed)};
+
+static const struct wire_field reader[] = {
+    U(wire_reader, version), U(wire_reader, position), I(wire_reader, age_ms)};
 
 static const struct wire_field store_op_fields[] = {
     U(wire_store_op, verb), NAME(wire_store_op, table),
@@ -312,6 +316,7 @@
     [WIRE_DOCUMENT] = FIELDS(wire_document, document),
     [WIRE_STORE_CALL] = FIELDS(wire_store_call, store_call),
     [WIRE_STORE_ANSWER] = FIELDS(wire_store_answer, store_answer),
+    [WIRE_READER] = FIELDS(wire_reader, reader),
 };
 
 /* The table of a type. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -58,6 +58,7 @@
     WIRE_DOCUMENT,     /* entry to entry: a configuration, as it was read */
     WIRE_STORE_CALL,   /* entry to entry: call the store for me */
     WIRE_STORE_ANSWER, /* entry to entry: what the store said */
+    WIRE_READER,       /* entry to entry: how I read the operators' table */
     WIRE_TYPE_LAST
 };
 
@@ -454,10 +455,24 @@
     uint64_t version; /* of the configuration it has; 0: none */
 };
 
+/* The text of a configuration, compressed by zstd, with that of version base
+ * as its prefix. */
 struct wire_document {
     struct wire_msg msg;
     uint64_t version;
-    struct buf text;
+    uint64_t base;   /* 0: it rests on none */
+    uint64_t size;   /* of the text, bytes */
+    uint64_t digest; /* of the text, xxh3 */
+    struct buf packed;
+};
+
+/* Up to that position the operators' table has no configuration newer than
+ * this version. */
+struct wire_reader {
+    struct wire_msg msg;
+    uint64_t version;
+    uint64_t position;
+    int64_t age_ms; /* since the table was read; -1: it is not */
 };
 
 enum wire_store_verb {
--- a/tests/hosted-large-test.cc
+++ b/tests/hosted-large-test.cc
@@ -61,4 +61,67 @@
     EXPECT_LT(read() - before, 2 * DOCUMENT);
 }
 
+struct Loss {
+    const char *what;
+    void (*happen)(HostedStack &s);
+};
+
+/* An entry behind a thin link has left the reading to another one. That one is
+ * killed, freezes, or is turned away by the store, just before a change: the
+ * thin one must see that nobody reads for it any more, and read by itself, or
+ * its callers are refused for as long as the other one is away. */
+TEST(HostedLarge, WhoeverReadsForOthersMayBeLost)
+{
+    static const Loss cases[] = {
+        {"killed", [](HostedStack &s) { s.entries[1]->Signal(SIGKILL); }},
+        {"frozen", [](HostedStack &s) { s.entries[1]->Signal(SIGSTOP); }},
+        {"turned away", [](HostedStack &s) { s.StoreFault(1, "busy"); }},
+        {"unheard by the store",
+         [](HostedStack &s) { s.StoreFault(1, "silent"); }},
+    };
+
+    for (const Loss &c : cases) {
+        HostedStack s(2, 0);
+
+        s.ThinStore(0, THIN);
+        s.PutLargeConfig(2, QUEUES);
+        ASSERT_TRUE(WaitFor(
+            [&] {
+                return s.Logs().find("event=config_source way=entries") !=
+                       std::string::npos;
+            },
+            30000))
+            << c.what;
+        /* A feed that is still open ends with this change. */
+        s.PutLargeConfig(3, QUEUES + 1);
+        EXPECT_TRUE(WaitFor([&] { return s.Serves(0, QUEUES); }, 30000));
+        c.happen(s);
+        s.PutLargeConfig(4, QUEUES + 2);
+        EXPECT_TRUE(WaitFor([&] { return s.Serves(0, QUEUES + 1); }, 30000))
+            << c.what << s.Logs();
+        s.entries[1]->Signal(SIGCONT);
+    }
+}
+
+/* While the store turns one entry away it keeps up all the same, by what the
+ * others send; and what it has never goes back when the store answers it. */
+TEST(HostedLarge, AnEntryThatTheStoreTurnsAwayKeepsUp)
+{
+    HostedStack s(2, 0);
+
+    s.PutLargeConfig(2, QUEUES);
+    EXPECT_TRUE(WaitFor([&] { return s.Serves(1, QUEUES - 1); }, 30000));
+    s.StoreFault(1, "busy");
+    for (int more = 1; more <= 3; more++) {
+        s.PutLargeConfig(2 + more, QUEUES + more);
+        EXPECT_TRUE(
+            WaitFor([&] { return s.Serves(1, QUEUES + more - 1); }, 30000))
+            << more;
+    }
+    s.StoreFault(1, "");
+    s.PutLargeConfig(9, QUEUES + 9);
+    EXPECT_TRUE(WaitFor([&] { return s.Serves(1, QUEUES + 8); }, 30000));
+    EXPECT_EQ(s.Counter(1, "parsleyfall_queue_config_version"), 9);
+}
+
 } /* namespace */
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -18,5 +18,8 @@
                 PACKAGES wire NEEDS parsleyfall fake-hosted-store
                 fake-hosted-adviser fake-relay)
 target_link_libraries(hosted-large-test PRIVATE sodium)
+pf_test(queue-documents-test queue-documents-test.cc PACKAGES queue)
+set_tests_properties(queue-documents-test PROPERTIES
+                     ENVIRONMENT "RC_PARAMS=seed=20261203 max_success=300")
 pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
 pf_test(hosted-agent-test hosted-agent-test.cc PACKAGES hosted-agent)
--- a/tests/http-test.cc
+++ b/tests/http-test.cc
@@ -24,12 +24,16 @@
     std::string body;
 };
 
+/* Four seconds of the thin link that brings it. */
+const size_t LONG_ANSWER = 400000;
+
 struct Options {
     std::string fake;
     std::string id;
     bool once = false;
     size_t max_body = 0;
     int64_t timeout_ms = 5000;
+    int64_t stall_ms = 0;
 };
 
 /* A client on a loop of its own. */
@@ -66,6 +70,7 @@
         request.once = options.once;
         request.max_body = options.max_body;
         request.timeout_ms = options.timeout_ms;
+        request.stall_ms = options.stall_ms;
         Http_Call(client, &request, OnDone, o);
     }
 
@@ -119,6 +124,12 @@
         const struct buf *body = Http_Body(ex);
 
         self->handled++;
+        if (std::string(Http_Path(ex)) == "/long") {
+            const std::string text(LONG_ANSWER, 'x');
+
+            Http_Reply(ex, 200, "text/plain", text.data(), text.size());
+            return;
+        }
         if (std::string(Http_Path(ex)) == "/hold") {
             self->held.push_back(ex);
             return;
@@ -288,6 +299,44 @@
     EXPECT_EQ(Call(relay.Url("/x"), "hello", options).err, ERR_OK);
 }
 
+/* An answer is longer than its link brings within the time of the call.
+ * Whoever asks again gets the first bytes again, for ever; one that is allowed
+ * to go on while it comes ends whole. One that stops coming is given up all
+ * the same. */
+TEST_F(HttpServer, AnAnswerThatComesOutlivesTheTimeOfItsCall)
+{
+    static const struct {
+        const char *what;
+        int64_t stall_ms;
+        bool falls_silent;
+        int err;
+    } cases[] = {{"goes-on", 2000, false, ERR_OK},
+                 {"may-not", 0, false, ERR_TIMEOUT},
+                 {"falls-silent", 2000, true, ERR_TIMEOUT}};
+    TempDir dir;
+
+    for (const auto &c : cases) {
+        Fake relay(dir, "fake-relay",
+                   {"--bytes-per-s", "100000", "--to",
+                    "127.0.0.1:" + std::to_string(Http_ServerPort(server))},
+                   c.what);
+        Outcome o;
+        Options options;
+
+        options.timeout_ms = 500;
+        options.stall_ms = c.stall_ms;
+        Start(relay.Url("/long"), "", options, &o);
+        if (c.falls_silent) {
+            RunUntil([&] { return handled > 0; });
+            relay.process.Signal(SIGUSR1);
+        }
+        RunUntil([&] { return o.done; });
+        EXPECT_EQ(o.err, c.err) << c.what;
+        EXPECT_EQ(o.body.size() == LONG_ANSWER, c.err == ERR_OK) << c.what;
+        handled = 0;
+    }
+}
+
 /* A call that waits for a connection has sent nothing when its time is over,
  * and a call that was cancelled has no callback. */
 TEST_F(Http, WaitingForAConnectionIsUnreachable)
--- /dev/null
+++ b/tests/queue-documents-test.cc
@@ -0,0 +1,270 @@
+/* What entries send each other of configurations, and from whom they take it:
+ * cases and a property, without network. */
+#include "queue-documents.h"
+#include "queue-sources.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using Documents =
+    std::unique_ptr<struct documents, void (*)(struct documents *)>;
+
+Documents
+New()
+{
+    return Documents(Documents_New(), Documents_Free);
+}
+
+void
+Add(const Documents &d, uint64_t version, const std::string &text)
+{
+    struct buf b = {};
+
+    Buf_Set(&b, text.data(), text.size());
+    Documents_Add(d.get(), version, &b);
+    Buf_Free(&b);
+}
+
+/* The text that m holds for d, or how it failed. */
+std::string
+Unpacked(const Documents &d, const struct wire_document &m)
+{
+    struct buf text = {};
+    int err = Documents_Unpack(d.get(), &m, &text);
+    std::string out =
+        err == ERR_OK ? std::string(text.data, text.len) : Err_Name(err);
+
+    Buf_Free(&text);
+    return out;
+}
+
+/* Queues with names that look like nothing before them. */
+std::string
+Queues(int count, uint64_t seed = 1)
+{
+    std::string out = "{\"routes\":[";
+
+    for (int i = 0; i < count; i++) {
+        out += "{\"name\":\"r-" +
+               std::to_string(Hash_Str(std::to_string(i).c_str(), seed)) +
+               "\",\"prefix\":\"/" +
+               std::to_string(Hash_Str(std::to_string(i).c_str(), seed + 1)) +
+               "/\",\"service\":\"pool\",\"max-attempts\":2},";
+    }
+    return out + "]}";
+}
+
+/* A queue more in a configuration of 4,000 costs what the queue has, wherever
+ * in the text it stands; without the text before it, all of it is sent. */
+TEST(Documents, AChangeCostsWhatDiffers)
+{
+    const std::string before = Queues(4000);
+    static const double places[] = {0.0, 0.1, 0.5, 0.9, 1.0};
+
+    for (double at : places) {
+        Documents d = New(), other = New();
+        struct wire_document m;
+        std::string after = before;
+
+        after.insert(
+            static_cast<size_t>(at * static_cast<double>(after.size())),
+            "{\"name\":\"one more\",\"prefix\":\"/one/more/\"},");
+        Add(d, 7, before);
+        Add(other, 7, before);
+        Add(d, 9, after);
+        ASSERT_EQ(Documents_Pack(d.get(), 7, &m), ERR_OK);
+        EXPECT_EQ(m.base, 7u);
+        EXPECT_LT(m.packed.len, 2000u) << at;
+        EXPECT_TRUE(Unpacked(other, m) == after) << at;
+        ASSERT_EQ(Documents_Pack(d.get(), 0, &m), ERR_OK);
+        EXPECT_EQ(m.base, 0u);
+        EXPECT_LT(m.packed.len, before.size() / 2);
+        EXPECT_TRUE(Unpacked(New(), m) == after);
+    }
+}
+
+/* An entry that missed a few changes gets a difference; one that missed more,
+ * or has what nobody knows, the whole. */
+TEST(Documents, OldAndUnknownOnesAreServed)
+{
+    Documents d = New();
+    struct wire_document m;
+
+    EXPECT_EQ(Documents_Pack(d.get(), 0, &m), ERR_NOTFOUND);
+    EXPECT_EQ(Documents_Version(d.get()), 0u);
+    for (uint64_t v = 1; v <= 9; v++) {
+        Add(d, v, Queues(50) + std::to_string(v));
+    }
+    EXPECT_EQ(Documents_Version(d.get()), 9u);
+    static const struct {
+        uint64_t has, base;
+    } cases[] = {{8, 8}, {6, 6}, {5, 0}, {0, 0}, {77, 0}};
+    for (const auto &c : cases) {
+        ASSERT_EQ(Documents_Pack(d.get(), c.has, &m), ERR_OK);
+        EXPECT_EQ(m.version, 9u);
+        EXPECT_EQ(m.base, c.base) << c.has;
+        EXPECT_TRUE(Unpacked(d, m) == Queues(50) + "9") << c.has;
+    }
+}
+
+/* What rests on a text that is not here, or on another one, or is damaged, is
+ * never taken for a configuration. */
+TEST(Documents, WhatIsDamagedIsRefused)
+{
+    Documents d = New(), other = New(), none = New();
+    struct wire_document m;
+
+    Add(d, 1, Queues(300));
+    Add(d, 2, Queues(301));
+    Add(other, 1, Queues(300, 9));
+    ASSERT_EQ(Documents_Pack(d.get(), 1, &m), ERR_OK);
+    EXPECT_EQ(Unpacked(none, m), Err_Name(ERR_STALE));
+    EXPECT_EQ(Unpacked(other, m), Err_Name(ERR_INVALID));
+    struct wire_document wrong = m;
+    wrong.digest++;
+    EXPECT_EQ(Unpacked(d, wrong), Err_Name(ERR_INVALID));
+    for (uint64_t size : {uint64_t(0), m.size - 1, m.size + 1,
+                          uint64_t(1) << 40, UINT64_MAX}) {
+        wrong = m;
+        wrong.size = size;
+        EXPECT_EQ(Unpacked(d, wrong), Err_Name(ERR_INVALID)) << size;
+    }
+    for (size_t len = 0; len < m.packed.len; len++) {
+        wrong = m;
+        wrong.packed.len = len;
+        EXPECT_EQ(Unpacked(d, wrong), Err_Name(ERR_INVALID)) << len;
+    }
+}
+
+/* Whatever texts follow each other, and whichever of them the other entry has,
+ * it ends with the newest. */
+RC_GTEST_PROP(Documents, AnyTextsComeOutAsTheyWentIn,
+              (const std::vector<std::string> &texts, uint8_t has))
+{
+    Documents d = New(), other = New();
+    struct wire_document m;
+    uint64_t version = 0;
+
+    for (const std::string &t : texts) {
+        if (!t.empty()) {
+            version++;
+            Add(d, version, t);
+            if (version <= has) {
+                Add(other, version, t);
+            }
+        }
+    }
+    RC_PRE(version > 0);
+    RC_ASSERT(Documents_Pack(d.get(), Documents_Version(other.get()), &m) ==
+              ERR_OK);
+    for (auto i = texts.rbegin(); i != texts.rend(); ++i) {
+        if (!i->empty()) {
+            RC_ASSERT(Unpacked(other, m) == *i);
+            return;
+        }
+    }
+}
+
+const int64_t NOW = 100000;
+
+struct SourceCase {
+    const char *what;
+    std::vector<struct source> all;
+    std::vector<size_t> chosen;
+};
+
+/* Rank, when heard, when it had read. */
+TEST(Sources, ThoseThatReadAreChosenByRank)
+{
+    const int64_t now = NOW, silent = NOW - SOURCE_HEARD_MS,
+                  stale = NOW - SOURCE_READ_MS;
+    const SourceCase cases[] = {
+        {"nobody", {}, {}},
+        {"one", {{5, now, now}}, {0}},
+        {"by rank", {{5, now, now}, {3, now, now}, {4, now, now}}, {1, 2}},
+        {"never heard", {{1, 0, 0}, {5, now, now}}, {1}},
+        {"it leaves the reading to others",
+         {{1, now, 0}, {5, now, now}, {6, now, now}},
+         {1, 2}},
+        {"frozen: silent", {{1, silent, now}, {5, now, now}}, {1}},
+        {"cut off from the store", {{1, now, stale}, {5, now, now}}, {1}},
+        {"all gone", {{1, silent, now}, {5, now, stale}}, {}},
+        {"many",
+         {{9, now, now},
+          {8, now, now},
+          {7, now, now},
+          {1, now, now},
+          {2, now, now}},
+         {3, 4}},
+    };
+
+    for (const SourceCase &c : cases) {
+        size_t chosen[SOURCES];
+        size_t n = Sources_Choose(c.all.data(), c.all.size(), NOW, chosen);
+
+        EXPECT_EQ(std::vector<size_t>(chosen, chosen + n), c.chosen) << c.what;
+    }
+}
+
+/* Thin entries are many and readers few: the load of telling them is spread,
+ * and a reader that goes moves only those that had it. */
+TEST(Sources, TheLoadIsSpreadAndMovesLittle)
+{
+    const size_t readers = 6, thin = 60;
+    std::vector<int> load(readers);
+    int moved = 0;
+
+    for (size_t i = 0; i < thin; i++) {
+        std::vector<struct source> all;
+        size_t before[SOURCES], after[SOURCES];
+        std::string name = "thin-" + std::to_string(i);
+
+        for (size_t r = 0; r < readers; r++) {
+            std::string reader = "reader-" + std::to_string(r);
+            all.push_back({Hash_Str(reader.c_str(), Hash_Str(name.c_str(), 0)),
+                           NOW, NOW});
+        }
+        ASSERT_EQ(Sources_Choose(all.data(), readers, NOW, before),
+                  size_t(SOURCES));
+        all[0].heard_ms = 0;
+        ASSERT_EQ(Sources_Choose(all.data(), readers, NOW, after),
+                  size_t(SOURCES));
+        bool had = before[0] == 0 || before[1] == 0;
+        moved += !std::equal(before, before + SOURCES, after);
+        EXPECT_EQ(!std::equal(before, before + SOURCES, after), had);
+        load[before[0]]++;
+        load[before[1]]++;
+    }
+    for (size_t r = 0; r < readers; r++) {
+        EXPECT_GT(load[r], 0) << r;
+        EXPECT_LT(load[r], static_cast<int>(thin)) << r;
+    }
+    EXPECT_LT(moved, static_cast<int>(thin));
+}
+
+TEST(Sources, OnlyLargeAndSlowReadingIsLeft)
+{
+    static const struct {
+        size_t bytes;
+        bool slow;
+        size_t sources;
+        bool left;
+    } cases[] = {{LARGE_BYTES, true, 1, true},
+                 {LARGE_BYTES - 1, true, 2, false},
+                 {LARGE_BYTES, false, 2, false},
+                 {LARGE_BYTES, true, 0, false},
+                 {0, true, 2, false}};
+
+    for (const auto &c : cases) {
+        EXPECT_EQ(Sources_Leaves(c.bytes, c.slow, c.sources), c.left)
+            << c.bytes;
+    }
+}
+
+} /* namespace */
