Slow entries are nobody's source

Cause, found by reading: two entries that both read slowly hear each other read, leave the reading to each other at the same word, hear that nobody reads, take it up again, and so on.

Change: an entry that reads slowly says that it does not read; it leaves the reading only to those that read well, or does it itself.

Before: ThinEntriesAloneReadByThemselves fails (both leave the reading). After: it passes, with the four others of its file.

--- a/packages/queue/queue-configs.c
+++ b/packages/queue/queue-configs.c
@@ -60,11 +60,18 @@
     h->sent_ms = Clock_NowMs();
 }
 
+/* True when large configurations come to this entry slowly. */
+static bool
+is_slow(const struct links *l)
+{
+    return Sources_IsSlow(l->read.slow_ms, Clock_NowMs());
+}
+
 /* Says how this entry reads the operators' table, where it matters. */
 static void
 say_reader(struct links *l, const struct link_peer *to)
 {
-    bool reads = !l->left && l->read.read_ms != 0;
+    bool reads = !l->left && !is_slow(l) && l->read.read_ms != 0;
     struct wire_reader m = {.msg = {WIRE_READER},
                             .version = Documents_Version(l->documents),
                             .position = l->read.position,
@@ -218,8 +225,8 @@
 Configs_Choose(struct links *l)
 {
     size_t sources = mark_sources(l);
-    bool left = Sources_Leaves(Documents_Bytes(l->documents), l->read.slow_ms,
-                               sources, Clock_NowMs());
+    bool left =
+        Sources_Leaves(Documents_Bytes(l->documents), is_slow(l), sources);
 
     drop_silent(l);
     if (left != l->left) {
--- a/packages/queue/queue-sources.c
+++ b/packages/queue/queue-sources.c
@@ -40,11 +40,16 @@
     return n;
 }
 
-/* True when an entry leaves the reading to others. */
+/* True when large configurations come slowly. */
 bool
-Sources_Leaves(size_t bytes, int64_t slow_ms, size_t sources, int64_t now)
+Sources_IsSlow(int64_t slow_ms, int64_t now)
 {
-    bool slow = slow_ms != 0 && now - slow_ms < SLOW_FOR_MS;
+    return slow_ms != 0 && now - slow_ms < SLOW_FOR_MS;
+}
 
+/* True when an entry leaves the reading to others. */
+bool
+Sources_Leaves(size_t bytes, bool slow, size_t sources)
+{
     return bytes >= LARGE_BYTES && slow && sources > 0;
 }
--- a/packages/queue/queue-sources.h
+++ b/packages/queue/queue-sources.h
@@ -50,11 +50,15 @@
  * places. */
 size_t Sources_Choose(const struct source *all, size_t count, int64_t now,
                       size_t chosen[SOURCES]);
+/* True when large configurations come slowly: when one last did so (0: none
+ * has since one came well). */
+bool Sources_IsSlow(int64_t slow_ms, int64_t now);
 /* True when an entry leaves the reading to its sources: bytes of its
- * configuration, when a large one last came slowly (0: none has since one came
- * well), and how many sources it has. */
-bool Sources_Leaves(size_t bytes, int64_t slow_ms, size_t sources,
-                    int64_t now);
+ * configuration, whether it is slow, and how many sources it has.
+ *
+ * Slow ones are nobody's sources: two of them would leave the reading to each
+ * other at the same moment, and take it up again at the next, for ever. */
+bool Sources_Leaves(size_t bytes, bool slow, size_t sources);
 
 #ifdef __cplusplus
 }
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -472,7 +472,7 @@
     struct wire_msg msg;
     uint64_t version;
     uint64_t position;
-    int64_t age_ms; /* since the table was read; -1: it is not */
+    int64_t age_ms; /* since the table was read; -1: it is not, or slowly */
 };
 
 enum wire_store_verb {
--- a/tests/hosted-large-test.cc
+++ b/tests/hosted-large-test.cc
@@ -103,6 +103,36 @@
     }
 }
 
+/* Every entry is behind a thin link. Each hears that the other one reads, and
+ * would leave the reading to it; at the next word both take it up again, and
+ * so on. Slow ones are nobody's source: both read by themselves, and keep up.
+ */
+TEST(HostedLarge, ThinEntriesAloneReadByThemselves)
+{
+    HostedStack s(2, 0);
+
+    s.ThinStore(0, THIN);
+    s.ThinStore(1, THIN);
+    for (int more = 0; more < 3; more++) {
+        s.PutLargeConfig(2 + more, QUEUES + more);
+        for (int i = 0; i < 2; i++) {
+            EXPECT_TRUE(
+                WaitFor([&] { return s.Serves(i, QUEUES + more - 1); }, 30000))
+                << more;
+            EXPECT_TRUE(WaitFor(
+                [&] {
+                    return s.Counter(i,
+                                     "parsleyfall_store_read_bytes_total") >=
+                           (1 + more) * DOCUMENT;
+                },
+                30000))
+                << more;
+        }
+    }
+    EXPECT_EQ(s.Logs().find("event=config_source way=entries"),
+              std::string::npos);
+}
+
 /* While the store turns one entry away it keeps up all the same, by what the
  * others send; and what it has never goes back when the store answers it. */
 TEST(HostedLarge, AnEntryThatTheStoreTurnsAwayKeepsUp)
--- a/tests/queue-documents-test.cc
+++ b/tests/queue-documents-test.cc
@@ -264,7 +264,9 @@
                  {0, NOW, 2, false}};
 
     for (const auto &c : cases) {
-        EXPECT_EQ(Sources_Leaves(c.bytes, c.slow_ms, c.sources, NOW), c.left)
+        bool slow = Sources_IsSlow(c.slow_ms, NOW);
+
+        EXPECT_EQ(Sources_Leaves(c.bytes, slow, c.sources), c.left)
             << c.bytes << " " << c.slow_ms;
     }
 }
