--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -261,6 +261,14 @@
              Base64(value) + "\"}]}");
 }
 
+void
+HostedStack::RemoveRow(const std::string &table, const std::string &key)
+{
+    Http("POST", store->Url("/rows-tx"),
+         R"({"expect":[],"writes":[],"remove":[{"table":")" + table +
+             R"(","part":"","key":")" + key + R"("}]})");
+}
+
 void
 HostedStack::StoreFault(int door, const std::string &fault)
 {
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -37,6 +37,7 @@
     /* What another writer writes into the store. */
     void PutRow(const std::string &table, const std::string &key,
                 const std::string &value);
+    void RemoveRow(const std::string &table, const std::string &key);
     /* A fault of one of the store's doors; entry i uses door i % 2. */
     void StoreFault(int door, const std::string &fault);
     void DropHistory();
