--- a/packages/platform/platform-commit.c
+++ b/packages/platform/platform-commit.c
@@ -55,8 +55,9 @@
     int64_t index, version;
     size_t i;
 
-    if (Json_ToInt(json_object_get(o, "at"), &index) != ERR_OK || index < 0 ||
-        (size_t)index >= c->count || json_array_size(rows) != c->count) {
+    if (Json_Whole(json_object_get(o, "at"), (int64_t)c->count - 1, &index) !=
+            ERR_OK ||
+        json_array_size(rows) != c->count) {
         return false;
     }
     *at = (size_t)index;
--- a/packages/platform/platform-runner.c
+++ b/packages/platform/platform-runner.c
@@ -165,7 +165,7 @@
     }
     json_array_foreach(list, i, item)
     {
-        if (Json_ToInt(item, &n) != ERR_OK || n < 0 || n >= ACCELERATOR_BITS) {
+        if (Json_Whole(item, ACCELERATOR_BITS - 1, &n) != ERR_OK) {
             return ERR_INVALID;
         }
         *bits |= (uint64_t)1 << n;
--- a/packages/queue/queue-configs.c
+++ b/packages/queue/queue-configs.c
@@ -18,25 +18,25 @@
 static struct subscriber *
 subscriber_of(struct links *l, const char *entry)
 {
-    struct subscriber *h;
+    struct subscriber *s;
 
-    TAILQ_FOREACH (h, &l->subscribers, entry_list) {
-        if (strcmp(h->entry, entry) == 0) {
-            return h;
+    TAILQ_FOREACH (s, &l->subscribers, entry_list) {
+        if (strcmp(s->entry, entry) == 0) {
+            return s;
         }
     }
-    h = Mem_Zero(1, sizeof(*h));
-    Str_Copy(h->entry, sizeof(h->entry), entry);
-    TAILQ_INSERT_TAIL(&l->subscribers, h, entry_list);
-    return h;
+    s = Mem_Zero(1, sizeof(*s));
+    Str_Copy(s->entry, sizeof(s->entry), entry);
+    TAILQ_INSERT_TAIL(&l->subscribers, s, entry_list);
+    return s;
 }
 
 /* True when the newest is on its way to it already. */
 static bool
-is_sent(const struct links *l, const struct subscriber *h)
+is_sent(const struct links *l, const struct subscriber *s)
 {
-    return h->sent == Documents_Version(l->documents) &&
-           h->sent_has == h->has && Clock_NowMs() - h->sent_ms < RESEND_MS;
+    return s->sent == Documents_Version(l->documents) &&
+           s->sent_has == s->has && Clock_NowMs() - s->sent_ms < RESEND_MS;
 }
 
 /* Sends the newest to one that has an older one.
@@ -46,18 +46,18 @@
  * link, is asked for again before it is there, and holds up the rest. Only
  * what differs from the one that it has is sent, once. */
 static void
-send_newest(struct links *l, struct subscriber *h)
+send_newest(struct links *l, struct subscriber *s)
 {
     struct wire_document m;
 
-    if (h->has >= Documents_Version(l->documents) || is_sent(l, h) ||
-        Documents_Pack(l->documents, h->has, &m) != ERR_OK ||
-        Link_Send(l->listening, &h->peer, &m.msg) != ERR_OK) {
+    if (s->has >= Documents_Version(l->documents) || is_sent(l, s) ||
+        Documents_Pack(l->documents, s->has, &m) != ERR_OK ||
+        Link_Send(l->listening, &s->peer, &m.msg) != ERR_OK) {
         return;
     }
-    h->sent = m.version;
-    h->sent_has = h->has;
-    h->sent_ms = Clock_NowMs();
+    s->sent = m.version;
+    s->sent_has = s->has;
+    s->sent_ms = Clock_NowMs();
 }
 
 /* True when large configurations come to this entry slowly. */
@@ -88,33 +88,33 @@
 Configs_Heard(struct links *l, const struct link_peer *from,
               const struct wire_peer *m)
 {
-    struct subscriber *h;
+    struct subscriber *s;
 
     say_reader(l, from);
     if (m->version == UINT64_MAX) {
         return;
     }
-    h = subscriber_of(l, m->entry);
-    if (!Link_SamePeer(&h->peer, from)) {
-        h->sent = 0; /* what was on the link before is lost */
+    s = subscriber_of(l, m->entry);
+    if (!Link_SamePeer(&s->peer, from)) {
+        s->sent = 0; /* what was on the link before is lost */
     }
-    h->peer = *from;
-    h->has = m->version;
-    h->said_ms = Clock_NowMs();
-    send_newest(l, h);
+    s->peer = *from;
+    s->has = m->version;
+    s->said_ms = Clock_NowMs();
+    send_newest(l, s);
 }
 
 /* Takes the configuration in force. */
 void
 Configs_Changed(struct links *l, struct config_in_force *note)
 {
-    struct subscriber *h;
+    struct subscriber *s;
     int64_t now = Clock_NowMs();
 
     Documents_Add(l->documents, note->config->jobs.version, &note->text);
-    TAILQ_FOREACH (h, &l->subscribers, entry_list) {
-        if (now - h->said_ms < SUBSCRIBER_MS) {
-            send_newest(l, h);
+    TAILQ_FOREACH (s, &l->subscribers, entry_list) {
+        if (now - s->said_ms < SUBSCRIBER_MS) {
+            send_newest(l, s);
         }
     }
 }
@@ -204,13 +204,13 @@
 static void
 drop_silent(struct links *l)
 {
-    struct subscriber *h, *next;
+    struct subscriber *s, *next;
     int64_t now = Clock_NowMs();
 
-    TAILQ_FOREACH_SAFE (h, &l->subscribers, entry_list, next) {
-        if (now - h->said_ms > SUBSCRIBER_MS && now - h->sent_ms > RESEND_MS) {
-            TAILQ_REMOVE(&l->subscribers, h, entry_list);
-            free(h);
+    TAILQ_FOREACH_SAFE (s, &l->subscribers, entry_list, next) {
+        if (now - s->said_ms > SUBSCRIBER_MS && now - s->sent_ms > RESEND_MS) {
+            TAILQ_REMOVE(&l->subscribers, s, entry_list);
+            free(s);
         }
     }
 }
@@ -260,11 +260,11 @@
 void
 Configs_Free(struct links *l)
 {
-    struct subscriber *h, *next;
+    struct subscriber *s, *next;
 
-    TAILQ_FOREACH_SAFE (h, &l->subscribers, entry_list, next) {
-        TAILQ_REMOVE(&l->subscribers, h, entry_list);
-        free(h);
+    TAILQ_FOREACH_SAFE (s, &l->subscribers, entry_list, next) {
+        TAILQ_REMOVE(&l->subscribers, s, entry_list);
+        free(s);
     }
     Documents_Free(l->documents);
 }
