Nothing starts in a failure domain that operators have emptied

Ruled out: the owner alone reading them (it rests its reading of large configurations, and the store may turn its machine away); copying the wish into the own table (two copiers race, and a copy outlives the wish). Stopping what runs there buys callers nothing and throws work away.

Change: every entry reads the rows and tells the others which domains are emptied as of which position of the operators' table; the highest position holds. Looks carry the failure domain of the worker's machine. The book sends nothing to workers of emptied domains, takes back starts that were not seen to begin, leaves alone what runs, and says of jobs that only such workers could run why they wait. An entry that knows no position claims no office.

Not built: the verb of the own profile and its console part.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -72,6 +72,7 @@
     enum jobs_state state;
     bool cancelled;
     bool held;    /* its progress can't be read, so nothing of it may start */
+    bool barred;  /* it was told that only emptied domains could run it */
     bool spoiled; /* the row of its spec can't be read any more */
     bool dirty;
     bool in_batch;
@@ -118,6 +119,7 @@
     char agent[NAME_SIZE];
     char service[NAME_SIZE];
     char rack[JOBS_TEXT_SIZE];
+    char domain[NAME_SIZE]; /* "": not known */
     char labels[4][JOBS_TEXT_SIZE];
     uint32_t label_count;
     struct jobs_need capacity;
@@ -156,6 +158,7 @@
     size_t event_count;
     int64_t events_dropped;
     const struct jobs_config *config;
+    struct jobs_domains emptied;
     struct book_tree jobs;
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
@@ -221,6 +224,15 @@
 /* Ends the job when nothing is left to do. */
 void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
 
+/* ---- jobs-domain.c */
+/* True when nothing may start on a worker, as its failure domain is emptied.
+ */
+bool Domain_IsEmptied(const struct jobs_book *b, const struct jobs_worker *w);
+/* Tells once of each job that a unit of it waits for nothing but workers in
+ * emptied domains. */
+void Domain_NoteWaiting(struct jobs_book *b, struct jobs_unit *u,
+                        int64_t now_ms);
+
 /* ---- jobs-pace.c */
 /* Takes the progress that a report shows. */
 void Pace_Take(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
@@ -295,6 +307,9 @@
  * time that nobody knows may be kept for it. */
 enum place_result Place_Unit(struct jobs_book *b, struct jobs_unit *u,
                              int64_t now_ms, bool may_hold);
+/* True when a worker may run the step, wherever it stands. */
+bool Place_IsFit(const struct jobs_book *b, const struct jobs_worker *w,
+                 const struct jobs_unit *u, int64_t now_ms);
 /* True when a worker may run the step, as far as no adviser is asked. */
 bool Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
                   const struct jobs_unit *u, int64_t now_ms);
--- a/packages/jobs/jobs-event.c
+++ b/packages/jobs/jobs-event.c
@@ -7,7 +7,8 @@
 static const char *const names[] = {
     [JOBS_JOB_TAKEN] = "job_taken",     [JOBS_RUN_GIVEN] = "run_given",
     [JOBS_RUN_STOPPED] = "run_stopped", [JOBS_RUN_OVER] = "run_over",
-    [JOBS_JOB_STATE] = "job_state",     [JOBS_WORKER_OUT] = "worker_out"};
+    [JOBS_JOB_STATE] = "job_state",     [JOBS_JOB_WAITS] = "job_waits",
+    [JOBS_WORKER_OUT] = "worker_out"};
 
 /* The word of logs and counters. */
 const char *
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -25,7 +25,12 @@
  * that shows no effect, while another has taken over, waited and run the task
  * elsewhere. Symptom: it runs again after its end was acknowledged. Starts are
  * ordered only while leases may be given out; who takes over waits for those.
- */
+ *
+ * Failure: a domain is emptied between the choice of a worker there and its
+ * order, or its repetition. Symptom: something starts there after operators
+ * were told that nothing does. What the worker has not been seen to run is
+ * taken back; a start that has just gone out is looked for first, so that
+ * nothing is cut that works already. */
 static bool
 order_of(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
          int64_t now_ms, bool may_start, struct jobs_order *o)
@@ -50,6 +55,9 @@
         now_ms - t->given_ms > GIVE_UP_MS) {
         Unit_Stop(b, u, "start_unconfirmed");
     }
+    if (u->state == UNIT_GIVEN && !u->stopping && Domain_IsEmptied(b, w)) {
+        Unit_Stop(b, u, "domain_emptied");
+    }
     if (!may_start && u->state == UNIT_GIVEN && !u->stopping) {
         return false;
     }
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -68,10 +68,10 @@
     return free;
 }
 
-/* True when a worker may run the step at all. */
+/* True when a worker may run the step, wherever it stands. */
 bool
-Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
-             const struct jobs_unit *u, int64_t now_ms)
+Place_IsFit(const struct jobs_book *b, const struct jobs_worker *w,
+            const struct jobs_unit *u, int64_t now_ms)
 {
     const struct jobs_step *s = Unit_Step(u);
     bool labelled = *s->label == '\0';
@@ -88,6 +88,14 @@
     return labelled;
 }
 
+/* As above, and nobody empties its failure domain. */
+bool
+Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
+             const struct jobs_unit *u, int64_t now_ms)
+{
+    return !Domain_IsEmptied(b, w) && Place_IsFit(b, w, u, now_ms);
+}
+
 /* As above, with what advisers say. */
 static bool
 is_eligible(const struct jobs_book *b, const struct jobs_worker *w,
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -200,6 +200,9 @@
     bool first_run = u->run == 0;
     enum place_result result = Place_Unit(b, u, now_ms, may_hold);
 
+    if (result == PLACE_NOWHERE) {
+        Domain_NoteWaiting(b, u, now_ms);
+    }
     if (result != PLACE_GIVEN && b->question.count == 0) {
         Advice_Collect(b, u, now_ms, &b->question);
     }
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -91,6 +91,7 @@
 {
     Str_Copy(w->agent, sizeof(w->agent), r->agent);
     take_kind(b, w, r);
+    Str_Copy(w->domain, sizeof(w->domain), r->domain);
     w->draining = r->draining;
     w->heard = true;
     w->report_ms = now_ms;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -87,6 +87,21 @@
 const struct jobs_organisation *JobsConfig_ByKey(const struct jobs_config *c,
                                                  const char *key);
 
+#define JOBS_DOMAINS_MAX 32 /* failure domains that are emptied at once */
+
+/* Failure domains that operators have asked to be emptied. */
+struct jobs_domains {
+    char names[JOBS_DOMAINS_MAX][NAME_SIZE];
+    size_t count;
+};
+
+bool JobsDomains_Has(const struct jobs_domains *d, const char *name);
+/* Adds or drops one. ERR_OK, or ERR_NOMEM when there are too many. */
+int JobsDomains_Set(struct jobs_domains *d, const char *name, bool emptied);
+/* True when both name the same, in whatever order. */
+bool JobsDomains_Equal(const struct jobs_domains *a,
+                       const struct jobs_domains *b);
+
 /* ---- what callers ask for ------------------------------------------------
  */
 
@@ -190,6 +205,7 @@
     char agent[NAME_SIZE];
     char worker[JOBS_TEXT_SIZE]; /* its lifetime; "": none is there */
     char service[NAME_SIZE];
+    char domain[NAME_SIZE]; /* failure domain of its machine; "": not known */
     char labels[4][JOBS_TEXT_SIZE];
     uint32_t label_count;
     struct jobs_need capacity;
@@ -267,6 +283,15 @@
 
 /* The configuration in force; the book keeps a pointer to it. */
 void Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c);
+/* Failure domains in which nothing may start from now on; what runs there goes
+ * on. Those named before and not now are used again. */
+void Jobs_SetEmptied(struct jobs_book *b, const struct jobs_domains *d);
+/* Tasks that workers of a failure domain may run. */
+size_t Jobs_TasksIn(const struct jobs_book *b, const char *domain);
+/* Accelerators of workers that may be used, and what all organisations
+ * together are guaranteed of them. */
+void Jobs_Guarantees(const struct jobs_book *b, int64_t *usable,
+                     int64_t *guaranteed);
 /* Takes an accepted job; the spec is moved out of s. progress is its row, or
  * NULL. ERR_OK, ERR_EXISTS, or ERR_INVALID when the row can't be read: the job
  * is in the book, and nothing of it starts. */
@@ -339,6 +364,7 @@
     JOBS_RUN_STOPPED, /* ordered to stop; reason says why */
     JOBS_RUN_OVER,    /* it can't run any more; number: ms since given */
     JOBS_JOB_STATE,   /* reason: its new state; number: ms since taken */
+    JOBS_JOB_WAITS,   /* for what it would find room but for the reason */
     JOBS_WORKER_OUT,  /* not used for a while, or gone for good */
 };
 
--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -93,7 +93,7 @@
 static bool
 show_stop(struct intake *in, const char *id, const struct buf *value)
 {
-    if (!Queue_IsStop(value)) {
+    if (!Queue_IsObject(value)) {
         return false;
     }
     shown(in, id)->stopped = true;
--- a/packages/queue/queue-configs.c
+++ b/packages/queue/queue-configs.c
@@ -67,7 +67,13 @@
     return Sources_IsSlow(l->read.slow_ms, Clock_NowMs());
 }
 
-/* Says how this entry reads the operators' table, where it matters. */
+/* Says how this entry reads the operators' table, and which failure domains it
+ * says are emptied, where that matters.
+ *
+ * Failure: the store turns the owner's machine away, or the owner has left the
+ * reading of large configurations to others, when operators empty a domain.
+ * Symptom: it starts tasks there for as long. Each entry that it speaks to
+ * tells it, twice a second, while any domain is or was emptied. */
 static void
 say_reader(struct links *l, const struct link_peer *to)
 {
@@ -76,11 +82,19 @@
                             .version = Documents_Version(l->documents),
                             .position = l->read.position,
                             .age_ms =
-                                reads ? Clock_NowMs() - l->read.read_ms : -1};
+                                reads ? Clock_NowMs() - l->read.read_ms : -1,
+                            .emptied_at = l->emptied.position};
 
-    if (Documents_Bytes(l->documents) >= LARGE_BYTES) {
-        Link_Send(l->listening, to, &m.msg);
+    if (Documents_Bytes(l->documents) < LARGE_BYTES && !l->any_emptied) {
+        return;
     }
+    for (size_t i = 0; i < l->emptied.domains.count; i++) {
+        struct wire_label *name = Wire_ListAdd(&m.emptied, sizeof(*name));
+
+        Str_Copy(name->text, sizeof(name->text), l->emptied.domains.names[i]);
+    }
+    Link_Send(l->listening, to, &m.msg);
+    Wire_Clear(&m.msg);
 }
 
 /* Another entry says what it has. */
@@ -119,6 +133,40 @@
     }
 }
 
+/* Takes which failure domains are emptied. */
+void
+Configs_Emptied(struct links *l, const struct emptied *e)
+{
+    l->emptied = *e;
+    l->any_emptied = l->any_emptied || e->domains.count > 0;
+}
+
+/* Passes on which failure domains another entry says are emptied, if it knows
+ * of a later position. */
+static void
+take_emptied(struct links *l, const struct wire_reader *m)
+{
+    const struct wire_label *names = m->emptied.items;
+    struct emptied_told *note;
+
+    if (m->emptied_at <= l->emptied.position) {
+        return;
+    }
+    note = Mem_Zero(1, sizeof(*note));
+    note->emptied.position = m->emptied_at;
+    for (size_t i = 0; i < m->emptied.count; i++) {
+        if (!Str_IsName(names[i].text) ||
+            JobsDomains_Set(&note->emptied.domains, names[i].text, true) !=
+                ERR_OK) {
+            Unreadable(UNREADABLE_MESSAGE, names[i].text,
+                       "no failure domain, or too many");
+            free(note);
+            return;
+        }
+    }
+    Queue_Post(l->task.kernel, TASK_INTAKE, &note->base, &Queue_EmptiedKind);
+}
+
 /* Takes a configuration of another entry. One that rests on a text that is not
  * here any more is asked for again, with the version that is. */
 void
@@ -156,6 +204,7 @@
     p->source.read_ms = m->age_ms >= 0 ? now - m->age_ms : 0;
     p->version = m->version;
     p->position = m->position;
+    take_emptied(p->links, m);
 }
 
 /* Notes which of the peers are sources; returns how many. */
--- /dev/null
+++ b/packages/queue/queue-domains.c
@@ -0,0 +1,48 @@
+#include "queue-intake.h"
+
+static struct counter emptied_gauge = {
+    "parsleyfall_queue_domains_emptied",
+    "Failure domains that operators have asked to be emptied.", NULL,
+    COUNTER_GAUGE};
+
+/* Tells a task. */
+static void
+tell(struct intake *in, const char *task)
+{
+    struct emptied_told *note = Mem_Zero(1, sizeof(*note));
+
+    note->emptied = in->emptied;
+    Queue_Post(in->task.kernel, task, &note->base, &Queue_EmptiedKind);
+}
+
+/* One line for each domain that only the first of two sets has. */
+static void
+log_missing(const char *event, const struct jobs_domains *a,
+            const struct jobs_domains *b, const char *from)
+{
+    for (size_t i = 0; i < a->count; i++) {
+        if (!JobsDomains_Has(b, a->names[i])) {
+            LOG_I(event, KV("domain", a->names[i]), KV("from", from));
+        }
+    }
+}
+
+/* Takes which failure domains are emptied. */
+void
+Intake_TakeEmptied(struct intake *in, const struct emptied *later,
+                   const char *from)
+{
+    struct jobs_domains before = in->emptied.domains;
+    bool news = Emptied_Take(&in->emptied, later);
+
+    if (in->emptied.position == later->position) {
+        tell(in, TASK_LINKS);
+    }
+    if (!news) {
+        return;
+    }
+    log_missing("domain_emptied", &in->emptied.domains, &before, from);
+    log_missing("domain_taken_back", &before, &in->emptied.domains, from);
+    Counter_Set(&emptied_gauge, (int64_t)in->emptied.domains.count);
+    tell(in, TASK_OWNER);
+}
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -102,11 +102,14 @@
     Queue_Post(in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
 }
 
-/* Takes rows of the operators' table. */
+/* Takes rows of the operators' table; e: what they make of the failure domains
+ * that are emptied. */
 static void
-take_operator(struct intake *in, struct table_row *rows, size_t count)
+take_operator(struct intake *in, struct table_row *rows, size_t count,
+              struct emptied *e)
 {
     for (size_t i = 0; i < count; i++) {
+        Emptied_Row(e, &rows[i], Queue_Site()->emptied_prefix, &in->emptied);
         if (strcmp(rows[i].key, Queue_Site()->config_key) == 0 &&
             rows[i].version != 0) {
             note_pace(&in->operators, rows[i].value.len);
@@ -115,16 +118,40 @@
     }
 }
 
-/* Takes rows of whichever table. */
+/* A page of a list of whichever table; the last one completes it. */
 static void
-take_rows(struct follow *f, struct table_row *rows, size_t count,
-          uint64_t position)
+take_page(struct follow *f, struct table_row *rows, size_t count, bool first,
+          bool last)
 {
-    if (f == &f->intake->rows) {
-        take_own(f->intake, rows, count, position);
+    struct intake *in = f->intake;
+
+    if (f == &in->rows) {
+        take_own(in, rows, count, f->list_position);
+        return;
+    }
+    if (first) {
+        in->listing = (struct emptied){.position = f->list_position};
+    }
+    take_operator(in, rows, count, &in->listing);
+    if (last) {
+        Intake_TakeEmptied(in, &in->listing, "store");
+    }
+}
+
+/* Changes of whichever table, up to the position of the feed. */
+static void
+take_changes(struct follow *f, struct table_row *rows, size_t count)
+{
+    struct intake *in = f->intake;
+    struct emptied e = in->emptied;
+
+    if (f == &in->rows) {
+        take_own(in, rows, count, f->position);
         return;
     }
-    take_operator(f->intake, rows, count);
+    e.position = f->position;
+    take_operator(in, rows, count, &e);
+    Intake_TakeEmptied(in, &e, "store");
 }
 
 /* A page of the whole table. The feed goes on from the first page's position,
@@ -146,7 +173,7 @@
     if (count > 0) {
         Str_Copy(f->after, sizeof(f->after), rows[count - 1].key);
     }
-    take_rows(f, rows, count, f->list_position);
+    take_page(f, rows, count, first, !more || count == 0);
     if (more && count > 0) {
         ask(f);
         return;
@@ -189,7 +216,7 @@
     if (position > f->position) {
         f->position = position;
     }
-    take_rows(f, rows, count, f->position);
+    take_changes(f, rows, count);
     tell_reading(f, true);
     ask(f);
 }
@@ -215,7 +242,8 @@
 }
 
 /* Leaves the operators' table to other entries, or reads it again from where
- * they said that they had come. */
+ * they said that they had come: no further than all is known that they told
+ * of, else what lies between would never be read. */
 void
 Follow_Leave(struct intake *in, const struct reading_left *note)
 {
@@ -223,7 +251,8 @@
 
     f->left = note->left;
     if (in->config != NULL && in->config->jobs.version >= note->version &&
-        note->position > f->position) {
+        note->position > f->position &&
+        in->emptied.position >= note->position) {
         f->position = note->position;
         f->listed = true;
     }
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -30,6 +30,9 @@
             Intake_TakeConfig(in, &d->text, "peer");
         }
     }
+    else if (m->kind == &Queue_EmptiedKind) {
+        Intake_TakeEmptied(in, &((struct emptied_told *)m)->emptied, "entry");
+    }
     else if (m->kind == &Queue_LeftKind) {
         Follow_Leave(in, (struct reading_left *)m);
     }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -53,6 +53,8 @@
     struct row_tree cache;
     struct shown_tree jobs;
     struct queue_config *config;
+    struct emptied emptied; /* failure domains, as far as is known */
+    struct emptied listing; /* the same, while the table is listed */
     bool draining;
     bool owner_wants_all;
     TAILQ_HEAD(, open_call) open; /* which the store has not answered */
@@ -96,6 +98,12 @@
  * moved. */
 void Intake_TakeConfig(struct intake *in, struct buf *text, const char *from);
 
+/* ---- queue-domains.c */
+/* Takes which failure domains are emptied, from the store or from another
+ * entry, and tells the owner and the links. */
+void Intake_TakeEmptied(struct intake *in, const struct emptied *later,
+                        const char *from);
+
 /* ---- queue-entries.c */
 void Entries_Start(struct intake *in);
 void Entries_Stop(struct intake *in);
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -185,6 +185,9 @@
     else if (m->kind == &Queue_ConfigKind) {
         Configs_Changed(l, (struct config_in_force *)m);
     }
+    else if (m->kind == &Queue_EmptiedKind) {
+        Configs_Emptied(l, &((struct emptied_told *)m)->emptied);
+    }
     else if (m->kind == &Queue_ReadKind) {
         l->read = *(struct operators_read *)m;
     }
--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -59,6 +59,8 @@
     struct wire_list entries; /* struct wire_entry */
     struct documents *documents;
     struct operators_read read; /* as last told by the intake */
+    struct emptied emptied;     /* the same; failure domains */
+    bool any_emptied;           /* one was, while this process lives */
     bool left;                  /* the reading, to our sources */
     char best[NAME_SIZE];       /* entry that reaches the store best */
     ev_timer tick;
@@ -87,6 +89,8 @@
                    const struct wire_peer *m);
 /* Takes the configuration in force, and sends it to those who ask for it. */
 void Configs_Changed(struct links *l, struct config_in_force *note);
+/* Takes which failure domains are emptied, as this entry knows. */
+void Configs_Emptied(struct links *l, const struct emptied *e);
 /* Takes a configuration of another entry. */
 void Configs_Take(struct peer *p, const struct wire_document *m);
 /* Takes what another entry says of its reading. */
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -150,6 +150,7 @@
 const struct message_kind Queue_BestKind = {"best-entry", NULL};
 const struct message_kind Queue_ReadKind = {"operators-read", NULL};
 const struct message_kind Queue_LeftKind = {"reading-left", NULL};
+const struct message_kind Queue_EmptiedKind = {"emptied", NULL};
 
 /* Posts to a task by name. */
 void
--- a/packages/queue/queue-office.c
+++ b/packages/queue/queue-office.c
@@ -110,7 +110,11 @@
  * Failure: this entry was cut from the store for a while, and hears of it
  * again. Symptom: the owner's last beat that it knows is old, and it deposes a
  * living owner. Silence therefore counts from the moment since when the feed
- * has come without a gap. */
+ * has come without a gap.
+ *
+ * Failure: an entry that has just begun has a configuration from another one,
+ * and has not read which failure domains are emptied. Symptom: as the owner it
+ * starts tasks there. It claims nothing before it knows. */
 void
 Office_Consider(struct owner *o)
 {
@@ -124,7 +128,8 @@
     bool ours_before = strcmp(o->row_name, s->name) == 0 && !Office_IsOurs(o);
 
     if (o->draining || o->rows_seen_ms == 0 ||
-        now - o->rows_seen_ms > FEED_GAP_MS || o->config == NULL) {
+        now - o->rows_seen_ms > FEED_GAP_MS || o->config == NULL ||
+        o->emptied.position == 0) {
         return;
     }
     if (ours_before || (nobody && now - heard > own) ||
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -128,6 +128,7 @@
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
     Str_Copy(r.worker, sizeof(r.worker), m->worker);
     Str_Copy(r.service, sizeof(r.service), m->service);
+    Str_Copy(r.domain, sizeof(r.domain), m->domain);
     r.capacity =
         (struct jobs_need){m->millicores, m->memory_mb, m->accelerators};
     r.draining = m->draining != 0;
--- /dev/null
+++ b/packages/queue/queue-owner-domains.c
@@ -0,0 +1,60 @@
+#include "queue-owner.h"
+
+/* Says how the guarantees fit what is left. */
+static void
+log_guarantees(const struct owner *o)
+{
+    int64_t usable, guaranteed;
+
+    Jobs_Guarantees(o->book, &usable, &guaranteed);
+    if (usable < guaranteed) {
+        LOG_W("guarantees_short", KV_INT("accelerators", usable),
+              KV_INT("guaranteed", guaranteed),
+              KV_INT("domains_emptied", o->emptied.domains.count));
+        return;
+    }
+    LOG_I("guarantees_fit", KV_INT("accelerators", usable),
+          KV_INT("guaranteed", guaranteed),
+          KV_INT("domains_emptied", o->emptied.domains.count));
+}
+
+/* Tells the book. */
+void
+OwnerDomains_Tell(struct owner *o)
+{
+    Jobs_SetEmptied(o->book, &o->emptied.domains);
+}
+
+/* Takes which failure domains are emptied; the book knows within the turn. */
+void
+OwnerDomains_Take(struct owner *o, const struct emptied *e)
+{
+    o->emptied = *e;
+    o->emptied_ms = Clock_NowMs();
+    if (o->book == NULL) {
+        return;
+    }
+    OwnerDomains_Tell(o);
+    log_guarantees(o);
+    Owner_Soon(o);
+}
+
+/* What is emptied, for operators. */
+json_t *
+OwnerDomains_State(const struct owner *o)
+{
+    const struct jobs_domains *d = &o->emptied.domains;
+    int64_t usable, guaranteed;
+    json_t *list = json_array();
+
+    Jobs_Guarantees(o->book, &usable, &guaranteed);
+    for (size_t i = 0; i < d->count; i++) {
+        json_array_append_new(
+            list, json_pack("{s:s,s:I}", "domain", d->names[i], "tasks_there",
+                            (json_int_t)Jobs_TasksIn(o->book, d->names[i])));
+    }
+    return json_pack("{s:o,s:I,s:I,s:I}", "domains", list, "changed_ms_ago",
+                     (json_int_t)(Clock_NowMs() - o->emptied_ms),
+                     "accelerators_usable", (json_int_t)usable,
+                     "accelerators_guaranteed", (json_int_t)guaranteed);
+}
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -178,6 +178,9 @@
     else if (m->kind == &Queue_ConfigKind) {
         take_config(o, ((struct config_in_force *)m)->config);
     }
+    else if (m->kind == &Queue_EmptiedKind) {
+        OwnerDomains_Take(o, &((struct emptied_told *)m)->emptied);
+    }
 }
 
 /* Begins to end: the office is given back. */
@@ -198,6 +201,7 @@
 
     if (o->book != NULL) {
         json_object_set_new(v, "book", Jobs_State(o->book));
+        json_object_set_new(v, "emptied", OwnerDomains_State(o));
     }
     return v;
 }
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -31,6 +31,8 @@
     struct task task;
     struct table *store;
     struct queue_config *config;
+    struct emptied emptied; /* failure domains, as the intake told */
+    int64_t emptied_ms;     /* when that changed */
     enum office office;
     bool draining;
     bool released;
@@ -108,6 +110,14 @@
 /* ---- queue-batch.c */
 void Batch_Start(struct owner *o);
 
+/* ---- queue-owner-domains.c */
+/* Takes which failure domains are emptied. */
+void OwnerDomains_Take(struct owner *o, const struct emptied *e);
+/* Tells the book, which has just been made. */
+void OwnerDomains_Tell(struct owner *o);
+/* For operators: what is emptied, and what still runs there. */
+json_t *OwnerDomains_State(const struct owner *o);
+
 /* ---- queue-advice.c */
 void Advice_Ask(struct owner *o);
 
--- a/packages/queue/queue-rows.c
+++ b/packages/queue/queue-rows.c
@@ -14,10 +14,10 @@
                                    "Times this entry became the owner.", NULL,
                                    COUNTER_TOTAL};
 
-/* True for a row that a caller's cancelling wrote: an object. Whatever else
- * stands under that key cancels nothing. */
+/* True for an object. Whatever else stands in a row that asks for something
+ * by being there asks for nothing. */
 bool
-Queue_IsStop(const struct buf *value)
+Queue_IsObject(const struct buf *value)
 {
     json_t *o = json_loadb(value->data != NULL ? value->data : "", value->len,
                            0, NULL);
@@ -90,7 +90,7 @@
         const char *key = r->rows[i].key;
 
         if (strncmp(key, "stop/", 5) == 0 && r->rows[i].version != 0 &&
-            Queue_IsStop(&r->rows[i].value)) {
+            Queue_IsObject(&r->rows[i].value)) {
             Jobs_Cancel(o->book, key + 5, Clock_NowMs());
         }
     }
@@ -137,6 +137,7 @@
     if (o->config != NULL) {
         Jobs_SetConfig(o->book, &o->config->jobs);
     }
+    OwnerDomains_Tell(o);
     take_jobs(o, r);
     Jobs_TakeOver(o->book, o->dead_before ? lost : lost + BLIND_MS, now);
     for (size_t i = 0; i < LEFT_MAX; i++) {
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -36,6 +36,7 @@
 #include "jobs.h"
 #include "kernel.h"
 #include "platform.h"
+#include "queue-emptied.h"
 #include "wire.h"
 
 #ifdef __cplusplus
@@ -74,6 +75,7 @@
                        char why[128]);
     const char *config_table; /* where operators write */
     const char *config_key;
+    const char *emptied_prefix; /* of rows there that empty a domain */
     const char *own_table;
 };
 
@@ -185,6 +187,13 @@
     uint64_t position;
 };
 
+/* intake -> owner, links: the failure domains that are emptied; links ->
+ * intake: what another entry says of them. */
+struct emptied_told {
+    struct message base;
+    struct emptied emptied;
+};
+
 /* intake -> owner: rows of the own table that changed; version 0: dropped.
  * all: every row there is, in answer to struct rows_wanted. */
 struct rows_changed {
@@ -261,14 +270,16 @@
 extern const struct message_kind Queue_BestKind;
 extern const struct message_kind Queue_ReadKind;
 extern const struct message_kind Queue_LeftKind;
+extern const struct message_kind Queue_EmptiedKind;
 
 #define TASK_INTAKE "intake"
 #define TASK_OWNER "owner"
 #define TASK_LINKS "queue-links"
 #define TASK_STORE "store"
 
-/* True for the value of a stop/ row that cancels its job. */
-bool Queue_IsStop(const struct buf *value);
+/* True for the value of a row that asks for something by being there: a stop/
+ * row that cancels its job, or the emptying of a failure domain. */
+bool Queue_IsObject(const struct buf *value);
 
 /* Posts when that task runs; frees m otherwise. */
 void Queue_Post(struct kernel *k, const char *task, struct message *m,
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -99,6 +99,7 @@
     m->draining = w->said.draining;
     m->term = call->term;
     m->clock_ms = seen->clock_ms;
+    Str_Copy(m->domain, sizeof(m->domain), s->failure_domain);
     fill_lists(w, seen, m);
     Wire_ListCopy(&w->ended, &m->ended, sizeof(struct wire_end));
     fill_stopped(w, call->number, m);
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -222,7 +222,8 @@
     I(wire_look, clock_ms),
     LIST(wire_look, running, run_table),
     LIST(wire_look, ended, end_table),
-    LIST(wire_look, stopped, stopped_table)};
+    LIST(wire_look, stopped, stopped_table),
+    NAME(wire_look, domain)};
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
@@ -253,7 +254,8 @@
     U(wire_document, digest), BUF(wire_document, packed)};
 
 static const struct wire_field reader[] = {
-    U(wire_reader, version), U(wire_reader, position), I(wire_reader, age_ms)};
+    U(wire_reader, version), U(wire_reader, position), I(wire_reader, age_ms),
+    U(wire_reader, emptied_at), LIST(wire_reader, emptied, label_table)};
 
 static const struct wire_field store_op_fields[] = {
     U(wire_store_op, verb), NAME(wire_store_op, table),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -406,6 +406,7 @@
     struct wire_list running; /* struct wire_run */
     struct wire_list ended;   /* struct wire_end */
     struct wire_list stopped; /* struct wire_stopped */
+    char domain[NAME_SIZE];   /* failure domain of the worker's machine */
 };
 
 struct wire_hail {
@@ -467,12 +468,15 @@
 };
 
 /* Up to that position the operators' table has no configuration newer than
- * this version. */
+ * this version; at emptied_at, these failure domains were asked to be emptied,
+ * and no others (0: not known). */
 struct wire_reader {
     struct wire_msg msg;
     uint64_t version;
     uint64_t position;
     int64_t age_ms; /* since the table was read; -1: it is not, or slowly */
+    uint64_t emptied_at;
+    struct wire_list emptied; /* struct wire_label */
 };
 
 enum wire_store_verb {
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -16,7 +16,8 @@
 target_link_libraries(hosted-foreign-test PRIVATE sodium)
 pf_process_test(hosted-evacuate-test hosted-evacuate-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
-                fake-hosted-store fake-hosted-worker fake-hosted-adviser)
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser
+                fake-relay)
 target_link_libraries(hosted-evacuate-test PRIVATE sodium)
 pf_process_test(hosted-large-test hosted-large-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall fake-hosted-store
@@ -25,5 +26,8 @@
 pf_test(queue-documents-test queue-documents-test.cc PACKAGES queue)
 set_tests_properties(queue-documents-test PROPERTIES
                      ENVIRONMENT "RC_PARAMS=seed=20261203 max_success=300")
+pf_test(queue-emptied-test queue-emptied-test.cc PACKAGES queue)
+set_tests_properties(queue-emptied-test PROPERTIES
+                     ENVIRONMENT "RC_PARAMS=seed=20261203 max_success=500")
 pf_test(hosted-test hosted-test.cc PACKAGES hosted-entry)
 pf_test(hosted-agent-test hosted-agent-test.cc PACKAGES hosted-agent)
--- a/tests/jobs-property.cc
+++ b/tests/jobs-property.cc
@@ -1,7 +1,8 @@
 /* Random days: jobs of all kinds, workers that crash, hide, stand, fail and
  * come again, orders lost or carried out late, a store that is away, owners
- * that change. At every moment no task runs twice; after the troubles every
- * job that can be done is done. */
+ * that change, failure domains that are emptied and taken back. At every
+ * moment no task runs twice; after the troubles every job that can be done is
+ * done. */
 #include "jobs-world.h"
 
 #include <gtest/gtest.h>
@@ -39,7 +40,7 @@
 {
     Worker &some = w.workers[(dice >> 4) % w.workers.size()];
 
-    switch (dice % 10) {
+    switch (dice % 11) {
     case 0:
         some.reachable = !some.reachable;
         break;
@@ -67,6 +68,11 @@
     case 8:
         some.slow = some.slow > 1 ? 1 : 5;
         break;
+    case 9:
+        w.Empty((dice >> 6) % 4 == 0   ? std::set<std::string>{"a", "b"}
+                : (dice >> 6) % 4 == 1 ? std::set<std::string>{"b"}
+                                       : std::set<std::string>{});
+        break;
     default:
         w.Cancel("a" + std::to_string((dice >> 6) % JOBS));
     }
@@ -76,6 +82,7 @@
 void
 Mend(World &w)
 {
+    w.Empty({});
     w.store_up = true;
     w.lose_orders = 0;
     w.late_ms = 0;
@@ -94,6 +101,8 @@
     World w(4, "urgent:0:3 batch:2:4");
     int troubles = static_cast<int>(dice() % 40);
 
+    w.workers[2].domain = w.workers[3].domain = "b";
+
     for (int i = 0; i < JOBS; i++) {
         SubmitSome(w, i, static_cast<uint32_t>(dice()));
     }
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -109,6 +109,24 @@
     Jobs_Cancel(book, id.c_str(), now);
 }
 
+void
+World::TellEmptied()
+{
+    struct jobs_domains d = {};
+
+    for (const std::string &name : emptied) {
+        JobsDomains_Set(&d, name.c_str(), true);
+    }
+    Jobs_SetEmptied(book, &d);
+}
+
+void
+World::Empty(const std::set<std::string> &domains)
+{
+    emptied = domains;
+    TellEmptied();
+}
+
 const Nature &
 World::NatureOf(const std::string &task) const
 {
@@ -312,6 +330,7 @@
     Str_Copy(r.agent, sizeof(r.agent), w.agent.c_str());
     Str_Copy(r.worker, sizeof(r.worker), w.id.c_str());
     Str_Copy(r.service, sizeof(r.service), w.service.c_str());
+    Str_Copy(r.domain, sizeof(r.domain), w.domain.c_str());
     Str_Copy(r.labels[0], sizeof(r.labels[0]), "a");
     Str_Copy(r.labels[1], sizeof(r.labels[1]), w.rack.c_str());
     r.label_count = 2;
@@ -423,6 +442,9 @@
             if (o.verb == ORDER_START && rows.count(JobOf(o.task)) == 0) {
                 broken.push_back("ordered before it was written");
             }
+            if (o.verb == ORDER_START && emptied.count(w.domain) != 0) {
+                broken.push_back("ordered in an emptied domain");
+            }
             if (lose_orders > 0) {
                 lose_orders--;
                 continue;
@@ -476,6 +498,7 @@
     limits.term = ++term;
     book = Jobs_New(&limits);
     Jobs_SetConfig(book, &config);
+    TellEmptied();
     for (const auto &s : specs) {
         struct jobs_spec spec;
         auto row = rows.find(s.first);
@@ -500,6 +523,7 @@
     w.id = "life-" + std::to_string(lifetimes++);
     w.agent = old.agent;
     w.rack = old.rack;
+    w.domain = old.domain;
     w.capacity = old.capacity;
     old = w;
     return workers[at];
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -42,7 +42,7 @@
 
 /* One lifetime of a worker and the agent beside it. */
 struct Worker {
-    std::string id, agent, rack = "r1", service = "pool";
+    std::string id, agent, rack = "r1", service = "pool", domain = "a";
     struct jobs_need capacity = {16000, 64000, 8};
     bool up = true;
     bool reachable = true; /* by the owner */
@@ -76,6 +76,8 @@
                           const std::string &queue = "batch");
     void Submit(struct jobs_spec spec);
     void Cancel(const std::string &id);
+    /* Operators empty these failure domains, and no others. */
+    void Empty(const std::set<std::string> &domains);
 
     /* One turn: ends, reports, plan, write, orders; then time goes on. */
     void Turn(int64_t ms = 20);
@@ -109,6 +111,7 @@
     std::map<std::string, int> starts, fails;
     std::set<std::string> done_noted; /* tasks whose done is acknowledged */
     std::vector<std::pair<std::string, std::string>> events;
+    std::set<std::string> emptied;     /* failure domains */
     std::set<std::string> gave_way_to; /* jobs that others were stopped for */
     std::vector<std::string> broken;   /* rules that were broken */
     /* Orders that a worker carries out late. */
@@ -125,6 +128,7 @@
     int64_t late_ms = 0; /* delay of the next orders; 0: none */
 
   private:
+    void TellEmptied();
     void Advance(int64_t ms);
     int64_t PercentOf(const Worker &w, const Run &r) const;
     void Start(Worker &w, const std::string &task, uint64_t run,
--- /dev/null
+++ b/tests/queue-emptied-test.cc
@@ -0,0 +1,187 @@
+/* Which failure domains are emptied, as an entry reads and hears it. */
+#include "queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+const char *const PREFIX = "evacuate/";
+
+/* Lets e take a row; version 0: it was removed. */
+void
+Row(struct emptied *e, const std::string &key, uint64_t version,
+    const std::string &value, const struct emptied *before)
+{
+    struct table_row row = {};
+
+    row.key = Mem_Dup(key.c_str());
+    row.version = version;
+    Buf_Set(&row.value, value.data(), value.size());
+    Emptied_Row(e, &row, PREFIX, before);
+    free(row.key);
+    Buf_Free(&row.value);
+}
+
+std::set<std::string>
+Names(const struct emptied &e)
+{
+    std::set<std::string> out;
+
+    for (size_t i = 0; i < e.domains.count; i++) {
+        out.insert(e.domains.names[i]);
+    }
+    return out;
+}
+
+struct Case {
+    const char *what;
+    std::string key, value;
+    uint64_t version;
+    bool before, after; /* is "a" emptied? */
+};
+
+/* What a row of the operators' table makes of domain "a". A row that can't be
+ * read neither empties a domain nor takes that back. */
+TEST(Emptied, WhatARowSays)
+{
+    static const Case cases[] = {
+        {"asked", "evacuate/a", "{}", 5, false, true},
+        {"asked again", "evacuate/a", "{}", 5, true, true},
+        {"removed", "evacuate/a", "", 0, true, false},
+        {"nonsense over it", "evacuate/a", "\x01nonsense", 5, true, true},
+        {"a list over it", "evacuate/a", "[]", 5, true, true},
+        {"emptied over it", "evacuate/a", "", 5, true, true},
+        {"nonsense alone", "evacuate/a", "nonsense", 5, false, false},
+        {"another table's row", "config", "{}", 5, false, false},
+        {"no name", "evacuate/", "{}", 5, false, false},
+        {"no name of ours", "evacuate/a/b c", "{}", 5, false, false},
+    };
+
+    for (const Case &c : cases) {
+        struct emptied e = {};
+
+        JobsDomains_Set(&e.domains, "a", c.before);
+        struct emptied before = e;
+        Row(&e, c.key, c.version, c.value, &before);
+        EXPECT_EQ(JobsDomains_Has(&e.domains, "a"), c.after) << c.what;
+        EXPECT_EQ(e.domains.count, c.after ? 1u : 0u) << c.what;
+    }
+}
+
+TEST(Emptied, TheFirstThatIsKnownIsNewsAlsoWhenItNamesNone)
+{
+    struct emptied e = {}, none = {}, again = {};
+
+    none.position = 3;
+    again.position = 4;
+    EXPECT_TRUE(Emptied_Take(&e, &none));
+    EXPECT_FALSE(Emptied_Take(&e, &again));
+    EXPECT_EQ(e.position, 4u);
+}
+
+/* A domain is emptied and taken back. Another entry's word that it is emptied
+ * was held up, and arrives last: the domain must not be left unused for ever.
+ */
+TEST(Emptied, ALateWordBringsNothingBack)
+{
+    struct emptied e = {}, asked = {}, back = {};
+
+    asked.position = 7;
+    JobsDomains_Set(&asked.domains, "a", true);
+    back.position = 9;
+    EXPECT_TRUE(Emptied_Take(&e, &asked));
+    EXPECT_TRUE(Emptied_Take(&e, &back));
+    EXPECT_FALSE(Emptied_Take(&e, &asked));
+    EXPECT_TRUE(Names(e).empty());
+}
+
+/* What an operator did, one step a position from 1 on. */
+struct Step {
+    std::string domain;
+    bool asked;
+};
+
+/* The set as of a position. */
+std::set<std::string>
+Truth(const std::vector<Step> &steps, uint64_t position)
+{
+    std::set<std::string> out;
+
+    for (uint64_t i = 0; i < position; i++) {
+        if (steps[i].asked) {
+            out.insert(steps[i].domain);
+        }
+        else {
+            out.erase(steps[i].domain);
+        }
+    }
+    return out;
+}
+
+struct emptied
+As(const std::vector<Step> &steps, uint64_t position)
+{
+    struct emptied e = {};
+
+    e.position = position;
+    for (const std::string &name : Truth(steps, position)) {
+        JobsDomains_Set(&e.domains, name.c_str(), true);
+    }
+    return e;
+}
+
+/* An entry reads by the feed from any position on, lists anew, and hears words
+ * of others that are old or new, in any order. What it holds is always true as
+ * of its position, and the position never falls. */
+RC_GTEST_PROP(Emptied, WhatIsHeldIsTrueAsOfItsPosition, ())
+{
+    std::mt19937 dice(*rc::gen::noShrink(
+        rc::gen::resize(100, rc::gen::arbitrary<uint32_t>())));
+    std::vector<Step> steps;
+    struct emptied e = {};
+    uint64_t feed = 0;
+
+    for (int i = 0; i < 60; i++) {
+        steps.push_back({std::string(1, static_cast<char>('a' + dice() % 4)),
+                         dice() % 2 == 0});
+    }
+    for (int i = 0; i < 80; i++) {
+        uint64_t now = std::min<uint64_t>(60, 1 + static_cast<uint64_t>(i));
+        uint64_t before = e.position;
+        struct emptied heard;
+
+        switch (dice() % 3) {
+        case 0: /* the feed goes on from where it was */
+            if (feed == 0 || feed >= now) {
+                continue;
+            }
+            heard = e;
+            heard.position = feed + 1 + dice() % (now - feed);
+            for (uint64_t k = feed; k < heard.position; k++) {
+                Row(&heard, PREFIX + steps[k].domain,
+                    steps[k].asked ? k + 1 : 0, "{}", &e);
+            }
+            feed = heard.position;
+            break;
+        case 1: /* the table is listed anew */
+            feed = now;
+            heard = As(steps, now);
+            break;
+        default: /* another entry's word, late or not */
+            heard = As(steps, 1 + dice() % now);
+        }
+        Emptied_Take(&e, &heard);
+        RC_ASSERT(e.position >= before);
+        RC_ASSERT(Names(e) == Truth(steps, e.position));
+    }
+}
+
+} /* namespace */
