A pass of the book tries a step once, and lists workers once for each unit

Each waiting task was tried on every worker in four kinds of room, near and far, with and without disliked workers, each time with a new list of all workers; a gang that wants one rack tried each rack once for every worker in it; what making room costs was asked anew for each task of a gang on every worker.

Ruled out: fewer kinds of room, or fewer candidates: both change decisions.

Change: workers are listed once for a unit, and no longer only the first 512 of them; racks are tried once; costs are kept until the spot takes a task; a task that differs in nothing that decides from the one refused just before it fares as that one. bench/jobs-bench measures a pass of the pure book.

--- /dev/null
+++ b/bench/jobs.cmake
@@ -0,0 +1,2 @@
+add_executable(jobs-bench bench/jobs-bench.c)
+pf_link(jobs-bench jobs)
--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -86,6 +86,7 @@
         Worker_Free(b, w);
     }
     Size_Clear(&b->sizes);
+    free(b->spots);
     free(b);
 }
 
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -13,6 +13,7 @@
 
 struct jobs_unit;
 struct jobs_worker;
+struct spot;
 
 /* One task of a unit, and where its present run is. */
 struct jobs_task {
@@ -162,6 +163,9 @@
     struct book_tree jobs;
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
+    size_t worker_count;
+    struct spot *spots; /* of the placement under way (jobs-place.c) */
+    size_t spot_room;
     struct jobs_question question; /* none while its count is 0 */
     struct size_lines sizes;
     uint64_t row_mark;
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -1,9 +1,8 @@
 #include "jobs-book.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-#define PLACE_MAX 512 /* workers looked at for one unit */
-
 /* What counts as room. */
 enum room {
     ROOM_NOW,     /* free, and kept for nobody */
@@ -12,13 +11,18 @@
     ROOM_EVICTING /* and what lower priorities hold */
 };
 
+#define COST_UNKNOWN (-2.0) /* not asked for yet; -1 is no room at all */
+
 /* A worker that may take tasks of the unit, while it is being placed. */
 struct spot {
     struct jobs_worker *worker;
-    struct jobs_need free;
-    uint32_t taken; /* tasks of this unit */
-    uint32_t same;  /* tasks of the step that are there */
-    double cost;    /* of what is evicted for them */
+    struct jobs_need room; /* by what counts as room */
+    struct jobs_need free; /* of it, what the unit has not taken */
+    bool disliked;         /* the unit had better not go there */
+    uint32_t taken;        /* tasks of this unit */
+    uint32_t same;         /* tasks of the step that are there */
+    double cost;           /* of what is evicted for them */
+    double next_cost;      /* and for one task more; COST_UNKNOWN */
 };
 
 struct attempt {
@@ -27,7 +31,7 @@
     enum room room;
     int64_t now_ms;
     int64_t patience_ms; /* the unit can wait so long for room */
-    struct spot spots[PLACE_MAX];
+    struct spot *spots;  /* one for each worker that may run the step */
     size_t count;
     struct spot **chosen; /* one for each task of the unit */
     const char *why;      /* near, or far from its data or from each other */
@@ -142,34 +146,50 @@
     return a->free.millicores < b->free.millicores;
 }
 
-/* The spot where one more task costs the least, counting what is evicted
- * there already for tasks of this unit. */
+/* True for a spot that is tried: of that rack, if one is named. */
+static bool
+is_open(const struct attempt *a, const struct spot *s, const char *rack)
+{
+    return (a->any || !s->disliked) &&
+           (rack == NULL || strcmp(s->worker->rack, rack) == 0);
+}
+
+/* What one more task costs on a spot, counting what is evicted there already
+ * for tasks of this unit; -1: there is no room for it. It is asked for once
+ * for each task that the spot takes. */
+static double
+next_cost(const struct attempt *a, struct spot *s)
+{
+    if (s->next_cost != COST_UNKNOWN) {
+        return s->next_cost;
+    }
+    s->next_cost = Evict_Cost(s->worker, a->unit, s->taken + 1, a->now_ms);
+    if (s->next_cost >= 0 && s->next_cost >= s->cost) {
+        s->next_cost -= s->cost;
+    }
+    return s->next_cost;
+}
+
+/* The spot where one more task costs the least. */
 static struct spot *
 cheapest(struct attempt *a, const char *rack)
 {
     const struct jobs_step *step = Unit_Step(a->unit);
     struct spot *best = NULL;
-    double best_cost = 0;
 
     for (size_t i = 0; i < a->count; i++) {
         struct spot *s = &a->spots[i];
-        double cost;
 
-        if ((rack != NULL && strcmp(s->worker->rack, rack) != 0) ||
-            (step->spread > 0 && s->taken + s->same >= step->spread)) {
-            continue;
-        }
-        cost = Evict_Cost(s->worker, a->unit, s->taken + 1, a->now_ms);
-        if (cost >= 0 && cost >= s->cost) {
-            cost -= s->cost;
-        }
-        if (cost >= 0 && (best == NULL || cost < best_cost)) {
+        if (is_open(a, s, rack) &&
+            (step->spread == 0 || s->taken + s->same < step->spread) &&
+            next_cost(a, s) >= 0 &&
+            (best == NULL || s->next_cost < best->next_cost)) {
             best = s;
-            best_cost = cost;
         }
     }
     if (best != NULL) {
-        best->cost += best_cost;
+        best->cost += best->next_cost;
+        best->next_cost = COST_UNKNOWN;
     }
     return best;
 }
@@ -184,8 +204,8 @@
     for (size_t i = 0; i < a->count; i++) {
         struct spot *s = &a->spots[i];
 
-        if ((rack == NULL || strcmp(s->worker->rack, rack) == 0) &&
-            fits(s, step) && (best == NULL || is_tighter(s, best))) {
+        if (fits(s, step) && (best == NULL || is_tighter(s, best)) &&
+            is_open(a, s, rack)) {
             best = s;
         }
     }
@@ -199,8 +219,10 @@
     struct jobs_need need = Unit_Need(a->unit);
 
     for (size_t i = 0; i < a->count; i++) {
+        a->spots[i].free = a->spots[i].room;
         a->spots[i].taken = 0;
         a->spots[i].cost = 0;
+        a->spots[i].next_cost = COST_UNKNOWN;
     }
     for (uint32_t k = 0; k < a->unit->task_count; k++) {
         struct spot *best =
@@ -227,48 +249,65 @@
            (Unit_Step(u)->fills && w->share < narrow);
 }
 
-/* Lists the spots of an attempt with their room. */
+/* Lists the workers that may run the unit, once for all that is tried. */
 static void
-list_spots(struct jobs_book *b, struct attempt *a, enum room room,
-           int64_t now_ms)
+list_spots(struct jobs_book *b, struct attempt *a, int64_t now_ms)
 {
     struct jobs_worker *w;
 
+    if (b->spot_room < b->worker_count) {
+        b->spot_room = b->worker_count + b->worker_count / 2;
+        b->spots = Mem_Grow(b->spots, b->spot_room * sizeof(*b->spots));
+    }
+    a->spots = b->spots;
     a->count = 0;
-    a->room = room;
     a->now_ms = now_ms;
     RB_FOREACH (w, lifetime_tree, &b->workers) {
-        if (a->count == PLACE_MAX || !is_eligible(b, w, a->unit, now_ms) ||
-            (!a->any && is_disliked(w, a->unit, now_ms))) {
-            continue;
+        if (is_eligible(b, w, a->unit, now_ms)) {
+            a->spots[a->count++] =
+                (struct spot){.worker = w,
+                              .disliked = is_disliked(w, a->unit, now_ms),
+                              .same = count_same(w, a->unit)};
+        }
+    }
+}
+
+/* Sets what counts as room. */
+static void
+set_room(struct attempt *a, enum room room)
+{
+    a->room = room;
+    for (size_t i = 0; i < a->count; i++) {
+        a->spots[i].room = room_on(a->spots[i].worker, a);
+    }
+}
+
+/* True for the first spot of its rack. */
+static bool
+is_first_of_rack(const struct attempt *a, size_t at)
+{
+    for (size_t i = 0; i < at; i++) {
+        if (strcmp(a->spots[i].worker->rack, a->spots[at].worker->rack) == 0) {
+            return false;
         }
-        a->spots[a->count++] = (struct spot){
-            .worker = w,
-            .free = room_on(w, a),
-            .same = count_same(w, a->unit),
-        };
     }
+    return true;
 }
 
 /* Tries each rack; the data's rack alone where it has one. */
 static bool
-choose_near(struct jobs_book *b, struct attempt *a, enum room room,
-            int64_t now_ms)
+choose_near(struct attempt *a)
 {
     const struct jobs_step *step = Unit_Step(a->unit);
-    struct jobs_worker *w;
 
     if (*step->rack != '\0') {
-        list_spots(b, a, room, now_ms);
         return choose(a, step->rack);
     }
     if (!step->same_rack || a->unit->task_count == 1) {
-        list_spots(b, a, room, now_ms);
         return choose(a, NULL);
     }
-    RB_FOREACH (w, lifetime_tree, &b->workers) {
-        list_spots(b, a, room, now_ms);
-        if (is_eligible(b, w, a->unit, now_ms) && choose(a, w->rack)) {
+    for (size_t i = 0; i < a->count; i++) {
+        if (is_first_of_rack(a, i) && choose(a, a->spots[i].worker->rack)) {
             return true;
         }
     }
@@ -292,21 +331,28 @@
     return now_ms - u->ready_ms >= patience;
 }
 
+/* True when far differs from near: it has data, or a rack to share. */
+static bool
+has_far(const struct jobs_unit *u)
+{
+    const struct jobs_step *s = Unit_Step(u);
+
+    return *s->rack != '\0' || (s->same_rack && u->task_count > 1);
+}
+
 /* Chooses spots for the unit with that much room. */
 static bool
 choose_all(struct jobs_book *b, struct attempt *a, enum room room,
            int64_t now_ms)
 {
+    set_room(a, room);
     a->why = "near";
-    if (choose_near(b, a, room, now_ms)) {
+    if (choose_near(a)) {
         return true;
     }
     a->why = "far";
-    if (!may_go_far(b, a->unit, now_ms)) {
-        return false;
-    }
-    list_spots(b, a, room, now_ms);
-    return choose(a, NULL);
+    return has_far(a->unit) && may_go_far(b, a->unit, now_ms) &&
+           choose(a, NULL);
 }
 
 /* Gives the unit to the workers chosen. */
@@ -443,6 +489,18 @@
     return u->job->terms.priority == 0 ? urgent_ms : usual_ms;
 }
 
+/* True when there are workers that the unit had better not go to. */
+static bool
+has_disliked(const struct attempt *a)
+{
+    for (size_t i = 0; i < a->count; i++) {
+        if (a->spots[i].disliked) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Places a unit. */
 enum place_result
 Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
@@ -450,22 +508,21 @@
 {
     struct spot **chosen CLEANUP(Mem_FreeP) =
         Mem_Zero(u->task_count, sizeof(struct spot *));
-    struct attempt *a CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*a));
+    struct attempt a = {.unit = u, .chosen = chosen};
     enum place_result result;
 
-    a->unit = u;
-    a->chosen = chosen;
-    result = place(b, a, now_ms, may_hold);
-    a->any = true;
-    if (now_ms - u->ready_ms < pickiness_ms(u)) {
+    list_spots(b, &a, now_ms);
+    result = place(b, &a, now_ms, may_hold);
+    a.any = true;
+    if (now_ms - u->ready_ms < pickiness_ms(u) || !has_disliked(&a)) {
         return result;
     }
     if (result == PLACE_NOWHERE) {
-        return place(b, a, now_ms, may_hold);
+        return place(b, &a, now_ms, may_hold);
     }
     /* What only waits for room goes where it had better not go before that. */
-    if (result == PLACE_HELD && choose_all(b, a, ROOM_NOW, now_ms)) {
-        give(b, a, now_ms);
+    if (result == PLACE_HELD && choose_all(b, &a, ROOM_NOW, now_ms)) {
+        give(b, &a, now_ms);
         return PLACE_GIVEN;
     }
     return result;
@@ -477,9 +534,9 @@
 {
     struct spot **chosen CLEANUP(Mem_FreeP) =
         Mem_Zero(u->task_count, sizeof(struct spot *));
-    struct attempt *a CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*a));
+    struct attempt a = {.unit = u, .chosen = chosen};
 
-    a->unit = u;
-    a->chosen = chosen;
-    return choose_near(b, a, ROOM_NOW, now_ms);
+    list_spots(b, &a, now_ms);
+    set_room(&a, ROOM_NOW);
+    return choose_near(&a);
 }
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -192,13 +192,45 @@
            u->job->row_bytes + Row_StartBytes(u) <= JOBS_ROW_MAX;
 }
 
+/* The unit that found no room last in this pass, and kept none. */
+struct refusal {
+    const struct jobs_unit *unit; /* NULL: none */
+    enum place_result result;
+};
+
+/* True when a unit fares as the one refused just before it: another task of
+ * the same step, with nothing of its own that decides.
+ *
+ * Load: jobs of hundreds of tasks that wait for full workers. Without it each
+ * task of them is tried on each worker in each pass, and a pass takes longer
+ * than the time between two ends of runs. Nothing changes in between, as the
+ * refused one took no room and kept none. */
+static bool
+fares_alike(const struct refusal *r, const struct jobs_unit *u)
+{
+    const struct jobs_unit *o = r->unit;
+
+    return o != NULL && o->job == u->job && o->step == u->step &&
+           o->occurrence == u->occurrence && o->ready_ms == u->ready_ms &&
+           o->work_ms == u->work_ms && strcmp(o->avoid, u->avoid) == 0;
+}
+
 /* Places a unit; 1 when room is held for it, else 0. */
 static int
 place_waiter(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
-             bool may_hold)
+             bool may_hold, struct refusal *last)
 {
     bool first_run = u->run == 0;
-    enum place_result result = Place_Unit(b, u, now_ms, may_hold);
+    enum place_result result;
+
+    if (fares_alike(last, u)) {
+        return last->result == PLACE_HELD;
+    }
+    result = Place_Unit(b, u, now_ms, may_hold);
+    last->result = result;
+    last->unit = result == PLACE_NOWHERE || (result == PLACE_HELD && !may_hold)
+                     ? u
+                     : NULL;
 
     if (result == PLACE_NOWHERE) {
         Domain_NoteWaiting(b, u, now_ms);
@@ -217,6 +249,7 @@
 Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms)
 {
     struct waiter *list CLEANUP(Mem_FreeP) = NULL;
+    struct refusal last = {0};
     int held = 0;
     size_t count;
 
@@ -227,7 +260,8 @@
     list = collect(b, now_ms, wall_ms, &count);
     for (size_t i = 0; i < count; i++) {
         if (fits_row(list[i].unit)) {
-            held += place_waiter(b, list[i].unit, now_ms, held < HELD_MAX);
+            held +=
+                place_waiter(b, list[i].unit, now_ms, held < HELD_MAX, &last);
         }
     }
     note_seen(b);
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -40,6 +40,7 @@
     TAILQ_INIT(&w->tasks);
     TAILQ_INIT(&w->strays);
     RB_INSERT(lifetime_tree, &b->workers, w);
+    b->worker_count++;
     return w;
 }
 
@@ -161,6 +162,7 @@
 {
     clear_strays(w);
     RB_REMOVE(lifetime_tree, &b->workers, w);
+    b->worker_count--;
     free(w);
 }
 
