Decisions wait for news, and for the processor

Cause: the owner decided 3 ms after every message, and 160 agents send 400 looks a second of which most bring nothing. On an entry of 0.12 or 0.5 of a core it decided all the time; looks and callers waited in its sockets, and what it decided on was old.

Ruled out: a fixed longer pause (a strong entry would wait for nothing).

Change: Jobs_Report says whether a look brought news (a run is over, or the worker is another one); without, decisions wait for the next tick of 100 ms. A pass is followed by the next one after three times what it took, 100 ms at most, so that a slow machine keeps processor for what it decides on. parsleyfall_queue_pass_ms tells what a pass takes, units_tried in the state how many units were tried.

--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -338,14 +338,14 @@
  * done runs again. Nothing of the job starts, what runs is left alone, and its
  * row stays as it is, until its caller cancels it. */
 static void
-hold(struct jobs_job *j)
+hold(struct jobs_book *b, struct jobs_job *j)
 {
     struct jobs_unit *u;
 
     TAILQ_FOREACH (u, &j->units, entry) {
         for (uint32_t i = 0; i < u->task_count; i++) {
             if (u->tasks[i].worker != NULL) {
-                Worker_LetGo(&u->tasks[i]);
+                Worker_LetGo(b, &u->tasks[i]);
             }
         }
         u->state = UNIT_WAITING;
@@ -385,7 +385,7 @@
         err = Row_Decode(b, j, progress, len);
     }
     if (err != ERR_OK) {
-        hold(j);
+        hold(b, j);
     }
     TAILQ_INSERT_TAIL(&b->active, j, active);
     Event_Job(b, JOBS_JOB_TAKEN, j, progress != NULL ? "taken_over" : "new");
@@ -566,6 +566,7 @@
                       "used", (json_int_t)w->used.accelerators, "draining",
                       w->draining));
     }
-    return json_pack("{s:o,s:o,s:I}", "jobs", jobs, "workers", workers,
-                     "events_dropped", (json_int_t)b->events_dropped);
+    return json_pack("{s:o,s:o,s:I,s:I}", "jobs", jobs, "workers", workers,
+                     "events_dropped", (json_int_t)b->events_dropped,
+                     "units_tried", (json_int_t)b->tried);
 }
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -164,6 +164,8 @@
     TAILQ_HEAD(, jobs_job) active; /* not ended, or runs may be left */
     struct lifetime_tree workers;
     size_t worker_count;
+    uint64_t runs_over; /* runs of tasks that can't run any more, ever */
+    uint64_t tried;     /* units for which workers were looked at, ever */
     struct spot *spots; /* of the placement under way (jobs-place.c) */
     size_t spot_room;
     struct jobs_question question; /* none while its count is 0 */
@@ -208,7 +210,7 @@
 struct jobs_need Unit_Need(const struct jobs_unit *u);
 void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
 /* Takes it off again, and nothing follows from that. */
-void Worker_LetGo(struct jobs_task *t);
+void Worker_LetGo(struct jobs_book *b, struct jobs_task *t);
 void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
 void Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why);
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -511,6 +511,7 @@
     struct attempt a = {.unit = u, .chosen = chosen};
     enum place_result result;
 
+    b->tried++;
     list_spots(b, &a, now_ms);
     result = place(b, &a, now_ms, may_hold);
     a.any = true;
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -270,16 +270,31 @@
     }
 }
 
+/* True when the report shows a worker that may be used otherwise than it was.
+ */
+static bool
+is_changed(const struct jobs_book *b, const struct jobs_worker *w,
+           const struct jobs_report *r, int64_t now_ms)
+{
+    return !w->heard || !w->obeys || w->draining != r->draining ||
+           now_ms - w->report_ms > b->limits.silent_ms ||
+           strcmp(w->service, r->service) != 0 ||
+           memcmp(&w->capacity, &r->capacity, sizeof(r->capacity)) != 0;
+}
+
 /* Takes an agent's look at its worker. */
-void
+bool
 Jobs_Report(struct jobs_book *b, const struct jobs_report *r, int64_t now_ms)
 {
     struct jobs_worker *w;
+    uint64_t gone = b->runs_over;
+    bool news;
 
     if (*r->worker == '\0') {
-        return;
+        return false;
     }
     w = Book_Worker(b, r->worker, r->agent);
+    news = is_changed(b, w, r, now_ms);
     take_facts(b, w, r, now_ms);
     note_term(b, w, r->term, now_ms);
     end_earlier(b, w, now_ms);
@@ -292,6 +307,7 @@
     }
     stop_vanished(b, w, r);
     Share_Take(b, w, now_ms);
+    return news || b->runs_over != gone || !TAILQ_EMPTY(&w->strays);
 }
 
 /* A worker has left: its agent saw its word and found it gone.
@@ -300,18 +316,19 @@
  * leaves before the cut heals. Symptom: the end is lost with the worker, the
  * task runs once more, and what comes after it waits. The agent therefore
  * tells the last ends together with the leaving. */
-void
+bool
 Jobs_Left(struct jobs_book *b, const char *worker,
           const struct jobs_ended *ended, size_t count, int64_t now_ms)
 {
     struct jobs_worker *w = Book_FindWorker(b, worker);
 
     if (w == NULL) {
-        return;
+        return false;
     }
     take_ends(b, w, ended, count, now_ms);
     Worker_Lost(b, w, "left", now_ms);
     Worker_Free(b, w);
+    return true;
 }
 
 /* A worker refused a start. The order may have been sent twice, and its other
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -92,7 +92,7 @@
 
 /* Takes a task's run off its worker. */
 void
-Worker_LetGo(struct jobs_task *t)
+Worker_LetGo(struct jobs_book *b, struct jobs_task *t)
 {
     struct jobs_need need = Unit_Need(t->unit);
     struct jobs_worker *w = t->worker;
@@ -101,6 +101,7 @@
     if (t->unit->stopping) {
         Need_Add(&w->freeing, &need, -1);
     }
+    b->runs_over++;
     TAILQ_REMOVE(&w->tasks, t, on_worker);
     t->worker = NULL;
     t->confirmed = false;
@@ -186,7 +187,7 @@
         return;
     }
     Event_Task(b, JOBS_RUN_OVER, t, why)->number = now_ms - t->given_ms;
-    Worker_LetGo(t);
+    Worker_LetGo(b, t);
     for (uint32_t i = 0; i < u->task_count; i++) {
         any = any || u->tasks[i].worker != NULL;
     }
@@ -227,7 +228,7 @@
         if (u->tasks[i].worker != NULL) {
             Event_Task(b, JOBS_RUN_OVER, &u->tasks[i], "done")->number =
                 now_ms - u->tasks[i].given_ms;
-            Worker_LetGo(&u->tasks[i]);
+            Worker_LetGo(b, &u->tasks[i]);
         }
     }
     learn_size(b, u);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -307,15 +307,17 @@
 /* Appends a spec that has to be stored again and returns its job's id, or NULL
  * when there is none. */
 const char *Jobs_NextSpoiled(struct jobs_book *b, struct buf *out);
-/* An agent's look at its worker. */
-void Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
+/* An agent's look at its worker. True when it may change what is decided: a
+ * run is over, or the worker is another one than was known. Without such news
+ * decisions wait for the next turn by the clock. */
+bool Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
                  int64_t now_ms);
 /* A worker refused a start; it has not begun and may be ordered anew. */
 void Jobs_Refused(struct jobs_book *b, const char *worker, const char *task,
                   uint64_t run, const char *reason, int64_t now_ms);
 /* A worker that its agent saw leave is gone; ended is what it last listed, of
- * which some may not have been reported before. */
-void Jobs_Left(struct jobs_book *b, const char *worker,
+ * which some may not have been reported before. True when it was known. */
+bool Jobs_Left(struct jobs_book *b, const char *worker,
                const struct jobs_ended *ended, size_t count, int64_t now_ms);
 /* Runs that the rows name on workers unheard of so far end at this time at
  * the latest; called once, after all rows are in. */
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -105,13 +105,14 @@
 }
 
 /* Takes a look into the book and answers it with the next lease. */
-void
+bool
 Orders_Look(struct owner *o, const struct wire_look *m)
 {
     const struct entry_settings *s = o->task.kernel->settings;
     struct jobs_report r = {0};
     struct wire_orders *answer;
     int64_t now = Clock_NowMs();
+    bool news;
 
     if (*m->worker == '\0') {
         /* Ends that come without a worker are those of the one that left. */
@@ -119,11 +120,11 @@
         Jobs_Left(o->book, m->left, r.ended, r.ended_count, now);
         free_lists(&r);
         say(o, m->agent, new_orders(o, "")); /* it needs the term */
-        return;
+        return true;
     }
     if (!is_sound(m)) {
         Unreadable(UNREADABLE_MESSAGE, m->agent, "a look out of range");
-        return;
+        return false;
     }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
     Str_Copy(r.worker, sizeof(r.worker), m->worker);
@@ -135,10 +136,10 @@
     r.term = m->term;
     r.clock_ms = m->clock_ms;
     copy_lists(m, &r);
-    Jobs_Report(o->book, &r, now);
+    news = Jobs_Report(o->book, &r, now);
     free_lists(&r);
     if (*m->left != '\0') {
-        Jobs_Left(o->book, m->left, NULL, 0, now);
+        news = Jobs_Left(o->book, m->left, NULL, 0, now) || news;
     }
     answer = new_orders(o, m->worker);
     if (may_grant(o)) {
@@ -146,6 +147,7 @@
         Jobs_Granted(o->book, m->worker, now);
     }
     say(o, m->agent, answer);
+    return news;
 }
 
 /* Takes a refused start. */
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -5,8 +5,17 @@
 
 #define TICK_MS 100
 #define SOON_MS 3 /* what comes within it is decided and written at once */
+/* A pass is followed by the next one after this many times what it took: three
+ * quarters of the processor so stay for looks, callers and the store's
+ * answers, however slow the machine is. */
+#define REST_FACTOR 3
 #define LOADING_MS 300 /* then the rows are asked for once more */
 
+static struct counter pass_ms = {
+    "parsleyfall_queue_pass_ms",
+    "Time in which the owner decides, writes and gives orders once.", NULL,
+    COUNTER_LATENCY};
+
 /* Does what the time has brought. */
 static void
 on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
@@ -63,6 +72,7 @@
 on_soon(struct ev_loop *loop UNUSED, ev_timer *w UNUSED, int events UNUSED)
 {
     struct owner *o = w->data;
+    int64_t begun = Clock_NowMs();
 
     if (o->book == NULL || o->released) {
         return;
@@ -72,14 +82,27 @@
     Orders_Send(o);
     Advice_Ask(o);
     log_events(o);
+    o->passed_ms = Clock_NowMs();
+    o->pass_ms = o->passed_ms - begun;
+    Counter_Observe(&pass_ms, o->pass_ms);
 }
 
-/* Lets it be done soon, together with what else comes. */
+/* Lets it be done soon, together with what else comes.
+ *
+ * Load: hundreds of ends of runs and of jobs a second at an owner on a tenth
+ * of a core. Without a rest it decides all the time, looks and callers wait in
+ * its sockets, and what it decides on is seconds old. */
 void
 Owner_Soon(struct owner *o)
 {
+    int64_t rest = o->passed_ms + REST_FACTOR * o->pass_ms - Clock_NowMs();
+
+    if (rest > TICK_MS) {
+        rest = TICK_MS;
+    }
     if (!ev_is_active(&o->soon)) {
-        Timer_Set(o->task.kernel->loop, &o->soon, SOON_MS);
+        Timer_Set(o->task.kernel->loop, &o->soon,
+                  rest > SOON_MS ? rest : SOON_MS);
     }
 }
 
@@ -152,7 +175,9 @@
         return;
     }
     if (m->type == WIRE_LOOK) {
-        Orders_Look(o, (const struct wire_look *)m);
+        if (!Orders_Look(o, (const struct wire_look *)m)) {
+            return;
+        }
     }
     else if (m->type == WIRE_REFUSED) {
         Orders_Refused(o, (const struct wire_refused *)m);
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -71,6 +71,8 @@
     int64_t ask_pause_ms; /* after the last one that failed; 0: none did */
     TAILQ_HEAD(, jobs_event) kept; /* for those who ask why */
     size_t kept_count;
+    int64_t pass_ms;   /* how long the last pass took */
+    int64_t passed_ms; /* when it ended */
     ev_timer tick;
     ev_timer soon;
 };
@@ -126,7 +128,8 @@
 void QueueWhy_Clear(struct owner *o);
 
 /* ---- queue-orders.c */
-void Orders_Look(struct owner *o, const struct wire_look *m);
+/* True when it brought news (Jobs_Report). */
+bool Orders_Look(struct owner *o, const struct wire_look *m);
 void Orders_Refused(struct owner *o, const struct wire_refused *m);
 void Orders_Send(struct owner *o);
 
