An entry that has just spoken is an entry, listed or not

Cause: an entry that has just begun reads its own row and, with the pause between its asks, not yet those of the others; when the store turned its machine away then, it had dropped its seeds as not listed, and nobody was left to call the store through.

Change: one that is not listed is dropped only when it is silent and was first told of 5 s ago.

--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -24,6 +24,7 @@
     struct links *links;
     char address[NAME_SIZE];
     struct link *link;
+    int64_t made_ms;      /* when this entry was first told of it */
     int64_t opened_ms;    /* the present link */
     int64_t heard_ms;     /* last answer; 0: none on any link yet */
     int64_t store_age_ms; /* of its own way to the store; -1: none */
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -6,6 +6,10 @@
 /* A link that has brought nothing for so long is replaced: something between
  * the two ends may have lost track of it while new connections work. */
 #define SILENT_MS 2500
+/* One that the store does not list is kept for so long after it was first told
+ * of: entries start within a second of each other, and list themselves then.
+ */
+#define UNLISTED_MS 5000
 /* An entry is good to call the store through when it was heard, and the store
  * answered it, within these: two hails, and one wait of a feed and a bit. */
 #define BEST_HEARD_MS 1200
@@ -74,6 +78,7 @@
     }
     p = Mem_Zero(1, sizeof(*p));
     p->links = l;
+    p->made_ms = Clock_NowMs();
     p->store_age_ms = -1;
     p->listed = true;
     Str_Copy(p->address, sizeof(p->address), address);
@@ -83,6 +88,19 @@
     connect_peer(p);
 }
 
+/* True for one that need not be linked to any more.
+ *
+ * Failure: an entry has just begun, reads its own row and not yet those of the
+ * others, and the store turns its machine away. Symptom of dropping whoever is
+ * not listed: it has nobody to call the store through, and refuses its callers
+ * for as long. One that has just spoken is there, listed or not. */
+static bool
+is_gone(const struct peer *p, int64_t now)
+{
+    return !p->listed && now - p->heard_ms > SILENT_MS &&
+           now - p->made_ms > UNLISTED_MS;
+}
+
 /* Takes the entries that the store lists. */
 void
 Peers_TakeEntries(struct links *l, struct entries_listed *note)
@@ -100,7 +118,7 @@
         Peers_Want(l, e[i].address);
     }
     TAILQ_FOREACH_SAFE (p, &l->peers, entry, next) {
-        if (!p->listed) {
+        if (is_gone(p, Clock_NowMs())) {
             free_peer(p);
         }
     }
