One early failure is enough to leave a worker for a while

Cause: workers that fail all that they start fail within a tenth of a second to one second and so have room again at once; each drew three runs or more before it was left alone, and second attempts of gangs went to the next one. A job that fails wherever it runs took the whole fleet out of use in turn.

Ruled out: fewer failures in a row (two chance failures of large jobs are common).

Change: a failure within a quarter of the work's time leaves the worker alone, a quarter of the fleet at most; failures of a job that has failed on another worker before, and of which nothing ever ended well, count for the job; a last attempt goes, for a while, where something has ended well lately.

--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -84,6 +84,8 @@
     int64_t ended_ms;                 /* 0: has not ended */
     int64_t seen_ms[JOBS_STEPS_MAX];  /* work of a step's run; 0: not known */
     int64_t guess_ms[JOBS_STEPS_MAX]; /* the same, as its queue's runs tell */
+    char failed_on[JOBS_TEXT_SIZE];   /* first worker where a run failed; "" */
+    bool ended_well;                  /* one of its runs has ended as done */
     uint64_t sized;       /* bits of the steps that told what they took */
     int64_t objective_ms; /* it is to end so long after its arrival */
     int64_t left_ms[JOBS_STEPS_MAX]; /* from each step on to its end */
@@ -137,6 +139,7 @@
     int64_t lease_end_ms; /* our clock: nothing runs after it unheard */
     int64_t full_until_ms;
     int64_t suspect_until_ms;
+    int64_t well_ms;       /* last run that ended there as done; 0: none yet */
     int64_t slow_until_ms; /* its runs take far longer than elsewhere */
     int64_t doubt_ms;      /* last run far over its estimate; 0: none */
     char doubt_job[JOBS_ID_SIZE];
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -238,6 +238,24 @@
     return true;
 }
 
+/* True for the last run that a unit may have, and a worker on which nothing
+ * has ended well lately.
+ *
+ * Failure: several workers fail all that they start. Symptom: a task whose
+ * first run failed on one of them goes to the next, and its job is ended as
+ * failed though it could have been done. Most workers of a busy fleet have
+ * ended something within some seconds. */
+static bool
+is_risky(const struct jobs_worker *w, const struct jobs_unit *u,
+         int64_t now_ms)
+{
+    static const int64_t lately_ms = 8000; /* about two usual runs */
+
+    return u->failures > 0 &&
+           u->failures + 1 >= (uint32_t)u->job->terms.attempts &&
+           (w->well_ms == 0 || now_ms - w->well_ms > lately_ms);
+}
+
 /* True for a worker that the unit had better not go to. */
 static bool
 is_disliked(const struct jobs_worker *w, const struct jobs_unit *u,
@@ -245,7 +263,8 @@
 {
     static const int64_t narrow = 50; /* percent */
 
-    return w->slow_until_ms > now_ms || strcmp(w->id, u->avoid) == 0 ||
+    return w->slow_until_ms > now_ms || is_risky(w, u, now_ms) ||
+           strcmp(w->id, u->avoid) == 0 ||
            (Unit_Step(u)->fills && w->share < narrow);
 }
 
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -98,26 +98,78 @@
     w->clock_ms = r->clock_ms;
 }
 
-/* A worker that fails all that it starts, whatever it is, is left alone for
- * a while. Failure: a sick worker ends each task at once, so it always has
- * room and draws the next one. Symptom: jobs run out of attempts within
- * seconds. Jobs that fail by their own fault fail elsewhere too, and a single
- * end that is done clears the count, so sound workers stay in use. */
-static void
-note_health(struct jobs_book *b, struct jobs_worker *w, enum jobs_end how,
-            int64_t now_ms)
+#define FAILS_ALL 3 /* failures in a row: by chance, 2% each, at most */
+#define REST_MS                                                               \
+    4000 /* such a worker is left alone, then it is tried again               \
+          */
+/* A run that fails within this share of its work fails early. Work that fails
+ * by its own fault does so after most of it, or wherever it is run. */
+#define EARLY_SHARE 4
+/* No more than one worker in so many is left alone for one early failure each:
+ * where more fail, it is not the workers. */
+#define RESTING_SHARE 4
+
+/* How many workers are left alone now. */
+static size_t
+count_resting(const struct jobs_book *b, int64_t now_ms)
 {
-    static const uint32_t enough = 3;    /* by chance: 2% each, at most */
-    static const int64_t rest_ms = 4000; /* then it is tried again */
+    struct jobs_worker *w;
+    size_t n = 0;
+
+    RB_FOREACH (w, lifetime_tree, (struct lifetime_tree *)&b->workers) {
+        n += w->suspect_until_ms > now_ms;
+    }
+    return n;
+}
 
+/* True when a job's failure tells of the job: it has failed on another worker
+ * before, and nothing of it has ever ended well. */
+static bool
+tells_of_job(struct jobs_job *j, const struct jobs_worker *w)
+{
+    if (*j->failed_on == '\0') {
+        Str_Copy(j->failed_on, sizeof(j->failed_on), w->id);
+    }
+    return !j->ended_well && strcmp(j->failed_on, w->id) != 0;
+}
+
+/* True for a failure that is enough alone to leave its worker for a while. */
+static bool
+is_enough(const struct jobs_book *b, const struct jobs_task *t, int64_t now_ms)
+{
+    return now_ms - t->given_ms <= Pace_WorkMs(t->unit) / EARLY_SHARE &&
+           count_resting(b, now_ms) < b->worker_count / RESTING_SHARE;
+}
+
+/* Notes what an end tells of its worker. One that fails all that it starts,
+ * whatever it is, is left alone for a while.
+ *
+ * Failure: a sick worker ends each task at once, so it always has room and
+ * draws the next one. Symptom: jobs run out of attempts within seconds, gangs
+ * first, as one member is enough. One early failure is enough, therefore; else
+ * it takes some in a row. A job that fails wherever it runs costs one worker
+ * at most, and a single end that is done clears the count, so sound workers
+ * stay in use. */
+static void
+note_health(struct jobs_book *b, struct jobs_worker *w,
+            const struct jobs_task *t, enum jobs_end how, int64_t now_ms)
+{
     if (how == END_DONE) {
         w->failures_in_row = 0;
         w->suspect_until_ms = 0;
+        w->well_ms = now_ms;
+    }
+    if (how != END_FAILED || tells_of_job(t->unit->job, w)) {
+        return;
+    }
+    w->failures_in_row++;
+    if (w->failures_in_row < FAILS_ALL && !is_enough(b, t, now_ms)) {
+        return;
     }
-    if (how == END_FAILED && ++w->failures_in_row >= enough) {
-        w->suspect_until_ms = now_ms + rest_ms;
-        Event_Worker(b, w, "fails_all")->number = rest_ms;
+    if (w->suspect_until_ms <= now_ms) {
+        Event_Worker(b, w, "fails_all")->number = REST_MS;
     }
+    w->suspect_until_ms = now_ms + REST_MS;
 }
 
 static const char *const end_names[] = {
@@ -137,7 +189,7 @@
         return;
     }
     u = t->unit;
-    note_health(b, w, e->how, now_ms);
+    note_health(b, w, t, e->how, now_ms);
     if (e->how == END_DONE) {
         Unit_Done(b, u, now_ms);
         return;
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -232,6 +232,7 @@
         }
     }
     learn_size(b, u);
+    u->job->ended_well = true;
     u->stopping = false;
     u->unwritten = false;
     u->state = Unit_Step(u)->lasting && !u->dropped ? UNIT_WAITING : UNIT_DONE;
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -276,6 +276,12 @@
             const Nature &n = NatureOf(r.task);
             int present = 0, complete = 0;
 
+            if (w.fails_soon && now - r.begun_ms >= 60) {
+                Finish(w, i, END_FAILED);
+                i = static_cast<size_t>(-1);
+                continue;
+            }
+
             if (n.gang > 1) {
                 for (const Worker &o : workers) {
                     for (const Run &p : o.runs) {
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -49,7 +49,8 @@
     bool deaf = false;     /* its agent hears the owner before only */
     bool draining = false;
     bool fails_all = false;
-    bool stands = false; /* nothing makes progress */
+    bool fails_soon = false; /* and each as soon as it has begun */
+    bool stands = false;     /* nothing makes progress */
     double slow = 1;
     int64_t until = 0; /* lease of everything there */
     uint64_t term = 0;
--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -8,4 +8,5 @@
 set_tests_properties(jobs-foreign-test PROPERTIES ENVIRONMENT
                      "RC_PARAMS=seed=20261203 max_success=400 max_size=60")
 pf_test(jobs-domain-test jobs-domain-test.cc jobs-world.cc PACKAGES jobs)
+pf_test(jobs-health-test jobs-health-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-size-test jobs-size-test.cc jobs-world.cc PACKAGES jobs)
