--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -42,10 +42,8 @@
  *
  * Load: a burst of urgent gangs beside long runs. Without a bound, a gang of
  * two seconds throws away ten seconds of three others, which then wait, start
- * again and are stopped for the next one. Bounded by its own work, and with
- * units that wait while they can, 20 days of load threw away 0.032 of what was
- * owed instead of 0.062 (64 cores a worker) and 0.022 instead of 0.038 (128);
- * by 2.5 times its work, 0.033 and 0.024. The bound rises with the square of
+ * again and are stopped for the next one. Bounded by its own work, no more is
+ * thrown away than is done in its place. The bound rises with the square of
  * the waiting, faster than the runs that it waits for become dearer, so that
  * urgent work does not wait for hours for runs of hours. Work that is
  * guaranteed has no bound. */
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Units that room is kept for without knowing until when. Of 1, room for wide
- * gangs comes late; beyond 2, too much of it stands empty: 4 served no more.
- */
+/* Units that room is kept for without knowing until when. Kept for one, room
+ * for the next wide gang begins to gather only when the first has started;
+ * kept for more, room stands empty that smaller work could use. */
 #define HELD_MAX 2
 #define GONE_MS 60000 /* a silent worker without runs is forgotten */
 
--- a/packages/jobs/jobs-size.h
+++ b/packages/jobs/jobs-size.h
@@ -12,10 +12,8 @@
  * towards the queue's usual length as far as they tell nothing. Old runs are
  * forgotten.
  *
- * Over 10 loaded days of 68 workers, with urgent gangs that take twice what is
- * said and estimates off by up to seven times, it raised what callers
- * received, less what it cost, from 0.39 to 0.42 of what was owed. Where
- * estimates are right it changed nothing that 60 days could show.
+ * Load: urgent gangs that take twice what their callers say. Without it their
+ * slack is counted from the estimate, and room is made for them too late.
  */
 #ifndef JOBS_SIZE_H
 #define JOBS_SIZE_H
