--- a/packages/cli/cli-summary.c
+++ b/packages/cli/cli-summary.c
@@ -42,6 +42,12 @@
     struct tallies over;    /* how runs ended */
     struct tallies stopped; /* why they were ordered to */
     struct tallies refused; /* calls of callers */
+    struct tallies ages;    /* of runs that ended otherwise than done */
+    struct tallies gained;  /* for which queue runs were stopped */
+    struct tallies failed;  /* workers on which runs failed */
+    struct tallies queues;  /* jobs, */
+    struct tallies late;    /* those that were late, */
+    struct tallies open;    /* and those that have not ended, by queue */
 };
 
 /* Order of jobs by id. */
@@ -120,13 +126,13 @@
     t->at[i].core_s += core_s;
 }
 
-/* The job that a line names, or NULL. */
+/* The job that a line names under a key, or NULL. */
 static struct told *
-job_of(struct summary *s, const char *line)
+job_of(struct summary *s, const char *line, const char *name)
 {
     struct told key, *j;
 
-    field(line, "job", key.id);
+    field(line, name, key.id);
     if (key.id[0] == '\0') {
         return NULL;
     }
@@ -160,10 +166,49 @@
 }
 
 static void
-on_stopped(struct summary *s, struct told *j UNUSED, const char *line UNUSED,
+on_stopped(struct summary *s, struct told *j UNUSED, const char *line,
            const char *reason)
 {
+    const struct told *other = job_of(s, line, "other");
+
     count(&s->stopped, reason, 0);
+    if (other != NULL) {
+        count(&s->gained, *other->queue != '\0' ? other->queue : "unknown", 0);
+    }
+}
+
+/* The word for a run's age. */
+static const char *
+age_of(int64_t ms)
+{
+    static const struct {
+        int64_t below_ms;
+        const char *word;
+    } ages[] = {{300, "below_0.3s"},
+                {1000, "below_1s"},
+                {2000, "below_2s"},
+                {4000, "below_4s"},
+                {INT64_MAX, "4s_or_more"}};
+    size_t i = 0;
+
+    while (ms >= ages[i].below_ms) {
+        i++;
+    }
+    return ages[i].word;
+}
+
+/* Counts what a run that did not end as done tells. */
+static void
+count_lost(struct summary *s, const char *line, const char *reason,
+           double core_s)
+{
+    char worker[WORD_SIZE];
+
+    count(&s->ages, age_of(number(line, "ms")), core_s);
+    field(line, "worker", worker);
+    if (strcmp(reason, "failed") == 0 && *worker != '\0') {
+        count(&s->failed, worker, core_s);
+    }
 }
 
 static void
@@ -177,6 +222,7 @@
     count(&j->over, reason, core_s);
     if (strcmp(reason, "done") != 0) {
         j->thrown_core_s += core_s;
+        count_lost(s, line, reason, core_s);
     }
 }
 
@@ -216,22 +262,46 @@
     }
     for (size_t i = 0; i < COUNT_OF(events); i++) {
         if (strcmp(event, events[i].event) == 0 &&
-            (j = job_of(s, line)) != NULL) {
+            (j = job_of(s, line, "job")) != NULL) {
             events[i].take(s, j, line, reason);
         }
     }
 }
 
-/* Says one table: a line for each reason. */
+/* Says one table: a line for each reason, or whatever else it is by. */
 static void
-say_tallies(const char *what, const struct tallies *t)
+say_tallies(const char *what, const char *by, const struct tallies *t)
 {
     for (size_t i = 0; i < t->count; i++) {
-        printf("total %s reason=%s count=%lld core_s=%.1f\n", what,
+        printf("total %s %s=%s count=%lld core_s=%.1f\n", what, by,
                t->at[i].reason, (long long)t->at[i].count, t->at[i].core_s);
     }
 }
 
+/* True for a job that ended after its objective. */
+static bool
+is_late(const struct told *j)
+{
+    return j->accepted_ms != 0 && j->ended_ms != 0 && j->objective_ms > 0 &&
+           j->ended_ms - j->accepted_ms > j->objective_ms;
+}
+
+/* Counts a job for its queue. */
+static void
+count_job(struct summary *s, const struct told *j)
+{
+    if (*j->queue == '\0') {
+        return;
+    }
+    count(&s->queues, j->queue, j->thrown_core_s);
+    if (is_late(j)) {
+        count(&s->late, j->queue, j->thrown_core_s);
+    }
+    if (j->ended_ms == 0) {
+        count(&s->open, j->queue, j->thrown_core_s);
+    }
+}
+
 /* Says one job; -1 stands for what the logs don't tell. */
 static void
 say_job(const struct told *j)
@@ -239,7 +309,7 @@
     int64_t from = j->accepted_ms;
     int64_t wait = from != 0 && j->begun_ms != 0 ? j->begun_ms - from : -1;
     int64_t took = from != 0 && j->ended_ms != 0 ? j->ended_ms - from : -1;
-    bool late = took > j->objective_ms && j->objective_ms > 0;
+    bool late = is_late(j);
 
     printf(
         "job=%s queue=%s organisation=%s state=%s wait_ms=%lld took_ms=%lld "
@@ -269,6 +339,7 @@
     RB_FOREACH_SAFE (j, told_tree, &s->jobs, next) {
         if (code == CLI_WELL) {
             say_job(j);
+            count_job(s, j);
         }
         jobs++;
         RB_REMOVE(told_tree, &s->jobs, j);
@@ -279,9 +350,15 @@
         return CLI_FAILED;
     }
     if (code == CLI_WELL) {
-        say_tallies("run_over", &s->over);
-        say_tallies("run_stopped", &s->stopped);
-        say_tallies("call_refused", &s->refused);
+        say_tallies("run_over", "reason", &s->over);
+        say_tallies("run_stopped", "reason", &s->stopped);
+        say_tallies("call_refused", "reason", &s->refused);
+        say_tallies("run_lost", "age", &s->ages);
+        say_tallies("run_stopped_for", "queue", &s->gained);
+        say_tallies("run_failed", "worker", &s->failed);
+        say_tallies("jobs", "queue", &s->queues);
+        say_tallies("jobs_late", "queue", &s->late);
+        say_tallies("jobs_open", "queue", &s->open);
     }
     return code;
 }
--- a/tests/cli-process-test.cc
+++ b/tests/cli-process-test.cc
@@ -131,7 +131,10 @@
             "queue=q organisation=o steps=1\n" +
             head +
             "5.100Z level=info proc=b event=call_refused job=c3 "
-            "outcome=later reason=store_away\n");
+            "outcome=later reason=store_away\n" +
+            head +
+            "5.200Z level=info proc=b event=run_over reason=failed job=b2 "
+            "task=b2.0.0.0 run=1 worker=i-7 ms=120 weight=1000\n");
     Ran r = Run({"summary", "--log", first, "--log", second});
 
     EXPECT_EQ(r.code, 0) << r.err;
@@ -148,7 +151,13 @@
          {"total run_over reason=done count=1 core_s=9.0\n",
           "total run_over reason=stopped count=1 core_s=9.0\n",
           "total run_stopped reason=gives_way count=1",
-          "total call_refused reason=store_away count=1"}) {
+          "total call_refused reason=store_away count=1",
+          "total run_lost age=below_2s count=1 core_s=9.0\n",
+          "total run_lost age=below_0.3s count=1 core_s=0.1\n",
+          "total run_stopped_for queue=unknown count=1",
+          "total run_failed worker=i-7 count=1 core_s=0.1\n",
+          "total jobs queue=q count=2", "total jobs_late queue=q count=1",
+          "total jobs_open queue=q count=1"}) {
         EXPECT_NE(r.out.find(line), std::string::npos) << line << r.out;
     }
     EXPECT_EQ(Run({"summary", "--log", dir.Write("none", "x\n")}).code, 1);
