--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -99,9 +99,7 @@
 }
 
 #define FAILS_ALL 3 /* failures in a row: by chance, 2% each, at most */
-#define REST_MS                                                               \
-    4000 /* such a worker is left alone, then it is tried again               \
-          */
+#define REST_MS 4000 /* one is left alone so long, then tried again */
 /* A run that fails within this share of its work fails early. Work that fails
  * by its own fault does so after most of it, or wherever it is run. */
 #define EARLY_SHARE 4
