--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -98,7 +98,7 @@
     w->clock_ms = r->clock_ms;
 }
 
-#define FAILS_ALL 3 /* failures in a row: by chance, 2% each, at most */
+#define FAILS_ALL 3  /* failures in a row: by chance, 2% each, at most */
 #define REST_MS 4000 /* one is left alone so long, then tried again */
 /* A run that fails within this share of its work fails early. Work that fails
  * by its own fault does so after most of it, or wherever it is run. */
