Taking back the last domain of a set copies nothing onto itself with memcpy

Found by reading the change: when the dropped name is the last one, source and destination are the same, which memcpy does not allow. memmove, and the count on a line of its own. Behaviour is the same; jobs-domain-test and queue-emptied-test pass, formatter clean; linter and the whole check not run on it.

--- a/packages/jobs/jobs-domain.c
+++ b/packages/jobs/jobs-domain.c
@@ -32,7 +32,8 @@
         return ERR_OK;
     }
     if (!emptied) {
-        memcpy(d->names[i], d->names[--d->count], NAME_SIZE);
+        d->count--;
+        memmove(d->names[i], d->names[d->count], NAME_SIZE);
         return ERR_OK;
     }
     if (d->count == JOBS_DOMAINS_MAX) {
