An agent logs what was on a worker when it crashed

The logs could not tell a task that crashes its workers from a worker that crashes by itself: nothing said whether the worker had acknowledged the start, and what else was there. The agent now keeps which runs its worker has acknowledged or listed, and logs worker_crashed for each when another lifetime takes its place without having drained.

--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -62,6 +62,21 @@
     TAILQ_INSERT_TAIL(&w->stops, s, entry);
 }
 
+/* Notes which runs the worker has, or may have. */
+static void
+note_present(struct watch *w, const struct order_call *c, int err)
+{
+    if (c->verb == WIRE_START_RUN && err == ERR_OK) {
+        Present_Started(w, c->task, c->run);
+    }
+    else if (c->verb == WIRE_START_RUN && err == ERR_UNKNOWN) {
+        Present_Unanswered(w, c->task, c->run);
+    }
+    else if (c->verb == WIRE_STOP_RUN && err == ERR_OK) {
+        Present_Stopped(w, c->task, c->run);
+    }
+}
+
 /* How an order went. One without an answer is not told of: the owner sends
  * it again until a look shows its effect. */
 static void
@@ -73,6 +88,9 @@
 
     TAILQ_REMOVE(&w->calls, c, entry);
     Counter_Observe(&order_ms, Clock_NowMs() - c->sent_ms);
+    if (current) {
+        note_present(w, c, err);
+    }
     if (current && c->verb == WIRE_STOP_RUN && err == ERR_OK) {
         note_stop(w, c);
     }
--- /dev/null
+++ b/packages/runs/runs-present.c
@@ -0,0 +1,127 @@
+#include "runs-watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Finds a run that the worker has, or may have. */
+static struct present_run *
+find(const struct watch *w, const char *task, uint64_t run)
+{
+    struct present_run *p;
+
+    TAILQ_FOREACH (p, &w->present, entry) {
+        if (p->run == run && strcmp(p->task, task) == 0) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+/* Finds a run or adds it. */
+static struct present_run *
+find_or_add(struct watch *w, const char *task, uint64_t run)
+{
+    struct present_run *p = find(w, task, run);
+
+    if (p == NULL) {
+        p = Mem_Zero(1, sizeof(*p));
+        Str_Copy(p->task, sizeof(p->task), task);
+        p->run = run;
+        TAILQ_INSERT_TAIL(&w->present, p, entry);
+    }
+    return p;
+}
+
+/* Forgets one run. */
+static void
+forget(struct watch *w, struct present_run *p)
+{
+    TAILQ_REMOVE(&w->present, p, entry);
+    free(p);
+}
+
+/* The worker has acknowledged a start. */
+void
+Present_Started(struct watch *w, const char *task, uint64_t run)
+{
+    struct present_run *p = find_or_add(w, task, run);
+
+    if (!p->acknowledged) {
+        p->acknowledged = true;
+        p->begun_ms = Clock_NowMs();
+    }
+}
+
+/* A start found no answer: it may have been carried out, or may yet be. */
+void
+Present_Unanswered(struct watch *w, const char *task, uint64_t run)
+{
+    find_or_add(w, task, run);
+}
+
+/* The run is not there, and its start is refused from now on. */
+void
+Present_Stopped(struct watch *w, const char *task, uint64_t run)
+{
+    struct present_run *p = find(w, task, run);
+
+    if (p != NULL) {
+        forget(w, p);
+    }
+}
+
+/* Takes the lists of a look that was sent at that time. What was there before
+ * and is not listed any more has ended; a start without an answer may still be
+ * carried out. */
+void
+Present_Listed(struct watch *w, const struct runs_seen *seen, int64_t sent_ms)
+{
+    struct present_run *p, *next;
+    int64_t now = Clock_NowMs();
+
+    for (size_t i = 0; i < seen->running_count; i++) {
+        p = find_or_add(w, seen->running[i].task, seen->running[i].run);
+        if (p->begun_ms == 0) {
+            p->begun_ms = now;
+        }
+        p->listed_ms = now;
+    }
+    for (size_t i = 0; i < seen->ended_count; i++) {
+        Present_Stopped(w, seen->ended[i].task, seen->ended[i].run);
+    }
+    TAILQ_FOREACH_SAFE (p, &w->present, entry, next) {
+        if (p->listed_ms != now && p->begun_ms != 0 && p->begun_ms < sent_ms) {
+            forget(w, p);
+        }
+    }
+}
+
+/* How long a run was seen at work. */
+static int64_t
+worked_ms(const struct present_run *p)
+{
+    return p->listed_ms > p->begun_ms ? p->listed_ms - p->begun_ms : 0;
+}
+
+/* The worker has crashed: tells what was there. */
+void
+Present_Crashed(const struct watch *w)
+{
+    const struct present_run *p;
+
+    TAILQ_FOREACH (p, &w->present, entry) {
+        LOG_W("worker_crashed", KV("worker", w->said.lifetime),
+              KV("task", p->task), KV_INT("run", p->run),
+              KV("acknowledged", p->acknowledged ? "yes" : "no"),
+              KV_INT("worked_ms", worked_ms(p)));
+    }
+}
+
+/* Forgets all runs. */
+void
+Present_Clear(struct watch *w)
+{
+    while (!TAILQ_EMPTY(&w->present)) {
+        forget(w, TAILQ_FIRST(&w->present));
+    }
+}
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -140,6 +140,17 @@
     look(timer->data);
 }
 
+/* Another lifetime has taken the place of the present one. One that said that
+ * it ends has left; any other has crashed. */
+static void
+replace(struct watch *w)
+{
+    if (*w->said.lifetime != '\0' && !w->leaving && !w->said.draining) {
+        Present_Crashed(w);
+    }
+    Watch_Forget(w);
+}
+
 /* Takes a report, which may be the one kept as next, as that of the present
  * lifetime. */
 static void
@@ -147,7 +158,7 @@
 {
     LOG_I("worker_found", KV("worker", said->lifetime),
           KV("before", w->said.lifetime));
-    Watch_Forget(w);
+    replace(w);
     w->said = *said;
     memset(&w->next, 0, sizeof(w->next));
     look(w);
@@ -207,12 +218,13 @@
         w->looking = false;
     }
     if (err == ERR_OK && current) {
+        Present_Listed(w, seen, call->sent_ms);
         tell(w, call, seen);
     }
     else if (err == ERR_STALE && current) {
         /* Another lifetime answers at this address: this one is over. */
         Str_Copy(w->left, sizeof(w->left), call->lifetime);
-        Watch_Forget(w);
+        replace(w);
     }
     else if (err == ERR_UNREACHABLE && current && w->leaving) {
         LOG_I("worker_gone", KV("worker", call->lifetime));
@@ -240,6 +252,7 @@
     TAILQ_INSERT_TAIL(&w->look_calls, call, entry);
     call->extra = extra;
     call->number = ++w->looks;
+    call->sent_ms = Clock_NowMs();
     call->term = w->term;
     Str_Copy(call->lifetime, sizeof(call->lifetime), w->said.lifetime);
     w->worker->ops->look(w->worker, w->said.lifetime, w->term, w->last_seen,
@@ -328,6 +341,7 @@
         return;
     }
     refute(w, w->said.lifetime);
+    Present_Clear(w);
     if (strcmp(w->left, w->said.lifetime) != 0) {
         Wire_ListCopy(&w->ended, &(struct wire_list){0},
                       sizeof(struct wire_end));
@@ -498,6 +512,7 @@
         return ERR_INVALID;
     }
     TAILQ_INIT(&w->stops);
+    TAILQ_INIT(&w->present);
     TAILQ_INIT(&w->calls);
     TAILQ_INIT(&w->look_calls);
     w->worker = Runs_Site()->open_worker(k->loop, &s->hosted);
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -16,6 +16,16 @@
     TAILQ_ENTRY(confirmed_stop) entry;
 };
 
+/* A run that the worker has, or may have since its start was not answered. */
+struct present_run {
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    bool acknowledged; /* the worker has answered its start */
+    int64_t begun_ms;  /* acknowledged or first listed; 0: neither yet */
+    int64_t listed_ms; /* last listed by a look; 0: not yet */
+    TAILQ_ENTRY(present_run) entry;
+};
+
 /* An order at the worker. */
 struct order_call {
     struct watch *watch;
@@ -34,6 +44,7 @@
     char lifetime[JOBS_TEXT_SIZE];
     uint64_t number;
     uint64_t term;
+    int64_t sent_ms;
     TAILQ_ENTRY(look_call) entry;
 };
 
@@ -53,6 +64,7 @@
     bool looking;
     uint64_t looks;
     TAILQ_HEAD(, confirmed_stop) stops;
+    TAILQ_HEAD(, present_run) present;
     TAILQ_HEAD(, order_call) calls;
     TAILQ_HEAD(, look_call) look_calls;
     ev_timer again;
@@ -64,6 +76,15 @@
 void Watch_LookSoon(struct watch *w);
 void Watch_Forget(struct watch *w);
 
+/* ---- runs-present.c */
+void Present_Started(struct watch *w, const char *task, uint64_t run);
+void Present_Unanswered(struct watch *w, const char *task, uint64_t run);
+void Present_Stopped(struct watch *w, const char *task, uint64_t run);
+void Present_Listed(struct watch *w, const struct runs_seen *seen,
+                    int64_t sent_ms);
+void Present_Crashed(const struct watch *w);
+void Present_Clear(struct watch *w);
+
 /* ---- runs-orders.c */
 void Orders_Carry(struct watch *w, const struct wire_order *order);
 
