--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -2,6 +2,8 @@
  * runs under a lease that the holder renews, a fencing token, ends that are
  * listed until they are noted. A run lasts as many milliseconds as its
  * payload says; "fail" makes it fail. GET /starts tells what was started.
+ * "crash" crashes the worker as soon as its start is answered: it is there
+ * again at once, as another lifetime that runs and knows nothing.
  * One of the form "advised:MS" is refused without the adviser's ticket.
  * A run with the payload "serves" has a latency of 50 ms, to which each one
  * with the payload "fills" adds 100 ms at its full share; GET /shares tells
@@ -16,6 +18,7 @@
 #include <string.h>
 
 #define BEAT_MS 200
+#define CRASH_MS 10
 #define TASK_SIZE 128
 
 struct run {
@@ -26,6 +29,7 @@
     int64_t work_ms;
     int64_t share; /* percent */
     bool fails;
+    bool crashes;
     bool serves;
     bool fills;
     ev_timer end;
@@ -44,7 +48,9 @@
     struct task task;
     struct http_server *server;
     struct http_client *client;
-    const char *id;
+    char id[TASK_SIZE];
+    const char *first_id;
+    int lifetimes; /* beyond the first */
     const char *rack;
     const char *beats; /* address of the agent */
     const char *state;
@@ -138,11 +144,39 @@
     release(w);
 }
 
+/* Starts anew as another lifetime: whatever ran or had ended is gone. */
+static void
+crash(struct worker *w)
+{
+    struct ended *e;
+    struct run *r;
+
+    while ((r = TAILQ_FIRST(&w->runs)) != NULL) {
+        TAILQ_REMOVE(&w->runs, r, entry);
+        ev_timer_stop(w->task.kernel->loop, &r->end);
+        free(r);
+    }
+    while ((e = TAILQ_FIRST(&w->ended)) != NULL) {
+        TAILQ_REMOVE(&w->ended, e, entry);
+        free(e);
+    }
+    ev_timer_stop(w->task.kernel->loop, &w->lease);
+    w->term = 0;
+    w->ends = 0;
+    w->sequence = 0;
+    w->until_ms = 0;
+    snprintf(w->id, sizeof(w->id), "%s-%d", w->first_id, ++w->lifetimes);
+}
+
 static void
 on_end(struct ev_loop *loop UNUSED, ev_timer *t, int events UNUSED)
 {
     struct run *r = t->data;
 
+    if (r->crashes) {
+        crash(r->worker);
+        return;
+    }
     finish(r, r->fails ? "failed" : "done");
 }
 
@@ -219,7 +253,9 @@
     r->share = 100;
     r->serves = strcmp(payload, "serves") == 0;
     r->fills = strcmp(payload, "fills") == 0;
+    r->crashes = strcmp(payload, "crash") == 0;
     r->work_ms = r->fails                ? 50
+                 : r->crashes            ? CRASH_MS
                  : r->serves || r->fills ? 60000
                                          : strtoll(payload, NULL, 10);
     snprintf(started, sizeof(started), "%s/%llu", task,
@@ -407,7 +443,8 @@
         arg_print_errors(stderr, end, argv[0]);
         return 2;
     }
-    w.id = id->sval[0];
+    w.first_id = id->sval[0];
+    Str_Copy(w.id, sizeof(w.id), w.first_id);
     w.beats = beats->sval[0];
     w.starts = json_array();
     TAILQ_INIT(&w.runs);
--- /dev/null
+++ b/tests/hosted-crash-test.cc
@@ -0,0 +1,55 @@
+/* Tasks that crash the workers that start them, on the stand-in of the hosted
+ * platform. */
+#include "hosted-stack.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace harness;
+
+namespace {
+
+/* Starts of a job's tasks. */
+size_t
+StartsOf(const HostedStack &s, const std::string &job)
+{
+    std::vector<std::string> all = s.Starts();
+
+    return static_cast<size_t>(
+        std::count_if(all.begin(), all.end(), [&](const std::string &start) {
+            return start.compare(0, job.size() + 1, job + ".") == 0;
+        }));
+}
+
+/* Callers may be told "failed" after two crashes; after three, two more starts
+ * are the most that is allowed. */
+const size_t MOST_STARTS = 5;
+
+/* Guards against a task that is started for ever, as no crash of a worker is
+ * charged to it. */
+TEST(Crash, ATaskThatCrashesItsWorkersIsGivenUp)
+{
+    HostedStack s(1, 3);
+
+    ASSERT_EQ(s.Submit(0, "a1", "crash").status, 200);
+    EXPECT_TRUE(s.Ends(0, "a1", "failed")) << s.Logs();
+    EXPECT_LE(StartsOf(s, "a1"), MOST_STARTS);
+    ASSERT_EQ(s.Submit(0, "a2", "100", 3).status, 200);
+    EXPECT_TRUE(s.Ends(0, "a2", "completed")) << s.Logs();
+}
+
+/* Guards against a count of crashes that is lost with the leader that kept
+ * it. */
+TEST(Crash, TheCountOfCrashesOutlivesATakeover)
+{
+    HostedStack s(2, 3);
+
+    ASSERT_EQ(s.Submit(0, "b1", "crash").status, 200);
+    ASSERT_TRUE(WaitFor([&] { return StartsOf(s, "b1") > 0; }));
+    int left = s.KillOwner();
+    EXPECT_TRUE(s.Ends(left, "b1", "failed")) << s.Logs();
+    EXPECT_LE(StartsOf(s, "b1"), MOST_STARTS);
+}
+
+} /* namespace */
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -19,6 +19,10 @@
                 fake-hosted-store fake-hosted-worker fake-hosted-adviser
                 fake-relay)
 target_link_libraries(hosted-evacuate-test PRIVATE sodium)
+pf_process_test(hosted-crash-test hosted-crash-test.cc hosted-stack.cc
+                PACKAGES wire NEEDS parsleyfall parsleyfall-agent
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser)
+target_link_libraries(hosted-crash-test PRIVATE sodium)
 pf_process_test(hosted-relay-test hosted-relay-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
                 fake-hosted-store fake-hosted-worker fake-hosted-adviser)
