A task that crashes the workers that start it is given up

Cause: an end of a worker's lifetime (other_lifetime, left, lease_over) spends no attempt and leaves no mark on the tasks that were there. Class: a failure that destroys its own evidence. The worker that could list the end is gone, so nothing is counted.

Why this works: the agent is the one process that sees both ends of it. It keeps which runs its worker has acknowledged or listed, and tells every entry for 20 s what was on a lifetime that ended without draining. The owner charges each run once (by its number), with more blame for a crash just after the start and less on a machine that crashes under other work too, and keeps the blame in the job's row, so a takeover counts on. Three early crashes, or four of any kind, end the job as failed. A suspect starts alone where it can, and nothing joins it for a second, so that neighbours don't share its blame.

--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-book.c
@@ -30,6 +30,7 @@
     TAILQ_INIT(&b->active);
     TAILQ_INIT(&b->events);
     SLIST_INIT(&b->sizes);
+    SLIST_INIT(&b->machines);
     return b;
 }
 
@@ -86,6 +87,7 @@
         Worker_Free(b, w);
     }
     Size_Clear(&b->sizes);
+    Blame_Expire(b, INT64_MAX);
     free(b->spots);
     free(b);
 }
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -13,6 +13,7 @@
 
 struct jobs_unit;
 struct jobs_worker;
+struct machine;
 struct spot;
 
 /* One task of a unit, and where its present run is. */
@@ -35,6 +36,10 @@
     int64_t figure; /* tail latency, ms, of a task that serves, as last seen */
     int64_t share;  /* at which it may work, as last ordered; -1: not yet */
     int64_t share_sent_ms;
+    uint32_t blame;       /* for crashes of workers */
+    uint32_t crashes;     /* of workers that had a run of it */
+    uint64_t crashed_run; /* the last of these runs; 0: none */
+    bool on_probation;    /* nothing joins it on its worker */
     TAILQ_ENTRY(jobs_task) on_worker;
 };
 
@@ -59,6 +64,7 @@
     uint32_t moves;
     char checkpoint[JOBS_TEXT_SIZE];
     char avoid[JOBS_TEXT_SIZE]; /* worker where it failed or hung last */
+    char crashed_at[NAME_SIZE]; /* agent whose worker crashed under it last */
     struct jobs_task *tasks;
     uint32_t task_count;
     TAILQ_ENTRY(jobs_unit) entry;
@@ -144,10 +150,11 @@
     int64_t doubt_ms;      /* last run far over its estimate; 0: none */
     char doubt_job[JOBS_ID_SIZE];
     uint32_t failures_in_row;
-    uint64_t seen;       /* ends taken into the book */
-    uint64_t seen_batch; /* of them, those in rows being written */
-    uint64_t seen_rows;  /* of them, those stored */
-    uint64_t row_mark;   /* of the last row in which its names were counted */
+    uint32_t on_probation; /* runs here that nothing may join yet */
+    uint64_t seen;         /* ends taken into the book */
+    uint64_t seen_batch;   /* of them, those in rows being written */
+    uint64_t seen_rows;    /* of them, those stored */
+    uint64_t row_mark; /* of the last row in which its names were counted */
     TAILQ_HEAD(, jobs_task) tasks;
     TAILQ_HEAD(, stray) strays;
     RB_ENTRY(jobs_worker) by_id;
@@ -173,6 +180,7 @@
     size_t spot_room;
     struct jobs_question question; /* none while its count is 0 */
     struct size_lines sizes;
+    SLIST_HEAD(machine_list, machine) machines; /* that crashed lately */
     uint64_t row_mark;
     bool batch_open;
     bool batch_whole; /* nothing was dirty beside it */
@@ -227,12 +235,23 @@
                int64_t now_ms);
 void Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
 void Unit_Failed(struct jobs_book *b, struct jobs_unit *u);
+/* Ends the unit as failed, and drops all others of its job. */
+void Unit_GiveUp(struct jobs_book *b, struct jobs_unit *u);
 /* The worker's lifetime is over: nothing runs there. */
 void Worker_Lost(struct jobs_book *b, struct jobs_worker *w, const char *why,
                  int64_t now_ms);
 /* Ends the job when nothing is left to do. */
 void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
 
+/* ---- jobs-blame.c */
+bool Blame_IsSuspect(const struct jobs_unit *u);
+bool Blame_HasCrashed(const struct jobs_book *b, const char *agent,
+                      int64_t now_ms);
+void Blame_Expire(struct jobs_book *b, int64_t now_ms);
+void Blame_Begin(struct jobs_task *t);
+void Blame_End(struct jobs_task *t);
+void Blame_SeenAtWork(struct jobs_task *t, int64_t now_ms);
+
 /* ---- jobs-domain.c */
 /* True when nothing may start on a worker, as its failure domain is emptied.
  */
--- a/packages/jobs/jobs-event.c
+++ b/packages/jobs/jobs-event.c
@@ -4,11 +4,15 @@
 
 #define EVENTS_MAX 4096 /* that nobody has taken */
 
-static const char *const names[] = {
-    [JOBS_JOB_TAKEN] = "job_taken",     [JOBS_RUN_GIVEN] = "run_given",
-    [JOBS_RUN_STOPPED] = "run_stopped", [JOBS_RUN_OVER] = "run_over",
-    [JOBS_JOB_STATE] = "job_state",     [JOBS_JOB_WAITS] = "job_waits",
-    [JOBS_WORKER_OUT] = "worker_out"};
+static const char *const names[] = {[JOBS_JOB_TAKEN] = "job_taken",
+                                    [JOBS_RUN_GIVEN] = "run_given",
+                                    [JOBS_RUN_STOPPED] = "run_stopped",
+                                    [JOBS_RUN_OVER] = "run_over",
+                                    [JOBS_JOB_STATE] = "job_state",
+                                    [JOBS_JOB_WAITS] = "job_waits",
+                                    [JOBS_WORKER_OUT] = "worker_out",
+                                    [JOBS_CRASH_CHARGED] = "crash_charged",
+                                    [JOBS_TASK_GIVEN_UP] = "task_given_up"};
 
 /* The word of logs and counters. */
 const char *
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -27,7 +27,8 @@
 
 struct attempt {
     struct jobs_unit *unit;
-    bool any; /* workers that the unit had better not go to, too */
+    bool any;     /* workers that the unit had better not go to, too */
+    bool suspect; /* it may crash its worker */
     enum room room;
     int64_t now_ms;
     int64_t patience_ms; /* the unit can wait so long for room */
@@ -100,12 +101,13 @@
     return !Domain_IsEmptied(b, w) && Place_IsFit(b, w, u, now_ms);
 }
 
-/* As above, with what advisers say. */
+/* As above, with what advisers say, and no suspect is alone there. */
 static bool
 is_eligible(const struct jobs_book *b, const struct jobs_worker *w,
             const struct jobs_unit *u, int64_t now_ms)
 {
-    return Place_MayRun(b, w, u, now_ms) && Advice_Allows(u, w, now_ms);
+    return w->on_probation == 0 && Place_MayRun(b, w, u, now_ms) &&
+           Advice_Allows(u, w, now_ms);
 }
 
 /* Tasks of the unit's step and occurrence that a worker has. */
@@ -256,15 +258,27 @@
            (w->well_ms == 0 || now_ms - w->well_ms > lately_ms);
 }
 
+/* True for a worker where a suspect had better not start: another crash there
+ * would tell little, or take others along. */
+static bool
+is_exposed(const struct jobs_book *b, const struct attempt *a,
+           const struct jobs_worker *w)
+{
+    return a->suspect && (!TAILQ_EMPTY(&w->tasks) ||
+                          Blame_HasCrashed(b, w->agent, a->now_ms));
+}
+
 /* True for a worker that the unit had better not go to. */
 static bool
-is_disliked(const struct jobs_worker *w, const struct jobs_unit *u,
-            int64_t now_ms)
+is_disliked(const struct jobs_book *b, const struct attempt *a,
+            const struct jobs_worker *w)
 {
     static const int64_t narrow = 50; /* percent */
+    const struct jobs_unit *u = a->unit;
+    int64_t now_ms = a->now_ms;
 
-    return w->slow_until_ms > now_ms || is_risky(w, u, now_ms) ||
-           strcmp(w->id, u->avoid) == 0 ||
+    return is_exposed(b, a, w) || w->slow_until_ms > now_ms ||
+           is_risky(w, u, now_ms) || strcmp(w->id, u->avoid) == 0 ||
            (Unit_Step(u)->fills && w->share < narrow);
 }
 
@@ -281,11 +295,12 @@
     a->spots = b->spots;
     a->count = 0;
     a->now_ms = now_ms;
+    a->suspect = Blame_IsSuspect(a->unit);
     RB_FOREACH (w, lifetime_tree, &b->workers) {
         if (is_eligible(b, w, a->unit, now_ms)) {
             a->spots[a->count++] =
                 (struct spot){.worker = w,
-                              .disliked = is_disliked(w, a->unit, now_ms),
+                              .disliked = is_disliked(b, a, w),
                               .same = count_same(w, a->unit)};
         }
     }
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -242,6 +242,7 @@
     t->confirmed = true;
     t->listed_clock_ms = w->clock_ms;
     t->figure = r->figure;
+    Blame_SeenAtWork(t, now_ms);
     if (!u->begun) {
         u->begun = true;
         Book_Touch(u->job);
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -20,6 +20,11 @@
 #define TASK_BYTES 14   /* of a task that may run */
 #define WORKER_BYTES 10 /* of a worker, its names aside */
 
+/* Tasks of a job whose blame is kept in its row, at most 24 bytes each: beside
+ * JOBS_ROW_MAX that leaves the row shorter than the 64 KiB that stores bear.
+ * Beyond it, an owner that takes over begins to count anew. */
+#define BLAMED_MAX 160
+
 /* The workers that a row names. */
 struct row_workers {
     json_t *names;   /* [[agent, lifetime], ...] */
@@ -101,6 +106,29 @@
     return ranges;
 }
 
+/* Adds the tasks of a unit under which workers crashed to its row, as [index,
+ * blame, crashes, run]; room is for so many, and is lessened. */
+static void
+add_blame(json_t *row, const struct jobs_unit *u, size_t *room)
+{
+    json_t *tasks = json_array();
+
+    for (uint32_t i = 0; i < u->task_count; i++) {
+        const struct jobs_task *t = &u->tasks[i];
+
+        if (t->crashes > 0 && *room > 0) {
+            (*room)--;
+            json_array_append_new(
+                tasks, json_pack("[i,i,i,I]", (int)t->index, (int)t->blame,
+                                 (int)t->crashes, (json_int_t)t->crashed_run));
+        }
+    }
+    if (json_array_size(tasks) > 0) {
+        json_array_append(row, tasks);
+    }
+    json_decref(tasks);
+}
+
 /* Writes the progress of a job. Units that never started are left out, those
  * that are done are told as ranges, and workers by numbers: a job of thousands
  * of tasks so stays within a row. */
@@ -110,20 +138,22 @@
     struct row_workers workers = {json_array(), json_object()};
     json_t *o = json_object();
     json_t *units = json_array();
+    json_t *row;
     const struct jobs_unit *u;
     bool begun = j->first_occurrence > 0;
+    size_t blamed_room = BLAMED_MAX;
 
     TAILQ_FOREACH (u, &j->units, entry) {
         begun = begun || u->begun;
         if ((u->run == 0 && u->state == UNIT_WAITING) || is_plain_done(u)) {
             continue;
         }
-        json_array_append_new(
-            units,
-            json_pack("[i,i,i,i,I,i,i,s,o]", (int)u->occurrence, (int)u->step,
-                      (int)u->tasks[0].index, (int)u->state,
-                      (json_int_t)u->run, (int)u->failures, (int)u->begun,
-                      u->checkpoint, encode_tasks(u, &workers)));
+        row = json_pack("[i,i,i,i,I,i,i,s,o]", (int)u->occurrence,
+                        (int)u->step, (int)u->tasks[0].index, (int)u->state,
+                        (json_int_t)u->run, (int)u->failures, (int)u->begun,
+                        u->checkpoint, encode_tasks(u, &workers));
+        add_blame(row, u, &blamed_room);
+        json_array_append_new(units, row);
     }
     json_object_set_new(o, "state", json_string(state_names[j->state]));
     json_object_set_new(o, "begun", json_boolean(begun));
@@ -257,6 +287,35 @@
     return json_is_array(tasks) ? ERR_OK : ERR_INVALID;
 }
 
+/* Reads the tasks under which workers crashed; rows of before have none. Told
+ * before the tasks that run, as a run of a suspect is started otherwise. */
+static int
+decode_blame(struct jobs_unit *u, const json_t *tasks)
+{
+    int index, blame, crashes;
+    json_int_t run;
+    size_t i;
+    json_t *row;
+
+    json_array_foreach(tasks, i, row)
+    {
+        struct jobs_task *t;
+
+        if (json_unpack(row, "[i,i,i,I]", &index, &blame, &crashes, &run) !=
+                0 ||
+            (uint32_t)index < u->tasks[0].index ||
+            (uint32_t)index >= u->tasks[0].index + u->task_count ||
+            blame < 0 || crashes < 0 || run < 0) {
+            return ERR_INVALID;
+        }
+        t = &u->tasks[(uint32_t)index - u->tasks[0].index];
+        t->blame = (uint32_t)blame;
+        t->crashes = (uint32_t)crashes;
+        t->crashed_run = (uint64_t)run;
+    }
+    return tasks == NULL || json_is_array(tasks) ? ERR_OK : ERR_INVALID;
+}
+
 /* Reads one unit of a row. */
 static int
 decode_unit(struct jobs_book *b, struct jobs_job *j, json_t *row,
@@ -274,7 +333,8 @@
         state < 0 || state > UNIT_FAILED || run < 0 || failures < 0 ||
         strlen(checkpoint) >= JOBS_TEXT_SIZE ||
         (u = Book_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
-                           (uint32_t)first)) == NULL) {
+                           (uint32_t)first)) == NULL ||
+        decode_blame(u, json_array_get(row, 9)) != ERR_OK) {
         return ERR_INVALID;
     }
     u->state = (enum unit_state)state;
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -88,6 +88,7 @@
         Need_Add(&w->freeing, &need, 1);
     }
     TAILQ_INSERT_TAIL(&w->tasks, t, on_worker);
+    Blame_Begin(t);
 }
 
 /* Takes a task's run off its worker. */
@@ -102,6 +103,7 @@
         Need_Add(&w->freeing, &need, -1);
     }
     b->runs_over++;
+    Blame_End(t);
     TAILQ_REMOVE(&w->tasks, t, on_worker);
     t->worker = NULL;
     t->confirmed = false;
@@ -241,13 +243,24 @@
     Job_Settle(b, u->job, now_ms);
 }
 
+/* Gives a unit up, and with it its job. */
+void
+Unit_GiveUp(struct jobs_book *b, struct jobs_unit *u)
+{
+    struct jobs_unit *other;
+
+    TAILQ_FOREACH (other, &u->job->units, entry) {
+        Unit_Drop(b, other, "job_failed");
+    }
+    u->state = UNIT_FAILED;
+    Book_Touch(u->job);
+}
+
 /* A run ended as failed: counted once for each run, at once, so that the row
  * that lets the end be acknowledged has it. */
 void
 Unit_Failed(struct jobs_book *b, struct jobs_unit *u)
 {
-    struct jobs_unit *other;
-
     if (u->failed_run) {
         return;
     }
@@ -258,10 +271,7 @@
         u->failures < (uint32_t)u->job->terms.attempts) {
         return;
     }
-    TAILQ_FOREACH (other, &u->job->units, entry) {
-        Unit_Drop(b, other, "job_failed");
-    }
-    u->state = UNIT_FAILED;
+    Unit_GiveUp(b, u);
 }
 
 /* Nothing runs on this lifetime any more. */
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -200,6 +200,15 @@
     uint64_t run;
 };
 
+/* A run that was on a worker when that crashed. */
+struct jobs_crash {
+    char worker[JOBS_TEXT_SIZE]; /* the lifetime that is over */
+    char task[JOBS_TASK_SIZE];
+    uint64_t run;
+    bool acknowledged; /* the worker had answered its start */
+    int64_t worked_ms; /* how long it was seen at work */
+};
+
 /* What an agent knows of its worker, in one look. */
 struct jobs_report {
     char agent[NAME_SIZE];
@@ -319,6 +328,12 @@
  * which some may not have been reported before. True when it was known. */
 bool Jobs_Left(struct jobs_book *b, const char *worker,
                const struct jobs_ended *ended, size_t count, int64_t now_ms);
+/* An agent's worker has crashed with these runs on it, those of its last crash
+ * at the end; a task that has crashed too many is given up, and its job fails.
+ * Told again it changes nothing. */
+void Jobs_Crashed(struct jobs_book *b, const char *agent,
+                  const struct jobs_crash *crashes, size_t count,
+                  int64_t now_ms);
 /* Runs that the rows name on workers unheard of so far end at this time at
  * the latest; called once, after all rows are in. */
 void Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms);
@@ -361,13 +376,15 @@
  * ------------------------------------------ */
 
 enum jobs_event_kind {
-    JOBS_JOB_TAKEN,   /* number: tasks */
-    JOBS_RUN_GIVEN,   /* number: ms that it waited */
-    JOBS_RUN_STOPPED, /* ordered to stop; reason says why */
-    JOBS_RUN_OVER,    /* it can't run any more; number: ms since given */
-    JOBS_JOB_STATE,   /* reason: its new state; number: ms since taken */
-    JOBS_JOB_WAITS,   /* for what it would find room but for the reason */
-    JOBS_WORKER_OUT,  /* not used for a while, or gone for good */
+    JOBS_JOB_TAKEN,     /* number: tasks */
+    JOBS_RUN_GIVEN,     /* number: ms that it waited */
+    JOBS_RUN_STOPPED,   /* ordered to stop; reason says why */
+    JOBS_RUN_OVER,      /* it can't run any more; number: ms since given */
+    JOBS_JOB_STATE,     /* reason: its new state; number: ms since taken */
+    JOBS_JOB_WAITS,     /* for what it would find room but for the reason */
+    JOBS_WORKER_OUT,    /* not used for a while, or gone for good */
+    JOBS_CRASH_CHARGED, /* a worker crashed under it; number: its blame */
+    JOBS_TASK_GIVEN_UP, /* number: workers that crashed under it */
 };
 
 /* One decision or fact, with what decided it. Texts are constants. */
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -50,6 +50,24 @@
     }
 }
 
+/* Charges the crash of an agent's worker to what was there. */
+static void
+take_crashes(struct owner *o, const struct wire_look *m, int64_t now)
+{
+    const struct wire_crash *from = m->crashed.items;
+    struct jobs_crash *crashes CLEANUP(Mem_FreeP) =
+        Mem_Zero(m->crashed.count + 1, sizeof(*crashes));
+
+    for (size_t i = 0; i < m->crashed.count; i++) {
+        Str_Copy(crashes[i].worker, sizeof(crashes[i].worker), from[i].worker);
+        Str_Copy(crashes[i].task, sizeof(crashes[i].task), from[i].task);
+        crashes[i].run = from[i].run;
+        crashes[i].acknowledged = from[i].acknowledged != 0;
+        crashes[i].worked_ms = from[i].worked_ms;
+    }
+    Jobs_Crashed(o->book, m->agent, crashes, m->crashed.count, now);
+}
+
 /* Frees the lists of a report. */
 static void
 free_lists(struct jobs_report *r)
@@ -114,6 +132,7 @@
     int64_t now = Clock_NowMs();
     bool news;
 
+    take_crashes(o, m, now);
     if (*m->worker == '\0') {
         /* Ends that come without a worker are those of the one that left. */
         copy_lists(m, &r);
--- a/packages/runs/runs-present.c
+++ b/packages/runs/runs-present.c
@@ -103,17 +103,46 @@
     return p->listed_ms > p->begun_ms ? p->listed_ms - p->begun_ms : 0;
 }
 
+/* Forgets crashes that have been told for long enough: to the owner of then,
+ * and to one that has taken over since. */
+void
+Crashes_Expire(struct watch *w)
+{
+    static const int64_t keep_ms = 20000;
+
+    if (w->crashed.count > 0 && Clock_NowMs() - w->crashed_ms > keep_ms) {
+        free(w->crashed.items);
+        w->crashed = (struct wire_list){0};
+    }
+}
+
+/* Notes a run that was on a worker when that crashed, to be told. */
+static void
+note_crash(struct watch *w, const struct present_run *p)
+{
+    struct wire_crash *c = Wire_ListAdd(&w->crashed, sizeof(*c));
+
+    Str_Copy(c->worker, sizeof(c->worker), w->said.lifetime);
+    Str_Copy(c->task, sizeof(c->task), p->task);
+    c->run = p->run;
+    c->acknowledged = p->acknowledged;
+    c->worked_ms = worked_ms(p);
+    LOG_W("worker_crashed", KV("worker", c->worker), KV("task", c->task),
+          KV_INT("run", c->run),
+          KV("acknowledged", p->acknowledged ? "yes" : "no"),
+          KV_INT("worked_ms", c->worked_ms));
+}
+
 /* The worker has crashed: tells what was there. */
 void
-Present_Crashed(const struct watch *w)
+Present_Crashed(struct watch *w)
 {
     const struct present_run *p;
 
+    Crashes_Expire(w);
     TAILQ_FOREACH (p, &w->present, entry) {
-        LOG_W("worker_crashed", KV("worker", w->said.lifetime),
-              KV("task", p->task), KV_INT("run", p->run),
-              KV("acknowledged", p->acknowledged ? "yes" : "no"),
-              KV_INT("worked_ms", worked_ms(p)));
+        note_crash(w, p);
+        w->crashed_ms = Clock_NowMs();
     }
 }
 
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -81,6 +81,14 @@
     }
 }
 
+/* Adds what was on lifetimes that crashed lately. */
+static void
+fill_crashed(struct watch *w, struct wire_look *m)
+{
+    Crashes_Expire(w);
+    Wire_ListCopy(&m->crashed, &w->crashed, sizeof(struct wire_crash));
+}
+
 /* Tells all entries what a look has shown. */
 static void
 tell(struct watch *w, const struct look_call *call,
@@ -103,6 +111,7 @@
     fill_lists(w, seen, m);
     Wire_ListCopy(&w->ended, &m->ended, sizeof(struct wire_end));
     fill_stopped(w, call->number, m);
+    fill_crashed(w, m);
     Watch_Say(w, &m->msg);
 }
 
@@ -121,6 +130,7 @@
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->left, sizeof(m->left), w->left);
     m->term = w->term;
+    fill_crashed(w, m);
     if (*w->said.lifetime == '\0') {
         Wire_ListCopy(&m->ended, &w->ended, sizeof(struct wire_end));
     }
@@ -484,6 +494,7 @@
     ev_timer_stop(t->kernel->loop, &w->soon);
     Watch_Forget(w);
     free(w->ended.items);
+    free(w->crashed.items);
     w->worker->ops->free(w->worker);
     TAILQ_FOREACH_SAFE (order, &w->calls, entry, next_order) {
         free(order);
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -55,7 +55,9 @@
     struct worker_said next; /* names another one; "": none does */
     bool leaving;            /* it said that it ends */
     char left[JOBS_TEXT_SIZE];
-    struct wire_list ended; /* struct wire_end, of the last look */
+    struct wire_list ended;   /* struct wire_end, of the last look */
+    struct wire_list crashed; /* struct wire_crash, told for a while */
+    int64_t crashed_ms;       /* the last of them */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
     size_t past_next;
     uint64_t term;      /* highest of an owner that was heard */
@@ -82,7 +84,9 @@
 void Present_Stopped(struct watch *w, const char *task, uint64_t run);
 void Present_Listed(struct watch *w, const struct runs_seen *seen,
                     int64_t sent_ms);
-void Present_Crashed(const struct watch *w);
+void Present_Crashed(struct watch *w);
+/* Forgets crashes that have been told for long enough. */
+void Crashes_Expire(struct watch *w);
 void Present_Clear(struct watch *w);
 
 /* ---- runs-orders.c */
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -206,6 +206,11 @@
 static const struct wire_fields stopped_table =
     FIELDS(wire_stopped, stopped_fields);
 
+static const struct wire_field crash_fields[] = {
+    TEXT(wire_crash, worker), TEXT(wire_crash, task), U(wire_crash, run),
+    U(wire_crash, acknowledged), I(wire_crash, worked_ms)};
+static const struct wire_fields crash_table = FIELDS(wire_crash, crash_fields);
+
 static const struct wire_field look[] = {
     I(wire_look, stamp),
     U(wire_look, stamped_by),
@@ -223,7 +228,8 @@
     LIST(wire_look, running, run_table),
     LIST(wire_look, ended, end_table),
     LIST(wire_look, stopped, stopped_table),
-    NAME(wire_look, domain)};
+    NAME(wire_look, domain),
+    LIST(wire_look, crashed, crash_table)};
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -386,6 +386,15 @@
     uint64_t run;
 };
 
+/* A run that was on a worker when that crashed. */
+struct wire_crash {
+    char worker[WIRE_TEXT_SIZE]; /* the lifetime that is over */
+    char task[WIRE_TEXT_SIZE];
+    uint64_t run;
+    uint64_t acknowledged; /* the worker had answered its start */
+    int64_t worked_ms;     /* how long it was seen at work */
+};
+
 /* One look of an agent at its worker, said to every entry. */
 struct wire_look {
     struct wire_msg msg;
@@ -407,6 +416,7 @@
     struct wire_list ended;   /* struct wire_end */
     struct wire_list stopped; /* struct wire_stopped */
     char domain[NAME_SIZE];   /* failure domain of the worker's machine */
+    struct wire_list crashed; /* struct wire_crash, of the last seconds */
 };
 
 struct wire_hail {
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -180,6 +180,7 @@
     }
     w.until = std::max(w.until, until);
     starts[task]++;
+    CheckBudget(task);
     Run r = {task, run, now, NatureOf(task).work_ms, checkpoint};
     if (!checkpoint.empty()) {
         r.work_ms = std::max<int64_t>(100, r.work_ms - RESTORED);
@@ -264,6 +265,22 @@
             Stop(w, l.order.task, l.order.run, l.term);
         }
     }
+    for (size_t i = 0; i < workers.size(); i++) {
+        Worker &w = workers[i];
+
+        if (w.back_ms != 0 && now >= w.back_ms) {
+            w.up = true;
+            w.back_ms = 0;
+        }
+        for (const Run &r : w.runs) {
+            const Nature &n = NatureOf(r.task);
+
+            if (n.crash_ms >= 0 && now - r.begun_ms >= n.crash_ms) {
+                Crash(i);
+                break;
+            }
+        }
+    }
     for (Worker &w : workers) {
         for (End &e : w.ended) {
             e.lapsed = e.lapsed || w.until <= now;
@@ -320,6 +337,8 @@
     if (!w.up || !w.reachable) {
         return;
     }
+    Jobs_Crashed(book, w.agent.c_str(), w.crashed.data(), w.crashed.size(),
+                 now);
     if (!w.deaf) {
         w.term = std::max(w.term, term);
     }
@@ -344,9 +363,11 @@
     r.draining = w.draining;
     r.term = w.term;
     r.clock_ms = now;
-    for (const Run &run : w.runs) {
+    for (Run &run : w.runs) {
         struct jobs_running x = {};
 
+        run.listed_ms = now;
+
         Str_Copy(x.task, sizeof(x.task), run.task.c_str());
         x.run = run.run;
         x.percent = PercentOf(w, run);
@@ -535,6 +556,40 @@
     return workers[at];
 }
 
+void
+World::Crash(size_t at, int64_t down_ms)
+{
+    Worker old = workers[at];
+    Worker &w = Reborn(at);
+
+    for (const Run &r : old.runs) {
+        struct jobs_crash c = {};
+
+        Str_Copy(c.worker, sizeof(c.worker), old.id.c_str());
+        Str_Copy(c.task, sizeof(c.task), r.task.c_str());
+        c.run = r.run;
+        c.acknowledged = true;
+        c.worked_ms = r.listed_ms > r.begun_ms ? r.listed_ms - r.begun_ms : 0;
+        old.crashed.push_back(c);
+        crashes[r.task]++;
+    }
+    w.crashed = old.crashed;
+    w.up = false;
+    w.back_ms = now + down_ms;
+}
+
+/* A task that crashes its workers may be started twice more after three of
+ * them have crashed under it. */
+void
+World::CheckBudget(const std::string &task)
+{
+    static const int most = 5;
+
+    if (NatureOf(task).crash_ms >= 0 && crashes[task] >= most) {
+        broken.push_back("started again after five crashes: " + task);
+    }
+}
+
 enum jobs_state
 World::State(const std::string &id) const
 {
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -20,6 +20,7 @@
     int64_t begun_ms;
     int64_t work_ms;
     std::string checkpoint;
+    int64_t listed_ms = 0; /* by the last look */
 };
 
 struct End {
@@ -38,6 +39,8 @@
     int64_t work_ms = 1000;
     int failures = 0; /* so many runs fail */
     int gang = 1;     /* tasks of its gang */
+    /* Its worker crashes so long after each of its starts; -1: never. */
+    int64_t crash_ms = -1;
 };
 
 /* One lifetime of a worker and the agent beside it. */
@@ -45,6 +48,7 @@
     std::string id, agent, rack = "r1", service = "pool", domain = "a";
     struct jobs_need capacity = {16000, 64000, 8};
     bool up = true;
+    int64_t back_ms = 0;   /* after a crash, it is up again then */
     bool reachable = true; /* by the owner */
     bool deaf = false;     /* its agent hears the owner before only */
     bool draining = false;
@@ -62,6 +66,8 @@
     std::vector<std::pair<std::string, uint64_t>> stopped;
     std::map<std::string, int64_t> figures; /* latency, by serving task */
     std::map<std::string, int64_t> shares;  /* as ordered, by task */
+    /* What was there when the lifetimes before crashed, as its agent tells. */
+    std::vector<struct jobs_crash> crashed;
 };
 
 class World {
@@ -91,6 +97,8 @@
     void TakeOver(bool before_ended = true);
     /* The worker dies; another lifetime comes at its machine. */
     Worker &Reborn(size_t at);
+    /* The same, seen by its agent; the next lifetime is there later. */
+    void Crash(size_t at, int64_t down_ms = 3500);
 
     enum jobs_state State(const std::string &id) const;
     Worker *WorkerOf(const std::string &task);
@@ -110,7 +118,8 @@
     std::set<std::string> cancelled;
     std::map<std::string, Nature> natures; /* by task or by job */
     std::map<std::string, int> starts, fails;
-    std::set<std::string> done_noted; /* tasks whose done is acknowledged */
+    std::map<std::string, int> crashes; /* of workers that had the task */
+    std::set<std::string> done_noted;   /* tasks whose done is acknowledged */
     std::vector<std::pair<std::string, std::string>> events;
     std::set<std::string> emptied;     /* failure domains */
     std::set<std::string> gave_way_to; /* jobs that others were stopped for */
@@ -130,6 +139,7 @@
 
   private:
     void TellEmptied();
+    void CheckBudget(const std::string &task);
     void Advance(int64_t ms);
     int64_t PercentOf(const Worker &w, const Run &r) const;
     void Start(Worker &w, const std::string &task, uint64_t run,
