A start is taken back when its worker has shrunk before it goes out

A start is chosen for the room of one moment and ordered later: when its row is stored, or again when the first order was lost. A worker that does not guard its room then runs more than it has (LIMIT); one that does refuses, and the start is paid for.

Orders are now checked against the capacity last reported: what no longer fits is taken back before it goes out or is repeated, and a start waits while what is being stopped still holds its room. What runs already is left to end; room that grows is used in the next pass. Checked likewise and found sound: placement, eviction and guarantees read the capacity of the last report, reports are ordered by sequence within a lifetime, a worker of no room gets nothing.

--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -19,6 +19,26 @@
     Str_Copy(o->worker, sizeof(o->worker), w->id);
 }
 
+/* True when a worker has less than that. */
+static bool
+exceeds(const struct jobs_need *need, const struct jobs_worker *w)
+{
+    return need->millicores > w->capacity.millicores ||
+           need->memory_mb > w->capacity.memory_mb ||
+           need->accelerators > w->capacity.accelerators;
+}
+
+/* True when what is on a worker, but for what is being stopped, has no room
+ * there any more: it has shrunk. */
+static bool
+is_overcommitted(const struct jobs_worker *w)
+{
+    struct jobs_need lasting = w->used;
+
+    Need_Add(&lasting, &w->freeing, -1);
+    return exceeds(&lasting, w);
+}
+
 /* Makes the order that a task needs now, if any.
  *
  * Failure: an owner that hears nothing of the store goes on ordering a start
@@ -30,7 +50,11 @@
  * order, or its repetition. Symptom: something starts there after operators
  * were told that nothing does. What the worker has not been seen to run is
  * taken back; a start that has just gone out is looked for first, so that
- * nothing is cut that works already. */
+ * nothing is cut that works already.
+ *
+ * Failure: a worker shrinks between the choice and the order. Symptom: one
+ * that does not guard its room runs more than it has. Its starts are taken
+ * back likewise, or wait for what is being stopped. */
 static bool
 order_of(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
          int64_t now_ms, bool may_start, struct jobs_order *o)
@@ -58,6 +82,12 @@
     if (u->state == UNIT_GIVEN && !u->stopping && Domain_IsEmptied(b, w)) {
         Unit_Stop(b, u, "domain_emptied");
     }
+    if (u->state == UNIT_GIVEN && !u->stopping && is_overcommitted(w)) {
+        Unit_Stop(b, u, "worker_shrank");
+    }
+    if (u->state == UNIT_GIVEN && !u->stopping && exceeds(&w->used, w)) {
+        return false;
+    }
     if (!may_start && u->state == UNIT_GIVEN && !u->stopping) {
         return false;
     }
