A worker that starts again under the id that it had is another lifetime

Cause: a lifetime was known by its id alone. The adapter now names it by id and birth, addresses calls by the id, and takes a look with another birth for another lifetime.

The agent therefore does not say that such a lifetime has left; it tells whose heir the next one is. The book moves the runs there: what the heir lists goes on, the rest is stopped there before it starts again, after which the worker refuses a late start.

--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -177,8 +177,11 @@
 {
     const struct jobs_unit *u = t->unit;
 
-    return u->state != UNIT_DONE && u->state != UNIT_FAILED && !u->dropped &&
-           !u->job->held && c->run > t->crashed_run && c->run <= u->run;
+    bool at_work = t->confirmed && c->run == u->run;
+
+    return !at_work && u->state != UNIT_DONE && u->state != UNIT_FAILED &&
+           !u->dropped && !u->job->held && c->run > t->crashed_run &&
+           c->run <= u->run;
 }
 
 /* Gives a task up, and with it its job. */
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -304,6 +304,49 @@
     }
 }
 
+/* Moves the runs of a lifetime to its heir, where a start that is still on its
+ * way would be carried out. */
+static void
+inherit_runs(struct jobs_book *b, struct jobs_worker *from,
+             struct jobs_worker *to)
+{
+    struct jobs_task *t;
+
+    while ((t = TAILQ_FIRST(&from->tasks)) != NULL) {
+        Worker_LetGo(b, t);
+        Worker_Take(to, t);
+        t->inherited = true;
+        Book_Touch(t->unit->job);
+    }
+}
+
+/* Moves the runs of the other lifetimes that this agent had beside it. */
+static void
+inherit_earlier(struct jobs_book *b, struct jobs_worker *w)
+{
+    struct jobs_worker *other;
+
+    RB_FOREACH (other, lifetime_tree, &b->workers) {
+        if (other != w && strcmp(other->agent, w->agent) == 0) {
+            inherit_runs(b, other, w);
+        }
+    }
+}
+
+/* Stops inherited runs that the heir does not have: from then on it refuses
+ * their starts. */
+static void
+stop_inherited(struct jobs_book *b, struct jobs_worker *w)
+{
+    struct jobs_task *t;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        if (!t->confirmed) {
+            Unit_Stop(b, t->unit, "other_lifetime");
+        }
+    }
+}
+
 /* Ends the other lifetimes that this agent had beside it: a machine holds
  * one worker at a time, and this one has answered under its own id. */
 static void
@@ -339,6 +382,7 @@
 {
     struct jobs_worker *w;
     uint64_t gone = b->runs_over;
+    bool heir = *r->heir_of != '\0' && Book_FindWorker(b, r->heir_of) != NULL;
     bool news;
 
     if (*r->worker == '\0') {
@@ -348,11 +392,17 @@
     news = is_changed(b, w, r, now_ms);
     take_facts(b, w, r, now_ms);
     note_term(b, w, r->term, now_ms);
+    if (heir) {
+        inherit_earlier(b, w);
+    }
     end_earlier(b, w, now_ms);
     take_ends(b, w, r->ended, r->ended_count, now_ms);
     for (size_t i = 0; i < r->running_count; i++) {
         take_running(b, w, &r->running[i], now_ms);
     }
+    if (heir) {
+        stop_inherited(b, w);
+    }
     for (size_t i = 0; i < r->stopped_count; i++) {
         take_stopped(b, w, r, &r->stopped[i], now_ms);
     }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -213,6 +213,9 @@
 struct jobs_report {
     char agent[NAME_SIZE];
     char worker[JOBS_TEXT_SIZE]; /* its lifetime; "": none is there */
+    /* The lifetime before, when this one takes orders that were meant for it,
+     * late ones too; "": there is none. */
+    char heir_of[JOBS_TEXT_SIZE];
     char service[NAME_SIZE];
     char domain[NAME_SIZE]; /* failure domain of its machine; "": not known */
     char labels[4][JOBS_TEXT_SIZE];
@@ -328,9 +331,10 @@
  * which some may not have been reported before. True when it was known. */
 bool Jobs_Left(struct jobs_book *b, const char *worker,
                const struct jobs_ended *ended, size_t count, int64_t now_ms);
-/* An agent's worker has crashed with these runs on it, those of its last crash
- * at the end; a task that has crashed too many is given up, and its job fails.
- * Told again it changes nothing. */
+/* An agent's worker has crashed with these runs on it (told after the report
+ * of the lifetime that has taken its place, if there is one), those of its
+ * last crash at the end; a task that has crashed too many is given up, and its
+ * job fails. Told again it changes nothing. */
 void Jobs_Crashed(struct jobs_book *b, const char *agent,
                   const struct jobs_crash *crashes, size_t count,
                   int64_t now_ms);
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -15,10 +15,9 @@
 pf_package(runs USES base config http jobs kernel wire)
 
 # The adapter to the users' platform: a part for each program.
-pf_package(hosted-entry DIR platform/entry USES http platform queue)
-pf_package(hosted-agent DIR platform/agent USES http runs)
-target_include_directories(hosted-entry PUBLIC platform)
-target_include_directories(hosted-agent PUBLIC platform)
+pf_package(hosted DIR platform USES base jobs)
+pf_package(hosted-entry DIR platform/entry USES hosted http platform queue)
+pf_package(hosted-agent DIR platform/agent USES hosted http runs)
 
 add_executable(parsleyfall-agent packages/agent/main.c)
 pf_link(parsleyfall-agent agent hosted-agent cli)
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -132,12 +132,12 @@
     int64_t now = Clock_NowMs();
     bool news;
 
-    take_crashes(o, m, now);
     if (*m->worker == '\0') {
         /* Ends that come without a worker are those of the one that left. */
         copy_lists(m, &r);
         Jobs_Left(o->book, m->left, r.ended, r.ended_count, now);
         free_lists(&r);
+        take_crashes(o, m, now);
         say(o, m->agent, new_orders(o, "")); /* it needs the term */
         return true;
     }
@@ -147,6 +147,7 @@
     }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
     Str_Copy(r.worker, sizeof(r.worker), m->worker);
+    Str_Copy(r.heir_of, sizeof(r.heir_of), m->heir_of);
     Str_Copy(r.service, sizeof(r.service), m->service);
     Str_Copy(r.domain, sizeof(r.domain), m->domain);
     r.capacity =
@@ -160,6 +161,7 @@
     if (*m->left != '\0') {
         news = Jobs_Left(o->book, m->left, NULL, 0, now) || news;
     }
+    take_crashes(o, m, now);
     answer = new_orders(o, m->worker);
     if (may_grant(o)) {
         answer->until_ms = m->clock_ms + s->hosted.lease_ms;
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -100,6 +100,7 @@
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->worker, sizeof(m->worker), w->said.lifetime);
     Str_Copy(m->left, sizeof(m->left), w->left);
+    Str_Copy(m->heir_of, sizeof(m->heir_of), w->heir_of);
     Str_Copy(m->service, sizeof(m->service), w->said.service);
     m->millicores = w->said.capacity.millicores;
     m->memory_mb = w->said.capacity.memory_mb;
@@ -155,12 +156,35 @@
 static void
 replace(struct watch *w)
 {
-    if (*w->said.lifetime != '\0' && !w->leaving && !w->said.draining) {
+    if (!w->leaving && !w->said.draining) {
         Present_Crashed(w);
     }
     Watch_Forget(w);
 }
 
+/* The present lifetime is over, and the next one takes orders that were meant
+ * for it.
+ *
+ * Failure: a worker starts again under its id while a start is on its way.
+ * Symptom of saying that the lifetime has left: its runs are started
+ * elsewhere, and the start is carried out all the same. Owners are told whose
+ * heir the next one is instead, and stop those runs there first. */
+static void
+bequeath(struct watch *w)
+{
+    Str_Copy(w->heir_of, sizeof(w->heir_of), w->said.lifetime);
+    Str_Copy(w->heir_id, sizeof(w->heir_id), w->said.id);
+    replace(w);
+}
+
+/* The present lifetime is over for good. */
+static void
+end_present(struct watch *w)
+{
+    Str_Copy(w->left, sizeof(w->left), w->said.lifetime);
+    replace(w);
+}
+
 /* Takes a report, which may be the one kept as next, as that of the present
  * lifetime. */
 static void
@@ -168,7 +192,15 @@
 {
     LOG_I("worker_found", KV("worker", said->lifetime),
           KV("before", w->said.lifetime));
-    replace(w);
+    if (*w->said.lifetime != '\0' && strcmp(w->said.id, said->id) == 0) {
+        bequeath(w);
+    }
+    else if (*w->said.lifetime != '\0') {
+        end_present(w);
+    }
+    if (strcmp(w->heir_id, said->id) != 0) {
+        w->heir_of[0] = '\0';
+    }
     w->said = *said;
     memset(&w->next, 0, sizeof(w->next));
     look(w);
@@ -191,7 +223,6 @@
         return;
     }
     if (err == ERR_OK) {
-        Str_Copy(w->left, sizeof(w->left), w->said.lifetime);
         adopt(w, &w->next);
     }
     else if (err == ERR_STALE) {
@@ -231,10 +262,12 @@
         Present_Listed(w, seen, call->sent_ms);
         tell(w, call, seen);
     }
+    else if (err == ERR_STALE && current && seen->heir) {
+        bequeath(w);
+    }
     else if (err == ERR_STALE && current) {
         /* Another lifetime answers at this address: this one is over. */
-        Str_Copy(w->left, sizeof(w->left), call->lifetime);
-        replace(w);
+        end_present(w);
     }
     else if (err == ERR_UNREACHABLE && current && w->leaving) {
         LOG_I("worker_gone", KV("worker", call->lifetime));
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -55,9 +55,11 @@
     struct worker_said next; /* names another one; "": none does */
     bool leaving;            /* it said that it ends */
     char left[JOBS_TEXT_SIZE];
-    struct wire_list ended;   /* struct wire_end, of the last look */
-    struct wire_list crashed; /* struct wire_crash, told for a while */
-    int64_t crashed_ms;       /* the last of them */
+    char heir_of[JOBS_TEXT_SIZE]; /* said, or the next one, takes its orders */
+    char heir_id[JOBS_TEXT_SIZE]; /* of both */
+    struct wire_list ended;       /* struct wire_end, of the last look */
+    struct wire_list crashed;     /* struct wire_crash, told for a while */
+    int64_t crashed_ms;           /* the last of them */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
     size_t past_next;
     uint64_t term;      /* highest of an owner that was heard */
--- a/packages/runs/runs.h
+++ b/packages/runs/runs.h
@@ -38,6 +38,9 @@
     size_t running_count;
     struct jobs_ended *ended;
     size_t ended_count;
+    /* With ERR_STALE: the lifetime that answered takes orders that were meant
+     * for the one that was asked, late ones too. */
+    bool heir;
 };
 
 /* err: ERR_OK, ERR_STALE (another lifetime answered), ERR_UNREACHABLE (nobody
@@ -94,7 +97,8 @@
 struct worker_said {
     struct message base;
     char lifetime[JOBS_TEXT_SIZE];
-    bool leaves; /* it is about to end, and nothing below is set */
+    char id[JOBS_TEXT_SIZE]; /* to which its orders go; may outlive it */
+    bool leaves;             /* it is about to end, and nothing below is set */
     char service[NAME_SIZE];
     char labels[4][JOBS_TEXT_SIZE];
     uint32_t label_count;
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -229,7 +229,8 @@
     LIST(wire_look, ended, end_table),
     LIST(wire_look, stopped, stopped_table),
     NAME(wire_look, domain),
-    LIST(wire_look, crashed, crash_table)};
+    LIST(wire_look, crashed, crash_table),
+    TEXT(wire_look, heir_of)};
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -417,6 +417,9 @@
     struct wire_list stopped; /* struct wire_stopped */
     char domain[NAME_SIZE];   /* failure domain of the worker's machine */
     struct wire_list crashed; /* struct wire_crash, of the last seconds */
+    /* The lifetime before, when the worker takes its orders; "": it had none.
+     */
+    char heir_of[WIRE_TEXT_SIZE];
 };
 
 struct wire_hail {
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -9,7 +9,9 @@
  * with the payload "fills" adds 100 ms at its full share; GET /shares tells
  * the shares that were ordered.
  *
- * PUT /say with "draining" or "leave" changes what it reports. */
+ * PUT /say with "draining" or "leave" changes what it reports. With "born" it
+ * tells from then on when it was born, and starts anew under the id that it
+ * has; "restart" lets it crash. */
 #include "fake.h"
 
 #include <argtable2.h>
@@ -51,6 +53,7 @@
     char id[TASK_SIZE];
     const char *first_id;
     int lifetimes; /* beyond the first */
+    bool tells_born;
     const char *rack;
     const char *beats; /* address of the agent */
     const char *state;
@@ -80,6 +83,19 @@
     return sum;
 }
 
+/* Adds when this lifetime began, if it tells. */
+static json_t *
+with_born(const struct worker *w, json_t *o)
+{
+    static const json_int_t first_born = 1700000000000;
+
+    if (w->tells_born) {
+        json_object_set_new(o, "born",
+                            json_integer(first_born + w->lifetimes));
+    }
+    return o;
+}
+
 /* Both lists, as a look shows them. */
 static json_t *
 lists(const struct worker *w)
@@ -103,8 +119,9 @@
             ended, json_pack("[I,s,I,s,s]", (json_int_t)e->number, e->task,
                              (json_int_t)e->run, e->how, ""));
     }
-    return json_pack("{s:I,s:o,s:o}", "clock-ms", (json_int_t)Clock_NowMs(),
-                     "running", running, "ended", ended);
+    return with_born(w, json_pack("{s:I,s:o,s:o}", "clock-ms",
+                                  (json_int_t)Clock_NowMs(), "running",
+                                  running, "ended", ended));
 }
 
 /* Answers the look that waits. */
@@ -165,7 +182,10 @@
     w->ends = 0;
     w->sequence = 0;
     w->until_ms = 0;
-    snprintf(w->id, sizeof(w->id), "%s-%d", w->first_id, ++w->lifetimes);
+    w->lifetimes++;
+    if (!w->tells_born) {
+        snprintf(w->id, sizeof(w->id), "%s-%d", w->first_id, w->lifetimes);
+    }
 }
 
 static void
@@ -345,6 +365,18 @@
              {"/hold", hold},
              {"/pace", set_share}};
 
+/* PUT /say: what a test wants of it. */
+static void
+say(struct worker *w, const char *what)
+{
+    if (strcmp(what, "restart") == 0) {
+        crash(w);
+        return;
+    }
+    w->tells_born = w->tells_born || strcmp(what, "born") == 0;
+    w->state = strncmp(what, "drain", 5) == 0 ? "draining" : "ready";
+}
+
 /* A call of the agent, fenced by lifetime and token. */
 static void
 on_call(void *arg, struct http_exchange *ex)
@@ -363,8 +395,7 @@
         return;
     }
     if (strcmp(Http_Path(ex), "/say") == 0) {
-        w->state = strncmp(Http_Body(ex)->data, "drain", 5) == 0 ? "draining"
-                                                                 : "ready";
+        say(w, Http_Body(ex)->data);
         Fake_Reply(ex, 200, json_object());
         return;
     }
@@ -413,7 +444,7 @@
         "capacity", "cpu", 16000, "mem-mb", 64000, "gpu", 8, "labels", "a",
         w->rack, "clock-ms", (json_int_t)Clock_NowMs(), "sequence",
         (json_int_t)++w->sequence);
-    char *text = json_dumps(o, JSON_COMPACT);
+    char *text = json_dumps(with_born(w, o), JSON_COMPACT);
 
     Buf_Printf(&url, "http://%s/Instances.Heartbeat/%s", w->beats, w->id);
     r.url = url.data;
--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -39,10 +39,11 @@
 Read(const std::string &text, struct worker_said *said, std::string *says)
 {
     char why[128] = "";
+    int64_t born;
     int err;
 
     *said = {};
-    err = Hosted_ReadBeat(text.data(), text.size(), said, why);
+    err = Hosted_ReadBeat(text.data(), text.size(), said, &born, why);
     *says = why;
     return err;
 }
@@ -68,6 +69,58 @@
     EXPECT_EQ(said.drain_left_ms, 900);
 }
 
+struct Birth {
+    const char *what;
+    const char *id;
+    const char *born; /* as JSON; "": not told */
+    int err;
+    const char *lifetime;
+};
+
+/* Guards against two lifetimes under one id that are taken for one. */
+TEST(HostedBeat, ALifetimeIsAnIdAndABirth)
+{
+    static const Birth cases[] = {
+        {"not told", "i-1", "", ERR_OK, "i-1"},
+        {"told", "i-1", "1700000000000", ERR_OK, "i-1#1700000000000"},
+        {"the first moment", "i-1", "0", ERR_OK, "i-1#0"},
+        {"a mark in the id", "i#1", "5", ERR_INVALID, ""},
+        {"a mark in the id, not told", "i#1", "", ERR_INVALID, ""},
+        {"a text", "i-1", "\"5\"", ERR_INVALID, ""},
+        {"no whole number", "i-1", "5.5", ERR_INVALID, ""},
+        {"negative", "i-1", "-5", ERR_INVALID, ""},
+        {"null", "i-1", "null", ERR_INVALID, ""},
+        {"no id", "", "5", ERR_INVALID, ""},
+    };
+
+    for (const Birth &c : cases) {
+        std::string text =
+            *c.born != '\0' ? std::string("{\"born\":") + c.born + "}" : "{}";
+        json_t *o = json_loads(text.c_str(), 0, nullptr);
+        char lifetime[JOBS_TEXT_SIZE] = "", id[JOBS_TEXT_SIZE];
+        int64_t born;
+        int err = Hosted_ReadBorn(o, &born);
+
+        if (err == ERR_OK) {
+            err = Hosted_Lifetime(c.id, born, lifetime);
+        }
+        EXPECT_EQ(err, c.err) << c.what;
+        if (err == ERR_OK) {
+            EXPECT_STREQ(lifetime, c.lifetime) << c.what;
+            EXPECT_EQ(Hosted_Born(lifetime), born) << c.what;
+        }
+        if (err == ERR_OK && born >= 0) {
+            Hosted_WorkerId(lifetime, id);
+            EXPECT_STREQ(id, c.id) << c.what;
+        }
+        json_decref(o);
+    }
+    char lifetime[JOBS_TEXT_SIZE];
+    EXPECT_EQ(
+        Hosted_Lifetime(std::string(90, 'i').c_str(), 1700000000000, lifetime),
+        ERR_INVALID);
+}
+
 TEST(HostedBeat, CutAnywhereItIsRefused)
 {
     const std::string good = Beat();
--- a/tests/hosted-crash-test.cc
+++ b/tests/hosted-crash-test.cc
@@ -52,4 +52,26 @@
     EXPECT_LE(StartsOf(s, "b1"), MOST_STARTS);
 }
 
+/* Guards against ends that are lost when a worker starts again under the id
+ * that it had: its counts start anew, below what was noted before. */
+TEST(Crash, AWorkerThatStartsAgainUnderItsIdLosesNothing)
+{
+    HostedStack s(1, 1);
+    auto say = [&](const char *what) {
+        Http("PUT", s.workers[0]->Url("/say"), what);
+    };
+
+    say("born");
+    ASSERT_EQ(s.Submit(0, "d1", "50", 4).status, 200);
+    ASSERT_TRUE(s.Ends(0, "d1", "completed")) << s.Logs();
+    ASSERT_EQ(s.Submit(0, "d2", "2000").status, 200);
+    ASSERT_TRUE(s.Ends(0, "d2", "running")) << s.Logs();
+    say("restart");
+    ASSERT_EQ(s.Submit(0, "d3", "50", 3).status, 200);
+    EXPECT_TRUE(s.Ends(0, "d3", "completed")) << s.Logs();
+    EXPECT_TRUE(s.Ends(0, "d2", "completed")) << s.Logs();
+    EXPECT_EQ(StartsOf(s, "d2"), 2u) << "once before, once after";
+    EXPECT_EQ(StartsOf(s, "d3"), 3u) << s.Logs();
+}
+
 } /* namespace */
--- a/tests/jobs-crash-test.cc
+++ b/tests/jobs-crash-test.cc
@@ -131,6 +131,37 @@
     }
 }
 
+/* Guards against a start that is carried out by the next lifetime, under the
+ * id of the one that it was meant for, while its task runs elsewhere. */
+TEST(JobsCrash, AStartThatAnHeirCarriesOutRunsNothingTwice)
+{
+    struct Case {
+        const char *what;
+        int64_t late_ms; /* of the start */
+        int turns;       /* before the worker starts again */
+    };
+    static const Case cases[] = {
+        {"before the heir's first report", 20, 1},
+        {"just after it", 100, 1},
+        {"long after it", 2000, 1},
+        {"it was carried out before, too", 0, 5},
+    };
+
+    for (const Case &c : cases) {
+        World w(2);
+
+        w.natures["a"].work_ms = 3000;
+        w.late_ms = c.late_ms;
+        w.Submit(w.Spec("a", 1, 8));
+        w.Turns(c.turns);
+        w.late_ms = 0;
+        w.Heir(0);
+        w.Turns(800);
+        EXPECT_TRUE(w.broken.empty()) << c.what << ": " << w.broken[0];
+        EXPECT_EQ(w.State("a"), JOB_COMPLETED) << c.what;
+    }
+}
+
 /* Guards against neighbours that share the blame: what is packed beside a
  * suspect is lost with it again. */
 TEST(JobsCrash, NothingJoinsASuspectUntilItHasWorkedForAWhile)
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -254,7 +254,7 @@
         Worker &w = workers[l.worker];
 
         late.pop_front();
-        if (w.id != l.lifetime) {
+        if (w.id != l.lifetime && w.heir_of != l.lifetime) {
             continue;
         }
         if (l.order.verb == ORDER_START) {
@@ -354,6 +354,7 @@
         w.ended.end());
     Str_Copy(r.agent, sizeof(r.agent), w.agent.c_str());
     Str_Copy(r.worker, sizeof(r.worker), w.id.c_str());
+    Str_Copy(r.heir_of, sizeof(r.heir_of), w.heir_of.c_str());
     Str_Copy(r.service, sizeof(r.service), w.service.c_str());
     Str_Copy(r.domain, sizeof(r.domain), w.domain.c_str());
     Str_Copy(r.labels[0], sizeof(r.labels[0]), "a");
@@ -556,6 +557,15 @@
     return workers[at];
 }
 
+Worker &
+World::Heir(size_t at)
+{
+    std::string before = workers[at].id;
+
+    Reborn(at).heir_of = before;
+    return workers[at];
+}
+
 void
 World::Crash(size_t at, int64_t down_ms)
 {
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -46,6 +46,7 @@
 /* One lifetime of a worker and the agent beside it. */
 struct Worker {
     std::string id, agent, rack = "r1", service = "pool", domain = "a";
+    std::string heir_of; /* a lifetime whose orders it takes for its own */
     struct jobs_need capacity = {16000, 64000, 8};
     bool up = true;
     int64_t back_ms = 0;   /* after a crash, it is up again then */
@@ -97,7 +98,10 @@
     void TakeOver(bool before_ended = true);
     /* The worker dies; another lifetime comes at its machine. */
     Worker &Reborn(size_t at);
-    /* The same, seen by its agent; the next lifetime is there later. */
+    /* The same, under the id that it had: it takes orders for the lifetime
+     * before. */
+    Worker &Heir(size_t at);
+    /* As Reborn, seen by its agent; the next lifetime is there later. */
     void Crash(size_t at, int64_t down_ms = 3500);
 
     enum jobs_state State(const std::string &id) const;
