Crashes are told until an owner has answered, then for a while

An agent that is cut off from every entry for longer than it repeated a crash lost the evidence of it. It now counts the time from an owner's first answer. A run that the worker's heir goes on with is not charged with the crash, in whichever order report and crash are told.

--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -177,9 +177,10 @@
 {
     const struct jobs_unit *u = t->unit;
 
-    bool at_work = t->confirmed && c->run == u->run;
+    bool heir_has_it = t->confirmed && c->run == u->run &&
+                       strcmp(t->worker->id, c->worker) != 0;
 
-    return !at_work && u->state != UNIT_DONE && u->state != UNIT_FAILED &&
+    return !heir_has_it && u->state != UNIT_DONE && u->state != UNIT_FAILED &&
            !u->dropped && !u->job->held && c->run > t->crashed_run &&
            c->run <= u->run;
 }
@@ -228,7 +229,6 @@
 {
     const struct machine *m;
 
-    Blame_Expire(b, now_ms);
     if (count == 0) {
         return;
     }
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -257,6 +257,7 @@
 
     b->question.count = 0;
     lapse(b, now_ms);
+    Blame_Expire(b, now_ms);
     Rank_All(b);
     leave_slow(b, now_ms);
     list = collect(b, now_ms, wall_ms, &count);
--- a/packages/runs/runs-present.c
+++ b/packages/runs/runs-present.c
@@ -87,10 +87,14 @@
         p->listed_ms = now;
     }
     for (size_t i = 0; i < seen->ended_count; i++) {
-        Present_Stopped(w, seen->ended[i].task, seen->ended[i].run);
+        p = find(w, seen->ended[i].task, seen->ended[i].run);
+        if (p != NULL) {
+            p->ended = true;
+        }
     }
     TAILQ_FOREACH_SAFE (p, &w->present, entry, next) {
-        if (p->listed_ms != now && p->begun_ms != 0 && p->begun_ms < sent_ms) {
+        if (p->ended || (p->listed_ms != now && p->begun_ms != 0 &&
+                         p->begun_ms < sent_ms)) {
             forget(w, p);
         }
     }
@@ -103,16 +107,27 @@
     return p->listed_ms > p->begun_ms ? p->listed_ms - p->begun_ms : 0;
 }
 
-/* Forgets crashes that have been told for long enough: to the owner of then,
- * and to one that has taken over since. */
+/* An owner has answered: from now on crashes are told for a while, so that one
+ * that takes over hears of them too. */
+void
+Crashes_Heard(struct watch *w)
+{
+    if (w->crashed.count > 0 && w->crashes_heard_ms == 0) {
+        w->crashes_heard_ms = Clock_NowMs();
+    }
+}
+
+/* Forgets crashes that have been told for long enough. */
 void
 Crashes_Expire(struct watch *w)
 {
     static const int64_t keep_ms = 20000;
 
-    if (w->crashed.count > 0 && Clock_NowMs() - w->crashed_ms > keep_ms) {
+    if (w->crashes_heard_ms != 0 &&
+        Clock_NowMs() - w->crashes_heard_ms > keep_ms) {
         free(w->crashed.items);
         w->crashed = (struct wire_list){0};
+        w->crashes_heard_ms = 0;
     }
 }
 
@@ -142,7 +157,7 @@
     Crashes_Expire(w);
     TAILQ_FOREACH (p, &w->present, entry) {
         note_crash(w, p);
-        w->crashed_ms = Clock_NowMs();
+        w->crashes_heard_ms = 0;
     }
 }
 
@@ -150,7 +165,10 @@
 void
 Present_Clear(struct watch *w)
 {
-    while (!TAILQ_EMPTY(&w->present)) {
-        forget(w, TAILQ_FIRST(&w->present));
+    struct present_run *p;
+
+    while ((p = TAILQ_FIRST(&w->present)) != NULL) {
+        TAILQ_REMOVE(&w->present, p, entry);
+        free(p);
     }
 }
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -462,6 +462,7 @@
     if (m->term < w->term) {
         return;
     }
+    Crashes_Heard(w);
     if (m->term > w->term) {
         LOG_I("owner_heard", KV_INT("term", m->term),
               KV_INT("before", w->term));
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -23,6 +23,7 @@
     bool acknowledged; /* the worker has answered its start */
     int64_t begun_ms;  /* acknowledged or first listed; 0: neither yet */
     int64_t listed_ms; /* last listed by a look; 0: not yet */
+    bool ended;
     TAILQ_ENTRY(present_run) entry;
 };
 
@@ -59,7 +60,7 @@
     char heir_id[JOBS_TEXT_SIZE]; /* of both */
     struct wire_list ended;       /* struct wire_end, of the last look */
     struct wire_list crashed;     /* struct wire_crash, told for a while */
-    int64_t crashed_ms;           /* the last of them */
+    int64_t crashes_heard_ms; /* an owner answered since the last; 0: none */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
     size_t past_next;
     uint64_t term;      /* highest of an owner that was heard */
@@ -87,6 +88,7 @@
 void Present_Listed(struct watch *w, const struct runs_seen *seen,
                     int64_t sent_ms);
 void Present_Crashed(struct watch *w);
+void Crashes_Heard(struct watch *w);
 /* Forgets crashes that have been told for long enough. */
 void Crashes_Expire(struct watch *w);
 void Present_Clear(struct watch *w);
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -337,8 +337,6 @@
     if (!w.up || !w.reachable) {
         return;
     }
-    Jobs_Crashed(book, w.agent.c_str(), w.crashed.data(), w.crashed.size(),
-                 now);
     if (!w.deaf) {
         w.term = std::max(w.term, term);
     }
@@ -404,6 +402,8 @@
     r.stopped = stopped.data();
     r.stopped_count = stopped.size();
     Jobs_Report(book, &r, now);
+    Jobs_Crashed(book, w.agent.c_str(), w.crashed.data(), w.crashed.size(),
+                 now);
     w.until = std::max(w.until, now + limits.lease_ms);
     Jobs_Granted(book, w.id.c_str(), now);
 }
