A look without the newest fields is taken, as agents are replaced after entries

Fields that were added while programs without them were in use may now be missing at the end, and are empty then.

Codec.FieldsThatASenderOfBeforeLacksAreEmpty; with none of them optional it fails (a look that lacks one is refused).

--- a/packages/wire/wire-codec.c
+++ b/packages/wire/wire-codec.c
@@ -305,17 +305,21 @@
     [FIELD_TEXT] = take_long_text, [FIELD_BUF] = take_buf,
     [FIELD_LIST] = take_list};
 
-/* Reads the fields of a struct; fields beyond the known ones are ignored. */
+/* Reads the fields of a struct; fields beyond the known ones are ignored.
+ *
+ * Failure: entries are replaced before agents, and a message has grown.
+ * Symptom of refusing what is shorter: no agent is heard until the last one is
+ * replaced. Later fields stay empty. */
 static int
 take_struct(const msgpack_object *items, size_t count,
             const struct wire_fields *t, void *base)
 {
     size_t i;
 
-    if (count < t->count) {
+    if (count < t->count - t->later) {
         return ERR_INVALID;
     }
-    for (i = 0; i < t->count; i++) {
+    for (i = 0; i < t->count && i < count; i++) {
         const struct wire_field *f = &t->fields[i];
 
         if (takers[f->kind](&items[i], field_at(base, f), f) != ERR_OK) {
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -28,9 +28,11 @@
     {                                                                         \
         FIELD_LIST, offsetof(struct s, f), &(t)                               \
     }
-#define FIELDS(s, a)                                                          \
+#define FIELDS(s, a) FIELDS_LATER(s, a, 0)
+/* As above; the last n were added when programs without them were in use. */
+#define FIELDS_LATER(s, a, n)                                                 \
     {                                                                         \
-#s, sizeof(struct s), (a), COUNT_OF(a)                                \
+#s, sizeof(struct s), (a), COUNT_OF(a), (n)                           \
     }
 
 static const struct wire_field service_fields[] = {
@@ -317,7 +319,7 @@
     [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
-    [WIRE_LOOK] = FIELDS(wire_look, look),
+    [WIRE_LOOK] = FIELDS_LATER(wire_look, look, 2),
     [WIRE_HAIL] = FIELDS(wire_hail, hail),
     [WIRE_ORDERS] = FIELDS(wire_orders, orders),
     [WIRE_REFUSED] = FIELDS(wire_refused, refused),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -5,8 +5,9 @@
  * Agents connect, entries listen. A message is a plain struct that starts
  * with struct wire_msg; a table of fields per type drives the codec, so that
  * one loop meets whatever bytes come in. Fields may be added at the end of a
- * message: a reader ignores what it doesn't know, and refuses a message that
- * lacks what it needs.
+ * message: a reader ignores what it doesn't know, takes what a sender of
+ * before doesn't tell yet for empty, and refuses a message that lacks anything
+ * else.
  *
  * Times in messages are either durations in milliseconds, or readings of the
  * clock of the agent named in the message ("agent clock"); no message holds a
--- a/tests/wire-test.cc
+++ b/tests/wire-test.cc
@@ -227,6 +227,28 @@
     }
 }
 
+/* Guards against agents that entries refuse to hear while programs are
+ * replaced: what a sender of before lacks is empty, and no more than that may
+ * be missing. */
+TEST(Codec, FieldsThatASenderOfBeforeLacksAreEmpty)
+{
+    const struct wire_fields *t = Wire_Fields(WIRE_LOOK);
+    Msg m(static_cast<struct wire_msg *>(Wire_New(WIRE_LOOK)));
+    const std::string bytes = encode(m.get());
+
+    ASSERT_GT(t->later, 0u);
+    for (size_t lacks = 0; lacks <= t->later + 1; lacks++) {
+        std::string cut = bytes.substr(0, bytes.size() - lacks);
+
+        cut[2] = static_cast<char>(t->count + 2 - lacks);
+        Msg back = decode(cut);
+        EXPECT_EQ(back != nullptr, lacks <= t->later) << lacks;
+        if (back != nullptr) {
+            EXPECT_EQ(encode(back.get()), bytes) << lacks;
+        }
+    }
+}
+
 namespace {
 
 /* One end of a link, and what it has received. */
