A task is not sent back to the machine that crashed under it while others have room

A unit now prefers any other machine after a crash; whether it is a suspect is kept with it, so that a pass does not ask for it anew.

--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -98,12 +98,19 @@
     return m != NULL && now_ms - m->crashed_ms <= LATELY_MS;
 }
 
+/* True when the last crash under the unit was there. */
+bool
+Blame_CrashedAt(const struct jobs_unit *u, const char *agent)
+{
+    return u->crashed_at != 0 && u->crashed_at == Hash_Str(agent, 0);
+}
+
 /* True when a machine has crashed lately under other work than the unit. */
 static bool
 is_flapping(const struct machine *m, const struct jobs_unit *u, int64_t now_ms)
 {
     return m->before_ms != 0 && now_ms - m->before_ms <= LATELY_MS &&
-           strcmp(m->agent, u->crashed_at) != 0;
+           !Blame_CrashedAt(u, m->agent);
 }
 
 /* What a crash tells of a run that was there. */
@@ -129,16 +136,17 @@
     return t->blame >= BLAME_EARLY;
 }
 
-/* True when a task of the unit may have crashed a worker. */
-bool
-Blame_IsSuspect(const struct jobs_unit *u)
+/* Sets what a task is blamed for, and whether its unit is a suspect. */
+void
+Blame_Set(struct jobs_task *t, uint32_t blame)
 {
+    struct jobs_unit *u = t->unit;
+
+    t->blame = blame;
+    u->suspect = false;
     for (uint32_t i = 0; i < u->task_count; i++) {
-        if (is_suspect(&u->tasks[i])) {
-            return true;
-        }
+        u->suspect = u->suspect || is_suspect(&u->tasks[i]);
     }
-    return false;
 }
 
 /* A run of the task is put on a worker. */
@@ -165,7 +173,7 @@
         Blame_End(t);
     }
     if (t->blame > 0 && now_ms - t->given_ms >= SOUND_MS) {
-        t->blame = 0;
+        Blame_Set(t, 0);
         Book_Touch(t->unit->job);
     }
 }
@@ -206,11 +214,10 @@
     struct jobs_event *e;
     const char *reason;
 
-    t->blame += weigh(c, is_flapping(m, u, now_ms), &reason);
+    Blame_Set(t, t->blame + weigh(c, is_flapping(m, u, now_ms), &reason));
     t->crashed_run = c->run;
     t->crashes++;
-    Str_Copy(u->crashed_at, sizeof(u->crashed_at),
-             u->task_count == 1 ? m->agent : "");
+    u->crashed_at = u->task_count == 1 ? Hash_Str(m->agent, 0) : 0;
     Book_Touch(u->job);
     e = Event_Task(b, JOBS_CRASH_CHARGED, t, reason);
     e->run = c->run;
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-book.h
@@ -56,6 +56,7 @@
     bool dropped;     /* and it is not to run again */
     bool unwritten;   /* this run is not stored yet */
     bool begun;       /* a task was seen running, ever */
+    bool suspect;     /* a task of it may have crashed a worker */
     int64_t ready_ms; /* since when it could start; 0: not yet */
     int64_t not_before_ms;
     int64_t due_ms;  /* of its occurrence, by our clock; 0: has none */
@@ -64,7 +65,8 @@
     uint32_t moves;
     char checkpoint[JOBS_TEXT_SIZE];
     char avoid[JOBS_TEXT_SIZE]; /* worker where it failed or hung last */
-    char crashed_at[NAME_SIZE]; /* agent whose worker crashed under it last */
+    uint64_t crashed_at; /* hash of the agent whose worker crashed under it
+                          * last; 0: none, or a gang of several */
     struct jobs_task *tasks;
     uint32_t task_count;
     TAILQ_ENTRY(jobs_unit) entry;
@@ -244,9 +246,12 @@
 void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
 
 /* ---- jobs-blame.c */
-bool Blame_IsSuspect(const struct jobs_unit *u);
+void Blame_Set(struct jobs_task *t, uint32_t blame);
+/* True when a worker of that agent has crashed lately. */
 bool Blame_HasCrashed(const struct jobs_book *b, const char *agent,
                       int64_t now_ms);
+/* True when the last crash under the unit was at that agent. */
+bool Blame_CrashedAt(const struct jobs_unit *u, const char *agent);
 void Blame_Expire(struct jobs_book *b, int64_t now_ms);
 void Blame_Begin(struct jobs_task *t);
 void Blame_End(struct jobs_task *t);
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -27,8 +27,7 @@
 
 struct attempt {
     struct jobs_unit *unit;
-    bool any;     /* workers that the unit had better not go to, too */
-    bool suspect; /* it may crash its worker */
+    bool any; /* workers that the unit had better not go to, too */
     enum room room;
     int64_t now_ms;
     int64_t patience_ms; /* the unit can wait so long for room */
@@ -258,14 +257,18 @@
            (w->well_ms == 0 || now_ms - w->well_ms > lately_ms);
 }
 
-/* True for a worker where a suspect had better not start: another crash there
+/* True for a worker where the unit had better not start after a crash: on the
+ * same machine, which may be what crashes; and a suspect where another crash
  * would tell little, or take others along. */
 static bool
 is_exposed(const struct jobs_book *b, const struct attempt *a,
            const struct jobs_worker *w)
 {
-    return a->suspect && (!TAILQ_EMPTY(&w->tasks) ||
-                          Blame_HasCrashed(b, w->agent, a->now_ms));
+    const struct jobs_unit *u = a->unit;
+
+    return Blame_CrashedAt(u, w->agent) ||
+           (u->suspect && (!TAILQ_EMPTY(&w->tasks) ||
+                           Blame_HasCrashed(b, w->agent, a->now_ms)));
 }
 
 /* True for a worker that the unit had better not go to. */
@@ -295,7 +298,6 @@
     a->spots = b->spots;
     a->count = 0;
     a->now_ms = now_ms;
-    a->suspect = Blame_IsSuspect(a->unit);
     RB_FOREACH (w, lifetime_tree, &b->workers) {
         if (is_eligible(b, w, a->unit, now_ms)) {
             a->spots[a->count++] =
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -212,9 +212,8 @@
 
     return o != NULL && o->job == u->job && o->step == u->step &&
            o->occurrence == u->occurrence && o->ready_ms == u->ready_ms &&
-           o->work_ms == u->work_ms && strcmp(o->avoid, u->avoid) == 0 &&
-           strcmp(o->crashed_at, u->crashed_at) == 0 &&
-           Blame_IsSuspect(o) == Blame_IsSuspect(u);
+           o->work_ms == u->work_ms && o->suspect == u->suspect &&
+           o->crashed_at == u->crashed_at && strcmp(o->avoid, u->avoid) == 0;
 }
 
 /* Places a unit; 1 when room is held for it, else 0. */
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -309,7 +309,7 @@
             return ERR_INVALID;
         }
         t = &u->tasks[(uint32_t)index - u->tasks[0].index];
-        t->blame = (uint32_t)blame;
+        Blame_Set(t, (uint32_t)blame);
         t->crashes = (uint32_t)crashes;
         t->crashed_run = (uint64_t)run;
     }
