--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -184,7 +184,6 @@
 is_news(const struct jobs_task *t, const struct jobs_crash *c)
 {
     const struct jobs_unit *u = t->unit;
-
     bool heir_has_it = t->confirmed && c->run == u->run &&
                        strcmp(t->worker->id, c->worker) != 0;
 
--- a/packages/runs/runs-present.c
+++ b/packages/runs/runs-present.c
@@ -70,9 +70,9 @@
     }
 }
 
-/* Takes the lists of a look that was sent at that time. What was there before
- * and is not listed any more has ended; a start without an answer may still be
- * carried out. */
+/* Takes the lists of a report that was asked for at that time. What was there
+ * before and is not listed any more has ended; a start without an answer may
+ * still be carried out. */
 void
 Present_Listed(struct watch *w, const struct runs_seen *seen, int64_t sent_ms)
 {
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -22,7 +22,7 @@
     uint64_t run;
     bool acknowledged; /* the worker has answered its start */
     int64_t begun_ms;  /* acknowledged or first listed; 0: neither yet */
-    int64_t listed_ms; /* last listed by a look; 0: not yet */
+    int64_t listed_ms; /* last listed by a report; 0: not yet */
     bool ended;
     TAILQ_ENTRY(present_run) entry;
 };
