Tests: each safeguard against crashing tasks has one that fails without it

Mutants of the blame, one at a time, against jobs-crash-test: not charged at all, not kept in the row, charged as often as told, charged for runs that were never given, suspects joined, a whole gang blamed, two crashes enough, back to the same machine, machines not told apart, blame in rows unbounded, heirs that are sent the same run again. The four that nothing caught before (never given, same machine, rows, heirs) and machines told apart have cases now.

--- a/tests/jobs-crash-test.cc
+++ b/tests/jobs-crash-test.cc
@@ -52,23 +52,27 @@
 }
 
 /* Guards against a crashing task that is started for ever, and against sound
- * ones that are given up with it. */
+ * ones that are given up with it; a worker may come back under its id, and is
+ * then not sent the same run again. */
 TEST(JobsCrash, ATaskThatCrashesItsWorkersIsGivenUp)
 {
-    for (const Crasher &c : crashers) {
+    for (size_t i = 0; i < 2 * COUNT_OF(crashers); i++) {
+        const Crasher &c = crashers[i / 2];
         World w(6);
         std::string task = "c.0.0." + std::to_string(c.tasks - 1);
+        std::string what = c.what + std::string(i % 2 ? ", ids kept" : "");
 
+        w.keep_ids = i % 2 == 1;
         SubmitWith(w, c);
         w.Turns(2000);
-        EXPECT_EQ(w.State("c"), JOB_FAILED) << c.what;
-        EXPECT_LE(w.crashes[task], c.crashes) << c.what;
-        EXPECT_TRUE(w.Happened("task_given_up", "crashes_workers")) << c.what;
-        EXPECT_TRUE(w.broken.empty()) << c.what << ": " << w.broken[0];
-        for (int i = 0; i < c.neighbours; i++) {
-            std::string n = "n" + std::to_string(i);
-
-            EXPECT_EQ(w.State(n), JOB_COMPLETED) << c.what << ": " << n;
+        EXPECT_EQ(w.State("c"), JOB_FAILED) << what;
+        EXPECT_LE(w.crashes[task], c.crashes) << what;
+        EXPECT_TRUE(w.Happened("task_given_up", "crashes_workers")) << what;
+        EXPECT_TRUE(w.broken.empty()) << what << ": " << w.broken[0];
+        for (int k = 0; k < c.neighbours; k++) {
+            std::string n = "n" + std::to_string(k);
+
+            EXPECT_EQ(w.State(n), JOB_COMPLETED) << what << ": " << n;
         }
     }
 }
@@ -101,14 +105,12 @@
 {
     struct Told {
         const char *what;
-        uint64_t run;
-        int times;
-        bool failed;
+        std::vector<uint64_t> runs; /* the task is at its first */
     };
     static const Told cases[] = {
-        {"the same run again and again", 1, 20, false},
-        {"a run that was never given", 7, 20, false},
-        {"no run", 0, 20, false},
+        {"the same run again and again", {1, 1, 1, 1, 1, 1, 1, 1}},
+        {"runs that were never given", {2, 3, 4, 5, 6, 7, 8, 9}},
+        {"no run", {0, 0, 0, 0, 0, 0, 0, 0}},
     };
 
     for (const Told &c : cases) {
@@ -120,9 +122,9 @@
         w.Turns(5);
         Str_Copy(crash.worker, sizeof(crash.worker), "life-0");
         Str_Copy(crash.task, sizeof(crash.task), "a.0.0.0");
-        crash.run = c.run;
         crash.acknowledged = true;
-        for (int i = 0; i < c.times; i++) {
+        for (uint64_t run : c.runs) {
+            crash.run = run;
             Jobs_Crashed(w.book, "agent-0", &crash, 1, w.now);
             w.Turn();
         }
@@ -192,6 +194,49 @@
     EXPECT_EQ(w.State("c"), JOB_COMPLETED);
 }
 
+/* Guards against a sound task that is sent back to the machine that crashes:
+ * the one that has just come back fits best. */
+TEST(JobsCrash, ATaskLeavesAMachineThatCrashedUnderItWhileOthersHaveRoom)
+{
+    World w(3);
+    Worker *at;
+
+    w.workers[1].capacity.accelerators = 7;
+    w.natures["a"].work_ms = 3000;
+    w.Submit(w.Spec("a", 1, 7));
+    w.Turns(30);
+    at = w.WorkerOf("a.0.0.0");
+    ASSERT_NE(at, nullptr);
+    ASSERT_EQ(at->agent, w.workers[1].agent);
+    w.Crash(1, 20);
+    w.Turns(5);
+    at = w.WorkerOf("a.0.0.0");
+    ASSERT_NE(at, nullptr);
+    EXPECT_NE(at->agent, w.workers[1].agent);
+}
+
+/* Guards against a sound task that is blamed like a crashing one on a machine
+ * that crashes whatever it runs. */
+TEST(JobsCrash, AMachineThatCrashesUnderOtherWorkAddsLittleBlame)
+{
+    World w(1);
+
+    w.natures["n"].work_ms = 2000;
+    w.natures["a"].work_ms = 2000;
+    w.Submit(w.Spec("n", 1, 1));
+    w.Turns(40);
+    w.Crash(0, 20);
+    w.Turns(200);
+    ASSERT_EQ(w.State("n"), JOB_COMPLETED);
+    ASSERT_FALSE(w.Happened("crash_charged", "flapping"));
+    w.Submit(w.Spec("a", 1, 1));
+    w.Turns(2);
+    w.Crash(0, 20);
+    w.Turns(10);
+    EXPECT_TRUE(w.Happened("crash_charged", "flapping"));
+    EXPECT_FALSE(w.Happened("crash_charged", "early"));
+}
+
 /* Guards against a gang that is blamed as a whole: each of its runs loses
  * another member's worker, and no member has lost two. */
 TEST(JobsCrash, CrashesUnderDifferentMembersGiveNoGangUp)
@@ -220,6 +265,22 @@
     EXPECT_EQ(w.State("g"), JOB_COMPLETED);
 }
 
+/* Tasks whose blame a row tells. */
+size_t
+BlamedIn(const std::string &row)
+{
+    json_t *o = json_loadb(row.data(), row.size(), 0, nullptr);
+    size_t i, n = 0;
+    json_t *unit;
+
+    json_array_foreach(json_object_get(o, "units"), i, unit)
+    {
+        n += json_array_size(json_array_get(unit, 9));
+    }
+    json_decref(o);
+    return n;
+}
+
 /* Guards against a row of thousands of tasks that grows over its bound with
  * the blame in it. */
 TEST(JobsCrash, TheRowStaysWithinItsBoundWhenAllWorkersCrash)
@@ -236,6 +297,8 @@
         }
         w.Turns(20);
         longest = std::max(longest, w.rows["a"].size());
+        EXPECT_GT(BlamedIn(w.rows["a"]), 100u) << "the case is none";
+        EXPECT_LE(BlamedIn(w.rows["a"]), 160u);
     }
     EXPECT_LE(longest, 65536u);
     w.TakeOver();
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -570,7 +570,7 @@
 World::Crash(size_t at, int64_t down_ms)
 {
     Worker old = workers[at];
-    Worker &w = Reborn(at);
+    Worker &w = keep_ids ? Heir(at) : Reborn(at);
 
     for (const Run &r : old.runs) {
         struct jobs_crash c = {};
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -139,7 +139,8 @@
     };
     std::map<std::string, std::string> tickets; /* by task, as ordered */
     std::deque<Late> late;
-    int64_t late_ms = 0; /* delay of the next orders; 0: none */
+    int64_t late_ms = 0;   /* delay of the next orders; 0: none */
+    bool keep_ids = false; /* workers that crash come back under their ids */
 
   private:
     void TellEmptied();
