--- a/model/hosted-owner.pml
+++ b/model/hosted-owner.pml
@@ -21,7 +21,7 @@
  *    row is rewritten before anything else is: what is still on its way then
  *    expects a version that is gone.
  *  - An end is acknowledged after the row that has it.
- *  - An owner may give the office back by writing that nobody has it. From its
+ *  - An owner may give leadership back by writing that nobody has it. From its
  *    first try on it orders nothing and grants nothing, as the write may be
  *    carried out late; who takes over then waits for one lease only.
  *  - A run is given only to a worker that has answered under this owner's
@@ -49,12 +49,12 @@
 // MUTANT 10: the rows are not asked for again after a claim => twice
 // MUTANT 11: a run is given where the owner's term is not known yet => twice
 // MUTANT 12: starts are sent without confirmed writes => again
-// MUTANT 13: leases are granted while the office is being given back => twice
+// MUTANT 13: leases are granted while leadership is being given back => twice
 
 // REACH 1: a second owner runs the task again on the other worker
 // REACH 2: an end is acknowledged by the second owner
 // REACH 3: a late write is carried out
-// REACH 4: the second owner takes an office that was given back late
+// REACH 4: the second owner takes leadership that was given back late
 
 #ifndef MUTANT
 #define MUTANT 0
@@ -72,20 +72,20 @@
 /* The store. */
 byte version; /* of the owner row */
 byte last_term;
-bool nobody; /* the office was given back */
+bool nobody; /* leadership was given back */
 byte row_run;
 byte row_where = NOBODY;
 bool row_done;
 /* A write whose answer was lost, on its way. */
 bool late;
 byte late_version;
-bool late_back; /* it gives the office back, and writes nothing else */
+bool late_back; /* it gives leadership back, and writes nothing else */
 byte late_run;
 byte late_where;
 bool late_done;
 
 /* Entries. */
-bool office[2];
+bool leads[2];
 bool fencing[2]; /* a write had no answer */
 bool back[2];    /* it is being given back */
 byte known[2];   /* version of the owner row */
@@ -114,7 +114,7 @@
 bool twice;
 bool again;
 bool reached;
-bool reached_late; /* an office was given back by a late write */
+bool reached_late; /* leadership was given back by a late write */
 
 inline reach(number, condition)
 {
@@ -149,7 +149,7 @@
     last_term++;
     known[o] = version;
     term[o] = last_term;
-    office[o] = true;
+    leads[o] = true;
     fencing[o] = false;
     confirmed[o] = 0;
     if
@@ -170,7 +170,7 @@
 {
     if
     :: known[o] != version && MUTANT != 1 ->
-        office[o] = false
+        leads[o] = false
     :: else ->
         if
         :: true ->
@@ -190,19 +190,19 @@
     fi
 }
 
-/* A write that nobody has the office; its answer may be lost. */
+/* A write that nobody leads; its answer may be lost. */
 inline give_back(o)
 {
     if
     :: known[o] != version ->
-        office[o] = false;
+        leads[o] = false;
         back[o] = false
     :: else ->
         if
         :: true ->
             version++;
             nobody = true;
-            office[o] = false;
+            leads[o] = false;
             back[o] = false
         :: !late ->
             late = true;
@@ -285,23 +285,23 @@
     byte w;
 
     do
-    :: atomic { !office[o] && last_term == o -> claim(o) }
-    :: atomic { office[o] && fencing[o] ->
+    :: atomic { !leads[o] && last_term == o -> claim(o) }
+    :: atomic { leads[o] && fencing[o] ->
         if
         :: known[o] == version && version < VERSIONS ->
             version++;
             known[o] = version;
             fencing[o] = false;
             confirmed[o] = 0
-        :: known[o] != version -> office[o] = false
+        :: known[o] != version -> leads[o] = false
         :: else -> skip
         fi }
     /* The other mutants fail without it, in a third of the states. */
-    :: atomic { o == 0 && office[o] && !fencing[o] && !back[o] &&
+    :: atomic { o == 0 && leads[o] && !fencing[o] && !back[o] &&
                 (MUTANT == 0 || MUTANT == 13) ->
         back[o] = true }
-    :: atomic { back[o] && office[o] -> give_back(o) }
-    :: atomic { office[o] && !back[o] && !done[o] && where[o] == NOBODY &&
+    :: atomic { back[o] && leads[o] -> give_back(o) }
+    :: atomic { leads[o] && !back[o] && !done[o] && where[o] == NOBODY &&
                 (written[o] || MUTANT == 8) && !fencing[o] &&
                 last[o] < RUNS ->
         if
@@ -317,9 +317,9 @@
             written[o] = false
         :: else
         fi }
-    :: atomic { office[o] && !back[o] && !fencing[o] && !written[o] ->
+    :: atomic { leads[o] && !back[o] && !fencing[o] && !written[o] ->
         store(o) }
-    :: atomic { office[o] && !back[o] && where[o] != NOBODY &&
+    :: atomic { leads[o] && !back[o] && where[o] != NOBODY &&
                 (written[o] || MUTANT == 2) &&
                 (where[o] == 1 || !start) &&
                 (confirmed[o] < B || MUTANT == 12) ->
@@ -332,14 +332,14 @@
             start_left = L
         :: else -> carry_out(1, last[o], term[o], L)
         fi }
-    :: atomic { office[o] && (!back[o] || MUTANT == 13) &&
+    :: atomic { leads[o] && (!back[o] || MUTANT == 13) &&
                 where[o] != NOBODY && (confirmed[o] < B || MUTANT == 7) ->
         w = where[o];
         if
         :: fence[w] <= term[o] -> grant(o, w)
         :: else
         fi }
-    :: atomic { office[o] ->
+    :: atomic { leads[o] ->
         if
         :: w = 0
         :: w = 1
@@ -349,7 +349,7 @@
         :: else
         fi }
     /* The start shows no effect: the run is given up. */
-    :: atomic { office[o] && where[o] != NOBODY && written[o] ->
+    :: atomic { leads[o] && where[o] != NOBODY && written[o] ->
         w = where[o];
         if
         :: MUTANT == 4 && runs[w] == 0 ->
@@ -363,12 +363,12 @@
         :: else
         fi }
     /* The worker is out of reach. */
-    :: atomic { office[o] && where[o] != NOBODY &&
+    :: atomic { leads[o] && where[o] != NOBODY &&
                 (wait_left[o] == 0 || MUTANT == 3) ->
         gone(o);
         written[o] = false }
     /* The end is acknowledged. */
-    :: atomic { office[o] && done[o] && (written[o] || MUTANT == 5) ->
+    :: atomic { leads[o] && done[o] && (written[o] || MUTANT == 5) ->
         if
         :: ended_done[0] && fence[0] <= term[o] ->
             ended_done[0] = false;
--- a/packages/queue/queue-batch.c
+++ b/packages/queue/queue-batch.c
@@ -58,7 +58,7 @@
         return;
     }
     if (err == ERR_UNKNOWN) {
-        o->office = OFFICE_FENCING;
+        o->leadership = LEADER_FENCING;
         return;
     }
     o->pause_ms = now + BUSY_PAUSE_MS;
@@ -114,11 +114,11 @@
     struct batch *b CLEANUP(Mem_FreeP) = NULL;
     int64_t now = Clock_NowMs();
 
-    if (o->writing || o->office != OFFICE_HELD || now < o->pause_ms) {
+    if (o->writing || o->leadership != LEADER_HELD || now < o->pause_ms) {
         return;
     }
     b = Mem_Zero(1, sizeof(*b));
-    b->ops[b->op_count++] = Office_Check(o);
+    b->ops[b->op_count++] = Leader_Check(o);
     add_rows(o, b);
     if (b->row_count == 0 && now - o->write_ms < BEAT_MS) {
         Jobs_NotWritten(o->book);
--- a/packages/queue/queue-check.c
+++ b/packages/queue/queue-check.c
@@ -11,7 +11,7 @@
 {
     struct intake *in = timer->data;
 
-    if (in->in_office && in->rows.listed &&
+    if (in->is_leader && in->rows.listed &&
         Clock_NowMs() - in->rows.fresh_ms <= FRESH_MS) {
         Cache_TellUnfinished(in);
     }
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -10,7 +10,7 @@
 #define RETRY_MS 60      /* after a first failure */
 #define RETRY_MAX_MS 400 /* the store turns away for seconds, never long */
 #define PAGE 500
-/* An entry that does not hold the office asks for changes of the own table so
+/* An entry that does not lead asks for changes of the own table so
  * long after it had some: a tenth of the time in which counts may be old. */
 #define PAUSE_MS 200
 
@@ -40,13 +40,13 @@
  *
  * Load: an owner that writes forty times a second, and dozens of entries that
  * follow it. Without a pause each write costs a call of each entry, which is
- * most of what the store is asked for, and a wake-up of each. Who holds the
- * office needs new jobs at once; the others only show what there is, and read
+ * most of what the store is asked for, and a wake-up of each. The
+ * leader needs new jobs at once; the others only show what there is, and read
  * a job's row when they are asked for it in the pause. */
 static void
 ask_after(struct follow *f, size_t changes)
 {
-    if (f != &f->intake->rows || changes == 0 || f->intake->in_office) {
+    if (f != &f->intake->rows || changes == 0 || f->intake->is_leader) {
         ask(f);
         return;
     }
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -21,12 +21,12 @@
         Intake_Call(in, call);
     }
     else if (m->kind == &Queue_WantedKind) {
-        in->in_office = true;
+        in->is_leader = true;
         Follow_Hurry(in);
         Cache_TellAll(in);
     }
-    else if (m->kind == &Queue_OfficeLeftKind) {
-        in->in_office = false;
+    else if (m->kind == &Queue_LeadershipEndedKind) {
+        in->is_leader = false;
     }
     else if (m->kind == &Queue_UnscheduledKind) {
         Cache_TellJobs(in, (struct job_ids *)m);
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -58,7 +58,7 @@
     struct emptied listing; /* the same, while the table is listed */
     bool draining;
     bool owner_wants_all;
-    bool in_office; /* the owner is in this process, or is about to be */
+    bool is_leader; /* the owner is in this process, or is about to be */
     TAILQ_HEAD(, open_call) open; /* which the store has not answered */
     size_t open_calls;
     ev_timer look_round; /* for callers that have left */
--- a/packages/queue/queue-office-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -45,7 +45,7 @@
 /* Notes whether the owner that the row named so far has ended for certain.
  *
  * Failure: the row of a living owner is spoiled, and the row names nobody.
- * Symptom of taking that for an office given back: its leases are not waited
+ * Symptom of taking that for leadership given back: its leases are not waited
  * for, and tasks run twice. Whoever was named before the spoiled row counts;
  * where nobody knows who that was, it may be alive. */
 static void
@@ -58,7 +58,7 @@
     if (o->row_spoiled) {
         return;
     }
-    if (Office_IsOurs(o)) {
+    if (Leader_IsOurs(o)) {
         o->dead_before = o->dead_before || spoiled;
         return;
     }
@@ -82,8 +82,8 @@
     o->row_incarnation = r.incarnation;
     o->row_term = r.term;
     o->beat_seen_ms = Clock_NowMs();
-    if (!Office_IsOurs(o)) {
-        if (o->office != OFFICE_NONE) {
+    if (!Leader_IsOurs(o)) {
+        if (o->leadership != LEADER_NONE) {
             Owner_Leave(o, "another_owner");
         }
         return;
@@ -91,13 +91,13 @@
     if (o->released) {
         return;
     }
-    if (o->office == OFFICE_NONE) {
-        Office_Begin(o);
+    if (o->leadership == LEADER_NONE) {
+        Leader_Begin(o);
         return;
     }
     o->version = o->row_version;
-    if (o->office == OFFICE_FENCING) {
-        o->office = OFFICE_HELD;
+    if (o->leadership == LEADER_FENCING) {
+        o->leadership = LEADER_HELD;
         LOG_I("owner_fenced", KV_INT("version", o->version));
         Owner_Soon(o);
     }
@@ -159,7 +159,7 @@
 
 /* Takes what rows say of owners and entries. */
 void
-Office_Rows(struct owner *o, const struct rows_changed *r)
+Leader_Rows(struct owner *o, const struct rows_changed *r)
 {
     if (r->followed) {
         note_feed(o);
--- a/packages/queue/queue-office.c
+++ b/packages/queue/queue-leader.c
@@ -8,7 +8,7 @@
 
 /* True when the row names this process. */
 bool
-Office_IsOurs(const struct owner *o)
+Leader_IsOurs(const struct owner *o)
 {
     const struct entry_settings *s = o->task.kernel->settings;
 
@@ -16,21 +16,22 @@
            o->row_incarnation == Queue_Incarnation();
 }
 
-/* Leaves office. */
+/* Gives leadership up. */
 void
 Owner_Leave(struct owner *o, const char *why)
 {
-    if (o->office != OFFICE_NONE) {
+    if (o->leadership != LEADER_NONE) {
         LOG_W("owner_leaves", KV("why", why), KV_INT("term", o->term));
     }
-    o->office = OFFICE_NONE;
+    o->leadership = LEADER_NONE;
     o->term = 0;
     Jobs_Free(o->book);
     o->book = NULL;
     o->beat_seen_ms = Clock_NowMs();
     Queue_Post(o->task.kernel, TASK_INTAKE,
-               Mem_Zero(1, sizeof(struct office_left)), &Queue_OfficeLeftKind);
-    Rows_LeftOffice();
+               Mem_Zero(1, sizeof(struct leadership_ended)),
+               &Queue_LeadershipEndedKind);
+    Rows_LeadershipEnded();
 }
 
 static void
@@ -57,8 +58,8 @@
                           .table = Queue_Site()->own_table,
                           .key = "owner",
                           .if_version = o->row_version};
-    /* The term rises with each office, not with its rewrites. */
-    uint64_t term = Office_IsOurs(o) ? o->row_term : o->row_term + 1;
+    /* The term rises with each leadership, not with its rewrites. */
+    uint64_t term = Leader_IsOurs(o) ? o->row_term : o->row_term + 1;
 
     if (o->claiming || Clock_NowMs() < o->claim_ms) {
         return;
@@ -75,7 +76,7 @@
 /* What each of the owner's transactions expects: a deposed owner, whose row is
  * another one, can so write nothing. */
 struct table_op
-Office_Check(const struct owner *o)
+Leader_Check(const struct owner *o)
 {
     return (struct table_op){.verb = TABLE_CHECK,
                              .table = Queue_Site()->own_table,
@@ -85,7 +86,7 @@
 
 /* Asks for all rows, to build the book. */
 void
-Office_WantRows(struct owner *o)
+Leader_WantRows(struct owner *o)
 {
     struct rows_wanted *m = Mem_Zero(1, sizeof(*m));
 
@@ -95,19 +96,19 @@
 
 /* The row names us: the rows come next. */
 void
-Office_Begin(struct owner *o)
+Leader_Begin(struct owner *o)
 {
-    o->office = OFFICE_LOADING;
+    o->leadership = LEADER_LOADING;
     o->elected_ms = Clock_NowMs();
     o->term = o->row_term;
     o->version = o->row_version;
     o->confirmed_ms = Clock_NowMs();
     LOG_I("owner_elected", KV_INT("term", o->term),
           KV_INT("version", o->version));
-    Office_WantRows(o);
+    Leader_WantRows(o);
 }
 
-/* Claims the office when nobody holds it, or its holder shows no life.
+/* Claims leadership when nobody holds it, or its holder shows no life.
  *
  * Failure: this entry was cut from the store for a while, and hears of it
  * again. Symptom: the owner's last beat that it knows is old, and it deposes a
@@ -118,7 +119,7 @@
  * and has not read which failure domains are emptied. Symptom: as the owner it
  * starts tasks there. It claims nothing before it knows. */
 void
-Office_Consider(struct owner *o)
+Leader_Consider(struct owner *o)
 {
     const struct entry_settings *s = o->task.kernel->settings;
     int64_t now = Clock_NowMs();
@@ -127,7 +128,7 @@
     /* Entries wait for different times, so that one is first. */
     int64_t own = (int64_t)(Hash_Str(s->name, 0) % 300);
     bool nobody = o->row_version == 0 || o->row_name[0] == '\0';
-    bool ours_before = strcmp(o->row_name, s->name) == 0 && !Office_IsOurs(o);
+    bool ours_before = strcmp(o->row_name, s->name) == 0 && !Leader_IsOurs(o);
 
     if (o->draining || o->rows_seen_ms == 0 ||
         now - o->rows_seen_ms > FEED_GAP_MS || o->config == NULL ||
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -149,7 +149,8 @@
 const struct message_kind Queue_ConfigKind = {"config", free_config};
 const struct message_kind Queue_RowsKind = {"rows", free_rows};
 const struct message_kind Queue_WantedKind = {"rows-wanted", NULL};
-const struct message_kind Queue_OfficeLeftKind = {"office-left", NULL};
+const struct message_kind Queue_LeadershipEndedKind = {"leadership-ended",
+                                                       NULL};
 const struct message_kind Queue_SaidKind = {"agent-said", free_said};
 const struct message_kind Queue_SayKind = {"say-agent", free_say};
 const struct message_kind Queue_DocumentKind = {"document", free_document};
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -79,7 +79,7 @@
 
 /* True while this owner may give out leases: its writes are confirmed, so
  * nobody has taken over for longer than the bound that the next one waits; and
- * it has not given the office back, after which the next one waits for no more
+ * it has not given leadership back, after which the next one waits for no more
  * than the leases given so far. */
 static bool
 may_grant(const struct owner *o)
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -23,20 +23,20 @@
     struct owner *o = w->data;
     const struct entry_settings *s = o->task.kernel->settings;
 
-    switch (o->office) {
-    case OFFICE_NONE:
-        Office_Consider(o);
+    switch (o->leadership) {
+    case LEADER_NONE:
+        Leader_Consider(o);
         return;
-    case OFFICE_LOADING:
+    case LEADER_LOADING:
         /* Rows from before our own row came are not enough; ask again. */
         if (Clock_NowMs() - o->wanted_ms > LOADING_MS) {
-            Office_WantRows(o);
+            Leader_WantRows(o);
         }
         return;
-    case OFFICE_FENCING:
+    case LEADER_FENCING:
         Owner_Claim(o, s->name);
         break;
-    case OFFICE_HELD:
+    case LEADER_HELD:
         Rows_Expire(o);
         Rows_Mend(o);
         break;
@@ -117,7 +117,7 @@
     o->config = QueueConfig_Ref(c);
 }
 
-/* Keeps a lifetime that has left, in office or not.
+/* Keeps a lifetime that has left, leading or not.
  *
  * Failure: a worker leaves, its machine with it, and the owner that heard of
  * it ends too. Symptom: the next owner waits for leases of a worker that is
@@ -136,8 +136,8 @@
     Str_Copy(o->left[o->left_next++ % LEFT_MAX], JOBS_TEXT_SIZE, lifetime);
 }
 
-/* True when an agent has heard an owner of a higher term than ours, and the
- * office is given up for it.
+/* True when an agent has heard an owner of a higher term than ours, and
+ * leadership is given up for it.
  *
  * Failure: the owner row was lost or spoiled, and no entry that is left knew
  * its term. Symptom: our term is below what the workers have seen, and they
@@ -151,7 +151,7 @@
     }
     if (term > o->row_term) {
         o->row_term = term;
-        o->row_incarnation = 0; /* so that the next claim is a new office */
+        o->row_incarnation = 0; /* the next claim is a new leadership */
     }
     /* Whoever told that term may be alive, whatever our own row says. */
     o->row_spoiled = true;
@@ -211,7 +211,7 @@
     }
 }
 
-/* Begins to end: the office is given back. */
+/* Begins to end: leadership is given back. */
 static void
 drain(struct task *t)
 {
@@ -224,7 +224,7 @@
 {
     const struct owner *o = (const struct owner *)t;
     json_t *v =
-        json_pack("{s:b,s:I,s:s}", "in_office", o->book != NULL, "term",
+        json_pack("{s:b,s:I,s:s}", "is_leader", o->book != NULL, "term",
                   (json_int_t)o->row_term, "owner", o->row_name);
 
     if (o->book != NULL) {
@@ -257,7 +257,7 @@
                                           .state = state,
                                           .free = owner_free};
 
-/* Starts without office. */
+/* Starts as a follower. */
 static int
 start(struct kernel *k)
 {
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -20,11 +20,11 @@
 /* Lifetimes that agents said have left, kept for whoever takes over next. */
 #define LEFT_MAX 32
 
-enum office {
-    OFFICE_NONE,    /* another entry is the owner, or nobody */
-    OFFICE_LOADING, /* the row names us; the rows are on their way */
-    OFFICE_HELD,
-    OFFICE_FENCING /* rewriting the owner row, before writing anything else */
+enum leadership {
+    LEADER_NONE,    /* another entry is the owner, or nobody */
+    LEADER_LOADING, /* the row names us; the rows are on their way */
+    LEADER_HELD,
+    LEADER_FENCING /* rewriting the owner row, before writing anything else */
 };
 
 struct owner {
@@ -33,7 +33,7 @@
     struct queue_config *config;
     struct emptied emptied; /* failure domains, as the intake told */
     int64_t emptied_ms;     /* when that changed */
-    enum office office;
+    enum leadership leadership;
     bool draining;
     bool released;
     /* The owner row, as the feed told it last. */
@@ -53,7 +53,7 @@
     uint64_t before_incarnation;
     char left[LEFT_MAX][JOBS_TEXT_SIZE];
     size_t left_next;
-    /* In office. */
+    /* While leading. */
     int64_t elected_ms;
     uint64_t term;
     uint64_t version; /* of the owner row that our writes expect */
@@ -81,31 +81,31 @@
 /* Plans, writes and gives orders, soon. */
 void Owner_Soon(struct owner *o);
 
-/* ---- queue-office.c */
+/* ---- queue-leader.c */
 void Owner_Leave(struct owner *o, const char *why);
-/* Writes the owner row; name "": the office is given back. */
+/* Writes the owner row; name "": leadership is given back. */
 void Owner_Claim(struct owner *o, const char *name);
 /* True when the owner row names this process. */
-bool Office_IsOurs(const struct owner *o);
-/* The row names us: the office begins, and with it the reading of all rows. */
-void Office_Begin(struct owner *o);
+bool Leader_IsOurs(const struct owner *o);
+/* The row names us: leadership begins, and with it the reading of all rows. */
+void Leader_Begin(struct owner *o);
 /* What each of the owner's transactions expects: that it is still the owner.
  */
-struct table_op Office_Check(const struct owner *o);
+struct table_op Leader_Check(const struct owner *o);
 /* Asks for all rows, to build the book. */
-void Office_WantRows(struct owner *o);
-/* Claims the office if nobody holds it. */
-void Office_Consider(struct owner *o);
+void Leader_WantRows(struct owner *o);
+/* Claims leadership if nobody holds it. */
+void Leader_Consider(struct owner *o);
 
-/* ---- queue-office-rows.c */
+/* ---- queue-leader-rows.c */
 /* Takes what rows say of owners and entries. */
-void Office_Rows(struct owner *o, const struct rows_changed *r);
+void Leader_Rows(struct owner *o, const struct rows_changed *r);
 
 /* ---- queue-rows.c */
 void Rows_Take(struct owner *o, const struct rows_changed *r);
 /* Finds jobs that are shown as accepted and are not scheduled. */
 void Rows_Check(struct owner *o, const struct job_ids *shown);
-void Rows_LeftOffice(void);
+void Rows_LeadershipEnded(void);
 /* Drops the rows of a job that has been shown for long enough. */
 void Rows_Expire(struct owner *o);
 /* Stores the spec of a job again whose row was spoiled. */
--- a/packages/queue/queue-rows.c
+++ b/packages/queue/queue-rows.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-static struct counter in_office = {"parsleyfall_queue_owner",
+static struct counter is_leader = {"parsleyfall_queue_owner",
                                    "1 while this entry gives the orders.",
                                    NULL, COUNTER_GAUGE};
 static struct counter takeover_ms = {
@@ -123,7 +123,7 @@
 
 /* Builds the book from all rows. */
 static void
-take_office(struct owner *o, const struct rows_changed *r)
+take_leadership(struct owner *o, const struct rows_changed *r)
 {
     const struct entry_settings *s = o->task.kernel->settings;
     struct jobs_limits limits = {
@@ -148,20 +148,20 @@
     for (size_t i = 0; i < LEFT_MAX; i++) {
         Jobs_Left(o->book, o->left[i], NULL, 0, now);
     }
-    o->office = OFFICE_HELD;
+    o->leadership = LEADER_HELD;
     Counter_Add(&takeovers, 1);
     Counter_Observe(&takeover_ms, now - o->elected_ms);
-    Counter_Set(&in_office, 1);
-    LOG_I("owner_in_office", KV_INT("term", o->term), KV_INT("rows", r->count),
+    Counter_Set(&is_leader, 1);
+    LOG_I("owner_active", KV_INT("term", o->term), KV_INT("rows", r->count),
           KV("before", o->dead_before ? "ended" : "maybe_alive"));
     Owner_Soon(o);
 }
 
 /* Says that this entry gives no orders any more. */
 void
-Rows_LeftOffice(void)
+Rows_LeadershipEnded(void)
 {
-    Counter_Set(&in_office, 0);
+    Counter_Set(&is_leader, 0);
 }
 
 /* Takes rows from the intake. */
@@ -169,12 +169,12 @@
 Rows_Take(struct owner *o, const struct rows_changed *r)
 {
     if (r->all) {
-        if (o->office == OFFICE_LOADING && r->position >= o->version) {
-            take_office(o, r);
+        if (o->leadership == LEADER_LOADING && r->position >= o->version) {
+            take_leadership(o, r);
         }
         return;
     }
-    Office_Rows(o, r);
+    Leader_Rows(o, r);
     if (o->book != NULL && r->count > 0) {
         note_spoiled(o, r);
         take_jobs(o, r);
@@ -237,7 +237,7 @@
     if (id == NULL) {
         return;
     }
-    ops[0] = Office_Check(o);
+    ops[0] = Leader_Check(o);
     for (size_t i = 0; i < COUNT_OF(prefixes); i++) {
         snprintf(keys[i], sizeof(keys[i]), "%s%s", prefixes[i], id);
         ops[i + 1] = (struct table_op){.verb = TABLE_DELETE,
@@ -256,7 +256,7 @@
     struct buf value CLEANUP(Buf_Free) = {0};
     const char *id = Jobs_NextSpoiled(o->book, &value);
     char key[JOBS_ID_SIZE + 8];
-    struct table_op ops[2] = {Office_Check(o),
+    struct table_op ops[2] = {Leader_Check(o),
                               {.verb = TABLE_PUT,
                                .table = Queue_Site()->own_table,
                                .key = key,
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -206,7 +206,7 @@
     uint64_t position;
 };
 
-/* owner -> intake: every row is wanted, as the office begins. */
+/* owner -> intake: every row is wanted, as leadership begins. */
 struct rows_wanted {
     struct message base;
 };
@@ -219,8 +219,8 @@
     size_t count;
 };
 
-/* owner -> intake: the office has ended. */
-struct office_left {
+/* owner -> intake: leadership has ended. */
+struct leadership_ended {
     struct message base;
 };
 
@@ -278,7 +278,7 @@
 extern const struct message_kind Queue_WantedKind;
 extern const struct message_kind Queue_UnfinishedKind;
 extern const struct message_kind Queue_UnscheduledKind;
-extern const struct message_kind Queue_OfficeLeftKind;
+extern const struct message_kind Queue_LeadershipEndedKind;
 extern const struct message_kind Queue_SaidKind;
 extern const struct message_kind Queue_SayKind;
 extern const struct message_kind Queue_DocumentKind;
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -81,7 +81,7 @@
     EXPECT_EQ(s.Starts().size(), 4u) << s.Logs();
 }
 
-/* The owner's row is spoiled while it lives. Somebody takes the office again,
+/* The owner's row is spoiled while it lives. Somebody takes leadership again,
  * under a higher term, and waits for what the one before may have granted:
  * nothing runs twice. Counting terms from the start again, the workers would
  * answer nobody. */
@@ -104,7 +104,7 @@
 }
 
 /* All entries end, and the owner's row is spoiled: nobody knows the term that
- * the workers have seen. The agents do; the office is taken above it. */
+ * the workers have seen. The agents do; leadership is taken above it. */
 TEST(HostedForeign, WhenNoEntryKnowsTheTermTheAgentsDo)
 {
     HostedStack s(1, 1);
--- a/tests/hosted-relay-test.cc
+++ b/tests/hosted-relay-test.cc
@@ -14,7 +14,7 @@
 {
     for (int i = 0; i < 2; i++) {
         if (ReadFile(s.dir.Path("entry-" + std::to_string(i) + ".err"))
-                .find("event=owner_in_office") != std::string::npos) {
+                .find("event=owner_active") != std::string::npos) {
             return i;
         }
     }
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -338,7 +338,7 @@
 {
     auto leads = [&](int i) {
         return ReadFile(dir.Path("entry-" + std::to_string(i) + ".err"))
-                   .find("owner_in_office") != std::string::npos;
+                   .find("owner_active") != std::string::npos;
     };
 
     WaitFor([&] { return leads(0) || leads(1); });
