--- a/bench/jobs-bench.c
+++ b/bench/jobs-bench.c
@@ -4,7 +4,7 @@
  *   jobs-bench [WORKERS [UNITS...]]
  *
  * prints a row for each number of waiting units: milliseconds of a pass in the
- * median and at most, of a worker's look, and of building the book anew from
+ * median and at most, of a worker's report, and of building the book anew from
  * its rows up to the first pass. */
 #include "jobs.h"
 
@@ -124,9 +124,9 @@
     return queue == 0 ? 1 : width;
 }
 
-/* A look at a worker, with what it runs. */
+/* A report of a worker, with what it runs. */
 static void
-look(struct bench *b, int worker)
+report(struct bench *b, int worker)
 {
     struct jobs_running *list = Mem_Zero(b->running_count + 1, sizeof(*list));
     struct jobs_report r = {.running = list,
@@ -214,7 +214,7 @@
 
     b->now_ms += TURN_MS;
     for (int i = 0; i < b->workers; i++) {
-        look(b, i);
+        report(b, i);
     }
     begun = clock_ms();
     Jobs_Plan(b->book, b->now_ms, b->now_ms);
@@ -273,7 +273,7 @@
 measure(int workers, size_t units)
 {
     struct bench b = {.workers = workers, .now_ms = 1000000, .dice = 7};
-    double pass[PASSES], looked;
+    double pass[PASSES], reported;
     size_t waiting = 0;
 
     configure(&b);
@@ -293,13 +293,13 @@
         pass[i] = turn(&b);
     }
     qsort(pass, PASSES, sizeof(*pass), compare);
-    looked = clock_ms();
+    reported = clock_ms();
     for (int i = 0; i < workers; i++) {
-        look(&b, i);
+        report(&b, i);
     }
-    looked = (clock_ms() - looked) / workers;
+    reported = (clock_ms() - reported) / workers;
     printf("| %d | %zu | %.2f | %.2f | %.3f | %.1f |\n", workers, waiting,
-           pass[PASSES / 2], pass[PASSES - 1], looked, take_over(&b));
+           pass[PASSES / 2], pass[PASSES - 1], reported, take_over(&b));
     clear(&b);
 }
 
@@ -309,7 +309,7 @@
     static const size_t usual[] = {100, 300, 1000, 3000};
     int workers = argc > 1 ? atoi(argv[1]) : 160;
 
-    puts("| workers | units that wait | pass ms, median | at most | look ms "
+    puts("| workers | units that wait | pass ms, median | at most | report ms "
          "| from rows to the first pass, ms |\n|--:|--:|--:|--:|--:|--:|");
     if (workers <= 0) {
         fprintf(stderr, "WORKERS: a whole number above 0\n");
--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -223,7 +223,7 @@
 /* Whose word it was. */
 enum unreadable {
     UNREADABLE_REPORT,  /* a worker of itself */
-    UNREADABLE_LOOK,    /* a worker of its runs */
+    UNREADABLE_RUNS,    /* a worker of its runs */
     UNREADABLE_ROW,     /* a row of our own table */
     UNREADABLE_STORE,   /* the store's form of a row */
     UNREADABLE_CONFIG,  /* an operator */
--- a/packages/base/unreadable.c
+++ b/packages/base/unreadable.c
@@ -15,7 +15,7 @@
     struct counter total;
 } sources[UNREADABLE_SOURCES] = {
     [UNREADABLE_REPORT] = SOURCE("report"),
-    [UNREADABLE_LOOK] = SOURCE("look"),
+    [UNREADABLE_RUNS] = SOURCE("runs"),
     [UNREADABLE_ROW] = SOURCE("row"),
     [UNREADABLE_STORE] = SOURCE("store"),
     [UNREADABLE_CONFIG] = SOURCE("config"),
--- a/packages/jobs/jobs-domain.c
+++ b/packages/jobs/jobs-domain.c
@@ -56,9 +56,9 @@
 
 /* True when nothing may start on a worker.
  *
- * Failure: a look does not say where its machine stands. Symptom of using its
- * worker: something starts in a domain whose power is about to be cut. While
- * any domain is emptied it gets nothing. */
+ * Failure: a report does not say where its machine stands. Symptom of using
+ * its worker: something starts in a domain whose power is about to be cut.
+ * While any domain is emptied it gets nothing. */
 bool
 Domain_IsEmptied(const struct jobs_book *b, const struct jobs_worker *w)
 {
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -80,7 +80,7 @@
     u->job->seen_ms[u->step] = u->work_ms;
 }
 
-/* Takes the progress of a run. Workers tell it linearly, so two looks give
+/* Takes the progress of a run. Workers tell it linearly, so two reports give
  * what a run takes far better than its caller's estimate. It is measured from
  * the first progress on: before, the run is set up, resumes from a checkpoint
  * or waits for the rest of its gang. */
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -290,7 +290,7 @@
 stop_vanished(struct jobs_book *b, struct jobs_worker *w,
               const struct jobs_report *r)
 {
-    static const int64_t vanished_ms = 1000; /* looks come twice as often */
+    static const int64_t vanished_ms = 1000; /* reports come twice as often */
     static const size_t full = 500;          /* ends in one list, at most */
     struct jobs_task *t;
 
@@ -376,7 +376,7 @@
            memcmp(&w->capacity, &r->capacity, sizeof(r->capacity)) != 0;
 }
 
-/* Takes an agent's look at its worker. */
+/* Takes an agent's report on its worker. */
 bool
 Jobs_Report(struct jobs_book *b, const struct jobs_report *r, int64_t now_ms)
 {
--- a/packages/jobs/jobs-share.c
+++ b/packages/jobs/jobs-share.c
@@ -10,7 +10,7 @@
  *
  * The share falls by three quarters when a target is missed, and by half when
  * one is nearly missed; it rises by a tenth at a time while there is room to
- * spare. Looks come within 0.4 s and show the last 0.5 s, so a change is
+ * spare. Reports come within 0.4 s and show the last 0.5 s, so a change is
  * judged after PAUSE_MS: a target is met again within three changes, 2.1 s,
  * where the filling work is the cause, and the share does not swing with old
  * figures. */
@@ -20,7 +20,7 @@
 #define SPARE_PERCENT 70
 #define RISE 10
 #define LEAST 5 /* a lower share is none */
-/* An order on a share may be lost, and no look shows it. */
+/* An order on a share may be lost, and no report shows it. */
 #define REPEAT_MS 1000
 
 /* How near to its target the worst serving task of a worker is, in percent;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -209,7 +209,7 @@
     int64_t worked_ms; /* how long it was seen at work */
 };
 
-/* What an agent knows of its worker, in one look. */
+/* What an agent knows of its worker, in one report. */
 struct jobs_report {
     char agent[NAME_SIZE];
     char worker[JOBS_TEXT_SIZE]; /* its lifetime; "": none is there */
@@ -222,7 +222,7 @@
     uint32_t label_count;
     struct jobs_need capacity;
     bool draining;
-    uint64_t term;    /* of the owner that the look was made under */
+    uint64_t term;    /* of the owner that the report was made under */
     int64_t clock_ms; /* the worker's own */
     struct jobs_running *running;
     size_t running_count;
@@ -319,7 +319,7 @@
 /* Appends a spec that has to be stored again and returns its job's id, or NULL
  * when there is none. */
 const char *Jobs_NextSpoiled(struct jobs_book *b, struct buf *out);
-/* An agent's look at its worker. True when it may change what is decided: a
+/* An agent's report on its worker. True when it may change what is decided: a
  * run is over, or the worker is another one than was known. Without such news
  * decisions wait for the next turn by the clock. */
 bool Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -16,7 +16,7 @@
 #define COME_BACK_MS 1000
 /* How soon it is seen that a caller has left: well within what callers wait.
  */
-#define LOOK_ROUND_MS 250
+#define CALLER_CHECK_MS 250
 
 /* A call while it waits for the store. */
 struct open_call {
@@ -472,7 +472,7 @@
 
 /* A job that was not known here, as the store has it. */
 static void
-on_looked(void *arg, int err, struct table_row *row)
+on_row_read(void *arg, int err, struct table_row *row)
 {
     struct open_call *o = arg;
     struct intake *in = o->in;
@@ -510,8 +510,8 @@
     struct open_call *o = open_call(in, call, "spec/", id);
 
     o->asking = true;
-    in->store->ops->get(in->store, Queue_Site()->own_table, o->key, on_looked,
-                        o);
+    in->store->ops->get(in->store, Queue_Site()->own_table, o->key,
+                        on_row_read, o);
 }
 
 /* Who calls; false when the key is nobody's. */
@@ -601,7 +601,7 @@
 }
 
 static void
-on_look_round(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+on_caller_check(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
 {
     struct intake *in = w->data;
     struct open_call *o;
@@ -613,13 +613,13 @@
     }
 }
 
-/* Begins to look for callers that leave. */
+/* Begins to check for callers that leave. */
 void
 Calls_Start(struct intake *in)
 {
-    ev_init(&in->look_round, on_look_round);
-    in->look_round.data = in;
-    Timer_Every(in->task.kernel->loop, &in->look_round, LOOK_ROUND_MS);
+    ev_init(&in->caller_check, on_caller_check);
+    in->caller_check.data = in;
+    Timer_Every(in->task.kernel->loop, &in->caller_check, CALLER_CHECK_MS);
 }
 
 /* Ends it, and drops what the store has not answered. */
@@ -634,5 +634,5 @@
             free_open(o);
         }
     }
-    ev_timer_stop(in->task.kernel->loop, &in->look_round);
+    ev_timer_stop(in->task.kernel->loop, &in->caller_check);
 }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -61,9 +61,9 @@
     bool is_leader; /* the owner is in this process, or is about to be */
     TAILQ_HEAD(, open_call) open; /* which the store has not answered */
     size_t open_calls;
-    ev_timer look_round; /* for callers that have left */
-    ev_timer tell;       /* own row, and the entries */
-    ev_timer check;      /* that what is shown is scheduled */
+    ev_timer caller_check; /* for callers that have left */
+    ev_timer tell;         /* own row, and the entries */
+    ev_timer check;        /* that what is shown is scheduled */
     bool own_row_stored;
 };
 
@@ -104,7 +104,7 @@
 
 /* ---- queue-calls.c */
 void Intake_Call(struct intake *in, struct queue_call *call);
-/* Begins to look for callers that leave before their answer, and ends. */
+/* Begins to check for callers that leave before their answer, and ends. */
 void Calls_Start(struct intake *in);
 void Calls_Stop(struct intake *in);
 
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Looks come at least every 0.7 s and each brings a new stamp, so one that is
- * older than two of them and some delay was held up. */
-#define LOOK_AGE_MS 2000
+/* Reports come at least every 0.7 s and each brings a new stamp, so one that
+ * is older than two of them and some delay was held up. */
+#define REPORT_AGE_MS 2000
 /* The list of entries is told to an agent at first and then so often. */
 #define LIST_MS 5000
 
@@ -85,25 +85,25 @@
     Queue_Post(l->task.kernel, TASK_STORE, &said->base, &Queue_StoreSaidKind);
 }
 
-/* True for a look that was sent after this process said its stamp, not long
+/* True for a report that was sent after this process said its stamp, not long
  * ago.
  *
- * Failure: looks that a partition held up in a connection arrive seconds
+ * Failure: reports that a partition held up in a connection arrive seconds
  * later, when the agent has opened another one. Symptom: they name a lifetime
  * of the worker that is over, the present one is taken for lost, and its runs
  * are started again beside those that have ended. A stamp that comes back
  * bounds the age of what is taken. */
 static bool
-is_fresh(const struct wire_look *m)
+is_fresh(const struct wire_report *m)
 {
     int64_t age_ms = Clock_NowMs() - m->stamp;
 
-    if (m->stamped_by == Queue_Incarnation() && age_ms <= LOOK_AGE_MS) {
+    if (m->stamped_by == Queue_Incarnation() && age_ms <= REPORT_AGE_MS) {
         return true;
     }
     if (m->stamped_by != 0) {
-        LOG_I("look_too_old", KV("agent", m->agent), KV_INT("age_ms", age_ms),
-              KV("worker", m->worker));
+        LOG_I("report_too_old", KV("agent", m->agent),
+              KV_INT("age_ms", age_ms), KV("worker", m->worker));
     }
     return false;
 }
@@ -111,7 +111,7 @@
 /* True when an agent has not had the list of entries for a while, or has just
  * come. The list is most of a hail where there are many entries. */
 static bool
-wants_list(struct links *l, const struct wire_look *m)
+wants_list(struct links *l, const struct wire_report *m)
 {
     struct agent *a = find_agent(l, m->agent);
     int64_t now = Clock_NowMs();
@@ -133,10 +133,10 @@
     struct links *l = arg;
 
     switch ((*m)->type) {
-    case WIRE_LOOK:
-        hail(l, from, wants_list(l, (const struct wire_look *)*m));
-        if (is_fresh((const struct wire_look *)*m)) {
-            note_agent(l, ((struct wire_look *)*m)->agent, from);
+    case WIRE_REPORT:
+        hail(l, from, wants_list(l, (const struct wire_report *)*m));
+        if (is_fresh((const struct wire_report *)*m)) {
+            note_agent(l, ((struct wire_report *)*m)->agent, from);
             pass_on(l, m);
         }
         return;
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Copies the lists of a look. */
+/* Copies the lists of a report. */
 static void
-copy_lists(const struct wire_look *m, struct jobs_report *r)
+copy_lists(const struct wire_report *m, struct jobs_report *r)
 {
     const struct wire_run *runs = m->running.items;
     const struct wire_end *ends = m->ended.items;
@@ -52,7 +52,7 @@
 
 /* Charges the crash of an agent's worker to what was there. */
 static void
-take_crashes(struct owner *o, const struct wire_look *m, int64_t now)
+take_crashes(struct owner *o, const struct wire_report *m, int64_t now)
 {
     const struct wire_crash *from = m->crashed.items;
     struct jobs_crash *crashes CLEANUP(Mem_FreeP) =
@@ -110,10 +110,10 @@
     Queue_Post(o->task.kernel, TASK_LINKS, &note->base, &Queue_SayKind);
 }
 
-/* True when no number of a look is out of its range: sums over all that a
+/* True when no number of a report is out of its range: sums over all that a
  * worker may run stay far within 64 bits. */
 static bool
-is_sound(const struct wire_look *m)
+is_sound(const struct wire_report *m)
 {
     static const int64_t most = (int64_t)1 << 40;
 
@@ -122,9 +122,9 @@
            m->accelerators <= most && m->clock_ms >= 0;
 }
 
-/* Takes a look into the book and answers it with the next lease. */
+/* Takes a report into the book and answers it with the next lease. */
 bool
-Orders_Look(struct owner *o, const struct wire_look *m)
+Orders_Report(struct owner *o, const struct wire_report *m)
 {
     const struct entry_settings *s = o->task.kernel->settings;
     struct jobs_report r = {0};
@@ -142,7 +142,7 @@
         return true;
     }
     if (!is_sound(m)) {
-        Unreadable(UNREADABLE_MESSAGE, m->agent, "a look out of range");
+        Unreadable(UNREADABLE_MESSAGE, m->agent, "a report out of range");
         return false;
     }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -6,7 +6,7 @@
 #define TICK_MS 100
 #define SOON_MS 3 /* what comes within it is decided and written at once */
 /* A pass is followed by the next one after this many times what it took: three
- * quarters of the processor so stay for looks, callers and the store's
+ * quarters of the processor so stay for reports, callers and the store's
  * answers, however slow the machine is. */
 #define REST_FACTOR 3
 #define LOADING_MS 300 /* then the rows are asked for once more */
@@ -90,8 +90,8 @@
 /* Lets it be done soon, together with what else comes.
  *
  * Load: hundreds of ends of runs and of jobs a second at an owner on a tenth
- * of a core. Without a rest it decides all the time, looks and callers wait in
- * its sockets, and what it decides on is seconds old. */
+ * of a core. Without a rest it decides all the time, reports and callers wait
+ * in its sockets, and what it decides on is seconds old. */
 void
 Owner_Soon(struct owner *o)
 {
@@ -164,18 +164,18 @@
 static void
 take_said(struct owner *o, const struct wire_msg *m)
 {
-    if (m->type == WIRE_LOOK) {
-        note_left(o, ((const struct wire_look *)m)->left);
+    if (m->type == WIRE_REPORT) {
+        note_left(o, ((const struct wire_report *)m)->left);
     }
     if (o->book == NULL) {
         return;
     }
-    if (m->type == WIRE_LOOK &&
-        is_behind(o, ((const struct wire_look *)m)->term)) {
+    if (m->type == WIRE_REPORT &&
+        is_behind(o, ((const struct wire_report *)m)->term)) {
         return;
     }
-    if (m->type == WIRE_LOOK) {
-        if (!Orders_Look(o, (const struct wire_look *)m)) {
+    if (m->type == WIRE_REPORT) {
+        if (!Orders_Report(o, (const struct wire_report *)m)) {
             return;
         }
     }
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -131,7 +131,7 @@
 
 /* ---- queue-orders.c */
 /* True when it brought news (Jobs_Report). */
-bool Orders_Look(struct owner *o, const struct wire_look *m);
+bool Orders_Report(struct owner *o, const struct wire_report *m);
 void Orders_Refused(struct owner *o, const struct wire_refused *m);
 void Orders_Send(struct owner *o);
 
--- a/packages/queue/queue-sources.h
+++ b/packages/queue/queue-sources.h
@@ -5,7 +5,7 @@
  * entries behind links of 10 Mbit/s among others of 200. The store's feed
  * brings the whole document for each change, a second of a thin link: the
  * entry there has room for nothing else, its callers' answers and its agents'
- * looks included. An entry that has seen that reading is slow leaves it to
+ * reports included. An entry that has seen that reading is slow leaves it to
  * others that read well, and takes what differs from them, a few hundred
  * bytes. */
 #ifndef QUEUE_SOURCES_H
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -3,16 +3,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* An entry answers each look, and looks go out twice a second; a link that
+/* An entry answers each report, and reports go out twice a second; a link that
  * has brought nothing for so long is replaced. Something between the two ends
  * may have lost track of it for good while new connections work. */
 #define SILENT_MS 2000
 #define CHECK_MS 250
-/* An entry that gives no orders hears a look so often: it must know the worker
- * when it takes over, and see the link alive, and nothing more. At 60 entries
- * all looks to all of them were 400 kB a second for an agent. */
+/* An entry that gives no orders hears a report so often: it must know the
+ * worker when it takes over, and see the link alive, and nothing more. At 60
+ * entries all reports to all of them were 400 kB a second for an agent. */
 #define OTHERS_MS 700
-/* An entry that gave orders within this is the owner, which hears every look.
+/* An entry that gave orders within this is the owner, which hears every
+ * report.
  */
 #define ORDERS_MS 1500
 /* An entry that no other one lists any more is dropped after this, unless it
@@ -26,7 +27,7 @@
     int64_t heard_ms;  /* last answer, or when the link was opened */
     int64_t listed_ms; /* last time that somebody named it */
     int64_t orders_ms; /* its last orders; 0: none */
-    int64_t said_ms;   /* last look that it was sent */
+    int64_t said_ms;   /* last report that it was sent */
     int64_t stamp;     /* its newest, to be echoed; 0: none on this link */
     uint64_t stamped_by;
     TAILQ_ENTRY(entry_link) entry;
@@ -155,7 +156,7 @@
     }
 }
 
-/* True when a look need not be said to this entry now. */
+/* True when a report need not be said to this entry now. */
 static bool
 may_wait(const struct entry_link *e, int64_t now)
 {
@@ -177,13 +178,13 @@
     TAILQ_FOREACH (e, &l->entries, entry) {
         struct wire_msg *said = ((struct wire_note *)m)->m;
 
-        if (said->type == WIRE_LOOK && may_wait(e, now)) {
+        if (said->type == WIRE_REPORT && may_wait(e, now)) {
             continue;
         }
-        if (said->type == WIRE_LOOK) {
+        if (said->type == WIRE_REPORT) {
             e->said_ms = now;
-            ((struct wire_look *)said)->stamp = e->stamp;
-            ((struct wire_look *)said)->stamped_by = e->stamped_by;
+            ((struct wire_report *)said)->stamp = e->stamp;
+            ((struct wire_report *)said)->stamped_by = e->stamped_by;
         }
         if (e->link != NULL) {
             Link_Send(e->link, NULL, said);
--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -49,7 +49,7 @@
     Watch_Say(w, &m->msg);
 }
 
-/* Notes a confirmed stop, to be told with the next look. */
+/* Notes a confirmed stop, to be told with the next report. */
 static void
 note_stop(struct watch *w, const struct order_call *c)
 {
@@ -57,7 +57,7 @@
 
     Str_Copy(s->task, sizeof(s->task), c->task);
     s->run = c->run;
-    s->before_look = w->looks + 1;
+    s->before_poll = w->polls + 1;
     s->at_ms = Clock_NowMs();
     TAILQ_INSERT_TAIL(&w->stops, s, entry);
 }
@@ -78,7 +78,7 @@
 }
 
 /* How an order went. One without an answer is not told of: the owner sends
- * it again until a look shows its effect. */
+ * it again until a report shows its effect. */
 static void
 on_ordered(void *arg, int err, const char *reason)
 {
@@ -102,7 +102,7 @@
               KV("order", verb_names[c->verb]), KV("error", Err_Name(err)));
     }
     if (current && c->verb != WIRE_SHARE_RUN) {
-        Watch_LookSoon(w);
+        Watch_PollSoon(w);
     }
     free(c);
 }
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -3,18 +3,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A look waits so long for an end. Leases are renewed with each look, so a
+/* A poll waits so long for an end. Leases are renewed with each poll, so a
  * shorter wait keeps more of a lease in hand; calls on the own machine cost
  * little. */
 #define WAIT_MS 400
 #define RETRY_MS 100
-#define BLIND_MS 500 /* while there is no worker to look at */
+#define BLIND_MS 500 /* while there is no worker to poll */
 #define SOON_MS 15   /* after an order, so that its effect is seen early */
-/* Between two looks while ends wait to be stored: the worker answers at once
- * then, and looking without a pause would cost all of the processor. */
+/* Between two polls while ends wait to be stored: the worker answers at once
+ * then, and polling without a pause would cost all of the processor. */
 #define ENDS_MS 50
 
-static void look(struct watch *w);
+static void poll_worker(struct watch *w);
 
 /* Sends a message to all entries. */
 void
@@ -30,7 +30,7 @@
 /* Fills what the worker has and runs. */
 static void
 fill_lists(const struct watch *w, const struct runs_seen *seen,
-           struct wire_look *m)
+           struct wire_report *m)
 {
     for (uint32_t i = 0; i < w->said.label_count; i++) {
         struct wire_label *l = Wire_ListAdd(&m->labels, sizeof(*l));
@@ -59,9 +59,9 @@
     }
 }
 
-/* Adds the stops that were confirmed before this look was sent. */
+/* Adds the stops that were confirmed before this poll was sent. */
 static void
-fill_stopped(struct watch *w, uint64_t number, struct wire_look *m)
+fill_stopped(struct watch *w, uint64_t number, struct wire_report *m)
 {
     struct confirmed_stop *s, *next;
     int64_t now = Clock_NowMs();
@@ -72,7 +72,7 @@
             free(s);
             continue;
         }
-        if (s->before_look <= number) {
+        if (s->before_poll <= number) {
             struct wire_stopped *to = Wire_ListAdd(&m->stopped, sizeof(*to));
 
             Str_Copy(to->task, sizeof(to->task), s->task);
@@ -83,19 +83,19 @@
 
 /* Adds what was on lifetimes that crashed lately. */
 static void
-fill_crashed(struct watch *w, struct wire_look *m)
+fill_crashed(struct watch *w, struct wire_report *m)
 {
     Crashes_Expire(w);
     Wire_ListCopy(&m->crashed, &w->crashed, sizeof(struct wire_crash));
 }
 
-/* Tells all entries what a look has shown. */
+/* Tells all entries what a poll has shown. */
 static void
-tell(struct watch *w, const struct look_call *call,
+tell(struct watch *w, const struct poll_call *call,
      const struct runs_seen *seen)
 {
     const struct agent_settings *s = w->task.kernel->settings;
-    struct wire_look *m = Wire_New(WIRE_LOOK);
+    struct wire_report *m = Wire_New(WIRE_REPORT);
 
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->worker, sizeof(m->worker), w->said.lifetime);
@@ -116,17 +116,17 @@
     Watch_Say(w, &m->msg);
 }
 
-/* Tells all entries that this agent is here and has no look to show.
+/* Tells all entries that this agent is here and has nothing to report.
  *
  * Failure: an agent that starts anew knows no owner's term, and its worker
- * answers nobody below the term that it has seen. Symptom: no look succeeds,
+ * answers nobody below the term that it has seen. Symptom: no poll succeeds,
  * so no entry hears of the agent, and nothing runs there again. The owner
- * answers this with its term, and the next look is made under it. */
+ * answers this with its term, and the next poll is made under it. */
 static void
 tell_blind(struct watch *w)
 {
     const struct agent_settings *s = w->task.kernel->settings;
-    struct wire_look *m = Wire_New(WIRE_LOOK);
+    struct wire_report *m = Wire_New(WIRE_REPORT);
 
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->left, sizeof(m->left), w->left);
@@ -138,9 +138,9 @@
     Watch_Say(w, &m->msg);
 }
 
-/* Looks again after a while. */
+/* Polls again after a while. */
 static void
-look_later(struct watch *w, int64_t ms)
+poll_later(struct watch *w, int64_t ms)
 {
     Timer_Set(w->task.kernel->loop, &w->again, ms);
 }
@@ -148,7 +148,7 @@
 static void
 on_again(struct ev_loop *loop UNUSED, ev_timer *timer, int events UNUSED)
 {
-    look(timer->data);
+    poll_worker(timer->data);
 }
 
 /* Another lifetime has taken the place of the present one. One that said that
@@ -203,7 +203,7 @@
     }
     w->said = *said;
     memset(&w->next, 0, sizeof(w->next));
-    look(w);
+    poll_worker(w);
 }
 
 /* Never believes a lifetime again: a report that was under way for seconds may
@@ -215,7 +215,7 @@
              lifetime);
 }
 
-/* A look under the lifetime that another report names came back. */
+/* A poll under the lifetime that another report names came back. */
 static void
 on_probed(struct watch *w, const char *lifetime, int err)
 {
@@ -242,21 +242,21 @@
     }
 }
 
-/* A look came back, or did not. */
+/* A poll came back, or did not. */
 static void
-on_looked(void *arg, int err, struct runs_seen *seen)
+on_polled(void *arg, int err, struct runs_seen *seen)
 {
-    struct look_call *call CLEANUP(Mem_FreeP) = arg;
+    struct poll_call *call CLEANUP(Mem_FreeP) = arg;
     struct watch *w = call->watch;
     bool current = strcmp(call->lifetime, w->said.lifetime) == 0;
 
-    TAILQ_REMOVE(&w->look_calls, call, entry);
+    TAILQ_REMOVE(&w->poll_calls, call, entry);
     if (call->probe) {
         on_probed(w, call->lifetime, err);
         return;
     }
     if (!call->extra) {
-        w->looking = false;
+        w->polling = false;
     }
     if (err == ERR_OK && current) {
         Present_Listed(w, seen, call->sent_ms);
@@ -280,29 +280,29 @@
     if (!call->extra) {
         bool ends = err == ERR_OK && seen->ended_count > 0;
 
-        look_later(w, err != ERR_OK ? RETRY_MS : ends ? ENDS_MS : 0);
+        poll_later(w, err != ERR_OK ? RETRY_MS : ends ? ENDS_MS : 0);
     }
     adopt_next(w);
 }
 
-/* Sends a look. */
+/* Sends a poll. */
 static void
-send_look(struct watch *w, bool extra)
+send_poll(struct watch *w, bool extra)
 {
-    struct look_call *call = Mem_Zero(1, sizeof(*call));
+    struct poll_call *call = Mem_Zero(1, sizeof(*call));
 
     call->watch = w;
-    TAILQ_INSERT_TAIL(&w->look_calls, call, entry);
+    TAILQ_INSERT_TAIL(&w->poll_calls, call, entry);
     call->extra = extra;
-    call->number = ++w->looks;
+    call->number = ++w->polls;
     call->sent_ms = Clock_NowMs();
     call->term = w->term;
     Str_Copy(call->lifetime, sizeof(call->lifetime), w->said.lifetime);
-    w->worker->ops->look(w->worker, w->said.lifetime, w->term, w->last_seen,
-                         w->until_ms, extra ? 0 : WAIT_MS, on_looked, call);
+    w->worker->ops->poll(w->worker, w->said.lifetime, w->term, w->last_seen,
+                         w->until_ms, extra ? 0 : WAIT_MS, on_polled, call);
 }
 
-/* Looks whether the lifetime that another report names is there.
+/* Asks whether the lifetime that another report names is there.
  *
  * Failure: a report comes that is not of the worker beside us: of another
  * writer, or of a lifetime that ended before this agent began. Symptom of
@@ -312,9 +312,9 @@
 static void
 probe(struct watch *w)
 {
-    struct look_call *call;
+    struct poll_call *call;
 
-    TAILQ_FOREACH (call, &w->look_calls, entry) {
+    TAILQ_FOREACH (call, &w->poll_calls, entry) {
         if (call->probe && strcmp(call->lifetime, w->next.lifetime) == 0) {
             return;
         }
@@ -323,36 +323,36 @@
     call->watch = w;
     call->probe = true;
     Str_Copy(call->lifetime, sizeof(call->lifetime), w->next.lifetime);
-    TAILQ_INSERT_TAIL(&w->look_calls, call, entry);
-    w->worker->ops->look(w->worker, call->lifetime, w->term, 0, 0, 0,
-                         on_looked, call);
+    TAILQ_INSERT_TAIL(&w->poll_calls, call, entry);
+    w->worker->ops->poll(w->worker, call->lifetime, w->term, 0, 0, 0,
+                         on_polled, call);
 }
 
-/* Looks at the worker, when there is one and an owner is known.
+/* Polls the worker, when there is one and an owner is known.
  *
- * Failure: an agent that starts anew looks under no term, and its worker,
+ * Failure: an agent that starts anew polls under no term, and its worker,
  * which has seen one, does not answer that. Symptom: entries hear of the agent
- * when the look has timed out, a second later, and nothing starts for as long.
+ * when the poll has timed out, a second later, and nothing starts for as long.
  * Until an owner has told its term the agent only says that it is here. */
 static void
-look(struct watch *w)
+poll_worker(struct watch *w)
 {
-    if (w->looking) {
+    if (w->polling) {
         return;
     }
     if (w->term == 0) {
         tell_blind(w);
-        look_later(w, RETRY_MS);
+        poll_later(w, RETRY_MS);
         return;
     }
     if (*w->said.lifetime == '\0') {
         /* Whoever takes over next has to hear of a worker that left. */
         tell_blind(w);
-        look_later(w, BLIND_MS);
+        poll_later(w, BLIND_MS);
         return;
     }
-    w->looking = true;
-    send_look(w, false);
+    w->polling = true;
+    send_poll(w, false);
 }
 
 static void
@@ -361,13 +361,13 @@
     struct watch *w = timer->data;
 
     if (*w->said.lifetime != '\0') {
-        send_look(w, true);
+        send_poll(w, true);
     }
 }
 
-/* Looks soon, beside the one that waits for an end. */
+/* Polls soon, beside the one that waits for an end. */
 void
-Watch_LookSoon(struct watch *w)
+Watch_PollSoon(struct watch *w)
 {
     if (!ev_is_active(&w->soon)) {
         Timer_Set(w->task.kernel->loop, &w->soon, SOON_MS);
@@ -448,7 +448,7 @@
     if (said->draining && !w->said.draining) {
         LOG_I("worker_draining", KV("worker", said->lifetime),
               KV_INT("left_ms", said->drain_left_ms));
-        Watch_LookSoon(w);
+        Watch_PollSoon(w);
     }
     w->said = *said;
 }
@@ -467,12 +467,12 @@
         LOG_I("owner_heard", KV_INT("term", m->term),
               KV_INT("before", w->term));
         w->term = m->term;
-        /* It gives us nothing before a look under its term. */
-        if (w->looking) {
-            Watch_LookSoon(w);
+        /* It gives us nothing before a poll under its term. */
+        if (w->polling) {
+            Watch_PollSoon(w);
         }
         else {
-            look(w);
+            poll_worker(w);
         }
     }
     if (strcmp(m->worker, w->said.lifetime) != 0) {
@@ -483,7 +483,7 @@
     }
     if (m->last_seen > w->last_seen) {
         w->last_seen = m->last_seen;
-        Watch_LookSoon(w);
+        Watch_PollSoon(w);
     }
     for (size_t i = 0; i < m->orders.count; i++) {
         Orders_Carry(w, &orders[i]);
@@ -522,7 +522,7 @@
 {
     struct watch *w = (struct watch *)t;
     struct order_call *order, *next_order;
-    struct look_call *call, *next_call;
+    struct poll_call *call, *next_call;
 
     ev_timer_stop(t->kernel->loop, &w->again);
     ev_timer_stop(t->kernel->loop, &w->soon);
@@ -533,7 +533,7 @@
     TAILQ_FOREACH_SAFE (order, &w->calls, entry, next_order) {
         free(order);
     }
-    TAILQ_FOREACH_SAFE (call, &w->look_calls, entry, next_call) {
+    TAILQ_FOREACH_SAFE (call, &w->poll_calls, entry, next_call) {
         free(call);
     }
     free(w);
@@ -559,14 +559,14 @@
     TAILQ_INIT(&w->stops);
     TAILQ_INIT(&w->present);
     TAILQ_INIT(&w->calls);
-    TAILQ_INIT(&w->look_calls);
+    TAILQ_INIT(&w->poll_calls);
     w->worker = Runs_Site()->open_worker(k->loop, &s->hosted);
     ev_init(&w->again, on_again);
     w->again.data = w;
     ev_init(&w->soon, on_soon);
     w->soon.data = w;
     Kernel_AddTask(k, &w->task, &watch_ops);
-    look_later(w, RETRY_MS);
+    poll_later(w, RETRY_MS);
     return ERR_OK;
 }
 
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -11,7 +11,7 @@
 struct confirmed_stop {
     char task[JOBS_TASK_SIZE];
     uint64_t run;
-    uint64_t before_look; /* looks from this one on were sent after it */
+    uint64_t before_poll; /* polls from this one on were sent after it */
     int64_t at_ms;
     TAILQ_ENTRY(confirmed_stop) entry;
 };
@@ -38,7 +38,7 @@
     TAILQ_ENTRY(order_call) entry;
 };
 
-struct look_call {
+struct poll_call {
     struct watch *watch;
     bool extra;
     bool probe; /* of a lifetime that is not the present one */
@@ -46,7 +46,7 @@
     uint64_t number;
     uint64_t term;
     int64_t sent_ms;
-    TAILQ_ENTRY(look_call) entry;
+    TAILQ_ENTRY(poll_call) entry;
 };
 
 struct watch {
@@ -58,7 +58,7 @@
     char left[JOBS_TEXT_SIZE];
     char heir_of[JOBS_TEXT_SIZE]; /* said, or the next one, takes its orders */
     char heir_id[JOBS_TEXT_SIZE]; /* of both */
-    struct wire_list ended;       /* struct wire_end, of the last look */
+    struct wire_list ended;       /* struct wire_end, of the last poll */
     struct wire_list crashed;     /* struct wire_crash, told for a while */
     int64_t crashes_heard_ms; /* an owner answered since the last; 0: none */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
@@ -66,19 +66,19 @@
     uint64_t term;      /* highest of an owner that was heard */
     uint64_t last_seen; /* ends up to it are stored */
     int64_t until_ms;   /* lease, worker's clock */
-    bool looking;
-    uint64_t looks;
+    bool polling;
+    uint64_t polls;
     TAILQ_HEAD(, confirmed_stop) stops;
     TAILQ_HEAD(, present_run) present;
     TAILQ_HEAD(, order_call) calls;
-    TAILQ_HEAD(, look_call) look_calls;
+    TAILQ_HEAD(, poll_call) poll_calls;
     ev_timer again;
     ev_timer soon;
 };
 
 /* ---- runs-watch.c */
 void Watch_Say(struct watch *w, struct wire_msg *m);
-void Watch_LookSoon(struct watch *w);
+void Watch_PollSoon(struct watch *w);
 void Watch_Forget(struct watch *w);
 
 /* ---- runs-present.c */
--- a/packages/runs/runs.h
+++ b/packages/runs/runs.h
@@ -5,7 +5,7 @@
  *
  * Tasks, and what they tell each other:
  *
- *   watch  looks at the worker without pause, renews the leases that the
+ *   watch  polls the worker without pause, renews the leases that the
  *          owner grants, carries out its starts and stops, and passes on
  *          what the worker runs and has ended.
  *   links  the connections to all entries.
@@ -31,7 +31,7 @@
 
 struct runs_worker;
 
-/* A look: the lists are freed after the callback unless they are taken. */
+/* A poll: the lists are freed after the callback unless they are taken. */
 struct runs_seen {
     int64_t clock_ms;
     struct jobs_running *running;
@@ -46,7 +46,7 @@
 /* err: ERR_OK, ERR_STALE (another lifetime answered), ERR_UNREACHABLE (nobody
  * listens there; nothing was done), ERR_UNKNOWN (no answer: it may have been
  * done, and may be done later). */
-typedef void (*runs_looked)(void *arg, int err, struct runs_seen *seen);
+typedef void (*runs_polled)(void *arg, int err, struct runs_seen *seen);
 /* As above; ERR_DENIED: refused, nothing was done, reason says why. */
 typedef void (*runs_ordered)(void *arg, int err, const char *reason);
 
@@ -63,9 +63,9 @@
 struct runs_worker_ops {
     /* Waits up to wait_ms for an end. until_ms 0: leaves leases as they are.
      */
-    void (*look)(struct runs_worker *, const char *lifetime, uint64_t term,
+    void (*poll)(struct runs_worker *, const char *lifetime, uint64_t term,
                  uint64_t last_seen, int64_t until_ms, int64_t wait_ms,
-                 runs_looked done, void *arg);
+                 runs_polled done, void *arg);
     void (*start)(struct runs_worker *, const char *lifetime,
                   const struct runs_start *start, runs_ordered done,
                   void *arg);
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -213,26 +213,26 @@
     U(wire_crash, acknowledged), I(wire_crash, worked_ms)};
 static const struct wire_fields crash_table = FIELDS(wire_crash, crash_fields);
 
-static const struct wire_field look[] = {
-    I(wire_look, stamp),
-    U(wire_look, stamped_by),
-    NAME(wire_look, agent),
-    TEXT(wire_look, worker),
-    TEXT(wire_look, left),
-    TEXT(wire_look, service),
-    LIST(wire_look, labels, label_table),
-    I(wire_look, millicores),
-    I(wire_look, memory_mb),
-    I(wire_look, accelerators),
-    U(wire_look, draining),
-    U(wire_look, term),
-    I(wire_look, clock_ms),
-    LIST(wire_look, running, run_table),
-    LIST(wire_look, ended, end_table),
-    LIST(wire_look, stopped, stopped_table),
-    NAME(wire_look, domain),
-    LIST(wire_look, crashed, crash_table),
-    TEXT(wire_look, heir_of)};
+static const struct wire_field report[] = {
+    I(wire_report, stamp),
+    U(wire_report, stamped_by),
+    NAME(wire_report, agent),
+    TEXT(wire_report, worker),
+    TEXT(wire_report, left),
+    TEXT(wire_report, service),
+    LIST(wire_report, labels, label_table),
+    I(wire_report, millicores),
+    I(wire_report, memory_mb),
+    I(wire_report, accelerators),
+    U(wire_report, draining),
+    U(wire_report, term),
+    I(wire_report, clock_ms),
+    LIST(wire_report, running, run_table),
+    LIST(wire_report, ended, end_table),
+    LIST(wire_report, stopped, stopped_table),
+    NAME(wire_report, domain),
+    LIST(wire_report, crashed, crash_table),
+    TEXT(wire_report, heir_of)};
 
 static const struct wire_field hail[] = {
     NAME(wire_hail, entry), U(wire_hail, incarnation),
@@ -319,7 +319,7 @@
     [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
-    [WIRE_LOOK] = FIELDS_LATER(wire_look, look, 2),
+    [WIRE_REPORT] = FIELDS_LATER(wire_report, report, 2),
     [WIRE_HAIL] = FIELDS(wire_hail, hail),
     [WIRE_ORDERS] = FIELDS(wire_orders, orders),
     [WIRE_REFUSED] = FIELDS(wire_refused, refused),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -51,7 +51,7 @@
     WIRE_FENCE,        /* owner: nothing up to this attempt may run any more */
     WIRE_FENCED,       /* agent: nothing does */
     WIRE_BIND,         /* owner: whose cells are on this worker */
-    WIRE_LOOK,         /* agent to entries: what its worker has and runs */
+    WIRE_REPORT,       /* agent to entries: what its worker has and runs */
     WIRE_HAIL,         /* entry: heard you, and these are the entries */
     WIRE_ORDERS,       /* owner to agent: lease, ends noted, starts, stops */
     WIRE_REFUSED,      /* agent to owner: the worker refused a start */
@@ -381,7 +381,7 @@
     char checkpoint[WIRE_TEXT_SIZE];
 };
 
-/* A run whose stop the worker has confirmed before this look began. */
+/* A run whose stop the worker has confirmed before this report began. */
 struct wire_stopped {
     char task[WIRE_TEXT_SIZE];
     uint64_t run;
@@ -396,8 +396,8 @@
     int64_t worked_ms;     /* how long it was seen at work */
 };
 
-/* One look of an agent at its worker, said to every entry. */
-struct wire_look {
+/* One report of an agent on its worker, said to every entry. */
+struct wire_report {
     struct wire_msg msg;
     /* Newest stamp of that entry on this link, and whose it is; 0: none. */
     int64_t stamp;
@@ -411,8 +411,8 @@
     int64_t memory_mb;
     int64_t accelerators;
     uint64_t draining;
-    uint64_t term;            /* of the owner under which the look was made */
-    int64_t clock_ms;         /* the worker's own clock at the look */
+    uint64_t term;    /* of the owner under which the report was made */
+    int64_t clock_ms; /* the worker's own clock at the report */
     struct wire_list running; /* struct wire_run */
     struct wire_list ended;   /* struct wire_end */
     struct wire_list stopped; /* struct wire_stopped */
@@ -428,7 +428,7 @@
     char entry[NAME_SIZE];
     uint64_t incarnation;
     int64_t store_age_ms; /* since the store answered it itself; -1: never */
-    int64_t stamp;        /* the entry's clock, to be echoed in looks */
+    int64_t stamp;        /* the entry's clock, to be echoed in reports */
     struct wire_list entries; /* struct wire_entry */
 };
 
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -64,7 +64,7 @@
     json_t *starts; /* "TASK/RUN", in order */
     TAILQ_HEAD(, run) runs;
     TAILQ_HEAD(, ended) ended;
-    struct http_exchange *holding; /* a look that waits for an end */
+    struct http_exchange *holding; /* a poll that waits for an end */
     ev_timer hold_limit;
     ev_timer beat;
     ev_timer lease;
@@ -96,7 +96,7 @@
     return o;
 }
 
-/* Both lists, as a look shows them. */
+/* Both lists, as a poll shows them. */
 static json_t *
 lists(const struct worker *w)
 {
@@ -124,7 +124,7 @@
                                   running, "ended", ended));
 }
 
-/* Answers the look that waits. */
+/* Answers the poll that waits. */
 static void
 release(struct worker *w)
 {
@@ -491,5 +491,5 @@
                            file->filename[0], on_call, &w);
     Timer_Every(k.loop, &w.beat, BEAT_MS);
     Kernel_Run(&k);
-    _Exit(0); /* a look may still wait; nothing here has to be kept */
+    _Exit(0); /* a poll may still wait; nothing here has to be kept */
 }
--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -1,6 +1,6 @@
 /* What the adapter of an agent reads of its worker: whole, cut, of wrong
  * types, and hostile. A report that is not whole names no worker to use; a
- * row of a look that can't be read leaves the others as they are. */
+ * row of a poll that can't be read leaves the others as they are. */
 #include "hosted.h"
 #include "runs.h"
 
@@ -205,15 +205,15 @@
     }
 }
 
-struct Look {
-    explicit Look(const std::string &text)
+struct Runs {
+    explicit Runs(const std::string &text)
     {
         json_t *o = json_loadb(text.data(), text.size(), 0, nullptr);
 
-        err = Hosted_ReadLook(o, &seen);
+        err = Hosted_ReadRuns(o, &seen);
         json_decref(o);
     }
-    ~Look()
+    ~Runs()
     {
         free(seen.running);
         free(seen.ended);
@@ -222,9 +222,9 @@
     int err;
 };
 
-TEST(HostedLook, RowsThatCantBeReadLeaveTheOthers)
+TEST(HostedRuns, RowsThatCantBeReadLeaveTheOthers)
 {
-    Look l(R"({"clock-ms":9,"running":[["a.0.0.0",2,"cp",41],7,["b"],)"
+    Runs l(R"({"clock-ms":9,"running":[["a.0.0.0",2,"cp",41],7,["b"],)"
            R"(["c.0.0.0","2","",1],["d.0.0.0",0,"",1],)"
            R"(["e.0.0.0",1,"",140,3.5,"new"]],)"
            R"("ended":[[1,"f.0.0.0",1,"done",""],[2,"g.0.0.0",1,7,""],{},)"
@@ -242,11 +242,11 @@
     EXPECT_EQ(l.seen.ended[1].how, END_STOPPED);
 }
 
-TEST(HostedLook, WithoutAClockItIsNone)
+TEST(HostedRuns, WithoutAClockItIsNone)
 {
     for (const char *text :
          {"{}", "[]", "7", R"({"clock-ms":"9"})", R"({"clock-ms":-9})"}) {
-        Look l(text);
+        Runs l(text);
 
         EXPECT_EQ(l.err, ERR_INVALID) << text;
     }
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -13,8 +13,8 @@
 
 /* Reports of other writers come to the agent of a worker that works: without a
  * state that is named, without room, of another lifetime, of none. The run
- * goes on, and the worker is used for the next job. Without the look under the
- * other id the agent gives up the lifetime that is there, for good. */
+ * goes on, and the worker is used for the next job. Without the report under
+ * the other id the agent gives up the lifetime that is there, for good. */
 TEST(HostedForeign, ReportsOfOthersNameNoWorker)
 {
     HostedStack s(1, 1);
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -444,11 +444,11 @@
               std::string::npos);
 }
 
-/* A look that a partition held up arrives late, and names another lifetime of
- * the worker. It must not end the present one: its task would be started again
- * though it runs. The look is told by its stamp, which is none of this entry's
- * present process. */
-TEST(Hosted, ALookThatComesLateEndsNoLifetime)
+/* A report that a partition held up arrives late, and names another lifetime
+ * of the worker. It must not end the present one: its task would be started
+ * again though it runs. The report is told by its stamp, which is none of this
+ * entry's present process. */
+TEST(Hosted, AReportThatComesLateEndsNoLifetime)
 {
     HostedStack s(1, 1);
     struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
@@ -460,18 +460,18 @@
             *static_cast<bool *>(arg) = true;
         },
         &answered);
-    struct wire_look look = {};
+    struct wire_report report = {};
 
     ASSERT_EQ(s.Submit(0, "a1", "1500").status, 200);
     ASSERT_TRUE(s.Ends(0, "a1", "running"));
-    look.msg.type = WIRE_LOOK;
-    look.stamp = 1;
-    look.stamped_by = 1;
-    Str_Copy(look.agent, sizeof(look.agent), "agent-0");
-    Str_Copy(look.worker, sizeof(look.worker), "i-before");
-    Str_Copy(look.service, sizeof(look.service), "pool");
+    report.msg.type = WIRE_REPORT;
+    report.stamp = 1;
+    report.stamped_by = 1;
+    Str_Copy(report.agent, sizeof(report.agent), "agent-0");
+    Str_Copy(report.worker, sizeof(report.worker), "i-before");
+    Str_Copy(report.service, sizeof(report.service), "pool");
     EXPECT_TRUE(WaitFor([&] {
-        Link_Send(link, nullptr, &look.msg);
+        Link_Send(link, nullptr, &report.msg);
         ev_run(loop, EVRUN_NOWAIT);
         return answered;
     }));
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -327,7 +327,7 @@
 
 /* What the agent beside a worker reports, and the owner's answer. */
 void
-World::Look(Worker &w)
+World::Report(Worker &w)
 {
     struct jobs_report r = {};
     std::vector<struct jobs_running> running;
@@ -502,7 +502,7 @@
 {
     Advance(ms);
     for (Worker &w : workers) {
-        Look(w);
+        Report(w);
     }
     Plan();
     Write();
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -20,7 +20,7 @@
     int64_t begun_ms;
     int64_t work_ms;
     std::string checkpoint;
-    int64_t listed_ms = 0; /* by the last look */
+    int64_t listed_ms = 0; /* by the last report */
 };
 
 struct End {
@@ -90,7 +90,7 @@
     /* One turn: ends, reports, plan, write, orders; then time goes on. */
     void Turn(int64_t ms = 20);
     void Turns(int n, int64_t ms = 20);
-    void Look(Worker &w);
+    void Report(Worker &w);
     void Plan();
     bool Write(); /* false when the store is away */
     void Orders();
--- a/tests/wire-test.cc
+++ b/tests/wire-test.cc
@@ -232,8 +232,8 @@
  * be missing. */
 TEST(Codec, FieldsThatASenderOfBeforeLacksAreEmpty)
 {
-    const struct wire_fields *t = Wire_Fields(WIRE_LOOK);
-    Msg m(static_cast<struct wire_msg *>(Wire_New(WIRE_LOOK)));
+    const struct wire_fields *t = Wire_Fields(WIRE_REPORT);
+    Msg m(static_cast<struct wire_msg *>(Wire_New(WIRE_REPORT)));
     const std::string bytes = encode(m.get());
 
     ASSERT_GT(t->later, 0u);
