--- a/bench/wire-bench.c
+++ b/bench/wire-bench.c
@@ -74,9 +74,9 @@
 }
 
 static struct wire_msg *
-beat(void)
+heartbeat(void)
 {
-    struct wire_beat *b = Wire_New(WIRE_BEAT);
+    struct wire_heartbeat *b = Wire_New(WIRE_HEARTBEAT);
 
     b->incarnation = Id_Random64();
     b->seq = 100000;
@@ -86,7 +86,7 @@
     return &b->msg;
 }
 
-/* The answer to a beat, or with a list of entries to a hello. */
+/* The answer to a heartbeat, or with a list of entries to a hello. */
 static struct wire_msg *
 welcome(int entries)
 {
@@ -96,7 +96,7 @@
     Str_Copy(w->entry, NAME_SIZE, "entry-1");
     w->incarnation = Id_Random64();
     w->seq = 100000;
-    w->beat_ms = 6500;
+    w->heartbeat_ms = 6500;
     for (i = 0; i < entries; i++) {
         struct wire_entry *e = Wire_ListAdd(&w->entries, sizeof(*e));
 
@@ -169,8 +169,8 @@
     puts("|---|--:|--:|--:|");
     row("hello, 1 service, no part", hello(0));
     row("hello, 1 service, 8 parts", hello(8));
-    row("beat", beat());
-    row("welcome to a beat", welcome(0));
+    row("heartbeat", heartbeat());
+    row("welcome to a heartbeat", welcome(0));
     row("welcome to a hello, 12 entries", welcome(12));
     row("pulse, 1 part", pulse(1));
     row("pulse, 8 parts", pulse(8));
--- a/model/gang-lease.pml
+++ b/model/gang-lease.pml
@@ -4,20 +4,20 @@
  * gang.pml uses what is shown here as a rule: a member's lease ends at most G
  * after a moment at which every member had worked within the last H.
  *
- * Protocol. Every worker that works for a gang sends beats to one entry, the
+ * Protocol. Every worker that works for a gang sends heartbeats to one entry, the
  * gang's renewer. Clocks are compared with themselves only:
- *  - A beat carries the agent's own time of sending and echoes the newest
+ *  - A heartbeat carries the agent's own time of sending and echoes the newest
  *    stamp that the agent has from this incarnation of the renewer. It is sent
  *    only while the released task works.
  *  - The renewer's answer echoes the agent's time, carries the renewer's own
  *    time of sending as a new stamp, and says whether the lease is renewed.
  *  - The renewer counts a member as heard at the time of the stamp that its
- *    beat echoed, not at the time when the beat came in: a beat that waited in
+ *    heartbeat echoed, not at the time when the heartbeat came in: a heartbeat that waited in
  *    a queue while the renewer was paused proves nothing about now. A member
- *    whose first beat has no stamp to echo gets a stamp and no renewal.
+ *    whose first heartbeat has no stamp to echo gets a stamp and no renewal.
  *  - The renewer renews only when every member of the attempt was heard within
  *    the last H. It keeps no other state, and a restart may lose it.
- *  - The agent counts a renewed lease from its own time of sending that beat:
+ *  - The agent counts a renewed lease from its own time of sending that heartbeat:
  *    G after it the worker stops the task, by itself when the agent is dead or
  *    paused. An answer that comes late renews less, or nothing.
  *  - A release gives the first lease, G from its arrival; nothing renews it
@@ -38,10 +38,10 @@
  */
 
 // MUTANT 1: a renewed lease counts from the answer's arrival => lone_member
-// MUTANT 2: a beat counts as heard when it comes in => lone_member
+// MUTANT 2: a heartbeat counts as heard when it comes in => lone_member
 // MUTANT 3: the renewer renews without hearing every member => lone_member
 // MUTANT 4: a member works on without renewal => lone_member
-// MUTANT 5: a prepared member sends beats => lone_member
+// MUTANT 5: a prepared member sends heartbeats => lone_member
 // MUTANT 6: a restarted renewer takes its members as just heard => lone_member
 
 // REACH 1: both members work longer than one lease
@@ -68,12 +68,12 @@
 byte stamp_age[MEMBERS]; /* newest stamp that the agent has */
 byte heard_age[MEMBERS]; /* newest stamp that came back to the renewer */
 
-/* Beats and answers under way: ages of what they carry. */
-bool beat[MEMBERS];
-byte beat_age[MEMBERS];
-byte beat_stamp_age[MEMBERS];
+/* Heartbeats and answers under way: ages of what they carry. */
+bool heartbeat[MEMBERS];
+byte heartbeat_age[MEMBERS];
+byte heartbeat_stamp_age[MEMBERS];
 bool answer[MEMBERS];
-byte answer_beat_age[MEMBERS];
+byte answer_heartbeat_age[MEMBERS];
 byte answer_stamp_age[MEMBERS];
 bool answer_renews[MEMBERS];
 
@@ -104,7 +104,7 @@
     left[m] = 0;
     stamp_age[m] = OLD;
     answer[m] = false;
-    answer_beat_age[m] = 0;
+    answer_heartbeat_age[m] = 0;
     answer_stamp_age[m] = 0;
     answer_renews[m] = false
 }
@@ -114,12 +114,12 @@
     older(stamp_age[m], OLD);
     older(heard_age[m], OLD);
     if
-    :: beat[m] -> older(beat_age[m], G); older(beat_stamp_age[m], OLD)
+    :: heartbeat[m] -> older(heartbeat_age[m], G); older(heartbeat_stamp_age[m], OLD)
     :: else
     fi;
     if
     :: answer[m] ->
-        older(answer_beat_age[m], G);
+        older(answer_heartbeat_age[m], G);
         older(answer_stamp_age[m], OLD)
     :: else
     fi;
@@ -134,23 +134,23 @@
     fi
 }
 
-inline send_beat(m)
+inline send_heartbeat(m)
 {
-    beat[m] = true;
-    beat_age[m] = 0;
-    beat_stamp_age[m] = stamp_age[m]
+    heartbeat[m] = true;
+    heartbeat_age[m] = 0;
+    heartbeat_stamp_age[m] = stamp_age[m]
 }
 
-inline take_beat(m)
+inline take_heartbeat(m)
 {
     if
     :: MUTANT == 2 -> heard_age[m] = 0
-    :: MUTANT != 2 && beat_stamp_age[m] < heard_age[m] ->
-        heard_age[m] = beat_stamp_age[m]
+    :: MUTANT != 2 && heartbeat_stamp_age[m] < heard_age[m] ->
+        heard_age[m] = heartbeat_stamp_age[m]
     :: else
     fi;
     answer[m] = true;
-    answer_beat_age[m] = beat_age[m];
+    answer_heartbeat_age[m] = heartbeat_age[m];
     answer_stamp_age[m] = 0;
     answer_renews[m] = (heard_age[0] <= H && heard_age[1] <= H) || MUTANT == 3
 }
@@ -165,8 +165,8 @@
     if
     :: phase[m] == WORKS && answer_renews[m] && MUTANT == 1 -> left[m] = G
     :: phase[m] == WORKS && answer_renews[m] && MUTANT != 1 &&
-       G - answer_beat_age[m] > left[m] ->
-        left[m] = G - answer_beat_age[m]
+       G - answer_heartbeat_age[m] > left[m] ->
+        left[m] = G - answer_heartbeat_age[m]
     :: else
     fi
 }
@@ -175,7 +175,7 @@
 {
     /* Stamps of another incarnation of the renewer are ignored. */
     stamp_age[m] = OLD;
-    beat_stamp_age[m] = (beat[m] -> OLD : 0);
+    heartbeat_stamp_age[m] = (heartbeat[m] -> OLD : 0);
     answer_stamp_age[m] = (answer[m] -> OLD : 0);
     heard_age[m] = (MUTANT == 6 -> 0 : OLD)
 }
@@ -193,7 +193,7 @@
     :: atomic { phase[m] != STOPPED -> stop(m) }
     :: atomic {
         phase[m] == WORKS || MUTANT == 5 && phase[m] == PREPARED ->
-        send_beat(m)
+        send_heartbeat(m)
     }
     :: atomic { answer[m] && phase[m] != STOPPED -> take_answer(m) }
     od
@@ -203,8 +203,8 @@
 {
 end:
     do
-    :: atomic { beat[0] -> take_beat(0) }
-    :: atomic { beat[1] -> take_beat(1) }
+    :: atomic { heartbeat[0] -> take_heartbeat(0) }
+    :: atomic { heartbeat[1] -> take_heartbeat(1) }
     :: atomic {
         restarted = true;
         forget_stamps(0);
--- a/packages/agent/agent-links-list.c
+++ b/packages/agent/agent-links-list.c
@@ -101,8 +101,8 @@
 
 /* Keeps one link to an entry. A seed may be another address of an entry than
  * the one that it lists (a forwarded port). With two links the entry takes
- * each beat for one of the other connection, asks for a hello and sees the
- * agent return, twice a second, and withdraws each time what it has just
+ * each heartbeat for one of the other connection, asks for a hello and sees
+ * the agent return, twice a second, and withdraws each time what it has just
  * dispatched. The seed stays, as the operator wrote it. */
 void
 Entries_MarkTwin(struct links *l, struct entry_link *e)
--- a/packages/agent/agent-links-say.c
+++ b/packages/agent/agent-links-say.c
@@ -2,10 +2,13 @@
 
 #include <string.h>
 
-#define FIRST_BEAT_MS 1000  /* until an entry sets the pace */
-#define BUSY_BEAT_MS 1000   /* while an entry has something in progress here */
-#define SILENT_BEATS 3      /* beats without a word: the link is silent */
-#define SILENT_EXTRA_MS 500 /* beside those beats, for slow moments */
+#define FIRST_HEARTBEAT_MS 1000 /* until an entry sets the pace */
+#define BUSY_HEARTBEAT_MS                                                     \
+    1000 /* while an entry has something in progress here */
+#define SILENT_HEARTBEATS                                                     \
+    3                       /* heartbeats without a word: the link is silent  \
+                             */
+#define SILENT_EXTRA_MS 500 /* beside those heartbeats, for slow moments */
 
 static struct counter beats_total = {"parsleyfall_agent_beats_total",
                                      "Heartbeats sent.", NULL, COUNTER_TOTAL};
@@ -40,31 +43,31 @@
     Wire_ListCopy(&hello->services, &l->services, sizeof(struct wire_service));
     Wire_ListCopy(&hello->parts, &l->parts, sizeof(struct wire_part));
     EntryLink_Say(e, &hello->msg);
-    e->beat_at = hello->agent_clock;
+    e->heartbeat_at = hello->agent_clock;
     Wire_Free(&hello->msg);
 }
 
 /* Says that we are here, with the load of each service. */
 void
-EntryLink_SayBeat(struct links *l, struct entry_link *e)
+EntryLink_SayHeartbeat(struct links *l, struct entry_link *e)
 {
-    struct wire_beat beat = {.msg = {WIRE_BEAT}};
+    struct wire_heartbeat heartbeat = {.msg = {WIRE_HEARTBEAT}};
     size_t i;
 
-    beat.incarnation = Agent_Incarnation();
-    beat.seq = ++e->seq;
-    beat.agent_clock = Clock_NowMs();
-    beat.leaving = l->leaving;
+    heartbeat.incarnation = Agent_Incarnation();
+    heartbeat.seq = ++e->seq;
+    heartbeat.agent_clock = Clock_NowMs();
+    heartbeat.leaving = l->leaving;
     for (i = 0; i < l->services.count; i++) {
         const struct wire_service *s = l->services.items;
-        uint64_t *busy = Wire_ListAdd(&beat.busy, sizeof(*busy));
+        uint64_t *busy = Wire_ListAdd(&heartbeat.busy, sizeof(*busy));
 
         *busy = s[i].busy;
     }
-    Wire_ListCopy(&beat.own, &e->own, sizeof(uint64_t));
-    EntryLink_Say(e, &beat.msg);
-    e->beat_at = beat.agent_clock;
-    Wire_Clear(&beat.msg);
+    Wire_ListCopy(&heartbeat.own, &e->own, sizeof(uint64_t));
+    EntryLink_Say(e, &heartbeat.msg);
+    e->heartbeat_at = heartbeat.agent_clock;
+    Wire_Clear(&heartbeat.msg);
     Counter_Add(&beats_total, 1);
 }
 
@@ -82,16 +85,16 @@
     }
     e->welcomed = false;
     e->heard_at = now;
-    e->pace_ms = FIRST_BEAT_MS;
+    e->pace_ms = FIRST_HEARTBEAT_MS;
     EntryLink_SayHello(l, e);
 }
 
-/* Time between two beats to an entry. */
+/* Time between two heartbeats to an entry. */
 int64_t
 EntryLink_Interval(const struct entry_link *e)
 {
-    if (e->busy > 0 && e->pace_ms > BUSY_BEAT_MS) {
-        return BUSY_BEAT_MS;
+    if (e->busy > 0 && e->pace_ms > BUSY_HEARTBEAT_MS) {
+        return BUSY_HEARTBEAT_MS;
     }
     return e->pace_ms;
 }
@@ -104,5 +107,5 @@
 EntryLink_IsSilent(const struct entry_link *e, int64_t now)
 {
     return now - e->heard_at >
-           SILENT_BEATS * EntryLink_Interval(e) + SILENT_EXTRA_MS;
+           SILENT_HEARTBEATS * EntryLink_Interval(e) + SILENT_EXTRA_MS;
 }
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #define TICK_MS 200
-#define MIN_BEAT_MS 200
-#define MAX_BEAT_MS 60000
+#define MIN_HEARTBEAT_MS 200
+#define MAX_HEARTBEAT_MS 60000
 #define HELLO_MS 200     /* between hellos until the first welcome */
 #define FORGET_MS 120000 /* an entry that nobody lists and nobody hears */
 
@@ -27,15 +27,15 @@
     }
     if (!e->welcomed) {
         LOG_I("welcomed", KV("entry", w->entry), KV("address", e->address),
-              KV_INT("beat_ms", w->beat_ms));
+              KV_INT("heartbeat_ms", w->heartbeat_ms));
     }
     Str_Copy(e->name, sizeof(e->name), w->entry);
     e->incarnation = w->incarnation;
     e->welcomed = true;
     e->draining = w->draining != 0;
-    e->pace_ms = w->beat_ms < MIN_BEAT_MS   ? MIN_BEAT_MS
-                 : w->beat_ms > MAX_BEAT_MS ? MAX_BEAT_MS
-                                            : w->beat_ms;
+    e->pace_ms = w->heartbeat_ms < MIN_HEARTBEAT_MS   ? MIN_HEARTBEAT_MS
+                 : w->heartbeat_ms > MAX_HEARTBEAT_MS ? MAX_HEARTBEAT_MS
+                                                      : w->heartbeat_ms;
     Entries_MarkTwin(l, e);
     for (i = 0; i < w->entries.count; i++) {
         if (Entries_IsChosen(l, &w->entries, &list[i]) &&
@@ -177,11 +177,11 @@
             e->listed[0] = '\0';
         }
     }
-    else if (!e->welcomed && now - e->beat_at >= HELLO_MS) {
+    else if (!e->welcomed && now - e->heartbeat_at >= HELLO_MS) {
         EntryLink_SayHello(l, e);
     }
-    else if (e->welcomed && now - e->beat_at >= EntryLink_Interval(e)) {
-        EntryLink_SayBeat(l, e);
+    else if (e->welcomed && now - e->heartbeat_at >= EntryLink_Interval(e)) {
+        EntryLink_SayHeartbeat(l, e);
     }
 }
 
@@ -308,8 +308,8 @@
     Fatal("links got a message of kind %s", m->kind->name);
 }
 
-/* Tells every entry at once that nothing new is wanted. Beats and hellos say
- * it again, so a lost word costs one beat. */
+/* Tells every entry at once that nothing new is wanted. Heartbeats and hellos
+ * say it again, so a lost word costs one heartbeat. */
 static void
 links_drain(struct task *t)
 {
--- a/packages/agent/agent-links.h
+++ b/packages/agent/agent-links.h
@@ -18,7 +18,8 @@
     int busy;               /* in progress here for that entry */
     struct wire_list own;   /* of its requests, running by service */
     int64_t pace_ms;
-    int64_t beat_at; /* of the last beat or hello; answers don't count */
+    int64_t
+        heartbeat_at; /* of the last heartbeat or hello; answers don't count */
     int64_t heard_at;
     int64_t listed_at;
     uint64_t seq;
@@ -48,7 +49,7 @@
 /* agent-links-say.c: what is said on one link, and when it is silent. */
 void EntryLink_Say(struct entry_link *e, const struct wire_msg *m);
 void EntryLink_SayHello(struct links *l, struct entry_link *e);
-void EntryLink_SayBeat(struct links *l, struct entry_link *e);
+void EntryLink_SayHeartbeat(struct links *l, struct entry_link *e);
 void EntryLink_Open(struct links *l, struct entry_link *e);
 int64_t EntryLink_Interval(const struct entry_link *e);
 bool EntryLink_IsSilent(const struct entry_link *e, int64_t now);
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -4,8 +4,8 @@
  *
  * Tasks, and what they tell each other:
  *
- *   links     owns a link to each entry. Says hello, beats at the pace that
- *             the entry sets, replaces a silent link by a new one, and learns
+ *   links     owns a link to each entry. Says hello, sends heartbeats at the
+ * pace that the entry sets, replaces a silent link by a new one, and learns
  *             further entries from each welcome. Hands what entries say to
  *             the other tasks (struct inbound) and sends what they answer
  *             (struct outbound).
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -224,8 +224,8 @@
     bool loaded;     /* all rows are read */
     uint64_t term;
     uint64_t row_version;
-    uint64_t beat_version; /* seen by a watcher */
-    int64_t beat_at;       /* when it last changed, on own clock */
+    uint64_t heartbeat_version; /* seen by a watcher */
+    int64_t heartbeat_at;       /* when it last changed, on own clock */
     char name[NAME_SIZE];
     char http[NAME_SIZE]; /* "ip:port" of the owner's front */
     bool busy;            /* a call is under way */
--- a/packages/entry/entry-links.c
+++ b/packages/entry/entry-links.c
@@ -20,7 +20,7 @@
     enum wire_type type;
     const char *task;
 } hearers[] = {
-    {WIRE_HELLO, "members"},   {WIRE_BEAT, "members"},
+    {WIRE_HELLO, "members"},   {WIRE_HEARTBEAT, "members"},
     {WIRE_LEAVE, "members"},   {WIRE_TAKEN, "dispatch"},
     {WIRE_ANSWER, "dispatch"}, {WIRE_WITHDRAWN, "dispatch"},
     {WIRE_PREPARED, "gangs"},  {WIRE_TASK, "gangs"},
--- a/packages/entry/entry-members.c
+++ b/packages/entry/entry-members.c
@@ -4,19 +4,19 @@
 #include <string.h>
 
 #define TICK_MS 200
-#define SILENT_BEATS 3
+#define SILENT_HEARTBEATS 3
 #define SILENT_EXTRA_MS 500
 #define FORGET_MS 600000 /* an agent silent for so long is dropped */
 #define SUBSCRIBERS_MAX 8
 
-/* Pace of beats. An agent beats to every entry, and 780 of them a second
- * apart would cost an entry about 200 KB/s, over twenty times its budget of
- * 9 KB/s for control. So each entry sets the pace itself: one half of its
- * beats is for the agents whose home it is, the other half for all others.
- * What can't wait for a beat (leaving, answers) is told at once. Figures:
- * docs/CAPACITY.md. */
-#define BEATS_PER_S 20
-#define HOME_BEAT_MS 1000
+/* Pace of heartbeats. An agent sends one to every entry, and 780 of them a
+ * second apart would cost an entry about 200 KB/s, over twenty times its
+ * budget of 9 KB/s for control. So each entry sets the pace itself: one half
+ * of its heartbeats is for the agents whose home it is, the other half for all
+ * others. What can't wait for a heartbeat (leaving, answers) is told at once.
+ * Figures: docs/CAPACITY.md. */
+#define HEARTBEATS_PER_S 20
+#define HOME_HEARTBEAT_MS 1000
 #define PACE_MAX_MS 60000
 
 /* An agent. */
@@ -24,7 +24,7 @@
     struct member_facts facts;
     int64_t heard_at;
     int64_t pace_ms;
-    uint64_t beats;
+    uint64_t heartbeats;
     bool silent;
     RB_ENTRY(member) entry;
 };
@@ -138,23 +138,24 @@
     return true;
 }
 
-/* How often an agent is asked to beat: within the budget, and never so
+/* How often an agent is asked for heartbeats: within the budget, and never so
  * seldom that its silence goes unseen for minutes. */
 static int64_t
 pace(const struct members *s, const struct member *m)
 {
-    int64_t even = (int64_t)s->count * 2000 / BEATS_PER_S;
+    int64_t even = (int64_t)s->count * 2000 / HEARTBEATS_PER_S;
 
     if (is_home(s, m) && s->entry_count > 0) {
         even /= (int64_t)s->entry_count;
     }
-    if (even < HOME_BEAT_MS) {
-        return HOME_BEAT_MS;
+    if (even < HOME_HEARTBEAT_MS) {
+        return HOME_HEARTBEAT_MS;
     }
     return even < PACE_MAX_MS ? even : PACE_MAX_MS;
 }
 
-/* Answers a hello or a beat. The list of entries goes with hellos only. */
+/* Answers a hello or a heartbeat. The list of entries goes with hellos only.
+ */
 static void
 welcome(struct members *s, const struct link_peer *peer, struct member *m,
         uint64_t seq)
@@ -169,7 +170,7 @@
     w->known = m != NULL;
     if (m != NULL) {
         m->pace_ms = pace(s, m);
-        w->beat_ms = m->pace_ms;
+        w->heartbeat_ms = m->pace_ms;
     }
     for (i = 0; i < s->entry_count && seq == 0; i++) {
         struct wire_entry *e =
@@ -270,7 +271,8 @@
     welcome(s, peer, m, 0);
 }
 
-/* Enters the busy slots of a beat, which come in the order of the hello. */
+/* Enters the busy slots of a heartbeat, which come in the order of the hello.
+ */
 static void
 set_busy(struct wire_list *services, const struct wire_list *busy)
 {
@@ -285,7 +287,8 @@
 
 /* Tells dispatch of the load. */
 static void
-tell_load(struct members *s, const struct member *m, const struct wire_beat *b)
+tell_load(struct members *s, const struct member *m,
+          const struct wire_heartbeat *b)
 {
     struct task *t = Kernel_FindTask(s->task.kernel, "dispatch");
     struct load_note *note;
@@ -306,10 +309,10 @@
 /* An agent is still there. One that isn't known on this connection (this
  * entry restarted, or forgot it) is asked for a hello. */
 static void
-take_beat(struct members *s, const struct link_peer *peer,
-          const struct wire_msg *msg)
+take_heartbeat(struct members *s, const struct link_peer *peer,
+               const struct wire_msg *msg)
 {
-    const struct wire_beat *b = (const struct wire_beat *)msg;
+    const struct wire_heartbeat *b = (const struct wire_heartbeat *)msg;
     struct member *m = find_peer(s, peer, b->incarnation);
     int64_t now = Clock_NowMs();
     bool was_silent;
@@ -320,7 +323,7 @@
     }
     was_silent = m->silent;
     mark_heard(s, m, now);
-    m->beats++;
+    m->heartbeats++;
     if (b->agent_clock - now > m->facts.clock_offset) {
         m->facts.clock_offset = b->agent_clock - now;
     }
@@ -354,7 +357,7 @@
     void (*take)(struct members *, const struct link_peer *,
                  const struct wire_msg *);
 } speakers[] = {{WIRE_HELLO, take_hello},
-                {WIRE_BEAT, take_beat},
+                {WIRE_HEARTBEAT, take_heartbeat},
                 {WIRE_LEAVE, take_leave}};
 
 /* Notes the list of entries, for welcomes. */
@@ -409,7 +412,7 @@
         int64_t quiet = now - m->heard_at;
 
         if (!m->silent &&
-            quiet > SILENT_BEATS * m->pace_ms + SILENT_EXTRA_MS) {
+            quiet > SILENT_HEARTBEATS * m->pace_ms + SILENT_EXTRA_MS) {
             m->silent = true;
             s->count--;
             Counter_Add(&silent_total, 1);
@@ -440,16 +443,16 @@
 
     RB_FOREACH (m, member_tree, &s->tree) {
         json_array_append_new(
-            list,
-            json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:I, s:I, s:I}", "name",
-                      m->facts.name, "region", m->facts.region, "domain",
-                      m->facts.domain, "rack", m->facts.rack, "accelerators",
-                      m->facts.accelerators, "state",
-                      m->silent          ? "silent"
-                      : m->facts.leaving ? "leaving"
-                                         : "up",
-                      "heard_ms", (json_int_t)(now - m->heard_at), "pace_ms",
-                      (json_int_t)m->pace_ms, "beats", (json_int_t)m->beats));
+            list, json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:I, s:I, s:I}",
+                            "name", m->facts.name, "region", m->facts.region,
+                            "domain", m->facts.domain, "rack", m->facts.rack,
+                            "accelerators", m->facts.accelerators, "state",
+                            m->silent          ? "silent"
+                            : m->facts.leaving ? "leaving"
+                                               : "up",
+                            "heard_ms", (json_int_t)(now - m->heard_at),
+                            "pace_ms", (json_int_t)m->pace_ms, "beats",
+                            (json_int_t)m->heartbeats));
     }
     return json_pack("{s:i, s:o}", "heard", s->count, "agents", list);
 }
--- a/packages/entry/entry-owner.c
+++ b/packages/entry/entry-owner.c
@@ -27,9 +27,9 @@
                                   "1 while this entry schedules its region.",
                                   NULL, COUNTER_GAUGE};
 
-/* Key of the beat row. */
+/* Key of the heartbeat row. */
 static const char *
-beat_key(const struct sched *s, char out[NAME_SIZE + 8])
+heartbeat_key(const struct sched *s, char out[NAME_SIZE + 8])
 {
     snprintf(out, NAME_SIZE + 8, "%s/beat", s->settings->region);
     return out;
@@ -70,7 +70,7 @@
           KV_INT("term", s->owner.term), KV("reason", reason));
     s->owner.self = false;
     s->owner.loaded = false;
-    s->owner.beat_at = Clock_NowMs();
+    s->owner.heartbeat_at = Clock_NowMs();
     Counter_Set(&is_owner, 0);
     JobSet_DropAll(s);
 }
@@ -87,7 +87,7 @@
     Counter_Set(&is_owner, 1);
     LOG_I("owner_take", KV("region", s->settings->region),
           KV_INT("term", term));
-    s->owner.beat_at = Clock_NowMs();
+    s->owner.heartbeat_at = Clock_NowMs();
     JobSet_Load(s);
 }
 
@@ -110,10 +110,10 @@
         LOG_W("owner_not_renewed", KV("error", Err_Name(err)));
         return;
     }
-    s->owner.beat_at = Clock_NowMs();
+    s->owner.heartbeat_at = Clock_NowMs();
 }
 
-/* Says that the owner lives. The beat takes any version: the check in the
+/* Says that the owner lives. The heartbeat takes any version: the check in the
  * same transaction is what keeps a late copy from counting. */
 static void
 renew(struct sched *s)
@@ -122,7 +122,7 @@
     struct table_op ops[] = {Owner_Check(s),
                              {.verb = TABLE_PUT,
                               .table = "owners",
-                              .key = beat_key(s, key),
+                              .key = heartbeat_key(s, key),
                               .if_version = TABLE_ANY,
                               .value = "{}",
                               .len = 2}};
@@ -131,8 +131,8 @@
     s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_renewed, s);
 }
 
-/* The beat is gone: the others need not wait for it. With the table down there
- * is nothing to give away. */
+/* The heartbeat is gone: the others need not wait for it. With the table down
+ * there is nothing to give away. */
 static void
 on_resigned(void *arg, int err, size_t at UNUSED,
             const uint64_t *versions UNUSED)
@@ -153,7 +153,7 @@
     struct table_op ops[] = {Owner_Check(s),
                              {.verb = TABLE_DELETE,
                               .table = "owners",
-                              .key = beat_key(s, key),
+                              .key = heartbeat_key(s, key),
                               .if_version = TABLE_ANY}};
 
     s->owner.busy = true;
@@ -184,8 +184,8 @@
     struct table_op ops[2] = {Owner_Check(s),
                               {.verb = TABLE_PUT,
                                .table = "owners",
-                               .key = beat_key(s, key),
-                               .if_version = s->owner.beat_version,
+                               .key = heartbeat_key(s, key),
+                               .if_version = s->owner.heartbeat_version,
                                .value = "{}",
                                .len = 2}};
 
@@ -203,10 +203,10 @@
     s->table->ops->commit(s->table, ops, COUNT_OF(ops), on_taken, s);
 }
 
-/* Notes whether the beat has changed, and takes over when it has not for the
- * time of three renewals, on this entry's own clock. */
+/* Notes whether the heartbeat has changed, and takes over when it has not for
+ * the time of three renewals, on this entry's own clock. */
 static void
-on_beat(void *arg, int err, struct table_row *row)
+on_heartbeat(void *arg, int err, struct table_row *row)
 {
     struct sched *s = arg;
     int64_t now = Clock_NowMs();
@@ -216,14 +216,14 @@
     if (err != ERR_OK || s->owner.self) {
         return;
     }
-    if (row->version != s->owner.beat_version) {
-        s->owner.beat_version = row->version;
-        s->owner.beat_at = now;
+    if (row->version != s->owner.heartbeat_version) {
+        s->owner.heartbeat_version = row->version;
+        s->owner.heartbeat_at = now;
     }
     if (s->owner.row_version != 0 && row->version != 0) {
         patience += OWNER_MISSED * OWNER_RENEW_MS;
     }
-    if (now - s->owner.beat_at >= patience && !s->task.kernel->draining) {
+    if (now - s->owner.heartbeat_at >= patience && !s->task.kernel->draining) {
         take(s);
     }
 }
@@ -252,8 +252,8 @@
     return own;
 }
 
-/* Reads the row, then the beat. A row that names this incarnation is one that
- * it took without learning so. */
+/* Reads the row, then the heartbeat. A row that names this incarnation is one
+ * that it took without learning so. */
 static void
 on_row(void *arg, int err, struct table_row *row)
 {
@@ -275,14 +275,15 @@
     changed = row->version != s->owner.row_version;
     s->owner.row_version = row->version;
     if (changed) {
-        s->owner.beat_at = Clock_NowMs();
+        s->owner.heartbeat_at = Clock_NowMs();
     }
     if (row->version != 0 && read_owner(s, row)) {
         become(s, s->owner.term, row->version);
         return;
     }
     s->owner.busy = true;
-    s->table->ops->get(s->table, "owners", beat_key(s, key), on_beat, s);
+    s->table->ops->get(s->table, "owners", heartbeat_key(s, key), on_heartbeat,
+                       s);
 }
 
 /* Looks whether there is an owner that lives. */
@@ -307,7 +308,8 @@
         resign(s);
         return;
     }
-    if (s->owner.self && Clock_NowMs() - s->owner.beat_at >= OWNER_RENEW_MS) {
+    if (s->owner.self &&
+        Clock_NowMs() - s->owner.heartbeat_at >= OWNER_RENEW_MS) {
         renew(s);
         return;
     }
@@ -318,7 +320,7 @@
 void
 Owner_Start(struct sched *s)
 {
-    s->owner.beat_at = Clock_NowMs();
+    s->owner.heartbeat_at = Clock_NowMs();
     ev_init(&s->owner.timer, on_timer);
     s->owner.timer.data = s;
     if (s->table != NULL) {
--- a/packages/queue/queue-batch.c
+++ b/packages/queue/queue-batch.c
@@ -91,12 +91,13 @@
     }
 }
 
-/* Adds the beat, which shows the others that this owner lives. */
+/* Adds the heartbeat, which shows the others that this owner lives. */
 static void
-add_beat(struct owner *o, struct batch *b, struct buf *value)
+add_heartbeat(struct owner *o, struct batch *b, struct buf *value)
 {
     Buf_Printf(value, "{\"term\":%llu,\"beats\":%llu}",
-               (unsigned long long)o->term, (unsigned long long)o->beats++);
+               (unsigned long long)o->term,
+               (unsigned long long)o->heartbeats++);
     b->ops[b->op_count++] = (struct table_op){.verb = TABLE_PUT,
                                               .table = Queue_Site()->own_table,
                                               .key = "beat",
@@ -110,7 +111,7 @@
 void
 Batch_Start(struct owner *o)
 {
-    struct buf beat CLEANUP(Buf_Free) = {0};
+    struct buf heartbeat CLEANUP(Buf_Free) = {0};
     struct batch *b CLEANUP(Mem_FreeP) = NULL;
     int64_t now = Clock_NowMs();
 
@@ -120,12 +121,12 @@
     b = Mem_Zero(1, sizeof(*b));
     b->ops[b->op_count++] = Leader_Check(o);
     add_rows(o, b);
-    if (b->row_count == 0 && now - o->write_ms < BEAT_MS) {
+    if (b->row_count == 0 && now - o->write_ms < HEARTBEAT_MS) {
         Jobs_NotWritten(o->book);
         return;
     }
-    if (now - o->write_ms >= BEAT_MS || b->row_count == 0) {
-        add_beat(o, b, &beat);
+    if (now - o->write_ms >= HEARTBEAT_MS || b->row_count == 0) {
+        add_heartbeat(o, b, &heartbeat);
     }
     o->writing = true;
     o->write_ms = now;
--- a/packages/queue/queue-leader-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -81,7 +81,7 @@
     Str_Copy(o->row_name, sizeof(o->row_name), r.name);
     o->row_incarnation = r.incarnation;
     o->row_term = r.term;
-    o->beat_seen_ms = Clock_NowMs();
+    o->heartbeat_seen_ms = Clock_NowMs();
     if (!Leader_IsOurs(o)) {
         if (o->leadership != LEADER_NONE) {
             Owner_Leave(o, "another_owner");
@@ -129,10 +129,10 @@
     }
 }
 
-/* True for the beat of the owner that the row names: another writer's shows
- * nobody alive. */
+/* True for the heartbeat of the owner that the row names: another writer's
+ * shows nobody alive. */
 static bool
-is_beat(const struct owner *o, const struct table_row *row)
+is_heartbeat(const struct owner *o, const struct table_row *row)
 {
     json_t *v;
     json_int_t term;
@@ -168,9 +168,10 @@
         if (strcmp(r->rows[i].key, "owner") == 0) {
             take_owner_row(o, &r->rows[i]);
         }
-        else if (is_beat(o, &r->rows[i]) ||
+        else if (is_heartbeat(o, &r->rows[i]) ||
                  strncmp(r->rows[i].key, "run/", 4) == 0) {
-            o->beat_seen_ms = Clock_NowMs(); /* both are the owner's own */
+            o->heartbeat_seen_ms =
+                Clock_NowMs(); /* both are the owner's own */
         }
         else if (strncmp(r->rows[i].key, "entry/", 6) == 0) {
             note_entry(o, &r->rows[i]);
--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -27,7 +27,7 @@
     o->term = 0;
     Jobs_Free(o->book);
     o->book = NULL;
-    o->beat_seen_ms = Clock_NowMs();
+    o->heartbeat_seen_ms = Clock_NowMs();
     Queue_Post(o->task.kernel, TASK_INTAKE,
                Mem_Zero(1, sizeof(struct leadership_ended)),
                &Queue_LeadershipEndedKind);
@@ -111,9 +111,9 @@
 /* Claims leadership when nobody holds it, or its holder shows no life.
  *
  * Failure: this entry was cut from the store for a while, and hears of it
- * again. Symptom: the owner's last beat that it knows is old, and it deposes a
- * living owner. Silence therefore counts from the moment since when the feed
- * has come without a gap.
+ * again. Symptom: the owner's last heartbeat that it knows is old, and it
+ * deposes a living owner. Silence therefore counts from the moment since when
+ * the feed has come without a gap.
  *
  * Failure: an entry that has just begun has a configuration from another one,
  * and has not read which failure domains are emptied. Symptom: as the owner it
@@ -123,8 +123,8 @@
 {
     const struct entry_settings *s = o->task.kernel->settings;
     int64_t now = Clock_NowMs();
-    int64_t heard =
-        o->beat_seen_ms > o->fresh_ms ? o->beat_seen_ms : o->fresh_ms;
+    int64_t heard = o->heartbeat_seen_ms > o->fresh_ms ? o->heartbeat_seen_ms
+                                                       : o->fresh_ms;
     /* Entries wait for different times, so that one is first. */
     int64_t own = (int64_t)(Hash_Str(s->name, 0) % 300);
     bool nobody = o->row_version == 0 || o->row_name[0] == '\0';
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -268,7 +268,7 @@
     if (s->hosted.advice != NULL) {
         o->adviser = Queue_Site()->open_adviser(k->loop, &s->hosted);
     }
-    o->beat_seen_ms = Clock_NowMs();
+    o->heartbeat_seen_ms = Clock_NowMs();
     TAILQ_INIT(&o->kept);
     ev_init(&o->tick, on_tick);
     o->tick.data = o;
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -4,10 +4,10 @@
 
 #include "queue.h"
 
-/* An owner rewrites its beat so often, if it has written nothing else. */
-#define BEAT_MS 500
-/* Others take over when they see the store move but not the beat for this
- * long: four beats, so that a slow store does not depose its owner. */
+/* An owner rewrites its heartbeat so often, if it has written nothing else. */
+#define HEARTBEAT_MS 500
+/* Others take over when they see the store move but not the heartbeat for this
+ * long: four heartbeats, so that a slow store does not depose its owner. */
 #define SILENT_MS 2200
 /* An owner whose writes have not been confirmed for this long gives out no
  * more leases: another may have taken over and wait just so long, and a lease
@@ -40,15 +40,16 @@
     uint64_t row_version;
     char row_name[NAME_SIZE]; /* "": nobody */
     uint64_t row_incarnation;
-    uint64_t row_term;    /* the highest that is known */
-    int64_t beat_seen_ms; /* last change of the owner's row or beat */
-    int64_t rows_seen_ms; /* last answer of the feed */
-    int64_t fresh_ms;     /* since when its answers come without a gap */
-    bool claiming;        /* a write of the owner row is under way */
-    int64_t claim_ms;     /* not before */
-    int64_t wanted_ms;    /* when all rows were asked for */
-    bool row_spoiled;     /* it names nobody, as it can't be read */
-    bool dead_before;     /* the owner before us had ended for certain */
+    uint64_t row_term; /* the highest that is known */
+    int64_t
+        heartbeat_seen_ms; /* last change of the owner's row or heartbeat */
+    int64_t rows_seen_ms;  /* last answer of the feed */
+    int64_t fresh_ms;      /* since when its answers come without a gap */
+    bool claiming;         /* a write of the owner row is under way */
+    int64_t claim_ms;      /* not before */
+    int64_t wanted_ms;     /* when all rows were asked for */
+    bool row_spoiled;      /* it names nobody, as it can't be read */
+    bool dead_before;      /* the owner before us had ended for certain */
     char before_name[NAME_SIZE]; /* it; "": it need not be waited for */
     uint64_t before_incarnation;
     char left[LEFT_MAX][JOBS_TEXT_SIZE];
@@ -62,7 +63,7 @@
     int64_t confirmed_ms; /* start of the last write that succeeded */
     int64_t write_ms;     /* start of the one under way */
     int64_t pause_ms;     /* no write before */
-    uint64_t beats;
+    uint64_t heartbeats;
     struct adviser *adviser; /* NULL: the platform has none */
     bool asking;
     struct jobs_question asked;
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -68,16 +68,19 @@
     LIST(wire_hello, services, service_table),
     LIST(wire_hello, parts, part_table)};
 
-static const struct wire_field beat[] = {
-    U(wire_beat, incarnation),          U(wire_beat, seq),
-    I(wire_beat, agent_clock),          U(wire_beat, leaving),
-    LIST(wire_beat, busy, count_table), LIST(wire_beat, own, count_table)};
+static const struct wire_field heartbeat[] = {
+    U(wire_heartbeat, incarnation),
+    U(wire_heartbeat, seq),
+    I(wire_heartbeat, agent_clock),
+    U(wire_heartbeat, leaving),
+    LIST(wire_heartbeat, busy, count_table),
+    LIST(wire_heartbeat, own, count_table)};
 
 static const struct wire_field welcome[] = {
     NAME(wire_welcome, entry),
     U(wire_welcome, incarnation),
     U(wire_welcome, seq),
-    I(wire_welcome, beat_ms),
+    I(wire_welcome, heartbeat_ms),
     U(wire_welcome, draining),
     U(wire_welcome, known),
     LIST(wire_welcome, entries, entry_table)};
@@ -300,7 +303,7 @@
 
 static const struct wire_fields tables[WIRE_TYPE_LAST] = {
     [WIRE_HELLO] = FIELDS(wire_hello, hello),
-    [WIRE_BEAT] = FIELDS(wire_beat, beat),
+    [WIRE_HEARTBEAT] = FIELDS(wire_heartbeat, heartbeat),
     [WIRE_WELCOME] = FIELDS(wire_welcome, welcome),
     [WIRE_LEAVE] = FIELDS(wire_leave, leave),
     [WIRE_DISPATCH] = FIELDS(wire_dispatch, dispatch),
--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -89,8 +89,8 @@
         case WIRE_HELLO:
             e->TakeHello((const struct wire_hello *)*m);
             break;
-        case WIRE_BEAT:
-            e->Welcome(((const struct wire_beat *)*m)->seq);
+        case WIRE_HEARTBEAT:
+            e->Welcome(((const struct wire_heartbeat *)*m)->seq);
             break;
         case WIRE_PULSE:
             e->TakePulse((const struct wire_pulse *)*m);
@@ -118,7 +118,7 @@
         Str_Copy(w.entry, sizeof(w.entry), name.c_str());
         w.incarnation = incarnation;
         w.seq = seq;
-        w.beat_ms = SECOND;
+        w.heartbeat_ms = SECOND;
         w.known = 1;
         Say(&w.msg);
     }
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -19,7 +19,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BEAT_MS 200
+#define HEARTBEAT_MS 200
 #define CRASH_MS 10
 #define TASK_SIZE 128
 
@@ -55,7 +55,7 @@
     int lifetimes; /* beyond the first */
     bool tells_born;
     const char *rack;
-    const char *beats; /* address of the agent */
+    const char *heartbeats; /* address of the agent */
     const char *state;
     uint64_t sequence;
     uint64_t term;
@@ -66,7 +66,7 @@
     TAILQ_HEAD(, ended) ended;
     struct http_exchange *holding; /* a poll that waits for an end */
     ev_timer hold_limit;
-    ev_timer beat;
+    ev_timer heartbeat;
     ev_timer lease;
 };
 
@@ -426,13 +426,13 @@
 }
 
 static void
-on_beat_answered(void *arg UNUSED, struct http_result *r UNUSED)
+on_heartbeat_answered(void *arg UNUSED, struct http_result *r UNUSED)
 {
 }
 
 /* Reports to the agent. */
 static void
-on_beat(struct ev_loop *loop UNUSED, ev_timer *t, int events UNUSED)
+on_heartbeat(struct ev_loop *loop UNUSED, ev_timer *t, int events UNUSED)
 {
     struct worker *w = t->data;
     struct buf url CLEANUP(Buf_Free) = {0};
@@ -446,11 +446,11 @@
         (json_int_t)++w->sequence);
     char *text = json_dumps(with_born(w, o), JSON_COMPACT);
 
-    Buf_Printf(&url, "http://%s/Instances.Heartbeat/%s", w->beats, w->id);
+    Buf_Printf(&url, "http://%s/Instances.Heartbeat/%s", w->heartbeats, w->id);
     r.url = url.data;
     r.body = text;
     r.body_len = strlen(text);
-    Http_Call(w->client, &r, on_beat_answered, NULL);
+    Http_Call(w->client, &r, on_heartbeat_answered, NULL);
     free(text);
     json_decref(o);
 }
@@ -464,9 +464,10 @@
         arg_file1(NULL, "port-file", "FILE", "gets the port");
     struct arg_int *port = arg_int0(NULL, "port", "N", "0: any");
     struct arg_str *id = arg_str1(NULL, "id", "ID", "its lifetime");
-    struct arg_str *beats = arg_str1(NULL, "beats", "IP:PORT", "the agent");
+    struct arg_str *heartbeats =
+        arg_str1(NULL, "beats", "IP:PORT", "the agent");
     struct arg_end *end = arg_end(5);
-    void *table[] = {file, port, id, beats, end};
+    void *table[] = {file, port, id, heartbeats, end};
     struct worker w = {.state = "ready", .rack = "r1"};
     struct kernel k;
 
@@ -476,7 +477,7 @@
     }
     w.first_id = id->sval[0];
     Str_Copy(w.id, sizeof(w.id), w.first_id);
-    w.beats = beats->sval[0];
+    w.heartbeats = heartbeats->sval[0];
     w.starts = json_array();
     TAILQ_INIT(&w.runs);
     TAILQ_INIT(&w.ended);
@@ -484,12 +485,12 @@
     Kernel_AddTask(&k, &w.task, &worker_ops);
     w.client = Http_ClientNew(k.loop, 4);
     ev_init(&w.hold_limit, on_hold_limit);
-    ev_init(&w.beat, on_beat);
+    ev_init(&w.heartbeat, on_heartbeat);
     ev_init(&w.lease, on_lease);
-    w.hold_limit.data = w.beat.data = w.lease.data = &w;
+    w.hold_limit.data = w.heartbeat.data = w.lease.data = &w;
     w.server = Fake_Listen(k.loop, port->count ? port->ival[0] : 0,
                            file->filename[0], on_call, &w);
-    Timer_Every(k.loop, &w.beat, BEAT_MS);
+    Timer_Every(k.loop, &w.heartbeat, HEARTBEAT_MS);
     Kernel_Run(&k);
     _Exit(0); /* a poll may still wait; nothing here has to be kept */
 }
--- a/tests/gang-agents.cc
+++ b/tests/gang-agents.cc
@@ -479,7 +479,7 @@
 
     if (a.seq++ % 6 == 0) { /* 300 ms */
         for (size_t i = 0; i < a.links.size(); i++) {
-            auto *m = New<struct wire_beat>(WIRE_BEAT);
+            auto *m = New<struct wire_heartbeat>(WIRE_HEARTBEAT);
 
             m->incarnation = a.incarnation;
             m->seq = a.seq;
--- a/tests/gang-process-test.cc
+++ b/tests/gang-process-test.cc
@@ -413,9 +413,9 @@
     EXPECT_LE(lapsed - killed, GANG_HEARD_MS + GANG_LEASE_MS + 100);
 }
 
-/* The owner dies. Another entry takes the term when the beat has not changed
- * for three renewals, finds the members at work, and goes on with them; the
- * gang is neither cut nor started again. */
+/* The owner dies. Another entry takes the term when the heartbeat has not
+ * changed for three renewals, finds the members at work, and goes on with
+ * them; the gang is neither cut nor started again. */
 TEST_F(Region, GangGoesOnWhenItsOwnerDies)
 {
     Up(2);
@@ -493,7 +493,7 @@
 }
 
 /* The owner is asked to leave. It gives the region away first, so nobody has
- * to wait for its beat; the gang goes on. */
+ * to wait for its heartbeat; the gang goes on. */
 TEST_F(Region, LeavingOwnerGivesItsRegionAway)
 {
     Up(2);
--- a/tests/beat-process-test.cc
+++ b/tests/heartbeat-process-test.cc
@@ -9,9 +9,10 @@
 
 /* A caller sees a service that answers well, then refuses everything as
  * "no_capacity" while it is still answering. The agent took its own answers
- * for signs of life and sent no beat while it was busy; the entry, which
- * learns load and silence by beats alone, gave the agent up after 3.5 s of
- * steady work. So a busy agent has to beat as an idle one does. */
+ * for signs of life and sent no heartbeat while it was busy; the entry, which
+ * learns load and silence by heartbeats alone, gave the agent up after 3.5 s
+ * of steady work. So a busy agent has to send heartbeats as an idle one does.
+ */
 
 static const char *const CONFIGURATION = R"(version: 1
 weights: {completion: 70, fragmentation: 30}
@@ -51,7 +52,7 @@
     return log.substr(from, log.find_first_of(" \n", from) - from);
 }
 
-TEST(Beat, ABusyAgentBeats)
+TEST(Heartbeat, ABusyAgentSendsHeartbeats)
 {
     TempDir dir;
     Fake platform(dir, "fake-platform");
@@ -84,7 +85,7 @@
                               "5000}\nlease_ms: 3000\ndrain_ms: 5000\n")},
         "agent");
     std::vector<std::string> caller = {"Authorization: Bearer demo-token"};
-    auto beats = [&] {
+    auto heartbeats = [&] {
         Reply r = Http("GET", url + "/v1/state", "",
                        {"Authorization: Bearer demo-operator"});
         Json state = r.json();
@@ -113,7 +114,8 @@
             }
         });
     }
-    EXPECT_TRUE(WaitFor([&] { return beats() >= 6; }, 15000)) << entry.Err();
+    EXPECT_TRUE(WaitFor([&] { return heartbeats() >= 6; }, 15000))
+        << entry.Err();
     stop = true;
     for (auto &c : callers) {
         c.join();
--- a/tests/beat.cmake
+++ b/tests/heartbeat.cmake
@@ -1,2 +1,2 @@
-pf_process_test(beat-process-test beat-process-test.cc PACKAGES base
+pf_process_test(heartbeat-process-test heartbeat-process-test.cc PACKAGES base
                 NEEDS parsleyfall parsleyfall-agent fake-platform fake-upstream)
--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -13,7 +13,7 @@
 
 /* A report with one field replaced by a text; "" drops it. */
 std::string
-Beat(const std::string &field = "", const std::string &value = "")
+Heartbeat(const std::string &field = "", const std::string &value = "")
 {
     static const std::pair<const char *, const char *> fields[] = {
         {"service", "\"pool\""},
@@ -43,17 +43,17 @@
     int err;
 
     *said = {};
-    err = Hosted_ReadBeat(text.data(), text.size(), said, &born, why);
+    err = Hosted_ReadHeartbeat(text.data(), text.size(), said, &born, why);
     *says = why;
     return err;
 }
 
-TEST(HostedBeat, EveryFieldGoesToItsPlace)
+TEST(HostedHeartbeat, EveryFieldGoesToItsPlace)
 {
     struct worker_said said;
     std::string why;
 
-    ASSERT_EQ(Read(Beat(), &said, &why), ERR_OK) << why;
+    ASSERT_EQ(Read(Heartbeat(), &said, &why), ERR_OK) << why;
     EXPECT_STREQ(said.service, "pool");
     EXPECT_EQ(said.capacity.millicores, 16000);
     EXPECT_EQ(said.capacity.memory_mb, 64000);
@@ -62,9 +62,10 @@
     EXPECT_STREQ(said.labels[1], "r1-3");
     EXPECT_EQ(said.sequence, 4u);
     EXPECT_FALSE(said.draining);
-    ASSERT_EQ(Read(Beat("state", R"("draining","drain-remaining-ms":900)"),
-                   &said, &why),
-              ERR_OK);
+    ASSERT_EQ(
+        Read(Heartbeat("state", R"("draining","drain-remaining-ms":900)"),
+             &said, &why),
+        ERR_OK);
     EXPECT_TRUE(said.draining);
     EXPECT_EQ(said.drain_left_ms, 900);
 }
@@ -78,7 +79,7 @@
 };
 
 /* Guards against two lifetimes under one id that are taken for one. */
-TEST(HostedBeat, ALifetimeIsAnIdAndABirth)
+TEST(HostedHeartbeat, ALifetimeIsAnIdAndABirth)
 {
     static const Birth cases[] = {
         {"not told", "i-1", "", ERR_OK, "i-1"},
@@ -121,9 +122,9 @@
         ERR_INVALID);
 }
 
-TEST(HostedBeat, CutAnywhereItIsRefused)
+TEST(HostedHeartbeat, CutAnywhereItIsRefused)
 {
-    const std::string good = Beat();
+    const std::string good = Heartbeat();
 
     for (size_t len = 0; len < good.size(); len++) {
         struct worker_said said;
@@ -139,7 +140,7 @@
     const char *value; /* "": missing */
 };
 
-TEST(HostedBeat, AFieldThatIsMissingOrWrongIsNamed)
+TEST(HostedHeartbeat, AFieldThatIsMissingOrWrongIsNamed)
 {
     static const BadField cases[] = {
         {"service", ""},
@@ -177,13 +178,13 @@
         struct worker_said said;
         std::string why;
 
-        EXPECT_EQ(Read(Beat(c.field, c.value), &said, &why), ERR_INVALID)
+        EXPECT_EQ(Read(Heartbeat(c.field, c.value), &said, &why), ERR_INVALID)
             << c.field << " " << c.value;
         EXPECT_NE(why, "") << c.field << " " << c.value;
     }
 }
 
-TEST(HostedBeat, BytesThatAreNoReportAreRefused)
+TEST(HostedHeartbeat, BytesThatAreNoReportAreRefused)
 {
     const std::string cases[] = {
         "",
@@ -192,9 +193,9 @@
         std::string(3, '\0'),
         "\xff\xfe{}",
         std::string(100000, '['),
-        Beat("service", "\"" + std::string(64, 's') + "\""),
-        Beat("labels", "[\"" + std::string(96, 'l') + "\"]"),
-        Beat("service", R"("a","service":"b")"),
+        Heartbeat("service", "\"" + std::string(64, 's') + "\""),
+        Heartbeat("labels", "[\"" + std::string(96, 'l') + "\"]"),
+        Heartbeat("service", R"("a","service":"b")"),
     };
 
     for (const std::string &text : cases) {
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -35,7 +35,7 @@
     for (int round = 0; round < 3; round++) {
         for (const auto &r : reports) {
             EXPECT_EQ(Http("POST",
-                           s.Beats(0) + "/Instances.Heartbeat/foreign-" +
+                           s.Heartbeats(0) + "/Instances.Heartbeat/foreign-" +
                                std::to_string(round),
                            r.first)
                           .status,
@@ -51,9 +51,9 @@
 }
 
 /* Another writer writes over rows of the product: entries, the owner, the
- * beat, a job's spec, its progress and a cancelling, beside rows of no job.
- * Jobs that are handed in then are done, the spoiled ones once each. Then the
- * owner is killed: the one that takes over finds all of it. */
+ * heartbeat, a job's spec, its progress and a cancelling, beside rows of no
+ * job. Jobs that are handed in then are done, the spoiled ones once each. Then
+ * the owner is killed: the one that takes over finds all of it. */
 TEST(HostedForeign, SpoiledRowsLoseNothingOverATakeover)
 {
     HostedStack s(2, 2);
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const int CALLERS = 7001, READY = 7002, LINKS = 7003, BEATS = 7004;
+const int CALLERS = 7001, READY = 7002, LINKS = 7003, HEARTBEATS = 7004;
 
 std::string
 Base64(const std::string &s)
@@ -120,7 +120,7 @@
         "agent-" + n + ".yaml",
         "name: agent-" + n + "\nregion: here\nfailure_domain: a\nrack: r\n" +
             "accelerators: 0\nseeds: [" + seeds + "]\ndrain_ms: 1000\n" +
-            "hosted:\n  beats: \"" + Address(i + 5, BEATS) +
+            "hosted:\n  beats: \"" + Address(i + 5, HEARTBEATS) +
             "\"\n  worker: \"127.0.0.1:" +
             std::to_string(worker_ports[static_cast<size_t>(i)]) +
             "\"\n  lease_ms: 4000\n");
@@ -139,7 +139,7 @@
     workers[at] = std::make_unique<Fake>(
         dir, "fake-hosted-worker",
         std::vector<std::string>{"--id", lifetime, "--beats",
-                                 Address(i + 5, BEATS), "--port",
+                                 Address(i + 5, HEARTBEATS), "--port",
                                  std::to_string(worker_ports[at])},
         "worker-" + std::to_string(names++));
     worker_ports[at] = workers[at]->port;
@@ -295,9 +295,9 @@
 }
 
 std::string
-HostedStack::Beats(int i) const
+HostedStack::Heartbeats(int i) const
 {
-    return "http://" + Address(i + 5, BEATS);
+    return "http://" + Address(i + 5, HEARTBEATS);
 }
 
 bool
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -42,9 +42,9 @@
     void StoreFault(int door, const std::string &fault);
     void DropHistory();
 
-    std::string Entry(int i) const; /* where callers connect */
-    std::string Links(int i) const; /* where agents connect */
-    std::string Beats(int i) const; /* where worker i reports */
+    std::string Entry(int i) const;      /* where callers connect */
+    std::string Links(int i) const;      /* where agents connect */
+    std::string Heartbeats(int i) const; /* where worker i reports */
     bool Ready(int i) const;
     harness::Reply Submit(int entry, const std::string &id,
                           const std::string &payload, int tasks = 1,
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -261,8 +261,8 @@
 }
 
 /* An agent is leaving, and a long request keeps it there. The entry hears of
- * it within a beat; from then on everything goes to the other one, and the
- * long request is answered all the same. */
+ * it within a heartbeat; from then on everything goes to the other one, and
+ * the long request is answered all the same. */
 TEST(Request, LeavingUpstreamGetsNothing)
 {
     Stack s({.service_ms = 10});
