--- a/bench/jobs-bench.c
+++ b/bench/jobs-bench.c
@@ -1,10 +1,10 @@
-/* What a pass of the book of jobs costs its owner: workers that are full, and
+/* What a pass of the scheduler costs its owner: workers that are full, and
  * units that wait for room in them.
  *
  *   jobs-bench [WORKERS [UNITS...]]
  *
  * prints a row for each number of waiting units: milliseconds of a pass in the
- * median and at most, of a worker's report, and of building the book anew from
+ * median and at most, of a worker's report, and of building it anew from
  * its rows up to the first pass. */
 #include "jobs.h"
 
@@ -24,9 +24,9 @@
     struct buf progress;
 };
 
-/* The book, its workers and its rows. */
+/* The scheduler, its workers and its rows. */
 struct bench {
-    struct jobs_book *book;
+    struct jobs_scheduler *scheduler;
     struct jobs_config config;
     struct jobs_limits limits;
     struct jobs_running *running; /* of all workers, in the order of starts */
@@ -119,7 +119,7 @@
         millicores[queue], memory_mb[queue],
         queue == 2 ? 1 : shapes[draw(b) % COUNT_OF(shapes)]};
     JobsSpec_Encode(&s, &row->spec);
-    Jobs_Add(b->book, &s, NULL, 0, b->now_ms);
+    Jobs_Add(b->scheduler, &s, NULL, 0, b->now_ms);
     JobsSpec_Clear(&s);
     return queue == 0 ? 1 : width;
 }
@@ -147,8 +147,8 @@
     snprintf(r.labels[1], JOBS_TEXT_SIZE, "r%d", worker / RACK);
     Str_Copy(r.service, sizeof(r.service), "pool");
     Str_Copy(r.labels[0], JOBS_TEXT_SIZE, "a");
-    Jobs_Report(b->book, &r, b->now_ms);
-    Jobs_Granted(b->book, r.worker, b->now_ms);
+    Jobs_Report(b->scheduler, &r, b->now_ms);
+    Jobs_Granted(b->scheduler, r.worker, b->now_ms);
     free(list);
 }
 
@@ -193,15 +193,15 @@
     struct jobs_order o;
     const char *id;
 
-    while ((id = Jobs_NextDirty(b->book, &text)) != NULL) {
+    while ((id = Jobs_NextDirty(b->scheduler, &text)) != NULL) {
         Buf_Set(&row_of(b, id)->progress, text.data, text.len);
         Buf_Clear(&text);
     }
-    Jobs_Written(b->book);
-    while (Jobs_NextOrder(b->book, b->now_ms, true, &o)) {
+    Jobs_Written(b->scheduler);
+    while (Jobs_NextOrder(b->scheduler, b->now_ms, true, &o)) {
         obey(b, &o);
     }
-    while ((e = Jobs_NextEvent(b->book)) != NULL) {
+    while ((e = Jobs_NextEvent(b->scheduler)) != NULL) {
         free(e);
     }
 }
@@ -217,31 +217,32 @@
         report(b, i);
     }
     begun = clock_ms();
-    Jobs_Plan(b->book, b->now_ms, b->now_ms);
+    Jobs_Plan(b->scheduler, b->now_ms, b->now_ms);
     begun = clock_ms() - begun;
     settle(b);
     return begun;
 }
 
-/* Another owner: a book from the rows, up to its first pass. */
+/* Another owner: a scheduler from the rows, up to its first pass. */
 static double
 take_over(struct bench *b)
 {
     double begun = clock_ms();
 
-    Jobs_Free(b->book);
-    b->book = Jobs_New(&b->limits);
-    Jobs_SetConfig(b->book, &b->config);
+    Jobs_Free(b->scheduler);
+    b->scheduler = Jobs_New(&b->limits);
+    Jobs_SetConfig(b->scheduler, &b->config);
     for (size_t i = 0; i < b->row_count; i++) {
         struct row *r = &b->rows[i];
         struct jobs_spec s = {0};
 
         JobsSpec_Decode(r->spec.data, r->spec.len, &s);
-        Jobs_Add(b->book, &s, r->progress.data, r->progress.len, b->now_ms);
+        Jobs_Add(b->scheduler, &s, r->progress.data, r->progress.len,
+                 b->now_ms);
         JobsSpec_Clear(&s);
     }
-    Jobs_TakeOver(b->book, b->now_ms + b->limits.lease_ms, b->now_ms);
-    Jobs_Plan(b->book, b->now_ms, b->now_ms);
+    Jobs_TakeOver(b->scheduler, b->now_ms + b->limits.lease_ms, b->now_ms);
+    Jobs_Plan(b->scheduler, b->now_ms, b->now_ms);
     return clock_ms() - begun;
 }
 
@@ -257,7 +258,7 @@
 static void
 clear(struct bench *b)
 {
-    Jobs_Free(b->book);
+    Jobs_Free(b->scheduler);
     JobsConfig_Clear(&b->config);
     for (size_t i = 0; i < b->row_count; i++) {
         Buf_Free(&b->rows[i].spec);
@@ -277,8 +278,8 @@
     size_t waiting = 0;
 
     configure(&b);
-    b.book = Jobs_New(&b.limits);
-    Jobs_SetConfig(b.book, &b.config);
+    b.scheduler = Jobs_New(&b.limits);
+    Jobs_SetConfig(b.scheduler, &b.config);
     turn(&b);
     for (int n = 0; n < workers * ACCELERATORS; n += 20) {
         submit(&b, 2, 20); /* fills every accelerator */
--- a/model/gang-lease.pml
+++ b/model/gang-lease.pml
@@ -4,20 +4,21 @@
  * gang.pml uses what is shown here as a rule: a member's lease ends at most G
  * after a moment at which every member had worked within the last H.
  *
- * Protocol. Every worker that works for a gang sends heartbeats to one entry, the
- * gang's renewer. Clocks are compared with themselves only:
+ * Protocol. Every worker that works for a gang sends heartbeats to one entry,
+ * the gang's renewer. Clocks are compared with themselves only:
  *  - A heartbeat carries the agent's own time of sending and echoes the newest
  *    stamp that the agent has from this incarnation of the renewer. It is sent
  *    only while the released task works.
  *  - The renewer's answer echoes the agent's time, carries the renewer's own
  *    time of sending as a new stamp, and says whether the lease is renewed.
  *  - The renewer counts a member as heard at the time of the stamp that its
- *    heartbeat echoed, not at the time when the heartbeat came in: a heartbeat that waited in
- *    a queue while the renewer was paused proves nothing about now. A member
+ *    heartbeat echoed, not at the time when the heartbeat came in: one that
+ *    waited in a queue while the renewer was paused proves nothing about now. A member
  *    whose first heartbeat has no stamp to echo gets a stamp and no renewal.
  *  - The renewer renews only when every member of the attempt was heard within
  *    the last H. It keeps no other state, and a restart may lose it.
- *  - The agent counts a renewed lease from its own time of sending that heartbeat:
+ *  - The agent counts a renewed lease from its own time of sending that
+ *    heartbeat:
  *    G after it the worker stops the task, by itself when the agent is dead or
  *    paused. An answer that comes late renews less, or nothing.
  *  - A release gives the first lease, G from its arrival; nothing renews it
@@ -114,7 +115,9 @@
     older(stamp_age[m], OLD);
     older(heard_age[m], OLD);
     if
-    :: heartbeat[m] -> older(heartbeat_age[m], G); older(heartbeat_stamp_age[m], OLD)
+    :: heartbeat[m] ->
+        older(heartbeat_age[m], G);
+        older(heartbeat_stamp_age[m], OLD)
     :: else
     fi;
     if
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -5,9 +5,9 @@
  * Tasks, and what they tell each other:
  *
  *   links     owns a link to each entry. Says hello, sends heartbeats at the
- * pace that the entry sets, replaces a silent link by a new one, and learns
- *             further entries from each welcome. Hands what entries say to
- *             the other tasks (struct inbound) and sends what they answer
+ *             interval that the entry sets, replaces a silent link by a new
+ *             one, and learns further entries from each welcome. Hands what
+ * entries say to the other tasks (struct inbound) and sends what they answer
  *             (struct outbound).
  *   work      requests: takes or refuses a dispatch, calls the upstream, keeps
  *             the answer until it is settled, fences what was withdrawn.
--- a/packages/entry/entry-gangs-heard.c
+++ b/packages/entry/entry-gangs-heard.c
@@ -49,7 +49,7 @@
 
 /* Starts with nobody heard. */
 void
-Heard_Init(struct heard_book *b)
+Heard_Init(struct heard_table *b)
 {
     RB_INIT(&b->tree);
     b->count = 0;
@@ -57,7 +57,7 @@
 
 /* Notes a member's echo. A copy that comes late can't put it back. */
 void
-Heard_Note(struct heard_book *b, const struct wire_working *w,
+Heard_Note(struct heard_table *b, const struct wire_working *w,
            const char *agent, int64_t stamp)
 {
     struct heard key = key_of(w, agent);
@@ -77,7 +77,7 @@
 
 /* Counts the members that were heard of late. */
 bool
-Heard_IsWhole(struct heard_book *b, const struct wire_working *w, int64_t now)
+Heard_IsWhole(struct heard_table *b, const struct wire_working *w, int64_t now)
 {
     struct heard key = key_of(w, "");
     struct heard *h = RB_NFIND(heard_tree, &b->tree, &key);
@@ -95,7 +95,7 @@
 
 /* Takes one member out. */
 static void
-drop(struct heard_book *b, struct heard *h)
+drop(struct heard_table *b, struct heard *h)
 {
     RB_REMOVE(heard_tree, &b->tree, h);
     b->count--;
@@ -104,7 +104,7 @@
 
 /* Forgets what is too old to count. */
 void
-Heard_Prune(struct heard_book *b, int64_t now)
+Heard_Prune(struct heard_table *b, int64_t now)
 {
     struct heard *h, *next;
 
@@ -117,7 +117,7 @@
 
 /* Frees all. */
 void
-Heard_Free(struct heard_book *b)
+Heard_Free(struct heard_table *b)
 {
     struct heard *h, *next;
 
@@ -132,7 +132,7 @@
  * A stamp of another incarnation is of another clock and counts for nothing.
  */
 struct wire_renew *
-Heard_Answer(struct heard_book *b, const struct wire_pulse *pulse,
+Heard_Answer(struct heard_table *b, const struct wire_pulse *pulse,
              uint64_t renewer, int64_t now)
 {
     const struct wire_working *working = pulse->working.items;
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -104,22 +104,22 @@
 
 /* The renewer's memory: members by the stamps that they echoed. Empty is a
  * good beginning, so a restart may lose it. */
-struct heard_book {
+struct heard_table {
     struct heard_tree tree;
     int count;
 };
 
-void Heard_Init(struct heard_book *b);
+void Heard_Init(struct heard_table *b);
 /* The member had worked at that reading of the renewer's own clock. */
-void Heard_Note(struct heard_book *b, const struct wire_working *w,
+void Heard_Note(struct heard_table *b, const struct wire_working *w,
                 const char *agent, int64_t stamp);
 /* True when all members were heard within GANG_HEARD_MS. */
-bool Heard_IsWhole(struct heard_book *b, const struct wire_working *w,
+bool Heard_IsWhole(struct heard_table *b, const struct wire_working *w,
                    int64_t now);
-void Heard_Prune(struct heard_book *b, int64_t now);
-void Heard_Free(struct heard_book *b);
+void Heard_Prune(struct heard_table *b, int64_t now);
+void Heard_Free(struct heard_table *b);
 /* The answer to a pulse, to be sent to its agent. */
-struct wire_renew *Heard_Answer(struct heard_book *b,
+struct wire_renew *Heard_Answer(struct heard_table *b,
                                 const struct wire_pulse *pulse,
                                 uint64_t renewer, int64_t now);
 
@@ -248,7 +248,7 @@
     struct order *order;
     struct sched_jobs jobs;
     struct worker_tree workers;
-    struct heard_book heard;
+    struct heard_table heard;
     struct seen_tree seen;
     bool polling;
     bool account_changed;
--- a/packages/entry/entry-why-book.c
+++ b/packages/entry/entry-why-log.c
@@ -13,7 +13,7 @@
 
 /* Starts with nothing recorded. */
 void
-WhyBook_Init(struct why_book *b, size_t bytes_max)
+WhyLog_Init(struct why_log *b, size_t bytes_max)
 {
     memset(b, 0, sizeof(*b));
     RB_INIT(&b->tree);
@@ -23,7 +23,7 @@
 
 /* Finds a subject. */
 struct why_subject *
-WhyBook_Find(struct why_book *b, const struct id *id)
+WhyLog_Find(struct why_log *b, const struct id *id)
 {
     struct why_subject key = {.id = *id};
 
@@ -32,7 +32,7 @@
 
 /* Takes a record of a subject out. */
 static void
-drop_record(struct why_book *b, struct why_subject *s, struct why_record *r)
+drop_record(struct why_log *b, struct why_subject *s, struct why_record *r)
 {
     TAILQ_REMOVE(&s->records, r, entry);
     b->bytes -= r->bytes;
@@ -45,7 +45,7 @@
 
 /* Takes a subject out with its records. */
 static void
-drop_subject(struct why_book *b, struct why_subject *s)
+drop_subject(struct why_log *b, struct why_subject *s)
 {
     struct why_record *r, *next;
 
@@ -60,7 +60,7 @@
 
 /* Forgets everything. */
 void
-WhyBook_Free(struct why_book *b)
+WhyLog_Free(struct why_log *b)
 {
     struct why_subject *s, *next;
 
@@ -71,7 +71,7 @@
 
 /* Lets the oldest subjects go until the rest fits; the newest one stays. */
 static void
-make_room(struct why_book *b)
+make_room(struct why_log *b)
 {
     struct why_subject *s, *next;
 
@@ -86,9 +86,9 @@
 
 /* Finds or adds a subject. */
 struct why_subject *
-WhyBook_Open(struct why_book *b, const struct id *id, const char *organisation)
+WhyLog_Open(struct why_log *b, const struct id *id, const char *organisation)
 {
-    struct why_subject *s = WhyBook_Find(b, id);
+    struct why_subject *s = WhyLog_Find(b, id);
 
     if (s != NULL) {
         return s;
@@ -106,10 +106,10 @@
 
 /* Adds a record and moves its subject to the newest ones. */
 void
-WhyBook_Add(struct why_book *b, const struct id *id, int64_t at_ms,
-            const char *decision, const char *reason, const json_t *inputs)
+WhyLog_Add(struct why_log *b, const struct id *id, int64_t at_ms,
+           const char *decision, const char *reason, const json_t *inputs)
 {
-    struct why_subject *s = WhyBook_Open(b, id, "");
+    struct why_subject *s = WhyLog_Open(b, id, "");
     struct why_record *r = Mem_Zero(1, sizeof(*r));
 
     r->at_ms = at_ms;
@@ -135,7 +135,7 @@
 
 /* A subject as operators and its organisation see it. */
 json_t *
-WhyBook_Json(const struct why_subject *s)
+WhyLog_Json(const struct why_subject *s)
 {
     json_t *list = json_array();
     const struct why_record *r;
--- a/packages/entry/entry-why.c
+++ b/packages/entry/entry-why.c
@@ -50,7 +50,7 @@
     struct task task;
     const struct entry_settings *settings;
     struct in_force *in_force;
-    struct why_book book;
+    struct why_log log;
     struct http_client *client;
     struct peer_entry *peers;
     size_t peer_count;
@@ -139,7 +139,7 @@
                   "no entry that answered has a record of it, or it is "
                   "another organisation's",
                   "asked", asked, "dropped_here",
-                  (json_int_t)w->book.subjects_dropped));
+                  (json_int_t)w->log.subjects_dropped));
 }
 
 /* Frees a question that all have answered. */
@@ -249,9 +249,9 @@
         Front_Refuse(ex, 400, "not_run", "bad_id", "32 hex digits", -1, NULL);
         return;
     }
-    s = WhyBook_Find(&w->book, &id);
+    s = WhyLog_Find(&w->log, &id);
     if (s != NULL && may_see(w, token, s->organisation)) {
-        Front_ReplyJson(ex, 200, WhyBook_Json(s));
+        Front_ReplyJson(ex, 200, WhyLog_Json(s));
         return;
     }
     if (s != NULL || Http_Query(ex, "local") != NULL) {
@@ -271,7 +271,7 @@
 {
     const struct open_note *n = (const struct open_note *)m;
 
-    WhyBook_Open(&w->book, &n->id, n->organisation);
+    WhyLog_Open(&w->log, &n->id, n->organisation);
 }
 
 /* Takes a decision. */
@@ -279,10 +279,10 @@
 take_record(struct why *w, struct message *m)
 {
     const struct record_note *n = (const struct record_note *)m;
-    int64_t before = w->book.subjects_dropped;
+    int64_t before = w->log.subjects_dropped;
 
-    WhyBook_Add(&w->book, &n->id, n->at_ms, n->decision, n->reason, n->inputs);
-    Counter_Add(&dropped_total, w->book.subjects_dropped - before);
+    WhyLog_Add(&w->log, &n->id, n->at_ms, n->decision, n->reason, n->inputs);
+    Counter_Add(&dropped_total, w->log.subjects_dropped - before);
 }
 
 /* Takes the configuration, for its tokens. */
@@ -338,9 +338,9 @@
 {
     const struct why *w = (const struct why *)t;
 
-    return json_pack("{s:I, s:I, s:I}", "bytes", (json_int_t)w->book.bytes,
-                     "dropped", (json_int_t)w->book.subjects_dropped,
-                     "entries", (json_int_t)w->peer_count);
+    return json_pack("{s:I, s:I, s:I}", "bytes", (json_int_t)w->log.bytes,
+                     "dropped", (json_int_t)w->log.subjects_dropped, "entries",
+                     (json_int_t)w->peer_count);
 }
 
 /* Frees the record, and questions that are open. */
@@ -355,7 +355,7 @@
         json_decref(q->answers);
         free(q);
     }
-    WhyBook_Free(&w->book);
+    WhyLog_Free(&w->log);
     InForce_Unref(w->in_force);
     free(w->peers);
     free(w);
@@ -376,7 +376,7 @@
 
     w->settings = k->settings;
     w->client = Http_ClientNew(k->loop, 8);
-    WhyBook_Init(&w->book, WHY_BYTES_MAX);
+    WhyLog_Init(&w->log, WHY_BYTES_MAX);
     TAILQ_INIT(&w->questions);
     Kernel_AddTask(k, &w->task, &why_ops);
     Configs_Subscribe(k, "why");
--- a/packages/entry/entry-why.h
+++ b/packages/entry/entry-why.h
@@ -35,7 +35,7 @@
 RB_HEAD(why_tree, why_subject);
 TAILQ_HEAD(why_ages, why_subject);
 
-struct why_book {
+struct why_log {
     struct why_tree tree;
     struct why_ages ages;
     size_t bytes;
@@ -43,19 +43,19 @@
     int64_t subjects_dropped;
 };
 
-/* entry-why-book.c: pure. */
-void WhyBook_Init(struct why_book *b, size_t bytes_max);
-void WhyBook_Free(struct why_book *b);
-struct why_subject *WhyBook_Find(struct why_book *b, const struct id *id);
+/* entry-why-log.c: pure. */
+void WhyLog_Init(struct why_log *b, size_t bytes_max);
+void WhyLog_Free(struct why_log *b);
+struct why_subject *WhyLog_Find(struct why_log *b, const struct id *id);
 /* Finds or adds a subject; its organisation is that of its first record. */
-struct why_subject *WhyBook_Open(struct why_book *b, const struct id *id,
-                                 const char *organisation);
+struct why_subject *WhyLog_Open(struct why_log *b, const struct id *id,
+                                const char *organisation);
 /* Adds a record; the oldest of the subject, and the oldest subjects, give
  * way. */
-void WhyBook_Add(struct why_book *b, const struct id *id, int64_t at_ms,
-                 const char *decision, const char *reason,
-                 const json_t *inputs);
+void WhyLog_Add(struct why_log *b, const struct id *id, int64_t at_ms,
+                const char *decision, const char *reason,
+                const json_t *inputs);
 /* {"id", "dropped", "records"}; the caller owns it. */
-json_t *WhyBook_Json(const struct why_subject *s);
+json_t *WhyLog_Json(const struct why_subject *s);
 
 #endif
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -9,14 +9,14 @@
  *            the task that it concerns (struct inbound) and sends what the
  *            tasks answer (struct outbound).
  *   members  which agents there are, by hello, heartbeat, leave and silence.
- * Tells the others of changes (struct member_note) and loads (struct
- * load_note), and sets the agents' pace of heartbeats. config   the
- * configuration in force (struct config_note). front    the HTTP server;
- * routes register themselves (Front_Register). dispatch requests: admission,
- * routing, outcomes (entry-dispatch.c). why      the bounded record of
- * decisions, by request or job. platform the connections to the table service
- * and the object store. claims-sweep deletes claims of keyed requests after
- * their time.
+ *            Tells the others of changes (struct member_note) and loads
+ *            (struct load_note), and sets the agents' heartbeat interval.
+ *   config   the configuration in force (struct config_note).
+ *   front    the HTTP server; routes register themselves (Front_Register).
+ *   dispatch requests: admission, routing, outcomes (entry-dispatch.c).
+ *   why      the bounded record of decisions, by request or job.
+ *   platform the connections to the table service and the object store.
+ *   claims-sweep deletes claims of keyed requests after their time.
  *
  * A request with an Idempotency-Key claims a row of the table service before
  * anything is sent, so that it runs once however often, and at whichever
--- a/packages/jobs/jobs-advice.c
+++ b/packages/jobs/jobs-advice.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -95,7 +95,7 @@
 
 /* Adds workers to a question, those with room or those without. */
 static void
-add_workers(struct jobs_book *b, const struct jobs_unit *u, bool room,
+add_workers(struct jobs_scheduler *b, const struct jobs_unit *u, bool room,
             int64_t now_ms, struct jobs_question *q)
 {
     struct jobs_worker *w;
@@ -110,8 +110,8 @@
 
 /* Makes the question for a unit that waits. False: there is nothing to ask. */
 bool
-Advice_Collect(struct jobs_book *b, const struct jobs_unit *u, int64_t now_ms,
-               struct jobs_question *q)
+Advice_Collect(struct jobs_scheduler *b, const struct jobs_unit *u,
+               int64_t now_ms, struct jobs_question *q)
 {
     q->count = 0;
     if (!u->job->terms.asks_advice) {
@@ -127,20 +127,20 @@
 
 /* What to ask next. */
 const struct jobs_question *
-Jobs_Question(const struct jobs_book *b)
+Jobs_Question(const struct jobs_scheduler *b)
 {
     return b->question.count > 0 ? &b->question : NULL;
 }
 
 /* Takes an answer. */
 void
-Jobs_Advised(struct jobs_book *b, const struct jobs_question *q,
+Jobs_Advised(struct jobs_scheduler *b, const struct jobs_question *q,
              const struct jobs_approval *approvals, size_t count,
              int64_t until_ms)
 {
-    struct jobs_job *j = Book_FindJob(b, q->job);
+    struct jobs_job *j = Scheduler_FindJob(b, q->job);
     struct jobs_unit *u =
-        j != NULL ? Book_FindUnit(j, q->occurrence, q->step, 0) : NULL;
+        j != NULL ? Scheduler_FindUnit(j, q->occurrence, q->step, 0) : NULL;
 
     if (u == NULL) {
         return; /* it has ended meanwhile */
--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -14,7 +14,7 @@
  * crashed lately is avoided, and once it has crashed under other work too, its
  * crashes add little.
  */
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -42,7 +42,7 @@
 
 /* Forgets machines that have crashed long ago. */
 void
-Blame_Expire(struct jobs_book *b, int64_t now_ms)
+Blame_Expire(struct jobs_scheduler *b, int64_t now_ms)
 {
     struct machine *m, *next;
 
@@ -57,7 +57,7 @@
 
 /* The machine of that agent, if it has crashed lately. */
 static struct machine *
-find_machine(const struct jobs_book *b, const char *agent)
+find_machine(const struct jobs_scheduler *b, const char *agent)
 {
     struct machine *m;
 
@@ -71,7 +71,7 @@
 
 /* Notes the crash of a lifetime, once. */
 static const struct machine *
-note_machine(struct jobs_book *b, const char *agent, const char *worker,
+note_machine(struct jobs_scheduler *b, const char *agent, const char *worker,
              int64_t now_ms)
 {
     struct machine *m = find_machine(b, agent);
@@ -91,7 +91,8 @@
 
 /* True for a machine where a suspect had better not start. */
 bool
-Blame_HasCrashed(const struct jobs_book *b, const char *agent, int64_t now_ms)
+Blame_HasCrashed(const struct jobs_scheduler *b, const char *agent,
+                 int64_t now_ms)
 {
     const struct machine *m = find_machine(b, agent);
 
@@ -174,7 +175,7 @@
     }
     if (t->blame > 0 && now_ms - t->given_ms >= SOUND_MS) {
         Blame_Set(t, 0);
-        Book_Touch(t->unit->job);
+        Scheduler_Touch(t->unit->job);
     }
 }
 
@@ -194,7 +195,7 @@
 
 /* Gives a task up, and with it its job. */
 static void
-give_up(struct jobs_book *b, struct jobs_task *t, int64_t now_ms)
+give_up(struct jobs_scheduler *b, struct jobs_task *t, int64_t now_ms)
 {
     struct jobs_job *j = t->unit->job;
 
@@ -206,8 +207,8 @@
 
 /* Adds the blame of one run. */
 static void
-take_crash(struct jobs_book *b, struct jobs_task *t, const struct machine *m,
-           const struct jobs_crash *c, int64_t now_ms)
+take_crash(struct jobs_scheduler *b, struct jobs_task *t,
+           const struct machine *m, const struct jobs_crash *c, int64_t now_ms)
 {
     struct jobs_unit *u = t->unit;
     struct jobs_event *e;
@@ -217,7 +218,7 @@
     t->crashed_run = c->run;
     t->crashes++;
     u->crashed_at = u->task_count == 1 ? Hash_Str(m->agent, 0) : 0;
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
     e = Event_Task(b, JOBS_CRASH_CHARGED, t, reason);
     e->run = c->run;
     e->number = t->blame;
@@ -230,7 +231,7 @@
 /* An agent tells what was on its worker when that crashed, the last crash at
  * the end. */
 void
-Jobs_Crashed(struct jobs_book *b, const char *agent,
+Jobs_Crashed(struct jobs_scheduler *b, const char *agent,
              const struct jobs_crash *crashes, size_t count, int64_t now_ms)
 {
     const struct machine *m;
@@ -240,7 +241,7 @@
     }
     m = note_machine(b, agent, crashes[count - 1].worker, now_ms);
     for (size_t i = 0; i < count; i++) {
-        struct jobs_task *t = Book_FindTask(b, crashes[i].task);
+        struct jobs_task *t = Scheduler_FindTask(b, crashes[i].task);
 
         if (t != NULL && is_news(t, &crashes[i])) {
             take_crash(b, t, m, &crashes[i], now_ms);
--- a/packages/jobs/jobs-domain.c
+++ b/packages/jobs/jobs-domain.c
@@ -1,6 +1,6 @@
 /* Failure domains that operators empty: nothing starts there, and what runs
  * goes on to its end. */
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <string.h>
 
@@ -60,7 +60,7 @@
  * its worker: something starts in a domain whose power is about to be cut.
  * While any domain is emptied it gets nothing. */
 bool
-Domain_IsEmptied(const struct jobs_book *b, const struct jobs_worker *w)
+Domain_IsEmptied(const struct jobs_scheduler *b, const struct jobs_worker *w)
 {
     return b->emptied.count > 0 &&
            (*w->domain == '\0' || JobsDomains_Has(&b->emptied, w->domain));
@@ -68,7 +68,7 @@
 
 /* Takes the domains that are emptied. */
 void
-Jobs_SetEmptied(struct jobs_book *b, const struct jobs_domains *d)
+Jobs_SetEmptied(struct jobs_scheduler *b, const struct jobs_domains *d)
 {
     struct jobs_job *j;
 
@@ -80,7 +80,7 @@
 
 /* Tasks that may run in a domain. */
 size_t
-Jobs_TasksIn(const struct jobs_book *b, const char *domain)
+Jobs_TasksIn(const struct jobs_scheduler *b, const char *domain)
 {
     const struct jobs_task *t;
     struct jobs_worker *w;
@@ -99,7 +99,7 @@
 
 /* Accelerators that may be used, and that are guaranteed. */
 void
-Jobs_Guarantees(const struct jobs_book *b, int64_t *usable,
+Jobs_Guarantees(const struct jobs_scheduler *b, int64_t *usable,
                 int64_t *guaranteed)
 {
     const struct jobs_config *c = b->config;
@@ -118,7 +118,8 @@
 
 /* Tells once of each job that nothing but emptied domains could run a unit. */
 void
-Domain_NoteWaiting(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
+Domain_NoteWaiting(struct jobs_scheduler *b, struct jobs_unit *u,
+                   int64_t now_ms)
 {
     struct jobs_worker *w;
     bool barred = false;
--- a/packages/jobs/jobs-event.c
+++ b/packages/jobs/jobs-event.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 
@@ -23,7 +23,7 @@
 
 /* Adds an event; one that finds no room is written over by the next. */
 static struct jobs_event *
-add(struct jobs_book *b, enum jobs_event_kind kind, const char *reason)
+add(struct jobs_scheduler *b, enum jobs_event_kind kind, const char *reason)
 {
     static struct jobs_event spill;
     struct jobs_event *e;
@@ -42,7 +42,7 @@
 
 /* An event of a job. */
 struct jobs_event *
-Event_Job(struct jobs_book *b, enum jobs_event_kind kind,
+Event_Job(struct jobs_scheduler *b, enum jobs_event_kind kind,
           const struct jobs_job *j, const char *reason)
 {
     struct jobs_event *e = add(b, kind, reason);
@@ -55,13 +55,13 @@
 
 /* An event of a task's present run. */
 struct jobs_event *
-Event_Task(struct jobs_book *b, enum jobs_event_kind kind,
+Event_Task(struct jobs_scheduler *b, enum jobs_event_kind kind,
            const struct jobs_task *t, const char *reason)
 {
     struct jobs_event *e = Event_Job(b, kind, t->unit->job, reason);
     const struct jobs_need *need = &Unit_Step(t->unit)->need;
 
-    Book_TaskName(t, e->task);
+    Scheduler_TaskName(t, e->task);
     e->run = t->unit->run;
     e->weight = need->millicores + 8000 * need->accelerators;
     if (t->worker != NULL) {
@@ -72,7 +72,7 @@
 
 /* An event of a worker. */
 struct jobs_event *
-Event_Worker(struct jobs_book *b, const struct jobs_worker *w,
+Event_Worker(struct jobs_scheduler *b, const struct jobs_worker *w,
              const char *reason)
 {
     struct jobs_event *e = add(b, JOBS_WORKER_OUT, reason);
@@ -83,7 +83,7 @@
 
 /* Hands the oldest event over. */
 struct jobs_event *
-Jobs_NextEvent(struct jobs_book *b)
+Jobs_NextEvent(struct jobs_scheduler *b)
 {
     struct jobs_event *e = TAILQ_FIRST(&b->events);
 
--- a/packages/jobs/jobs-evict.c
+++ b/packages/jobs/jobs-evict.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -179,7 +179,7 @@
 
 /* Makes the room. */
 void
-Evict_Apply(struct jobs_book *b, struct jobs_worker *w,
+Evict_Apply(struct jobs_scheduler *b, struct jobs_worker *w,
             const struct jobs_unit *u, uint32_t n, int64_t now_ms)
 {
     struct victim list[VICTIMS_MAX];
--- a/packages/jobs/jobs-objective.c
+++ b/packages/jobs/jobs-objective.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <string.h>
 
@@ -17,7 +17,7 @@
 /* Sets what is left to do from each step on, along the longest chain of those
  * that come after it, and the job's objective. */
 void
-Objective_Set(const struct jobs_book *b, struct jobs_job *j)
+Objective_Set(const struct jobs_scheduler *b, struct jobs_job *j)
 {
     int64_t longest = 0;
 
@@ -38,7 +38,7 @@
         (int64_t)(j->terms.stretch * (double)longest) + j->terms.target_ms;
 }
 
-/* When a unit's occurrence was due, by the book's clock. */
+/* When a unit's occurrence was due, by the scheduler's clock. */
 static int64_t
 arrived_ms(const struct jobs_unit *u)
 {
--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <string.h>
 
@@ -56,7 +56,7 @@
  * that does not guard its room runs more than it has. Its starts are taken
  * back likewise, or wait for what is being stopped. */
 static bool
-order_of(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+order_of(struct jobs_scheduler *b, struct jobs_worker *w, struct jobs_task *t,
          int64_t now_ms, bool may_start, struct jobs_order *o)
 {
     struct jobs_unit *u = t->unit;
@@ -64,7 +64,7 @@
 
     if (Share_IsDue(t, now_ms)) {
         fill(o, w, ORDER_SHARE, u->run);
-        Book_TaskName(t, o->task);
+        Scheduler_TaskName(t, o->task);
         o->percent = t->share = w->share;
         t->share_sent_ms = now_ms;
         return true;
@@ -94,11 +94,11 @@
     t->sent_ms = now_ms;
     if (u->state != UNIT_GIVEN || u->stopping) {
         fill(o, w, ORDER_STOP, u->run);
-        Book_TaskName(t, o->task);
+        Scheduler_TaskName(t, o->task);
         return true;
     }
     fill(o, w, ORDER_START, u->run);
-    Book_TaskName(t, o->task);
+    Scheduler_TaskName(t, o->task);
     o->until_ms = w->clock_ms + b->limits.start_ms;
     o->payload = u->job->spec.payload;
     o->checkpoint = u->checkpoint;
@@ -127,7 +127,7 @@
 
 /* Walks over the workers; the walk begins anew after it returned false. */
 bool
-Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, bool may_start,
+Jobs_NextOrder(struct jobs_scheduler *b, int64_t now_ms, bool may_start,
                struct jobs_order *out)
 {
     struct jobs_worker *w;
--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <string.h>
 
@@ -32,7 +32,7 @@
 
 /* Marks a worker as slow. */
 static void
-mark_slow(struct jobs_book *b, struct jobs_worker *w, double times,
+mark_slow(struct jobs_scheduler *b, struct jobs_worker *w, double times,
           int64_t now_ms)
 {
     if (w->slow_until_ms < now_ms) {
@@ -57,7 +57,7 @@
 
 /* Takes a pace that was measured. */
 static void
-take_pace(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+take_pace(struct jobs_scheduler *b, struct jobs_worker *w, struct jobs_task *t,
           double pace, int64_t now_ms)
 {
     struct jobs_unit *u = t->unit;
@@ -85,7 +85,7 @@
  * the first progress on: before, the run is set up, resumes from a checkpoint
  * or waits for the rest of its gang. */
 void
-Pace_Take(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
+Pace_Take(struct jobs_scheduler *b, struct jobs_worker *w, struct jobs_task *t,
           int64_t percent, int64_t clock_ms, int64_t now_ms)
 {
     int64_t span = clock_ms - t->mark_clock_ms;
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -74,7 +74,7 @@
 
 /* True when a worker may run the step, wherever it stands. */
 bool
-Place_IsFit(const struct jobs_book *b, const struct jobs_worker *w,
+Place_IsFit(const struct jobs_scheduler *b, const struct jobs_worker *w,
             const struct jobs_unit *u, int64_t now_ms)
 {
     const struct jobs_step *s = Unit_Step(u);
@@ -94,7 +94,7 @@
 
 /* As above, and nobody empties its failure domain. */
 bool
-Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
+Place_MayRun(const struct jobs_scheduler *b, const struct jobs_worker *w,
              const struct jobs_unit *u, int64_t now_ms)
 {
     return !Domain_IsEmptied(b, w) && Place_IsFit(b, w, u, now_ms);
@@ -102,7 +102,7 @@
 
 /* As above, with what advisers say, and no suspect is alone there. */
 static bool
-is_eligible(const struct jobs_book *b, const struct jobs_worker *w,
+is_eligible(const struct jobs_scheduler *b, const struct jobs_worker *w,
             const struct jobs_unit *u, int64_t now_ms)
 {
     return w->on_probation == 0 && Place_MayRun(b, w, u, now_ms) &&
@@ -261,7 +261,7 @@
  * same machine, which may be what crashes; and a suspect where another crash
  * would tell little, or take others along. */
 static bool
-is_exposed(const struct jobs_book *b, const struct attempt *a,
+is_exposed(const struct jobs_scheduler *b, const struct attempt *a,
            const struct jobs_worker *w)
 {
     const struct jobs_unit *u = a->unit;
@@ -273,7 +273,7 @@
 
 /* True for a worker that the unit had better not go to. */
 static bool
-is_disliked(const struct jobs_book *b, const struct attempt *a,
+is_disliked(const struct jobs_scheduler *b, const struct attempt *a,
             const struct jobs_worker *w)
 {
     static const int64_t narrow = 50; /* percent */
@@ -287,7 +287,7 @@
 
 /* Lists the workers that may run the unit, once for all that is tried. */
 static void
-list_spots(struct jobs_book *b, struct attempt *a, int64_t now_ms)
+list_spots(struct jobs_scheduler *b, struct attempt *a, int64_t now_ms)
 {
     struct jobs_worker *w;
 
@@ -353,7 +353,7 @@
 /* True when the unit may go where it takes longer: it has waited for as long
  * as half of the time that being near would save. */
 static bool
-may_go_far(const struct jobs_book *b, const struct jobs_unit *u,
+may_go_far(const struct jobs_scheduler *b, const struct jobs_unit *u,
            int64_t now_ms)
 {
     static const int64_t urgent_ms = 900; /* within the bound of a reclaim */
@@ -378,7 +378,7 @@
 
 /* Chooses spots for the unit with that much room. */
 static bool
-choose_all(struct jobs_book *b, struct attempt *a, enum room room,
+choose_all(struct jobs_scheduler *b, struct attempt *a, enum room room,
            int64_t now_ms)
 {
     set_room(a, room);
@@ -393,7 +393,7 @@
 
 /* Gives the unit to the workers chosen. */
 static void
-give(struct jobs_book *b, struct attempt *a, int64_t now_ms)
+give(struct jobs_scheduler *b, struct attempt *a, int64_t now_ms)
 {
     struct jobs_unit *u = a->unit;
 
@@ -409,7 +409,7 @@
         Event_Task(b, JOBS_RUN_GIVEN, &u->tasks[k], a->why)->number =
             now_ms - u->ready_ms;
     }
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
 }
 
 /* Keeps the chosen room from those that come after in this turn. */
@@ -425,7 +425,7 @@
 
 /* Makes room on the workers chosen. */
 static void
-evict(struct jobs_book *b, struct attempt *a, int64_t now_ms)
+evict(struct jobs_scheduler *b, struct attempt *a, int64_t now_ms)
 {
     for (size_t i = 0; i < a->count; i++) {
         if (a->spots[i].taken > 0) {
@@ -479,7 +479,8 @@
  * the first priority, where lower ones give way. Room that comes free at a
  * time that nobody knows is kept only if may_hold. */
 static enum place_result
-place(struct jobs_book *b, struct attempt *a, int64_t now_ms, bool may_hold)
+place(struct jobs_scheduler *b, struct attempt *a, int64_t now_ms,
+      bool may_hold)
 {
     if (choose_all(b, a, ROOM_NOW, now_ms)) {
         give(b, a, now_ms);
@@ -539,7 +540,7 @@
 
 /* Places a unit. */
 enum place_result
-Place_Unit(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
+Place_Unit(struct jobs_scheduler *b, struct jobs_unit *u, int64_t now_ms,
            bool may_hold)
 {
     struct spot **chosen CLEANUP(Mem_FreeP) =
@@ -567,7 +568,7 @@
 
 /* True when the unit would find room elsewhere. */
 bool
-Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
+Place_CouldMove(struct jobs_scheduler *b, struct jobs_unit *u, int64_t now_ms)
 {
     struct spot **chosen CLEANUP(Mem_FreeP) =
         Mem_Zero(u->task_count, sizeof(struct spot *));
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -34,16 +34,17 @@
 
 /* Adds the occurrences of a job that are due. */
 static void
-add_due(struct jobs_book *b, struct jobs_job *j, int64_t now_ms,
+add_due(struct jobs_scheduler *b, struct jobs_job *j, int64_t now_ms,
         int64_t wall_ms)
 {
     while (j->occurrences < j->spec.repetitions && !j->cancelled &&
            j->state <= JOB_RUNNING &&
-           wall_ms + b->limits.early_ms >= Book_DueMs(j, j->occurrences) &&
-           Book_AddOccurrence(j)) {
-        Book_Touch(j);
+           wall_ms + b->limits.early_ms >=
+               Scheduler_DueMs(j, j->occurrences) &&
+           Scheduler_AddOccurrence(j)) {
+        Scheduler_Touch(j);
     }
-    Book_NoteDue(j, now_ms, wall_ms);
+    Scheduler_NoteDue(j, now_ms, wall_ms);
 }
 
 /* True when all steps that the unit's step comes after are done. before: the
@@ -77,7 +78,8 @@
 
 /* Collects the units that could start now, in order. */
 static struct waiter *
-collect(struct jobs_book *b, int64_t now_ms, int64_t wall_ms, size_t *count)
+collect(struct jobs_scheduler *b, int64_t now_ms, int64_t wall_ms,
+        size_t *count)
 {
     const struct jobs_unit *asked = NULL;
     struct waiter *list = NULL;
@@ -91,7 +93,7 @@
         if (j->held) {
             continue;
         }
-        Book_DropDone(j);
+        Scheduler_DropDone(j);
         add_due(b, j, now_ms, wall_ms);
         Objective_Set(b, j);
         j->row_bytes = Row_Bytes(b, j);
@@ -120,7 +122,7 @@
 
 /* Ends what can't run any more on workers whose agents say nothing. */
 static void
-lapse(struct jobs_book *b, int64_t now_ms)
+lapse(struct jobs_scheduler *b, int64_t now_ms)
 {
     struct jobs_worker *w, *next;
 
@@ -140,7 +142,7 @@
 
 /* When nothing is to be written, ends without consequence are noted. */
 static void
-note_seen(struct jobs_book *b)
+note_seen(struct jobs_scheduler *b)
 {
     struct jobs_worker *w;
     struct jobs_job *j;
@@ -160,7 +162,7 @@
 
 /* Stops runs that are better started elsewhere, when there is room. */
 static void
-leave_slow(struct jobs_book *b, int64_t now_ms)
+leave_slow(struct jobs_scheduler *b, int64_t now_ms)
 {
     struct jobs_unit *u;
     struct jobs_job *j;
@@ -218,7 +220,7 @@
 
 /* Places a unit; 1 when room is held for it, else 0. */
 static int
-place_waiter(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms,
+place_waiter(struct jobs_scheduler *b, struct jobs_unit *u, int64_t now_ms,
              bool may_hold, struct refusal *last)
 {
     bool first_run = u->run == 0;
@@ -247,7 +249,7 @@
 
 /* Chooses starts and stops. */
 void
-Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms)
+Jobs_Plan(struct jobs_scheduler *b, int64_t now_ms, int64_t wall_ms)
 {
     struct waiter *list CLEANUP(Mem_FreeP) = NULL;
     struct refusal last = {0};
--- a/packages/jobs/jobs-rank.c
+++ b/packages/jobs/jobs-rank.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <string.h>
 
@@ -33,7 +33,7 @@
 /* Accelerators of the organisation's first-priority jobs taken before this
  * one and not ended. */
 static int64_t
-taken_before(const struct jobs_book *b, const struct jobs_job *j)
+taken_before(const struct jobs_scheduler *b, const struct jobs_job *j)
 {
     const struct jobs_job *other;
     int64_t sum = 0;
@@ -59,7 +59,7 @@
  * those beyond it, and may evict them; guarantees together fit the workers, so
  * those within them never need each other's room. */
 void
-Rank_All(struct jobs_book *b)
+Rank_All(struct jobs_scheduler *b)
 {
     struct jobs_job *j;
 
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -29,7 +29,7 @@
  * took before is no longer than a lease of ours from now on. Nothing is given
  * to it earlier. */
 static void
-note_term(struct jobs_book *b, struct jobs_worker *w, uint64_t term,
+note_term(struct jobs_scheduler *b, struct jobs_worker *w, uint64_t term,
           int64_t now_ms)
 {
     if (!w->obeys && term >= b->limits.term) {
@@ -41,7 +41,7 @@
 /* True when the configuration names the service, or a job is left that was
  * taken for it. */
 static bool
-is_named(const struct jobs_book *b, const char *service)
+is_named(const struct jobs_scheduler *b, const char *service)
 {
     const struct jobs_config *c = b->config;
     const struct jobs_job *j;
@@ -68,7 +68,7 @@
  * has configured changes nothing: the last good one holds, and a worker of
  * which there is none gets no work. */
 static void
-take_kind(struct jobs_book *b, struct jobs_worker *w,
+take_kind(struct jobs_scheduler *b, struct jobs_worker *w,
           const struct jobs_report *r)
 {
     if (strcmp(w->service, r->service) != 0 && !is_named(b, r->service)) {
@@ -86,7 +86,7 @@
 
 /* Takes the facts of the worker itself. */
 static void
-take_facts(struct jobs_book *b, struct jobs_worker *w,
+take_facts(struct jobs_scheduler *b, struct jobs_worker *w,
            const struct jobs_report *r, int64_t now_ms)
 {
     Str_Copy(w->agent, sizeof(w->agent), r->agent);
@@ -109,7 +109,7 @@
 
 /* How many workers are left alone now. */
 static size_t
-count_resting(const struct jobs_book *b, int64_t now_ms)
+count_resting(const struct jobs_scheduler *b, int64_t now_ms)
 {
     struct jobs_worker *w;
     size_t n = 0;
@@ -133,7 +133,8 @@
 
 /* True for a failure that is enough alone to leave its worker for a while. */
 static bool
-is_enough(const struct jobs_book *b, const struct jobs_task *t, int64_t now_ms)
+is_enough(const struct jobs_scheduler *b, const struct jobs_task *t,
+          int64_t now_ms)
 {
     return now_ms - t->given_ms <= Pace_WorkMs(t->unit) / EARLY_SHARE &&
            count_resting(b, now_ms) < b->worker_count / RESTING_SHARE;
@@ -149,7 +150,7 @@
  * at most, and a single end that is done clears the count, so sound workers
  * stay in use. */
 static void
-note_health(struct jobs_book *b, struct jobs_worker *w,
+note_health(struct jobs_scheduler *b, struct jobs_worker *w,
             const struct jobs_task *t, enum jobs_end how, int64_t now_ms)
 {
     if (how == END_DONE) {
@@ -177,10 +178,10 @@
 
 /* One end that the worker lists. */
 static void
-take_end(struct jobs_book *b, struct jobs_worker *w,
+take_end(struct jobs_scheduler *b, struct jobs_worker *w,
          const struct jobs_ended *e, int64_t now_ms)
 {
-    struct jobs_task *t = Book_FindTask(b, e->task);
+    struct jobs_task *t = Scheduler_FindTask(b, e->task);
     struct jobs_unit *u;
 
     if (t == NULL || t->worker != w || t->unit->run != e->run) {
@@ -204,7 +205,7 @@
 
 /* The ends that are news, in their order. */
 static void
-take_ends(struct jobs_book *b, struct jobs_worker *w,
+take_ends(struct jobs_scheduler *b, struct jobs_worker *w,
           const struct jobs_ended *ended, size_t count, int64_t now_ms)
 {
     for (size_t i = 0; i < count; i++) {
@@ -217,10 +218,10 @@
 
 /* One run that the worker lists as there. */
 static void
-take_running(struct jobs_book *b, struct jobs_worker *w,
+take_running(struct jobs_scheduler *b, struct jobs_worker *w,
              const struct jobs_running *r, int64_t now_ms)
 {
-    struct jobs_task *t = Book_FindTask(b, r->task);
+    struct jobs_task *t = Scheduler_FindTask(b, r->task);
     struct jobs_unit *u;
 
     if (t != NULL && t->unit->job->held) {
@@ -245,7 +246,7 @@
     Blame_SeenAtWork(t, now_ms);
     if (!u->begun) {
         u->begun = true;
-        Book_Touch(u->job);
+        Scheduler_Touch(u->job);
         Job_Settle(b, u->job, now_ms);
     }
 }
@@ -265,11 +266,11 @@
 
 /* A run whose stop is confirmed, and that is not there: it never begins. */
 static void
-take_stopped(struct jobs_book *b, struct jobs_worker *w,
+take_stopped(struct jobs_scheduler *b, struct jobs_worker *w,
              const struct jobs_report *r, const struct jobs_stopped *s,
              int64_t now_ms)
 {
-    struct jobs_task *t = Book_FindTask(b, s->task);
+    struct jobs_task *t = Scheduler_FindTask(b, s->task);
 
     if (t == NULL || t->worker != w || t->unit->run != s->run ||
         lists_running(r, s->task, s->run)) {
@@ -287,7 +288,7 @@
  * frees the task. A list of ends that is full may lack some, and proves
  * nothing. */
 static void
-stop_vanished(struct jobs_book *b, struct jobs_worker *w,
+stop_vanished(struct jobs_scheduler *b, struct jobs_worker *w,
               const struct jobs_report *r)
 {
     static const int64_t vanished_ms = 1000; /* reports come twice as often */
@@ -307,7 +308,7 @@
 /* Moves the runs of a lifetime to its heir, where a start that is still on its
  * way would be carried out. */
 static void
-inherit_runs(struct jobs_book *b, struct jobs_worker *from,
+inherit_runs(struct jobs_scheduler *b, struct jobs_worker *from,
              struct jobs_worker *to)
 {
     struct jobs_task *t;
@@ -316,13 +317,13 @@
         Worker_LetGo(b, t);
         Worker_Take(to, t);
         t->inherited = true;
-        Book_Touch(t->unit->job);
+        Scheduler_Touch(t->unit->job);
     }
 }
 
 /* Moves the runs of the other lifetimes that this agent had beside it. */
 static void
-inherit_earlier(struct jobs_book *b, struct jobs_worker *w)
+inherit_earlier(struct jobs_scheduler *b, struct jobs_worker *w)
 {
     struct jobs_worker *other;
 
@@ -336,7 +337,7 @@
 /* Stops inherited runs that the heir does not have: from then on it refuses
  * their starts. */
 static void
-stop_inherited(struct jobs_book *b, struct jobs_worker *w)
+stop_inherited(struct jobs_scheduler *b, struct jobs_worker *w)
 {
     struct jobs_task *t;
 
@@ -350,7 +351,8 @@
 /* Ends the other lifetimes that this agent had beside it: a machine holds
  * one worker at a time, and this one has answered under its own id. */
 static void
-end_earlier(struct jobs_book *b, const struct jobs_worker *w, int64_t now_ms)
+end_earlier(struct jobs_scheduler *b, const struct jobs_worker *w,
+            int64_t now_ms)
 {
     struct jobs_worker *other, *next;
 
@@ -367,7 +369,7 @@
 /* True when the report shows a worker that may be used otherwise than it was.
  */
 static bool
-is_changed(const struct jobs_book *b, const struct jobs_worker *w,
+is_changed(const struct jobs_scheduler *b, const struct jobs_worker *w,
            const struct jobs_report *r, int64_t now_ms)
 {
     return !w->heard || !w->obeys || w->draining != r->draining ||
@@ -378,17 +380,19 @@
 
 /* Takes an agent's report on its worker. */
 bool
-Jobs_Report(struct jobs_book *b, const struct jobs_report *r, int64_t now_ms)
+Jobs_Report(struct jobs_scheduler *b, const struct jobs_report *r,
+            int64_t now_ms)
 {
     struct jobs_worker *w;
     uint64_t gone = b->runs_over;
-    bool heir = *r->heir_of != '\0' && Book_FindWorker(b, r->heir_of) != NULL;
+    bool heir =
+        *r->heir_of != '\0' && Scheduler_FindWorker(b, r->heir_of) != NULL;
     bool news;
 
     if (*r->worker == '\0') {
         return false;
     }
-    w = Book_Worker(b, r->worker, r->agent);
+    w = Scheduler_Worker(b, r->worker, r->agent);
     news = is_changed(b, w, r, now_ms);
     take_facts(b, w, r, now_ms);
     note_term(b, w, r->term, now_ms);
@@ -418,10 +422,10 @@
  * task runs once more, and what comes after it waits. The agent therefore
  * tells the last ends together with the leaving. */
 bool
-Jobs_Left(struct jobs_book *b, const char *worker,
+Jobs_Left(struct jobs_scheduler *b, const char *worker,
           const struct jobs_ended *ended, size_t count, int64_t now_ms)
 {
-    struct jobs_worker *w = Book_FindWorker(b, worker);
+    struct jobs_worker *w = Scheduler_FindWorker(b, worker);
 
     if (w == NULL) {
         return false;
@@ -436,12 +440,12 @@
  * copy may still arrive, so the run is stopped before the next one: after
  * that the worker refuses whatever comes late. */
 void
-Jobs_Refused(struct jobs_book *b, const char *worker, const char *task,
+Jobs_Refused(struct jobs_scheduler *b, const char *worker, const char *task,
              uint64_t run, const char *reason, int64_t now_ms)
 {
     static const int64_t pause_ms = 400; /* a stop takes about as long */
-    struct jobs_worker *w = Book_FindWorker(b, worker);
-    struct jobs_task *t = Book_FindTask(b, task);
+    struct jobs_worker *w = Scheduler_FindWorker(b, worker);
+    struct jobs_task *t = Scheduler_FindTask(b, task);
 
     if (w == NULL || t == NULL || t->worker != w || t->unit->run != run ||
         t->confirmed) {
@@ -458,9 +462,9 @@
 
 /* Until when an agent's worker may hold leases of ours. */
 void
-Jobs_Granted(struct jobs_book *b, const char *worker, int64_t now_ms)
+Jobs_Granted(struct jobs_scheduler *b, const char *worker, int64_t now_ms)
 {
-    struct jobs_worker *w = Book_FindWorker(b, worker);
+    struct jobs_worker *w = Scheduler_FindWorker(b, worker);
     int64_t end =
         now_ms + (int64_t)((double)b->limits.lease_ms * LEASE_STRETCH);
 
@@ -471,9 +475,9 @@
 
 /* Up to which end the worker may forget. */
 uint64_t
-Jobs_LastSeen(const struct jobs_book *b, const char *worker)
+Jobs_LastSeen(const struct jobs_scheduler *b, const char *worker)
 {
-    const struct jobs_worker *w = Book_FindWorker(b, worker);
+    const struct jobs_worker *w = Scheduler_FindWorker(b, worker);
 
     return w != NULL ? w->seen_rows : 0;
 }
@@ -497,7 +501,7 @@
 
 /* Workers that only the rows name may run what they had until then. */
 void
-Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms)
+Jobs_TakeOver(struct jobs_scheduler *b, int64_t lost_at_ms, int64_t now_ms)
 {
     struct jobs_worker *w;
 
@@ -512,7 +516,7 @@
 
 /* The owner before us has ended for certain. */
 void
-Jobs_OwnerEnded(struct jobs_book *b, int64_t lost_at_ms)
+Jobs_OwnerEnded(struct jobs_scheduler *b, int64_t lost_at_ms)
 {
     struct jobs_worker *w;
 
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -203,7 +203,7 @@
 
 /* What a job's row takes at most. */
 size_t
-Row_Bytes(struct jobs_book *b, const struct jobs_job *j)
+Row_Bytes(struct jobs_scheduler *b, const struct jobs_job *j)
 {
     const struct jobs_unit *u;
     size_t sum = HEAD_BYTES;
@@ -257,8 +257,8 @@
 
 /* Puts the tasks of a unit on the workers that the row names. */
 static int
-decode_tasks(struct jobs_book *b, struct jobs_unit *u, const json_t *tasks,
-             const json_t *workers)
+decode_tasks(struct jobs_scheduler *b, struct jobs_unit *u,
+             const json_t *tasks, const json_t *workers)
 {
     const char *agent, *worker;
     json_int_t number;
@@ -282,7 +282,7 @@
         if (t->worker != NULL) {
             return ERR_INVALID; /* one run is on one worker */
         }
-        Worker_Take(Book_Worker(b, worker, agent), t);
+        Worker_Take(Scheduler_Worker(b, worker, agent), t);
     }
     return json_is_array(tasks) ? ERR_OK : ERR_INVALID;
 }
@@ -318,7 +318,7 @@
 
 /* Reads one unit of a row. */
 static int
-decode_unit(struct jobs_book *b, struct jobs_job *j, json_t *row,
+decode_unit(struct jobs_scheduler *b, struct jobs_job *j, json_t *row,
             const json_t *workers)
 {
     int occurrence, step, first, state, failures, begun;
@@ -332,8 +332,8 @@
                     &tasks) != 0 ||
         state < 0 || state > UNIT_FAILED || run < 0 || failures < 0 ||
         strlen(checkpoint) >= JOBS_TEXT_SIZE ||
-        (u = Book_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
-                           (uint32_t)first)) == NULL ||
+        (u = Scheduler_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
+                                (uint32_t)first)) == NULL ||
         decode_blame(u, json_array_get(row, 9)) != ERR_OK) {
         return ERR_INVALID;
     }
@@ -377,7 +377,7 @@
     j->first_occurrence = (uint32_t)first;
     j->occurrences = (uint32_t)first;
     while (j->occurrences < until) {
-        if (!Book_AddOccurrence(j)) {
+        if (!Scheduler_AddOccurrence(j)) {
             return ERR_INVALID;
         }
     }
@@ -386,7 +386,7 @@
 
 /* Reads the progress of a job into its units. */
 int
-Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
+Row_Decode(struct jobs_scheduler *b, struct jobs_job *j, const char *text,
            size_t len)
 {
     json_t *o = json_loadb(text, len, 0, NULL);
--- a/packages/jobs/jobs-book.c
+++ b/packages/jobs/jobs-scheduler.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -18,11 +18,11 @@
 
 RB_GENERATE(book_tree, jobs_job, by_id, job_compare)
 
-/* Makes an empty book. */
-struct jobs_book *
+/* Makes an empty scheduler. */
+struct jobs_scheduler *
 Jobs_New(const struct jobs_limits *limits)
 {
-    struct jobs_book *b = Mem_Zero(1, sizeof(*b));
+    struct jobs_scheduler *b = Mem_Zero(1, sizeof(*b));
 
     b->limits = *limits;
     RB_INIT(&b->jobs);
@@ -65,9 +65,9 @@
     free(j);
 }
 
-/* Frees the book. */
+/* Frees the scheduler. */
 void
-Jobs_Free(struct jobs_book *b)
+Jobs_Free(struct jobs_scheduler *b)
 {
     struct jobs_worker *w;
     struct jobs_event *e;
@@ -94,14 +94,14 @@
 
 /* Marks a job's row as to be written. */
 void
-Book_Touch(struct jobs_job *j)
+Scheduler_Touch(struct jobs_job *j)
 {
     j->dirty = true;
 }
 
 /* Finds a job by its id. */
 struct jobs_job *
-Book_FindJob(const struct jobs_book *b, const char *id)
+Scheduler_FindJob(const struct jobs_scheduler *b, const char *id)
 {
     struct jobs_job key;
 
@@ -113,9 +113,9 @@
 
 /* True when the job is known. */
 bool
-Jobs_Has(const struct jobs_book *b, const char *id)
+Jobs_Has(const struct jobs_scheduler *b, const char *id)
 {
-    return Book_FindJob(b, id) != NULL;
+    return Scheduler_FindJob(b, id) != NULL;
 }
 
 /* The step of a unit. */
@@ -127,7 +127,7 @@
 
 /* Writes the name of a task. */
 void
-Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE])
+Scheduler_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE])
 {
     snprintf(out, JOBS_TASK_SIZE, "%s.%u.%u.%u", t->unit->job->spec.id,
              t->unit->occurrence, t->unit->step, t->index);
@@ -143,8 +143,8 @@
 /* The unit of a task, or NULL. Units stand in the order of their occurrence,
  * step and index, so its place is known. */
 struct jobs_unit *
-Book_FindUnit(const struct jobs_job *j, uint32_t occurrence, uint32_t step,
-              uint32_t index)
+Scheduler_FindUnit(const struct jobs_job *j, uint32_t occurrence,
+                   uint32_t step, uint32_t index)
 {
     size_t at = 0;
 
@@ -161,7 +161,7 @@
 
 /* Finds a task by the name that workers know. */
 struct jobs_task *
-Book_FindTask(const struct jobs_book *b, const char *name)
+Scheduler_FindTask(const struct jobs_scheduler *b, const char *name)
 {
     uint32_t occurrence, step, index;
     char id[JOBS_ID_SIZE];
@@ -176,8 +176,8 @@
     }
     memcpy(id, name, len);
     id[len] = '\0';
-    j = Book_FindJob(b, id);
-    u = j != NULL ? Book_FindUnit(j, occurrence, step, index) : NULL;
+    j = Scheduler_FindJob(b, id);
+    u = j != NULL ? Scheduler_FindUnit(j, occurrence, step, index) : NULL;
     return u != NULL ? &u->tasks[index - u->tasks[0].index] : NULL;
 }
 
@@ -203,10 +203,10 @@
 /* Makes the units of the next occurrence.
  *
  * Load: a job that is due a million times at once. Without a bound its units
- * take all memory of the entry that holds the book, and of each one after it.
- * Further occurrences wait for the first ones to be done. */
+ * take all memory of the entry that holds the scheduler, and of each one after
+ * it. Further occurrences wait for the first ones to be done. */
 bool
-Book_AddOccurrence(struct jobs_job *j)
+Scheduler_AddOccurrence(struct jobs_job *j)
 {
     j->occurrence_units = 0;
     for (uint32_t i = 0; i < j->spec.step_count; i++) {
@@ -252,7 +252,7 @@
  * Load: a job that is repeated for weeks. Without it, its units and its row
  * grow with each occurrence until the row is refused. */
 void
-Book_DropDone(struct jobs_job *j)
+Scheduler_DropDone(struct jobs_job *j)
 {
     struct jobs_unit *u;
 
@@ -273,7 +273,7 @@
 
 /* When an occurrence is due. */
 int64_t
-Book_DueMs(const struct jobs_job *j, uint32_t occurrence)
+Scheduler_DueMs(const struct jobs_job *j, uint32_t occurrence)
 {
     return j->spec.first_due_ms + (int64_t)occurrence * j->spec.interval_ms;
 }
@@ -281,7 +281,7 @@
 /* Notes when the occurrences were due. The time of day may jump, so it is
  * asked once for each and kept as a time of the steady clock. */
 void
-Book_NoteDue(struct jobs_job *j, int64_t now_ms, int64_t wall_ms)
+Scheduler_NoteDue(struct jobs_job *j, int64_t now_ms, int64_t wall_ms)
 {
     struct jobs_unit *u;
 
@@ -290,7 +290,7 @@
     }
     TAILQ_FOREACH (u, &j->units, entry) {
         if (u->due_ms == 0) {
-            u->due_ms = now_ms - (wall_ms - Book_DueMs(j, u->occurrence));
+            u->due_ms = now_ms - (wall_ms - Scheduler_DueMs(j, u->occurrence));
         }
     }
 }
@@ -301,7 +301,7 @@
  * nobody knows any more which service runs them, and what was accepted never
  * starts. A job without a queue keeps the terms that it had. */
 static void
-set_queue(struct jobs_book *b, struct jobs_job *j)
+set_queue(struct jobs_scheduler *b, struct jobs_job *j)
 {
     const struct jobs_queue *q = JobsConfig_Queue(b->config, j->spec.queue);
 
@@ -312,7 +312,7 @@
 
 /* Puts another configuration in force. */
 void
-Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c)
+Jobs_SetConfig(struct jobs_scheduler *b, const struct jobs_config *c)
 {
     struct jobs_job *j;
 
@@ -324,7 +324,7 @@
 
 /* Lets every run of an ended job end. */
 static void
-stop_all(struct jobs_book *b, struct jobs_job *j, const char *why)
+stop_all(struct jobs_scheduler *b, struct jobs_job *j, const char *why)
 {
     struct jobs_unit *u;
 
@@ -340,7 +340,7 @@
  * done runs again. Nothing of the job starts, what runs is left alone, and its
  * row stays as it is, until its caller cancels it. */
 static void
-hold(struct jobs_book *b, struct jobs_job *j)
+hold(struct jobs_scheduler *b, struct jobs_job *j)
 {
     struct jobs_unit *u;
 
@@ -359,7 +359,7 @@
 
 /* Takes an accepted job. */
 int
-Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
+Jobs_Add(struct jobs_scheduler *b, struct jobs_spec *s, const char *progress,
          size_t len, int64_t now_ms)
 {
     struct jobs_job *j;
@@ -380,7 +380,7 @@
     }
     set_queue(b, j);
     if (j->spec.repetitions == 0) {
-        Book_AddOccurrence(j);
+        Scheduler_AddOccurrence(j);
     }
     RB_INSERT(book_tree, &b->jobs, j);
     if (progress != NULL) {
@@ -400,9 +400,9 @@
 
 /* The caller wants the job no more. */
 void
-Jobs_Cancel(struct jobs_book *b, const char *id, int64_t now_ms)
+Jobs_Cancel(struct jobs_scheduler *b, const char *id, int64_t now_ms)
 {
-    struct jobs_job *j = Book_FindJob(b, id);
+    struct jobs_job *j = Scheduler_FindJob(b, id);
 
     if (j == NULL || j->cancelled || j->state > JOB_RUNNING) {
         return;
@@ -410,27 +410,27 @@
     j->cancelled = true;
     j->held = false;
     stop_all(b, j, "cancelled");
-    Book_Touch(j);
+    Scheduler_Touch(j);
     Job_Settle(b, j, now_ms);
 }
 
 /* The row of a job's progress is not as it was written last. */
 void
-Jobs_Spoiled(struct jobs_book *b, const char *id, bool spec)
+Jobs_Spoiled(struct jobs_scheduler *b, const char *id, bool spec)
 {
-    struct jobs_job *j = Book_FindJob(b, id);
+    struct jobs_job *j = Scheduler_FindJob(b, id);
 
     if (j != NULL && spec) {
         j->spoiled = true;
     }
     else if (j != NULL && !j->held) {
-        Book_Touch(j);
+        Scheduler_Touch(j);
     }
 }
 
 /* A job whose spec has to be stored again. */
 const char *
-Jobs_NextSpoiled(struct jobs_book *b, struct buf *out)
+Jobs_NextSpoiled(struct jobs_scheduler *b, struct buf *out)
 {
     struct jobs_job *j;
 
@@ -446,7 +446,7 @@
 
 /* The next ended job that nobody has to be shown any more. */
 const char *
-Jobs_NextExpired(struct jobs_book *b, int64_t now_ms)
+Jobs_NextExpired(struct jobs_scheduler *b, int64_t now_ms)
 {
     struct jobs_job *j;
 
@@ -461,9 +461,9 @@
 
 /* Forgets an ended job. */
 void
-Jobs_Remove(struct jobs_book *b, const char *id)
+Jobs_Remove(struct jobs_scheduler *b, const char *id)
 {
-    struct jobs_job *j = Book_FindJob(b, id);
+    struct jobs_job *j = Scheduler_FindJob(b, id);
 
     if (j != NULL && j->ended_ms != 0) {
         RB_REMOVE(book_tree, &b->jobs, j);
@@ -473,7 +473,7 @@
 
 /* Hands out the rows to be written, one after the other. */
 const char *
-Jobs_NextDirty(struct jobs_book *b, struct buf *out)
+Jobs_NextDirty(struct jobs_scheduler *b, struct buf *out)
 {
     struct jobs_worker *w;
     struct jobs_job *j;
@@ -511,7 +511,7 @@
 /* Closes a batch. A job that changed since stays dirty, and a unit given
  * since is not ordered before its own write. */
 void
-Jobs_Written(struct jobs_book *b)
+Jobs_Written(struct jobs_scheduler *b)
 {
     struct jobs_worker *w;
     struct jobs_job *j;
@@ -532,7 +532,7 @@
 
 /* The batch is not stored. */
 void
-Jobs_NotWritten(struct jobs_book *b)
+Jobs_NotWritten(struct jobs_scheduler *b)
 {
     struct jobs_job *j;
 
@@ -547,7 +547,7 @@
 
 /* The active jobs and the workers, for operators. */
 json_t *
-Jobs_State(const struct jobs_book *b)
+Jobs_State(const struct jobs_scheduler *b)
 {
     json_t *jobs = json_array();
     json_t *workers = json_array();
--- a/packages/jobs/jobs-book.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -1,6 +1,6 @@
-/* The book's own structures, shared by the files of this package. */
-#ifndef JOBS_BOOK_H
-#define JOBS_BOOK_H
+/* The scheduler's own structures, shared by the files of this package. */
+#ifndef JOBS_SCHEDULER_H
+#define JOBS_SCHEDULER_H
 
 #include "jobs-json.h"
 #include "jobs-size.h"
@@ -24,7 +24,7 @@
     bool confirmed;             /* seen running */
     int64_t listed_clock_ms; /* worker's clock when its run was last listed */
     int64_t given_ms; /* when this run was given, or is taken to have been */
-    bool inherited;   /* it was given before this book was made */
+    bool inherited;   /* it was given before this scheduler was made */
     int64_t sent_ms;  /* last order; 0: none yet */
     bool far;         /* from its data, or from the rest of its gang */
     int64_t percent;  /* of its work, as last seen; -1: not seen yet */
@@ -106,7 +106,7 @@
     TAILQ_ENTRY(jobs_job) active;
 };
 
-/* A run on a worker that the book does not want. */
+/* A run on a worker that the scheduler does not want. */
 struct stray {
     char task[JOBS_TASK_SIZE];
     uint64_t run;
@@ -153,7 +153,7 @@
     char doubt_job[JOBS_ID_SIZE];
     uint32_t failures_in_row;
     uint32_t on_probation; /* runs here that nothing may join yet */
-    uint64_t seen;         /* ends taken into the book */
+    uint64_t seen;         /* ends taken into the scheduler */
     uint64_t seen_batch;   /* of them, those in rows being written */
     uint64_t seen_rows;    /* of them, those stored */
     uint64_t row_mark; /* of the last row in which its names were counted */
@@ -165,7 +165,7 @@
 RB_HEAD(book_tree, jobs_job);
 RB_HEAD(lifetime_tree, jobs_worker);
 
-struct jobs_book {
+struct jobs_scheduler {
     struct jobs_limits limits;
     TAILQ_HEAD(, jobs_event) events;
     size_t event_count;
@@ -194,65 +194,69 @@
 RB_PROTOTYPE(book_tree, jobs_job, by_id, job_compare)
 RB_PROTOTYPE(lifetime_tree, jobs_worker, by_id, worker_compare)
 
-/* ---- jobs-book.c */
-void Book_Touch(struct jobs_job *j);
-struct jobs_job *Book_FindJob(const struct jobs_book *b, const char *id);
+/* ---- jobs-scheduler.c */
+void Scheduler_Touch(struct jobs_job *j);
+struct jobs_job *Scheduler_FindJob(const struct jobs_scheduler *b,
+                                   const char *id);
 /* The unit with that task of a step, or NULL. */
-struct jobs_unit *Book_FindUnit(const struct jobs_job *j, uint32_t occurrence,
-                                uint32_t step, uint32_t index);
+struct jobs_unit *Scheduler_FindUnit(const struct jobs_job *j,
+                                     uint32_t occurrence, uint32_t step,
+                                     uint32_t index);
 /* The task of that name, or NULL. */
-struct jobs_task *Book_FindTask(const struct jobs_book *b, const char *name);
-void Book_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE]);
+struct jobs_task *Scheduler_FindTask(const struct jobs_scheduler *b,
+                                     const char *name);
+void Scheduler_TaskName(const struct jobs_task *t, char out[JOBS_TASK_SIZE]);
 /* Makes the units of one occurrence; false when the job has too many open. */
-bool Book_AddOccurrence(struct jobs_job *j);
+bool Scheduler_AddOccurrence(struct jobs_job *j);
 /* Drops the units of the first occurrences that are done. */
-void Book_DropDone(struct jobs_job *j);
+void Scheduler_DropDone(struct jobs_job *j);
 /* When an occurrence is due, since 1970. */
-int64_t Book_DueMs(const struct jobs_job *j, uint32_t occurrence);
+int64_t Scheduler_DueMs(const struct jobs_job *j, uint32_t occurrence);
 /* Notes for units that have none yet when they were due by our clock. */
-void Book_NoteDue(struct jobs_job *j, int64_t now_ms, int64_t wall_ms);
+void Scheduler_NoteDue(struct jobs_job *j, int64_t now_ms, int64_t wall_ms);
 const struct jobs_step *Unit_Step(const struct jobs_unit *u);
 
 /* ---- jobs-worker.c */
-struct jobs_worker *Book_FindWorker(const struct jobs_book *b, const char *id);
-struct jobs_worker *Book_Worker(struct jobs_book *b, const char *id,
-                                const char *agent);
+struct jobs_worker *Scheduler_FindWorker(const struct jobs_scheduler *b,
+                                         const char *id);
+struct jobs_worker *Scheduler_Worker(struct jobs_scheduler *b, const char *id,
+                                     const char *agent);
 /* Adds a need n times; n may be negative. */
 void Need_Add(struct jobs_need *to, const struct jobs_need *need, int n);
 /* What a task of the unit takes from its worker's room. */
 struct jobs_need Unit_Need(const struct jobs_unit *u);
 void Worker_Take(struct jobs_worker *w, struct jobs_task *t);
 /* Takes it off again, and nothing follows from that. */
-void Worker_LetGo(struct jobs_book *b, struct jobs_task *t);
-void Worker_Free(struct jobs_book *b, struct jobs_worker *w);
+void Worker_LetGo(struct jobs_scheduler *b, struct jobs_task *t);
+void Worker_Free(struct jobs_scheduler *b, struct jobs_worker *w);
 /* Lets the run of a unit end: its room counts as being freed. */
-void Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why);
+void Unit_Stop(struct jobs_scheduler *b, struct jobs_unit *u, const char *why);
 /* As above, for another job to run in its place. */
-void Unit_StopFor(struct jobs_book *b, struct jobs_unit *u, const char *why,
-                  const struct jobs_job *other);
+void Unit_StopFor(struct jobs_scheduler *b, struct jobs_unit *u,
+                  const char *why, const struct jobs_job *other);
 /* As above, and it is not to run again. */
-void Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why);
+void Unit_Drop(struct jobs_scheduler *b, struct jobs_unit *u, const char *why);
 /* The run of this task can't run any more. */
-void Task_Gone(struct jobs_book *b, struct jobs_task *t, const char *why,
+void Task_Gone(struct jobs_scheduler *b, struct jobs_task *t, const char *why,
                int64_t now_ms);
-void Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
-void Unit_Failed(struct jobs_book *b, struct jobs_unit *u);
+void Unit_Done(struct jobs_scheduler *b, struct jobs_unit *u, int64_t now_ms);
+void Unit_Failed(struct jobs_scheduler *b, struct jobs_unit *u);
 /* Ends the unit as failed, and drops all others of its job. */
-void Unit_GiveUp(struct jobs_book *b, struct jobs_unit *u);
+void Unit_GiveUp(struct jobs_scheduler *b, struct jobs_unit *u);
 /* The worker's lifetime is over: nothing runs there. */
-void Worker_Lost(struct jobs_book *b, struct jobs_worker *w, const char *why,
-                 int64_t now_ms);
+void Worker_Lost(struct jobs_scheduler *b, struct jobs_worker *w,
+                 const char *why, int64_t now_ms);
 /* Ends the job when nothing is left to do. */
-void Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms);
+void Job_Settle(struct jobs_scheduler *b, struct jobs_job *j, int64_t now_ms);
 
 /* ---- jobs-blame.c */
 void Blame_Set(struct jobs_task *t, uint32_t blame);
 /* True when a worker of that agent has crashed lately. */
-bool Blame_HasCrashed(const struct jobs_book *b, const char *agent,
+bool Blame_HasCrashed(const struct jobs_scheduler *b, const char *agent,
                       int64_t now_ms);
 /* True when the last crash under the unit was at that agent. */
 bool Blame_CrashedAt(const struct jobs_unit *u, const char *agent);
-void Blame_Expire(struct jobs_book *b, int64_t now_ms);
+void Blame_Expire(struct jobs_scheduler *b, int64_t now_ms);
 void Blame_Begin(struct jobs_task *t);
 void Blame_End(struct jobs_task *t);
 void Blame_SeenAtWork(struct jobs_task *t, int64_t now_ms);
@@ -260,16 +264,18 @@
 /* ---- jobs-domain.c */
 /* True when nothing may start on a worker, as its failure domain is emptied.
  */
-bool Domain_IsEmptied(const struct jobs_book *b, const struct jobs_worker *w);
+bool Domain_IsEmptied(const struct jobs_scheduler *b,
+                      const struct jobs_worker *w);
 /* Tells once of each job that a unit of it waits for nothing but workers in
  * emptied domains. */
-void Domain_NoteWaiting(struct jobs_book *b, struct jobs_unit *u,
+void Domain_NoteWaiting(struct jobs_scheduler *b, struct jobs_unit *u,
                         int64_t now_ms);
 
 /* ---- jobs-pace.c */
 /* Takes the progress that a report shows. */
-void Pace_Take(struct jobs_book *b, struct jobs_worker *w, struct jobs_task *t,
-               int64_t percent, int64_t clock_ms, int64_t now_ms);
+void Pace_Take(struct jobs_scheduler *b, struct jobs_worker *w,
+               struct jobs_task *t, int64_t percent, int64_t clock_ms,
+               int64_t now_ms);
 /* What a run of the unit takes, as far as is known. */
 int64_t Pace_WorkMs(const struct jobs_unit *u);
 /* How long the run of a task still takes. */
@@ -278,11 +284,12 @@
 bool Pace_Crawls(const struct jobs_unit *u, int64_t now_ms);
 
 /* ---- jobs-share.c */
-void Share_Take(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms);
+void Share_Take(struct jobs_scheduler *b, struct jobs_worker *w,
+                int64_t now_ms);
 bool Share_IsDue(const struct jobs_task *t, int64_t now_ms);
 
 /* ---- jobs-objective.c */
-void Objective_Set(const struct jobs_book *b, struct jobs_job *j);
+void Objective_Set(const struct jobs_scheduler *b, struct jobs_job *j);
 int64_t Objective_SlackMs(const struct jobs_unit *u, int64_t now_ms);
 int64_t Objective_NextMs(const struct jobs_unit *u, int64_t now_ms);
 
@@ -293,7 +300,7 @@
                           const struct jobs_worker *w);
 void Advice_Drop(const struct jobs_unit *u, const struct jobs_worker *w);
 void Advice_Forget(struct jobs_job *j, uint32_t before);
-bool Advice_Collect(struct jobs_book *b, const struct jobs_unit *u,
+bool Advice_Collect(struct jobs_scheduler *b, const struct jobs_unit *u,
                     int64_t now_ms, struct jobs_question *q);
 
 /* ---- jobs-evict.c */
@@ -303,30 +310,32 @@
                   uint32_t n, int64_t now_ms);
 /* What making room for the unit may cost. */
 double Evict_Worth(const struct jobs_unit *u, int64_t now_ms);
-void Evict_Apply(struct jobs_book *b, struct jobs_worker *w,
+void Evict_Apply(struct jobs_scheduler *b, struct jobs_worker *w,
                  const struct jobs_unit *u, uint32_t n, int64_t now_ms);
 
 /* ---- jobs-rank.c */
 #define RANK_COVERED (-1) /* within its organisation's guarantee */
 /* Sets the rank of all active jobs. */
-void Rank_All(struct jobs_book *b);
+void Rank_All(struct jobs_scheduler *b);
 
 /* ---- jobs-event.c */
 /* Each returns the event, to be completed, never NULL. */
-struct jobs_event *Event_Job(struct jobs_book *b, enum jobs_event_kind kind,
+struct jobs_event *Event_Job(struct jobs_scheduler *b,
+                             enum jobs_event_kind kind,
                              const struct jobs_job *j, const char *reason);
-struct jobs_event *Event_Task(struct jobs_book *b, enum jobs_event_kind kind,
+struct jobs_event *Event_Task(struct jobs_scheduler *b,
+                              enum jobs_event_kind kind,
                               const struct jobs_task *t, const char *reason);
-struct jobs_event *Event_Worker(struct jobs_book *b,
+struct jobs_event *Event_Worker(struct jobs_scheduler *b,
                                 const struct jobs_worker *w,
                                 const char *reason);
 
 /* ---- jobs-row.c */
 void Row_Encode(const struct jobs_job *j, struct buf *out);
 /* What a job's row takes at most, and what a unit adds to it by starting. */
-size_t Row_Bytes(struct jobs_book *b, const struct jobs_job *j);
+size_t Row_Bytes(struct jobs_scheduler *b, const struct jobs_job *j);
 size_t Row_StartBytes(const struct jobs_unit *u);
-int Row_Decode(struct jobs_book *b, struct jobs_job *j, const char *text,
+int Row_Decode(struct jobs_scheduler *b, struct jobs_job *j, const char *text,
                size_t len);
 
 /* ---- jobs-place.c */
@@ -338,17 +347,18 @@
 };
 /* Chooses workers for a waiting unit. may_hold: room that comes free at a
  * time that nobody knows may be kept for it. */
-enum place_result Place_Unit(struct jobs_book *b, struct jobs_unit *u,
+enum place_result Place_Unit(struct jobs_scheduler *b, struct jobs_unit *u,
                              int64_t now_ms, bool may_hold);
 /* True when a worker may run the step, wherever it stands. */
-bool Place_IsFit(const struct jobs_book *b, const struct jobs_worker *w,
+bool Place_IsFit(const struct jobs_scheduler *b, const struct jobs_worker *w,
                  const struct jobs_unit *u, int64_t now_ms);
 /* True when a worker may run the step, as far as no adviser is asked. */
-bool Place_MayRun(const struct jobs_book *b, const struct jobs_worker *w,
+bool Place_MayRun(const struct jobs_scheduler *b, const struct jobs_worker *w,
                   const struct jobs_unit *u, int64_t now_ms);
 /* True when it has room for a task of the unit now. */
 bool Place_HasRoom(const struct jobs_worker *w, const struct jobs_unit *u);
 /* True when the unit would find room now, its own run left aside. */
-bool Place_CouldMove(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms);
+bool Place_CouldMove(struct jobs_scheduler *b, struct jobs_unit *u,
+                     int64_t now_ms);
 
 #endif
--- a/packages/jobs/jobs-share.c
+++ b/packages/jobs/jobs-share.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 /* Tasks that fill a worker take what its other tasks leave, and disturb those
  * that serve users of their own. How much differs by image and changes within
@@ -64,7 +64,7 @@
 
 /* Takes the figures that a report has brought. */
 void
-Share_Take(struct jobs_book *b, struct jobs_worker *w, int64_t now_ms)
+Share_Take(struct jobs_scheduler *b, struct jobs_worker *w, int64_t now_ms)
 {
     int64_t strain = strain_of(w);
     int64_t share = strain < 0 ? 100 : next_share(w->share, strain);
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -1,4 +1,4 @@
-#include "jobs-book.h"
+#include "jobs-scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,7 +14,7 @@
 
 /* Finds a worker's lifetime. */
 struct jobs_worker *
-Book_FindWorker(const struct jobs_book *b, const char *id)
+Scheduler_FindWorker(const struct jobs_scheduler *b, const char *id)
 {
     struct jobs_worker key;
 
@@ -26,9 +26,9 @@
 
 /* Finds a worker's lifetime or makes it, unheard of so far. */
 struct jobs_worker *
-Book_Worker(struct jobs_book *b, const char *id, const char *agent)
+Scheduler_Worker(struct jobs_scheduler *b, const char *id, const char *agent)
 {
-    struct jobs_worker *w = Book_FindWorker(b, id);
+    struct jobs_worker *w = Scheduler_FindWorker(b, id);
 
     if (w != NULL) {
         return w;
@@ -93,7 +93,7 @@
 
 /* Takes a task's run off its worker. */
 void
-Worker_LetGo(struct jobs_book *b, struct jobs_task *t)
+Worker_LetGo(struct jobs_scheduler *b, struct jobs_task *t)
 {
     struct jobs_need need = Unit_Need(t->unit);
     struct jobs_worker *w = t->worker;
@@ -111,7 +111,7 @@
 
 /* Lets the run of a unit end, for another job or for none. */
 void
-Unit_StopFor(struct jobs_book *b, struct jobs_unit *u, const char *why,
+Unit_StopFor(struct jobs_scheduler *b, struct jobs_unit *u, const char *why,
              const struct jobs_job *other)
 {
     struct jobs_need need = Unit_Need(u);
@@ -134,14 +134,14 @@
 
 /* Lets the run of a unit end. */
 void
-Unit_Stop(struct jobs_book *b, struct jobs_unit *u, const char *why)
+Unit_Stop(struct jobs_scheduler *b, struct jobs_unit *u, const char *why)
 {
     Unit_StopFor(b, u, why, NULL);
 }
 
 /* Lets it end for good. */
 void
-Unit_Drop(struct jobs_book *b, struct jobs_unit *u, const char *why)
+Unit_Drop(struct jobs_scheduler *b, struct jobs_unit *u, const char *why)
 {
     u->dropped = true;
     Unit_Stop(b, u, why);
@@ -161,7 +161,7 @@
 
 /* Forgets a worker on which nothing runs. */
 void
-Worker_Free(struct jobs_book *b, struct jobs_worker *w)
+Worker_Free(struct jobs_scheduler *b, struct jobs_worker *w)
 {
     clear_strays(w);
     RB_REMOVE(lifetime_tree, &b->workers, w);
@@ -179,7 +179,7 @@
 /* The run of this task is over. When it was the last of its unit, the unit
  * waits again, or is finished. */
 void
-Task_Gone(struct jobs_book *b, struct jobs_task *t, const char *why,
+Task_Gone(struct jobs_scheduler *b, struct jobs_task *t, const char *why,
           int64_t now_ms)
 {
     struct jobs_unit *u = t->unit;
@@ -203,14 +203,14 @@
         u->state = UNIT_WAITING;
         u->ready_ms = now_ms;
     }
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
     Job_Settle(b, u->job, now_ms);
 }
 
 /* Learns what a step took, once for each job: one of a thousand tasks tells no
  * more about its queue than one of a single task. */
 static void
-learn_size(struct jobs_book *b, const struct jobs_unit *u)
+learn_size(struct jobs_scheduler *b, const struct jobs_unit *u)
 {
     struct jobs_job *j = u->job;
     uint64_t bit = (uint64_t)1 << u->step;
@@ -224,7 +224,7 @@
 
 /* One task ended as done; that stands for the whole gang. */
 void
-Unit_Done(struct jobs_book *b, struct jobs_unit *u, int64_t now_ms)
+Unit_Done(struct jobs_scheduler *b, struct jobs_unit *u, int64_t now_ms)
 {
     for (uint32_t i = 0; i < u->task_count; i++) {
         if (u->tasks[i].worker != NULL) {
@@ -239,13 +239,13 @@
     u->unwritten = false;
     u->state = Unit_Step(u)->lasting && !u->dropped ? UNIT_WAITING : UNIT_DONE;
     u->ready_ms = now_ms;
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
     Job_Settle(b, u->job, now_ms);
 }
 
 /* Gives a unit up, and with it its job. */
 void
-Unit_GiveUp(struct jobs_book *b, struct jobs_unit *u)
+Unit_GiveUp(struct jobs_scheduler *b, struct jobs_unit *u)
 {
     struct jobs_unit *other;
 
@@ -253,20 +253,20 @@
         Unit_Drop(b, other, "job_failed");
     }
     u->state = UNIT_FAILED;
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
 }
 
 /* A run ended as failed: counted once for each run, at once, so that the row
  * that lets the end be acknowledged has it. */
 void
-Unit_Failed(struct jobs_book *b, struct jobs_unit *u)
+Unit_Failed(struct jobs_scheduler *b, struct jobs_unit *u)
 {
     if (u->failed_run) {
         return;
     }
     u->failed_run = true;
     u->failures++;
-    Book_Touch(u->job);
+    Scheduler_Touch(u->job);
     if (Unit_Step(u)->lasting ||
         u->failures < (uint32_t)u->job->terms.attempts) {
         return;
@@ -276,7 +276,7 @@
 
 /* Nothing runs on this lifetime any more. */
 void
-Worker_Lost(struct jobs_book *b, struct jobs_worker *w, const char *why,
+Worker_Lost(struct jobs_scheduler *b, struct jobs_worker *w, const char *why,
             int64_t now_ms)
 {
     struct jobs_task *t;
@@ -326,7 +326,7 @@
 /* Sets the job's state; one that has ended leaves the active ones when none
  * of its runs is left. */
 void
-Job_Settle(struct jobs_book *b, struct jobs_job *j, int64_t now_ms)
+Job_Settle(struct jobs_scheduler *b, struct jobs_job *j, int64_t now_ms)
 {
     enum jobs_state was = j->state;
     bool runs;
@@ -336,7 +336,7 @@
     }
     j->state = state_of(j, &runs);
     if (j->state != was) {
-        Book_Touch(j);
+        Scheduler_Touch(j);
         Event_Job(b, JOBS_JOB_STATE, j, Jobs_StateName(j->state))->number =
             now_ms - j->arrived_ms;
     }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -8,7 +8,7 @@
  * gang, or a single task. A job with repetitions has each unit once for every
  * occurrence.
  *
- * The book rests on four rules:
+ * The scheduler rests on four rules:
  *   1. A run is written before it is ordered (Jobs_NextDirty, Jobs_Written),
  *      so whoever reads the rows knows every run that may exist.
  *   2. A unit starts again only when no task of its last run can still run:
@@ -232,7 +232,7 @@
     size_t stopped_count;
 };
 
-/* ---- the book --------------------------------------------------------------
+/* ---- the scheduler ---------------------------------------------------------
  */
 
 enum jobs_state {
@@ -244,9 +244,9 @@
 };
 const char *Jobs_StateName(enum jobs_state state);
 
-/* What the book is told of its place. Times in milliseconds. */
+/* What the scheduler is told of its place. Times in milliseconds. */
 struct jobs_limits {
-    uint64_t term;     /* of the owner that keeps the book */
+    uint64_t term;     /* of the owner that runs it */
     int64_t lease_ms;  /* of a grant, on the worker's clock */
     int64_t start_ms;  /* a start that comes later is refused */
     int64_t early_ms;  /* an occurrence may start so much before it is due */
@@ -265,7 +265,7 @@
     uint64_t run;
     int64_t until_ms;       /* worker clock; of a start */
     int64_t percent;        /* of a share: how much the run may work */
-    const char *payload;    /* valid until the book changes */
+    const char *payload;    /* valid until the scheduler changes */
     const char *checkpoint; /* "": none */
     const char *ticket;     /* "": none */
 };
@@ -287,96 +287,99 @@
     char ticket[JOBS_TEXT_SIZE];
 };
 
-struct jobs_book;
+struct jobs_scheduler;
 struct jobs_job;
 
-struct jobs_book *Jobs_New(const struct jobs_limits *limits);
-void Jobs_Free(struct jobs_book *b);
+struct jobs_scheduler *Jobs_New(const struct jobs_limits *limits);
+void Jobs_Free(struct jobs_scheduler *b);
 
-/* The configuration in force; the book keeps a pointer to it. */
-void Jobs_SetConfig(struct jobs_book *b, const struct jobs_config *c);
+/* The configuration in force; the scheduler keeps a pointer to it. */
+void Jobs_SetConfig(struct jobs_scheduler *b, const struct jobs_config *c);
 /* Failure domains in which nothing may start from now on; what runs there goes
  * on. Those named before and not now are used again. */
-void Jobs_SetEmptied(struct jobs_book *b, const struct jobs_domains *d);
+void Jobs_SetEmptied(struct jobs_scheduler *b, const struct jobs_domains *d);
 /* Tasks that workers of a failure domain may run. */
-size_t Jobs_TasksIn(const struct jobs_book *b, const char *domain);
+size_t Jobs_TasksIn(const struct jobs_scheduler *b, const char *domain);
 /* Accelerators of workers that may be used, and what all organisations
  * together are guaranteed of them. */
-void Jobs_Guarantees(const struct jobs_book *b, int64_t *usable,
+void Jobs_Guarantees(const struct jobs_scheduler *b, int64_t *usable,
                      int64_t *guaranteed);
 /* Takes an accepted job; the spec is moved out of s. progress is its row, or
  * NULL. ERR_OK, ERR_EXISTS, or ERR_INVALID when the row can't be read: the job
- * is in the book, and nothing of it starts. */
-int Jobs_Add(struct jobs_book *b, struct jobs_spec *s, const char *progress,
-             size_t len, int64_t now_ms);
+ * is in the scheduler, and nothing of it starts. */
+int Jobs_Add(struct jobs_scheduler *b, struct jobs_spec *s,
+             const char *progress, size_t len, int64_t now_ms);
 /* True when the job is known. */
-bool Jobs_Has(const struct jobs_book *b, const char *id);
+bool Jobs_Has(const struct jobs_scheduler *b, const char *id);
 /* Its caller wants it no more. */
-void Jobs_Cancel(struct jobs_book *b, const char *id, int64_t now_ms);
+void Jobs_Cancel(struct jobs_scheduler *b, const char *id, int64_t now_ms);
 /* A row of the job was found spoiled in the store: that of its spec, or of its
- * progress. What the book knows is to be written over it. */
-void Jobs_Spoiled(struct jobs_book *b, const char *id, bool spec);
+ * progress. What the scheduler knows is to be written over it. */
+void Jobs_Spoiled(struct jobs_scheduler *b, const char *id, bool spec);
 /* Appends a spec that has to be stored again and returns its job's id, or NULL
  * when there is none. */
-const char *Jobs_NextSpoiled(struct jobs_book *b, struct buf *out);
+const char *Jobs_NextSpoiled(struct jobs_scheduler *b, struct buf *out);
 /* An agent's report on its worker. True when it may change what is decided: a
  * run is over, or the worker is another one than was known. Without such news
  * decisions wait for the next turn by the clock. */
-bool Jobs_Report(struct jobs_book *b, const struct jobs_report *r,
+bool Jobs_Report(struct jobs_scheduler *b, const struct jobs_report *r,
                  int64_t now_ms);
 /* A worker refused a start; it has not begun and may be ordered anew. */
-void Jobs_Refused(struct jobs_book *b, const char *worker, const char *task,
-                  uint64_t run, const char *reason, int64_t now_ms);
+void Jobs_Refused(struct jobs_scheduler *b, const char *worker,
+                  const char *task, uint64_t run, const char *reason,
+                  int64_t now_ms);
 /* A worker that its agent saw leave is gone; ended is what it last listed, of
  * which some may not have been reported before. True when it was known. */
-bool Jobs_Left(struct jobs_book *b, const char *worker,
+bool Jobs_Left(struct jobs_scheduler *b, const char *worker,
                const struct jobs_ended *ended, size_t count, int64_t now_ms);
 /* An agent's worker has crashed with these runs on it (told after the report
  * of the lifetime that has taken its place, if there is one), those of its
  * last crash at the end; a task that has crashed too many is given up, and its
  * job fails. Told again it changes nothing. */
-void Jobs_Crashed(struct jobs_book *b, const char *agent,
+void Jobs_Crashed(struct jobs_scheduler *b, const char *agent,
                   const struct jobs_crash *crashes, size_t count,
                   int64_t now_ms);
 /* Runs that the rows name on workers unheard of so far end at this time at
  * the latest; called once, after all rows are in. */
-void Jobs_TakeOver(struct jobs_book *b, int64_t lost_at_ms, int64_t now_ms);
+void Jobs_TakeOver(struct jobs_scheduler *b, int64_t lost_at_ms,
+                   int64_t now_ms);
 /* As is known now, the owner before gives out no lease any more: workers
  * unheard of since the takeover end sooner than they were waited for. */
-void Jobs_OwnerEnded(struct jobs_book *b, int64_t lost_at_ms);
+void Jobs_OwnerEnded(struct jobs_scheduler *b, int64_t lost_at_ms);
 /* Lapses leases, chooses starts and stops. wall_ms: since 1970, for due
  * times. */
-void Jobs_Plan(struct jobs_book *b, int64_t now_ms, int64_t wall_ms);
+void Jobs_Plan(struct jobs_scheduler *b, int64_t now_ms, int64_t wall_ms);
 
 /* What to ask an adviser, of the unit that is served next; NULL: nothing. */
-const struct jobs_question *Jobs_Question(const struct jobs_book *b);
+const struct jobs_question *Jobs_Question(const struct jobs_scheduler *b);
 /* Its answer: tickets hold until until_ms; workers that were asked about and
  * are not among the approvals never may run the step. */
-void Jobs_Advised(struct jobs_book *b, const struct jobs_question *q,
+void Jobs_Advised(struct jobs_scheduler *b, const struct jobs_question *q,
                   const struct jobs_approval *approvals, size_t count,
                   int64_t until_ms);
 
 /* Jobs whose row has to be written: appends the row of the next one to out
  * and returns its id, or NULL when none is left. */
-const char *Jobs_NextDirty(struct jobs_book *b, struct buf *out);
+const char *Jobs_NextDirty(struct jobs_scheduler *b, struct buf *out);
 /* All rows handed out by Jobs_NextDirty since the last call are stored. */
-void Jobs_Written(struct jobs_book *b);
+void Jobs_Written(struct jobs_scheduler *b);
 /* They are not: hand them out again. */
-void Jobs_NotWritten(struct jobs_book *b);
+void Jobs_NotWritten(struct jobs_scheduler *b);
 
 /* The next order that is due, or false. Call until it returns false.
  * may_start: leases may be given out, so starts may be ordered too. */
-bool Jobs_NextOrder(struct jobs_book *b, int64_t now_ms, bool may_start,
+bool Jobs_NextOrder(struct jobs_scheduler *b, int64_t now_ms, bool may_start,
                     struct jobs_order *out);
 /* Up to which end the worker's list is taken note of. */
-uint64_t Jobs_LastSeen(const struct jobs_book *b, const char *worker);
+uint64_t Jobs_LastSeen(const struct jobs_scheduler *b, const char *worker);
 /* A lease goes out to the worker, from a clock reading heard at now_ms. */
-void Jobs_Granted(struct jobs_book *b, const char *worker, int64_t now_ms);
+void Jobs_Granted(struct jobs_scheduler *b, const char *worker,
+                  int64_t now_ms);
 /* The id of a job that may be forgotten, or NULL. */
-const char *Jobs_NextExpired(struct jobs_book *b, int64_t now_ms);
-void Jobs_Remove(struct jobs_book *b, const char *id);
+const char *Jobs_NextExpired(struct jobs_scheduler *b, int64_t now_ms);
+void Jobs_Remove(struct jobs_scheduler *b, const char *id);
 
-/* ---- what the book decided, and why
+/* ---- what the scheduler decided, and why
  * ------------------------------------------ */
 
 enum jobs_event_kind {
@@ -405,21 +408,21 @@
     int64_t weight;       /* of a run: thousandths of cores that it holds, an
                            * accelerator counts as eight cores */
     int64_t objective_ms; /* of a job: when it is to end, from its arrival */
-    int64_t at_ms;        /* for whoever keeps it; the book has no clock */
+    int64_t at_ms; /* for whoever keeps it; the scheduler has no clock */
     TAILQ_ENTRY(jobs_event) entry;
 };
 
 const char *Jobs_EventName(enum jobs_event_kind kind);
 /* Takes the oldest event out; the caller frees it. NULL: none is left. Beyond
  * 4,096 that nobody takes, new ones are only counted (Jobs_State). */
-struct jobs_event *Jobs_NextEvent(struct jobs_book *b);
+struct jobs_event *Jobs_NextEvent(struct jobs_scheduler *b);
 
 /* State in a progress row, for those who only show it. started: a task has
  * begun. ERR_OK or ERR_INVALID. */
 int Jobs_ReadProgress(const char *text, size_t len, enum jobs_state *state,
                       bool *started);
-/* The book as JSON for operators. */
-json_t *Jobs_State(const struct jobs_book *b);
+/* The scheduler as JSON for operators. */
+json_t *Jobs_State(const struct jobs_scheduler *b);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/admit-private.h
+++ b/packages/policy/admit-private.h
@@ -176,7 +176,7 @@
                                      const struct admission_facts *facts,
                                      const struct admit_cost *cost,
                                      int64_t now, uint64_t rnd);
-/* Books the time at which a refused request is to come back. */
+/* Reserves the time at which a refused request is to come back. */
 void admit_book(struct admission *a, struct admit_flow *org,
                 const struct admission_decision *d);
 
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -100,7 +100,7 @@
     admit_flow_set_weight(org, weight > 0 ? weight : 1);
 }
 
-/* Judges a request, and queues it or books its coming back. */
+/* Judges a request, and queues it or reserves a time to come back. */
 struct admission_decision
 Admission_Offer(struct admission *a, const struct admission_facts *facts,
                 int64_t now, uint64_t rnd)
--- a/packages/policy/route-settle.c
+++ b/packages/policy/route-settle.c
@@ -140,7 +140,7 @@
     Route_Report(r, (int)(u - r->up), &full, now);
 }
 
-/* Books the end of a request. */
+/* Records the end of a request. */
 enum health_reason
 Route_Settled(struct route *r, int handle, enum route_outcome outcome,
               int64_t latency_ms, int64_t expected_ms, int64_t now)
--- a/packages/queue/queue-advice.c
+++ b/packages/queue/queue-advice.c
@@ -45,19 +45,19 @@
           KV_INT("step", o->asked.step), KV_INT("asked", o->asked.count),
           KV_INT("approved", count), KV_INT("validity_ms", validity_ms),
           KV_INT("ms", took_ms));
-    if (o->book != NULL) {
-        Jobs_Advised(o->book, &o->asked, approvals, count,
+    if (o->scheduler != NULL) {
+        Jobs_Advised(o->scheduler, &o->asked, approvals, count,
                      o->asked_ms + validity_ms);
         Owner_Soon(o);
     }
 }
 
-/* Asks what the book wants to know, one question at a time: the adviser takes
- * this machine's questions in turn anyway. */
+/* Asks what the scheduler wants to know, one question at a time: the adviser
+ * takes this machine's questions in turn anyway. */
 void
 Advice_Ask(struct owner *o)
 {
-    const struct jobs_question *q = Jobs_Question(o->book);
+    const struct jobs_question *q = Jobs_Question(o->scheduler);
 
     if (q == NULL || o->asking || o->adviser == NULL ||
         Clock_NowMs() < o->ask_ms) {
--- a/packages/queue/queue-batch.c
+++ b/packages/queue/queue-batch.c
@@ -40,17 +40,17 @@
     int64_t now = Clock_NowMs();
 
     o->writing = false;
-    if (o->book == NULL) {
+    if (o->scheduler == NULL) {
         return;
     }
     if (err == ERR_OK) {
         Counter_Observe(&write_ms, now - o->write_ms);
         o->confirmed_ms = o->write_ms;
-        Jobs_Written(o->book);
+        Jobs_Written(o->scheduler);
         Owner_Soon(o);
         return;
     }
-    Jobs_NotWritten(o->book);
+    Jobs_NotWritten(o->scheduler);
     LOG_W("write_failed", KV("error", Err_Name(err)), KV_INT("term", o->term));
     if (err == ERR_CONFLICT) {
         /* The owner row is another one: the feed will tell whose. */
@@ -74,7 +74,7 @@
         struct buf *row = &b->rows[b->row_count];
         char *key = b->keys[b->row_count];
 
-        id = Jobs_NextDirty(o->book, row);
+        id = Jobs_NextDirty(o->scheduler, row);
         if (id == NULL) {
             return;
         }
@@ -122,7 +122,7 @@
     b->ops[b->op_count++] = Leader_Check(o);
     add_rows(o, b);
     if (b->row_count == 0 && now - o->write_ms < HEARTBEAT_MS) {
-        Jobs_NotWritten(o->book);
+        Jobs_NotWritten(o->scheduler);
         return;
     }
     if (now - o->write_ms >= HEARTBEAT_MS || b->row_count == 0) {
--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -275,7 +275,7 @@
     Buf_Set(&row->value, r->value.data, r->value.len);
 }
 
-/* Copies every row for the owner, which builds its book from them. */
+/* Copies every row for the owner, which builds its scheduler from them. */
 void
 Cache_TellAll(struct intake *in)
 {
--- a/packages/queue/queue-check.c
+++ b/packages/queue/queue-check.c
@@ -2,7 +2,7 @@
 
 #define CHECK_MS 2000
 /* What the cache shows is no older than this when it is compared: a job that
- * has ended is kept in the book for far longer than that. */
+ * has ended is kept in the scheduler for far longer than that. */
 #define FRESH_MS 1500
 
 /* Tells the owner which jobs are accepted and have not ended. */
--- a/packages/queue/queue-leader-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -112,7 +112,7 @@
     json_t *v;
     uint64_t incarnation;
 
-    if (*o->before_name == '\0' || o->book == NULL ||
+    if (*o->before_name == '\0' || o->scheduler == NULL ||
         strcmp(row->key + strlen("entry/"), o->before_name) != 0) {
         return;
     }
@@ -124,8 +124,8 @@
     if (incarnation != 0 && incarnation != o->before_incarnation) {
         LOG_I("owner_before_ended", KV("entry", o->before_name));
         o->before_name[0] = '\0';
-        Jobs_OwnerEnded(o->book, Clock_NowMs() + s->hosted.lease_ms +
-                                     s->hosted.lease_ms / 20);
+        Jobs_OwnerEnded(o->scheduler, Clock_NowMs() + s->hosted.lease_ms +
+                                          s->hosted.lease_ms / 20);
     }
 }
 
--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -25,8 +25,8 @@
     }
     o->leadership = LEADER_NONE;
     o->term = 0;
-    Jobs_Free(o->book);
-    o->book = NULL;
+    Jobs_Free(o->scheduler);
+    o->scheduler = NULL;
     o->heartbeat_seen_ms = Clock_NowMs();
     Queue_Post(o->task.kernel, TASK_INTAKE,
                Mem_Zero(1, sizeof(struct leadership_ended)),
@@ -84,7 +84,7 @@
                              .if_version = o->version};
 }
 
-/* Asks for all rows, to build the book. */
+/* Asks for all rows, to build the scheduler. */
 void
 Leader_WantRows(struct owner *o)
 {
--- a/packages/queue/queue-metrics.c
+++ b/packages/queue/queue-metrics.c
@@ -3,11 +3,11 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Reasons are constants of the book, some thirty; beyond this they are counted
- * together. */
+/* Reasons are constants of the scheduler, some thirty; beyond this they are
+ * counted together. */
 #define REASONS_MAX 64
 
-/* How often the book decided something for a reason. */
+/* How often the scheduler decided something for a reason. */
 struct reason {
     enum jobs_event_kind kind;
     const char *reason;
@@ -65,9 +65,10 @@
     r->reason = e->reason;
     snprintf(r->labels, sizeof(r->labels), "event=\"%s\",reason=\"%s\"",
              Jobs_EventName(e->kind), e->reason);
-    r->counter = (struct counter){"parsleyfall_queue_events_total",
-                                  "Decisions and facts of the owner's book.",
-                                  r->labels, COUNTER_TOTAL};
+    r->counter =
+        (struct counter){"parsleyfall_queue_events_total",
+                         "Decisions and facts of the owner's scheduler.",
+                         r->labels, COUNTER_TOTAL};
     return &r->counter;
 }
 
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -65,7 +65,7 @@
         crashes[i].acknowledged = from[i].acknowledged != 0;
         crashes[i].worked_ms = from[i].worked_ms;
     }
-    Jobs_Crashed(o->book, m->agent, crashes, m->crashed.count, now);
+    Jobs_Crashed(o->scheduler, m->agent, crashes, m->crashed.count, now);
 }
 
 /* Frees the lists of a report. */
@@ -94,7 +94,7 @@
     struct wire_orders *m = Wire_New(WIRE_ORDERS);
 
     m->term = o->term;
-    m->last_seen = Jobs_LastSeen(o->book, worker);
+    m->last_seen = Jobs_LastSeen(o->scheduler, worker);
     Str_Copy(m->worker, sizeof(m->worker), worker);
     return m;
 }
@@ -122,7 +122,7 @@
            m->accelerators <= most && m->clock_ms >= 0;
 }
 
-/* Takes a report into the book and answers it with the next lease. */
+/* Takes a report into the scheduler and answers it with the next lease. */
 bool
 Orders_Report(struct owner *o, const struct wire_report *m)
 {
@@ -135,7 +135,7 @@
     if (*m->worker == '\0') {
         /* Ends that come without a worker are those of the one that left. */
         copy_lists(m, &r);
-        Jobs_Left(o->book, m->left, r.ended, r.ended_count, now);
+        Jobs_Left(o->scheduler, m->left, r.ended, r.ended_count, now);
         free_lists(&r);
         take_crashes(o, m, now);
         say(o, m->agent, new_orders(o, "")); /* it needs the term */
@@ -156,16 +156,16 @@
     r.term = m->term;
     r.clock_ms = m->clock_ms;
     copy_lists(m, &r);
-    news = Jobs_Report(o->book, &r, now);
+    news = Jobs_Report(o->scheduler, &r, now);
     free_lists(&r);
     if (*m->left != '\0') {
-        news = Jobs_Left(o->book, m->left, NULL, 0, now) || news;
+        news = Jobs_Left(o->scheduler, m->left, NULL, 0, now) || news;
     }
     take_crashes(o, m, now);
     answer = new_orders(o, m->worker);
     if (may_grant(o)) {
         answer->until_ms = m->clock_ms + s->hosted.lease_ms;
-        Jobs_Granted(o->book, m->worker, now);
+        Jobs_Granted(o->scheduler, m->worker, now);
     }
     say(o, m->agent, answer);
     return news;
@@ -177,7 +177,7 @@
 {
     LOG_I("start_refused", KV("task", m->task), KV_INT("run", m->run),
           KV("worker", m->worker), KV("reason", m->reason));
-    Jobs_Refused(o->book, m->worker, m->task, m->run, m->reason,
+    Jobs_Refused(o->scheduler, m->worker, m->task, m->run, m->reason,
                  Clock_NowMs());
 }
 
@@ -217,7 +217,7 @@
     char agent[NAME_SIZE] = "";
     struct jobs_order order;
 
-    while (Jobs_NextOrder(o->book, Clock_NowMs(), may_grant(o), &order)) {
+    while (Jobs_NextOrder(o->scheduler, Clock_NowMs(), may_grant(o), &order)) {
         if (m != NULL && strcmp(m->worker, order.worker) != 0) {
             say(o, agent, m);
             m = NULL;
--- a/packages/queue/queue-owner-domains.c
+++ b/packages/queue/queue-owner-domains.c
@@ -6,7 +6,7 @@
 {
     int64_t usable, guaranteed;
 
-    Jobs_Guarantees(o->book, &usable, &guaranteed);
+    Jobs_Guarantees(o->scheduler, &usable, &guaranteed);
     if (usable < guaranteed) {
         LOG_W("guarantees_short", KV_INT("accelerators", usable),
               KV_INT("guaranteed", guaranteed),
@@ -18,20 +18,21 @@
           KV_INT("domains_emptied", o->emptied.domains.count));
 }
 
-/* Tells the book. */
+/* Tells the scheduler. */
 void
 OwnerDomains_Tell(struct owner *o)
 {
-    Jobs_SetEmptied(o->book, &o->emptied.domains);
+    Jobs_SetEmptied(o->scheduler, &o->emptied.domains);
 }
 
-/* Takes which failure domains are emptied; the book knows within the turn. */
+/* Takes which failure domains are emptied; the scheduler knows within the
+ * turn. */
 void
 OwnerDomains_Take(struct owner *o, const struct emptied *e)
 {
     o->emptied = *e;
     o->emptied_ms = Clock_NowMs();
-    if (o->book == NULL) {
+    if (o->scheduler == NULL) {
         return;
     }
     OwnerDomains_Tell(o);
@@ -47,11 +48,12 @@
     int64_t usable, guaranteed;
     json_t *list = json_array();
 
-    Jobs_Guarantees(o->book, &usable, &guaranteed);
+    Jobs_Guarantees(o->scheduler, &usable, &guaranteed);
     for (size_t i = 0; i < d->count; i++) {
         json_array_append_new(
-            list, json_pack("{s:s,s:I}", "domain", d->names[i], "tasks_there",
-                            (json_int_t)Jobs_TasksIn(o->book, d->names[i])));
+            list,
+            json_pack("{s:s,s:I}", "domain", d->names[i], "tasks_there",
+                      (json_int_t)Jobs_TasksIn(o->scheduler, d->names[i])));
     }
     return json_pack("{s:o,s:I,s:I,s:I}", "domains", list, "changed_ms_ago",
                      (json_int_t)(Clock_NowMs() - o->emptied_ms),
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -49,13 +49,13 @@
     Owner_Soon(o);
 }
 
-/* One line for each thing that the book decided or learned. */
+/* One line for each thing that the scheduler decided or learned. */
 static void
 log_events(struct owner *o)
 {
     struct jobs_event *e;
 
-    while ((e = Jobs_NextEvent(o->book)) != NULL) {
+    while ((e = Jobs_NextEvent(o->scheduler)) != NULL) {
         LOG_I(Jobs_EventName(e->kind), KV("reason", e->reason),
               KV("job", e->job), KV("task", e->task), KV_INT("run", e->run),
               KV("worker", e->worker), KV("other", e->other),
@@ -74,10 +74,10 @@
     struct owner *o = w->data;
     int64_t begun = Clock_NowMs();
 
-    if (o->book == NULL || o->released) {
+    if (o->scheduler == NULL || o->released) {
         return;
     }
-    Jobs_Plan(o->book, Clock_NowMs(), Clock_WallMs());
+    Jobs_Plan(o->scheduler, Clock_NowMs(), Clock_WallMs());
     Batch_Start(o);
     Orders_Send(o);
     Advice_Ask(o);
@@ -106,12 +106,12 @@
     }
 }
 
-/* Takes a configuration; the book points into it. */
+/* Takes a configuration; the scheduler points into it. */
 static void
 take_config(struct owner *o, struct queue_config *c)
 {
-    if (o->book != NULL) {
-        Jobs_SetConfig(o->book, &c->jobs);
+    if (o->scheduler != NULL) {
+        Jobs_SetConfig(o->scheduler, &c->jobs);
     }
     QueueConfig_Unref(o->config);
     o->config = QueueConfig_Ref(c);
@@ -167,7 +167,7 @@
     if (m->type == WIRE_REPORT) {
         note_left(o, ((const struct wire_report *)m)->left);
     }
-    if (o->book == NULL) {
+    if (o->scheduler == NULL) {
         return;
     }
     if (m->type == WIRE_REPORT &&
@@ -224,11 +224,11 @@
 {
     const struct owner *o = (const struct owner *)t;
     json_t *v =
-        json_pack("{s:b,s:I,s:s}", "is_leader", o->book != NULL, "term",
+        json_pack("{s:b,s:I,s:s}", "is_leader", o->scheduler != NULL, "term",
                   (json_int_t)o->row_term, "owner", o->row_name);
 
-    if (o->book != NULL) {
-        json_object_set_new(v, "book", Jobs_State(o->book));
+    if (o->scheduler != NULL) {
+        json_object_set_new(v, "scheduler", Jobs_State(o->scheduler));
         json_object_set_new(v, "emptied", OwnerDomains_State(o));
     }
     return v;
@@ -242,7 +242,7 @@
 
     ev_timer_stop(t->kernel->loop, &o->tick);
     ev_timer_stop(t->kernel->loop, &o->soon);
-    Jobs_Free(o->book);
+    Jobs_Free(o->scheduler);
     if (o->adviser != NULL) {
         o->adviser->ops->free(o->adviser);
     }
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -58,7 +58,7 @@
     int64_t elected_ms;
     uint64_t term;
     uint64_t version; /* of the owner row that our writes expect */
-    struct jobs_book *book;
+    struct jobs_scheduler *scheduler;
     bool writing;
     int64_t confirmed_ms; /* start of the last write that succeeded */
     int64_t write_ms;     /* start of the one under way */
@@ -93,7 +93,7 @@
 /* What each of the owner's transactions expects: that it is still the owner.
  */
 struct table_op Leader_Check(const struct owner *o);
-/* Asks for all rows, to build the book. */
+/* Asks for all rows, to build the scheduler. */
 void Leader_WantRows(struct owner *o);
 /* Claims leadership if nobody holds it. */
 void Leader_Consider(struct owner *o);
@@ -118,7 +118,7 @@
 /* ---- queue-owner-domains.c */
 /* Takes which failure domains are emptied. */
 void OwnerDomains_Take(struct owner *o, const struct emptied *e);
-/* Tells the book, which has just been made. */
+/* Tells the scheduler, which has just been made. */
 void OwnerDomains_Tell(struct owner *o);
 /* For operators: what is emptied, and what still runs there. */
 json_t *OwnerDomains_State(const struct owner *o);
--- a/packages/queue/queue-rows.c
+++ b/packages/queue/queue-rows.c
@@ -57,7 +57,7 @@
     return run->value.data != NULL ? run->value.data : "";
 }
 
-/* Takes an accepted job into the book. */
+/* Takes an accepted job into the scheduler. */
 static void
 add_job(struct owner *o, const struct table_row *row,
         const struct table_row *run)
@@ -70,7 +70,7 @@
         LOG_E("job_unreadable", KV("key", row->key));
         return;
     }
-    err = Jobs_Add(o->book, &spec, progress_of(run),
+    err = Jobs_Add(o->scheduler, &spec, progress_of(run),
                    run != NULL ? run->value.len : 0, Clock_NowMs());
     if (err != ERR_OK && err != ERR_EXISTS) {
         LOG_E("job_held", KV("key", row->key),
@@ -78,7 +78,7 @@
     }
 }
 
-/* Takes rows of jobs that are in the store into the book. */
+/* Takes rows of jobs that are in the store into the scheduler. */
 static void
 take_jobs(struct owner *o, const struct rows_changed *r)
 {
@@ -86,7 +86,7 @@
         const char *key = r->rows[i].key;
 
         if (strncmp(key, "spec/", 5) == 0 && r->rows[i].version != 0 &&
-            !Jobs_Has(o->book, key + 5)) {
+            !Jobs_Has(o->scheduler, key + 5)) {
             add_job(o, &r->rows[i],
                     r->all || r->missed ? row_of(r, "run/", key + 5) : NULL);
         }
@@ -96,13 +96,13 @@
 
         if (strncmp(key, "stop/", 5) == 0 && r->rows[i].version != 0 &&
             Queue_IsObject(&r->rows[i].value)) {
-            Jobs_Cancel(o->book, key + 5, Clock_NowMs());
+            Jobs_Cancel(o->scheduler, key + 5, Clock_NowMs());
         }
     }
 }
 
-/* Notes rows of jobs in the book that are gone or can't be read any more: the
- * cache, which has read them, empties those. */
+/* Notes rows of jobs in the scheduler that are gone or can't be read any more:
+ * the cache, which has read them, empties those. */
 static void
 note_spoiled(struct owner *o, const struct rows_changed *r)
 {
@@ -113,15 +113,15 @@
             continue;
         }
         if (strncmp(row->key, "spec/", 5) == 0) {
-            Jobs_Spoiled(o->book, row->key + 5, true);
+            Jobs_Spoiled(o->scheduler, row->key + 5, true);
         }
         if (strncmp(row->key, "run/", 4) == 0) {
-            Jobs_Spoiled(o->book, row->key + 4, false);
+            Jobs_Spoiled(o->scheduler, row->key + 4, false);
         }
     }
 }
 
-/* Builds the book from all rows. */
+/* Builds the scheduler from all rows. */
 static void
 take_leadership(struct owner *o, const struct rows_changed *r)
 {
@@ -138,15 +138,15 @@
     int64_t now = Clock_NowMs();
     int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
 
-    o->book = Jobs_New(&limits);
+    o->scheduler = Jobs_New(&limits);
     if (o->config != NULL) {
-        Jobs_SetConfig(o->book, &o->config->jobs);
+        Jobs_SetConfig(o->scheduler, &o->config->jobs);
     }
     OwnerDomains_Tell(o);
     take_jobs(o, r);
-    Jobs_TakeOver(o->book, o->dead_before ? lost : lost + BLIND_MS, now);
+    Jobs_TakeOver(o->scheduler, o->dead_before ? lost : lost + BLIND_MS, now);
     for (size_t i = 0; i < LEFT_MAX; i++) {
-        Jobs_Left(o->book, o->left[i], NULL, 0, now);
+        Jobs_Left(o->scheduler, o->left[i], NULL, 0, now);
     }
     o->leadership = LEADER_HELD;
     Counter_Add(&takeovers, 1);
@@ -175,7 +175,7 @@
         return;
     }
     Leader_Rows(o, r);
-    if (o->book != NULL && r->count > 0) {
+    if (o->scheduler != NULL && r->count > 0) {
         note_spoiled(o, r);
         take_jobs(o, r);
         Owner_Soon(o);
@@ -191,13 +191,13 @@
 {
     struct job_ids *missed;
 
-    if (o->book == NULL) {
+    if (o->scheduler == NULL) {
         return;
     }
     missed = Mem_Zero(1, sizeof(*missed));
     missed->ids = Mem_Zero(shown->count + 1, sizeof(*missed->ids));
     for (size_t i = 0; i < shown->count; i++) {
-        if (!Jobs_Has(o->book, shown->ids[i])) {
+        if (!Jobs_Has(o->scheduler, shown->ids[i])) {
             LOG_E("job_found_unscheduled", KV("job", shown->ids[i]),
                   KV_INT("term", o->term));
             Counter_Add(&unscheduled_total, 1);
@@ -232,7 +232,7 @@
     static const char *const prefixes[] = {"spec/", "stop/", "run/"};
     struct table_op ops[COUNT_OF(prefixes) + 1] = {{0}};
     char keys[COUNT_OF(prefixes)][JOBS_ID_SIZE + 8];
-    const char *id = Jobs_NextExpired(o->book, Clock_NowMs());
+    const char *id = Jobs_NextExpired(o->scheduler, Clock_NowMs());
 
     if (id == NULL) {
         return;
@@ -246,7 +246,7 @@
                                        .if_version = TABLE_ANY};
     }
     o->store->ops->commit(o->store, ops, COUNT_OF(ops), on_dropped, o);
-    Jobs_Remove(o->book, id);
+    Jobs_Remove(o->scheduler, id);
 }
 
 /* Stores the spec of a job again whose row was spoiled. */
@@ -254,7 +254,7 @@
 Rows_Mend(struct owner *o)
 {
     struct buf value CLEANUP(Buf_Free) = {0};
-    const char *id = Jobs_NextSpoiled(o->book, &value);
+    const char *id = Jobs_NextSpoiled(o->scheduler, &value);
     char key[JOBS_ID_SIZE + 8];
     struct table_op ops[2] = {Leader_Check(o),
                               {.verb = TABLE_PUT,
--- a/packages/queue/queue-why.c
+++ b/packages/queue/queue-why.c
@@ -73,7 +73,7 @@
     }
     Front_ReplyJson(ex, 200,
                     json_pack("{s:s,s:s,s:b,s:o}", "id", id, "owner",
-                              o->row_name, "is_leader", o->book != NULL,
+                              o->row_name, "is_leader", o->scheduler != NULL,
                               "decisions", list));
 }
 
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -8,10 +8,10 @@
  *           answers callers: hand in, state, cancel, count. An accepted job
  *           is a stored row.
  *   owner   one of all entries, by a row of the store taken under a
- *           condition. It keeps the book (jobs.h), writes progress rows and
- *           gives the orders.
- *   links   owns the socket that agents and other entries connect to, and
- *           the links to these. Entries send each other what changed in the
+ *           condition. It has the scheduler (jobs.h), writes progress rows
+ *           and gives the orders.
+ *   links   owns the socket that agents and other entries connect to, and the
+ *           links to these. Entries send each other what changed in the
  *           configuration; those to which the store's feed brings large ones
  *           slowly leave the reading to others (queue-sources.h).
  *   store   owns the connection to the store; while the store turns this
@@ -146,7 +146,7 @@
 /* ---- counters -------------------------------------------------------------
  */
 
-/* Counts a decision of the book by its reason, and the times of jobs. */
+/* Counts a decision of the scheduler by its reason, and the times of jobs. */
 void QueueMetrics_Event(const struct jobs_event *e);
 /* Counts a caller's call, by its outcome, with the milliseconds it took. */
 void QueueMetrics_Call(enum queue_outcome outcome, int64_t ms);
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -31,11 +31,10 @@
 #define WIRE_MAX_BYTES ((size_t)20 << 20)
 
 enum wire_type {
-    WIRE_HELLO = 1, /* agent: who I am, what I run */
-    WIRE_HEARTBEAT, /* agent: still here, my load */
-    WIRE_WELCOME, /* entry: who I am, how often to send heartbeats, the entries
-                   */
-    WIRE_LEAVE,   /* agent: give me nothing new */
+    WIRE_HELLO = 1,    /* agent: who I am, what I run */
+    WIRE_HEARTBEAT,    /* agent: still here, my load */
+    WIRE_WELCOME,      /* entry: who I am, heartbeat interval, the entries */
+    WIRE_LEAVE,        /* agent: give me nothing new */
     WIRE_DISPATCH,     /* entry: run this request */
     WIRE_TAKEN,        /* agent: will run it, or won't (nothing has run) */
     WIRE_ANSWER,       /* agent: how it ended */
@@ -128,8 +127,7 @@
     char entry[NAME_SIZE];
     uint64_t incarnation; /* of the entry */
     uint64_t seq;         /* of the heartbeat answered; 0 for a hello */
-    int64_t heartbeat_ms; /* how often to send heartbeats while nothing is in
-                             progress */
+    int64_t heartbeat_ms; /* interval while nothing is in progress */
     uint64_t draining;
     uint64_t known;           /* 0: I don't know you, say hello again */
     struct wire_list entries; /* struct wire_entry */
--- a/tests/jobs-domain-test.cc
+++ b/tests/jobs-domain-test.cc
@@ -1,4 +1,4 @@
-/* Failure domains that operators empty, in the book of jobs. */
+/* Failure domains that operators empty, in the scheduler. */
 #include "jobs-world.h"
 
 #include <gtest/gtest.h>
@@ -210,11 +210,11 @@
     w.config.organisations[0].guaranteed = 8;
     w.config.organisations[1].guaranteed = 16;
     w.Turns(5);
-    Jobs_Guarantees(w.book, &usable, &guaranteed);
+    Jobs_Guarantees(w.scheduler, &usable, &guaranteed);
     EXPECT_EQ(usable, 32);
     EXPECT_EQ(guaranteed, 24);
     w.Empty({"b"});
-    Jobs_Guarantees(w.book, &usable, &guaranteed);
+    Jobs_Guarantees(w.scheduler, &usable, &guaranteed);
     EXPECT_EQ(usable, 16);
     EXPECT_EQ(guaranteed, 24);
 }
--- a/tests/jobs-test.cc
+++ b/tests/jobs-test.cc
@@ -1,4 +1,4 @@
-/* The book of jobs against a world of workers: one case for each rule, and
+/* The scheduler against a world of workers: one case for each rule, and
  * for each failure that it answers. */
 #include "jobs-world.h"
 
@@ -112,9 +112,9 @@
     EXPECT_EQ(w.Starts("a7.0.0.0"), 1);
 }
 
-/* A worker leaves a start unanswered and carries it out 3 s later. The book
- * has stopped that run before it placed the next, so the late start is
- * refused; without the stop the task would run twice at once. */
+/* A worker leaves a start unanswered and carries it out 3 s later. The
+ * scheduler has stopped that run before it placed the next, so the late start
+ * is refused; without the stop the task would run twice at once. */
 TEST(Jobs, AStartThatIsCarriedOutLateDoesNotRunBesideTheNext)
 {
     World w(2);
@@ -189,7 +189,7 @@
     w.TakeOver(false);
     w.Turns(400);
     EXPECT_EQ(w.Starts("d8.0.0.0"), 1) << "the owner before may still grant";
-    Jobs_OwnerEnded(w.book, w.now + w.limits.lease_ms);
+    Jobs_OwnerEnded(w.scheduler, w.now + w.limits.lease_ms);
     w.Turns(350);
     EXPECT_EQ(w.Starts("d8.0.0.0"), 2);
     EXPECT_TRUE(w.broken.empty());
@@ -213,7 +213,7 @@
     Str_Copy(end.task, sizeof(end.task), "d9.0.0.0");
     end.run = 1;
     end.how = END_DONE;
-    Jobs_Left(w.book, there->id.c_str(), &end, 1, w.now);
+    Jobs_Left(w.scheduler, there->id.c_str(), &end, 1, w.now);
     w.Turns(5);
     EXPECT_EQ(w.State("d9"), JOB_COMPLETED);
     EXPECT_EQ(w.Starts("d9.0.0.0"), 1);
@@ -232,7 +232,7 @@
     w.Submit(s);
     w.Turns(10);
     w.config.queue_count = 0;
-    Jobs_SetConfig(w.book, &w.config);
+    Jobs_SetConfig(w.scheduler, &w.config);
     w.TakeOver();
     w.workers[0].draining = false;
     w.Turns(100);
@@ -639,12 +639,12 @@
     EXPECT_EQ(w.State("a9"), JOB_RUNNING);
 }
 
-/* Answers the book's question: the workers with these lifetimes may. Returns
- * how many were asked about. */
+/* Answers the scheduler's question: the workers with these lifetimes may.
+ * Returns how many were asked about. */
 size_t
 Advise(World &w, const std::vector<std::string> &approved, int64_t until_ms)
 {
-    const struct jobs_question *asked = Jobs_Question(w.book);
+    const struct jobs_question *asked = Jobs_Question(w.scheduler);
     std::vector<struct jobs_approval> approvals;
     struct jobs_question q = {};
 
@@ -659,7 +659,8 @@
         Str_Copy(a.ticket, sizeof(a.ticket), ("may-" + id).c_str());
         approvals.push_back(a);
     }
-    Jobs_Advised(w.book, &q, approvals.data(), approvals.size(), until_ms);
+    Jobs_Advised(w.scheduler, &q, approvals.data(), approvals.size(),
+                 until_ms);
     return q.count;
 }
 
@@ -818,8 +819,9 @@
     EXPECT_EQ(w.broken, std::vector<std::string>());
 }
 
-/* A job is repeated a thousand times. What is done must not stay in the book
- * and in its row, which would outgrow the store's bound after a day. */
+/* A job is repeated a thousand times. What is done must not stay in the
+ * scheduler and in its row, which would outgrow the store's bound after a day.
+ */
 TEST(Jobs, AJobThatIsRepeatedForLongKeepsAShortRow)
 {
     World w(2);
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -54,8 +54,8 @@
               .silent_ms = 1500,
               .remote_factor = 3,
               .keep_ms = 60000};
-    book = Jobs_New(&limits);
-    Jobs_SetConfig(book, &config);
+    scheduler = Jobs_New(&limits);
+    Jobs_SetConfig(scheduler, &config);
     for (int i = 0; i < n; i++) {
         Worker w;
 
@@ -68,7 +68,7 @@
 
 World::~World()
 {
-    Jobs_Free(book);
+    Jobs_Free(scheduler);
     JobsConfig_Clear(&config);
 }
 
@@ -97,7 +97,7 @@
 
     JobsSpec_Encode(&spec, &row);
     specs[spec.id] = std::string(row.data, row.len);
-    Jobs_Add(book, &spec, nullptr, 0, now);
+    Jobs_Add(scheduler, &spec, nullptr, 0, now);
     JobsSpec_Clear(&spec);
     Buf_Free(&row);
 }
@@ -106,7 +106,7 @@
 World::Cancel(const std::string &id)
 {
     cancelled.insert(id);
-    Jobs_Cancel(book, id.c_str(), now);
+    Jobs_Cancel(scheduler, id.c_str(), now);
 }
 
 void
@@ -117,7 +117,7 @@
     for (const std::string &name : emptied) {
         JobsDomains_Set(&d, name.c_str(), true);
     }
-    Jobs_SetEmptied(book, &d);
+    Jobs_SetEmptied(scheduler, &d);
 }
 
 void
@@ -164,7 +164,7 @@
     }
     if (why != nullptr) {
         if (w.reachable) {
-            Jobs_Refused(book, w.id.c_str(), task.c_str(), run, why, now);
+            Jobs_Refused(scheduler, w.id.c_str(), task.c_str(), run, why, now);
         }
         return;
     }
@@ -340,7 +340,7 @@
     if (!w.deaf) {
         w.term = std::max(w.term, term);
     }
-    uint64_t seen = Jobs_LastSeen(book, w.id.c_str());
+    uint64_t seen = Jobs_LastSeen(scheduler, w.id.c_str());
     for (const End &e : w.ended) {
         if (e.number <= seen && e.how == END_DONE && !e.lapsed) {
             done_noted.insert(e.task);
@@ -401,11 +401,11 @@
     r.ended_count = ended.size();
     r.stopped = stopped.data();
     r.stopped_count = stopped.size();
-    Jobs_Report(book, &r, now);
-    Jobs_Crashed(book, w.agent.c_str(), w.crashed.data(), w.crashed.size(),
-                 now);
+    Jobs_Report(scheduler, &r, now);
+    Jobs_Crashed(scheduler, w.agent.c_str(), w.crashed.data(),
+                 w.crashed.size(), now);
     w.until = std::max(w.until, now + limits.lease_ms);
-    Jobs_Granted(book, w.id.c_str(), now);
+    Jobs_Granted(scheduler, w.id.c_str(), now);
 }
 
 void
@@ -413,7 +413,7 @@
 {
     struct jobs_event *e;
 
-    while ((e = Jobs_NextEvent(book)) != nullptr) {
+    while ((e = Jobs_NextEvent(scheduler)) != nullptr) {
         events.emplace_back(Jobs_EventName(e->kind), e->reason);
         if (*e->other != '\0') {
             gave_way_to.insert(e->other);
@@ -425,7 +425,7 @@
 void
 World::Plan()
 {
-    Jobs_Plan(book, now, now);
+    Jobs_Plan(scheduler, now, now);
     TakeEvents();
 }
 
@@ -436,19 +436,19 @@
     std::map<std::string, std::string> batch;
     const char *id;
 
-    while ((id = Jobs_NextDirty(book, &row)) != nullptr) {
+    while ((id = Jobs_NextDirty(scheduler, &row)) != nullptr) {
         batch[id] = std::string(row.data, row.len);
         Buf_Clear(&row);
     }
     Buf_Free(&row);
     if (!store_up) {
-        Jobs_NotWritten(book);
+        Jobs_NotWritten(scheduler);
         return false;
     }
     for (const auto &b : batch) {
         rows[b.first] = b.second;
     }
-    Jobs_Written(book);
+    Jobs_Written(scheduler);
     return true;
 }
 
@@ -457,7 +457,7 @@
 {
     struct jobs_order o;
 
-    while (Jobs_NextOrder(book, now, may_start, &o)) {
+    while (Jobs_NextOrder(scheduler, now, may_start, &o)) {
         for (size_t i = 0; i < workers.size(); i++) {
             Worker &w = workers[i];
 
@@ -522,24 +522,25 @@
 {
     int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
 
-    Jobs_Free(book);
+    Jobs_Free(scheduler);
     limits.term = ++term;
-    book = Jobs_New(&limits);
-    Jobs_SetConfig(book, &config);
+    scheduler = Jobs_New(&limits);
+    Jobs_SetConfig(scheduler, &config);
     TellEmptied();
     for (const auto &s : specs) {
         struct jobs_spec spec;
         auto row = rows.find(s.first);
 
         JobsSpec_Decode(s.second.data(), s.second.size(), &spec);
-        Jobs_Add(book, &spec, row != rows.end() ? row->second.data() : nullptr,
+        Jobs_Add(scheduler, &spec,
+                 row != rows.end() ? row->second.data() : nullptr,
                  row != rows.end() ? row->second.size() : 0, now);
         JobsSpec_Clear(&spec);
     }
     for (const std::string &id : cancelled) {
-        Jobs_Cancel(book, id.c_str(), now);
+        Jobs_Cancel(scheduler, id.c_str(), now);
     }
-    Jobs_TakeOver(book, before_ended ? lost : lost + 12000, now);
+    Jobs_TakeOver(scheduler, before_ended ? lost : lost + 12000, now);
 }
 
 Worker &
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -1,4 +1,4 @@
-/* A world for the book of jobs: workers with leases, gangs, checkpoints and
+/* A world for the scheduler: workers with leases, gangs, checkpoints and
  * ends, as the platform's pages tell them, and the rows that are stored. Time
  * is a number; nothing sleeps. */
 #ifndef JOBS_WORLD_H
@@ -94,7 +94,7 @@
     void Plan();
     bool Write(); /* false when the store is away */
     void Orders();
-    /* Another owner: a book from the stored rows. */
+    /* Another owner: a scheduler from the stored rows. */
     void TakeOver(bool before_ended = true);
     /* The worker dies; another lifetime comes at its machine. */
     Worker &Reborn(size_t at);
@@ -109,7 +109,7 @@
     int Starts(const std::string &task) const;
     bool Happened(const std::string &event, const std::string &reason) const;
 
-    struct jobs_book *book = nullptr;
+    struct jobs_scheduler *scheduler = nullptr;
     struct jobs_limits limits;
     struct jobs_config config = {};
     int64_t now = 1000000;
--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -1,4 +1,4 @@
-# The book of jobs: tables of cases and a property, in a world of the tests.
+# The scheduler: tables of cases and a property, in a world of the tests.
 pf_test(jobs-test jobs-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-spec-test jobs-spec-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-property jobs-property.cc jobs-world.cc PACKAGES jobs)
--- a/tests/queue-cache-test.cc
+++ b/tests/queue-cache-test.cc
@@ -181,7 +181,7 @@
     cache.Take("a1", 7, true);
     cache.Listen(&intake_ops);
     o.task.kernel = &cache.kernel;
-    o.book = Jobs_New(&limits);
+    o.scheduler = Jobs_New(&limits);
     ev_init(&o.soon, [](struct ev_loop *, ev_timer *, int) {});
 
     struct job_ids shown = {};
@@ -204,14 +204,14 @@
     rows.count = 1;
     rows.missed = true;
     Rows_Take(&o, &rows);
-    EXPECT_TRUE(Jobs_Has(o.book, "a1"));
+    EXPECT_TRUE(Jobs_Has(o.scheduler, "a1"));
     cache.heard.asked.clear();
     Rows_Check(&o, &shown);
     cache.Run();
     EXPECT_TRUE(cache.heard.asked.empty()) << "nothing is missing any more";
     Buf_Free(&row.value);
     ev_timer_stop(cache.kernel.loop, &o.soon);
-    Jobs_Free(o.book);
+    Jobs_Free(o.scheduler);
 }
 
 /* The rows that the cache answers with are those of the jobs asked for, their
--- a/tests/sched-test.cc
+++ b/tests/sched-test.cc
@@ -133,7 +133,7 @@
 struct Renewer : ::testing::Test {
     void SetUp() override
     {
-        Heard_Init(&book);
+        Heard_Init(&table);
         working.job = Id_Random();
         working.attempt = 1;
         working.term = 1;
@@ -141,7 +141,7 @@
     }
     void TearDown() override
     {
-        Heard_Free(&book);
+        Heard_Free(&table);
     }
     /* True when the pulse's gang is renewed. */
     bool Pulse(const char *agent, int64_t stamp, int64_t now,
@@ -157,14 +157,14 @@
         p.stamp = stamp;
         *(struct wire_working *)Wire_ListAdd(&p.working, sizeof(working)) =
             working;
-        r = Heard_Answer(&book, &p, RENEWER, now);
+        r = Heard_Answer(&table, &p, RENEWER, now);
         EXPECT_EQ(r->stamp, now);
         renewed = r->renewed.count == 1;
         Wire_Free(&r->msg);
         Wire_Clear(&p.msg);
         return renewed;
     }
-    struct heard_book book;
+    struct heard_table table;
     struct wire_working working = {};
 };
 
@@ -201,13 +201,13 @@
  * each member's newest stamp is of the last GANG_HEARD_MS. */
 RC_GTEST_PROP(RenewerProperty, RenewsByStampsOnly, ())
 {
-    struct heard_book book;
+    struct heard_table table;
     struct wire_working working = {};
     int members = *rc::gen::inRange(1, 5);
     std::vector<int64_t> newest((size_t)members, INT64_MIN / 2);
     int64_t now = 1;
 
-    Heard_Init(&book);
+    Heard_Init(&table);
     working.job = Id_Random();
     working.members = (uint64_t)members;
     for (int step = 0; step < 60; step++) {
@@ -218,17 +218,17 @@
         now += *rc::gen::inRange(0, 1500);
         stamp = std::max<int64_t>(1, now - *rc::gen::inRange(0, 6000));
         newest[who] = std::max(newest[who], stamp);
-        Heard_Note(&book, &working, std::to_string(who).c_str(), stamp);
+        Heard_Note(&table, &working, std::to_string(who).c_str(), stamp);
         for (int64_t at : newest) {
             whole = whole && now - at <= GANG_HEARD_MS;
         }
-        RC_ASSERT(Heard_IsWhole(&book, &working, now) == whole);
+        RC_ASSERT(Heard_IsWhole(&table, &working, now) == whole);
         if (*rc::gen::arbitrary<bool>()) {
-            Heard_Prune(&book, now);
-            RC_ASSERT(Heard_IsWhole(&book, &working, now) == whole);
+            Heard_Prune(&table, now);
+            RC_ASSERT(Heard_IsWhole(&table, &working, now) == whole);
         }
     }
-    Heard_Free(&book);
+    Heard_Free(&table);
 }
 
 TEST(Seen, KeepsTheNewestAttempt)
--- a/tests/why-test.cc
+++ b/tests/why-test.cc
@@ -143,15 +143,15 @@
 // Records of one subject beyond the bound drop its oldest, and it says so.
 TEST(Why, RecordsOfASubjectAreBounded)
 {
-    struct why_book b;
+    struct why_log b;
     struct id id = numbered(1);
 
-    WhyBook_Init(&b, 1 << 20);
-    WhyBook_Open(&b, &id, "ours");
+    WhyLog_Init(&b, 1 << 20);
+    WhyLog_Open(&b, &id, "ours");
     for (int i = 0; i < WHY_RECORDS_MAX + 5; i++) {
-        WhyBook_Add(&b, &id, i, "decision", "reason", nullptr);
+        WhyLog_Add(&b, &id, i, "decision", "reason", nullptr);
     }
-    json_t *o = WhyBook_Json(WhyBook_Find(&b, &id));
+    json_t *o = WhyLog_Json(WhyLog_Find(&b, &id));
     json_t *list = json_object_get(o, "records");
     EXPECT_EQ(json_integer_value(json_object_get(o, "dropped")), 5);
     EXPECT_EQ(json_array_size(list), WHY_RECORDS_MAX);
@@ -159,7 +159,7 @@
         json_integer_value(json_object_get(json_array_get(list, 0), "at_ms")),
         5);
     json_decref(o);
-    WhyBook_Free(&b);
+    WhyLog_Free(&b);
     EXPECT_EQ(b.bytes, 0U);
 }
 
@@ -167,19 +167,19 @@
 // is counted; what was written last is still there.
 TEST(Why, BytesOfAllAreBounded)
 {
-    struct why_book b;
+    struct why_log b;
 
-    WhyBook_Init(&b, 20000);
+    WhyLog_Init(&b, 20000);
     for (int i = 0; i < 1000; i++) {
         struct id id = numbered(i);
 
-        WhyBook_Add(&b, &id, i, "decision", "reason", nullptr);
+        WhyLog_Add(&b, &id, i, "decision", "reason", nullptr);
         ASSERT_LE(b.bytes, 20000U);
     }
     struct id first = numbered(0);
     struct id last = numbered(999);
-    EXPECT_EQ(WhyBook_Find(&b, &first), nullptr);
-    EXPECT_NE(WhyBook_Find(&b, &last), nullptr);
+    EXPECT_EQ(WhyLog_Find(&b, &first), nullptr);
+    EXPECT_NE(WhyLog_Find(&b, &last), nullptr);
     EXPECT_GT(b.subjects_dropped, 900);
-    WhyBook_Free(&b);
+    WhyLog_Free(&b);
 }
