--- a/packages/agent/agent-links.h
+++ b/packages/agent/agent-links.h
@@ -36,7 +36,7 @@
     TAILQ_HEAD(, entry_link) entries;
     struct wire_list services;
     struct wire_list parts;
-    uint64_t heard; /* hash of the entries heard, as last told */
+    uint64_t heard; /* hash of the entries heard, as last announced */
     bool leaving;
     ev_timer tick;
 };
--- a/packages/agent/agent-parts-adopt.c
+++ b/packages/agent/agent-parts-adopt.c
@@ -77,11 +77,11 @@
     part->attempt = task->attempt;
     part->accelerators = task->accelerators;
     part->throttled = task->state == RUNNER_THROTTLED;
-    part->throttle_told = part->throttled;
+    part->throttle_reported = part->throttled;
     read_label(part, task->label);
     part->lease_until =
         asked_at + (left < GANG_LEASE_MS ? left : GANG_LEASE_MS);
-    part->lease_told = part->lease_until;
+    part->lease_reported = part->lease_until;
     note_task(part, task, now);
     TAILQ_INSERT_TAIL(&p->list, part, entry);
     if (ends[task->state].ended) {
--- a/packages/agent/agent-parts-runner.c
+++ b/packages/agent/agent-parts-runner.c
@@ -5,7 +5,7 @@
 #define LIST_MS 1000     /* while parts run */
 #define LIST_FAST_MS 100 /* while the runner's next word decides something */
 #define LIST_IDLE_MS 10000
-#define LEASE_STEP_MS 500 /* a lease that grew by less is not told */
+#define LEASE_STEP_MS 500 /* a lease that grew by less is not reported */
 
 static struct counter starts_total = {"parsleyfall_agent_part_starts_total",
                                       "Parts that the runner has started.",
@@ -47,12 +47,12 @@
     if (err != ERR_OK) {
         return;
     }
-    if (c->kind != CALL_CONTROL && c->lease > part->lease_told) {
-        part->lease_told = c->lease;
+    if (c->kind != CALL_CONTROL && c->lease > part->lease_reported) {
+        part->lease_reported = c->lease;
     }
     if (c->kind == CALL_CONTROL &&
         (c->verb == RUNNER_THROTTLE || c->verb == RUNNER_RESUME)) {
-        part->throttle_told = c->verb == RUNNER_THROTTLE;
+        part->throttle_reported = c->verb == RUNNER_THROTTLE;
     }
 }
 
@@ -135,7 +135,7 @@
 tend_lease(struct parts_task *t, struct part *part)
 {
     if ((part->calls & CALL_RENEW) == 0 &&
-        part->lease_until >= part->lease_told + LEASE_STEP_MS) {
+        part->lease_until >= part->lease_reported + LEASE_STEP_MS) {
         ask_renew(t, part);
     }
 }
@@ -152,7 +152,7 @@
     }
     tend_lease(t, part);
     if ((part->calls & CALL_CONTROL) == 0 &&
-        part->throttled != part->throttle_told) {
+        part->throttled != part->throttle_reported) {
         ask_control(t, part,
                     part->throttled ? RUNNER_THROTTLE : RUNNER_RESUME);
     }
--- a/packages/agent/agent-parts-tell.c
+++ b/packages/agent/agent-parts-tell.c
@@ -92,7 +92,7 @@
     Counter_Add(&ended_total, !Parts_Holds(part));
 }
 
-/* True when there is something to tell. A released part is told as running
+/* True when there is something to tell. A released part is reported as running
  * only when the runner has shown it: an owner counts on what it hears. */
 static bool
 has_news(const struct part *part)
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -256,18 +256,18 @@
     int64_t ended_at;
     bool throttled;  /* as was asked for */
     bool fenced;     /* goes when it has ended */
-    bool changed;    /* to be told */
+    bool changed;    /* to be reported */
     bool answered;   /* the reservation was said to be granted */
-    int64_t said_at; /* when its state was last told */
+    int64_t said_at; /* when its state was last announced */
     enum part_start start;
     bool start_doubted;     /* a start's outcome was unknown */
     int64_t known_at;       /* when the start became known */
     int64_t checkpoint_ms;  /* age when last seen; -1: none */
     int64_t usage_permille; /* when last seen */
     /* What was asked of the runner; kept by the task, not by Parts_. */
-    unsigned calls;     /* in progress, bits of enum runner_call_kind */
-    int64_t lease_told; /* end of lease that the runner knows of */
-    bool throttle_told;
+    unsigned calls;         /* in progress, bits of enum runner_call_kind */
+    int64_t lease_reported; /* end of lease that the runner knows of */
+    bool throttle_reported;
     bool checkpoint_asked;  /* to stop when it is written */
     bool stop_asked;        /* at once */
     char origin[NAME_SIZE]; /* that asked for the reservation */
--- a/packages/cli/cli-summary.c
+++ b/packages/cli/cli-summary.c
@@ -21,24 +21,24 @@
 };
 
 /* A job as the logs tell of it; times are since 1970. */
-struct told {
+struct job_line {
     char id[WORD_SIZE];
     char queue[WORD_SIZE];
     char organisation[WORD_SIZE];
     char state[WORD_SIZE];
-    int64_t accepted_ms;  /* 0: not told */
+    int64_t accepted_ms;  /* 0: not reported */
     int64_t begun_ms;     /* its first run was given */
     int64_t ended_ms;     /* 0: it has not */
     int64_t objective_ms; /* after its acceptance */
     int64_t runs;
     double thrown_core_s; /* of runs that ended otherwise than done */
     struct tallies over;  /* how its runs ended */
-    RB_ENTRY(told) by_id;
+    RB_ENTRY(job_line) by_id;
 };
-RB_HEAD(told_tree, told);
+RB_HEAD(job_line_tree, job_line);
 
 struct summary {
-    struct told_tree jobs;
+    struct job_line_tree jobs;
     struct tallies over;    /* how runs ended */
     struct tallies stopped; /* why they were ordered to */
     struct tallies refused; /* calls of callers */
@@ -52,12 +52,12 @@
 
 /* Order of jobs by id. */
 static int
-told_compare(struct told *a, struct told *b)
+job_line_compare(struct job_line *a, struct job_line *b)
 {
     return strcmp(a->id, b->id);
 }
 
-TREE_STATIC(told_tree, told, by_id, told_compare);
+TREE_STATIC(job_line_tree, job_line, by_id, job_line_compare);
 
 /* Copies the value of a key of a line; "" when it has none. */
 static void
@@ -127,26 +127,26 @@
 }
 
 /* The job that a line names under a key, or NULL. */
-static struct told *
+static struct job_line *
 job_of(struct summary *s, const char *line, const char *name)
 {
-    struct told key, *j;
+    struct job_line key, *j;
 
     field(line, name, key.id);
     if (key.id[0] == '\0') {
         return NULL;
     }
-    j = RB_FIND(told_tree, &s->jobs, &key);
+    j = RB_FIND(job_line_tree, &s->jobs, &key);
     if (j == NULL) {
         j = Mem_Zero(1, sizeof(*j));
         Str_Copy(j->id, sizeof(j->id), key.id);
-        RB_INSERT(told_tree, &s->jobs, j);
+        RB_INSERT(job_line_tree, &s->jobs, j);
     }
     return j;
 }
 
 static void
-on_accepted(struct summary *s UNUSED, struct told *j, const char *line,
+on_accepted(struct summary *s UNUSED, struct job_line *j, const char *line,
             const char *reason UNUSED)
 {
     j->accepted_ms = time_of(line);
@@ -155,7 +155,7 @@
 }
 
 static void
-on_given(struct summary *s UNUSED, struct told *j, const char *line,
+on_given(struct summary *s UNUSED, struct job_line *j, const char *line,
          const char *reason UNUSED)
 {
     int64_t objective = number(line, "objective_ms");
@@ -166,10 +166,10 @@
 }
 
 static void
-on_stopped(struct summary *s, struct told *j UNUSED, const char *line,
+on_stopped(struct summary *s, struct job_line *j UNUSED, const char *line,
            const char *reason)
 {
-    const struct told *other = job_of(s, line, "other");
+    const struct job_line *other = job_of(s, line, "other");
 
     count(&s->stopped, reason, 0);
     if (other != NULL) {
@@ -212,7 +212,7 @@
 }
 
 static void
-on_over(struct summary *s, struct told *j, const char *line,
+on_over(struct summary *s, struct job_line *j, const char *line,
         const char *reason)
 {
     double core_s =
@@ -227,7 +227,7 @@
 }
 
 static void
-on_state(struct summary *s UNUSED, struct told *j, const char *line,
+on_state(struct summary *s UNUSED, struct job_line *j, const char *line,
          const char *reason)
 {
     Str_Copy(j->state, sizeof(j->state), reason);
@@ -238,7 +238,7 @@
 
 static const struct {
     const char *event;
-    void (*take)(struct summary *s, struct told *j, const char *line,
+    void (*take)(struct summary *s, struct job_line *j, const char *line,
                  const char *reason);
 } events[] = {{"job_accepted", on_accepted},
               {"run_given", on_given},
@@ -252,7 +252,7 @@
 {
     struct summary *s = arg;
     char event[WORD_SIZE], reason[WORD_SIZE];
-    struct told *j;
+    struct job_line *j;
 
     field(line, "event", event);
     field(line, "reason", reason);
@@ -280,7 +280,7 @@
 
 /* True for a job that ended after its objective. */
 static bool
-is_late(const struct told *j)
+is_late(const struct job_line *j)
 {
     return j->accepted_ms != 0 && j->ended_ms != 0 && j->objective_ms > 0 &&
            j->ended_ms - j->accepted_ms > j->objective_ms;
@@ -288,7 +288,7 @@
 
 /* Counts a job for its queue. */
 static void
-count_job(struct summary *s, const struct told *j)
+count_job(struct summary *s, const struct job_line *j)
 {
     if (*j->queue == '\0') {
         return;
@@ -304,7 +304,7 @@
 
 /* Says one job; -1 stands for what the logs don't tell. */
 static void
-say_job(const struct told *j)
+say_job(const struct job_line *j)
 {
     int64_t from = j->accepted_ms;
     int64_t wait = from != 0 && j->begun_ms != 0 ? j->begun_ms - from : -1;
@@ -330,19 +330,19 @@
 Cli_Summary(const struct cli_args *args)
 {
     struct summary *s CLEANUP(Mem_FreeP) = Mem_Zero(1, sizeof(*s));
-    struct told *j, *next;
+    struct job_line *j, *next;
     int64_t jobs = 0;
     int code;
 
     RB_INIT(&s->jobs);
     code = Cli_EachLine(args, take, s);
-    RB_FOREACH_SAFE (j, told_tree, &s->jobs, next) {
+    RB_FOREACH_SAFE (j, job_line_tree, &s->jobs, next) {
         if (code == CLI_WELL) {
             say_job(j);
             count_job(s, j);
         }
         jobs++;
-        RB_REMOVE(told_tree, &s->jobs, j);
+        RB_REMOVE(job_line_tree, &s->jobs, j);
         free(j);
     }
     if (code == CLI_WELL && jobs == 0) {
--- a/packages/entry/entry-claims-follow.c
+++ b/packages/entry/entry-claims-follow.c
@@ -12,7 +12,7 @@
 static void
 tell_unknown(struct request *r)
 {
-    r->claim->stage = STAGE_TOLD;
+    r->claim->stage = STAGE_ANSWERED;
     Request_ReplyUnknown(r, r->claim->row.reason);
 }
 
@@ -29,7 +29,7 @@
     Str_Copy(a->content_type, sizeof(a->content_type), c->row.content_type);
     Buf_Move(&a->body, body);
     c->final.answer = a;
-    c->stage = STAGE_TOLD;
+    c->stage = STAGE_ANSWERED;
     Request_ReplyAnswer(r, a);
 }
 
@@ -44,7 +44,7 @@
         return;
     }
     if (err != ERR_OK) {
-        r->claim->stage = STAGE_TOLD;
+        r->claim->stage = STAGE_ANSWERED;
         Request_ReplyUnknown(r, "answer_not_stored");
         return;
     }
@@ -137,7 +137,7 @@
         return;
     }
     if (strcmp(c->row.body_hash, c->body_hash) != 0) {
-        c->stage = STAGE_TOLD;
+        c->stage = STAGE_ANSWERED;
         Request_ReplyKeyReused(r);
         return;
     }
--- a/packages/entry/entry-claims-settle.c
+++ b/packages/entry/entry-claims-settle.c
@@ -8,7 +8,7 @@
 {
     struct claim_final f = r->claim->final;
 
-    r->claim->stage = STAGE_TOLD;
+    r->claim->stage = STAGE_ANSWERED;
     if (f.kind == FINAL_ANSWER) {
         Request_ReplyAnswer(r, f.answer);
     }
@@ -188,7 +188,7 @@
 {
     struct claim *c = r->claim;
 
-    if (c == NULL || c->stage == STAGE_TOLD) {
+    if (c == NULL || c->stage == STAGE_ANSWERED) {
         return false;
     }
     if (c->stage == STAGE_OWN ||
@@ -203,7 +203,7 @@
         Claims_Open(r);
         return true;
     }
-    c->stage = STAGE_TOLD;
+    c->stage = STAGE_ANSWERED;
     return false;
 }
 
@@ -221,7 +221,7 @@
         if (c->stage == STAGE_WRITE) {
             Request_Unsend(r);
         }
-        c->stage = STAGE_TOLD;
+        c->stage = STAGE_ANSWERED;
         Request_ReplyUnknown(r, "deadline");
         return;
     }
--- a/packages/entry/entry-claims.c
+++ b/packages/entry/entry-claims.c
@@ -152,7 +152,7 @@
     Counter_Add(&unclaimed_total, 1);
     Why_Record(r->dispatch->task.kernel, &r->id, "served_unclaimed",
                "table_down", NULL);
-    r->claim->stage = STAGE_TOLD;
+    r->claim->stage = STAGE_ANSWERED;
 }
 
 /* Refuses a request while the table is down. Before its row could be read,
@@ -161,7 +161,7 @@
 Claims_Refuse(struct request *r, bool may_have_run)
 {
     Counter_Add(&refused_total, 1);
-    r->claim->stage = STAGE_TOLD;
+    r->claim->stage = STAGE_ANSWERED;
     Request_ReplyNoTable(r, may_have_run, RETRY_AFTER_MS);
 }
 
--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -185,7 +185,7 @@
     ev_timer_stop(d->task.kernel->loop, &r->timer);
     Buf_Free(&r->body);
     Claims_Free(r->claim);
-    d->told -= r->ex == NULL;
+    d->answered -= r->ex == NULL;
     free(r);
     d->open--;
     Counter_Set(&open_gauge, (int64_t)d->open);
@@ -253,7 +253,7 @@
     };
 
     if (r->claim != NULL && !Claims_Fenced(r)) {
-        r->claim->stage = STAGE_TOLD;
+        r->claim->stage = STAGE_ANSWERED;
     }
     Request_ReplyNotRun(r, callers_own[d->reason] ? 429 : 503,
                         Admission_ReasonName(d->reason), "",
@@ -345,7 +345,7 @@
 {
     struct wire_answer *a = (struct wire_answer *)in->m;
 
-    if (r == NULL || r->claim == NULL || r->claim->stage == STAGE_TOLD) {
+    if (r == NULL || r->claim == NULL || r->claim->stage == STAGE_ANSWERED) {
         Dispatch_SaySettled(d, &in->peer, a);
     }
     else {
@@ -539,7 +539,7 @@
 {
     const struct dispatch *d = (const struct dispatch *)t;
 
-    return d->open == d->told;
+    return d->open == d->answered;
 }
 
 /* Services and their queues, for operators. */
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -62,13 +62,13 @@
 };
 
 enum claim_stage {
-    STAGE_READ,   /* the row is being read; nothing is sent */
-    STAGE_FREE,   /* the row may be claimed; waits for its turn */
-    STAGE_WRITE,  /* the claim is being written; this try is not sent */
-    STAGE_OWN,    /* our claim is in the row */
-    STAGE_FOLLOW, /* another's claim is; its outcome is awaited */
-    STAGE_SETTLE, /* the outcome is being written */
-    STAGE_TOLD    /* nothing more is written: callers are told at once */
+    STAGE_READ,    /* the row is being read; nothing is sent */
+    STAGE_FREE,    /* the row may be claimed; waits for its turn */
+    STAGE_WRITE,   /* the claim is being written; this try is not sent */
+    STAGE_OWN,     /* our claim is in the row */
+    STAGE_FOLLOW,  /* another's claim is; its outcome is awaited */
+    STAGE_SETTLE,  /* the outcome is being written */
+    STAGE_ANSWERED /* nothing more is written: callers are told at once */
 };
 
 enum final_kind { FINAL_NONE, FINAL_ANSWER, FINAL_NOT_RUN, FINAL_UNKNOWN };
@@ -112,7 +112,7 @@
 struct request {
     struct dispatch *dispatch;
     struct id id;
-    struct http_exchange *ex; /* NULL: told, but its row is open */
+    struct http_exchange *ex; /* NULL: answered, but its row is open */
     struct claim *claim;      /* NULL: without a key */
     uint64_t attempt_base;    /* attempts of earlier entries */
     bool hedged;              /* a hedge has been asked for */
@@ -141,7 +141,7 @@
     struct server_tree servers;
     struct request_tree requests;
     size_t open;
-    size_t told; /* of those, told already */
+    size_t answered; /* of those, answered already */
     struct table *table;
     struct objects *objects;
     LIST_HEAD(, claim_op) claim_ops;
--- a/packages/entry/entry-jobs-agents.c
+++ b/packages/entry/entry-jobs-agents.c
@@ -42,7 +42,7 @@
     w->leaving = f->leaving;
     w->up = note->change != MEMBER_SILENT && note->change != MEMBER_GONE;
     if (w->up) {
-        w->bound_term = 0; /* to be told again */
+        w->bound_term = 0; /* to be sent again */
         take_parts(s, w, &f->parts);
     }
     Account_SetWorker(s, w);
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -123,7 +123,7 @@
                                 const struct wire_pulse *pulse,
                                 uint64_t renewer, int64_t now);
 
-/* ---- parts as agents told them (entry-gangs-seen.c) -------------------- */
+/* ---- parts as agents reported them (entry-gangs-seen.c) ----------------- */
 
 /* A part as last heard of. Kept by every entry, for the day it takes over. */
 struct seen {
--- a/packages/entry/entry-peers.c
+++ b/packages/entry/entry-peers.c
@@ -24,8 +24,9 @@
     struct peer_list list;
     const char *subscribers[SUBSCRIBERS_MAX];
     int subscriber_count;
-    struct peer_entry *told; /* as last told, in order of the names */
-    size_t told_count;
+    struct peer_entry
+        *announced; /* as last announced, in order of the names */
+    size_t announced_count;
     bool writing, listing, written, leaving;
     int64_t leave_by;
     ev_timer write_timer, list_timer;
@@ -50,9 +51,10 @@
         return;
     }
     note = Mem_Zero(1, sizeof(*note));
-    note->count = p->told_count;
-    note->entries = Mem_Alloc(p->told_count * sizeof(*note->entries));
-    memcpy(note->entries, p->told, p->told_count * sizeof(*note->entries));
+    note->count = p->announced_count;
+    note->entries = Mem_Alloc(p->announced_count * sizeof(*note->entries));
+    memcpy(note->entries, p->announced,
+           p->announced_count * sizeof(*note->entries));
     Kernel_Post(t, &note->base, &Entry_Peers);
 }
 
@@ -64,13 +66,14 @@
     size_t n = peers_living(&p->list, &p->self, list);
     int i;
 
-    if (n == p->told_count && memcmp(list, p->told, n * sizeof(*list)) == 0) {
+    if (n == p->announced_count &&
+        memcmp(list, p->announced, n * sizeof(*list)) == 0) {
         free(list);
         return;
     }
-    free(p->told);
-    p->told = list;
-    p->told_count = n;
+    free(p->announced);
+    p->announced = list;
+    p->announced_count = n;
     Counter_Set(&known_gauge, (int64_t)n);
     LOG_I("entries", KV_INT("count", n));
     for (i = 0; i < p->subscriber_count; i++) {
@@ -221,8 +224,8 @@
     json_t *list = json_array();
     size_t i;
 
-    for (i = 0; i < p->told_count; i++) {
-        const struct peer_entry *e = &p->told[i];
+    for (i = 0; i < p->announced_count; i++) {
+        const struct peer_entry *e = &p->announced[i];
 
         json_array_append_new(
             list, json_pack("{s:s, s:s, s:s, s:s}", "name", e->name, "region",
@@ -243,7 +246,7 @@
         p->table->ops->free(p->table);
     }
     peers_clear(&p->list);
-    free(p->told);
+    free(p->announced);
     free(p);
 }
 
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -68,7 +68,7 @@
 let_go(struct request *r)
 {
     r->ex = NULL;
-    r->dispatch->told++;
+    r->dispatch->answered++;
 }
 
 /* The caller's end of a request whose answer is still to be written. */
--- a/packages/entry/entry-request.c
+++ b/packages/entry/entry-request.c
@@ -70,7 +70,7 @@
     t = Try_New(r, d->handle, s, now);
     r->state = REQUEST_OUT;
     Route_Sent(route, d->handle, now);
-    if (r->claim != NULL && r->claim->stage != STAGE_TOLD) {
+    if (r->claim != NULL && r->claim->stage != STAGE_ANSWERED) {
         Claims_Write(r, t);
         return;
     }
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -181,7 +181,7 @@
     }
 }
 
-/* True when a unit's start can still be told in its job's row.
+/* True when a unit's start can still be written in its job's row.
  *
  * Failure: a job of thousands of tasks starts more of them than its row can
  * name. Symptom: the store refuses the row, and with it the owner's whole
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -130,8 +130,8 @@
 }
 
 /* Writes the progress of a job. Units that never started are left out, those
- * that are done are told as ranges, and workers by numbers: a job of thousands
- * of tasks so stays within a row. */
+ * that are done are written as ranges, and workers by numbers: a job of
+ * thousands of tasks so stays within a row. */
 void
 Row_Encode(const struct jobs_job *j, struct buf *out)
 {
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -94,7 +94,7 @@
     int64_t guess_ms[JOBS_STEPS_MAX]; /* the same, as its queue's runs tell */
     char failed_on[JOBS_TEXT_SIZE];   /* first worker where a run failed; "" */
     bool ended_well;                  /* one of its runs has ended as done */
-    uint64_t sized;       /* bits of the steps that told what they took */
+    uint64_t sized;       /* bits of the steps that reported what they took */
     int64_t objective_ms; /* it is to end so long after its arrival */
     int64_t left_ms[JOBS_STEPS_MAX]; /* from each step on to its end */
     struct unit_list units;
--- a/packages/jobs/jobs-share.c
+++ b/packages/jobs/jobs-share.c
@@ -79,7 +79,7 @@
     w->share_ms = now_ms;
 }
 
-/* True when a filling task has to be told its share. */
+/* True when a filling task has to be sent its share. */
 bool
 Share_IsDue(const struct jobs_task *t, int64_t now_ms)
 {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -332,10 +332,10 @@
  * which some may not have been reported before. True when it was known. */
 bool Jobs_Left(struct jobs_scheduler *b, const char *worker,
                const struct jobs_ended *ended, size_t count, int64_t now_ms);
-/* An agent's worker has crashed with these runs on it (told after the report
- * of the lifetime that has taken its place, if there is one), those of its
- * last crash at the end; a task that has crashed too many is given up, and its
- * job fails. Told again it changes nothing. */
+/* An agent's worker has crashed with these runs on it (reported after the
+ * report of the lifetime that has taken its place, if there is one), those of
+ * its last crash at the end; a task that has crashed too many is given up, and
+ * its job fails. Told again it changes nothing. */
 void Jobs_Crashed(struct jobs_scheduler *b, const char *agent,
                   const struct jobs_crash *crashes, size_t count,
                   int64_t now_ms);
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -56,7 +56,7 @@
 /* What bounds a queue; 0 in any field takes the default of the comment. */
 struct admission_limits {
     int queue_max;        /* requests waiting in all; 4096 */
-    int capacity;         /* slots of the service; 1 until told */
+    int capacity;         /* slots of the service; 1 until reported */
     int64_t lead_ms;      /* precedence, in time of the whole service; 2000 */
     int64_t age_ms;       /* wait of a low priority before its turn; 2000 */
     int64_t cost_ms;      /* cost of a class never seen, no hint; 200 */
--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -140,7 +140,7 @@
     free(r);
 }
 
-/* Takes a row as the store told it; true when it is news.
+/* Takes a row as the store reported it; true when it is news.
  *
  * Failure: another writer writes nonsense over the row of an accepted job.
  * Symptom of keeping what the store has: whoever takes over next finds no job,
--- a/packages/queue/queue-configs.c
+++ b/packages/queue/queue-configs.c
@@ -147,7 +147,7 @@
 take_emptied(struct links *l, const struct wire_reader *m)
 {
     const struct wire_label *names = m->emptied.items;
-    struct emptied_told *note;
+    struct emptied_reported *note;
 
     if (m->emptied_at <= l->emptied.position) {
         return;
--- a/packages/queue/queue-domains.c
+++ b/packages/queue/queue-domains.c
@@ -9,7 +9,7 @@
 static void
 tell(struct intake *in, const char *task)
 {
-    struct emptied_told *note = Mem_Zero(1, sizeof(*note));
+    struct emptied_reported *note = Mem_Zero(1, sizeof(*note));
 
     note->emptied = in->emptied;
     Queue_Post(in->task.kernel, task, &note->base, &Queue_EmptiedKind);
--- a/packages/queue/queue-entries.c
+++ b/packages/queue/queue-entries.c
@@ -9,7 +9,8 @@
 #define FIRST_TELL_MS 300
 
 static void
-on_told(void *arg, int err, size_t at UNUSED, const uint64_t *versions UNUSED)
+on_reported(void *arg, int err, size_t at UNUSED,
+            const uint64_t *versions UNUSED)
 {
     struct intake *in = arg;
 
@@ -32,7 +33,7 @@
     op.key = key.data;
     op.value = value.data;
     op.len = value.len;
-    in->store->ops->commit(in->store, &op, 1, on_told, in);
+    in->store->ops->commit(in->store, &op, 1, on_reported, in);
 }
 
 /* Adds an entry's row to the list. */
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -174,7 +174,7 @@
 }
 
 /* A page of the whole table. The feed goes on from the first page's position,
- * so that what changes while pages are read is told again, not missed. */
+ * so that what changes while pages are read is reported again, not missed. */
 static void
 on_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
 {
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -39,7 +39,8 @@
         }
     }
     else if (m->kind == &Queue_EmptiedKind) {
-        Intake_TakeEmptied(in, &((struct emptied_told *)m)->emptied, "entry");
+        Intake_TakeEmptied(in, &((struct emptied_reported *)m)->emptied,
+                           "entry");
     }
     else if (m->kind == &Queue_LeftKind) {
         Follow_Leave(in, (struct reading_left *)m);
--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -48,7 +48,7 @@
 }
 
 /* Writes the owner row under the condition that it is as we know it. Whether
- * it took effect is told by the feed alone, so a lost answer and a write that
+ * it took effect shows in the feed alone, so a lost answer and a write that
  * comes seconds late are no case of their own. */
 void
 Owner_Claim(struct owner *o, const char *name)
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -186,7 +186,7 @@
         Configs_Changed(l, (struct config_in_force *)m);
     }
     else if (m->kind == &Queue_EmptiedKind) {
-        Configs_Emptied(l, &((struct emptied_told *)m)->emptied);
+        Configs_Emptied(l, &((struct emptied_reported *)m)->emptied);
     }
     else if (m->kind == &Queue_ReadKind) {
         l->read = *(struct operators_read *)m;
--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -24,7 +24,7 @@
     struct links *links;
     char address[NAME_SIZE];
     struct link *link;
-    int64_t made_ms;      /* when this entry was first told of it */
+    int64_t made_ms;      /* when this entry first heard of it */
     int64_t opened_ms;    /* the present link */
     int64_t heard_ms;     /* last answer; 0: none on any link yet */
     int64_t store_age_ms; /* of its own way to the store; -1: none */
@@ -59,7 +59,7 @@
     TAILQ_HEAD(, subscriber) subscribers;
     struct wire_list entries; /* struct wire_entry */
     struct documents *documents;
-    struct operators_read read; /* as last told by the intake */
+    struct operators_read read; /* as last reported by the intake */
     struct emptied emptied;     /* the same; failure domains */
     bool any_emptied;           /* one was, while this process lives */
     bool left;                  /* the reading, to our sources */
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -207,7 +207,7 @@
         take_config(o, ((struct config_in_force *)m)->config);
     }
     else if (m->kind == &Queue_EmptiedKind) {
-        OwnerDomains_Take(o, &((struct emptied_told *)m)->emptied);
+        OwnerDomains_Take(o, &((struct emptied_reported *)m)->emptied);
     }
 }
 
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -31,12 +31,12 @@
     struct task task;
     struct table *store;
     struct queue_config *config;
-    struct emptied emptied; /* failure domains, as the intake told */
+    struct emptied emptied; /* failure domains, as the intake reported */
     int64_t emptied_ms;     /* when that changed */
     enum leadership leadership;
     bool draining;
     bool released;
-    /* The owner row, as the feed told it last. */
+    /* The owner row, as the feed reported it last. */
     uint64_t row_version;
     char row_name[NAME_SIZE]; /* "": nobody */
     uint64_t row_incarnation;
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -6,9 +6,9 @@
 /* A link that has brought nothing for so long is replaced: something between
  * the two ends may have lost track of it while new connections work. */
 #define SILENT_MS 2500
-/* One that the store does not list is kept for so long after it was first told
- * of: entries start within a second of each other, and list themselves then.
- */
+/* One that the store does not list is kept for so long after it was first
+ * heard of: entries start within a second of each other, and list themselves
+ * then. */
 #define UNLISTED_MS 5000
 /* An entry is good to call the store through when it was heard, and the store
  * answered it, within these: two hails, and one wait of a feed and a bit. */
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -189,7 +189,7 @@
 
 /* intake -> owner, links: the failure domains that are emptied; links ->
  * intake: what another entry says of them. */
-struct emptied_told {
+struct emptied_reported {
     struct message base;
     struct emptied emptied;
 };
--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -49,7 +49,7 @@
     Watch_Say(w, &m->msg);
 }
 
-/* Notes a confirmed stop, to be told with the next report. */
+/* Notes a confirmed stop, for the next report. */
 static void
 note_stop(struct watch *w, const struct order_call *c)
 {
@@ -77,7 +77,7 @@
     }
 }
 
-/* How an order went. One without an answer is not told of: the owner sends
+/* How an order went. One without an answer is not reported: the owner sends
  * it again until a report shows its effect. */
 static void
 on_ordered(void *arg, int err, const char *reason)
--- a/packages/runs/runs-present.c
+++ b/packages/runs/runs-present.c
@@ -107,8 +107,8 @@
     return p->listed_ms > p->begun_ms ? p->listed_ms - p->begun_ms : 0;
 }
 
-/* An owner has answered: from now on crashes are told for a while, so that one
- * that takes over hears of them too. */
+/* An owner has answered: from now on crashes are reported for a while, so that
+ * one that takes over hears of them too. */
 void
 Crashes_Heard(struct watch *w)
 {
@@ -117,7 +117,7 @@
     }
 }
 
-/* Forgets crashes that have been told for long enough. */
+/* Forgets crashes that have been reported for long enough. */
 void
 Crashes_Expire(struct watch *w)
 {
@@ -131,7 +131,7 @@
     }
 }
 
-/* Notes a run that was on a worker when that crashed, to be told. */
+/* Notes a run that was on a worker when that crashed, to be reported. */
 static void
 note_crash(struct watch *w, const struct present_run *p)
 {
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -5,7 +5,7 @@
 #include "runs.h"
 
 #define PAST_LIFETIMES 16  /* reports are under way for seconds at most */
-#define STOP_KEEP_MS 10000 /* a confirmed stop is told for so long */
+#define STOP_KEEP_MS 10000 /* a confirmed stop is reported for so long */
 
 /* A run whose stop the worker has confirmed. */
 struct confirmed_stop {
@@ -59,7 +59,7 @@
     char heir_of[JOBS_TEXT_SIZE]; /* said, or the next one, takes its orders */
     char heir_id[JOBS_TEXT_SIZE]; /* of both */
     struct wire_list ended;       /* struct wire_end, of the last poll */
-    struct wire_list crashed;     /* struct wire_crash, told for a while */
+    struct wire_list crashed;     /* struct wire_crash, reported for a while */
     int64_t crashes_heard_ms; /* an owner answered since the last; 0: none */
     char past[PAST_LIFETIMES][JOBS_TEXT_SIZE];
     size_t past_next;
@@ -89,7 +89,7 @@
                     int64_t sent_ms);
 void Present_Crashed(struct watch *w);
 void Crashes_Heard(struct watch *w);
-/* Forgets crashes that have been told for long enough. */
+/* Forgets crashes that have been reported for long enough. */
 void Crashes_Expire(struct watch *w);
 void Present_Clear(struct watch *w);
 
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -258,7 +258,7 @@
 };
 
 /* Said at each change, to every entry, and again while nobody has fenced an
- * attempt that ended. A refused release is told as PART_STOPPED. */
+ * attempt that ended. A refused release is reported as PART_STOPPED. */
 struct wire_task {
     struct wire_msg msg;
     struct id job;
--- a/tests/gang-agents.cc
+++ b/tests/gang-agents.cc
@@ -243,7 +243,7 @@
 void
 Agents::Tell(Agent &a, Part &p, const char *reason)
 {
-    p.told_at = Clock_NowMs();
+    p.reported_at = Clock_NowMs();
     for (size_t i = 0; i < a.links.size(); i++) {
         auto *m = New<struct wire_task>(WIRE_TASK);
 
@@ -507,7 +507,7 @@
             Note(a, p, p.fails ? "fail" : "end");
             Tell(a, p, "ended");
         }
-        else if (p.state >= PART_STOPPED && now - p.told_at > 1000) {
+        else if (p.state >= PART_STOPPED && now - p.reported_at > 1000) {
             Tell(a, p, "again");
         }
     }
--- a/tests/gang-agents.h
+++ b/tests/gang-agents.h
@@ -31,7 +31,7 @@
     enum part_state state;
     int64_t until;   /* reservation or lease */
     int64_t ends_at; /* of its work */
-    int64_t told_at;
+    int64_t reported_at;
     bool fails;
 };
 
--- a/tests/policy-load-test.cc
+++ b/tests/policy-load-test.cc
@@ -84,7 +84,7 @@
     double least_in_time;    /* percent of the streams from `judged` on */
     size_t judged;           /* first stream that least_in_time is about */
     double most_failed;      /* percent of all callers */
-    double most_told_ms;     /* p99 of the time from offer to refusal */
+    double most_reported_ms; /* p99 of the time from offer to refusal */
     int64_t report_delay_ms; /* reports are this late */
 };
 
@@ -127,7 +127,7 @@
     EXPECT_GE(fair.worst, c.least_worst);
     EXPECT_GE(100 * in_time / judged, c.least_in_time);
     EXPECT_LE(100 * failed / offered, c.most_failed);
-    EXPECT_LE(told, c.most_told_ms);
+    EXPECT_LE(told, c.most_reported_ms);
     EXPECT_GT(r.replayed, 0);
     EXPECT_EQ(r.differed, 0) << "a decision judged again came out otherwise";
     Sim_Free(&r);
--- a/tests/storm-judge.cc
+++ b/tests/storm-judge.cc
@@ -113,7 +113,7 @@
  * nothing asks again, or gives up on work that runs: the duplicate and the
  * lost estimate of the brief. */
 static void
-judge_told(Case &j)
+judge_answered(Case &j)
 {
     for (const auto &c : j.e.calls) {
         int64_t paused =
@@ -272,8 +272,8 @@
 Judge(const Evidence &e)
 {
     static void (*const judges[])(Case &) = {
-        judge_told, judge_agreement, judge_answers, judge_not_run,
-        judge_once, judge_same,      judge_epochs,
+        judge_answered, judge_agreement, judge_answers, judge_not_run,
+        judge_once,     judge_same,      judge_epochs,
     };
     Case j(e);
 
