summary says where the time of late jobs went

Accepted and not known to the scheduler, scheduled and not started, restarts, last run: for each job that has ended, and summed over the late ones. A shift of the work is so read off without a script.

--- /dev/null
+++ b/packages/cli/cli-lateness.c
@@ -0,0 +1,27 @@
+#include "cli-lateness.h"
+
+static const char *const names[] = {[PHASE_ACCEPTED] = "accepted",
+                                    [PHASE_SCHEDULED] = "scheduled",
+                                    [PHASE_RESTARTS] = "restarts",
+                                    [PHASE_LAST_RUN] = "last_run"};
+
+/* The word of a phase. */
+const char *
+Phase_Name(enum phase phase)
+{
+    return names[phase];
+}
+
+/* Splits the time of a job that has ended into its phases. */
+void
+Milestones_Split(const struct milestones *m, int64_t out_ms[PHASES])
+{
+    const int64_t ends[PHASES] = {m->scheduled_ms, m->begun_ms,
+                                  m->last_begun_ms, m->ended_ms};
+    int64_t at = m->accepted_ms;
+
+    for (int i = 0; i < PHASES; i++) {
+        out_ms[i] = ends[i] > at ? ends[i] - at : 0;
+        at += out_ms[i];
+    }
+}
--- a/packages/cli/cli-summary.c
+++ b/packages/cli/cli-summary.c
@@ -1,3 +1,4 @@
+#include "cli-lateness.h"
 #include "cli.h"
 
 #include <stdio.h>
@@ -20,15 +21,13 @@
     size_t count;
 };
 
-/* A job as the logs tell of it; times are since 1970. */
+/* A job as the logs tell of it. */
 struct job_line {
     char id[WORD_SIZE];
     char queue[WORD_SIZE];
     char organisation[WORD_SIZE];
     char state[WORD_SIZE];
-    int64_t accepted_ms;  /* 0: not reported */
-    int64_t begun_ms;     /* its first run was given */
-    int64_t ended_ms;     /* 0: it has not */
+    struct milestones at;
     int64_t objective_ms; /* after its acceptance */
     int64_t runs;
     double thrown_core_s; /* of runs that ended otherwise than done */
@@ -48,6 +47,7 @@
     struct tallies queues;  /* jobs, */
     struct tallies late;    /* those that were late, */
     struct tallies open;    /* and those that have not ended, by queue */
+    int64_t late_ms[PHASES];
 };
 
 /* Order of jobs by id. */
@@ -149,11 +149,20 @@
 on_accepted(struct summary *s UNUSED, struct job_line *j, const char *line,
             const char *reason UNUSED)
 {
-    j->accepted_ms = time_of(line);
+    j->at.accepted_ms = time_of(line);
     field(line, "queue", j->queue);
     field(line, "organisation", j->organisation);
 }
 
+static void
+on_taken(struct summary *s UNUSED, struct job_line *j, const char *line,
+         const char *reason UNUSED)
+{
+    if (j->at.scheduled_ms == 0) {
+        j->at.scheduled_ms = time_of(line);
+    }
+}
+
 static void
 on_given(struct summary *s UNUSED, struct job_line *j, const char *line,
          const char *reason UNUSED)
@@ -161,7 +170,10 @@
     int64_t objective = number(line, "objective_ms");
 
     j->runs++;
-    j->begun_ms = j->begun_ms != 0 ? j->begun_ms : time_of(line);
+    j->at.last_begun_ms = time_of(line);
+    if (j->at.begun_ms == 0) {
+        j->at.begun_ms = j->at.last_begun_ms;
+    }
     j->objective_ms = objective != 0 ? objective : j->objective_ms;
 }
 
@@ -232,7 +244,7 @@
 {
     Str_Copy(j->state, sizeof(j->state), reason);
     if (strcmp(reason, "running") != 0) {
-        j->ended_ms = time_of(line);
+        j->at.ended_ms = time_of(line);
     }
 }
 
@@ -240,11 +252,9 @@
     const char *event;
     void (*take)(struct summary *s, struct job_line *j, const char *line,
                  const char *reason);
-} events[] = {{"job_accepted", on_accepted},
-              {"run_given", on_given},
-              {"run_stopped", on_stopped},
-              {"run_over", on_over},
-              {"job_state", on_state}};
+} events[] = {{"job_accepted", on_accepted}, {"job_taken", on_taken},
+              {"run_given", on_given},       {"run_stopped", on_stopped},
+              {"run_over", on_over},         {"job_state", on_state}};
 
 /* Takes one line. */
 static void
@@ -282,8 +292,31 @@
 static bool
 is_late(const struct job_line *j)
 {
-    return j->accepted_ms != 0 && j->ended_ms != 0 && j->objective_ms > 0 &&
-           j->ended_ms - j->accepted_ms > j->objective_ms;
+    return j->at.accepted_ms != 0 && j->at.ended_ms != 0 &&
+           j->objective_ms > 0 &&
+           j->at.ended_ms - j->at.accepted_ms > j->objective_ms;
+}
+
+/* Adds where a late job's time went. */
+static void
+count_phases(struct summary *s, const struct job_line *j)
+{
+    int64_t ms[PHASES];
+
+    Milestones_Split(&j->at, ms);
+    for (int i = 0; i < PHASES; i++) {
+        s->late_ms[i] += ms[i];
+    }
+}
+
+/* Says where the time of late jobs went. */
+static void
+say_phases(const struct summary *s)
+{
+    for (int i = 0; i < PHASES; i++) {
+        printf("total late_time phase=%s ms=%lld\n", Phase_Name(i),
+               (long long)s->late_ms[i]);
+    }
 }
 
 /* Counts a job for its queue. */
@@ -296,8 +329,9 @@
     count(&s->queues, j->queue, j->thrown_core_s);
     if (is_late(j)) {
         count(&s->late, j->queue, j->thrown_core_s);
+        count_phases(s, j);
     }
-    if (j->ended_ms == 0) {
+    if (j->at.ended_ms == 0) {
         count(&s->open, j->queue, j->thrown_core_s);
     }
 }
@@ -306,11 +340,15 @@
 static void
 say_job(const struct job_line *j)
 {
-    int64_t from = j->accepted_ms;
-    int64_t wait = from != 0 && j->begun_ms != 0 ? j->begun_ms - from : -1;
-    int64_t took = from != 0 && j->ended_ms != 0 ? j->ended_ms - from : -1;
+    int64_t from = j->at.accepted_ms;
+    int64_t wait =
+        from != 0 && j->at.begun_ms != 0 ? j->at.begun_ms - from : -1;
+    int64_t took =
+        from != 0 && j->at.ended_ms != 0 ? j->at.ended_ms - from : -1;
     bool late = is_late(j);
+    int64_t phases[PHASES];
 
+    Milestones_Split(&j->at, phases);
     printf(
         "job=%s queue=%s organisation=%s state=%s wait_ms=%lld took_ms=%lld "
         "objective_ms=%lld late=%s runs=%lld thrown_core_s=%.1f",
@@ -322,6 +360,9 @@
         printf(" %s=%lld", j->over.at[i].reason,
                (long long)j->over.at[i].count);
     }
+    for (int i = 0; i < PHASES && took >= 0; i++) {
+        printf(" %s_ms=%lld", Phase_Name(i), (long long)phases[i]);
+    }
     puts("");
 }
 
@@ -359,6 +400,7 @@
         say_tallies("jobs", "queue", &s->queues);
         say_tallies("jobs_late", "queue", &s->late);
         say_tallies("jobs_open", "queue", &s->open);
+        say_phases(s);
     }
     return code;
 }
--- a/tests/cli-process-test.cc
+++ b/tests/cli-process-test.cc
@@ -105,6 +105,8 @@
             "1.000Z level=info proc=a event=job_accepted job=a1 queue=q "
             "organisation=o steps=1\n" +
             head +
+            "1.100Z level=info proc=a event=job_taken reason=new job=a1\n" +
+            head +
             "1.250Z level=info proc=a event=run_given reason=near "
             "job=a1 task=a1.0.0.0 run=1 ms=0 weight=9000 "
             "objective_ms=2000\n" +
@@ -140,7 +142,9 @@
     EXPECT_EQ(r.code, 0) << r.err;
     EXPECT_NE(r.out.find("job=a1 queue=q organisation=o state=completed "
                          "wait_ms=250 took_ms=3010 objective_ms=2000 late=yes "
-                         "runs=2 thrown_core_s=9.0 stopped=1 done=1"),
+                         "runs=2 thrown_core_s=9.0 stopped=1 done=1 "
+                         "accepted_ms=100 scheduled_ms=150 "
+                         "restarts_ms=1750 last_run_ms=1010\n"),
               std::string::npos)
         << r.out;
     EXPECT_NE(r.out.find("job=b2 queue=q organisation=o state=queued "
@@ -157,7 +161,11 @@
           "total run_stopped_for queue=unknown count=1",
           "total run_failed worker=i-7 count=1 core_s=0.1\n",
           "total jobs queue=q count=2", "total jobs_late queue=q count=1",
-          "total jobs_open queue=q count=1"}) {
+          "total jobs_open queue=q count=1",
+          "total late_time phase=accepted ms=100\n",
+          "total late_time phase=scheduled ms=150\n",
+          "total late_time phase=restarts ms=1750\n",
+          "total late_time phase=last_run ms=1010\n"}) {
         EXPECT_NE(r.out.find(line), std::string::npos) << line << r.out;
     }
     EXPECT_EQ(Run({"summary", "--log", dir.Write("none", "x\n")}).code, 1);
