An entry that accepts or cancels a job sends its row to the leader

Callers saw urgent jobs late that nothing but the leader's ignorance held up: it learned of a job by the store's feed alone.

Ways: the feed alone (stood); the accepting entry also sends row and version over the link between entries (kept). The feed stays the truth. A row is taken only if neither the feed nor the list under way has passed its version, so a late message cannot bring a deleted job back; a cancellation only of a job that is known, as the feed's copy would be no news later. Rows over 16 KB come by the feed alone. Leadership, and what the leader writes, are untouched.

AnAcceptedJobStartsWhileTheLeadersFeedIsSilent fails without the sending (no start in 10 s), then passes. AJobThatACallersReadBringsFirstIsScheduled: its entry now loses the store's answer, as its row would be sent else, which is another path; what it checks is unchanged. Cases for the order and age of rows in queue-cache-test.

--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -255,13 +255,15 @@
     return o;
 }
 
-/* Shows and hands on a row that this entry has written, at once. */
+/* Shows a row that this entry has written and hands it on, also to the leader,
+ * at once. */
 static void
 took_row(struct open_call *o, uint64_t version)
 {
     struct table_row row = {.key = Mem_Dup(o->key), .version = version};
 
     Buf_Set(&row.value, o->value.data, o->value.len);
+    Notify_Leader(o->in, &row);
     Cache_Take(o->in, &row, 1, false, 0);
     free(row.key);
     Buf_Free(&row.value);
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -42,6 +42,9 @@
         Intake_TakeEmptied(in, &((struct emptied_reported *)m)->emptied,
                            "entry");
     }
+    else if (m->kind == &Queue_WrittenKind) {
+        Notify_Take(in, ((struct row_written *)m)->row);
+    }
     else if (m->kind == &Queue_LeftKind) {
         Follow_Leave(in, (struct reading_left *)m);
     }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -98,6 +98,12 @@
 /* Sends all rows of these jobs to the owner once more. */
 void Cache_TellJobs(struct intake *in, const struct job_ids *list);
 
+/* ---- queue-notify.c */
+/* Sends a row that this entry has written to the leader. */
+void Notify_Leader(struct intake *in, const struct table_row *row);
+/* Takes a row that another entry has written; true when it was news. */
+bool Notify_Take(struct intake *in, struct wire_row *m);
+
 /* ---- queue-check.c */
 void Check_Start(struct intake *in);
 void Check_Stop(struct intake *in);
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -85,6 +85,17 @@
     Queue_Post(l->task.kernel, TASK_STORE, &said->base, &Queue_StoreSaidKind);
 }
 
+/* Hands a row that another entry has written to the intake. */
+static void
+pass_row(struct links *l, struct wire_msg **m)
+{
+    struct row_written *note = Mem_Zero(1, sizeof(*note));
+
+    note->row = (struct wire_row *)*m;
+    *m = NULL;
+    Queue_Post(l->task.kernel, TASK_INTAKE, &note->base, &Queue_WrittenKind);
+}
+
 /* True for a report that was sent after this process said its stamp, not long
  * ago.
  *
@@ -146,6 +157,9 @@
     case WIRE_STORE_CALL:
         Links_PassToStore(l, from, m);
         return;
+    case WIRE_ROW:
+        pass_row(l, m);
+        return;
     case WIRE_PEER:
         hail(l, from, false);
         Configs_Heard(l, from, (const struct wire_peer *)*m);
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -101,6 +101,13 @@
     free(m);
 }
 
+static void
+free_written(struct message *m)
+{
+    Wire_Free(&((struct row_written *)m)->row->msg);
+    free(m);
+}
+
 static void
 free_say(struct message *m)
 {
@@ -149,6 +156,7 @@
 const struct message_kind Queue_ConfigKind = {"config", free_config};
 const struct message_kind Queue_RowsKind = {"rows", free_rows};
 const struct message_kind Queue_WantedKind = {"rows-wanted", NULL};
+const struct message_kind Queue_WrittenKind = {"row-written", free_written};
 const struct message_kind Queue_LeadershipEndedKind = {"leadership-ended",
                                                        NULL};
 const struct message_kind Queue_SaidKind = {"agent-said", free_said};
--- /dev/null
+++ b/packages/queue/queue-notify.c
@@ -0,0 +1,110 @@
+#include "queue-intake.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Larger rows come by the feed alone: the leader may have a thin link. */
+#define ROW_BYTES 16384
+
+static struct counter sent_total = {
+    "parsleyfall_queue_rows_sent_total",
+    "Rows of jobs that this entry sent to the leader.", NULL, COUNTER_TOTAL};
+static struct counter ahead_total = {
+    "parsleyfall_queue_rows_ahead_total",
+    "Rows of jobs that another entry sent before the feed brought them.", NULL,
+    COUNTER_TOTAL};
+
+/* Copies a text of a JSON row; false when it has none. */
+static bool
+text_of(const struct cached_row *r, const char *name, char out[NAME_SIZE])
+{
+    json_t *o = r != NULL ? json_loadb(r->value.data ? r->value.data : "",
+                                       r->value.len, 0, NULL)
+                          : NULL;
+    const char *text = json_string_value(json_object_get(o, name));
+    bool has = text != NULL && *text != '\0' && strlen(text) < NAME_SIZE;
+
+    if (has) {
+        Str_Copy(out, NAME_SIZE, text);
+    }
+    json_decref(o);
+    return has;
+}
+
+/* Finds where the leader's links listen, as far as the cached rows tell. */
+static bool
+find_leader(struct intake *in, char out[NAME_SIZE])
+{
+    struct buf key CLEANUP(Buf_Free) = {0};
+    char name[NAME_SIZE];
+
+    if (!text_of(Cache_Find(in, "owner"), "name", name)) {
+        return false;
+    }
+    Buf_Printf(&key, "entry/%s", name);
+    return text_of(Cache_Find(in, key.data), "links", out);
+}
+
+/* Sends a row that this entry has written to the leader. The feed stays the
+ * source of truth: whoever gets it late, twice or never misses nothing. */
+void
+Notify_Leader(struct intake *in, const struct table_row *row)
+{
+    struct say_entry *say;
+    struct wire_row *m;
+    char address[NAME_SIZE];
+
+    if (in->is_leader || row->value.len > ROW_BYTES ||
+        strlen(row->key) >= WIRE_TEXT_SIZE || !find_leader(in, address)) {
+        return;
+    }
+    m = Wire_New(WIRE_ROW);
+    Str_Copy(m->key, sizeof(m->key), row->key);
+    m->version = row->version;
+    Buf_Set(&m->value, row->value.data, row->value.len);
+    say = Mem_Zero(1, sizeof(*say));
+    Str_Copy(say->address, sizeof(say->address), address);
+    say->m = &m->msg;
+    Counter_Add(&sent_total, 1);
+    Queue_Post(in->task.kernel, TASK_LINKS, &say->base, &Queue_SayEntryKind);
+}
+
+/* True for a row that the feed has not passed yet.
+ *
+ * A row that comes after the feed has passed its version may have been deleted
+ * since, and would bring an ended job back. A cancellation of a job that is
+ * not known here would be no news any more when the feed brings both. */
+static bool
+is_ahead(struct intake *in, const struct wire_row *m)
+{
+    const struct shown_job *j;
+
+    if (in->rows.position == 0 || m->version <= in->rows.position ||
+        m->version <= in->rows.list_position) {
+        return false;
+    }
+    if (strncmp(m->key, "spec/", 5) == 0) {
+        return true;
+    }
+    j = strncmp(m->key, "stop/", 5) == 0 ? Cache_Job(in, m->key + 5) : NULL;
+    return j != NULL && j->has_spec;
+}
+
+/* Takes a row that another entry has written. */
+bool
+Notify_Take(struct intake *in, struct wire_row *m)
+{
+    struct table_row row = {.version = m->version};
+
+    if (!is_ahead(in, m)) {
+        return false;
+    }
+    row.key = Mem_Dup(m->key);
+    row.value = m->value;
+    m->value = (struct buf){0};
+    Counter_Add(&ahead_total, 1);
+    Cache_Take(in, &row, 1, false, 0);
+    free(row.key);
+    Buf_Free(&row.value);
+    return true;
+}
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -266,6 +266,12 @@
     char address[NAME_SIZE];
 };
 
+/* links -> intake: a row that another entry has written. */
+struct row_written {
+    struct message base;
+    struct wire_row *row;
+};
+
 /* intake -> links: the entries that the store lists. */
 struct entries_listed {
     struct message base;
@@ -289,6 +295,7 @@
 extern const struct message_kind Queue_ReadKind;
 extern const struct message_kind Queue_LeftKind;
 extern const struct message_kind Queue_EmptiedKind;
+extern const struct message_kind Queue_WrittenKind;
 
 #define TASK_INTAKE "intake"
 #define TASK_OWNER "owner"
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -301,6 +301,9 @@
     LIST(wire_store_answer, versions, count_table),
     LIST(wire_store_answer, rows, store_row_table)};
 
+static const struct wire_field row[] = {
+    TEXT(wire_row, key), U(wire_row, version), BUF(wire_row, value)};
+
 static const struct wire_fields tables[WIRE_TYPE_LAST] = {
     [WIRE_HELLO] = FIELDS(wire_hello, hello),
     [WIRE_HEARTBEAT] = FIELDS(wire_heartbeat, heartbeat),
@@ -331,6 +334,7 @@
     [WIRE_STORE_CALL] = FIELDS(wire_store_call, store_call),
     [WIRE_STORE_ANSWER] = FIELDS(wire_store_answer, store_answer),
     [WIRE_READER] = FIELDS(wire_reader, reader),
+    [WIRE_ROW] = FIELDS(wire_row, row),
 };
 
 /* The table of a type. */
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -60,6 +60,7 @@
     WIRE_STORE_CALL,   /* entry to entry: call the store for me */
     WIRE_STORE_ANSWER, /* entry to entry: what the store said */
     WIRE_READER,       /* entry to entry: how I read the operators' table */
+    WIRE_ROW, /* entry to leader: a row of a job that I have written */
     WIRE_TYPE_LAST
 };
 
@@ -481,6 +482,14 @@
     struct buf packed;
 };
 
+/* A row that its sender has written, as the store has acknowledged it. */
+struct wire_row {
+    struct wire_msg msg;
+    char key[WIRE_TEXT_SIZE];
+    uint64_t version;
+    struct buf value;
+};
+
 /* Up to that position the operators' table has no configuration newer than
  * this version; at emptied_at, these failure domains were asked to be emptied,
  * and no others (0: not known). */
--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -26,7 +26,11 @@
         int leader = s.Owner();
 
         s.StoreFault(leader, "quiet");
+        /* Its entry meets its own row on the second try, and has none to send.
+         */
+        s.StoreFault(1 - leader, "lose");
         ASSERT_EQ(s.Submit(1 - leader, "a1", "50").status, 200) << c.what;
+        s.StoreFault(1 - leader, "");
         ASSERT_EQ(Text(s.Ask(leader, "a1").json().get(), "state"), "queued")
             << c.what;
         if (c.dropped) {
@@ -38,4 +42,19 @@
     }
 }
 
+/* Guards against jobs that wait for as long as the leader's feed brings
+ * nothing: whoever accepts one sends its row to the leader. */
+TEST(Overtake, AnAcceptedJobStartsWhileTheLeadersFeedIsSilent)
+{
+    HostedStack s(2, 1);
+    int leader = s.Owner();
+
+    s.StoreFault(leader, "quiet");
+    ASSERT_EQ(s.Submit(1 - leader, "a1", "50").status, 200);
+    EXPECT_TRUE(WaitFor([&] { return s.Starts().size() == 1; })) << s.Logs();
+    s.StoreFault(leader, "");
+    EXPECT_TRUE(s.Ends(leader, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 1u);
+}
+
 } /* namespace */
--- a/tests/queue-cache-test.cc
+++ b/tests/queue-cache-test.cc
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstring>
 #include <random>
 #include <set>
 #include <string>
@@ -169,6 +170,71 @@
     RC_ASSERT(!cache.heard.asked.empty());
 }
 
+/* A row as another entry sends it. */
+bool
+Sent(Cache *cache, const char *key, uint64_t version)
+{
+    const std::string value = std::string(key).rfind("spec/", 0) == 0
+                                  ? Cache::Spec(key + strlen("spec/"))
+                                  : "{}";
+    struct wire_row m = {};
+
+    Str_Copy(m.key, sizeof(m.key), key);
+    m.version = version;
+    Buf_Set(&m.value, value.data(), value.size());
+
+    bool news = Notify_Take(&cache->in, &m);
+
+    Buf_Free(&m.value);
+    cache->Run();
+    return news;
+}
+
+/* Guards against a deleted job that a delayed message brings back, and against
+ * a cancellation that is taken before its job. */
+TEST(QueueCache, ARowThatAnotherEntrySendsIsTakenAheadOfTheFeedOnly)
+{
+    const struct {
+        const char *what, *key;
+        uint64_t position, listed, version;
+        bool taken;
+    } cases[] = {
+        {"ahead of the feed", "spec/a1", 10, 5, 11, true},
+        {"where the feed is", "spec/a1", 10, 5, 10, false},
+        {"behind the feed", "spec/a1", 10, 5, 7, false},
+        {"behind the list that is read", "spec/a1", 10, 20, 15, false},
+        {"before anything was read", "spec/a1", 0, 0, 7, false},
+        {"a cancellation of a known job", "stop/known", 10, 5, 12, true},
+        {"a cancellation of an unknown job", "stop/a1", 10, 5, 12, false},
+        {"progress", "run/known", 10, 5, 12, false},
+        {"the leader's own row", "owner", 10, 5, 12, false},
+    };
+
+    for (const auto &c : cases) {
+        Cache cache(&owner_ops);
+
+        cache.Take("known", 3, true);
+        cache.heard.jobs.clear();
+        cache.in.rows.position = c.position;
+        cache.in.rows.list_position = c.listed;
+        EXPECT_EQ(Sent(&cache, c.key, c.version), c.taken) << c.what;
+        EXPECT_EQ(cache.heard.jobs.count(c.key), c.taken ? 1u : 0u) << c.what;
+    }
+}
+
+/* Guards against a job that is handed to the owner twice: what was sent comes
+ * again, and by the feed. */
+TEST(QueueCache, ARowThatComesByBothPathsIsNewsOnce)
+{
+    Cache cache(&owner_ops);
+
+    cache.in.rows.position = 5;
+    EXPECT_TRUE(Sent(&cache, "spec/a1", 7));
+    Sent(&cache, "spec/a1", 7);
+    cache.Take("a1", 7, true);
+    EXPECT_EQ(cache.heard.rows, 1u);
+}
+
 /* Guards against a row that is lost on its way from the cache to the owner, by
  * whatever fault: the owner compares, and takes the job up. */
 TEST(QueueCache, TheOwnerTakesUpAJobThatItNeverHeardOf)
