A leader whose link is silent too is replaced after 1.2 s

Callers' urgent jobs waited for up to 2.5 s when the leader's machine was gone: its heartbeat in the store alone was watched, and 2.2 s are needed there so that a slow store does not depose a living leader.

Ways: that (stood); both times cut by half (the issue's trial; deposes under a slow store); the link that each entry has to the leader as a second witness (kept): it answers twice a second whatever the store does. Where both are silent for 1.2 s the next entry claims; a leader that speaks on its link keeps its 2.2 s. A process that was paused finds both old and the answers in its sockets, so the feed must have answered within the last second. The store's condition decides who leads, as ever; no rule rests on these times, and the model lets anybody claim at any moment.

--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -108,6 +108,20 @@
     Leader_WantRows(o);
 }
 
+/* True when the leader has to be replaced.
+ *
+ * Load: urgent jobs of some hundred milliseconds, and a leader whose machine
+ * is gone. Without the link as a second witness all of them wait for the time
+ * that a slow store may hold a heartbeat up. A leader that speaks on its link
+ * is given that time: it is the store that is slow. */
+bool
+Leader_IsSilent(int64_t row_ms, int64_t link_ms, int64_t feed_ms)
+{
+    return row_ms > SILENT_MS ||
+           (row_ms > BOTH_SILENT_MS && link_ms > BOTH_SILENT_MS &&
+            feed_ms < FEED_LIVE_MS);
+}
+
 /* Claims leadership when nobody holds it, or its holder shows no life.
  *
  * Failure: this entry was cut from the store for a while, and hears of it
@@ -136,7 +150,9 @@
         return;
     }
     if (ours_before || (nobody && now - heard > own) ||
-        now - heard > SILENT_MS + own) {
+        Leader_IsSilent(now - heard - own,
+                        Queue_PeerAge(o->task.kernel, o->row_name),
+                        now - o->rows_seen_ms)) {
         Owner_Claim(o, s->name);
     }
 }
--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -23,6 +23,7 @@
 struct peer {
     struct links *links;
     char address[NAME_SIZE];
+    char name[NAME_SIZE]; /* as it says itself; "": not heard yet */
     struct link *link;
     int64_t made_ms;      /* when this entry first heard of it */
     int64_t opened_ms;    /* the present link */
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -9,6 +9,11 @@
 /* Others take over when they see the store move but not the heartbeat for this
  * long: four heartbeats, so that a slow store does not depose its owner. */
 #define SILENT_MS 2200
+/* When its link has been silent for as long too, this is enough, as long as
+ * the feed has answered within the second one: a process that was paused finds
+ * both old, and the answers to it in its sockets. */
+#define BOTH_SILENT_MS 1200
+#define FEED_LIVE_MS 1000
 /* An owner whose writes have not been confirmed for this long gives out no
  * more leases: another may have taken over and wait just so long, and a lease
  * more, for workers that it can't ask. An outage of the store is so survived
@@ -95,6 +100,10 @@
 struct table_op Leader_Check(const struct owner *o);
 /* Asks for all rows, to build the scheduler. */
 void Leader_WantRows(struct owner *o);
+/* True when the leader has to be replaced: row_ms since its last heartbeat in
+ * the store, link_ms since it spoke on its link (-1: there is none), feed_ms
+ * since the feed answered. */
+bool Leader_IsSilent(int64_t row_ms, int64_t link_ms, int64_t feed_ms);
 /* Claims leadership if nobody holds it. */
 void Leader_Consider(struct owner *o);
 
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -28,6 +28,7 @@
         return;
     case WIRE_HAIL:
         p->store_age_ms = ((struct wire_hail *)*m)->store_age_ms;
+        Str_Copy(p->name, sizeof(p->name), ((struct wire_hail *)*m)->entry);
         return;
     case WIRE_DOCUMENT:
         Configs_Take(p, (const struct wire_document *)*m);
@@ -205,6 +206,26 @@
     choose_best(l);
 }
 
+/* How long ago another entry spoke on its link to this one. */
+int64_t
+Queue_PeerAge(struct kernel *k, const char *name)
+{
+    const struct links *l =
+        (const struct links *)Kernel_FindTask(k, TASK_LINKS);
+    const struct peer *p;
+    int64_t heard_ms = 0;
+
+    if (l == NULL) {
+        return -1;
+    }
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (strcmp(p->name, name) == 0 && p->heard_ms > heard_ms) {
+            heard_ms = p->heard_ms;
+        }
+    }
+    return heard_ms != 0 ? Clock_NowMs() - heard_ms : -1;
+}
+
 /* Drops the links to other entries. */
 void
 Peers_Free(struct links *l)
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -90,6 +90,8 @@
 bool Queue_StoreAway(struct kernel *k);
 /* Milliseconds since the store answered this process itself; -1: never. */
 int64_t Queue_StoreAge(struct kernel *k);
+/* Milliseconds since that entry spoke on its link to this one; -1: never. */
+int64_t Queue_PeerAge(struct kernel *k, const char *name);
 uint64_t Queue_Incarnation(void);
 
 /* ---- callers ---------------------------------------------------------------
