A worker counts as risky only while workers of the fleet fail all

Callers saw gangs wait 1.5 s with machines free after one member had failed by its own fault: with one attempt left, each worker that had ended nothing well within 8 s was avoided for as long as a unit is picky. On wide racks most machines are idle for longer than that.

Ways: that (stood); without the term (the issue's trial); only while a worker has been found to fail all within the same 8 s (kept): that is the failure the term guards against, and SickWorkersCostNoJobItsLastAttempt still passes.

AGangStartsAgainAtOnceWhereNoWorkerIsSick waited 1500 ms before (300 allowed, by the world's clock).

--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -247,12 +247,13 @@
  * failed though it could have been done. Most workers of a busy fleet have
  * ended something within some seconds. */
 static bool
-is_risky(const struct jobs_worker *w, const struct jobs_unit *u,
-         int64_t now_ms)
+is_risky(const struct jobs_scheduler *b, const struct jobs_worker *w,
+         const struct jobs_unit *u, int64_t now_ms)
 {
     static const int64_t lately_ms = 8000; /* about two usual runs */
 
-    return u->failures > 0 &&
+    return u->failures > 0 && b->sick_ms != 0 &&
+           now_ms - b->sick_ms <= lately_ms &&
            u->failures + 1 >= (uint32_t)u->job->terms.attempts &&
            (w->well_ms == 0 || now_ms - w->well_ms > lately_ms);
 }
@@ -281,7 +282,7 @@
     int64_t now_ms = a->now_ms;
 
     return is_exposed(b, a, w) || w->slow_until_ms > now_ms ||
-           is_risky(w, u, now_ms) || strcmp(w->id, u->avoid) == 0 ||
+           is_risky(b, w, u, now_ms) || strcmp(w->id, u->avoid) == 0 ||
            (Unit_Step(u)->fills && w->share < narrow);
 }
 
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -169,6 +169,7 @@
         Event_Worker(b, w, "fails_all")->number = REST_MS;
     }
     w->suspect_until_ms = now_ms + REST_MS;
+    b->sick_ms = now_ms;
 }
 
 static const char *const end_names[] = {
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -177,6 +177,7 @@
     struct lifetime_tree workers;
     size_t worker_count;
     uint64_t runs_over; /* runs of tasks that can't run any more, ever */
+    int64_t sick_ms;    /* when a worker last was found to fail all; 0: none */
     uint64_t tried;     /* units for which workers were looked at, ever */
     struct spot *spots; /* of the placement under way (jobs-place.c) */
     size_t spot_room;
