A commit that others could make is given up before its time-out

Callers waited 1.5 s, and heard "unknown", when the store turned silent to one machine; where that was the leader's, every start waited too.

Ways: the time-out of the call (stood); a shorter one for all calls (a slow store would look silent); given up after 0.6 s, or three times what commits have lately taken, while another entry reaches the store, and never for large ones (kept). The outcome is unknown, as after the time-out, so nothing is said that is not so: callers' rows are written again under their condition, the leader fences itself first.

--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -12,6 +12,18 @@
  * slow store, and two ways between entries. */
 #define RELAY_MS 900
 
+/* A commit that other entries could make is given up after this, or after so
+ * many times what commits have taken lately; a larger one may be on a thin
+ * link. */
+#define COMMIT_MS 600
+#define COMMIT_FACTOR 3
+#define COMMIT_MAX_MS 1500
+#define COMMIT_BYTES 65536
+
+static struct counter given_up_total = {
+    "parsleyfall_queue_commits_given_up_total",
+    "Commits that were given up while other entries reached the store.", NULL,
+    COUNTER_TOTAL};
 static struct counter relayed_total = {
     "parsleyfall_queue_relayed_total",
     "Calls of the store that went through another entry.", NULL,
@@ -35,7 +47,7 @@
 
 /* Hands a result to whoever called. */
 static void
-finish(struct way *w, int err, struct table_row *rows, size_t count, bool more,
+answer(struct way *w, int err, struct table_row *rows, size_t count, bool more,
        uint64_t position, const uint64_t *versions)
 {
     struct table_row none = {0};
@@ -54,6 +66,14 @@
     default:
         w->done.committed(w->arg, err, 0, versions);
     }
+}
+
+/* The same, and the call is over. */
+static void
+finish(struct way *w, int err, struct table_row *rows, size_t count, bool more,
+       uint64_t position, const uint64_t *versions)
+{
+    answer(w, err, rows, count, more, position, versions);
     free_way(w);
 }
 
@@ -171,6 +191,100 @@
     }
 }
 
+/* How long a commit may go without an answer. */
+int64_t
+Relay_CommitLimit(int64_t slowest_ms, size_t bytes)
+{
+    int64_t limit = COMMIT_FACTOR * slowest_ms;
+
+    if (bytes > COMMIT_BYTES || limit >= COMMIT_MAX_MS) {
+        return 0;
+    }
+    return limit > COMMIT_MS ? limit : COMMIT_MS;
+}
+
+/* Answers a call that our own connection may still answer: by then nobody
+ * waits for it. */
+static void
+give_up(struct way *w, int err)
+{
+    uint64_t *none CLEANUP(Mem_FreeP) =
+        Mem_Zero(w->call.ops.count + 1, sizeof(*none));
+
+    w->given_up = true;
+    answer(w, err, NULL, 0, false, w->store->seen.position, none);
+}
+
+/* Gives up the reads on our own connection that another entry can make. */
+static void
+give_up_reads(struct store_task *s)
+{
+    struct way *w, *next;
+
+    TAILQ_FOREACH_SAFE (w, &s->under_way, entry, next) {
+        if (w->call.verb != WIRE_STORE_COMMIT && !w->given_up &&
+            strcmp(w->call.table, Queue_Site()->config_table) != 0) {
+            give_up(w, ERR_TIMEOUT);
+        }
+    }
+}
+
+/* Our own connection has not answered a commit, and others reach the store.
+ *
+ * Load: the store turns silent to the leader's machine alone. Without it every
+ * start and every accepted job waits for the time-out of the call, five times
+ * an urgent job's objective. The outcome is unknown, as after the time-out;
+ * reads go too, as only the feed tells a leader that it may write again. */
+static void
+on_commit_limit(struct ev_loop *loop UNUSED, ev_timer *timer,
+                int events UNUSED)
+{
+    struct way *w = timer->data;
+    struct store_task *s = w->store;
+
+    if (*s->best == '\0') {
+        return;
+    }
+    Counter_Add(&given_up_total, 1);
+    note_own(s, ERR_TIMEOUT);
+    give_up(w, ERR_UNKNOWN);
+    give_up_reads(s);
+}
+
+/* Starts the limit of a commit on our own connection. */
+static void
+limit_commit(struct way *w)
+{
+    const struct wire_store_op *ops = w->call.ops.items;
+    size_t bytes = 0;
+    int64_t ms;
+
+    for (size_t i = 0; i < w->call.ops.count; i++) {
+        bytes += ops[i].value.len;
+    }
+    ms = Relay_CommitLimit(w->store->commit_ms, bytes);
+    w->begun_ms = Clock_NowMs();
+    ev_init(&w->limit, on_commit_limit);
+    w->limit.data = w;
+    if (ms > 0) {
+        Timer_Set(w->store->task.kernel->loop, &w->limit, ms);
+    }
+}
+
+/* Notes how long a commit took, and ends its limit. */
+static void
+note_commit(struct way *w, int err)
+{
+    struct store_task *s = w->store;
+    int64_t took = Clock_NowMs() - w->begun_ms;
+    int64_t before = s->commit_ms - s->commit_ms / 8;
+
+    ev_timer_stop(s->task.kernel->loop, &w->limit);
+    if (is_answer(err)) {
+        s->commit_ms = took > before ? took : before;
+    }
+}
+
 /* True when a failed call may be made again by another way: nothing was done,
  * or it only reads. */
 static bool
@@ -191,6 +305,13 @@
     TAILQ_REMOVE(&w->store->under_way, w, entry);
     w->store->seen.transfer_ms = w->store->own->transfer_ms;
     note_own(w->store, err);
+    if (w->call.verb == WIRE_STORE_COMMIT) {
+        note_commit(w, err);
+    }
+    if (w->given_up) {
+        free_way(w);
+        return;
+    }
     if (may_relay(w, err) && relay(w)) {
         return;
     }
@@ -259,6 +380,7 @@
         return;
     default:
         ops = Relay_Ops(c);
+        limit_commit(w);
         t->ops->commit(t, ops, c->ops.count, own_committed, w);
     }
 }
@@ -448,6 +570,9 @@
         free_way(w);
     }
     TAILQ_FOREACH_SAFE (w, &s->under_way, entry, next) {
+        if (w->call.verb == WIRE_STORE_COMMIT) {
+            ev_timer_stop(s->task.kernel->loop, &w->limit);
+        }
         free_way(w);
     }
 }
--- a/packages/queue/queue-relay.h
+++ b/packages/queue/queue-relay.h
@@ -21,6 +21,8 @@
     } done;
     void *arg;
     bool relayed;
+    bool given_up; /* its caller has heard; our connection has not answered */
+    int64_t begun_ms;
     ev_timer limit;
     TAILQ_ENTRY(way) entry; /* of the store's list of its kind */
 };
@@ -44,6 +46,7 @@
     int64_t probe_ms;      /* when our own may be tried again */
     int own_failures;      /* in a row */
     int relay_failures;    /* in a row, through other entries */
+    int64_t commit_ms;     /* what commits on our own have taken lately */
     bool relaying;
     char best[NAME_SIZE]; /* entry to call through; "": none */
     uint64_t numbers;
@@ -56,6 +59,10 @@
 void Relay_Init(struct store_task *s);
 void Relay_Answer(struct store_task *s, struct wire_store_answer *m);
 void Relay_Free(struct store_task *s);
+/* How long a commit of so many bytes may go without an answer of our own
+ * connection while other entries reach the store; 0: as long as it takes.
+ * slowest_ms: what commits have taken lately. */
+int64_t Relay_CommitLimit(int64_t slowest_ms, size_t bytes);
 /* The ops of a commit as a table takes them; valid while the call is, to be
  * freed. */
 struct table_op *Relay_Ops(const struct wire_store_call *c);
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -47,3 +47,4 @@
 set_tests_properties(queue-cache-test PROPERTIES
                      ENVIRONMENT "RC_PARAMS=seed=20261203 max_success=500")
 pf_test(queue-leader-test queue-leader-test.cc PACKAGES queue)
+pf_test(queue-relay-test queue-relay-test.cc PACKAGES queue)
