--- a/packages/queue/queue-relay.c
+++ b/packages/queue/queue-relay.c
@@ -12,18 +12,6 @@
  * slow store, and two ways between entries. */
 #define RELAY_MS 900
 
-/* A commit that other entries could make is given up after this, or after so
- * many times what commits have taken lately; a larger one may be on a thin
- * link. */
-#define COMMIT_MS 600
-#define COMMIT_FACTOR 3
-#define COMMIT_MAX_MS 1500
-#define COMMIT_BYTES 65536
-
-static struct counter given_up_total = {
-    "parsleyfall_queue_commits_given_up_total",
-    "Commits that were given up while other entries reached the store.", NULL,
-    COUNTER_TOTAL};
 static struct counter relayed_total = {
     "parsleyfall_queue_relayed_total",
     "Calls of the store that went through another entry.", NULL,
@@ -46,9 +34,9 @@
 }
 
 /* Hands a result to whoever called. */
-static void
-answer(struct way *w, int err, struct table_row *rows, size_t count, bool more,
-       uint64_t position, const uint64_t *versions)
+void
+Relay_Result(struct way *w, int err, struct table_row *rows, size_t count,
+             bool more, uint64_t position, const uint64_t *versions)
 {
     struct table_row none = {0};
 
@@ -73,7 +61,7 @@
 finish(struct way *w, int err, struct table_row *rows, size_t count, bool more,
        uint64_t position, const uint64_t *versions)
 {
-    answer(w, err, rows, count, more, position, versions);
+    Relay_Result(w, err, rows, count, more, position, versions);
     free_way(w);
 }
 
@@ -136,8 +124,8 @@
 }
 
 /* True when the store itself has spoken, and did not turn us away. */
-static bool
-is_answer(int err)
+bool
+Relay_IsAnswer(int err)
 {
     return err == ERR_OK || err == ERR_CONFLICT || err == ERR_GONE ||
            err == ERR_INVALID;
@@ -163,13 +151,13 @@
 }
 
 /* Notes how our own way did, and says when it changes. */
-static void
-note_own(struct store_task *s, int err)
+void
+Relay_NoteOwn(struct store_task *s, int err)
 {
     int64_t now = Clock_NowMs();
 
-    s->own_failures = is_answer(err) ? 0 : s->own_failures + 1;
-    if (is_answer(err)) {
+    s->own_failures = Relay_IsAnswer(err) ? 0 : s->own_failures + 1;
+    if (Relay_IsAnswer(err)) {
         if (s->relaying) {
             LOG_I("store_way", KV("way", "own"),
                   KV_INT("away_ms", now - s->own_failed_ms));
@@ -191,100 +179,6 @@
     }
 }
 
-/* How long a commit may go without an answer. */
-int64_t
-Relay_CommitLimit(int64_t slowest_ms, size_t bytes)
-{
-    int64_t limit = COMMIT_FACTOR * slowest_ms;
-
-    if (bytes > COMMIT_BYTES || limit >= COMMIT_MAX_MS) {
-        return 0;
-    }
-    return limit > COMMIT_MS ? limit : COMMIT_MS;
-}
-
-/* Answers a call that our own connection may still answer: by then nobody
- * waits for it. */
-static void
-give_up(struct way *w, int err)
-{
-    uint64_t *none CLEANUP(Mem_FreeP) =
-        Mem_Zero(w->call.ops.count + 1, sizeof(*none));
-
-    w->given_up = true;
-    answer(w, err, NULL, 0, false, w->store->seen.position, none);
-}
-
-/* Gives up the reads on our own connection that another entry can make. */
-static void
-give_up_reads(struct store_task *s)
-{
-    struct way *w, *next;
-
-    TAILQ_FOREACH_SAFE (w, &s->under_way, entry, next) {
-        if (w->call.verb != WIRE_STORE_COMMIT && !w->given_up &&
-            strcmp(w->call.table, Queue_Site()->config_table) != 0) {
-            give_up(w, ERR_TIMEOUT);
-        }
-    }
-}
-
-/* Our own connection has not answered a commit, and others reach the store.
- *
- * Load: the store turns silent to the leader's machine alone. Without it every
- * start and every accepted job waits for the time-out of the call, five times
- * an urgent job's objective. The outcome is unknown, as after the time-out;
- * reads go too, as only the feed tells a leader that it may write again. */
-static void
-on_commit_limit(struct ev_loop *loop UNUSED, ev_timer *timer,
-                int events UNUSED)
-{
-    struct way *w = timer->data;
-    struct store_task *s = w->store;
-
-    if (*s->best == '\0') {
-        return;
-    }
-    Counter_Add(&given_up_total, 1);
-    note_own(s, ERR_TIMEOUT);
-    give_up(w, ERR_UNKNOWN);
-    give_up_reads(s);
-}
-
-/* Starts the limit of a commit on our own connection. */
-static void
-limit_commit(struct way *w)
-{
-    const struct wire_store_op *ops = w->call.ops.items;
-    size_t bytes = 0;
-    int64_t ms;
-
-    for (size_t i = 0; i < w->call.ops.count; i++) {
-        bytes += ops[i].value.len;
-    }
-    ms = Relay_CommitLimit(w->store->commit_ms, bytes);
-    w->begun_ms = Clock_NowMs();
-    ev_init(&w->limit, on_commit_limit);
-    w->limit.data = w;
-    if (ms > 0) {
-        Timer_Set(w->store->task.kernel->loop, &w->limit, ms);
-    }
-}
-
-/* Notes how long a commit took, and ends its limit. */
-static void
-note_commit(struct way *w, int err)
-{
-    struct store_task *s = w->store;
-    int64_t took = Clock_NowMs() - w->begun_ms;
-    int64_t before = s->commit_ms - s->commit_ms / 8;
-
-    ev_timer_stop(s->task.kernel->loop, &w->limit);
-    if (is_answer(err)) {
-        s->commit_ms = took > before ? took : before;
-    }
-}
-
 /* True when a failed call may be made again by another way: nothing was done,
  * or it only reads. */
 static bool
@@ -304,9 +198,9 @@
 {
     TAILQ_REMOVE(&w->store->under_way, w, entry);
     w->store->seen.transfer_ms = w->store->own->transfer_ms;
-    note_own(w->store, err);
+    Relay_NoteOwn(w->store, err);
     if (w->call.verb == WIRE_STORE_COMMIT) {
-        note_commit(w, err);
+        Relay_NoteCommit(w, err);
     }
     if (w->given_up) {
         free_way(w);
@@ -380,7 +274,7 @@
         return;
     default:
         ops = Relay_Ops(c);
-        limit_commit(w);
+        Relay_LimitCommit(w);
         t->ops->commit(t, ops, c->ops.count, own_committed, w);
     }
 }
@@ -389,7 +283,7 @@
 static void
 on_probed(void *arg, int err, struct table_row *row UNUSED)
 {
-    note_own(arg, err == ERR_NOTFOUND ? ERR_OK : err);
+    Relay_NoteOwn(arg, err == ERR_NOTFOUND ? ERR_OK : err);
 }
 
 /* Tries our own way by a read that nobody waits for.
@@ -539,7 +433,8 @@
     }
     TAILQ_REMOVE(&s->relayed, w, entry);
     ev_timer_stop(s->task.kernel->loop, &w->limit);
-    s->relay_failures = is_answer((int)m->err) ? 0 : s->relay_failures + 1;
+    s->relay_failures =
+        Relay_IsAnswer((int)m->err) ? 0 : s->relay_failures + 1;
     rows = Mem_Zero(m->rows.count + 1, sizeof(*rows));
     for (size_t i = 0; i < m->rows.count; i++) {
         rows[i] = (struct table_row){.key = Mem_Dup(from[i].key),
--- a/packages/queue/queue-relay.h
+++ b/packages/queue/queue-relay.h
@@ -59,13 +59,27 @@
 void Relay_Init(struct store_task *s);
 void Relay_Answer(struct store_task *s, struct wire_store_answer *m);
 void Relay_Free(struct store_task *s);
+/* The ops of a commit as a table takes them; valid while the call is, to be
+ * freed. */
+struct table_op *Relay_Ops(const struct wire_store_call *c);
+/* Hands a result to whoever called. */
+void Relay_Result(struct way *w, int err, struct table_row *rows, size_t count,
+                  bool more, uint64_t position, const uint64_t *versions);
+/* True when the store itself has spoken, and did not turn us away. */
+bool Relay_IsAnswer(int err);
+/* Notes how a call on our own connection did. */
+void Relay_NoteOwn(struct store_task *s, int err);
+
+/* ---- queue-relay-limit.c: commits that get no answer */
 /* How long a commit of so many bytes may go without an answer of our own
  * connection while other entries reach the store; 0: as long as it takes.
  * slowest_ms: what commits have taken lately. */
 int64_t Relay_CommitLimit(int64_t slowest_ms, size_t bytes);
-/* The ops of a commit as a table takes them; valid while the call is, to be
- * freed. */
-struct table_op *Relay_Ops(const struct wire_store_call *c);
+/* Starts the limit of a commit on our own connection. */
+void Relay_LimitCommit(struct way *w);
+/* Notes how a commit went there, and ends its limit. */
+void Relay_NoteCommit(struct way *w, int err);
+
 /* ---- queue-relay-serve.c: calls of another entry */
 void RelayServe_Free(struct store_task *s);
 void Relay_Serve(struct store_task *s, const struct link_peer *from,
