queue: rows written just before an election reach the new owner; an age test that does not depend on the uptime

Change: an entry keeps the rows that it has written in the last 3 s (64 at most) and sends them when the address of the owner becomes known or changes.

queue-leader-test: the test set ages to now - 900,000 ms, which is negative on a machine that booted less than 15 minutes ago and counts as "never". The ages are parts of the uptime now; the newest of several signs of life is checked from both sides, so the test is as strict.

--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -188,6 +188,13 @@
     return true;
 }
 
+/* True for the rows by which the owner's address is found. */
+static bool
+names_owner(const char *key)
+{
+    return strcmp(key, "owner") == 0 || strncmp(key, "entry/", 6) == 0;
+}
+
 /* Stores rows from any source and sends the new ones to the owner.
  *
  * A read for a caller may put a job into the cache before the feed reports it.
@@ -199,17 +206,22 @@
              bool from_feed, uint64_t position)
 {
     struct rows_changed *note = Mem_Zero(1, sizeof(*note));
+    bool owner_changed = false;
 
     note->rows = Mem_Zero(count + 1, sizeof(*note->rows));
     note->from_feed = from_feed;
     note->position = position;
     for (size_t i = 0; i < count; i++) {
         if (store_row(in, &rows[i])) {
+            owner_changed = owner_changed || names_owner(rows[i].key);
             note->rows[note->count++] = rows[i];
             memset(&rows[i], 0, sizeof(rows[i]));
         }
     }
     Queue_Post(in->task.kernel, TASK_OWNER, &note->base, &Queue_RowsKind);
+    if (owner_changed) {
+        Notify_OwnerChanged(in);
+    }
 }
 
 /* Marks all rows as not listed, at the start of a list. */
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -90,6 +90,7 @@
     Entries_Stop(in);
     Calls_Stop(in);
     Check_Stop(in);
+    Notify_Clear(in);
     Cache_Clear(in);
     QueueConfig_Unref(in->config);
     free(in);
@@ -139,6 +140,7 @@
     RB_INIT(&in->cache);
     RB_INIT(&in->jobs);
     TAILQ_INIT(&in->open_calls);
+    TAILQ_INIT(&in->recent_rows);
     in->store = Queue_Store(k);
     Kernel_AddTask(k, &in->task, &intake_ops);
     Follow_Start(in);
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -69,6 +69,10 @@
     ev_timer announce_timer; /* writes the own entry row, reports entries */
     ev_timer check_timer;    /* compares cached with scheduled jobs */
     bool own_row_stored;
+    /* Rows that this entry has written lately, oldest first. */
+    TAILQ_HEAD(, recent_row) recent_rows;
+    size_t recent_row_count;
+    char owner_address[NAME_SIZE]; /* of the owner's links; "": not known */
 };
 
 /* ---- queue-follow.c */
@@ -104,8 +108,12 @@
 void Cache_SendJobs(struct intake *in, const struct job_ids *list);
 
 /* ---- queue-notify.c */
-/* Sends a row that this entry has written to the owner's entry. */
+/* Sends a row that this entry has written to the owner's entry, and again to
+ * an owner that becomes known shortly after. */
 void Notify_Owner(struct intake *in, const struct table_row *row);
+/* Handles a change of the owner row or of an entry row. */
+void Notify_OwnerChanged(struct intake *in);
+void Notify_Clear(struct intake *in);
 /* Takes a row that another entry has written; true when it was new. */
 bool Notify_Receive(struct intake *in, struct wire_row *m);
 
--- a/packages/queue/queue-notify.c
+++ b/packages/queue/queue-notify.c
@@ -5,6 +5,10 @@
 
 /* Larger rows reach the owner by the feed only, as its link may be slow. */
 #define ROW_BYTES_MAX 16384
+/* Rows are sent again to an owner that becomes known within this time. By
+ * then its own feed or list has brought them, if it works at all. */
+#define RECENT_MS 3000
+#define RECENT_ROWS_MAX 64
 
 static struct counter sent_total = {
     "parsleyfall_queue_rows_sent_total",
@@ -46,25 +50,64 @@
     return read_text_field(Cache_Find(in, key.data), "links", address);
 }
 
-/* Sends a row that this entry has written to the owner's entry. The feed stays
- * authoritative: a message that is late, repeated or lost does no harm. */
-void
-Notify_Owner(struct intake *in, const struct table_row *row)
+/* A row that this entry has written lately. */
+struct recent_row {
+    struct table_row row;
+    int64_t at_ms;
+    TAILQ_ENTRY(recent_row) entry;
+};
+
+/* Frees the oldest of the recent rows. */
+static void
+drop_oldest(struct intake *in)
 {
-    struct entry_outbound *out;
-    struct wire_row *m;
-    char address[NAME_SIZE];
+    struct recent_row *r = TAILQ_FIRST(&in->recent_rows);
 
-    if (in->is_leader || row->value.len > ROW_BYTES_MAX ||
-        strlen(row->key) >= WIRE_TEXT_SIZE ||
-        !find_owner_address(in, address)) {
-        return;
+    TAILQ_REMOVE(&in->recent_rows, r, entry);
+    in->recent_row_count--;
+    free(r->row.key);
+    Buf_Free(&r->row.value);
+    free(r);
+}
+
+/* Frees recent rows that are no longer recent, or too many. */
+static void
+drop_old_rows(struct intake *in)
+{
+    const struct recent_row *r;
+
+    while ((r = TAILQ_FIRST(&in->recent_rows)) != NULL &&
+           (Clock_NowMs() - r->at_ms > RECENT_MS ||
+            in->recent_row_count > RECENT_ROWS_MAX)) {
+        drop_oldest(in);
     }
-    m = Wire_New(WIRE_ROW);
+}
+
+/* Keeps a copy of a row for an owner that becomes known later. */
+static void
+keep_row(struct intake *in, const struct table_row *row)
+{
+    struct recent_row *r = Mem_Zero(1, sizeof(*r));
+
+    r->row.key = Mem_Dup(row->key);
+    r->row.version = row->version;
+    Buf_Set(&r->row.value, row->value.data, row->value.len);
+    r->at_ms = Clock_NowMs();
+    TAILQ_INSERT_TAIL(&in->recent_rows, r, entry);
+    in->recent_row_count++;
+    drop_old_rows(in);
+}
+
+/* Sends a row to the entry at that address. */
+static void
+send_row(struct intake *in, const struct table_row *row, const char *address)
+{
+    struct entry_outbound *out = Mem_Zero(1, sizeof(*out));
+    struct wire_row *m = Wire_New(WIRE_ROW);
+
     Str_Copy(m->key, sizeof(m->key), row->key);
     m->version = row->version;
     Buf_Set(&m->value, row->value.data, row->value.len);
-    out = Mem_Zero(1, sizeof(*out));
     Str_Copy(out->address, sizeof(out->address), address);
     out->m = &m->msg;
     Counter_Add(&sent_total, 1);
@@ -72,6 +115,58 @@
                &Queue_EntryOutboundKind);
 }
 
+/* Sends a row that this entry has written to the owner's entry. The feed stays
+ * authoritative: a message that is late, repeated or lost does no harm. */
+void
+Notify_Owner(struct intake *in, const struct table_row *row)
+{
+    if (in->is_leader || row->value.len > ROW_BYTES_MAX ||
+        strlen(row->key) >= WIRE_TEXT_SIZE) {
+        return;
+    }
+    keep_row(in, row);
+    if (*in->owner_address != '\0') {
+        send_row(in, row, in->owner_address);
+    }
+}
+
+/* Handles a change of the owner's row or of an entry row.
+ *
+ * An entry may accept a job some milliseconds before its feed brings the row
+ * of a new owner. Without the rows that it has just written, that owner would
+ * wait for its own feed, which may be silent for seconds. */
+void
+Notify_OwnerChanged(struct intake *in)
+{
+    const struct recent_row *r;
+    char address[NAME_SIZE];
+
+    if (!find_owner_address(in, address)) {
+        in->owner_address[0] = '\0';
+        return;
+    }
+    if (strcmp(address, in->owner_address) == 0) {
+        return;
+    }
+    Str_Copy(in->owner_address, sizeof(in->owner_address), address);
+    drop_old_rows(in);
+    if (in->is_leader) {
+        return;
+    }
+    TAILQ_FOREACH (r, &in->recent_rows, entry) {
+        send_row(in, &r->row, address);
+    }
+}
+
+/* Frees the recent rows. */
+void
+Notify_Clear(struct intake *in)
+{
+    while (!TAILQ_EMPTY(&in->recent_rows)) {
+        drop_oldest(in);
+    }
+}
+
 /* True for a row that the feed has not reached yet.
  *
  * A row that arrives after the feed has passed its version may have been
--- a/tests/queue-leader-test.cc
+++ b/tests/queue-leader-test.cc
@@ -57,11 +57,13 @@
     Str_Copy(peers[1].name, sizeof(peers[1].name), "b");
     Str_Copy(peers[2].name, sizeof(peers[2].name), "a");
     EXPECT_EQ(Queue_PeerAge(&kernel, "a"), -1) << "no message yet";
-    peers[0].last_message_ms = now - 900000;
+    /* The clock counts from the machine's start, which may be recent. */
+    peers[0].last_message_ms = now - now / 2;
     peers[1].last_message_ms = now;
-    EXPECT_GE(Queue_PeerAge(&kernel, "a"), 900000);
-    peers[2].last_message_ms = now - 300000;
-    EXPECT_LT(Queue_PeerAge(&kernel, "a"), 900000);
+    EXPECT_GE(Queue_PeerAge(&kernel, "a"), now / 2);
+    peers[2].last_message_ms = now - now / 6;
+    EXPECT_GE(Queue_PeerAge(&kernel, "a"), now / 6);
+    EXPECT_LT(Queue_PeerAge(&kernel, "a"), now / 2);
     EXPECT_EQ(Queue_PeerAge(&kernel, "c"), -1) << "another name";
     Kernel_Free(&kernel);
 }
