jobs: a unit that certainly finds no room is not tried in the pass

Cause: each waiting unit looked at every worker, up to four times, unless it was a task of the step before it.

Change: room only shrinks during a pass unless a run is stopped. A unit is skipped if one that needs no more and may use no less found no room before it (jobs-failed.c). The tasks of a step on a worker are counted only where the step limits them.

--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -22,9 +22,10 @@
     struct jobs_resources free; /* the room that the unit does not use yet */
     bool unpreferred;           /* the unit should go elsewhere if it can */
     uint32_t assigned;          /* tasks of this unit */
-    uint32_t same_step;         /* other tasks of its step on the worker */
-    double cost;                /* of the evictions for the assigned tasks */
-    double next_cost;           /* of one task more; COST_UNKNOWN */
+    /* Other tasks of its step on the worker, where the step limits them. */
+    uint32_t same_step;
+    double cost;      /* of the evictions for the assigned tasks */
+    double next_cost; /* of one task more; COST_UNKNOWN */
 };
 
 struct attempt {
@@ -279,20 +280,28 @@
                            Blame_HasCrashed(sched, w->agent, a->now_ms)));
 }
 
+/* True for a worker that is slow for all tasks, or for best-effort tasks. */
+bool
+Place_IsSlow(const struct jobs_worker *w, int64_t now_ms, bool best_effort)
+{
+    /* Percent of the cores below which best-effort tasks go elsewhere. */
+    static const int64_t low_share = 50;
+
+    return w->slow_until_ms > now_ms || (best_effort && w->share < low_share);
+}
+
 /* True for a worker that the unit should avoid. */
 static bool
 is_unpreferred(const struct jobs_scheduler *sched, const struct attempt *a,
                const struct jobs_worker *w)
 {
-    /* Percent of the cores below which best-effort tasks go elsewhere. */
-    static const int64_t low_share = 50;
     const struct jobs_unit *u = a->unit;
     int64_t now_ms = a->now_ms;
 
-    return is_crash_prone(sched, a, w) || w->slow_until_ms > now_ms ||
+    return is_crash_prone(sched, a, w) ||
+           Place_IsSlow(w, now_ms, Unit_Step(u)->fills) ||
            is_risky(sched, w, u, now_ms) ||
-           strcmp(w->id, u->avoid_worker) == 0 ||
-           (Unit_Step(u)->fills && w->share < low_share);
+           strcmp(w->id, u->avoid_worker) == 0;
 }
 
 /* Lists the workers that may run the unit, once for all attempts. */
@@ -300,6 +309,7 @@
 list_candidates(struct jobs_scheduler *sched, struct attempt *a,
                 int64_t now_ms)
 {
+    bool limited = Unit_Step(a->unit)->spread > 0;
     struct jobs_worker *w;
 
     if (sched->candidate_cap < sched->worker_count) {
@@ -316,7 +326,7 @@
             a->candidates[a->count++] = (struct place_candidate){
                 .worker = w,
                 .unpreferred = is_unpreferred(sched, a, w),
-                .same_step = count_same(w, a->unit)};
+                .same_step = limited ? count_same(w, a->unit) : 0};
         }
     }
 }
@@ -559,6 +569,20 @@
     return false;
 }
 
+/* Returns which room a unit may use, beside what is free. */
+struct place_scope
+Place_Scope(const struct jobs_scheduler *sched, const struct jobs_unit *u,
+            int64_t now_ms)
+{
+    int64_t wait_ms = max_wait_of(u, now_ms);
+
+    return (struct place_scope){
+        .wait_ms = wait_ms > 0 ? wait_ms : 0,
+        .remote = can_be_remote(u) && may_place_remote(sched, u, now_ms),
+        .unpreferred = now_ms - u->ready_ms >= preference_wait_ms(u),
+        .evicts = u->job->qos.priority == 0};
+}
+
 /* Places a unit. */
 enum place_result
 Place_Unit(struct jobs_scheduler *sched, struct jobs_unit *u, int64_t now_ms,
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -229,6 +229,27 @@
            strcmp(o->avoid_worker, u->avoid_worker) == 0;
 }
 
+/* Places a unit, unless that would certainly change nothing. */
+static enum place_result
+place_if_possible(struct jobs_scheduler *sched, struct jobs_unit *u,
+                  int64_t now_ms, bool may_reserve)
+{
+    bool covered = Failed_Covers(sched, u, now_ms, may_reserve);
+    enum place_result result;
+    bool failed;
+
+    if (covered && !sched->checks_failed) {
+        return PLACE_NONE;
+    }
+    result = Place_Unit(sched, u, now_ms, may_reserve);
+    failed = result == PLACE_NONE || (result == PLACE_PENDING && !may_reserve);
+    sched->failed_wrongly += covered && !failed;
+    if (failed && !covered) {
+        Failed_Add(sched, u, now_ms, result == PLACE_PENDING);
+    }
+    return result;
+}
+
 /* Places a unit. Returns 1 when the unit waits for room that becomes free at
  * an unknown time, otherwise 0. */
 static int
@@ -241,7 +262,7 @@
     if (has_same_outcome(last, u)) {
         return last->result == PLACE_PENDING;
     }
-    result = Place_Unit(sched, u, now_ms, may_reserve);
+    result = place_if_possible(sched, u, now_ms, may_reserve);
     last->result = result;
     last->unit =
         result == PLACE_NONE || (result == PLACE_PENDING && !may_reserve)
@@ -275,6 +296,7 @@
     Rank_All(sched);
     move_slow_runs(sched, now_ms);
     list = collect(sched, now_ms, wall_ms, &count);
+    Failed_BeginPass(sched, now_ms);
     for (size_t i = 0; i < count; i++) {
         if (fits_row(list[i].unit)) {
             pending +=
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -172,6 +172,23 @@
     RB_ENTRY(jobs_worker) by_agent;
 };
 
+/* Which room a unit may use, beside what is free. */
+struct place_scope {
+    int64_t wait_ms;  /* of runs that end within this time; 0: none */
+    bool remote;      /* far from its data, or spread over racks */
+    bool unpreferred; /* on workers that it should avoid */
+    bool evicts;      /* of runs of higher rank */
+};
+
+/* A unit that found no room in this pass. */
+struct failed_unit {
+    const struct jobs_unit *unit;
+    struct place_scope scope;
+    bool is_pending; /* room will become free, but was not reserved */
+};
+
+#define FAILED_UNITS_MAX 64
+
 RB_HEAD(jobs_job_tree, jobs_job);
 RB_HEAD(jobs_worker_tree, jobs_worker);
 RB_HEAD(jobs_agent_tree, jobs_worker);
@@ -194,6 +211,16 @@
     /* Scratch space of the placement under way (jobs-place.c). */
     struct place_candidate *candidates;
     size_t candidate_cap;
+    /* Units that found no room in the pass under way (jobs-failed.c). */
+    struct failed_unit failed[FAILED_UNITS_MAX];
+    size_t failed_count;
+    uint64_t failed_stops; /* stops when the first one was remembered */
+    uint64_t stops;        /* runs that were stopped, in total */
+    bool has_unpreferred;  /* some worker is slow, in the pass under way */
+    /* Tests place units that are covered by failed ones too, and count those
+     * for which that changes something. */
+    bool checks_failed;
+    uint64_t failed_wrongly;
     struct jobs_question question; /* none while its count is 0 */
     struct size_lines sizes;
     SLIST_HEAD(crashed_machine_list, crashed_machine) crashed_machines;
@@ -373,6 +400,18 @@
 int Row_Decode(struct jobs_scheduler *sched, struct jobs_job *j,
                const char *text, size_t len);
 
+/* ---- jobs-failed.c */
+/* Forgets the units of the previous pass. */
+void Failed_BeginPass(struct jobs_scheduler *sched, int64_t now_ms);
+/* Remembers a unit that found no room. is_pending: room will become free, but
+ * was not reserved. */
+void Failed_Add(struct jobs_scheduler *sched, const struct jobs_unit *u,
+                int64_t now_ms, bool is_pending);
+/* True when placing the unit in this pass would certainly change nothing.
+ * may_reserve: as for Place_Unit(). */
+bool Failed_Covers(struct jobs_scheduler *sched, const struct jobs_unit *u,
+                   int64_t now_ms, bool may_reserve);
+
 /* ---- jobs-place.c */
 enum place_result {
     PLACE_NONE,
@@ -384,6 +423,12 @@
  * an unknown time may be reserved for it. */
 enum place_result Place_Unit(struct jobs_scheduler *sched, struct jobs_unit *u,
                              int64_t now_ms, bool may_reserve);
+/* Returns which room a unit may use, beside what is free. */
+struct place_scope Place_Scope(const struct jobs_scheduler *sched,
+                               const struct jobs_unit *u, int64_t now_ms);
+/* True for a worker that is slow for all tasks, or for best-effort tasks. */
+bool Place_IsSlow(const struct jobs_worker *w, int64_t now_ms,
+                  bool best_effort);
 /* True when a worker may run the step, whatever its failure domain. */
 bool Place_IsFit(const struct jobs_scheduler *sched,
                  const struct jobs_worker *w, const struct jobs_unit *u,
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -172,6 +172,7 @@
         return;
     }
     u->stopping = true;
+    sched->stops++;
     for (uint32_t i = 0; i < u->task_count; i++) {
         if (u->tasks[i].worker != NULL) {
             Resources_Add(&u->tasks[i].worker->freeing, &need, 1);
