members: a few coordinators hold the links; silent links are opened again within a budget

Change, one design (docs/design/fleet.md): - packages/members, pure: entries are ranked by room, failure domain and a hash of the name; the first five that are not silent are coordinators. A silent link is replaced after a time that doubles, with jitter, within a budget of the process (hosted.redials_per_s). - Entries link to the coordinators, the owner and two neighbours; agents to the coordinators and the owner, and know ten reserves. Their list has a version and is sent when it differs. - Entries that are no coordinators claim ownership later by 4 s. - The row entry/NAME is written at the start and when it differs, not every 4 s; it states the failure domain and what the machine has. - An agent's reports to an entry that has not answered yet follow after a time that doubles. - Counters: parsleyfall_link_opened_total by reason, link_bytes_total and link_messages_total by kind and direction.

--- a/packages/config/config-format.c
+++ b/packages/config/config-format.c
@@ -109,6 +109,23 @@
            strspn(text, "0123456789abcdef") == DIGEST_HEX_SIZE - 1;
 }
 
+/* True for a number of up to 12 digits that may have a fraction, such as 0.25.
+ */
+static bool
+is_decimal(const char *text)
+{
+    size_t digits = strspn(text, "0123456789");
+
+    if (digits == 0 || strlen(text) > 12) {
+        return false;
+    }
+    if (text[digits] == '.') {
+        text += digits + 1;
+        digits = strspn(text, "0123456789");
+    }
+    return digits > 0 && text[digits] == '\0';
+}
+
 /* True for the text of a shape. */
 static bool
 is_shape(const char *text)
@@ -122,6 +139,8 @@
     "an IP number that others reach, not 0.0.0.0", is_reachable_ip};
 const struct conf_format config_address_format = {
     "ip:port, or [ip]:port, with a port of 1..65535", Settings_IsAddress};
+const struct conf_format config_decimal_format = {
+    "a number such as 0.25, of at most 12 characters", is_decimal};
 const struct conf_format config_url_format = {
     "http://host[:port][/path] or https://, without a slash at the end",
     Settings_IsUrl};
--- a/packages/config/config-hosted.c
+++ b/packages/config/config-hosted.c
@@ -8,6 +8,13 @@
         .format = &config_address_format                                      \
     }
 
+/* An optional key that holds a decimal number; n is its name. */
+#define DECIMAL(n)                                                            \
+    {                                                                         \
+        .name = #n, .type = CONF_STRING, .offset = AT(n), .fallback = "0",    \
+        .format = &config_decimal_format                                      \
+    }
+
 /* The defaults suit a platform on which a lease lasts ten seconds. */
 static const struct conf_key hosted_keys[] = {
     ADDRESS(store),
@@ -41,6 +48,16 @@
      .min = 1,
      .max = 864000,
      .fallback = "120"},
+    DECIMAL(processor_share),
+    DECIMAL(processor_speed),
+    DECIMAL(link_mbps),
+    DECIMAL(memory_mb),
+    {.name = "redials_per_s",
+     .type = CONF_INT,
+     .offset = AT(redials_per_s),
+     .min = 1,
+     .max = 1000,
+     .fallback = "4"},
 };
 
 const struct conf_table config_hosted_table = {
--- a/packages/config/config-internal.h
+++ b/packages/config/config-internal.h
@@ -6,6 +6,7 @@
 
 extern const struct conf_format config_ip_format;
 extern const struct conf_format config_address_format;
+extern const struct conf_format config_decimal_format;
 extern const struct conf_format config_url_format;
 
 extern const struct conf_table config_platform_table;
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -318,6 +318,13 @@
     int64_t lease_ms;    /* of runs, on the worker's clock */
     int64_t early_ms;    /* a job may start this long before it is due */
     int64_t keep_s;      /* ended jobs can be queried for this long */
+    /* What this machine has for the process, as decimals; "0": not known.
+     * Entries with the most of it become coordinators. */
+    char *processor_share;
+    char *processor_speed; /* of that share, relative to other machines */
+    char *link_mbps;
+    char *memory_mb;
+    int64_t redials_per_s; /* silent links that are replaced a second */
 };
 
 /* Settings of an entry (parsleyfall serve). */
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -66,13 +66,15 @@
     TAILQ_HEAD(, open_call) open_calls; /* that wait for the store */
     size_t open_call_count;
     ev_timer caller_check_timer; /* detects callers that have disconnected */
-    ev_timer announce_timer; /* writes the own entry row, reports entries */
-    ev_timer check_timer;    /* compares cached with scheduled jobs */
-    bool own_row_stored;
+    ev_timer entries_timer;      /* keeps the own entry row, reports entries */
+    ev_timer check_timer;        /* compares cached with scheduled jobs */
     /* Rows that this entry has written lately, oldest first. */
     TAILQ_HEAD(, recent_row) recent_rows;
     size_t recent_row_count;
     char owner_address[NAME_SIZE]; /* of the owner's links; "": not known */
+    bool own_row_pending;      /* a write of the own entry row is pending */
+    int64_t own_row_stored_ms; /* when this process first stored it; 0: not */
+    uint64_t entries_sent;     /* hash of the entries last reported */
 };
 
 /* ---- queue-follow.c */
--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -135,7 +135,10 @@
  *
  * An entry that has just started may have a configuration from another entry
  * before it has read which failure domains are emptied; as the owner it would
- * start tasks there. It claims nothing until it knows them. */
+ * start tasks there. It claims nothing until it knows them.
+ *
+ * Deciding and hearing all agents takes more processor time than most entries
+ * may have, so coordinators claim first. */
 void
 Leader_ClaimIfVacant(struct owner *o)
 {
@@ -145,7 +148,9 @@
                                ? o->heartbeat_seen_ms
                                : o->feed_since_ms;
     /* Entries wait for different times, so that one claims first. */
-    int64_t stagger_ms = (int64_t)(Hash_Str(s->name, 0) % 300);
+    int64_t stagger_ms =
+        (int64_t)(Hash_Str(s->name, 0) % 300) +
+        (Queue_IsCoordinator(o->task.kernel) ? 0 : ORDINARY_CLAIM_DELAY_MS);
     bool vacant = o->row_version == 0 || o->row_name[0] == '\0';
     bool held_by_earlier_process =
         strcmp(o->row_name, s->name) == 0 && !Leader_IsOurs(o);
--- a/packages/queue/queue-links.c
+++ b/packages/queue/queue-links.c
@@ -7,8 +7,8 @@
  * each time with the latest stamp, so a stamp older than two reports and some
  * delay belongs to a report that was held up. */
 #define REPORT_MAX_AGE_MS 2000
-/* Interval at which an agent is sent the list of entries, after the first
- * time. */
+/* Interval at which an agent that knows no versions of the list of entries is
+ * sent it, after the first time. */
 #define ENTRY_LIST_MS 5000
 
 /* Orders agents by name. */
@@ -55,10 +55,13 @@
     struct wire_hail m = {.msg = {WIRE_HAIL},
                           .incarnation = Queue_Incarnation(),
                           .store_age_ms = Queue_StoreAge(l->task.kernel),
-                          .stamp = Clock_NowMs(),
-                          .entries =
-                              with_list ? l->entries : (struct wire_list){0}};
+                          .stamp = Clock_NowMs()};
 
+    if (with_list) {
+        m.entries = l->agent_entries;
+        m.entries_version = l->agent_entries_version;
+        m.reserves = l->agent_reserves;
+    }
     Str_Copy(m.entry, sizeof(m.entry), s->name);
     Link_Send(l->listening, to, &m.msg);
 }
@@ -123,9 +126,9 @@
     return false;
 }
 
-/* True when an agent is to be sent the list of entries: at first, and again
- * after ENTRY_LIST_MS. With many entries the list is most of the answer to a
- * report. */
+/* True when an agent is to be sent the list of entries: at first, and when the
+ * one that it has is another; an agent of an older version after
+ * ENTRY_LIST_MS. */
 static bool
 needs_entry_list(struct links *l, const struct wire_report *m)
 {
@@ -135,6 +138,9 @@
     if (a == NULL || m->stamp == 0) {
         return true;
     }
+    if (m->entries_version != 0) {
+        return m->entries_version != l->agent_entries_version;
+    }
     if (now - a->entries_sent_ms < ENTRY_LIST_MS) {
         return false;
     }
@@ -200,7 +206,7 @@
         Peers_Send(l, (struct entry_outbound *)m);
     }
     else if (m->kind == &Queue_EntriesKind) {
-        Peers_TakeEntries(l, (struct entries_listed *)m);
+        Contacts_TakeEntries(l, (struct entries_listed *)m);
     }
     else if (m->kind == &Queue_ConfigKind) {
         Configs_Update(l, (struct config_changed *)m);
@@ -229,7 +235,7 @@
     }
     Link_Free(l->listening);
     Link_ContextFree(l->context);
-    free(l->entries.items);
+    Contacts_Free(l);
     free(l);
 }
 
@@ -264,8 +270,10 @@
         LOG_E("listen_failed", KV("links", s->hosted.links));
         return ERR_IO;
     }
+    l->redials.per_s = s->hosted.redials_per_s;
+    l->ticked_ms = Clock_NowMs();
     for (size_t i = 0; i < s->seeds.count; i++) {
-        Peers_Add(l, seeds[i]);
+        Peers_Want(l, seeds[i]);
     }
     ev_init(&l->tick, on_tick);
     l->tick.data = l;
--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -11,6 +11,13 @@
  * time. */
 #define PEER_INTERVAL_MS 500
 
+/* A link on which nothing has arrived for this long is reopened: something on
+ * the path may have lost the connection while new ones work. */
+#define LINK_SILENT_MS 2500
+/* Contacts beside the coordinators and the owner, so that an entry can relay
+ * store calls while all coordinators are lost. */
+#define NEIGHBOURS 2
+
 /* An agent and the link of its last message. */
 struct agent {
     char name[NAME_SIZE];
@@ -34,12 +41,14 @@
      * last reported; -1: never. */
     int64_t store_age_ms;
     struct source source;
+    struct redial redial;
     /* It reports that up to position of the operator table there is no
      * configuration newer than version. */
     uint64_t version;
     uint64_t position;
-    bool is_source; /* one of the chosen sources */
-    bool listed;    /* in the store, or a seed */
+    bool is_source;    /* one of the chosen sources */
+    bool wanted;       /* one of the contacts */
+    int64_t wanted_ms; /* when it last was one */
     TAILQ_ENTRY(peer) entry;
 };
 
@@ -64,7 +73,21 @@
     TAILQ_HEAD(, peer) peers;
     size_t peer_count;
     TAILQ_HEAD(, subscriber) subscribers;
-    struct wire_list entries; /* struct wire_entry */
+    /* The entries that the store lists, ranked (members.h). */
+    struct member *members;
+    size_t member_count;
+    bool members_settled;  /* as in struct entries_listed */
+    char owner[NAME_SIZE]; /* entry that the owner row names; "": none */
+    /* Addresses of further contacts, which differ from entry to entry. */
+    char neighbours[NEIGHBOURS][NAME_SIZE];
+    bool is_coordinator;
+    int64_t ticked_ms;  /* last periodic check */
+    int64_t resumed_ms; /* when this process last went on after a pause */
+    struct redial_budget redials;
+    /* What agents are sent: struct wire_entry, the reserves last. */
+    struct wire_list agent_entries;
+    uint64_t agent_entries_version; /* 0: there is no list */
+    size_t agent_reserves;
     struct documents *documents;
     /* How the intake reads the operator table, as last reported. */
     struct operator_table_status table_status;
@@ -83,17 +106,28 @@
                           struct wire_msg **m);
 
 /* ---- queue-peers.c: links to other entries */
-/* Opens a link to the entry at that address, unless there is one. */
-void Peers_Add(struct links *l, const char *address);
-/* Takes the entries that the store lists: opens links to new ones and closes
- * those to removed ones. */
-void Peers_TakeEntries(struct links *l, struct entries_listed *note);
+/* Makes the entry at that address a contact, and opens a link to it unless
+ * there is one. */
+void Peers_Want(struct links *l, const char *address);
+/* Finds the peer at an address, or returns NULL. */
+struct peer *Peers_Find(struct links *l, const char *address);
+/* True when nothing has arrived on the link to a peer for too long. */
+bool Peers_IsSilent(const struct links *l, const struct peer *p);
+/* Closes the links to peers that are no contacts any more. */
+void Peers_DropUnwanted(struct links *l);
 /* Sends a message to an entry by its address, or as an answer. */
 void Peers_Send(struct links *l, const struct entry_outbound *s);
 /* Sends the status of this entry to the others and reopens silent links. */
 void Peers_Tick(struct links *l);
 void Peers_Free(struct links *l);
 
+/* ---- queue-contacts.c: which entries to link to */
+/* Takes the entries that the store lists, moving them out of the message. */
+void Contacts_TakeEntries(struct links *l, struct entries_listed *note);
+/* Chooses the coordinators and the contacts again, by who is silent. */
+void Contacts_Update(struct links *l);
+void Contacts_Free(struct links *l);
+
 /* ---- queue-configs.c: configurations between entries */
 /* Handles the status message of another entry, which states its configuration
  * version (UINT64_MAX: it requests none). */
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -140,7 +140,7 @@
 static void
 free_entries(struct message *m)
 {
-    free(((struct entries_listed *)m)->entries.items);
+    free(((struct entries_listed *)m)->members);
     free(m);
 }
 
--- a/packages/queue/queue-owner.h
+++ b/packages/queue/queue-owner.h
@@ -12,6 +12,9 @@
  * the owner for this long: four heartbeats, so that a slow store does not
  * depose a living owner. */
 #define OWNER_TIMEOUT_MS 2200
+/* An entry that is no coordinator claims later by this time. It exceeds the
+ * time after which it takes the place of a lost coordinator. */
+#define ORDINARY_CLAIM_DELAY_MS 4000
 /* With the owner's link silent too, this shorter time suffices, provided that
  * the feed has answered within FEED_FRESH_MS. Otherwise a process that was
  * paused would depose a living owner: it finds the last signs of life in the
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -3,19 +3,27 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A link on which nothing has arrived for this long is reopened: something on
- * the path may have lost the connection while new ones work. */
-#define LINK_SILENT_MS 2500
-/* A peer that the store does not list is kept for this long after it was first
- * seen: entries that start within a second of each other are listed by
- * then. */
-#define UNLISTED_GRACE_MS 5000
+/* A peer that is no contact any more is kept for this long, as entries that
+ * start together are listed one after the other. */
+#define UNWANTED_KEEP_MS 5000
+/* A longer time between two periodic checks is a pause of this process. */
+#define PAUSE_MS 1500
 /* Another entry can relay store calls while its last message is younger than
  * the first of these, two status intervals, and the store's last answer to it
  * younger than the second, the wait of a feed call and some delay. */
 #define RELAY_LINK_MAX_AGE_MS 1200
 #define RELAY_STORE_MAX_AGE_MS 1500
 
+#define OPENED(reason)                                                        \
+    {                                                                         \
+        "parsleyfall_link_opened_total",                                      \
+            "Links that this process opened, by reason.",                     \
+            "reason=\"" reason "\"", COUNTER_TOTAL                            \
+    }
+
+static struct counter opened_new = OPENED("new");
+static struct counter opened_silent = OPENED("silent");
+
 /* Handles a message on a link that this entry opened. */
 static void
 on_peer_message(void *arg, const struct link_peer *from UNUSED,
@@ -24,6 +32,7 @@
     struct peer *p = arg;
 
     p->last_message_ms = Clock_NowMs();
+    Redial_Heard(&p->redial);
     switch ((*m)->type) {
     case WIRE_STORE_ANSWER:
         Links_ForwardToStore(p->links, NULL, m);
@@ -45,12 +54,13 @@
 
 /* Opens the link to another entry, closing the previous one. */
 static void
-connect_peer(struct peer *p)
+connect_peer(struct peer *p, struct counter *opened)
 {
     Link_Free(p->link);
     p->link = Link_Connect(p->links->context, p->links->task.kernel->loop,
                            p->address, NULL, on_peer_message, p);
     p->connected_ms = Clock_NowMs();
+    Counter_Add(opened, 1);
 }
 
 /* Closes the link to a peer and frees it. */
@@ -63,72 +73,108 @@
     free(p);
 }
 
-/* Opens a link to the entry at that address, unless there is one. */
-void
-Peers_Add(struct links *l, const char *address)
+/* Finds the peer at an address, or returns NULL. */
+struct peer *
+Peers_Find(struct links *l, const char *address)
 {
-    const struct entry_settings *s = l->task.kernel->settings;
     struct peer *p;
 
-    if (strcmp(address, s->hosted.links) == 0) {
-        return;
-    }
     TAILQ_FOREACH (p, &l->peers, entry) {
         if (strcmp(p->address, address) == 0) {
-            p->listed = true;
-            return;
+            return p;
         }
     }
-    p = Mem_Zero(1, sizeof(*p));
+    return NULL;
+}
+
+/* Adds a peer and opens the link to it. */
+static struct peer *
+add_peer(struct links *l, const char *address)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct peer *p = Mem_Zero(1, sizeof(*p));
+
     p->links = l;
     p->first_seen_ms = Clock_NowMs();
     p->store_age_ms = -1;
-    p->listed = true;
     Str_Copy(p->address, sizeof(p->address), address);
     p->source.rank = Hash_Str(address, Hash_Str(s->name, 0));
+    p->redial.seed = p->source.rank;
     TAILQ_INSERT_TAIL(&l->peers, p, entry);
     l->peer_count++;
-    connect_peer(p);
+    connect_peer(p, &opened_new);
+    return p;
+}
+
+/* Makes the entry at that address a contact. */
+void
+Peers_Want(struct links *l, const char *address)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+    struct peer *p;
+
+    if (strcmp(address, s->hosted.links) == 0) {
+        return;
+    }
+    p = Peers_Find(l, address);
+    if (p == NULL) {
+        p = add_peer(l, address);
+    }
+    p->wanted = true;
+    p->wanted_ms = Clock_NowMs();
 }
 
-/* True when the link to a peer may be closed.
+/* True when nothing has arrived from a peer for too long.
  *
- * An entry that has just started may have read its own row but not yet those
- * of others when the store refuses its machine. If it closed the links to all
- * unlisted peers, it would have none to relay through and refuse its callers
- * for as long. A peer that has just sent a message is alive, listed or not. */
+ * After a pause of this process the messages of all peers still wait in their
+ * sockets. Their silence counts from the end of the pause, or this entry would
+ * take all of them for lost and send its agents elsewhere. */
+bool
+Peers_IsSilent(const struct links *l, const struct peer *p)
+{
+    int64_t since =
+        p->last_message_ms != 0 ? p->last_message_ms : p->first_seen_ms;
+
+    if (since < l->resumed_ms) {
+        since = l->resumed_ms;
+    }
+    return Clock_NowMs() - since > LINK_SILENT_MS;
+}
+
+/* True while a contact answers. */
 static bool
-is_removable(const struct peer *p, int64_t now)
+has_answering_contact(const struct links *l)
 {
-    return !p->listed && now - p->last_message_ms > LINK_SILENT_MS &&
-           now - p->first_seen_ms > UNLISTED_GRACE_MS;
+    const struct peer *p;
+
+    TAILQ_FOREACH (p, &l->peers, entry) {
+        if (p->wanted && p->last_message_ms != 0 && !Peers_IsSilent(l, p)) {
+            return true;
+        }
+    }
+    return false;
 }
 
-/* Takes the entries that the store lists: opens links to new ones and closes
- * those to removed ones. */
+/* Closes the links to peers that are no contacts any more.
+ *
+ * An entry that has just started may have read its own row but not yet those
+ * of others when the store refuses its machine. If it closed the links to its
+ * seeds then, it would have none to relay through and refuse its callers for
+ * as long. So all links are kept until a contact answers. */
 void
-Peers_TakeEntries(struct links *l, struct entries_listed *note)
+Peers_DropUnwanted(struct links *l)
 {
-    const struct wire_entry *e = note->entries.items;
     struct peer *p, *next;
+    int64_t now = Clock_NowMs();
 
-    if (note->entries.count == 0) {
+    if (!has_answering_contact(l)) {
         return;
     }
-    TAILQ_FOREACH (p, &l->peers, entry) {
-        p->listed = false;
-    }
-    for (size_t i = 0; i < note->entries.count; i++) {
-        Peers_Add(l, e[i].address);
-    }
     TAILQ_FOREACH_SAFE (p, &l->peers, entry, next) {
-        if (is_removable(p, Clock_NowMs())) {
+        if (!p->wanted && now - p->wanted_ms > UNWANTED_KEEP_MS) {
             free_peer(p);
         }
     }
-    free(l->entries.items);
-    l->entries = note->entries;
-    note->entries = (struct wire_list){0};
 }
 
 /* Chooses the entry to relay through, the one with the most recent answer of
@@ -182,10 +228,13 @@
 {
     struct links *l = p->links;
     int64_t now = Clock_NowMs();
+    int64_t heard_ms = p->last_message_ms > p->connected_ms
+                           ? p->last_message_ms
+                           : p->connected_ms;
 
-    if (now - p->last_message_ms > LINK_SILENT_MS &&
-        now - p->connected_ms > LINK_SILENT_MS) {
-        connect_peer(p);
+    if (Redial_Try(&p->redial, &l->redials, LINK_SILENT_MS, now - heard_ms,
+                   now)) {
+        connect_peer(p, &opened_silent);
     }
     m->version = Configs_ShouldAsk(l, p, index)
                      ? Documents_Version(l->documents)
@@ -195,8 +244,8 @@
     }
 }
 
-/* Chooses the sources and the relay entry, and sends the status of this entry
- * to all peers. */
+/* Chooses the contacts, the sources and the relay entry, and sends the status
+ * of this entry to all peers. */
 void
 Peers_Tick(struct links *l)
 {
@@ -205,7 +254,13 @@
                           .incarnation = Queue_Incarnation()};
     struct peer *p;
     size_t index = 0;
+    int64_t now = Clock_NowMs();
 
+    if (now - l->ticked_ms > PAUSE_MS) {
+        l->resumed_ms = now;
+    }
+    l->ticked_ms = now;
+    Contacts_Update(l);
     Str_Copy(m.entry, sizeof(m.entry), s->name);
     l->round++;
     Configs_ChooseSources(l);
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -11,12 +11,12 @@
  *   owner   runs the scheduler (jobs.h), writes progress rows and sends orders
  *           to agents. It is active in one entry only, the one that the owner
  *           row names; that row is taken by a conditional write.
- *   links   listens for agents and other entries, and connects to the other
- *           entries. Entries send each other configuration changes; an entry
- *           that reads large configurations slowly from the store delegates
- *           that reading to other entries (queue-sources.h).
- *   store   holds the connection to the store. While the store refuses calls
- *           from this machine, it relays them through another entry.
+ *   links   listens for agents and other entries, and connects to some of the
+ *           other entries, above all the coordinators (members.h). Entries
+ * send each other configuration changes; an entry that reads large
+ * configurations slowly from the store delegates that reading to other entries
+ * (queue-sources.h). store   holds the connection to the store. While the
+ * store refuses calls from this machine, it relays them through another entry.
  *
  * Rows of the own table, all in one partition, so that one transaction can
  * check the owner row and write the owner's decisions:
@@ -27,7 +27,8 @@
  *              again only to repair it
  *   stop/ID    a request to cancel the job
  *   run/ID     progress of the job; written by the owner only
- *   entry/NAME an entry and the address where its links listen
+ *   entry/NAME an entry, the address where its links listen, and what its
+ *              machine has; written at its start and when it differs
  */
 #ifndef QUEUE_H
 #define QUEUE_H
@@ -37,6 +38,7 @@
 #include "entry.h"
 #include "jobs.h"
 #include "kernel.h"
+#include "members.h"
 #include "platform.h"
 #include "queue-emptied.h"
 #include "wire.h"
@@ -102,6 +104,9 @@
 /* Milliseconds since the last message of that entry on a link that this
  * process opened to it; -1: none yet. */
 int64_t Queue_PeerAge(struct kernel *k, const char *name);
+/* True when this entry is one of the coordinators, as far as it knows; false
+ * until all entries that started together with it are likely to be listed. */
+bool Queue_IsCoordinator(struct kernel *k);
 /* A random number that distinguishes this process from earlier ones of its
  * name. */
 uint64_t Queue_Incarnation(void);
@@ -296,7 +301,11 @@
 /* intake -> links: the entries that the store lists. */
 struct entries_listed {
     struct message base;
-    struct wire_list entries; /* struct wire_entry */
+    struct member *members;
+    size_t count;
+    char owner[NAME_SIZE]; /* "": none, or not known */
+    /* All entries that started together with this one are listed. */
+    bool settled;
 };
 
 extern const struct message_kind Queue_CallKind;
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -1,3 +1,4 @@
+#include "members.h"
 #include "runs.h"
 
 #include <stdlib.h>
@@ -13,25 +14,44 @@
  * entries, sending all reports to all of them took an agent 400 kB a
  * second. */
 #define NON_OWNER_REPORT_MS 700
+/* An entry that has not answered on its link gets the next report after the
+ * first of these, then after twice as long each time, up to the second. When a
+ * whole fleet starts, a few seeds get the reports of all agents; at the pace
+ * of the agents' polls they would be kept from answering any. */
+#define UNANSWERED_REPORT_MIN_MS 100
+#define UNANSWERED_REPORT_MAX_MS 1600
 /* An entry that sent orders within this time counts as the owner and gets all
  * reports. */
 #define OWNER_TIMEOUT_MS 1500
-/* An entry that no other one lists any more is dropped after this time, unless
- * it still answers. */
-#define UNLISTED_DROP_MS 15000
+/* A link to an entry that is not listed any more is closed after this time,
+ * once a listed one answers. */
+#define UNLISTED_DROP_MS 2000
+/* Entries kept of one list. */
+#define LISTED_MAX 256
+
+/* The entries that one entry listed. */
+struct entry_list {
+    char (*addresses)[NAME_SIZE];
+    size_t count;
+    size_t active; /* the first ones, to which links are held */
+    uint64_t version;
+};
 
 struct entry_link {
     struct links *links;
     char address[NAME_SIZE];
     struct link *link;
     int64_t received_ms; /* last message, or when the link was opened */
-    /* When an entry last listed it, or it last sent a message. */
-    int64_t listed_ms;
+    bool listed;       /* to be held, by the lists of the entries or a seed */
+    int64_t listed_ms; /* when it last was */
     int64_t orders_ms; /* when it last sent orders; 0: never */
     int64_t report_ms; /* when the last report was sent to it */
+    uint32_t unanswered; /* reports since the last message */
     /* Its latest stamp, to be returned; 0: none on this link. */
     int64_t stamp;
     uint64_t stamped_by;
+    struct entry_list list; /* that it last sent */
+    struct redial redial;
     TAILQ_ENTRY(entry_link) entry;
 };
 
@@ -39,10 +59,60 @@
     struct task task;
     struct link_context *context;
     TAILQ_HEAD(, entry_link) entries;
+    /* The last list of any entry, for when no link works. */
+    struct entry_list last_list;
+    struct redial_budget redials;
     ev_timer check;
 };
 
-static void add_entry(struct links *l, const char *address);
+#define OPENED(reason)                                                        \
+    {                                                                         \
+        "parsleyfall_link_opened_total",                                      \
+            "Links that this process opened, by reason.",                     \
+            "reason=\"" reason "\"", COUNTER_TOTAL                            \
+    }
+
+static struct counter opened_new = OPENED("new");
+static struct counter opened_silent = OPENED("silent");
+
+/* Replaces a list by a copy of the one in a message, without what is not an
+ * address. */
+static void
+copy_list(struct entry_list *to, const struct wire_hail *hail)
+{
+    const struct wire_entry *e = hail->entries.items;
+    size_t count = hail->entries.count;
+    size_t active = hail->reserves < count ? count - hail->reserves : count;
+
+    free(to->addresses);
+    *to = (struct entry_list){.version = hail->entries_version};
+    to->addresses =
+        Mem_Zero(count < LISTED_MAX ? count : LISTED_MAX, NAME_SIZE);
+    for (size_t i = 0; i < count && to->count < LISTED_MAX; i++) {
+        if (!Settings_IsAddress(e[i].address)) {
+            Unreadable(UNREADABLE_MESSAGE, e[i].address,
+                       "not the address of an entry");
+            continue;
+        }
+        Str_Copy(to->addresses[to->count++], NAME_SIZE, e[i].address);
+        to->active += i < active;
+    }
+}
+
+/* Handles the answer of an entry to a report. */
+static void
+take_hail(struct entry_link *e, const struct wire_hail *hail)
+{
+    if (e->stamp == 0) {
+        e->report_ms = 0; /* entries ignore reports without a stamp */
+    }
+    e->stamp = hail->stamp;
+    e->stamped_by = hail->incarnation;
+    if (hail->entries.count > 0) {
+        copy_list(&e->list, hail);
+        copy_list(&e->links->last_list, hail);
+    }
+}
 
 /* Handles a message of an entry. */
 static void
@@ -54,19 +124,10 @@
     struct runs_wire_message *wrapper;
 
     e->received_ms = Clock_NowMs();
-    e->listed_ms = e->received_ms;
+    e->unanswered = 0;
+    Redial_Heard(&e->redial);
     if ((*m)->type == WIRE_HAIL) {
-        const struct wire_hail *hail = (const struct wire_hail *)*m;
-        const struct wire_entry *list = hail->entries.items;
-
-        if (e->stamp == 0) {
-            e->report_ms = 0; /* entries ignore reports without a stamp */
-        }
-        e->stamp = hail->stamp;
-        e->stamped_by = hail->incarnation;
-        for (size_t i = 0; i < hail->entries.count; i++) {
-            add_entry(l, list[i].address);
-        }
+        take_hail(e, (const struct wire_hail *)*m);
         return;
     }
     if ((*m)->type != WIRE_ORDERS || watch == NULL) {
@@ -82,7 +143,7 @@
 
 /* Opens a link, or replaces it. */
 static void
-open_link(struct entry_link *e)
+open_link(struct entry_link *e, struct counter *opened)
 {
     Link_Free(e->link);
     e->link = Link_Connect(e->links->context, e->links->task.kernel->loop,
@@ -90,27 +151,50 @@
     e->received_ms = Clock_NowMs();
     e->stamp = 0;
     e->stamped_by = 0;
+    e->unanswered = 0;
+    e->list.version = 0;
+    Counter_Add(opened, 1);
 }
 
-/* Adds an entry and opens a link to it, unless it is known. */
-static void
-add_entry(struct links *l, const char *address)
+/* Finds the entry at an address, or adds it and opens a link to it. */
+static struct entry_link *
+find_or_add(struct links *l, const char *address)
 {
+    const struct agent_settings *s = l->task.kernel->settings;
     struct entry_link *e;
 
     TAILQ_FOREACH (e, &l->entries, entry) {
         if (strcmp(e->address, address) == 0) {
-            e->listed_ms = Clock_NowMs();
-            return;
+            return e;
         }
     }
     e = Mem_Zero(1, sizeof(*e));
     e->links = l;
     Str_Copy(e->address, sizeof(e->address), address);
-    e->listed_ms = Clock_NowMs();
+    e->redial.seed = Hash_Str(address, Hash_Str(s->name, 0));
     TAILQ_INSERT_TAIL(&l->entries, e, entry);
     LOG_I("entry_linked", KV("address", address));
-    open_link(e);
+    open_link(e, &opened_new);
+    return e;
+}
+
+/* Marks an entry as one to hold a link to. */
+static void
+hold(struct links *l, const char *address)
+{
+    struct entry_link *e = find_or_add(l, address);
+
+    e->listed = true;
+    e->listed_ms = Clock_NowMs();
+}
+
+/* Marks the first addresses of a list. */
+static void
+hold_list(struct links *l, const struct entry_list *list, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        hold(l, list->addresses[i]);
+    }
 }
 
 /* Removes an entry and closes its link. */
@@ -119,54 +203,133 @@
 {
     TAILQ_REMOVE(&e->links->entries, e, entry);
     Link_Free(e->link);
+    free(e->list.addresses);
     free(e);
 }
 
-/* True when the settings list the address. */
+/* True when an entry has answered on the present link, and lately. */
+static bool
+answers(const struct entry_link *e, int64_t now)
+{
+    return e->stamp != 0 && now - e->received_ms <= SILENT_MS;
+}
+
+/* True when one of the listed entries answers. */
 static bool
-is_seed(const struct links *l, const char *address)
+has_answering(const struct links *l, int64_t now)
+{
+    const struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (e->listed && answers(e, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Marks the seeds, and all entries of the last list. */
+static void
+hold_everything_known(struct links *l)
 {
     const struct agent_settings *s = l->task.kernel->settings;
     char *const *seeds = s->seeds.items;
 
     for (size_t i = 0; i < s->seeds.count; i++) {
-        if (strcmp(seeds[i], address) == 0) {
-            return true;
+        hold(l, seeds[i]);
+    }
+    hold_list(l, &l->last_list, l->last_list.count);
+}
+
+/* Marks the entries to hold links to: those that the answering entries list.
+ *
+ * All listed entries may disappear at once. While none of them answers, the
+ * agent tries the reserves and its seeds too; whichever answers has a list of
+ * those that are alive. */
+static void
+mark_listed(struct links *l, int64_t now)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        e->listed = false;
+    }
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (answers(e, now)) {
+            hold_list(l, &e->list, e->list.active);
         }
     }
-    return false;
+    if (!has_answering(l, now)) {
+        hold_everything_known(l);
+    }
+}
+
+/* True when the link to an entry is of no use any more. An entry that sends
+ * orders is the owner, listed or not. */
+static bool
+is_removable(const struct entry_link *e, int64_t now)
+{
+    return !e->listed && now - e->listed_ms > UNLISTED_DROP_MS &&
+           now - e->orders_ms > OWNER_TIMEOUT_MS;
 }
 
-/* Replaces silent links, and drops entries that no other one lists any more.
- * Seeds are kept, as all other entries may disappear at once. */
+/* Opens and closes links by the entries' lists, and replaces silent ones. */
 static void
 on_check(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
 {
     struct links *l = w->data;
     struct entry_link *e, *next;
     int64_t now = Clock_NowMs();
+    bool drop;
 
+    mark_listed(l, now);
+    drop = has_answering(l, now);
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
-        if (now - e->listed_ms > UNLISTED_DROP_MS && !is_seed(l, e->address)) {
+        if (drop && is_removable(e, now)) {
             LOG_I("entry_dropped", KV("address", e->address));
             drop_entry(e);
             continue;
         }
-        if (now - e->received_ms > SILENT_MS) {
-            open_link(e);
+        if (Redial_Try(&e->redial, &l->redials, SILENT_MS,
+                       now - e->received_ms, now)) {
+            open_link(e, &opened_silent);
         }
     }
 }
 
-/* True when a report need not be sent to this entry now. */
-static bool
-may_skip_report(const struct entry_link *e, int64_t now)
+/* Returns how long after a report to an entry the next one follows. */
+static int64_t
+report_interval_ms(const struct entry_link *e, int64_t now)
+{
+    int64_t ms = UNANSWERED_REPORT_MIN_MS;
+
+    if (now - e->orders_ms <= OWNER_TIMEOUT_MS) {
+        return 0;
+    }
+    if (e->stamp != 0) {
+        return NON_OWNER_REPORT_MS;
+    }
+    for (uint32_t i = 1; i < e->unanswered && ms < UNANSWERED_REPORT_MAX_MS;
+         i++) {
+        ms *= 2;
+    }
+    return ms;
+}
+
+/* Sends a report to an entry, with its stamp and the version of its list. */
+static void
+send_report(struct entry_link *e, struct wire_report *m, int64_t now)
 {
-    return now - e->orders_ms > OWNER_TIMEOUT_MS &&
-           now - e->report_ms < NON_OWNER_REPORT_MS && e->stamp != 0;
+    m->stamp = e->stamp;
+    m->stamped_by = e->stamped_by;
+    m->entries_version = e->list.version;
+    if (Link_Send(e->link, NULL, &m->msg) == ERR_OK) {
+        e->report_ms = now;
+        e->unanswered++;
+    }
 }
 
-/* Sends a message of the watch to every entry. */
+/* Sends a message of the watch to the entries. */
 static void
 receive(struct task *t, struct message *m)
 {
@@ -180,17 +343,15 @@
     TAILQ_FOREACH (e, &l->entries, entry) {
         struct wire_msg *msg = ((struct runs_wire_message *)m)->m;
 
-        if (msg->type == WIRE_REPORT && may_skip_report(e, now)) {
+        if (e->link == NULL) {
             continue;
         }
-        if (msg->type == WIRE_REPORT) {
-            e->report_ms = now;
-            ((struct wire_report *)msg)->stamp = e->stamp;
-            ((struct wire_report *)msg)->stamped_by = e->stamped_by;
-        }
-        if (e->link != NULL) {
+        if (msg->type != WIRE_REPORT) {
             Link_Send(e->link, NULL, msg);
         }
+        else if (now - e->report_ms >= report_interval_ms(e, now)) {
+            send_report(e, (struct wire_report *)msg, now);
+        }
     }
 }
 
@@ -205,6 +366,7 @@
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
         drop_entry(e);
     }
+    free(l->last_list.addresses);
     Link_ContextFree(l->context);
     free(l);
 }
@@ -218,14 +380,12 @@
 {
     const struct agent_settings *s = k->settings;
     struct links *l = Mem_Zero(1, sizeof(*l));
-    char *const *seeds = s->seeds.items;
 
     TAILQ_INIT(&l->entries);
+    l->redials.per_s = s->hosted.redials_per_s;
     l->context = Link_ContextNew();
     Kernel_AddTask(k, &l->task, &links_ops);
-    for (size_t i = 0; i < s->seeds.count; i++) {
-        add_entry(l, seeds[i]);
-    }
+    hold_everything_known(l);
     ev_init(&l->check, on_check);
     l->check.data = l;
     Timer_Every(k->loop, &l->check, CHECK_MS);
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -238,12 +238,16 @@
     LIST(wire_report, stopped, stopped_table),
     NAME(wire_report, domain),
     LIST(wire_report, crashed, crash_table),
-    TEXT(wire_report, heir_of)};
+    TEXT(wire_report, heir_of),
+    U(wire_report, entries_version)};
 
-static const struct wire_field hail[] = {
-    NAME(wire_hail, entry), U(wire_hail, incarnation),
-    I(wire_hail, store_age_ms), I(wire_hail, stamp),
-    LIST(wire_hail, entries, entry_table)};
+static const struct wire_field hail[] = {NAME(wire_hail, entry),
+                                         U(wire_hail, incarnation),
+                                         I(wire_hail, store_age_ms),
+                                         I(wire_hail, stamp),
+                                         LIST(wire_hail, entries, entry_table),
+                                         U(wire_hail, entries_version),
+                                         U(wire_hail, reserves)};
 
 static const struct wire_field order_fields[] = {
     U(wire_order, verb),      TEXT(wire_order, task),
@@ -328,8 +332,8 @@
     [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
-    [WIRE_REPORT] = FIELDS_OPTIONAL(wire_report, report, 2),
-    [WIRE_HAIL] = FIELDS(wire_hail, hail),
+    [WIRE_REPORT] = FIELDS_OPTIONAL(wire_report, report, 3),
+    [WIRE_HAIL] = FIELDS_OPTIONAL(wire_hail, hail, 2),
     [WIRE_ORDERS] = FIELDS(wire_orders, orders),
     [WIRE_REFUSED] = FIELDS(wire_refused, refused),
     [WIRE_PEER] = FIELDS(wire_peer, peer),
--- a/packages/wire/wire-link.c
+++ b/packages/wire/wire-link.c
@@ -1,4 +1,5 @@
 #include "wire.h"
+#include "wire-link-count.h"
 #include "wire-zap.h"
 
 #include <errno.h>
@@ -36,19 +37,6 @@
     char address[NAME_SIZE];
 };
 
-static struct counter in_bytes = {"parsleyfall_link_in_bytes_total",
-                                  "Bytes of messages received on links.", NULL,
-                                  COUNTER_TOTAL};
-static struct counter out_bytes = {"parsleyfall_link_out_bytes_total",
-                                   "Bytes of messages sent on links.", NULL,
-                                   COUNTER_TOTAL};
-static struct counter in_messages = {"parsleyfall_link_in_messages_total",
-                                     "Messages received on links.", NULL,
-                                     COUNTER_TOTAL};
-static struct counter out_messages = {"parsleyfall_link_out_messages_total",
-                                      "Messages sent on links.", NULL,
-                                      COUNTER_TOTAL};
-
 /* Creates a ZeroMQ context. */
 struct link_context *
 Link_ContextNew(void)
@@ -133,13 +121,12 @@
         if (!receive_message(link, &peer, &body)) {
             return;
         }
-        Counter_Add(&in_messages, 1);
-        Counter_Add(&in_bytes, (int64_t)body.len);
         if (Wire_Decode(body.data, body.len, &m) != ERR_OK) {
             LOG_W("bad_message", KV("link", link->address),
                   KV_INT("bytes", body.len));
             continue;
         }
+        LinkCount_Add(m->type, LINK_IN, body.len);
         link->receive(link->arg, link->listens ? &peer : NULL, &m);
     }
     ev_feed_event(loop, w, EV_READ);
@@ -339,8 +326,7 @@
     if (n < 0) {
         return n;
     }
-    Counter_Add(&out_messages, 1);
-    Counter_Add(&out_bytes, (int64_t)body.len);
+    LinkCount_Add(m->type, LINK_OUT, body.len);
     return ERR_OK;
 }
 
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -430,6 +430,9 @@
     /* The previous incarnation, when the present one also carries out orders
      * that were sent to it; "": none. */
     char heir_of[WIRE_TEXT_SIZE];
+    /* The list of entries that the agent last received on this link; 0: none,
+     * or the agent knows no versions. */
+    uint64_t entries_version;
 };
 
 /* Acknowledges a message of an agent or a peer; without a list of entries when
@@ -441,8 +444,12 @@
     /* Time since the store last answered the entry without a relay; -1: never.
      */
     int64_t store_age_ms;
-    int64_t stamp;            /* the entry's clock, to be echoed in reports */
-    struct wire_list entries; /* struct wire_entry */
+    int64_t stamp; /* the entry's clock, to be echoed in reports */
+    /* struct wire_entry: those that the agent should hold links to, then the
+     * reserves, for when it can reach none of them. */
+    struct wire_list entries;
+    uint64_t entries_version; /* differs when the list does; 0: no list */
+    uint64_t reserves;
 };
 
 enum wire_order_verb { WIRE_START_RUN, WIRE_STOP_RUN, WIRE_SHARE_RUN };
--- /dev/null
+++ b/tests/hosted-members-test.cc
@@ -0,0 +1,113 @@
+/* More entries than there are coordinators, and an agent. */
+#include "hosted-stack.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+using namespace harness;
+
+namespace {
+
+const int ENTRIES = 8, COORDINATORS = 5;
+
+/* The last line of a log that contains the text; "" if there is none. */
+std::string
+LastLine(const std::string &log, const std::string &text)
+{
+    size_t at = log.rfind(text);
+
+    return at == std::string::npos ? ""
+                                   : log.substr(at, log.find('\n', at) - at);
+}
+
+int
+Count(const std::string &log, const std::string &text)
+{
+    int n = 0;
+
+    for (size_t at = log.find(text); at != std::string::npos;
+         at = log.find(text, at + 1)) {
+        n++;
+    }
+    return n;
+}
+
+/* The entries whose log says that they are coordinators. */
+std::vector<int>
+Coordinators(const HostedStack &s)
+{
+    std::vector<int> all;
+
+    for (int i = 0; i < ENTRIES; i++) {
+        std::string log =
+            ReadFile(s.dir.Path("entry-" + std::to_string(i) + ".err"));
+
+        if (LastLine(log, "event=role_changed").find("role=coordinator") !=
+            std::string::npos) {
+            all.push_back(i);
+        }
+    }
+    return all;
+}
+
+/* Links that the agent holds, by its log. */
+int
+AgentLinks(const HostedStack &s)
+{
+    std::string log = ReadFile(s.dir.Path("agent-0.err"));
+
+    return Count(log, "event=entry_linked") -
+           Count(log, "event=entry_dropped");
+}
+
+bool
+WaitForCoordinators(const HostedStack &s)
+{
+    return WaitFor(
+        [&] {
+            return Coordinators(s).size() == COORDINATORS &&
+                   AgentLinks(s) == COORDINATORS;
+        },
+        20000);
+}
+
+/* With a link to every entry, the agents' load grew with agents times entries,
+ * and entries with little processor time answered none of them in time. */
+TEST(HostedMembers, AnAgentHoldsLinksToTheCoordinatorsOnly)
+{
+    HostedStack s(ENTRIES, 1);
+
+    ASSERT_TRUE(WaitForCoordinators(s)) << s.Logs();
+    for (int i = 0; i < ENTRIES; i++) {
+        std::string id = "a" + std::to_string(i);
+
+        EXPECT_EQ(s.Submit(i, id, "20").status, 200) << i;
+        EXPECT_TRUE(s.WaitForState(i, id, "completed")) << i << s.Logs();
+    }
+    EXPECT_EQ(s.Starts().size(), size_t{ENTRIES});
+    EXPECT_TRUE(WaitFor([&] { return AgentLinks(s) == COORDINATORS; }))
+        << s.Logs();
+}
+
+/* All coordinators, the owner among them, are lost at once: the agent has no
+ * link left, and nobody who holds one may become the owner. The others take
+ * their place, and the agent finds them among its reserves. */
+TEST(HostedMembers, TheLossOfAllCoordinatorsIsBorne)
+{
+    HostedStack s(ENTRIES, 1);
+    std::vector<int> lost;
+    int other = 0;
+
+    ASSERT_TRUE(WaitForCoordinators(s)) << s.Logs();
+    lost = Coordinators(s);
+    for (int i : lost) {
+        s.entries[static_cast<size_t>(i)]->Signal(SIGKILL);
+        other += other == i;
+    }
+    ASSERT_EQ(s.Submit(other, "a1", "20").status, 200) << s.Logs();
+    EXPECT_TRUE(s.WaitForState(other, "a1", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 1u);
+}
+
+} /* namespace */
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -11,6 +11,11 @@
 
 namespace {
 
+/* Addresses of one stack: entries first, then agents. */
+const int HOSTS = 20, AGENT_HOST = 12;
+/* As on a platform, settings name some of the entries. */
+const size_t SEEDS_MAX = 5;
+
 const int CALLERS = 7001, READY = 7002, LINKS = 7003, HEARTBEATS = 7004;
 
 std::string
@@ -35,7 +40,11 @@
     int pid = static_cast<int>(getpid());
 
     net = "127." + std::to_string(1 + pid / 250 % 250) + "." +
-          std::to_string(pid % 250) + "." + std::to_string(1 + stacks++ % 12);
+          std::to_string(pid % 250) + ".";
+    first_host = 1 + stacks++ % 12 * HOSTS;
+    if (entry_count > AGENT_HOST || worker_count > HOSTS - AGENT_HOST) {
+        throw std::runtime_error("too many entries or agents for a stack");
+    }
     store = std::make_unique<Fake>(
         dir, "fake-hosted-store",
         std::vector<std::string>{"--second-port-file",
@@ -62,11 +71,12 @@
     }
 }
 
-/* Hosts 0 to 4 are entries, 5 to 9 agents; each has its own address. */
+/* Entries and agents are hosts with addresses of their own. */
 std::string
 HostedStack::Address(int host, int port) const
 {
-    return net + std::to_string(host % 10) + ":" + std::to_string(port);
+    return net + std::to_string(first_host + host) + ":" +
+           std::to_string(port);
 }
 
 int
@@ -83,7 +93,7 @@
     std::string ip = Address(i, 0);
 
     ip = ip.substr(0, ip.find(':'));
-    for (size_t k = 0; k < entries.size(); k++) {
+    for (size_t k = 0; k < entries.size() && k < SEEDS_MAX; k++) {
         seeds +=
             (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
     }
@@ -114,7 +124,7 @@
 {
     std::string n = std::to_string(i), seeds;
 
-    for (size_t k = 0; k < entries.size(); k++) {
+    for (size_t k = 0; k < entries.size() && k < SEEDS_MAX; k++) {
         seeds +=
             (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
     }
@@ -122,7 +132,7 @@
         "agent-" + n + ".yaml",
         "name: agent-" + n + "\nregion: here\nfailure_domain: a\nrack: r\n" +
             "accelerators: 0\nseeds: [" + seeds + "]\ndrain_ms: 1000\n" +
-            "hosted:\n  beats: \"" + Address(i + 5, HEARTBEATS) +
+            "hosted:\n  beats: \"" + Address(AGENT_HOST + i, HEARTBEATS) +
             "\"\n  worker: \"127.0.0.1:" +
             std::to_string(worker_ports[static_cast<size_t>(i)]) +
             "\"\n  lease_ms: 4000\n");
@@ -141,7 +151,7 @@
     workers[at] = std::make_unique<Fake>(
         dir, "fake-hosted-worker",
         std::vector<std::string>{"--id", incarnation, "--beats",
-                                 Address(i + 5, HEARTBEATS), "--port",
+                                 Address(AGENT_HOST + i, HEARTBEATS), "--port",
                                  std::to_string(worker_ports[at])},
         "worker-" + std::to_string(worker_names++));
     worker_ports[at] = workers[at]->port;
@@ -299,7 +309,7 @@
 std::string
 HostedStack::Heartbeats(int i) const
 {
-    return "http://" + Address(i + 5, HEARTBEATS);
+    return "http://" + Address(AGENT_HOST + i, HEARTBEATS);
 }
 
 bool
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -81,6 +81,7 @@
                        const std::string &other_key,
                        const std::string &more_queues) const;
     std::string net;
+    int first_host = 0;
     std::vector<int> worker_ports;
     int config_row = 0;
     int worker_names = 0;
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -48,3 +48,7 @@
                      ENVIRONMENT "RC_PARAMS=seed=20261203 max_success=500")
 pf_test(queue-leader-test queue-leader-test.cc PACKAGES queue)
 pf_test(queue-relay-test queue-relay-test.cc PACKAGES queue)
+pf_process_test(hosted-members-test hosted-members-test.cc hosted-stack.cc
+                PACKAGES wire NEEDS parsleyfall parsleyfall-agent
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser)
+target_link_libraries(hosted-members-test PRIVATE sodium)
