wire, cli: link traffic by kind of message, links opened by reason, in logs and `summary`

The table of what grows with the fleet needs messages, bytes and new links of each process by cause.

Test: cli-process-test, SummaryCoversEveryJobOfSavedLogs (the new lines).

--- a/packages/cli/cli-summary.c
+++ b/packages/cli/cli-summary.c
@@ -23,6 +23,14 @@
     size_t count;
 };
 
+/* Messages of one kind on links, in one direction. */
+struct traffic {
+    char kind[WORD_SIZE];
+    char direction[WORD_SIZE];
+    int64_t bytes;
+    int64_t messages;
+};
+
 /* The data on a job that its log lines give. */
 struct job_summary {
     char id[WORD_SIZE];
@@ -49,6 +57,9 @@
     struct tallies jobs_by_queue;    /* all jobs */
     struct tallies late_by_queue;    /* jobs that missed their objective */
     struct tallies open_by_queue;    /* jobs that have not ended */
+    struct tallies links_opened;     /* why links were opened */
+    struct traffic traffic[MAX_REASONS];
+    size_t traffic_count;
     int64_t late_ms[PHASES];
 };
 
@@ -264,6 +275,33 @@
               {"run_given", on_run_started}, {"run_stopped", on_run_stopped},
               {"run_over", on_run_ended},    {"job_state", on_job_state}};
 
+/* Adds the traffic of one line. */
+static void
+add_traffic(struct summary *s, const char *line)
+{
+    struct traffic t, *at;
+    size_t i = 0;
+
+    read_field(line, "kind", t.kind);
+    read_field(line, "direction", t.direction);
+    while (i < s->traffic_count &&
+           (strcmp(s->traffic[i].kind, t.kind) != 0 ||
+            strcmp(s->traffic[i].direction, t.direction) != 0)) {
+        i++;
+    }
+    if (i == MAX_REASONS) {
+        return;
+    }
+    at = &s->traffic[i];
+    if (i == s->traffic_count) {
+        *at = t;
+        at->bytes = at->messages = 0;
+        s->traffic_count++;
+    }
+    at->bytes += read_number(line, "bytes");
+    at->messages += read_number(line, "messages");
+}
+
 /* Adds the event of one line to the summary; other lines are ignored. */
 static void
 add_line(const char *line, void *arg)
@@ -278,6 +316,14 @@
         count_reason(&s->refused_calls, reason, 0);
         return;
     }
+    if (strcmp(event, "link_opened") == 0) {
+        count_reason(&s->links_opened, reason, 0);
+        return;
+    }
+    if (strcmp(event, "link_traffic") == 0) {
+        add_traffic(s, line);
+        return;
+    }
     for (size_t i = 0; i < COUNT_OF(events); i++) {
         if (strcmp(event, events[i].event) == 0 &&
             (j = get_job(s, line, "job")) != NULL) {
@@ -298,6 +344,20 @@
     }
 }
 
+/* Prints the links that were opened, and their traffic. */
+static void
+print_links(const struct summary *s)
+{
+    print_tallies("link_opened", "reason", &s->links_opened);
+    for (size_t i = 0; i < s->traffic_count; i++) {
+        printf("total link_traffic kind=%s direction=%s bytes=%lld "
+               "messages=%lld\n",
+               s->traffic[i].kind, s->traffic[i].direction,
+               (long long)s->traffic[i].bytes,
+               (long long)s->traffic[i].messages);
+    }
+}
+
 /* True for a job that ended after its latency objective. */
 static bool
 is_late(const struct job_summary *j)
@@ -412,6 +472,7 @@
         print_tallies("jobs_late", "queue", &s->late_by_queue);
         print_tallies("jobs_open", "queue", &s->open_by_queue);
         print_phases(s);
+        print_links(s);
     }
     return code;
 }
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -61,6 +61,8 @@
                            p->address, NULL, on_peer_message, p);
     p->connected_ms = Clock_NowMs();
     Counter_Add(opened, 1);
+    LOG_I("link_opened", KV("address", p->address),
+          KV("reason", opened == &opened_new ? "new" : "silent"));
 }
 
 /* Closes the link to a peer and frees it. */
@@ -260,6 +262,7 @@
         l->resumed_ms = now;
     }
     l->ticked_ms = now;
+    Link_LogTraffic(now);
     Contacts_Update(l);
     Str_Copy(m.entry, sizeof(m.entry), s->name);
     l->round++;
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -154,6 +154,8 @@
     e->unanswered = 0;
     e->list.version = 0;
     Counter_Add(opened, 1);
+    LOG_I("link_opened", KV("address", e->address),
+          KV("reason", opened == &opened_new ? "new" : "silent"));
 }
 
 /* Finds the entry at an address, or adds it and opens a link to it. */
@@ -282,6 +284,7 @@
     int64_t now = Clock_NowMs();
     bool drop;
 
+    Link_LogTraffic(now);
     mark_listed(l, now);
     drop = has_answering(l, now);
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -660,6 +660,10 @@
  * link's queue is full, nothing was sent. */
 int Link_Send(struct link *link, const struct link_peer *peer,
               const struct wire_msg *m);
+/* Logs what links have sent and received since the last time, an event for
+ * each kind of message, for `parsleyfall summary`; at most every ten seconds.
+ */
+void Link_LogTraffic(int64_t now_ms);
 bool Link_SamePeer(const struct link_peer *a, const struct link_peer *b);
 
 #ifdef __cplusplus
--- a/tests/cli-process-test.cc
+++ b/tests/cli-process-test.cc
@@ -137,7 +137,17 @@
             "outcome=later reason=store_away\n" +
             head +
             "5.200Z level=info proc=b event=run_over reason=failed job=b2 "
-            "task=b2.0.0.0 run=1 worker=i-7 ms=120 weight=1000\n");
+            "task=b2.0.0.0 run=1 worker=i-7 ms=120 weight=1000\n" +
+            head + "5.3Z proc=b event=link_opened address=x reason=silent\n" +
+            head +
+            "5.4Z proc=b event=link_traffic kind=report direction=in "
+            "bytes=300 messages=2\n" +
+            head +
+            "5.5Z proc=c event=link_traffic kind=report direction=in "
+            "bytes=700 messages=3\n" +
+            head +
+            "5.6Z proc=c event=link_traffic kind=report direction=out "
+            "bytes=9 messages=1\n");
     Ran r = Run({"summary", "--log", first, "--log", second});
 
     EXPECT_EQ(r.code, 0) << r.err;
@@ -166,7 +176,12 @@
           "total late_time phase=accepted ms=100\n",
           "total late_time phase=scheduled ms=150\n",
           "total late_time phase=restarts ms=1750\n",
-          "total late_time phase=last_run ms=1010\n"}) {
+          "total late_time phase=last_run ms=1010\n",
+          "total link_opened reason=silent count=1",
+          "total link_traffic kind=report direction=in bytes=1000 "
+          "messages=5\n",
+          "total link_traffic kind=report direction=out bytes=9 "
+          "messages=1\n"}) {
         EXPECT_NE(r.out.find(line), std::string::npos) << line << r.out;
     }
     EXPECT_EQ(Run({"summary", "--log", dir.Write("none", "x\n")}).code, 1);
