queue: an ordinary entry follows the own table once a second

Change: entries that are no coordinators pause for 1 s instead of 0.2 s between an answer with changes and the next call. Counts may be 2 s old, and queries during the pause are read from the store already.

--- a/packages/queue/queue-contacts.c
+++ b/packages/queue/queue-contacts.c
@@ -211,14 +211,17 @@
     Contacts_Update(l);
 }
 
-/* True when this entry is one of the coordinators. */
-bool
-Queue_IsCoordinator(struct kernel *k)
+/* Returns the role of this entry. */
+enum queue_role
+Queue_Role(struct kernel *k)
 {
     const struct links *l =
         (const struct links *)Kernel_FindTask(k, TASK_LINKS);
 
-    return l != NULL && l->members_settled && l->is_coordinator;
+    if (l == NULL || !l->members_settled) {
+        return ROLE_UNKNOWN;
+    }
+    return l->is_coordinator ? ROLE_COORDINATOR : ROLE_ORDINARY;
 }
 
 /* Frees the members and the list for agents. */
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -14,6 +14,9 @@
  * and the next feed call, for the own table. It is a tenth of the time by
  * which counts may be outdated. */
 #define PAUSE_MS 200
+/* The pause of an ordinary entry, half of that time. It never has to take over
+ * at once, and answers queries during the pause from the store. */
+#define ORDINARY_PAUSE_MS 1000
 
 static void request_next(struct followed_table *f);
 
@@ -53,7 +56,10 @@
         return;
     }
     f->paused = true;
-    Timer_Set(f->intake->task.kernel->loop, &f->retry_timer, PAUSE_MS);
+    Timer_Set(f->intake->task.kernel->loop, &f->retry_timer,
+              Queue_Role(f->intake->task.kernel) == ROLE_ORDINARY
+                  ? ORDINARY_PAUSE_MS
+                  : PAUSE_MS);
 }
 
 /* Ends the pause of the own table and makes its next feed call. */
--- a/packages/queue/queue-leader.c
+++ b/packages/queue/queue-leader.c
@@ -148,9 +148,10 @@
                                ? o->heartbeat_seen_ms
                                : o->feed_since_ms;
     /* Entries wait for different times, so that one claims first. */
-    int64_t stagger_ms =
-        (int64_t)(Hash_Str(s->name, 0) % 300) +
-        (Queue_IsCoordinator(o->task.kernel) ? 0 : ORDINARY_CLAIM_DELAY_MS);
+    int64_t stagger_ms = (int64_t)(Hash_Str(s->name, 0) % 300) +
+                         (Queue_Role(o->task.kernel) == ROLE_COORDINATOR
+                              ? 0
+                              : ORDINARY_CLAIM_DELAY_MS);
     bool vacant = o->row_version == 0 || o->row_name[0] == '\0';
     bool held_by_earlier_process =
         strcmp(o->row_name, s->name) == 0 && !Leader_IsOurs(o);
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -104,9 +104,15 @@
 /* Milliseconds since the last message of that entry on a link that this
  * process opened to it; -1: none yet. */
 int64_t Queue_PeerAge(struct kernel *k, const char *name);
-/* True when this entry is one of the coordinators, as far as it knows; false
- * until all entries that started together with it are likely to be listed. */
-bool Queue_IsCoordinator(struct kernel *k);
+/* The role of an entry, as far as it knows. */
+enum queue_role {
+    /* Entries that started together with it may not be listed yet. */
+    ROLE_UNKNOWN,
+    ROLE_ORDINARY,
+    ROLE_COORDINATOR
+};
+
+enum queue_role Queue_Role(struct kernel *k);
 /* A random number that distinguishes this process from earlier ones of its
  * name. */
 uint64_t Queue_Incarnation(void);
