--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -110,4 +110,43 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
+/* Rows of another writer: unreadable ones name no entry, and those of entries
+ * that do not answer are passed over, whatever room they state. */
+TEST(HostedMembers, RowsOfAnotherWriterNameNoCoordinator)
+{
+    HostedStack s(ENTRIES, 1);
+    const struct {
+        const char *key, *value;
+    } rows[] = {
+        {"entry/bad-1", "not JSON"},
+        {"entry/bad-2", R"({"links":7,"incarnation":"x"})"},
+        {"entry/bad-3", R"({"links":"nowhere","incarnation":1})"},
+        {"entry/bad 4", R"({"links":"127.0.0.1:1","incarnation":1})"},
+        {"entry/bad-5",
+         R"({"links":"127.0.0.1:1","incarnation":1,"domain":[],)"
+         R"("millicores":"many","link_mbps":-4,"memory_mb":1e300})"},
+        {"entry/lost-1", R"({"links":"127.0.0.1:1","incarnation":1,)"
+                         R"("domain":"b","millicores":900000,)"
+                         R"("link_mbps":900000,"memory_mb":900000})"},
+        {"entry/lost-2", R"({"links":"127.0.0.1:2","incarnation":1,)"
+                         R"("domain":"c","millicores":900000,)"
+                         R"("link_mbps":900000,"memory_mb":900000})"},
+    };
+
+    ASSERT_TRUE(WaitForCoordinators(s)) << s.Logs();
+    for (const auto &r : rows) {
+        s.PutRow("parsleyfall", r.key, r.value);
+    }
+    ASSERT_TRUE(WaitFor([&] {
+        return ReadFile(s.dir.Path("agent-0.err"))
+                   .find("entry_linked address=127.0.0.1:2") !=
+               std::string::npos;
+    })) << s.Logs();
+    ASSERT_EQ(s.Submit(0, "a1", "20").status, 200) << s.Logs();
+    EXPECT_TRUE(s.WaitForState(0, "a1", "completed")) << s.Logs();
+    /* Those of the lost entries that were chosen are replaced when they are
+     * found silent. */
+    EXPECT_TRUE(WaitForCoordinators(s)) << s.Logs();
+}
+
 } /* namespace */
