queue: the listed entries are known as soon as the table is listed

After a restart of all entries an entry learned its role at its next check of the entry rows, up to 0.3 s after the list, and claimed only then. It reports the entries when the list is complete now.

--- a/packages/queue/queue-entries.c
+++ b/packages/queue/queue-entries.c
@@ -170,8 +170,8 @@
 
 /* Sends the entries that the store lists to the links task, if they, the owner
  * or whether they are settled have changed. */
-static void
-send_entries(struct intake *in)
+void
+Entries_Report(struct intake *in)
 {
     struct entries_listed *note = Mem_Zero(1, sizeof(*note));
     struct row_digest digest = {0};
@@ -197,7 +197,7 @@
     struct intake *in = w->data;
 
     update_own_row(in);
-    send_entries(in);
+    Entries_Report(in);
     Timer_Set(loop, w, in->own_row_stored_ms != 0 ? CHECK_MS : FIRST_CHECK_MS);
 }
 
--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -209,12 +209,13 @@
         request_next(f);
         return;
     }
-    if (f == &f->intake->own_table) {
-        Cache_EndList(f->intake);
-    }
     f->page_after[0] = '\0';
     f->listed = true;
     f->position = f->list_position;
+    if (f == &f->intake->own_table) {
+        Cache_EndList(f->intake);
+        Entries_Report(f->intake);
+    }
     LOG_I("table_listed", KV("table", f->table),
           KV_INT("position", f->position));
     report_status(f, true);
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -146,5 +146,8 @@
 /* ---- queue-entries.c */
 void Entries_Start(struct intake *in);
 void Entries_Stop(struct intake *in);
+/* Reports the entries that the store lists to the links task, if they or the
+ * owner have changed. */
+void Entries_Report(struct intake *in);
 
 #endif
