runs: an agent keeps ten reserves of a list, however long it is

Found by a test of bad input: a list of 10,005 entries of which five were to be held made an agent that reached none of them open 256 links at once. It keeps MEMBERS_RESERVES of the reserves, and up to 256 entries to hold, as entries of older versions list all of them as such.

Test: hosted-members-test, ALongListCostsAnAgentFewLinks (failed before).

--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -26,8 +26,9 @@
 /* A link to an entry that is not listed any more is closed after this time,
  * once a listed one answers. */
 #define UNLISTED_DROP_MS 2000
-/* Entries kept of one list. */
-#define LISTED_MAX 256
+/* Entries kept of one list, beside MEMBERS_RESERVES reserves. Entries of older
+ * versions list all entries, and expect a link to each. */
+#define ACTIVE_MAX 256
 
 /* The entries that one entry listed. */
 struct entry_list {
@@ -83,19 +84,27 @@
     const struct wire_entry *e = hail->entries.items;
     size_t count = hail->entries.count;
     size_t active = hail->reserves < count ? count - hail->reserves : count;
+    size_t left[2] = {MEMBERS_RESERVES, ACTIVE_MAX}; /* reserves, active */
 
     free(to->addresses);
     *to = (struct entry_list){.version = hail->entries_version};
-    to->addresses =
-        Mem_Zero(count < LISTED_MAX ? count : LISTED_MAX, NAME_SIZE);
-    for (size_t i = 0; i < count && to->count < LISTED_MAX; i++) {
+    to->addresses = Mem_Zero((active < ACTIVE_MAX ? active : ACTIVE_MAX) +
+                                 MEMBERS_RESERVES,
+                             NAME_SIZE);
+    for (size_t i = 0; i < count; i++) {
+        bool is_active = i < active;
+
+        if (left[is_active] == 0) {
+            continue;
+        }
         if (!Settings_IsAddress(e[i].address)) {
             Unreadable(UNREADABLE_MESSAGE, e[i].address,
                        "not the address of an entry");
             continue;
         }
+        left[is_active]--;
         Str_Copy(to->addresses[to->count++], NAME_SIZE, e[i].address);
-        to->active += i < active;
+        to->active += is_active;
     }
 }
 
--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -1,15 +1,20 @@
 /* More entries than there are coordinators, and an agent. */
+extern "C" {
+#include "wire.h"
+}
 #include "hosted-stack.h"
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <csignal>
 
 using namespace harness;
 
 namespace {
 
-const int ENTRIES = 8, COORDINATORS = 5;
+const int ENTRIES = 8, COORDINATORS = 5, RESERVES = 10;
 
 /* The last line of a log that contains the text; "" if there is none. */
 std::string
@@ -149,4 +154,79 @@
     EXPECT_TRUE(WaitForCoordinators(s)) << s.Logs();
 }
 
+/* An entry that answers every report with one list. */
+struct Lister {
+    struct link *link = nullptr;
+    struct wire_list entries = {};
+    uint64_t reserves = 0;
+
+    static void OnReceive(void *arg, const struct link_peer *from,
+                          struct wire_msg **)
+    {
+        auto *l = static_cast<Lister *>(arg);
+        struct wire_hail m = {};
+
+        m.msg.type = WIRE_HAIL;
+        m.incarnation = 1;
+        m.stamp = 1;
+        m.entries = l->entries;
+        m.entries_version = 1;
+        m.reserves = l->reserves;
+        Link_Send(l->link, from, &m.msg);
+    }
+
+    void Add(const std::string &address)
+    {
+        auto *e = static_cast<struct wire_entry *>(
+            Wire_ListAdd(&entries, sizeof(struct wire_entry)));
+
+        Str_Copy(e->address, sizeof(e->address), address.c_str());
+    }
+};
+
+/* A list of ten thousand entries, some of them twice or no addresses, costs an
+ * agent links to the few that it is to hold, once each. */
+TEST(HostedMembers, ALongListCostsAnAgentFewLinks)
+{
+    TempDir dir;
+    Lister lister;
+    struct ev_loop *loop = ev_loop_new(0);
+    struct link_context *context = Link_ContextNew();
+    auto log = [&] { return ReadFile(dir.Path("agent.err")); };
+
+    lister.link = Link_Listen(context, loop, "127.0.0.1:0", nullptr,
+                              Lister::OnReceive, &lister);
+    ASSERT_NE(lister.link, nullptr);
+    for (const char *active :
+         {"127.0.0.1:2", "127.0.0.1:2", "nowhere", "127.0.0.1:3", ""}) {
+        lister.Add(active);
+    }
+    lister.reserves = 10000;
+    for (uint64_t i = 0; i < lister.reserves; i++) {
+        lister.Add("127.0.0.1:" + std::to_string(4 + i / 2));
+    }
+    /* An address of this process's own, as in HostedStack. */
+    const int pid = static_cast<int>(getpid());
+    const std::string beats = "127." + std::to_string(1 + pid / 250 % 250) +
+                              "." + std::to_string(pid % 250) + ".250:7004";
+    std::string file = dir.Write(
+        "agent.yaml",
+        std::string("name: agent\nregion: here\nfailure_domain: a\n") +
+            "rack: r\naccelerators: 0\nseeds: [\"" +
+            Link_Address(lister.link) + "\"]\nhosted: {beats: \"" + beats +
+            "\", worker: \"127.0.0.1:1\"}\n");
+    Process agent(dir, "parsleyfall-agent", {"run", file}, "agent");
+    EXPECT_TRUE(WaitFor([&] {
+        ev_run(loop, EVRUN_NOWAIT);
+        return Count(log(), "event=entry_linked address=127.0.0.1:3") == 1;
+    })) << log();
+    /* The seed, two to hold, and the reserves, as none of the two answers. */
+    EXPECT_LE(Count(log(), "event=entry_linked"), 1 + 2 + RESERVES) << log();
+    EXPECT_TRUE(agent.Running());
+    free(lister.entries.items);
+    Link_Free(lister.link);
+    Link_ContextFree(context);
+    ev_loop_destroy(loop);
+}
+
 } /* namespace */
