--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -79,14 +79,10 @@
 {
     struct jobs_worker first = {.id = ""};
 
-    if (w == NULL) {
-        Str_Copy(first.agent, sizeof(first.agent), self->agent);
-        w = RB_NFIND(jobs_agent_tree, &sched->by_agent, &first);
-    }
-    else {
-        w = RB_NEXT(jobs_agent_tree, &sched->by_agent, w);
-    }
-    if (w == self) {
+    Str_Copy(first.agent, sizeof(first.agent), self->agent);
+    w = w != NULL ? RB_NEXT(jobs_agent_tree, &sched->by_agent, w)
+                  : RB_NFIND(jobs_agent_tree, &sched->by_agent, &first);
+    if (w != NULL && w == self) {
         w = RB_NEXT(jobs_agent_tree, &sched->by_agent, w);
     }
     return w != NULL && strcmp(w->agent, self->agent) == 0 ? w : NULL;
--- a/packages/queue/queue-contacts.c
+++ b/packages/queue/queue-contacts.c
@@ -160,36 +160,42 @@
     }
 }
 
+/* True for the address of this entry, or of a neighbour chosen already. */
+static bool
+is_taken(const struct links *l, const char *address)
+{
+    const struct entry_settings *s = l->task.kernel->settings;
+
+    for (size_t i = 0; i < NEIGHBOURS; i++) {
+        if (strcmp(address, l->neighbours[i]) == 0) {
+            return true;
+        }
+    }
+    return strcmp(address, s->hosted.links) == 0;
+}
+
 /* Chooses the neighbours: other entries, by a hash that differs from entry to
  * entry, so that each is the neighbour of as few others as possible. */
 static void
 choose_neighbours(struct links *l)
 {
     const struct entry_settings *s = l->task.kernel->settings;
-    uint64_t seed = Hash_Str(s->name, 0), ranks[NEIGHBOURS];
+    uint64_t seed = Hash_Str(s->name, 0);
 
     memset(l->neighbours, 0, sizeof(l->neighbours));
-    for (size_t i = 0; i < l->member_count; i++) {
-        const char *address = l->members[i].address;
-        uint64_t rank = Hash_Str(address, seed);
-        size_t at = 0;
+    for (size_t k = 0; k < NEIGHBOURS; k++) {
+        const char *best = "";
 
-        if (strcmp(address, s->hosted.links) == 0) {
-            continue;
-        }
-        while (at < NEIGHBOURS && *l->neighbours[at] != '\0' &&
-               ranks[at] <= rank) {
-            at++;
-        }
-        if (at == NEIGHBOURS) {
-            continue;
-        }
-        for (size_t k = NEIGHBOURS - 1; k > at; k--) {
-            Str_Copy(l->neighbours[k], NAME_SIZE, l->neighbours[k - 1]);
-            ranks[k] = ranks[k - 1];
+        for (size_t i = 0; i < l->member_count; i++) {
+            const char *address = l->members[i].address;
+
+            if (!is_taken(l, address) &&
+                (*best == '\0' ||
+                 Hash_Str(address, seed) < Hash_Str(best, seed))) {
+                best = address;
+            }
         }
-        Str_Copy(l->neighbours[at], NAME_SIZE, address);
-        ranks[at] = rank;
+        Str_Copy(l->neighbours[k], NAME_SIZE, best);
     }
 }
 
