--- a/packages/members/members-redial.c
+++ b/packages/members/members-redial.c
@@ -61,7 +61,7 @@
 
 /* A message has arrived on the link. */
 void
-Redial_Heard(struct redial *r)
+Redial_Received(struct redial *r)
 {
     r->attempts = 0;
 }
--- a/packages/members/members.h
+++ b/packages/members/members.h
@@ -65,8 +65,8 @@
  * replaced after the same time, the new connections would cost the entry more
  * than the answers, none would arrive in time, and all links would be replaced
  * for ever. So the time that a link may be silent doubles with each
- * replacement, by which an entry that is slow but alive is heard in the end,
- * and a process replaces only so many links a second. */
+ * replacement, so that the answers of an entry that is slow but alive arrive
+ * in the end, and a process replaces only so many links a second. */
 
 /* The longest silence is the shortest one times this. */
 #define REDIAL_GROWTH_MAX 4
@@ -93,7 +93,7 @@
 bool Redial_Try(struct redial *r, struct redial_budget *budget,
                 int64_t base_ms, int64_t silent_ms, int64_t now);
 /* A message has arrived on the link. */
-void Redial_Heard(struct redial *r);
+void Redial_Received(struct redial *r);
 
 #ifdef __cplusplus
 }
--- a/packages/queue/queue-contacts.c
+++ b/packages/queue/queue-contacts.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* An entry that the store has not answered for this long looks for others that
- * it can relay calls through. */
+/* An entry that the store has not answered for this long links to more entries
+ * that it may relay calls through. */
 #define STORE_LOST_MS 2000
 
 /* Adds an entry to the list for agents, unless it is on it. */
--- a/packages/queue/queue-links.h
+++ b/packages/queue/queue-links.h
@@ -81,8 +81,9 @@
     /* Addresses of further contacts, which differ from entry to entry. */
     char neighbours[NEIGHBOURS][NAME_SIZE];
     bool is_coordinator;
-    int64_t ticked_ms;  /* last periodic check */
-    int64_t resumed_ms; /* when this process last went on after a pause */
+    int64_t ticked_ms; /* last periodic check */
+    int64_t
+        resumed_ms; /* when this process last went on after it was suspended */
     struct redial_budget redials;
     /* What agents are sent: struct wire_entry, the reserves last. */
     struct wire_list agent_entries;
--- a/packages/queue/queue-peers.c
+++ b/packages/queue/queue-peers.c
@@ -6,8 +6,9 @@
 /* A peer that is no contact any more is kept for this long, as entries that
  * start together are listed one after the other. */
 #define UNWANTED_KEEP_MS 5000
-/* A longer time between two periodic checks is a pause of this process. */
-#define PAUSE_MS 1500
+/* With a longer time between two periodic checks this process was suspended.
+ */
+#define SUSPENDED_MS 1500
 /* Another entry can relay store calls while its last message is younger than
  * the first of these, two status intervals, and the store's last answer to it
  * younger than the second, the wait of a feed call and some delay. */
@@ -32,7 +33,7 @@
     struct peer *p = arg;
 
     p->last_message_ms = Clock_NowMs();
-    Redial_Heard(&p->redial);
+    Redial_Received(&p->redial);
     switch ((*m)->type) {
     case WIRE_STORE_ANSWER:
         Links_ForwardToStore(p->links, NULL, m);
@@ -128,9 +129,9 @@
 
 /* True when nothing has arrived from a peer for too long.
  *
- * After a pause of this process the messages of all peers still wait in their
- * sockets. Their silence counts from the end of the pause, or this entry would
- * take all of them for lost and send its agents elsewhere. */
+ * While this process is suspended, the messages of all peers wait in their
+ * sockets. Silence counts from when it went on, or this entry would take all
+ * of them for lost and list others to its agents. */
 bool
 Peers_IsSilent(const struct links *l, const struct peer *p)
 {
@@ -230,11 +231,10 @@
 {
     struct links *l = p->links;
     int64_t now = Clock_NowMs();
-    int64_t heard_ms = p->last_message_ms > p->connected_ms
-                           ? p->last_message_ms
-                           : p->connected_ms;
+    int64_t sign_ms = p->last_message_ms > p->connected_ms ? p->last_message_ms
+                                                           : p->connected_ms;
 
-    if (Redial_Try(&p->redial, &l->redials, LINK_SILENT_MS, now - heard_ms,
+    if (Redial_Try(&p->redial, &l->redials, LINK_SILENT_MS, now - sign_ms,
                    now)) {
         connect_peer(p, &opened_silent);
     }
@@ -258,7 +258,7 @@
     size_t index = 0;
     int64_t now = Clock_NowMs();
 
-    if (now - l->ticked_ms > PAUSE_MS) {
+    if (now - l->ticked_ms > SUSPENDED_MS) {
         l->resumed_ms = now;
     }
     l->ticked_ms = now;
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -134,7 +134,7 @@
 
     e->received_ms = Clock_NowMs();
     e->unanswered = 0;
-    Redial_Heard(&e->redial);
+    Redial_Received(&e->redial);
     if ((*m)->type == WIRE_HAIL) {
         take_hail(e, (const struct wire_hail *)*m);
         return;
--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -96,8 +96,8 @@
 }
 
 /* All coordinators, the owner among them, are lost at once: the agent has no
- * link left, and nobody who holds one may become the owner. The others take
- * their place, and the agent finds them among its reserves. */
+ * link left, and no entry that it is linked to can become the owner. The
+ * others take their place, and the agent finds them among its reserves. */
 TEST(HostedMembers, TheLossOfAllCoordinatorsIsBorne)
 {
     HostedStack s(ENTRIES, 1);
--- a/tests/members-test.cc
+++ b/tests/members-test.cc
@@ -103,7 +103,7 @@
         {"an older version states nothing",
          {Entry("a", "", 0, 0, 0), Entry("b", "d", 120)},
          "b"},
-        {"nobody states anything", {Entry("a", "", 0, 0, 0)}, "a"},
+        {"no entry states anything", {Entry("a", "", 0, 0, 0)}, "a"},
         {"no entries", {}, ""},
     };
 
@@ -133,7 +133,7 @@
 }
 
 /* Any number of entries may be lost at once: there is a coordinator while one
- * is left, none is silent, and nobody moves without need. */
+ * is left, none is silent, and no coordinator changes without need. */
 RC_GTEST_PROP(Members, TheLostAreReplacedAndTheOthersStay, ())
 {
     Members m = Fleet(*rc::gen::inRange(1, 60));
@@ -197,7 +197,7 @@
         EXPECT_GE(Redial_SilenceMs(&r, BASE_MS), least) << i;
         EXPECT_LE(Redial_SilenceMs(&r, BASE_MS), least * 3 / 2) << i;
     }
-    Redial_Heard(&r);
+    Redial_Received(&r);
     EXPECT_EQ(Redial_SilenceMs(&r, BASE_MS), BASE_MS);
 }
 
@@ -235,7 +235,7 @@
         struct redial redial;
         struct redial_budget budget = {.per_s = 4};
         /* Last answer, or when the link was opened; last answer. */
-        int64_t heard = 0, answered = 0, next = 0;
+        int64_t quiet_since = 0, answered = 0, next = 0;
         int epoch = 0;
     };
     struct Job {
@@ -255,12 +255,12 @@
         for (int i = 0; i < peers; i++) {
             Peer &p = all[static_cast<size_t>(i)];
 
-            if (Redial_Try(&p.redial, &p.budget, BASE_MS, now - p.heard,
+            if (Redial_Try(&p.redial, &p.budget, BASE_MS, now - p.quiet_since,
                            now)) {
                 if (!grows) {
                     p.redial.attempts = 0;
                 }
-                p.heard = now;
+                p.quiet_since = now;
                 p.epoch++;
                 queue.push_back({i, -1, dial_cost});
                 out.dials += now > end - 5000;
@@ -277,8 +277,8 @@
 
             credit -= queue[head].cost;
             if (queue[head].epoch == p.epoch) {
-                p.heard = p.answered = now;
-                Redial_Heard(&p.redial);
+                p.quiet_since = p.answered = now;
+                Redial_Received(&p.redial);
             }
             head++;
         }
@@ -292,7 +292,7 @@
 /* Agents opened 101 links a second each: an entry that had fallen behind got
  * more connections than it could answer, so its links stayed silent for ever.
  * The mutant without the growth shows it. */
-TEST(Redial, AnEntryThatFellBehindIsHeardAgain)
+TEST(Redial, AnOverloadedEntryAnswersAgain)
 {
     Outcome kept = PlayOverload(200, 600, 5, true);
     Outcome mutant = PlayOverload(200, 600, 5, false);
@@ -309,7 +309,7 @@
 {
     struct Peer {
         struct redial redial;
-        int64_t heard, lost_until;
+        int64_t quiet_since, lost_until;
     };
     const int64_t per_s = *rc::gen::inRange<int64_t>(1, 20), step = 250;
     const size_t count = *rc::gen::inRange<size_t>(1, 2000);
@@ -320,7 +320,7 @@
 
     for (size_t i = 0; i < count; i++) {
         peers[i].redial = {0, Hash_Str("peer", i)};
-        peers[i].heard = now;
+        peers[i].quiet_since = now;
         peers[i].lost_until = *rc::gen::inRange<int64_t>(0, 30000);
         last_lost = std::max(last_lost, peers[i].lost_until);
     }
@@ -336,16 +336,17 @@
             in_window = 0;
         }
         for (Peer &p : peers) {
-            if (Redial_Try(&p.redial, &budget, BASE_MS, now - p.heard, now)) {
+            if (Redial_Try(&p.redial, &budget, BASE_MS, now - p.quiet_since,
+                           now)) {
                 in_window++;
-                p.heard = now;
+                p.quiet_since = now;
                 if (now >= p.lost_until) {
-                    Redial_Heard(&p.redial);
+                    Redial_Received(&p.redial);
                     p.lost_until = -1;
                 }
             }
             if (p.lost_until == -1) {
-                p.heard = now;
+                p.quiet_since = now;
             }
         }
     }
