queue: an entry waits for the feed before it writes its row again

Found reading the change: until the feed brings the row that an entry has just written, its cache has the one before, so it wrote the row again at each check.

Test: hosted-members-test, ARowIsNotWrittenAgainWhileTheFeedIsLate (fails without the version: the row is written again).

--- a/packages/queue/queue-entries.c
+++ b/packages/queue/queue-entries.c
@@ -38,24 +38,36 @@
 
 /* Handles the result of writing the row of this entry. */
 static void
-on_row_written(void *arg, int err, size_t at UNUSED,
-               const uint64_t *versions UNUSED)
+on_row_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
     struct intake *in = arg;
 
     in->own_row_pending = false;
-    if (err == ERR_OK && in->own_row_stored_ms == 0) {
+    if (err != ERR_OK) {
+        return;
+    }
+    in->own_row_version = versions[0];
+    if (in->own_row_stored_ms == 0) {
         in->own_row_stored_ms = Clock_NowMs();
     }
 }
 
-/* True when the row of this entry is in the store as it should be. */
+/* True when the row of this entry is in the store as it should be, as far as
+ * this entry knows.
+ *
+ * Until the feed has passed the last write, the cache still has the row before
+ * it. If the entry wrote the row again at each check until then, all entries
+ * together would write as fast as the store allows whenever the feed is late,
+ * and make it later. */
 static bool
 is_own_row_current(struct intake *in, const struct buf *key,
                    const struct buf *value)
 {
     const struct cached_row *r = Cache_Find(in, key->data);
 
+    if (in->own_row_version > in->own_table.position) {
+        return true;
+    }
     return r != NULL && !r->corrupt && r->value.len == value->len &&
            memcmp(r->value.data, value->data, value->len) == 0;
 }
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -74,6 +74,7 @@
     char owner_address[NAME_SIZE]; /* of the owner's links; "": not known */
     bool own_row_pending;      /* a write of the own entry row is pending */
     int64_t own_row_stored_ms; /* when this process first stored it; 0: not */
+    uint64_t own_row_version;  /* as last written by this process; 0: not */
     uint64_t entries_sent;     /* hash of the entries last reported */
 };
 
--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -154,6 +154,40 @@
     EXPECT_TRUE(WaitForCoordinators(s)) << s.Logs();
 }
 
+/* Version of a row of the entries' table; 0: there is none. */
+int64_t
+RowVersion(const HostedStack &s, const std::string &key)
+{
+    Reply r = Http("GET", s.store->Url("/rows-get?table=parsleyfall&part=&"
+                                       "limit=1&from=" +
+                                       key));
+    auto body = r.json();
+    json_t *row = json_array_get(json_object_get(body.get(), "rows"), 0);
+
+    return json_integer_value(json_object_get(row, "schema-version"));
+}
+
+/* Entries that wrote their rows again while the feed is late would make it
+ * later still, as every row goes to all of them. */
+TEST(HostedMembers, ARowIsNotWrittenAgainWhileTheFeedIsLate)
+{
+    HostedStack s(2, 1);
+    int other = 1 - s.Owner();
+    const std::string key = "entry/entry-" + std::to_string(other);
+    int64_t before = RowVersion(s, key);
+
+    ASSERT_GT(before, 0);
+    s.StoreFault(other, "quiet");
+    s.StartEntry(other);
+    /* The row of the new process; the feed does not bring it. */
+    ASSERT_TRUE(WaitFor([&] { return RowVersion(s, key) > before; }))
+        << s.Logs();
+    before = RowVersion(s, key);
+    EXPECT_FALSE(WaitFor([&] { return RowVersion(s, key) > before; }, 4000))
+        << s.Logs();
+    s.StoreFault(other, "");
+}
+
 /* An entry that answers every report with one list. */
 struct Lister {
     struct link *link = nullptr;
