--- a/packages/queue/queue-notify.c
+++ b/packages/queue/queue-notify.c
@@ -57,12 +57,10 @@
     TAILQ_ENTRY(recent_row) entry;
 };
 
-/* Frees the oldest of the recent rows. */
+/* Removes one of the recent rows and frees it. */
 static void
-drop_oldest(struct intake *in)
+drop_recent(struct intake *in, struct recent_row *r)
 {
-    struct recent_row *r = TAILQ_FIRST(&in->recent_rows);
-
     TAILQ_REMOVE(&in->recent_rows, r, entry);
     in->recent_row_count--;
     free(r->row.key);
@@ -70,16 +68,24 @@
     free(r);
 }
 
-/* Frees recent rows that are no longer recent, or too many. */
+/* True for a row that a new owner may not have by itself yet. */
+static bool
+is_recent(const struct recent_row *r)
+{
+    return Clock_NowMs() - r->at_ms <= RECENT_MS;
+}
+
+/* Frees rows that are no longer recent, or too many. */
 static void
 drop_old_rows(struct intake *in)
 {
-    const struct recent_row *r;
+    struct recent_row *r, *next;
 
-    while ((r = TAILQ_FIRST(&in->recent_rows)) != NULL &&
-           (Clock_NowMs() - r->at_ms > RECENT_MS ||
-            in->recent_row_count > RECENT_ROWS_MAX)) {
-        drop_oldest(in);
+    TAILQ_FOREACH_SAFE (r, &in->recent_rows, entry, next) {
+        if (is_recent(r) && in->recent_row_count <= RECENT_ROWS_MAX) {
+            return;
+        }
+        drop_recent(in, r);
     }
 }
 
@@ -149,12 +155,13 @@
         return;
     }
     Str_Copy(in->owner_address, sizeof(in->owner_address), address);
-    drop_old_rows(in);
     if (in->is_leader) {
         return;
     }
     TAILQ_FOREACH (r, &in->recent_rows, entry) {
-        send_row(in, &r->row, address);
+        if (is_recent(r)) {
+            send_row(in, &r->row, address);
+        }
     }
 }
 
@@ -162,8 +169,10 @@
 void
 Notify_Clear(struct intake *in)
 {
-    while (!TAILQ_EMPTY(&in->recent_rows)) {
-        drop_oldest(in);
+    struct recent_row *r, *next;
+
+    TAILQ_FOREACH_SAFE (r, &in->recent_rows, entry, next) {
+        drop_recent(in, r);
     }
 }
 
