--- a/packages/jobs/jobs-failed.c
+++ b/packages/jobs/jobs-failed.c
@@ -1,11 +1,11 @@
 /* Units that could not be placed in the pass under way.
  *
  * Assumed load: a thousand units wait for full workers, most of them alike but
- * of different jobs. Each attempt looks at every worker, so a pass would take
- * as long as workers times units. During a pass the room that a unit may use
- * only shrinks, unless a run is stopped for another one. So once a unit finds
- * no room, or only room that may not be reserved for it, neither does one that
- * needs as much or more and may use no more. */
+ * of different jobs. Each attempt examines every worker, so the time of a pass
+ * would grow with workers times units. During a pass the room that a unit may
+ * use only shrinks, unless a run is stopped for another one. So once a unit
+ * finds no room, or only room that may not be reserved for it, neither does
+ * one that needs as much or more and may use no more. */
 #include "jobs-scheduler.h"
 
 #include <string.h>
--- a/tests/queue-cache-test.cc
+++ b/tests/queue-cache-test.cc
@@ -21,6 +21,8 @@
 struct Recorder {
     struct task task;
     std::set<std::string> keys, job_ids_seen;
+    /* "KEY to ADDRESS" of rows sent to another entry. */
+    std::vector<std::string> sent;
     size_t rows;
 };
 
@@ -38,6 +40,12 @@
             h->rows++;
         }
     }
+    if (m->kind == &Queue_EntryOutboundKind) {
+        const auto *out = reinterpret_cast<const struct entry_outbound *>(m);
+        const auto *row = reinterpret_cast<const struct wire_row *>(out->m);
+
+        h->sent.push_back(std::string(row->key) + " to " + out->address);
+    }
     if (m->kind == &Queue_UnfinishedKind ||
         m->kind == &Queue_UnscheduledKind) {
         const struct job_ids *list =
@@ -51,6 +59,7 @@
 
 const struct task_ops owner_ops = {.name = TASK_OWNER, .receive = Record};
 const struct task_ops intake_ops = {.name = TASK_INTAKE, .receive = Record};
+const struct task_ops links_ops = {.name = TASK_LINKS, .receive = Record};
 
 /* An intake without a store, and a recorder in place of the owner or the
  * intake itself. */
@@ -61,6 +70,7 @@
         Kernel_Init(&kernel, "test", nullptr, 100);
         RB_INIT(&in.cache);
         RB_INIT(&in.jobs);
+        TAILQ_INIT(&in.recent_rows);
         in.task.kernel = &kernel;
         if (ops != nullptr) {
             AddRecorder(ops);
@@ -68,6 +78,7 @@
     }
     ~Cache()
     {
+        Notify_Clear(&in);
         Cache_Clear(&in);
         Kernel_Free(&kernel);
     }
@@ -89,6 +100,30 @@
         Buf_Free(&row.value);
         Run();
     }
+    /* Passes any row of the feed to the cache. */
+    void UpdateRow(const std::string &key, const std::string &value)
+    {
+        struct table_row row = {};
+
+        row.key = Mem_Dup(key.c_str());
+        row.version = ++row_version;
+        Buf_Set(&row.value, value.data(), value.size());
+        Cache_Update(&in, &row, 1, true, row.version);
+        free(row.key);
+        Buf_Free(&row.value);
+        Run();
+    }
+    /* Writes a row as for a caller, and notifies the owner of it. */
+    void Accept(const std::string &id)
+    {
+        struct table_row row = {};
+
+        row.key = Mem_Dup(("spec/" + id).c_str());
+        row.version = ++row_version;
+        Notify_Owner(&in, &row);
+        free(row.key);
+        Run();
+    }
     void Run()
     {
         for (int i = 0; i < 4; i++) {
@@ -118,6 +153,7 @@
     struct kernel kernel = {};
     struct intake in = {};
     Recorder recorder = {};
+    uint64_t row_version = 0;
 };
 
 struct Path {
@@ -315,4 +351,54 @@
     Buf_Free(&run.value);
 }
 
+/* Rows that the feed brings to an entry, and a job that it accepts. */
+struct Step {
+    const char *key; /* "": the job is accepted */
+    const char *value;
+};
+
+struct NewOwner {
+    const char *what;
+    std::vector<Step> steps;
+    std::vector<std::string> sent;
+};
+
+/* A job that is accepted just before the feed brings a new owner's row would
+ * wait for that owner's own feed, which may be silent for seconds. */
+TEST(QueueNotify, ARowWrittenBeforeTheOwnerIsKnownReachesIt)
+{
+    const Step accept = {"", ""};
+    const Step at_a = {"entry/a", R"({"links":"10.0.0.1:1"})"};
+    const Step at_b = {"entry/b", R"({"links":"10.0.0.2:1"})"};
+    const Step owner_a = {"owner", R"({"name":"a","term":1})"};
+    const Step owner_b = {"owner", R"({"name":"b","term":2})"};
+    const Step again_a = {"owner", R"({"name":"a","term":1,"x":1})"};
+    const std::string to_a = "spec/j to 10.0.0.1:1";
+    const std::string to_b = "spec/j to 10.0.0.2:1";
+    const NewOwner cases[] = {
+        {"known before", {at_a, owner_a, accept}, {to_a}},
+        {"known after", {at_a, accept, owner_a}, {to_a}},
+        {"its address known after", {owner_a, accept, at_a}, {to_a}},
+        {"replaced after",
+         {at_a, at_b, owner_a, accept, owner_b},
+         {to_a, to_b}},
+        {"its row written again", {at_a, owner_a, accept, again_a}, {to_a}},
+        {"never known", {at_a, accept}, {}},
+    };
+
+    for (const NewOwner &c : cases) {
+        Cache entry(&links_ops);
+
+        for (const Step &s : c.steps) {
+            if (*s.key == '\0') {
+                entry.Accept("j");
+            }
+            else {
+                entry.UpdateRow(s.key, s.value);
+            }
+        }
+        EXPECT_EQ(entry.recorder.sent, c.sent) << c.what;
+    }
+}
+
 } /* namespace */
