--- a/review/lib/deployment.cc
+++ b/review/lib/deployment.cc
@@ -227,6 +227,22 @@
     Record("entry %d is killed", i);
 }
 
+void
+Deployment::StopEntry(int i, int64_t grace_ms)
+{
+    pid_t &pid = entry_pids[static_cast<size_t>(i)];
+
+    kill(pid, SIGTERM);
+    Record("entry %d gets SIGTERM", i);
+    if (!Until(grace_ms,
+               [&] { return waitpid(pid, nullptr, WNOHANG) == pid; })) {
+        kill(pid, SIGKILL);
+        waitpid(pid, nullptr, 0);
+    }
+    pid = 0;
+    Record("entry %d has ended", i);
+}
+
 bool
 Deployment::Ready(int i) const
 {
@@ -260,6 +276,19 @@
     return a;
 }
 
+std::unique_ptr<Connection>
+Deployment::Connect(int entry)
+{
+    return std::make_unique<Connection>(Host(1 + entry), CALLERS);
+}
+
+Answer
+Deployment::PostOn(Connection &c, const std::string &id,
+                   const std::string &body)
+{
+    return c.Send("POST", "/q/" + id, Headers(), body, 3000);
+}
+
 Answer
 Deployment::Get(int entry, const std::string &id)
 {
--- a/review/lib/http.cc
+++ b/review/lib/http.cc
@@ -315,17 +315,33 @@
     close(fd);
 }
 
-Answer
-Call(const std::string &ip, int port, const std::string &method,
-     const std::string &path, const std::string &headers,
-     const std::string &body, int64_t timeout_ms)
+Connection::Connection(const std::string &ip, int port)
 {
     sockaddr_in sa = AddressOf(ip, port);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    std::string buffer, head, text;
+
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd, reinterpret_cast<sockaddr *>(&sa), sizeof(sa)) != 0) {
+        close(fd);
+        fd = -1;
+    }
+}
+
+Connection::~Connection()
+{
+    if (fd >= 0) {
+        close(fd);
+    }
+}
+
+Answer
+Connection::Send(const std::string &method, const std::string &path,
+                 const std::string &headers, const std::string &body,
+                 int64_t timeout_ms)
+{
+    std::string head, text;
     Answer a;
 
-    if (connect(fd, reinterpret_cast<sockaddr *>(&sa), sizeof(sa)) == 0 &&
+    if (fd >= 0 &&
         SendAll(fd, method + " " + path + " HTTP/1.1\r\n" + headers +
                         "Content-Type: application/json\r\n"
                         "Content-Length: " +
@@ -334,8 +350,15 @@
         a.status = atoi(head.c_str() + head.find(' ') + 1);
         a.body = text;
     }
-    close(fd);
     return a;
 }
 
+Answer
+Call(const std::string &ip, int port, const std::string &method,
+     const std::string &path, const std::string &headers,
+     const std::string &body, int64_t timeout_ms)
+{
+    return Connection(ip, port).Send(method, path, headers, body, timeout_ms);
+}
+
 } /* namespace sim */
--- a/review/lib/sim.h
+++ b/review/lib/sim.h
@@ -79,6 +79,20 @@
             const std::string &path, const std::string &headers,
             const std::string &body, int64_t timeout_ms);
 
+/* A connection of a client, which stays open between its calls. */
+class Connection {
+  public:
+    Connection(const std::string &ip, int port);
+    ~Connection();
+    Answer Send(const std::string &method, const std::string &path,
+                const std::string &headers, const std::string &body,
+                int64_t timeout_ms);
+
+  private:
+    int fd;
+    std::string buffer;
+};
+
 /* ---- the platform's store ------------------------------------------------
  */
 
@@ -100,6 +114,8 @@
     std::function<Fate(int port, const std::set<std::string> &keys)> on_tx;
     /* True: every call gets 503. */
     std::atomic<bool> busy{false};
+    /* How long a transaction takes. */
+    std::atomic<int64_t> transaction_ms{5};
     /* Writes a row, as the operator. */
     void Put(const std::string &table, const std::string &key,
              const std::string &value);
@@ -152,6 +168,8 @@
     bool Runs(const std::string &task);
     std::string Id();
 
+    /* Decides on each order: LOST and LATE as for the store; BUSY: 503. */
+    static std::function<Fate(const std::string &path)> on_call;
     static std::vector<Event> Events();
     static std::vector<Event> EventsOf(const std::string &task);
     static int64_t MaxHoldMs;
@@ -166,6 +184,7 @@
         std::string task, how;
     };
     Response Serve(const Request &r);
+    Response Execute(const Request &r);
     Response Start(json_t *o);
     Response Stop(json_t *o);
     Response Hold(json_t *o, std::unique_lock<std::mutex> &held);
@@ -205,6 +224,9 @@
     void StartEntry(int i);
     void StartAgent(int i);
     void KillEntry(int i); /* SIGKILL */
+    /* SIGTERM; returns when the process has ended, killed after the grace
+     * period. */
+    void StopEntry(int i, int64_t grace_ms);
     pid_t EntryPid(int i) const
     {
         return entry_pids[static_cast<size_t>(i)];
@@ -218,6 +240,10 @@
     Answer Delete(int entry, const std::string &id);
     /* The `state` that a GET shows; "" for another answer. */
     std::string State(int entry, const std::string &id);
+    /* An open connection to an entry, and a POST on it. */
+    std::unique_ptr<Connection> Connect(int entry);
+    Answer PostOn(Connection &c, const std::string &id,
+                  const std::string &body);
 
     Store store;
     std::vector<std::unique_ptr<Worker>> workers;
--- a/review/lib/store.cc
+++ b/review/lib/store.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-/* "A transaction takes transaction-ms." */
-const int64_t TRANSACTION_MS = 5;
 const size_t PAGE_ROWS = 500;
 const char digits[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -226,7 +224,7 @@
         }).detach();
         return {0, "", true};
     }
-    Sleep(TRANSACTION_MS);
+    Sleep(transaction_ms);
     std::lock_guard<std::mutex> guard(lock);
     bool done = Apply(body);
 
