--- a/review/lib/deployment.cc
+++ b/review/lib/deployment.cc
@@ -332,16 +332,6 @@
                 3000);
 }
 
-Answer
-Deployment::Delete(int entry, const std::string &id)
-{
-    Answer a = Call(Host(1 + entry), CALLERS, "DELETE", "/q/" + id, Headers(),
-                    "", 3000);
-
-    Record("client: DELETE %s at entry %d -> %d", id.c_str(), entry, a.status);
-    return a;
-}
-
 std::string
 Deployment::State(int entry, const std::string &id)
 {
--- a/review/lib/sim.h
+++ b/review/lib/sim.h
@@ -168,8 +168,6 @@
     bool Runs(const std::string &task);
     std::string Id();
 
-    /* Decides on each order: LOST and LATE as for the store; BUSY: 503. */
-    static std::function<Fate(const std::string &path)> on_call;
     static std::vector<Event> Events();
     static std::vector<Event> EventsOf(const std::string &task);
     static int64_t MaxHoldMs;
@@ -184,7 +182,6 @@
         std::string task, how;
     };
     Response Serve(const Request &r);
-    Response Execute(const Request &r);
     Response Start(json_t *o);
     Response Stop(json_t *o);
     Response Hold(json_t *o, std::unique_lock<std::mutex> &held);
@@ -243,7 +240,6 @@
     /* Calls of a client with the tenant's key. */
     Answer Post(int entry, const std::string &id, const std::string &body);
     Answer Get(int entry, const std::string &id);
-    Answer Delete(int entry, const std::string &id);
     /* The `state` that a GET shows; "" for another answer. */
     std::string State(int entry, const std::string &id);
     /* An open connection to an entry, and a POST on it. */
--- a/review/lib/worker.cc
+++ b/review/lib/worker.cc
@@ -52,7 +52,6 @@
 
 } /* namespace */
 
-std::function<Fate(const std::string &path)> Worker::on_call;
 int64_t Worker::MaxHoldMs = 10000;
 int64_t Worker::StopMs = 50;
 
@@ -350,31 +349,8 @@
             false};
 }
 
-/* Serves a call with what its fate adds. An order that is carried out late
- * reaches only the lifetime that it was sent to. */
 Response
 Worker::Serve(const Request &r)
-{
-    Fate fate = on_call ? on_call(r.path) : Fate{};
-    Response answer;
-
-    if (fate.how == Fate::BUSY) {
-        return {503, "{}", false};
-    }
-    if (fate.how == Fate::LATE) {
-        std::thread([this, r, fate] {
-            Sleep(fate.late_ms);
-            Execute(r);
-        }).detach();
-        return {0, "", true};
-    }
-    answer = Execute(r);
-    answer.drop = answer.drop || fate.how == Fate::LOST;
-    return answer;
-}
-
-Response
-Worker::Execute(const Request &r)
 {
     std::unique_lock<std::mutex> held(lock);
     auto expected = r.headers.find("parsleyfall-expected-instance");
