--- a/review/lib/http.cc
+++ b/review/lib/http.cc
@@ -299,6 +299,11 @@
     while (!closed && ReadMessage(fd, buffer, -1, head, body)) {
         Response r = handler(Parse(head, body));
 
+        if (r.drop) {
+            linger now = {1, 0}; /* close() resets the connection */
+
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        }
         if (closed || r.drop) {
             break;
         }
--- a/review/lib/sim.h
+++ b/review/lib/sim.h
@@ -43,7 +43,7 @@
 struct Response {
     int status = 200;
     std::string body = "{}";
-    bool drop = false; /* closes the connection without a response */
+    bool drop = false; /* resets the connection without a response */
 };
 
 typedef std::function<Response(const Request &)> Handler;
@@ -108,8 +108,8 @@
     /* Opens a port for one machine; returns it. */
     int Open();
     /* Decides on each transaction; keys: those that it writes. LOST: done, and
-     * the connection is closed without an answer. LATE: the connection is
-     * closed without an answer, and it is done later if its conditions still
+     * the connection is reset without an answer. LATE: the connection is
+     * reset without an answer, and it is done later if its conditions still
      * hold. */
     std::function<Fate(int port, const std::set<std::string> &keys)> on_tx;
     /* True: every call gets 503. */
