http: a request that is not a GET is sent once

Cause: libcurl repeats a request by itself when a reused connection breaks before the first byte of the response. The owner's transaction was sent twice, the answer to the second copy was taken for the outcome, and the first copy, whose condition still held, was made seconds later and undid newer rows. The owner fences itself after a write with an unknown outcome, but it saw a success. The same second copy gave a submission a 503 although the first one was stored, and an order to a worker a refusal although it could still be carried out.

Ruled out: the fence itself; with an unknown outcome reported, the late write fails on the version of the owner row.

Change: libcurl's callback before a request is sent on a connection allows this once for each call that is not a GET, and the second time fails the call, which is then reported as ERR_CUT: the caller knows that the outcome is unknown. Connections are reused as before. Reads may be repeated.

--- a/packages/http/http-call.c
+++ b/packages/http/http-call.c
@@ -98,12 +98,34 @@
 
 /* True when at least part of the request may have been sent. */
 static bool
-was_sent(CURL *easy)
+was_sent(const struct http_call *call)
 {
     curl_off_t pretransfer = 0;
 
-    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
-    return pretransfer > 0;
+    curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+    return call->sent || pretransfer > 0;
+}
+
+/* libcurl's callback before it sends a request on a connection: allows this
+ * once.
+ *
+ * When a reused connection breaks before the first byte of the response,
+ * libcurl sends the request again on another one. The peer may carry out the
+ * first copy seconds later, and the response to the second one would pass for
+ * the outcome of both: a write that was undone counts as done, an order that
+ * was carried out as refused. The call fails instead, so that its caller knows
+ * that the outcome is unknown. */
+static int
+allow_first_send(void *arg, char *remote UNUSED, char *local UNUSED,
+                 int remote_port UNUSED, int local_port UNUSED)
+{
+    struct http_call *call = arg;
+
+    if (call->sent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    call->sent = true;
+    return CURL_PREREQFUNC_OK;
 }
 
 /* True when the end of the response is marked by a length or by chunks, or the
@@ -127,7 +149,7 @@
     if (call->too_big) {
         return ERR_TOOBIG;
     }
-    if (!was_sent(call->easy)) {
+    if (!was_sent(call)) {
         return ERR_UNREACHABLE;
     }
     return code == CURLE_OPERATION_TIMEDOUT ? ERR_TIMEOUT : ERR_CUT;
@@ -141,7 +163,7 @@
 {
     long os_error = 0;
 
-    if (code != CURLE_COULDNT_CONNECT || was_sent(call->easy)) {
+    if (code != CURLE_COULDNT_CONNECT || was_sent(call)) {
         return false;
     }
     curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &os_error);
@@ -181,7 +203,7 @@
         return;
     }
     call->result.err = ERR_UNREACHABLE;
-    if (was_sent(call->easy)) {
+    if (was_sent(call)) {
         call->result.err = ERR_TIMEOUT;
         call->client->last_timeout_ms = Clock_NowMs();
     }
@@ -221,9 +243,9 @@
     curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)age_s - 1);
 }
 
-/* Sets the options common to all calls: no proxy, no signals, HTTP/1.1, and
- * reuse of connections unless the request must be sent only once. Redirects
- * stay off, which is libcurl's default. */
+/* Sets the options common to all calls: no proxy, no signals, HTTP/1.1, no
+ * second try but of a GET, and reuse of connections unless the request asks
+ * for a new one. Redirects stay off, which is libcurl's default. */
 static void
 set_common(struct http_call *call, const struct http_request *request)
 {
@@ -244,6 +266,10 @@
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
     avoid_dead_connections(call->client, e);
+    if (strcmp(request->method, "GET") != 0) {
+        curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, allow_first_send);
+        curl_easy_setopt(e, CURLOPT_PREREQDATA, call);
+    }
     if (request->once) {
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
--- a/packages/http/http-client.h
+++ b/packages/http/http-client.h
@@ -28,6 +28,7 @@
     int64_t first_byte_ms; /* when body data first arrived; 0: not yet */
     int64_t last_byte_ms;  /* when body data last arrived */
     bool too_big;
+    bool sent;       /* of a request that is not repeated: it has been sent */
     bool end_marked; /* the response has a length or is chunked */
     ev_timer deadline;
     TAILQ_ENTRY(http_call) entry;
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -2,9 +2,10 @@
  * http: an HTTP client and server on the kernel's event loop.
  *
  * The client uses libcurl's multi interface, the server libmicrohttpd; both
- * run on the libev loop of their process, without threads. This package never
- * retries a request (see http_request.once for libcurl), and a result shows
- * whether the peer may have received the request.
+ * run on the libev loop of their process, without threads. A request is sent
+ * once, but for a GET, which libcurl repeats when a reused connection closes
+ * without a response. A result shows whether the peer may have received the
+ * request.
  */
 #ifndef HTTP_H
 #define HTTP_H
@@ -46,10 +47,9 @@
      * exceeds stall_ms. 0: the call always ends at timeout_ms. */
     int64_t stall_ms;
     size_t max_body; /* limit of the response body, bytes; 0: 4 MiB */
-    /* Never sends the request twice, by using a new connection. On a reused
-     * connection that closes without a response, libcurl sends the request
-     * again, and an upstream that crashed after it had started the work would
-     * run it twice. */
+    /* Sends the request on a new connection, and a GET also only once. On a
+     * reused connection, which the peer may be about to close for being idle,
+     * more requests end with an unknown outcome (ERR_CUT). */
     bool once;
 };
 
--- a/tests/fakes/hosted-store.c
+++ b/tests/fakes/hosted-store.c
@@ -7,9 +7,10 @@
  * PUT /fault/PORT sets the fault of a port: "" (none), "busy" (calls get 503),
  * "silent" (calls get no response), "lose" (writes are done, and the
  * connection is closed without a response), "quiet" (feeds return no
- * change) or "hold" (writes of spec rows are held without a response until PUT
- * /held/release; PUT /held/count returns their number). PUT /history/drop
- * drops the history, so that feeds from before get 410. */
+ * change), "hold" (writes of spec rows are held without a response until PUT
+ * /held/release; PUT /held/count returns their number) or "hold-one" (the next
+ * write of a progress row is held, and its connection is closed). PUT
+ * /history/drop drops the history, so that feeds from before get 410. */
 #include "fake.h"
 
 #include <argtable2.h>
@@ -308,17 +309,17 @@
     return true;
 }
 
-/* True for a transaction that writes a spec row. */
+/* True for a transaction that writes a row whose key has that prefix. */
 static bool
-writes_spec(const json_t *body)
+writes_row(const json_t *body, const char *prefix)
 {
     json_t *o;
     size_t i;
 
     json_array_foreach(json_object_get(body, "writes"), i, o)
     {
-        if (strncmp(json_string_value(json_object_get(o, "key")), "spec/",
-                    5) == 0) {
+        if (strncmp(json_string_value(json_object_get(o, "key")), prefix,
+                    strlen(prefix)) == 0) {
             return true;
         }
     }
@@ -343,16 +344,23 @@
 
 /* POST /rows-tx: writes and deletes rows if all conditions hold. */
 static void
-transact(struct store *s, struct http_exchange *ex, const char *fault)
+transact(struct listener *listener, struct http_exchange *ex)
 {
+    struct store *s = listener->store;
+    char *fault = listener->fault;
     struct buf empty = {0};
     json_t *body = Fake_Body(ex);
 
     if (body == NULL) {
         return;
     }
-    if (strcmp(fault, "hold") == 0 && writes_spec(body)) {
+    if (strcmp(fault, "hold") == 0 && writes_row(body, "spec/")) {
+        json_array_append(s->held, body);
+    }
+    else if (strcmp(fault, "hold-one") == 0 && writes_row(body, "run/")) {
         json_array_append(s->held, body);
+        *fault = '\0';
+        Fake_Close(ex, &empty);
     }
     else if (!apply(s, body)) {
         Fake_Reply(ex, 412, rows_response(s, json_array()));
@@ -426,7 +434,7 @@
         get(listener->store, ex);
     }
     else if (strcmp(path, "/rows-tx") == 0) {
-        transact(listener->store, ex, listener->fault);
+        transact(listener, ex);
     }
     else {
         Fake_Reply(ex, 404, json_object());
--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -1,4 +1,5 @@
-/* Rows of jobs that reach an entry before its feed reports them. */
+/* Rows that reach an entry before its feed reports them, and writes that reach
+ * the store late. */
 #include "hosted-stack.h"
 
 #include <gtest/gtest.h>
@@ -58,4 +59,25 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
+/* Guards against a late copy of the owner's write that undoes newer rows, so
+ * that the next owner starts a completed task again. */
+TEST(Overtake, ALateWriteOfTheOwnerDoesNotUndoNewerOnes)
+{
+    HostedStack s(2, 1);
+    int owner = s.Owner();
+
+    ASSERT_EQ(s.Submit(1 - owner, "a1", "50").status, 200);
+    ASSERT_TRUE(s.WaitForState(1 - owner, "a1", "completed")) << s.Logs();
+    s.StoreFault(owner, "hold-one");
+    ASSERT_EQ(s.Submit(1 - owner, "a2", "50").status, 200);
+    ASSERT_TRUE(s.WaitForState(1 - owner, "a2", "completed")) << s.Logs();
+    ASSERT_EQ(s.HeldWrites(), 1) << s.Logs();
+    EXPECT_EQ(s.ReleaseHeld(), 0);
+    owner = s.KillOwner();
+    ASSERT_EQ(s.Submit(owner, "a3", "50").status, 200);
+    EXPECT_TRUE(s.WaitForState(owner, "a3", "completed")) << s.Logs();
+    EXPECT_EQ(Text(s.Query(owner, "a2").json().get(), "state"), "completed");
+    EXPECT_EQ(s.Starts().size(), 3u) << s.Logs();
+}
+
 } /* namespace */
--- a/tests/http-test.cc
+++ b/tests/http-test.cc
@@ -35,6 +35,7 @@
     size_t max_body = 0;
     int64_t timeout_ms = 5000;
     int64_t stall_ms = 0;
+    const char *method = "POST";
 };
 
 /* A client on its own event loop. */
@@ -62,11 +63,11 @@
             {"X-Request-Id", options.id.c_str()}};
         struct http_request request = {};
 
-        request.method = "POST";
+        request.method = options.method;
         request.url = url.c_str();
         request.headers = headers;
         request.header_count = 2;
-        request.body = body.data();
+        request.body = body.empty() ? nullptr : body.data();
         request.body_len = body.size();
         request.once = options.once;
         request.max_body = options.max_body;
@@ -102,7 +103,8 @@
     struct http_client *client = Http_ClientNew(loop, 8);
 };
 
-/* A server on the client's loop; it leaves requests to /hold unanswered. */
+/* A server on the client's loop; it leaves requests to /hold unanswered, and
+ * closes the connection of requests to /close without a response. */
 class HttpServer : public Http {
   protected:
     void SetUp() override
@@ -132,6 +134,9 @@
             Http_Reply(ex, 200, "text/plain", text.data(), text.size());
             return;
         }
+        if (std::string(Http_Path(ex)) == "/close") {
+            shutdown(Http_Socket(ex), SHUT_RDWR);
+        }
         if (std::string(Http_Path(ex)) == "/hold") {
             self->held.push_back(ex);
             return;
@@ -282,6 +287,33 @@
     EXPECT_EQ(Number(counts.get(), "by_id/once/starts"), 1);
 }
 
+/* Guards against libcurl's silent second try of a request whose reused
+ * connection closed without a response. */
+TEST_F(HttpServer, OnlyAGetIsRepeatedOnAnotherConnection)
+{
+    static const struct {
+        const char *method;
+        const char *body;
+        bool once;
+        int received;
+    } cases[] = {{"POST", "hello", false, 1}, {"POST", "hello", true, 1},
+                 {"POST", "", false, 1},      {"PUT", "hello", false, 1},
+                 {"DELETE", "", false, 1},    {"GET", "", false, 2},
+                 {"GET", "", true, 1}};
+
+    for (const auto &c : cases) {
+        Options options;
+
+        ASSERT_EQ(Call(Url("/x"), "warm", options).err, ERR_OK);
+        handled = 0;
+        options.method = c.method;
+        options.once = c.once;
+        EXPECT_EQ(Call(Url("/close"), c.body, options).err, ERR_CUT)
+            << c.method;
+        EXPECT_EQ(handled, c.received) << c.method << " once " << c.once;
+    }
+}
+
 /* The upstream crashes while it processes a request on a reused connection.
  * libcurl sends the request again by itself and can't connect, but the first
  * copy had arrived: the caller must not get a result that means "not sent". */
