http, queue: calls open when a drain times out are not answered "not run"

A caller that believes the 503 submits the work again elsewhere under another id, and it runs twice.

Cause: when a drain reaches drain_ms with calls open, the tasks are freed, the one that owns the HTTP server first, and Http_ServerFree() replied 503 to every request without a reply, as libmicrohttpd can't be stopped with a suspended connection. Writes of these requests were on their way to the store.

Ruled out: the refusals that the intake gives itself; in the trace of the test all of them (store_away) came before any write.

Change: the kernel notifies the tasks when a drain times out, and the intake answers its open calls by its usual rule: 504 once a write was sent, 503 with Retry-After when every try was rejected, the known state to a query. The server replies 504 "unknown" to requests that a handler has, and 503 "not_run" with Retry-After to those that none got.

Test changed: EndsWhileSuspended expected the 503 for the request that its handler holds, which is the fault itself; it now expects the 504 and, more than before, reads the 503 of the request that no handler got.

--- a/packages/http/http-server.c
+++ b/packages/http/http-server.c
@@ -102,6 +102,33 @@
                sizeof(text) - 1);
 }
 
+/* Replies to a request that the handler has not got, as the server stops. */
+static void
+reply_not_run(struct http_exchange *ex)
+{
+    static const char text[] =
+        "{\"outcome\":\"not_run\",\"reason\":\"stopping\"}\n";
+
+    Http_ReplyHeader(ex, "Connection", "close");
+    Http_ReplyHeader(ex, "Retry-After", "1");
+    Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, "application/json", text,
+               sizeof(text) - 1);
+}
+
+/* Replies to a request that the handler has and has not replied to, as the
+ * server stops. The work that it started may take effect, so a 503 could be a
+ * false "not run". */
+static void
+reply_unknown(struct http_exchange *ex)
+{
+    static const char text[] =
+        "{\"outcome\":\"unknown\",\"reason\":\"stopping\"}\n";
+
+    Http_ReplyHeader(ex, "Connection", "close");
+    Http_Reply(ex, MHD_HTTP_GATEWAY_TIMEOUT, "application/json", text,
+               sizeof(text) - 1);
+}
+
 /* Passes the response to libmicrohttpd for sending. */
 static enum MHD_Result
 queue_reply(struct http_exchange *ex)
@@ -154,7 +181,7 @@
         return queue_reply(ex);
     }
     if (server->stopping) {
-        Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+        reply_not_run(ex);
         return queue_reply(ex);
     }
     ex->handler_called = true;
@@ -242,7 +269,7 @@
     return server->open_exchanges;
 }
 
-/* Stops the server. Suspended connections are resumed with a 503 first, as
+/* Stops the server. Suspended connections are resumed with a 504 first, as
  * libmicrohttpd aborts the process when it is stopped with one suspended. The
  * run that sends these replies may read new requests, which the handler could
  * leave suspended, so these get a 503 without a call of the handler. */
@@ -257,7 +284,7 @@
     server->stopping = true;
     TAILQ_FOREACH (ex, &server->exchanges, entry) {
         if (ex->suspended) {
-            Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+            reply_unknown(ex);
         }
     }
     run_daemon(server);
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -116,6 +116,8 @@
 void Http_ServerQuiesce(struct http_server *server);
 /* Number of exchanges whose reply is not yet given or not yet sent. */
 size_t Http_ServerOpen(const struct http_server *server);
+/* Stops the server. Requests whose reply is not yet given get a 504, as their
+ * outcome is not known here; those that the handler has not got get a 503. */
 void Http_ServerFree(struct http_server *server);
 
 const char *Http_Method(const struct http_exchange *ex);
--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -70,8 +70,14 @@
 on_drain_timer(struct ev_loop *loop, ev_timer *w, int events UNUSED)
 {
     struct kernel *k = w->data;
+    struct task *t;
 
     LOG_W("drain_timeout", KV_INT("drain_ms", k->drain_ms));
+    TAILQ_FOREACH (t, &k->tasks, entry) {
+        if (t->ops->drain_timeout != NULL) {
+            t->ops->drain_timeout(t);
+        }
+    }
     ev_break(loop, EVBREAK_ALL);
 }
 
--- a/packages/kernel/kernel.h
+++ b/packages/kernel/kernel.h
@@ -10,8 +10,8 @@
  *
  * SIGTERM and SIGINT start a drain: the drain callback of every task is
  * called, and the loop ends when all tasks report that they are drained, or
- * after the drain time-out. SIGUSR1 writes the state of every task to standard
- * output as one JSON document.
+ * after the drain time-out, of which tasks are notified first. SIGUSR1 writes
+ * the state of every task to standard output as one JSON document.
  */
 #ifndef KERNEL_H
 #define KERNEL_H
@@ -53,6 +53,9 @@
     void (*drain)(struct task *);
     /* True when no work is in progress. NULL: always drained. */
     bool (*drained)(const struct task *);
+    /* The drain has timed out and the process ends: answer what is open. No
+     * message is delivered any more. */
+    void (*drain_timeout)(struct task *);
     /* State shown to operators; the caller owns the result. */
     json_t *(*state)(const struct task *);
     /* Frees the task at the end of the process. */
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -227,17 +227,13 @@
     send_write(w->data);
 }
 
-/* Answers the caller, as the store has not answered in time.
- *
- * If the store accepts calls but answers none, a caller that waits for 3 s
- * would be answered by the first entry only after 1.5 s and have no time left
- * for a try at another entry. A write that was sent may still take effect, so
- * its outcome is "unknown"; the caller may submit the same id again at
- * once. */
+/* Answers an open call without the store. A write that was sent may still take
+ * effect, so its outcome is "unknown"; the caller may submit the same id again
+ * at once. The reasons are those of an unknown outcome and of a refusal. */
 static void
-on_answer_due(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+answer_without_store(struct open_call *o, const char *unknown_reason,
+                     const char *refused_reason)
 {
-    struct open_call *o = w->data;
     bool writes = o->value.len > 0;
     bool maybe_done = writes && (o->store_pending || o->maybe_done);
 
@@ -251,10 +247,21 @@
               KV("maybe_done", maybe_done ? "yes" : "no"));
     }
     if (maybe_done) {
-        finish_open(o, QUEUE_UNKNOWN, "store_silent");
+        finish_open(o, QUEUE_UNKNOWN, unknown_reason);
         return;
     }
-    finish_open(o, QUEUE_RETRY_LATER, "store_away");
+    finish_open(o, QUEUE_RETRY_LATER, refused_reason);
+}
+
+/* Answers the caller, as the store has not answered in time.
+ *
+ * If the store accepts calls but answers none, a caller that waits for 3 s
+ * would be answered by the first entry only after 1.5 s and have no time left
+ * for a try at another entry. */
+static void
+on_answer_due(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
+{
+    answer_without_store(w->data, "store_silent", "store_away");
 }
 
 /* Milliseconds that a call may wait for the store. */
@@ -905,6 +912,19 @@
                 CALLER_CHECK_INTERVAL_MS);
 }
 
+/* Answers all open calls, as the process ends before the store answers. */
+void
+Calls_AnswerOpen(struct intake *in)
+{
+    struct open_call *o, *next;
+
+    TAILQ_FOREACH_SAFE (o, &in->open_calls, entry, next) {
+        if (o->call != NULL) {
+            answer_without_store(o, "stopping", "stopping");
+        }
+    }
+}
+
 /* Stops the check and frees open calls whose callers have been answered. */
 void
 Calls_Stop(struct intake *in)
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -68,6 +68,13 @@
     return ((const struct intake *)t)->open_call_count == 0;
 }
 
+/* Answers the open calls, as the process ends. */
+static void
+drain_timeout(struct task *t)
+{
+    Calls_AnswerOpen((struct intake *)t);
+}
+
 /* Returns the state for operators. */
 static json_t *
 state(const struct task *t)
@@ -107,6 +114,7 @@
                                            .receive = receive,
                                            .drain = drain,
                                            .drained = drained,
+                                           .drain_timeout = drain_timeout,
                                            .state = state,
                                            .free = intake_free};
 
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -143,6 +143,8 @@
  * answer. */
 void Calls_Start(struct intake *in);
 void Calls_Stop(struct intake *in);
+/* Answers all open calls, as the process ends before the store answers. */
+void Calls_AnswerOpen(struct intake *in);
 
 /* ---- queue-config.c */
 /* Takes a configuration if it is newer than the one in force, moving text.
--- a/tests/harness.cc
+++ b/tests/harness.cc
@@ -236,19 +236,28 @@
     return size * n;
 }
 
+Client::Client() : curl(curl_easy_init())
+{
+}
+
+Client::~Client()
+{
+    curl_easy_cleanup(curl);
+}
+
 Reply
-Http(const std::string &method, const std::string &url,
-     const std::string &body, const std::vector<std::string> &headers,
-     int64_t timeout_ms)
+Client::Send(const std::string &method, const std::string &url,
+             const std::string &body, const std::vector<std::string> &headers,
+             int64_t timeout_ms)
 {
     Reply reply;
-    CURL *curl = curl_easy_init();
     curl_slist *list = curl_slist_append(nullptr, "Expect:");
     long status = 0;
 
     for (const auto &h : headers) {
         list = curl_slist_append(list, h.c_str());
     }
+    curl_easy_reset(curl);
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -268,10 +277,17 @@
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     reply.status = static_cast<int>(status);
     curl_slist_free_all(list);
-    curl_easy_cleanup(curl);
     return reply;
 }
 
+Reply
+Http(const std::string &method, const std::string &url,
+     const std::string &body, const std::vector<std::string> &headers,
+     int64_t timeout_ms)
+{
+    return Client().Send(method, url, body, headers, timeout_ms);
+}
+
 /* Adds the option that names the port file. */
 static std::vector<std::string>
 with_port_file(std::vector<std::string> args, const std::string &option,
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -102,6 +102,23 @@
     }
 };
 
+/* A client that keeps its connection open between requests. */
+class Client {
+  public:
+    Client();
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+    /* Sends a request and waits for the response. */
+    Reply Send(const std::string &method, const std::string &url,
+               const std::string &body = "",
+               const std::vector<std::string> &headers = {},
+               int64_t timeout_ms = 10000);
+
+  private:
+    void *curl;
+};
+
 /* Sends one request on a new connection and waits for the response. */
 Reply Http(const std::string &method, const std::string &url,
            const std::string &body = "",
--- a/tests/hosted-process-test.cc
+++ b/tests/hosted-process-test.cc
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <functional>
+#include <future>
 
 using namespace harness;
 
@@ -384,6 +386,78 @@
     EXPECT_EQ(s.agents[0]->Terminate(), 0) << s.Logs();
 }
 
+/* A submitted job and the answer to it. */
+struct Submission {
+    std::string id;
+    int status;
+    std::string reason;
+};
+
+/* Submits jobs on one connection until that breaks. */
+std::vector<Submission>
+SubmitUntilClosed(const HostedStack &s, int entry, const std::string &prefix,
+                  int deadline_ms)
+{
+    std::vector<Submission> all;
+    Client client;
+
+    for (int n = 0; n < 100; n++) {
+        std::string id = prefix + std::to_string(n);
+        Reply r = client.Send(
+            "POST", s.Entry(entry) + "/q/" + id,
+            R"({"task-spec":"50","steps":[{"count":1,"gpu":1}]})",
+            {"Host: one.example", "Authorization: Bearer key-one",
+             "Parsleyfall-Deadline-Ms: " + std::to_string(deadline_ms)});
+
+        if (r.status == 0) {
+            break;
+        }
+        all.push_back({id, r.status, Text(r.json().get(), "reason")});
+    }
+    return all;
+}
+
+/* Guards against "not run" for jobs whose write is under way when the drain of
+ * their entry times out: the store makes these writes. The callers' deadlines
+ * differ, so that one call at least is open at any moment. */
+TEST(Hosted, ADrainThatTimesOutRefusesNoStoredJob)
+{
+    HostedStack s(2, 1);
+    int leaving = 1 - s.Owner(), stopped = 0;
+    const auto at = static_cast<size_t>(leaving);
+    std::vector<std::future<std::vector<Submission>>> clients;
+    std::vector<Submission> refused;
+
+    s.StoreFault(0, "hold");
+    s.StoreFault(1, "hold");
+    s.entries[at]->Signal(SIGTERM);
+    for (int deadline_ms : {1250, 1750, 3000}) {
+        clients.push_back(
+            std::async(std::launch::async, SubmitUntilClosed, std::cref(s),
+                       leaving, std::to_string(deadline_ms), deadline_ms));
+    }
+    for (auto &client : clients) {
+        for (const Submission &r : client.get()) {
+            if (r.status != 504) {
+                EXPECT_EQ(r.status, 503) << r.id;
+                refused.push_back(r);
+            }
+            stopped += r.status == 504 && r.reason == "stopping";
+        }
+    }
+    EXPECT_EQ(s.entries[at]->Wait(), 1) << s.Logs();
+    EXPECT_GE(stopped, 1) << s.Logs();
+    size_t made = static_cast<size_t>(s.ReleaseHeld());
+    EXPECT_GE(made, 1u);
+    EXPECT_TRUE(WaitFor([&] { return s.Starts().size() == made; }))
+        << s.Logs();
+    for (const std::string &start : s.Starts()) {
+        for (const Submission &r : refused) {
+            EXPECT_NE(start.substr(0, start.find('.')), r.id) << r.reason;
+        }
+    }
+}
+
 /* A caller submits a job while the store is silent and disconnects before the
  * answer. The log must show at once that it left, how long it had waited and
  * for what, and later the answer that was not delivered. Otherwise nobody
--- a/tests/http-test.cc
+++ b/tests/http-test.cc
@@ -483,8 +483,9 @@
 
 /* The server is freed while one client waits for its reply and the request of
  * another has just arrived. libmicrohttpd would abort the process if either
- * were left suspended: the first client gets a 503, and the handler is not
- * called for the second. */
+ * were left suspended: the first client gets a 504, as the handler has its
+ * request, which may still take effect. The handler is not called for the
+ * second, which gets a 503. */
 TEST_F(HttpServer, EndsWhileSuspended)
 {
     Outcome o;
@@ -502,9 +503,14 @@
     Http_ServerFree(server);
     server = nullptr;
     RunUntil([&] { return o.done; });
-    EXPECT_EQ(o.status, 503);
+    EXPECT_EQ(o.status, 504);
+    EXPECT_NE(o.body.find("\"unknown\""), std::string::npos) << o.body;
     EXPECT_EQ(handled, 2);
-    close(fd);
+    std::string replies = ReadToEnd(fd);
+    size_t second = replies.rfind("HTTP/1.1 ");
+    EXPECT_EQ(replies.substr(second, 12), "HTTP/1.1 503") << replies;
+    EXPECT_NE(replies.find("Retry-After: ", second), std::string::npos);
+    EXPECT_NE(replies.find("\"not_run\"", second), std::string::npos);
 }
 
 /* An exchange whose client has disconnected stays valid until the reply. */
--- a/tests/kernel-test.cc
+++ b/tests/kernel-test.cc
@@ -80,9 +80,16 @@
     events.push_back(std::string("free-") + t->ops->name);
 }
 
-const struct task_ops a_ops = {"a",        on_receive, on_drain,
-                               is_drained, get_state,  on_free};
-const struct task_ops b_ops = {"b",     on_receive, on_drain,
+void
+on_drain_timeout(struct task *t)
+{
+    events.push_back(std::string("timeout-") + t->ops->name);
+}
+
+const struct task_ops a_ops = {"a",        on_receive,       on_drain,
+                               is_drained, on_drain_timeout, get_state,
+                               on_free};
+const struct task_ops b_ops = {"b",     on_receive, on_drain, nullptr,
                                nullptr, nullptr,    on_free};
 
 /* A kernel with the tasks a and b. */
@@ -202,6 +209,8 @@
     a.pending = 1; /* no message completes it */
     EXPECT_EQ(Kernel_Run(&k), ERR_TIMEOUT);
     Kernel_Free(&k);
+    EXPECT_EQ(events,
+              (std::vector<std::string>{"timeout-a", "free-b", "free-a"}));
 }
 
 TEST_F(Kernel, StateHoldsEveryTaskWithAStateCallback)
