entry: requests open when a drain times out get their true outcome

What callers saw: a request that was at its upstream, or in the queue, when the drain of its entry reached drain_ms was answered by the HTTP server as it closed: 503 before although it may have run, 504 "unknown" since, in both cases without X-Outcome.

Change: dispatch replies at the time limit, "unknown" when an attempt may have run or the request has a key, otherwise "not_run" with Retry-After, and logs both with the reason stopping. Nothing is sent any more after that.

--- a/packages/entry/entry-dispatch.c
+++ b/packages/entry/entry-dispatch.c
@@ -546,6 +546,20 @@
     return d->open == d->replied;
 }
 
+/* Replies to the callers that still wait, as the process ends. */
+static void
+dispatch_drain_timeout(struct task *t)
+{
+    struct dispatch *d = (struct dispatch *)t;
+    struct request *r, *next;
+
+    RB_FOREACH_SAFE (r, request_tree, &d->requests, next) {
+        if (r->ex != NULL) {
+            Request_ReplyStopping(r);
+        }
+    }
+}
+
 /* Returns the services with their queues, for operators. */
 static json_t *
 dispatch_state(const struct task *t)
@@ -561,8 +575,7 @@
                      list);
 }
 
-/* Frees everything. Requests still open at the end of the drain time get their
- * reply from the HTTP server as it closes. */
+/* Frees everything. */
 static void
 dispatch_free(struct task *t)
 {
@@ -602,6 +615,7 @@
     .name = "dispatch",
     .receive = dispatch_receive,
     .drained = dispatch_drained,
+    .drain_timeout = dispatch_drain_timeout,
     .state = dispatch_state,
     .free = dispatch_free,
 };
--- a/packages/entry/entry-dispatch.h
+++ b/packages/entry/entry-dispatch.h
@@ -240,6 +240,7 @@
                          const char *detail, int64_t retry_after_ms);
 void Request_ReplyUnknown(struct request *r, const char *reason);
 /* Refuses a keyed request because the table is down. */
+void Request_ReplyStopping(struct request *r);
 void Request_ReplyTableDown(struct request *r, bool may_have_run,
                             int64_t retry_after_ms);
 /* Refuses a key that was used before with another body. */
--- a/packages/entry/entry-reply.c
+++ b/packages/entry/entry-reply.c
@@ -2,6 +2,10 @@
 
 #include <stdio.h>
 
+/* Sent to callers as the time to retry, at another entry, when this one
+ * stops. */
+#define STOPPING_RETRY_MS 250
+
 static struct counter answered_total = {"parsleyfall_requests_total",
                                         "Requests by outcome.",
                                         "outcome=\"answered\"", COUNTER_TOTAL};
@@ -142,6 +146,20 @@
     detach_caller(r);
 }
 
+/* Replies to the caller of a request that is open when the process ends.
+ * Nothing is sent any more, so the request does not run unless an attempt may
+ * have run. For a keyed request the row may hold an earlier one that ran. */
+void
+Request_ReplyStopping(struct request *r)
+{
+    if (r->claim != NULL || Attempt_AnyMayHaveRun(r)) {
+        Request_ReplyUnknownEarly(r, "stopping");
+        return;
+    }
+    Request_ReplyNotRun(r, 503, "stopping", "this entry leaves",
+                        STOPPING_RETRY_MS);
+}
+
 /* Ends a keyed request that was not sent because the table is down. When its
  * row could not be read, or its claim may have been written, the outcome is
  * unknown because another request with the key may run. The key makes a
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -234,6 +234,31 @@
 INSTANTIATE_TEST_SUITE_P(Cases, RequestFault, testing::ValuesIn(fault_cases),
                          [](const auto &i) { return i.param.name; });
 
+/* Guards against a wrong or missing outcome of requests that are open when the
+ * drain of their entry times out: one is at an upstream that hangs, another
+ * waits for its slot. */
+TEST(Request, OpenWhenADrainTimesOut)
+{
+    Stack s({.agents = 1, .slots = 1, .drain_ms = 4000});
+
+    ASSERT_EQ(s.Ask("first").reply.status, 200); /* shows the run time */
+    s.SetUpstreamMode("hang");
+    s.entries[0].process->Signal(SIGTERM);
+    ASSERT_TRUE(WaitFor([&] {
+        return s.entries[0].process->Err().find("event=drain ") !=
+               std::string::npos;
+    }));
+    auto calls = s.AskMany(3);
+    auto outcomes = checkReplies(s, calls, NOT_RUN | UNKNOWN);
+    EXPECT_EQ(outcomes["unknown"], 1);
+    EXPECT_EQ(outcomes["not_run"], 2);
+    EXPECT_EQ(s.entries[0].process->Wait(), 1);
+    EXPECT_NE(
+        s.entries[0].process->Err().find("outcome=unknown reason=stopping"),
+        std::string::npos)
+        << s.entries[0].process->Err();
+}
+
 /* Repeatable requests are hedged: when an answer is late, a second attempt is
  * sent to another upstream, and the caller gets the first answer that arrives.
  */
--- a/tests/request-stack.h
+++ b/tests/request-stack.h
@@ -71,6 +71,7 @@
     bool repeatable = false;
     const char *table_down = "refuse";
     int slots = 16;
+    int drain_ms = 10000; /* of entries, and their longest deadline */
 };
 
 /* A caller's request and the reply to it. */
@@ -221,8 +222,9 @@
                 "http_port: 0, link_port: 0}\nseeds: []\nplatform: "
                 "{table_url: \"" +
                 platform.Url() + "\", objects_url: \"" + platform.Url() +
-                "\"}\ndrain_ms: 10000\nlimits: {deadline_ms_max: 10000}\n"
-                "configuration_file: " +
+                "\"}\ndrain_ms: " + std::to_string(options.drain_ms) +
+                "\nlimits: {deadline_ms_max: " +
+                std::to_string(options.drain_ms) + "}\nconfiguration_file: " +
                 dir.Path("configuration.yaml") + "\n");
 
         e.name = name;
