--- a/packages/http/http-server.c
+++ b/packages/http/http-server.c
@@ -90,29 +90,29 @@
            strtoull(length, NULL, 10) > ex->server->limits.body_bytes;
 }
 
-/* Replies 413 to a request whose body is over the limit. */
+/* Replies with a status and its JSON text, and closes the connection. */
 static void
-reply_too_big(struct http_exchange *ex)
+reply_and_close(struct http_exchange *ex, int status, const char *text)
 {
-    static const char text[] =
-        "{\"outcome\":\"not_run\",\"reason\":\"body_too_big\"}\n";
-
     Http_ReplyHeader(ex, "Connection", "close");
-    Http_Reply(ex, MHD_HTTP_CONTENT_TOO_LARGE, "application/json", text,
-               sizeof(text) - 1);
+    Http_Reply(ex, status, "application/json", text, strlen(text));
+}
+
+/* Replies to a request whose body is over the limit. */
+static void
+reply_too_big(struct http_exchange *ex)
+{
+    reply_and_close(ex, MHD_HTTP_CONTENT_TOO_LARGE,
+                    "{\"outcome\":\"not_run\",\"reason\":\"body_too_big\"}\n");
 }
 
 /* Replies to a request that the handler has not got, as the server stops. */
 static void
 reply_not_run(struct http_exchange *ex)
 {
-    static const char text[] =
-        "{\"outcome\":\"not_run\",\"reason\":\"stopping\"}\n";
-
-    Http_ReplyHeader(ex, "Connection", "close");
     Http_ReplyHeader(ex, "Retry-After", "1");
-    Http_Reply(ex, MHD_HTTP_SERVICE_UNAVAILABLE, "application/json", text,
-               sizeof(text) - 1);
+    reply_and_close(ex, MHD_HTTP_SERVICE_UNAVAILABLE,
+                    "{\"outcome\":\"not_run\",\"reason\":\"stopping\"}\n");
 }
 
 /* Replies to a request that the handler has and has not replied to, as the
@@ -121,12 +121,8 @@
 static void
 reply_unknown(struct http_exchange *ex)
 {
-    static const char text[] =
-        "{\"outcome\":\"unknown\",\"reason\":\"stopping\"}\n";
-
-    Http_ReplyHeader(ex, "Connection", "close");
-    Http_Reply(ex, MHD_HTTP_GATEWAY_TIMEOUT, "application/json", text,
-               sizeof(text) - 1);
+    reply_and_close(ex, MHD_HTTP_GATEWAY_TIMEOUT,
+                    "{\"outcome\":\"unknown\",\"reason\":\"stopping\"}\n");
 }
 
 /* Passes the response to libmicrohttpd for sending. */
