runs: agents read their seeds again while no entry answers

What callers saw: all entries are lost at once and others come at other addresses.

Cause: an agent looks for entries at the addresses that an entry last listed and at the seeds of its start. When all of these are gone, only the settings file names entries that are alive, and nothing read it again.

Ruled out: the new entries; they elect an owner and accept jobs, and an agent that is started again finds them at once.

Change: while no entry answers, an agent reads the seeds of its settings file again each second, also without a SIGHUP. A file that can't be read or has a mistake changes nothing.

--- a/packages/config/config-agent.c
+++ b/packages/config/config-agent.c
@@ -1,6 +1,7 @@
 #include "config-internal.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define AT(field) offsetof(struct agent_settings, field)
@@ -195,8 +196,39 @@
 Settings_LoadAgent(const char *path, struct agent_settings *out,
                    struct conf_errors *errors)
 {
-    return check_agent(out, Conf_Load(path, &agent_table, out, errors),
-                       errors);
+    int rc = Conf_Load(path, &agent_table, out, errors);
+
+    out->file = Mem_Dup(path);
+    return check_agent(out, rc, errors);
+}
+
+/* Reads the settings file again for its seeds. The rest of it takes effect
+ * when the process is replaced. */
+int
+Settings_ReadAgentSeeds(const char *path, struct conf_list *seeds)
+{
+    struct conf_errors *errors CLEANUP(Mem_FreeP) =
+        Mem_Zero(1, sizeof(*errors));
+    struct agent_settings s CLEANUP(Settings_FreeAgent) = {0};
+    struct conf_list before = *seeds;
+    int err = Settings_LoadAgent(path, &s, errors);
+
+    if (err == ERR_OK) {
+        *seeds = s.seeds;
+        s.seeds = before;
+    }
+    return err;
+}
+
+/* Frees a list of seeds. */
+void
+Settings_FreeSeeds(struct conf_list *seeds)
+{
+    for (size_t i = 0; i < seeds->count; i++) {
+        free(*CONFIG_AT(*seeds, char *, i));
+    }
+    free(seeds->items);
+    *seeds = (struct conf_list){0};
 }
 
 /* Frees what the settings own. */
@@ -204,4 +236,6 @@
 Settings_FreeAgent(struct agent_settings *s)
 {
     Conf_Free(&agent_table, s);
+    free(s->file);
+    s->file = NULL;
 }
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -369,6 +369,7 @@
 
 /* Settings of an agent (parsleyfall-agent run). */
 struct agent_settings {
+    char *file;           /* that they were read from; NULL: none */
     char name[NAME_SIZE]; /* the worker's name in the topology */
     char region[NAME_SIZE];
     char failure_domain[NAME_SIZE];
@@ -400,6 +401,10 @@
 int Settings_ParseAgent(const char *text, size_t len,
                         struct agent_settings *out,
                         struct conf_errors *errors);
+/* Reads the settings file of an agent again and replaces the list by its
+ * seeds. On an error the list stays as it is. */
+int Settings_ReadAgentSeeds(const char *path, struct conf_list *seeds);
+void Settings_FreeSeeds(struct conf_list *seeds);
 /* Free what the settings own; usable with CLEANUP. */
 void Settings_FreeEntry(struct entry_settings *s);
 void Settings_FreeAgent(struct agent_settings *s);
--- a/packages/kernel/kernel.c
+++ b/packages/kernel/kernel.c
@@ -100,9 +100,9 @@
     json_decref(state);
 }
 
-/* SIGHUP: logs that the settings file has changed. The file is not read again,
- * but without a handler the signal would end the process and abort its work in
- * progress. */
+/* SIGHUP: logs that the settings file has changed. Without a handler the
+ * signal would end the process and abort its work in progress. The file is
+ * read again only by a task that needs its present state. */
 static void
 on_hup_signal(struct ev_loop *loop UNUSED, ev_signal *w, int events UNUSED)
 {
--- a/packages/runs/runs-links.c
+++ b/packages/runs/runs-links.c
@@ -26,6 +26,8 @@
 /* A link to an entry that is not listed any more is closed after this time,
  * once a listed one answers. */
 #define UNLISTED_DROP_MS 2000
+/* Interval at which the seeds are read again while no entry answers. */
+#define SEEDS_READ_MS 1000
 /* Entries kept of one list, beside MEMBERS_RESERVES reserves. Entries of older
  * versions list all entries, and expect a link to each. */
 #define ACTIVE_MAX 256
@@ -62,6 +64,8 @@
     TAILQ_HEAD(, entry_link) entries;
     /* The last list of any entry, for when no link works. */
     struct entry_list last_list;
+    struct conf_list seeds; /* read since the start; empty: those of then */
+    int64_t seeds_read_ms;
     struct redial_budget redials;
     ev_timer check;
 };
@@ -239,15 +243,37 @@
     return false;
 }
 
+/* Reads the seeds again, at intervals.
+ *
+ * All entries may be replaced at other addresses at once. No entry is left to
+ * list the new ones, and the addresses of the start lead nowhere; only the
+ * settings file names entries that are alive. */
+static void
+read_seeds(struct links *l, int64_t now)
+{
+    const struct agent_settings *s = l->task.kernel->settings;
+    int err;
+
+    if (now - l->seeds_read_ms < SEEDS_READ_MS) {
+        return;
+    }
+    l->seeds_read_ms = now;
+    err = Settings_ReadAgentSeeds(s->file, &l->seeds);
+    if (err != ERR_OK) {
+        LOG_W("seeds_unreadable", KV("file", s->file),
+              KV("error", Err_Name(err)));
+    }
+}
+
 /* Marks the seeds, and all entries of the last list. */
 static void
 hold_everything_known(struct links *l)
 {
     const struct agent_settings *s = l->task.kernel->settings;
-    char *const *seeds = s->seeds.items;
+    const struct conf_list *seeds = l->seeds.count > 0 ? &l->seeds : &s->seeds;
 
-    for (size_t i = 0; i < s->seeds.count; i++) {
-        hold(l, seeds[i]);
+    for (size_t i = 0; i < seeds->count; i++) {
+        hold(l, *CONFIG_AT(*seeds, char *, i));
     }
     hold_list(l, &l->last_list, l->last_list.count);
 }
@@ -255,8 +281,8 @@
 /* Marks the entries to hold links to: those that the answering entries list.
  *
  * All listed entries may disappear at once. While none of them answers, the
- * agent tries the reserves and its seeds too; whichever answers has a list of
- * those that are alive. */
+ * agent tries the reserves and its seeds, which it reads again, too; whichever
+ * answers has a list of those that are alive. */
 static void
 mark_listed(struct links *l, int64_t now)
 {
@@ -271,6 +297,7 @@
         }
     }
     if (!has_answering(l, now)) {
+        read_seeds(l, now);
         hold_everything_known(l);
     }
 }
@@ -379,6 +406,7 @@
         drop_entry(e);
     }
     free(l->last_list.addresses);
+    Settings_FreeSeeds(&l->seeds);
     Link_ContextFree(l->context);
     free(l);
 }
@@ -395,6 +423,7 @@
 
     TAILQ_INIT(&l->entries);
     l->redials.per_s = s->hosted.redials_per_s;
+    l->seeds_read_ms = Clock_NowMs();
     l->context = Link_ContextNew();
     Kernel_AddTask(k, &l->task, &links_ops);
     hold_everything_known(l);
--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -115,6 +115,20 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
+/* Guards against agents that look for entries only at addresses that they knew
+ * before all entries were replaced: nothing would start any more. */
+TEST(HostedMembers, TheReplacementOfAllEntriesIsBorne)
+{
+    HostedStack s(2, 1);
+
+    ASSERT_EQ(s.Submit(0, "a1", "20").status, 200) << s.Logs();
+    ASSERT_TRUE(s.WaitForState(1, "a1", "completed")) << s.Logs();
+    s.ReplaceEntries();
+    ASSERT_EQ(s.Submit(2, "a2", "20").status, 200) << s.Logs();
+    EXPECT_TRUE(s.WaitForState(3, "a2", "completed")) << s.Logs();
+    EXPECT_EQ(s.Starts().size(), 2u);
+}
+
 /* Rows of another writer: unreadable ones name no entry, and those of entries
  * that do not answer are passed over, whatever room they state. */
 TEST(HostedMembers, RowsOfAnotherWriterNameNoCoordinator)
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -89,22 +89,31 @@
                            : ReadPort(dir.Path("second-store-port"));
 }
 
+std::string
+HostedStack::Seeds() const
+{
+    std::string all;
+
+    for (size_t k = first_seed;
+         k < entries.size() && k < first_seed + SEEDS_MAX; k++) {
+        all += (all.empty() ? "\"" : ", \"") +
+               Address(static_cast<int>(k), LINKS) + "\"";
+    }
+    return all;
+}
+
 void
 HostedStack::StartEntry(int i)
 {
-    std::string n = std::to_string(i), seeds;
+    std::string n = std::to_string(i);
     std::string ip = Address(i, 0);
 
     ip = ip.substr(0, ip.find(':'));
-    for (size_t k = 0; k < entries.size() && k < SEEDS_MAX; k++) {
-        seeds +=
-            (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
-    }
     std::string file = dir.Write(
         "entry-" + n + ".yaml",
         "name: entry-" + n + "\nregion: here\nfailure_domain: a\n" +
             "listen: {address: " + ip + ", http_port: 0, link_port: 0}\n" +
-            "seeds: [" + seeds + "]\n" +
+            "seeds: [" + Seeds() + "]\n" +
             "platform: {table_url: \"http://127.0.0.1:1\", objects_url: "
             "\"http://127.0.0.1:1\"}\n"
             "limits: {deadline_ms_max: 4000}\ndrain_ms: 5000\n" +
@@ -123,22 +132,49 @@
 }
 
 void
-HostedStack::StartAgent(int i)
+HostedStack::ReplaceEntries()
 {
-    std::string n = std::to_string(i), seeds;
+    size_t count = entries.size() - first_seed;
 
-    for (size_t k = 0; k < entries.size() && k < SEEDS_MAX; k++) {
-        seeds +=
-            (k ? ", \"" : "\"") + Address(static_cast<int>(k), LINKS) + "\"";
+    for (auto &e : entries) {
+        e.reset();
     }
-    std::string file = dir.Write(
+    first_seed = entries.size();
+    entries.resize(first_seed + count);
+    store_links.resize(entries.size());
+    for (size_t i = 0; i < agents.size(); i++) {
+        WriteAgentSettings(static_cast<int>(i));
+    }
+    for (size_t i = first_seed; i < entries.size(); i++) {
+        StartEntry(static_cast<int>(i));
+    }
+    for (size_t i = first_seed; i < entries.size(); i++) {
+        if (!WaitFor([&] { return Ready(static_cast<int>(i)); })) {
+            throw std::runtime_error("an entry is not ready: " + Logs());
+        }
+    }
+}
+
+std::string
+HostedStack::WriteAgentSettings(int i) const
+{
+    std::string n = std::to_string(i);
+
+    return dir.Write(
         "agent-" + n + ".yaml",
         "name: agent-" + n + "\nregion: here\nfailure_domain: a\nrack: r\n" +
-            "accelerators: 0\nseeds: [" + seeds + "]\ndrain_ms: 1000\n" +
+            "accelerators: 0\nseeds: [" + Seeds() + "]\ndrain_ms: 1000\n" +
             "hosted:\n  beats: \"" + Address(AGENT_HOST + i, HEARTBEATS) +
             "\"\n  worker: \"127.0.0.1:" +
             std::to_string(worker_ports[static_cast<size_t>(i)]) +
             "\"\n  lease_ms: 4000\n  scheduling: {" + agent_parts + "}\n");
+}
+
+void
+HostedStack::StartAgent(int i)
+{
+    std::string n = std::to_string(i), file = WriteAgentSettings(i);
+
     agents[static_cast<size_t>(i)].reset();
     agents[static_cast<size_t>(i)] = std::make_unique<Process>(
         dir, "parsleyfall-agent", std::vector<std::string>{"run", file},
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -18,6 +18,9 @@
                 const std::string &entry_parts = "");
     void StartEntry(int i);
     void StartAgent(int i);
+    /* Kills all entries, and starts as many others at other addresses, which
+     * the settings files of the agents, but not the agents, name as seeds. */
+    void ReplaceEntries();
     /* Starts a worker beside agent i, under that incarnation. */
     void StartWorker(int i, const std::string &incarnation);
     /* Writes a configuration as an operator: queue "r-1" at one.example/q/,
@@ -83,6 +86,9 @@
 
   private:
     std::string Address(int host, int port) const;
+    /* The seeds of the settings, as items of a list. */
+    std::string Seeds() const;
+    std::string WriteAgentSettings(int i) const;
     int StorePort(int port_index) const;
     std::string Config(int version, const std::vector<std::string> &keys,
                        const std::string &other_key,
@@ -90,6 +96,7 @@
     std::string agent_parts, entry_parts;
     std::string net;
     int first_host = 0;
+    size_t first_seed = 0; /* entry */
     std::vector<int> worker_ports;
     int config_row = 0;
     int worker_names = 0;
