agent: agents of the own profile read their seeds again as well

Change: while no entry answers, it reads the seeds of its settings file again each second. An address that is no seed any more is dropped like one that no entry lists.

--- a/packages/agent/agent-links-list.c
+++ b/packages/agent/agent-links-list.c
@@ -46,6 +46,24 @@
     return e;
 }
 
+/* Adds the entries at new seeds. One at an address that is no seed any more is
+ * dropped like one that no welcome lists. */
+void
+Entries_SetSeeds(struct links *l, const struct conf_list *seeds)
+{
+    struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        e->seed = false;
+    }
+    for (size_t i = 0; i < seeds->count; i++) {
+        e = Entries_Add(l, *CONFIG_AT(*seeds, char *, i), true);
+        if (e != NULL) {
+            e->seed = true;
+        }
+    }
+}
+
 /* Removes an entry and closes its link. */
 void
 Entries_Drop(struct links *l, struct entry_link *e)
--- a/packages/agent/agent-links.c
+++ b/packages/agent/agent-links.c
@@ -7,6 +7,8 @@
 #define MIN_HEARTBEAT_MS 200
 #define MAX_HEARTBEAT_MS 60000
 #define HELLO_RETRY_MS 200 /* interval of hellos until the first welcome */
+/* Interval at which the seeds are read again while no entry answers. */
+#define SEEDS_READ_MS 1000
 #define UNLISTED_KEEP_MS 120000 /* of a silent entry that no welcome lists */
 
 static struct counter replaced_total = {
@@ -194,6 +196,41 @@
     }
 }
 
+/* True when an entry has welcomed the agent and answers. */
+static bool
+has_answering(const struct links *l, int64_t now)
+{
+    const struct entry_link *e;
+
+    TAILQ_FOREACH (e, &l->entries, entry) {
+        if (e->welcomed && !EntryLink_IsSilent(e, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Reads the seeds again, at intervals. All entries may be replaced at other
+ * addresses at once; only the settings file names the new ones then. */
+static void
+read_seeds(struct links *l, int64_t now)
+{
+    struct conf_list seeds CLEANUP(Settings_FreeSeeds) = {0};
+    int err;
+
+    if (now - l->seeds_read_at < SEEDS_READ_MS) {
+        return;
+    }
+    l->seeds_read_at = now;
+    err = Settings_ReadAgentSeeds(l->settings->file, &seeds);
+    if (err != ERR_OK) {
+        LOG_W("seeds_unreadable", KV("file", l->settings->file),
+              KV("error", Err_Name(err)));
+        return;
+    }
+    Entries_SetSeeds(l, &seeds);
+}
+
 /* Checks all links periodically. */
 static void
 on_tick(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
@@ -203,6 +240,9 @@
     int64_t now = Clock_NowMs();
 
     post_reachable(l);
+    if (!has_answering(l, now)) {
+        read_seeds(l, now);
+    }
     TAILQ_FOREACH_SAFE (e, &l->entries, entry, next) {
         check_link(l, e, now);
     }
@@ -405,6 +445,7 @@
     for (i = 0; i < s->seeds.count; i++) {
         Entries_Add(l, *CONFIG_AT(s->seeds, char *, i), true);
     }
+    l->seeds_read_at = Clock_NowMs();
     ev_init(&l->tick, on_tick);
     l->tick.data = l;
     Timer_Every(k->loop, &l->tick, TICK_MS);
--- a/packages/agent/agent-links.h
+++ b/packages/agent/agent-links.h
@@ -41,6 +41,7 @@
     struct wire_list parts;
     uint64_t reachable_hash; /* hash of the list last posted to "parts" */
     bool leaving;
+    int64_t seeds_read_at; /* when the seeds were last read */
     ev_timer tick;
 };
 
@@ -65,6 +66,8 @@
 void Entries_Drop(struct links *l, struct entry_link *e);
 bool Entries_IsSelected(const struct links *l, const struct wire_list *entries,
                         const struct wire_entry *e);
+/* Replaces the seeds, while no entry answers. */
+void Entries_SetSeeds(struct links *l, const struct conf_list *seeds);
 struct entry_link *Entries_FindDuplicate(struct links *l,
                                          const struct entry_link *e);
 void Entries_MarkDuplicate(struct links *l, struct entry_link *e);
--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -584,6 +584,17 @@
     }));
 }
 
+/* Guards against an agent that looks for entries only at the seeds of its
+ * start, after all entries were replaced at other addresses. */
+TEST_F(Agent, FindsEntriesAtChangedSeeds)
+{
+    auto agent = Start();
+
+    first = std::make_unique<Entry>(loop, "entry-2");
+    Settings(true);
+    EXPECT_TRUE(Until([&] { return first->hellos > 0; })) << agent->Err();
+}
+
 TEST_F(Agent, UpstreamsAnnounceThemselvesAndLeave)
 {
     auto agent = Start();
