--- a/tests/agent-process-test.cc
+++ b/tests/agent-process-test.cc
@@ -584,8 +584,8 @@
     }));
 }
 
-/* Guards against an agent that looks for entries only at the seeds of its
- * start, after all entries were replaced at other addresses. */
+/* Guards against an agent that connects only to the seeds of its start, after
+ * all entries were replaced at other addresses. */
 TEST_F(Agent, FindsEntriesAtChangedSeeds)
 {
     auto agent = Start();
--- a/tests/hosted-members-test.cc
+++ b/tests/hosted-members-test.cc
@@ -115,8 +115,8 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
-/* Guards against agents that look for entries only at addresses that they knew
- * before all entries were replaced: nothing would start any more. */
+/* Guards against agents that connect only to addresses from before all entries
+ * were replaced: nothing would start any more. */
 TEST(HostedMembers, TheReplacementOfAllEntriesIsBorne)
 {
     HostedStack s(2, 1);
