jobs, runs, agent: partial lists of ends don't release a run

Cause: a worker returns 500 ends at a time. process_stopped() took a run whose stop is confirmed and that is in neither list for one that never began, though the list of ends was cut. The stops came from Pace_ShouldMove(), for which a run that ended beyond the page hangs. Ruled out: the order of acknowledgements (the first 500 are processed before they are acknowledged), and leases (none lapsed in the script).

The adapter now marks a response as partial when the rows fill a page, counted before unreadable rows are skipped, or when a list is missing. No run counts as never begun, vanished or hung by a partial report. That suffices: every run is in one of the two lists of a whole response, and the stop is ordered again until one has come. Lists that are not in the order of their numbers no longer have ends acknowledged unread.

--- a/packages/jobs/jobs-pace.c
+++ b/packages/jobs/jobs-pace.c
@@ -347,6 +347,15 @@
            now_ms - t->worker->report_ms < HANG_MS / 2;
 }
 
+/* True when the worker's last report lists the run as running. One that is not
+ * listed may have ended, so its progress shows nothing. */
+static bool
+is_listed(const struct jobs_task *t)
+{
+    return t->worker != NULL && t->confirmed &&
+           t->listed_clock_ms == t->worker->clock_ms;
+}
+
 /* True when a run should be started elsewhere: it hangs, or the rest of it
  * takes longer there than one and a half whole runs on a sound worker. */
 bool
@@ -361,7 +370,7 @@
     for (uint32_t i = 0; i < u->task_count; i++) {
         const struct jobs_task *t = &u->tasks[i];
 
-        if (t->worker == NULL || !t->confirmed) {
+        if (!is_listed(t)) {
             continue;
         }
         if (is_hung(t, now_ms) ||
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -135,17 +135,23 @@
     Task_RunOver(sched, t, end_names[e->how], now_ms);
 }
 
-/* Processes the ends that have not been processed yet, in their order. */
+/* Processes the ends that have not been processed yet. Workers need not list
+ * them by number. */
 static void
 process_ends(struct jobs_scheduler *sched, struct jobs_worker *w,
              const struct jobs_ended *ended, size_t count, int64_t now_ms)
 {
+    uint64_t last = w->ends_taken;
+
     for (size_t i = 0; i < count; i++) {
         if (ended[i].number > w->ends_taken) {
             process_end(sched, w, &ended[i], now_ms);
-            w->ends_taken = ended[i].number;
+        }
+        if (ended[i].number > last) {
+            last = ended[i].number;
         }
     }
+    w->ends_taken = last;
 }
 
 /* Processes one run that the worker lists as running. */
@@ -196,8 +202,12 @@
     return false;
 }
 
-/* Processes a run whose stop is confirmed. Unless it is listed as running, it
- * has ended or never starts. */
+/* Processes a run whose stop is confirmed. If it is listed neither as running
+ * nor as ended, it never starts.
+ *
+ * A worker with many ends lists only the first of them. A run that ended as
+ * done beyond those is in neither list, and would run again if it counted as
+ * never begun. The stop is repeated until a report has all ends. */
 static void
 process_stopped(struct jobs_scheduler *sched, struct jobs_worker *w,
                 const struct jobs_report *r, const struct jobs_stopped *s,
@@ -205,7 +215,7 @@
 {
     struct jobs_task *t = Scheduler_FindTask(sched, s->task);
 
-    if (t == NULL || t->worker != w || t->unit->run != s->run ||
+    if (r->partial || t == NULL || t->worker != w || t->unit->run != s->run ||
         lists_running(r, s->task, s->run)) {
         return;
     }
@@ -219,19 +229,16 @@
  * running for ever, and its job would never end. A worker lists each run that
  * it was given as running or as ended, both as of one moment, so a run that
  * has been missing from both lists for a second is over. The confirmation of
- * the stop releases the task. A full list of ends may be truncated, and proves
- * nothing. */
+ * the stop releases the task. A partial report proves nothing. */
 static void
 stop_vanished(struct jobs_scheduler *sched, struct jobs_worker *w,
               const struct jobs_report *r)
 {
     /* Reports arrive about every half of this. */
     static const int64_t vanished_ms = 1000;
-    /* The most ends that one list can have. */
-    static const size_t list_max = 500;
     struct jobs_task *t;
 
-    if (r->ended_count >= list_max) {
+    if (r->partial) {
         return;
     }
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -240,6 +240,9 @@
     size_t ended_count;
     struct jobs_stopped *stopped;
     size_t stopped_count;
+    /* The worker has more ends than are listed, or a list is missing: a run
+     * that is in neither list may have ended, or may still run. */
+    bool partial;
 };
 
 /* ---- the scheduler ---------------------------------------------------------
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -164,6 +164,7 @@
     r.drain_left_ms = m->drain_left_ms;
     r.term = m->term;
     r.clock_ms = m->clock_ms;
+    r.partial = m->partial != 0;
     copy_lists(m, &r);
     changed = Jobs_Report(o->scheduler, &r, now);
     free_lists(&r);
--- a/packages/runs/runs.h
+++ b/packages/runs/runs.h
@@ -42,6 +42,9 @@
     size_t running_count;
     struct jobs_ended *ended;
     size_t ended_count;
+    /* A list was cut short or is missing, so a run that is in neither list may
+     * have ended all the same, or may still run. */
+    bool partial;
     /* With ERR_STALE: the incarnation that answered also carries out orders
      * that were sent to the polled one, late ones included. */
     bool successor;
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -240,7 +240,8 @@
     LIST(wire_report, crashed, crash_table),
     TEXT(wire_report, heir_of),
     U(wire_report, entries_version),
-    I(wire_report, drain_left_ms)};
+    I(wire_report, drain_left_ms),
+    U(wire_report, partial)};
 
 static const struct wire_field hail[] = {NAME(wire_hail, entry),
                                          U(wire_hail, incarnation),
@@ -350,7 +351,7 @@
     [WIRE_BIND] = FIELDS(wire_bind, bind_fields),
     [WIRE_FENCE] = FIELDS(wire_fence, fence),
     [WIRE_FENCED] = FIELDS(wire_fenced, fenced),
-    [WIRE_REPORT] = FIELDS_OPTIONAL(wire_report, report, 4),
+    [WIRE_REPORT] = FIELDS_OPTIONAL(wire_report, report, 5),
     [WIRE_HAIL] = FIELDS_OPTIONAL(wire_hail, hail, 2),
     [WIRE_ORDERS] = FIELDS(wire_orders, orders),
     [WIRE_REFUSED] = FIELDS(wire_refused, refused),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -437,6 +437,8 @@
     /* Minimum time for which a draining worker still serves; -1: not known, as
      * for an agent that does not report it. */
     int64_t drain_left_ms;
+    /* 1: the worker has more ends than are listed, or a list is missing. */
+    uint64_t partial;
 };
 
 /* Acknowledges a message of an agent or a peer; without a list of entries when
--- a/tests/fakes/hosted-worker.c
+++ b/tests/fakes/hosted-worker.c
@@ -30,6 +30,7 @@
 #define HEARTBEAT_MS 200
 #define CRASH_MS 10
 #define TASK_SIZE 128
+#define ENDED_PAGE 500 /* ended runs in one response */
 
 struct run {
     struct worker *worker;
@@ -124,6 +125,9 @@
                                (json_int_t)(r->serves ? latency(w) : 0)));
     }
     TAILQ_FOREACH (e, &w->ended, entry) {
+        if (json_array_size(ended) == ENDED_PAGE) {
+            break;
+        }
         json_array_append_new(
             ended, json_pack("[I,s,I,s,s]", (json_int_t)e->number, e->task,
                              (json_int_t)e->run, e->how, ""));
--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -342,6 +342,47 @@
     EXPECT_EQ(runs.seen.ended[1].how, END_STOPPED);
 }
 
+struct ListCase {
+    const char *what;
+    int ends;
+    int unreadable; /* further rows of "ended" */
+    const char *running;
+    bool partial;
+};
+
+/* Guards against a list of ends that is cut at a page, or missing, and counts
+ * as complete. */
+TEST(HostedRuns, ListsThatMayLackARunArePartial)
+{
+    static const ListCase cases[] = {
+        {"no ends", 0, 0, "[]", false},
+        {"one less than a page", 499, 0, "[]", false},
+        {"a page", 500, 0, "[]", true},
+        {"a page with an unreadable row", 499, 1, "[]", true},
+        {"more than a page", 600, 0, "[]", true},
+        {"no list of runs", 1, 0, "null", true},
+        {"no list of ends", -1, 0, "[]", true},
+    };
+
+    for (const ListCase &c : cases) {
+        std::string ended;
+
+        for (int i = 1; i <= c.ends + c.unreadable; i++) {
+            ended += (i > 1 ? "," : "") +
+                     (i <= c.ends ? "[" + std::to_string(i) +
+                                        ",\"a.0.0.0\",1,\"done\",\"\"]"
+                                  : std::string("7"));
+        }
+        PolledRuns runs(R"({"clock-ms":9,"running":)" +
+                        std::string(c.running) + R"(,"ended":)" +
+                        (c.ends < 0 ? "7" : "[" + ended + "]") + "}");
+
+        ASSERT_EQ(runs.err, ERR_OK) << c.what;
+        EXPECT_EQ(runs.seen.partial, c.partial) << c.what;
+        EXPECT_EQ(runs.seen.ended_count, c.ends < 0 ? 0u : c.ends) << c.what;
+    }
+}
+
 TEST(HostedRuns, PollWithoutClockIsRefused)
 {
     for (const char *text :
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -388,9 +388,14 @@
         }
         running.push_back(x);
     }
+    r.partial = w.ended.size() >= w.ends_listed_max;
     for (const End &e : w.ended) {
         struct jobs_ended x = {};
 
+        if (ended.size() == w.ends_listed_max) {
+            break;
+        }
+
         Str_Copy(x.task, sizeof(x.task), e.task.c_str());
         Str_Copy(x.checkpoint, sizeof(x.checkpoint), e.checkpoint.c_str());
         x.number = e.number;
@@ -398,6 +403,9 @@
         x.how = e.how;
         ended.push_back(x);
     }
+    if (w.lists_newest_first) {
+        std::reverse(ended.begin(), ended.end());
+    }
     for (const auto &s : w.stopped) {
         struct jobs_stopped x = {};
 
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -65,6 +65,8 @@
     uint64_t term = 0;
     uint64_t last_seen = 0;
     uint64_t ends = 0;
+    size_t ends_listed_max = 500;    /* in one report */
+    bool lists_newest_first = false; /* its ends */
     std::vector<Run> runs;
     std::vector<End> ended;
     /* Highest run that was stopped or ended, by task. */
