agent: a checkpoint that doesn't fit doesn't hide its run

Cause: the adapter skipped the whole row of such a run. In neither list, it was stopped as vanished and released as never begun.

--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -307,7 +307,8 @@
 struct PolledRuns {
     explicit PolledRuns(const std::string &text)
     {
-        json_t *o = json_loadb(text.data(), text.size(), 0, nullptr);
+        json_t *o =
+            json_loadb(text.data(), text.size(), JSON_ALLOW_NUL, nullptr);
 
         err = Hosted_ReadRuns(o, &seen);
         json_decref(o);
@@ -383,6 +384,39 @@
     }
 }
 
+struct CheckpointCase {
+    const char *what;
+    std::string json;
+    const char *expected;
+};
+
+/* Guards against a run whose row is skipped for its checkpoint: it would be
+ * stopped as vanished, and run again after it is done. */
+TEST(HostedRuns, ARowWithAnUnusableCheckpointKeepsItsRun)
+{
+    static const std::string longest(95, 'c');
+    static const CheckpointCase cases[] = {
+        {"the longest", "\"" + longest + "\"", longest.c_str()},
+        {"a byte more", "\"" + longest + "c\"", ""},
+        {"4,000 bytes", "\"" + std::string(4000, 'c') + "\"", ""},
+        {"a NUL", "\"a\\u0000b\"", ""},
+        {"no string", "7", ""},
+    };
+
+    for (const CheckpointCase &c : cases) {
+        PolledRuns runs(R"({"clock-ms":9,"running":[["a.0.0.0",2,)" + c.json +
+                        R"(,41]],"ended":[[1,"b.0.0.0",1,"done",)" + c.json +
+                        "]]}");
+
+        ASSERT_EQ(runs.err, ERR_OK) << c.what;
+        ASSERT_EQ(runs.seen.running_count, 1u) << c.what;
+        EXPECT_STREQ(runs.seen.running[0].checkpoint, c.expected) << c.what;
+        ASSERT_EQ(runs.seen.ended_count, 1u) << c.what;
+        EXPECT_EQ(runs.seen.ended[0].how, END_DONE) << c.what;
+        EXPECT_STREQ(runs.seen.ended[0].checkpoint, c.expected) << c.what;
+    }
+}
+
 TEST(HostedRuns, PollWithoutClockIsRefused)
 {
     for (const char *text :
