queue: the writes of open calls get a file of their own

Answers and lookups stay there; how an acceptance, a refusal and a cancellation are written, and what their results mean, moves to queue-calls-write.c. No change of behaviour.

--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -1,4 +1,4 @@
-#include "queue-intake.h"
+#include "queue-calls.h"
 
 #include <ctype.h>
 #include <stdio.h>
@@ -12,48 +12,16 @@
 /* The answer also comes within this share of the time that the caller waits,
  * so that it can retry twice, at other entries, before it gives up. */
 #define ANSWER_SHARE 0.4
-#define RETRY_PAUSE_MS 60
-/* When a refused caller is told to retry. By then short failures of the store
- * are over, and another entry may be reachable. */
-#define RETRY_AFTER_MS 1000
 /* Interval of the check for callers that have disconnected, well below the
  * time that callers wait. */
 #define CALLER_CHECK_INTERVAL_MS 250
 
-/* A call that waits for the store. It outlives its caller's answer until the
- * store has answered too. */
-struct open_call {
-    struct intake *in;
-    struct queue_call *call;
-    char key[64];
-    struct buf value;
-    /* Result of the last try; ERR_UNKNOWN while one is open. */
-    int last_error;
-    /* Version of the row refused/ID that an acceptance expects and deletes; 0:
-     * there is none. */
-    uint64_t refused_version;
-    int64_t return_ms; /* of a refusal: after which the caller may return */
-    /* An earlier try may have taken effect, or may still do so. */
-    bool maybe_done;
-    bool store_pending; /* a store call is open */
-    ev_timer retry_timer;
-    ev_timer answer_timer; /* answers the caller without the store */
-    TAILQ_ENTRY(open_call) entry;
-};
-
-static struct counter accepted_total = {"parsleyfall_queue_accepted_total",
-                                        "Jobs accepted by this entry.", NULL,
-                                        COUNTER_TOTAL};
 static struct counter refused_total = {
     "parsleyfall_queue_refused_total",
     "Calls that were refused with a time to come back.", NULL, COUNTER_TOTAL};
 static struct counter no_capacity_total = {
     "parsleyfall_queue_no_capacity_total",
     "Jobs that were refused as they would end too late.", NULL, COUNTER_TOTAL};
-static struct counter not_refused_total = {
-    "parsleyfall_queue_not_refused_total",
-    "Jobs submitted as usual as their refusal could not be stored.", NULL,
-    COUNTER_TOTAL};
 static struct counter unknown_total = {"parsleyfall_queue_unknown_total",
                                        "Calls whose outcome is not known.",
                                        NULL, COUNTER_TOTAL};
@@ -148,8 +116,8 @@
 
 /* Frees an open call when its caller has been answered and no store call is
  * open. */
-static void
-free_open_call(struct open_call *o)
+void
+Calls_FreeOpen(struct open_call *o)
 {
     if (o->call == NULL && !o->store_pending) {
         TAILQ_REMOVE(&o->in->open_calls, o, entry);
@@ -168,14 +136,14 @@
     ev_timer_stop(o->in->task.kernel->loop, &o->answer_timer);
     o->in->open_call_count--;
     o->call = NULL;
-    free_open_call(o);
+    Calls_FreeOpen(o);
     return call;
 }
 
 /* Answers a call that waited for the store. */
-static void
-finish_open(struct open_call *o, enum queue_outcome outcome,
-            const char *reason)
+void
+Calls_FinishOpen(struct open_call *o, enum queue_outcome outcome,
+                 const char *reason)
 {
     struct queue_call *call = detach_call(o);
 
@@ -211,11 +179,9 @@
     answer_from_cache(in, call, id);
 }
 
-static void send_write(struct open_call *o);
-
 /* True for an open call that refuses a job. */
-static bool
-is_refusal(const struct open_call *o)
+bool
+Calls_IsRefusal(const struct open_call *o)
 {
     return strncmp(o->key, REFUSED_PREFIX, strlen(REFUSED_PREFIX)) == 0;
 }
@@ -224,7 +190,7 @@
 static void
 on_retry(struct ev_loop *loop UNUSED, ev_timer *w, int events UNUSED)
 {
-    send_write(w->data);
+    Calls_Write(w->data);
 }
 
 /* Answers an open call without the store. A write that was sent may still take
@@ -247,10 +213,10 @@
               KV("maybe_done", maybe_done ? "yes" : "no"));
     }
     if (maybe_done) {
-        finish_open(o, QUEUE_UNKNOWN, unknown_reason);
+        Calls_FinishOpen(o, QUEUE_UNKNOWN, unknown_reason);
         return;
     }
-    finish_open(o, QUEUE_RETRY_LATER, refused_reason);
+    Calls_FinishOpen(o, QUEUE_RETRY_LATER, refused_reason);
 }
 
 /* Answers the caller, as the store has not answered in time.
@@ -296,278 +262,6 @@
     return o;
 }
 
-/* Puts a row that this entry has written into the cache and sends it to the
- * owner's entry at once. */
-static void
-publish_row(struct open_call *o, uint64_t version)
-{
-    struct table_row row = {.key = Mem_Dup(o->key), .version = version};
-
-    Buf_Set(&row.value, o->value.data, o->value.len);
-    Notify_Owner(o->in, &row);
-    Cache_Update(o->in, &row, 1, false, 0);
-    free(row.key);
-    Buf_Free(&row.value);
-}
-
-/* Tries a write again after a pause. */
-static void
-retry(struct open_call *o, int err)
-{
-    o->last_error = err;
-    Timer_Set(o->in->task.kernel->loop, &o->retry_timer, RETRY_PAUSE_MS);
-}
-
-/* Answers that the job is not accepted, as it was refused. */
-static void
-finish_refused(struct open_call *o, int64_t return_ms, const char *reason)
-{
-    o->call->retry_ms = return_ms;
-    finish_open(o, QUEUE_NO_CAPACITY, reason);
-}
-
-/* Handles the row refused/ID after an acceptance has found a row in its way,
- * which was not the spec.
- *
- * If the job was refused after this call began, by another entry to which the
- * same caller turned, it must not be accepted by this one. It may also have
- * been refused before, if the feed has not brought that row yet; the caller
- * then comes back once more. Without a row, the one that was expected has been
- * deleted, which takes longer than any call. */
-static void
-on_refused_read(void *arg, int err, struct table_row *row)
-{
-    struct open_call *o = arg;
-    uint64_t version = row != NULL ? row->version : 0;
-
-    o->store_pending = false;
-    if (o->call == NULL) {
-        free_open_call(o);
-        return;
-    }
-    if (err == ERR_OK && version != 0 && version != o->refused_version) {
-        Cache_Update(o->in, row, 1, false, 0);
-        finish_refused(o, RETRY_AFTER_MS, "refused_elsewhere");
-        return;
-    }
-    if (err == ERR_OK && version == 0) {
-        o->refused_version = 0;
-    }
-    retry(o, err != ERR_OK ? err : ERR_CONFLICT);
-}
-
-/* Handles the spec row after an acceptance has found a row in its way. */
-static void
-on_spec_read(void *arg, int err, struct table_row *row)
-{
-    struct open_call *o = arg;
-    char key[sizeof(o->key) + 8];
-
-    o->store_pending = false;
-    if (o->call == NULL) {
-        free_open_call(o);
-        return;
-    }
-    if (err != ERR_OK) {
-        retry(o, err);
-        return;
-    }
-    if (row->version != 0) {
-        finish_open(o, QUEUE_OK, "known_already");
-        return;
-    }
-    snprintf(key, sizeof(key), REFUSED_PREFIX "%s", strchr(o->key, '/') + 1);
-    o->store_pending = true;
-    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, key,
-                           on_refused_read, o);
-}
-
-/* Finds out which row is in the way of an acceptance. */
-static void
-read_conflict(struct open_call *o)
-{
-    o->store_pending = true;
-    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, o->key,
-                           on_spec_read, o);
-}
-
-/* Handles the result of a refusal. If it can't be stored, the job is submitted
- * as usual: an acceptance that succeeds makes the refusal fail, should that
- * still be on its way, and the other way round. */
-static void
-on_refusal_written(struct open_call *o, int err, const uint64_t *versions)
-{
-    char id[JOBS_ID_SIZE];
-
-    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
-    if (err == ERR_OK) {
-        struct table_row row = {.key = Mem_Dup(o->key),
-                                .version = versions[1]};
-
-        Buf_AppendStr(&row.value, "{}");
-        Cache_Update(o->in, &row, 1, false, 0);
-        free(row.key);
-        Buf_Free(&row.value);
-        finish_refused(o, o->return_ms, "no_capacity");
-        return;
-    }
-    QueueAdmission_Forget(o->in->admission, id);
-    if (err == ERR_CONFLICT) {
-        finish_open(o, QUEUE_OK, "known_already");
-        return;
-    }
-    Counter_Add(&not_refused_total, 1);
-    LOG_W("refusal_not_stored", KV("job", id), KV("error", Err_Name(err)));
-    snprintf(o->key, sizeof(o->key), "spec/%s", id);
-    send_write(o);
-}
-
-/* Logs and counts an accepted or cancelled job, and answers its caller. */
-static void
-finish_written(struct open_call *o, bool submit, uint64_t version)
-{
-    const struct jobs_spec *s = &o->call->spec;
-    const struct jobs_step *step = submit ? &s->steps[0] : NULL;
-
-    if (submit) {
-        Counter_Add(&accepted_total, 1);
-        if (o->in->admission != NULL) {
-            QueueAdmission_Forget(o->in->admission, s->id);
-        }
-    }
-    LOG_I(submit ? "job_accepted" : "job_cancelled",
-          KV("job", strchr(o->key, '/') + 1), KV("queue", s->queue),
-          KV("organisation", s->organisation), KV_INT("steps", s->step_count),
-          KV_INT("tasks", submit ? (int64_t)step->count : 0),
-          KV_INT("accelerators", submit ? step->need.accelerators : 0),
-          KV_INT("estimate_ms", submit ? step->estimate_ms : 0),
-          KV_INT("version", version));
-    publish_row(o, version);
-    finish_open(o, QUEUE_OK, "stored");
-}
-
-/* Handles the result of a write whose caller has been answered. A refusal
- * needs nothing more, as the feed brings its row. */
-static void
-on_written_late(struct open_call *o, int err, const uint64_t *versions)
-{
-    if (err == ERR_OK && !is_refusal(o)) {
-        LOG_I("stored_unheard", KV("row", o->key),
-              KV_INT("version", versions[0]));
-        publish_row(o, versions[0]);
-    }
-    free_open_call(o);
-}
-
-/* Handles the result of a write.
- *
- * A write whose answer was lost may have taken effect, or may do so seconds
- * later. If it were refused, the caller would believe that the job was not
- * accepted while it runs. A refusal is therefore given only when every try was
- * certainly rejected; otherwise the outcome is "unknown", and the caller may
- * submit the same id again. */
-static void
-on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
-{
-    struct open_call *o = arg;
-    bool submit = strncmp(o->key, "spec/", 5) == 0;
-
-    o->store_pending = false;
-    if (o->call == NULL) {
-        on_written_late(o, err, versions);
-        return;
-    }
-    if (is_refusal(o)) {
-        on_refusal_written(o, err, versions);
-        return;
-    }
-    if (err == ERR_OK) {
-        finish_written(o, submit, versions[0]);
-        return;
-    }
-    if (err == ERR_CONFLICT && submit) {
-        read_conflict(o);
-        return;
-    }
-    if (err == ERR_INVALID) {
-        finish_open(o, QUEUE_INVALID, "the store refuses its row");
-        return;
-    }
-    o->maybe_done = o->maybe_done || err == ERR_UNKNOWN;
-    retry(o, err);
-}
-
-/* The version that the spec row must have for a job to be written: 0, so that
- * there is none, or that of an unreadable row for which no readable value is
- * known. Submitting such a job again repairs its row. */
-static uint64_t
-replaceable_version(struct intake *in, const char *key)
-{
-    const struct cached_row *r = Cache_Find(in, key);
-    const struct cached_job *j = Cache_FindJob(in, strchr(key, '/') + 1);
-
-    return r != NULL && r->corrupt && (j == NULL || !j->has_spec) ? r->version
-                                                                  : 0;
-}
-
-/* Returns an operation on a row of the own table, without a value. */
-static struct table_op
-condition(enum table_verb verb, const char *key, uint64_t if_version)
-{
-    return (struct table_op){.verb = verb,
-                             .table = Queue_Platform()->own_table,
-                             .key = key,
-                             .if_version = if_version};
-}
-
-/* Composes the transaction of an open call; returns the number of operations.
- *
- * A refused job must never run, although an earlier try to accept it may reach
- * the store after the refusal. Every acceptance therefore expects the version
- * of refused/ID that it has read when it began, and a refusal, which changes
- * that version, expects that there is no spec. A late write of either kind
- * fails once the other has been made. */
-static size_t
-compose_write(struct open_call *o, struct table_op ops[2], char *other_key,
-              size_t key_size)
-{
-    const char *id = strchr(o->key, '/') + 1;
-
-    ops[0] = condition(TABLE_PUT, o->key, TABLE_ANY);
-    ops[0].value = o->value.data;
-    ops[0].len = o->value.len;
-    if (is_refusal(o)) {
-        snprintf(other_key, key_size, "spec/%s", id);
-        ops[1] = condition(TABLE_PUT, o->key, TABLE_ANY);
-        ops[1].value = "{}";
-        ops[1].len = 2;
-        ops[0] = condition(TABLE_CHECK, other_key, 0);
-        return 2;
-    }
-    if (strncmp(o->key, "spec/", 5) != 0) {
-        return 1;
-    }
-    snprintf(other_key, key_size, REFUSED_PREFIX "%s", id);
-    ops[0].if_version = replaceable_version(o->in, o->key);
-    ops[1] = condition(o->refused_version != 0 ? TABLE_DELETE : TABLE_CHECK,
-                       other_key, o->refused_version);
-    return 2;
-}
-
-/* Sends the write of an open call to the store. */
-static void
-send_write(struct open_call *o)
-{
-    struct table *store = o->in->store;
-    char other_key[sizeof(o->key) + 8];
-    struct table_op ops[2];
-    size_t count = compose_write(o, ops, other_key, sizeof(other_key));
-
-    o->last_error = ERR_UNKNOWN;
-    o->store_pending = true;
-    store->ops->commit(store, ops, count, on_written, o);
-}
-
 /* Returns the version of a job's row refused/ID, as far as this entry
  * knows. */
 static uint64_t
@@ -615,7 +309,7 @@
         return 0;
     }
     Buf_Printf(&key, "spec/%s", s->id);
-    if (replaceable_version(in, key.data) != 0) {
+    if (Calls_ReplaceableVersion(in, key.data) != 0) {
         return 0;
     }
     QueueAdmission_ReadJob(
@@ -671,10 +365,10 @@
     o->return_ms = return_ms;
     JobsSpec_Encode(&call->spec, &o->value);
     if (o->value.len > JOBS_ROW_MAX) {
-        finish_open(o, QUEUE_INVALID, "job_too_big");
+        Calls_FinishOpen(o, QUEUE_INVALID, "job_too_big");
         return;
     }
-    send_write(o);
+    Calls_Write(o);
 }
 
 /* Cancels a cached job by writing its stop row. */
@@ -690,7 +384,7 @@
     }
     o = open_call(in, call, "stop/", id);
     Buf_AppendStr(&o->value, "{}");
-    send_write(o);
+    Calls_Write(o);
 }
 
 /* Answers with the progress row from the store if that shows more than the
@@ -709,7 +403,7 @@
 
     o->store_pending = false;
     if (o->call == NULL) {
-        free_open_call(o);
+        Calls_FreeOpen(o);
         return;
     }
     j = Cache_FindJob(o->in, o->key + strlen(RUN_PREFIX));
@@ -719,7 +413,7 @@
             ERR_OK &&
         state > j->state) {
         o->call->state = state;
-        finish_open(o, QUEUE_OK, "read");
+        Calls_FinishOpen(o, QUEUE_OK, "read");
         return;
     }
     answer_open_from_cache(o);
@@ -767,15 +461,15 @@
 
     o->store_pending = false;
     if (call == NULL) {
-        free_open_call(o);
+        Calls_FreeOpen(o);
         return;
     }
     if (err != ERR_OK) {
-        finish_open(o, QUEUE_RETRY_LATER, "store_away");
+        Calls_FinishOpen(o, QUEUE_RETRY_LATER, "store_away");
         return;
     }
     if (row->version == 0) {
-        finish_open(o, QUEUE_NO_JOB, "no_such_job");
+        Calls_FinishOpen(o, QUEUE_NO_JOB, "no_such_job");
         return;
     }
     Cache_Update(in, row, 1, false, 0);
@@ -934,7 +628,7 @@
     TAILQ_FOREACH_SAFE (o, &in->open_calls, entry, next) {
         if (o->call == NULL) {
             o->store_pending = false;
-            free_open_call(o);
+            Calls_FreeOpen(o);
         }
     }
     ev_timer_stop(in->task.kernel->loop, &in->caller_check_timer);
