queue: a job cancelled before it is known is never accepted

Cause: look_up() answered a cancellation by the absence of the spec row and left nothing behind that makes a late acceptance fail.

Such a cancellation now writes cancelled/ID, on condition that there is no spec, before it is answered; an acceptance expects that this row does not exist. Both are single transactions of one partition, so whichever is made first makes the other fail, however late. A conflict means that the job was accepted meanwhile, and it is cancelled as usual, also when the caller has been answered with "unknown". The rows are deleted after a minute, 4,096 exist at most.

Beside it: DELETE and GET of /v1/jobs/ID in the hosted profile answered 404 by the cache alone; they read the store now.

--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -281,6 +281,23 @@
     }
 }
 
+/* Counts one row. */
+static void
+count_row(const struct cached_row *r UNUSED, void *arg)
+{
+    ++*(size_t *)arg;
+}
+
+/* Counts the rows whose key starts with prefix. */
+size_t
+Cache_Count(struct intake *in, const char *prefix)
+{
+    size_t n = 0;
+
+    Cache_ForEach(in, prefix, count_row, &n);
+    return n;
+}
+
 /* Adds a copy of a row to a message. */
 static void
 copy_row(struct rows_changed *note, const struct cached_row *r)
--- a/packages/queue/queue-calls-write.c
+++ b/packages/queue/queue-calls-write.c
@@ -5,10 +5,16 @@
 #include <string.h>
 
 #define RETRY_PAUSE_MS 60
+/* Value of rows that count by their presence alone. */
+#define MARKER_VALUE "{}"
 
 static struct counter accepted_total = {"parsleyfall_queue_accepted_total",
                                         "Jobs accepted by this entry.", NULL,
                                         COUNTER_TOTAL};
+static struct counter cancelled_total = {
+    "parsleyfall_queue_cancelled_unknown_total",
+    "Jobs that were cancelled before any entry knew of them.", NULL,
+    COUNTER_TOTAL};
 static struct counter not_refused_total = {
     "parsleyfall_queue_not_refused_total",
     "Jobs submitted as usual as their refusal could not be stored.", NULL,
@@ -44,6 +50,51 @@
     Calls_FinishOpen(o, QUEUE_NO_CAPACITY, reason);
 }
 
+/* Stores a row without a meaning in its value in the cache. */
+static void
+cache_marker(struct intake *in, const char *key, uint64_t version)
+{
+    struct table_row row = {.key = Mem_Dup(key), .version = version};
+
+    Buf_AppendStr(&row.value, MARKER_VALUE);
+    Cache_Update(in, &row, 1, false, 0);
+    free(row.key);
+    Buf_Free(&row.value);
+}
+
+/* Handles the row cancelled/ID after an acceptance has found a row in its way,
+ * which was neither the spec nor a refusal. */
+static void
+on_cancelled_read(void *arg, int err, struct table_row *row)
+{
+    struct open_call *o = arg;
+
+    o->store_pending = false;
+    if (o->call == NULL) {
+        Calls_FreeOpen(o);
+        return;
+    }
+    if (err == ERR_OK && row->version != 0) {
+        Cache_Update(o->in, row, 1, false, 0);
+        o->call->retry_ms = REFUSED_KEEP_MS;
+        Calls_FinishOpen(o, QUEUE_CANCELLED, "cancelled_before");
+        return;
+    }
+    retry(o, err != ERR_OK ? err : ERR_CONFLICT);
+}
+
+/* Reads another row of the job that an open call is about. */
+static void
+read_row_of_job(struct open_call *o, const char *prefix, table_got done)
+{
+    char key[sizeof(o->key) + sizeof(CANCELLED_PREFIX)];
+
+    snprintf(key, sizeof(key), "%s%s", prefix, strchr(o->key, '/') + 1);
+    o->store_pending = true;
+    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, key,
+                           done, o);
+}
+
 /* Handles the row refused/ID after an acceptance has found a row in its way,
  * which was not the spec.
  *
@@ -68,10 +119,12 @@
         finish_refused(o, RETRY_AFTER_MS, "refused_elsewhere");
         return;
     }
-    if (err == ERR_OK && version == 0) {
-        o->refused_version = 0;
+    if (err != ERR_OK) {
+        retry(o, err);
+        return;
     }
-    retry(o, err != ERR_OK ? err : ERR_CONFLICT);
+    o->refused_version = version;
+    read_row_of_job(o, CANCELLED_PREFIX, on_cancelled_read);
 }
 
 /* Handles the spec row after an acceptance has found a row in its way. */
@@ -79,7 +132,6 @@
 on_spec_read(void *arg, int err, struct table_row *row)
 {
     struct open_call *o = arg;
-    char key[sizeof(o->key) + 8];
 
     o->store_pending = false;
     if (o->call == NULL) {
@@ -94,19 +146,14 @@
         Calls_FinishOpen(o, QUEUE_OK, "known_already");
         return;
     }
-    snprintf(key, sizeof(key), REFUSED_PREFIX "%s", strchr(o->key, '/') + 1);
-    o->store_pending = true;
-    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, key,
-                           on_refused_read, o);
+    read_row_of_job(o, REFUSED_PREFIX, on_refused_read);
 }
 
 /* Finds out which row is in the way of an acceptance. */
 static void
 read_conflict(struct open_call *o)
 {
-    o->store_pending = true;
-    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, o->key,
-                           on_spec_read, o);
+    read_row_of_job(o, "spec/", on_spec_read);
 }
 
 /* Handles the result of a refusal. If it can't be stored, the job is submitted
@@ -119,13 +166,7 @@
 
     Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
     if (err == ERR_OK) {
-        struct table_row row = {.key = Mem_Dup(o->key),
-                                .version = versions[1]};
-
-        Buf_AppendStr(&row.value, "{}");
-        Cache_Update(o->in, &row, 1, false, 0);
-        free(row.key);
-        Buf_Free(&row.value);
+        cache_marker(o->in, o->key, versions[0]);
         finish_refused(o, o->return_ms, "no_capacity");
         return;
     }
@@ -140,6 +181,38 @@
     Calls_Write(o);
 }
 
+/* Writes that a job is to be stopped, as it was accepted before it could be
+ * cancelled. Its caller was told that the outcome is unknown. */
+static void
+stop_accepted(struct open_call *o)
+{
+    char id[JOBS_ID_SIZE];
+
+    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
+    snprintf(o->key, sizeof(o->key), "stop/%s", id);
+    Calls_Write(o);
+}
+
+/* Handles the result of cancelling a job that was not known. A conflict shows
+ * that it has been accepted meanwhile. True when the call is over or goes on;
+ * false when the write is to be tried again. */
+static bool
+on_cancellation_written(struct open_call *o, int err, const uint64_t *versions)
+{
+    if (err == ERR_CONFLICT) {
+        Calls_ReadSpec(o);
+        return true;
+    }
+    if (err != ERR_OK) {
+        return false;
+    }
+    Counter_Add(&cancelled_total, 1);
+    LOG_I("job_cancelled_unknown", KV("job", strchr(o->key, '/') + 1));
+    cache_marker(o->in, o->key, versions[0]);
+    Calls_FinishOpen(o, QUEUE_NO_JOB, "no_such_job");
+    return true;
+}
+
 /* Logs and counts an accepted or cancelled job, and answers its caller. */
 static void
 finish_written(struct open_call *o, bool submit, uint64_t version)
@@ -164,12 +237,18 @@
     Calls_FinishOpen(o, QUEUE_OK, "stored");
 }
 
-/* Handles the result of a write whose caller has been answered. A refusal
- * needs nothing more, as the feed brings its row. */
+/* Handles the result of a write whose caller has been answered. The row of a
+ * job that is not accepted needs nothing more, as the feed brings it. */
 static void
 on_written_late(struct open_call *o, int err, const uint64_t *versions)
 {
-    if (err == ERR_OK && !Calls_IsRefusal(o)) {
+    bool cancels = Calls_HasPrefix(o, CANCELLED_PREFIX);
+
+    if (cancels && err == ERR_CONFLICT) {
+        stop_accepted(o);
+        return;
+    }
+    if (err == ERR_OK && !cancels && !Calls_HasPrefix(o, REFUSED_PREFIX)) {
         LOG_I("stored_unheard", KV("row", o->key),
               KV_INT("version", versions[0]));
         publish_row(o, versions[0]);
@@ -188,17 +267,21 @@
 on_written(void *arg, int err, size_t at UNUSED, const uint64_t *versions)
 {
     struct open_call *o = arg;
-    bool submit = strncmp(o->key, "spec/", 5) == 0;
+    bool submit = Calls_HasPrefix(o, "spec/");
 
     o->store_pending = false;
     if (o->call == NULL) {
         on_written_late(o, err, versions);
         return;
     }
-    if (Calls_IsRefusal(o)) {
+    if (Calls_HasPrefix(o, REFUSED_PREFIX)) {
         on_refusal_written(o, err, versions);
         return;
     }
+    if (Calls_HasPrefix(o, CANCELLED_PREFIX) &&
+        on_cancellation_written(o, err, versions)) {
+        return;
+    }
     if (err == ERR_OK) {
         finish_written(o, submit, versions[0]);
         return;
@@ -238,38 +321,56 @@
                              .if_version = if_version};
 }
 
-/* Composes the transaction of an open call; returns the number of operations.
+/* The transaction of an open call, and the keys of its further rows. */
+struct call_write {
+    struct table_op ops[3];
+    char keys[2][sizeof(CANCELLED_PREFIX) + JOBS_ID_SIZE];
+    size_t count;
+};
+
+/* Adds a condition on another row of the job. */
+static void
+add_condition(struct call_write *w, enum table_verb verb, const char *prefix,
+              const char *id, uint64_t if_version)
+{
+    char *key = w->keys[w->count - 1];
+
+    snprintf(key, sizeof(w->keys[0]), "%s%s", prefix, id);
+    w->ops[w->count++] = condition(verb, key, if_version);
+}
+
+/* Composes the transaction of an open call.
  *
  * A refused job must never run, although an earlier try to accept it may reach
  * the store after the refusal. Every acceptance therefore expects the version
  * of refused/ID that it has read when it began, and a refusal, which changes
  * that version, expects that there is no spec. A late write of either kind
- * fails once the other has been made. */
-static size_t
-compose_write(struct open_call *o, struct table_op ops[2], char *other_key,
-              size_t key_size)
+ * fails once the other has been made. So do an acceptance and the cancellation
+ * of a job that is not known. */
+static void
+compose_write(struct open_call *o, struct call_write *w)
 {
     const char *id = strchr(o->key, '/') + 1;
 
-    ops[0] = condition(TABLE_PUT, o->key, TABLE_ANY);
-    ops[0].value = o->value.data;
-    ops[0].len = o->value.len;
-    if (Calls_IsRefusal(o)) {
-        snprintf(other_key, key_size, "spec/%s", id);
-        ops[1] = condition(TABLE_PUT, o->key, TABLE_ANY);
-        ops[1].value = "{}";
-        ops[1].len = 2;
-        ops[0] = condition(TABLE_CHECK, other_key, 0);
-        return 2;
+    w->ops[0] = condition(TABLE_PUT, o->key, TABLE_ANY);
+    w->ops[0].value = o->value.data;
+    w->ops[0].len = o->value.len;
+    w->count = 1;
+    if (Calls_HasPrefix(o, REFUSED_PREFIX)) {
+        /* The value is the spec, for a refusal that can't be stored. */
+        w->ops[0].value = MARKER_VALUE;
+        w->ops[0].len = strlen(MARKER_VALUE);
+    }
+    if (Calls_HasPrefix(o, REFUSED_PREFIX) ||
+        Calls_HasPrefix(o, CANCELLED_PREFIX)) {
+        add_condition(w, TABLE_CHECK, "spec/", id, 0);
     }
-    if (strncmp(o->key, "spec/", 5) != 0) {
-        return 1;
+    if (Calls_HasPrefix(o, "spec/")) {
+        w->ops[0].if_version = Calls_ReplaceableVersion(o->in, o->key);
+        add_condition(w, o->refused_version != 0 ? TABLE_DELETE : TABLE_CHECK,
+                      REFUSED_PREFIX, id, o->refused_version);
+        add_condition(w, TABLE_CHECK, CANCELLED_PREFIX, id, 0);
     }
-    snprintf(other_key, key_size, REFUSED_PREFIX "%s", id);
-    ops[0].if_version = Calls_ReplaceableVersion(o->in, o->key);
-    ops[1] = condition(o->refused_version != 0 ? TABLE_DELETE : TABLE_CHECK,
-                       other_key, o->refused_version);
-    return 2;
 }
 
 /* Sends the write of an open call to the store. */
@@ -277,11 +378,10 @@
 Calls_Write(struct open_call *o)
 {
     struct table *store = o->in->store;
-    char other_key[sizeof(o->key) + 8];
-    struct table_op ops[2];
-    size_t count = compose_write(o, ops, other_key, sizeof(other_key));
+    struct call_write w = {0};
 
+    compose_write(o, &w);
     o->last_error = ERR_UNKNOWN;
     o->store_pending = true;
-    store->ops->commit(store, ops, count, on_written, o);
+    store->ops->commit(store, w.ops, w.count, on_written, o);
 }
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -12,6 +12,8 @@
 /* The answer also comes within this share of the time that the caller waits,
  * so that it can retry twice, at other entries, before it gives up. */
 #define ANSWER_SHARE 0.4
+/* Most rows of jobs that were cancelled before they were known. */
+#define CANCELLED_MAX 4096
 /* Interval of the check for callers that have disconnected, well below the
  * time that callers wait. */
 #define CALLER_CHECK_INTERVAL_MS 250
@@ -35,6 +37,7 @@
                                             [QUEUE_RETRY_LATER] = "later",
                                             [QUEUE_NO_CAPACITY] =
                                                 "no_capacity",
+                                            [QUEUE_CANCELLED] = "cancelled",
                                             [QUEUE_UNKNOWN] = "unknown"};
 
 static struct counter callers_left_total = {
@@ -179,11 +182,11 @@
     answer_from_cache(in, call, id);
 }
 
-/* True for an open call that refuses a job. */
+/* True for an open call whose row has that key prefix. */
 bool
-Calls_IsRefusal(const struct open_call *o)
+Calls_HasPrefix(const struct open_call *o, const char *prefix)
 {
-    return strncmp(o->key, REFUSED_PREFIX, strlen(REFUSED_PREFIX)) == 0;
+    return strncmp(o->key, prefix, strlen(prefix)) == 0;
 }
 
 /* Sends a write again. */
@@ -203,7 +206,7 @@
     bool writes = o->value.len > 0;
     bool maybe_done = writes && (o->store_pending || o->maybe_done);
 
-    if (strncmp(o->key, RUN_PREFIX, strlen(RUN_PREFIX)) == 0) {
+    if (Calls_HasPrefix(o, RUN_PREFIX)) {
         answer_open_from_cache(o);
         return;
     }
@@ -287,13 +290,6 @@
     return 0;
 }
 
-/* Counts one of the listed entries. */
-static void
-count_entry(const struct cached_row *r UNUSED, void *arg)
-{
-    ++*(size_t *)arg;
-}
-
 /* Returns 0 when a job is to be accepted, otherwise the time after which its
  * caller should come back. */
 static int64_t
@@ -302,7 +298,7 @@
     struct submit_decision d;
     struct submitted_job job;
     int64_t now = Clock_NowMs(), return_ms;
-    size_t entries = 0;
+    size_t entries;
     struct buf key CLEANUP(Buf_Free) = {0};
 
     if (in->admission == NULL) {
@@ -319,7 +315,7 @@
     if (!d.refused) {
         return 0;
     }
-    Cache_ForEach(in, "entry/", count_entry, &entries);
+    entries = Cache_Count(in, "entry/");
     return_ms = QueueAdmission_Refuse(in->admission, &job, entries, now);
     LOG_I("job_refused", KV("job", s->id), KV("reason", d.reason),
           KV("queue", s->queue), KV("organisation", s->organisation),
@@ -330,6 +326,25 @@
     return return_ms;
 }
 
+/* Returns how long a job is still known as cancelled before it was submitted;
+ * 0: it is not. */
+static int64_t
+cancelled_ms(struct intake *in, const char *id)
+{
+    char key[sizeof(CANCELLED_PREFIX) + JOBS_ID_SIZE];
+    const struct cached_row *r;
+    int64_t age_ms;
+
+    snprintf(key, sizeof(key), CANCELLED_PREFIX "%s", id);
+    r = Cache_Find(in, key);
+    if (r == NULL) {
+        return 0;
+    }
+    age_ms = Clock_NowMs() - r->changed_ms;
+    return age_ms < REFUSED_KEEP_MS ? REFUSED_KEEP_MS - age_ms
+                                    : RETRY_AFTER_MS;
+}
+
 /* Checks a submitted job and writes its spec row, or that it is refused. */
 static void
 submit(struct intake *in, struct queue_call *call,
@@ -355,6 +370,11 @@
         finish(call, QUEUE_OK, "known_already");
         return;
     }
+    call->retry_ms = cancelled_ms(in, id);
+    if (call->retry_ms > 0) {
+        finish(call, QUEUE_CANCELLED, "cancelled_before");
+        return;
+    }
     if (Queue_StoreUnreachable(in->task.kernel)) {
         finish(call, QUEUE_RETRY_LATER, "store_away");
         return;
@@ -430,6 +450,26 @@
                         on_refreshed, o);
 }
 
+/* Returns the organisation that holds the key of a call, or NULL. */
+static const struct jobs_organisation *
+organisation_of(struct intake *in, const struct queue_call *call)
+{
+    return *call->key != '\0' ? JobsConfig_ByKey(&in->config->jobs, call->key)
+                              : NULL;
+}
+
+/* True when a caller may see a job. The platform's callers name its queue, and
+ * those of the product's own interface see the jobs of their organisation. */
+static bool
+may_see(struct intake *in, const struct queue_call *call,
+        const struct cached_job *j)
+{
+    const struct jobs_organisation *o = organisation_of(in, call);
+
+    return *call->job == '\0' ||
+           strcmp(j->organisation, o != NULL ? o->name : "") == 0;
+}
+
 /* Answers a query for a cached job, or cancels the job. The state of an ended
  * job is final; that of any other may be outdated while the feed is paused, so
  * it is read from the store. */
@@ -438,7 +478,10 @@
 {
     struct cached_job *j = Cache_FindJob(in, id);
 
-    if (call->verb == QUEUE_CANCEL) {
+    if (!may_see(in, call, j)) {
+        finish(call, QUEUE_NO_JOB, "no_such_job");
+    }
+    else if (call->verb == QUEUE_CANCEL) {
         cancel(in, call, id);
     }
     else if (in->own_table.paused && !j->cancel_requested &&
@@ -450,6 +493,27 @@
     }
 }
 
+/* Cancels a job of which the store has no row.
+ *
+ * A try to accept the job may still reach the store: its caller was not
+ * answered, cancels the job instead, and must not see it run afterwards. So
+ * the cancellation is stored before it is confirmed, and an acceptance expects
+ * that there is none. */
+static void
+cancel_unknown(struct open_call *o)
+{
+    char id[JOBS_ID_SIZE];
+
+    if (Cache_Count(o->in, CANCELLED_PREFIX) >= CANCELLED_MAX) {
+        Calls_FinishOpen(o, QUEUE_RETRY_LATER, "too_many_cancelled");
+        return;
+    }
+    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
+    snprintf(o->key, sizeof(o->key), CANCELLED_PREFIX "%s", id);
+    Buf_AppendStr(&o->value, "{}");
+    Calls_Write(o);
+}
+
 /* Handles the spec row of a job that was not in the cache. */
 static void
 on_row_read(void *arg, int err, struct table_row *row)
@@ -468,6 +532,10 @@
         Calls_FinishOpen(o, QUEUE_RETRY_LATER, "store_away");
         return;
     }
+    if (row->version == 0 && call->verb == QUEUE_CANCEL) {
+        cancel_unknown(o);
+        return;
+    }
     if (row->version == 0) {
         Calls_FinishOpen(o, QUEUE_NO_JOB, "no_such_job");
         return;
@@ -482,16 +550,26 @@
     serve_known(in, call, id);
 }
 
+/* Reads the spec row of an open call that queries or cancels a job. */
+void
+Calls_ReadSpec(struct open_call *o)
+{
+    char id[JOBS_ID_SIZE];
+
+    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
+    snprintf(o->key, sizeof(o->key), "spec/%s", id);
+    Buf_Clear(&o->value);
+    o->store_pending = true;
+    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, o->key,
+                           on_row_read, o);
+}
+
 /* Looks a job up in the store. Only the store can tell that a job does not
  * exist, as the cache may be behind. */
 static void
 look_up(struct intake *in, struct queue_call *call, const char *id)
 {
-    struct open_call *o = open_call(in, call, "spec/", id);
-
-    o->store_pending = true;
-    in->store->ops->get(in->store, Queue_Platform()->own_table, o->key,
-                        on_row_read, o);
+    Calls_ReadSpec(open_call(in, call, "spec/", id));
 }
 
 /* Finds the organisation that holds the key of a call, "" if there is none;
@@ -500,15 +578,9 @@
 authenticate(struct intake *in, const struct queue_call *call,
              const struct jobs_queue *queue, const char **organisation)
 {
-    const struct jobs_organisation *o = NULL;
+    const struct jobs_organisation *o = organisation_of(in, call);
 
-    *organisation = "";
-    if (*call->key != '\0') {
-        o = JobsConfig_ByKey(&in->config->jobs, call->key);
-    }
-    if (o != NULL) {
-        *organisation = o->name;
-    }
+    *organisation = o != NULL ? o->name : "";
     return o != NULL || queue->anonymous;
 }
 
@@ -534,6 +606,16 @@
     return queue;
 }
 
+/* True for a call that names only a job, which is not in the cache. */
+static bool
+names_unknown_job(struct intake *in, const struct queue_call *call)
+{
+    const struct cached_job *j = Cache_FindJob(in, call->job);
+
+    return *call->job != '\0' && *call->queue == '\0' && is_id(call->job) &&
+           (j == NULL || !j->has_spec);
+}
+
 /* Serves a call, which is answered now or later. */
 void
 Intake_Call(struct intake *in, struct queue_call *call)
@@ -546,6 +628,10 @@
         finish(call, QUEUE_RETRY_LATER, "no_configuration");
         return;
     }
+    if (names_unknown_job(in, call) && organisation_of(in, call) != NULL) {
+        look_up(in, call, call->job);
+        return;
+    }
     queue = route(in, call, &id);
     if (queue == NULL) {
         finish(call, QUEUE_NO_QUEUE, "no_such_queue");
@@ -573,12 +659,6 @@
         look_up(in, call, id);
         return;
     }
-    /* The product's own interface shows only jobs of the caller's
-     * organisation. */
-    if (*call->job != '\0' && strcmp(j->organisation, organisation) != 0) {
-        finish(call, QUEUE_NO_JOB, "no_such_job");
-        return;
-    }
     serve_known(in, call, id);
 }
 
--- a/packages/queue/queue-calls.h
+++ b/packages/queue/queue-calls.h
@@ -36,8 +36,11 @@
 /* Frees an open call when its caller has been answered and no store call is
  * open. */
 void Calls_FreeOpen(struct open_call *o);
-/* True for an open call that refuses a job. */
-bool Calls_IsRefusal(const struct open_call *o);
+/* True for an open call whose row has that key prefix. */
+bool Calls_HasPrefix(const struct open_call *o, const char *prefix);
+/* Reads the spec row of an open call that queries or cancels a job, and serves
+ * the call by it. */
+void Calls_ReadSpec(struct open_call *o);
 
 /* ---- queue-calls-write.c */
 /* Sends the write of an open call to the store. */
--- a/packages/queue/queue-http.c
+++ b/packages/queue/queue-http.c
@@ -12,7 +12,7 @@
     {QUEUE_NO_QUEUE, 404, "not_run"},    {QUEUE_NO_KEY, 401, "not_run"},
     {QUEUE_NO_JOB, 404, "not_run"},      {QUEUE_INVALID, 400, "not_run"},
     {QUEUE_RETRY_LATER, 503, "not_run"}, {QUEUE_NO_CAPACITY, 429, "not_run"},
-    {QUEUE_UNKNOWN, 504, "unknown"}};
+    {QUEUE_CANCELLED, 409, "not_run"},   {QUEUE_UNKNOWN, 504, "unknown"}};
 
 /* Answers a call of the product's own interface. */
 static void
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -6,6 +6,12 @@
 #include "queue.h"
 
 #define REFUSED_PREFIX "refused/" /* key prefix of rows of refused jobs */
+/* Key prefix of rows of jobs that were cancelled before they were known. */
+#define CANCELLED_PREFIX "cancelled/"
+/* Rows of refused and of cancelled jobs are deleted after this time. A write
+ * may reach the store up to 12 s after it was sent, and a caller may be asked
+ * to retry after 30 s. Both are over by then. */
+#define REFUSED_KEEP_MS 60000
 
 /* A row of the own table as last seen. */
 struct cached_row {
@@ -103,6 +109,8 @@
 const struct cached_row *Cache_Find(struct intake *in, const char *key);
 struct cached_job *Cache_FindJob(struct intake *in, const char *id);
 int64_t Cache_CountWaiting(struct intake *in, const char *queue);
+/* Counts the rows whose key starts with prefix. */
+size_t Cache_Count(struct intake *in, const char *prefix);
 /* Calls fn for each row whose key starts with prefix. */
 void Cache_ForEach(struct intake *in, const char *prefix,
                    void (*fn)(const struct cached_row *, void *arg),
@@ -134,7 +142,8 @@
 void Check_Stop(struct intake *in);
 
 /* ---- queue-refused.c */
-/* Deletes rows of jobs that were refused long ago; for the owner's entry. */
+/* Deletes rows of jobs that were refused, or cancelled before they were known,
+ * long ago; for the owner's entry. */
 void Refused_Expire(struct intake *in);
 
 /* ---- queue-calls.c */
--- a/packages/queue/queue-metrics.c
+++ b/packages/queue/queue-metrics.c
@@ -51,6 +51,7 @@
                                    [QUEUE_RETRY_LATER] = CALL_MS("later"),
                                    [QUEUE_NO_CAPACITY] =
                                        CALL_MS("no_capacity"),
+                                   [QUEUE_CANCELLED] = CALL_MS("cancelled"),
                                    [QUEUE_UNKNOWN] = CALL_MS("unknown")};
 
 /* Finds or adds the counter of an event. */
--- a/packages/queue/queue-refused.c
+++ b/packages/queue/queue-refused.c
@@ -3,9 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A write may reach the store up to 12 s after it was sent, and a caller may
- * be asked to retry after 30 s. Both are over by then. */
-#define REFUSED_KEEP_MS 60000
 /* Rows that are deleted at a time, so that the store is not kept busy. */
 #define DELETES_MAX 50
 
@@ -19,7 +16,7 @@
 /* A row that is being deleted. */
 struct deletion {
     struct intake *in;
-    char key[sizeof(REFUSED_PREFIX) + JOBS_ID_SIZE];
+    char key[sizeof(CANCELLED_PREFIX) + JOBS_ID_SIZE];
     uint64_t version;
 };
 
@@ -68,12 +65,17 @@
     e->in->store->ops->commit(e->in->store, &op, 1, on_deleted, d);
 }
 
-/* Deletes rows of jobs that were refused long ago. Ages are counted by this
- * entry's own clock, from when it learned of a row. */
+/* Deletes rows of jobs that were refused, or cancelled before they were known,
+ * long ago. Ages are counted by this entry's own clock, from when it learned
+ * of a row. */
 void
 Refused_Expire(struct intake *in)
 {
-    struct expiry e = {.in = in, .now_ms = Clock_NowMs()};
+    static const char *const prefixes[] = {REFUSED_PREFIX, CANCELLED_PREFIX};
 
-    Cache_ForEach(in, REFUSED_PREFIX, expire, &e);
+    for (size_t i = 0; i < COUNT_OF(prefixes); i++) {
+        struct expiry e = {.in = in, .now_ms = Clock_NowMs()};
+
+        Cache_ForEach(in, prefixes[i], expire, &e);
+    }
 }
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -28,9 +28,12 @@
  *   stop/ID    a request to cancel the job
  *   run/ID     progress of the job; written by the owner only
  *   refused/ID the job was refused, so no earlier try to accept it may
- * succeed; deleted when it is accepted after all, or after a minute entry/NAME
- * an entry, the address where its links listen, and what its machine has;
- * written at its start and when it differs
+ *              succeed; deleted when it is accepted after all, or after a
+ *              minute
+ *   cancelled/ID the job was cancelled before any entry knew of it, so it is
+ *              not accepted; deleted after a minute
+ *   entry/NAME an entry, the address where its links listen, and what its
+ *              machine has; written at its start and when it differs
  */
 #ifndef QUEUE_H
 #define QUEUE_H
@@ -138,6 +141,8 @@
     /* As QUEUE_RETRY_LATER, and no earlier try of the same submission will be
      * stored either: by the forecast, the job would end too late. */
     QUEUE_NO_CAPACITY,
+    /* As QUEUE_NO_CAPACITY: the job was cancelled before it was submitted. */
+    QUEUE_CANCELLED,
     /* The write may have taken effect, or may do so later. */
     QUEUE_UNKNOWN
 };
--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -80,4 +80,90 @@
     EXPECT_EQ(s.Starts().size(), 3u) << s.Logs();
 }
 
+/* How a job is cancelled that no entry has a row of. */
+struct UnknownJobCase {
+    const char *what;
+    int tries; /* unanswered tries to submit it, at entry 0 and 1 in turn */
+    int cancels;
+    bool by_job;      /* by the product's own interface */
+    bool late_before; /* the writes are made before the cancellation */
+    int again;        /* tries to submit it after the cancellation */
+};
+
+/* Cancels a job at an entry; the status of the answer. */
+int
+CancelAt(HostedStack &s, int entry, const std::string &id, bool by_job)
+{
+    return by_job ? Http("DELETE", s.OperatorUrl(entry) + "/v1/jobs/" + id, "",
+                         {"Authorization: Bearer key-one"})
+                        .status
+                  : s.Cancel(entry, id).status;
+}
+
+/* Guards against a job that runs although its caller was told, on cancelling
+ * it, that there is no such job: the store makes the write that accepts it
+ * only afterwards. */
+TEST(Overtake, AJobCancelledBeforeItIsKnownNeverRuns)
+{
+    static const UnknownJobCase cases[] = {
+        {"one unanswered try", 1, 1, false, false, 0},
+        {"two unanswered tries", 2, 1, false, false, 0},
+        {"cancelled twice", 2, 2, false, false, 0},
+        {"submitted again afterwards", 1, 1, false, false, 2},
+        {"cancelled before it is submitted", 0, 1, false, false, 2},
+        {"by the own interface", 1, 1, true, false, 1},
+        {"accepted just before", 1, 1, false, true, 0},
+    };
+    HostedStack s(2, 1);
+    int number = 0;
+
+    s.Owner();
+    for (const UnknownJobCase &c : cases) {
+        std::string id = "a" + std::to_string(number++);
+
+        for (int i = 0; i < 2; i++) {
+            s.StoreFault(i, "hold");
+        }
+        for (int i = 0; i < c.tries; i++) {
+            ASSERT_EQ(s.Submit(i % 2, id, "60000").status, 504) << c.what;
+        }
+        for (int i = 0; i < 2; i++) {
+            s.StoreFault(i, "");
+        }
+        if (c.late_before) {
+            ASSERT_EQ(s.ReleaseHeld(), 1) << c.what;
+        }
+        for (int i = 0; i < c.cancels; i++) {
+            EXPECT_EQ(CancelAt(s, (i + 1) % 2, id, c.by_job), c.late_before
+                                                                  ? 200
+                                                              : c.by_job ? 404
+                                                                         : 410)
+                << c.what << s.Logs();
+        }
+        EXPECT_EQ(s.ReleaseHeld(), 0) << c.what;
+        for (int i = 0; i < c.again; i++) {
+            Reply r = s.Submit(i % 2, id, "60000");
+
+            EXPECT_EQ(r.status, 429) << c.what;
+            EXPECT_LE(std::stoi("0" + r.headers["retry-after"]), 60) << c.what;
+            EXPECT_GE(std::stoi("0" + r.headers["retry-after"]), 1) << c.what;
+        }
+        if (c.late_before) {
+            EXPECT_TRUE(s.WaitForState(0, id, "cancelled")) << c.what;
+        }
+        else {
+            EXPECT_EQ(s.Query(0, id).status, 410) << c.what;
+            EXPECT_EQ(s.Query(1, id).status, 410) << c.what;
+        }
+    }
+    /* Another job is served as usual, and none of the others has run. */
+    ASSERT_EQ(s.Submit(0, "b1", "50").status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "b1", "completed")) << s.Logs();
+    for (const std::string &run : s.Starts()) {
+        EXPECT_TRUE(run.compare(0, 3, "b1.") == 0 ||
+                    run.compare(0, 3, "a6.") == 0)
+            << run;
+    }
+}
+
 } /* namespace */
