platform, queue: one item of a config never keeps the rest from effect

Cause: names had to fit into 64 bytes, hosts and prefixes into 256, and one malformed item made Hosted_ReadConfig() refuse the document. On the same path, keys of calls were cut at 255 bytes, paths of more than 511 were answered with 404, and heartbeats with a long service were refused.

Names that don't fit are now abbreviated by a hash of all of them, in the configuration and in heartbeats alike; hosts, prefixes, keys and paths are kept whole. A field that can't be read counts as missing, an unusable item is left out, both counted, and the rest takes effect. This suffices as the store confirms only valid configurations: what we can't read is a matter of that item alone. A document without a version or without any readable list is still refused.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -78,6 +78,12 @@
 /* Copies a string into an array of size bytes, truncated where it is too long.
  * Returns ERR_OK, or ERR_TOOBIG when it was truncated. */
 int Str_Copy(char *dst, size_t size, const char *src);
+/* Copies a text of len bytes. One that doesn't fit, or that contains a NUL, is
+ * replaced by its beginning and a hash of all of it, in size - 1 bytes: texts
+ * that differ stay different, and it is valid UTF-8 if the text is. size must
+ * be over STR_HASH_SIZE. */
+#define STR_HASH_SIZE 34
+void Str_Abbreviate(char *dst, size_t size, const char *text, size_t len);
 /* True for 1 to 63 characters of [A-Za-z0-9._-], the first one a letter or
  * digit. */
 bool Str_IsName(const char *s);
--- a/packages/jobs/jobs-config.c
+++ b/packages/jobs/jobs-config.c
@@ -16,6 +16,10 @@
         }
         free(keys->items);
     }
+    for (size_t i = 0; i < c->queue_count; i++) {
+        free(c->queues[i].host);
+        free(c->queues[i].prefix);
+    }
     free(c->organisations);
     free(c->queues);
     free(c->services);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -45,8 +45,8 @@
 /* A queue to which callers submit jobs. */
 struct jobs_queue {
     char name[NAME_SIZE];
-    char host[256];   /* host name of the queue's URL */
-    char prefix[256]; /* path prefix of the queue's URL, before the job's id */
+    char *host;   /* host name of the queue's URL */
+    char *prefix; /* path prefix of the queue's URL, before the job's id */
     char service[NAME_SIZE];
     int priority; /* 0 is served first and may evict the others */
     int attempts; /* runs of a unit that may end as failed */
--- a/packages/queue/queue-http.c
+++ b/packages/queue/queue-http.c
@@ -50,7 +50,7 @@
     call->done = on_done;
     call->has_left = has_left;
     call->arg = ex;
-    Str_Copy(call->key, sizeof(call->key), token != NULL ? token : "");
+    QueueCall_SetText(&call->key, token != NULL ? token : "");
     return call;
 }
 
--- a/packages/queue/queue-intake.c
+++ b/packages/queue/queue-intake.c
@@ -14,12 +14,7 @@
     if (m->kind == &Queue_CallKind) {
         /* The message is freed on return, but the call is answered later: move
          * it. */
-        struct queue_call *call = Mem_Alloc(sizeof(*call));
-        struct queue_call *sent = (struct queue_call *)m;
-
-        *call = *sent;
-        sent->spec = (struct jobs_spec){0};
-        Intake_Call(in, call);
+        Intake_Call(in, QueueCall_Move((struct queue_call *)m));
     }
     else if (m->kind == &Queue_RowsRequestedKind) {
         in->is_leader = true;
--- a/packages/queue/queue-messages.c
+++ b/packages/queue/queue-messages.c
@@ -59,9 +59,34 @@
     c->verb = verb;
     c->started_ms = Clock_NowMs();
     c->reason = "";
+    c->host = Mem_Dup("");
+    c->path = Mem_Dup("");
+    c->key = Mem_Dup("");
     return c;
 }
 
+/* Moves the content of a call into a new one. */
+struct queue_call *
+QueueCall_Move(struct queue_call *from)
+{
+    struct queue_call *c = Mem_Alloc(sizeof(*c));
+
+    *c = *from;
+    from->spec = (struct jobs_spec){0};
+    from->host = NULL;
+    from->path = NULL;
+    from->key = NULL;
+    return c;
+}
+
+/* Sets a text of a call. */
+void
+QueueCall_SetText(char **field, const char *text)
+{
+    free(*field);
+    *field = Mem_Dup(text);
+}
+
 /* Frees a call. */
 static void
 free_call(struct message *m)
@@ -69,6 +94,9 @@
     struct queue_call *c = (struct queue_call *)m;
 
     JobsSpec_Clear(&c->spec);
+    free(c->host);
+    free(c->path);
+    free(c->key);
     free(c);
 }
 
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -152,12 +152,12 @@
     struct message base;
     enum queue_verb verb;
     char queue[NAME_SIZE]; /* name of the queue; "": found by host and path */
-    char host[256];
-    char path[512];
+    char *host;
+    char *path;
     /* Id of the job where the queue is named or looked up by job; "" where the
      * path holds it. */
     char job[JOBS_ID_SIZE];
-    char key[256]; /* bearer token; "": none */
+    char *key; /* bearer token; "": none */
     /* Of a submit; the intake sets id, queue, terms and organisation. */
     struct jobs_spec spec;
     int64_t started_ms;
@@ -177,6 +177,11 @@
 };
 
 struct queue_call *QueueCall_New(enum queue_verb verb);
+/* Moves the content of a call into a new one; the old one can only be freed.
+ */
+struct queue_call *QueueCall_Move(struct queue_call *from);
+/* Sets host, path or key of a call to a copy of text. */
+void QueueCall_SetText(char **field, const char *text);
 /* Posts a call to the intake, which frees it after done(). */
 void Queue_Call(struct kernel *k, struct queue_call *call);
 
--- a/tests/base-test.cc
+++ b/tests/base-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 #include <unistd.h>
@@ -15,6 +16,39 @@
     EXPECT_STREQ(Err_Name(1), "unnamed");
 }
 
+struct AbbreviateCase {
+    std::string text;
+    std::string expected; /* its beginning */
+};
+
+/* Texts that don't fit into 48 bytes stay different and valid UTF-8. */
+TEST(Base, LongTextsAreAbbreviatedByTheirHash)
+{
+    static const AbbreviateCase cases[] = {
+        {"", ""},
+        {"short", "short"},
+        {std::string(46, 'x'), std::string(46, 'x')},
+        {std::string(47, 'x'), std::string(14, 'x') + "~"},
+        {std::string(47, 'x') + "a", std::string(14, 'x') + "~"},
+        {std::string(47, 'x') + "b", std::string(14, 'x') + "~"},
+        {std::string(13, 'x') + "\xed\x95\x9c" + std::string(40, 'x'),
+         std::string(13, 'x') + "~~"},
+        {std::string("a\0b", 3), "a~"},
+        {std::string(5000, 'x'), std::string(14, 'x') + "~"},
+    };
+    std::set<std::string> all;
+
+    for (const AbbreviateCase &c : cases) {
+        char out[48];
+
+        Str_Abbreviate(out, sizeof(out), c.text.data(), c.text.size());
+        EXPECT_EQ(std::string(out).substr(0, c.expected.size()), c.expected);
+        EXPECT_TRUE(strlen(out) == sizeof(out) - 1 || c.text == out) << out;
+        all.insert(out);
+    }
+    EXPECT_EQ(all.size(), COUNT_OF(cases));
+}
+
 TEST(Str, Names)
 {
     static const struct {
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -144,4 +144,76 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
+/* Guards against a configuration that never takes effect, so that a revoked
+ * key stays valid, because of the length or the type of one item. Each version
+ * replaces the key. */
+TEST(HostedForeign, OneItemDoesNotKeepTheRestOfAConfigFromTakingEffect)
+{
+    static const std::pair<const char *, std::string> cases[] = {
+        {"tenants",
+         R"({"name":")" + std::string(73, 't') + R"(","api-keys":["k"]})"},
+        {"tenants",
+         R"({"name":"v","api-keys":[")" + std::string(4000, 'k') + R"(",7]})"},
+        {"routes", R"({"name":")" + std::string(300, 'r') +
+                       R"(","host":"h","prefix":"/)" + std::string(600, 'p') +
+                       R"(/","service":"pool"})"},
+        {"routes", R"({"name":"x","prefix":7,"priority":"high"})"},
+        {"services", R"({"name":")" + std::string(64, 's') + R"("})"},
+        {"services", "7"},
+    };
+    HostedStack s(2, 1);
+    int version = 10;
+
+    s.Owner();
+    for (const auto &c : cases) {
+        std::string id = "a" + std::to_string(version);
+        std::string key = "key-" + std::to_string(version);
+
+        s.PutConfigWith(version++, {key}, c.first, c.second);
+        for (int entry = 0; entry < 2; entry++) {
+            EXPECT_TRUE(WaitFor([&] {
+                return s.Query(entry, "0", key).status == 410;
+            })) << c.second.substr(0, 40);
+            EXPECT_EQ(s.Submit(entry, id, "50", 1, "key-one").status, 401)
+                << c.second.substr(0, 40);
+        }
+        ASSERT_EQ(s.Submit(0, id, "50", 1, key).status, 200);
+    }
+    s.PutConfig(version, {"key-one"});
+    EXPECT_TRUE(s.WaitForState(0, "a15", "completed")) << s.Logs();
+}
+
+/* Guards against keys, paths and names that are served only up to a length:
+ * the job of a tenant, a route and a service with long ones runs. */
+TEST(HostedForeign, JobsRunUnderLongKeysPathsAndNames)
+{
+    const std::string key(3000, 'k'), prefix = "/" + std::string(2000, 'p');
+    HostedStack s(2, 1);
+
+    s.Owner();
+    s.PutConfigWith(10, {key}, "routes",
+                    R"({"name":")" + std::string(200, 'r') +
+                        R"(","host":"one.example","prefix":")" + prefix +
+                        R"(/","service":"pool","max-attempts":1})");
+    const std::vector<std::string> headers = {"Host: one.example",
+                                              "Authorization: Bearer " + key};
+
+    for (int entry = 0; entry < 2; entry++) {
+        std::string url =
+            s.Entry(entry) + prefix + "/b" + std::to_string(entry);
+
+        EXPECT_TRUE(WaitFor([&] {
+            return Http("POST", url,
+                        R"({"task-spec":"50","steps":[{"count":1,"cpu":1000,)"
+                        R"("mem-mb":100,"estimated-ms":50}]})",
+                        headers)
+                       .status == 200;
+        })) << s.Logs();
+        EXPECT_TRUE(WaitFor([&] {
+            return Text(Http("GET", url, "", headers).json().get(), "state") ==
+                   "completed";
+        })) << s.Logs();
+    }
+}
+
 } /* namespace */
--- a/tests/hosted-stack.cc
+++ b/tests/hosted-stack.cc
@@ -233,6 +233,16 @@
     PutRow("op", "config", Config(version, keys, other_key, ""));
 }
 
+void
+HostedStack::PutConfigWith(int version, const std::vector<std::string> &keys,
+                           const std::string &list, const std::string &item)
+{
+    std::string text = Config(version, keys, "", "");
+    size_t at = text.find("[", text.find("\"" + list + "\":")) + 1;
+
+    PutRow("op", "config", text.insert(at, item + ","));
+}
+
 void
 HostedStack::PutLargeConfig(int version, int queues)
 {
--- a/tests/hosted-stack.h
+++ b/tests/hosted-stack.h
@@ -28,6 +28,10 @@
      * organisation "t", and one key of organisation "u". */
     void PutConfig(int version, const std::vector<std::string> &keys,
                    const std::string &other_key = "");
+    /* Writes the configuration of PutConfig() with a further item in one of
+     * its lists: "routes", "services" or "tenants". */
+    void PutConfigWith(int version, const std::vector<std::string> &keys,
+                       const std::string &list, const std::string &item);
     /* Writes the configuration of PutConfig() with this many further queues,
      * "n-K" at one.example/n/K/, of some 230 bytes each. */
     void PutLargeConfig(int version, int queues);
