queue: a cancellation takes effect however late, also of an unknown job

Callers could still see a job run that they had cancelled: if both the acceptance and the cancellation of an unknown job are late, and the acceptance is made first, cancelled/ID failed on its condition that there is no spec, and nobody was left to write stop/ID.

The request is now stop/ID in both cases, without a condition, and an acceptance expects that there is none. So the one that is made second always loses: an acceptance fails, and a cancellation stops the job. The row stays out of the cache until the feed brings it, as it might overtake the spec there and the owner would miss it. Requests without a job are deleted after a minute, if the store confirms that there is no spec.

--- a/packages/queue/queue-cache.c
+++ b/packages/queue/queue-cache.c
@@ -125,16 +125,17 @@
     return true;
 }
 
-/* Removes a row from the cache, and with a spec row its job. */
+/* Removes a row from the cache. Its job goes with its spec row, and with a
+ * request to cancel it when there is no spec. */
 static void
 drop_row(struct intake *in, struct cached_row *r)
 {
-    struct cached_job *j = NULL;
+    bool is_spec = strncmp(r->key, "spec/", 5) == 0;
+    bool is_stop = strncmp(r->key, STOP_PREFIX, strlen(STOP_PREFIX)) == 0;
+    struct cached_job *j =
+        is_spec || is_stop ? Cache_FindJob(in, r->key + 5) : NULL;
 
-    if (strncmp(r->key, "spec/", 5) == 0) {
-        j = Cache_FindJob(in, r->key + 5);
-    }
-    if (j != NULL) {
+    if (j != NULL && (is_spec || !j->has_spec)) {
         RB_REMOVE(cached_job_tree, &in->jobs, j);
         free(j);
     }
@@ -298,6 +299,19 @@
     return n;
 }
 
+/* Counts the jobs that were cancelled and are not there. */
+size_t
+Cache_CountCancelled(struct intake *in)
+{
+    struct cached_job *j;
+    size_t n = 0;
+
+    RB_FOREACH (j, cached_job_tree, &in->jobs) {
+        n += j->cancel_requested && !j->has_spec;
+    }
+    return n;
+}
+
 /* Adds a copy of a row to a message. */
 static void
 copy_row(struct rows_changed *note, const struct cached_row *r)
--- a/packages/queue/queue-calls-write.c
+++ b/packages/queue/queue-calls-write.c
@@ -62,10 +62,10 @@
     Buf_Free(&row.value);
 }
 
-/* Handles the row cancelled/ID after an acceptance has found a row in its way,
+/* Handles the row stop/ID after an acceptance has found a row in its way,
  * which was neither the spec nor a refusal. */
 static void
-on_cancelled_read(void *arg, int err, struct table_row *row)
+on_stop_read(void *arg, int err, struct table_row *row)
 {
     struct open_call *o = arg;
 
@@ -75,7 +75,6 @@
         return;
     }
     if (err == ERR_OK && row->version != 0) {
-        Cache_Update(o->in, row, 1, false, 0);
         o->call->retry_ms = REFUSED_KEEP_MS;
         Calls_FinishOpen(o, QUEUE_CANCELLED, "cancelled_before");
         return;
@@ -87,7 +86,7 @@
 static void
 read_row_of_job(struct open_call *o, const char *prefix, table_got done)
 {
-    char key[sizeof(o->key) + sizeof(CANCELLED_PREFIX)];
+    char key[sizeof(o->key) + sizeof(REFUSED_PREFIX)];
 
     snprintf(key, sizeof(key), "%s%s", prefix, strchr(o->key, '/') + 1);
     o->store_pending = true;
@@ -124,7 +123,7 @@
         return;
     }
     o->refused_version = version;
-    read_row_of_job(o, CANCELLED_PREFIX, on_cancelled_read);
+    read_row_of_job(o, STOP_PREFIX, on_stop_read);
 }
 
 /* Handles the spec row after an acceptance has found a row in its way. */
@@ -181,36 +180,15 @@
     Calls_Write(o);
 }
 
-/* Writes that a job is to be stopped, as it was accepted before it could be
- * cancelled. Its caller was told that the outcome is unknown. */
+/* Answers that there is no job, which was to be cancelled. The row is left to
+ * the feed: if it were cached before an acceptance that precedes it, it would
+ * no longer be new when the feed brings both, and the owner would miss it. */
 static void
-stop_accepted(struct open_call *o)
-{
-    char id[JOBS_ID_SIZE];
-
-    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
-    snprintf(o->key, sizeof(o->key), "stop/%s", id);
-    Calls_Write(o);
-}
-
-/* Handles the result of cancelling a job that was not known. A conflict shows
- * that it has been accepted meanwhile. True when the call is over or goes on;
- * false when the write is to be tried again. */
-static bool
-on_cancellation_written(struct open_call *o, int err, const uint64_t *versions)
+finish_unknown_cancelled(struct open_call *o)
 {
-    if (err == ERR_CONFLICT) {
-        Calls_ReadSpec(o);
-        return true;
-    }
-    if (err != ERR_OK) {
-        return false;
-    }
     Counter_Add(&cancelled_total, 1);
     LOG_I("job_cancelled_unknown", KV("job", strchr(o->key, '/') + 1));
-    cache_marker(o->in, o->key, versions[0]);
     Calls_FinishOpen(o, QUEUE_NO_JOB, "no_such_job");
-    return true;
 }
 
 /* Logs and counts an accepted or cancelled job, and answers its caller. */
@@ -238,17 +216,12 @@
 }
 
 /* Handles the result of a write whose caller has been answered. The row of a
- * job that is not accepted needs nothing more, as the feed brings it. */
+ * job that is not there needs nothing more, as the feed brings it. */
 static void
 on_written_late(struct open_call *o, int err, const uint64_t *versions)
 {
-    bool cancels = Calls_HasPrefix(o, CANCELLED_PREFIX);
-
-    if (cancels && err == ERR_CONFLICT) {
-        stop_accepted(o);
-        return;
-    }
-    if (err == ERR_OK && !cancels && !Calls_HasPrefix(o, REFUSED_PREFIX)) {
+    if (err == ERR_OK && !o->is_unknown &&
+        !Calls_HasPrefix(o, REFUSED_PREFIX)) {
         LOG_I("stored_unheard", KV("row", o->key),
               KV_INT("version", versions[0]));
         publish_row(o, versions[0]);
@@ -278,8 +251,8 @@
         on_refusal_written(o, err, versions);
         return;
     }
-    if (Calls_HasPrefix(o, CANCELLED_PREFIX) &&
-        on_cancellation_written(o, err, versions)) {
+    if (err == ERR_OK && o->is_unknown) {
+        finish_unknown_cancelled(o);
         return;
     }
     if (err == ERR_OK) {
@@ -324,7 +297,7 @@
 /* The transaction of an open call, and the keys of its further rows. */
 struct call_write {
     struct table_op ops[3];
-    char keys[2][sizeof(CANCELLED_PREFIX) + JOBS_ID_SIZE];
+    char keys[2][sizeof(REFUSED_PREFIX) + JOBS_ID_SIZE];
     size_t count;
 };
 
@@ -345,8 +318,9 @@
  * the store after the refusal. Every acceptance therefore expects the version
  * of refused/ID that it has read when it began, and a refusal, which changes
  * that version, expects that there is no spec. A late write of either kind
- * fails once the other has been made. So do an acceptance and the cancellation
- * of a job that is not known. */
+ * fails once the other has been made. An acceptance also fails once the job
+ * has been cancelled, and a cancellation has no condition: made late, it stops
+ * a job that was accepted before it. */
 static void
 compose_write(struct open_call *o, struct call_write *w)
 {
@@ -360,16 +334,13 @@
         /* The value is the spec, for a refusal that can't be stored. */
         w->ops[0].value = MARKER_VALUE;
         w->ops[0].len = strlen(MARKER_VALUE);
-    }
-    if (Calls_HasPrefix(o, REFUSED_PREFIX) ||
-        Calls_HasPrefix(o, CANCELLED_PREFIX)) {
         add_condition(w, TABLE_CHECK, "spec/", id, 0);
     }
     if (Calls_HasPrefix(o, "spec/")) {
         w->ops[0].if_version = Calls_ReplaceableVersion(o->in, o->key);
         add_condition(w, o->refused_version != 0 ? TABLE_DELETE : TABLE_CHECK,
                       REFUSED_PREFIX, id, o->refused_version);
-        add_condition(w, TABLE_CHECK, CANCELLED_PREFIX, id, 0);
+        add_condition(w, TABLE_CHECK, STOP_PREFIX, id, 0);
     }
 }
 
--- a/packages/queue/queue-calls.c
+++ b/packages/queue/queue-calls.c
@@ -12,7 +12,7 @@
 /* The answer also comes within this share of the time that the caller waits,
  * so that it can retry twice, at other entries, before it gives up. */
 #define ANSWER_SHARE 0.4
-/* Most rows of jobs that were cancelled before they were known. */
+/* Most requests to cancel jobs that are not there. */
 #define CANCELLED_MAX 4096
 /* Interval of the check for callers that have disconnected, well below the
  * time that callers wait. */
@@ -326,23 +326,13 @@
     return return_ms;
 }
 
-/* Returns how long a job is still known as cancelled before it was submitted;
- * 0: it is not. */
-static int64_t
-cancelled_ms(struct intake *in, const char *id)
+/* True for a job that was cancelled and is not there. */
+static bool
+is_cancelled(struct intake *in, const char *id)
 {
-    char key[sizeof(CANCELLED_PREFIX) + JOBS_ID_SIZE];
-    const struct cached_row *r;
-    int64_t age_ms;
+    const struct cached_job *j = Cache_FindJob(in, id);
 
-    snprintf(key, sizeof(key), CANCELLED_PREFIX "%s", id);
-    r = Cache_Find(in, key);
-    if (r == NULL) {
-        return 0;
-    }
-    age_ms = Clock_NowMs() - r->changed_ms;
-    return age_ms < REFUSED_KEEP_MS ? REFUSED_KEEP_MS - age_ms
-                                    : RETRY_AFTER_MS;
+    return j != NULL && j->cancel_requested && !j->has_spec;
 }
 
 /* Checks a submitted job and writes its spec row, or that it is refused. */
@@ -370,8 +360,8 @@
         finish(call, QUEUE_OK, "known_already");
         return;
     }
-    call->retry_ms = cancelled_ms(in, id);
-    if (call->retry_ms > 0) {
+    if (is_cancelled(in, id)) {
+        call->retry_ms = REFUSED_KEEP_MS;
         finish(call, QUEUE_CANCELLED, "cancelled_before");
         return;
     }
@@ -402,7 +392,7 @@
         finish(call, QUEUE_OK, "ended_already");
         return;
     }
-    o = open_call(in, call, "stop/", id);
+    o = open_call(in, call, STOP_PREFIX, id);
     Buf_AppendStr(&o->value, "{}");
     Calls_Write(o);
 }
@@ -497,20 +487,21 @@
  *
  * A try to accept the job may still reach the store: its caller was not
  * answered, cancels the job instead, and must not see it run afterwards. So
- * the cancellation is stored before it is confirmed, and an acceptance expects
- * that there is none. */
+ * the request is stored before it is confirmed, an acceptance expects that
+ * there is none, and a job that was accepted meanwhile is stopped by it. */
 static void
 cancel_unknown(struct open_call *o)
 {
     char id[JOBS_ID_SIZE];
 
-    if (Cache_Count(o->in, CANCELLED_PREFIX) >= CANCELLED_MAX) {
+    if (Cache_CountCancelled(o->in) >= CANCELLED_MAX) {
         Calls_FinishOpen(o, QUEUE_RETRY_LATER, "too_many_cancelled");
         return;
     }
     Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
-    snprintf(o->key, sizeof(o->key), CANCELLED_PREFIX "%s", id);
+    snprintf(o->key, sizeof(o->key), STOP_PREFIX "%s", id);
     Buf_AppendStr(&o->value, "{}");
+    o->is_unknown = true;
     Calls_Write(o);
 }
 
@@ -550,26 +541,16 @@
     serve_known(in, call, id);
 }
 
-/* Reads the spec row of an open call that queries or cancels a job. */
-void
-Calls_ReadSpec(struct open_call *o)
-{
-    char id[JOBS_ID_SIZE];
-
-    Str_Copy(id, sizeof(id), strchr(o->key, '/') + 1);
-    snprintf(o->key, sizeof(o->key), "spec/%s", id);
-    Buf_Clear(&o->value);
-    o->store_pending = true;
-    o->in->store->ops->get(o->in->store, Queue_Platform()->own_table, o->key,
-                           on_row_read, o);
-}
-
 /* Looks a job up in the store. Only the store can tell that a job does not
  * exist, as the cache may be behind. */
 static void
 look_up(struct intake *in, struct queue_call *call, const char *id)
 {
-    Calls_ReadSpec(open_call(in, call, "spec/", id));
+    struct open_call *o = open_call(in, call, "spec/", id);
+
+    o->store_pending = true;
+    in->store->ops->get(in->store, Queue_Platform()->own_table, o->key,
+                        on_row_read, o);
 }
 
 /* Finds the organisation that holds the key of a call, "" if there is none;
--- a/packages/queue/queue-calls.h
+++ b/packages/queue/queue-calls.h
@@ -20,6 +20,8 @@
     /* Version of the row refused/ID that an acceptance expects and deletes; 0:
      * there is none. */
     uint64_t refused_version;
+    /* The job of a cancellation has no row; it may be accepted meanwhile. */
+    bool is_unknown;
     int64_t return_ms; /* of a refusal: after which the caller may return */
     /* An earlier try may have taken effect, or may still do so. */
     bool maybe_done;
@@ -38,9 +40,6 @@
 void Calls_FreeOpen(struct open_call *o);
 /* True for an open call whose row has that key prefix. */
 bool Calls_HasPrefix(const struct open_call *o, const char *prefix);
-/* Reads the spec row of an open call that queries or cancels a job, and serves
- * the call by it. */
-void Calls_ReadSpec(struct open_call *o);
 
 /* ---- queue-calls-write.c */
 /* Sends the write of an open call to the store. */
--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -6,9 +6,9 @@
 #include "queue.h"
 
 #define REFUSED_PREFIX "refused/" /* key prefix of rows of refused jobs */
-/* Key prefix of rows of jobs that were cancelled before they were known. */
-#define CANCELLED_PREFIX "cancelled/"
-/* Rows of refused and of cancelled jobs are deleted after this time. A write
+#define STOP_PREFIX "stop/"       /* key prefix of requests to cancel a job */
+/* Rows of refused jobs, and requests to cancel jobs that are not there, are
+ * deleted after this time. A write
  * may reach the store up to 12 s after it was sent, and a caller may be asked
  * to retry after 30 s. Both are over by then. */
 #define REFUSED_KEEP_MS 60000
@@ -111,6 +111,8 @@
 int64_t Cache_CountWaiting(struct intake *in, const char *queue);
 /* Counts the rows whose key starts with prefix. */
 size_t Cache_Count(struct intake *in, const char *prefix);
+/* Counts the jobs that were cancelled and are not there. */
+size_t Cache_CountCancelled(struct intake *in);
 /* Calls fn for each row whose key starts with prefix. */
 void Cache_ForEach(struct intake *in, const char *prefix,
                    void (*fn)(const struct cached_row *, void *arg),
@@ -142,8 +144,8 @@
 void Check_Stop(struct intake *in);
 
 /* ---- queue-refused.c */
-/* Deletes rows of jobs that were refused, or cancelled before they were known,
- * long ago; for the owner's entry. */
+/* Deletes rows of jobs that were refused long ago, and old requests to cancel
+ * jobs that are not there; for the owner's entry. */
 void Refused_Expire(struct intake *in);
 
 /* ---- queue-calls.c */
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -25,13 +25,12 @@
  *   beat       heartbeat, rewritten by the owner
  *   spec/ID    an accepted job; written by the entry that accepted it, and
  *              again only to repair it
- *   stop/ID    a request to cancel the job
+ *   stop/ID    a request to cancel the job, which is not accepted after it;
+ *              without a job, deleted after a minute
  *   run/ID     progress of the job; written by the owner only
  *   refused/ID the job was refused, so no earlier try to accept it may
  *              succeed; deleted when it is accepted after all, or after a
  *              minute
- *   cancelled/ID the job was cancelled before any entry knew of it, so it is
- *              not accepted; deleted after a minute
  *   entry/NAME an entry, the address where its links listen, and what its
  *              machine has; written at its start and when it differs
  */
--- a/tests/fakes/hosted-store.c
+++ b/tests/fakes/hosted-store.c
@@ -8,8 +8,9 @@
  * "silent" (calls get no response), "lose" (writes are done, and the
  * connection is closed without a response), "quiet" (feeds return no
  * change), "hold" (writes of spec rows are held without a response until PUT
- * /held/release; PUT /held/count returns their number) or "hold-one" (the next
- * write of a progress row is held, and its connection is closed). PUT
+ * /held/release; PUT /held/count returns their number), "hold-stops" (the same
+ * for stop rows) or "hold-one" (the next write of a progress row is held, and
+ * its connection is closed). PUT
  * /history/drop drops the history, so that feeds from before get 410. */
 #include "fake.h"
 
@@ -354,7 +355,8 @@
     if (body == NULL) {
         return;
     }
-    if (strcmp(fault, "hold") == 0 && writes_row(body, "spec/")) {
+    if ((strcmp(fault, "hold") == 0 && writes_row(body, "spec/")) ||
+        (strcmp(fault, "hold-stops") == 0 && writes_row(body, "stop/"))) {
         json_array_append(s->held, body);
     }
     else if (strcmp(fault, "hold-one") == 0 && writes_row(body, "run/")) {
--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -166,4 +166,29 @@
     }
 }
 
+/* Guards against a job that runs although it was cancelled, as the
+ * cancellation reaches the store after the acceptance, and both are late. */
+TEST(Overtake, ALateCancellationStopsAJobThatWasAcceptedBeforeIt)
+{
+    HostedStack s(2, 1);
+
+    s.Owner();
+    for (int i = 0; i < 2; i++) {
+        s.StoreFault(i, "hold");
+    }
+    ASSERT_EQ(s.Submit(0, "a1", "60000").status, 504);
+    for (int i = 0; i < 2; i++) {
+        s.StoreFault(i, "hold-stops");
+    }
+    EXPECT_EQ(s.Cancel(1, "a1").status, 504);
+    for (int i = 0; i < 2; i++) {
+        s.StoreFault(i, "");
+    }
+    ASSERT_GE(s.ReleaseHeld(), 2);
+    EXPECT_TRUE(s.WaitForState(0, "a1", "cancelled")) << s.Logs();
+    EXPECT_TRUE(s.WaitForState(1, "a1", "cancelled")) << s.Logs();
+    ASSERT_EQ(s.Submit(0, "b1", "50").status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "b1", "completed")) << s.Logs();
+}
+
 } /* namespace */
