platform, queue: a response without rows doesn't mean that there are none

Callers could be answered with 410 for an accepted job, and an owner could end the list of its table early, when the store answers a read with another body or with a page without rows that is not the last one.

Cause: a missing list was read as an empty one, a row that can't be read as none, and on_listed() ended a list with any page without rows. Such answers are failed reads now and made again. That suffices, as every reader already handles a failed read, and none of them tells a caller that a job doesn't exist.

The new case of hosted-foreign-test failed before (410 to a query and to a cancellation) and passes now.

--- a/packages/queue/queue-follow.c
+++ b/packages/queue/queue-follow.c
@@ -186,13 +186,17 @@
 
 /* Handles a page of a list. The feed will continue from the position of the
  * first page, so that rows that change while pages are read are reported
- * again, not missed. */
+ * again, not missed. A page without rows that is not the last one gives no key
+ * to go on from; taken for the end, it would hide the rest of the table. */
 static void
 on_listed(void *arg, int err, struct table_row *rows, size_t count, bool more)
 {
     struct followed_table *f = arg;
     bool first = f->page_after[0] == '\0';
 
+    if (err == ERR_OK && more && count == 0) {
+        err = ERR_IO;
+    }
     if (err != ERR_OK) {
         note_failure(f, err);
         return;
@@ -204,8 +208,8 @@
     if (count > 0) {
         Str_Copy(f->page_after, sizeof(f->page_after), rows[count - 1].key);
     }
-    take_page(f, rows, count, first, !more || count == 0);
-    if (more && count > 0) {
+    take_page(f, rows, count, first, !more);
+    if (more) {
         request_next(f);
         return;
     }
--- a/tests/fakes/hosted-store.c
+++ b/tests/fakes/hosted-store.c
@@ -5,6 +5,7 @@
  * others.
  *
  * PUT /fault/PORT sets the fault of a port: "" (none), "busy" (calls get 503),
+ * "no-rows" (calls get an object without any field),
  * "silent" (calls get no response), "lose" (writes are done, and the
  * connection is closed without a response), "quiet" (feeds return no
  * change), "hold" (writes of spec rows are held without a response until PUT
@@ -426,6 +427,9 @@
     if (strcmp(listener->fault, "busy") == 0) {
         Fake_Reply(ex, 503, json_object());
     }
+    else if (strcmp(listener->fault, "no-rows") == 0) {
+        Fake_Reply(ex, 200, json_object());
+    }
     else if (strcmp(listener->fault, "silent") == 0) {
         return; /* without a response */
     }
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -144,6 +144,27 @@
     EXPECT_EQ(s.Starts().size(), 1u);
 }
 
+/* Guards against a job that is reported as unknown because the store's
+ * response has no list of rows. */
+TEST(HostedForeign, AResponseWithoutRowsDoesNotMeanThatThereAreNone)
+{
+    HostedStack s(2, 1);
+
+    s.Owner();
+    for (int i = 0; i < 2; i++) {
+        s.StoreFault(i, "no-rows");
+    }
+    EXPECT_EQ(s.Query(0, "a1").status, 503);
+    EXPECT_NE(s.Cancel(1, "a1").status, 410);
+    for (int i = 0; i < 2; i++) {
+        s.StoreFault(i, "");
+    }
+    EXPECT_TRUE(WaitFor([&] { return s.Query(0, "a1").status == 410; }));
+    EXPECT_TRUE(
+        WaitFor([&] { return s.Submit(1, "a2", "50").status == 200; }));
+    EXPECT_TRUE(s.WaitForState(0, "a2", "completed")) << s.Logs();
+}
+
 /* Guards against a configuration that never takes effect, so that a revoked
  * key stays valid, because of the length or the type of one item. Each version
  * replaces the key. */
