jobs: tasks of a service are restarted on a worker that is in quarantine

Cause: workers regain trust by runs that end as done, and runs of a service never do. One early failure was conclusive, the other task of the service then held the only place for as long as the quarantine is remembered, and repeated quarantines double. Ruled out: room (the worker had it many times over) and placement (no other worker has the label).

Failures of services count only within 2 s of the start and never alone, runs of services that have been at work don't take the places of a worker that regains trust, and such a task tries its worker again 4 s after a quarantine began. A worker that fails everything is thus tried by at most one such task in 4 s, as after a first quarantine.

--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -106,7 +106,7 @@
 
     if (!w->reported || !w->term_confirmed || w->draining ||
         now_ms - w->report_ms > sched->limits.silent_ms ||
-        w->full_until_ms > now_ms || w->quarantine_until_ms > now_ms ||
+        w->full_until_ms > now_ms || Trust_KeepsOff(w, u, now_ms) ||
         strcmp(u->job->qos.service, w->service) != 0) {
         return false;
     }
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -377,6 +377,9 @@
 void Trust_RunEnded(struct jobs_scheduler *sched, struct jobs_worker *w,
                     const struct jobs_task *t, enum jobs_end how,
                     int64_t now_ms);
+/* True when a quarantine keeps the unit off the worker. */
+bool Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
+                    int64_t now_ms);
 bool Trust_IsRegaining(const struct jobs_scheduler *sched,
                        const struct jobs_worker *w, int64_t now_ms);
 uint32_t Trust_MoreRuns(const struct jobs_scheduler *sched,
--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -14,6 +14,10 @@
 /* A run that fails within this fraction of its work fails early. Tasks that
  * fail by their own fault do so after most of their work, or on any worker. */
 #define EARLY_FAILURE_DIVISOR 4
+/* Tasks of a service may fail at any time. One that fails sooner than this
+ * after its start fails as if its worker were at fault, and one that has run
+ * for so long shows that its worker is not. */
+#define LASTING_EARLY_MS 2000
 /* One early failure is enough for a quarantine only while fewer than one in
  * this many workers is in quarantine. Where more fail, the workers are not the
  * cause. */
@@ -45,12 +49,22 @@
     return !j->has_succeeded && strcmp(j->first_failed_worker, w->id) != 0;
 }
 
+/* True for a failure that says nothing about its worker: a task of a service
+ * failed after it had been at work. */
+static bool
+is_late_failure_of_service(const struct jobs_task *t, int64_t now_ms)
+{
+    return Unit_Step(t->unit)->lasting &&
+           now_ms - t->assigned_ms > LASTING_EARLY_MS;
+}
+
 /* True for a failure that is enough to put its worker into quarantine. */
 static bool
 is_conclusive(const struct jobs_scheduler *sched, const struct jobs_task *t,
               int64_t now_ms)
 {
-    return now_ms - t->assigned_ms <=
+    return !Unit_Step(t->unit)->lasting &&
+           now_ms - t->assigned_ms <=
                Pace_WorkMs(t->unit) / EARLY_FAILURE_DIVISOR &&
            count_quarantined(sched, now_ms) <
                sched->worker_count / QUARANTINE_DIVISOR;
@@ -109,7 +123,24 @@
            is_remembered(w, now_ms);
 }
 
-/* Returns how many more runs may start on the worker. */
+/* True when a quarantine keeps the unit off the worker.
+ *
+ * A task of a service has to be restarted within seconds, however it ended,
+ * and its worker may be the only one with its label. So longer quarantines
+ * don't count for it: it tries the worker again as after a first one. */
+bool
+Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
+               int64_t now_ms)
+{
+    int64_t begun_ms = w->quarantine_until_ms - w->quarantine_ms;
+
+    return now_ms < w->quarantine_until_ms &&
+           (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS);
+}
+
+/* Returns how many more runs may start on the worker. Tasks of a service that
+ * have been at work there don't count: they never end as done, and would take
+ * the only place for as long as the quarantine is remembered. */
 uint32_t
 Trust_MoreRuns(const struct jobs_scheduler *sched, const struct jobs_worker *w,
                int64_t now_ms)
@@ -121,7 +152,8 @@
         return UINT32_MAX;
     }
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        n++;
+        n += !t->confirmed || !Unit_Step(t->unit)->lasting ||
+             now_ms - t->assigned_ms <= LASTING_EARLY_MS;
     }
     return n < w->runs_at_a_time ? w->runs_at_a_time - n : 0;
 }
@@ -147,7 +179,8 @@
         raise_trust(sched, w, now_ms);
         w->last_success_ms = now_ms;
     }
-    if (how != END_FAILED || is_fault_of_job(t->unit->job, w)) {
+    if (how != END_FAILED || is_late_failure_of_service(t, now_ms) ||
+        is_fault_of_job(t->unit->job, w)) {
         return;
     }
     w->failures_in_row++;
--- a/tests/jobs-health-test.cc
+++ b/tests/jobs-health-test.cc
@@ -211,4 +211,58 @@
     EXPECT_TRUE(sim.violations.empty());
 }
 
+struct ServiceCase {
+    const char *what;
+    int failures;
+    int64_t failing_ms; /* length of the runs that fail */
+    int64_t estimate_ms;
+    int64_t other_ms; /* length of the other task's runs */
+};
+
+/* Guards against a task of a service that has no run for a minute after a
+ * failure, as the only worker with its label is in quarantine, or regains
+ * trust while the other task never ends as done. */
+TEST(JobsHealth, AServiceIsRestartedOnTheOnlyWorkerWithItsLabel)
+{
+    static const ServiceCase cases[] = {
+        {"one failure", 1, 1200, 60000, 600000},
+        {"one failure at once", 1, 100, 60000, 600000},
+        {"without an estimate", 3, 1200, 0, 600000},
+        {"four failures at once", 4, 100, 0, 600000},
+        {"seven failures", 7, 1200, 60000, 600000},
+        {"late failures", 5, 5000, 60000, 600000},
+        {"both fail", 5, 100, 60000, 100},
+    };
+
+    for (const ServiceCase &c : cases) {
+        Simulation sim(7, "batch:2:3", DEPARTURES);
+        struct jobs_spec s = sim.Spec("aa", 2, 1);
+        const std::string task = "aa.0.0.0";
+        int64_t longest = 0, stopped = 0;
+
+        sim.workers[6].rack = "r2";
+        Str_Copy(s.steps[0].label, sizeof(s.steps[0].label), "r2");
+        s.steps[0].lasting = true;
+        s.steps[0].estimate_ms = c.estimate_ms;
+        sim.behaviours[task].work_ms = c.failing_ms;
+        sim.behaviours[task].failures = c.failures;
+        sim.behaviours["aa.0.0.1"].work_ms = c.other_ms;
+        sim.Submit(s);
+        sim.Ticks(4);
+        for (int i = 0; i < 5000; i++) {
+            sim.Tick();
+            if (sim.failed_runs[task] >= c.failures) {
+                sim.behaviours[task].work_ms = 600000;
+                sim.behaviours["aa.0.0.1"].work_ms = 600000;
+            }
+            stopped = sim.WorkerOf(task) != nullptr ? 0 : stopped + 20;
+            longest = std::max(longest, stopped);
+        }
+        EXPECT_EQ(sim.failed_runs[task], c.failures) << c.what;
+        EXPECT_LE(longest, 9000) << c.what;
+        EXPECT_NE(sim.WorkerOf(task), nullptr) << c.what;
+        EXPECT_NE(sim.WorkerOf("aa.0.0.1"), nullptr) << c.what;
+    }
+}
+
 } /* namespace */
