jobs: a task of a service is never given up for crashes

Cause: the limit of blame, which ends tasks that crash their workers, had no exception for services. Their blame now stays at the limit, so that they start alone where they can, and nothing is given up.

--- a/packages/jobs/jobs-blame.c
+++ b/packages/jobs/jobs-blame.c
@@ -209,7 +209,9 @@
     Job_UpdateState(sched, j, now_ms);
 }
 
-/* Adds the blame for a crash to a task. */
+/* Adds the blame for a crash to a task. One of a service is never given up: it
+ * has to be restarted however it ends, and stays a suspect, which starts alone
+ * where it can. */
 static void
 charge_crash(struct jobs_scheduler *sched, struct jobs_task *t,
              const struct crashed_machine *m, const struct jobs_crash *c,
@@ -218,8 +220,10 @@
     struct jobs_unit *u = t->unit;
     struct jobs_event *e;
     const char *reason;
+    uint32_t blame;
 
-    Blame_Set(t, t->blame + blame_for(c, is_flapping(m, u, now_ms), &reason));
+    blame = t->blame + blame_for(c, is_flapping(m, u, now_ms), &reason);
+    Blame_Set(t, blame < BLAME_LIMIT ? blame : BLAME_LIMIT);
     t->crashed_run = c->run;
     t->crashes++;
     u->crashed_agent_hash = u->task_count == 1 ? Hash_Str(m->agent, 0) : 0;
@@ -228,7 +232,7 @@
     e->run = c->run;
     e->number = t->blame;
     Str_Copy(e->worker, sizeof(e->worker), c->worker);
-    if (t->blame >= BLAME_LIMIT) {
+    if (t->blame >= BLAME_LIMIT && !Unit_Step(u)->lasting) {
         give_up(sched, t, now_ms);
     }
 }
--- a/tests/jobs-crash-test.cc
+++ b/tests/jobs-crash-test.cc
@@ -379,4 +379,34 @@
     }
 }
 
+/* Guards against a service whose job fails, as its workers have crashed: its
+ * task is restarted however it ends. */
+TEST(JobsCrash, ATaskOfAServiceIsNeverGivenUp)
+{
+    for (int worked_ms : {100, 2500}) {
+        Simulation sim(7);
+        struct jobs_spec s = sim.Spec("aa", 1, 1);
+
+        s.steps[0].lasting = true;
+        sim.behaviours["aa"].work_ms = 600000;
+        sim.Submit(s);
+        for (int crash = 0; crash < 8; crash++) {
+            int ticks = 0;
+
+            while (sim.WorkerOf("aa.0.0.0") == nullptr && ticks++ < 450) {
+                sim.Tick();
+            }
+            ASSERT_NE(sim.WorkerOf("aa.0.0.0"), nullptr)
+                << crash << " crashes after " << worked_ms << " ms";
+            sim.Ticks(worked_ms / 20);
+            sim.CrashWorker(static_cast<size_t>(sim.WorkerOf("aa.0.0.0") -
+                                                sim.workers.data()));
+        }
+        sim.Ticks(450);
+        EXPECT_EQ(sim.State("aa"), JOB_RUNNING) << worked_ms;
+        EXPECT_FALSE(sim.HasEvent("task_given_up", "crashes_workers"));
+        EXPECT_TRUE(sim.violations.empty());
+    }
+}
+
 } /* namespace */
