tests: requests to cancel unknown jobs are bounded in number and time

Cancels unknown jobs until an entry answers with 503, which came within 1,000 of the 4,096 that are allowed, and submits the first of them again, which is accepted after a minute and runs. 62 s, as long as such a row is kept; hosted-overtake-test is run in two parts for it.

--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -191,4 +191,33 @@
     EXPECT_TRUE(s.WaitForState(0, "b1", "completed")) << s.Logs();
 }
 
+/* Guards against a store that fills up with requests to cancel jobs that are
+ * not there: there is a limit to them, and they are deleted after a minute. */
+TEST(Overtake, RequestsToCancelUnknownJobsAreBoundedInNumberAndTime)
+{
+    const int limit = 4096, written_in_a_second = 1000;
+    HostedStack s(2, 1);
+    int cancelled = 0;
+    Reply last;
+
+    s.Owner();
+    ASSERT_EQ(s.Submit(0, "b0", "60000").status, 200);
+    ASSERT_EQ(s.Cancel(0, "a0").status, 410);
+    EXPECT_EQ(s.Submit(1, "a0", "50").status, 429);
+    do {
+        last = s.Cancel(cancelled % 2, "c" + std::to_string(cancelled));
+    } while (last.status == 410 &&
+             ++cancelled < limit + 2 * written_in_a_second);
+    EXPECT_EQ(last.status, 503) << cancelled;
+    EXPECT_GE(cancelled, limit - 1);
+    EXPECT_LE(cancelled, limit + written_in_a_second);
+    /* A job that is there is cancelled all the same. */
+    EXPECT_EQ(s.Cancel(1, "b0").status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "b0", "cancelled")) << s.Logs();
+    EXPECT_TRUE(
+        WaitFor([&] { return s.Submit(1, "a0", "50").status == 200; }, 90000));
+    EXPECT_TRUE(s.WaitForState(0, "a0", "completed")) << s.Logs();
+    EXPECT_TRUE(WaitFor([&] { return s.Cancel(0, "d0").status == 410; }));
+}
+
 } /* namespace */
--- a/tests/hosted.cmake
+++ b/tests/hosted.cmake
@@ -25,7 +25,7 @@
 target_link_libraries(hosted-crash-test PRIVATE sodium)
 pf_process_test(hosted-overtake-test hosted-overtake-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
-                fake-hosted-store fake-hosted-worker fake-hosted-adviser)
+                fake-hosted-store fake-hosted-worker fake-hosted-adviser SHARDS 2)
 target_link_libraries(hosted-overtake-test PRIVATE sodium)
 pf_process_test(hosted-admission-test hosted-admission-test.cc hosted-stack.cc
                 PACKAGES wire NEEDS parsleyfall parsleyfall-agent
