wire, queue: reports of agents that don't know partial lists stay safe

While entries are replaced before agents, a new owner receives reports without the mark of a partial list. They counted as whole, whatever their length; before the mark existed, 500 ends were enough to leave a list alone.

--- a/packages/queue/queue-intake.h
+++ b/packages/queue/queue-intake.h
@@ -8,9 +8,9 @@
 #define REFUSED_PREFIX "refused/" /* key prefix of rows of refused jobs */
 #define STOP_PREFIX "stop/"       /* key prefix of requests to cancel a job */
 /* Rows of refused jobs, and requests to cancel jobs that are not there, are
- * deleted after this time. A write
- * may reach the store up to 12 s after it was sent, and a caller may be asked
- * to retry after 30 s. Both are over by then. */
+ * deleted after this time. A write may reach the store up to 12 s after it was
+ * sent, and a caller may be asked to retry after 30 s. Both are over by then.
+ */
 #define REFUSED_KEEP_MS 60000
 
 /* A row of the own table as last seen. */
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -126,6 +126,17 @@
            m->accelerators <= max && m->clock_ms >= 0;
 }
 
+/* True when a report may lack ends of its worker. An agent that does not
+ * report that may have passed on a full page. */
+static bool
+is_partial(const struct wire_report *m)
+{
+    static const size_t page = 500; /* ends in one answer of a worker */
+
+    return m->lists == WIRE_LISTS_PARTIAL ||
+           (m->lists == WIRE_LISTS_UNKNOWN && m->ended.count >= page);
+}
+
 /* Passes a report to the scheduler and answers it with a new lease. True when
  * decisions may change. */
 bool
@@ -164,7 +175,7 @@
     r.drain_left_ms = m->drain_left_ms;
     r.term = m->term;
     r.clock_ms = m->clock_ms;
-    r.partial = m->partial != 0;
+    r.partial = is_partial(m);
     copy_lists(m, &r);
     changed = Jobs_Report(o->scheduler, &r, now);
     free_lists(&r);
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -112,7 +112,7 @@
     m->drain_left_ms = Departure_LeftMs(&w->departure, Clock_NowMs());
     m->term = call->term;
     m->clock_ms = result->clock_ms;
-    m->partial = result->partial;
+    m->lists = result->partial ? WIRE_LISTS_PARTIAL : WIRE_LISTS_WHOLE;
     Str_Copy(m->domain, sizeof(m->domain), s->failure_domain);
     fill_lists(w, result, m);
     Wire_ListCopy(&w->ended, &m->ended, sizeof(struct wire_end));
--- a/packages/wire/wire-codec.c
+++ b/packages/wire/wire-codec.c
@@ -21,8 +21,9 @@
     return t == NULL ? "none" : t->name + strlen("wire_");
 }
 
-/* Allocates a zeroed message. The remaining time of a worker is unknown until
- * it is set: 0 would mean that a draining worker is about to leave. */
+/* Allocates a zeroed message. In a report, the remaining time of a worker is
+ * unknown until it is set, as 0 would mean that a draining worker is about to
+ * leave, and so is whether its lists are whole. */
 void *
 Wire_New(enum wire_type type)
 {
@@ -36,6 +37,7 @@
     m->type = type;
     if (type == WIRE_REPORT) {
         ((struct wire_report *)m)->drain_left_ms = -1;
+        ((struct wire_report *)m)->lists = WIRE_LISTS_UNKNOWN;
     }
     return m;
 }
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -241,7 +241,7 @@
     TEXT(wire_report, heir_of),
     U(wire_report, entries_version),
     I(wire_report, drain_left_ms),
-    U(wire_report, partial)};
+    U(wire_report, lists)};
 
 static const struct wire_field hail[] = {NAME(wire_hail, entry),
                                          U(wire_hail, incarnation),
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -405,6 +405,13 @@
     int64_t worked_ms;     /* time during which reports listed it as running */
 };
 
+/* Whether a report has all runs and ends of its worker. */
+enum wire_lists {
+    WIRE_LISTS_WHOLE,
+    WIRE_LISTS_PARTIAL,
+    WIRE_LISTS_UNKNOWN /* of an agent that does not report it */
+};
+
 /* A report of an agent on its worker, sent to every entry. */
 struct wire_report {
     struct wire_msg msg;
@@ -437,8 +444,7 @@
     /* Minimum time for which a draining worker still serves; -1: not known, as
      * for an agent that does not report it. */
     int64_t drain_left_ms;
-    /* 1: the worker has more ends than are listed, or a list is missing. */
-    uint64_t partial;
+    uint64_t lists; /* enum wire_lists */
 };
 
 /* Acknowledges a message of an agent or a peer; without a list of entries when
