--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -37,8 +37,9 @@
 /* The behaviour of a task in its runs. */
 struct TaskBehaviour {
     int64_t work_ms = 1000;
-    int failures = 0; /* number of runs that fail */
-    int gang = 1;     /* number of tasks in its gang */
+    int failures = 0;     /* number of runs that fail */
+    int gang = 1;         /* number of tasks in its gang */
+    bool lasting = false; /* a task of a service */
     /* Time from each of its starts until its worker crashes; -1: never. */
     int64_t crash_ms = -1;
 };
