--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -14,9 +14,9 @@
 /* A run that fails within this fraction of its work fails early. Tasks that
  * fail by their own fault do so after most of their work, or on any worker. */
 #define EARLY_FAILURE_DIVISOR 4
-/* Tasks of a service may fail at any time. One that fails sooner than this
- * after its start fails as if its worker were at fault, and one that has run
- * for so long shows that its worker is not. */
+/* Tasks of a service may fail at any time. A failure counts against the worker
+ * only within this time after the start; a task that has run for longer counts
+ * as at work. */
 #define LASTING_EARLY_MS 2000
 /* One early failure is enough for a quarantine only while fewer than one in
  * this many workers is in quarantine. Where more fail, the workers are not the
--- a/packages/queue/queue-calls.h
+++ b/packages/queue/queue-calls.h
@@ -4,8 +4,8 @@
 
 #include "queue-intake.h"
 
-/* When a refused caller is told to retry. By then short failures of the store
- * are over, and another entry may be reachable. */
+/* Retry-After of a refusal. By then short failures of the store are over, and
+ * another entry may be reachable. */
 #define RETRY_AFTER_MS 1000
 
 /* A call that waits for the store. It outlives its caller's answer until the
--- a/tests/hosted-overtake-test.cc
+++ b/tests/hosted-overtake-test.cc
@@ -100,9 +100,8 @@
                   : s.Cancel(entry, id).status;
 }
 
-/* Guards against a job that runs although its caller was told, on cancelling
- * it, that there is no such job: the store makes the write that accepts it
- * only afterwards. */
+/* Guards against a job that runs although its cancellation was answered with
+ * "no such job": the store makes the write that accepts it only afterwards. */
 TEST(Overtake, AJobCancelledBeforeItIsKnownNeverRuns)
 {
     static const UnknownJobCase cases[] = {
