--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,40 +1,39 @@
 #!/usr/bin/env bash
-# One request ends an entry: GET of a path with a byte that is not UTF-8, on the
-# port of the product's own interface and its metrics.
+# After a worker has failed one task, a gang that only it can run does not start
+# there for a minute, though the worker is sound and idle again.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
 cd "$case_dir/../.."
 . review/standins-3/lib.sh
 
-start_all 3
-path=/caf%C3%A9
-[ "$trouble" = 0 ] || path=/caf%E9
+start_all 2
 
-# has_ended ENTRY
-has_ended() {
-    ! kill -0 "${entry_pid[$1]}" 2>/dev/null
+# submit JOB COUNT GANG
+submit() {
+    [[ $(call 1 POST "/q/$1" "{\"task-spec\": \"2000\", \"steps\": [{
+        \"count\": $2, \"cpu\": 1000, \"mem-mb\": 100, \"gpu\": 1,
+        \"estimated-ms\": 2000, \"required-label\": \"b\"$3}]}") == 200* ]] ||
+        cannot_run "job $1 not accepted"
 }
 
-ends=0
-for round in 1 2 3; do
-    for n in 1 2; do
-        answer=$(request "$net.$n:$http" GET "$path" | head -n 1)
-        say "entry $n: GET $path -> ${answer:-no answer}"
-        sleep 1
-        has_ended "$n" || continue
-        wait "${entry_pid[$n]}"
-        say "entry $n: its process has ended by itself, status $?"
-        ends=$((ends + 1))
-        # The platform starts a process that has ended again.
-        start_entry "$n"
-            until_true 10 is_ready "$n" || cannot_run "entry $n is not back"
-    done
-done
-[[ $(call 3 POST /q/0000000000000131 '{"task-spec": "500", "steps": [{
-    "count": 1, "cpu": 1000, "mem-mb": 100, "gpu": 1,
-    "estimated-ms": 500}]}') == 200* ]] || say "no job is accepted"
-if [ "$ends" -ge 6 ]; then
-    finish 1 "Fault: processes of 2 of 14 machines ended by themselves, 3 times each"
+# For 6.5 s the worker of kind b fails all that it starts; one job comes.
+[ "$trouble" = 0 ] || tell 1 "grey on"
+submit 00000000000000d1 1 ""
+sleep 6.5
+[ "$trouble" = 0 ] || tell 1 "grey off"
+# The worker is sound. The last job of the traffic comes.
+sleep 3
+job=00000000000000d2
+submit "$job" 4 ', "gang": true'
+# finish_s after the end of the traffic the job is asked for.
+sleep 14
+begun=$(starts_of "$job")
+s1=$(state 1 "/q/$job")
+sleep 3.5
+s2=$(state 2 "/q/$job")
+later=$(starts_of "$job")
+if [ "$begun" = 0 ] && [ "$later" = 0 ]; then
+    finish 1 "LOST: nothing of the job has run ($s1, $s2), and its worker is idle"
 fi
-[ "$ends" = 0 ] || cannot_run "$ends ends"
-finish 0 "held: no process has ended"
+[ "$s2" = completed ] || cannot_run "shown as ${s2:-nothing}"
+finish 0 "held: completed"
--- a/review/standins-3/worker.c
+++ b/review/standins-3/worker.c
@@ -8,6 +8,7 @@
  *                 under the same id (with another "born") if it was started
  *                 with --same-id, otherwise under a new one
  *   grey on, off  while on, fails all that it starts after 50 ms
+ *   drain MS      says from now on that it drains, and serves for MS more
  *
  * The payload of a run is the number of milliseconds that it works, one for
  * each step of the job, separated by commas; the last one also holds for the
@@ -78,7 +79,9 @@
     int64_t clock_at_ms; /* of Clock_NowMs(), when its clock was 0 */
     bool dark;
     bool grey;
-    int64_t late_ms; /* of the next start; 0: it is answered */
+    int64_t drain_end_ms; /* 0: it doesn't drain */
+    bool drain_noted;     /* that its draining was acknowledged */
+    int64_t late_ms;      /* of the next start; 0: it is answered */
     int64_t sequence;
     int64_t token;
     int64_t last_end;
@@ -504,6 +507,9 @@
     else if (strncmp(text, "grey ", 5) == 0) {
         w->grey = strcmp(text + 5, "on") == 0;
     }
+    else if (strncmp(text, "drain ", 6) == 0) {
+        w->drain_end_ms = Clock_NowMs() + strtoll(text + 6, NULL, 10);
+    }
 }
 
 static const struct {
@@ -551,9 +557,16 @@
     json_decref(o);
 }
 
+/* Notes when its draining was first acknowledged. */
 static void
-on_heartbeat_answered(void *arg UNUSED, struct http_result *r UNUSED)
+on_heartbeat_answered(void *arg, struct http_result *r)
 {
+    struct worker *w = arg;
+
+    if (w != NULL && r->err == ERR_OK && r->status == 200 && !w->drain_noted) {
+        w->drain_noted = true;
+        note(w, "drain-acknowledged", "-", 0);
+    }
 }
 
 /* Sends a heartbeat to the agent. */
@@ -572,17 +585,25 @@
     o = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
         "service", "pool", "address", "127.0.0.1:1", "zone", "a", "state",
-        "ready", "version", "v1", "slots", 8, "cold-remaining-ms", 0,
-        "capacity", "cpu", 16000, "mem-mb", 64000, "gpu", 8, "labels", w->kind,
-        w->rack, "clock-ms", (json_int_t)clock_ms(w), "sequence",
-        (json_int_t)++w->sequence, "born", (json_int_t)w->born_ms);
+        w->drain_end_ms != 0 ? "draining" : "ready", "version", "v1", "slots",
+        8, "cold-remaining-ms", 0, "capacity", "cpu", 16000, "mem-mb", 64000,
+        "gpu", 8, "labels", w->kind, w->rack, "clock-ms",
+        (json_int_t)clock_ms(w), "sequence", (json_int_t)++w->sequence, "born",
+        (json_int_t)w->born_ms);
+    if (w->drain_end_ms != 0) {
+        int64_t left = w->drain_end_ms - Clock_NowMs();
+
+        json_object_set_new(o, "drain-remaining-ms",
+                            json_integer(left > 0 ? left : 0));
+    }
     text = json_dumps(o, JSON_COMPACT);
     Buf_Printf(&url, "http://%s/Instances.Heartbeat/%s", w->agent_address,
                w->id);
     r.url = url.data;
     r.body = text;
     r.body_len = strlen(text);
-    Http_Call(w->client, &r, on_heartbeat_answered, NULL);
+    Http_Call(w->client, &r, on_heartbeat_answered,
+              w->drain_end_ms != 0 ? w : NULL);
     free(text);
     json_decref(o);
 }
