--- a/review/standins-3/lib.sh
+++ b/review/standins-3/lib.sh
@@ -5,7 +5,6 @@
 trouble=${TROUBLE:-1}
 dir=$(mktemp -d)
 pids=()
-declare -A entry_pid
 record=$case_dir/record.txt
 events=$dir/events.txt
 : >"$record"
@@ -172,7 +171,6 @@
                timeline: true, shares: true, admission: true, learned: true}
 END
     start "entry-$1" target/bin/parsleyfall serve "$dir/entry-$1.yaml"
-    entry_pid[$1]=$last_pid
 }
 
 # start_worker NUMBER KIND [--same-id]: a worker, and the agent beside it with
