jobs, runs: a worker's successor shows in its name, not in an agent's memory

Callers saw a task run twice, each time from its start to its end.

Cause: calls name only the worker's id, so an incarnation carries out starts that were sent to an earlier one with that id. That a report's worker has such a predecessor was known to the agent's process alone. After its restart the reports named none, and end_earlier_incarnations() took the predecessor's runs for over before it read the lists of the very report that had them.

The owner now compares the ids in the names of the incarnations, which rows and reports have: the runs of an earlier incarnation with the same id move to the one that reports, and those that it doesn't list are stopped there first. This suffices as no process has to remember it; any number of restarts of workers, agents and owners leaves the names. The agent's state for it is gone, and its field in reports is unused. Another id still ends the runs at once, as the worker refuses orders for it.

--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -248,14 +248,18 @@
     }
 }
 
-/* Moves the runs of an incarnation to its successor, which carries out a start
- * that is still on its way. */
+/* Moves the runs of an incarnation to its successor under the same id. A
+ * start that is still on its way holds the leases that the earlier one was
+ * granted. */
 static void
 inherit_runs(struct jobs_scheduler *sched, struct jobs_worker *from,
              struct jobs_worker *to)
 {
     struct jobs_task *t;
 
+    if (from->lease_end_ms > to->lease_end_ms) {
+        to->lease_end_ms = from->lease_end_ms;
+    }
     while ((t = TAILQ_FIRST(&from->tasks)) != NULL) {
         Worker_RemoveTask(sched, t);
         Worker_AddTask(to, t);
@@ -264,17 +268,6 @@
     }
 }
 
-/* Moves the runs of all earlier incarnations of this agent's worker. */
-static void
-inherit_earlier_runs(struct jobs_scheduler *sched, struct jobs_worker *w)
-{
-    struct jobs_worker *other = NULL;
-
-    while ((other = Worker_NextOfAgent(sched, w, other)) != NULL) {
-        inherit_runs(sched, other, w);
-    }
-}
-
 /* Stops inherited runs that the successor does not list; after the stop it
  * refuses their starts. */
 static void
@@ -283,25 +276,36 @@
     struct jobs_task *t;
 
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        if (!t->confirmed) {
+        if (t->inherited && !t->confirmed) {
             Unit_Stop(sched, t->unit, "other_lifetime");
         }
     }
 }
 
 /* Ends all earlier incarnations of this agent's worker: a machine runs one
- * worker at a time, and the present one has answered polls under its own
- * id. */
-static void
-end_earlier_incarnations(struct jobs_scheduler *sched,
-                         const struct jobs_worker *w, int64_t now_ms)
+ * worker at a time, and the present one has answered polls under its own id.
+ * Returns true when it has inherited runs.
+ *
+ * A start that was sent to an earlier incarnation with the same id may have
+ * been carried out by the present one. If its run counted as over, it would be
+ * started again. Whether the ids are the same shows in the names, so this
+ * holds whatever the agent, or an owner, has forgotten by a restart. */
+static bool
+end_earlier_incarnations(struct jobs_scheduler *sched, struct jobs_worker *w,
+                         int64_t now_ms)
 {
     struct jobs_worker *other;
+    bool inherited = false;
 
     while ((other = Worker_NextOfAgent(sched, w, NULL)) != NULL) {
+        if (Jobs_SharesId(other->id, w->id) && !TAILQ_EMPTY(&other->tasks)) {
+            inherit_runs(sched, other, w);
+            inherited = true;
+        }
         Worker_Lost(sched, other, "other_lifetime", now_ms);
         Worker_Free(sched, other);
     }
+    return inherited;
 }
 
 /* True when a report changes how the worker can be used. */
@@ -326,9 +330,7 @@
 {
     struct jobs_worker *w;
     uint64_t gone = sched->runs_over;
-    bool successor = *r->successor_of != '\0' &&
-                     Scheduler_FindWorker(sched, r->successor_of) != NULL;
-    bool news;
+    bool news, inherited;
 
     if (*r->worker == '\0') {
         return false;
@@ -337,15 +339,12 @@
     news = is_changed(sched, w, r, now_ms);
     update_worker(sched, w, r, now_ms);
     confirm_term(sched, w, r->term, now_ms);
-    if (successor) {
-        inherit_earlier_runs(sched, w);
-    }
-    end_earlier_incarnations(sched, w, now_ms);
+    inherited = end_earlier_incarnations(sched, w, now_ms);
     process_ends(sched, w, r->ended, r->ended_count, now_ms);
     for (size_t i = 0; i < r->running_count; i++) {
         process_running(sched, w, &r->running[i], now_ms);
     }
-    if (successor) {
+    if (inherited) {
         stop_unconfirmed_inherited(sched, w);
     }
     for (size_t i = 0; i < r->stopped_count; i++) {
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -23,6 +23,17 @@
 
 RB_GENERATE(jobs_agent_tree, jobs_worker, by_agent, agent_compare)
 
+/* Compares the parts before the separators. */
+bool
+Jobs_SharesId(const char *incarnation, const char *other)
+{
+    static const char separator[] = {JOBS_START_SEPARATOR, '\0'};
+    size_t len = strcspn(incarnation, separator);
+
+    return len == strcspn(other, separator) &&
+           strncmp(incarnation, other, len) == 0;
+}
+
 /* Finds an incarnation of a worker. */
 struct jobs_worker *
 Scheduler_FindWorker(const struct jobs_scheduler *sched, const char *id)
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -216,13 +216,17 @@
     int64_t worked_ms; /* time during which reports listed it as running */
 };
 
+/* An incarnation of a worker is named ID, or ID#START where workers may
+ * restart under their ids; no id contains the separator. */
+#define JOBS_START_SEPARATOR '#'
+/* True when both incarnations have the same id. Workers check only the id of
+ * an order, so each of them carries out orders that were sent to the other. */
+bool Jobs_SharesId(const char *incarnation, const char *other);
+
 /* The state of an agent's worker, in one report. */
 struct jobs_report {
     char agent[NAME_SIZE];
     char worker[JOBS_TEXT_SIZE]; /* its incarnation; "": there is no worker */
-    /* The previous incarnation, when the present one also carries out orders
-     * that were sent to it, late ones included; "": there is none. */
-    char successor_of[JOBS_TEXT_SIZE];
     char service[NAME_SIZE];
     char domain[NAME_SIZE]; /* failure domain of its machine; "": not known */
     char labels[4][JOBS_TEXT_SIZE];
--- a/packages/queue/queue-orders.c
+++ b/packages/queue/queue-orders.c
@@ -166,7 +166,6 @@
     }
     Str_Copy(r.agent, sizeof(r.agent), m->agent);
     Str_Copy(r.worker, sizeof(r.worker), m->worker);
-    Str_Copy(r.successor_of, sizeof(r.successor_of), m->heir_of);
     Str_Copy(r.service, sizeof(r.service), m->service);
     Str_Copy(r.domain, sizeof(r.domain), m->domain);
     r.capacity =
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -103,7 +103,6 @@
     Str_Copy(m->agent, sizeof(m->agent), s->name);
     Str_Copy(m->worker, sizeof(m->worker), w->current.incarnation);
     Str_Copy(m->left, sizeof(m->left), w->left);
-    Str_Copy(m->heir_of, sizeof(m->heir_of), w->successor_of);
     Str_Copy(m->service, sizeof(m->service), w->current.service);
     m->millicores = w->current.capacity.millicores;
     m->memory_mb = w->current.capacity.memory_mb;
@@ -169,22 +168,12 @@
     Watch_ForgetCurrent(w);
 }
 
-/* Replaces the present incarnation by one that carries out orders for both.
+/* Records that the present incarnation has left, and forgets it.
  *
- * A worker may restart under its id while a start is on its way. If its
- * earlier incarnation were reported as having left, its runs would be started
- * elsewhere, and the late start would be carried out as well. So reports name
- * the earlier incarnation as succeeded by the present one, and owners first
- * stop its runs on the successor. */
-static void
-hand_over(struct watch *w)
-{
-    Str_Copy(w->successor_of, sizeof(w->successor_of), w->current.incarnation);
-    Str_Copy(w->successor_id, sizeof(w->successor_id), w->current.id);
-    forget_replaced(w);
-}
-
-/* Records that the present incarnation has left, and forgets it. */
+ * This must not be done when another incarnation with the same id has replaced
+ * it: a start may be on its way, or carried out already. The runs of one that
+ * has left are started elsewhere, while owners that receive a report of its
+ * successor first stop them there. */
 static void
 end_current(struct watch *w)
 {
@@ -237,14 +226,11 @@
           KV("before", w->current.incarnation));
     if (*w->current.incarnation != '\0' &&
         strcmp(w->current.id, status->id) == 0) {
-        hand_over(w);
+        forget_replaced(w);
     }
     else if (*w->current.incarnation != '\0') {
         end_current(w);
     }
-    if (strcmp(w->successor_id, status->id) != 0) {
-        w->successor_of[0] = '\0';
-    }
     take_status(w, status);
     memset(&w->candidate, 0, sizeof(w->candidate));
     poll_worker(w);
@@ -311,7 +297,7 @@
         send_report(w, call, result);
     }
     else if (err == ERR_STALE && is_current && result->successor) {
-        hand_over(w);
+        forget_replaced(w);
     }
     else if (err == ERR_STALE && is_current) {
         /* Another incarnation answers at this address, so this one is over. */
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -68,12 +68,8 @@
     bool leaving; /* the present incarnation has announced its end */
     struct departure departure; /* of the present incarnation */
     char left[JOBS_TEXT_SIZE];  /* the last incarnation that has left */
-    /* The incarnation whose orders the present one, or the next one with the
-     * same id, also carries out; "": none. */
-    char successor_of[JOBS_TEXT_SIZE];
-    char successor_id[JOBS_TEXT_SIZE]; /* the id that both share */
-    struct wire_list ended;            /* struct wire_end, of the last poll */
-    struct wire_list crashed; /* struct wire_crash, reported for a while */
+    struct wire_list ended;     /* struct wire_end, of the last poll */
+    struct wire_list crashed;   /* struct wire_crash, reported for a while */
     /* When an owner first answered after the last crash; 0: not yet. */
     int64_t crashes_acked_ms;
     char past[PAST_INCARNATIONS][JOBS_TEXT_SIZE];
--- a/packages/wire/wire-fields.c
+++ b/packages/wire/wire-fields.c
@@ -238,7 +238,7 @@
     LIST(wire_report, stopped, stopped_table),
     NAME(wire_report, domain),
     LIST(wire_report, crashed, crash_table),
-    TEXT(wire_report, heir_of),
+    TEXT(wire_report, unused),
     U(wire_report, entries_version),
     I(wire_report, drain_left_ms),
     U(wire_report, lists)};
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -430,14 +430,12 @@
     uint64_t draining;
     uint64_t term;    /* of the owner under which the report was made */
     int64_t clock_ms; /* the worker's own clock at the report */
-    struct wire_list running; /* struct wire_run */
-    struct wire_list ended;   /* struct wire_end */
-    struct wire_list stopped; /* struct wire_stopped */
-    char domain[NAME_SIZE];   /* failure domain of the worker's machine */
-    struct wire_list crashed; /* struct wire_crash, of the last seconds */
-    /* The previous incarnation, when the present one also carries out orders
-     * that were sent to it; "": none. */
-    char heir_of[WIRE_TEXT_SIZE];
+    struct wire_list running;    /* struct wire_run */
+    struct wire_list ended;      /* struct wire_end */
+    struct wire_list stopped;    /* struct wire_stopped */
+    char domain[NAME_SIZE];      /* failure domain of the worker's machine */
+    struct wire_list crashed;    /* struct wire_crash, of the last seconds */
+    char unused[WIRE_TEXT_SIZE]; /* only agents of earlier versions set it */
     /* The list of entries that the agent last received on this link; 0: none,
      * or the agent knows no versions. */
     uint64_t entries_version;
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -262,7 +262,7 @@
         Worker &w = workers[l.worker];
 
         delayed_orders.pop_front();
-        if (w.id != l.incarnation && w.successor_of != l.incarnation) {
+        if (!Jobs_SharesId(w.id.c_str(), l.incarnation.c_str())) {
             continue;
         }
         if (l.order.verb == ORDER_START) {
@@ -360,7 +360,6 @@
         w.ended.end());
     Str_Copy(r.agent, sizeof(r.agent), w.agent.c_str());
     Str_Copy(r.worker, sizeof(r.worker), w.id.c_str());
-    Str_Copy(r.successor_of, sizeof(r.successor_of), w.successor_of.c_str());
     Str_Copy(r.service, sizeof(r.service), w.service.c_str());
     Str_Copy(r.domain, sizeof(r.domain), w.domain.c_str());
     Str_Copy(r.labels[0], sizeof(r.labels[0]), "a");
@@ -591,9 +590,11 @@
 Simulation::RestartWithSameId(size_t at)
 {
     std::string before = workers[at].id;
+    Worker &w = RestartWorker(at);
 
-    RestartWorker(at).successor_of = before;
-    return workers[at];
+    w.id = before.substr(0, before.find(JOBS_START_SEPARATOR)) +
+           JOBS_START_SEPARATOR + w.id;
+    return w;
 }
 
 void
--- a/tests/jobs-world.h
+++ b/tests/jobs-world.h
@@ -47,8 +47,6 @@
 /* One incarnation of a worker, and the agent beside it. */
 struct Worker {
     std::string id, agent, rack = "r1", service = "pool", domain = "a";
-    /* Earlier incarnation whose orders it also carries out; "": none. */
-    std::string successor_of;
     struct jobs_resources capacity = {16000, 64000, 8};
     bool up = true;
     /* When it is up again after a crash; 0: it is up. */
--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -29,3 +29,4 @@
                      "RC_PARAMS=seed=20261203 max_success=100")
 pf_test(jobs-partial-test jobs-partial-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-timeline-test jobs-timeline-test.cc jobs-world.cc PACKAGES jobs)
+pf_test(jobs-restart-test jobs-restart-test.cc jobs-world.cc PACKAGES jobs)
