jobs: a start that no report has shown may hold a whole lease

Callers could see a task run on two workers at the same time (TWICE).

Cause: deadlines and leases are times on the worker's clock, which begins anew with each incarnation. The worker shortens a deadline that is far away to the longest lease, counted from when it carries the start out; the owner counted from the last report, from before the restart.

The owner now waits for a lease and a second from when the start was last sent, if no report has shown the run since. A new owner adds the second to what it waits for, as it doesn't know when the one before sent its last start. This suffices as an agent calls its worker within 0.6 s of an order, and as a run that a report has shown is bounded by the granted lease.

JobsRestart.ARunIsNotStartedElsewhereWithinTheLeaseOfASuccessor failed before for delays of the start of 400 ms or more (of 40 to 1,000), and with another owner for 424 ms or more, without the second there.

--- a/packages/jobs/jobs-order.c
+++ b/packages/jobs/jobs-order.c
@@ -109,6 +109,7 @@
     o->payload = u->job->spec.payload;
     o->checkpoint = u->checkpoint;
     o->ticket = u->job->qos.asks_advice ? Advice_Ticket(u, w) : "";
+    t->start_ordered_ms = now_ms;
     late_ms =
         now_ms + (int64_t)((double)sched->limits.start_ms * LEASE_STRETCH);
     w->lease_end_ms = late_ms > w->lease_end_ms ? late_ms : w->lease_end_ms;
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -153,6 +153,30 @@
     }
 }
 
+/* Returns until when a worker that doesn't report may have runs.
+ *
+ * A start that no report has shown may be carried out by an incarnation that
+ * has restarted under the same id. By its clock, which has begun anew, the
+ * start's deadline and the granted lease are far away, and it holds the run
+ * for as long as a lease may last. */
+static int64_t
+runs_end_ms(const struct jobs_scheduler *sched, const struct jobs_worker *w)
+{
+    int64_t lease_ms =
+        (int64_t)((double)sched->limits.lease_ms * LEASE_STRETCH);
+    int64_t end_ms = w->lease_end_ms;
+    const struct jobs_task *t;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        int64_t last_ms = t->start_ordered_ms + JOBS_ORDER_LATE_MS + lease_ms;
+
+        if (!t->confirmed && t->start_ordered_ms != 0 && last_ms > end_ms) {
+            end_ms = last_ms;
+        }
+    }
+    return end_ms;
+}
+
 /* Ends the runs of workers that have not reported and whose leases have
  * expired. */
 static void
@@ -165,7 +189,7 @@
         w->reserved = (struct jobs_resources){0};
         Timeline_Clear(w);
         if (now_ms - w->report_ms <= sched->limits.silent_ms ||
-            now_ms <= w->lease_end_ms) {
+            now_ms <= runs_end_ms(sched, w)) {
             continue;
         }
         Worker_Lost(sched, w, "lease_over", now_ms);
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -30,9 +30,10 @@
     int64_t assigned_ms;
     bool inherited;     /* taken over from another scheduler or incarnation */
     int64_t ordered_ms; /* when an order was last sent; 0: not yet */
-    bool remote;        /* away from its data or the rest of its gang */
-    int64_t percent;    /* of its work, as last reported; -1: not yet */
-    int64_t progressed_ms; /* when the percent last changed */
+    int64_t start_ordered_ms; /* when its start was last sent; 0: not yet */
+    bool remote;              /* away from its data or the rest of its gang */
+    int64_t percent;          /* of its work, as last reported; -1: not yet */
+    int64_t progressed_ms;    /* when the percent last changed */
     /* Start of the interval in which the pace is measured, by the worker's
      * clock. */
     int64_t pace_from_percent;
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -131,6 +131,7 @@
     t->worker = w;
     t->confirmed = false;
     t->ordered_ms = 0;
+    t->start_ordered_ms = 0;
     t->percent = -1;
     t->pace_from_percent = 0;
     t->pace_from_clock_ms = 0;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -270,6 +270,11 @@
     bool shares;     /* fair shares between organisations */
 };
 
+/* Longest time from a start's order until its worker carries it out, but for
+ * workers that are late themselves: of the message, and of the agent's call.
+ */
+#define JOBS_ORDER_LATE_MS 1000
+
 /* Parameters of a scheduler. */
 struct jobs_limits {
     uint64_t term;        /* of the owner that runs the scheduler */
--- a/packages/queue/queue-leader-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -127,7 +127,8 @@
         LOG_I("previous_owner_ended", KV("entry", o->predecessor_name));
         o->predecessor_name[0] = '\0';
         Jobs_OwnerEnded(o->scheduler, Clock_NowMs() + s->hosted.lease_ms +
-                                          s->hosted.lease_ms / 20);
+                                          s->hosted.lease_ms / 20 +
+                                          JOBS_ORDER_LATE_MS);
     }
 }
 
--- a/packages/queue/queue-rows.c
+++ b/packages/queue/queue-rows.c
@@ -153,7 +153,8 @@
         .parts = parts_of(&s->hosted.scheduling),
     };
     int64_t now = Clock_NowMs();
-    int64_t leases_end_ms = now + limits.lease_ms + limits.lease_ms / 20;
+    int64_t leases_end_ms =
+        now + limits.lease_ms + limits.lease_ms / 20 + JOBS_ORDER_LATE_MS;
 
     o->scheduler = Jobs_New(&limits);
     if (o->config != NULL) {
--- a/tests/jobs-restart-test.cc
+++ b/tests/jobs-restart-test.cc
@@ -94,6 +94,33 @@
     EXPECT_TRUE(sim.violations.empty());
 }
 
+/* Guards against a task that runs on two workers: one restarted, carried out a
+ * start that was meant for its former incarnation, under a lease that no owner
+ * has granted, and is cut off. */
+TEST(JobsRestart, ARunIsNotStartedElsewhereWithinTheLeaseOfASuccessor)
+{
+    for (int i = 0; i < 12; i++) {
+        int64_t delay_ms = 40 + 192 * (i / 2);
+        Simulation sim(2);
+
+        sim.behaviours["a"].work_ms = 20000;
+        sim.order_delay_ms = delay_ms;
+        sim.Submit(sim.Spec("a", 1, 8));
+        sim.Ticks(1);
+        sim.order_delay_ms = 0;
+        ASSERT_EQ(sim.delayed_orders.size(), 1u);
+        sim.RestartWithSameId(sim.delayed_orders[0].worker).reachable = false;
+        if (i % 2 == 1) {
+            sim.TakeOver();
+        }
+        sim.Ticks(1600);
+        EXPECT_TRUE(sim.violations.empty())
+            << delay_ms << ", " << i % 2 << ": " << sim.violations[0];
+        EXPECT_EQ(sim.State("a"), JOB_COMPLETED) << delay_ms;
+        EXPECT_EQ(sim.Starts("a.0.0.0"), 2) << delay_ms;
+    }
+}
+
 struct IdCase {
     const char *a, *b;
     bool same;
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -266,7 +266,11 @@
             continue;
         }
         if (l.order.verb == ORDER_START) {
-            Start(w, l.order.task, l.order.run, l.checkpoint, l.order.until_ms,
+            /* By a clock that starts anew, each deadline is far away: a worker
+             * shortens it to the longest lease. */
+            Start(w, l.order.task, l.order.run, l.checkpoint,
+                  w.id == l.incarnation ? l.order.until_ms
+                                        : now + limits.lease_ms,
                   l.term);
         }
         else {
@@ -545,7 +549,8 @@
 void
 Simulation::TakeOver(bool before_ended)
 {
-    int64_t lost = now + limits.lease_ms + limits.lease_ms / 20;
+    int64_t lost =
+        now + limits.lease_ms + limits.lease_ms / 20 + JOBS_ORDER_LATE_MS;
 
     Jobs_Free(scheduler);
     limits.term = ++term;
