runs: a worker that announced its end isn't gone while a start is open

Callers could see a task run twice. A start that was sent just before has no answer yet, and the next incarnation under the same id carries it out.

That a start is open was asked only where a departure is concluded from a notice and refusals. It is asked in both cases now, and only of starts: a stop that comes late harms nothing, and must not delay the conclusion.

WatchTest.AWorkerThatLeavesIsNotGoneWhileAStartIsOpen found no worker present before. No run of the programs has shown the fault.

--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -190,14 +190,15 @@
                        Clock_NowMs());
 }
 
-/* True when an order to an incarnation has not been answered yet. */
+/* True when a start at an incarnation has not been answered yet. */
 static bool
-has_open_order(const struct watch *w, const char *incarnation)
+has_open_start(const struct watch *w, const char *incarnation)
 {
     const struct order_call *call;
 
     TAILQ_FOREACH (call, &w->calls, entry) {
-        if (strcmp(call->incarnation, incarnation) == 0) {
+        if (call->verb == WIRE_START_RUN &&
+            strcmp(call->incarnation, incarnation) == 0) {
             return true;
         }
     }
@@ -206,15 +207,15 @@
 
 /* True when a poll that could not be sent shows that the present incarnation
  * is gone: after it announced its end, or with all signs of a departure. An
- * open order might still reach a worker that starts under the same id. */
+ * open start might still reach a worker that restarts under the same id. */
 static bool
 is_gone(const struct watch *w, const char *incarnation)
 {
     const struct agent_settings *s = w->task.kernel->settings;
 
-    return w->leaving || (s->hosted.scheduling.departures &&
-                          Departure_IsOver(&w->departure, Clock_NowMs()) &&
-                          !has_open_order(w, incarnation));
+    return !has_open_start(w, incarnation) &&
+           (w->leaving || (s->hosted.scheduling.departures &&
+                           Departure_IsOver(&w->departure, Clock_NowMs())));
 }
 
 /* Makes the incarnation of a status report the present one. The report may be
--- a/tests/runs-watch-test.cc
+++ b/tests/runs-watch-test.cc
@@ -70,6 +70,7 @@
         starts.clear();
         Runs_SetPlatform(&platform);
         Str_Copy(settings.name, sizeof(settings.name), "agent-1");
+        settings.file = no_file;
         settings.hosted.scheduling.departures = true;
         Kernel_Init(&kernel, "agent-1", &settings, 100);
         kernel.profile = PROFILE_HOSTED;
@@ -178,6 +179,7 @@
         return name;
     }
 
+    char no_file[1] = "";
     struct agent_settings settings = {};
     struct kernel kernel = {};
     struct task *watch = nullptr;
@@ -205,4 +207,22 @@
     }
 }
 
+/* Guards against a task that runs twice: its worker announces its end and is
+ * gone, but restarts under its id while a start is open, and carries that
+ * out. */
+TEST_F(WatchTest, AWorkerThatLeavesIsNotGoneWhileAStartIsOpen)
+{
+    SendStart("a.0.0.0", 5000);
+    ASSERT_TRUE(RunUntil([] { return !starts.empty(); }));
+    SendStatus("i-1#5", true);
+    ASSERT_TRUE(RunUntil(
+        [&] { return TAILQ_EMPTY(&kernel.mailbox) && !polls.empty(); }));
+    Answer(ERR_UNREACHABLE);
+    EXPECT_EQ(Present(), "i-1#5");
+    starts[0].done(starts[0].arg, ERR_UNREACHABLE, "");
+    ASSERT_TRUE(RunUntil([] { return !polls.empty(); }));
+    Answer(ERR_UNREACHABLE);
+    EXPECT_EQ(Present(), "");
+}
+
 } /* namespace */
