runs: an agent refuses a start whose deadline has passed

Callers could see a task run twice. Its worker refuses starts after their deadline, but by a clock that has begun anew if the worker has restarted under the same id; by then the task runs elsewhere.

The agent now compares the deadline with the clock of the incarnation that the start is meant for, counted on from that incarnation's last answer, and refuses the start as the worker would. This suffices as the deadline lies within the lease that the owner waits for.

WatchTest.AStartAfterItsDeadlineDoesNotReachTheWorker saw both starts at the worker before, and only the one in time now. No run of the programs has shown the fault.

--- a/packages/runs/runs-orders.c
+++ b/packages/runs/runs-orders.c
@@ -107,6 +107,29 @@
     free(c);
 }
 
+/* Refuses a start without asking the worker. */
+static void
+refuse_start(struct watch *w, const struct wire_order *order,
+             const char *reason)
+{
+    struct order_call refused = {.run = order->run};
+
+    Str_Copy(refused.incarnation, sizeof(refused.incarnation),
+             w->current.incarnation);
+    Str_Copy(refused.task, sizeof(refused.task), order->task);
+    send_refused(w, &refused, reason);
+}
+
+/* True when the deadline of a start has passed by the clock of the incarnation
+ * that it is meant for. The worker checks the same, but by a clock that has
+ * begun anew if it has restarted under the same id. */
+static bool
+is_late(const struct watch *w, const struct wire_order *order)
+{
+    return w->clock_at_ms != 0 &&
+           order->until_ms <= w->clock_ms + Clock_NowMs() - w->clock_at_ms;
+}
+
 /* Carries out one order of the owner. */
 void
 Orders_Execute(struct watch *w, const struct wire_order *order)
@@ -130,12 +153,11 @@
     /* Once the worker's announcement that it leaves is confirmed, no run
      * starts there, even if the owner was not aware of it yet. */
     if (order->verb == WIRE_START_RUN && (w->current.draining || w->leaving)) {
-        struct order_call refused = {.run = order->run};
-
-        Str_Copy(refused.incarnation, sizeof(refused.incarnation),
-                 w->current.incarnation);
-        Str_Copy(refused.task, sizeof(refused.task), order->task);
-        send_refused(w, &refused, "draining");
+        refuse_start(w, order, "draining");
+        return;
+    }
+    if (order->verb == WIRE_START_RUN && is_late(w, order)) {
+        refuse_start(w, order, "late");
         return;
     }
     c = Mem_Zero(1, sizeof(*c));
--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -295,6 +295,8 @@
                          Clock_NowMs());
     }
     if (err == ERR_OK && is_current) {
+        w->clock_ms = result->clock_ms;
+        w->clock_at_ms = Clock_NowMs();
         Present_Listed(w, result, call->sent_ms);
         send_report(w, call, result);
     }
@@ -445,6 +447,7 @@
     w->is_answering = false;
     w->last_seen = 0;
     w->until_ms = 0;
+    w->clock_at_ms = 0;
     while ((s = TAILQ_FIRST(&w->stops)) != NULL) {
         TAILQ_REMOVE(&w->stops, s, entry);
         free(s);
--- a/packages/runs/runs-watch.h
+++ b/packages/runs/runs-watch.h
@@ -74,9 +74,11 @@
     int64_t crashes_acked_ms;
     char past[PAST_INCARNATIONS][JOBS_TEXT_SIZE];
     size_t past_next;
-    uint64_t term;      /* highest term of an owner so far */
-    uint64_t last_seen; /* number of the last end that is stored */
-    int64_t until_ms;   /* end of the leases, by the worker's clock */
+    uint64_t term;       /* highest term of an owner so far */
+    uint64_t last_seen;  /* number of the last end that is stored */
+    int64_t until_ms;    /* end of the leases, by the worker's clock */
+    int64_t clock_ms;    /* the worker's clock at clock_at_ms */
+    int64_t clock_at_ms; /* when it was last reported; 0: not yet */
     bool polling;
     bool is_answering; /* the present incarnation answered its last poll */
     uint64_t polls;
--- a/tests/runs-watch-test.cc
+++ b/tests/runs-watch-test.cc
@@ -225,4 +225,16 @@
     EXPECT_EQ(Present(), "");
 }
 
+/* Guards against a task that runs twice: an agent was stopped for longer than
+ * a lease, receives a start from before, and its worker has restarted under
+ * its id, so that the deadline is far away by the worker's clock. */
+TEST_F(WatchTest, AStartAfterItsDeadlineDoesNotReachTheWorker)
+{
+    SendStart("late.0.0.0", 1000);
+    SendStart("in-time.0.0.0", 60000);
+    ASSERT_TRUE(RunUntil([] { return !starts.empty(); }));
+    ASSERT_EQ(starts.size(), 1u);
+    EXPECT_EQ(starts[0].task, "in-time.0.0.0");
+}
+
 } /* namespace */
