jobs: a new owner knows that a gang's failed run is counted

Callers could see a job as failed after fewer failed runs than its queue allows (LOST). That the run is counted was in the memory of the owner alone, so its successor counted it again.

The row now has it, as a second flag in the number that tells whether the unit has begun. The length of a row stays; owners of earlier versions read any number but 0 as begun.

JobsRestart.AFailedRunOfAGangIsCountedOnceByAllOwners gave the job up after one of two runs with another owner before, and completes it now.

--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -26,6 +26,11 @@
  * over. */
 #define BLAMED_MAX 160
 
+/* What a row has of a unit's present run, in one number. Owners of earlier
+ * versions take any number but 0 for ROW_BEGUN. */
+#define ROW_BEGUN 1
+#define ROW_FAILURE_COUNTED 2
+
 /* The workers that a row refers to by number. */
 struct row_workers {
     json_t *names;   /* [[agent, incarnation], ...] */
@@ -133,6 +138,16 @@
     json_decref(tasks);
 }
 
+/* Returns the flags of a unit's present run. That its failure is counted must
+ * not be forgotten: other members of a gang may still be listed as failed, and
+ * the next owner would count them as further runs. */
+static int
+run_flags(const struct jobs_unit *u)
+{
+    return (u->begun ? ROW_BEGUN : 0) |
+           (u->failure_counted ? ROW_FAILURE_COUNTED : 0);
+}
+
 /* Writes the progress of a job. Units that never started are left out, done
  * units are written as ranges, and workers as numbers, so that a job of
  * thousands of tasks fits into a row. */
@@ -154,7 +169,7 @@
         }
         row = json_pack("[i,i,i,i,I,i,i,s,o]", (int)u->occurrence,
                         (int)u->step, (int)u->tasks[0].index, (int)u->state,
-                        (json_int_t)u->run, (int)u->failures, (int)u->begun,
+                        (json_int_t)u->run, (int)u->failures, run_flags(u),
                         u->checkpoint, encode_tasks(u, &workers));
         add_crashes(row, u, &blamed_room);
         json_array_append_new(units, row);
@@ -327,14 +342,14 @@
 decode_unit(struct jobs_scheduler *sched, struct jobs_job *j, json_t *row,
             const json_t *workers)
 {
-    int occurrence, step, first, state, failures, begun;
+    int occurrence, step, first, state, failures, flags;
     const char *checkpoint;
     struct jobs_unit *u;
     json_int_t run;
     json_t *tasks;
 
     if (json_unpack(row, "[i,i,i,i,I,i,i,s,o]", &occurrence, &step, &first,
-                    &state, &run, &failures, &begun, &checkpoint,
+                    &state, &run, &failures, &flags, &checkpoint,
                     &tasks) != 0 ||
         state < 0 || state > UNIT_FAILED || run < 0 || failures < 0 ||
         strlen(checkpoint) >= JOBS_TEXT_SIZE ||
@@ -346,7 +361,8 @@
     u->state = (enum unit_state)state;
     u->run = (uint64_t)run;
     u->failures = (uint32_t)failures;
-    u->begun = begun != 0;
+    u->begun = (flags & ROW_BEGUN) != 0;
+    u->failure_counted = (flags & ROW_FAILURE_COUNTED) != 0;
     Str_Copy(u->checkpoint, sizeof(u->checkpoint), checkpoint);
     return decode_tasks(sched, u, tasks, workers);
 }
--- a/tests/jobs-restart-test.cc
+++ b/tests/jobs-restart-test.cc
@@ -121,6 +121,39 @@
     }
 }
 
+/* Guards against a job that is given up too early: two members of a gang have
+ * failed in one run, and an owner that takes over between the two ends counts
+ * the run twice. */
+TEST(JobsRestart, AFailedRunOfAGangIsCountedOnceByAllOwners)
+{
+    for (bool takes_over : {false, true}) {
+        Simulation sim(1, "batch:2:2");
+        struct jobs_spec s = sim.Spec("a", 2, 1);
+        Worker &w = sim.workers[0];
+
+        s.steps[0].gang = true;
+        sim.behaviours["a"].gang = 2;
+        sim.behaviours["a"].failures = 1;
+        sim.Submit(s);
+        sim.Ticks(20);
+        w.reachable = false;
+        sim.Ticks(40);
+        ASSERT_EQ(w.ended.size(), 2u);
+        w.ended[0].how = w.ended[1].how = END_FAILED;
+        w.ends_listed_max = 1;
+        w.reachable = true;
+        sim.Tick();
+        if (takes_over) {
+            sim.TakeOver();
+        }
+        sim.Ticks(2);
+        w.ends_listed_max = 500;
+        sim.Ticks(200);
+        EXPECT_EQ(sim.Starts("a.0.0.0"), 2) << takes_over;
+        EXPECT_EQ(sim.State("a"), JOB_COMPLETED) << takes_over;
+    }
+}
+
 struct IdCase {
     const char *a, *b;
     bool same;
