jobs: the limit after a quarantine counts units, and only young runs

Cause: after a quarantine a worker got one task at a time until one had ended as done. A gang needs all its places at once, so it could not start there, and nothing else could lift the limit but the end of the memory of the quarantine, after 60 s. A long run took the only place from all other work for as long as it worked.

The limit now counts units, and of the runs only those in their first 2 s; a run that works for longer raises the trust like one that ends as done. This suffices as any unit that needs the worker can start on it, and each trial ends or is over after 2 s. Workers that fail early still get one unit at a time.

--- a/packages/jobs/jobs-choose.c
+++ b/packages/jobs/jobs-choose.c
@@ -13,8 +13,7 @@
 static bool
 may_add(const struct place_candidate *c, const struct jobs_step *step)
 {
-    return c->assigned < c->most &&
-           (step->spread == 0 || c->assigned + c->same_step < step->spread);
+    return step->spread == 0 || c->assigned + c->same_step < step->spread;
 }
 
 /* True when one more task fits on a candidate. */
--- a/packages/jobs/jobs-later.c
+++ b/packages/jobs/jobs-later.c
@@ -113,9 +113,7 @@
 
         if (Choose_IsAllowed(a, c, rack)) {
             p->rooms[p->room_count++] = (struct preempt_room){
-                .worker = c->worker,
-                .free = c->room,
-                .limit = limit < c->most ? limit : c->most};
+                .worker = c->worker, .free = c->room, .limit = limit};
         }
     }
 }
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -126,13 +126,14 @@
 }
 
 /* True when a worker may run the step, an adviser approves it where one is
- * asked, and no run there is on probation. */
+ * asked, no run there is on probation, and the worker is trusted with one more
+ * unit. */
 static bool
 is_eligible(const struct jobs_scheduler *sched, const struct jobs_worker *w,
             const struct jobs_unit *u, int64_t now_ms)
 {
     return w->on_probation == 0 && Place_MayRun(sched, w, u, now_ms) &&
-           Advice_Allows(u, w, now_ms);
+           Trust_MayStart(sched, w, now_ms) && Advice_Allows(u, w, now_ms);
 }
 
 /* Counts the tasks of the unit's step and occurrence that are on a worker. */
@@ -300,8 +301,7 @@
                 .worker = w,
                 .unpreferred = is_unpreferred(sched, a, w),
                 .bad_neighbour = -1,
-                .same_step = limited ? count_same(w, a->unit) : 0,
-                .most = Trust_MoreRuns(sched, w, now_ms)};
+                .same_step = limited ? count_same(w, a->unit) : 0};
         }
     }
     if (has_last_attempt(a->unit)) {
@@ -507,7 +507,7 @@
     struct jobs_unit *unit = (struct jobs_unit *)u;
     struct place_attempt a = {
         .unit = unit, .room = ROOM_NOW, .now_ms = now_ms, .length_factor = 1};
-    struct place_candidate c = {.free = room_on(w, &a), .most = 1};
+    struct place_candidate c = {.free = room_on(w, &a)};
 
     return Choose_Fits(&c, Unit_Step(u));
 }
--- a/packages/jobs/jobs-place.h
+++ b/packages/jobs/jobs-place.h
@@ -33,7 +33,6 @@
     /* Other tasks of its step on the worker, where the step limits them. */
     uint32_t same_step;
     int bad_neighbour; /* 1: other workers are better if equal; -1: unknown */
-    uint32_t most;     /* tasks of this unit that the worker is trusted with */
     double cost;       /* of the evictions for the assigned tasks */
     double next_cost;  /* of one task more; COST_UNKNOWN */
     int64_t strands;   /* by one task more; STRANDS_UNKNOWN */
--- a/packages/jobs/jobs-report.c
+++ b/packages/jobs/jobs-report.c
@@ -182,6 +182,7 @@
     t->listed_clock_ms = w->clock_ms;
     t->tail_latency_ms = r->tail_latency_ms;
     Blame_RunListed(t, now_ms);
+    Trust_RunListed(sched, w, t, now_ms);
     if (!u->begun) {
         u->begun = true;
         Scheduler_MarkDirty(u->job);
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -53,6 +53,7 @@
     uint32_t crashes;     /* workers that crashed with a run of it */
     uint64_t crashed_run; /* the last of these runs; 0: none */
     bool on_probation;    /* no other run may start on its worker */
+    bool proven;          /* its run has raised the trust in its worker */
     TAILQ_ENTRY(jobs_task) on_worker;
 };
 
@@ -194,7 +195,7 @@
     int64_t full_until_ms;       /* it refused a start, as it had no room */
     int64_t quarantine_until_ms; /* it fails what it starts */
     int64_t quarantine_ms;       /* length of the last one; 0: none yet */
-    uint32_t runs_at_a_time;     /* after a quarantine; 0: all that fit */
+    uint32_t runs_at_a_time; /* units, after a quarantine; 0: all that fit */
     int64_t last_success_ms; /* when a run last ended as done; 0: not yet */
     int64_t slow_until_ms;   /* runs take far longer there than elsewhere */
     struct machine_speed *machine; /* NULL: it counts as of speed 1 */
@@ -376,15 +377,16 @@
 
 /* ---- jobs-trust.c */
 void Trust_RunEnded(struct jobs_scheduler *sched, struct jobs_worker *w,
-                    const struct jobs_task *t, enum jobs_end how,
-                    int64_t now_ms);
+                    struct jobs_task *t, enum jobs_end how, int64_t now_ms);
+void Trust_RunListed(struct jobs_scheduler *sched, struct jobs_worker *w,
+                     struct jobs_task *t, int64_t now_ms);
 /* True when a quarantine keeps the unit off the worker. */
 bool Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
                     int64_t now_ms);
 bool Trust_IsRegaining(const struct jobs_scheduler *sched,
                        const struct jobs_worker *w, int64_t now_ms);
-uint32_t Trust_MoreRuns(const struct jobs_scheduler *sched,
-                        const struct jobs_worker *w, int64_t now_ms);
+bool Trust_MayStart(const struct jobs_scheduler *sched,
+                    const struct jobs_worker *w, int64_t now_ms);
 
 /* ---- jobs-domain.c */
 /* True when nothing may start on a worker because its failure domain is
--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -14,10 +14,10 @@
 /* A run that fails within this fraction of its work fails early. Tasks that
  * fail by their own fault do so after most of their work, or on any worker. */
 #define EARLY_FAILURE_DIVISOR 4
-/* Tasks of a service may fail at any time. A failure counts against the worker
- * only within this time after the start; a task that has run for longer counts
- * as at work. */
-#define LASTING_EARLY_MS 2000
+/* A run that has worked for this long shows that its worker runs tasks. Tasks
+ * of a service may fail at any time, so failures of theirs count against the
+ * worker only before it. */
+#define PROVEN_MS 2000
 /* One early failure is enough for a quarantine only while fewer than one in
  * this many workers is in quarantine. Where more fail, the workers are not the
  * cause. */
@@ -54,8 +54,7 @@
 static bool
 is_late_failure_of_service(const struct jobs_task *t, int64_t now_ms)
 {
-    return Unit_Step(t->unit)->lasting &&
-           now_ms - t->assigned_ms > LASTING_EARLY_MS;
+    return Unit_Step(t->unit)->lasting && now_ms - t->assigned_ms > PROVEN_MS;
 }
 
 /* True for a failure that is enough to put its worker into quarantine. */
@@ -97,15 +96,16 @@
     sched->quarantined_ms = now_ms;
 }
 
-/* Gives a worker more trust after a run that ended as done: one run at a time,
- * then two, then all that fit. */
+/* Gives a worker more trust, once for each run that shows that it runs tasks:
+ * one unit at a time, then two, then all that fit. */
 static void
 raise_trust(struct jobs_scheduler *sched, struct jobs_worker *w,
-            int64_t now_ms)
+            struct jobs_task *t, int64_t now_ms)
 {
-    if (!Trust_IsRegaining(sched, w, now_ms)) {
+    if (t->proven || !Trust_IsRegaining(sched, w, now_ms)) {
         return;
     }
+    t->proven = true;
     w->runs_at_a_time = w->runs_at_a_time == 1 ? 2 : 0;
     Event_Worker(sched, w, "regains_trust")->number = w->runs_at_a_time;
 }
@@ -138,24 +138,58 @@
            (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS);
 }
 
-/* Returns how many more runs may start on the worker. Tasks of a service that
- * have been at work there don't count: they never end as done, and would take
- * the only place for as long as the quarantine is remembered. */
-uint32_t
-Trust_MoreRuns(const struct jobs_scheduler *sched, const struct jobs_worker *w,
+/* True for a run that may still show whether its worker runs tasks. */
+static bool
+is_trial(const struct jobs_task *t, int64_t now_ms)
+{
+    return !t->confirmed || now_ms - t->assigned_ms <= PROVEN_MS;
+}
+
+/* True for the first of its unit's tasks on their worker. */
+static bool
+is_first_of_unit(const struct jobs_task *t)
+{
+    const struct jobs_unit *u = t->unit;
+
+    for (uint32_t i = 0; &u->tasks[i] != t; i++) {
+        if (u->tasks[i].worker == t->worker) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* True when one more unit may start on the worker. The limit counts units: a
+ * gang needs all its places at once, so it could never start, and never show
+ * that the only worker for it is sound, if the limit counted its tasks. Runs
+ * that have been at work don't count: they may never end as done, and would
+ * take the only place from all other work that needs the worker. */
+bool
+Trust_MayStart(const struct jobs_scheduler *sched, const struct jobs_worker *w,
                int64_t now_ms)
 {
     const struct jobs_task *t;
     uint32_t n = 0;
 
     if (!Trust_IsRegaining(sched, w, now_ms)) {
-        return UINT32_MAX;
+        return true;
     }
     TAILQ_FOREACH (t, &w->tasks, on_worker) {
-        n += !t->confirmed || !Unit_Step(t->unit)->lasting ||
-             now_ms - t->assigned_ms <= LASTING_EARLY_MS;
+        n += is_trial(t, now_ms) && is_first_of_unit(t);
+    }
+    return n < w->runs_at_a_time;
+}
+
+/* Handles a report that lists a run as running. Without this, trust would
+ * return only with runs that end as done, which long ones and tasks of a
+ * service don't do in time, or ever. */
+void
+Trust_RunListed(struct jobs_scheduler *sched, struct jobs_worker *w,
+                struct jobs_task *t, int64_t now_ms)
+{
+    if (now_ms - t->assigned_ms > PROVEN_MS && !t->unit->stopping) {
+        raise_trust(sched, w, t, now_ms);
     }
-    return n < w->runs_at_a_time ? w->runs_at_a_time - n : 0;
 }
 
 /* Updates the health of a worker with an end. A worker that fails whatever it
@@ -169,14 +203,14 @@
  * clears the count, so sound workers stay in use. */
 void
 Trust_RunEnded(struct jobs_scheduler *sched, struct jobs_worker *w,
-               const struct jobs_task *t, enum jobs_end how, int64_t now_ms)
+               struct jobs_task *t, enum jobs_end how, int64_t now_ms)
 {
     if (how == END_DONE) {
         w->failures_in_row = 0;
         if (w->quarantine_until_ms > now_ms) {
             w->quarantine_until_ms = now_ms;
         }
-        raise_trust(sched, w, now_ms);
+        raise_trust(sched, w, t, now_ms);
         w->last_success_ms = now_ms;
     }
     if (how != END_FAILED || is_late_failure_of_service(t, now_ms) ||
--- a/packages/jobs/jobs-worker.c
+++ b/packages/jobs/jobs-worker.c
@@ -132,6 +132,7 @@
     t->confirmed = false;
     t->ordered_ms = 0;
     t->start_ordered_ms = 0;
+    t->proven = false;
     t->percent = -1;
     t->pace_from_percent = 0;
     t->pace_from_clock_ms = 0;
--- a/tests/jobs-health-test.cc
+++ b/tests/jobs-health-test.cc
@@ -265,4 +265,87 @@
     }
 }
 
+/* A worker's quarantine, and a job that only that worker can run. */
+struct OnlyWorkerCase {
+    const char *what;
+    uint32_t first_tasks; /* of a job that starts before it; 0: none */
+    int64_t first_ms;     /* length of its runs */
+    uint32_t tasks;
+    bool gang;
+    uint32_t pool; /* workers with its label, all in quarantine before */
+    bool lasting;
+};
+
+/* Guards against work that waits for a minute, as the only workers for it have
+ * failed before: they get one task at a time until one has ended as done, and
+ * the work is a gang, or a long run takes the only place. */
+TEST(JobsHealth, AWorkerThatRegainsTrustRunsTheWorkThatNeedsIt)
+{
+    static const OnlyWorkerCase cases[] = {
+        {"a gang", 0, 0, 4, true, 1, false},
+        {"a gang of all places", 0, 0, 8, true, 1, false},
+        {"a gang across a pool", 0, 0, 16, true, 2, false},
+        {"a gang behind a long run", 1, 60000, 4, true, 1, false},
+        {"a task behind a long run", 1, 60000, 1, false, 1, false},
+        {"a task behind two long runs", 2, 60000, 1, false, 1, false},
+        {"a task behind a gang", 4, 60000, 1, false, 1, false},
+        {"a service behind a long run", 1, 60000, 1, false, 1, true},
+        {"a gang of services", 0, 0, 4, true, 1, true},
+    };
+
+    for (const OnlyWorkerCase &c : cases) {
+        Simulation sim(8, "batch:2:3", DEPARTURES);
+        struct jobs_spec first = sim.Spec("first", c.first_tasks, 1);
+        struct jobs_spec s = sim.Spec("aa", c.tasks, 1);
+        int waited = 0;
+
+        for (struct jobs_spec *x : {&first, &s}) {
+            Str_Copy(x->steps[0].label, sizeof(x->steps[0].label), "special");
+        }
+        for (uint32_t i = 0; i < c.pool; i++) {
+            struct jobs_spec probe =
+                sim.Spec("probe" + std::to_string(i), 1, 8);
+
+            Str_Copy(probe.steps[0].label, sizeof(probe.steps[0].label),
+                     "special");
+            sim.workers[7 - i].rack = "special";
+            sim.workers[7 - i].fails_at_once = true;
+            sim.Submit(probe);
+        }
+        sim.Ticks(20);
+        ASSERT_EQ(Events(sim, "fails_all"), static_cast<int>(c.pool))
+            << c.what;
+        for (uint32_t i = 0; i < c.pool; i++) {
+            sim.Cancel("probe" + std::to_string(i));
+        }
+        for (Worker &w : sim.workers) {
+            w.fails_at_once = false;
+        }
+        sim.Ticks(220);
+        first.steps[0].gang = c.first_tasks > 2;
+        sim.behaviours["first"].gang =
+            c.first_tasks > 2 ? static_cast<int>(c.first_tasks) : 1;
+        sim.behaviours["first"].work_ms = c.first_ms;
+        if (c.first_tasks > 0) {
+            sim.Submit(first);
+            sim.Ticks(4);
+        }
+        else {
+            JobsSpec_Clear(&first);
+        }
+        s.steps[0].gang = c.gang;
+        s.steps[0].lasting = c.lasting;
+        sim.behaviours["aa"].gang = c.gang ? static_cast<int>(c.tasks) : 1;
+        sim.behaviours["aa"].lasting = c.lasting;
+        sim.Submit(s);
+        while (sim.Starts("aa.0.0.0") == 0 && waited < 10000) {
+            sim.Tick();
+            waited += 20;
+        }
+        /* Work that has a place may wait for 3 s. */
+        EXPECT_LE(waited, 3000) << c.what;
+        EXPECT_TRUE(sim.violations.empty()) << c.what;
+    }
+}
+
 } /* namespace */
