jobs: a last attempt waits only for workers that can run it

Cause: a unit whose next failure fails its job leaves out workers that regain trust if there is any other worker, even one that is too small, full of services, or not enough for its gang. Only work on the worker lifts that limit before its 60 s are over.

Such workers are left out now only while the others can run the unit when the runs there that end have ended, and not for more than 2 s while half of the service is idle. So a unit that needs the worker gets it, and one in a busy service still waits for a better one. Units of a step with different numbers of failures no longer count as alike in a pass.

--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -257,9 +257,56 @@
     a->patient_band = a->by_speed ? patient_band_of(a->unit, a->now_ms) : 0;
 }
 
+/* Returns how many tasks of the unit fit on a worker once all runs there that
+ * end by themselves have ended. */
+static uint32_t
+fit_when_idle(const struct jobs_worker *w, const struct jobs_unit *u)
+{
+    struct jobs_resources need = Unit_Resources(u), free = w->capacity;
+    uint32_t spread = Unit_Step(u)->spread, n = 0;
+    const struct jobs_task *t;
+
+    TAILQ_FOREACH (t, &w->tasks, on_worker) {
+        struct jobs_resources used = Unit_Resources(t->unit);
+
+        if (Unit_Step(t->unit)->lasting && !t->unit->stopping) {
+            Resources_Add(&free, &used, -1);
+        }
+    }
+    while (n < u->task_count && (spread == 0 || n < spread) &&
+           free.millicores >= need.millicores &&
+           free.memory_mb >= need.memory_mb &&
+           free.accelerators >= need.accelerators) {
+        Resources_Add(&free, &need, -1);
+        n++;
+    }
+    return n;
+}
+
+/* True when a unit should wait for the first n candidates, instead of using
+ * workers that are not trusted: they can run it sooner or later, and it has
+ * not waited for long or they are busy because the service is. */
+static bool
+should_wait_for(const struct jobs_scheduler *sched,
+                const struct place_attempt *a, size_t n)
+{
+    /* Below the 3 s for which work may wait while most of its service is
+     * idle. */
+    static const int64_t idle_wait_ms = 2000;
+    const struct jobs_unit *u = a->unit;
+    uint32_t fit = 0;
+
+    for (size_t i = 0; i < n && fit < u->task_count; i++) {
+        fit += fit_when_idle(a->candidates[i].worker, u);
+    }
+    return fit >= u->task_count &&
+           (a->now_ms - u->ready_ms < idle_wait_ms ||
+            !Trust_IsHalfIdle(sched, u->job->qos.service));
+}
+
 /* Removes the candidates that are regaining trust, for a unit whose next
- * failure fails its job. They stay when there are no others, so that the unit
- * does not wait for ever where all workers have failed. */
+ * failure fails its job. They stay when the unit should not wait for the
+ * others. */
 static void
 drop_regaining(const struct jobs_scheduler *sched, struct place_attempt *a)
 {
@@ -273,7 +320,7 @@
             a->candidates[kept++] = c;
         }
     }
-    a->count = kept > 0 ? kept : a->count;
+    a->count = should_wait_for(sched, a, kept) ? kept : a->count;
 }
 
 /* Lists the workers that may run the unit, once for all attempts. */
--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -277,7 +277,7 @@
     return o != NULL && o->job == u->job && o->step == u->step &&
            o->occurrence == u->occurrence && o->ready_ms == u->ready_ms &&
            o->work_ms == u->work_ms && o->suspect == u->suspect &&
-           !o->has_evicted && !u->has_evicted &&
+           o->failures == u->failures && !o->has_evicted && !u->has_evicted &&
            o->crashed_agent_hash == u->crashed_agent_hash &&
            strcmp(o->avoid_worker, u->avoid_worker) == 0;
 }
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -385,6 +385,8 @@
                     int64_t now_ms);
 bool Trust_IsRegaining(const struct jobs_scheduler *sched,
                        const struct jobs_worker *w, int64_t now_ms);
+/* True while less than half of a service's capacity is in use. */
+bool Trust_IsHalfIdle(const struct jobs_scheduler *sched, const char *service);
 bool Trust_MayStart(const struct jobs_scheduler *sched,
                     const struct jobs_worker *w, int64_t now_ms);
 
--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -138,6 +138,25 @@
            (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS);
 }
 
+/* Compares the sums over all workers of the service, for each resource. */
+bool
+Trust_IsHalfIdle(const struct jobs_scheduler *sched, const char *service)
+{
+    struct jobs_resources capacity = {0}, used = {0};
+    struct jobs_worker *w;
+
+    RB_FOREACH (w, jobs_worker_tree,
+                (struct jobs_worker_tree *)&sched->workers) {
+        if (w->reported && strcmp(w->service, service) == 0) {
+            Resources_Add(&capacity, &w->capacity, 1);
+            Resources_Add(&used, &w->used, 1);
+        }
+    }
+    return 2 * used.millicores <= capacity.millicores &&
+           2 * used.memory_mb <= capacity.memory_mb &&
+           2 * used.accelerators <= capacity.accelerators;
+}
+
 /* True for a run that may still show whether its worker runs tasks. */
 static bool
 is_trial(const struct jobs_task *t, int64_t now_ms)
--- a/tests/jobs-health-test.cc
+++ b/tests/jobs-health-test.cc
@@ -348,4 +348,67 @@
     }
 }
 
+/* The last attempt of a unit whose first one failed on a worker that regains
+ * trust, and another worker with the same label. */
+struct LastAttemptCase {
+    const char *what;
+    uint32_t tasks; /* more than 1: a gang */
+    int64_t accelerators;
+    int64_t other_accelerators; /* of the other worker */
+    int64_t other_ms; /* length of the run that fills it; 0: none, -1: lasts */
+};
+
+/* Guards against a last attempt that waits for a minute for workers that can't
+ * run it, as they are too small or full for good, or for a busy one while most
+ * of the service is idle. */
+TEST(JobsHealth, ALastAttemptDoesNotWaitForWorkersThatCannotRunIt)
+{
+    static const LastAttemptCase cases[] = {
+        {"a gang that needs both", 2, 4, 8, 0},
+        {"the other one is too small", 1, 4, 2, 0},
+        {"the other one has a service", 1, 4, 8, -1},
+        {"the other one has a long run", 1, 4, 8, 60000},
+    };
+
+    for (const LastAttemptCase &c : cases) {
+        Simulation sim(8, "batch:2:2 long:2:9", DEPARTURES);
+        struct jobs_spec other = sim.Spec("other", 1, 8, "long");
+        struct jobs_spec s = sim.Spec("aa", c.tasks, c.accelerators);
+        int waited = 0;
+
+        for (struct jobs_spec *x : {&other, &s}) {
+            Str_Copy(x->steps[0].label, sizeof(x->steps[0].label), "special");
+        }
+        sim.workers[6].rack = sim.workers[7].rack = "special";
+        sim.workers[6].capacity.accelerators = c.other_accelerators;
+        sim.workers[7].capacity.accelerators = 4;
+        other.steps[0].lasting = c.other_ms < 0;
+        sim.behaviours["other"].lasting = c.other_ms < 0;
+        sim.behaviours["other"].work_ms = c.other_ms < 0 ? 600000 : c.other_ms;
+        if (c.other_ms != 0) {
+            sim.Submit(other);
+            sim.Ticks(5);
+        }
+        else {
+            JobsSpec_Clear(&other);
+        }
+        s.steps[0].gang = c.tasks > 1;
+        sim.behaviours["aa"].gang = static_cast<int>(c.tasks);
+        sim.workers[7].fails_at_once = true;
+        sim.workers[6].capacity.accelerators =
+            c.tasks > 1 ? 4 : c.other_accelerators;
+        sim.Submit(s);
+        sim.Ticks(20);
+        ASSERT_EQ(Events(sim, "fails_all"), 1) << c.what;
+        sim.workers[7].fails_at_once = false;
+        while (sim.Starts("aa.0.0.0") < 2 && waited < 60000) {
+            sim.Tick();
+            waited += 20;
+        }
+        /* The quarantine of 4 s, and 3 s for which work may wait. */
+        EXPECT_LE(waited, 7000) << c.what;
+        EXPECT_TRUE(sim.violations.empty()) << c.what;
+    }
+}
+
 } /* namespace */
