jobs: a long quarantine doesn't keep off work that needs the worker

Cause: quarantines that follow one another get longer, up to 32 s, with no regard to whether another worker could run the work.

After 8 s a quarantine no longer keeps off units that should not wait for the trusted workers, by the rule for last attempts: these can't run the unit, or it has waited for 2 s while half of the service is idle. Other work is kept off for as long as before, so that a worker that keeps failing is tried less and less. While there is such a quarantine, a unit that found no room covers only units that need exactly as much, as larger ones may need the worker. Tasks of services no longer count as covered by other tasks, whose quarantines are longer.

--- a/packages/jobs/jobs-failed.c
+++ b/packages/jobs/jobs-failed.c
@@ -39,11 +39,20 @@
 {
     const struct jobs_step *s = Unit_Step(a), *t = Unit_Step(b);
 
-    return s->fills == t->fills && s->same_rack == t->same_rack &&
-           strcmp(s->rack, t->rack) == 0 && strcmp(s->label, t->label) == 0 &&
+    return s->fills == t->fills && s->lasting == t->lasting &&
+           s->same_rack == t->same_rack && strcmp(s->rack, t->rack) == 0 &&
+           strcmp(s->label, t->label) == 0 &&
            strcmp(a->job->qos.service, b->job->qos.service) == 0;
 }
 
+/* True when u needs exactly as much as f, so that both need workers in
+ * quarantine, or neither does. */
+static bool
+needs_the_same(const struct jobs_unit *u, const struct jobs_unit *f)
+{
+    return needs_as_much(u, f) && needs_as_much(f, u);
+}
+
 /* True when placing unit u would change nothing because the failed one found
  * no room. Room of runs that end by themselves matters only where it may be
  * reserved, or where runs are stopped if there is none.
@@ -53,11 +62,16 @@
  * not enough; that doesn't depend on prices. One for which an eviction was
  * declined is pending, and covers no other urgent unit. */
 static bool
-covers(const struct failed_unit *f, const struct jobs_unit *u,
-       const struct place_scope *scope, bool may_reserve)
+covers(const struct jobs_scheduler *sched, const struct failed_unit *f,
+       const struct jobs_unit *u, const struct place_scope *scope,
+       bool may_reserve)
 {
     bool ending_matters = may_reserve || scope->evicts;
 
+    if (sched->has_long_out && (!needs_the_same(u, f->unit) ||
+                                scope->impatient > f->scope.impatient)) {
+        return false;
+    }
     if (!needs_as_much(u, f->unit) || scope->remote > f->scope.remote ||
         scope->unpreferred > f->scope.unpreferred ||
         scope->length_ms < f->scope.length_ms ||
@@ -86,7 +100,10 @@
 
     clear(sched);
     sched->has_unpreferred = false;
+    sched->has_long_out = false;
     RB_FOREACH (w, jobs_worker_tree, &sched->workers) {
+        sched->has_long_out =
+            sched->has_long_out || Trust_IsLongOut(w, now_ms);
         sched->has_unpreferred =
             sched->has_unpreferred || Place_IsSlow(w, now_ms, true);
     }
@@ -118,7 +135,7 @@
     }
     scope = scope_of(sched, u, now_ms);
     for (size_t i = 0; i < sched->failed_count; i++) {
-        if (covers(&sched->failed[i], u, &scope, may_reserve)) {
+        if (covers(sched, &sched->failed[i], u, &scope, may_reserve)) {
             return true;
         }
     }
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -283,25 +283,34 @@
     return n;
 }
 
-/* True when a unit should wait for the first n candidates, instead of using
- * workers that are not trusted: they can run it sooner or later, and it has
- * not waited for long or they are busy because the service is. */
+/* True for a unit that has waited for long although half of its service's
+ * capacity is idle. */
 static bool
-should_wait_for(const struct jobs_scheduler *sched,
-                const struct place_attempt *a, size_t n)
+is_impatient(const struct jobs_scheduler *sched, const struct jobs_unit *u,
+             int64_t now_ms)
 {
     /* Below the 3 s for which work may wait while most of its service is
      * idle. */
     static const int64_t idle_wait_ms = 2000;
+
+    return now_ms - u->ready_ms >= idle_wait_ms &&
+           Trust_IsHalfIdle(sched, u->job->qos.service);
+}
+
+/* True when a unit should wait for the first n candidates, instead of using
+ * workers that are not trusted: they can run it sooner or later, and if it
+ * waits for long they are busy because the service is. */
+static bool
+should_wait_for(const struct jobs_scheduler *sched,
+                const struct place_attempt *a, size_t n)
+{
     const struct jobs_unit *u = a->unit;
     uint32_t fit = 0;
 
     for (size_t i = 0; i < n && fit < u->task_count; i++) {
         fit += fit_when_idle(a->candidates[i].worker, u);
     }
-    return fit >= u->task_count &&
-           (a->now_ms - u->ready_ms < idle_wait_ms ||
-            !Trust_IsHalfIdle(sched, u->job->qos.service));
+    return fit >= u->task_count && !is_impatient(sched, u, a->now_ms);
 }
 
 /* Removes the candidates that are regaining trust, for a unit whose next
@@ -323,14 +332,31 @@
     a->count = should_wait_for(sched, a, kept) ? kept : a->count;
 }
 
-/* Lists the workers that may run the unit, once for all attempts. */
+/* Adds the workers that may run the unit to the candidates. */
 static void
-list_candidates(struct jobs_scheduler *sched, struct place_attempt *a,
-                int64_t now_ms)
+add_candidates(struct jobs_scheduler *sched, struct place_attempt *a)
 {
     bool limited = Unit_Step(a->unit)->spread > 0;
     struct jobs_worker *w;
 
+    a->count = 0;
+    RB_FOREACH (w, jobs_worker_tree, &sched->workers) {
+        if (is_eligible(sched, w, a->unit, a->now_ms)) {
+            a->candidates[a->count++] = (struct place_candidate){
+                .worker = w,
+                .unpreferred = is_unpreferred(sched, a, w),
+                .bad_neighbour = -1,
+                .same_step = limited ? count_same(w, a->unit) : 0};
+        }
+    }
+}
+
+/* Lists the workers that may run the unit, once for all attempts. Those that
+ * are in quarantine for long come in only if it should not wait for others. */
+static void
+list_candidates(struct jobs_scheduler *sched, struct place_attempt *a,
+                int64_t now_ms)
+{
     if (sched->candidate_cap < sched->worker_count) {
         sched->candidate_cap = sched->worker_count + sched->worker_count / 2;
         sched->candidates =
@@ -340,16 +366,12 @@
     a->candidates = sched->candidates;
     a->timeline = sched->limits.parts.timeline;
     a->length_factor = 1;
-    a->count = 0;
     a->now_ms = now_ms;
-    RB_FOREACH (w, jobs_worker_tree, &sched->workers) {
-        if (is_eligible(sched, w, a->unit, now_ms)) {
-            a->candidates[a->count++] = (struct place_candidate){
-                .worker = w,
-                .unpreferred = is_unpreferred(sched, a, w),
-                .bad_neighbour = -1,
-                .same_step = limited ? count_same(w, a->unit) : 0};
-        }
+    a->unit->needs_distrusted = false;
+    add_candidates(sched, a);
+    if (sched->has_long_out && !should_wait_for(sched, a, a->count)) {
+        a->unit->needs_distrusted = true;
+        add_candidates(sched, a);
     }
     if (has_last_attempt(a->unit)) {
         drop_regaining(sched, a);
@@ -595,6 +617,7 @@
         .wait_ms = wait_ms > 0 ? wait_ms : 0,
         .remote = Place_CanBeRemote(u) && Place_MayBeRemote(sched, u, now_ms),
         .unpreferred = now_ms - u->ready_ms >= preference_wait_ms(u),
+        .impatient = sched->has_long_out && is_impatient(sched, u, now_ms),
         .evicts = u->job->qos.priority == 0,
         .length_ms = sched->timeline.reservations == 0 ? 0
                      : Unit_Step(u)->lasting           ? TIMELINE_NEVER
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -73,7 +73,9 @@
     bool unwritten;       /* its present run is not stored yet */
     bool begun;           /* a task of it has been reported as running */
     bool suspect;         /* a task of it may have crashed a worker */
-    int64_t ready_ms;     /* since when it could start; 0: not yet */
+    /* It should not wait any more for workers that are trusted. */
+    bool needs_distrusted;
+    int64_t ready_ms; /* since when it could start; 0: not yet */
     int64_t not_before_ms;
     int64_t due_ms;  /* of its occurrence, by the owner's clock; 0: none */
     int64_t work_ms; /* measured length at speed 1; 0: not known */
@@ -220,6 +222,7 @@
     int64_t wait_ms;  /* of runs that end within this time; 0: none */
     bool remote;      /* far from its data, or spread over racks */
     bool unpreferred; /* on workers that it should avoid */
+    bool impatient;   /* it has waited for long while others are idle */
     bool evicts;      /* of runs of higher rank */
     /* Length of its runs, on which the use of reserved room depends; 0: none
      * is reserved with a start time. */
@@ -267,6 +270,7 @@
     uint64_t failed_stops; /* stops when the first one was remembered */
     uint64_t stops;        /* runs that were stopped, in total */
     bool has_unpreferred;  /* some worker is slow, in the pass under way */
+    bool has_long_out;     /* some worker is in quarantine for long, in it */
     /* Tests place units that are covered by failed ones too, and count those
      * for which that changes something. */
     bool checks_failed;
@@ -380,6 +384,9 @@
                     struct jobs_task *t, enum jobs_end how, int64_t now_ms);
 void Trust_RunListed(struct jobs_scheduler *sched, struct jobs_worker *w,
                      struct jobs_task *t, int64_t now_ms);
+/* True while a worker is in quarantine for longer than units wait that need
+ * it. */
+bool Trust_IsLongOut(const struct jobs_worker *w, int64_t now_ms);
 /* True when a quarantine keeps the unit off the worker. */
 bool Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
                     int64_t now_ms);
--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -8,6 +8,9 @@
 #define QUARANTINE_MS 4000 /* then the worker is tried again */
 /* A quarantine soon after another one is twice as long, up to this. */
 #define QUARANTINE_MAX_MS 32000
+/* The longest time for which a quarantine keeps off a unit that no other
+ * workers can run. */
+#define NEEDED_QUARANTINE_MS 8000
 /* A quarantine counts for this long after its end. Without an end of it, a
  * worker that gets no run could never regain trust. */
 #define MEMORY_MS 60000
@@ -123,11 +126,24 @@
            is_remembered(w, now_ms);
 }
 
+/* True while a worker is in quarantine for longer than units wait that need
+ * it. */
+bool
+Trust_IsLongOut(const struct jobs_worker *w, int64_t now_ms)
+{
+    int64_t begun_ms = w->quarantine_until_ms - w->quarantine_ms;
+
+    return now_ms < w->quarantine_until_ms &&
+           now_ms >= begun_ms + NEEDED_QUARANTINE_MS;
+}
+
 /* True when a quarantine keeps the unit off the worker.
  *
  * A task of a service has to be restarted within seconds, however it ended,
  * and its worker may be the only one with its label. So longer quarantines
- * don't count for it: it tries the worker again as after a first one. */
+ * don't count for it: it tries the worker again as after a first one. Nor do
+ * they for other units that need the worker, but these spend attempts, so they
+ * wait for longer. */
 bool
 Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
                int64_t now_ms)
@@ -135,7 +151,8 @@
     int64_t begun_ms = w->quarantine_until_ms - w->quarantine_ms;
 
     return now_ms < w->quarantine_until_ms &&
-           (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS);
+           (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS) &&
+           (!u->needs_distrusted || !Trust_IsLongOut(w, now_ms));
 }
 
 /* Compares the sums over all workers of the service, for each resource. */
--- a/tests/jobs-health-test.cc
+++ b/tests/jobs-health-test.cc
@@ -411,4 +411,68 @@
     }
 }
 
+struct LongQuarantineCase {
+    const char *what;
+    uint32_t tasks;   /* more than 1: a gang, which needs another worker too */
+    int64_t other_ms; /* length of a run that fills that one; 0: none */
+    bool pool_is_idle;
+    int64_t longest_ms; /* between two attempts on the failing worker */
+};
+
+/* Guards against work that waits for half a minute for the quarantine of the
+ * only worker for it, though that is sound again. */
+TEST(JobsHealth, ALongQuarantineDoesNotKeepOffWorkThatNeedsTheWorker)
+{
+    static const LongQuarantineCase cases[] = {
+        {"a task for one worker", 1, 0, true, 8200},
+        {"in a busy service", 1, 0, false, 8200},
+        {"a gang that needs two workers", 2, 0, true, 8200},
+        {"beside a worker that is busy for long", 1, 90000, true, 8200},
+    };
+
+    for (const LongQuarantineCase &c : cases) {
+        Simulation sim(8, "batch:2:40", DEPARTURES);
+        struct jobs_spec s = sim.Spec("aa", c.tasks, 4);
+        int64_t longest = 0, tried = 0;
+        int starts = 1;
+
+        sim.workers[7].rack = "special";
+        sim.workers[7].capacity.accelerators = 4;
+        sim.workers[7].fails_at_once = true;
+        if (c.tasks > 1 || c.other_ms > 0) {
+            sim.workers[6].rack = "special";
+            sim.workers[6].capacity.accelerators = c.tasks > 1 ? 4 : 8;
+        }
+        if (c.other_ms > 0) {
+            struct jobs_spec other = sim.Spec("other", 1, 8);
+
+            Str_Copy(other.steps[0].label, sizeof(other.steps[0].label),
+                     "special");
+            sim.behaviours["other"].work_ms = c.other_ms;
+            sim.Submit(other);
+            sim.Ticks(5);
+        }
+        if (!c.pool_is_idle) {
+            sim.behaviours["busy"].work_ms = 90000;
+            sim.Submit(sim.Spec("busy", 6, 8));
+        }
+        Str_Copy(s.steps[0].label, sizeof(s.steps[0].label), "special");
+        s.steps[0].gang = c.tasks > 1;
+        sim.behaviours["aa"].gang = static_cast<int>(c.tasks);
+        sim.Submit(s);
+        sim.Ticks(5);
+        ASSERT_EQ(sim.Starts("aa.0.0.0"), 1) << c.what;
+        for (tried = sim.now; starts < 7 && sim.now - tried < 60000;) {
+            sim.Tick();
+            if (sim.Starts("aa.0.0.0") > starts) {
+                starts = sim.Starts("aa.0.0.0");
+                longest = std::max(longest, sim.now - tried);
+                tried = sim.now;
+            }
+        }
+        EXPECT_EQ(starts, 7) << c.what;
+        EXPECT_LE(longest, c.longest_ms) << c.what;
+    }
+}
+
 } /* namespace */
