queue, entry: a counter out of range in a row of another writer is invalid

Callers could see that no accepted job runs any more, for good (LOST). The owner row had been overwritten once by another writer, with a term of 2^63 - 1 or near it.

Cause: any positive term counted. The next owner claims one more, which is written as a negative number or one that the others don't accept, so the row is corrupt for all, and is claimed again 5 times a second.

Terms, attempts and versions above 2^48 are invalid now: the row counts as corrupt, as for other odd content, and the term goes on from the highest one known. This suffices as real ones rise by one with each takeover or change, so they stay far below. The same holds in the own profile for the owner's term and the configuration's epoch, and for the numbers of runs in progress rows.

HostedForeign.ATermOutOfRangeStopsNoOwner failed before: none of three jobs was done within 30 s of the three rows.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -252,6 +252,11 @@
  * value out of range, another type, or NULL; out is then unchanged. */
 int Json_Whole(const struct json_t *value, int64_t most, int64_t *out);
 
+/* Highest counter (a term, an attempt, a version) that is taken from a row.
+ * Real ones are far below, and there is room to count on: a row of another
+ * writer with a higher one is invalid. */
+#define JSON_COUNTER_MAX ((int64_t)1 << 48)
+
 /* Counts and logs an input that is ignored because it can't be read. name
  * identifies it (a key, an incarnation, a task), why is the reason. */
 void Unreadable(enum unreadable source, const char *name, const char *why);
--- a/packages/entry/entry-config-rows.c
+++ b/packages/entry/entry-config-rows.c
@@ -19,6 +19,7 @@
 {
     json_t *o;
     const char *hash;
+    int64_t epoch = 0;
     int err = ERR_INVALID;
 
     *head = (struct config_head){.version = row->version};
@@ -27,9 +28,10 @@
     }
     o = json_loadb(row->value.data, row->value.len, 0, NULL);
     hash = json_string_value(json_object_get(o, "hash"));
-    head->epoch = (uint64_t)json_integer_value(json_object_get(o, "epoch"));
-    if (head->epoch > 0 && hash != NULL &&
-        strlen(hash) == DIGEST_HEX_SIZE - 1) {
+    if (Json_Whole(json_object_get(o, "epoch"), JSON_COUNTER_MAX, &epoch) ==
+            ERR_OK &&
+        epoch > 0 && hash != NULL && strlen(hash) == DIGEST_HEX_SIZE - 1) {
+        head->epoch = (uint64_t)epoch;
         Str_Copy(head->hash, sizeof(head->hash), hash);
         err = ERR_OK;
     }
--- a/packages/entry/entry-owner.c
+++ b/packages/entry/entry-owner.c
@@ -255,7 +255,8 @@
                     "incarnation", &incarnation, "http", &http) != 0) {
         LOG_E("owner_row_unreadable", KV("region", s->settings->region));
     }
-    if (term > 0 && (uint64_t)term > s->owner.term) {
+    if (term > 0 && term <= JSON_COUNTER_MAX &&
+        (uint64_t)term > s->owner.term) {
         s->owner.term = (uint64_t)term;
     }
     Str_Copy(s->owner.name, sizeof(s->owner.name), name);
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -351,7 +351,8 @@
     if (json_unpack(row, "[i,i,i,i,I,i,i,s,o]", &occurrence, &step, &first,
                     &state, &run, &failures, &flags, &checkpoint,
                     &tasks) != 0 ||
-        state < 0 || state > UNIT_FAILED || run < 0 || failures < 0 ||
+        state < 0 || state > UNIT_FAILED || run < 0 ||
+        run > JSON_COUNTER_MAX || failures < 0 ||
         strlen(checkpoint) >= JOBS_TEXT_SIZE ||
         (u = Scheduler_FindUnit(j, (uint32_t)occurrence, (uint32_t)step,
                                 (uint32_t)first)) == NULL ||
--- a/packages/queue/queue-leader-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -12,7 +12,8 @@
 
 /* Parses the owner row.
  *
- * A row that was overwritten or deleted states no term. If terms started from
+ * A row that was overwritten or deleted states no term, nor does one whose
+ * term leaves no room for the next one. If terms started from
  * 0 again, the next owner would be below the term that workers have seen, and
  * they would ignore it. Such a row names no owner, and the term stays the
  * highest one known. */
@@ -29,6 +30,7 @@
     if (name != NULL && strlen(name) < NAME_SIZE &&
         json_is_integer(incarnation) && json_is_integer(term) &&
         json_integer_value(term) > 0 &&
+        json_integer_value(term) <= JSON_COUNTER_MAX &&
         (uint64_t)json_integer_value(term) >= o->row_term) {
         Str_Copy(r.name, sizeof(r.name), name);
         r.incarnation = (uint64_t)json_integer_value(incarnation);
--- a/packages/queue/queue-owner.c
+++ b/packages/queue/queue-owner.c
@@ -158,7 +158,7 @@
 static bool
 is_behind(struct owner *o, uint64_t term)
 {
-    if (term <= o->term) {
+    if (term <= o->term || term > (uint64_t)JSON_COUNTER_MAX) {
         return false;
     }
     if (term > o->row_term) {
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstring>
 
 using namespace harness;
 
@@ -237,4 +238,108 @@
     }
 }
 
+/* Values that another writer may leave: very deep, with numbers out of range,
+ * with ports out of range, with text that is hard to read. */
+std::vector<std::string>
+OddValues()
+{
+    const std::string deep = std::string(30000, '['),
+                      big = "1" + std::string(400, '0');
+    std::vector<std::string> values = {deep,
+                                       deep + std::string(30000, ']'),
+                                       std::string(2040, '[') +
+                                           std::string(2040, ']'),
+                                       big,
+                                       "-" + big,
+                                       "1e999",
+                                       "9223372036854775807",
+                                       "\xff\xfe",
+                                       "\"\\ud800\"",
+                                       "\"\\u0000\"",
+                                       "{}",
+                                       "[]",
+                                       "null",
+                                       "\"\"",
+                                       ""};
+
+    for (const char *port :
+         {"0", "-1", "65536", "99999999999999999999", "1e3", "80x", ""}) {
+        values.push_back(R"({"name":"x","incarnation":1,"links":"127.0.0.1:)" +
+                         std::string(port) + "\"}");
+    }
+    for (const std::string &n :
+         {big, std::string("1e999"), std::string("9223372036854775807"),
+          std::string("9007199254740992"), std::string("-1"),
+          std::string("0.5"), deep}) {
+        values.push_back(R"({"links":"127.0.0.9:70","incarnation":)" + n +
+                         R"(,"millicores":)" + n + R"(,"memory_mb":)" + n +
+                         "}");
+        values.push_back(R"({"name":"x","incarnation":)" + n + R"(,"term":)" +
+                         n + "}");
+        values.push_back(R"({"v":1,"term":)" + n + R"(,"at_ms":)" + n +
+                         R"(,"lines":[["r-1",)" + n + "," + n + "," + n + "," +
+                         n + "," + n + R"(]],"machines":{"a":{"agent-0":[)" +
+                         n + "," + n + "]}}}");
+        values.push_back(R"({"state":"running","begun":true,"first":)" + n +
+                         R"(,"occurrences":)" + n +
+                         R"(,"workers":[["agent-0","i"]],"done":[[)" + n +
+                         ",0,0," + n + R"(]],"units":[[0,0,0,1,)" + n + "," +
+                         n + R"(,1,"",[[)" + n + "," + n + "]]]]}");
+    }
+    return values;
+}
+
+/* Guards against processes that end, or no longer follow the store, because of
+ * one odd row of another writer. */
+TEST(HostedForeign, OddRowsOfAnotherWriterEndNothing)
+{
+    HostedStack s(2, 2);
+    int version = 100;
+
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    ASSERT_TRUE(s.WaitForState(0, "a1", "completed")) << s.Logs();
+    for (const char *key :
+         {"entry/ghost", "entry/entry-0", "owner", "beat", "learned",
+          "spec/b1", "run/b1", "run/a1", "stop/b2", "odd"}) {
+        for (const std::string &value : OddValues()) {
+            s.PutRow("parsleyfall", key, value);
+        }
+        for (const std::string &value : OddValues()) {
+            s.PutRow("op", key, value);
+        }
+        std::string job = "c" + std::to_string(version);
+
+        s.PutConfig(version++, {"key-one"});
+        EXPECT_EQ(s.Submit(1, job, "50").status, 200) << key;
+        EXPECT_TRUE(s.WaitForState(0, job, "completed")) << key << s.Logs();
+    }
+    for (auto &p : s.entries) {
+        EXPECT_TRUE(p->Running());
+    }
+    for (auto &p : s.agents) {
+        EXPECT_TRUE(p->Running());
+    }
+}
+
+/* Guards against a service that stops for good: a row of another writer names
+ * a term from which no owner can go on. */
+TEST(HostedForeign, ATermOutOfRangeStopsNoOwner)
+{
+    HostedStack s(2, 2);
+
+    EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
+    ASSERT_TRUE(s.WaitForState(0, "a1", "completed")) << s.Logs();
+    for (const char *term :
+         {"9223372036854775807", "9223372036854775806", "9007199254740993"}) {
+        std::string job = "b" + std::to_string(std::strlen(term)) +
+                          std::string(term).substr(15);
+
+        s.PutRow("parsleyfall", "owner",
+                 std::string(R"({"name":"x","incarnation":1,"term":)") + term +
+                     "}");
+        EXPECT_EQ(s.Submit(1, job, "50").status, 200) << term;
+        EXPECT_TRUE(s.WaitForState(0, job, "completed")) << term << s.Logs();
+    }
+}
+
 } /* namespace */
