entry: a row that names no valid address names no entry

In the own profile a row of another writer with a port out of range, or with any text for an address, counted as an entry: it took one of the list's places, was sent to each agent with each welcome, and other entries tried to ask it. Agents refused its address each time, so none ended.

Only a row with a valid name, region, two addresses and a hexadecimal incarnation is an entry now; any other is counted and logged as unreadable and left out.

The rows of Peers.DropsEntriesThatStopWriting have addresses in place of single letters now; what it demands is unchanged.

--- a/packages/entry/entry-peers-list.c
+++ b/packages/entry/entry-peers-list.c
@@ -28,6 +28,7 @@
     json_t *o = json_loadb(row->value.data ? row->value.data : "",
                            row->value.len, 0, NULL);
     const char *hex = json_string_value(json_object_get(o, "incarnation"));
+    char *end = NULL;
     bool good;
 
     *out = (struct peer_entry){0};
@@ -35,10 +36,13 @@
            copy_text(o, "region", out->region, sizeof(out->region)) &&
            copy_text(o, "links", out->links, sizeof(out->links)) &&
            copy_text(o, "http", out->http, sizeof(out->http)) &&
-           strcmp(out->name, row->key) == 0 && hex != NULL;
+           strcmp(out->name, row->key) == 0 && Str_IsName(out->name) &&
+           Str_IsName(out->region) && Settings_IsAddress(out->links) &&
+           Settings_IsAddress(out->http) && hex != NULL;
     if (good) {
-        out->incarnation = strtoull(hex, NULL, 16);
+        out->incarnation = strtoull(hex, &end, 16);
     }
+    good = good && end != hex && *end == '\0';
     json_decref(o);
     return good;
 }
@@ -67,7 +71,7 @@
     struct peer *peer;
 
     if (!read_row(row, &facts)) {
-        LOG_W("entry_row_unreadable", KV("key", row->key));
+        Unreadable(UNREADABLE_ROW, row->key, "not the row of an entry");
         return;
     }
     peer = find(list, facts.name);
--- a/tests/epochs-test.cc
+++ b/tests/epochs-test.cc
@@ -136,6 +136,57 @@
     free(shares);
 }
 
+/* Returns the row of entry "b" in region "r". */
+std::string
+PeerRow(const std::string &links, const std::string &http,
+        const std::string &incarnation)
+{
+    return R"({"name":"b","region":"r","links":")" + links + R"(","http":")" +
+           http + R"(","incarnation":)" + incarnation + "}";
+}
+
+/* Guards against entries that are none: an odd row of another writer would be
+ * sent to all agents, and take a place in the list. */
+TEST(Peers, AnInvalidRowNamesNoEntry)
+{
+    const std::string good = "10.0.0.2:7000";
+    const struct {
+        std::string key, value;
+        size_t count;
+    } cases[] = {
+        {"b", PeerRow(good, good, "\"00ff\""), 2},
+        {"c", PeerRow(good, good, "\"00ff\""), 1},
+        {"b", PeerRow("10.0.0.2:65536", good, "\"00ff\""), 1},
+        {"b", PeerRow("10.0.0.2:-1", good, "\"00ff\""), 1},
+        {"b", PeerRow("10.0.0.2:99999999999999999999", good, "\"1\""), 1},
+        {"b", PeerRow("0.0.0.0:7000", good, "\"00ff\""), 1},
+        {"b", PeerRow("nowhere", good, "\"00ff\""), 1},
+        {"b", PeerRow(good, "10.0.0.2:0", "\"00ff\""), 1},
+        {"b", PeerRow(good, good, "\"\""), 1},
+        {"b", PeerRow(good, good, "\"xyz\""), 1},
+        {"b", PeerRow(good, good, "1e999"), 1},
+        {"b", PeerRow(good, good, std::string(30000, '[')), 1},
+        {"b", PeerRow(good, good, "{}"), 1},
+        {"b", "", 1},
+    };
+
+    for (const auto &c : cases) {
+        struct peer_list list = TAILQ_HEAD_INITIALIZER(list);
+        struct peer_entry self = {}, out[PEERS_MAX + 1] = {};
+        std::string key = c.key, value = c.value;
+        struct table_row row = {};
+
+        row.key = key.data();
+        row.version = 1;
+        row.value.data = value.data();
+        row.value.len = value.size();
+        peers_apply_list(&list, &row, 1);
+        EXPECT_EQ(peers_alive(&list, &self, out), c.count)
+            << c.value.substr(0, 100);
+        peers_clear(&list);
+    }
+}
+
 /* An entry that stops writing its row is dropped after ten lists that show no
  * new version. An outage must drop no entry, however long it is, as a list
  * that failed does not show who is alive. `versions` are those of one entry's
@@ -161,10 +212,9 @@
         struct peer_list list = TAILQ_HEAD_INITIALIZER(list);
         struct peer_entry self = {}, out[PEERS_MAX + 1] = {};
         std::stringstream words(c.versions);
-        std::string word, key = "b",
-                          value = "{\"name\":\"b\",\"region\":\"r\",\"links\":"
-                                  "\"l\",\"http\":\"h\",\"incarnation\":"
-                                  "\"00ff\"}";
+        std::string word,
+            key = "b",
+            value = PeerRow("10.0.0.2:7000", "10.0.0.2:8080", "\"00ff\"");
 
         Str_Copy(self.name, sizeof(self.name), "a");
         while (words >> word) {
