entry: numbers out of range make the row of a job invalid

In the own profile a row of another writer could have any number of tasks, accelerators and members, and attempts up to the end of their range. Placement has arrays for 1,024 tasks, and attempts are counted on, so one such row could end an entry or leave it without a next attempt. Found by reading; no run of the programs has shown it.

The numbers are bounded where the row is decoded: as in a submission, or by the highest counter; a gang has at most as many members as tasks. An invalid row is logged and left out, as before.

--- a/packages/entry/entry-jobs-row.c
+++ b/packages/entry/entry-jobs-row.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DECLARED_MAX_MS ((int64_t)400 * 24 * 3600 * 1000)
-
 /* Values of "within" in JSON. */
 static const struct {
     const char *name;
@@ -125,20 +123,26 @@
 {
     size_t i;
     json_t *item;
+    int64_t tasks;
 
+    if (json_array_size(list) > (size_t)out->tasks) {
+        return ERR_INVALID;
+    }
     out->member = Mem_Zero(json_array_size(list) + 1, sizeof(*out->member));
     json_array_foreach(list, i, item)
     {
         struct job_member *m = &out->member[out->members++];
         const char *agent = json_string_value(json_object_get(item, "agent"));
 
-        if (agent == NULL || !Str_IsName(agent)) {
+        if (agent == NULL || !Str_IsName(agent) ||
+            Json_Whole(json_object_get(item, "tasks"), out->tasks, &tasks) !=
+                ERR_OK) {
             return ERR_INVALID;
         }
         Str_Copy(m->agent, sizeof(m->agent), agent);
         m->incarnation = parse_hex64(json_object_get(item, "incarnation"));
         m->accelerators = parse_hex64(json_object_get(item, "accelerators"));
-        m->tasks = (int)json_integer_value(json_object_get(item, "tasks"));
+        m->tasks = (int)tasks;
     }
     return ERR_OK;
 }
@@ -170,6 +174,33 @@
     free(text);
 }
 
+/* Reads the numbers of a row. They size lists, and are counted on, so one out
+ * of range makes the row invalid. */
+static int
+read_numbers(const json_t *o, struct job_row *out)
+{
+    int64_t tasks, accelerators, attempt, term;
+
+    if (Json_Whole(json_object_get(o, "tasks"), CELLS_TASKS_MAX, &tasks) !=
+            ERR_OK ||
+        Json_Whole(json_object_get(o, "accelerators"), CELLS_ACCELERATORS_MAX,
+                   &accelerators) != ERR_OK ||
+        Json_Whole(json_object_get(o, "attempt"), JSON_COUNTER_MAX,
+                   &attempt) != ERR_OK ||
+        Json_Whole(json_object_get(o, "term"), JSON_COUNTER_MAX, &term) !=
+            ERR_OK ||
+        Json_Whole(json_object_get(o, "declared_ms"), DECLARED_MAX_MS,
+                   &out->declared_ms) != ERR_OK ||
+        tasks == 0 || accelerators == 0) {
+        return ERR_INVALID;
+    }
+    out->tasks = (int)tasks;
+    out->accelerators = (int)accelerators;
+    out->attempt = (uint64_t)attempt;
+    out->term = (uint64_t)term;
+    return ERR_OK;
+}
+
 /* Fills a row from its JSON object. */
 static int
 from_json(json_t *o, struct job_row *out)
@@ -177,18 +208,15 @@
     const char *organisation, *class_name, *state, *reason, *within;
     int guaranteed, cancel;
     json_t *members, *spec;
-    json_int_t attempt, term, declared, submitted, ended;
-
-    if (json_unpack(o,
-                    "{s:s, s:s, s:s, s:I, s:I, s:s, s:i, s:i, s:s, s:I, s:b, "
-                    "s:b, s:o, s:o, s:I, s:I}",
-                    "organisation", &organisation, "class", &class_name,
-                    "state", &state, "attempt", &attempt, "term", &term,
-                    "reason", &reason, "tasks", &out->tasks, "accelerators",
-                    &out->accelerators, "within", &within, "declared_ms",
-                    &declared, "guaranteed", &guaranteed, "cancel", &cancel,
-                    "members", &members, "spec", &spec, "submitted_at",
-                    &submitted, "ended_at", &ended) != 0 ||
+    json_int_t submitted, ended;
+
+    if (json_unpack(
+            o, "{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:o, s:o, s:I, s:I}",
+            "organisation", &organisation, "class", &class_name, "state",
+            &state, "reason", &reason, "within", &within, "guaranteed",
+            &guaranteed, "cancel", &cancel, "members", &members, "spec", &spec,
+            "submitted_at", &submitted, "ended_at", &ended) != 0 ||
+        read_numbers(o, out) != ERR_OK ||
         parse_state(state, &out->state) != ERR_OK ||
         parse_level(within, &out->within) != ERR_OK) {
         return ERR_INVALID;
@@ -196,9 +224,6 @@
     Str_Copy(out->organisation, sizeof(out->organisation), organisation);
     Str_Copy(out->class_name, sizeof(out->class_name), class_name);
     Str_Copy(out->reason, sizeof(out->reason), reason);
-    out->attempt = (uint64_t)attempt;
-    out->term = (uint64_t)term;
-    out->declared_ms = declared;
     out->guaranteed = guaranteed != 0;
     out->cancel = cancel != 0;
     out->submitted_at = submitted;
--- a/packages/entry/entry-jobs.h
+++ b/packages/entry/entry-jobs.h
@@ -91,6 +91,9 @@
     int64_t ended_at;     /* wall clock, ms since 1970; 0: not ended */
 };
 
+/* Longest run time that a caller may declare. */
+#define DECLARED_MAX_MS ((int64_t)400 * 24 * 3600 * 1000)
+
 /* The caller owns the result. */
 json_t *JobRow_ToJson(const struct job_row *row);
 void JobRow_Render(const struct job_row *row, struct buf *out);
