queue: only the valid row of an entry shows that the last owner has ended

Callers could see a task run twice. A new owner waits for the leases of the last one until the row of that entry shows another process. A row of another writer under that key, with nothing but a number, was enough.

The row is now read by the function that also lists the entries: a name, an address whose port is in range, and a positive incarnation. Any other row is counted and logged, and the owner goes on waiting.

QueueLeader.OnlyTheRowOfAnEntryShowsThatTheLastOwnerHasEnded: four of its 13 rows counted as the sign before, beside the valid one.

--- a/packages/queue/queue-entries.c
+++ b/packages/queue/queue-entries.c
@@ -107,34 +107,55 @@
     return n >= 0 && n <= max ? n : 0;
 }
 
-/* Adds an entry row to the list of entries. Rows of older versions state
- * neither the failure domain nor what the machine has. */
-static void
-add_entry(const struct cached_row *r, void *arg)
+/* Reads the row of an entry. Rows of older versions state neither the failure
+ * domain nor what the machine has. */
+int
+EntryRow_Read(const char *key, const struct buf *value, struct member *out,
+              uint64_t *incarnation)
 {
-    struct entries_listed *note = arg;
-    json_t *o = json_loadb(r->value.data, r->value.len, 0, NULL);
+    json_t *o = json_loadb(value->data != NULL ? value->data : "", value->len,
+                           0, NULL);
     const char *links = json_string_value(json_object_get(o, "links"));
     const char *domain = json_string_value(json_object_get(o, "domain"));
-    const char *name = r->key + strlen("entry/");
-
-    if (links != NULL && Settings_IsAddress(links) && Str_IsName(name)) {
-        struct member *m = &note->members[note->count++];
-
-        Str_Copy(m->name, sizeof(m->name), name);
-        Str_Copy(m->address, sizeof(m->address), links);
+    const char *name = key + strlen("entry/");
+    int64_t number = 0;
+    int err = ERR_INVALID;
+
+    *out = (struct member){0};
+    if (links != NULL && Settings_IsAddress(links) && Str_IsName(name) &&
+        Json_Whole(json_object_get(o, "incarnation"), INT64_MAX, &number) ==
+            ERR_OK &&
+        number > 0) {
+        *incarnation = (uint64_t)number;
+        Str_Copy(out->name, sizeof(out->name), name);
+        Str_Copy(out->address, sizeof(out->address), links);
         if (domain != NULL && Str_IsName(domain)) {
-            Str_Copy(m->domain, sizeof(m->domain), domain);
+            Str_Copy(out->domain, sizeof(out->domain), domain);
         }
-        m->room = (struct member_room){read_number(o, "millicores"),
-                                       read_number(o, "link_mbps"),
-                                       read_number(o, "memory_mb")};
+        out->room = (struct member_room){read_number(o, "millicores"),
+                                         read_number(o, "link_mbps"),
+                                         read_number(o, "memory_mb")};
+        err = ERR_OK;
     }
     else {
-        Unreadable(UNREADABLE_ROW, r->key,
-                   "not a valid entry name and link address");
+        Unreadable(UNREADABLE_ROW, key,
+                   "not a valid name, link address and incarnation");
     }
     json_decref(o);
+    return err;
+}
+
+/* Adds an entry row to the list of entries. */
+static void
+add_entry(const struct cached_row *r, void *arg)
+{
+    struct entries_listed *note = arg;
+    uint64_t incarnation;
+
+    if (EntryRow_Read(r->key, &r->value, &note->members[note->count],
+                      &incarnation) == ERR_OK) {
+        note->count++;
+    }
 }
 
 /* Counts the entry rows, and hashes their versions. */
--- a/packages/queue/queue-leader-rows.c
+++ b/packages/queue/queue-leader-rows.c
@@ -107,25 +107,21 @@
 }
 
 /* Handles a changed entry row. When the previous owner's entry has a new
- * process, the process that was the owner has ended and grants no more
- * leases. */
+ * process, the process that was the owner has ended and grants no more leases.
+ * The row of another writer shows nothing of that kind. */
 static void
 note_entry_row(struct owner *o, const struct table_row *row)
 {
     const struct entry_settings *s = o->task.kernel->settings;
-    json_t *v;
+    struct member entry;
     uint64_t incarnation;
 
     if (*o->predecessor_name == '\0' || o->scheduler == NULL ||
         strcmp(row->key + strlen("entry/"), o->predecessor_name) != 0) {
         return;
     }
-    v = json_loadb(row->value.data ? row->value.data : "", row->value.len, 0,
-                   NULL);
-    incarnation =
-        (uint64_t)json_integer_value(json_object_get(v, "incarnation"));
-    json_decref(v);
-    if (incarnation != 0 && incarnation != o->predecessor_incarnation) {
+    if (EntryRow_Read(row->key, &row->value, &entry, &incarnation) == ERR_OK &&
+        incarnation != o->predecessor_incarnation) {
         LOG_I("previous_owner_ended", KV("entry", o->predecessor_name));
         o->predecessor_name[0] = '\0';
         Jobs_OwnerEnded(o->scheduler, Clock_NowMs() + s->hosted.lease_ms +
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -336,6 +336,11 @@
     bool settled;
 };
 
+/* Reads the row of an entry, with its key. ERR_OK, or ERR_INVALID (counted and
+ * logged) for a row of another writer that no entry has written. */
+int EntryRow_Read(const char *key, const struct buf *value, struct member *out,
+                  uint64_t *incarnation);
+
 extern const struct message_kind Queue_CallKind;
 extern const struct message_kind Queue_ConfigKind;
 extern const struct message_kind Queue_RowsKind;
--- a/tests/queue-leader-test.cc
+++ b/tests/queue-leader-test.cc
@@ -68,4 +68,59 @@
     Kernel_Free(&kernel);
 }
 
+/* Guards against a task that runs twice: an odd row of another writer under
+ * the name of the last owner is taken for its new process, and its leases are
+ * not waited for. */
+TEST(QueueLeader, OnlyTheRowOfAnEntryShowsThatTheLastOwnerHasEnded)
+{
+    const struct {
+        std::string value;
+        bool ended;
+    } cases[] = {
+        {R"({"links":"10.0.0.1:7000","incarnation":6})", true},
+        {R"({"links":"10.0.0.1:7000","incarnation":5})", false},
+        {R"({"incarnation":6})", false},
+        {R"({"links":"10.0.0.1:65536","incarnation":6})", false},
+        {R"({"links":"10.0.0.1:-1","incarnation":6})", false},
+        {R"({"links":"10.0.0.1:7000","incarnation":-6})", false},
+        {R"({"links":"10.0.0.1:7000","incarnation":0})", false},
+        {R"({"links":"10.0.0.1:7000","incarnation":6.5})", false},
+        {R"({"links":"10.0.0.1:7000","incarnation":1e999})", false},
+        {R"({"links":"10.0.0.1:7000","incarnation":)" +
+             std::string(30000, '[') + "}",
+         false},
+        {R"({"links":"10.0.0.1:7000"})", false},
+        {"6", false},
+        {"", false},
+    };
+    struct entry_settings settings = {};
+    struct jobs_limits limits = {};
+    char key[] = "entry/entry-1";
+
+    settings.hosted.lease_ms = 10000;
+    for (const auto &c : cases) {
+        struct kernel kernel = {};
+        struct rows_changed rows = {};
+        struct table_row row = {};
+        struct owner o = {};
+        std::string value = c.value;
+
+        kernel.settings = &settings;
+        o.task.kernel = &kernel;
+        o.scheduler = Jobs_New(&limits);
+        o.predecessor_incarnation = 5;
+        Str_Copy(o.predecessor_name, sizeof(o.predecessor_name), "entry-1");
+        row.key = key;
+        row.version = 1;
+        row.value.data = value.data();
+        row.value.len = value.size();
+        rows.rows = &row;
+        rows.count = 1;
+        Leader_TakeRows(&o, &rows);
+        EXPECT_EQ(o.predecessor_name[0] == '\0', c.ended)
+            << value.substr(0, 80);
+        Jobs_Free(o.scheduler);
+    }
+}
+
 } /* namespace */
