platform, base: an odd row doesn't make the whole answer unreadable

Callers could see that no entry followed the store any more: a new key was refused and a revoked one stayed valid, for good. One row of another writer among those of the feed had a number out of range, some thousand levels, or a text that is none.

Cause: the parser refuses a document as a whole for any of these, and the same feed is asked for again for ever. A worker's answer to a poll went the same way, and its runs were given up when their leases ended.

If the parser refuses such a document, the parts that are the cause count as null and it is parsed again. The readers already skip, count and log a row with a field of another type. A text is never changed: a part of it might pass for another key, task or checkpoint.

HostedRuns.ARowThatNoParserAcceptsIsSkipped and the tests of Json_LoadParts have the parts one by one.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -252,6 +252,12 @@
  * value out of range, another type, or NULL; out is then unchanged. */
 int Json_Whole(const struct json_t *value, int64_t most, int64_t *out);
 
+/* Parses a JSON document with parts of several writers. If the parser refuses
+ * it as a whole, the parts that are the cause count as null: numbers out of
+ * range, values nested too deep, strings that are no text. Strings may contain
+ * NUL. Returns NULL for what is no JSON even so. */
+struct json_t *Json_LoadParts(const char *text, size_t len);
+
 /* Highest counter (a term, an attempt, a version) that is taken from a row.
  * Real ones are far below, and there is room to count on: a row of another
  * writer with a higher one is invalid. */
--- a/tests/base-test.cc
+++ b/tests/base-test.cc
@@ -1,6 +1,7 @@
 #include "base.h"
 
 #include <gtest/gtest.h>
+#include <jansson.h>
 
 #include <set>
 #include <string>
@@ -180,3 +181,63 @@
     EXPECT_EQ(text.find("\nparsleyfall_log_dropped_total 0\n"),
               std::string::npos);
 }
+
+/* Guards against a list that is lost as a whole for one odd item. */
+TEST(JsonLoad, AnUnreadablePartLeavesTheRest)
+{
+    const std::string deep(3000, '['), closed = deep + std::string(3000, ']');
+    const struct {
+        std::string item, expected;
+    } cases[] = {
+        {"7", "7"},
+        {"1e999", "null"},
+        {"-1e999", "null"},
+        {"123456789012345678", "123456789012345678"},
+        {"99999999999999999999", "null"},
+        {"-99999999999999999999", "null"},
+        {std::string(400, '9'), "null"},
+        {"\"a\\ud800b\"", "null"},
+        {"\"\\udc00\\ud800\"", "null"},
+        {"\"\\ud83d\\ude00\"", "\"\U0001F600\""},
+        {"\"\xff\"", "null"},
+        {"\"\xc0\xaf\"", "null"},
+        {"\"\xed\xa0\x80\"", "null"},
+        {"\"a\x01\"", "null"},
+        {"\"[\\\"]\"", "\"[\\\"]\""},
+        {"\"\u20ac 1e999 [\"", "\"\u20ac 1e999 [\""},
+        {"{\"a\":1e999}", "{\"a\":null}"},
+        {"{\"a\":" + closed + ",\"b\":2}", ""},
+        {closed, ""},
+    };
+
+    for (const auto &c : cases) {
+        std::string text = "{\"x\":[1," + c.item + ",\"z\"]}";
+        json_t *o = Json_LoadParts(text.data(), text.size());
+        json_t *list = json_object_get(o, "x");
+
+        ASSERT_EQ(json_array_size(list), 3u) << c.item.substr(0, 40);
+        EXPECT_EQ(json_integer_value(json_array_get(list, 0)), 1);
+        EXPECT_STREQ(json_string_value(json_array_get(list, 2)), "z");
+        if (!c.expected.empty()) {
+            char *item = json_dumps(json_array_get(list, 1),
+                                    JSON_COMPACT | JSON_ENCODE_ANY);
+
+            EXPECT_EQ(item, c.expected);
+            free(item);
+        }
+        json_decref(o);
+    }
+}
+
+TEST(JsonLoad, WhatIsNoJsonIsRefused)
+{
+    for (const std::string text :
+         {"", "{", "[1,", "\"", "[\"a", "[\"\\", "[1e999", "nul", "[1}",
+          "[\"\\u12", "[-", "{1e999:2}", "\xff", "]"}) {
+        json_t *o = Json_LoadParts(text.data(), text.size());
+
+        EXPECT_EQ(o, nullptr) << text;
+        json_decref(o);
+    }
+    EXPECT_EQ(Json_LoadParts(nullptr, 0), nullptr);
+}
--- a/tests/fakes/hosted-store.c
+++ b/tests/fakes/hosted-store.c
@@ -4,6 +4,8 @@
  * them, as the platform refuses calls from some machines while it serves
  * others.
  *
+ * PUT /odd-row sets a text that each feed has as its first row, "" for none.
+ *
  * PUT /fault/PORT sets the fault of a port: "" (none), "busy" (calls get 503),
  * "no-rows" (calls get an object without any field),
  * "silent" (calls get no response), "lose" (writes are done, and the
@@ -55,6 +57,7 @@
     struct listener listeners[2];
     TAILQ_HEAD(, row) rows;
     TAILQ_HEAD(, waiter) waiters;
+    struct buf odd_row; /* as in PUT /odd-row */
     uint64_t version;
     uint64_t oldest; /* feeds from an earlier version get 410 */
 };
@@ -106,6 +109,29 @@
     return rows_response_at(s->version, rows);
 }
 
+/* Sends the response of a feed, with the odd row before the others. */
+static void
+reply_rows(const struct store *s, struct http_exchange *ex, json_t *o)
+{
+    static const char list[] = "\"rows\":[";
+    struct buf out CLEANUP(Buf_Free) = {0};
+    char *text, *items;
+
+    if (s->odd_row.len == 0) {
+        Fake_Reply(ex, 200, o);
+        return;
+    }
+    text = json_dumps(o, JSON_COMPACT);
+    items = strstr(text, list) + strlen(list);
+    Buf_Append(&out, text, (size_t)(items - text));
+    Buf_Append(&out, s->odd_row.data, s->odd_row.len);
+    Buf_AppendStr(&out, *items != ']' ? "," : "");
+    Buf_AppendStr(&out, items);
+    Http_Reply(ex, 200, "application/json", out.data, out.len);
+    free(text);
+    json_decref(o);
+}
+
 /* True if feeds on this port return no change. */
 static bool
 hides_changes(const struct listener *listener)
@@ -137,10 +163,10 @@
     TAILQ_REMOVE(&s->waiters, w, entry);
     ev_timer_stop(s->task.kernel->loop, &w->timer);
     if (hides_changes(w->listener)) {
-        Fake_Reply(w->ex, 200, rows_response_at(w->after, json_array()));
+        reply_rows(s, w->ex, rows_response_at(w->after, json_array()));
     }
     else {
-        Fake_Reply(w->ex, 200,
+        reply_rows(s, w->ex,
                    rows_response(s, changed_rows(s, w->table, w->after)));
     }
     free(w);
@@ -185,7 +211,7 @@
                ? json_array()
                : changed_rows(s, table, strtoull(after, NULL, 10));
     if (json_array_size(rows) > 0) {
-        Fake_Reply(ex, 200, rows_response(s, rows));
+        reply_rows(s, ex, rows_response(s, rows));
         return;
     }
     json_decref(rows);
@@ -393,6 +419,9 @@
             }
         }
     }
+    else if (strcmp(path, "/odd-row") == 0) {
+        Buf_Set(&s->odd_row, body->data != NULL ? body->data : "", body->len);
+    }
     else if (strcmp(path, "/history/drop") == 0) {
         s->oldest = s->version + 1;
         s->version++;
--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -370,6 +370,33 @@
     EXPECT_EQ(runs.seen.ended[1].how, END_STOPPED);
 }
 
+/* Guards against a worker whose runs are given up, as one odd row makes its
+ * whole answer unreadable. */
+TEST(HostedRuns, ARowThatNoParserAcceptsIsSkipped)
+{
+    const std::string deep = std::string(3000, '[') + std::string(3000, ']');
+
+    for (const std::string &row :
+         {std::string(R"(["b.0.0.0",1,"",1e999])"),
+          std::string(R"(["b.0.0.0",99999999999999999999,"",4])"),
+          std::string("[\"b\xff\",1,\"\",4]"),
+          std::string(R"(["\ud800",1,"",4])"),
+          R"(["b.0.0.0",1,"",)" + deep + "]", deep}) {
+        std::string text = R"({"clock-ms":9,"running":[)" + row +
+                           R"(,["a.0.0.0",2,"cp",41]],"ended":[]})";
+        json_t *o = Json_LoadParts(text.data(), text.size());
+        struct runs_poll_result seen = {};
+
+        ASSERT_EQ(Hosted_ReadRuns(o, &seen), ERR_OK) << row.substr(0, 40);
+        ASSERT_EQ(seen.running_count, 1u) << row.substr(0, 40);
+        EXPECT_STREQ(seen.running[0].task, "a.0.0.0");
+        EXPECT_STREQ(seen.running[0].checkpoint, "cp");
+        free(seen.running);
+        free(seen.ended);
+        json_decref(o);
+    }
+}
+
 struct ListCase {
     const char *what;
     int ends;
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -166,6 +166,43 @@
     EXPECT_TRUE(s.WaitForState(0, "a2", "completed")) << s.Logs();
 }
 
+/* Guards against entries that no longer follow the store, as its answers have
+ * a row that no parser accepts. */
+TEST(HostedForeign, ARowThatNoParserAcceptsDoesNotStopTheFeed)
+{
+    HostedStack s(2, 1);
+    int version = 10;
+
+    s.Owner();
+    for (const std::string &row :
+         {std::string(R"({"key":"odd","value":1e999,"schema-version":9})"),
+          std::string(
+              R"({"key":"odd","schema-version":99999999999999999999})"),
+          std::string(R"({"key":"\ud800","value":"","schema-version":9})"),
+          std::string(R"({"key":"a\u0000b","value":"","schema-version":9})"),
+          std::string("{\"key\":\"\xff\",\"schema-version\":9}"),
+          R"({"key":"odd","value":)" + std::string(3000, '[') +
+              std::string(3000, ']') + R"(,"schema-version":9})"}) {
+        std::string id = "a" + std::to_string(version);
+        std::string key = "key-" + std::to_string(version);
+
+        Http("PUT", s.store->Url("/odd-row"), row);
+        s.PutConfig(version++, {key});
+        for (int entry = 0; entry < 2; entry++) {
+            EXPECT_TRUE(WaitFor([&] {
+                return s.Query(entry, "0", key).status == 410;
+            })) << row.substr(0, 60);
+        }
+        EXPECT_EQ(s.Submit(0, id, "50", 1, key).status, 200);
+        EXPECT_TRUE(WaitFor([&] {
+            return s.Query(1, id, key).body.find("completed") !=
+                   std::string::npos;
+        })) << row.substr(0, 60);
+    }
+    s.StartEntry(0);
+    EXPECT_TRUE(WaitFor([&] { return s.Ready(0); }));
+}
+
 /* Guards against a configuration that never takes effect, so that a revoked
  * key stays valid, because of the length or the type of one item. Each version
  * replaces the key. */
