--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -51,6 +51,47 @@
     EXPECT_EQ(s.Logs().find("event=worker_lost"), std::string::npos);
 }
 
+/* Guards against starts on a worker that drains: after a heartbeat of another
+ * writer without a start time, the worker's own ones count as late, though
+ * they are answered. */
+TEST(HostedForeign, AHeartbeatWithoutAStartTimeReplacesNoWorker)
+{
+    HostedStack s(1, 2);
+
+    for (auto &w : s.workers) {
+        Http("PUT", w->Url("/say"), "born");
+    }
+    ASSERT_TRUE(WaitFor([&] {
+        return s.Logs().find("worker_found worker=i-0#") != std::string::npos;
+    })) << s.Logs();
+    EXPECT_EQ(s.Submit(0, "a0", "50").status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "a0", "completed")) << s.Logs();
+    for (const char *state : {"ready", "draining"}) {
+        EXPECT_EQ(Http("POST", s.Heartbeats(0) + "/Instances.Heartbeat/i-0",
+                       std::string(R"({"service":"pool","sequence":1,)"
+                                   R"("address":"127.0.0.1:1","state":")") +
+                           state +
+                           R"(","capacity":{"cpu":16000,"mem-mb":64000,)"
+                           R"("gpu":8},"labels":["a","r1"]})")
+                      .status,
+                  200);
+    }
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Logs().find("not an incarnation of this worker") !=
+               std::string::npos;
+    })) << s.Logs();
+    EXPECT_EQ(s.Submit(0, "a1", "50", 12).status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "a1", "completed")) << s.Logs();
+    Http("PUT", s.workers[0]->Url("/say"), "drain");
+    EXPECT_TRUE(WaitFor([&] {
+        return s.Logs().find("event=worker_draining") != std::string::npos;
+    })) << s.Logs();
+    std::string before = Http("GET", s.workers[0]->Url("/starts")).body;
+    EXPECT_EQ(s.Submit(0, "a2", "50", 12).status, 200);
+    EXPECT_TRUE(s.WaitForState(0, "a2", "completed")) << s.Logs();
+    EXPECT_EQ(Http("GET", s.workers[0]->Url("/starts")).body, before);
+}
+
 /* Another writer overwrites rows of the product (entries, owner, heartbeat,
  * spec, progress and cancellation of jobs) and adds rows of no job. New jobs
  * are still done, and those with overwritten rows run once each. Then the
