runs: an odd heartbeat or notice under a worker's name doesn't outlast it

A heartbeat of another writer under the name of the present incarnation, with a sequence number far ahead, made all of the worker's own heartbeats count as late: its draining was acknowledged and never noticed (DRAIN). And a notice that the worker leaves, once taken, was lifted by nothing: the agent refused all starts for a sound worker, for good (LOST).

A number that is further ahead than heartbeats can be lost is left out, counted and logged. A heartbeat that says ready after the notice voids it, as a worker that leaves says that it drains, and then ends.

WatchTest.ASequenceNumberFarAheadIsLeftOut and AWorkerThatIsReadyAfterItsNoticeHasNotLeft failed before.

--- a/packages/runs/runs-watch.c
+++ b/packages/runs/runs-watch.c
@@ -16,6 +16,8 @@
  * answers polls immediately, and polling without a pause would use a whole
  * core. */
 #define UNSTORED_ENDS_POLL_MS 50
+/* Heartbeats in a row that may be lost; at one a second, a day's. */
+#define SEQUENCE_LEAP_MAX 100000
 
 static void poll_worker(struct watch *w);
 
@@ -481,8 +483,19 @@
     }
 }
 
+/* True for a report of the present incarnation that is not one of its own:
+ * its sequence number is further ahead than heartbeats can be lost. If it were
+ * used, all reports of the worker would count as late from then on. */
+static bool
+is_far_ahead(const struct watch *w, const struct worker_status *status)
+{
+    return status->sequence > w->current.sequence &&
+           status->sequence - w->current.sequence > SEQUENCE_LEAP_MAX;
+}
+
 /* Handles a report of a worker, which may be a late one of an incarnation that
- * is over. */
+ * is over. A worker that reports to be ready after its notice that it leaves
+ * has not left, and the notice was not its own. */
 static void
 handle_status(struct watch *w, const struct worker_status *status)
 {
@@ -498,6 +511,14 @@
     if (same && status->sequence < w->current.sequence) {
         return;
     }
+    if (same && is_far_ahead(w, status)) {
+        Unreadable(UNREADABLE_REPORT, status->incarnation,
+                   "sequence number too far ahead");
+        return;
+    }
+    if (same && status->sequence > w->current.sequence && !status->draining) {
+        w->leaving = false;
+    }
     if (!same) {
         handle_other_incarnation(w, status);
         return;
--- a/tests/runs-watch-test.cc
+++ b/tests/runs-watch-test.cc
@@ -101,7 +101,8 @@
         return true;
     }
 
-    void SendStatus(const char *incarnation, bool leaves)
+    void SendStatus(const char *incarnation, bool leaves,
+                    uint64_t sequence_at = 0, bool draining = false)
     {
         auto *s = static_cast<struct worker_status *>(
             Mem_Zero(1, sizeof(struct worker_status)));
@@ -110,7 +111,8 @@
         Str_Copy(s->incarnation, sizeof(s->incarnation), incarnation);
         Str_Copy(s->id, sizeof(s->id), name.substr(0, name.find('#')).c_str());
         s->leaves = leaves;
-        s->sequence = ++sequence;
+        s->draining = draining;
+        s->sequence = sequence_at != 0 ? sequence_at : ++sequence;
         Kernel_Post(watch, &s->base, &Runs_WorkerStatusKind);
     }
 
@@ -169,6 +171,20 @@
         }
     }
 
+    void ProcessMessages()
+    {
+        ASSERT_TRUE(RunUntil([&] { return TAILQ_EMPTY(&kernel.mailbox); }));
+    }
+
+    bool IsDraining()
+    {
+        json_t *state = watch->ops->state(watch);
+        bool draining = json_is_true(json_object_get(state, "draining"));
+
+        json_decref(state);
+        return draining;
+    }
+
     /* The incarnation that the watch takes for the present one. */
     std::string Present()
     {
@@ -237,4 +253,31 @@
     EXPECT_EQ(starts[0].task, "in-time.0.0.0");
 }
 
+/* Guards against a worker whose draining is never noticed: one odd heartbeat
+ * under its name makes all of its own count as late. */
+TEST_F(WatchTest, ASequenceNumberFarAheadIsLeftOut)
+{
+    for (uint64_t odd : {UINT64_C(200000), UINT64_C(1) << 53}) {
+        SendStatus("i-1#5", false, odd);
+        ProcessMessages();
+    }
+    SendStatus("i-1#5", false, 0, true);
+    ProcessMessages();
+    EXPECT_TRUE(IsDraining());
+}
+
+/* Guards against a sound worker that never gets work again, as another writer
+ * has sent the notice that it leaves. */
+TEST_F(WatchTest, AWorkerThatIsReadyAfterItsNoticeHasNotLeft)
+{
+    SendStatus("i-1#5", true);
+    SendStart("refused.0.0.0", 60000);
+    ProcessMessages();
+    EXPECT_TRUE(starts.empty());
+    SendStatus("i-1#5", false);
+    SendStart("a.0.0.0", 60000);
+    ProcessMessages();
+    EXPECT_EQ(starts.size(), 1u);
+}
+
 } /* namespace */
