platform: the id of a worker is visible ASCII

An id in the path of a heartbeat became part of a header of the calls to the worker. One with an encoded line break added headers of its own to them. Found by reading, for all that another writer can put into a heartbeat; no run of the programs has shown it.

Ids are parts of URL paths and headers, so a real one has no such characters.

--- a/tests/hosted-agent-test.cc
+++ b/tests/hosted-agent-test.cc
@@ -184,6 +184,9 @@
         {"negative", "i-1", "-5", ERR_INVALID, ""},
         {"null", "i-1", "null", ERR_INVALID, ""},
         {"no id", "", "5", ERR_INVALID, ""},
+        {"a line break in the id", "i\r\nX: 1", "5", ERR_INVALID, ""},
+        {"a space in the id", "i 1", "", ERR_INVALID, ""},
+        {"a byte that is no text", "i\xff", "5", ERR_INVALID, ""},
     };
 
     for (const LifetimeCase &c : cases) {
