jobs: done units that are dropped stay in the ranges of their row

Cause: the end of a job drops all its units, and a done unit that is dropped was no part of a range any more. The row grew to 73,983 bytes, beyond the 65,536 that stores accept, and each transaction has all rows that changed.

Done units are in ranges whether they are dropped or not. This suffices as a done unit has no run, and its other fields are not read again; the other ways in which a row grows are bounded when runs start.

The simulated store of these tests now reports any row that is too long.

--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -71,11 +71,14 @@
     return tasks;
 }
 
-/* True for a unit that its row has only as part of a range of done units. */
+/* True for a unit that its row has only as part of a range of done units. That
+ * holds for dropped ones too: when a job of thousands of done units is
+ * cancelled or fails, a row of its own for each of them would exceed what
+ * stores accept, and no owner could store anything any more. */
 static bool
 is_plain_done(const struct jobs_unit *u)
 {
-    return u->state == UNIT_DONE && !u->dropped;
+    return u->state == UNIT_DONE;
 }
 
 /* True for a done unit that extends the range of the unit before it. */
--- a/tests/jobs-world.cc
+++ b/tests/jobs-world.cc
@@ -10,6 +10,9 @@
 /* Work that a checkpoint saves, and that the next run does not repeat. */
 const int64_t CHECKPOINT_SAVES_MS = 500;
 
+/* The longest row that stores accept. */
+const size_t ROW_BYTES_MAX = 65536;
+
 std::string
 JobOf(const std::string &task)
 {
@@ -462,6 +465,9 @@
 
     while ((id = Jobs_NextDirty(scheduler, &row)) != nullptr) {
         batch[id] = std::string(row.data, row.len);
+        if (row.len > ROW_BYTES_MAX) {
+            violations.push_back("a row is too long: " + std::string(id));
+        }
         Buf_Clear(&row);
     }
     Buf_Free(&row);
--- a/tests/jobs.cmake
+++ b/tests/jobs.cmake
@@ -30,3 +30,4 @@
 pf_test(jobs-partial-test jobs-partial-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-timeline-test jobs-timeline-test.cc jobs-world.cc PACKAGES jobs)
 pf_test(jobs-restart-test jobs-restart-test.cc jobs-world.cc PACKAGES jobs)
+pf_test(jobs-row-test jobs-row-test.cc jobs-world.cc PACKAGES jobs)
