entry: a path that is no UTF-8 doesn't end the entry

Cause: Front_Refuse() put the path into its JSON body. json_pack() makes nothing of bytes that are no UTF-8, and Front_ReplyJson() passed on the NULL of json_dumps().

The detail is converted to text, with U+FFFD for such bytes, and a reply that can't be encoded is logged and answered with 500. This suffices as all replies in JSON go through Front_ReplyJson().

RequestProcess.APathThatIsNoTextEndsNothing got no answer to its first path before, and the entry was gone.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -258,6 +258,10 @@
  * NUL. Returns NULL for what is no JSON even so. */
 struct json_t *Json_LoadParts(const char *text, size_t len);
 
+/* Returns a JSON string, in which bytes that are no UTF-8 are replaced by
+ * U+FFFD; never NULL. */
+struct json_t *Json_Text(const char *text);
+
 /* Highest counter (a term, an attempt, a version) that is taken from a row.
  * Real ones are far below, and there is room to count on: a row of another
  * writer with a higher one is invalid. */
--- a/packages/base/json-load.c
+++ b/packages/base/json-load.c
@@ -169,6 +169,29 @@
     Buf_Append(&r->out, r->at++, 1);
 }
 
+/* Converts a text, whose bytes may come from another program. */
+json_t *
+Json_Text(const char *text)
+{
+    static const char replacement[] = "\xef\xbf\xbd"; /* U+FFFD */
+    json_t *value = json_string(text);
+    struct buf copy CLEANUP(Buf_Free) = {0};
+    const char *end = text + strlen(text);
+
+    if (value != NULL) {
+        return value;
+    }
+    while (text < end) {
+        size_t n =
+            utf8_bytes((const unsigned char *)text, (size_t)(end - text));
+
+        Buf_Append(&copy, n > 0 ? text : replacement,
+                   n > 0 ? n : strlen(replacement));
+        text += n > 0 ? n : 1;
+    }
+    return json_stringn(copy.data, copy.len);
+}
+
 /* Parses a document, if necessary without its unreadable parts. */
 json_t *
 Json_LoadParts(const char *text, size_t len)
--- a/packages/entry/entry-front.c
+++ b/packages/entry/entry-front.c
@@ -61,7 +61,12 @@
     char *text = json_dumps(value, JSON_INDENT(1));
     struct buf b CLEANUP(Buf_Free) = {0};
 
-    Buf_AppendStr(&b, text);
+    if (text == NULL) {
+        /* A value with bytes that are no UTF-8; one caller's reply is lost. */
+        LOG_E("reply_unreadable", KV_INT("status", status));
+        status = 500;
+    }
+    Buf_AppendStr(&b, text != NULL ? text : "{}");
     Buf_AppendStr(&b, "\n");
     Http_Reply(ex, status, "application/json", b.data, b.len);
     free(text);
@@ -74,8 +79,8 @@
              const char *reason, const char *detail, int64_t retry_after_ms,
              const struct id *request)
 {
-    json_t *o = json_pack("{s:s, s:s, s:s}", "outcome", outcome, "reason",
-                          reason, "detail", detail);
+    json_t *o = json_pack("{s:s, s:s, s:o}", "outcome", outcome, "reason",
+                          reason, "detail", Json_Text(detail));
     char hex[ID_HEX_SIZE];
 
     if (retry_after_ms >= 0) {
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -348,3 +348,45 @@
                   .status,
               404);
 }
+
+/* Guards against an entry that ends for one request: the path of a refusal has
+ * bytes that are no UTF-8. */
+TEST(RequestProcess, APathThatIsNoTextEndsNothing)
+{
+    static const struct {
+        const char *method, *path;
+    } cases[] = {
+        {"GET", "/caf%E9"},
+        {"GET", "/caf%C3%A9"},
+        {"PUT", "/%ff%fe%C0%AF"},
+        {"DELETE", "/healthz"},
+        {"GET", "/%ED%A0%80"},
+        {"GET", "/a%00b"},
+        {"POST", "/v1/services/%E9/requests"},
+        {"GET", "/v1/jobs/%E9"},
+        {"GET", "/v1/why/%E9"},
+        {"GET", "/v1/config?epoch=%E9"},
+        {"GET", "/console/%E9"},
+    };
+    Stack s({.entries = 1, .agents = 1});
+
+    for (const auto &c : cases) {
+        Reply r = Http(c.method, s.entries[0].Url(c.path), "x",
+                       {"Authorization: Bearer operator"});
+
+        EXPECT_GE(r.status, 200) << c.path;
+        EXPECT_NE(r.status, 500) << c.path << r.body;
+        EXPECT_TRUE(s.entries[0].process->Running()) << c.path;
+    }
+    EXPECT_NE(s.Ask("a key that is no text", 0, "k\xe9").reply.status, 0);
+    for (const char *header : {"Authorization: Bearer \xe9",
+                               "Content-Type: \xe9", "X-Deadline-Ms: \xe9"}) {
+        EXPECT_NE(Http("POST",
+                       s.entries[0].Url("/v1/services/photos/requests"), "x",
+                       {"Authorization: Bearer token", header})
+                      .status,
+                  0)
+            << header;
+    }
+    EXPECT_EQ(s.Ask("after them").reply.status, 200);
+}
