entry: the page of jobs after an id that is none is refused

Found beside the path that is no UTF-8: GET /v1/jobs?after=%E9 ended the entry, for any caller with a key. The argument went into the body of a call of the table service, which could not be encoded; that counts as a broken invariant.

The argument has to be the id of a job; otherwise the answer is 400.

APathThatIsNoTextEndsNothing got no answer to this path before, nor to any after it.

--- a/packages/entry/entry-jobs-read.c
+++ b/packages/entry/entry-jobs-read.c
@@ -254,10 +254,16 @@
     struct buf prefix CLEANUP(Buf_Free) = {0};
     struct buf from CLEANUP(Buf_Free) = {0};
     struct principal principal;
+    struct id id;
 
     if (!Principal_Authenticate(s, ex, &principal)) {
         return;
     }
+    if (after != NULL && *after != '\0' && Id_Parse(after, &id) != ERR_OK) {
+        Front_Refuse(ex, 400, "not_run", "bad_id", "after: 32 hex digits", -1,
+                     NULL);
+        return;
+    }
     if (s->table == NULL) {
         JobRequest_RefuseUnavailable(ex, ERR_UNREACHABLE);
         return;
--- a/tests/request-process-test.cc
+++ b/tests/request-process-test.cc
@@ -364,6 +364,7 @@
         {"GET", "/a%00b"},
         {"POST", "/v1/services/%E9/requests"},
         {"GET", "/v1/jobs/%E9"},
+        {"GET", "/v1/jobs?after=%E9"},
         {"GET", "/v1/why/%E9"},
         {"GET", "/v1/config?epoch=%E9"},
         {"GET", "/console/%E9"},
