jobs: the length of a row is reckoned by its numbers

Cause: a start waits while the job's row might exceed what stores accept, and the row was reckoned with all numbers at their greatest length, 126 bytes for a task that takes up 33. So 462 tasks filled it, and those that last don't end. Starts of units that had run before were not checked.

The reckoning follows the numbers, with six digits for those that still rise; a unit that is done takes up less than one that runs, so only the longer of the two counts. All starts are checked now, and 4 KB are kept for those after the first one, which may add names of workers.

JobsRow.AllTasksOfALargeServiceRun had 462 tasks running in each of its three cases before (528, 600, 800), and all of them now, with no row too long. Beyond some 1,100 tasks on 66 workers (computed) the rest of a service still waits; that is left open.

--- a/packages/jobs/jobs-plan.c
+++ b/packages/jobs/jobs-plan.c
@@ -246,12 +246,14 @@
  * of thousands may not all fit at once. The store would refuse a longer row,
  * and with it the owner's whole transaction, again and again, so that no job
  * would continue. The rest of such a job waits until the first of its tasks
- * have ended. */
+ * have ended. Room is kept for units that start again on other workers. */
 static bool
 fits_row(const struct jobs_unit *u)
 {
-    return u->run != 0 ||
-           u->job->row_bytes + Row_StartBytes(u) <= JOBS_ROW_MAX;
+    static const size_t kept_for_restarts = 4096;
+    size_t kept = u->run == 0 ? kept_for_restarts : 0;
+
+    return u->job->row_bytes + Row_StartBytes(u) + kept <= JOBS_ROW_MAX;
 }
 
 /* The last unit of this pass that could not be placed and for which nothing
@@ -309,7 +311,7 @@
 place_waiting(struct jobs_scheduler *sched, struct jobs_unit *u,
               int64_t now_ms, bool may_reserve, struct failed_placement *last)
 {
-    bool first_run = u->run == 0;
+    size_t start_bytes = Row_StartBytes(u);
     enum place_result result;
 
     if (has_same_outcome(last, u)) {
@@ -328,8 +330,8 @@
     if (result != PLACE_ASSIGNED && sched->question.count == 0) {
         Advice_ComposeQuestion(sched, u, now_ms, &sched->question);
     }
-    if (result == PLACE_ASSIGNED && first_run) {
-        u->job->row_bytes += Row_StartBytes(u);
+    if (result == PLACE_ASSIGNED) {
+        u->job->row_bytes += start_bytes;
     }
     return result == PLACE_PENDING;
 }
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -13,11 +13,14 @@
     return state_names[state];
 }
 
-/* Bytes of a row, with numbers at their greatest length. */
-#define HEAD_BYTES 160  /* the row's fixed fields */
-#define RANGE_BYTES 40  /* a range of units that are done */
-#define UNIT_BYTES 72   /* a unit that has run, without its checkpoint */
-#define TASK_BYTES 14   /* a task that may be running */
+/* Bytes of a row. */
+#define HEAD_BYTES 160 /* the row's fixed fields */
+#define RANGE_BYTES 8  /* a range of units that are done, without numbers */
+#define UNIT_BYTES 17  /* a unit that has run, without long numbers and texts \
+                        */
+#define COUNT_DIGITS 6 /* of its runs and failures, which may grow to these   \
+                        */
+#define TASK_BYTES 14  /* a task that may be running */
 #define WORKER_BYTES 10 /* a worker, without its names */
 
 /* Number of tasks of a job whose blame is kept in its row, at most 24 bytes
@@ -188,21 +191,49 @@
     JobsJson_Append(o, out);
 }
 
+/* Returns the length of a number. */
+static size_t
+count_digits(uint64_t n)
+{
+    size_t digits = 1;
+
+    while (n >= 10) {
+        n /= 10;
+        digits++;
+    }
+    return digits;
+}
+
+/* Returns the bytes that a range with one done unit takes up. A row has at
+ * most one for each unit that is done. */
+static size_t
+range_bytes(const struct jobs_unit *u)
+{
+    size_t last = u->tasks[0].index + u->task_count - 1;
+
+    return RANGE_BYTES + count_digits(u->occurrence) + count_digits(u->step) +
+           2 * count_digits(last);
+}
+
 /* Returns the bytes of a row that a started unit takes up, without the names
- * of its workers. */
+ * of its workers. Once it is done, a range takes up less. */
 static size_t
 unit_bytes(const struct jobs_unit *u)
 {
-    size_t checkpoint = Unit_Step(u)->checkpoints ? sizeof(u->checkpoint) : 0;
+    size_t checkpoint = Unit_Step(u)->checkpoints ? sizeof(u->checkpoint)
+                                                  : strlen(u->checkpoint);
 
-    return RANGE_BYTES + UNIT_BYTES + checkpoint + u->task_count * TASK_BYTES;
+    return UNIT_BYTES + count_digits(u->occurrence) + count_digits(u->step) +
+           count_digits(u->tasks[0].index) + 2 * COUNT_DIGITS + checkpoint +
+           u->task_count * TASK_BYTES;
 }
 
-/* Returns how many bytes a unit adds to its job's row at most by starting. */
+/* Returns how many bytes a unit adds to its job's row at most by starting; one
+ * that has run before adds no more than the names of its workers. */
 size_t
 Row_StartBytes(const struct jobs_unit *u)
 {
-    return unit_bytes(u) +
+    return (u->run == 0 ? unit_bytes(u) : 0) +
            u->task_count * (WORKER_BYTES + NAME_SIZE + JOBS_TEXT_SIZE);
 }
 
@@ -234,7 +265,7 @@
     sched->row_mark++;
     TAILQ_FOREACH (u, &j->units, entry) {
         if (is_plain_done(u)) {
-            sum += extends_range(u) ? 0 : RANGE_BYTES;
+            sum += extends_range(u) ? 0 : range_bytes(u);
         }
         else if (u->run != 0 || u->state != UNIT_WAITING) {
             sum += unit_bytes(u) + names_bytes(u, sched->row_mark);
--- a/tests/jobs-row-test.cc
+++ b/tests/jobs-row-test.cc
@@ -59,4 +59,50 @@
     }
 }
 
+struct LargeServiceCase {
+    const char *what;
+    int workers;
+    uint32_t tasks;
+    bool takes_over;
+    bool restarts; /* each worker restarts, under another id */
+};
+
+/* Guards against tasks of a service that never start, though there is a place
+ * for each, as the row of their job counts as full. */
+TEST(JobsRow, AllTasksOfALargeServiceRun)
+{
+    static const LargeServiceCase cases[] = {
+        {"528 on 66 workers", 66, 528, false, false},
+        {"600 on 75 workers, another owner", 75, 600, true, false},
+        {"800 on 100 workers, which restart", 100, 800, false, true},
+    };
+
+    for (const LargeServiceCase &c : cases) {
+        Simulation sim(c.workers);
+        struct jobs_spec s = sim.Spec("aa", c.tasks, 1);
+        size_t running = 0;
+
+        s.steps[0].lasting = true;
+        sim.behaviours["aa"].lasting = true;
+        sim.behaviours["aa"].work_ms = 600000;
+        sim.Submit(s);
+        sim.Ticks(100);
+        if (c.takes_over) {
+            sim.TakeOver();
+            sim.Ticks(20);
+        }
+        for (int i = 0; c.restarts && i < c.workers; i++) {
+            sim.RestartWorker(static_cast<size_t>(i));
+            sim.Ticks(2);
+        }
+        sim.Ticks(100);
+        for (const Worker &w : sim.workers) {
+            running += w.runs.size();
+        }
+        EXPECT_EQ(running, c.tasks) << c.what;
+        EXPECT_TRUE(sim.violations.empty())
+            << c.what << ": " << sim.violations[0];
+    }
+}
+
 } /* namespace */
