jobs: a gang raises the trust in its worker once; names and capacity

A gang of four that worked for 2 s on a worker after its quarantine raised the trust in it four times, so all that fits could start there at once in place of two units. Found by reading the change. Only the first of a unit's tasks on a worker counts now, as for the limit itself.

--- a/packages/jobs/jobs-failed.c
+++ b/packages/jobs/jobs-failed.c
@@ -68,8 +68,9 @@
 {
     bool ending_matters = may_reserve || scope->evicts;
 
-    if (sched->has_long_out && (!needs_the_same(u, f->unit) ||
-                                scope->impatient > f->scope.impatient)) {
+    if (sched->has_long_quarantine &&
+        (!needs_the_same(u, f->unit) ||
+         scope->impatient > f->scope.impatient)) {
         return false;
     }
     if (!needs_as_much(u, f->unit) || scope->remote > f->scope.remote ||
@@ -100,10 +101,10 @@
 
     clear(sched);
     sched->has_unpreferred = false;
-    sched->has_long_out = false;
+    sched->has_long_quarantine = false;
     RB_FOREACH (w, jobs_worker_tree, &sched->workers) {
-        sched->has_long_out =
-            sched->has_long_out || Trust_IsLongOut(w, now_ms);
+        sched->has_long_quarantine =
+            sched->has_long_quarantine || Trust_IsInLongQuarantine(w, now_ms);
         sched->has_unpreferred =
             sched->has_unpreferred || Place_IsSlow(w, now_ms, true);
     }
--- a/packages/jobs/jobs-place.c
+++ b/packages/jobs/jobs-place.c
@@ -367,10 +367,10 @@
     a->timeline = sched->limits.parts.timeline;
     a->length_factor = 1;
     a->now_ms = now_ms;
-    a->unit->needs_distrusted = false;
+    a->unit->may_use_quarantined = false;
     add_candidates(sched, a);
-    if (sched->has_long_out && !should_wait_for(sched, a, a->count)) {
-        a->unit->needs_distrusted = true;
+    if (sched->has_long_quarantine && !should_wait_for(sched, a, a->count)) {
+        a->unit->may_use_quarantined = true;
         add_candidates(sched, a);
     }
     if (has_last_attempt(a->unit)) {
@@ -617,7 +617,8 @@
         .wait_ms = wait_ms > 0 ? wait_ms : 0,
         .remote = Place_CanBeRemote(u) && Place_MayBeRemote(sched, u, now_ms),
         .unpreferred = now_ms - u->ready_ms >= preference_wait_ms(u),
-        .impatient = sched->has_long_out && is_impatient(sched, u, now_ms),
+        .impatient =
+            sched->has_long_quarantine && is_impatient(sched, u, now_ms),
         .evicts = u->job->qos.priority == 0,
         .length_ms = sched->timeline.reservations == 0 ? 0
                      : Unit_Step(u)->lasting           ? TIMELINE_NEVER
--- a/packages/jobs/jobs-row.c
+++ b/packages/jobs/jobs-row.c
@@ -13,15 +13,14 @@
     return state_names[state];
 }
 
-/* Bytes of a row. */
-#define HEAD_BYTES 160 /* the row's fixed fields */
-#define RANGE_BYTES 8  /* a range of units that are done, without numbers */
-#define UNIT_BYTES 17  /* a unit that has run, without long numbers and texts \
-                        */
-#define COUNT_DIGITS 6 /* of its runs and failures, which may grow to these   \
-                        */
-#define TASK_BYTES 14  /* a task that may be running */
-#define WORKER_BYTES 10 /* a worker, without its names */
+/* Bytes of a row, without the texts and the longer numbers in it. */
+#define HEAD_BYTES 160  /* the row's fixed fields */
+#define RANGE_BYTES 8   /* a range of units that are done */
+#define UNIT_BYTES 17   /* a unit that has run */
+#define TASK_BYTES 14   /* a task that may be running */
+#define WORKER_BYTES 10 /* a worker */
+/* Digits of the numbers of a unit that still rise: its runs and failures. */
+#define COUNT_DIGITS 6
 
 /* Number of tasks of a job whose blame is kept in its row, at most 24 bytes
  * each: together with JOBS_ROW_MAX this keeps the row under the 64 KiB that
--- a/packages/jobs/jobs-scheduler.h
+++ b/packages/jobs/jobs-scheduler.h
@@ -74,7 +74,7 @@
     bool begun;           /* a task of it has been reported as running */
     bool suspect;         /* a task of it may have crashed a worker */
     /* It should not wait any more for workers that are trusted. */
-    bool needs_distrusted;
+    bool may_use_quarantined;
     int64_t ready_ms; /* since when it could start; 0: not yet */
     int64_t not_before_ms;
     int64_t due_ms;  /* of its occurrence, by the owner's clock; 0: none */
@@ -270,7 +270,8 @@
     uint64_t failed_stops; /* stops when the first one was remembered */
     uint64_t stops;        /* runs that were stopped, in total */
     bool has_unpreferred;  /* some worker is slow, in the pass under way */
-    bool has_long_out;     /* some worker is in quarantine for long, in it */
+    bool
+        has_long_quarantine; /* some worker is in quarantine for long, in it */
     /* Tests place units that are covered by failed ones too, and count those
      * for which that changes something. */
     bool checks_failed;
@@ -386,7 +387,7 @@
                      struct jobs_task *t, int64_t now_ms);
 /* True while a worker is in quarantine for longer than units wait that need
  * it. */
-bool Trust_IsLongOut(const struct jobs_worker *w, int64_t now_ms);
+bool Trust_IsInLongQuarantine(const struct jobs_worker *w, int64_t now_ms);
 /* True when a quarantine keeps the unit off the worker. */
 bool Trust_KeepsOff(const struct jobs_worker *w, const struct jobs_unit *u,
                     int64_t now_ms);
--- a/packages/jobs/jobs-trust.c
+++ b/packages/jobs/jobs-trust.c
@@ -129,7 +129,7 @@
 /* True while a worker is in quarantine for longer than units wait that need
  * it. */
 bool
-Trust_IsLongOut(const struct jobs_worker *w, int64_t now_ms)
+Trust_IsInLongQuarantine(const struct jobs_worker *w, int64_t now_ms)
 {
     int64_t begun_ms = w->quarantine_until_ms - w->quarantine_ms;
 
@@ -152,7 +152,7 @@
 
     return now_ms < w->quarantine_until_ms &&
            (!Unit_Step(u)->lasting || now_ms < begun_ms + QUARANTINE_MS) &&
-           (!u->needs_distrusted || !Trust_IsLongOut(w, now_ms));
+           (!u->may_use_quarantined || !Trust_IsInLongQuarantine(w, now_ms));
 }
 
 /* Compares the sums over all workers of the service, for each resource. */
@@ -223,7 +223,8 @@
 Trust_RunListed(struct jobs_scheduler *sched, struct jobs_worker *w,
                 struct jobs_task *t, int64_t now_ms)
 {
-    if (now_ms - t->assigned_ms > PROVEN_MS && !t->unit->stopping) {
+    if (now_ms - t->assigned_ms > PROVEN_MS && !t->unit->stopping &&
+        is_first_of_unit(t)) {
         raise_trust(sched, w, t, now_ms);
     }
 }
