tests, base: the trust of a gang, names for the codes of surrogates

JobsHealth.AGangRaisesTheTrustInItsWorkerOnce is the test that lacked: without its condition the trust was raised twice by one gang of four, now once. The odd entry of hosted-foreign-test has a plain name.

The codes in json-load.c have names.

--- a/packages/base/json-load.c
+++ b/packages/base/json-load.c
@@ -9,6 +9,10 @@
 #define DEPTH_MAX 64
 #define INTEGER_DIGITS_MAX 18 /* all of them fit into 64 bits */
 #define ESCAPE_BYTES 6        /* of \uXXXX */
+/* Codes of surrogates: high ones, then low ones, up to before the end. */
+#define SURROGATE_FIRST 0xd800
+#define SURROGATE_LOW 0xdc00
+#define SURROGATE_END 0xe000
 
 /* A document that is copied without what the parser would refuse. */
 struct repair {
@@ -56,18 +60,21 @@
     return n;
 }
 
-/* Returns the length of the escape at a place; 0 for half of a pair. */
+/* Returns the length of the escape at a place; 0 for a surrogate
+ * without its pair. */
 static size_t
 escape_bytes(const char *at, const char *end)
 {
     long code = escaped_code(at, end), next;
 
-    if (code < 0xd800 || code >= 0xe000) {
-        return code < 0 ? 2 : ESCAPE_BYTES;
+    if (code < SURROGATE_FIRST || code >= SURROGATE_END) {
+        return code < 0 ? 2 : ESCAPE_BYTES; /* 2: \n and the like */
     }
     next = escaped_code(at + ESCAPE_BYTES, end);
-    return code < 0xdc00 && next >= 0xdc00 && next < 0xe000 ? 2 * ESCAPE_BYTES
-                                                            : 0;
+    return code < SURROGATE_LOW && next >= SURROGATE_LOW &&
+                   next < SURROGATE_END
+               ? 2 * ESCAPE_BYTES
+               : 0;
 }
 
 /* Copies a string, or null for one that is no text: a part of it might pass
--- a/tests/hosted-foreign-test.cc
+++ b/tests/hosted-foreign-test.cc
@@ -377,7 +377,7 @@
     EXPECT_EQ(s.Submit(0, "a1", "50").status, 200);
     ASSERT_TRUE(s.WaitForState(0, "a1", "completed")) << s.Logs();
     for (const char *key :
-         {"entry/ghost", "entry/entry-0", "owner", "beat", "learned",
+         {"entry/unknown", "entry/entry-0", "owner", "beat", "learned",
           "spec/b1", "run/b1", "run/a1", "stop/b2", "odd"}) {
         for (const std::string &value : OddValues()) {
             s.PutRow("parsleyfall", key, value);
--- a/tests/jobs-health-test.cc
+++ b/tests/jobs-health-test.cc
@@ -159,6 +159,40 @@
     EXPECT_EQ(Events(sim, "regains_trust"), 2);
 }
 
+/* Guards against a worker that gets all work that fits after its quarantine,
+ * because one gang has worked there: its tasks raise the trust only once. */
+TEST(JobsHealth, AGangRaisesTheTrustInItsWorkerOnce)
+{
+    Simulation sim(2, "batch:2:9", DEPARTURES);
+    struct jobs_spec probe = sim.Spec("probe", 1, 8);
+    struct jobs_spec gang = sim.Spec("aa", 4, 1);
+
+    sim.workers[1].rack = "special";
+    for (struct jobs_spec *s : {&probe, &gang}) {
+        Str_Copy(s->steps[0].label, sizeof(s->steps[0].label), "special");
+    }
+    sim.workers[1].fails_at_once = true;
+    sim.Submit(probe);
+    for (int i = 0; i < 2000 && !sim.HasEvent("worker_out", "fails_all");
+         i++) {
+        sim.Tick();
+    }
+    ASSERT_TRUE(sim.HasEvent("worker_out", "fails_all"));
+    sim.Cancel("probe");
+    sim.workers[1].fails_at_once = false;
+    gang.steps[0].gang = true;
+    sim.behaviours["aa"].gang = 4;
+    sim.behaviours["aa"].work_ms = 60000;
+    sim.Submit(gang);
+    for (int i = 0; i < 1000 && sim.Starts("aa.0.0.3") == 0; i++) {
+        sim.Tick();
+    }
+    ASSERT_EQ(sim.Starts("aa.0.0.3"), 1);
+    EXPECT_EQ(Events(sim, "regains_trust"), 0);
+    sim.Ticks(150);
+    EXPECT_EQ(Events(sim, "regains_trust"), 1);
+}
+
 /* Guards against a job that fails because its last attempt goes to a worker
  * that has just failed everything. It waits for the other one, which is full.
  */
